The thin path: a request goes from a caller through entry and owner to an engine

Cause: there was nothing to measure anything on. Change: four layers (State, Coordination, Protocol, Transport), the daemon, the command-line tool, and stand-ins for platform, engine and plain service. A caller asks a node's directory, the entry asks the cell's owner over an nghttp2 stream, the owner loads the adapter, the tokens stream back with the outcome as the last event. Ruled out: forwarding the tokens through the owner; they go from the engine to the entry only. Conclusion: the path works; decisions, leases and settings are still simple.

--- /dev/null
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -0,0 +1,7 @@
+#pragma once
+
+// The public header of the Coordination layer: decisions, leases, the table.
+
+#include "Hemlockglade/Coordination/Decision/CellCore.h"
+#include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
+#include "Hemlockglade/Coordination/Table.h"
--- /dev/null
+++ b/Hemlockglade/Coordination/Table.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace hemlockglade {
+
+/// A row of the platform's table. Versions start at 1 and rise by one.
+struct TableRow {
+  std::string Key;
+  std::uint64_t Version = 0;
+  std::string Value;
+};
+
+/// One write of a transaction, applied only if the row is at the version.
+struct TableWrite {
+  std::string Key;
+  /// Version the row must have; 0 if it must not exist.
+  std::uint64_t ExpectedVersion = 0;
+  /// New value; nothing deletes the row.
+  std::optional<std::string> Value;
+};
+
+/// A set of writes that take effect together or not at all.
+struct TableTransaction {
+  /// Makes a repeat recognisable as the same transaction.
+  std::string AttemptId;
+  std::vector<TableWrite> Writes;
+};
+
+/// How a table operation failed.
+enum class TableError : std::uint8_t {
+  /// A row was not at its expected version; nothing was changed.
+  Conflict,
+  /// The request never left; nothing was changed.
+  NotSent,
+  /// No answer; the change may or may not have taken effect.
+  Ambiguous,
+};
+
+template <typename T>
+using TableCallback = std::function<void(tl::expected<T, TableError>)>;
+
+/// The platform's transactional table as the coordination layer sees it.
+/// Every function returns at once and calls back later, on any thread.
+struct TableHooks {
+  std::function<void(std::string key,
+                     TableCallback<std::optional<TableRow>> done)>
+      Get;
+  std::function<void(std::string prefix,
+                     TableCallback<std::vector<TableRow>> done)>
+      Scan;
+  std::function<void(TableTransaction transaction, TableCallback<bool> done)>
+      Commit;
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Protocol/Platform/PlatformFormat.cpp
@@ -0,0 +1,153 @@
+#include "Hemlockglade/Protocol/Platform/PlatformFormat.h"
+
+#include <cctype>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace hemlockglade {
+
+using nlohmann::json;
+
+namespace {
+
+json toJson(const TableRow &row) {
+  return {{"key", row.Key}, {"version", row.Version}, {"value", row.Value}};
+}
+
+TableRow toRow(const json &node) {
+  return {node.at("key").get<std::string>(),
+          node.at("version").get<std::uint64_t>(),
+          node.at("value").get<std::string>()};
+}
+
+/// Parses a body with `read`, turning any fault into a protocol error.
+template <typename T, typename Read>
+tl::expected<T, ProtocolError> parseBody(std::string_view body, Read read) {
+  try {
+    return read(json::parse(body));
+  } catch (const json::exception &error) {
+    return tl::unexpected(
+        ProtocolError{ProtocolErrorKind::Malformed, error.what()});
+  }
+}
+
+} // namespace
+
+namespace platform_format {
+
+std::string commitBody(const TableTransaction &transaction) {
+  json writes = json::array();
+  for (const auto &write : transaction.Writes) {
+    json node{{"key", write.Key}, {"expected", write.ExpectedVersion}};
+    node["value"] = write.Value ? json(*write.Value) : json(nullptr);
+    writes.push_back(std::move(node));
+  }
+  return json{{"attempt", transaction.AttemptId}, {"writes", writes}}.dump();
+}
+
+tl::expected<TableTransaction, ProtocolError>
+readCommit(std::string_view body) {
+  return parseBody<TableTransaction>(body, [](const json &node) {
+    TableTransaction transaction;
+    transaction.AttemptId = node.at("attempt").get<std::string>();
+    for (const auto &it : node.at("writes")) {
+      TableWrite write{it.at("key").get<std::string>(),
+                       it.at("expected").get<std::uint64_t>(), std::nullopt};
+      if (!it.at("value").is_null())
+        write.Value = it.at("value").get<std::string>();
+      transaction.Writes.push_back(std::move(write));
+    }
+    return transaction;
+  });
+}
+
+std::string rowBody(const TableRow &row) { return toJson(row).dump(); }
+
+tl::expected<TableRow, ProtocolError> readRow(std::string_view body) {
+  return parseBody<TableRow>(body, [](const json &it) { return toRow(it); });
+}
+
+std::string rowsBody(const std::vector<TableRow> &rows) {
+  json list = json::array();
+  for (const auto &row : rows)
+    list.push_back(toJson(row));
+  return json{{"rows", list}}.dump();
+}
+
+tl::expected<std::vector<TableRow>, ProtocolError>
+readRows(std::string_view body) {
+  return parseBody<std::vector<TableRow>>(body, [](const json &node) {
+    std::vector<TableRow> rows;
+    for (const auto &it : node.at("rows"))
+      rows.push_back(toRow(it));
+    return rows;
+  });
+}
+
+} // namespace platform_format
+
+std::string hostListBody(const std::vector<HostEntry> &hosts) {
+  json list = json::array();
+  for (const auto &host : hosts)
+    list.push_back({{"name", host.Name},
+                    {"address", host.Address},
+                    {"state", host.Leaving ? "leaving" : "live"}});
+  return json{{"hosts", list}}.dump();
+}
+
+tl::expected<std::vector<HostEntry>, ProtocolError>
+readHostList(std::string_view body) {
+  return parseBody<std::vector<HostEntry>>(body, [](const json &node) {
+    std::vector<HostEntry> hosts;
+    for (const auto &it : node.at("hosts"))
+      hosts.push_back({it.at("name").get<std::string>(),
+                       it.at("address").get<std::string>(),
+                       it.at("state").get<std::string>() == "leaving"});
+    return hosts;
+  });
+}
+
+std::string urlEncode(std::string_view text) {
+  constexpr std::string_view Digits = "0123456789ABCDEF";
+  std::string out;
+  for (char it : text) {
+    auto byte = static_cast<unsigned char>(it);
+    if (std::isalnum(byte) || it == '-' || it == '_' || it == '.') {
+      out += it;
+      continue;
+    }
+    out += '%';
+    out += Digits[byte >> 4U];
+    out += Digits[byte & 15U];
+  }
+  return out;
+}
+
+std::string queryValue(std::string_view query, std::string_view name) {
+  while (!query.empty()) {
+    auto end = std::min(query.find('&'), query.size());
+    auto pair = query.substr(0, end);
+    query.remove_prefix(std::min(end + 1, query.size()));
+    auto equals = std::min(pair.find('='), pair.size());
+    if (pair.substr(0, equals) != name)
+      continue;
+    auto value = pair.substr(std::min(equals + 1, pair.size()));
+    std::string out;
+    for (std::size_t it = 0; it < value.size(); ++it) {
+      unsigned byte = 0;
+      bool escaped = value[it] == '%' && it + 2 < value.size();
+      if (escaped && std::from_chars(value.data() + it + 1,
+                                     value.data() + it + 3, byte, 16)
+                             .ec == std::errc()) {
+        out += static_cast<char>(byte);
+        it += 2;
+      } else {
+        out += value[it] == '+' ? ' ' : value[it];
+      }
+    }
+    return out;
+  }
+  return {};
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Hemlockglade/Protocol/ProtocolError.h"
+#include "Hemlockglade/State/Ids.h"
+
+#include <tl/expected.hpp>
+
+namespace hemlockglade {
+
+/// What one node reads from its settings file.
+struct NodeSettings {
+  /// Unique name of the node.
+  std::string Name;
+  std::string FailureDomain;
+  std::string Region;
+  /// Numeric address that all listeners bind.
+  std::string Address = "127.0.0.1";
+  /// Port for callers and operators; 0 lets the kernel choose.
+  std::uint16_t CallerPort = 0;
+  /// Port for other nodes; 0 lets the kernel choose.
+  std::uint16_t PeerPort = 0;
+  /// Base URL of the platform.
+  std::string PlatformUrl;
+  /// Threads that serve.
+  std::uint32_t Threads = 2;
+  /// How long a lease lasts after its renewal was sent.
+  Span LeaseDuration = std::chrono::seconds(10);
+  /// Time between renewals.
+  Span RenewInterval = std::chrono::seconds(3);
+  /// Allowance for clocks that drift.
+  Span LeaseMargin = std::chrono::seconds(1);
+  /// Time between two looks at the configuration's head.
+  Span ConfigInterval = std::chrono::seconds(1);
+  /// Time between two load reports of a replica.
+  Span ReportInterval = std::chrono::milliseconds(500);
+  /// How long callers may keep an address.
+  Span DirectoryTtl = std::chrono::seconds(5);
+  /// Longest time that a stop waits for running requests.
+  Span StopBound = std::chrono::seconds(60);
+};
+
+/// Reads a settings file's text.
+tl::expected<NodeSettings, ProtocolError>
+readNodeSettings(const std::string &text);
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/State/Ids.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hemlockglade {
+
+/// A point in time: microseconds since an origin that the driver chooses.
+using Instant = std::chrono::microseconds;
+/// A span of time in microseconds.
+using Span = std::chrono::microseconds;
+
+/// Fencing number of a cell's ownership; rises with each change of owner.
+using Epoch = std::uint64_t;
+/// Number of an accepted configuration; rises by one with each commit.
+using Revision = std::uint64_t;
+
+/// An adapter and one of its versions, written `name@version`.
+struct AdapterRef {
+  /// Name of the adapter; never empty.
+  std::string Name;
+  /// Version; 0 stands for the version that the configuration calls current.
+  std::uint32_t Version = 0;
+
+  bool operator==(const AdapterRef &) const = default;
+
+  /// The reference as text, `name@version`.
+  std::string text() const;
+  /// Reads `name` or `name@version`; nothing if the text is neither.
+  static std::optional<AdapterRef> parse(std::string_view text);
+};
+
+/// What is known about the end of a request.
+enum class Outcome : std::uint8_t {
+  /// The endpoint's whole answer went to the caller.
+  Complete,
+  /// The request was not run, and will not be.
+  NotRun,
+  /// The request may have run.
+  Unknown,
+};
+
+/// The outcome's name on the wire: `complete`, `not-run` or `unknown`.
+std::string_view outcomeName(Outcome outcome);
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/State/State.h
@@ -0,0 +1,6 @@
+#pragma once
+
+// The public header of the State layer: what the system is made of, as data.
+
+#include "Hemlockglade/State/Catalog.h"
+#include "Hemlockglade/State/Ids.h"
--- /dev/null
+++ b/Hemlockglade/Transport/Http/HttpClient.cpp
@@ -0,0 +1,334 @@
+#include "Hemlockglade/Transport/Http/HttpClient.h"
+
+#include <asio/dispatch.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <atomic>
+#include <cassert>
+#include <curl/curl.h>
+#include <unordered_map>
+
+namespace hemlockglade {
+
+namespace {
+
+long toMilliseconds(Span span) {
+  return static_cast<long>(
+      std::chrono::ceil<std::chrono::milliseconds>(span).count());
+}
+
+/// One exchange, from its start to OnDone.
+struct Transfer {
+  HttpClient::Ticket Number = 0;
+  HttpRequest Request;
+  HttpHooks Hooks;
+  CURL *Easy = nullptr;
+  curl_slist *List = nullptr;
+  HttpFields Fields;
+  int Status = 0;
+  bool HeadGiven = false;
+
+  Transfer() = default;
+  Transfer(const Transfer &) = delete;
+  Transfer &operator=(const Transfer &) = delete;
+  ~Transfer() {
+    curl_slist_free_all(List);
+    if (Easy)
+      curl_easy_cleanup(Easy);
+  }
+
+  void giveHead() {
+    if (HeadGiven)
+      return;
+    HeadGiven = true;
+    long status = 0;
+    curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &status);
+    Status = static_cast<int>(status);
+    if (Hooks.OnHead)
+      Hooks.OnHead(Status, Fields);
+  }
+};
+
+std::size_t onHeaderLine(char *data, std::size_t size, std::size_t n,
+                         void *user) {
+  auto *transfer = static_cast<Transfer *>(user);
+  std::string_view line(data, size * n);
+  if (line.starts_with("HTTP/")) {
+    transfer->Fields.clear();
+    return size * n;
+  }
+  auto colon = line.find(':');
+  if (colon == std::string_view::npos)
+    return size * n;
+  auto value = line.substr(colon + 1);
+  while (!value.empty() && value.front() == ' ')
+    value.remove_prefix(1);
+  while (!value.empty() && (value.back() == '\r' || value.back() == '\n'))
+    value.remove_suffix(1);
+  transfer->Fields.emplace_back(line.substr(0, colon), value);
+  return size * n;
+}
+
+std::size_t onBody(char *data, std::size_t size, std::size_t n, void *user) {
+  auto *transfer = static_cast<Transfer *>(user);
+  transfer->giveHead();
+  std::string_view part(data, size * n);
+  if (transfer->Hooks.OnPart && !transfer->Hooks.OnPart(part))
+    return CURL_WRITEFUNC_PAUSE;
+  return size * n;
+}
+
+} // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  explicit Impl(asio::io_context &context)
+      : Strand(asio::make_strand(context)), Timer(Strand),
+        Multi(curl_multi_init()) {
+    constexpr long KeptConnections = 4096;
+    curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &Impl::onSocket);
+    curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
+    curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, KeptConnections);
+  }
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
+  ~Impl() {
+    for (auto &[number, transfer] : Transfers)
+      curl_multi_remove_handle(Multi, transfer->Easy);
+    Transfers.clear();
+    curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, nullptr);
+    curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, nullptr);
+    curl_multi_cleanup(Multi);
+    for (auto &[fd, watch] : Watches)
+      watch->Descriptor.release();
+  }
+
+  Ticket start(HttpRequest request, HttpHooks hooks) {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->Number = ++LastTicket;
+    transfer->Request = std::move(request);
+    transfer->Hooks = std::move(hooks);
+    auto number = transfer->Number;
+    asio::post(Strand,
+               [self = shared_from_this(), shared = std::shared_ptr<Transfer>(
+                                               std::move(transfer))]() mutable {
+                 self->add(std::move(shared));
+               });
+    return number;
+  }
+
+  void cancel(Ticket ticket) {
+    asio::post(Strand, [self = shared_from_this(), ticket] {
+      HttpResult result;
+      result.Cancelled = true;
+      result.Error = "cancelled";
+      self->finish(ticket, result);
+    });
+  }
+
+  void resume(Ticket ticket) {
+    asio::post(Strand, [self = shared_from_this(), ticket] {
+      auto it = self->Transfers.find(ticket);
+      if (it == self->Transfers.end())
+        return;
+      curl_easy_pause(it->second->Easy, CURLPAUSE_CONT);
+      self->drive(CURL_SOCKET_TIMEOUT, 0);
+    });
+  }
+
+private:
+  struct Watch {
+    explicit Watch(const asio::strand<asio::io_context::executor_type> &strand)
+        : Descriptor(strand) {}
+    asio::posix::stream_descriptor Descriptor;
+    int Wanted = 0;
+    bool Reading = false;
+    bool Writing = false;
+  };
+
+  void add(std::shared_ptr<Transfer> transfer) {
+    auto &request = transfer->Request;
+    CURL *easy = curl_easy_init();
+    transfer->Easy = easy;
+    for (const auto &[name, value] : request.Fields)
+      transfer->List =
+          curl_slist_append(transfer->List, (name + ": " + value).c_str());
+    transfer->List = curl_slist_append(transfer->List, "Expect:");
+    curl_easy_setopt(easy, CURLOPT_URL, request.Url.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.Method.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->List);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     toMilliseconds(request.ConnectTimeout));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMilliseconds(request.Timeout));
+    if (!request.Body.empty() || request.Method == "POST" ||
+        request.Method == "PUT") {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+                       static_cast<long>(request.Body.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.Body.data());
+    }
+    if (request.FreshConnection)
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeaderLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+    Transfers.emplace(transfer->Number, transfer);
+    curl_multi_add_handle(Multi, easy);
+  }
+
+  void finish(Ticket ticket, HttpResult result) {
+    auto it = Transfers.find(ticket);
+    if (it == Transfers.end())
+      return;
+    auto transfer = it->second;
+    Transfers.erase(it);
+    long sent = 0;
+    curl_easy_getinfo(transfer->Easy, CURLINFO_REQUEST_SIZE, &sent);
+    result.MayHaveSent = sent > 0;
+    if (result.Whole)
+      transfer->giveHead();
+    result.Status = transfer->Status;
+    curl_multi_remove_handle(Multi, transfer->Easy);
+    if (transfer->Hooks.OnDone)
+      transfer->Hooks.OnDone(result);
+  }
+
+  void drive(curl_socket_t fd, int events) {
+    int running = 0;
+    curl_multi_socket_action(Multi, fd, events, &running);
+    collect();
+  }
+
+  void collect() {
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(Multi, &left)) {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      char *data = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &data);
+      HttpResult result;
+      result.Whole = message->data.result == CURLE_OK;
+      if (!result.Whole)
+        result.Error = curl_easy_strerror(message->data.result);
+      finish(reinterpret_cast<Transfer *>(data)->Number, result);
+    }
+  }
+
+  static int onTimer(CURLM *, long ms, void *user) {
+    auto *self = static_cast<Impl *>(user);
+    self->Timer.cancel();
+    if (ms < 0)
+      return 0;
+    self->Timer.expires_after(std::chrono::milliseconds(ms));
+    self->Timer.async_wait(
+        [weak = self->weak_from_this()](asio::error_code ec) {
+          auto impl = weak.lock();
+          if (!ec && impl)
+            impl->drive(CURL_SOCKET_TIMEOUT, 0);
+        });
+    return 0;
+  }
+
+  static int onSocket(CURL *, curl_socket_t fd, int what, void *user, void *) {
+    auto *self = static_cast<Impl *>(user);
+    if (what == CURL_POLL_REMOVE) {
+      auto it = self->Watches.find(fd);
+      if (it != self->Watches.end()) {
+        // curl owns the descriptor and closes it itself.
+        it->second->Descriptor.release();
+        self->Watches.erase(it);
+      }
+      return 0;
+    }
+    auto &watch = self->Watches[fd];
+    if (!watch) {
+      watch = std::make_shared<Watch>(self->Strand);
+      watch->Descriptor.assign(fd);
+    }
+    watch->Wanted = what;
+    self->arm(fd, watch);
+    return 0;
+  }
+
+  void arm(curl_socket_t fd, const std::shared_ptr<Watch> &watch) {
+    if ((watch->Wanted & CURL_POLL_IN) && !watch->Reading) {
+      watch->Reading = true;
+      wait(fd, watch, asio::posix::stream_descriptor::wait_read);
+    }
+    if ((watch->Wanted & CURL_POLL_OUT) && !watch->Writing) {
+      watch->Writing = true;
+      wait(fd, watch, asio::posix::stream_descriptor::wait_write);
+    }
+  }
+
+  void wait(curl_socket_t fd, const std::shared_ptr<Watch> &watch,
+            asio::posix::stream_descriptor::wait_type type) {
+    bool reading = type == asio::posix::stream_descriptor::wait_read;
+    watch->Descriptor.async_wait(type, [weak = weak_from_this(), fd, watch,
+                                        reading](asio::error_code ec) {
+      (reading ? watch->Reading : watch->Writing) = false;
+      auto self = weak.lock();
+      if (!self || !self->watched(fd, watch))
+        return;
+      int events = reading ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
+      bool wanted = watch->Wanted & (reading ? CURL_POLL_IN : CURL_POLL_OUT);
+      if (ec)
+        events = CURL_CSELECT_ERR;
+      if (wanted || ec)
+        self->drive(fd, events);
+      if (!ec && self->watched(fd, watch))
+        self->arm(fd, watch);
+    });
+  }
+
+  bool watched(curl_socket_t fd, const std::shared_ptr<Watch> &watch) const {
+    auto it = Watches.find(fd);
+    return it != Watches.end() && it->second == watch;
+  }
+
+  asio::strand<asio::io_context::executor_type> Strand;
+  asio::steady_timer Timer;
+  CURLM *Multi;
+  std::atomic<Ticket> LastTicket{0};
+  std::unordered_map<Ticket, std::shared_ptr<Transfer>> Transfers;
+  std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> Watches;
+};
+
+HttpClient::HttpClient(asio::io_context &context)
+    : Inner(std::make_shared<Impl>(context)) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Ticket HttpClient::start(HttpRequest request, HttpHooks hooks) {
+  return Inner->start(std::move(request), std::move(hooks));
+}
+
+void HttpClient::cancel(Ticket ticket) { Inner->cancel(ticket); }
+
+void HttpClient::resume(Ticket ticket) { Inner->resume(ticket); }
+
+void HttpClient::fetch(
+    HttpRequest request,
+    std::function<void(const HttpResult &, std::string)> done) {
+  auto body = std::make_shared<std::string>();
+  HttpHooks hooks;
+  hooks.OnPart = [body](std::string_view part) {
+    body->append(part);
+    return true;
+  };
+  hooks.OnDone = [body, done = std::move(done)](const HttpResult &result) {
+    done(result, std::move(*body));
+  };
+  start(std::move(request), std::move(hooks));
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Transport/Peer/PeerNet.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Hemlockglade/Transport/Peer/PeerLink.h"
+
+#include <asio/io_context.hpp>
+#include <map>
+#include <mutex>
+
+namespace hemlockglade {
+
+/// What a stream's opener wants to hear.
+struct PeerHooks {
+  std::function<void(std::string_view message)> OnMessage;
+  std::function<void(bool clean)> OnClosed;
+};
+
+/// A node's end of the network between nodes: listens for streams of its
+/// peers and opens streams to them, over one connection a peer.
+class PeerNet {
+public:
+  /// Listens on `address:port`; port 0 lets the kernel choose. Throws
+  /// asio::system_error if the address can't be bound.
+  PeerNet(asio::io_context &context, const std::string &address,
+          std::uint16_t port, PeerLink::OnStream onStream);
+  ~PeerNet();
+  PeerNet(const PeerNet &) = delete;
+  PeerNet &operator=(const PeerNet &) = delete;
+
+  std::uint16_t port() const { return Port; }
+
+  /// Opens a stream to `ip:port` and sends its first message.
+  std::shared_ptr<PeerStream> open(const std::string &address, std::string path,
+                                   std::string message, PeerHooks hooks);
+  /// Stops listening and breaks all connections.
+  void close();
+
+private:
+  struct Shared;
+
+  void accept();
+  std::shared_ptr<PeerLink> linkTo(const std::string &address);
+
+  asio::io_context &Context;
+  asio::ip::tcp::acceptor Acceptor;
+  PeerLink::OnStream Accept;
+  std::uint16_t Port = 0;
+  std::shared_ptr<Shared> State;
+};
+
+/// Reads `ip:port`. Throws asio::system_error if it is neither.
+asio::ip::tcp::endpoint parseEndpoint(const std::string &address);
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Transport/Platform/PlatformClient.cpp
@@ -0,0 +1,85 @@
+#include "Hemlockglade/Transport/Platform/PlatformClient.h"
+
+namespace hemlockglade {
+
+namespace {
+
+constexpr Span TableTimeout = std::chrono::seconds(2);
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr int Ok = 200;
+
+HttpRequest request(std::string method, std::string url, std::string body) {
+  HttpRequest out;
+  out.Method = std::move(method);
+  out.Url = std::move(url);
+  out.Body = std::move(body);
+  out.Timeout = TableTimeout;
+  return out;
+}
+
+TableError failure(const HttpResult &result) {
+  return result.MayHaveSent ? TableError::Ambiguous : TableError::NotSent;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(HttpClient &client, std::string url)
+    : Client(client), Url(std::move(url)) {}
+
+TableHooks PlatformClient::table() {
+  TableHooks hooks;
+  hooks.Get = [this](std::string key,
+                     TableCallback<std::optional<TableRow>> done) {
+    auto url = Url + "/table/row?key=" + urlEncode(key);
+    Client.fetch(
+        request("GET", url, ""),
+        [done = std::move(done)](const HttpResult &result, std::string body) {
+          if (result.Whole && result.Status == NotFound)
+            return done(std::optional<TableRow>());
+          auto row = platform_format::readRow(body);
+          if (!result.Whole || result.Status != Ok || !row)
+            return done(tl::unexpected(failure(result)));
+          done(std::optional<TableRow>(std::move(*row)));
+        });
+  };
+  hooks.Scan = [this](std::string prefix,
+                      TableCallback<std::vector<TableRow>> done) {
+    auto url = Url + "/table/scan?prefix=" + urlEncode(prefix);
+    Client.fetch(
+        request("GET", url, ""),
+        [done = std::move(done)](const HttpResult &result, std::string body) {
+          auto rows = platform_format::readRows(body);
+          if (!result.Whole || result.Status != Ok || !rows)
+            return done(tl::unexpected(failure(result)));
+          done(std::move(*rows));
+        });
+  };
+  hooks.Commit = [this](TableTransaction transaction,
+                        TableCallback<bool> done) {
+    auto body = platform_format::commitBody(transaction);
+    Client.fetch(
+        request("POST", Url + "/table/commit", std::move(body)),
+        [done = std::move(done)](const HttpResult &result, std::string) {
+          if (result.Whole && result.Status == Ok)
+            return done(true);
+          if (result.Whole && result.Status == Conflict)
+            return done(tl::unexpected(TableError::Conflict));
+          done(tl::unexpected(failure(result)));
+        });
+  };
+  return hooks;
+}
+
+void PlatformClient::hosts(TableCallback<std::vector<HostEntry>> done) {
+  Client.fetch(
+      request("GET", Url + "/hosts", ""),
+      [done = std::move(done)](const HttpResult &result, std::string body) {
+        auto hosts = readHostList(body);
+        if (!result.Whole || result.Status != Ok || !hosts)
+          return done(tl::unexpected(failure(result)));
+        done(std::move(*hosts));
+      });
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -0,0 +1,314 @@
+#include "CellRunner.h"
+
+#include <easylogging++.h>
+#include <xxhash.h>
+
+namespace hemlockglade {
+
+namespace {
+
+std::int64_t toUs(Span span) { return span.count(); }
+
+} // namespace
+
+CellRunner::CellRunner(std::string cell, Epoch fence, EngineClient &engines,
+                       CellRunnerHooks hooks)
+    : Cell(std::move(cell)), Fence(fence), Engines(engines),
+      Hooks(std::move(hooks)), Core(CellCoreSettings{}), AdapterNames(1),
+      Replicas(1) {}
+
+AdapterKey CellRunner::keyOf(const std::string &adapter) {
+  if (adapter.empty())
+    return NoAdapter;
+  auto [it, added] = AdapterKeys.try_emplace(
+      adapter, static_cast<AdapterKey>(AdapterNames.size()));
+  if (added)
+    AdapterNames.push_back(adapter);
+  return it->second;
+}
+
+DomainKey CellRunner::domainOf(const std::string &domain) {
+  auto next = static_cast<DomainKey>(Domains.size() + 1);
+  return Domains.try_emplace(domain, next).first->second;
+}
+
+void CellRunner::configure(const Catalog &catalog) {
+  Deferred deferred;
+  {
+    std::lock_guard lock(Mutex);
+    Classes = catalog.Classes;
+    for (const auto &[name, config] : catalog.Replicas) {
+      auto service = catalog.Services.find(config.Service);
+      if (service == catalog.Services.end() ||
+          cellOfReplica(service->second, config) != Cell)
+        continue;
+      auto [it, added] = ReplicaKeys.try_emplace(
+          name, static_cast<ReplicaKey>(Replicas.size()));
+      if (added)
+        Replicas.emplace_back();
+      auto &replica = Replicas[it->second];
+      replica.Config = config;
+      replica.Removed = false;
+      handle(ReplicaAdded{it->second, domainOf(config.FailureDomain),
+                          config.Slots, config.Batch, config.ChecksFencing},
+             deferred);
+    }
+    for (auto &[name, key] : ReplicaKeys) {
+      if (catalog.Replicas.contains(name) || Replicas[key].Removed)
+        continue;
+      Replicas[key].Removed = true;
+      handle(ReplicaRemoved{key}, deferred);
+    }
+  }
+  for (auto &call : deferred)
+    call();
+}
+
+RequestKey CellRunner::admit(const AdmitRequest &request, OnReply reply) {
+  Deferred deferred;
+  RequestKey key = 0;
+  {
+    std::lock_guard lock(Mutex);
+    key = ++LastRequest;
+    Requests.emplace(key, Pending{request.Id, request.Adapter, request.Attempt,
+                                  std::move(reply)});
+    RequestArrived event;
+    event.Request = key;
+    event.Adapter = keyOf(request.Adapter);
+    event.Deadline = TimerService::now() + Span(request.DeadlineUs);
+    event.PrefixHash = request.PrefixHash;
+    event.PromptTokens = request.PromptTokens;
+    event.Caller = static_cast<CallerKey>(
+        XXH3_64bits(request.Caller.data(), request.Caller.size()));
+    event.Retry = request.Attempt > 1;
+    auto it = Classes.find(request.Class);
+    if (it != Classes.end()) {
+      event.Priority = it->second.Priority;
+      event.QueueLimit = it->second.QueueLimit;
+    }
+    handle(event, deferred);
+  }
+  for (auto &call : deferred)
+    call();
+  return key;
+}
+
+void CellRunner::finish(RequestKey request) {
+  {
+    std::lock_guard lock(Mutex);
+    Requests.erase(request);
+  }
+  drive(RequestFinished{request});
+}
+
+void CellRunner::setLeaving(const std::vector<std::string> &replicas) {
+  Deferred deferred;
+  {
+    std::lock_guard lock(Mutex);
+    for (auto &[name, key] : ReplicaKeys) {
+      bool leaving =
+          std::find(replicas.begin(), replicas.end(), name) != replicas.end();
+      if (Replicas[key].Draining == leaving)
+        continue;
+      Replicas[key].Draining = leaving;
+      handle(ReplicaDraining{key, leaving}, deferred);
+    }
+  }
+  for (auto &call : deferred)
+    call();
+}
+
+void CellRunner::stop() { drive(LeaseChanged{LeaseMode::None}); }
+
+void CellRunner::tick() {
+  bool holds = Hooks.Holds();
+  Deferred deferred;
+  {
+    std::lock_guard lock(Mutex);
+    if (holds != Held) {
+      Held = holds;
+      handle(LeaseChanged{holds ? LeaseMode::Held : LeaseMode::Doubtful},
+             deferred);
+    }
+    handle(Tick{}, deferred);
+  }
+  for (auto &call : deferred)
+    call();
+}
+
+void CellRunner::askReports() {
+  std::vector<std::pair<ReplicaKey, std::string>> asked;
+  {
+    std::lock_guard lock(Mutex);
+    for (ReplicaKey it = 1; it < Replicas.size(); ++it) {
+      if (!Replicas[it].Removed)
+        asked.emplace_back(it, Replicas[it].Config.Address);
+    }
+  }
+  for (const auto &[key, address] : asked)
+    Engines.report(address, [weak = weak_from_this(), key = key](auto report) {
+      if (auto self = weak.lock())
+        self->takeReport(key, report);
+    });
+}
+
+void CellRunner::takeReport(ReplicaKey replica,
+                            const std::optional<EngineReport> &report) {
+  if (!report)
+    return drive(ReplicaSilent{replica});
+  ReplicaReport event;
+  event.Replica = replica;
+  event.Incarnation =
+      XXH3_64bits(report->Incarnation.data(), report->Incarnation.size());
+  event.TakenAt =
+      TimerService::now() - std::chrono::milliseconds(report->AgeMs);
+  event.Running = report->Running;
+  {
+    std::lock_guard lock(Mutex);
+    for (const auto &[adapter, running] : report->Resident)
+      event.Resident.push_back({keyOf(adapter), running});
+    Replicas[replica].Resident = event.Resident;
+  }
+  drive(event);
+}
+
+void CellRunner::drive(const Event &event) {
+  Deferred deferred;
+  {
+    std::lock_guard lock(Mutex);
+    handle(event, deferred);
+  }
+  for (auto &call : deferred)
+    call();
+}
+
+void CellRunner::handle(const Event &event, Deferred &deferred) {
+  Actions.clear();
+  Core.handle(event, TimerService::now(), Actions);
+  for (const auto &action : std::exchange(Actions, {}))
+    std::visit([&](const auto &it) { apply(it, deferred); }, action);
+}
+
+void CellRunner::apply(const Admit &action, Deferred &deferred) {
+  auto it = Requests.find(action.Request);
+  if (it == Requests.end())
+    return;
+  const auto &replica = Replicas[action.Replica].Config;
+  AdmitReply reply;
+  reply.Granted = true;
+  reply.Replica = replica.Name;
+  reply.Address = replica.Address;
+  reply.Fence = Fence;
+  reply.LoadStallUs = toUs(action.LoadStall);
+  LOG(INFO) << "route request=" << it->second.Id
+            << " attempt=" << it->second.Attempt
+            << " adapter=" << it->second.Adapter << " replica=" << replica.Name
+            << " reason=" << reasonName(action.Why)
+            << " queue=" << Core.waiting() << " epoch=" << Fence
+            << " cell=" << Cell << " stall_us=" << reply.LoadStallUs;
+  deferred.push_back(
+      [call = std::move(it->second.Reply), reply] { call(reply); });
+}
+
+void CellRunner::apply(const Refuse &action, Deferred &deferred) {
+  auto it = Requests.find(action.Request);
+  if (it == Requests.end())
+    return;
+  AdmitReply reply;
+  reply.Reason = reasonName(action.Why);
+  reply.RetryAfterUs = toUs(action.RetryAfter);
+  LOG(INFO) << "refuse request=" << it->second.Id
+            << " attempt=" << it->second.Attempt
+            << " adapter=" << it->second.Adapter << " reason=" << reply.Reason
+            << " queue=" << Core.waiting() << " epoch=" << Fence
+            << " cell=" << Cell;
+  deferred.push_back(
+      [call = std::move(it->second.Reply), reply] { call(reply); });
+  Requests.erase(it);
+}
+
+void CellRunner::apply(const Load &action, Deferred &deferred) {
+  const auto &replica = Replicas[action.Replica].Config;
+  const auto &adapter = AdapterNames[action.Adapter];
+  LOG(INFO) << "load adapter=" << adapter << " replica=" << replica.Name
+            << " reason=" << reasonName(action.Why)
+            << " queue=" << Core.waiting() << " epoch=" << Fence
+            << " cell=" << Cell;
+  deferred.push_back(
+      [self = shared_from_this(), action, address = replica.Address, adapter] {
+        auto ticket = self->Engines.load(
+            address, adapter, self->Fence, [self, action](OrderResult result) {
+              {
+                std::lock_guard lock(self->Mutex);
+                self->Loads.erase({action.Replica, action.Adapter});
+              }
+              if (result == OrderResult::Done)
+                self->drive(LoadDone{action.Replica, action.Adapter});
+              else
+                self->drive(LoadFailed{action.Replica, action.Adapter});
+            });
+        std::lock_guard lock(self->Mutex);
+        self->Loads[{action.Replica, action.Adapter}] = ticket;
+      });
+}
+
+void CellRunner::apply(const Evict &action, Deferred &deferred) {
+  const auto &replica = Replicas[action.Replica].Config;
+  const auto &adapter = AdapterNames[action.Adapter];
+  LOG(INFO) << "evict adapter=" << adapter << " replica=" << replica.Name
+            << " reason=" << reasonName(action.Why)
+            << " queue=" << Core.waiting() << " epoch=" << Fence
+            << " cell=" << Cell;
+  deferred.push_back(
+      [self = shared_from_this(), action, address = replica.Address, adapter] {
+        // The lease is looked at again right before the order leaves.
+        if (!self->Hooks.Holds())
+          return self->drive(EvictDone{action.Replica, action.Adapter, true});
+        self->Engines.unload(
+            address, adapter, self->Fence, [self, action](OrderResult result) {
+              bool refused = result != OrderResult::Done;
+              self->drive(EvictDone{action.Replica, action.Adapter, refused});
+            });
+      });
+}
+
+void CellRunner::apply(const CancelLoad &action, Deferred &deferred) {
+  auto it = Loads.find({action.Replica, action.Adapter});
+  if (it == Loads.end())
+    return;
+  LOG(INFO) << "cancel-load adapter=" << AdapterNames[action.Adapter]
+            << " replica=" << Replicas[action.Replica].Config.Name
+            << " reason=" << reasonName(action.Why) << " epoch=" << Fence
+            << " cell=" << Cell;
+  deferred.push_back([self = shared_from_this(), ticket = it->second] {
+    self->Engines.cancel(ticket);
+  });
+}
+
+std::vector<std::pair<std::string, ResidentAdapter>>
+CellRunner::loaded() const {
+  std::lock_guard lock(Mutex);
+  std::vector<std::pair<std::string, ResidentAdapter>> out;
+  for (const auto &replica : Replicas) {
+    for (const auto &resident : replica.Resident)
+      out.emplace_back(replica.Config.Name, resident);
+  }
+  return out;
+}
+
+std::size_t CellRunner::waiting() const {
+  std::lock_guard lock(Mutex);
+  return Core.waiting();
+}
+
+std::size_t CellRunner::running() const {
+  std::lock_guard lock(Mutex);
+  return Core.running();
+}
+
+std::string CellRunner::adapterName(AdapterKey key) const {
+  std::lock_guard lock(Mutex);
+  return AdapterNames.at(key);
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Coordination.h"
+#include "Hemlockglade/Protocol/Protocol.h"
+#include "Hemlockglade/Transport/Transport.h"
+
+namespace hemlockglade {
+
+/// What a runner needs of its node.
+struct CellRunnerHooks {
+  /// Whether the lease allows orders that only an owner may give.
+  std::function<bool()> Holds;
+};
+
+/// Drives the decision core of one owned cell: turns what happens into events
+/// and carries out the core's actions. One lock guards one cell.
+class CellRunner : public std::enable_shared_from_this<CellRunner> {
+public:
+  using OnReply = std::function<void(const AdmitReply &)>;
+
+  CellRunner(std::string cell, Epoch fence, EngineClient &engines,
+             CellRunnerHooks hooks);
+
+  const std::string &cell() const { return Cell; }
+  Epoch fence() const { return Fence; }
+
+  /// Takes over what the configuration says about the cell.
+  void configure(const Catalog &catalog);
+  /// Asks for a slot; `reply` is called once.
+  RequestKey admit(const AdmitRequest &request, OnReply reply);
+  /// The request is over; its slot is free.
+  void finish(RequestKey request);
+  /// Marks replicas that the platform's list calls leaving.
+  void setLeaving(const std::vector<std::string> &replicas);
+  /// Gives up the cell: what waits is refused.
+  void stop();
+  /// To be called often; deadlines and loads depend on it.
+  void tick();
+  /// Asks all engines for their reports.
+  void askReports();
+
+  /// One line for each adapter that is loaded: replica, adapter, running.
+  std::vector<std::pair<std::string, ResidentAdapter>> loaded() const;
+  std::size_t waiting() const;
+  std::size_t running() const;
+  /// The name that a key stands for.
+  std::string adapterName(AdapterKey key) const;
+
+private:
+  struct ReplicaState {
+    ReplicaConfig Config;
+    bool Removed = false;
+    bool Draining = false;
+    std::vector<ResidentAdapter> Resident;
+  };
+  struct Pending {
+    std::string Id;
+    std::string Adapter;
+    std::uint32_t Attempt = 1;
+    OnReply Reply;
+  };
+  /// What is to be done once the lock is free.
+  using Deferred = std::vector<std::function<void()>>;
+
+  void handle(const Event &event, Deferred &deferred);
+  void apply(const Admit &action, Deferred &deferred);
+  void apply(const Refuse &action, Deferred &deferred);
+  void apply(const Load &action, Deferred &deferred);
+  void apply(const Evict &action, Deferred &deferred);
+  void apply(const CancelLoad &action, Deferred &deferred);
+  void drive(const Event &event);
+  void takeReport(ReplicaKey replica,
+                  const std::optional<EngineReport> &report);
+  AdapterKey keyOf(const std::string &adapter);
+  DomainKey domainOf(const std::string &domain);
+
+  std::string Cell;
+  Epoch Fence;
+  EngineClient &Engines;
+  CellRunnerHooks Hooks;
+
+  mutable std::mutex Mutex;
+  CellCore Core;
+  bool Held = false;
+  RequestKey LastRequest = 0;
+  std::vector<Action> Actions;
+  std::unordered_map<std::string, AdapterKey> AdapterKeys;
+  std::vector<std::string> AdapterNames;
+  std::map<std::string, DomainKey> Domains;
+  std::map<std::string, ReplicaKey> ReplicaKeys;
+  std::vector<ReplicaState> Replicas;
+  std::map<std::string, ServiceClass> Classes;
+  std::unordered_map<RequestKey, Pending> Requests;
+  std::map<std::pair<ReplicaKey, AdapterKey>, HttpClient::Ticket> Loads;
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/Main.cpp
@@ -0,0 +1,83 @@
+#include "Node.h"
+
+#include <csignal>
+#include <easylogging++.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+INITIALIZE_EASYLOGGINGPP
+
+DEFINE_string(config, "", "settings file of this node (YAML)");
+DEFINE_string(port_file, "",
+              "file to write the chosen ports to: callers, then peers");
+DEFINE_bool(check_config, false, "only check the settings file");
+
+namespace {
+
+using namespace hemlockglade;
+
+constexpr int UsageError = 2;
+
+void setUpLog() {
+  el::Configurations log;
+  log.setToDefault();
+  log.setGlobally(el::ConfigurationType::ToFile, "false");
+  log.setGlobally(el::ConfigurationType::Format,
+                  "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
+  el::Loggers::reconfigureAllLoggers(log);
+}
+
+int run(const NodeSettings &settings) {
+  asio::io_context context;
+  auto work = asio::make_work_guard(context);
+  Node node(context, settings);
+  node.start();
+  if (!FLAGS_port_file.empty())
+    std::ofstream(FLAGS_port_file) << node.callerPort() << '\n'
+                                   << node.peerPort() << '\n';
+  LOG(INFO) << "start node=" << settings.Name
+            << " callers=" << node.callerPort() << " peers=" << node.peerPort();
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](asio::error_code, int) {
+    node.stop([&context] { context.stop(); });
+  });
+  std::vector<std::thread> threads;
+  for (std::uint32_t it = 0; it < settings.Threads; ++it)
+    threads.emplace_back([&context] { context.run(); });
+  for (auto &thread : threads)
+    thread.join();
+  LOG(INFO) << "stopped node=" << settings.Name;
+  return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("serves callers and owns cells; see README.md");
+  gflags::SetVersionString(HEMLOCKGLADE_VERSION);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  setUpLog();
+  std::ifstream file(FLAGS_config);
+  if (!file) {
+    std::cerr << "hemlockgladed: can't read --config " << FLAGS_config << '\n';
+    return UsageError;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  auto settings = readNodeSettings(text.str());
+  if (!settings) {
+    std::cerr << FLAGS_config << ": " << settings.error().Text << '\n';
+    return UsageError;
+  }
+  if (FLAGS_check_config)
+    return 0;
+  try {
+    return run(*settings);
+  } catch (const std::exception &error) {
+    std::cerr << "hemlockgladed: " << error.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,90 @@
+#!/usr/bin/env bash
+# Builds, starts a small system on loopback, sends real requests, prints what
+# was served and by what, and stops everything gracefully. Exits 0 if every
+# request was served as it should be.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh >/dev/null
+RUN=$(mktemp -d)
+source scripts/cluster.sh
+trap 'stop_all; rm -rf "$RUN"' EXIT
+
+start platform StandInPlatform --history "$RUN/history.jsonl"
+start_node entry-1 hall-a
+start_node entry-2 hall-b
+start_node entry-3 hall-c
+start_engine assistant-1
+start_engine assistant-2
+start booking-1 StandInService --name booking-1 --history "$RUN/history.jsonl"
+
+cat >"$RUN/declarations.yaml" <<EOF
+services:
+  - {name: assistant, kind: engine, base_model: base-7b}
+  - {name: booking, kind: plain}
+replicas:
+  - {name: assistant-1, service: assistant, address: "127.0.0.1:${PORT[assistant-1]}", failure_domain: hall-a, checks_fencing: true}
+  - {name: assistant-2, service: assistant, address: "127.0.0.1:${PORT[assistant-2]}", failure_domain: hall-b, checks_fencing: true}
+  - {name: booking-1, service: booking, address: "127.0.0.1:${PORT[booking-1]}", failure_domain: hall-a}
+classes:
+  - {name: default, priority: 1, deadline_ms: 10000}
+adapters:
+  - {name: oath-ar, service: assistant, versions: [1, 2], current: 2}
+  - {name: oath-fr, service: assistant, versions: [7], current: 7}
+  - {name: seats, service: assistant, versions: [1], current: 1}
+EOF
+
+any=127.0.0.1:${PORT[entry-1]}
+"$BIN/hemlockctl" --node "$any" apply "$RUN/declarations.yaml"
+
+directory() { curl -sf "http://$1/directory?$2"; }
+owned() { directory "$any" "model=oath-fr@7" | grep -q addresses &&
+  "$BIN/hemlockctl" --node "$any" show cells | grep -q '"owner":"entry'; }
+wait_for 20 owned
+sleep 2
+
+# address QUERY : asks the directory which node to use.
+address() {
+  local node
+  for node in "${NODES[@]}"; do
+    directory "127.0.0.1:${PORT[$node]}" "$1" 2>/dev/null |
+      sed 's/.*"addresses":\["\([^"]*\)".*/\1/' && return 0
+  done
+  return 1
+}
+
+# complete MODEL : one streamed completion, checked.
+complete() {
+  local to answer
+  to=$(address "model=$1")
+  answer=$(curl -sN --max-time 30 "http://$to/v1/completions" -d \
+    "{\"model\":\"$1\",\"prompt\":\"which papers do I need\",\"stream\":true,\"max_tokens\":8}")
+  local tokens adapter replica
+  tokens=$(grep -c '"text"' <<<"$answer")
+  adapter=$(sed -n 's/.*"model":"\([^"]*\)".*/\1/p' <<<"$answer" | head -1)
+  replica=$(sed -n 's/.*"replica":"\([^"]*\)".*/\1/p' <<<"$answer" | head -1)
+  echo "asked $1 at $to: $tokens tokens by $adapter on $replica"
+  [ "$tokens" = 8 ] && grep -q '"outcome":"complete"' <<<"$answer" &&
+    grep -q "^${1%@*}@" <<<"$adapter"
+}
+
+NODES=(entry-1 entry-2 entry-3)
+for model in oath-ar@2 oath-fr@7 oath-ar@1 seats oath-fr; do
+  complete "$model"
+done
+curl -sf "http://$(address service=booking)/services/booking/seats/12" -d hold
+
+echo "killing the owner of the engines' cell"
+owner=$("$BIN/hemlockctl" --node "$any" show cells |
+  tr '{' '\n' | sed -n 's/.*"cell":"assistant\/0".*"owner":"\([^"]*\)".*/\1/p')
+kill -KILL "${PID[$owner]}"
+unset "PID[$owner]"
+NODES=($(printf '%s\n' entry-1 entry-2 entry-3 | grep -v "$owner"))
+any=127.0.0.1:${PORT[${NODES[0]}]}
+wait_for 30 complete oath-fr@7
+complete oath-fr@7
+for node in "${NODES[@]}"; do
+  kill -TERM "${PID[$node]}"
+  wait "${PID[$node]}" || { echo "$node did not stop cleanly"; exit 1; }
+  unset "PID[$node]"
+done
+echo "demo: all served"
