Fakes for the coordination tests: virtual time and a table that fails

Cause: the tests of leases, claims and configuration need a table whose answers can be late, lost or overtaken. Ruled out: real sleeps and processes for these tests; verdicts would depend on the machine. Conclusion: enough for the failure tests to be written against.

--- /dev/null
+++ b/UnitTests/Coordination/FakeTable.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Table.h"
+#include "UnitTests/Coordination/VirtualTime.h"
+
+#include <random>
+#include <set>
+
+namespace hemlockglade::test {
+
+/// How likely each fault of the table is, each from 0 to 1.
+struct TableFaults {
+  /// The request never leaves.
+  double NotSent = 0;
+  /// The change takes effect and its answer is lost.
+  double LoseAnswer = 0;
+  /// The change does not take effect and no answer comes.
+  double LoseRequest = 0;
+  /// Longest delay of a request, and of its answer.
+  Span MaxDelay = std::chrono::milliseconds(5);
+};
+
+/// A table in memory, on virtual time, that delays, fails, loses answers and
+/// lets requests overtake each other.
+class FakeTable {
+public:
+  FakeTable(VirtualTime &time, std::uint64_t seed) : Time(time), Random(seed) {}
+
+  TableFaults Faults;
+  /// While down nothing takes effect and nothing is answered but by failure.
+  bool Down = false;
+  std::uint64_t Reads = 0;
+  std::uint64_t Writes = 0;
+  std::uint64_t RowsRead = 0;
+  /// Called after each commit that took effect.
+  std::function<void(const TableTransaction &)> OnCommitted;
+
+  std::map<std::string, TableRow> Rows;
+
+  TableHooks hooks() {
+    TableHooks hooks;
+    hooks.Get = [this](std::string key,
+                       TableCallback<std::optional<TableRow>> done) {
+      ++Reads;
+      request<std::optional<TableRow>>(std::move(done), [this, key] {
+        ++RowsRead;
+        auto it = Rows.find(key);
+        return it == Rows.end() ? std::nullopt : std::optional(it->second);
+      });
+    };
+    hooks.Scan = [this](std::string prefix,
+                        TableCallback<std::vector<TableRow>> done) {
+      ++Reads;
+      request<std::vector<TableRow>>(std::move(done), [this, prefix] {
+        std::vector<TableRow> rows;
+        for (auto it = Rows.lower_bound(prefix);
+             it != Rows.end() && it->first.starts_with(prefix); ++it)
+          rows.push_back(it->second);
+        RowsRead += rows.size();
+        return rows;
+      });
+    };
+    hooks.Commit = [this](TableTransaction transaction,
+                          TableCallback<bool> done) {
+      ++Writes;
+      request<bool>(
+          [done = std::move(done)](tl::expected<bool, TableError> result) {
+            if (result && !*result)
+              return done(tl::unexpected(TableError::Conflict));
+            done(std::move(result));
+          },
+          [this, transaction] { return apply(transaction); });
+    };
+    return hooks;
+  }
+
+  /// Applies a transaction at once; false if it conflicts.
+  bool apply(const TableTransaction &transaction) {
+    if (Seen.contains(transaction.AttemptId))
+      return true;
+    for (const auto &write : transaction.Writes) {
+      auto it = Rows.find(write.Key);
+      if ((it == Rows.end() ? 0 : it->second.Version) != write.ExpectedVersion)
+        return false;
+    }
+    for (const auto &write : transaction.Writes) {
+      if (write.Value)
+        Rows[write.Key] = {write.Key, write.ExpectedVersion + 1, *write.Value};
+      else
+        Rows.erase(write.Key);
+    }
+    Seen.insert(transaction.AttemptId);
+    if (OnCommitted)
+      OnCommitted(transaction);
+    return true;
+  }
+
+private:
+  bool chance(double p) {
+    return std::uniform_real_distribution<double>(0, 1)(Random) < p;
+  }
+
+  Span delay() {
+    auto max = std::max<std::int64_t>(Faults.MaxDelay.count(), 1);
+    return Span(std::uniform_int_distribution<std::int64_t>(1, max)(Random));
+  }
+
+  template <typename T>
+  void request(TableCallback<T> done, std::function<T()> work) {
+    bool notSent = chance(Faults.NotSent);
+    bool loseRequest = chance(Faults.LoseRequest);
+    bool loseAnswer = chance(Faults.LoseAnswer);
+    Time.after(delay(), [this, notSent, loseRequest, loseAnswer, done, work] {
+      if (notSent)
+        return done(tl::unexpected(TableError::NotSent));
+      if (loseRequest || Down)
+        return done(tl::unexpected(TableError::Ambiguous));
+      T result = work();
+      Time.after(delay(), [loseAnswer, done, result] {
+        if (loseAnswer)
+          return done(tl::unexpected(TableError::Ambiguous));
+        done(result);
+      });
+    });
+  }
+
+  VirtualTime &Time;
+  std::mt19937_64 Random;
+  std::set<std::string> Seen;
+};
+
+} // namespace hemlockglade::test
