An exchange asks again while its cell changes hands, and tries again elsewhere

Cause: a request that met a cell without an owner was refused, although it had not been run and its deadline was far; and a stop did not wait for bytes that were still on their way to callers. Ruled out: answering the admission from inside the owner's lock; two exchanges that finish and admit each other could then wait for each other's locks, so replies are posted. Change: Exchange runs in rounds (ask, register, claim, send) with hooks for the register, claims and retries; CallerFront reads callers' requests; HttpServer counts the answers that have not gone out, and a stop waits for them.

--- a/Hemlockglade/Transport/Http/HttpServer.cpp
+++ b/Hemlockglade/Transport/Http/HttpServer.cpp
@@ -77,12 +77,26 @@
 using Server = restinio::http_server_t<ServerTraits>;
 using Streamed = restinio::response_builder_t<restinio::chunked_output_t>;
 
+/// Counts the answers that have not gone out yet. A token counts as one for as
+/// long as it lives; the server drops it with the last written byte.
+class Unfinished : public std::enable_shared_from_this<Unfinished> {
+public:
+  std::shared_ptr<void> token() {
+    ++Count;
+    return {nullptr, [self = shared_from_this()](void *) { --self->Count; }};
+  }
+  std::size_t count() const { return Count; }
+
+private:
+  std::atomic<std::size_t> Count{0};
+};
+
 class Reply : public HttpReply, public std::enable_shared_from_this<Reply> {
 public:
   Reply(restinio::request_handle_t request,
-        std::shared_ptr<ConnectionWatch> watch)
+        std::shared_ptr<ConnectionWatch> watch, std::shared_ptr<void> token)
       : Request(std::move(request)), Watch(std::move(watch)),
-        Id(Request->connection_id()) {}
+        Id(Request->connection_id()), Token(std::move(token)) {}
 
   Reply(const Reply &) = delete;
   Reply &operator=(const Reply &) = delete;
@@ -105,7 +119,7 @@
     for (const auto &[name, value] : fields)
       response.append_header(name, value);
     response.set_body(std::move(body));
-    response.done();
+    response.done([token = std::move(Token)](const auto &) {});
     Request.reset();
   }
 
@@ -137,7 +151,7 @@
     if (!Builder)
       return;
     Watch->unwatch(Id);
-    Builder->done();
+    Builder->done([token = std::move(Token)](const auto &) {});
     Builder.reset();
   }
 
@@ -174,6 +188,7 @@
   std::optional<Streamed> Builder;
   std::shared_ptr<ConnectionWatch> Watch;
   ConnectionId Id;
+  std::shared_ptr<void> Token;
 };
 
 HttpIncoming toIncoming(const restinio::request_t &request) {
@@ -203,6 +218,7 @@
 
 struct HttpServer::Impl {
   std::shared_ptr<ConnectionWatch> Watch = std::make_shared<ConnectionWatch>();
+  std::shared_ptr<Unfinished> Answers = std::make_shared<Unfinished>();
   std::uint16_t Port = 0;
   std::unique_ptr<Server> Listener;
 };
@@ -212,6 +228,7 @@
     : Inner(std::make_unique<Impl>()) {
   constexpr auto NoLimit = std::chrono::hours(24);
   auto watch = Inner->Watch;
+  auto answers = Inner->Answers;
   restinio::incoming_http_msg_limits_t limits;
   limits.max_body_size(settings.MaxBodyBytes);
   limits.max_field_value_size(settings.MaxFieldBytes);
@@ -237,11 +254,12 @@
             .acceptor_post_bind_hook([this](auto &acceptor) {
               Inner->Port = acceptor.local_endpoint().port();
             })
-            .request_handler([handler = std::move(handler),
-                              watch](restinio::request_handle_t request) {
+            .request_handler([handler = std::move(handler), watch,
+                              answers](restinio::request_handle_t request) {
               auto incoming = toIncoming(*request);
               handler(std::move(incoming),
-                      std::make_shared<Reply>(std::move(request), watch));
+                      std::make_shared<Reply>(std::move(request), watch,
+                                              answers->token()));
               return restinio::request_accepted();
             });
       });
@@ -252,6 +270,8 @@
 
 std::uint16_t HttpServer::port() const { return Inner->Port; }
 
+std::size_t HttpServer::unfinished() const { return Inner->Answers->count(); }
+
 void HttpServer::close() { Inner->Listener->close_sync(); }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Transport/Http/HttpServer.h
+++ b/Hemlockglade/Transport/Http/HttpServer.h
@@ -78,6 +78,9 @@
   /// The port that is listened on.
   std::uint16_t port() const;
 
+  /// Requests whose answers have not gone out whole yet.
+  std::size_t unfinished() const;
+
   /// Stops accepting connections and closes the open ones.
   void close();
 
--- /dev/null
+++ b/Programs/hemlockgladed/Answers.cpp
@@ -0,0 +1,21 @@
+#include "Answers.h"
+
+#include "Hemlockglade/Protocol/Endpoint/EngineFormat.h"
+
+namespace hemlockglade::answer {
+
+void json(HttpReply &reply, int status, const nlohmann::json &node) {
+  reply.sendWhole(status, {{"Content-Type", "application/json"}},
+                  node.dump() + '\n');
+}
+
+void error(HttpReply &reply, int status, std::string_view type,
+           std::string_view text) {
+  reply.sendWhole(status,
+                  {{"Content-Type", "application/json"},
+                   {std::string(header::Outcome),
+                    std::string(outcomeName(Outcome::NotRun))}},
+                  errorBody(type, text));
+}
+
+} // namespace hemlockglade::answer
--- /dev/null
+++ b/Programs/hemlockgladed/Answers.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "Hemlockglade/Transport/Transport.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hemlockglade::answer {
+
+/// Sends a JSON document.
+void json(HttpReply &reply, int status, const nlohmann::json &node);
+
+/// Refuses a request that was not run, with an OpenAI-style error.
+void error(HttpReply &reply, int status, std::string_view type,
+           std::string_view text);
+
+} // namespace hemlockglade::answer
--- /dev/null
+++ b/Programs/hemlockgladed/CallerFront.cpp
@@ -0,0 +1,199 @@
+#include "CallerFront.h"
+
+#include "Answers.h"
+
+#include <charconv>
+
+namespace hemlockglade {
+
+namespace {
+
+constexpr std::string_view CompletionsPath = "/v1/completions";
+constexpr std::string_view ChatPath = "/v1/chat/completions";
+constexpr std::string_view ServicesPrefix = "/services/";
+constexpr std::string_view DirectoryPath = "/directory";
+constexpr std::string_view DefaultClass = "default";
+constexpr Span DefaultDeadline = std::chrono::seconds(30);
+constexpr std::size_t MaxKeyBytes = 256;
+constexpr std::size_t IncarnationDigits = 8;
+constexpr std::array<std::string_view, 4> PassedFields{
+    "Content-Type", "Accept", "Last-Event-ID", header::IdempotencyKey};
+
+/// Methods that HTTP defines to have no effect when repeated.
+bool isSafeMethod(std::string_view method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+/// Reads a deadline in milliseconds; nothing if it isn't a positive number.
+std::optional<Span> readDeadline(const std::string &text) {
+  std::int64_t ms = 0;
+  const char *end = text.data() + text.size();
+  auto [rest, ec] = std::from_chars(text.data(), end, ms);
+  if (ec != std::errc() || rest != end || ms <= 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(ms);
+}
+
+} // namespace
+
+CallerFront::CallerFront(CallerFrontSettings settings, CallerFrontHooks hooks)
+    : Settings(std::move(settings)), Hooks(std::move(hooks)) {}
+
+bool CallerFront::take(HttpIncoming &incoming,
+                       const std::shared_ptr<HttpReply> &reply) {
+  const auto &path = incoming.Path;
+  if (path == CompletionsPath || path == ChatPath) {
+    onCompletion(incoming, reply);
+    return true;
+  }
+  if (path.starts_with(ServicesPrefix)) {
+    onService(incoming, reply);
+    return true;
+  }
+  if (path == DirectoryPath) {
+    onDirectory(incoming, *reply);
+    return true;
+  }
+  return false;
+}
+
+std::string CallerFront::newRequestId() {
+  return Settings.Node + '-' +
+         Settings.Incarnation.substr(0, IncarnationDigits) + '-' +
+         std::to_string(++LastRequest);
+}
+
+bool CallerFront::prepare(const HttpIncoming &incoming, const Catalog &inForce,
+                          HttpReply &reply, ExchangeRequest &request) {
+  request.Id = newRequestId();
+  request.Method = incoming.Method;
+  request.Admit.Id = request.Id;
+  request.Admit.Caller = incoming.Remote;
+  request.Admit.Class =
+      incoming.field(header::Class).value_or(std::string(DefaultClass));
+  Span deadline = DefaultDeadline;
+  auto it = inForce.Classes.find(request.Admit.Class);
+  if (it != inForce.Classes.end())
+    deadline = it->second.Deadline;
+  else if (request.Admit.Class != DefaultClass) {
+    answer::error(reply, 400, "class_not_found",
+                  "no service class " + request.Admit.Class);
+    return false;
+  }
+  if (auto field = incoming.field(header::Deadline)) {
+    auto asked = readDeadline(*field);
+    if (!asked) {
+      answer::error(reply, 400, "invalid_deadline",
+                    "the deadline is not a positive number of milliseconds");
+      return false;
+    }
+    deadline = std::min(*asked, Settings.MaxDeadline);
+  }
+  request.Deadline = TimerService::now() + deadline;
+  request.IdempotencyKey = incoming.field(header::IdempotencyKey).value_or("");
+  if (request.IdempotencyKey.size() > MaxKeyBytes) {
+    answer::error(reply, 400, "invalid_key", "the idempotency key is too long");
+    return false;
+  }
+  for (auto name : PassedFields) {
+    if (auto value = incoming.field(name))
+      request.Fields.emplace_back(name, *value);
+  }
+  return true;
+}
+
+void CallerFront::onCompletion(HttpIncoming &incoming,
+                               const std::shared_ptr<HttpReply> &reply) {
+  if (incoming.Method != "POST")
+    return answer::error(*reply, 405, "method_not_allowed", "POST only");
+  auto inForce = Hooks.InForce();
+  auto completion = readCompletion(incoming.Body, [&](const std::string &name) {
+    auto it = inForce->Adapters.find(name);
+    return it == inForce->Adapters.end() ? 0 : it->second.Current;
+  });
+  if (!completion) {
+    bool unknown = completion.error().Kind == ProtocolErrorKind::Unknown;
+    return answer::error(*reply, unknown ? 404 : 400,
+                         unknown ? "adapter_not_found" : "invalid_request",
+                         completion.error().Text);
+  }
+  const auto &wanted = completion->Adapter;
+  auto adapter = inForce->Adapters.find(wanted.Name);
+  if (adapter == inForce->Adapters.end())
+    return answer::error(*reply, 404, "adapter_not_found",
+                         "no adapter " + wanted.Name);
+  const auto &versions = adapter->second.Versions;
+  if (std::find(versions.begin(), versions.end(), wanted.Version) ==
+      versions.end())
+    return answer::error(*reply, 404, "version_not_found",
+                         "no version " + wanted.text());
+  auto service = inForce->Services.find(adapter->second.Service);
+  if (service == inForce->Services.end())
+    return answer::error(*reply, 404, "service_not_found",
+                         "no service " + adapter->second.Service);
+  ExchangeRequest request;
+  if (!prepare(incoming, *inForce, *reply, request))
+    return;
+  request.PathAndQuery = incoming.Path;
+  request.Body = std::move(completion->Body);
+  request.Stream = completion->Stream;
+  request.Repeatable = incoming.field(header::Repeatable) != "no" &&
+                       request.IdempotencyKey.empty();
+  request.Admit.Adapter = wanted.text();
+  request.Admit.Cell = cellOf(service->second, request.Admit.Adapter);
+  request.Admit.PrefixHash = completion->PrefixHash;
+  request.Admit.PromptTokens = completion->PromptTokens;
+  Hooks.Begin(std::move(request), reply);
+}
+
+void CallerFront::onService(HttpIncoming &incoming,
+                            const std::shared_ptr<HttpReply> &reply) {
+  auto rest = incoming.Path.substr(ServicesPrefix.size());
+  auto slash = std::min(rest.find('/'), rest.size());
+  auto name = rest.substr(0, slash);
+  auto inForce = Hooks.InForce();
+  auto service = inForce->Services.find(name);
+  if (service == inForce->Services.end() ||
+      service->second.Kind != ServiceKind::Plain)
+    return answer::error(*reply, 404, "service_not_found",
+                         "no service " + name);
+  ExchangeRequest request;
+  if (!prepare(incoming, *inForce, *reply, request))
+    return;
+  request.PathAndQuery = slash < rest.size() ? rest.substr(slash) : "/";
+  if (!incoming.Query.empty())
+    request.PathAndQuery += '?' + incoming.Query;
+  request.Body = std::move(incoming.Body);
+  auto repeatable = incoming.field(header::Repeatable);
+  request.Repeatable =
+      (repeatable ? *repeatable == "yes" : isSafeMethod(incoming.Method)) &&
+      request.IdempotencyKey.empty();
+  request.Admit.Cell = cellOf(service->second, incoming.Remote);
+  Hooks.Begin(std::move(request), reply);
+}
+
+void CallerFront::onDirectory(const HttpIncoming &incoming, HttpReply &reply) {
+  auto inForce = Hooks.InForce();
+  auto name = queryValue(incoming.Query, "service");
+  auto model = queryValue(incoming.Query, "model");
+  auto key = model;
+  if (auto adapter = AdapterRef::parse(model)) {
+    auto it = inForce->Adapters.find(adapter->Name);
+    if (it != inForce->Adapters.end()) {
+      name = it->second.Service;
+      if (adapter->Version == 0)
+        adapter->Version = it->second.Current;
+      key = adapter->text();
+    }
+  }
+  auto service = inForce->Services.find(name);
+  if (service == inForce->Services.end())
+    return answer::error(reply, 404, "service_not_found", "no service " + name);
+  if (key.empty())
+    key = incoming.Remote;
+  auto addresses = Hooks.Addresses(cellOf(service->second, key));
+  auto ttl = std::chrono::duration<double>(Settings.DirectoryTtl).count();
+  answer::json(reply, 200, {{"addresses", addresses}, {"ttl_s", ttl}});
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/CallerFront.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Exchange.h"
+
+namespace hemlockglade {
+
+/// What the front for callers needs of its node.
+struct CallerFrontHooks {
+  /// The configuration in force.
+  std::function<std::shared_ptr<const Catalog>()> InForce;
+  /// Addresses for callers of a cell, best first.
+  std::function<std::vector<std::string>(const std::string &cell)> Addresses;
+  /// Starts an exchange.
+  std::function<void(ExchangeRequest, std::shared_ptr<HttpReply>)> Begin;
+};
+
+/// Settings of the front for callers.
+struct CallerFrontSettings {
+  /// Name of the node, the first part of request ids.
+  std::string Node;
+  /// Incarnation of the node, the second part.
+  std::string Incarnation;
+  /// How long callers may keep an address.
+  Span DirectoryTtl = std::chrono::seconds(5);
+  /// Longest deadline that a caller may ask for.
+  Span MaxDeadline = std::chrono::minutes(10);
+};
+
+/// Reads callers' requests: completions, calls of plain services and
+/// questions to the directory.
+class CallerFront {
+public:
+  CallerFront(CallerFrontSettings settings, CallerFrontHooks hooks);
+
+  /// Takes a request if it is a caller's; false if the path is none of ours.
+  bool take(HttpIncoming &incoming, const std::shared_ptr<HttpReply> &reply);
+
+private:
+  void onCompletion(HttpIncoming &incoming,
+                    const std::shared_ptr<HttpReply> &reply);
+  void onService(HttpIncoming &incoming,
+                 const std::shared_ptr<HttpReply> &reply);
+  void onDirectory(const HttpIncoming &incoming, HttpReply &reply);
+  /// Fills in what all requests share; false if a header was refused.
+  bool prepare(const HttpIncoming &incoming, const Catalog &inForce,
+               HttpReply &reply, ExchangeRequest &request);
+  std::string newRequestId();
+
+  CallerFrontSettings Settings;
+  CallerFrontHooks Hooks;
+  std::atomic<std::uint64_t> LastRequest{0};
+};
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -189,7 +189,7 @@
     std::visit([&](const auto &it) { apply(it, deferred); }, action);
 }
 
-void CellRunner::apply(const Admit &action, Deferred &deferred) {
+void CellRunner::apply(const Admit &action, Deferred &) {
   auto it = Requests.find(action.Request);
   if (it == Requests.end())
     return;
@@ -206,11 +206,10 @@
             << " reason=" << reasonName(action.Why)
             << " queue=" << Core.waiting() << " epoch=" << Fence
             << " cell=" << Cell << " stall_us=" << reply.LoadStallUs;
-  deferred.push_back(
-      [call = std::move(it->second.Reply), reply] { call(reply); });
+  Hooks.Post([call = std::move(it->second.Reply), reply] { call(reply); });
 }
 
-void CellRunner::apply(const Refuse &action, Deferred &deferred) {
+void CellRunner::apply(const Refuse &action, Deferred &) {
   auto it = Requests.find(action.Request);
   if (it == Requests.end())
     return;
@@ -222,8 +221,7 @@
             << " adapter=" << it->second.Adapter << " reason=" << reply.Reason
             << " queue=" << Core.waiting() << " epoch=" << Fence
             << " cell=" << Cell;
-  deferred.push_back(
-      [call = std::move(it->second.Reply), reply] { call(reply); });
+  Hooks.Post([call = std::move(it->second.Reply), reply] { call(reply); });
   Requests.erase(it);
 }
 
--- a/Programs/hemlockgladed/CellRunner.h
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -10,6 +10,8 @@
 struct CellRunnerHooks {
   /// Whether the lease allows orders that only an owner may give.
   std::function<bool()> Holds;
+  /// Runs a call soon, on no lock of the caller's.
+  std::function<void(std::function<void()>)> Post;
 };
 
 /// Drives the decision core of one owned cell: turns what happens into events
--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -13,7 +13,13 @@
 constexpr std::size_t UnsentLimit = 256 * 1024;
 /// An answer up to this size is sent whole, with its outcome in the header.
 constexpr std::size_t WholeLimit = 256 * 1024;
+/// Time between two askings while a cell has no owner that answers.
+constexpr Span OwnerRetryInterval = std::chrono::milliseconds(100);
+/// When to come back if the table can't be asked.
+constexpr Span StoreRetryAfter = std::chrono::seconds(5);
 constexpr int FirstError = 400;
+constexpr int Conflict = 409;
+constexpr int Unprocessable = 422;
 constexpr int Unavailable = 503;
 constexpr int BadGateway = 502;
 
@@ -21,64 +27,157 @@
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-/// Whether an engine that answers so has refused before running.
+/// Whether an endpoint that answers so has refused before running.
 bool refusedBeforeRunning(int status) {
-  constexpr std::array Refusals{400, 404, 409, 413, 422, 429, 503};
+  constexpr std::array Refusals{400, 404, 405, 409, 413, 422, 429, 503};
   return std::find(Refusals.begin(), Refusals.end(), status) != Refusals.end();
 }
 
+/// Whether the refusal says only that the cell is changing hands.
+bool isOwnerless(std::string_view reason) {
+  return reason == "no-owner" || reason == "not-owner" ||
+         reason == "owner-lost";
+}
+
 std::string retryAfterSeconds(Span span) {
   auto n = std::chrono::ceil<std::chrono::seconds>(span).count();
   return std::to_string(std::max<std::int64_t>(n, 1));
 }
 
+Outcome outcomeOf(const HttpResult &result) {
+  if (!result.Whole)
+    return result.MayHaveSent ? Outcome::Unknown : Outcome::NotRun;
+  return refusedBeforeRunning(result.Status) ? Outcome::NotRun
+                                             : Outcome::Complete;
+}
+
 } // namespace
 
 Exchange::Exchange(ExchangeRequest request, std::shared_ptr<HttpReply> reply,
-                   Admission &admission, HttpClient &client,
-                   ExchangeCounts &counts)
-    : Request(std::move(request)), Reply(std::move(reply)), Asker(admission),
-      Client(client), Counts(counts) {
-  ++Counts.Running;
-}
-
-Exchange::~Exchange() { --Counts.Running; }
+                   HttpClient &client,
+                   std::shared_ptr<const ExchangeHooks> hooks)
+    : Request(std::move(request)), Reply(std::move(reply)), Client(client),
+      Hooks(std::move(hooks)), Arrived(TimerService::now()) {}
 
 void Exchange::start() {
   Reply->onGone([weak = weak_from_this()] {
     if (auto self = weak.lock())
       self->onGone();
   });
-  auto ticket = Asker.ask(Request.Admit,
-                          [self = shared_from_this()](const AdmitReply &reply) {
-                            self->onAdmitted(reply);
-                          });
+  ask();
+}
+
+void Exchange::ask() {
+  std::uint32_t round = 0;
+  AdmitRequest admit;
+  {
+    std::lock_guard lock(Mutex);
+    if (Ended)
+      return;
+    auto left = Request.Deadline - TimerService::now();
+    if (left <= Span{})
+      return refuse("deadline-passed", OwnerRetryInterval);
+    round = ++Round;
+    Request.Admit.DeadlineUs = left.count();
+    admit = Request.Admit;
+  }
+  // Asked without the lock: the answer may come from inside the call.
+  auto ticket = Hooks->Ask(
+      admit, [self = shared_from_this(), round](const AdmitReply &reply) {
+        self->onAdmitted(round, reply);
+      });
   std::lock_guard lock(Mutex);
-  if (Ended)
+  if (Ended || round != Round)
     ticket->finish(Outcome::NotRun);
   else
     Ticket = std::move(ticket);
 }
 
-void Exchange::onAdmitted(const AdmitReply &reply) {
+void Exchange::askAgain() {
+  // A new round makes the answer to the last one late, whatever it says.
+  ++Round;
+  giveBack(Outcome::NotRun);
+  Hooks->After(OwnerRetryInterval, [weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->ask();
+  });
+}
+
+void Exchange::onAdmitted(std::uint32_t round, const AdmitReply &reply) {
   std::lock_guard lock(Mutex);
-  if (Ended)
+  if (Ended || round != Round)
     return;
-  if (!reply.Granted)
-    return refuse(Unavailable, reply.Reason, Span(reply.RetryAfterUs));
+  if (!reply.Granted) {
+    if (isOwnerless(reply.Reason))
+      return askAgain();
+    return refuse(reply.Reason, Span(reply.RetryAfterUs));
+  }
   Grant = reply;
-  send(reply);
+  Registered = Hooks->Register(record());
+  if (!Registered)
+    return askAgain();
+  if (Request.IdempotencyKey.empty() || Claimed)
+    return send();
+  claim();
+}
+
+void Exchange::claim() {
+  Hooks->Claim(Request, [self = shared_from_this()](const ClaimAnswer &answer) {
+    self->onClaimed(answer);
+  });
+}
+
+void Exchange::onClaimed(const ClaimAnswer &answer) {
+  std::lock_guard lock(Mutex);
+  Claimed = answer.Result == ClaimAnswer::Kind::Claimed;
+  if (Ended) {
+    // The caller left meanwhile: nothing was sent, and the key says so.
+    if (Claimed)
+      Hooks->RecordOutcome(Request, Outcome::NotRun);
+    return;
+  }
+  switch (answer.Result) {
+  case ClaimAnswer::Kind::Claimed:
+    return send();
+  case ClaimAnswer::Kind::Unavailable:
+    return refuse("store-unavailable", StoreRetryAfter);
+  case ClaimAnswer::Kind::Mismatch:
+  case ClaimAnswer::Kind::Taken:
+  case ClaimAnswer::Kind::Ambiguous:
+    return refuseTaken(answer);
+  }
+}
+
+void Exchange::refuseTaken(const ClaimAnswer &answer) {
+  bool mismatch = answer.Result == ClaimAnswer::Kind::Mismatch;
+  bool taken = answer.Result == ClaimAnswer::Kind::Taken;
+  auto outcome = mismatch ? Outcome::NotRun
+                 : taken  ? answer.Earlier
+                          : Outcome::Unknown;
+  std::string reason = mismatch ? "key-mismatch"
+                       : taken  ? "key-taken"
+                                : "claim-ambiguous";
+  HttpFields fields{
+      {std::string(header::RequestId),
+       taken ? answer.EarlierRequest : Request.Id},
+      {std::string(header::Outcome), std::string(outcomeName(outcome))},
+      {"Content-Type", "application/json"}};
+  Reply->sendWhole(mismatch ? Unprocessable
+                   : taken  ? Conflict
+                            : BadGateway,
+                   fields, errorBody(reason, "see the outcome header"));
+  end(Outcome::NotRun, reason);
 }
 
-void Exchange::send(const AdmitReply &reply) {
+void Exchange::send() {
   HttpRequest request;
   request.Method = Request.Method;
-  request.Url = "http://" + reply.Address + Request.PathAndQuery;
+  request.Url = "http://" + Grant.Address + Request.PathAndQuery;
   request.Fields = Request.Fields;
   request.Fields.emplace_back(header::RequestId, Request.Id);
   request.Fields.emplace_back(header::Attempt,
                               std::to_string(Request.Admit.Attempt));
-  request.Fields.emplace_back(header::Fence, std::to_string(reply.Fence));
+  request.Fields.emplace_back(header::Fence, std::to_string(Grant.Fence));
   request.Body = Request.Body;
   request.FreshConnection = !Request.Repeatable;
   HttpHooks hooks;
@@ -97,6 +196,14 @@
   EndpointFields = fields;
 }
 
+bool Exchange::isForeign() const {
+  for (const auto &[name, value] : EndpointFields) {
+    if (sameName(name, header::RequestId))
+      return value != Request.Id;
+  }
+  return false;
+}
+
 HttpFields Exchange::answerFields(Outcome outcome) const {
   HttpFields fields{{std::string(header::RequestId), Request.Id},
                     {std::string(header::Replica), Grant.Replica}};
@@ -118,15 +225,16 @@
 
 bool Exchange::onPart(std::string_view part) {
   std::lock_guard lock(Mutex);
-  if (Ended)
+  // An answer that is marked as another request's is never passed on.
+  if (Ended || isForeign())
     return true;
+  if (ToFirstByte == Span{})
+    ToFirstByte = TimerService::now() - Arrived;
   bool events = Request.Stream && Status < FirstError;
   if (!Streaming && (events || Held.size() + part.size() > WholeLimit)) {
     startStream();
-    if (!Held.empty()) {
-      Unsent += Held.size();
+    if (!Held.empty())
       Reply->sendPart(std::exchange(Held, {}), nullptr);
-    }
   }
   if (!Streaming) {
     Held.append(part);
@@ -159,32 +267,59 @@
   std::lock_guard lock(Mutex);
   if (Ended)
     return;
-  bool ran = result.Whole && !refusedBeforeRunning(result.Status);
-  Outcome outcome = result.Whole ? (ran ? Outcome::Complete : Outcome::NotRun)
-                    : result.MayHaveSent ? Outcome::Unknown
-                                         : Outcome::NotRun;
+  auto outcome = isForeign() ? Outcome::Unknown : outcomeOf(result);
+  if (outcome != Outcome::Complete && tryAgain(outcome))
+    return;
+  answer(outcome, result);
+  end(outcome, result.Whole ? "" : "endpoint-failed");
+}
+
+bool Exchange::tryAgain(Outcome outcome) {
+  RetryQuestion question;
+  question.Repeatable = Request.Repeatable;
+  question.Ended = outcome;
+  question.FirstBytePassed = Streaming;
+  question.Attempt = Request.Admit.Attempt;
+  question.TimeLeft = Request.Deadline - TimerService::now();
+  if (!Hooks->MayRetry(question))
+    return false;
+  LOG(INFO) << "retry request=" << Request.Id
+            << " attempt=" << Request.Admit.Attempt
+            << " adapter=" << Request.Admit.Adapter
+            << " replica=" << Grant.Replica
+            << " outcome=" << outcomeName(outcome);
+  giveBack(outcome);
+  ++Request.Admit.Attempt;
+  Transfer = 0;
+  Status = 0;
+  EndpointFields.clear();
+  Held.clear();
+  ask();
+  return true;
+}
+
+void Exchange::answer(Outcome outcome, const HttpResult &result) {
+  if (Streaming && Request.Stream) {
+    nlohmann::json node{{"outcome", outcomeName(outcome)},
+                        {"request", Request.Id},
+                        {"replica", Grant.Replica},
+                        {"adapter", Request.Admit.Adapter}};
+    Reply->sendPart("event: outcome\ndata: " + node.dump() + "\n\n", nullptr);
+    return Reply->finishStream();
+  }
   if (Streaming) {
-    if (Request.Stream) {
-      nlohmann::json node{{"outcome", outcomeName(outcome)},
-                          {"request", Request.Id},
-                          {"replica", Grant.Replica},
-                          {"adapter", Request.Admit.Adapter}};
-      Reply->sendPart("event: outcome\ndata: " + node.dump() + "\n\n", nullptr);
-    }
-    if (outcome == Outcome::Complete || Request.Stream)
-      Reply->finishStream();
-    else
-      Reply->abort();
-  } else if (result.Whole) {
-    Reply->sendWhole(result.Status, answerFields(outcome), std::move(Held));
-  } else {
-    auto fields = answerFields(outcome);
-    fields.emplace_back("Retry-After", "1");
-    fields.emplace_back("Content-Type", "application/json");
-    Reply->sendWhole(BadGateway, fields,
-                     errorBody("endpoint_failed", result.Error));
+    return outcome == Outcome::Complete ? Reply->finishStream()
+                                        : Reply->abort();
   }
-  end(outcome);
+  if (result.Whole && !isForeign())
+    return Reply->sendWhole(result.Status, answerFields(outcome),
+                            std::move(Held));
+  EndpointFields.clear();
+  auto fields = answerFields(outcome);
+  fields.emplace_back("Retry-After", "1");
+  fields.emplace_back("Content-Type", "application/json");
+  Reply->sendWhole(BadGateway, fields,
+                   errorBody("endpoint_failed", result.Error));
 }
 
 void Exchange::onGone() {
@@ -197,30 +332,36 @@
   end(Transfer ? Outcome::Unknown : Outcome::NotRun);
 }
 
-void Exchange::refuse(int status, const std::string &reason, Span retryAfter) {
+void Exchange::refuse(const std::string &reason, Span retryAfter) {
   HttpFields fields{
       {std::string(header::RequestId), Request.Id},
       {std::string(header::Outcome), std::string(outcomeName(Outcome::NotRun))},
       {"Retry-After", retryAfterSeconds(retryAfter)},
       {"Content-Type", "application/json"}};
-  Reply->sendWhole(status, fields, errorBody("not_run", reason));
-  end(Outcome::NotRun);
+  Reply->sendWhole(Unavailable, fields, errorBody("not_run", reason));
+  end(Outcome::NotRun, reason);
 }
 
-void Exchange::end(Outcome outcome) {
-  Ended = true;
-  auto &count = outcome == Outcome::Complete ? Counts.Complete
-                : outcome == Outcome::NotRun ? Counts.NotRun
-                                             : Counts.Unknown;
-  ++count;
-  LOG(INFO) << "end request=" << Request.Id
-            << " attempt=" << Request.Admit.Attempt
-            << " adapter=" << Request.Admit.Adapter
-            << " replica=" << Grant.Replica
-            << " outcome=" << outcomeName(outcome) << (Gone ? " gone=1" : "");
+RunningRecord Exchange::record() const {
+  return {Request.Id, Request.Admit.Cell, Grant.Fence, Grant.Replica,
+          Request.Admit.Adapter};
+}
+
+void Exchange::giveBack(Outcome outcome) {
+  if (std::exchange(Registered, false))
+    Hooks->Unregister(record());
   if (Ticket)
     Ticket->finish(outcome);
   Ticket.reset();
 }
 
+void Exchange::end(Outcome outcome, std::string reason) {
+  Ended = true;
+  giveBack(outcome);
+  if (Claimed)
+    Hooks->RecordOutcome(Request, outcome);
+  Hooks->OnEnd({Request, Grant.Replica, outcome, std::move(reason), Gone,
+                Span(Grant.LoadStallUs), ToFirstByte});
+}
+
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -8,6 +8,8 @@
 struct ExchangeRequest {
   std::string Id;
   AdmitRequest Admit;
+  /// When the first byte is due.
+  Instant Deadline{};
   /// Request line towards the endpoint.
   std::string Method;
   std::string PathAndQuery;
@@ -17,57 +19,136 @@
   bool Stream = false;
   /// Whether running it twice does no harm.
   bool Repeatable = true;
+  /// The caller's key; a request with one runs at most once under it.
+  std::string IdempotencyKey;
 };
 
-/// Totals of a node's exchanges.
-struct ExchangeCounts {
-  std::atomic<std::uint64_t> Running{0};
-  std::atomic<std::uint64_t> Complete{0};
-  std::atomic<std::uint64_t> NotRun{0};
-  std::atomic<std::uint64_t> Unknown{0};
+/// A request that is about to run, as a new owner of its cell has to know it.
+struct RunningRecord {
+  std::string Id;
+  std::string Cell;
+  Epoch Fence = 0;
+  std::string Replica;
+  std::string Adapter;
+};
+
+/// What came of claiming an idempotency key.
+struct ClaimAnswer {
+  enum class Kind : std::uint8_t {
+    /// The key is ours: the request may run.
+    Claimed,
+    /// An earlier request has it; `Earlier` says how that ended.
+    Taken,
+    /// The key was used for a different request.
+    Mismatch,
+    /// The table could not be asked; nothing was claimed.
+    Unavailable,
+    /// Whether the claim took effect can't be told.
+    Ambiguous,
+  };
+  Kind Result = Kind::Claimed;
+  Outcome Earlier = Outcome::Unknown;
+  std::string EarlierRequest;
+};
+
+/// What the decision on another try depends on.
+struct RetryQuestion {
+  bool Repeatable = true;
+  Outcome Ended = Outcome::Unknown;
+  bool FirstBytePassed = false;
+  std::uint32_t Attempt = 1;
+  Span TimeLeft{};
+};
+
+/// How an exchange ended, for logs and metrics.
+struct ExchangeEnd {
+  const ExchangeRequest &Request;
+  std::string Replica;
+  Outcome Ended = Outcome::Unknown;
+  /// Reason of a refusal; empty if there was none.
+  std::string Reason;
+  /// The caller went away before the end.
+  bool Gone = false;
+  Span LoadStall{};
+  /// Time from the request's arrival to its first byte; zero without one.
+  Span ToFirstByte{};
+};
+
+/// What an exchange uses of its node.
+struct ExchangeHooks {
+  std::function<std::shared_ptr<AdmissionTicket>(const AdmitRequest &,
+                                                 Admission::OnReply)>
+      Ask;
+  /// Puts the request on the register of what runs here. False if a newer
+  /// owner of the cell has been told already what runs.
+  std::function<bool(const RunningRecord &)> Register;
+  std::function<void(const RunningRecord &)> Unregister;
+  std::function<void(const ExchangeRequest &,
+                     std::function<void(const ClaimAnswer &)>)>
+      Claim;
+  /// Writes down how the request of a claimed key ended.
+  std::function<void(const ExchangeRequest &, Outcome)> RecordOutcome;
+  std::function<bool(const RetryQuestion &)> MayRetry;
+  std::function<void(Span, std::function<void()>)> After;
+  std::function<void(const ExchangeEnd &)> OnEnd;
 };
 
 /// One caller's request at its entry: asks for admission, passes the
-/// endpoint's answer on as it comes, and says how it ended.
+/// endpoint's answer on as it comes, tries again where that is allowed, and
+/// says how it ended.
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
   Exchange(ExchangeRequest request, std::shared_ptr<HttpReply> reply,
-           Admission &admission, HttpClient &client, ExchangeCounts &counts);
-  ~Exchange();
+           HttpClient &client, std::shared_ptr<const ExchangeHooks> hooks);
   Exchange(const Exchange &) = delete;
   Exchange &operator=(const Exchange &) = delete;
 
   void start();
 
 private:
-  void onAdmitted(const AdmitReply &reply);
-  void send(const AdmitReply &reply);
+  void ask();
+  void askAgain();
+  void onAdmitted(std::uint32_t round, const AdmitReply &reply);
+  void claim();
+  void onClaimed(const ClaimAnswer &answer);
+  void send();
   void onHead(int status, const HttpFields &fields);
   bool onPart(std::string_view part);
   void onSent(std::size_t n, bool ok);
   void onDone(const HttpResult &result);
   void onGone();
+  bool isForeign() const;
+  bool tryAgain(Outcome outcome);
   void startStream();
-  void refuse(int status, const std::string &reason, Span retryAfter);
-  void end(Outcome outcome);
+  void answer(Outcome outcome, const HttpResult &result);
+  void refuse(const std::string &reason, Span retryAfter);
+  void refuseTaken(const ClaimAnswer &answer);
+  void giveBack(Outcome outcome);
+  void end(Outcome outcome, std::string reason = {});
+  RunningRecord record() const;
   HttpFields answerFields(Outcome outcome) const;
 
   ExchangeRequest Request;
   std::shared_ptr<HttpReply> Reply;
-  Admission &Asker;
   HttpClient &Client;
-  ExchangeCounts &Counts;
+  std::shared_ptr<const ExchangeHooks> Hooks;
+  Instant Arrived;
 
   // Recursive, because a send to a caller who has gone may report that at
   // once, from inside the call.
   std::recursive_mutex Mutex;
+  /// Rises with each asking for admission, so that late answers are known.
+  std::uint32_t Round = 0;
   std::shared_ptr<AdmissionTicket> Ticket;
   AdmitReply Grant;
+  bool Registered = false;
+  bool Claimed = false;
   HttpClient::Ticket Transfer = 0;
   int Status = 0;
   HttpFields EndpointFields;
   std::string Held;
   std::size_t Unsent = 0;
+  Span ToFirstByte{};
   bool Paused = false;
   bool Streaming = false;
   bool Gone = false;
--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -1,5 +1,7 @@
 #include "Node.h"
 
+#include "Answers.h"
+
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -13,11 +15,6 @@
 constexpr Span TickInterval = std::chrono::milliseconds(50);
 constexpr Span IdlePoll = std::chrono::milliseconds(50);
 constexpr std::string_view ConfigKey = "config/head";
-constexpr std::string_view CompletionsPath = "/v1/completions";
-constexpr std::string_view ChatPath = "/v1/chat/completions";
-constexpr std::string_view ServicesPrefix = "/services/";
-constexpr std::string_view DefaultClass = "default";
-constexpr Span DefaultDeadline = std::chrono::seconds(30);
 
 std::string newIncarnation() {
   std::random_device device;
@@ -26,20 +23,6 @@
   return buf.data();
 }
 
-void sendJson(HttpReply &reply, int status, const json &node) {
-  reply.sendWhole(status, {{"Content-Type", "application/json"}},
-                  node.dump() + '\n');
-}
-
-void sendError(HttpReply &reply, int status, std::string_view type,
-               std::string_view text) {
-  reply.sendWhole(status,
-                  {{"Content-Type", "application/json"},
-                   {std::string(header::Outcome),
-                    std::string(outcomeName(Outcome::NotRun))}},
-                  errorBody(type, text));
-}
-
 } // namespace
 
 Node::Node(asio::io_context &context, NodeSettings settings)
@@ -48,7 +31,10 @@
       Platform(ControlClient, Settings.PlatformUrl),
       Asker([this](const std::string &cell) { return runnerOf(cell); },
             [this](const std::string &cell) { return Leases->ownerOf(cell); }),
-      Incarnation(newIncarnation()), InForce(std::make_shared<Catalog>()) {}
+      Incarnation(newIncarnation()),
+      Callers({Settings.Name, Incarnation, Settings.DirectoryTtl},
+              callerHooks()),
+      Exchanges(exchangeHooks()), InForce(std::make_shared<Catalog>()) {}
 
 Node::~Node() = default;
 
@@ -106,127 +92,73 @@
 
 void Node::onHttp(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
   const auto &path = incoming.Path;
-  if (path == CompletionsPath || path == ChatPath)
-    return onCompletion(std::move(incoming), std::move(reply));
-  if (path.starts_with(ServicesPrefix))
-    return onService(std::move(incoming), std::move(reply));
-  if (path == "/directory")
-    return onDirectory(incoming, *reply);
+  if (Callers.take(incoming, reply))
+    return;
   if (path == "/healthz")
     return reply->sendWhole(200, {}, "ok\n");
   if (path == "/admin/show")
     return onShow(incoming, *reply);
   if (path == "/admin/apply" && incoming.Method == "POST")
     return onApply(std::move(incoming), std::move(reply));
-  sendError(*reply, 404, "not_found", "no such path");
+  answer::error(*reply, 404, "not_found", "no such path");
 }
 
-ExchangeRequest Node::newExchange(const HttpIncoming &incoming) {
-  ExchangeRequest request;
-  request.Id = Settings.Name + '-' + Incarnation.substr(0, 8) + '-' +
-               std::to_string(++LastRequest);
-  request.Method = incoming.Method;
-  request.Body = incoming.Body;
-  request.Admit.Id = request.Id;
-  request.Admit.Caller = incoming.Remote;
-  request.Admit.Class =
-      incoming.field(header::Class).value_or(std::string(DefaultClass));
-  Span deadline = DefaultDeadline;
-  auto inForce = catalog();
-  auto it = inForce->Classes.find(request.Admit.Class);
-  if (it != inForce->Classes.end())
-    deadline = it->second.Deadline;
-  if (auto field = incoming.field(header::Deadline))
-    deadline = std::chrono::milliseconds(std::atoll(field->c_str()));
-  request.Admit.DeadlineUs = deadline.count();
-  if (auto type = incoming.field("Content-Type"))
-    request.Fields.emplace_back("Content-Type", *type);
-  return request;
-}
-
-void Node::onCompletion(HttpIncoming incoming,
-                        std::shared_ptr<HttpReply> reply) {
-  auto inForce = catalog();
-  auto completion = readCompletion(incoming.Body, [&](const std::string &name) {
-    auto it = inForce->Adapters.find(name);
-    return it == inForce->Adapters.end() ? 0 : it->second.Current;
-  });
-  if (!completion) {
-    bool unknown = completion.error().Kind == ProtocolErrorKind::Unknown;
-    return sendError(*reply, unknown ? 404 : 400,
-                     unknown ? "adapter_not_found" : "invalid_request",
-                     completion.error().Text);
-  }
-  auto adapter = inForce->Adapters.find(completion->Adapter.Name);
-  if (adapter == inForce->Adapters.end())
-    return sendError(*reply, 404, "adapter_not_found",
-                     "no adapter " + completion->Adapter.Name);
-  const auto &versions = adapter->second.Versions;
-  if (std::find(versions.begin(), versions.end(),
-                completion->Adapter.Version) == versions.end())
-    return sendError(*reply, 404, "version_not_found",
-                     "no version " + completion->Adapter.text());
-  auto service = inForce->Services.find(adapter->second.Service);
-  if (service == inForce->Services.end())
-    return sendError(*reply, 404, "service_not_found",
-                     "no service " + adapter->second.Service);
-  auto request = newExchange(incoming);
-  request.PathAndQuery = incoming.Path;
-  request.Body = std::move(completion->Body);
-  request.Stream = completion->Stream;
-  request.Admit.Adapter = completion->Adapter.text();
-  request.Admit.Cell = cellOf(service->second, request.Admit.Adapter);
-  request.Admit.PrefixHash = completion->PrefixHash;
-  request.Admit.PromptTokens = completion->PromptTokens;
-  begin(std::move(request), std::move(reply));
+CallerFrontHooks Node::callerHooks() {
+  CallerFrontHooks hooks;
+  hooks.InForce = [this] { return catalog(); };
+  hooks.Addresses = [this](const std::string &cell) {
+    return addressesFor(cell);
+  };
+  hooks.Begin = [this](ExchangeRequest request,
+                       std::shared_ptr<HttpReply> reply) {
+    std::make_shared<Exchange>(std::move(request), std::move(reply), Client,
+                               Exchanges)
+        ->start();
+  };
+  return hooks;
 }
 
-void Node::onService(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
-  auto rest = incoming.Path.substr(ServicesPrefix.size());
-  auto slash = std::min(rest.find('/'), rest.size());
-  auto name = rest.substr(0, slash);
-  auto inForce = catalog();
-  auto service = inForce->Services.find(name);
-  if (service == inForce->Services.end() ||
-      service->second.Kind != ServiceKind::Plain)
-    return sendError(*reply, 404, "service_not_found", "no service " + name);
-  auto request = newExchange(incoming);
-  request.PathAndQuery = slash < rest.size() ? rest.substr(slash) : "/";
-  if (!incoming.Query.empty())
-    request.PathAndQuery += '?' + incoming.Query;
-  request.Repeatable = incoming.field(header::Repeatable) != "no";
-  request.Admit.Cell = cellOf(service->second, incoming.Remote);
-  begin(std::move(request), std::move(reply));
+std::shared_ptr<const ExchangeHooks> Node::exchangeHooks() {
+  auto hooks = std::make_shared<ExchangeHooks>();
+  hooks->Ask = [this](const AdmitRequest &request, Admission::OnReply reply) {
+    return Asker.ask(request, std::move(reply));
+  };
+  hooks->Register = [](const RunningRecord &) { return true; };
+  hooks->Unregister = [](const RunningRecord &) {};
+  hooks->Claim = [](const ExchangeRequest &,
+                    std::function<void(const ClaimAnswer &)> done) {
+    done(ClaimAnswer{});
+  };
+  hooks->RecordOutcome = [](const ExchangeRequest &, Outcome) {};
+  hooks->MayRetry = [](const RetryQuestion &question) {
+    return question.Ended == Outcome::NotRun && question.Attempt < 3;
+  };
+  hooks->After = [this](Span delay, std::function<void()> call) {
+    Timers.after(delay, [call = std::move(call)](Instant) { call(); });
+  };
+  hooks->OnEnd = [this](const ExchangeEnd &end) { onExchangeEnd(end); };
+  return hooks;
 }
 
-void Node::begin(ExchangeRequest request, std::shared_ptr<HttpReply> reply) {
-  std::make_shared<Exchange>(std::move(request), std::move(reply), Asker,
-                             Client, Counts)
-      ->start();
+void Node::onExchangeEnd(const ExchangeEnd &end) {
+  LOG(INFO) << "end request=" << end.Request.Id
+            << " attempt=" << end.Request.Admit.Attempt
+            << " adapter=" << end.Request.Admit.Adapter
+            << " replica=" << end.Replica
+            << " outcome=" << outcomeName(end.Ended) << " reason=" << end.Reason
+            << " gone=" << end.Gone;
 }
 
-void Node::onDirectory(const HttpIncoming &incoming, HttpReply &reply) {
-  auto inForce = catalog();
-  auto name = queryValue(incoming.Query, "service");
-  auto model = queryValue(incoming.Query, "model");
-  if (auto adapter = AdapterRef::parse(model); adapter && name.empty()) {
-    auto it = inForce->Adapters.find(adapter->Name);
-    if (it != inForce->Adapters.end())
-      name = it->second.Service;
-  }
-  auto service = inForce->Services.find(name);
-  if (service == inForce->Services.end())
-    return sendError(reply, 404, "service_not_found", "no service " + name);
-  auto owner = Leases->ownerOf(cellOf(service->second, model));
-  json addresses = json::array();
+std::vector<std::string> Node::addressesFor(const std::string &cell) const {
+  std::vector<std::string> addresses;
+  auto owner = Leases->ownerOf(cell);
   if (owner && !owner->Leaving)
     addresses.push_back(owner->CallerAddress);
   for (const auto &node : Leases->nodes()) {
     if (!node.Leaving && !(owner && node.Name == owner->Name))
       addresses.push_back(node.CallerAddress);
   }
-  auto ttl = std::chrono::duration<double>(Settings.DirectoryTtl).count();
-  sendJson(reply, 200, {{"addresses", addresses}, {"ttl_s", ttl}});
+  return addresses;
 }
 
 void Node::onShow(const HttpIncoming &incoming, HttpReply &reply) {
@@ -254,19 +186,20 @@
                         {"running", resident.Running}});
     }
   }
-  sendJson(reply, 200, {{"rows", rows}});
+  answer::json(reply, 200, {{"rows", rows}});
 }
 
 void Node::onApply(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
   auto parsed = readDeclarations(incoming.Body);
   if (!parsed)
-    return sendError(*reply, 400, "invalid_declarations", parsed.error().Text);
+    return answer::error(*reply, 400, "invalid_declarations",
+                         parsed.error().Text);
   Platform.table().Get(
       std::string(ConfigKey),
       [this, reply, text = std::move(incoming.Body)](auto row) mutable {
         if (!row)
-          return sendError(*reply, 503, "store_unavailable",
-                           "the table did not answer");
+          return answer::error(*reply, 503, "store_unavailable",
+                               "the table did not answer");
         commitCatalog(std::move(text), *row ? (*row)->Version : 0, reply);
       });
 }
@@ -274,17 +207,16 @@
 void Node::commitCatalog(std::string text, std::uint64_t expected,
                          std::shared_ptr<HttpReply> reply) {
   TableTransaction transaction;
-  transaction.AttemptId =
-      Incarnation + "-config-" + std::to_string(++LastRequest);
+  transaction.AttemptId = Incarnation + "-config-" + std::to_string(++Commands);
   transaction.Writes.push_back({std::string(ConfigKey), expected, text});
   Platform.table().Commit(transaction, [this, reply, expected,
                                         text](auto result) {
     if (!result)
-      return sendError(
+      return answer::error(
           *reply, result.error() == TableError::Conflict ? 409 : 503,
           "not_committed", "another change came first, or the table is away");
     takeConfig({std::string(ConfigKey), expected + 1, text});
-    sendJson(*reply, 200, {{"revision", expected + 1}});
+    answer::json(*reply, 200, {{"revision", expected + 1}});
   });
 }
 
@@ -340,6 +272,9 @@
   LOG(INFO) << "own cell=" << cell << " epoch=" << fence;
   CellRunnerHooks hooks;
   hooks.Holds = [this, cell] { return Leases->holds(cell); };
+  hooks.Post = [this](std::function<void()> call) {
+    asio::post(Context, std::move(call));
+  };
   auto runner = std::make_shared<CellRunner>(cell, fence, Engines, hooks);
   {
     std::lock_guard lock(Mutex);
@@ -409,9 +344,10 @@
 
 void Node::waitUntilIdle(Instant until, std::function<void()> done) {
   bool late = TimerService::now() >= until;
-  if (Counts.Running == 0 || late) {
-    if (Counts.Running)
-      LOG(WARNING) << "stop cuts running=" << Counts.Running;
+  auto unfinished = Http->unfinished();
+  if (unfinished == 0 || late) {
+    if (unfinished)
+      LOG(WARNING) << "stop cuts unfinished=" << unfinished;
     return done();
   }
   Timers.after(IdlePoll, [this, until, done = std::move(done)](Instant) {
--- a/Programs/hemlockgladed/Node.h
+++ b/Programs/hemlockgladed/Node.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "Exchange.h"
+#include "CallerFront.h"
 
+#include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 
 namespace hemlockglade {
@@ -24,15 +25,14 @@
 
 private:
   void onHttp(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
-  void onCompletion(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
-  void onService(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
-  void onDirectory(const HttpIncoming &incoming, HttpReply &reply);
   void onShow(const HttpIncoming &incoming, HttpReply &reply);
   void onApply(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
   void commitCatalog(std::string text, std::uint64_t expected,
                      std::shared_ptr<HttpReply> reply);
-  ExchangeRequest newExchange(const HttpIncoming &incoming);
-  void begin(ExchangeRequest request, std::shared_ptr<HttpReply> reply);
+  CallerFrontHooks callerHooks();
+  std::shared_ptr<const ExchangeHooks> exchangeHooks();
+  std::vector<std::string> addressesFor(const std::string &cell) const;
+  void onExchangeEnd(const ExchangeEnd &end);
 
   void lookAtConfig();
   void takeConfig(const TableRow &row);
@@ -53,13 +53,14 @@
   EngineClient Engines;
   PlatformClient Platform;
   Admission Asker;
-  ExchangeCounts Counts;
+  std::string Incarnation;
+  CallerFront Callers;
+  std::shared_ptr<const ExchangeHooks> Exchanges;
   std::unique_ptr<HttpServer> Http;
   std::unique_ptr<PeerNet> Peers;
   std::shared_ptr<LeaseKeeper> Leases;
   std::vector<TimerService::Subscription> Subscriptions;
-  std::atomic<std::uint64_t> LastRequest{0};
-  std::string Incarnation;
+  std::atomic<std::uint64_t> Commands{0};
   std::atomic<bool> Leaving{false};
 
   mutable std::mutex Mutex;
