A limit on the requests that one caller runs at a node

Cause: one caller could take all of a node's places. Ruled out: a limit at the owner only; the entry's connections and memory are what one caller would fill first.

--- a/Programs/hemlockgladed/CallerFront.cpp
+++ b/Programs/hemlockgladed/CallerFront.cpp
@@ -37,7 +37,8 @@
 } // namespace
 
 CallerFront::CallerFront(CallerFrontSettings settings, CallerFrontHooks hooks)
-    : Settings(std::move(settings)), Hooks(std::move(hooks)) {}
+    : Settings(std::move(settings)), Hooks(std::move(hooks)),
+      Limit(std::make_shared<CallerLimit>(Settings.MaxPerCaller)) {}
 
 bool CallerFront::take(HttpIncoming &incoming,
                        const std::shared_ptr<HttpReply> &reply) {
@@ -65,6 +66,12 @@
 
 bool CallerFront::prepare(const HttpIncoming &incoming, const Catalog &inForce,
                           HttpReply &reply, ExchangeRequest &request) {
+  request.CallerPlace = Limit->take(incoming.Remote);
+  if (!request.CallerPlace) {
+    answer::error(reply, 429, "caller_limit",
+                  "too many requests of this caller are running here");
+    return false;
+  }
   request.Id = newRequestId();
   request.Method = incoming.Method;
   request.Admit.Id = request.Id;
--- a/Programs/hemlockgladed/CallerFront.h
+++ b/Programs/hemlockgladed/CallerFront.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallerLimit.h"
 #include "Exchange.h"
 
 namespace hemlockglade {
@@ -24,6 +25,8 @@
   Span DirectoryTtl = std::chrono::seconds(5);
   /// Longest deadline that a caller may ask for.
   Span MaxDeadline = std::chrono::minutes(10);
+  /// Requests that one caller's address may have running at one node.
+  std::uint32_t MaxPerCaller = 512;
 };
 
 /// Reads callers' requests: completions, calls of plain services and
@@ -48,6 +51,7 @@
 
   CallerFrontSettings Settings;
   CallerFrontHooks Hooks;
+  std::shared_ptr<CallerLimit> Limit;
   std::atomic<std::uint64_t> LastRequest{0};
 };
 
--- /dev/null
+++ b/Programs/hemlockgladed/CallerLimit.cpp
@@ -0,0 +1,33 @@
+#include "CallerLimit.h"
+
+namespace hemlockglade {
+
+CallerLimit::CallerLimit(std::uint32_t limit) : Limit(limit) {}
+
+CallerLimit::Shard &CallerLimit::shardOf(const std::string &caller) {
+  return Shards[std::hash<std::string>{}(caller) % ShardCount];
+}
+
+CallerLimit::Place CallerLimit::take(const std::string &caller) {
+  auto &shard = shardOf(caller);
+  {
+    std::lock_guard lock(shard.Mutex);
+    auto &n = shard.Running[caller];
+    if (n >= Limit)
+      return nullptr;
+    ++n;
+  }
+  return {this, [self = shared_from_this(), caller](CallerLimit *limit) {
+            limit->giveBack(caller);
+          }};
+}
+
+void CallerLimit::giveBack(const std::string &caller) {
+  auto &shard = shardOf(caller);
+  std::lock_guard lock(shard.Mutex);
+  auto it = shard.Running.find(caller);
+  if (--it->second == 0)
+    shard.Running.erase(it);
+}
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -21,6 +21,8 @@
   bool Repeatable = true;
   /// The caller's key; a request with one runs at most once under it.
   std::string IdempotencyKey;
+  /// The caller's place under its limit; free again with the last copy.
+  std::shared_ptr<void> CallerPlace;
 };
 
 /// A request that is about to run, as a new owner of its cell has to know it.
