A request that was admitted and refused by its engine makes the owner look

Cause: an engine that had lost an adapter refused with 404, and the next attempt went to the same engine until the next report. Ruled out: believing one refusal; the report decides. Change: the outcome travels with the release; not-run asks for a report at once. Conclusion: one extra report a refusal.

--- a/Programs/hemlockgladed/Admission.cpp
+++ b/Programs/hemlockgladed/Admission.cpp
@@ -31,7 +31,7 @@
   RequestKey Key = 0;
   bool Over = false;
 
-  void finish() {
+  void finish(Outcome outcome) {
     std::shared_ptr<CellRunner> runner;
     {
       std::lock_guard lock(Mutex);
@@ -39,7 +39,7 @@
       runner = std::exchange(Runner, nullptr);
     }
     if (runner)
-      runner->finish(Key);
+      runner->finish(Key, outcome);
   }
 };
 
@@ -53,7 +53,7 @@
   if (auto runner = Runner(request.Cell)) {
     auto key = runner->admit(request, std::move(reply));
     return std::make_shared<AdmissionTicket>(
-        [runner, key](Outcome) { runner->finish(key); });
+        [runner, key](Outcome outcome) { runner->finish(key, outcome); });
   }
   if (auto owner = Owner(request.Cell))
     return askPeer(*owner, request, std::move(reply));
@@ -92,8 +92,11 @@
     auto self = weak.lock();
     if (!self)
       return;
-    if (served->Runner)
-      return served->finish();
+    if (served->Runner) {
+      auto notice = unpack<FinishNotice>(message);
+      return served->finish(notice ? static_cast<Outcome>(notice->Result)
+                                   : Outcome::Unknown);
+    }
     auto request = unpack<AdmitRequest>(message);
     auto runner = request ? Runner(request->Cell) : nullptr;
     if (!runner) {
@@ -108,7 +111,7 @@
     served->Key = key;
     served->Runner = runner;
   };
-  stream->OnClosed = [served](bool) { served->finish(); };
+  stream->OnClosed = [served](bool) { served->finish(Outcome::Unknown); };
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -93,12 +93,22 @@
   return key;
 }
 
-void CellRunner::finish(RequestKey request) {
+void CellRunner::finish(RequestKey request, Outcome outcome) {
+  ReplicaKey doubted = 0;
+  std::string address;
   {
     std::lock_guard lock(Mutex);
-    Requests.erase(request);
+    auto it = Requests.find(request);
+    if (it != Requests.end()) {
+      if (outcome == Outcome::NotRun)
+        doubted = it->second.Replica;
+      address = Replicas[doubted].Config.Address;
+      Requests.erase(it);
+    }
   }
   drive(RequestFinished{request});
+  if (doubted)
+    askReport(doubted, address);
 }
 
 void CellRunner::setLeaving(const std::vector<std::string> &replicas) {
@@ -146,10 +156,14 @@
     }
   }
   for (const auto &[key, address] : asked)
-    Engines.report(address, [weak = weak_from_this(), key = key](auto report) {
-      if (auto self = weak.lock())
-        self->takeReport(key, report);
-    });
+    askReport(key, address);
+}
+
+void CellRunner::askReport(ReplicaKey replica, const std::string &address) {
+  Engines.report(address, [weak = weak_from_this(), replica](auto report) {
+    if (auto self = weak.lock())
+      self->takeReport(replica, report);
+  });
 }
 
 void CellRunner::takeReport(ReplicaKey replica,
@@ -206,6 +220,7 @@
             << " reason=" << reasonName(action.Why)
             << " queue=" << Core.waiting() << " epoch=" << Fence
             << " cell=" << Cell << " stall_us=" << reply.LoadStallUs;
+  it->second.Replica = action.Replica;
   Hooks.Post([call = std::move(it->second.Reply), reply] { call(reply); });
 }
 
--- a/Programs/hemlockgladed/CellRunner.h
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -30,8 +30,9 @@
   void configure(const Catalog &catalog);
   /// Asks for a slot; `reply` is called once.
   RequestKey admit(const AdmitRequest &request, OnReply reply);
-  /// The request is over; its slot is free.
-  void finish(RequestKey request);
+  /// The request is over; its slot is free. One that was admitted and then
+  /// not run hints that the replica isn't as we believe it is.
+  void finish(RequestKey request, Outcome outcome);
   /// Marks replicas that the platform's list calls leaving.
   void setLeaving(const std::vector<std::string> &replicas);
   /// Gives up the cell: what waits is refused.
@@ -60,6 +61,8 @@
     std::string Adapter;
     std::uint32_t Attempt = 1;
     OnReply Reply;
+    /// Where it was admitted to; 0 while it waits.
+    ReplicaKey Replica = 0;
   };
   /// What is to be done once the lock is free.
   using Deferred = std::vector<std::function<void()>>;
@@ -71,6 +74,7 @@
   void apply(const Evict &action, Deferred &deferred);
   void apply(const CancelLoad &action, Deferred &deferred);
   void drive(const Event &event);
+  void askReport(ReplicaKey replica, const std::string &address);
   void takeReport(ReplicaKey replica,
                   const std::optional<EngineReport> &report);
   AdapterKey keyOf(const std::string &adapter);
--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -194,14 +194,11 @@
   std::lock_guard lock(Mutex);
   Status = status;
   EndpointFields = fields;
-}
-
-bool Exchange::isForeign() const {
-  for (const auto &[name, value] : EndpointFields) {
-    if (sameName(name, header::RequestId))
-      return value != Request.Id;
+  Foreign = false;
+  for (const auto &[name, value] : fields) {
+    if (sameName(name, header::RequestId) && value != Request.Id)
+      Foreign = true;
   }
-  return false;
 }
 
 HttpFields Exchange::answerFields(Outcome outcome) const {
@@ -226,7 +223,7 @@
 bool Exchange::onPart(std::string_view part) {
   std::lock_guard lock(Mutex);
   // An answer that is marked as another request's is never passed on.
-  if (Ended || isForeign())
+  if (Ended || Foreign)
     return true;
   if (ToFirstByte == Span{})
     ToFirstByte = TimerService::now() - Arrived;
@@ -267,7 +264,7 @@
   std::lock_guard lock(Mutex);
   if (Ended)
     return;
-  auto outcome = isForeign() ? Outcome::Unknown : outcomeOf(result);
+  auto outcome = Foreign ? Outcome::Unknown : outcomeOf(result);
   if (outcome != Outcome::Complete && tryAgain(outcome))
     return;
   answer(outcome, result);
@@ -293,6 +290,7 @@
   Transfer = 0;
   Status = 0;
   EndpointFields.clear();
+  Foreign = false;
   Held.clear();
   ask();
   return true;
@@ -311,7 +309,7 @@
     return outcome == Outcome::Complete ? Reply->finishStream()
                                         : Reply->abort();
   }
-  if (result.Whole && !isForeign())
+  if (result.Whole && !Foreign)
     return Reply->sendWhole(result.Status, answerFields(outcome),
                             std::move(Held));
   EndpointFields.clear();
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -119,7 +119,6 @@
   void onSent(std::size_t n, bool ok);
   void onDone(const HttpResult &result);
   void onGone();
-  bool isForeign() const;
   bool tryAgain(Outcome outcome);
   void startStream();
   void answer(Outcome outcome, const HttpResult &result);
@@ -148,6 +147,8 @@
   HttpClient::Ticket Transfer = 0;
   int Status = 0;
   HttpFields EndpointFields;
+  /// The endpoint's answer is marked as another request's.
+  bool Foreign = false;
   std::string Held;
   std::size_t Unsent = 0;
   Span ToFirstByte{};
