Leases whose end is proved by the table, not assumed

Cause: a lost answer, a restarted node of the same name or a thawed one could leave two keepers that both thought they own a cell. Ruled out: deleting the row of a dead node, since its version then starts again and an old renewal could match; trusting a scan's age for a takeover. Change: the taker marks the silent owner's row over by compare-and-set on the version that it saw unchanged; ownership names the owner's incarnation; every write has an attempt id that is read back; silence counts only while the table answers; gossip feeds, a scan interval, operation counts.

--- a/Hemlockglade/Coordination/Lease/LeaseKeeper.cpp
+++ b/Hemlockglade/Coordination/Lease/LeaseKeeper.cpp
@@ -1,261 +1,311 @@
 #include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
 
-#include "Hemlockglade/State/Catalog.h"
-
-#include <nlohmann/json.hpp>
+#include "Hemlockglade/Coordination/Lease/LeaseRows.h"
+#include <algorithm>
 
 namespace hemlockglade {
 
-using nlohmann::json;
-
 namespace {
 
-constexpr std::string_view NodePrefix = "node/";
-constexpr std::string_view CellPrefix = "cell/";
-
-std::string nodeValue(const NodeRecord &node) {
-  return json{{"name", node.Name},
-              {"incarnation", node.Incarnation},
-              {"callers", node.CallerAddress},
-              {"peers", node.PeerAddress},
-              {"failure_domain", node.FailureDomain},
-              {"leaving", node.Leaving}}
-      .dump();
-}
-
-std::optional<NodeRecord> readNode(const std::string &value) {
-  auto node = json::parse(value, nullptr, false);
-  if (!node.is_object())
-    return std::nullopt;
-  return NodeRecord{
-      node.value("name", ""),           node.value("incarnation", ""),
-      node.value("callers", ""),        node.value("peers", ""),
-      node.value("failure_domain", ""), node.value("leaving", false)};
-}
-
-std::string cellValue(const CellRecord &cell) {
-  return json{{"owner", cell.Owner}, {"epoch", cell.Fence}}.dump();
-}
-
-std::optional<CellRecord> readCell(const std::string &value) {
-  auto node = json::parse(value, nullptr, false);
-  if (!node.is_object())
-    return std::nullopt;
-  return CellRecord{node.value("owner", ""), node.value("epoch", Epoch{0})};
-}
+/// A renewal without an answer is given up after this part of the duration.
+constexpr int RenewalsPerLease = 3;
 
 } // namespace
 
 LeaseKeeper::LeaseKeeper(const LeaseSettings &settings, NodeRecord self,
                          TableHooks table, LeaseHooks hooks)
-    : Settings(settings), Self(std::move(self)), Table(std::move(table)),
-      Hooks(std::move(hooks)) {}
+    : Settings(settings), Table(std::move(table)), Hooks(std::move(hooks)),
+      Name(self.Name), Own(settings, std::move(self)), View(settings) {}
+
+void LeaseKeeper::get(std::string key,
+                      TableCallback<std::optional<TableRow>> done) {
+  {
+    std::lock_guard lock(Mutex);
+    ++Counts.Gets;
+  }
+  Table.Get(std::move(key),
+            [self = shared_from_this(), done = std::move(done)](auto row) {
+              if (row) {
+                Instant now = self->Hooks.Now();
+                std::lock_guard lock(self->Mutex);
+                self->View.onContact(now);
+              }
+              done(std::move(row));
+            });
+}
+
+void LeaseKeeper::commit(TableTransaction transaction,
+                         TableCallback<bool> done) {
+  {
+    std::lock_guard lock(Mutex);
+    ++Counts.Commits;
+  }
+  Table.Commit(std::move(transaction), [self = shared_from_this(),
+                                        done = std::move(done)](auto result) {
+    if (result || result.error() == TableError::Conflict) {
+      Instant now = self->Hooks.Now();
+      std::lock_guard lock(self->Mutex);
+      self->View.onContact(now);
+    }
+    done(std::move(result));
+  });
+}
 
 void LeaseKeeper::round(std::vector<std::string> cells) {
+  bool leaving = false;
+  {
+    std::lock_guard lock(Mutex);
+    ++Counts.Rounds;
+    Wanted = std::move(cells);
+    leaving = Leaving;
+  }
   renew();
-  look(cells);
+  if (leaving)
+    releaseCells([] {});
+  if (startScan())
+    scan();
+  else
+    act();
 }
 
 void LeaseKeeper::renew() {
+  Instant now = Hooks.Now();
+  bool read = false;
+  {
+    std::lock_guard lock(Mutex);
+    if (Retired || Own.superseded())
+      return;
+    if (RenewalSent &&
+        now - *RenewalSent < Settings.Duration / RenewalsPerLease)
+      return;
+    auto owned = ownedCells();
+    if (Own.expire(now))
+      loseAll(owned);
+    RenewalSent = now;
+    read = Own.needsRead();
+  }
+  deliver();
+  if (read)
+    readOwn([self = shared_from_this()] { self->sendRenewal(); });
+  else
+    sendRenewal();
+}
+
+void LeaseKeeper::sendRenewal() {
+  Instant now = Hooks.Now();
   TableTransaction transaction;
-  Instant sent = Hooks.Now();
-  std::string key = std::string(NodePrefix) + Self.Name;
   {
     std::lock_guard lock(Mutex);
-    if (Releasing)
+    if (Retired || Own.superseded() || Own.needsRead()) {
+      RenewalSent.reset();
       return;
-    transaction.AttemptId = Self.Incarnation + '-' + std::to_string(++Attempts);
-    transaction.Writes.push_back({key, OwnVersion, nodeValue(Self)});
+    }
+    RenewalSent = now;
+    transaction = Own.renewal(now);
   }
-  Table.Commit(std::move(transaction), [self = shared_from_this(), sent,
-                                        key](auto result) {
+  auto attempt = transaction.AttemptId;
+  commit(std::move(transaction),
+         [self = shared_from_this(), attempt](auto result) {
+           self->onRenewed(attempt, result);
+         });
+}
+
+void LeaseKeeper::onRenewed(const std::string &attempt,
+                            const tl::expected<bool, TableError> &result) {
+  Instant now = Hooks.Now();
+  {
+    std::lock_guard lock(Mutex);
     if (result) {
-      std::lock_guard lock(self->Mutex);
-      ++self->OwnVersion;
-      self->LeaseEnd = sent + self->Settings.Duration - self->Settings.Margin;
-      return;
+      Own.confirm(attempt);
+      if (auto sight = Own.sight())
+        View.see(*sight, now);
+    } else if (result.error() != TableError::Ambiguous) {
+      Own.drop(attempt);
     }
-    if (result.error() == TableError::NotSent)
+    RenewalSent.reset();
+  }
+  // Whether the write took effect is unknown, or another's came first.
+  if (!result && result.error() != TableError::NotSent)
+    readOwn([] {});
+}
+
+void LeaseKeeper::readOwn(std::function<void()> then) {
+  get(lease_rows::nodeKey(Name),
+      [self = shared_from_this(), then = std::move(then)](auto row) {
+        if (row) {
+          Instant now = self->Hooks.Now();
+          {
+            std::lock_guard lock(self->Mutex);
+            self->takeOwn(*row, now);
+          }
+          self->deliver();
+        }
+        then();
+      });
+}
+
+void LeaseKeeper::takeOwn(const std::optional<TableRow> &row, Instant now) {
+  auto owned = ownedCells();
+  if (Own.take(row))
+    loseAll(owned);
+  if (auto sight = Own.sight())
+    View.see(*sight, now);
+}
+
+bool LeaseKeeper::startScan() {
+  Instant now = Hooks.Now();
+  std::lock_guard lock(Mutex);
+  if (ScanStarted && now - *ScanStarted < Settings.ScanInterval)
+    return false;
+  ScanStarted = now;
+  Counts.Scans += 2;
+  return true;
+}
+
+void LeaseKeeper::scan() {
+  auto self = shared_from_this();
+  Table.Scan(std::string(lease_rows::NodePrefix), [self](auto nodes) {
+    if (!nodes)
       return;
-    // Whether the write took effect is unknown: read the version back.
-    self->Table.Get(key, [self](auto row) {
-      if (!row)
+    self->takeNodes(*nodes);
+    self->Table.Scan(std::string(lease_rows::CellPrefix), [self](auto cells) {
+      if (!cells)
         return;
-      std::lock_guard lock(self->Mutex);
-      self->OwnVersion = *row ? (*row)->Version : 0;
+      self->takeCells(*cells);
+      self->removeStale();
+      self->act();
     });
   });
 }
 
-void LeaseKeeper::look(const std::vector<std::string> &wanted) {
-  Table.Scan(
-      std::string(NodePrefix), [self = shared_from_this(), wanted](auto nodes) {
-        if (!nodes)
-          return;
-        self->takeNodes(*nodes);
-        self->Table.Scan(std::string(CellPrefix), [self, wanted](auto cells) {
-          if (cells)
-            self->takeCells(*cells, wanted);
-        });
-      });
-}
-
 void LeaseKeeper::takeNodes(const std::vector<TableRow> &rows) {
-  std::lock_guard lock(Mutex);
   Instant now = Hooks.Now();
-  std::map<std::string, SeenNode> seen;
+  std::vector<NodeSight> sights;
   for (const auto &row : rows) {
-    auto record = readNode(row.Value);
-    if (!record)
-      continue;
-    SeenNode node{*record, row.Version, now};
-    auto it = Nodes.find(record->Name);
-    if (it != Nodes.end() && it->second.Version == row.Version)
-      node.ChangedAt = it->second.ChangedAt;
-    seen.emplace(record->Name, node);
+    if (auto sight = lease_rows::sightOfNode(row))
+      sights.push_back(std::move(*sight));
   }
-  Nodes = std::move(seen);
+  std::lock_guard lock(Mutex);
+  View.onContact(now);
+  View.seeAll(sights, now);
 }
 
-void LeaseKeeper::takeCells(const std::vector<TableRow> &rows,
-                            const std::vector<std::string> &wanted) {
-  std::vector<std::string> lost;
-  std::vector<std::string> due;
+void LeaseKeeper::takeCells(const std::vector<TableRow> &rows) {
+  Instant now = Hooks.Now();
   {
     std::lock_guard lock(Mutex);
+    View.onContact(now);
+    Scanned = true;
     for (const auto &row : rows) {
-      auto record = readCell(row.Value);
-      if (!record)
-        continue;
-      auto name = row.Key.substr(CellPrefix.size());
-      auto &cell = Cells[name];
-      if (cell.Version > row.Version)
-        continue;
-      if (cell.Record.Owner == Self.Name && record->Owner != Self.Name)
-        lost.push_back(name);
-      cell = {*record, row.Version};
-    }
-    for (const auto &cell : wanted) {
-      if (!Releasing && dueToUs(cell))
-        due.push_back(cell);
+      if (auto sight = lease_rows::sightOfCell(row))
+        takeCell(row.Key.substr(lease_rows::CellPrefix.size()), *sight);
     }
+    std::set<std::string> named;
+    for (const auto &[name, cell] : Cells)
+      named.insert(cell.Record.Incarnation);
+    View.prune(named);
   }
-  for (const auto &cell : lost)
-    Hooks.OnLost(cell);
-  for (const auto &cell : due)
-    claim(cell);
+  deliver();
 }
 
-bool LeaseKeeper::lives(const SeenNode &node) const {
-  return Hooks.Now() - node.ChangedAt < Settings.Duration + Settings.Margin;
+void LeaseKeeper::removeStale() {
+  TableTransaction transaction;
+  {
+    std::lock_guard lock(Mutex);
+    auto stale = View.stale();
+    // One row a scan, each by one node, bounds what cleaning costs.
+    auto it = std::find_if(stale.begin(), stale.end(), [&](const auto &row) {
+      return View.preferred(row.Record.Name) == Name;
+    });
+    if (it == stale.end())
+      return;
+    transaction.AttemptId = Own.nextAttempt();
+    transaction.Writes.push_back(
+        {lease_rows::nodeKey(it->Record.Name), it->Version, std::nullopt});
+  }
+  commit(std::move(transaction), [](auto) {});
 }
 
-bool LeaseKeeper::dueToUs(const std::string &cell) const {
-  auto it = Cells.find(cell);
-  if (it != Cells.end() && !it->second.Record.Owner.empty()) {
-    auto owner = Nodes.find(it->second.Record.Owner);
-    if (owner != Nodes.end() && lives(owner->second))
-      return false;
-  }
-  std::string best;
-  std::uint64_t bestWeight = 0;
-  for (const auto &[name, node] : Nodes) {
-    auto weight = rendezvousWeight(name, cell);
-    if (!lives(node) || node.Record.Leaving || weight < bestWeight)
-      continue;
-    best = name;
-    bestWeight = weight;
-  }
-  return best == Self.Name && Hooks.Now() < LeaseEnd;
+void LeaseKeeper::noteNode(const NodeSight &sight) {
+  Instant now = Hooks.Now();
+  std::lock_guard lock(Mutex);
+  if (sight.Record.Name != Name)
+    View.hear(sight, now);
 }
 
-void LeaseKeeper::claim(const std::string &cell) {
-  TableTransaction transaction;
-  CellRecord record;
-  std::uint64_t version = 0;
+void LeaseKeeper::noteCell(const std::string &cell, const CellSight &sight) {
+  bool read = false;
   {
     std::lock_guard lock(Mutex);
     auto it = Cells.find(cell);
-    if (it != Cells.end()) {
-      version = it->second.Version;
-      record = it->second.Record;
-    }
-    record.Owner = Self.Name;
-    ++record.Fence;
-    transaction.AttemptId = Self.Incarnation + '-' + std::to_string(++Attempts);
-    transaction.Writes.push_back(
-        {std::string(CellPrefix) + cell, version, cellValue(record)});
+    bool known = it != Cells.end() && it->second.Version >= sight.Version;
+    // What is said to be ours is believed only from the table.
+    read = !known && isOurs(sight.Record) && BusyCells.insert(cell).second;
+    if (!known && !isOurs(sight.Record))
+      takeCell(cell, sight);
   }
-  Table.Commit(std::move(transaction),
-               [self = shared_from_this(), cell, record, version](auto result) {
-                 if (!result)
-                   return;
-                 {
-                   std::lock_guard lock(self->Mutex);
-                   self->Cells[cell] = {record, version + 1};
-                 }
-                 self->Hooks.OnOwned(cell, record.Fence);
-               });
+  deliver();
+  if (read)
+    readCell(cell, [] {});
+  else
+    act();
 }
 
-void LeaseKeeper::release(std::function<void()> done) {
-  TableTransaction transaction;
-  std::vector<std::string> owned;
-  {
-    std::lock_guard lock(Mutex);
-    Releasing = true;
-    Self.Leaving = true;
-    transaction.AttemptId = Self.Incarnation + '-' + std::to_string(++Attempts);
-    for (auto &[name, cell] : Cells) {
-      if (cell.Record.Owner != Self.Name)
-        continue;
-      owned.push_back(name);
-      CellRecord record{"", cell.Record.Fence};
-      transaction.Writes.push_back(
-          {std::string(CellPrefix) + name, cell.Version, cellValue(record)});
-      cell = {record, cell.Version + 1};
-    }
-    transaction.Writes.push_back(
-        {std::string(NodePrefix) + Self.Name, OwnVersion, std::nullopt});
+void LeaseKeeper::deliver() {
+  std::unique_lock lock(Mutex);
+  if (Delivering)
+    return;
+  Delivering = true;
+  while (!Events.empty()) {
+    auto event = std::move(Events.front());
+    Events.pop_front();
+    lock.unlock();
+    if (event.Fence)
+      Hooks.OnOwned(event.Cell, event.Fence);
+    else
+      Hooks.OnLost(event.Cell);
+    lock.lock();
   }
-  for (const auto &cell : owned)
-    Hooks.OnLost(cell);
-  Table.Commit(std::move(transaction),
-               [done = std::move(done)](auto) { done(); });
+  Delivering = false;
 }
 
 bool LeaseKeeper::holds(const std::string &cell) const {
-  std::lock_guard lock(Mutex);
-  auto it = Cells.find(cell);
-  return it != Cells.end() && it->second.Record.Owner == Self.Name &&
-         Hooks.Now() < LeaseEnd;
+  return modeOf(cell) == LeaseMode::Held;
+}
+
+LeaseMode LeaseKeeper::modeOf(const std::string &cell) const {
+  Instant end;
+  {
+    std::lock_guard lock(Mutex);
+    auto it = Cells.find(cell);
+    if (Leaving || it == Cells.end() || !isOurs(it->second.Record))
+      return LeaseMode::None;
+    end = Own.end();
+  }
+  // The clock is read last: a pause before it can't make a lease look longer.
+  return Hooks.Now() < end ? LeaseMode::Held : LeaseMode::Doubtful;
 }
 
 std::optional<NodeRecord> LeaseKeeper::ownerOf(const std::string &cell) const {
   std::lock_guard lock(Mutex);
   auto it = Cells.find(cell);
-  if (it == Cells.end())
+  if (it == Cells.end() || View.isOver(it->second.Record.Incarnation))
     return std::nullopt;
-  auto node = Nodes.find(it->second.Record.Owner);
-  if (node == Nodes.end())
+  auto node = View.find(it->second.Record.Owner);
+  if (!node)
     return std::nullopt;
-  return node->second.Record;
+  return node->Record;
 }
 
 std::vector<NodeRecord> LeaseKeeper::nodes() const {
   std::lock_guard lock(Mutex);
-  std::vector<NodeRecord> out;
-  for (const auto &[name, node] : Nodes) {
-    if (lives(node))
-      out.push_back(node.Record);
-  }
-  return out;
+  return View.live();
 }
 
 Epoch LeaseKeeper::fenceOf(const std::string &cell) const {
   std::lock_guard lock(Mutex);
   auto it = Cells.find(cell);
-  bool ours = it != Cells.end() && it->second.Record.Owner == Self.Name;
+  bool ours = !Leaving && it != Cells.end() && isOurs(it->second.Record);
   return ours ? it->second.Record.Fence : 0;
 }
 
@@ -267,4 +317,25 @@
   return out;
 }
 
+std::optional<NodeSight> LeaseKeeper::self() const {
+  std::lock_guard lock(Mutex);
+  return Own.sight();
+}
+
+std::optional<CellSight> LeaseKeeper::cell(const std::string &cell) const {
+  std::lock_guard lock(Mutex);
+  auto it = Cells.find(cell);
+  return it == Cells.end() ? std::nullopt : std::optional(it->second);
+}
+
+bool LeaseKeeper::superseded() const {
+  std::lock_guard lock(Mutex);
+  return Own.superseded();
+}
+
+LeaseCounts LeaseKeeper::counts() const {
+  std::lock_guard lock(Mutex);
+  return Counts;
+}
+
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Lease/LeaseKeeper.h
+++ b/Hemlockglade/Coordination/Lease/LeaseKeeper.h
@@ -1,65 +1,50 @@
 #pragma once
 
-#include "Hemlockglade/Coordination/Table.h"
-#include "Hemlockglade/State/Ids.h"
+#include "Hemlockglade/Coordination/Decision/CoreTypes.h"
+#include "Hemlockglade/Coordination/Lease/LeaseView.h"
+#include "Hemlockglade/Coordination/Lease/OwnLease.h"
 
-#include <map>
+#include <deque>
 #include <memory>
 #include <mutex>
 
 namespace hemlockglade {
 
-/// What a node says of itself in its lease row.
-struct NodeRecord {
-  std::string Name;
-  /// Changes with each start of the node.
-  std::string Incarnation;
-  /// `ip:port` for callers.
-  std::string CallerAddress;
-  /// `ip:port` for other nodes.
-  std::string PeerAddress;
-  std::string FailureDomain;
-  bool Leaving = false;
-};
-
-/// Who owns a cell.
-struct CellRecord {
-  /// Name of the owning node; empty if it was released.
-  std::string Owner;
-  Epoch Fence = 0;
-};
-
-/// Times of the leases.
-struct LeaseSettings {
-  Span Duration = std::chrono::seconds(10);
-  Span Margin = std::chrono::seconds(1);
-};
-
-/// What the keeper tells its node.
-struct LeaseHooks {
-  std::function<Instant()> Now;
-  /// The cell is ours under a new epoch.
-  std::function<void(const std::string &cell, Epoch fence)> OnOwned;
-  /// The cell isn't ours any more.
-  std::function<void(const std::string &cell)> OnLost;
-};
-
 /// Keeps this node's lease and the ownership of cells in the platform's
-/// table. A node is thought to live as long as its row goes on changing, so
-/// no two clocks are ever compared.
+/// table. Safe to call from several threads.
+///
+/// A node counts its lease from before the renewal was sent, less the margin.
+/// Another node thinks it alive as long as its row goes on changing, and waits
+/// for Duration + Margin without a change before it marks the row `over`; so
+/// no two clocks are ever compared. Marking is by compare-and-set on the
+/// version that was seen unchanged, so a renewal in between makes it fail, and
+/// marking makes each later renewal fail. Cells of an incarnation whose lease
+/// is over may be taken.
 class LeaseKeeper : public std::enable_shared_from_this<LeaseKeeper> {
 public:
   LeaseKeeper(const LeaseSettings &settings, NodeRecord self, TableHooks table,
               LeaseHooks hooks);
 
-  /// Renews the lease, looks at all rows and takes cells that are due to us.
+  /// Renews the lease, looks at all rows if that is due, and takes those of
+  /// `cells` that are due to us. Call it several times in a lease's duration.
   void round(std::vector<std::string> cells);
-  /// Stops taking cells and gives up the owned ones; `done` when the table
-  /// has it.
+  /// Gives up all cells at once and takes no more; the node stays listed as
+  /// leaving. `done` when the table has answered or failed; rounds go on
+  /// trying for cells that it does not have.
   void release(std::function<void()> done);
+  /// The node is idle and goes: ends the lease, so that nobody waits for it.
+  void retire(std::function<void()> done);
+  /// What another node told us of a lease row.
+  void noteNode(const NodeSight &sight);
+  /// What another node told us of an ownership row.
+  void noteCell(const std::string &cell, const CellSight &sight);
 
-  /// Whether an order may be given that only the owner may give.
+  /// Whether an order may be given that only the owner may give. Check it
+  /// right before each order.
   bool holds(const std::string &cell) const;
+  /// `Held` while `holds`, `Doubtful` if the lease lapsed and nobody is known
+  /// to have taken the cell, otherwise `None`.
+  LeaseMode modeOf(const std::string &cell) const;
   /// The owner of a cell as last seen; nothing if there is none.
   std::optional<NodeRecord> ownerOf(const std::string &cell) const;
   /// All nodes that are thought to live, this one included.
@@ -68,39 +53,74 @@
   Epoch fenceOf(const std::string &cell) const;
   /// All cells and their owners as last seen.
   std::map<std::string, CellRecord> cells() const;
+  /// Our lease row as last confirmed, for telling others; nothing before.
+  std::optional<NodeSight> self() const;
+  /// An ownership row as last seen, for telling others.
+  std::optional<CellSight> cell(const std::string &cell) const;
+  /// A later process of the same name has taken our row; this one can't go on.
+  bool superseded() const;
+  LeaseCounts counts() const;
 
 private:
-  struct SeenNode {
-    NodeRecord Record;
-    std::uint64_t Version = 0;
-    Instant ChangedAt{};
-  };
-  struct SeenCell {
-    CellRecord Record;
-    std::uint64_t Version = 0;
+  struct LeaseEvent {
+    std::string Cell;
+    /// 0 if the cell was lost.
+    Epoch Fence = 0;
   };
 
+  void get(std::string key, TableCallback<std::optional<TableRow>> done);
+  void commit(TableTransaction transaction, TableCallback<bool> done);
   void renew();
-  void look(const std::vector<std::string> &wanted);
+  void sendRenewal();
+  void onRenewed(const std::string &attempt,
+                 const tl::expected<bool, TableError> &result);
+  void readOwn(std::function<void()> then);
+  bool startScan();
+  void scan();
   void takeNodes(const std::vector<TableRow> &rows);
-  void takeCells(const std::vector<TableRow> &rows,
-                 const std::vector<std::string> &wanted);
+  void takeCells(const std::vector<TableRow> &rows);
+  void act();
+  void check(const std::string &owner, const std::string &incarnation);
+  void onChecked(const std::string &owner, const std::string &incarnation,
+                 const std::optional<TableRow> &row);
+  void fence(const NodeSight &sight);
   void claim(const std::string &cell);
-  bool lives(const SeenNode &node) const;
-  bool dueToUs(const std::string &cell) const;
+  void writeCell(const std::string &cell, CellRecord record,
+                 std::uint64_t version, std::function<void()> then);
+  void readCell(const std::string &cell, std::function<void()> then);
+  void releaseCells(std::function<void()> done);
+  void removeStale();
+  void deliver();
+
+  // All below need the lock.
+  void takeCell(const std::string &cell, const CellSight &sight);
+  bool isOurs(const CellRecord &cell) const;
+  bool mayClaim(const std::string &cell) const;
+  std::vector<std::string> ownedCells() const;
+  void loseAll(const std::vector<std::string> &owned);
+  void takeOwn(const std::optional<TableRow> &row, Instant now);
 
-  LeaseSettings Settings;
-  NodeRecord Self;
-  TableHooks Table;
-  LeaseHooks Hooks;
+  const LeaseSettings Settings;
+  const TableHooks Table;
+  const LeaseHooks Hooks;
+  const std::string Name;
 
   mutable std::mutex Mutex;
-  std::uint64_t OwnVersion = 0;
-  std::uint64_t Attempts = 0;
-  Instant LeaseEnd{};
-  bool Releasing = false;
-  std::map<std::string, SeenNode> Nodes;
-  std::map<std::string, SeenCell> Cells;
+  OwnLease Own;
+  LeaseView View;
+  std::optional<Instant> RenewalSent;
+  bool Leaving = false;
+  bool Retired = false;
+  std::optional<Instant> ScanStarted;
+  bool Scanned = false;
+  std::map<std::string, CellSight> Cells;
+  std::vector<std::string> Wanted;
+  /// Cells and owners with an operation of ours in flight.
+  std::set<std::string> BusyCells;
+  std::set<std::string> BusyOwners;
+  LeaseCounts Counts;
+  std::deque<LeaseEvent> Events;
+  bool Delivering = false;
 };
 
 } // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Lease/LeaseRows.cpp
@@ -0,0 +1,92 @@
+#include "Hemlockglade/Coordination/Lease/LeaseRows.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hemlockglade::lease_rows {
+
+using nlohmann::json;
+
+namespace {
+
+std::string textOf(const json &node, const char *name) {
+  auto it = node.find(name);
+  return it != node.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+bool flagOf(const json &node, const char *name) {
+  auto it = node.find(name);
+  return it != node.end() && it->is_boolean() && it->get<bool>();
+}
+
+} // namespace
+
+std::string nodeKey(std::string_view name) {
+  return std::string(NodePrefix).append(name);
+}
+
+std::string cellKey(std::string_view cell) {
+  return std::string(CellPrefix).append(cell);
+}
+
+std::string write(const NodeRecord &node, std::string_view attempt) {
+  return json{{"name", node.Name},
+              {"incarnation", node.Incarnation},
+              {"callers", node.CallerAddress},
+              {"peers", node.PeerAddress},
+              {"failure_domain", node.FailureDomain},
+              {"leaving", node.Leaving},
+              {"over", node.Over},
+              {"attempt", attempt}}
+      .dump();
+}
+
+std::string write(const CellRecord &cell, std::string_view attempt) {
+  return json{{"owner", cell.Owner},
+              {"incarnation", cell.Incarnation},
+              {"epoch", cell.Fence},
+              {"attempt", attempt}}
+      .dump();
+}
+
+std::optional<Written<NodeRecord>> readNode(const std::string &text) {
+  auto node = json::parse(text, nullptr, false);
+  if (!node.is_object() || textOf(node, "name").empty())
+    return std::nullopt;
+  NodeRecord record;
+  record.Name = textOf(node, "name");
+  record.Incarnation = textOf(node, "incarnation");
+  record.CallerAddress = textOf(node, "callers");
+  record.PeerAddress = textOf(node, "peers");
+  record.FailureDomain = textOf(node, "failure_domain");
+  record.Leaving = flagOf(node, "leaving");
+  record.Over = flagOf(node, "over");
+  return Written<NodeRecord>{record, textOf(node, "attempt")};
+}
+
+std::optional<Written<CellRecord>> readCell(const std::string &text) {
+  auto node = json::parse(text, nullptr, false);
+  if (!node.is_object())
+    return std::nullopt;
+  auto epoch = node.find("epoch");
+  if (epoch == node.end() || !epoch->is_number_unsigned())
+    return std::nullopt;
+  CellRecord record{textOf(node, "owner"), epoch->get<Epoch>(),
+                    textOf(node, "incarnation")};
+  return Written<CellRecord>{record, textOf(node, "attempt")};
+}
+
+std::optional<NodeSight> sightOfNode(const TableRow &row) {
+  auto written = readNode(row.Value);
+  if (!written)
+    return std::nullopt;
+  return NodeSight{written->Value, row.Version};
+}
+
+std::optional<CellSight> sightOfCell(const TableRow &row) {
+  auto written = readCell(row.Value);
+  if (!written)
+    return std::nullopt;
+  return CellSight{written->Value, row.Version};
+}
+
+} // namespace hemlockglade::lease_rows
