Bench of the decision core: fakes in virtual time, three scenarios

Change: hemlockglade_bench runs a policy (events in, actions out) in virtual time against small fakes of engines, a weight store and callers. Policies: lru, lru-turn, ours, oracle, clairvoyant. A request's load stall is taken from what the engines held, not from what the policy says; a checker counts lost, doubled, wrong_adapter, evicted_while_serving and evictions without a lease.

Ruled out: lru with as many parallel loads as there are idle slots.

--- /dev/null
+++ b/Bench/Core/Simulation.cpp
@@ -0,0 +1,250 @@
+#include "Bench/Core/Simulation.h"
+
+#include <array>
+#include <chrono>
+#include <xxhash.h>
+
+namespace hemlockglade::bench {
+
+namespace {
+
+constexpr Span NetworkDelay = std::chrono::microseconds(500);
+constexpr Span TickPeriod = std::chrono::milliseconds(100);
+
+FakeWeightStoreSettings storeSettings(const Workload &work) {
+  FakeWeightStoreSettings out;
+  out.LoadsPerS = work.LoadsPerS;
+  out.Failures = work.LoadFailures;
+  out.BrokenAdapters = work.BrokenAdapters;
+  return out;
+}
+
+} // namespace
+
+Simulation::Simulation(const Workload &workload, const PolicyEntry &policy,
+                       std::uint64_t seed)
+    : Work(workload), Entry(policy), Seed(seed),
+      Requests(makeTrace(Work, seed)), Store(Loop, storeSettings(Work), seed),
+      Residency(Work.Adapters), Judge(Out),
+      Callers(Loop, Work, Requests, Residency, Judge, seed,
+              {[this](const RequestArrived &event) { drive(event); },
+               [this](RequestKey request) {
+                 driveLater(RequestFinished{request});
+               }}),
+      Draw(seed) {
+  for (const auto &group : Work.Engines)
+    addEngines(group);
+}
+
+void Simulation::addEngines(const EngineGroup &group) {
+  for (std::uint32_t n = 0; n < group.Count; ++n) {
+    FakeEngineHooks hooks;
+    hooks.FirstToken = [this](RequestKey it) { Callers.firstToken(it); };
+    hooks.Finished = [this](RequestKey it) { Callers.finished(it); };
+    hooks.Broken = [this](RequestKey it) { Callers.broken(it); };
+    hooks.Resident = [this](AdapterKey it, bool there) {
+      Residency.change(it, there, Loop.now());
+    };
+    Node node;
+    node.Properties.Replica = static_cast<ReplicaKey>(Nodes.size() + 1);
+    node.Properties.Domain = node.Properties.Replica % Work.Domains + 1;
+    node.Properties.Slots = group.Slots;
+    node.Properties.Batch = group.Batch;
+    node.Engine =
+        std::make_unique<FakeEngine>(Loop, Store, group, std::move(hooks));
+    Nodes.push_back(std::move(node));
+  }
+}
+
+Figures Simulation::run() {
+  Decide = Entry.Make(Work, Requests);
+  beginOwnership(LeaseMode::Held);
+  Callers.start();
+  scheduleTick();
+  scheduleReports();
+  for (const auto &fault : Work.Faults)
+    scheduleFault(fault);
+  Loop.run(seconds(Work.DurationS));
+  noteBatchFill();
+  Loop.run(seconds(Work.DurationS + Work.DrainS));
+  Callers.report(Out);
+  Out.Loads = Store.started();
+  return std::move(Out);
+}
+
+void Simulation::beginOwnership(LeaseMode mode) {
+  for (auto &it : Nodes) {
+    it.Known = 0;
+    drive(it.Properties);
+  }
+  drive(TurnChanged{1, Work.LoadsPerS});
+  for (ReplicaKey it = 1; it <= Nodes.size(); ++it)
+    sendReport(it);
+  setLease(mode);
+}
+
+void Simulation::setLease(LeaseMode mode) {
+  Lease = mode;
+  drive(LeaseChanged{mode});
+}
+
+void Simulation::drive(const Event &event) {
+  using Clock = std::chrono::steady_clock;
+  Actions.clear();
+  auto before = Clock::now();
+  Decide(event, Loop.now(), Actions);
+  auto spent = std::chrono::nanoseconds(Clock::now() - before);
+  Out.DecisionNs.push_back(static_cast<std::uint32_t>(spent.count()));
+  ++Out.Decisions;
+  for (const auto &action : Actions) {
+    hashAction(action);
+    std::visit([this](const auto &it) { apply(it); }, action);
+  }
+}
+
+void Simulation::driveLater(const Event &event) {
+  Loop.after(NetworkDelay, [this, event, owner = Owner] {
+    bool release = std::holds_alternative<RequestFinished>(event);
+    // The end of a request reaches whoever owns the cell by then.
+    if (owner == Owner || release)
+      drive(event);
+  });
+}
+
+void Simulation::hashAction(const Action &action) {
+  std::array<std::uint64_t, 6> words{};
+  words[0] = Out.DecisionHash;
+  words[1] = static_cast<std::uint64_t>(Loop.now().count());
+  words[2] = action.index();
+  std::visit(
+      [&words](const auto &it) {
+        using Kind = std::decay_t<decltype(it)>;
+        words[3] = static_cast<std::uint64_t>(it.Why);
+        if constexpr (requires { it.Request; })
+          words[4] = it.Request;
+        else
+          words[4] = it.Adapter;
+        if constexpr (std::is_same_v<Kind, Refuse>)
+          words[5] = static_cast<std::uint64_t>(it.RetryAfter.count());
+        else
+          words[5] = it.Replica;
+      },
+      action);
+  Out.DecisionHash = XXH64(words.data(), sizeof(words), 0);
+}
+
+void Simulation::apply(const Admit &action) {
+  if (!Judge.decided(action.Request))
+    return;
+  Callers.admitted(action.Request);
+  std::uint64_t known = node(action.Replica).Known;
+  Loop.after(NetworkDelay, [this, action, known] {
+    startOn(action.Replica, action.Request, known);
+  });
+}
+
+void Simulation::startOn(ReplicaKey replica, RequestKey request,
+                         std::uint64_t known) {
+  auto &engine = *node(replica).Engine;
+  auto answer = engine.start(Callers.engineRequest(request));
+  if (answer == EngineAnswer::Runs)
+    return;
+  bool policyKnew =
+      answer == EngineAnswer::NotLoaded && known == engine.incarnation();
+  if (policyKnew)
+    Judge.wrongAdapter();
+  else
+    ++Out.StaleAdmits;
+  Callers.notRun(request);
+}
+
+void Simulation::apply(const Refuse &action) {
+  if (!Judge.decided(action.Request))
+    return;
+  Callers.refused(action.Request, action.RetryAfter);
+}
+
+void Simulation::apply(const Load &action) {
+  Loop.after(NetworkDelay, [this, action, owner = Owner] {
+    auto done = [this, action, owner](bool worked) {
+      if (!worked)
+        ++Out.LoadsFailed;
+      if (owner != Owner)
+        return;
+      if (worked)
+        driveLater(LoadDone{action.Replica, action.Adapter});
+      else
+        driveLater(LoadFailed{action.Replica, action.Adapter});
+    };
+    node(action.Replica).Engine->load(action.Adapter, done);
+  });
+}
+
+void Simulation::apply(const Evict &action) {
+  ++Out.Evictions;
+  if (Lease != LeaseMode::Held) {
+    // The sender looks at its lease again, and does not send this one.
+    Judge.evicted(0, false);
+    driveLater(EvictDone{action.Replica, action.Adapter, true});
+    return;
+  }
+  Loop.after(NetworkDelay, [this, action, owner = Owner] {
+    auto &engine = *node(action.Replica).Engine;
+    bool refused = !engine.up();
+    if (!refused)
+      Judge.evicted(engine.evict(action.Adapter), true);
+    if (owner == Owner)
+      driveLater(EvictDone{action.Replica, action.Adapter, refused});
+  });
+}
+
+void Simulation::apply(const CancelLoad &action) {
+  ++Out.LoadsCancelled;
+  Loop.after(NetworkDelay, [this, action] {
+    node(action.Replica).Engine->cancelLoad(action.Adapter);
+  });
+}
+
+void Simulation::scheduleTick() {
+  Loop.after(TickPeriod, [this] {
+    drive(Tick{});
+    scheduleTick();
+  });
+}
+
+void Simulation::scheduleReports() {
+  Loop.after(seconds(Work.ReportPeriodS), [this] {
+    for (ReplicaKey it = 1; it <= Nodes.size(); ++it)
+      sendReport(it);
+    scheduleReports();
+  });
+}
+
+void Simulation::sendReport(ReplicaKey replica) {
+  auto &engine = *node(replica).Engine;
+  bool missing = Draw.uniform() < Work.ReportGaps;
+  if (!engine.up() || missing) {
+    driveLater(ReplicaSilent{replica});
+    return;
+  }
+  auto report = engine.report();
+  report.Replica = replica;
+  Loop.after(seconds(Work.ReportLagS), [this, report, owner = Owner] {
+    if (owner != Owner)
+      return;
+    node(report.Replica).Known = report.Incarnation;
+    drive(report);
+  });
+}
+
+void Simulation::noteBatchFill() {
+  EngineWork sum;
+  for (auto &it : Nodes) {
+    auto work = it.Engine->work();
+    sum.StepRoom += work.StepRoom;
+    sum.StepRequests += work.StepRequests;
+  }
+  Out.BatchFill = sum.StepRoom > 0 ? sum.StepRequests / sum.StepRoom : 0;
+}
+
+} // namespace hemlockglade::bench
--- /dev/null
+++ b/Bench/Core/Trace.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Bench/Core/Popularity.h"
+#include "Bench/Core/Workload.h"
+
+#include <vector>
+
+namespace hemlockglade::bench {
+
+/// A request as its caller makes it.
+struct TraceRequest {
+  Instant At{};
+  AdapterKey Adapter = NoAdapter;
+  std::uint32_t Class = 0;
+  std::uint64_t PrefixHash = 0;
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t Tokens = 1;
+  CallerKey Caller = 0;
+};
+
+/// All requests of a run in the order of their arrival. It depends on the
+/// workload and the seed alone, so that each policy meets the same requests.
+struct Trace {
+  std::vector<TraceRequest> Requests;
+  /// How the adapters' shares of the requests change.
+  std::vector<PopularityChange> Shares;
+};
+
+/// Draws the requests of a run.
+Trace makeTrace(const Workload &workload, std::uint64_t seed);
+
+} // namespace hemlockglade::bench
