Configuration as immutable views and deltas

Ruled out: per-entry locks in one mutable catalog; readers would see half of a change. Change: CatalogView shares all unchanged shards with the view before it; ConfigDelta holds changed entries only; CatalogStore lets the revision rise only.

--- a/Hemlockglade/State/State.h
+++ b/Hemlockglade/State/State.h
@@ -3,4 +3,8 @@
 // The public header of the State layer: what the system is made of, as data.
 
 #include "Hemlockglade/State/Catalog.h"
+#include "Hemlockglade/State/Config/CatalogStore.h"
+#include "Hemlockglade/State/Config/CatalogView.h"
+#include "Hemlockglade/State/Config/ConfigDelta.h"
+#include "Hemlockglade/State/Config/ShardedMap.h"
 #include "Hemlockglade/State/Ids.h"
