A stopping node ends its lease last

Cause: a stopped node's lease row stayed until the others had waited it out. Ruled out: deleting the row at the start of the stop; the node still serves. Change: release gives up the cells, retire ends the lease once nothing runs; the core takes its lease mode from the keeper.

--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -131,14 +131,13 @@
 void CellRunner::stop() { drive(LeaseChanged{LeaseMode::None}); }
 
 void CellRunner::tick() {
-  bool holds = Hooks.Holds();
+  auto mode = Hooks.Mode();
   Deferred deferred;
   {
     std::lock_guard lock(Mutex);
-    if (holds != Held) {
-      Held = holds;
-      handle(LeaseChanged{holds ? LeaseMode::Held : LeaseMode::Doubtful},
-             deferred);
+    if (mode != Mode) {
+      Mode = mode;
+      handle(LeaseChanged{mode}, deferred);
     }
     handle(Tick{}, deferred);
   }
--- a/Programs/hemlockgladed/CellRunner.h
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -10,6 +10,8 @@
 struct CellRunnerHooks {
   /// Whether the lease allows orders that only an owner may give.
   std::function<bool()> Holds;
+  /// How far the lease may be trusted.
+  std::function<LeaseMode()> Mode;
   /// Runs a call soon, on no lock of the caller's.
   std::function<void(std::function<void()>)> Post;
 };
@@ -87,7 +89,7 @@
 
   mutable std::mutex Mutex;
   CellCore Core;
-  bool Held = false;
+  LeaseMode Mode = LeaseMode::None;
   RequestKey LastRequest = 0;
   std::vector<Action> Actions;
   std::unordered_map<std::string, AdapterKey> AdapterKeys;
--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -272,6 +272,7 @@
   LOG(INFO) << "own cell=" << cell << " epoch=" << fence;
   CellRunnerHooks hooks;
   hooks.Holds = [this, cell] { return Leases->holds(cell); };
+  hooks.Mode = [this, cell] { return Leases->modeOf(cell); };
   hooks.Post = [this](std::function<void()> call) {
     asio::post(Context, std::move(call));
   };
@@ -348,7 +349,7 @@
   if (unfinished == 0 || late) {
     if (unfinished)
       LOG(WARNING) << "stop cuts unfinished=" << unfinished;
-    return done();
+    return Leases->retire(std::move(done));
   }
   Timers.after(IdlePoll, [this, until, done = std::move(done)](Instant) {
     waitUntilIdle(until, done);
