Catalogs can be compared, and pins have a name

Cause: the declarations' round trip and their difference need equality, and Catalog::Pins had no stated key. Ruled out: comparing written text, which hides what the writer loses. Change: defaulted equality on the catalog's structs; pinName; the order of the placement rules is stated. Conclusion: no behaviour changes.

--- a/Hemlockglade/State/Catalog.cpp
+++ b/Hemlockglade/State/Catalog.cpp
@@ -4,6 +4,13 @@
 
 namespace hemlockglade {
 
+std::string pinName(const PinConfig &pin) {
+  auto name = pin.Adapter.text();
+  if (!pin.FailureDomain.empty())
+    name += " in " + pin.FailureDomain;
+  return name;
+}
+
 std::string cellName(std::string_view service, std::uint32_t number) {
   return std::string(service) + '/' + std::to_string(number);
 }
--- a/Hemlockglade/State/Catalog.h
+++ b/Hemlockglade/State/Catalog.h
@@ -25,6 +25,8 @@
   std::uint32_t Cells = 1;
   /// Base model, for engines.
   std::string BaseModel;
+
+  bool operator==(const ServiceConfig &) const = default;
 };
 
 /// One replica of a service.
@@ -40,6 +42,8 @@
   std::uint32_t Batch = 32;
   /// Whether the endpoint refuses orders with an old fencing number.
   bool ChecksFencing = false;
+
+  bool operator==(const ReplicaConfig &) const = default;
 };
 
 /// An adapter and the versions that may be asked for.
@@ -49,6 +53,8 @@
   /// The version that a request without a version means.
   std::uint32_t Current = 1;
   std::vector<std::uint32_t> Versions;
+
+  bool operator==(const AdapterConfig &) const = default;
 };
 
 /// A class of requests with a priority of its own.
@@ -60,6 +66,8 @@
   Span Deadline = std::chrono::seconds(30);
   /// Requests of this class that may wait in one cell.
   std::uint32_t QueueLimit = 1000;
+
+  bool operator==(const ServiceClass &) const = default;
 };
 
 /// A wish to keep copies of an adapter loaded.
@@ -68,6 +76,8 @@
   /// Where; empty for anywhere.
   std::string FailureDomain;
   std::uint32_t Copies = 1;
+
+  bool operator==(const PinConfig &) const = default;
 };
 
 /// Where an adapter's work may run.
@@ -76,6 +86,8 @@
   std::string Adapter;
   /// Failure domains that are allowed.
   std::vector<std::string> FailureDomains;
+
+  bool operator==(const PlacementRule &) const = default;
 };
 
 /// The whole configuration that is in force at one revision.
@@ -85,12 +97,19 @@
   std::map<std::string, ReplicaConfig> Replicas;
   std::unordered_map<std::string, AdapterConfig> Adapters;
   std::map<std::string, ServiceClass> Classes;
+  /// By `pinName`.
   std::map<std::string, PinConfig> Pins;
+  /// In order: the first rule that fits an adapter is the one that counts.
   std::vector<PlacementRule> Rules;
   /// Replicas that the operators are draining.
   std::map<std::string, bool> Drained;
+
+  bool operator==(const Catalog &) const = default;
 };
 
+/// Name of a pin: `name@version`, and ` in DOMAIN` if it names one.
+std::string pinName(const PinConfig &pin);
+
 /// Name of a service's cell: `service/number`.
 std::string cellName(std::string_view service, std::uint32_t number);
 
