Settings and declarations are checked against a schema

Cause: a wrong key or value in a YAML file was ignored, or gave one error without a line; deadline_ms was written as microseconds divided by 1000 but pins, rules and drained replicas were not read or written at all. Ruled out: a general schema language (two files need none); yaml-cpp's own conversions (they take 0x2, octal and quoted numbers). Change: SchemaReader binds keys to members and collects all faults with file, line, key and what was expected; ReferenceCheck checks references once the whole file is read; the writer is a file of its own; diffCatalogs; commented examples. readNodeSettings takes the file's name and gives all faults. Conclusion: a file is right as a whole or refused with all its faults.

--- a/Hemlockglade/Protocol/Protocol.h
+++ b/Hemlockglade/Protocol/Protocol.h
@@ -6,5 +6,8 @@
 #include "Hemlockglade/Protocol/Message/PeerMessages.h"
 #include "Hemlockglade/Protocol/Platform/PlatformFormat.h"
 #include "Hemlockglade/Protocol/ProtocolError.h"
+#include "Hemlockglade/Protocol/Settings/CatalogDiff.h"
 #include "Hemlockglade/Protocol/Settings/Declarations.h"
 #include "Hemlockglade/Protocol/Settings/NodeSettings.h"
+#include "Hemlockglade/Protocol/Settings/SchemaReader.h"
+#include "Hemlockglade/Protocol/Settings/SettingsFault.h"
--- a/Hemlockglade/Protocol/Settings/Declarations.cpp
+++ b/Hemlockglade/Protocol/Settings/Declarations.cpp
@@ -1,136 +1,222 @@
 #include "Hemlockglade/Protocol/Settings/Declarations.h"
 
+#include "Hemlockglade/Protocol/Settings/ReferenceCheck.h"
+#include "Hemlockglade/Protocol/Settings/SchemaReader.h"
+
 #include <algorithm>
-#include <yaml-cpp/yaml.h>
 
 namespace hemlockglade {
 
 namespace {
 
-template <typename T>
-T valueOr(const YAML::Node &node, const char *key, T fallback) {
-  return node[key] ? node[key].as<T>() : fallback;
+constexpr NumberRange CellRange{1, 10'000};
+constexpr NumberRange SlotRange{1, 100'000};
+constexpr NumberRange VersionRange{1, 4'294'967'295};
+constexpr NumberRange PriorityRange{0, 255};
+constexpr NumberRange DeadlineRange{1, 3'600'000};
+constexpr NumberRange QueueRange{1, 1'000'000};
+constexpr NumberRange CopiesRange{1, 10'000};
+constexpr std::string_view KindWords[] = {"engine", "plain"};
+
+bool isAdapterVersion(std::string_view text) {
+  auto adapter = AdapterRef::parse(text);
+  return adapter && adapter->Version > 0 && isName(adapter->Name);
 }
 
-ServiceConfig readService(const YAML::Node &node) {
-  ServiceConfig service;
-  service.Name = node["name"].as<std::string>();
-  service.Kind = valueOr<std::string>(node, "kind", "engine") == "plain"
-                     ? ServiceKind::Plain
-                     : ServiceKind::Engine;
-  service.Cells = valueOr<std::uint32_t>(node, "cells", 1);
-  service.BaseModel = valueOr<std::string>(node, "base_model", "");
-  return service;
+/// A name, or a prefix of one followed by `*`.
+bool isPattern(std::string_view text) {
+  if (!text.ends_with('*'))
+    return isName(text);
+  text.remove_suffix(1);
+  return text.empty() || isName(text);
 }
 
-ReplicaConfig readReplica(const YAML::Node &node) {
-  ReplicaConfig replica;
-  replica.Name = node["name"].as<std::string>();
-  replica.Service = node["service"].as<std::string>();
-  replica.Address = node["address"].as<std::string>();
-  replica.FailureDomain = node["failure_domain"].as<std::string>();
-  replica.Slots = valueOr(node, "slots", replica.Slots);
-  replica.Batch = valueOr(node, "batch", replica.Batch);
-  replica.ChecksFencing = valueOr(node, "checks_fencing", false);
-  return replica;
+/// Reads a whole declarations file, one list after the other.
+class DeclarationsReader {
+public:
+  DeclarationsReader(FaultList &faults, ReferenceCheck &references)
+      : Faults(faults), References(references) {}
+
+  Catalog read(const YAML::Node &root);
+
+private:
+  void readService(SchemaReader &map);
+  void readReplica(SchemaReader &map);
+  void readAdapter(SchemaReader &map);
+  void readClass(SchemaReader &map);
+  void readPin(SchemaReader &map);
+  void readRule(SchemaReader &map);
+  void readDrained(SchemaReader &root);
+
+  /// Reads a list of mappings with one of the methods above.
+  void readList(SchemaReader &root, const char *key,
+                void (DeclarationsReader::*readItem)(SchemaReader &));
+  void refer(SchemaReader &map, const char *key, ReferenceKind kind,
+             const std::string &value);
+  template <typename Map, typename T>
+  void insert(SchemaReader &map, const char *key, Map &into,
+              const std::string &name, T value);
+
+  FaultList &Faults;
+  ReferenceCheck &References;
+  Catalog Out;
+};
+
+void DeclarationsReader::readList(
+    SchemaReader &root, const char *key,
+    void (DeclarationsReader::*readItem)(SchemaReader &)) {
+  root.list(key, Presence::Optional,
+            [&](const YAML::Node &node, const std::string &path) {
+              SchemaReader map(node, path + '.', Faults);
+              if (!node.IsMap())
+                return;
+              (this->*readItem)(map);
+              map.finish();
+            });
 }
 
-AdapterConfig readAdapter(const YAML::Node &node) {
-  AdapterConfig adapter;
-  adapter.Name = node["name"].as<std::string>();
-  adapter.Service = node["service"].as<std::string>();
-  adapter.Versions = valueOr<std::vector<std::uint32_t>>(node, "versions", {1});
-  adapter.Current = valueOr(node, "current", adapter.Versions.back());
-  return adapter;
+void DeclarationsReader::refer(SchemaReader &map, const char *key,
+                               ReferenceKind kind, const std::string &value) {
+  if (!value.empty())
+    References.add({kind, value, map.markOf(key), map.pathOf(key)});
 }
 
-ServiceClass readClass(const YAML::Node &node) {
-  ServiceClass out;
-  out.Name = node["name"].as<std::string>();
-  out.Priority = static_cast<std::uint8_t>(valueOr(node, "priority", 0U));
-  out.Deadline = std::chrono::milliseconds(valueOr(node, "deadline_ms", 30000));
-  out.QueueLimit = valueOr(node, "queue_limit", out.QueueLimit);
-  return out;
+template <typename Map, typename T>
+void DeclarationsReader::insert(SchemaReader &map, const char *key, Map &into,
+                                const std::string &name, T value) {
+  if (!name.empty() && !into.emplace(name, std::move(value)).second)
+    map.fault(key, "each name once; '" + name + "' is a duplicate");
 }
 
-} // namespace
+void DeclarationsReader::readService(SchemaReader &map) {
+  ServiceConfig it;
+  std::size_t kind = 0;
+  map.name("name", it.Name, Presence::Required);
+  map.choice("kind", kind, KindWords);
+  map.number("cells", it.Cells, CellRange);
+  map.name("base_model", it.BaseModel, Presence::Optional);
+  it.Kind = kind == 0 ? ServiceKind::Engine : ServiceKind::Plain;
+  if (it.Kind == ServiceKind::Plain && !it.BaseModel.empty())
+    map.fault("base_model", "no base model for a plain service");
+  insert(map, "name", Out.Services, it.Name, it);
+}
 
-tl::expected<Catalog, ProtocolError> readDeclarations(const std::string &text) {
-  try {
-    auto root = YAML::Load(text);
-    Catalog catalog;
-    for (const auto &it : root["services"]) {
-      auto service = readService(it);
-      catalog.Services.emplace(service.Name, service);
-    }
-    for (const auto &it : root["replicas"]) {
-      auto replica = readReplica(it);
-      catalog.Replicas.emplace(replica.Name, replica);
-    }
-    for (const auto &it : root["adapters"]) {
-      auto adapter = readAdapter(it);
-      catalog.Adapters.emplace(adapter.Name, adapter);
-    }
-    for (const auto &it : root["classes"]) {
-      auto out = readClass(it);
-      catalog.Classes.emplace(out.Name, out);
-    }
-    return catalog;
-  } catch (const YAML::Exception &error) {
-    return tl::unexpected(
-        ProtocolError{ProtocolErrorKind::Malformed, error.what()});
-  }
+void DeclarationsReader::readReplica(SchemaReader &map) {
+  ReplicaConfig it;
+  map.name("name", it.Name, Presence::Required);
+  map.name("service", it.Service, Presence::Required);
+  map.text("address", it.Address, Presence::Required, "a numeric ip:port",
+           isEndpointAddress);
+  map.name("failure_domain", it.FailureDomain, Presence::Required);
+  map.number("slots", it.Slots, SlotRange);
+  map.number("batch", it.Batch, SlotRange);
+  map.flag("checks_fencing", it.ChecksFencing);
+  refer(map, "service", ReferenceKind::Service, it.Service);
+  insert(map, "name", Out.Replicas, it.Name, it);
 }
 
-std::string writeDeclarations(const Catalog &catalog) {
-  YAML::Emitter out;
-  out << YAML::BeginMap << YAML::Key << "services" << YAML::BeginSeq;
-  for (const auto &[name, it] : catalog.Services) {
-    out << YAML::Flow << YAML::BeginMap;
-    out << YAML::Key << "name" << YAML::Value << name;
-    out << YAML::Key << "kind" << YAML::Value
-        << (it.Kind == ServiceKind::Plain ? "plain" : "engine");
-    out << YAML::Key << "cells" << YAML::Value << it.Cells;
-    if (!it.BaseModel.empty())
-      out << YAML::Key << "base_model" << YAML::Value << it.BaseModel;
-    out << YAML::EndMap;
-  }
-  out << YAML::EndSeq << YAML::Key << "replicas" << YAML::BeginSeq;
-  for (const auto &[name, it] : catalog.Replicas) {
-    out << YAML::Flow << YAML::BeginMap;
-    out << YAML::Key << "name" << YAML::Value << name;
-    out << YAML::Key << "service" << YAML::Value << it.Service;
-    out << YAML::Key << "address" << YAML::Value << it.Address;
-    out << YAML::Key << "failure_domain" << YAML::Value << it.FailureDomain;
-    out << YAML::Key << "slots" << YAML::Value << it.Slots;
-    out << YAML::Key << "batch" << YAML::Value << it.Batch;
-    out << YAML::Key << "checks_fencing" << YAML::Value << it.ChecksFencing;
-    out << YAML::EndMap;
-  }
-  out << YAML::EndSeq << YAML::Key << "adapters" << YAML::BeginSeq;
-  std::map<std::string, AdapterConfig> sorted(catalog.Adapters.begin(),
-                                              catalog.Adapters.end());
-  for (const auto &[name, it] : sorted) {
-    out << YAML::Flow << YAML::BeginMap;
-    out << YAML::Key << "name" << YAML::Value << name;
-    out << YAML::Key << "service" << YAML::Value << it.Service;
-    out << YAML::Key << "versions" << YAML::Value << YAML::Flow << it.Versions;
-    out << YAML::Key << "current" << YAML::Value << it.Current;
-    out << YAML::EndMap;
-  }
-  out << YAML::EndSeq << YAML::Key << "classes" << YAML::BeginSeq;
-  for (const auto &[name, it] : catalog.Classes) {
-    out << YAML::Flow << YAML::BeginMap;
-    out << YAML::Key << "name" << YAML::Value << name;
-    out << YAML::Key << "priority" << YAML::Value
-        << static_cast<unsigned>(it.Priority);
-    out << YAML::Key << "deadline_ms" << YAML::Value
-        << it.Deadline.count() / 1000;
-    out << YAML::Key << "queue_limit" << YAML::Value << it.QueueLimit;
-    out << YAML::EndMap;
+void DeclarationsReader::readAdapter(SchemaReader &map) {
+  AdapterConfig it;
+  map.name("name", it.Name, Presence::Required);
+  map.name("service", it.Service, Presence::Required);
+  map.numbers("versions", it.Versions, Presence::Required, VersionRange);
+  if (!it.Versions.empty())
+    it.Current = it.Versions.back();
+  map.number("current", it.Current, VersionRange);
+  if (!it.Versions.empty() && std::find(it.Versions.begin(), it.Versions.end(),
+                                        it.Current) == it.Versions.end())
+    map.fault("current",
+              "one of the versions, not " + std::to_string(it.Current));
+  refer(map, "service", ReferenceKind::EngineService, it.Service);
+  insert(map, "name", Out.Adapters, it.Name, it);
+}
+
+void DeclarationsReader::readClass(SchemaReader &map) {
+  ServiceClass it;
+  map.name("name", it.Name, Presence::Required);
+  map.number("priority", it.Priority, PriorityRange);
+  map.milliseconds("deadline_ms", it.Deadline, DeadlineRange);
+  map.number("queue_limit", it.QueueLimit, QueueRange);
+  insert(map, "name", Out.Classes, it.Name, it);
+}
+
+void DeclarationsReader::readPin(SchemaReader &map) {
+  PinConfig it;
+  std::string adapter;
+  map.text("adapter", adapter, Presence::Required,
+           "an adapter and version, such as oath-fr@7", isAdapterVersion);
+  map.name("failure_domain", it.FailureDomain, Presence::Optional);
+  map.number("copies", it.Copies, CopiesRange);
+  refer(map, "adapter", ReferenceKind::AdapterVersion, adapter);
+  refer(map, "failure_domain", ReferenceKind::FailureDomain, it.FailureDomain);
+  if (adapter.empty())
+    return;
+  it.Adapter = *AdapterRef::parse(adapter);
+  insert(map, "adapter", Out.Pins, pinName(it), it);
+}
+
+void DeclarationsReader::readRule(SchemaReader &map) {
+  PlacementRule it;
+  map.text("adapter", it.Adapter, Presence::Required,
+           "an adapter's name, or a prefix followed by '*'", isPattern);
+  map.names("failure_domains", it.FailureDomains, Presence::Required);
+  if (!it.Adapter.ends_with('*'))
+    refer(map, "adapter", ReferenceKind::Adapter, it.Adapter);
+  for (const auto &domain : it.FailureDomains)
+    refer(map, "failure_domains", ReferenceKind::FailureDomain, domain);
+  bool repeated =
+      std::any_of(Out.Rules.begin(), Out.Rules.end(),
+                  [&](const auto &rule) { return rule.Adapter == it.Adapter; });
+  if (repeated && !it.Adapter.empty())
+    map.fault("adapter",
+              "each adapter once; '" + it.Adapter + "' is a duplicate");
+  Out.Rules.push_back(std::move(it));
+}
+
+void DeclarationsReader::readDrained(SchemaReader &root) {
+  std::vector<std::string> names;
+  root.names("drained", names, Presence::Optional);
+  for (const auto &name : names) {
+    refer(root, "drained", ReferenceKind::Replica, name);
+    Out.Drained.emplace(name, true);
   }
-  out << YAML::EndSeq << YAML::EndMap;
-  return std::string(out.c_str()) + '\n';
+}
+
+Catalog DeclarationsReader::read(const YAML::Node &root) {
+  SchemaReader map(root, "", Faults);
+  readList(map, "services", &DeclarationsReader::readService);
+  readList(map, "replicas", &DeclarationsReader::readReplica);
+  readList(map, "adapters", &DeclarationsReader::readAdapter);
+  readList(map, "classes", &DeclarationsReader::readClass);
+  readList(map, "rules", &DeclarationsReader::readRule);
+  readList(map, "pins", &DeclarationsReader::readPin);
+  readDrained(map);
+  map.finish();
+  return std::move(Out);
+}
+
+} // namespace
+
+tl::expected<Catalog, SettingsFaults>
+checkDeclarations(const std::string &text, const std::string &file) {
+  auto root = parseYaml(text, file);
+  if (!root)
+    return tl::unexpected(root.error());
+  FaultList faults(file);
+  ReferenceCheck references;
+  auto catalog = DeclarationsReader(faults, references).read(*root);
+  references.check(catalog, faults);
+  if (!faults.empty())
+    return tl::unexpected(faults.take());
+  return catalog;
+}
+
+tl::expected<Catalog, ProtocolError> readDeclarations(const std::string &text) {
+  auto catalog = checkDeclarations(text, "declarations");
+  if (catalog)
+    return std::move(*catalog);
+  return tl::unexpected(
+      ProtocolError{ProtocolErrorKind::BadValue, faultText(catalog.error())});
 }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Protocol/Settings/NodeSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.cpp
@@ -1,47 +1,86 @@
 #include "Hemlockglade/Protocol/Settings/NodeSettings.h"
 
-#include <yaml-cpp/yaml.h>
+#include "Hemlockglade/Protocol/Settings/SchemaReader.h"
+
+#include <arpa/inet.h>
 
 namespace hemlockglade {
 
 namespace {
 
-void readSpan(const YAML::Node &node, const char *key, Span &span) {
-  if (node[key])
-    span = std::chrono::milliseconds(node[key].as<std::int64_t>());
+constexpr NumberRange PortRange{0, 65535};
+constexpr NumberRange ThreadRange{1, 64};
+constexpr std::uint64_t MinuteMs = 60'000;
+constexpr std::uint64_t HourMs = 60 * MinuteMs;
+
+bool isIpAddress(std::string_view text) {
+  std::string host(text);
+  in6_addr buf{};
+  return inet_pton(AF_INET, host.c_str(), &buf) == 1 ||
+         inet_pton(AF_INET6, host.c_str(), &buf) == 1;
+}
+
+bool isUrl(std::string_view text) {
+  constexpr std::string_view Plain = "http://";
+  constexpr std::string_view Secure = "https://";
+  return (text.starts_with(Plain) && text.size() > Plain.size()) ||
+         (text.starts_with(Secure) && text.size() > Secure.size());
+}
+
+/// Binds every key of the schema to its member.
+void bindKeys(SchemaReader &map, NodeSettings &out) {
+  map.name("name", out.Name, Presence::Required);
+  map.name("failure_domain", out.FailureDomain, Presence::Required);
+  map.name("region", out.Region, Presence::Required);
+  map.text("platform_url", out.PlatformUrl, Presence::Required,
+           "a URL that starts with http:// or https://", isUrl);
+  map.text("address", out.Address, Presence::Optional, "a numeric IP address",
+           isIpAddress);
+  map.number("caller_port", out.CallerPort, PortRange);
+  map.number("peer_port", out.PeerPort, PortRange);
+  map.number("threads", out.Threads, ThreadRange);
+  map.milliseconds("lease_ms", out.LeaseDuration, {100, 10 * MinuteMs});
+  map.milliseconds("renew_ms", out.RenewInterval, {10, 10 * MinuteMs});
+  map.milliseconds("lease_margin_ms", out.LeaseMargin, {0, MinuteMs});
+  map.milliseconds("config_poll_ms", out.ConfigInterval, {10, MinuteMs});
+  map.milliseconds("report_ms", out.ReportInterval, {10, MinuteMs});
+  map.milliseconds("directory_ttl_ms", out.DirectoryTtl, {100, HourMs});
+  map.milliseconds("stop_bound_ms", out.StopBound, {0, HourMs});
+}
+
+/// Checks what no single key can tell.
+void checkSpans(SchemaReader &map, const NodeSettings &settings) {
+  if (settings.RenewInterval >= settings.LeaseDuration)
+    map.fault("renew_ms", "less than lease_ms, or each lease lapses");
+  if (settings.LeaseMargin >= settings.LeaseDuration)
+    map.fault("lease_margin_ms", "less than lease_ms, or no lease ever holds");
 }
 
 } // namespace
 
-tl::expected<NodeSettings, ProtocolError>
-readNodeSettings(const std::string &text) {
-  try {
-    auto root = YAML::Load(text);
-    NodeSettings settings;
-    settings.Name = root["name"].as<std::string>();
-    settings.FailureDomain = root["failure_domain"].as<std::string>();
-    settings.Region = root["region"].as<std::string>();
-    settings.PlatformUrl = root["platform_url"].as<std::string>();
-    if (root["address"])
-      settings.Address = root["address"].as<std::string>();
-    if (root["caller_port"])
-      settings.CallerPort = root["caller_port"].as<std::uint16_t>();
-    if (root["peer_port"])
-      settings.PeerPort = root["peer_port"].as<std::uint16_t>();
-    if (root["threads"])
-      settings.Threads = root["threads"].as<std::uint32_t>();
-    readSpan(root, "lease_ms", settings.LeaseDuration);
-    readSpan(root, "renew_ms", settings.RenewInterval);
-    readSpan(root, "lease_margin_ms", settings.LeaseMargin);
-    readSpan(root, "config_poll_ms", settings.ConfigInterval);
-    readSpan(root, "report_ms", settings.ReportInterval);
-    readSpan(root, "directory_ttl_ms", settings.DirectoryTtl);
-    readSpan(root, "stop_bound_ms", settings.StopBound);
-    return settings;
-  } catch (const YAML::Exception &error) {
-    return tl::unexpected(
-        ProtocolError{ProtocolErrorKind::Malformed, error.what()});
-  }
+tl::expected<NodeSettings, SettingsFaults>
+readNodeSettings(const std::string &text, const std::string &file) {
+  auto root = parseYaml(text, file);
+  if (!root)
+    return tl::unexpected(root.error());
+  FaultList faults(file);
+  NodeSettings settings;
+  SchemaReader map(*root, "", faults);
+  bindKeys(map, settings);
+  map.finish();
+  if (faults.empty())
+    checkSpans(map, settings);
+  if (!faults.empty())
+    return tl::unexpected(faults.take());
+  return settings;
+}
+
+std::vector<std::string> nodeSettingsKeys() {
+  FaultList faults("");
+  NodeSettings settings;
+  SchemaReader map(YAML::Node(YAML::NodeType::Map), "", faults);
+  bindKeys(map, settings);
+  return map.keys();
 }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Protocol/Settings/NodeSettings.h
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Hemlockglade/Protocol/ProtocolError.h"
+#include "Hemlockglade/Protocol/Settings/SettingsFault.h"
 #include "Hemlockglade/State/Ids.h"
 
 #include <tl/expected.hpp>
@@ -11,7 +11,9 @@
 struct NodeSettings {
   /// Unique name of the node.
   std::string Name;
+  /// Failure domain of the host; declarations use the same names.
   std::string FailureDomain;
+  /// Region of the failure domain.
   std::string Region;
   /// Numeric address that all listeners bind.
   std::string Address = "127.0.0.1";
@@ -39,8 +41,12 @@
   Span StopBound = std::chrono::seconds(60);
 };
 
-/// Reads a settings file's text.
-tl::expected<NodeSettings, ProtocolError>
-readNodeSettings(const std::string &text);
+/// Reads a settings file's text; `file` is the name that faults give. Either
+/// the whole file is right, or all its faults are reported.
+tl::expected<NodeSettings, SettingsFaults>
+readNodeSettings(const std::string &text, const std::string &file);
+
+/// Every key that a settings file may have.
+std::vector<std::string> nodeSettingsKeys();
 
 } // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.cpp
@@ -0,0 +1,266 @@
+#include "Hemlockglade/Protocol/Settings/SchemaReader.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <set>
+
+namespace hemlockglade {
+
+namespace {
+
+constexpr std::size_t MaxNameBytes = 64;
+constexpr const char *NameWords =
+    "a name of letters, digits, '.', '_' and '-', at most 64 bytes";
+/// The tag that yaml-cpp gives a quoted scalar.
+constexpr const char *QuotedTag = "!";
+
+/// What a node holds, for the end of a fault's text.
+std::string found(const YAML::Node &node) {
+  switch (node.Type()) {
+  case YAML::NodeType::Scalar:
+    return ", not '" + node.Scalar() + "'";
+  case YAML::NodeType::Sequence:
+    return ", not a list";
+  case YAML::NodeType::Map:
+    return ", not a mapping";
+  default:
+    return ", not an empty value";
+  }
+}
+
+template <typename T> bool readWhole(std::string_view text, T &out) {
+  auto end = text.data() + text.size();
+  auto [at, ec] = std::from_chars(text.data(), end, out);
+  return ec == std::errc() && at == end && !text.empty();
+}
+
+bool readScalarNumber(const YAML::Node &node, NumberRange range,
+                      std::uint64_t &out) {
+  return node.IsScalar() && node.Tag() != QuotedTag &&
+         readWhole(node.Scalar(), out) && out >= range.Min && out <= range.Max;
+}
+
+std::string rangeText(NumberRange range, std::string_view unit) {
+  return "a whole number" + std::string(unit) + " from " +
+         std::to_string(range.Min) + " to " + std::to_string(range.Max);
+}
+
+} // namespace
+
+void FaultList::add(const YAML::Mark &mark, std::string key,
+                    std::string expected) {
+  Faults.push_back(
+      {File, std::max(mark.line, 0) + 1, std::move(key), std::move(expected)});
+}
+
+SettingsFaults FaultList::take() {
+  std::stable_sort(
+      Faults.begin(), Faults.end(),
+      [](const auto &a, const auto &b) { return a.Line < b.Line; });
+  return std::move(Faults);
+}
+
+tl::expected<YAML::Node, SettingsFaults> parseYaml(const std::string &text,
+                                                   const std::string &file) {
+  FaultList faults(file);
+  try {
+    auto root = YAML::Load(text);
+    if (root.IsMap())
+      return root;
+    faults.add(root.Mark(), "", "a mapping of keys" + found(root));
+  } catch (const YAML::Exception &error) {
+    faults.add(error.mark, "", "well-formed YAML: " + error.msg);
+  }
+  return tl::unexpected(faults.take());
+}
+
+bool isName(std::string_view text) {
+  auto isPart = [](unsigned char c) {
+    return std::isalnum(c) || c == '.' || c == '_' || c == '-';
+  };
+  return !text.empty() && text.size() <= MaxNameBytes &&
+         std::isalnum(static_cast<unsigned char>(text.front())) &&
+         std::all_of(text.begin(), text.end(), isPart);
+}
+
+bool isEndpointAddress(std::string_view text) {
+  auto colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return false;
+  std::uint16_t port = 0;
+  if (!readWhole(text.substr(colon + 1), port) || port == 0)
+    return false;
+  std::string host(text.substr(0, colon));
+  in_addr four{};
+  if (inet_pton(AF_INET, host.c_str(), &four) == 1)
+    return true;
+  bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+  in6_addr six{};
+  return bracketed &&
+         inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &six) ==
+             1;
+}
+
+SchemaReader::SchemaReader(YAML::Node node, std::string path, FaultList &faults)
+    : Map(std::move(node)), Path(std::move(path)), Faults(faults) {
+  if (Map.IsMap())
+    return;
+  auto key = Path.substr(0, Path.empty() ? 0 : Path.size() - 1);
+  Faults.add(Map.Mark(), key, "a mapping of keys" + found(Map));
+}
+
+YAML::Node SchemaReader::find(const char *key, Presence presence) {
+  Known.emplace_back(key);
+  if (!Map.IsMap())
+    return YAML::Node(YAML::NodeType::Undefined);
+  for (const auto &it : Map) {
+    if (it.first.IsScalar() && it.first.Scalar() == key)
+      return it.second;
+  }
+  if (presence == Presence::Required)
+    Faults.add(Map.Mark(), pathOf(key), "this key; it is missing");
+  return YAML::Node(YAML::NodeType::Undefined);
+}
+
+void SchemaReader::text(const char *key, std::string &member, Presence presence,
+                        std::string_view expected, const TextCheck &accept) {
+  auto node = find(key, presence);
+  if (!node.IsDefined())
+    return;
+  if (node.IsScalar() && accept(node.Scalar()))
+    member = node.Scalar();
+  else
+    Faults.add(node.Mark(), pathOf(key), std::string(expected) + found(node));
+}
+
+void SchemaReader::name(const char *key, std::string &member,
+                        Presence presence) {
+  text(key, member, presence, NameWords, isName);
+}
+
+bool SchemaReader::readNumber(const char *key, NumberRange range,
+                              std::uint64_t &out) {
+  auto node = find(key, Presence::Optional);
+  if (!node.IsDefined())
+    return false;
+  if (readScalarNumber(node, range, out))
+    return true;
+  Faults.add(node.Mark(), pathOf(key), rangeText(range, "") + found(node));
+  return false;
+}
+
+void SchemaReader::milliseconds(const char *key, Span &member,
+                                NumberRange range) {
+  std::uint64_t out = 0;
+  if (readNumber(key, range, out))
+    member = std::chrono::milliseconds(out);
+}
+
+void SchemaReader::flag(const char *key, bool &member) {
+  constexpr std::string_view Words[] = {"false", "true"};
+  std::size_t index = member ? 1 : 0;
+  choice(key, index, Words);
+  member = index == 1;
+}
+
+void SchemaReader::choice(const char *key, std::size_t &member,
+                          std::span<const std::string_view> words) {
+  auto node = find(key, Presence::Optional);
+  if (!node.IsDefined())
+    return;
+  auto it = node.IsScalar()
+                ? std::find(words.begin(), words.end(), node.Scalar())
+                : words.end();
+  if (it != words.end()) {
+    member = static_cast<std::size_t>(it - words.begin());
+    return;
+  }
+  std::string expected;
+  for (auto word : words)
+    expected += (expected.empty() ? "" : " or ") + std::string(word);
+  Faults.add(node.Mark(), pathOf(key), expected + found(node));
+}
+
+void SchemaReader::list(
+    const char *key, Presence presence,
+    const std::function<void(const YAML::Node &, std::string)> &readItem) {
+  auto node = find(key, presence);
+  if (!node.IsDefined())
+    return;
+  if (!node.IsSequence()) {
+    Faults.add(node.Mark(), pathOf(key), "a list" + found(node));
+    return;
+  }
+  std::size_t n = 0;
+  for (const auto &it : node)
+    readItem(it, pathOf(key) + '[' + std::to_string(n++) + ']');
+  if (n == 0 && presence == Presence::Required)
+    Faults.add(node.Mark(), pathOf(key), "a list of at least one");
+}
+
+void SchemaReader::names(const char *key, std::vector<std::string> &member,
+                         Presence presence) {
+  list(key, presence, [&](const YAML::Node &node, std::string path) {
+    if (!node.IsScalar() || !isName(node.Scalar()))
+      Faults.add(node.Mark(), std::move(path), NameWords + found(node));
+    else if (std::find(member.begin(), member.end(), node.Scalar()) !=
+             member.end())
+      Faults.add(node.Mark(), std::move(path),
+                 "each name once; '" + node.Scalar() + "' is a duplicate");
+    else
+      member.push_back(node.Scalar());
+  });
+}
+
+void SchemaReader::numbers(const char *key, std::vector<std::uint32_t> &member,
+                           Presence presence, NumberRange range) {
+  list(key, presence, [&](const YAML::Node &node, std::string path) {
+    std::uint64_t out = 0;
+    auto value = [&] { return static_cast<std::uint32_t>(out); };
+    if (!readScalarNumber(node, range, out))
+      Faults.add(node.Mark(), std::move(path),
+                 rangeText(range, "") + found(node));
+    else if (std::find(member.begin(), member.end(), value()) != member.end())
+      Faults.add(node.Mark(), std::move(path),
+                 "each number once; " + std::to_string(out) +
+                     " is a duplicate");
+    else
+      member.push_back(value());
+  });
+}
+
+void SchemaReader::finish() {
+  if (!Map.IsMap())
+    return;
+  std::set<std::string> seen;
+  for (const auto &it : Map) {
+    auto key = it.first.IsScalar() ? it.first.Scalar() : std::string("?");
+    if (!seen.insert(key).second) {
+      Faults.add(it.first.Mark(), Path + key, "each key once; a duplicate");
+      continue;
+    }
+    if (std::find(Known.begin(), Known.end(), key) != Known.end())
+      continue;
+    std::string expected = "one of the keys";
+    for (const auto &known : Known)
+      expected += (&known == &Known.front() ? " " : ", ") + known;
+    Faults.add(it.first.Mark(), Path + key, expected + "; it is unknown");
+  }
+}
+
+void SchemaReader::fault(const char *key, std::string expected) {
+  Faults.add(markOf(key), pathOf(key), std::move(expected));
+}
+
+YAML::Mark SchemaReader::markOf(const char *key) const {
+  if (Map.IsMap()) {
+    for (const auto &it : Map) {
+      if (it.first.IsScalar() && it.first.Scalar() == key)
+        return it.first.Mark();
+    }
+  }
+  return Map.Mark();
+}
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Main.cpp
+++ b/Programs/hemlockgladed/Main.cpp
@@ -67,9 +67,9 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  auto settings = readNodeSettings(text.str());
+  auto settings = readNodeSettings(text.str(), FLAGS_config);
   if (!settings) {
-    std::cerr << FLAGS_config << ": " << settings.error().Text << '\n';
+    std::cerr << faultText(settings.error());
     return UsageError;
   }
   if (FLAGS_check_config)
