The operators' statements: grammar, rows and messages

Cause: the node knew one GET with a word; there was no language, no filter and no error that points at the fault. Change: Statement with its Spirit X3 grammar, printing, the fields of each subject, filter and grouping as a pure function, AdminFormat for both sides. Conclusion: a wrong statement gives the column and what was expected; node and tool share parser, rows and JSON.

--- /dev/null
+++ b/Hemlockglade/Protocol/Admin/AdminFormat.cpp
@@ -0,0 +1,144 @@
+#include "Hemlockglade/Protocol/Admin/AdminFormat.h"
+
+#include <cassert>
+#include <nlohmann/json.hpp>
+
+namespace hemlockglade::admin_format {
+
+using nlohmann::json;
+
+namespace {
+
+json parse(std::string_view body) {
+  return json::parse(body, nullptr, /*allow_exceptions=*/false);
+}
+
+std::string dump(const json &node) {
+  return node.dump(-1, ' ', false, json::error_handler_t::replace) + '\n';
+}
+
+/// Text of a member; empty if there is none.
+std::string textOf(const json &node, const char *key) {
+  auto it = node.find(key);
+  return it != node.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+std::optional<std::vector<std::string>> textsOf(const json &node,
+                                                const char *key) {
+  auto it = node.find(key);
+  if (it == node.end() || !it->is_array())
+    return std::nullopt;
+  std::vector<std::string> out;
+  for (const auto &text : *it) {
+    if (!text.is_string())
+      return std::nullopt;
+    out.push_back(text.get<std::string>());
+  }
+  return out;
+}
+
+json valueNode(const FieldValue &value) {
+  return std::visit([](const auto &it) { return json(it); }, value);
+}
+
+FieldValue readValue(const json &node) {
+  if (node.is_string())
+    return node.get<std::string>();
+  if (node.is_boolean())
+    return node.get<bool>();
+  if (node.is_number_integer())
+    return node.get<std::int64_t>();
+  if (node.is_number())
+    return node.get<double>();
+  return node.is_null() ? std::string() : node.dump();
+}
+
+std::vector<FieldValue> readRow(const json &node,
+                                const std::vector<std::string> &columns) {
+  std::vector<FieldValue> row;
+  for (const auto &column : columns) {
+    auto it = node.find(column);
+    row.push_back(it == node.end() ? FieldValue() : readValue(*it));
+  }
+  return row;
+}
+
+} // namespace
+
+std::string statementBody(const StatementRequest &request) {
+  return dump({{"statement", request.Statement},
+               {"id", request.CommandId},
+               {"operator", request.Operator}});
+}
+
+tl::expected<StatementRequest, ProtocolError>
+readStatementRequest(std::string_view body) {
+  auto node = parse(body);
+  if (!node.is_object())
+    return tl::unexpected(
+        ProtocolError{ProtocolErrorKind::Malformed, "not a JSON object"});
+  StatementRequest out{textOf(node, "statement"), textOf(node, "id"),
+                       textOf(node, "operator")};
+  if (out.Statement.empty() || out.CommandId.empty())
+    return tl::unexpected(ProtocolError{ProtocolErrorKind::BadValue,
+                                        "'statement' and 'id' must be texts"});
+  return out;
+}
+
+std::string rowsBody(const RowSet &rows) {
+  json list = json::array();
+  for (const auto &row : rows.Rows) {
+    assert(row.size() == rows.Columns.size());
+    json node = json::object();
+    for (std::size_t it = 0; it < row.size(); ++it)
+      node[rows.Columns[it]] = valueNode(row[it]);
+    list.push_back(std::move(node));
+  }
+  return dump({{"columns", rows.Columns}, {"rows", std::move(list)}});
+}
+
+std::string errorBody(const AdminError &error) {
+  return dump(
+      {{"error", {{"column", error.Column}, {"message", error.Message}}}});
+}
+
+std::string errorBody(const StatementError &error) {
+  return errorBody(AdminError{error.Column, "expected " + error.Expected});
+}
+
+tl::expected<RowSet, AdminError> readRows(std::string_view body) {
+  auto node = parse(body);
+  auto columns = node.is_object() ? textsOf(node, "columns") : std::nullopt;
+  if (!columns || !node.contains("rows") || !node["rows"].is_array())
+    return tl::unexpected(readError(body));
+  RowSet out{std::move(*columns), {}};
+  for (const auto &row : node["rows"])
+    out.Rows.push_back(readRow(row, out.Columns));
+  return out;
+}
+
+std::string changeBody(const ChangeAnswer &answer) {
+  return dump({{"revision", answer.Number}, {"changes", answer.Changes}});
+}
+
+tl::expected<ChangeAnswer, AdminError> readChange(std::string_view body) {
+  auto node = parse(body);
+  auto changes = node.is_object() ? textsOf(node, "changes") : std::nullopt;
+  if (!changes || !node.contains("revision") ||
+      !node["revision"].is_number_unsigned())
+    return tl::unexpected(readError(body));
+  return ChangeAnswer{node["revision"].get<Revision>(), std::move(*changes)};
+}
+
+AdminError readError(std::string_view body) {
+  auto node = parse(body);
+  if (!node.is_object() || !node.contains("error") ||
+      !node["error"].is_object())
+    return {0, "an answer that is not understood: " + std::string(body)};
+  const auto &error = node["error"];
+  auto column = error.find("column");
+  bool numbered = column != error.end() && column->is_number_unsigned();
+  return {numbered ? column->get<std::size_t>() : 0, textOf(error, "message")};
+}
+
+} // namespace hemlockglade::admin_format
--- a/Hemlockglade/Protocol/Protocol.h
+++ b/Hemlockglade/Protocol/Protocol.h
@@ -2,6 +2,7 @@
 
 // The public header of the Protocol layer: what goes over the wire.
 
+#include "Hemlockglade/Protocol/Admin/AdminFormat.h"
 #include "Hemlockglade/Protocol/Endpoint/EngineFormat.h"
 #include "Hemlockglade/Protocol/Message/PeerMessages.h"
 #include "Hemlockglade/Protocol/Platform/PlatformFormat.h"
@@ -11,3 +12,6 @@
 #include "Hemlockglade/Protocol/Settings/NodeSettings.h"
 #include "Hemlockglade/Protocol/Settings/SchemaReader.h"
 #include "Hemlockglade/Protocol/Settings/SettingsFault.h"
+#include "Hemlockglade/Protocol/Statement/FieldValue.h"
+#include "Hemlockglade/Protocol/Statement/Statement.h"
+#include "Hemlockglade/Protocol/Statement/StatementRows.h"
--- /dev/null
+++ b/UnitTests/Protocol/Admin/AdminFormatTest.cpp
@@ -0,0 +1,39 @@
+#include "Hemlockglade/Protocol/Protocol.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hemlockglade;
+
+TEST_CASE("the operators' messages survive the wire", "[admin]") {
+  StatementRequest request{"show loaded where cell = \"\\\"\"", "c-1", "amel"};
+  CHECK(*admin_format::readStatementRequest(
+            admin_format::statementBody(request)) == request);
+  RowSet rows{{"a", "b", "c", "d"},
+              {{"x\"y", std::int64_t{-3}, 0.5, true}, {"", 1L, 2.0, false}}};
+  CHECK(*admin_format::readRows(admin_format::rowsBody(rows)) == rows);
+  ChangeAnswer change{7, {"+ adapter oath-fr"}};
+  CHECK(*admin_format::readChange(admin_format::changeBody(change)) == change);
+}
+
+TEST_CASE("either answer may be an error", "[admin]") {
+  auto statement = parseStatement("show loaded where node = 1");
+  REQUIRE_FALSE(statement);
+  auto body = admin_format::errorBody(statement.error());
+  auto error = admin_format::readRows(body).error();
+  CHECK(error.Column == 19);
+  CHECK_THAT(error.Message, Catch::StartsWith("expected a field: cell"));
+  CHECK(admin_format::readChange(body).error() == error);
+}
+
+TEST_CASE("what is no message is told apart", "[admin]") {
+  auto body =
+      GENERATE("", "x", "[]", "{}", "{\"rows\":1,\"columns\":[1]}",
+               "{\"revision\":-1,\"changes\":[]}", "{\"error\":1}",
+               "{\"statement\":1,\"id\":\"x\"}", "{\"statement\":\"x\"}");
+  INFO(body);
+  CHECK_FALSE(admin_format::readRows(body));
+  CHECK_FALSE(admin_format::readChange(body));
+  CHECK_FALSE(admin_format::readStatementRequest(body));
+  CHECK_THAT(admin_format::readError(body).Message,
+             Catch::Contains("not understood"));
+}
