--- a/Hemlockglade/State/Catalog.h
+++ b/Hemlockglade/State/Catalog.h
@@ -25,6 +25,7 @@
   std::uint32_t Cells = 1;
   /// Base model, for engines.
   std::string BaseModel;
+
   bool operator==(const ServiceConfig &) const = default;
 };
 
@@ -41,6 +42,7 @@
   std::uint32_t Batch = 32;
   /// Whether the endpoint refuses orders with an old fencing number.
   bool ChecksFencing = false;
+
   bool operator==(const ReplicaConfig &) const = default;
 };
 
@@ -51,6 +53,7 @@
   /// The version that a request without a version means.
   std::uint32_t Current = 1;
   std::vector<std::uint32_t> Versions;
+
   bool operator==(const AdapterConfig &) const = default;
 };
 
@@ -63,6 +66,7 @@
   Span Deadline = std::chrono::seconds(30);
   /// Requests of this class that may wait in one cell.
   std::uint32_t QueueLimit = 1000;
+
   bool operator==(const ServiceClass &) const = default;
 };
 
@@ -72,6 +76,7 @@
   /// Where; empty for anywhere.
   std::string FailureDomain;
   std::uint32_t Copies = 1;
+
   bool operator==(const PinConfig &) const = default;
 };
 
@@ -81,6 +86,7 @@
   std::string Adapter;
   /// Failure domains that are allowed.
   std::vector<std::string> FailureDomains;
+
   bool operator==(const PlacementRule &) const = default;
 };
 
@@ -91,12 +97,19 @@
   std::map<std::string, ReplicaConfig> Replicas;
   std::unordered_map<std::string, AdapterConfig> Adapters;
   std::map<std::string, ServiceClass> Classes;
+  /// By `pinName`.
   std::map<std::string, PinConfig> Pins;
+  /// In order: the first rule that fits an adapter is the one that counts.
   std::vector<PlacementRule> Rules;
   /// Replicas that the operators are draining.
   std::map<std::string, bool> Drained;
+
+  bool operator==(const Catalog &) const = default;
 };
 
+/// Name of a pin: `name@version`, and ` in DOMAIN` if it names one.
+std::string pinName(const PinConfig &pin);
+
 /// Name of a service's cell: `service/number`.
 std::string cellName(std::string_view service, std::uint32_t number);
 
