--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -4,4 +4,5 @@
 
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
+#include "Hemlockglade/Coordination/Lease/LeaseRows.h"
 #include "Hemlockglade/Coordination/Table.h"
--- a/UnitTests/Coordination/FakeTable.h
+++ b/UnitTests/Coordination/FakeTable.h
@@ -16,6 +16,9 @@
   double LoseAnswer = 0;
   /// The change does not take effect and no answer comes.
   double LoseRequest = 0;
+  /// No answer comes, and the change takes effect up to MaxLate afterwards.
+  double Late = 0;
+  Span MaxLate = std::chrono::seconds(3);
   /// Longest delay of a request, and of its answer.
   Span MaxDelay = std::chrono::milliseconds(5);
 };
@@ -100,8 +103,10 @@
     return std::uniform_real_distribution<double>(0, 1)(Random) < p;
   }
 
-  Span delay() {
-    auto max = std::max<std::int64_t>(Faults.MaxDelay.count(), 1);
+  Span delay() { return delay(Faults.MaxDelay); }
+
+  Span delay(Span longest) {
+    auto max = std::max<std::int64_t>(longest.count(), 1);
     return Span(std::uniform_int_distribution<std::int64_t>(1, max)(Random));
   }
 
@@ -110,6 +115,13 @@
     bool notSent = chance(Faults.NotSent);
     bool loseRequest = chance(Faults.LoseRequest);
     bool loseAnswer = chance(Faults.LoseAnswer);
+    if (chance(Faults.Late)) {
+      Time.after(delay(Faults.MaxLate), [this, work] {
+        if (!Down)
+          work();
+      });
+      loseRequest = true;
+    }
     Time.after(delay(), [this, notSent, loseRequest, loseAnswer, done, work] {
       if (notSent)
         return done(tl::unexpected(TableError::NotSent));
