--- /dev/null
+++ b/StandIns/StandInCallerMain.cpp
@@ -0,0 +1,327 @@
+// A caller, many requests at a time: asks the directory, keeps the answer for
+// its time to live, sends, reads and checks the whole answer, honours
+// Retry-After, and writes a history. Ends by itself after --requests. With
+// --observe_ms it only looks at the configuration in force, until SIGTERM.
+
+#include "StandIns/AnswerReader.h"
+#include "StandIns/CallerDirectory.h"
+#include "StandIns/CallerPlan.h"
+
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <easylogging++.h>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+
+INITIALIZE_EASYLOGGINGPP
+
+DEFINE_string(name, "caller-1", "name in the history");
+DEFINE_string(history, "", "file to append what happened to, as JSON lines");
+DEFINE_string(nodes_file, "", "file with a node's ip:port in each line");
+DEFINE_string(models, "", "adapters to ask for, most wanted first: a@1,b");
+DEFINE_string(services, "", "plain services to call: a,b");
+DEFINE_int64(requests, 100, "orders to place; copies and retries come on top");
+DEFINE_int32(workers, 8, "orders at a time");
+DEFINE_uint64(seed, 1, "seed of what is asked for");
+DEFINE_int32(pause_ms, 0, "pause of a worker between orders");
+DEFINE_int32(max_tokens, 200, "longest answer");
+DEFINE_int32(max_sends, 6, "sends of one order, copies aside");
+DEFINE_int32(observe_ms, 0, "time between looks at the configuration");
+
+namespace {
+
+using namespace hemlockglade;
+using nlohmann::json;
+
+constexpr Span AnswerTimeout = std::chrono::seconds(90);
+constexpr Span ObserveTimeout = std::chrono::seconds(1);
+constexpr std::int64_t LongestWait = 3;
+
+std::vector<std::string> split(const std::string &text) {
+  std::vector<std::string> out;
+  std::istringstream in(text);
+  for (std::string it; std::getline(in, it, ',');)
+    out.push_back(it);
+  return out;
+}
+
+CallerPlanSettings planSettings() {
+  CallerPlanSettings settings;
+  settings.Name = FLAGS_name;
+  settings.Seed = FLAGS_seed;
+  settings.Models = split(FLAGS_models);
+  settings.Services = split(FLAGS_services);
+  settings.MaxTokens = FLAGS_max_tokens;
+  return settings;
+}
+
+/// One sending of an order.
+struct Sending {
+  CallerOrder Order;
+  /// Which sending of the order this is, from 1.
+  int Attempt = 1;
+  /// Whether this is the copy for another node.
+  bool Copy = false;
+  /// Name that endpoints see; one for all sendings of a keyed order.
+  std::string Tag;
+  /// Name of this sending alone.
+  std::string Id;
+  std::string To;
+  std::optional<AnswerReader> Reader;
+};
+
+class Caller {
+public:
+  explicit Caller(StandIn &host)
+      : Host(host), Client(host.context()),
+        Directory(host, Client, FLAGS_nodes_file), Plan(planSettings()) {}
+
+  void start() {
+    for (int it = 0; it < FLAGS_workers; ++it)
+      next();
+  }
+
+  const std::map<std::string, int> &counts() const { return Counts; }
+
+private:
+  using Shared = std::shared_ptr<Sending>;
+
+  void next() {
+    if (Placed == FLAGS_requests) {
+      ++Idle;
+      return;
+    }
+    ++Placed;
+    auto sending = std::make_shared<Sending>();
+    sending->Order = Plan.next();
+    if (sending->Order.Doubled) {
+      ++Copies;
+      auto copy = std::make_shared<Sending>(*sending);
+      copy->Copy = true;
+      prepare(copy);
+    }
+    prepare(sending);
+  }
+
+  /// Finds out where to send to.
+  void prepare(const Shared &sending) {
+    const auto &order = sending->Order;
+    auto number = FLAGS_name + '-' + std::to_string(order.Number);
+    sending->Id = number + '/' + std::to_string(sending->Attempt) +
+                  (sending->Copy ? "b" : "");
+    sending->Tag = order.Key.empty() ? sending->Id : number;
+    auto query = order.Service.empty() ? "model=" + urlEncode(order.Model)
+                                       : "service=" + urlEncode(order.Service);
+    Directory.find(query, [this, sending](const DirectoryAnswer &answer) {
+      if (answer.Addresses.empty())
+        return end(sending, "nowhere");
+      send(sending, answer);
+    });
+  }
+
+  /// Mostly the first address; copies and some others go elsewhere.
+  std::string choose(const Sending &sending, const DirectoryAnswer &answer) {
+    constexpr double ElsewhereShare = 0.3;
+    const auto &all = answer.Addresses;
+    if (sending.Copy)
+      return all.back();
+    return Plan.chance(ElsewhereShare) ? all[Plan.below(all.size())] : all[0];
+  }
+
+  std::string body(const Sending &sending) const {
+    const auto &order = sending.Order;
+    if (!order.Service.empty())
+      return json{{"user", sending.Tag}, {"seat", order.Number}}.dump();
+    json node{{"model", order.Model},
+              {"stream", order.Stream},
+              {"max_tokens", order.Tokens},
+              {"user", sending.Tag}};
+    if (order.Chat)
+      node["messages"] =
+          json::array({json{{"role", "user"}, {"content", order.Prompt}}});
+    else
+      node["prompt"] = order.Prompt;
+    return node.dump();
+  }
+
+  void send(const Shared &sending, const DirectoryAnswer &answer) {
+    const auto &order = sending->Order;
+    sending->To = choose(*sending, answer);
+    HttpRequest request;
+    request.Method = "POST";
+    request.Timeout = AnswerTimeout;
+    request.Body = body(*sending);
+    request.Fields = {{"Content-Type", "application/json"}};
+    // A kept connection is reused only where a second sending by libcurl
+    // itself does no harm.
+    request.FreshConnection = !order.Key.empty();
+    if (!order.Key.empty()) {
+      request.Fields.emplace_back(header::IdempotencyKey, order.Key);
+      request.Fields.emplace_back(header::Repeatable, "no");
+    }
+    std::string path = order.Chat ? "/v1/chat/completions" : "/v1/completions";
+    if (!order.Service.empty())
+      path = "/services/" + order.Service + "/seats";
+    request.Url = "http://" + sending->To + path;
+    ExpectedAnswer expected{sending->Tag, order.Model, order.Tokens,
+                            order.Stream,
+                            order.Service.empty() ? "" : request.Body};
+    sending->Reader.emplace(std::move(expected));
+    Host.record({{"event", "sent"},
+                 {"sending", sending->Id},
+                 {"tag", sending->Tag},
+                 {"key", order.Key},
+                 {"adapter", order.Model},
+                 {"service", order.Service},
+                 {"to", sending->To},
+                 {"asked_us", answer.AskedAt.count()},
+                 {"ttl_us", answer.TimeToLive.count()}});
+    HttpHooks hooks;
+    hooks.OnHead = [sending](int status, const HttpFields &fields) {
+      sending->Reader->head(status, fields);
+    };
+    hooks.OnPart = [sending](std::string_view text) {
+      sending->Reader->part(text);
+      return true;
+    };
+    hooks.OnDone = [this, sending](const HttpResult &result) {
+      answered(sending, result);
+    };
+    Client.start(std::move(request), std::move(hooks));
+  }
+
+  void answered(const Shared &sending, const HttpResult &result) {
+    auto &reader = *sending->Reader;
+    reader.end(result.Whole);
+    ++Counts[reader.Fault.empty() ? reader.Outcome : "faulty"];
+    Host.record({{"event", "answered"},
+                 {"sending", sending->Id},
+                 {"tag", sending->Tag},
+                 {"key", sending->Order.Key},
+                 {"to", sending->To},
+                 {"outcome", reader.Outcome},
+                 {"status", reader.Status},
+                 {"hash", textHash(reader.Text)},
+                 {"request", reader.Request},
+                 {"adapter", reader.Adapter},
+                 {"replica", reader.Replica},
+                 {"fault", reader.Fault},
+                 {"error", result.Error}});
+    // A node that could not be reached may be gone; what was kept of the
+    // directory runs out by itself.
+    if (!again(*sending))
+      return end(sending, "");
+    auto wait = std::chrono::seconds(std::min(reader.RetryAfter, LongestWait));
+    Host.timers().after(wait + std::chrono::milliseconds(200),
+                        [this, sending](Instant) {
+                          auto retry = std::make_shared<Sending>();
+                          retry->Order = sending->Order;
+                          retry->Copy = sending->Copy;
+                          retry->Attempt = sending->Attempt + 1;
+                          prepare(retry);
+                        });
+  }
+
+  /// Whether a caller would send the order once more.
+  static bool again(const Sending &sending) {
+    const auto &reader = *sending.Reader;
+    constexpr int BadRequest = 400;
+    constexpr int TooMany = 429;
+    bool refused = reader.Status >= BadRequest && reader.Status < TooMany;
+    return reader.Outcome != "complete" && !refused &&
+           sending.Attempt < FLAGS_max_sends;
+  }
+
+  void end(const Shared &sending, const std::string &event) {
+    if (!event.empty())
+      Host.record(
+          {{"event", event}, {"sending", sending->Id}, {"tag", sending->Tag}});
+    if (sending->Copy) {
+      --Copies;
+      return lastOut();
+    }
+    Host.timers().after(std::chrono::milliseconds(FLAGS_pause_ms),
+                        [this](Instant) {
+                          next();
+                          lastOut();
+                        });
+  }
+
+  /// Copies may outlast all workers.
+  void lastOut() {
+    if (Idle == FLAGS_workers && Copies == 0)
+      Host.context().stop();
+  }
+
+  StandIn &Host;
+  HttpClient Client;
+  CallerDirectory Directory;
+  CallerPlan Plan;
+  std::int64_t Placed = 0;
+  int Idle = 0;
+  int Copies = 0;
+  std::map<std::string, int> Counts;
+};
+
+/// Looks at the configuration in force on each node again and again.
+class Observer {
+public:
+  explicit Observer(StandIn &host)
+      : Host(host), Client(host.context()),
+        Directory(host, Client, FLAGS_nodes_file),
+        Round(host.timers().every(std::chrono::milliseconds(FLAGS_observe_ms),
+                                  [this](Instant) { look(); })) {}
+
+private:
+  void look() {
+    for (const auto &node : Directory.nodes()) {
+      HttpRequest request;
+      request.Url = "http://" + node + "/admin/show?what=config";
+      request.Timeout = ObserveTimeout;
+      auto asked = TimerService::now().count();
+      Client.fetch(request, [this, node, asked](const HttpResult &result,
+                                                const std::string &body) {
+        auto parsed = json::parse(body, nullptr, false);
+        if (!result.Whole || result.Status != 200 || !parsed.is_object())
+          return;
+        auto rows = parsed.value("rows", json::array());
+        if (rows.empty())
+          return;
+        Host.record({{"event", "in_force"},
+                     {"to", node},
+                     {"asked_us", asked},
+                     {"revision", rows[0].value("revision", 0)}});
+      });
+    }
+  }
+
+  StandIn &Host;
+  HttpClient Client;
+  CallerDirectory Directory;
+  TimerService::Subscription Round;
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  asio::io_context context(1);
+  StandIn host(context, FLAGS_name, FLAGS_history);
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&context](asio::error_code, int) { context.stop(); });
+  if (FLAGS_observe_ms) {
+    Observer observer(host);
+    context.run();
+    return 0;
+  }
+  Caller caller(host);
+  caller.start();
+  context.run();
+  host.record({{"event", "done"}});
+  std::cout << FLAGS_name << ':';
+  for (const auto &[outcome, n] : caller.counts())
+    std::cout << ' ' << outcome << '=' << n;
+  std::cout << std::endl;
+  return 0;
+}
--- a/StandIns/StandInPlatformMain.cpp
+++ b/StandIns/StandInPlatformMain.cpp
@@ -1,22 +1,37 @@
-// A stand-in for the platform: the table, the host list and the weight store.
-// Operators of a test change it through /control.
-
-#include "StandIn.h"
+// A stand-in for the platform: table, object store, host list, weight store.
+// Faults are set by flags and by /control:
+//
+//   op=O&mode=M      O: row, scan, commit, objects, hosts, weights or all
+//                    M: up, down (breaks the connection), lose (does it, then
+//                       breaks), hang (answers once the mode changes), or
+//                       slow with &slow_ms=N
+//   table=M          the same for row, scan and commit
+//   loads_per_second=X  rate of the weight store
+//   leaving=NAME, back=NAME   what the host list says, after its lag
+
+#include "StandIns/StandIn.h"
 
 #include <list>
 #include <set>
 
 DEFINE_string(name, "platform", "name in the history");
 DEFINE_double(loads_per_second, 3.0, "rate of the weight store");
+DEFINE_int32(host_lag_ms, 0, "lag of the host list");
 
 namespace {
 
 using namespace hemlockglade;
 
+/// How an operation fails.
+struct OperationMode {
+  std::string Name = "up";
+  std::int64_t SlowMs = 0;
+};
+
 class Platform {
 public:
   explicit Platform(StandIn &host)
-      : Host(host),
+      : Host(host), LoadsPerSecond(FLAGS_loads_per_second),
         Step(host.timers().every(StepInterval,
                                  [this](Instant now) { serveWeights(now); })),
         LastStep(TimerService::now()) {}
@@ -24,13 +39,17 @@
   void onHttp(const HttpIncoming &in, const std::shared_ptr<HttpReply> &reply) {
     if (in.Path == "/control")
       return control(in, *reply);
-    if (in.Path.starts_with("/table/"))
-      return table(in, reply);
-    if (in.Path == "/hosts")
-      return reply->sendWhole(200, {}, hostListBody(Hosts));
-    if (in.Path == "/weights")
-      return Fetches.push_back({reply, 1.0});
-    reply->sendWhole(404, {}, "");
+    auto name = operationOf(in.Path);
+    const auto &mode = Modes[name];
+    if (mode.Name == "down")
+      return breakReply(*reply);
+    if (mode.Name == "hang")
+      return Hanging.push_back({in, reply});
+    if (mode.Name != "slow")
+      return serve(name, in, reply);
+    Host.timers().after(
+        std::chrono::milliseconds(mode.SlowMs),
+        [this, name, in, reply](Instant) { serve(name, in, reply); });
   }
 
 private:
@@ -42,37 +61,110 @@
     double Left = 1.0;
   };
 
+  static std::string operationOf(const std::string &path) {
+    if (path.starts_with("/objects/"))
+      return "objects";
+    if (path.starts_with("/table/"))
+      return path.substr(std::string_view("/table/").size());
+    return path.substr(1);
+  }
+
+  void serve(const std::string &name, const HttpIncoming &in,
+             const std::shared_ptr<HttpReply> &reply) {
+    if (name == "row")
+      return row(in, *reply);
+    if (name == "scan")
+      return reply->sendWhole(200, {}, scan(queryValue(in.Query, "prefix")));
+    if (name == "commit")
+      return commit(in, *reply);
+    if (name == "objects")
+      return object(in, *reply);
+    if (name == "hosts")
+      return reply->sendWhole(200, {}, hostListBody(Hosts));
+    if (name == "weights")
+      return Fetches.push_back({reply, 1.0});
+    reply->sendWhole(404, {}, "");
+  }
+
   void control(const HttpIncoming &in, HttpReply &reply) {
     auto table = queryValue(in.Query, "table");
-    if (!table.empty())
-      TableMode = table;
-    auto leaving = queryValue(in.Query, "leaving");
-    if (!leaving.empty())
-      Hosts.push_back({leaving, "", true});
-    auto back = queryValue(in.Query, "back");
-    std::erase_if(Hosts, [&](const auto &it) { return it.Name == back; });
+    if (!table.empty()) {
+      for (const char *name : {"row", "scan", "commit"})
+        setMode(name, {table, queryNumber(in, "slow_ms", 0)});
+    }
+    OperationMode mode{queryValue(in.Query, "mode"),
+                       queryNumber(in, "slow_ms", 0)};
+    auto operation = queryValue(in.Query, "op");
+    for (const char *name :
+         {"row", "scan", "commit", "objects", "hosts", "weights"}) {
+      if (operation == name || operation == "all")
+        setMode(name, mode);
+    }
+    auto rate = queryValue(in.Query, "loads_per_second");
+    if (!rate.empty())
+      LoadsPerSecond = std::atof(rate.c_str());
+    for (const char *word : {"leaving", "back"}) {
+      auto name = queryValue(in.Query, word);
+      if (!name.empty())
+        list(name, std::string_view(word) == "leaving");
+    }
     Host.record({{"event", "control"}, {"query", in.Query}});
     reply.sendWhole(200, {}, "ok\n");
   }
 
-  void table(const HttpIncoming &in, const std::shared_ptr<HttpReply> &reply) {
-    if (TableMode == "down")
-      return reply->abort();
-    if (in.Path == "/table/row") {
-      auto it = Rows.find(queryValue(in.Query, "key"));
-      if (it == Rows.end())
-        return reply->sendWhole(404, {}, "");
-      return reply->sendWhole(200, {}, platform_format::rowBody(it->second));
-    }
-    if (in.Path == "/table/scan")
-      return reply->sendWhole(200, {}, scan(queryValue(in.Query, "prefix")));
+  void setMode(const std::string &name, const OperationMode &mode) {
+    bool answered = Modes[name].Name == "up";
+    bool answers = mode.Name == "up";
+    Modes[name] = mode;
+    if (name == "hosts" && answered != answers)
+      Host.record({{"event", answers ? "answering" : "silent"},
+                   {"endpoint", "platform"}});
+    auto hanging = std::exchange(Hanging, {});
+    for (auto &[in, reply] : hanging)
+      onHttp(in, reply);
+  }
+
+  /// Changes the host list once its lag is over.
+  void list(const std::string &name, bool leaving) {
+    Host.timers().after(
+        std::chrono::milliseconds(FLAGS_host_lag_ms),
+        [this, name, leaving](Instant) {
+          std::erase_if(Hosts, [&](const auto &it) { return it.Name == name; });
+          if (leaving)
+            Hosts.push_back({name, "", true});
+          Host.record(
+              {{"event", "listed"}, {"endpoint", name}, {"leaving", leaving}});
+        });
+  }
+
+  void row(const HttpIncoming &in, HttpReply &reply) {
+    auto it = Rows.find(queryValue(in.Query, "key"));
+    if (Modes["row"].Name == "lose")
+      return breakReply(reply);
+    if (it == Rows.end())
+      return reply.sendWhole(404, {}, "");
+    reply.sendWhole(200, {}, platform_format::rowBody(it->second));
+  }
+
+  void commit(const HttpIncoming &in, HttpReply &reply) {
     auto transaction = platform_format::readCommit(in.Body);
     if (!transaction)
-      return reply->sendWhole(400, {}, transaction.error().Text);
+      return reply.sendWhole(400, {}, transaction.error().Text);
     bool done = Seen.contains(transaction->AttemptId) || commit(*transaction);
-    if (TableMode == "lose")
-      return reply->abort();
-    reply->sendWhole(done ? 200 : 409, {}, done ? "{}" : "conflict");
+    if (Modes["commit"].Name == "lose")
+      return breakReply(reply);
+    reply.sendWhole(done ? 200 : 409, {}, done ? "{}" : "conflict");
+  }
+
+  void object(const HttpIncoming &in, HttpReply &reply) {
+    if (in.Method == "PUT")
+      Objects[in.Path] = in.Body;
+    if (Modes["objects"].Name == "lose")
+      return breakReply(reply);
+    auto it = Objects.find(in.Path);
+    if (it == Objects.end())
+      return reply.sendWhole(404, {}, "");
+    reply.sendWhole(200, {}, in.Method == "GET" ? it->second : "");
   }
 
   std::string scan(const std::string &prefix) const {
@@ -106,7 +198,7 @@
     if (Fetches.empty())
       return;
     double share =
-        seconds * FLAGS_loads_per_second / static_cast<double>(Fetches.size());
+        seconds * LoadsPerSecond / static_cast<double>(Fetches.size());
     for (auto it = Fetches.begin(); it != Fetches.end();) {
       it->Left -= share;
       if (it->Left > 0) {
@@ -119,9 +211,12 @@
   }
 
   StandIn &Host;
+  double LoadsPerSecond;
   TimerService::Subscription Step;
   Instant LastStep;
-  std::string TableMode = "up";
+  std::map<std::string, OperationMode> Modes;
+  std::vector<std::pair<HttpIncoming, std::shared_ptr<HttpReply>>> Hanging;
+  std::map<std::string, std::string> Objects;
   std::map<std::string, TableRow> Rows;
   std::set<std::string> Seen;
   std::vector<HostEntry> Hosts;
--- a/StandIns/StandInServiceMain.cpp
+++ b/StandIns/StandInServiceMain.cpp
@@ -1,6 +1,12 @@
-// A stand-in for a plain service: it answers with what it was sent.
+// A stand-in for a plain service: it answers with what it was sent. Faults by
+// /control:
+//
+//   cut_before=N   break the connection of the next N calls, not running them
+//   cut_after=N    run the next N calls, then break the connection
+//   refuse=N       refuse the next N calls before running them (503)
+//   work_ms=N      time that a call takes
 
-#include "StandIn.h"
+#include "StandIns/StandIn.h"
 
 DEFINE_string(name, "service-1", "name of the replica");
 DEFINE_int32(work_ms, 5, "time that a call takes, in milliseconds");
@@ -8,29 +14,92 @@
 namespace {
 
 using namespace hemlockglade;
+using nlohmann::json;
+
+/// Takes one from a fault's count.
+bool take(std::int64_t &n) { return n > 0 && n--; }
+
+/// One call that is being worked on.
+struct Call {
+  std::uint64_t Run = 0;
+  std::string Tag;
+  std::string Answer;
+  bool Cut = false;
+  bool Gone = false;
+  std::shared_ptr<HttpReply> Reply;
+};
 
 class Service {
 public:
-  explicit Service(StandIn &host) : Host(host) {}
+  explicit Service(StandIn &host) : Host(host), WorkMs(FLAGS_work_ms) {
+    Host.record({{"event", "started"}, {"incarnation", newStandInId()}});
+  }
 
   void onHttp(const HttpIncoming &in, const std::shared_ptr<HttpReply> &reply) {
-    auto id = in.field(header::RequestId).value_or("");
+    if (in.Path == "/control")
+      return control(in, *reply);
+    if (take(CutBefore)) {
+      Host.record({{"event", "cut_before"}});
+      return breakReply(*reply);
+    }
+    auto body = json::parse(in.Body, nullptr, false);
+    auto call = std::make_shared<Call>();
+    call->Tag = body.is_object() ? body.value("user", "") : "";
+    if (take(Refuse)) {
+      Host.record({{"event", "refused"}, {"tag", call->Tag}});
+      return reply->sendWhole(503, {}, errorBody("refused", "not now"));
+    }
+    call->Run = ++LastRun;
+    call->Cut = take(CutAfter);
+    call->Reply = reply;
+    call->Answer =
+        json{{"service", FLAGS_name}, {"path", in.Path}, {"echo", in.Body}}
+            .dump() +
+        '\n';
     Host.record({{"event", "ran"},
-                 {"request", id},
+                 {"run", call->Run},
+                 {"tag", call->Tag},
+                 {"request", in.field(header::RequestId).value_or("")},
+                 {"attempt", in.field(header::Attempt).value_or("")},
                  {"key", in.field(header::IdempotencyKey).value_or("")}});
-    Host.timers().after(
-        std::chrono::milliseconds(FLAGS_work_ms),
-        [this, reply, id, path = in.Path, body = in.Body](Instant) {
-          Host.record({{"event", "answered"}, {"request", id}});
-          nlohmann::json node{
-              {"service", FLAGS_name}, {"path", path}, {"echo", body}};
-          reply->sendWhole(200, {{"Content-Type", "application/json"}},
-                           node.dump() + "\n");
-        });
+    reply->onGone([call] { call->Gone = true; });
+    Host.timers().after(std::chrono::milliseconds(WorkMs),
+                        [this, call](Instant) { end(*call); });
   }
 
 private:
+  void control(const HttpIncoming &in, HttpReply &reply) {
+    CutBefore = queryNumber(in, "cut_before", CutBefore);
+    CutAfter = queryNumber(in, "cut_after", CutAfter);
+    Refuse = queryNumber(in, "refuse", Refuse);
+    WorkMs = queryNumber(in, "work_ms", WorkMs);
+    Host.record({{"event", "control"}, {"query", in.Query}});
+    reply.sendWhole(200, {}, "ok\n");
+  }
+
+  /// A call that has begun is run to its end, whether or not its caller stays.
+  void end(Call &call) {
+    Host.record({{"event", call.Cut    ? "cut"
+                           : call.Gone ? "cancelled"
+                                       : "finished"},
+                 {"run", call.Run},
+                 {"tag", call.Tag},
+                 {"whole", !call.Cut && !call.Gone},
+                 {"hash", textHash(call.Answer)}});
+    if (call.Cut)
+      breakReply(*call.Reply);
+    else
+      call.Reply->sendWhole(200, {{"Content-Type", "application/json"}},
+                            call.Answer);
+    call.Reply.reset();
+  }
+
   StandIn &Host;
+  std::int64_t CutBefore = 0;
+  std::int64_t CutAfter = 0;
+  std::int64_t Refuse = 0;
+  std::int64_t WorkMs;
+  std::uint64_t LastRun = 0;
 };
 
 } // namespace
