--- /dev/null
+++ b/Bench/Path/LoadClient.cpp
@@ -0,0 +1,182 @@
+#include "LoadClient.h"
+
+#include "WireReader.h"
+
+#include <asio/connect.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+
+namespace hemlockglade::bench {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+std::int64_t nowNs() { return Clock::now().time_since_epoch().count(); }
+
+/// The number after `mark`, or -1.
+std::int64_t numberAfter(std::string_view line, std::string_view mark) {
+  auto at = line.find(mark);
+  if (at == std::string_view::npos)
+    return -1;
+  std::int64_t n = -1;
+  std::from_chars(line.data() + at + mark.size(), line.data() + line.size(), n);
+  return n;
+}
+
+} // namespace
+
+/// One kept connection to the target.
+class LoadClient::Connection : public std::enable_shared_from_this<Connection> {
+public:
+  explicit Connection(LoadClient &client)
+      : Client(client), Socket(client.Context) {
+    Reader.OnLine = [this](std::string_view line) { onLine(line); };
+  }
+
+  void send(const std::string &body) {
+    Request = "POST /v1/completions HTTP/1.1\r\nHost: bench\r\n"
+              "Content-Type: application/json\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body;
+    Reader.reset();
+    Events = 0;
+    Done = false;
+    Busy = true;
+    if (Socket.is_open())
+      return write();
+    Socket.async_connect(Client.Target.Address,
+                         [self = shared_from_this()](asio::error_code ec) {
+                           if (ec)
+                             return self->fail();
+                           asio::ip::tcp::no_delay option(true);
+                           self->Socket.set_option(option);
+                           self->write();
+                           self->read();
+                         });
+  }
+
+  void shut() {
+    asio::error_code ec;
+    Socket.close(ec);
+  }
+
+private:
+  void write() {
+    SentAt = nowNs();
+    asio::async_write(
+        Socket, asio::buffer(Request),
+        [self = shared_from_this()](asio::error_code ec, std::size_t) {
+          if (ec)
+            self->fail();
+        });
+  }
+
+  void read() {
+    Socket.async_read_some(
+        asio::buffer(Buffer),
+        [self = shared_from_this()](asio::error_code ec, std::size_t n) {
+          if (ec)
+            return self->fail();
+          self->ArrivedAt = nowNs();
+          self->Reader.take({self->Buffer.data(), n});
+          self->look();
+          if (self->Socket.is_open())
+            self->read();
+        });
+  }
+
+  void look() {
+    if (Reader.state() == WireReader::State::Broken)
+      return fail();
+    if (Reader.state() != WireReader::State::Whole || !Busy)
+      return;
+    Busy = false;
+    bool whole =
+        Done && Reader.status() == 200 && Events == Client.Target.Tokens;
+    Client.Idle.push_back(shared_from_this());
+    Client.count(whole);
+  }
+
+  void onLine(std::string_view line) {
+    if (line == "data: [DONE]") {
+      Done = true;
+      return;
+    }
+    auto sent = numberAfter(line, "\"t\":");
+    if (sent < 0)
+      return;
+    bool inOrder = numberAfter(line, "\"text\":\"word") ==
+                   static_cast<std::int64_t>(Events);
+    if (inOrder)
+      ++Events;
+    Client.Seen.fetch_add(1, std::memory_order_relaxed);
+    if (Events == 1)
+      Client.Result.First.push_back(
+          static_cast<std::uint32_t>(ArrivedAt - SentAt));
+    else
+      Client.Result.Delay.push_back(
+          static_cast<std::uint32_t>(ArrivedAt - sent));
+  }
+
+  void fail() {
+    shut();
+    if (std::exchange(Busy, false))
+      Client.count(false);
+  }
+
+  LoadClient &Client;
+  asio::ip::tcp::socket Socket;
+  std::array<char, 16384> Buffer;
+  WireReader Reader;
+  std::string Request;
+  std::int64_t SentAt = 0;
+  std::int64_t ArrivedAt = 0;
+  std::size_t Events = 0;
+  bool Done = false;
+  bool Busy = false;
+};
+
+LoadClient::LoadClient(asio::io_context &context, const LoadTarget &target,
+                       std::atomic<std::uint64_t> &seen)
+    : Context(context), Target(target), Seen(seen), Timer(context) {}
+
+LoadClient::~LoadClient() = default;
+
+void LoadClient::run(std::size_t count, std::chrono::nanoseconds gap,
+                     std::chrono::nanoseconds phase) {
+  Left = count;
+  Open = count;
+  Gap = gap;
+  Timer.expires_after(phase);
+  sendNext();
+}
+
+void LoadClient::count(bool whole) {
+  ++(whole ? Result.Whole : Result.Failed);
+  if (--Open)
+    return;
+  for (auto &connection : std::exchange(Idle, {}))
+    connection->shut();
+}
+
+void LoadClient::sendNext() {
+  if (Left == 0)
+    return;
+  Timer.async_wait([this](asio::error_code ec) {
+    if (ec)
+      return;
+    --Left;
+    std::shared_ptr<Connection> connection;
+    while (!connection && !Idle.empty()) {
+      connection = std::move(Idle.back());
+      Idle.pop_back();
+    }
+    if (!connection)
+      connection = std::make_shared<Connection>(*this);
+    connection->send(Target.Bodies[Turn++ % Target.Bodies.size()]);
+    Timer.expires_at(Timer.expiry() + Gap);
+    sendNext();
+  });
+}
+
+} // namespace hemlockglade::bench
