--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -93,12 +93,22 @@
   return key;
 }
 
-void CellRunner::finish(RequestKey request) {
+void CellRunner::finish(RequestKey request, Outcome outcome) {
+  ReplicaKey doubted = 0;
+  std::string address;
   {
     std::lock_guard lock(Mutex);
-    Requests.erase(request);
+    auto it = Requests.find(request);
+    if (it != Requests.end()) {
+      if (outcome == Outcome::NotRun)
+        doubted = it->second.Replica;
+      address = Replicas[doubted].Config.Address;
+      Requests.erase(it);
+    }
   }
   drive(RequestFinished{request});
+  if (doubted)
+    askReport(doubted, address);
 }
 
 void CellRunner::setLeaving(const std::vector<std::string> &replicas) {
@@ -146,10 +156,14 @@
     }
   }
   for (const auto &[key, address] : asked)
-    Engines.report(address, [weak = weak_from_this(), key = key](auto report) {
-      if (auto self = weak.lock())
-        self->takeReport(key, report);
-    });
+    askReport(key, address);
+}
+
+void CellRunner::askReport(ReplicaKey replica, const std::string &address) {
+  Engines.report(address, [weak = weak_from_this(), replica](auto report) {
+    if (auto self = weak.lock())
+      self->takeReport(replica, report);
+  });
 }
 
 void CellRunner::takeReport(ReplicaKey replica,
@@ -189,7 +203,7 @@
     std::visit([&](const auto &it) { apply(it, deferred); }, action);
 }
 
-void CellRunner::apply(const Admit &action, Deferred &deferred) {
+void CellRunner::apply(const Admit &action, Deferred &) {
   auto it = Requests.find(action.Request);
   if (it == Requests.end())
     return;
@@ -206,11 +220,11 @@
             << " reason=" << reasonName(action.Why)
             << " queue=" << Core.waiting() << " epoch=" << Fence
             << " cell=" << Cell << " stall_us=" << reply.LoadStallUs;
-  deferred.push_back(
-      [call = std::move(it->second.Reply), reply] { call(reply); });
+  it->second.Replica = action.Replica;
+  Hooks.Post([call = std::move(it->second.Reply), reply] { call(reply); });
 }
 
-void CellRunner::apply(const Refuse &action, Deferred &deferred) {
+void CellRunner::apply(const Refuse &action, Deferred &) {
   auto it = Requests.find(action.Request);
   if (it == Requests.end())
     return;
@@ -222,8 +236,7 @@
             << " adapter=" << it->second.Adapter << " reason=" << reply.Reason
             << " queue=" << Core.waiting() << " epoch=" << Fence
             << " cell=" << Cell;
-  deferred.push_back(
-      [call = std::move(it->second.Reply), reply] { call(reply); });
+  Hooks.Post([call = std::move(it->second.Reply), reply] { call(reply); });
   Requests.erase(it);
 }
 
