The decision core, indexed: queues, load turn, eviction, placement, routing

Cause: the first core scanned every queue and every resident for each event, ordered loads by adapter number, evicted by last use without looking at the engine's report, pins, residency or leases, and held hopeless requests until their deadline. Ruled out: one class with everything (no part could be measured or replaced alone); a hash map walked for decisions (its order would leak into them). Change: small classes with one job each. DemandEstimate (decayed counts with an order that time does not change), EvictionPolicy, LoadTurn, LoadPlanner, ReplicaBook, ReplicaChooser, PrefixIndex, RetryBudget, WaitQueues, and three that use them: RequestDesk, ResidencyTracker, OrderPlanner. Orders carry numbers, answers may be unknown, and engines may be measured; all new fields have defaults. Conclusion: a base to measure on; no figure about stalls is claimed yet.

--- a/Hemlockglade/Coordination/Decision/CellCore.h
+++ b/Hemlockglade/Coordination/Decision/CellCore.h
@@ -1,59 +1,29 @@
 #pragma once
 
-#include "Hemlockglade/Coordination/Decision/CoreTypes.h"
-
-#include <deque>
-#include <map>
-#include <unordered_map>
+#include "Hemlockglade/Coordination/Decision/OrderPlanner.h"
+#include "Hemlockglade/Coordination/Decision/RequestDesk.h"
+#include "Hemlockglade/Coordination/Decision/ResidencyTracker.h"
 
 namespace hemlockglade {
 
-/// Bounds and weights of the decisions in one cell.
-struct CellCoreSettings {
-  /// Requests that may wait in the cell.
-  std::uint32_t QueueLimit = 2000;
-};
-
 /// The decisions of a cell's owner: which requests go where and when, and
 /// which adapters are loaded where. It has no clock, no sockets and no
 /// threads: the same events at the same times give the same actions.
 class CellCore {
 public:
-  explicit CellCore(const CellCoreSettings &settings);
+  explicit CellCore(const CellCoreSettings &settings, CellCoreHooks hooks = {});
+  CellCore(const CellCore &) = delete;
+  CellCore &operator=(const CellCore &) = delete;
 
   /// Takes in one event; what is to be done is appended to `actions`.
   void handle(const Event &event, Instant now, std::vector<Action> &actions);
 
   /// Requests that wait for a slot or a load.
-  std::size_t waiting() const;
+  std::size_t waiting() const { return State.Queues.size(); }
   /// Requests that run.
-  std::size_t running() const { return Running.size(); }
+  std::size_t running() const { return State.Running.size(); }
 
 private:
-  struct Waiting {
-    RequestKey Request = 0;
-    Instant Deadline{};
-    Instant Since{};
-    bool Stalled = false;
-  };
-  struct Resident {
-    std::uint32_t Running = 0;
-    Instant LastUsed{};
-    bool Loading = false;
-    bool Leaving = false;
-  };
-  struct Replica {
-    ReplicaAdded Properties;
-    bool Draining = false;
-    std::uint64_t Incarnation = 0;
-    std::uint32_t Running = 0;
-    std::map<AdapterKey, Resident> Adapters;
-  };
-  struct Placed {
-    AdapterKey Adapter = NoAdapter;
-    ReplicaKey Where = 0;
-  };
-
   void on(const RequestArrived &event);
   void on(const RequestFinished &event);
   void on(const RequestAdopted &event);
@@ -72,21 +42,12 @@
   void on(const OperatorLoad &event);
   void on(const Tick &event);
 
-  void serveQueues();
-  void serveQueue(AdapterKey adapter, std::deque<Waiting> &queue);
-  void startLoads();
-  bool makeRoom(AdapterKey adapter);
-  Replica *leastLoadedHolder(AdapterKey adapter, ReplicaKey &key);
+  void serveAllOn(ReplicaKey replica);
 
-  CellCoreSettings Settings;
-  Instant Now{};
-  std::vector<Action> *Out = nullptr;
-  LeaseMode Mode = LeaseMode::None;
-  std::uint32_t ParallelLoads = 1;
-  std::uint32_t LoadsRunning = 0;
-  std::map<ReplicaKey, Replica> Replicas;
-  std::map<AdapterKey, std::deque<Waiting>> Queues;
-  std::unordered_map<RequestKey, Placed> Running;
+  CellState State;
+  RequestDesk Desk;
+  ResidencyTracker Residency;
+  OrderPlanner Orders;
 };
 
 } // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Decision/CellState.cpp
@@ -0,0 +1,157 @@
+#include "Hemlockglade/Coordination/Decision/CellState.h"
+
+#include <algorithm>
+
+namespace hemlockglade {
+
+namespace {
+
+constexpr std::size_t MostLost = 256;
+
+} // namespace
+
+CellState::CellState(const CellCoreSettings &settings, CellCoreHooks hooks)
+    : Settings(settings), Adapters(&Memory), Book(Adapters),
+      Demand(settings.Demand),
+      Eviction(settings.Eviction, std::move(hooks.Eviction), Demand, &Memory),
+      Queues(settings.Queues, &Memory), Planner(settings.Loads, &Memory),
+      Turn(settings.Turn), Chooser(settings.Routing, settings.Objective, Book),
+      Running(&Memory), Backoffs(&Memory), PinsToCheck(&Memory), Lost(&Memory) {
+}
+
+bool CellState::serves(ReplicaKey replica, const ActiveAdapter &active) {
+  auto *found = Book.find(replica);
+  if (!found || !Chooser.serves(*found, active))
+    return false;
+  auto *resident = Book.resident(*found, active.Key);
+  return resident && resident->State == Hold::Loaded;
+}
+
+std::uint32_t CellState::servers(const ActiveAdapter &active) {
+  std::uint32_t n = 0;
+  for (ReplicaKey it : active.Holders) {
+    if (serves(it, active))
+      ++n;
+  }
+  return n;
+}
+
+bool CellState::isLoading(const ActiveAdapter &active) {
+  for (ReplicaKey it : active.Holders) {
+    auto *resident = Book.resident(Book.obtain(it), active.Key);
+    if (resident->State == Hold::Loading)
+      return true;
+  }
+  return false;
+}
+
+std::size_t CellState::freeSlots() {
+  std::size_t n = 0;
+  for (const auto &it : Book.all()) {
+    if (it.Present && !it.Draining && it.hasFreeSlot())
+      n += it.Properties.Slots - it.Adapters.size();
+  }
+  return n;
+}
+
+void CellState::setState(Replica &replica, Resident &resident, Hold state) {
+  resident.State = state;
+  resident.ChangedAt = Now;
+  resident.SettledAfter = Now;
+  replica.OrderAt = Now;
+  refresh(resident.Adapter);
+  auto *active = Adapters.find(resident.Adapter);
+  replan(*active);
+  if (!active->Pins.empty())
+    PinsToCheck.insert(active->Key);
+}
+
+void CellState::setUncertain(Replica &replica, Resident &resident) {
+  setState(replica, resident, Hold::Uncertain);
+  resident.SettledAfter = Now + Settings.Eviction.UncertainFor;
+}
+
+void CellState::strike(Replica &replica, AdapterKey adapter) {
+  auto *resident = Book.resident(replica, adapter);
+  Eviction.forget(replica, *resident);
+  Book.remove(replica, adapter);
+  replica.OrderAt = Now;
+  auto *active = Adapters.find(adapter);
+  if (active->Holders.empty())
+    noteLost(adapter);
+  refresh(adapter);
+  replan(*active);
+  if (!active->Pins.empty())
+    PinsToCheck.insert(adapter);
+  Adapters.release(adapter);
+}
+
+void CellState::refresh(AdapterKey adapter) {
+  auto *active = Adapters.find(adapter);
+  if (!active)
+    return;
+  bool copies = active->Holders.size() > 1;
+  for (ReplicaKey it : active->Holders) {
+    auto &replica = Book.obtain(it);
+    Eviction.refresh(replica, *Book.resident(replica, adapter), copies);
+  }
+}
+
+void CellState::replan(ActiveAdapter &active) {
+  if (active.Queue.empty() || active.Key == NoAdapter ||
+      active.NotBefore > Now || isLoading(active))
+    return Planner.leave(active);
+  std::uint32_t n = servers(active);
+  bool copy = n != 0;
+  if (copy && (active.Queue.size() < Settings.Placement.CopyAfter ||
+               n >= Settings.Placement.MostCopies))
+    return Planner.leave(active);
+  const auto *head = Queues.find(active.Queue.begin()->Request);
+  Planner.enter(active, head->Arrival.Priority, copy);
+}
+
+void CellState::replanAll(Replica &replica) {
+  for (const auto &it : replica.Adapters) {
+    auto *active = Adapters.find(it.Adapter);
+    replan(*active);
+    if (!active->Pins.empty())
+      PinsToCheck.insert(it.Adapter);
+  }
+}
+
+std::uint64_t CellState::openOrder(const Replica &replica, Resident &resident,
+                                   bool isLoad) {
+  resident.Order = ++LastOrder;
+  resident.OrderedLoad = isLoad;
+  if (isLoad)
+    resident.LoadOrderedAt = Now;
+  resident.WasUncertain = resident.State == Hold::Uncertain;
+  resident.Restarted = false;
+  Orders.push_back({replica.Key, resident.Adapter, LastOrder, Now, isLoad});
+  if (isLoad)
+    Turn.started();
+  return LastOrder;
+}
+
+std::optional<OpenOrder> CellState::closeOrder(std::uint64_t order) {
+  auto it = std::find_if(
+      Orders.begin(), Orders.end(),
+      [order](const OpenOrder &open) { return open.Order == order; });
+  if (it == Orders.end())
+    return std::nullopt;
+  OpenOrder open = *it;
+  Orders.erase(it);
+  if (open.IsLoad)
+    Turn.dropped();
+  return open;
+}
+
+void CellState::noteLost(AdapterKey adapter) {
+  if (!Settings.Placement.Prefetch)
+    return;
+  Lost.insert({Demand.order(adapter), adapter});
+  if (Lost.size() > MostLost)
+    Lost.erase(Lost.begin());
+}
+
+} // namespace hemlockglade
--- a/Hemlockglade/Coordination/Decision/CoreTypes.h
+++ b/Hemlockglade/Coordination/Decision/CoreTypes.h
@@ -93,11 +93,18 @@
 struct LoadDone {
   ReplicaKey Replica = 0;
   AdapterKey Adapter = NoAdapter;
+  /// Number of the order that this answers; 0 if the driver keeps none.
+  std::uint64_t Order = 0;
 };
 
+/// A load order came to nothing.
 struct LoadFailed {
   ReplicaKey Replica = 0;
   AdapterKey Adapter = NoAdapter;
+  /// Number of the order that this answers; 0 if the driver keeps none.
+  std::uint64_t Order = 0;
+  /// No answer came: the adapter may be there, now or in a while.
+  bool Unknown = false;
 };
 
 /// An engine answered an evict order. If it refused, the adapter is still
@@ -106,6 +113,10 @@
   ReplicaKey Replica = 0;
   AdapterKey Adapter = NoAdapter;
   bool Refused = false;
+  /// Number of the order that this answers; 0 if the driver keeps none.
+  std::uint64_t Order = 0;
+  /// No answer came: the adapter may be there or not.
+  bool Unknown = false;
 };
 
 /// A replica that may get work, or whose properties changed.
@@ -115,6 +126,9 @@
   std::uint32_t Slots = 8;
   std::uint32_t Batch = 32;
   bool ChecksFencing = false;
+  /// Measured: requests at once that it serves at full speed; 0 if not
+  /// measured, then the batch stands for it.
+  double Capacity = 0;
 };
 
 struct ReplicaRemoved {
@@ -210,12 +224,16 @@
   ReplicaKey Replica = 0;
   AdapterKey Adapter = NoAdapter;
   Reason Why = Reason::Demand;
+  /// Number of this order, to be handed back with its answer.
+  std::uint64_t Order = 0;
 };
 
 struct Evict {
   ReplicaKey Replica = 0;
   AdapterKey Adapter = NoAdapter;
   Reason Why = Reason::MakeRoom;
+  /// Number of this order, to be handed back with its answer.
+  std::uint64_t Order = 0;
 };
 
 struct CancelLoad {
