The daemon hands order numbers back and tells unknown results from failures

Cause: the core took every missing answer for a failed load or a refused eviction, so it could free a slot that is in use. Change: CellRunner passes the order's number and the Unknown flag on.

--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -234,22 +234,23 @@
             << " reason=" << reasonName(action.Why)
             << " queue=" << Core.waiting() << " epoch=" << Fence
             << " cell=" << Cell;
-  deferred.push_back(
-      [self = shared_from_this(), action, address = replica.Address, adapter] {
-        auto ticket = self->Engines.load(
-            address, adapter, self->Fence, [self, action](OrderResult result) {
-              {
-                std::lock_guard lock(self->Mutex);
-                self->Loads.erase({action.Replica, action.Adapter});
-              }
-              if (result == OrderResult::Done)
-                self->drive(LoadDone{action.Replica, action.Adapter});
-              else
-                self->drive(LoadFailed{action.Replica, action.Adapter});
-            });
-        std::lock_guard lock(self->Mutex);
-        self->Loads[{action.Replica, action.Adapter}] = ticket;
-      });
+  deferred.push_back([self = shared_from_this(), action,
+                      address = replica.Address, adapter] {
+    auto ticket = self->Engines.load(
+        address, adapter, self->Fence, [self, action](OrderResult result) {
+          {
+            std::lock_guard lock(self->Mutex);
+            self->Loads.erase({action.Replica, action.Adapter});
+          }
+          if (result == OrderResult::Done)
+            return self->drive(
+                LoadDone{action.Replica, action.Adapter, action.Order});
+          self->drive(LoadFailed{action.Replica, action.Adapter, action.Order,
+                                 result == OrderResult::Unknown});
+        });
+    std::lock_guard lock(self->Mutex);
+    self->Loads[{action.Replica, action.Adapter}] = ticket;
+  });
 }
 
 void CellRunner::apply(const Evict &action, Deferred &deferred) {
@@ -263,11 +264,14 @@
       [self = shared_from_this(), action, address = replica.Address, adapter] {
         // The lease is looked at again right before the order leaves.
         if (!self->Hooks.Holds())
-          return self->drive(EvictDone{action.Replica, action.Adapter, true});
+          return self->drive(
+              EvictDone{action.Replica, action.Adapter, true, action.Order});
         self->Engines.unload(
             address, adapter, self->Fence, [self, action](OrderResult result) {
-              bool refused = result != OrderResult::Done;
-              self->drive(EvictDone{action.Replica, action.Adapter, refused});
+              bool unknown = result == OrderResult::Unknown;
+              bool refused = result != OrderResult::Done && !unknown;
+              self->drive(EvictDone{action.Replica, action.Adapter, refused,
+                                    action.Order, unknown});
             });
       });
 }
