Claims of requests that must not repeat

Cause: a request that must not repeat needs one row that says who may run it, found again when the table's answer was lost. Ruled out: a repeat after an ambiguous answer without reading back; taking a conflict of a group as a conflict of each of its claims. Change: ClaimBook (insert if absent with an attempt id, read back, last try alone, outcomes with bounded retries, cleaning by slices), GroupCommit; a key recorded as not run may be claimed again; the fake table can stop comparing. One fault found was in the fake table (a late write that was also reported as never sent).

--- /dev/null
+++ b/Hemlockglade/Coordination/Claim/ClaimBook.cpp
@@ -0,0 +1,266 @@
+#include "Hemlockglade/Coordination/Claim/ClaimBook.h"
+
+namespace hemlockglade {
+
+ClaimBook::ClaimBook(const ClaimSettings &settings, std::string name,
+                     TableHooks table, ClaimHooks hooks)
+    : Settings(settings), Name(std::move(name)), Table(std::move(table)),
+      Hooks(std::move(hooks)),
+      Claims(std::make_shared<GroupCommit>(Settings.Group, Name + "/claim",
+                                           Table, GroupHooks{Hooks.After})),
+      Records(std::make_shared<GroupCommit>(Settings.Group, Name + "/outcome",
+                                            Table, GroupHooks{Hooks.After})) {}
+
+void ClaimBook::claim(const ClaimRequest &request, OnAnswer done) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->Row = ClaimRow::keyOf(request.Scope, request.Key);
+  attempt->Value.RequestId = request.RequestId;
+  attempt->Value.BodyHash = ClaimRow::hashOf(request.Body);
+  attempt->Value.ClaimedAtMs = Hooks.WallMs();
+  attempt->Done = std::move(done);
+  {
+    std::lock_guard lock(Mutex);
+    ++Counts.Claims;
+    attempt->Value.Attempt = nextAttempt();
+    auto [it, added] = InFlight.try_emplace(attempt->Row);
+    if (!added) {
+      it->second.push_back(attempt);
+      return;
+    }
+  }
+  send(attempt);
+}
+
+void ClaimBook::send(const AttemptPtr &attempt) {
+  ++attempt->Tries;
+  TableWrite write{attempt->Row, attempt->Expected, attempt->Value.text()};
+  auto done = [self = shared_from_this(), attempt](auto result) {
+    self->onSent(attempt, result);
+  };
+  if (attempt->Tries < Settings.Tries)
+    return Claims->add(std::move(write), std::move(done));
+  // The last try goes alone, so that no other claim's conflict can fail it.
+  TableTransaction transaction;
+  {
+    std::lock_guard lock(Mutex);
+    transaction.AttemptId = nextAttempt();
+    ++Counts.Transactions;
+  }
+  transaction.Writes.push_back(std::move(write));
+  Table.Commit(std::move(transaction), std::move(done));
+}
+
+void ClaimBook::onSent(const AttemptPtr &attempt,
+                       tl::expected<bool, TableError> result) {
+  if (result) {
+    ClaimAnswer answer;
+    answer.Result = ClaimResult::Claimed;
+    answer.Ticket.Version = attempt->Expected + 1;
+    return finish(attempt, std::move(answer));
+  }
+  if (result.error() == TableError::NotSent && !attempt->MayBeWritten) {
+    ClaimAnswer answer;
+    answer.Result = ClaimResult::StoreUnavailable;
+    return finish(attempt, std::move(answer));
+  }
+  if (result.error() == TableError::Ambiguous)
+    attempt->MayBeWritten = true;
+  // On a conflict any row of the group may be the cause.
+  readBack(attempt);
+}
+
+void ClaimBook::readBack(const AttemptPtr &attempt) {
+  {
+    std::lock_guard lock(Mutex);
+    ++Counts.Reads;
+  }
+  Table.Get(attempt->Row, [self = shared_from_this(), attempt](auto row) {
+    if (row)
+      return self->onReadBack(attempt, *row);
+    ClaimAnswer answer;
+    answer.Result = attempt->MayBeWritten ? ClaimResult::Ambiguous
+                                          : ClaimResult::StoreUnavailable;
+    self->finish(attempt, std::move(answer));
+  });
+}
+
+void ClaimBook::onReadBack(const AttemptPtr &attempt,
+                           const std::optional<TableRow> &row) {
+  ClaimAnswer answer;
+  auto value = row ? ClaimRow::read(row->Value) : std::nullopt;
+  if (value && value->Attempt == attempt->Value.Attempt) {
+    answer.Result = ClaimResult::Claimed;
+    answer.Ticket.Version = row->Version;
+    return finish(attempt, std::move(answer));
+  }
+  bool free = !row || (value && value->Recorded == Outcome::NotRun &&
+                       value->BodyHash == attempt->Value.BodyHash);
+  if (free) {
+    // An earlier write of this claim may still come first: the row then has
+    // this claim's attempt id, whichever of its writes it was.
+    attempt->Expected = row ? row->Version : 0;
+    if (attempt->Tries < Settings.Tries)
+      return send(attempt);
+    answer.Result = attempt->MayBeWritten ? ClaimResult::Ambiguous
+                                          : ClaimResult::StoreUnavailable;
+    return finish(attempt, std::move(answer));
+  }
+  bool otherBody = value && value->BodyHash != attempt->Value.BodyHash;
+  answer.Result = otherBody ? ClaimResult::OtherBody : ClaimResult::Taken;
+  if (value) {
+    answer.RequestId = value->RequestId;
+    answer.Recorded = value->Recorded.value_or(Outcome::Unknown);
+  }
+  finish(attempt, std::move(answer));
+}
+
+void ClaimBook::finish(const AttemptPtr &attempt, ClaimAnswer answer) {
+  answer.Ticket.Row = attempt->Row;
+  answer.Ticket.Attempt = attempt->Value.Attempt;
+  answer.Ticket.BodyHash = attempt->Value.BodyHash;
+  answer.Ticket.RequestId = attempt->Value.RequestId;
+  answer.Ticket.ClaimedAtMs = attempt->Value.ClaimedAtMs;
+  AttemptPtr next;
+  {
+    std::lock_guard lock(Mutex);
+    auto it = InFlight.find(attempt->Row);
+    if (it->second.empty()) {
+      InFlight.erase(it);
+    } else {
+      next = it->second.front();
+      it->second.erase(it->second.begin());
+    }
+  }
+  attempt->Done(std::move(answer));
+  if (next)
+    send(next);
+}
+
+void ClaimBook::record(const ClaimTicket &ticket, Outcome outcome) {
+  auto record = std::make_shared<Record>();
+  record->Row = ticket.Row;
+  record->Expected = ticket.Version;
+  record->Value = {ticket.Attempt, ticket.RequestId, ticket.BodyHash,
+                   ticket.ClaimedAtMs, outcome};
+  bool full = false;
+  {
+    std::lock_guard lock(Mutex);
+    full = Recording >= Settings.OutcomeBacklog;
+    if (full)
+      ++Counts.OutcomesDropped;
+    else
+      ++Recording;
+  }
+  if (!full)
+    sendRecord(record);
+}
+
+void ClaimBook::sendRecord(const RecordPtr &record) {
+  ++record->Tries;
+  Records->add({record->Row, record->Expected, record->Value.text()},
+               [self = shared_from_this(), record](auto result) {
+                 self->onRecordSent(record, result);
+               });
+}
+
+void ClaimBook::onRecordSent(const RecordPtr &record,
+                             tl::expected<bool, TableError> result) {
+  if (result)
+    return endRecord(false);
+  if (result.error() == TableError::Conflict)
+    return readRecord(record);
+  retryRecord(record);
+}
+
+void ClaimBook::readRecord(const RecordPtr &record) {
+  {
+    std::lock_guard lock(Mutex);
+    ++Counts.Reads;
+  }
+  Table.Get(record->Row, [self = shared_from_this(), record](auto row) {
+    if (!row)
+      return self->retryRecord(record);
+    auto value = *row ? ClaimRow::read((*row)->Value) : std::nullopt;
+    bool ours = value && value->Attempt == record->Value.Attempt;
+    if (!ours || value->Recorded)
+      return self->endRecord(!ours);
+    record->Expected = (*row)->Version;
+    self->retryRecord(record);
+  });
+}
+
+void ClaimBook::retryRecord(const RecordPtr &record) {
+  if (record->Tries >= Settings.Tries)
+    return endRecord(true);
+  Hooks.After(Settings.OutcomeRetry, [self = weak_from_this(), record] {
+    if (auto book = self.lock())
+      book->sendRecord(record);
+  });
+}
+
+void ClaimBook::endRecord(bool dropped) {
+  std::lock_guard lock(Mutex);
+  --Recording;
+  Counts.OutcomesDropped += dropped;
+}
+
+void ClaimBook::cleanUp(std::size_t index, std::size_t nodes) {
+  std::size_t slices = std::size_t(1) << (4 * Settings.SliceDigits);
+  std::size_t slice = 0;
+  {
+    std::lock_guard lock(Mutex);
+    if (index + NextSlice * nodes >= slices)
+      NextSlice = 0;
+    slice = (index + NextSlice++ * nodes) % slices;
+    ++Counts.Reads;
+  }
+  std::string digits(Settings.SliceDigits, '0');
+  for (auto it = digits.rbegin(); it != digits.rend(); ++it, slice >>= 4)
+    *it = "0123456789abcdef"[slice & 15];
+  Table.Scan(std::string(ClaimRow::Prefix) + digits,
+             [self = shared_from_this()](auto rows) {
+               if (rows)
+                 self->removeOld(*rows);
+             });
+}
+
+void ClaimBook::removeOld(const std::vector<TableRow> &rows) {
+  auto keep =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Settings.Keep);
+  auto until = Hooks.WallMs() - keep.count();
+  TableTransaction transaction;
+  for (const auto &row : rows) {
+    auto value = ClaimRow::read(row.Value);
+    if (!value || value->ClaimedAtMs >= until)
+      continue;
+    transaction.Writes.push_back({row.Key, row.Version, std::nullopt});
+    if (transaction.Writes.size() >= Settings.CleanupBatch)
+      break;
+  }
+  if (transaction.Writes.empty())
+    return;
+  auto removed = transaction.Writes.size();
+  {
+    std::lock_guard lock(Mutex);
+    transaction.AttemptId = nextAttempt();
+    ++Counts.Transactions;
+  }
+  Table.Commit(std::move(transaction),
+               [self = shared_from_this(), removed](auto result) {
+                 std::lock_guard lock(self->Mutex);
+                 self->Counts.RowsRemoved += result ? removed : 0;
+               });
+}
+
+ClaimCounts ClaimBook::counts() const {
+  std::lock_guard lock(Mutex);
+  auto out = Counts;
+  out.Transactions += Claims->sent() + Records->sent();
+  return out;
+}
+
+std::string ClaimBook::nextAttempt() {
+  return Name + '/' + std::to_string(++Attempts);
+}
+
+} // namespace hemlockglade
--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -2,6 +2,7 @@
 
 // The public header of the Coordination layer: decisions, leases, the table.
 
+#include "Hemlockglade/Coordination/Claim/ClaimBook.h"
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
 #include "Hemlockglade/Coordination/Lease/LeaseRows.h"
--- a/UnitTests/Coordination/FakeTable.h
+++ b/UnitTests/Coordination/FakeTable.h
@@ -30,6 +30,8 @@
   FakeTable(VirtualTime &time, std::uint64_t seed) : Time(time), Random(seed) {}
 
   TableFaults Faults;
+  /// Whether commits compare versions, as they must.
+  bool Compares = true;
   /// While down nothing takes effect and nothing is answered but by failure.
   bool Down = false;
   std::uint64_t Reads = 0;
@@ -83,7 +85,8 @@
       return true;
     for (const auto &write : transaction.Writes) {
       auto it = Rows.find(write.Key);
-      if ((it == Rows.end() ? 0 : it->second.Version) != write.ExpectedVersion)
+      auto version = it == Rows.end() ? 0 : it->second.Version;
+      if (Compares && version != write.ExpectedVersion)
         return false;
     }
     for (const auto &write : transaction.Writes) {
@@ -121,6 +124,7 @@
           work();
       });
       loseRequest = true;
+      notSent = false;
     }
     Time.after(delay(), [this, notSent, loseRequest, loseAnswer, done, work] {
       if (notSent)
