Recovery before eviction, outcomes and retries

Cause: a new owner must not evict what runs unknown to it, and a retry must be bounded by traffic. Ruled out: adopting each answer (a second one can name what has ended since); counting a cut-off refusal as not run. Change: RunningRequests (a node's register, which refuses what an earlier owner admitted once a later one was answered), RecoveryKeeper, RetryPolicy, outcomeOf; ownership rows name the former owner. Conclusion: an owner that says recovered knew all that ran from the nodes that answered.

--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -6,4 +6,7 @@
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
 #include "Hemlockglade/Coordination/Lease/LeaseRows.h"
+#include "Hemlockglade/Coordination/Recovery/RecoveryKeeper.h"
+#include "Hemlockglade/Coordination/Retry/OutcomeOf.h"
+#include "Hemlockglade/Coordination/Retry/RetryPolicy.h"
 #include "Hemlockglade/Coordination/Table.h"
--- a/Hemlockglade/Coordination/Lease/LeaseKeeperCells.cpp
+++ b/Hemlockglade/Coordination/Lease/LeaseKeeperCells.cpp
@@ -131,6 +131,10 @@
       version = it->second.Version;
       record = it->second.Record;
     }
+    if (!record.Owner.empty()) {
+      record.FormerOwner = record.Owner;
+      record.FormerIncarnation = record.Incarnation;
+    }
     record.Owner = Name;
     record.Incarnation = Own.record().Incarnation;
     ++record.Fence;
@@ -206,7 +210,8 @@
     return done();
   auto part = whenAll(owned.size(), std::move(done));
   for (auto &[name, cell] : owned) {
-    CellRecord record{"", cell.Record.Fence, ""};
+    CellRecord record{"", cell.Record.Fence, "", cell.Record.Owner,
+                      cell.Record.Incarnation};
     writeCell(name, record, cell.Version, part);
   }
 }
--- a/Hemlockglade/Coordination/Lease/LeaseRows.cpp
+++ b/Hemlockglade/Coordination/Lease/LeaseRows.cpp
@@ -2,6 +2,14 @@
 
 #include <nlohmann/json.hpp>
 
+namespace hemlockglade {
+
+std::string_view processOf(std::string_view incarnation) {
+  return incarnation.substr(0, incarnation.rfind('.'));
+}
+
+} // namespace hemlockglade
+
 namespace hemlockglade::lease_rows {
 
 using nlohmann::json;
@@ -44,6 +52,8 @@
   return json{{"owner", cell.Owner},
               {"incarnation", cell.Incarnation},
               {"epoch", cell.Fence},
+              {"former", cell.FormerOwner},
+              {"former_incarnation", cell.FormerIncarnation},
               {"attempt", attempt}}
       .dump();
 }
@@ -71,7 +81,8 @@
   if (epoch == node.end() || !epoch->is_number_unsigned())
     return std::nullopt;
   CellRecord record{textOf(node, "owner"), epoch->get<Epoch>(),
-                    textOf(node, "incarnation")};
+                    textOf(node, "incarnation"), textOf(node, "former"),
+                    textOf(node, "former_incarnation")};
   return Written<CellRecord>{record, textOf(node, "attempt")};
 }
 
--- a/Hemlockglade/Coordination/Lease/LeaseTypes.h
+++ b/Hemlockglade/Coordination/Lease/LeaseTypes.h
@@ -29,8 +29,15 @@
   Epoch Fence = 0;
   /// The owner's incarnation when it took the cell.
   std::string Incarnation;
+  /// The owner before this one, or before it was released, and its
+  /// incarnation; empty if there was none.
+  std::string FormerOwner;
+  std::string FormerIncarnation;
 };
 
+/// The process's part of a lease's incarnation.
+std::string_view processOf(std::string_view incarnation);
+
 /// A node's record and the version of the row that it was read from.
 struct NodeSight {
   NodeRecord Record;
--- /dev/null
+++ b/Hemlockglade/Coordination/Recovery/RunningRequests.cpp
@@ -0,0 +1,53 @@
+#include "Hemlockglade/Coordination/Recovery/RunningRequests.h"
+
+namespace hemlockglade {
+
+RunningRequests::Shard &RunningRequests::shardOf(const std::string &cell) {
+  return Shards[std::hash<std::string>{}(cell) % ShardCount];
+}
+
+bool RunningRequests::add(RunningRequest request) {
+  auto &shard = shardOf(request.Cell);
+  std::lock_guard lock(shard.Mutex);
+  auto &cell = shard.Cells[request.Cell];
+  if (request.Admitted < cell.Promised)
+    return false;
+  auto id = request.Id;
+  cell.Requests.insert_or_assign(std::move(id), std::move(request));
+  return true;
+}
+
+void RunningRequests::remove(const std::string &cell, const std::string &id) {
+  auto &shard = shardOf(cell);
+  std::lock_guard lock(shard.Mutex);
+  auto it = shard.Cells.find(cell);
+  if (it != shard.Cells.end())
+    it->second.Requests.erase(id);
+}
+
+RunningAnswer RunningRequests::answer(const std::string &cell, Epoch epoch) {
+  auto &shard = shardOf(cell);
+  std::lock_guard lock(shard.Mutex);
+  auto &ours = shard.Cells[cell];
+  RunningAnswer out;
+  out.Refused = epoch < ours.Promised;
+  ours.Promised = std::max(ours.Promised, epoch);
+  out.Promised = ours.Promised;
+  if (out.Refused)
+    return out;
+  for (const auto &[id, request] : ours.Requests)
+    out.Requests.push_back(request);
+  return out;
+}
+
+std::size_t RunningRequests::size() const {
+  std::size_t out = 0;
+  for (const auto &shard : Shards) {
+    std::lock_guard lock(shard.Mutex);
+    for (const auto &[name, cell] : shard.Cells)
+      out += cell.Requests.size();
+  }
+  return out;
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Retry/RetryPolicy.cpp
@@ -0,0 +1,52 @@
+#include "Hemlockglade/Coordination/Retry/RetryPolicy.h"
+
+#include <algorithm>
+
+namespace hemlockglade {
+
+RetryPolicy::RetryPolicy(const RetrySettings &settings)
+    : Settings(settings), Budget(settings.BudgetBurst) {}
+
+void RetryPolicy::onFirstAttempt() {
+  std::lock_guard lock(Mutex);
+  Budget = std::min(Budget + Settings.BudgetShare, Settings.BudgetBurst);
+}
+
+RetryVerdict RetryPolicy::decide(const FailedAttempt &attempt, Instant now) {
+  auto verdict = judge(attempt, now);
+  if (verdict != RetryVerdict::Retry)
+    return verdict;
+  std::lock_guard lock(Mutex);
+  double seconds = std::chrono::duration<double>(now - RefilledAt).count();
+  if (seconds > 0) {
+    Budget = std::min(Budget + seconds * Settings.FloorPerSecond,
+                      Settings.BudgetBurst);
+    RefilledAt = now;
+  }
+  if (Budget < 1)
+    return RetryVerdict::BudgetSpent;
+  Budget -= 1;
+  return RetryVerdict::Retry;
+}
+
+RetryVerdict RetryPolicy::judge(const FailedAttempt &attempt,
+                                Instant now) const {
+  if (attempt.How == Outcome::Complete)
+    return RetryVerdict::Complete;
+  if (attempt.FirstBytePassed)
+    return RetryVerdict::AnswerBegun;
+  if (attempt.How == Outcome::Unknown && !attempt.Repeatable)
+    return RetryVerdict::NotRepeatable;
+  if (attempt.Attempts >= Settings.MaxAttempts)
+    return RetryVerdict::AttemptsSpent;
+  if (attempt.Deadline - now < Settings.LeastAttempt)
+    return RetryVerdict::DeadlineTooNear;
+  return RetryVerdict::Retry;
+}
+
+double RetryPolicy::budget() const {
+  std::lock_guard lock(Mutex);
+  return Budget;
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/UnitTests/Coordination/Retry/RetryTest.cpp
@@ -0,0 +1,86 @@
+#include "Hemlockglade/Coordination/Coordination.h"
+#include "UnitTests/Coordination/CheckMany.h"
+
+using namespace hemlockglade;
+using namespace hemlockglade::test;
+using namespace std::chrono_literals;
+
+TEST_CASE("the outcome says not-run only if nothing can have run", "[retry]") {
+  for (int it = 0; it < 16; ++it) {
+    AttemptSeen seen{(it & 1) != 0, (it & 2) != 0, (it & 4) != 0,
+                     (it & 8) != 0};
+    auto outcome = outcomeOf(seen);
+    bool refused = seen.RefusedBeforeRunning && seen.AnswerWhole;
+    REQUIRE((outcome == Outcome::NotRun) == (!seen.MayHaveSent || refused));
+    REQUIRE(
+        (outcome == Outcome::Complete) ==
+        (seen.MayHaveSent && !refused && seen.AnswerWhole && seen.PassedWhole));
+  }
+  // One attempt that may have run decides for the whole request.
+  for (auto earlier : {Outcome::NotRun, Outcome::Unknown}) {
+    REQUIRE(outcomeAfter(earlier, Outcome::Complete) == Outcome::Complete);
+    REQUIRE(outcomeAfter(earlier, Outcome::Unknown) == Outcome::Unknown);
+    REQUIRE(outcomeAfter(earlier, Outcome::NotRun) == earlier);
+  }
+}
+
+TEST_CASE("which failures are tried again", "[retry]") {
+  RetrySettings settings;
+  settings.BudgetBurst = 1000;
+  RetryPolicy policy(settings);
+  Instant now = 100s;
+  FailedAttempt good{true, Outcome::Unknown, false, 1, now + 1s};
+  auto with = [&](auto change) {
+    auto attempt = good;
+    change(attempt);
+    return policy.decide(attempt, now);
+  };
+  using enum RetryVerdict;
+  REQUIRE(with([](auto &) {}) == Retry);
+  REQUIRE(with([](auto &it) { it.How = Outcome::Complete; }) == Complete);
+  REQUIRE(with([](auto &it) { it.Repeatable = false; }) == NotRepeatable);
+  REQUIRE(with([](auto &it) {
+            it.Repeatable = false;
+            it.How = Outcome::NotRun;
+          }) == Retry);
+  REQUIRE(with([](auto &it) { it.FirstBytePassed = true; }) == AnswerBegun);
+  REQUIRE(with([](auto &it) { it.Attempts = 3; }) == AttemptsSpent);
+  REQUIRE(with([&](auto &it) { it.Deadline = now + 49ms; }) == DeadlineTooNear);
+  REQUIRE(with([&](auto &it) { it.Deadline = now - 1s; }) == DeadlineTooNear);
+}
+
+TEST_CASE("retries stay a share of traffic however many fail", "[retry]") {
+  bool bounded = GENERATE(true, false);
+  REQUIRE(checkMany("retry budgets", 1000, [bounded] {
+    RetrySettings settings;
+    settings.BudgetShare = *rc::gen::element(0.0, 0.05, 0.5);
+    if (!bounded)
+      settings.BudgetBurst = 1e9;
+    RetryPolicy policy(settings);
+    auto steps = *rc::gen::container<std::vector<std::pair<bool, int>>>(
+        rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(0, 500)));
+    Instant start = 100s;
+    Instant now = start;
+    FailedAttempt attempt{true, Outcome::Unknown, false, 1, 1h};
+    // The first decision fills the budget for all time before it.
+    policy.decide(attempt, start);
+    double firsts = 0;
+    double retries = 0;
+    for (const auto &[first, wait] : steps) {
+      now += std::chrono::milliseconds(wait);
+      for (int it = 0; it < 10; ++it) {
+        if (first)
+          policy.onFirstAttempt();
+        firsts += first;
+        retries += policy.decide(attempt, now) == RetryVerdict::Retry;
+      }
+    }
+    double seconds = std::chrono::duration<double>(now - start).count();
+    double most = 20 + firsts * settings.BudgetShare +
+                  seconds * settings.FloorPerSecond + 1;
+    if (bounded)
+      RC_ASSERT(retries <= most);
+    else
+      RC_ASSERT(retries == 10.0 * steps.size());
+  }));
+}
