--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -3,6 +3,7 @@
 // The public header of the Coordination layer: decisions, leases, the table.
 
 #include "Hemlockglade/Coordination/Decision/AdapterTable.h"
+#include "Hemlockglade/Coordination/Claim/ClaimBook.h"
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Decision/CellState.h"
 #include "Hemlockglade/Coordination/Decision/CoreTypes.h"
@@ -20,4 +21,7 @@
 #include "Hemlockglade/Coordination/Decision/WaitQueues.h"
 #include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
 #include "Hemlockglade/Coordination/Lease/LeaseRows.h"
+#include "Hemlockglade/Coordination/Recovery/RecoveryKeeper.h"
+#include "Hemlockglade/Coordination/Retry/OutcomeOf.h"
+#include "Hemlockglade/Coordination/Retry/RetryPolicy.h"
 #include "Hemlockglade/Coordination/Table.h"
