hemlockctl: statements, declarations and a prompt

Cause: the tool sent one file or one word to one node. Ruled out: a try on the next node with an id of its own (a command whose answer was lost would be carried out twice); one process-wide retry policy (a refusal is an answer and is not repeated). Change: NodeCaller asks the next node if one gives no whole answer, with the same command id; apply, diff, check, export and statements; a prompt with history; table or JSON; documented exit codes. Files and statements are checked before anything is sent. Text checks have a file of their own; a node's address is IPv4, since the node joins it with its port. Conclusion: works against the message formats; not run against the daemon, which does not serve these paths in this commit.

--- a/Hemlockglade/Protocol/Settings/Declarations.cpp
+++ b/Hemlockglade/Protocol/Settings/Declarations.cpp
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/Protocol/Settings/ReferenceCheck.h"
 #include "Hemlockglade/Protocol/Settings/SchemaReader.h"
+#include "Hemlockglade/Protocol/Settings/TextChecks.h"
 
 #include <algorithm>
 
--- a/Hemlockglade/Protocol/Settings/NodeSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.cpp
@@ -1,8 +1,7 @@
 #include "Hemlockglade/Protocol/Settings/NodeSettings.h"
 
 #include "Hemlockglade/Protocol/Settings/SchemaReader.h"
-
-#include <arpa/inet.h>
+#include "Hemlockglade/Protocol/Settings/TextChecks.h"
 
 namespace hemlockglade {
 
@@ -13,20 +12,6 @@
 constexpr std::uint64_t MinuteMs = 60'000;
 constexpr std::uint64_t HourMs = 60 * MinuteMs;
 
-bool isIpAddress(std::string_view text) {
-  std::string host(text);
-  in6_addr buf{};
-  return inet_pton(AF_INET, host.c_str(), &buf) == 1 ||
-         inet_pton(AF_INET6, host.c_str(), &buf) == 1;
-}
-
-bool isUrl(std::string_view text) {
-  constexpr std::string_view Plain = "http://";
-  constexpr std::string_view Secure = "https://";
-  return (text.starts_with(Plain) && text.size() > Plain.size()) ||
-         (text.starts_with(Secure) && text.size() > Secure.size());
-}
-
 /// Binds every key of the schema to its member.
 void bindKeys(SchemaReader &map, NodeSettings &out) {
   map.name("name", out.Name, Presence::Required);
@@ -34,8 +19,8 @@
   map.name("region", out.Region, Presence::Required);
   map.text("platform_url", out.PlatformUrl, Presence::Required,
            "a URL that starts with http:// or https://", isUrl);
-  map.text("address", out.Address, Presence::Optional, "a numeric IP address",
-           isIpAddress);
+  map.text("address", out.Address, Presence::Optional, "a numeric IPv4 address",
+           isIpv4Address);
   map.number("caller_port", out.CallerPort, PortRange);
   map.number("peer_port", out.PeerPort, PortRange);
   map.number("threads", out.Threads, ThreadRange);
--- a/Hemlockglade/Protocol/Settings/SchemaReader.cpp
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.cpp
@@ -1,7 +1,8 @@
 #include "Hemlockglade/Protocol/Settings/SchemaReader.h"
 
+#include "Hemlockglade/Protocol/Settings/TextChecks.h"
+
 #include <algorithm>
-#include <arpa/inet.h>
 #include <charconv>
 #include <set>
 
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t MaxNameBytes = 64;
 constexpr const char *NameWords =
     "a name of letters, digits, '.', '_' and '-', at most 64 bytes";
 /// The tag that yaml-cpp gives a quoted scalar.
@@ -75,33 +75,6 @@
   return tl::unexpected(faults.take());
 }
 
-bool isName(std::string_view text) {
-  auto isPart = [](unsigned char c) {
-    return std::isalnum(c) || c == '.' || c == '_' || c == '-';
-  };
-  return !text.empty() && text.size() <= MaxNameBytes &&
-         std::isalnum(static_cast<unsigned char>(text.front())) &&
-         std::all_of(text.begin(), text.end(), isPart);
-}
-
-bool isEndpointAddress(std::string_view text) {
-  auto colon = text.rfind(':');
-  if (colon == std::string_view::npos)
-    return false;
-  std::uint16_t port = 0;
-  if (!readWhole(text.substr(colon + 1), port) || port == 0)
-    return false;
-  std::string host(text.substr(0, colon));
-  in_addr four{};
-  if (inet_pton(AF_INET, host.c_str(), &four) == 1)
-    return true;
-  bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
-  in6_addr six{};
-  return bracketed &&
-         inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &six) ==
-             1;
-}
-
 SchemaReader::SchemaReader(YAML::Node node, std::string path, FaultList &faults)
     : Map(std::move(node)), Path(std::move(path)), Faults(faults) {
   if (Map.IsMap())
--- a/Hemlockglade/Protocol/Settings/SchemaReader.h
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.h
@@ -39,13 +39,6 @@
 tl::expected<YAML::Node, SettingsFaults> parseYaml(const std::string &text,
                                                    const std::string &file);
 
-/// Whether the text is a name: a letter or digit, then letters, digits, `.`,
-/// `_` or `-`; at most 64 bytes.
-bool isName(std::string_view text);
-
-/// Whether the text is a numeric `ip:port` with a port from 1 to 65535.
-bool isEndpointAddress(std::string_view text);
-
 /// Reads one mapping against its schema. Each call binds a key to a member and
 /// leaves the member as it is if the key is not there; `finish` reports the
 /// keys that no call named and the ones that stand twice.
--- a/Programs/hemlockctl/Main.cpp
+++ b/Programs/hemlockctl/Main.cpp
@@ -1,57 +1,93 @@
-#include "Hemlockglade/Transport/Transport.h"
+#include "Prompt.h"
 
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <sstream>
 
-DEFINE_string(node, "", "address of any node, ip:port");
+DEFINE_string(node, "",
+              "addresses of nodes, ip:port[,ip:port...]; the next is tried if "
+              "one does not answer");
+DEFINE_string(output, "table", "table or json");
+DEFINE_int32(wait_s, 0,
+             "apply: wait this many seconds at most until the revision is in "
+             "force on every live node; 0 does not wait");
+DEFINE_int32(timeout_s, 10, "seconds that one node may take to answer");
+DEFINE_string(operator_name, "",
+              "who gives the command; the user's name if empty");
+DEFINE_string(command_id, "",
+              "id of the command, to repeat one whose answer was lost");
 
 namespace {
 
 using namespace hemlockglade;
 
-constexpr int UsageError = 2;
-
-/// Sends one request and prints the answer. Gives the exit status.
-int call(const HttpRequest &request) {
-  asio::io_context context;
-  HttpClient client(context);
-  int status = 1;
-  client.fetch(request, [&](const HttpResult &result, const std::string &body) {
-    if (result.Whole)
-      std::cout << body;
-    else
-      std::cerr << "hemlockctl: " << result.Error << '\n';
-    status = result.Whole && result.Status == 200 ? 0 : 1;
-    context.stop();
-  });
-  context.run();
-  return status;
+constexpr const char *Usage =
+    "asks and commands hemlockglade.\n\n"
+    "  hemlockctl --node IP:PORT[,IP:PORT...] [--output table|json] COMMAND\n\n"
+    "  apply FILE   check declarations, commit them as the next revision\n"
+    "  diff FILE    what applying them would change\n"
+    "  check FILE   only check them; needs no node\n"
+    "  export       the declarations in force\n"
+    "  STATEMENT    show, load, pin, unpin, drain, undrain or stop\n"
+    "  (nothing)    a prompt with history\n\n"
+    "Exit status: 0 done, 1 refused, 2 wrong usage, file or statement,\n"
+    "3 no node answered, 4 committed but not in force everywhere in time,\n"
+    "5 diff found differences.";
+
+std::vector<std::string> split(const std::string &list) {
+  std::vector<std::string> out;
+  std::istringstream in(list);
+  for (std::string it; std::getline(in, it, ',');)
+    out.push_back(it);
+  return out;
+}
+
+std::string operatorName() {
+  if (!FLAGS_operator_name.empty())
+    return FLAGS_operator_name;
+  const char *user = std::getenv("USER");
+  return user ? user : "unknown";
+}
+
+int usageError(const std::string &text) {
+  std::cerr << "hemlockctl: " << text << "; see --help\n";
+  return static_cast<int>(ExitCode::Usage);
+}
+
+/// What is wrong with the command line; empty if nothing is.
+std::string flagFault(const std::vector<std::string> &words,
+                      const std::vector<std::string> &nodes) {
+  bool needsNode = words.empty() || words[0] != "check";
+  if (FLAGS_output != "table" && FLAGS_output != "json")
+    return "--output: expected table or json, not '" + FLAGS_output + "'";
+  if (FLAGS_wait_s < 0 || FLAGS_timeout_s < 1)
+    return "--wait_s and --timeout_s: expected a number of seconds";
+  if (needsNode && nodes.empty())
+    return "--node: expected the address of a node";
+  if (words.empty() && !FLAGS_command_id.empty())
+    return "--command_id: expected a command, since it is the id of one";
+  for (const auto &it : nodes) {
+    if (!isEndpointAddress(it))
+      return "--node: expected a numeric ip:port, not '" + it + "'";
+  }
+  return "";
 }
 
 } // namespace
 
 int main(int argc, char **argv) {
-  gflags::SetUsageMessage("hemlockctl --node IP:PORT apply FILE | show WHAT");
+  gflags::SetUsageMessage(Usage);
   gflags::SetVersionString(HEMLOCKGLADE_VERSION);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  if (argc < 3 || FLAGS_node.empty()) {
-    std::cerr << gflags::ProgramUsage() << '\n';
-    return UsageError;
-  }
-  HttpRequest request;
-  request.Timeout = std::chrono::seconds(10);
-  std::string verb = argv[1];
-  if (verb == "apply") {
-    std::ifstream file(argv[2]);
-    std::ostringstream text;
-    text << file.rdbuf();
-    request.Method = "POST";
-    request.Url = "http://" + FLAGS_node + "/admin/apply";
-    request.Body = text.str();
-  } else {
-    request.Url = "http://" + FLAGS_node + "/admin/show?what=" + argv[2];
-  }
-  return call(request);
+  std::vector<std::string> words(argv + 1, argv + argc);
+  auto nodes = split(FLAGS_node);
+  if (auto fault = flagFault(words, nodes); !fault.empty())
+    return usageError(fault);
+  CommandSettings settings{FLAGS_output == "json",
+                           std::chrono::seconds(FLAGS_wait_s), operatorName(),
+                           FLAGS_command_id};
+  Commands commands(settings,
+                    NodeCaller(nodes, std::chrono::seconds(FLAGS_timeout_s)));
+  auto status = words.empty() ? runPrompt(commands) : commands.run(words);
+  return static_cast<int>(status);
 }
--- a/UnitTests/Protocol/Settings/NodeSettingsTest.cpp
+++ b/UnitTests/Protocol/Settings/NodeSettingsTest.cpp
@@ -2,6 +2,7 @@
 #include "UnitTests/Protocol/ExampleFile.h"
 
 #include <catch2/catch.hpp>
+#include <yaml-cpp/yaml.h>
 
 using namespace hemlockglade;
 
@@ -48,8 +49,9 @@
                           "not a list"},
        {"peer_port:", "peer_port: expected a whole number from 0 to 65535, not "
                       "an empty value"},
-       {"address: localhost", "n.yaml:5: address: expected a numeric IP "
+       {"address: localhost", "n.yaml:5: address: expected a numeric IPv4 "
                               "address, not 'localhost'"},
+       {"address: \"::1\"", "n.yaml:5: address: expected a numeric IPv4"},
        {"name: entry-2", "n.yaml:5: name: expected each key once; a duplicate"},
        {"renew_ms: 10000", "n.yaml:5: renew_ms: expected less than lease_ms"},
        {"lease_margin_ms: 10000", "n.yaml:5: lease_margin_ms: expected less "},
