A peer stream that one side ends is over on both

Cause: the owner's side of an admission stream was never ended, so the stream stayed on both nodes for as long as the connection. Ruled out: closing in each user of a stream; every one of them would have to remember. Change: PeerLink ends its side when the other does. Two structs of the coordination layer had the same names as structs of the decisions and are renamed. Measured: PeerLeakTest hung before and passes now. Conclusion: streams end with their requests.

--- a/Hemlockglade/Coordination/Recovery/RecoveryKeeper.cpp
+++ b/Hemlockglade/Coordination/Recovery/RecoveryKeeper.cpp
@@ -103,7 +103,7 @@
   return true;
 }
 
-void RecoveryKeeper::adopt(OfNode &node, const RunningRequest &request,
+void RecoveryKeeper::adopt(OfNode &node, const RegisteredRequest &request,
                            Epoch epoch) {
   // What we admitted ourselves is known already.
   if (request.Admitted >= epoch || node.Ended.contains(request.Id))
--- a/Hemlockglade/Coordination/Recovery/RecoveryKeeper.h
+++ b/Hemlockglade/Coordination/Recovery/RecoveryKeeper.h
@@ -34,10 +34,11 @@
                      Epoch epoch)>
       Ask;
   /// A request of an earlier owner runs: count it as ours.
-  std::function<void(const RecoveryNode &node, const RunningRequest &request)>
+  std::function<void(const RecoveryNode &node,
+                     const RegisteredRequest &request)>
       OnAdopted;
   /// An adopted request has ended.
-  std::function<void(const RunningRequest &request)> OnFinished;
+  std::function<void(const RegisteredRequest &request)> OnFinished;
   /// All that runs is known, or was waited out: eviction is allowed.
   std::function<void(const std::string &cell, Epoch epoch)> OnRecovered;
 };
@@ -93,7 +94,7 @@
     bool Answered = false;
     /// The node is not among the living since `Since`.
     bool Lost = false;
-    std::map<std::string, RunningRequest> Adopted;
+    std::map<std::string, RegisteredRequest> Adopted;
     /// Ended before the answer that may name them.
     std::set<std::string> Ended;
   };
@@ -110,7 +111,7 @@
   void ask(OfNode &node, const std::string &name, const OfCell &cell,
            Instant now);
   void settle(const std::string &name, OfCell &cell);
-  void adopt(OfNode &node, const RunningRequest &request, Epoch epoch);
+  void adopt(OfNode &node, const RegisteredRequest &request, Epoch epoch);
   void dropLost(OfNode &node);
   void deliver();
 
--- a/Hemlockglade/Coordination/Recovery/RunningRequests.cpp
+++ b/Hemlockglade/Coordination/Recovery/RunningRequests.cpp
@@ -6,7 +6,7 @@
   return Shards[std::hash<std::string>{}(cell) % ShardCount];
 }
 
-bool RunningRequests::add(RunningRequest request) {
+bool RunningRequests::add(RegisteredRequest request) {
   auto &shard = shardOf(request.Cell);
   std::lock_guard lock(shard.Mutex);
   auto &cell = shard.Cells[request.Cell];
--- a/Hemlockglade/Coordination/Recovery/RunningRequests.h
+++ b/Hemlockglade/Coordination/Recovery/RunningRequests.h
@@ -10,7 +10,7 @@
 namespace hemlockglade {
 
 /// A request that this node runs on an endpoint.
-struct RunningRequest {
+struct RegisteredRequest {
   std::string Id;
   std::string Cell;
   std::string Replica;
@@ -26,7 +26,7 @@
   bool Refused = false;
   /// Highest epoch that was answered.
   Epoch Promised = 0;
-  std::vector<RunningRequest> Requests;
+  std::vector<RegisteredRequest> Requests;
 };
 
 /// What runs from this node, by cell. Sharded by cell, each shard under its
@@ -36,7 +36,7 @@
 public:
   /// A request is about to be sent. False if it was admitted by an owner that
   /// is not the last: then it must not be sent.
-  bool add(RunningRequest request);
+  bool add(RegisteredRequest request);
   /// The request has ended.
   void remove(const std::string &cell, const std::string &id);
   /// Answers an owner at an epoch.
@@ -49,7 +49,7 @@
 
   struct OfCell {
     Epoch Promised = 0;
-    std::map<std::string, RunningRequest> Requests;
+    std::map<std::string, RegisteredRequest> Requests;
   };
   struct Shard {
     mutable std::mutex Mutex;
--- a/Hemlockglade/Coordination/Retry/RetryPolicy.cpp
+++ b/Hemlockglade/Coordination/Retry/RetryPolicy.cpp
@@ -4,7 +4,7 @@
 
 namespace hemlockglade {
 
-RetryPolicy::RetryPolicy(const RetrySettings &settings)
+RetryPolicy::RetryPolicy(const RetryPolicySettings &settings)
     : Settings(settings), Budget(settings.BudgetBurst) {}
 
 void RetryPolicy::onFirstAttempt() {
--- a/Hemlockglade/Coordination/Retry/RetryPolicy.h
+++ b/Hemlockglade/Coordination/Retry/RetryPolicy.h
@@ -34,7 +34,7 @@
 };
 
 /// Bounds of retries.
-struct RetrySettings {
+struct RetryPolicySettings {
   /// Attempts of one request at most, the first included.
   std::uint32_t MaxAttempts = 3;
   /// Retries for each first attempt, on average.
@@ -52,7 +52,7 @@
 /// load. Time comes with the calls. Safe to call from several threads.
 class RetryPolicy {
 public:
-  explicit RetryPolicy(const RetrySettings &settings);
+  explicit RetryPolicy(const RetryPolicySettings &settings);
 
   /// A request's first attempt begins.
   void onFirstAttempt();
@@ -64,7 +64,7 @@
 private:
   RetryVerdict judge(const FailedAttempt &attempt, Instant now) const;
 
-  const RetrySettings Settings;
+  const RetryPolicySettings Settings;
 
   mutable std::mutex Mutex;
   double Budget;
--- a/Hemlockglade/Transport/Peer/PeerLink.cpp
+++ b/Hemlockglade/Transport/Peer/PeerLink.cpp
@@ -76,8 +76,12 @@
     }
     bool mayEnd =
         frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
-    if (mayEnd && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM))
+    if (mayEnd && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM)) {
       self.endStream(stream->Id, true);
+      // No exchange goes on one way only: when one side ends, both do.
+      stream->Ended = true;
+      nghttp2_session_resume_data(session, stream->Id);
+    }
     return 0;
   }
 
