The daemon recovers before it evicts, claims keys and bounds its retries

Cause: after a takeover the new owner did not know what still ran, a key was not claimed before its request, and three tries were made whatever the load. Ruled out: one stream for each running request to the new owner; one stream for each node and cell tells the same. Change: OwnedCells with the recovery keeper and the register of what runs, /recover streams, claims before the first byte, retries within a share of traffic, outcomes of several attempts taken together.

--- a/Hemlockglade/Protocol/Message/RecoveryMessages.cpp
+++ b/Hemlockglade/Protocol/Message/RecoveryMessages.cpp
@@ -16,8 +16,8 @@
   answer.Refused = reply.Refused;
   answer.Promised = reply.Promised;
   for (const auto &it : reply.Requests)
-    answer.Requests.push_back({it.Id, cell, it.Replica, it.Adapter,
-                               it.Admitted});
+    answer.Requests.push_back(
+        {it.Id, cell, it.Replica, it.Adapter, it.Admitted});
   return answer;
 }
 
--- a/Hemlockglade/Protocol/Protocol.h
+++ b/Hemlockglade/Protocol/Protocol.h
@@ -4,7 +4,9 @@
 
 #include "Hemlockglade/Protocol/Admin/AdminFormat.h"
 #include "Hemlockglade/Protocol/Endpoint/EngineFormat.h"
+#include "Hemlockglade/Protocol/Message/ConfigMessages.h"
 #include "Hemlockglade/Protocol/Message/PeerMessages.h"
+#include "Hemlockglade/Protocol/Message/RecoveryMessages.h"
 #include "Hemlockglade/Protocol/Platform/PlatformFormat.h"
 #include "Hemlockglade/Protocol/ProtocolError.h"
 #include "Hemlockglade/Protocol/Settings/CatalogDiff.h"
--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -111,6 +111,40 @@
     askReport(doubted, address);
 }
 
+void CellRunner::adopt(const RegisteredRequest &request) {
+  Deferred deferred;
+  {
+    std::lock_guard lock(Mutex);
+    auto replica = ReplicaKeys.find(request.Replica);
+    if (replica == ReplicaKeys.end() || Adopted.contains(request.Id))
+      return;
+    auto key = ++LastRequest;
+    Adopted.emplace(request.Id, key);
+    LOG(INFO) << "adopt request=" << request.Id
+              << " adapter=" << request.Adapter
+              << " replica=" << request.Replica
+              << " admitted=" << request.Admitted << " epoch=" << Fence
+              << " cell=" << Cell;
+    handle(RequestAdopted{key, keyOf(request.Adapter), replica->second},
+           deferred);
+  }
+  for (auto &call : deferred)
+    call();
+}
+
+void CellRunner::finishAdopted(const std::string &id) {
+  RequestKey key = 0;
+  {
+    std::lock_guard lock(Mutex);
+    auto it = Adopted.find(id);
+    if (it == Adopted.end())
+      return;
+    key = it->second;
+    Adopted.erase(it);
+  }
+  drive(RequestFinished{key});
+}
+
 void CellRunner::setLeaving(const std::vector<std::string> &replicas) {
   Deferred deferred;
   {
--- a/Programs/hemlockgladed/CellRunner.h
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -35,6 +35,10 @@
   /// The request is over; its slot is free. One that was admitted and then
   /// not run hints that the replica isn't as we believe it is.
   void finish(RequestKey request, Outcome outcome);
+  /// Counts a request that an earlier owner admitted and that still runs.
+  void adopt(const RegisteredRequest &request);
+  /// An adopted request is over.
+  void finishAdopted(const std::string &id);
   /// Marks replicas that the platform's list calls leaving.
   void setLeaving(const std::vector<std::string> &replicas);
   /// Gives up the cell: what waits is refused.
@@ -99,6 +103,7 @@
   std::vector<ReplicaState> Replicas;
   std::map<std::string, ServiceClass> Classes;
   std::unordered_map<RequestKey, Pending> Requests;
+  std::unordered_map<std::string, RequestKey> Adopted;
   std::map<std::pair<ReplicaKey, AdapterKey>, HttpClient::Ticket> Loads;
 };
 
--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -44,13 +44,6 @@
   return std::to_string(std::max<std::int64_t>(n, 1));
 }
 
-Outcome outcomeOf(const HttpResult &result) {
-  if (!result.Whole)
-    return result.MayHaveSent ? Outcome::Unknown : Outcome::NotRun;
-  return refusedBeforeRunning(result.Status) ? Outcome::NotRun
-                                             : Outcome::Complete;
-}
-
 } // namespace
 
 Exchange::Exchange(ExchangeRequest request, std::shared_ptr<HttpReply> reply,
@@ -129,37 +122,37 @@
 
 void Exchange::onClaimed(const ClaimAnswer &answer) {
   std::lock_guard lock(Mutex);
-  Claimed = answer.Result == ClaimAnswer::Kind::Claimed;
+  Claimed = answer.Result == ClaimResult::Claimed;
+  Claim = answer.Ticket;
   if (Ended) {
     // The caller left meanwhile: nothing was sent, and the key says so.
     if (Claimed)
-      Hooks->RecordOutcome(Request, Outcome::NotRun);
+      Hooks->RecordOutcome(Claim, Outcome::NotRun);
     return;
   }
   switch (answer.Result) {
-  case ClaimAnswer::Kind::Claimed:
+  case ClaimResult::Claimed:
     return send();
-  case ClaimAnswer::Kind::Unavailable:
+  case ClaimResult::StoreUnavailable:
     return refuse("store-unavailable", StoreRetryAfter);
-  case ClaimAnswer::Kind::Mismatch:
-  case ClaimAnswer::Kind::Taken:
-  case ClaimAnswer::Kind::Ambiguous:
+  case ClaimResult::OtherBody:
+  case ClaimResult::Taken:
+  case ClaimResult::Ambiguous:
     return refuseTaken(answer);
   }
 }
 
 void Exchange::refuseTaken(const ClaimAnswer &answer) {
-  bool mismatch = answer.Result == ClaimAnswer::Kind::Mismatch;
-  bool taken = answer.Result == ClaimAnswer::Kind::Taken;
+  bool mismatch = answer.Result == ClaimResult::OtherBody;
+  bool taken = answer.Result == ClaimResult::Taken;
   auto outcome = mismatch ? Outcome::NotRun
-                 : taken  ? answer.Earlier
+                 : taken  ? answer.Recorded
                           : Outcome::Unknown;
   std::string reason = mismatch ? "key-mismatch"
                        : taken  ? "key-taken"
                                 : "claim-ambiguous";
   HttpFields fields{
-      {std::string(header::RequestId),
-       taken ? answer.EarlierRequest : Request.Id},
+      {std::string(header::RequestId), taken ? answer.RequestId : Request.Id},
       {std::string(header::Outcome), std::string(outcomeName(outcome))},
       {"Content-Type", "application/json"}};
   Reply->sendWhole(mismatch ? Unprocessable
@@ -264,27 +257,41 @@
   std::lock_guard lock(Mutex);
   if (Ended)
     return;
-  auto outcome = Foreign ? Outcome::Unknown : outcomeOf(result);
+  auto outcome = ended(result);
   if (outcome != Outcome::Complete && tryAgain(outcome))
     return;
+  outcome = outcomeAfter(Prior, outcome);
   answer(outcome, result);
   end(outcome, result.Whole ? "" : "endpoint-failed");
 }
 
+Outcome Exchange::ended(const HttpResult &result) const {
+  if (Foreign)
+    return Outcome::Unknown;
+  AttemptSeen seen;
+  seen.MayHaveSent = result.MayHaveSent;
+  seen.RefusedBeforeRunning =
+      result.Whole && refusedBeforeRunning(result.Status);
+  seen.AnswerWhole = result.Whole;
+  seen.PassedWhole = result.Whole;
+  return outcomeOf(seen);
+}
+
 bool Exchange::tryAgain(Outcome outcome) {
-  RetryQuestion question;
-  question.Repeatable = Request.Repeatable;
-  question.Ended = outcome;
-  question.FirstBytePassed = Streaming;
-  question.Attempt = Request.Admit.Attempt;
-  question.TimeLeft = Request.Deadline - TimerService::now();
-  if (!Hooks->MayRetry(question))
+  FailedAttempt attempt;
+  attempt.Repeatable = Request.Repeatable;
+  attempt.How = outcome;
+  attempt.FirstBytePassed = Streaming;
+  attempt.Attempts = Request.Admit.Attempt;
+  attempt.Deadline = Request.Deadline;
+  if (Hooks->MayRetry(attempt) != RetryVerdict::Retry)
     return false;
   LOG(INFO) << "retry request=" << Request.Id
             << " attempt=" << Request.Admit.Attempt
             << " adapter=" << Request.Admit.Adapter
             << " replica=" << Grant.Replica
             << " outcome=" << outcomeName(outcome);
+  Prior = outcomeAfter(Prior, outcome);
   giveBack(outcome);
   ++Request.Admit.Attempt;
   Transfer = 0;
@@ -327,22 +334,25 @@
   Gone = true;
   if (Transfer)
     Client.cancel(Transfer);
-  end(Transfer ? Outcome::Unknown : Outcome::NotRun);
+  end(outcomeAfter(Prior, Transfer ? Outcome::Unknown : Outcome::NotRun));
 }
 
 void Exchange::refuse(const std::string &reason, Span retryAfter) {
+  auto outcome = outcomeAfter(Prior, Outcome::NotRun);
   HttpFields fields{
       {std::string(header::RequestId), Request.Id},
-      {std::string(header::Outcome), std::string(outcomeName(Outcome::NotRun))},
+      {std::string(header::Outcome), std::string(outcomeName(outcome))},
       {"Retry-After", retryAfterSeconds(retryAfter)},
       {"Content-Type", "application/json"}};
-  Reply->sendWhole(Unavailable, fields, errorBody("not_run", reason));
-  end(Outcome::NotRun, reason);
+  Reply->sendWhole(
+      Unavailable, fields,
+      errorBody(outcome == Outcome::NotRun ? "not_run" : "unknown", reason));
+  end(outcome, reason);
 }
 
-RunningRecord Exchange::record() const {
-  return {Request.Id, Request.Admit.Cell, Grant.Fence, Grant.Replica,
-          Request.Admit.Adapter};
+RegisteredRequest Exchange::record() const {
+  return {Request.Id, Request.Admit.Cell, Grant.Replica, Request.Admit.Adapter,
+          Grant.Fence};
 }
 
 void Exchange::giveBack(Outcome outcome) {
@@ -357,7 +367,7 @@
   Ended = true;
   giveBack(outcome);
   if (Claimed)
-    Hooks->RecordOutcome(Request, outcome);
+    Hooks->RecordOutcome(Claim, outcome);
   Hooks->OnEnd({Request, Grant.Replica, outcome, std::move(reason), Gone,
                 Span(Grant.LoadStallUs), ToFirstByte});
 }
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -25,43 +25,6 @@
   std::shared_ptr<void> CallerPlace;
 };
 
-/// A request that is about to run, as a new owner of its cell has to know it.
-struct RunningRecord {
-  std::string Id;
-  std::string Cell;
-  Epoch Fence = 0;
-  std::string Replica;
-  std::string Adapter;
-};
-
-/// What came of claiming an idempotency key.
-struct ClaimAnswer {
-  enum class Kind : std::uint8_t {
-    /// The key is ours: the request may run.
-    Claimed,
-    /// An earlier request has it; `Earlier` says how that ended.
-    Taken,
-    /// The key was used for a different request.
-    Mismatch,
-    /// The table could not be asked; nothing was claimed.
-    Unavailable,
-    /// Whether the claim took effect can't be told.
-    Ambiguous,
-  };
-  Kind Result = Kind::Claimed;
-  Outcome Earlier = Outcome::Unknown;
-  std::string EarlierRequest;
-};
-
-/// What the decision on another try depends on.
-struct RetryQuestion {
-  bool Repeatable = true;
-  Outcome Ended = Outcome::Unknown;
-  bool FirstBytePassed = false;
-  std::uint32_t Attempt = 1;
-  Span TimeLeft{};
-};
-
 /// How an exchange ended, for logs and metrics.
 struct ExchangeEnd {
   const ExchangeRequest &Request;
@@ -83,14 +46,12 @@
       Ask;
   /// Puts the request on the register of what runs here. False if a newer
   /// owner of the cell has been told already what runs.
-  std::function<bool(const RunningRecord &)> Register;
-  std::function<void(const RunningRecord &)> Unregister;
-  std::function<void(const ExchangeRequest &,
-                     std::function<void(const ClaimAnswer &)>)>
-      Claim;
+  std::function<bool(const RegisteredRequest &)> Register;
+  std::function<void(const RegisteredRequest &)> Unregister;
+  std::function<void(const ExchangeRequest &, ClaimBook::OnAnswer)> Claim;
   /// Writes down how the request of a claimed key ended.
-  std::function<void(const ExchangeRequest &, Outcome)> RecordOutcome;
-  std::function<bool(const RetryQuestion &)> MayRetry;
+  std::function<void(const ClaimTicket &, Outcome)> RecordOutcome;
+  std::function<RetryVerdict(const FailedAttempt &)> MayRetry;
   std::function<void(Span, std::function<void()>)> After;
   std::function<void(const ExchangeEnd &)> OnEnd;
 };
@@ -122,11 +83,12 @@
   bool tryAgain(Outcome outcome);
   void startStream();
   void answer(Outcome outcome, const HttpResult &result);
+  Outcome ended(const HttpResult &result) const;
   void refuse(const std::string &reason, Span retryAfter);
   void refuseTaken(const ClaimAnswer &answer);
   void giveBack(Outcome outcome);
   void end(Outcome outcome, std::string reason = {});
-  RunningRecord record() const;
+  RegisteredRequest record() const;
   HttpFields answerFields(Outcome outcome) const;
 
   ExchangeRequest Request;
@@ -144,6 +106,9 @@
   AdmitReply Grant;
   bool Registered = false;
   bool Claimed = false;
+  ClaimTicket Claim;
+  /// How the attempts before this one ended, together.
+  Outcome Prior = Outcome::NotRun;
   HttpClient::Ticket Transfer = 0;
   int Status = 0;
   HttpFields EndpointFields;
--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -13,9 +13,26 @@
 namespace {
 
 constexpr Span TickInterval = std::chrono::milliseconds(50);
+constexpr Span RecoveryInterval = std::chrono::milliseconds(250);
+constexpr Span CleanUpInterval = std::chrono::seconds(10);
 constexpr Span IdlePoll = std::chrono::milliseconds(50);
 constexpr std::string_view ConfigKey = "config/head";
 
+/// A node that is silent for a whole lease runs nothing any more, unless it
+/// is frozen; engines that take its orders then get more time.
+RecoverySettings recoverySettings(const NodeSettings &settings) {
+  constexpr int UnfencedLeases = 3;
+  RecoverySettings recovery;
+  recovery.SilentWait = settings.LeaseDuration + settings.LeaseMargin;
+  recovery.UnfencedWait = UnfencedLeases * recovery.SilentWait;
+  return recovery;
+}
+
+std::int64_t wallMs() {
+  auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
 std::string newIncarnation() {
   std::random_device device;
   std::array<char, 17> buf{};
@@ -29,12 +46,14 @@
     : Context(context), Settings(std::move(settings)), Timers(context),
       Client(context), ControlClient(context), Engines(ControlClient),
       Platform(ControlClient, Settings.PlatformUrl),
-      Asker([this](const std::string &cell) { return runnerOf(cell); },
+      Cells(Settings.Name, recoverySettings(Settings), Engines, cellHooks()),
+      Asker([this](const std::string &cell) { return Cells.find(cell); },
             [this](const std::string &cell) { return Leases->ownerOf(cell); }),
       Incarnation(newIncarnation()),
       Callers({Settings.Name, Incarnation, Settings.DirectoryTtl},
               callerHooks()),
-      Exchanges(exchangeHooks()), InForce(std::make_shared<Catalog>()) {}
+      Exchanges(exchangeHooks()), Retries(RetryPolicySettings{}),
+      InForce(std::make_shared<Catalog>()) {}
 
 Node::~Node() = default;
 
@@ -48,6 +67,7 @@
                                     stream->close();
                                 });
   Asker.attach(*Peers);
+  Cells.attach(*Peers);
   HttpServerSettings http;
   http.Address = Settings.Address;
   http.Port = Settings.CallerPort;
@@ -65,27 +85,34 @@
   LeaseHooks hooks;
   hooks.Now = &TimerService::now;
   hooks.OnOwned = [this](const std::string &cell, Epoch fence) {
-    onOwned(cell, fence);
+    Cells.own(cell, fence);
   };
-  hooks.OnLost = [this](const std::string &cell) { onLost(cell); };
+  hooks.OnLost = [this](const std::string &cell) { Cells.lose(cell); };
   Leases = std::make_shared<LeaseKeeper>(
       LeaseSettings{Settings.LeaseDuration, Settings.LeaseMargin}, self,
       Platform.table(), hooks);
+  ClaimHooks claims;
+  claims.WallMs = &wallMs;
+  claims.After = [this](Span delay, std::function<void()> call) {
+    Timers.after(delay, [call = std::move(call)](Instant) { call(); });
+  };
+  Claims = std::make_shared<ClaimBook>(ClaimSettings{},
+                                       Settings.Name + '-' + Incarnation,
+                                       Platform.table(), claims);
+  Subscriptions.push_back(Timers.every(
+      RecoveryInterval, [this](Instant now) { Cells.tickRecovery(now); }));
+  Subscriptions.push_back(
+      Timers.every(CleanUpInterval, [this](Instant) { cleanUpClaims(); }));
   Subscriptions.push_back(Timers.every(
       Settings.RenewInterval, [this](Instant) { Leases->round(cellNames()); }));
   Subscriptions.push_back(Timers.every(Settings.ConfigInterval,
                                        [this](Instant) { lookAtConfig(); }));
   Subscriptions.push_back(Timers.every(Settings.ConfigInterval,
                                        [this](Instant) { lookAtHosts(); }));
-  Subscriptions.push_back(Timers.every(TickInterval, [this](Instant) {
-    for (auto &runner : runners())
-      runner->tick();
-  }));
   Subscriptions.push_back(
-      Timers.every(Settings.ReportInterval, [this](Instant) {
-        for (auto &runner : runners())
-          runner->askReports();
-      }));
+      Timers.every(TickInterval, [this](Instant) { Cells.tick(); }));
+  Subscriptions.push_back(Timers.every(
+      Settings.ReportInterval, [this](Instant) { Cells.askReports(); }));
   Leases->round({});
   lookAtConfig();
 }
@@ -103,6 +130,21 @@
   answer::error(*reply, 404, "not_found", "no such path");
 }
 
+OwnedCellsHooks Node::cellHooks() {
+  OwnedCellsHooks hooks;
+  hooks.InForce = [this] { return catalog(); };
+  hooks.Nodes = [this] { return Leases->nodes(); };
+  hooks.Holds = [this](const std::string &cell) { return Leases->holds(cell); };
+  hooks.Mode = [this](const std::string &cell) { return Leases->modeOf(cell); };
+  hooks.Post = [this](std::function<void()> call) {
+    asio::post(Context, std::move(call));
+  };
+  hooks.After = [this](Span delay, std::function<void()> call) {
+    Timers.after(delay, [call = std::move(call)](Instant) { call(); });
+  };
+  return hooks;
+}
+
 CallerFrontHooks Node::callerHooks() {
   CallerFrontHooks hooks;
   hooks.InForce = [this] { return catalog(); };
@@ -111,6 +153,7 @@
   };
   hooks.Begin = [this](ExchangeRequest request,
                        std::shared_ptr<HttpReply> reply) {
+    Retries.onFirstAttempt();
     std::make_shared<Exchange>(std::move(request), std::move(reply), Client,
                                Exchanges)
         ->start();
@@ -123,15 +166,26 @@
   hooks->Ask = [this](const AdmitRequest &request, Admission::OnReply reply) {
     return Asker.ask(request, std::move(reply));
   };
-  hooks->Register = [](const RunningRecord &) { return true; };
-  hooks->Unregister = [](const RunningRecord &) {};
-  hooks->Claim = [](const ExchangeRequest &,
-                    std::function<void(const ClaimAnswer &)> done) {
-    done(ClaimAnswer{});
+  hooks->Register = [this](const RegisteredRequest &request) {
+    return Cells.enter(request);
   };
-  hooks->RecordOutcome = [](const ExchangeRequest &, Outcome) {};
-  hooks->MayRetry = [](const RetryQuestion &question) {
-    return question.Ended == Outcome::NotRun && question.Attempt < 3;
+  hooks->Unregister = [this](const RegisteredRequest &request) {
+    Cells.leave(request);
+  };
+  hooks->Claim = [this](const ExchangeRequest &request,
+                        ClaimBook::OnAnswer done) {
+    ClaimRequest claim;
+    claim.Scope = request.Admit.Cell.substr(0, request.Admit.Cell.find('/'));
+    claim.Key = request.IdempotencyKey;
+    claim.Body = request.Body;
+    claim.RequestId = request.Id;
+    Claims->claim(claim, std::move(done));
+  };
+  hooks->RecordOutcome = [this](const ClaimTicket &ticket, Outcome outcome) {
+    Claims->record(ticket, outcome);
+  };
+  hooks->MayRetry = [this](const FailedAttempt &attempt) {
+    return Retries.decide(attempt, TimerService::now());
   };
   hooks->After = [this](Span delay, std::function<void()> call) {
     Timers.after(delay, [call = std::move(call)](Instant) { call(); });
@@ -179,7 +233,7 @@
                     {"adapters", catalog()->Adapters.size()},
                     {"replicas", catalog()->Replicas.size()}});
   } else {
-    for (const auto &runner : runners()) {
+    for (const auto &runner : Cells.all()) {
       for (const auto &[replica, resident] : runner->loaded())
         rows.push_back({{"replica", replica},
                         {"adapter", runner->adapterName(resident.Adapter)},
@@ -249,11 +303,18 @@
     InForce = next;
   }
   LOG(INFO) << "config revision=" << row.Version << " in-force";
-  for (auto &runner : runners())
-    runner->configure(*next);
+  Cells.configure(*next);
   Leases->round(cellNames());
 }
 
+void Node::cleanUpClaims() {
+  auto nodes = Leases->nodes();
+  for (std::size_t it = 0; it < nodes.size(); ++it) {
+    if (nodes[it].Name == Settings.Name)
+      Claims->cleanUp(it, nodes.size());
+  }
+}
+
 void Node::lookAtHosts() {
   Platform.hosts([this](auto hosts) {
     if (!hosts)
@@ -263,57 +324,10 @@
       if (host.Leaving)
         leaving.push_back(host.Name);
     }
-    for (auto &runner : runners())
-      runner->setLeaving(leaving);
+    Cells.setLeaving(leaving);
   });
 }
 
-void Node::onOwned(const std::string &cell, Epoch fence) {
-  LOG(INFO) << "own cell=" << cell << " epoch=" << fence;
-  CellRunnerHooks hooks;
-  hooks.Holds = [this, cell] { return Leases->holds(cell); };
-  hooks.Mode = [this, cell] { return Leases->modeOf(cell); };
-  hooks.Post = [this](std::function<void()> call) {
-    asio::post(Context, std::move(call));
-  };
-  auto runner = std::make_shared<CellRunner>(cell, fence, Engines, hooks);
-  {
-    std::lock_guard lock(Mutex);
-    Runners[cell] = runner;
-  }
-  runner->configure(*catalog());
-  runner->tick();
-  runner->askReports();
-}
-
-void Node::onLost(const std::string &cell) {
-  LOG(INFO) << "lose cell=" << cell;
-  std::shared_ptr<CellRunner> runner;
-  {
-    std::lock_guard lock(Mutex);
-    auto it = Runners.find(cell);
-    if (it == Runners.end())
-      return;
-    runner = it->second;
-    Runners.erase(it);
-  }
-  runner->stop();
-}
-
-std::shared_ptr<CellRunner> Node::runnerOf(const std::string &cell) const {
-  std::lock_guard lock(Mutex);
-  auto it = Runners.find(cell);
-  return it == Runners.end() ? nullptr : it->second;
-}
-
-std::vector<std::shared_ptr<CellRunner>> Node::runners() const {
-  std::lock_guard lock(Mutex);
-  std::vector<std::shared_ptr<CellRunner>> out;
-  for (const auto &[cell, runner] : Runners)
-    out.push_back(runner);
-  return out;
-}
-
 std::vector<std::string> Node::cellNames() const {
   auto inForce = catalog();
   std::vector<std::string> out;
--- a/Programs/hemlockgladed/Node.h
+++ b/Programs/hemlockgladed/Node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallerFront.h"
+#include "OwnedCells.h"
 
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
@@ -29,6 +30,7 @@
   void onApply(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
   void commitCatalog(std::string text, std::uint64_t expected,
                      std::shared_ptr<HttpReply> reply);
+  OwnedCellsHooks cellHooks();
   CallerFrontHooks callerHooks();
   std::shared_ptr<const ExchangeHooks> exchangeHooks();
   std::vector<std::string> addressesFor(const std::string &cell) const;
@@ -37,10 +39,7 @@
   void lookAtConfig();
   void takeConfig(const TableRow &row);
   void lookAtHosts();
-  void onOwned(const std::string &cell, Epoch fence);
-  void onLost(const std::string &cell);
-  std::shared_ptr<CellRunner> runnerOf(const std::string &cell) const;
-  std::vector<std::shared_ptr<CellRunner>> runners() const;
+  void cleanUpClaims();
   std::vector<std::string> cellNames() const;
   std::shared_ptr<const Catalog> catalog() const;
   void waitUntilIdle(Instant until, std::function<void()> done);
@@ -52,10 +51,13 @@
   HttpClient ControlClient;
   EngineClient Engines;
   PlatformClient Platform;
+  OwnedCells Cells;
   Admission Asker;
   std::string Incarnation;
   CallerFront Callers;
   std::shared_ptr<const ExchangeHooks> Exchanges;
+  std::shared_ptr<ClaimBook> Claims;
+  RetryPolicy Retries;
   std::unique_ptr<HttpServer> Http;
   std::unique_ptr<PeerNet> Peers;
   std::shared_ptr<LeaseKeeper> Leases;
@@ -66,7 +68,6 @@
   mutable std::mutex Mutex;
   std::shared_ptr<const Catalog> InForce;
   std::uint64_t ConfigVersion = 0;
-  std::map<std::string, std::shared_ptr<CellRunner>> Runners;
 };
 
 } // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/OwnedCells.cpp
@@ -0,0 +1,169 @@
+#include "OwnedCells.h"
+
+#include <easylogging++.h>
+
+namespace hemlockglade {
+
+OwnedCells::OwnedCells(std::string self, const RecoverySettings &recovery,
+                       EngineClient &engines, OwnedCellsHooks hooks)
+    : Self(std::move(self)), Recovery(recovery), Engines(engines),
+      Hooks(std::move(hooks)), Keeper(recovery, recoveryHooks()) {
+  RecoveryLinksHooks links;
+  links.AddressOf = [this](const std::string &node) {
+    for (const auto &it : Hooks.Nodes()) {
+      if (it.Name == node)
+        return it.PeerAddress;
+    }
+    return std::string();
+  };
+  links.After = Hooks.After;
+  Links = std::make_shared<RecoveryLinks>(Self, Register, links);
+}
+
+RecoveryHooks OwnedCells::recoveryHooks() {
+  RecoveryHooks hooks;
+  hooks.Ask = [this](const RecoveryNode &node, const std::string &cell,
+                     Epoch fence) { Links->ask(node, cell, fence); };
+  hooks.OnAdopted = [this](const RecoveryNode &,
+                           const RegisteredRequest &request) {
+    if (auto runner = find(request.Cell))
+      runner->adopt(request);
+  };
+  hooks.OnFinished = [this](const RegisteredRequest &request) {
+    if (auto runner = find(request.Cell))
+      runner->finishAdopted(request.Id);
+  };
+  hooks.OnRecovered = [this](const std::string &cell, Epoch fence) {
+    LOG(INFO) << "recovered cell=" << cell << " epoch=" << fence;
+    if (auto runner = find(cell))
+      runner->tick();
+  };
+  return hooks;
+}
+
+void OwnedCells::attach(PeerNet &net) { Links->attach(net, Keeper); }
+
+std::vector<RecoveryNode> OwnedCells::recentNodes(Instant now) {
+  auto live = Hooks.Nodes();
+  std::lock_guard lock(Mutex);
+  for (const auto &node : live)
+    Seen[node.Name + '/' + node.Incarnation] = {node, now};
+  std::erase_if(Seen, [&](const auto &it) {
+    return now - it.second.second > Recovery.UnfencedWait;
+  });
+  std::vector<RecoveryNode> nodes;
+  for (const auto &[key, seen] : Seen)
+    nodes.push_back({seen.first.Name, seen.first.Incarnation});
+  return nodes;
+}
+
+void OwnedCells::own(const std::string &cell, Epoch fence) {
+  LOG(INFO) << "own cell=" << cell << " epoch=" << fence;
+  auto inForce = Hooks.InForce();
+  CellRunnerHooks hooks;
+  hooks.Holds = [this, cell] { return Hooks.Holds(cell); };
+  hooks.Mode = [this, cell] { return modeOf(cell); };
+  hooks.Post = Hooks.Post;
+  auto runner = std::make_shared<CellRunner>(cell, fence, Engines, hooks);
+  runner->configure(*inForce);
+  std::vector<std::string> leaving;
+  {
+    std::lock_guard lock(Mutex);
+    Runners[cell] = runner;
+    leaving = LeavingReplicas;
+  }
+  runner->setLeaving(leaving);
+  bool allChecked = true;
+  for (const auto &[name, replica] : inForce->Replicas) {
+    auto service = inForce->Services.find(replica.Service);
+    if (service != inForce->Services.end() &&
+        cellOfReplica(service->second, replica) == cell)
+      allChecked = allChecked && replica.ChecksFencing;
+  }
+  auto now = TimerService::now();
+  Keeper.begin(cell, fence, recentNodes(now), allChecked, now);
+  runner->tick();
+  runner->askReports();
+}
+
+void OwnedCells::lose(const std::string &cell) {
+  LOG(INFO) << "lose cell=" << cell;
+  Keeper.end(cell);
+  Links->forget(cell);
+  std::shared_ptr<CellRunner> runner;
+  {
+    std::lock_guard lock(Mutex);
+    auto it = Runners.find(cell);
+    if (it == Runners.end())
+      return;
+    runner = it->second;
+    Runners.erase(it);
+  }
+  runner->stop();
+}
+
+LeaseMode OwnedCells::modeOf(const std::string &cell) const {
+  return Keeper.mode(cell, Hooks.Mode(cell));
+}
+
+void OwnedCells::configure(const Catalog &catalog) {
+  for (auto &runner : all())
+    runner->configure(catalog);
+}
+
+void OwnedCells::setLeaving(const std::vector<std::string> &replicas) {
+  {
+    std::lock_guard lock(Mutex);
+    LeavingReplicas = replicas;
+  }
+  for (auto &runner : all())
+    runner->setLeaving(replicas);
+}
+
+void OwnedCells::tick() {
+  for (auto &runner : all())
+    runner->tick();
+}
+
+void OwnedCells::tickRecovery(Instant now) {
+  recentNodes(now);
+  std::vector<RecoveryNode> live;
+  for (const auto &node : Hooks.Nodes())
+    live.push_back({node.Name, node.Incarnation});
+  Keeper.setNodes(live, now);
+  Keeper.tick(now);
+}
+
+void OwnedCells::askReports() {
+  for (auto &runner : all())
+    runner->askReports();
+}
+
+std::shared_ptr<CellRunner> OwnedCells::find(const std::string &cell) const {
+  std::lock_guard lock(Mutex);
+  auto it = Runners.find(cell);
+  return it == Runners.end() ? nullptr : it->second;
+}
+
+std::vector<std::shared_ptr<CellRunner>> OwnedCells::all() const {
+  std::lock_guard lock(Mutex);
+  std::vector<std::shared_ptr<CellRunner>> out;
+  for (const auto &[cell, runner] : Runners)
+    out.push_back(runner);
+  return out;
+}
+
+bool OwnedCells::enter(const RegisteredRequest &request) {
+  return Register.add(request);
+}
+
+void OwnedCells::leave(const RegisteredRequest &request) {
+  Register.remove(request.Cell, request.Id);
+  Links->ended(request.Cell, request.Id);
+}
+
+void OwnedCells::serveRecovery(const std::shared_ptr<PeerStream> &stream) {
+  Links->serve(stream);
+}
+
+} // namespace hemlockglade
--- a/UnitTests/Coordination/Recovery/RecoveryTest.cpp
+++ b/UnitTests/Coordination/Recovery/RecoveryTest.cpp
@@ -43,7 +43,7 @@
     auto &owner = *Owners[epoch - 1];
     owner.Known.insert(id);
     after(1500ms, [this, entry, id, epoch, &owner] {
-      RunningRequest request{id, Cell, "assistant-1", "a@1", epoch};
+      RegisteredRequest request{id, Cell, "assistant-1", "a@1", epoch};
       bool may = Entries[entry].add(request);
       if (!may && Switches.ObeyRefusal) {
         owner.Known.erase(id);
@@ -207,10 +207,10 @@
     hooks.Ask = [this](const RecoveryNode &node, const auto &, Epoch) {
       Calls.push_back("ask " + node.Name);
     };
-    hooks.OnAdopted = [this](const auto &, const RunningRequest &request) {
+    hooks.OnAdopted = [this](const auto &, const RegisteredRequest &request) {
       Calls.push_back("adopt " + request.Id);
     };
-    hooks.OnFinished = [this](const RunningRequest &request) {
+    hooks.OnFinished = [this](const RegisteredRequest &request) {
       Calls.push_back("finish " + request.Id);
     };
     hooks.OnRecovered = [this](const auto &, Epoch) {
@@ -225,7 +225,7 @@
 using Names = std::vector<std::string>;
 const RecoveryNode A{"a", "x.1"};
 const RecoveryNode B{"b", "y.1"};
-const RunningRequest One{"1", Cell, "r", "a@1", 4};
+const RegisteredRequest One{"1", Cell, "r", "a@1", 4};
 
 } // namespace
 
--- a/UnitTests/Coordination/Retry/RetryTest.cpp
+++ b/UnitTests/Coordination/Retry/RetryTest.cpp
@@ -25,7 +25,7 @@
 }
 
 TEST_CASE("which failures are tried again", "[retry]") {
-  RetrySettings settings;
+  RetryPolicySettings settings;
   settings.BudgetBurst = 1000;
   RetryPolicy policy(settings);
   Instant now = 100s;
@@ -52,7 +52,7 @@
 TEST_CASE("retries stay a share of traffic however many fail", "[retry]") {
   bool bounded = GENERATE(true, false);
   REQUIRE(checkMany("retry budgets", 1000, [bounded] {
-    RetrySettings settings;
+    RetryPolicySettings settings;
     settings.BudgetShare = *rc::gen::element(0.0, 0.05, 0.5);
     if (!bounded)
       settings.BudgetBurst = 1e9;
