ConfigKeeper: revisions that are accepted once and never revert

Cause: the thin path keeps the whole configuration in one row, read by every node each second, and a lost answer of the table leaves the operator without an outcome. Ruled out: a base that the node chooses at each try; a repeat after the head's list had rolled took effect twice (found by the schedules), so the base belongs to the command. One timeout for a whole transfer; a cut in its middle held a node up for the rest of it.

Found on the way and covered: an answer that came twice shifted the pieces of a transfer; nodes that all start anew with a small gap looked for trimmed rows for ever.

--- /dev/null
+++ b/Hemlockglade/Coordination/Config/ConfigObjects.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Config/ConfigTypes.h"
+
+namespace hemlockglade {
+
+/// Puts `pieces` as the objects `name/0`, `name/1`, ..., one at a time.
+void putObjects(const ConfigHooks &hooks, std::string name,
+                std::shared_ptr<const std::vector<std::string>> pieces,
+                std::function<void(bool)> done);
+
+/// Gets the objects `name/0` to `name/count-1`, one at a time; nothing if one
+/// can't be had.
+void getObjects(
+    const ConfigHooks &hooks, std::string name, std::size_t count,
+    std::function<void(std::optional<std::vector<std::string>>)> done);
+
+/// Removes the objects `name/0` to `name/count-1`.
+void dropObjects(const ConfigHooks &hooks, const std::string &name,
+                 std::size_t count);
+
+/// The text of the delta that a row holds or points to; nothing if its
+/// objects can't be had.
+void loadDeltaText(const ConfigHooks &hooks, std::string row,
+                   std::function<void(std::optional<std::string>)> done);
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Config/ConfigTransfer.cpp
@@ -0,0 +1,63 @@
+#include "Hemlockglade/Coordination/Config/ConfigTransfer.h"
+
+#include "Hemlockglade/Coordination/Config/ConfigFormat.h"
+
+namespace hemlockglade {
+
+ConfigTransfer::ConfigTransfer(ConfigHooks hooks, std::string peer, Done done)
+    : Hooks(std::move(hooks)), Peer(std::move(peer)), Finish(std::move(done)) {}
+
+void ConfigTransfer::ask(ConfigFetch fetch, OnAnswer next) {
+  std::uint64_t step = ++Step;
+  Hooks.AskPeer(Peer, fetch,
+                [self = shared_from_this(), step, next](auto answer) {
+                  // An answer that comes twice counts once.
+                  auto expected = step;
+                  if (self->Step.compare_exchange_strong(expected, step + 1))
+                    ((*self).*next)(std::move(answer));
+                });
+}
+
+void ConfigTransfer::askPiece() {
+  ask({0, NextPiece}, &ConfigTransfer::onPiece);
+}
+
+void ConfigTransfer::onPiece(std::optional<ConfigAnswer> answer) {
+  if (!answer || answer->Number < Highest || answer->Number == 0)
+    return Finish(std::nullopt);
+  auto entries = decodePiece(answer->Piece);
+  if (!entries)
+    return Finish(std::nullopt);
+  if (NextPiece == 0)
+    Lowest = answer->Number;
+  Highest = answer->Number;
+  std::move(entries->begin(), entries->end(), std::back_inserter(Changes));
+  ++NextPiece;
+  if (NextPiece < static_cast<std::int32_t>(CatalogView::PieceCount))
+    return askPiece();
+  askDeltas();
+}
+
+void ConfigTransfer::askDeltas() {
+  if (Lowest == Highest)
+    return Finish(CatalogView().with(Highest, Changes));
+  ask({Lowest, -1}, &ConfigTransfer::onDeltas);
+}
+
+void ConfigTransfer::onDeltas(std::optional<ConfigAnswer> answer) {
+  if (!answer || answer->TooOld || answer->Deltas.empty())
+    return Finish(std::nullopt);
+  for (const auto &text : answer->Deltas) {
+    auto delta = decodeDelta(text);
+    if (!delta || delta->Number != Lowest + 1)
+      return Finish(std::nullopt);
+    if (Lowest == Highest)
+      break;
+    ++Lowest;
+    std::move(delta->Changes.begin(), delta->Changes.end(),
+              std::back_inserter(Changes));
+  }
+  askDeltas();
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Config/SnapshotWriter.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Config/ConfigFormat.h"
+
+#include <atomic>
+
+namespace hemlockglade {
+
+/// Writes a snapshot to the object store, names it in the head row, and then
+/// removes the delta rows and objects that it makes needless.
+class SnapshotWriter : public std::enable_shared_from_this<SnapshotWriter> {
+public:
+  SnapshotWriter(const ConfigSettings &settings, ConfigHooks hooks)
+      : Settings(settings), Hooks(std::move(hooks)) {}
+
+  /// Writes a snapshot of the view unless one is being written. Failures leave
+  /// the old snapshot and all rows as they are.
+  void write(std::shared_ptr<const CatalogView> view);
+
+private:
+  void name(Revision number);
+  void onHead(Revision number, const TableRow &row);
+  void trim(Revision number, Revision old);
+  void removeRows(Revision number, std::vector<TableRow> rows);
+
+  ConfigSettings Settings;
+  ConfigHooks Hooks;
+  std::atomic<bool> Writing{false};
+};
+
+} // namespace hemlockglade
--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -2,6 +2,8 @@
 
 // The public header of the Coordination layer: decisions, leases, the table.
 
+#include "Hemlockglade/Coordination/Config/ConfigFormat.h"
+#include "Hemlockglade/Coordination/Config/ConfigKeeper.h"
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
 #include "Hemlockglade/Coordination/Table.h"
