Membership by bounded probes and rumours

Cause: every node scans all rows of the table each round, which neither fits the table nor tells a dead node from a slow one at 580 nodes. Ruled out: spreading deaths as rumours; after two regions had been apart, one side's word would have ended the other's neighbours. Hearsay of a death is checked by a probe instead. Change: probing after SWIM with indirect probes, suspicion and incarnations; rumours of members, cells and the revision in force ride on probes; hashes of parts are compared with one member every ten rounds; the dead are kept for hours and probed now and then, so that parted regions merge.

--- a/Hemlockglade/Coordination/Config/ConfigKeeper.cpp
+++ b/Hemlockglade/Coordination/Config/ConfigKeeper.cpp
@@ -383,7 +383,7 @@
   catchUp();
   auto view = current();
   if (view->number() >= head.Snapshot + Settings.SnapshotEvery)
-    Snapshots->write(std::move(view));
+    Snapshots->write(view);
 }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Config/SnapshotWriter.cpp
+++ b/Hemlockglade/Coordination/Config/SnapshotWriter.cpp
@@ -9,7 +9,7 @@
 constexpr std::size_t TrimBatch = 64;
 } // namespace
 
-void SnapshotWriter::write(std::shared_ptr<const CatalogView> view) {
+void SnapshotWriter::write(const std::shared_ptr<const CatalogView> &view) {
   if (Writing.exchange(true))
     return;
   auto pieces = std::make_shared<std::vector<std::string>>();
--- a/Hemlockglade/Coordination/Config/SnapshotWriter.h
+++ b/Hemlockglade/Coordination/Config/SnapshotWriter.h
@@ -15,7 +15,7 @@
 
   /// Writes a snapshot of the view unless one is being written. Failures leave
   /// the old snapshot and all rows as they are.
-  void write(std::shared_ptr<const CatalogView> view);
+  void write(const std::shared_ptr<const CatalogView> &view);
 
 private:
   void name(Revision number);
--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -6,4 +6,6 @@
 #include "Hemlockglade/Coordination/Config/ConfigKeeper.h"
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
+#include "Hemlockglade/Coordination/Membership/MemberTypes.h"
+#include "Hemlockglade/Coordination/Membership/Membership.h"
 #include "Hemlockglade/Coordination/Table.h"
--- /dev/null
+++ b/UnitTests/Coordination/Membership/MembershipTest.cpp
@@ -0,0 +1,225 @@
+#include "UnitTests/Coordination/Membership/MemberWorld.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace hemlockglade;
+using namespace hemlockglade::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Starts `n` nodes in `regions` regions and lets them find each other.
+void gather(MemberWorld &world, std::size_t n, std::size_t regions = 1) {
+  for (std::size_t it = 0; it < n; ++it)
+    world.start(it, "region-" + std::to_string(it % regions));
+  world.until([&] { return world.agreed(); });
+}
+
+} // namespace
+
+TEST_CASE("all members find each other and notice a loss", "[membership]") {
+  for (std::size_t n : {2, 3, 7, 50}) {
+    MemberWorld world(n);
+    gather(world, n, n > 10 ? 3 : 1);
+    REQUIRE(world.agreed());
+    world.Nodes[MemberWorld::name(1)].Up = false;
+    REQUIRE(world.until([&] { return world.agreed(); }) < 30s);
+    REQUIRE(world.Wrong.empty());
+    // It comes back under its name, even with an incarnation that is behind.
+    world.start(1, "region-" + std::to_string(n > 10), 1);
+    REQUIRE(world.until([&] { return world.agreed(); }) < 30s);
+  }
+}
+
+TEST_CASE("nobody dies of lost messages", "[membership]") {
+  // Without helpers or without time to refute, members do.
+  auto deaths = [](std::size_t helpers, Span suspectTime) {
+    MemberWorld world(11);
+    world.Settings.Helpers = helpers;
+    world.Settings.MinSuspectTime = world.Settings.SuspectTime = suspectTime;
+    gather(world, 20);
+    world.Loss = 0.2;
+    std::size_t dead = 0;
+    for (int it = 0; it < 120; ++it) {
+      world.run(1s);
+      for (const auto &[name, node] : world.Nodes) {
+        for (const auto &record : node.Member->members())
+          dead += record.State == MemberState::Dead;
+      }
+    }
+    return dead;
+  };
+  REQUIRE(deaths(3, 1s) == 0);
+  REQUIRE(deaths(0, 1us) > 0);
+}
+
+TEST_CASE("a leaving node is known everywhere within rounds", "[membership]") {
+  MemberWorld world(3);
+  gather(world, 50);
+  world.at(7).leave();
+  auto known = [&] {
+    return world.all([&](const MemberWorld::Node &node) {
+      for (const auto &it : node.Member->members()) {
+        if (it.Name == MemberWorld::name(7))
+          return it.Leaving;
+      }
+      return false;
+    });
+  };
+  REQUIRE(world.until(known) < 8s);
+  world.at(7).depart();
+  world.run(100ms);
+  world.Nodes[MemberWorld::name(7)].Up = false;
+  REQUIRE(world.until([&] { return world.agreed(); }) < 8s);
+  REQUIRE(world.Wrong.empty());
+}
+
+TEST_CASE("a node that was paused blames nobody", "[membership]") {
+  MemberWorld world(4);
+  gather(world, 7);
+  auto &node = world.Nodes[MemberWorld::name(2)];
+  node.Paused = true;
+  world.run(40s);
+  REQUIRE(world.seen(world.Nodes[MemberWorld::name(0)], MemberWorld::name(2)) ==
+          MemberState::Dead);
+  node.Paused = false;
+  world.run(300ms);
+  for (const auto &it : node.Member->members())
+    REQUIRE(it.State == MemberState::Alive);
+  REQUIRE(world.until([&] { return world.agreed(); }) < 30s);
+}
+
+namespace {
+
+/// Whether everybody thinks the nodes of its own region alive, and those of
+/// the other alive or, if parted, dead.
+bool sidesRight(const MemberWorld &world, bool parted) {
+  return world.all([&](const MemberWorld::Node &node) {
+    for (const auto &it : node.Member->members()) {
+      bool near = it.Region == node.Record.Region;
+      bool alive = it.State == MemberState::Alive;
+      if (alive != (near || !parted))
+        return false;
+    }
+    return true;
+  });
+}
+
+/// Parts two regions for an hour and joins them; counts the times that a
+/// neighbour of one's own region was thought dead.
+std::size_t partForAnHour(MemberWorld &world) {
+  gather(world, 24, 2);
+  bool together = false;
+  world.Joined = [&](const std::string &a, const std::string &b) {
+    return together || a == b;
+  };
+  world.run(1h);
+  REQUIRE(sidesRight(world, true));
+  together = true;
+  std::size_t flaps = 0;
+  auto merged = [&] {
+    for (const auto &[name, node] : world.Nodes) {
+      for (const auto &it : node.Member->members())
+        flaps += it.Region == node.Record.Region &&
+                 it.State != MemberState::Alive &&
+                 it.State != MemberState::Suspect;
+    }
+    return sidesRight(world, false);
+  };
+  REQUIRE(world.until(merged) < 90s);
+  return flaps;
+}
+
+} // namespace
+
+TEST_CASE("regions that part for an hour merge again", "[membership]") {
+  MemberWorld world(5);
+  REQUIRE(partForAnHour(world) == 0);
+  REQUIRE(world.Wrong.empty());
+  // If the other side's word were taken for a neighbour's end, it would flap.
+  MemberWorld believing(5);
+  believing.Rewrite = [](MemberMessage &message) {
+    for (auto &it : message.Members) {
+      if (it.State == MemberState::Dead)
+        it.State = MemberState::Left;
+    }
+  };
+  REQUIRE(partForAnHour(believing) > 0);
+}
+
+TEST_CASE("cells and revisions are known everywhere", "[membership]") {
+  MemberWorld world(6);
+  gather(world, 30);
+  world.at(3).tellCell({"assistant/0", "entry-3", 5});
+  world.at(4).tellCell({"assistant/0", "entry-4", 4});
+  world.Nodes[MemberWorld::name(9)].InForce = 17;
+  world.at(9).watchRevision(17, world.Time.now() + 60s);
+  auto known = [&] {
+    return world.all([&](const MemberWorld::Node &node) {
+      return node.Member->ownerOf("assistant/0") ==
+             CellOwner{"assistant/0", "entry-3", 5};
+    });
+  };
+  REQUIRE(world.until(known) < 10s);
+  REQUIRE(world.at(9).lagging(17).size() == 29);
+  for (auto &[name, node] : world.Nodes) {
+    REQUIRE((name == MemberWorld::name(9) || world.Heard[name] == 17));
+    node.InForce = 17;
+  }
+  REQUIRE(world.until([&] { return world.at(9).lagging(17).empty(); }) < 3s);
+}
+
+TEST_CASE("what a node sends is bounded whatever the number of nodes",
+          "[membership]") {
+  constexpr std::uint64_t Seconds = 30;
+  for (std::size_t n : {7, 50, 200}) {
+    MemberWorld world(n);
+    gather(world, n, n > 100 ? 3 : 1);
+    for (auto &[name, node] : world.Nodes)
+      node.Bytes = node.MaxRoundBytes = 0;
+    // A wave of news: a tenth of the nodes go at once.
+    for (std::size_t it = 0; it < n / 10; ++it)
+      world.Nodes[MemberWorld::name(it * 10)].Up = false;
+    world.run(std::chrono::seconds(Seconds));
+    for (const auto &[name, node] : world.Nodes) {
+      REQUIRE(node.Bytes / Seconds < 8000);
+      REQUIRE(node.MaxRoundBytes < 23000);
+    }
+  }
+}
+
+TEST_CASE("members agree after any schedule of failures", "[membership]") {
+  REQUIRE(rc::check("once the failures are over", [] {
+    MemberWorld world(*rc::gen::arbitrary<std::uint64_t>());
+    auto n = *rc::gen::inRange<std::size_t>(3, 10);
+    gather(world, n, 2);
+    bool parted = false;
+    world.Joined = [&](const std::string &a, const std::string &b) {
+      return !parted || a == b;
+    };
+    for (int it = 0; it < 12; ++it) {
+      auto number = world.Random() % n;
+      auto &node = world.Nodes[MemberWorld::name(number)];
+      auto what = world.Random() % 6;
+      if (what == 0)
+        world.Loss = (world.Random() % 3) * 0.2;
+      else if (what == 1)
+        node.Paused = !node.Paused;
+      else if (what == 2)
+        parted = !parted;
+      else if (what == 3 && node.Up)
+        node.Up = false;
+      else if (!node.Up)
+        world.start(number, node.Record.Region);
+      world.run(std::chrono::seconds(world.Random() % 15));
+    }
+    world.Loss = 0;
+    parted = false;
+    for (auto &[name, node] : world.Nodes)
+      node.Paused = false;
+    auto span = world.until([&] { return world.agreed(); });
+    RC_ASSERT(span < Span(120s));
+    RC_ASSERT(world.Wrong.empty());
+  }));
+}
