--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -4,6 +4,8 @@
 
 #include "Hemlockglade/Coordination/Decision/AdapterTable.h"
 #include "Hemlockglade/Coordination/Claim/ClaimBook.h"
+#include "Hemlockglade/Coordination/Config/ConfigFormat.h"
+#include "Hemlockglade/Coordination/Config/ConfigKeeper.h"
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Decision/CellState.h"
 #include "Hemlockglade/Coordination/Decision/CoreTypes.h"
@@ -24,4 +26,6 @@
 #include "Hemlockglade/Coordination/Recovery/RecoveryKeeper.h"
 #include "Hemlockglade/Coordination/Retry/OutcomeOf.h"
 #include "Hemlockglade/Coordination/Retry/RetryPolicy.h"
+#include "Hemlockglade/Coordination/Membership/MemberTypes.h"
+#include "Hemlockglade/Coordination/Membership/Membership.h"
 #include "Hemlockglade/Coordination/Table.h"
