--- a/Bench/Core/Baselines/Foresight.cpp
+++ b/Bench/Core/Baselines/Foresight.cpp
@@ -1,29 +1,102 @@
 #include "Bench/Core/Baselines/Foresight.h"
 
+#include "Bench/Core/VirtualLoop.h"
+
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <memory>
 #include <unordered_map>
 
 namespace hemlockglade::bench {
 
-LruCoreSettings::Valuation trueShares(const Trace &trace) {
-  struct State {
-    std::size_t Next = 0;
-    std::unordered_map<AdapterKey, double> Shares;
+namespace {
+
+/// Sessions whose last request is this many gaps past are taken as ended.
+constexpr double GapsToEnd = 6;
+
+/// The demand as the scenario's own process makes it.
+class TrueDemand {
+public:
+  TrueDemand(const Workload &workload, const Trace &trace)
+      : Work(workload), Requests(trace), Shares(workload.Adapters + 1),
+        Uses(workload.Adapters + 1) {
+    std::unordered_map<CallerKey, Use *> last;
+    // Never grown again, so that the pointers above stay valid.
+    std::vector<std::size_t> counts(Uses.size());
+    for (const auto &it : trace.Requests)
+      ++counts[it.Adapter];
+    for (std::size_t it = 0; it < Uses.size(); ++it)
+      Uses[it].reserve(counts[it]);
+    for (const auto &it : trace.Requests) {
+      auto &before = last[it.Caller];
+      if (before)
+        before->Next = it.At;
+      before = &Uses[it.Adapter].emplace_back(Use{it.At, Instant::max()});
+    }
+  }
+
+  /// Requests a second that are to be expected.
+  double operator()(AdapterKey adapter, Instant now) {
+    applyChanges(now);
+    double rate = 0;
+    for (const auto &point : Work.Rates) {
+      if (seconds(point.AtS) <= now)
+        rate = point.Rate;
+    }
+    double begun = Shares[adapter] * rate / Work.SessionRequests;
+    return begun + running(adapter, now);
+  }
+
+private:
+  struct Use {
+    Instant At{};
+    /// The session's next request.
+    Instant Next{};
   };
-  return [state = std::make_shared<State>(), &trace](AdapterKey adapter,
-                                                     Instant now) {
-    const auto &changes = trace.Shares;
-    for (; state->Next < changes.size(); ++state->Next) {
-      const auto &change = changes[state->Next];
-      if (change.At > now)
+
+  void applyChanges(Instant now) {
+    const auto &changes = Requests.Shares;
+    for (; Applied < changes.size() && changes[Applied].At <= now; ++Applied)
+      Shares[changes[Applied].Adapter] = changes[Applied].Share;
+  }
+
+  double running(AdapterKey adapter, Instant now) const {
+    double goesOn = 1 - 1 / Work.SessionRequests;
+    if (goesOn <= 0)
+      return 0;
+    double out = 0;
+    const auto &uses = Uses[adapter];
+    auto it = std::upper_bound(
+        uses.begin(), uses.end(), now,
+        [](Instant when, const Use &use) { return when < use.At; });
+    while (it != uses.begin()) {
+      --it;
+      double age = toSeconds(now - it->At) / Work.SessionGapS;
+      if (age > GapsToEnd)
         break;
-      state->Shares[change.Adapter] = change.Share;
+      if (it->Next <= now)
+        continue;
+      double alive = goesOn * std::exp(-age);
+      out += alive / (alive + 1 - goesOn) / Work.SessionGapS;
     }
-    auto it = state->Shares.find(adapter);
-    return it == state->Shares.end() ? 0.0 : it->second;
-  };
+    return out;
+  }
+
+  const Workload &Work;
+  const Trace &Requests;
+  std::size_t Applied = 0;
+  std::vector<double> Shares;
+  std::vector<std::vector<Use>> Uses;
+};
+
+} // namespace
+
+LruCoreSettings::Valuation trueDemand(const Workload &workload,
+                                      const Trace &trace) {
+  return
+      [demand = std::make_shared<TrueDemand>(workload, trace)](
+          AdapterKey adapter, Instant now) { return (*demand)(adapter, now); };
 }
 
 LruCoreSettings::Valuation nextUses(const Trace &trace) {
--- a/Bench/Core/Baselines/Foresight.h
+++ b/Bench/Core/Baselines/Foresight.h
@@ -5,9 +5,12 @@
 
 namespace hemlockglade::bench {
 
-/// An adapter's worth is its true share of the requests at the time. The
-/// trace must outlive the result.
-LruCoreSettings::Valuation trueShares(const Trace &trace);
+/// An adapter's worth is the rate at which its requests are expected by one
+/// who knows the scenario but not what is drawn: its true share of the new
+/// sessions, and the next requests of the sessions that have begun. Workload
+/// and trace must outlive the result.
+LruCoreSettings::Valuation trueDemand(const Workload &workload,
+                                      const Trace &trace);
 
 /// An adapter's worth is the less, the later its next request comes. The
 /// trace must outlive the result.
--- a/Bench/Core/Baselines/LruCore.cpp
+++ b/Bench/Core/Baselines/LruCore.cpp
@@ -75,6 +75,7 @@
     return;
   auto &resident = replica->second.Adapters[event.Adapter];
   resident.Loading = false;
+  resident.LoadedAt = Now;
   resident.LastUsed = Now;
 }
 
@@ -109,6 +110,7 @@
   if (it == replica->second.Adapters.end() || !it->second.LeavesFor)
     return;
   AdapterKey wanted = it->second.LeavesFor;
+  replica->second.LastEviction = Now;
   --LoadsRunning;
   if (event.Refused)
     it->second.LeavesFor = NoAdapter;
@@ -157,17 +159,25 @@
     return;
   auto &replica = it->second;
   replica.Silent = false;
-  if (replica.Incarnation == event.Incarnation)
+  dropMissing(replica, event);
+  if (replica.LastEviction >= event.TakenAt)
     return;
-  replica.Incarnation = event.Incarnation;
-  std::erase_if(replica.Adapters, [](const auto &entry) {
-    const auto &resident = entry.second;
-    return !resident.Loading && !resident.LeavesFor && resident.Running == 0;
-  });
   for (const auto &resident : event.Resident)
     replica.Adapters.try_emplace(resident.Adapter);
 }
 
+void LruCore::dropMissing(Replica &replica, const ReplicaReport &event) {
+  std::erase_if(replica.Adapters, [&event](const auto &entry) {
+    const auto &resident = entry.second;
+    bool busy = resident.Loading || resident.LeavesFor || resident.Running;
+    if (busy || resident.LoadedAt >= event.TakenAt)
+      return false;
+    return std::none_of(
+        event.Resident.begin(), event.Resident.end(),
+        [&entry](const auto &it) { return it.Adapter == entry.first; });
+  });
+}
+
 void LruCore::on(const ReplicaSilent &event) {
   auto it = Replicas.find(event.Replica);
   if (it != Replicas.end())
@@ -290,15 +300,16 @@
 
 std::optional<ReplicaKey> LruCore::freeSlot(AdapterKey adapter) const {
   std::optional<ReplicaKey> best;
-  std::uint32_t fewest = 0;
+  std::pair<std::uint32_t, std::size_t> fewest;
   for (const auto &[key, replica] : Replicas) {
     bool room = replica.Adapters.size() < replica.Properties.Slots;
     if (!room || !replica.usable() || replica.Adapters.contains(adapter))
       continue;
-    if (best && replica.Running >= fewest)
+    std::pair load(replica.Running, replica.Adapters.size());
+    if (best && load >= fewest)
       continue;
     best = key;
-    fewest = replica.Running;
+    fewest = load;
   }
   return best;
 }
--- a/Bench/Core/Baselines/LruCore.h
+++ b/Bench/Core/Baselines/LruCore.h
@@ -44,6 +44,7 @@
   struct Resident {
     std::uint32_t Running = 0;
     Instant LastUsed{};
+    Instant LoadedAt{};
     bool Loading = false;
     /// Being evicted to make room for this adapter, if not 0.
     AdapterKey LeavesFor = NoAdapter;
@@ -52,8 +53,9 @@
     ReplicaAdded Properties;
     bool Draining = false;
     bool Silent = false;
-    std::uint64_t Incarnation = 0;
     std::uint32_t Running = 0;
+    /// When an adapter was last evicted; older reports may still show it.
+    Instant LastEviction{};
     std::map<AdapterKey, Resident> Adapters;
 
     bool usable() const {
@@ -98,6 +100,7 @@
   std::optional<Victim> victim(AdapterKey adapter) const;
   double worth(AdapterKey adapter, const Resident &resident) const;
   ReplicaKey leastLoadedHolder(AdapterKey adapter) const;
+  void dropMissing(Replica &replica, const ReplicaReport &event);
   void loadOver(ReplicaKey where, AdapterKey adapter);
 
   LruCoreSettings Settings;
--- /dev/null
+++ b/Bench/Core/Bounds.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <filesystem>
+#include <functional>
+#include <iosfwd>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace hemlockglade::bench {
+
+/// What a figure must keep to.
+struct Bound {
+  std::string Figure;
+  bool IsMaximum = true;
+  double Value = 0;
+  /// If not empty, `Value` is a factor of what this policy reaches in the
+  /// same scenario with the same seed.
+  std::string Versus;
+};
+
+/// A run and the bounds of its figures.
+struct BoundRow {
+  std::string Scenario;
+  std::string Policy;
+  std::vector<std::uint64_t> Seeds;
+  std::vector<Bound> Bounds;
+};
+
+/// Gives the figures of a scenario, a policy and a seed.
+using RunFunction = std::function<nlohmann::json(
+    const std::string &, const std::string &, std::uint64_t)>;
+
+/// Reads a file of bounds; throws `std::runtime_error` that says what is
+/// wrong.
+std::vector<BoundRow> readBounds(const std::filesystem::path &path);
+
+/// Runs the rows and compares their figures with the bounds. Figures of
+/// correctness must be 0 in every row that has
+/// no bounds of its own for them.
+class BoundsCheck {
+public:
+  BoundsCheck(RunFunction run, std::ostream &out);
+
+  /// Checks all rows and prints a line for each. Returns whether all hold.
+  bool check(const std::vector<BoundRow> &rows);
+
+private:
+  bool checkRow(const BoundRow &row, std::uint64_t seed);
+  bool holds(const Bound &bound, const BoundRow &row, std::uint64_t seed);
+  const nlohmann::json &figures(const std::string &scenario,
+                                const std::string &policy, std::uint64_t seed);
+
+  RunFunction Run;
+  std::ostream &Out;
+  std::map<std::tuple<std::string, std::string, std::uint64_t>, nlohmann::json>
+      Results;
+};
+
+} // namespace hemlockglade::bench
--- a/Bench/Core/FakeCallers.cpp
+++ b/Bench/Core/FakeCallers.cpp
@@ -9,6 +9,8 @@
 constexpr std::uint32_t MostEntryRetries = 3;
 constexpr Span EntryRetryDelay = std::chrono::milliseconds(50);
 constexpr Span LeastCallerDelay = std::chrono::milliseconds(500);
+/// Callers who are told to come back later than this do not.
+constexpr Span MostCallerDelay = std::chrono::seconds(120);
 constexpr Span AskAgainDelay = std::chrono::milliseconds(200);
 
 } // namespace
@@ -19,7 +21,7 @@
                          FakeCallersHooks hooks)
     : Loop(loop), Work(workload), Requests(trace), Residency(residency),
       Judge(checker), Draw(seed), Hooks(std::move(hooks)),
-      States(trace.Requests.size()) {}
+      States(trace.Requests.size()), Pending(States.size()) {}
 
 void FakeCallers::start() {
   for (std::size_t it = 0; it < Requests.Requests.size(); ++it) {
@@ -69,8 +71,8 @@
   std::size_t index = indexOf(attempt);
   auto &state = States[index];
   admitted(attempt);
-  bool comesBack =
-      !state.MayHaveRun && state.CallerRetries < classOf(index).CallerRetries;
+  bool comesBack = retryAfter <= MostCallerDelay && !state.MayHaveRun &&
+                   state.CallerRetries < classOf(index).CallerRetries;
   if (!comesBack)
     return end(index, state.MayHaveRun ? Status::Unknown : Status::NotRun);
   ++state.CallerRetries;
@@ -130,6 +132,7 @@
 }
 
 void FakeCallers::end(std::size_t index, Status status) {
+  Pending -= States[index].End == Status::Pending;
   States[index].End = status;
 }
 
@@ -144,10 +147,12 @@
     const auto &state = States[it];
     double stall = toSeconds(state.Stall);
     double deadline = classOf(it).DeadlineS;
+    ++out.Classes[classOf(it).Name].Requests;
     if (state.End == Status::Complete) {
       double first = toSeconds(state.FirstAt - Requests.Requests[it].At);
       ++out.Answered;
       out.InTime += first <= deadline;
+      out.Classes[classOf(it).Name].InTime += first <= deadline;
       out.Stalls.push_back(stall);
       out.FirstTokens.push_back(first);
       out.PenalisedStalls.push_back(stall);
--- a/Bench/Core/FakeCallers.h
+++ b/Bench/Core/FakeCallers.h
@@ -43,6 +43,9 @@
   /// The owner that was asked is gone: asks the next about all that wait.
   void askAgain();
 
+  /// Requests that have not ended.
+  std::size_t pending() const { return Pending; }
+
   /// Writes down how all requests ended.
   void report(Figures &out) const;
 
@@ -76,6 +79,7 @@
   Random Draw;
   FakeCallersHooks Hooks;
   std::vector<State> States;
+  std::size_t Pending;
   /// Index of the request that an attempt belongs to; attempt 0 is none.
   std::vector<std::size_t> Attempts{0};
 };
--- a/Bench/Core/FakeWeightStore.cpp
+++ b/Bench/Core/FakeWeightStore.cpp
@@ -51,7 +51,7 @@
 void FakeWeightStore::progress() {
   double past = toSeconds(Loop.now() - Since);
   Since = Loop.now();
-  double part = past * Rate / std::max<double>(1, Transfers.size());
+  double part = past * Rate / std::max(1.0, transfers());
   for (auto &[ticket, transfer] : Transfers)
     transfer.Left -= part;
 }
@@ -63,7 +63,7 @@
   double least = 1;
   for (const auto &[ticket, transfer] : Transfers)
     least = std::min(least, transfer.Left);
-  double wait = std::max(0.0, least) * Transfers.size() / Rate;
+  double wait = std::max(0.0, least) * transfers() / Rate;
   Loop.after(seconds(wait) + Span(1), [this, generation] {
     if (generation != Generation)
       return;
--- a/Bench/Core/FakeWeightStore.h
+++ b/Bench/Core/FakeWeightStore.h
@@ -52,6 +52,7 @@
     Done Call;
   };
 
+  double transfers() const { return static_cast<double>(Transfers.size()); }
   void progress();
   void schedule();
   void finishReady();
--- a/Bench/Core/Figures.cpp
+++ b/Bench/Core/Figures.cpp
@@ -27,6 +27,12 @@
 /// Rounds to microseconds, which is all that virtual time knows.
 double rounded(double value) { return std::round(value * 1e6) / 1e6; }
 
+double part(std::uint64_t some, std::uint64_t all) {
+  if (all == 0)
+    return 0;
+  return rounded(static_cast<double>(some) / static_cast<double>(all));
+}
+
 } // namespace
 
 nlohmann::json Figures::toJson() const {
@@ -54,8 +60,9 @@
   out["ttft_p50_s"] = rounded(quantile(FirstTokens, 0.5));
   out["ttft_p95_s"] = rounded(quantile(FirstTokens, 0.95));
   out["batch_fill"] = rounded(BatchFill);
-  double all = static_cast<double>(std::max<std::uint64_t>(1, Requests));
-  out["deadline_met"] = rounded(static_cast<double>(InTime) / all);
+  out["deadline_met"] = part(InTime, Requests);
+  for (const auto &[name, figures] : Classes)
+    out["deadline_met_by_class"][name] = part(figures.InTime, figures.Requests);
   out["decision_hash"] = DecisionHash;
   out["decisions"] = Decisions;
   out["decision_ns_p50"] = quantile(DecisionNs, 0.5);
--- a/Bench/Core/Figures.h
+++ b/Bench/Core/Figures.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <vector>
 
 namespace hemlockglade::bench {
@@ -33,6 +35,12 @@
   double BatchFill = 0;
   /// Requests whose first token came in time, as part of all.
   std::uint64_t InTime = 0;
+  /// How a class fared.
+  struct ClassFigures {
+    std::uint64_t Requests = 0;
+    std::uint64_t InTime = 0;
+  };
+  std::map<std::string, ClassFigures> Classes;
   /// Load stalls of answered requests, in seconds.
   std::vector<double> Stalls;
   /// Load stalls of requests that ended in a refusal.
--- a/Bench/Core/Policies.cpp
+++ b/Bench/Core/Policies.cpp
@@ -1,3 +1,4 @@
+#include "Bench/Core/Baselines/FaultyPolicy.h"
 #include "Bench/Core/Baselines/Foresight.h"
 #include "Bench/Core/Baselines/LruCore.h"
 #include "Bench/Core/Policy.h"
@@ -30,10 +31,10 @@
   return policyOf(std::make_shared<LruCore>(settings));
 }
 
-Policy makeOracle(const Workload &, const Trace &trace) {
+Policy makeOracle(const Workload &workload, const Trace &trace) {
   LruCoreSettings settings;
   settings.ParallelLoads = 1;
-  settings.Worth = trueShares(trace);
+  settings.Worth = trueDemand(workload, trace);
   return policyOf(std::make_shared<LruCore>(settings));
 }
 
@@ -48,6 +49,10 @@
   return policyOf(std::make_shared<CellCore>(CellCoreSettings{}));
 }
 
+Policy makeFaultyLru(const Workload &workload, const Trace &trace) {
+  return makeFaulty(makeLru(workload, trace));
+}
+
 constexpr PolicyEntry Policies[] = {
     {"lru",
      "least recently used, a load on each replica at once, fewest in flight, "
@@ -55,9 +60,11 @@
      makeLru},
     {"lru-turn", "lru with one load at a time", makeLruTurn},
     {"ours", "the decision core with the scenario's objective", makeOurs},
-    {"oracle", "lru-turn that evicts by the true popularity", makeOracle},
+    {"oracle", "lru-turn that evicts by the true expected demand", makeOracle},
     {"clairvoyant", "lru-turn that evicts what is used again last",
      makeClairvoyant},
+    {"faulty", "lru that breaks its promises, to prove the checker",
+     makeFaultyLru},
 };
 
 } // namespace
--- a/Bench/Core/Simulation.cpp
+++ b/Bench/Core/Simulation.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Span NetworkDelay = std::chrono::microseconds(500);
+constexpr Span DrainStep = std::chrono::seconds(1);
 constexpr Span TickPeriod = std::chrono::milliseconds(100);
 
 FakeWeightStoreSettings storeSettings(const Workload &work) {
@@ -66,12 +67,18 @@
     scheduleFault(fault);
   Loop.run(seconds(Work.DurationS));
   noteBatchFill();
-  Loop.run(seconds(Work.DurationS + Work.DrainS));
+  drain();
   Callers.report(Out);
   Out.Loads = Store.started();
   return std::move(Out);
 }
 
+void Simulation::drain() {
+  Instant end = seconds(Work.DurationS + Work.DrainS);
+  while (Callers.pending() && Loop.now() < end)
+    Loop.run(Loop.now() + DrainStep);
+}
+
 void Simulation::beginOwnership(LeaseMode mode) {
   for (auto &it : Nodes) {
     it.Known = 0;
@@ -213,11 +220,17 @@
 }
 
 void Simulation::scheduleReports() {
-  Loop.after(seconds(Work.ReportPeriodS), [this] {
-    for (ReplicaKey it = 1; it <= Nodes.size(); ++it)
-      sendReport(it);
-    scheduleReports();
-  });
+  for (ReplicaKey it = 1; it <= Nodes.size(); ++it) {
+    double phase = static_cast<double>(it) / static_cast<double>(Nodes.size());
+    Loop.after(seconds(phase * Work.ReportPeriodS),
+               [this, it] { repeatReport(it); });
+  }
+}
+
+void Simulation::repeatReport(ReplicaKey replica) {
+  sendReport(replica);
+  Loop.after(seconds(Work.ReportPeriodS),
+             [this, replica] { repeatReport(replica); });
 }
 
 void Simulation::sendReport(ReplicaKey replica) {
--- a/Bench/Core/Simulation.h
+++ b/Bench/Core/Simulation.h
@@ -25,6 +25,7 @@
     std::uint64_t Known = 0;
   };
 
+  void drain();
   void addEngines(const EngineGroup &group);
   void beginOwnership(LeaseMode mode);
   void setLease(LeaseMode mode);
@@ -41,6 +42,7 @@
 
   void scheduleTick();
   void scheduleReports();
+  void repeatReport(ReplicaKey replica);
   void sendReport(ReplicaKey replica);
   void scheduleFault(const Fault &fault);
   void takeEnginesDown(const Fault &fault);
--- a/Bench/Core/Workload.h
+++ b/Bench/Core/Workload.h
@@ -83,8 +83,8 @@
   std::string Objective = "stall";
   /// Requests arrive for this long.
   double DurationS = 900;
-  /// Time after that in which everything must come to its end.
-  double DrainS = 180;
+  /// A request that has not ended this long after that is lost.
+  double DrainS = 600;
   std::vector<EngineGroup> Engines{{}};
   std::uint32_t Domains = 3;
   std::uint32_t Adapters = 3000;
