--- a/Bench/Core/Simulation.cpp
+++ b/Bench/Core/Simulation.cpp
@@ -172,9 +172,9 @@
       if (owner != Owner)
         return;
       if (worked)
-        driveLater(LoadDone{action.Replica, action.Adapter});
+        driveLater(LoadDone{action.Replica, action.Adapter, action.Order});
       else
-        driveLater(LoadFailed{action.Replica, action.Adapter});
+        driveLater(LoadFailed{action.Replica, action.Adapter, action.Order});
     };
     node(action.Replica).Engine->load(action.Adapter, done);
   });
@@ -185,7 +185,7 @@
   if (Lease != LeaseMode::Held) {
     // The sender looks at its lease again, and does not send this one.
     Judge.evicted(0, false);
-    driveLater(EvictDone{action.Replica, action.Adapter, true});
+    driveLater(EvictDone{action.Replica, action.Adapter, true, action.Order});
     return;
   }
   Loop.after(NetworkDelay, [this, action, owner = Owner] {
@@ -194,7 +194,8 @@
     if (!refused)
       Judge.evicted(engine.evict(action.Adapter), true);
     if (owner == Owner)
-      driveLater(EvictDone{action.Replica, action.Adapter, refused});
+      driveLater(
+          EvictDone{action.Replica, action.Adapter, refused, action.Order});
   });
 }
 
