--- a/Bench/Core/Figures.cpp
+++ b/Bench/Core/Figures.cpp
@@ -57,6 +57,7 @@
   out["load_stall_p99_s"] = rounded(quantile(Stalls, 0.99));
   out["stall_refused_mean_s"] = rounded(mean(RefusedStalls));
   out["stall_penalised_mean_s"] = rounded(mean(PenalisedStalls));
+  out["stall_penalised_p99_s"] = rounded(quantile(PenalisedStalls, 0.99));
   out["ttft_p50_s"] = rounded(quantile(FirstTokens, 0.5));
   out["ttft_p95_s"] = rounded(quantile(FirstTokens, 0.95));
   out["batch_fill"] = rounded(BatchFill);
--- a/Bench/Core/Policies.cpp
+++ b/Bench/Core/Policies.cpp
@@ -31,22 +31,59 @@
   return policyOf(std::make_shared<LruCore>(settings));
 }
 
-Policy makeOracle(const Workload &workload, const Trace &trace) {
+Policy makePlainOracle(const Workload &workload, const Trace &trace) {
   LruCoreSettings settings;
   settings.ParallelLoads = 1;
   settings.Worth = trueDemand(workload, trace);
   return policyOf(std::make_shared<LruCore>(settings));
 }
 
-Policy makeClairvoyant(const Workload &, const Trace &trace) {
+Policy makePlainClairvoyant(const Workload &, const Trace &trace) {
   LruCoreSettings settings;
   settings.ParallelLoads = 1;
   settings.Worth = nextUses(trace);
   return policyOf(std::make_shared<LruCore>(settings));
 }
 
-Policy makeOurs(const Workload &, const Trace &) {
-  return policyOf(std::make_shared<CellCore>(CellCoreSettings{}));
+/// The core's settings for the objective that the workload names.
+CellCoreSettings coreSettings(const Workload &workload) {
+  CellCoreSettings out;
+  out.Objective = workload.Objective == "batch" ? 1 : 0;
+  return out;
+}
+
+Policy makeOurs(const Workload &workload, const Trace &) {
+  return policyOf(std::make_shared<CellCore>(coreSettings(workload)));
+}
+
+Policy makeOursStall(const Workload &workload, const Trace &) {
+  auto settings = coreSettings(workload);
+  settings.Objective = 0;
+  return policyOf(std::make_shared<CellCore>(settings));
+}
+
+Policy makeOursBatch(const Workload &workload, const Trace &) {
+  auto settings = coreSettings(workload);
+  settings.Objective = 1;
+  return policyOf(std::make_shared<CellCore>(settings));
+}
+
+Policy makeOursLru(const Workload &workload, const Trace &) {
+  auto settings = coreSettings(workload);
+  settings.Eviction.LeastRecentlyUsed = true;
+  return policyOf(std::make_shared<CellCore>(settings));
+}
+
+Policy makeOracle(const Workload &workload, const Trace &trace) {
+  CellCoreHooks hooks;
+  hooks.Eviction.ValueOf = trueDemand(workload, trace);
+  return policyOf(std::make_shared<CellCore>(coreSettings(workload), hooks));
+}
+
+Policy makeClairvoyant(const Workload &workload, const Trace &trace) {
+  CellCoreHooks hooks;
+  hooks.Eviction.ValueOf = nextUses(trace);
+  return policyOf(std::make_shared<CellCore>(coreSettings(workload), hooks));
 }
 
 Policy makeFaultyLru(const Workload &workload, const Trace &trace) {
@@ -60,9 +97,17 @@
      makeLru},
     {"lru-turn", "lru with one load at a time", makeLruTurn},
     {"ours", "the decision core with the scenario's objective", makeOurs},
-    {"oracle", "lru-turn that evicts by the true expected demand", makeOracle},
-    {"clairvoyant", "lru-turn that evicts what is used again last",
+    {"ours-stall", "ours with short load stalls as its objective",
+     makeOursStall},
+    {"ours-batch", "ours with full batches as its objective", makeOursBatch},
+    {"ours-lru", "ours that evicts the least recently used", makeOursLru},
+    {"oracle", "ours that evicts by the true expected demand", makeOracle},
+    {"clairvoyant", "ours that evicts what is used again last",
      makeClairvoyant},
+    {"plain-oracle", "lru-turn that evicts by the true expected demand",
+     makePlainOracle},
+    {"plain-clairvoyant", "lru-turn that evicts what is used again last",
+     makePlainClairvoyant},
     {"faulty", "lru that breaks its promises, to prove the checker",
      makeFaultyLru},
 };
