--- a/StandIns/AnswerReader.cpp
+++ b/StandIns/AnswerReader.cpp
@@ -83,7 +83,10 @@
 }
 
 void AnswerReader::token(const json &chunk) {
-  const auto &choice = chunk.value("choices", json::array())[0];
+  const auto choices = chunk.value("choices", json::array());
+  if (choices.empty())
+    return fault("a token without a choice");
+  const auto &choice = choices.front();
   for (const char *holder : {"delta", "message"}) {
     if (choice.contains(holder))
       Text += choice[holder].value("content", "");
