Demand is estimated from counts, sessions and silence; age counts by its square

Change: DemandEstimate gives an expected rate from a slow count with a prior, a short-term part whose weight is learnt from the gaps between requests, and the odds that a silence is the end. The eviction order is brought up to date a part at each tick. LoadPlanner raises the claim by the square of the age.

--- a/Hemlockglade/Coordination/Decision/CellCore.cpp
+++ b/Hemlockglade/Coordination/Decision/CellCore.cpp
@@ -89,7 +89,10 @@
 
 void CellCore::on(const OperatorLoad &event) { Orders.operatorLoad(event); }
 
-void CellCore::on(const Tick &) { Residency.expireOrders(); }
+void CellCore::on(const Tick &) {
+  Residency.expireOrders();
+  State.refreshSome();
+}
 
 void CellCore::serveAllOn(ReplicaKey replica) {
   if (auto *found = State.Book.find(replica))
--- a/Hemlockglade/Coordination/Decision/CellState.cpp
+++ b/Hemlockglade/Coordination/Decision/CellState.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t MostLost = 256;
+/// Ticks within which the whole eviction order is brought up to date.
+constexpr std::size_t RefreshTicks = 32;
 
 } // namespace
 
@@ -93,7 +95,19 @@
   bool copies = active->Holders.size() > 1;
   for (ReplicaKey it : active->Holders) {
     auto &replica = Book.obtain(it);
-    Eviction.refresh(replica, *Book.resident(replica, adapter), copies);
+    Eviction.refresh(replica, *Book.resident(replica, adapter), copies, Now);
+  }
+}
+
+void CellState::refreshSome() {
+  auto replicas = Book.all();
+  if (replicas.empty())
+    return;
+  std::size_t n = 1 + replicas.size() / RefreshTicks;
+  for (; n != 0; --n) {
+    NextRefresh = (NextRefresh + 1) % replicas.size();
+    for (const auto &it : replicas[NextRefresh].Adapters)
+      refresh(it.Adapter);
   }
 }
 
@@ -149,7 +163,7 @@
 void CellState::noteLost(AdapterKey adapter) {
   if (!Settings.Placement.Prefetch)
     return;
-  Lost.insert({Demand.order(adapter), adapter});
+  Lost.insert({Demand.rate(adapter, Now), adapter});
   if (Lost.size() > MostLost)
     Lost.erase(Lost.begin());
 }
--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -136,6 +136,9 @@
   void strike(Replica &replica, AdapterKey adapter);
   /// Brings the adapter's places in the eviction order up to date.
   void refresh(AdapterKey adapter);
+  /// As above for a part of all adapters, in turn: the short-term part of
+  /// the demand fades while nothing happens.
+  void refreshSome();
   /// Enters the adapter into the load planner or takes it out, as needed.
   void replan(ActiveAdapter &active);
   /// As above for everything on a replica.
@@ -148,6 +151,9 @@
   std::optional<OpenOrder> closeOrder(std::uint64_t order);
 
 private:
+  /// Replica whose adapters are the next to be brought up to date.
+  std::size_t NextRefresh = 0;
+
   void noteLost(AdapterKey adapter);
 };
 
--- a/Hemlockglade/Coordination/Decision/DemandEstimate.cpp
+++ b/Hemlockglade/Coordination/Decision/DemandEstimate.cpp
@@ -5,34 +5,80 @@
 
 namespace hemlockglade {
 
+namespace {
+
+constexpr double Ln2 = 0.6931471805599453;
+constexpr double MicrosecondsPerSecond = 1e6;
+/// A count below this is no memory worth keeping.
+constexpr double Forgotten = 0.1;
+/// Adapters with a lower count teach how sessions are.
+constexpr double LearnBelow = 3;
+/// Length of a window of gaps, in short-term half-lives.
+constexpr double LearnWindow = 2;
+/// Requests over which is learnt.
+constexpr double LearnOver = 256;
+
+double seconds(Span span) {
+  return static_cast<double>(span.count()) / MicrosecondsPerSecond;
+}
+
+} // namespace
+
 DemandEstimate::DemandEstimate(const DemandSettings &settings)
-    : HalfLifeUs(static_cast<double>(settings.HalfLife.count())) {}
+    : Settings(settings), SlowS(seconds(settings.HalfLife)),
+      FastS(seconds(settings.ShortHalfLife)) {}
 
 void DemandEstimate::record(AdapterKey adapter, Instant now) {
   if (adapter >= Entries.size())
     Entries.resize(adapter + 1);
   auto &entry = Entries[adapter];
-  entry.Count = decayed(entry, now) + 1;
+  double age = seconds(std::max(Span{}, now - entry.At));
+  double slow = entry.Slow * std::exp2(-age / SlowS);
+  learnShare(entry, slow, age);
+  if (slow < Forgotten)
+    entry.First = now;
+  entry.Slow = static_cast<float>(slow + 1);
+  entry.Fast = static_cast<float>(entry.Fast * std::exp2(-age / FastS) + 1);
   entry.At = std::max(entry.At, now);
 }
 
-double DemandEstimate::count(AdapterKey adapter, Instant now) const {
-  return adapter < Entries.size() ? decayed(Entries[adapter], now) : 0;
+void DemandEstimate::learnShare(const Entry &entry, double slow, double age) {
+  // The gaps of a hot adapter are short anyway.
+  if (slow > LearnBelow)
+    return;
+  // Without sessions a gap is hardly likelier to be within the first window
+  // than within the second.
+  double window = LearnWindow * FastS;
+  double sample = 0;
+  if (entry.Slow > 0 && age < window)
+    sample = 1;
+  else if (entry.Slow > 0 && age < 2 * window)
+    sample = -1;
+  Followed += (sample - Followed) / LearnOver;
 }
 
-double DemandEstimate::order(AdapterKey adapter) const {
-  if (adapter >= Entries.size() || Entries[adapter].Count <= 0)
-    return Never;
+double DemandEstimate::count(AdapterKey adapter, Instant now) const {
+  if (adapter >= Entries.size())
+    return 0;
   const auto &entry = Entries[adapter];
-  return std::log2(entry.Count) +
-         static_cast<double>(entry.At.count()) / HalfLifeUs;
+  double age = seconds(std::max(Span{}, now - entry.At));
+  return entry.Slow * std::exp2(-age / SlowS);
 }
 
-double DemandEstimate::decayed(const Entry &entry, Instant now) const {
-  if (entry.Count <= 0 || now <= entry.At)
-    return entry.Count;
-  auto age = static_cast<double>((now - entry.At).count());
-  return entry.Count * std::exp2(-age / HalfLifeUs);
+double DemandEstimate::rate(AdapterKey adapter, Instant now) const {
+  if (adapter >= Entries.size() || Entries[adapter].Slow <= 0)
+    return 0;
+  const auto &entry = Entries[adapter];
+  double silence = seconds(std::max(Span{}, now - entry.At));
+  double known = seconds(now - entry.First);
+  double fade = std::exp2(-silence / SlowS);
+  double window = SlowS / Ln2 * (1 - std::exp2(-known / SlowS));
+  double slow = (entry.Slow * fade + Settings.PriorCount) /
+                (window + seconds(Settings.PriorTime));
+  // Silence that the rate does not explain speaks for an end of the demand.
+  slow /= 1 + Settings.EndOdds * std::exp(std::min(50.0, slow * silence));
+  double fast = entry.Fast * std::exp2(-silence / FastS) * Ln2 / FastS;
+  return slow + Settings.ShortShare * std::max(0.0, Followed) * fast;
 }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Decision/DemandEstimate.h
+++ b/Hemlockglade/Coordination/Decision/DemandEstimate.h
@@ -4,39 +4,53 @@
 
 namespace hemlockglade {
 
-/// How fast demand is forgotten.
+/// How demand is estimated from past requests.
 struct DemandSettings {
   /// Time in which past demand loses half of its weight.
   Span HalfLife = std::chrono::seconds(300);
+  /// The same for the short-term part, which follows bursts and sessions.
+  Span ShortHalfLife = std::chrono::seconds(20);
+  /// Largest weight of the short-term part; 0 leaves it out. How much of that
+  /// it gets is learnt from the gaps between requests.
+  double ShortShare = 1.0;
+  /// What is assumed of an adapter before anything is known: so many requests
+  /// within so much time.
+  double PriorCount = 0.15;
+  Span PriorTime = std::chrono::seconds(250);
+  /// Odds that the demand for an adapter has just ended.
+  double EndOdds = 0.02;
 };
 
-/// Estimates how often each adapter is asked for, by an exponentially decayed
-/// count. All counts decay alike, so the order of two adapters never changes
-/// by time alone; `order` gives that order as one number.
+/// Estimates how often each adapter is asked for, by two exponentially decayed
+/// counts: a slow one, and a fast one that follows bursts and sessions.
 class DemandEstimate {
 public:
   explicit DemandEstimate(const DemandSettings &settings);
 
   /// Counts one request.
   void record(AdapterKey adapter, Instant now);
-  /// The decayed count at `now`.
+  /// The slowly decayed count at `now`.
   double count(AdapterKey adapter, Instant now) const;
-  /// The binary logarithm of the count, moved so that it can be compared
-  /// whenever it was taken; `Never` for an adapter that was not asked for.
-  double order(AdapterKey adapter) const;
-
-  /// The order of an adapter without demand.
-  static constexpr double Never = -1e12;
+  /// Requests a second that are expected at `now`. It only falls until the
+  /// next request.
+  double rate(AdapterKey adapter, Instant now) const;
 
 private:
   struct Entry {
-    double Count = 0;
+    float Slow = 0;
+    float Fast = 0;
     Instant At{};
+    Instant First{};
   };
 
-  double decayed(const Entry &entry, Instant now) const;
+  void learnShare(const Entry &entry, double slow, double age);
 
-  double HalfLifeUs;
+  DemandSettings Settings;
+  /// Part of the requests that are soon followed by one for the same adapter,
+  /// beyond what its rate explains.
+  double Followed = 0;
+  double SlowS;
+  double FastS;
   std::vector<Entry> Entries;
 };
 
--- a/Hemlockglade/Coordination/Decision/EvictionPolicy.cpp
+++ b/Hemlockglade/Coordination/Decision/EvictionPolicy.cpp
@@ -10,14 +10,14 @@
       Order(memory) {}
 
 void EvictionPolicy::refresh(const Replica &replica, Resident &resident,
-                             bool copies) {
+                             bool copies, Instant now) {
   forget(replica, resident);
   bool still =
       resident.State == Hold::Loaded || resident.State == Hold::Uncertain;
   if (!still || resident.Running != 0)
     return;
   resident.Idle = true;
-  resident.Value = valueOf(resident, copies);
+  resident.Value = valueOf(resident, copies, now);
   Order.insert({resident.Value, replica.Key, resident.Adapter});
 }
 
@@ -45,13 +45,14 @@
   return resident.Reported == 0 || !newer;
 }
 
-double EvictionPolicy::valueOf(const Resident &resident, bool copies) const {
+double EvictionPolicy::valueOf(const Resident &resident, bool copies,
+                               Instant now) const {
   if (resident.State == Hold::Uncertain)
-    return 2 * DemandEstimate::Never;
+    return -1;
   if (Settings.LeastRecentlyUsed)
     return static_cast<double>(resident.LastUsed.count());
-  double value = Demand.order(resident.Adapter);
-  return copies ? value - Settings.CopyDiscount : value;
+  double value = Demand.rate(resident.Adapter, now);
+  return copies ? value * Settings.CopyWorth : value;
 }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Decision/EvictionPolicy.h
+++ b/Hemlockglade/Coordination/Decision/EvictionPolicy.h
@@ -14,9 +14,8 @@
   /// An order without a result may still be carried out for this long; only
   /// then may a report settle it or an eviction follow.
   Span UncertainFor = std::chrono::seconds(5);
-  /// How much less a further copy is worth than the only one, as a binary
-  /// logarithm.
-  double CopyDiscount = 3.0;
+  /// What one of several copies is worth, as a part of the only one.
+  double CopyWorth = 0.125;
   /// Order victims by the time of their last use instead of by demand.
   bool LeastRecentlyUsed = false;
   /// Idle adapters looked at for one victim.
@@ -40,7 +39,8 @@
 
   /// Brings the adapter's place in the order up to date; to be called after
   /// each change of it, its demand, or the number of its copies.
-  void refresh(const Replica &replica, Resident &resident, bool copies);
+  void refresh(const Replica &replica, Resident &resident, bool copies,
+               Instant now);
   /// Takes the adapter out of the order, before it is struck out.
   void forget(const Replica &replica, Resident &resident);
 
@@ -85,7 +85,7 @@
     return best;
   }
 
-  double valueOf(const Resident &resident, bool copies) const;
+  double valueOf(const Resident &resident, bool copies, Instant now) const;
 
   EvictionSettings Settings;
   EvictionHooks Hooks;
--- a/Hemlockglade/Coordination/Decision/LoadPlanner.cpp
+++ b/Hemlockglade/Coordination/Decision/LoadPlanner.cpp
@@ -1,6 +1,7 @@
 #include "Hemlockglade/Coordination/Decision/LoadPlanner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace hemlockglade {
@@ -89,8 +90,9 @@
   double share = active.Copy ? Settings.CopyShare : 1.0;
   if (Settings.FirstComeFirstServed)
     return share * age;
-  double claim = static_cast<double>(active.Weight) *
-                 (1 + age / seconds(Settings.AgeScale));
+  double claim =
+      static_cast<double>(active.Weight) *
+      (1 + std::pow(age / seconds(Settings.AgeScale), Settings.AgePower));
   double left = std::max(0.001, seconds(active.HeadDeadline - now));
   double urgency = std::clamp(seconds(Settings.UrgentWithin) / left, 1.0,
                               Settings.LargestUrgency);
--- a/Hemlockglade/Coordination/Decision/LoadPlanner.h
+++ b/Hemlockglade/Coordination/Decision/LoadPlanner.h
@@ -9,8 +9,10 @@
 
 /// How the next adapter to load is chosen.
 struct LoadPlannerSettings {
-  /// Waiting this long doubles an adapter's claim.
+  /// Waiting this long doubles an adapter's claim; the claim grows with the
+  /// power `AgePower` of the age.
   Span AgeScale = std::chrono::seconds(5);
+  double AgePower = 2;
   /// Time left below which a deadline raises the claim.
   Span UrgentWithin = std::chrono::seconds(3);
   /// How often the claim is raised at most when the deadline is near.
--- a/Hemlockglade/Coordination/Decision/RequestDesk.cpp
+++ b/Hemlockglade/Coordination/Decision/RequestDesk.cpp
@@ -193,7 +193,7 @@
     ++resident->Running;
     resident->LastUsed = State.Now;
     stay = resident->Stay;
-    State.Eviction.refresh(replica, *resident, false);
+    State.Eviction.refresh(replica, *resident, false, State.Now);
   }
   State.Running[request.Request] = {request.Adapter, replica.Key, stay,
                                     State.Now};
--- a/Hemlockglade/Coordination/Decision/WaitQueues.h
+++ b/Hemlockglade/Coordination/Decision/WaitQueues.h
@@ -15,7 +15,7 @@
   /// for "not told" and has no limit.
   std::uint32_t CallerLimit = 500;
   /// No request waits behind one of a higher class that came this much later.
-  Span StarvationBound = std::chrono::seconds(20);
+  Span StarvationBound = std::chrono::seconds(5);
 };
 
 /// A request that waits for a slot or a load.
