No request is held longer than 20 s for a load, whatever its deadline

Change: Admission.LongestStall bounds the wait that is accepted at arrival and the time after which a request that waits for a load is given up.

--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -18,6 +18,9 @@
   double Caution = 1.0;
   /// Time from admission to the first byte that a deadline must leave.
   Span FirstByte = std::chrono::milliseconds(50);
+  /// No request is held longer for a load than this, however far its deadline
+  /// is: its caller is told at once when to come back.
+  Span LongestStall = std::chrono::seconds(20);
   /// Bounds of Retry-After.
   Span ShortestRetryAfter = std::chrono::milliseconds(250);
   Span LongestRetryAfter = std::chrono::seconds(60);
--- a/Hemlockglade/Coordination/Decision/RequestDesk.cpp
+++ b/Hemlockglade/Coordination/Decision/RequestDesk.cpp
@@ -240,9 +240,10 @@
   if (settings.RefuseInfeasible) {
     why = active.NotBefore > State.Now ? Reason::LoadFailing
                                        : Reason::DeadlineInfeasible;
-    auto wait = static_cast<double>(expectedWait(request, active).count());
-    if (wait * settings.Caution >
-        static_cast<double>((latest - State.Now).count()))
+    Span wait = expectedWait(request, active);
+    Span left = std::min(latest - State.Now, settings.LongestStall);
+    if (static_cast<double>(wait.count()) * settings.Caution >
+        static_cast<double>(left.count()))
       return false;
   }
   why = Reason::QueueFull;
@@ -260,9 +261,11 @@
 void RequestDesk::enqueue(const RequestArrived &request,
                           ActiveAdapter &active) {
   bool stalled = request.Adapter != NoAdapter && State.servers(active) == 0;
-  Instant check = request.Deadline - State.Settings.Admission.FirstByte;
+  const auto &settings = State.Settings.Admission;
+  Instant check = request.Deadline - settings.FirstByte;
   if (stalled)
-    check -= State.Turn.expected();
+    check = std::min(check - State.Turn.expected(),
+                     State.Now + settings.LongestStall);
   State.Queues.add(request, State.Now, check, stalled, active);
   State.replan(active);
 }
