--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -18,6 +18,9 @@
   double Caution = 1.0;
   /// Time from admission to the first byte that a deadline must leave.
   Span FirstByte = std::chrono::milliseconds(50);
+  /// No request is held longer for a load than this, however far its deadline
+  /// is: its caller is told at once when to come back.
+  Span LongestStall = std::chrono::seconds(20);
   /// Bounds of Retry-After.
   Span ShortestRetryAfter = std::chrono::milliseconds(250);
   Span LongestRetryAfter = std::chrono::seconds(60);
@@ -136,6 +139,9 @@
   void strike(Replica &replica, AdapterKey adapter);
   /// Brings the adapter's places in the eviction order up to date.
   void refresh(AdapterKey adapter);
+  /// As above for a part of all adapters, in turn: the short-term part of
+  /// the demand fades while nothing happens.
+  void refreshSome();
   /// Enters the adapter into the load planner or takes it out, as needed.
   void replan(ActiveAdapter &active);
   /// As above for everything on a replica.
@@ -148,6 +154,9 @@
   std::optional<OpenOrder> closeOrder(std::uint64_t order);
 
 private:
+  /// Replica whose adapters are the next to be brought up to date.
+  std::size_t NextRefresh = 0;
+
   void noteLost(AdapterKey adapter);
 };
 
