--- a/Hemlockglade/Coordination/Config/ConfigFormat.cpp
+++ b/Hemlockglade/Coordination/Config/ConfigFormat.cpp
@@ -14,7 +14,8 @@
 // its name. New fields go to the end and are read with a default.
 
 json fields(const ServiceConfig &it) {
-  return {it.Kind == ServiceKind::Plain, it.Cells, it.BaseModel};
+  return {it.Kind == ServiceKind::Plain, it.Cells, it.BaseModel,
+          it.ObjectivePercent};
 }
 
 json fields(const ReplicaConfig &it) {
@@ -45,6 +46,8 @@
   it.Kind = node.at(0).get<bool>() ? ServiceKind::Plain : ServiceKind::Engine;
   node.at(1).get_to(it.Cells);
   node.at(2).get_to(it.BaseModel);
+  if (node.size() > 3)
+    node.at(3).get_to(it.ObjectivePercent);
 }
 
 void readFields(const json &node, ReplicaConfig &it) {
--- a/Hemlockglade/Coordination/Decision/CellCore.cpp
+++ b/Hemlockglade/Coordination/Decision/CellCore.cpp
@@ -89,6 +89,10 @@
 
 void CellCore::on(const OperatorLoad &event) { Orders.operatorLoad(event); }
 
+void CellCore::on(const ObjectiveChanged &event) {
+  State.Chooser.setObjective(event.Objective);
+}
+
 void CellCore::on(const Tick &) {
   Residency.expireOrders();
   State.refreshSome();
--- a/Hemlockglade/Coordination/Decision/CellCore.h
+++ b/Hemlockglade/Coordination/Decision/CellCore.h
@@ -40,6 +40,7 @@
   void on(const PinChanged &event);
   void on(const RuleChanged &event);
   void on(const OperatorLoad &event);
+  void on(const ObjectiveChanged &event);
   void on(const Tick &event);
 
   void serveAllOn(ReplicaKey replica);
--- a/Hemlockglade/Coordination/Decision/CoreTypes.h
+++ b/Hemlockglade/Coordination/Decision/CoreTypes.h
@@ -194,6 +194,12 @@
   AdapterKey Adapter = NoAdapter;
 };
 
+/// What the cell's decisions favour: 0 for few and short load stalls, 1 for
+/// full batches.
+struct ObjectiveChanged {
+  double Objective = 0;
+};
+
 /// Time has passed.
 struct Tick {};
 
@@ -201,7 +207,8 @@
     std::variant<RequestArrived, RequestFinished, RequestAdopted, LoadDone,
                  LoadFailed, EvictDone, ReplicaAdded, ReplicaRemoved,
                  ReplicaDraining, ReplicaReport, ReplicaSilent, LeaseChanged,
-                 TurnChanged, PinChanged, RuleChanged, OperatorLoad, Tick>;
+                 TurnChanged, PinChanged, RuleChanged, OperatorLoad,
+                 ObjectiveChanged, Tick>;
 
 // Actions: what to do about it.
 
--- a/Hemlockglade/Coordination/Decision/ReplicaChooser.h
+++ b/Hemlockglade/Coordination/Decision/ReplicaChooser.h
@@ -49,6 +49,9 @@
   /// Requests in flight per unit of capacity.
   double loadOf(const Replica &replica) const;
 
+  /// 0 for few and short load stalls, 1 for full batches.
+  void setObjective(double objective) { Objective = objective; }
+
 private:
   bool better(const Replica &left, const Replica &right) const;
   double capacityOf(const Replica &replica) const;
--- a/Hemlockglade/Protocol/Settings/CatalogDiff.cpp
+++ b/Hemlockglade/Protocol/Settings/CatalogDiff.cpp
@@ -24,7 +24,8 @@
 Values values(const ServiceConfig &it) {
   return {{"kind", it.Kind == ServiceKind::Plain ? "plain" : "engine"},
           {"cells", std::to_string(it.Cells)},
-          {"base_model", it.BaseModel}};
+          {"base_model", it.BaseModel},
+          {"objective_percent", std::to_string(it.ObjectivePercent)}};
 }
 
 Values values(const ReplicaConfig &it) {
--- a/Hemlockglade/Protocol/Settings/Declarations.cpp
+++ b/Hemlockglade/Protocol/Settings/Declarations.cpp
@@ -96,6 +96,7 @@
   map.choice("kind", kind, KindWords);
   map.number("cells", it.Cells, CellRange);
   map.name("base_model", it.BaseModel, Presence::Optional);
+  map.number("objective_percent", it.ObjectivePercent, {0, 100});
   it.Kind = kind == 0 ? ServiceKind::Engine : ServiceKind::Plain;
   if (it.Kind == ServiceKind::Plain && !it.BaseModel.empty())
     map.fault("base_model", "no base model for a plain service");
--- a/Hemlockglade/Protocol/Settings/DeclarationsWriter.cpp
+++ b/Hemlockglade/Protocol/Settings/DeclarationsWriter.cpp
@@ -22,6 +22,8 @@
   field(out, "cells", it.Cells);
   if (!it.BaseModel.empty())
     field(out, "base_model", it.BaseModel);
+  if (it.ObjectivePercent)
+    field(out, "objective_percent", it.ObjectivePercent);
 }
 
 void write(YAML::Emitter &out, const ReplicaConfig &it) {
--- a/Hemlockglade/Protocol/Settings/NodeSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.cpp
@@ -28,6 +28,7 @@
   map.milliseconds("renew_ms", out.RenewInterval, {10, 10 * MinuteMs});
   map.milliseconds("lease_margin_ms", out.LeaseMargin, {0, MinuteMs});
   map.milliseconds("config_poll_ms", out.ConfigInterval, {10, MinuteMs});
+  map.number("loads_per_second", out.LoadsPerSecond, {1, 100000});
   map.milliseconds("report_ms", out.ReportInterval, {10, MinuteMs});
   map.milliseconds("directory_ttl_ms", out.DirectoryTtl, {100, HourMs});
   map.milliseconds("stop_bound_ms", out.StopBound, {0, HourMs});
--- a/Hemlockglade/Protocol/Settings/NodeSettings.h
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.h
@@ -33,6 +33,8 @@
   Span LeaseMargin = std::chrono::seconds(1);
   /// Time between two looks at the configuration's head.
   Span ConfigInterval = std::chrono::seconds(1);
+  /// Adapter loads a second that the weight store gives the deployment.
+  std::uint32_t LoadsPerSecond = 3;
   /// Time between two load reports of a replica.
   Span ReportInterval = std::chrono::milliseconds(500);
   /// How long callers may keep an address.
--- a/Hemlockglade/State/Catalog.h
+++ b/Hemlockglade/State/Catalog.h
@@ -25,6 +25,9 @@
   std::uint32_t Cells = 1;
   /// Base model, for engines.
   std::string BaseModel;
+  /// What the decisions favour, in percent: 0 for few and short load stalls,
+  /// 100 for full batches.
+  std::uint32_t ObjectivePercent = 0;
 
   bool operator==(const ServiceConfig &) const = default;
 };
--- a/Hemlockglade/Transport/Endpoint/EngineClient.cpp
+++ b/Hemlockglade/Transport/Endpoint/EngineClient.cpp
@@ -70,6 +70,18 @@
       });
 }
 
+void EngineClient::probe(const std::string &address,
+                         std::function<void(bool)> done) {
+  HttpRequest request;
+  request.Url = "http://" + address + "/healthz";
+  request.Timeout = ReportTimeout;
+  Client.fetch(
+      std::move(request),
+      [done = std::move(done)](const HttpResult &result, const std::string &) {
+        done(result.Whole);
+      });
+}
+
 void EngineClient::cancel(HttpClient::Ticket ticket) { Client.cancel(ticket); }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Transport/Endpoint/EngineClient.h
+++ b/Hemlockglade/Transport/Endpoint/EngineClient.h
@@ -31,6 +31,8 @@
   /// Asks for the load report; nothing if there was no answer.
   void report(const std::string &address,
               std::function<void(std::optional<EngineReport>)> done);
+  /// Asks a plain service for its health; any whole answer counts as alive.
+  void probe(const std::string &address, std::function<void(bool)> done);
   /// Takes back a load order.
   void cancel(HttpClient::Ticket ticket);
 
--- a/Hemlockglade/Transport/Platform/PlatformClient.cpp
+++ b/Hemlockglade/Transport/Platform/PlatformClient.cpp
@@ -82,4 +82,32 @@
       });
 }
 
+void PlatformClient::putObject(const std::string &name, std::string data,
+                               std::function<void(bool)> done) {
+  auto url = Url + "/objects/" + urlEncode(name);
+  Client.fetch(request("PUT", url, std::move(data)),
+               [done = std::move(done)](const HttpResult &result, std::string) {
+                 done(result.Whole && result.Status == Ok);
+               });
+}
+
+void PlatformClient::getObject(
+    const std::string &name,
+    std::function<void(std::optional<std::string>)> done) {
+  auto url = Url + "/objects/" + urlEncode(name);
+  Client.fetch(
+      request("GET", url, ""),
+      [done = std::move(done)](const HttpResult &result, std::string body) {
+        if (!result.Whole || result.Status != Ok)
+          return done(std::nullopt);
+        done(std::move(body));
+      });
+}
+
+void PlatformClient::dropObject(const std::string &name) {
+  auto url = Url + "/objects/" + urlEncode(name);
+  Client.fetch(request("DELETE", url, ""),
+               [](const HttpResult &, const std::string &) {});
+}
+
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/CallerFront.cpp
+++ b/Programs/hemlockgladed/CallerFront.cpp
@@ -64,8 +64,9 @@
          std::to_string(++LastRequest);
 }
 
-bool CallerFront::prepare(const HttpIncoming &incoming, const Catalog &inForce,
-                          HttpReply &reply, ExchangeRequest &request) {
+bool CallerFront::prepare(const HttpIncoming &incoming,
+                          const CatalogView &inForce, HttpReply &reply,
+                          ExchangeRequest &request) {
   request.CallerPlace = Limit->take(incoming.Remote);
   if (!request.CallerPlace) {
     answer::error(reply, 429, "caller_limit",
@@ -79,9 +80,8 @@
   request.Admit.Class =
       incoming.field(header::Class).value_or(std::string(DefaultClass));
   Span deadline = DefaultDeadline;
-  auto it = inForce.Classes.find(request.Admit.Class);
-  if (it != inForce.Classes.end())
-    deadline = it->second.Deadline;
+  if (auto found = inForce.find<ServiceClass>(request.Admit.Class))
+    deadline = found->Deadline;
   else if (request.Admit.Class != DefaultClass) {
     answer::error(reply, 400, "class_not_found",
                   "no service class " + request.Admit.Class);
@@ -115,8 +115,8 @@
     return answer::error(*reply, 405, "method_not_allowed", "POST only");
   auto inForce = Hooks.InForce();
   auto completion = readCompletion(incoming.Body, [&](const std::string &name) {
-    auto it = inForce->Adapters.find(name);
-    return it == inForce->Adapters.end() ? 0 : it->second.Current;
+    auto found = inForce->find<AdapterConfig>(name);
+    return found ? found->Current : 0U;
   });
   if (!completion) {
     bool unknown = completion.error().Kind == ProtocolErrorKind::Unknown;
@@ -125,19 +125,19 @@
                          completion.error().Text);
   }
   const auto &wanted = completion->Adapter;
-  auto adapter = inForce->Adapters.find(wanted.Name);
-  if (adapter == inForce->Adapters.end())
+  auto adapter = inForce->find<AdapterConfig>(wanted.Name);
+  if (!adapter)
     return answer::error(*reply, 404, "adapter_not_found",
                          "no adapter " + wanted.Name);
-  const auto &versions = adapter->second.Versions;
+  const auto &versions = adapter->Versions;
   if (std::find(versions.begin(), versions.end(), wanted.Version) ==
       versions.end())
     return answer::error(*reply, 404, "version_not_found",
                          "no version " + wanted.text());
-  auto service = inForce->Services.find(adapter->second.Service);
-  if (service == inForce->Services.end())
+  auto service = inForce->find<ServiceConfig>(adapter->Service);
+  if (!service)
     return answer::error(*reply, 404, "service_not_found",
-                         "no service " + adapter->second.Service);
+                         "no service " + adapter->Service);
   ExchangeRequest request;
   if (!prepare(incoming, *inForce, *reply, request))
     return;
@@ -147,7 +147,7 @@
   request.Repeatable = incoming.field(header::Repeatable) != "no" &&
                        request.IdempotencyKey.empty();
   request.Admit.Adapter = wanted.text();
-  request.Admit.Cell = cellOf(service->second, request.Admit.Adapter);
+  request.Admit.Cell = cellOf(*service, request.Admit.Adapter);
   request.Admit.PrefixHash = completion->PrefixHash;
   request.Admit.PromptTokens = completion->PromptTokens;
   Hooks.Begin(std::move(request), reply);
@@ -159,9 +159,8 @@
   auto slash = std::min(rest.find('/'), rest.size());
   auto name = rest.substr(0, slash);
   auto inForce = Hooks.InForce();
-  auto service = inForce->Services.find(name);
-  if (service == inForce->Services.end() ||
-      service->second.Kind != ServiceKind::Plain)
+  auto service = inForce->find<ServiceConfig>(name);
+  if (!service || service->Kind != ServiceKind::Plain)
     return answer::error(*reply, 404, "service_not_found",
                          "no service " + name);
   ExchangeRequest request;
@@ -175,7 +174,7 @@
   request.Repeatable =
       (repeatable ? *repeatable == "yes" : isSafeMethod(incoming.Method)) &&
       request.IdempotencyKey.empty();
-  request.Admit.Cell = cellOf(service->second, incoming.Remote);
+  request.Admit.Cell = cellOf(*service, incoming.Remote);
   Hooks.Begin(std::move(request), reply);
 }
 
@@ -185,20 +184,19 @@
   auto model = queryValue(incoming.Query, "model");
   auto key = model;
   if (auto adapter = AdapterRef::parse(model)) {
-    auto it = inForce->Adapters.find(adapter->Name);
-    if (it != inForce->Adapters.end()) {
-      name = it->second.Service;
+    if (auto found = inForce->find<AdapterConfig>(adapter->Name)) {
+      name = found->Service;
       if (adapter->Version == 0)
-        adapter->Version = it->second.Current;
+        adapter->Version = found->Current;
       key = adapter->text();
     }
   }
-  auto service = inForce->Services.find(name);
-  if (service == inForce->Services.end())
+  auto service = inForce->find<ServiceConfig>(name);
+  if (!service)
     return answer::error(reply, 404, "service_not_found", "no service " + name);
   if (key.empty())
     key = incoming.Remote;
-  auto addresses = Hooks.Addresses(cellOf(service->second, key));
+  auto addresses = Hooks.Addresses(cellOf(*service, key));
   auto ttl = std::chrono::duration<double>(Settings.DirectoryTtl).count();
   answer::json(reply, 200, {{"addresses", addresses}, {"ttl_s", ttl}});
 }
--- a/Programs/hemlockgladed/CallerFront.h
+++ b/Programs/hemlockgladed/CallerFront.h
@@ -8,7 +8,7 @@
 /// What the front for callers needs of its node.
 struct CallerFrontHooks {
   /// The configuration in force.
-  std::function<std::shared_ptr<const Catalog>()> InForce;
+  std::function<std::shared_ptr<const CatalogView>()> InForce;
   /// Addresses for callers of a cell, best first.
   std::function<std::vector<std::string>(const std::string &cell)> Addresses;
   /// Starts an exchange.
@@ -45,7 +45,7 @@
                  const std::shared_ptr<HttpReply> &reply);
   void onDirectory(const HttpIncoming &incoming, HttpReply &reply);
   /// Fills in what all requests share; false if a header was refused.
-  bool prepare(const HttpIncoming &incoming, const Catalog &inForce,
+  bool prepare(const HttpIncoming &incoming, const CatalogView &inForce,
                HttpReply &reply, ExchangeRequest &request);
   std::string newRequestId();
 
--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -32,38 +32,6 @@
   return Domains.try_emplace(domain, next).first->second;
 }
 
-void CellRunner::configure(const Catalog &catalog) {
-  Deferred deferred;
-  {
-    std::lock_guard lock(Mutex);
-    Classes = catalog.Classes;
-    for (const auto &[name, config] : catalog.Replicas) {
-      auto service = catalog.Services.find(config.Service);
-      if (service == catalog.Services.end() ||
-          cellOfReplica(service->second, config) != Cell)
-        continue;
-      auto [it, added] = ReplicaKeys.try_emplace(
-          name, static_cast<ReplicaKey>(Replicas.size()));
-      if (added)
-        Replicas.emplace_back();
-      auto &replica = Replicas[it->second];
-      replica.Config = config;
-      replica.Removed = false;
-      handle(ReplicaAdded{it->second, domainOf(config.FailureDomain),
-                          config.Slots, config.Batch, config.ChecksFencing},
-             deferred);
-    }
-    for (auto &[name, key] : ReplicaKeys) {
-      if (catalog.Replicas.contains(name) || Replicas[key].Removed)
-        continue;
-      Replicas[key].Removed = true;
-      handle(ReplicaRemoved{key}, deferred);
-    }
-  }
-  for (auto &call : deferred)
-    call();
-}
-
 RequestKey CellRunner::admit(const AdmitRequest &request, OnReply reply) {
   Deferred deferred;
   RequestKey key = 0;
@@ -71,10 +39,12 @@
     std::lock_guard lock(Mutex);
     key = ++LastRequest;
     Requests.emplace(key, Pending{request.Id, request.Adapter, request.Attempt,
+                                  request.Class, TimerService::now(),
                                   std::move(reply)});
     RequestArrived event;
     event.Request = key;
     event.Adapter = keyOf(request.Adapter);
+    applyRule(event.Adapter, deferred);
     event.Deadline = TimerService::now() + Span(request.DeadlineUs);
     event.PrefixHash = request.PrefixHash;
     event.PromptTokens = request.PromptTokens;
@@ -145,23 +115,6 @@
   drive(RequestFinished{key});
 }
 
-void CellRunner::setLeaving(const std::vector<std::string> &replicas) {
-  Deferred deferred;
-  {
-    std::lock_guard lock(Mutex);
-    for (auto &[name, key] : ReplicaKeys) {
-      bool leaving =
-          std::find(replicas.begin(), replicas.end(), name) != replicas.end();
-      if (Replicas[key].Draining == leaving)
-        continue;
-      Replicas[key].Draining = leaving;
-      handle(ReplicaDraining{key, leaving}, deferred);
-    }
-  }
-  for (auto &call : deferred)
-    call();
-}
-
 void CellRunner::stop() { drive(LeaseChanged{LeaseMode::None}); }
 
 void CellRunner::tick() {
@@ -193,6 +146,15 @@
 }
 
 void CellRunner::askReport(ReplicaKey replica, const std::string &address) {
+  if (Plain)
+    return Engines.probe(
+        address, [weak = weak_from_this(), replica](bool alive) {
+          // A plain service has no report; being there is all it tells.
+          auto self = weak.lock();
+          if (self)
+            self->takeReport(replica, alive ? std::optional(EngineReport())
+                                            : std::nullopt);
+        });
   Engines.report(address, [weak = weak_from_this(), replica](auto report) {
     if (auto self = weak.lock())
       self->takeReport(replica, report);
@@ -201,8 +163,13 @@
 
 void CellRunner::takeReport(ReplicaKey replica,
                             const std::optional<EngineReport> &report) {
-  if (!report)
+  if (!report) {
+    {
+      std::lock_guard lock(Mutex);
+      Replicas[replica].Silent = true;
+    }
     return drive(ReplicaSilent{replica});
+  }
   ReplicaReport event;
   event.Replica = replica;
   event.Incarnation =
@@ -215,6 +182,7 @@
     for (const auto &[adapter, running] : report->Resident)
       event.Resident.push_back({keyOf(adapter), running});
     Replicas[replica].Resident = event.Resident;
+    Replicas[replica].Silent = false;
   }
   drive(event);
 }
@@ -335,17 +303,6 @@
   });
 }
 
-std::vector<std::pair<std::string, ResidentAdapter>>
-CellRunner::loaded() const {
-  std::lock_guard lock(Mutex);
-  std::vector<std::pair<std::string, ResidentAdapter>> out;
-  for (const auto &replica : Replicas) {
-    for (const auto &resident : replica.Resident)
-      out.emplace_back(replica.Config.Name, resident);
-  }
-  return out;
-}
-
 std::size_t CellRunner::waiting() const {
   std::lock_guard lock(Mutex);
   return Core.waiting();
@@ -356,9 +313,4 @@
   return Core.running();
 }
 
-std::string CellRunner::adapterName(AdapterKey key) const {
-  std::lock_guard lock(Mutex);
-  return AdapterNames.at(key);
-}
-
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/CellRunner.h
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -14,6 +14,8 @@
   std::function<LeaseMode()> Mode;
   /// Runs a call soon, on no lock of the caller's.
   std::function<void(std::function<void()>)> Post;
+  /// Rate of the weight store for the whole deployment.
+  double LoadsPerSecond = 3.0;
 };
 
 /// Drives the decision core of one owned cell: turns what happens into events
@@ -29,7 +31,7 @@
   Epoch fence() const { return Fence; }
 
   /// Takes over what the configuration says about the cell.
-  void configure(const Catalog &catalog);
+  void configure(const CatalogView &view);
   /// Asks for a slot; `reply` is called once.
   RequestKey admit(const AdmitRequest &request, OnReply reply);
   /// The request is over; its slot is free. One that was admitted and then
@@ -41,6 +43,8 @@
   void finishAdopted(const std::string &id);
   /// Marks replicas that the platform's list calls leaving.
   void setLeaving(const std::vector<std::string> &replicas);
+  /// An operator wants an adapter on a replica; false if it isn't ours.
+  bool orderLoad(const std::string &adapter, const std::string &replica);
   /// Gives up the cell: what waits is refused.
   void stop();
   /// To be called often; deadlines and loads depend on it.
@@ -48,24 +52,36 @@
   /// Asks all engines for their reports.
   void askReports();
 
-  /// One line for each adapter that is loaded: replica, adapter, running.
-  std::vector<std::pair<std::string, ResidentAdapter>> loaded() const;
+  /// Adds what this cell knows of the subject; `node` is this node's name.
+  void addRows(ShowSubject subject, const std::string &node,
+               RowSet &rows) const;
+  /// Adds the number of waiting requests of each class.
+  void addQueues(std::map<std::string, std::size_t> &waiting) const;
+  /// Running requests divided by the batch size, for each replica in use.
+  std::vector<double> batchFills() const;
   std::size_t waiting() const;
   std::size_t running() const;
-  /// The name that a key stands for.
-  std::string adapterName(AdapterKey key) const;
 
 private:
   struct ReplicaState {
     ReplicaConfig Config;
     bool Removed = false;
+    /// The platform's list calls it leaving.
+    bool Leaving = false;
+    /// The operators are draining it.
+    bool Drained = false;
+    /// What the core was last told.
     bool Draining = false;
+    /// It did not answer when it was last asked for a report.
+    bool Silent = false;
     std::vector<ResidentAdapter> Resident;
   };
   struct Pending {
     std::string Id;
     std::string Adapter;
     std::uint32_t Attempt = 1;
+    std::string Class;
+    Instant Since{};
     OnReply Reply;
     /// Where it was admitted to; 0 while it waits.
     ReplicaKey Replica = 0;
@@ -83,7 +99,17 @@
   void askReport(ReplicaKey replica, const std::string &address);
   void takeReport(ReplicaKey replica,
                   const std::optional<EngineReport> &report);
+  void addLoaded(RowSet &rows) const;
+  void addWaiting(RowSet &rows) const;
+  void addRunning(RowSet &rows) const;
+  void addReplicas(RowSet &rows) const;
+  void addRequests(const std::string &node, RowSet &rows) const;
   AdapterKey keyOf(const std::string &adapter);
+  void configureReplicas(const CatalogView &view, Deferred &deferred);
+  void configurePins(const CatalogView &view, Deferred &deferred);
+  void configureRules(const CatalogView &view, Deferred &deferred);
+  void applyRule(AdapterKey adapter, Deferred &deferred);
+  void applyDraining(ReplicaKey replica, Deferred &deferred);
   DomainKey domainOf(const std::string &domain);
 
   std::string Cell;
@@ -91,6 +117,9 @@
   EngineClient &Engines;
   CellRunnerHooks Hooks;
 
+  /// The cell is one of a plain service.
+  std::atomic<bool> Plain{false};
+
   mutable std::mutex Mutex;
   CellCore Core;
   LeaseMode Mode = LeaseMode::None;
@@ -102,6 +131,10 @@
   std::map<std::string, ReplicaKey> ReplicaKeys;
   std::vector<ReplicaState> Replicas;
   std::map<std::string, ServiceClass> Classes;
+  std::vector<PlacementRule> Rules;
+  /// Failure domains last told for adapters that a rule matches.
+  std::map<AdapterKey, std::vector<DomainKey>> RulesTold;
+  std::map<std::pair<AdapterKey, DomainKey>, std::uint32_t> PinsTold;
   std::unordered_map<RequestKey, Pending> Requests;
   std::unordered_map<std::string, RequestKey> Adopted;
   std::map<std::pair<ReplicaKey, AdapterKey>, HttpClient::Ticket> Loads;
--- /dev/null
+++ b/Programs/hemlockgladed/CellRunnerConfig.cpp
@@ -0,0 +1,183 @@
+// What a cell's runner does when the configuration changes.
+
+#include "CellRunner.h"
+
+namespace hemlockglade {
+
+namespace {
+
+constexpr double Percent = 100;
+
+/// Loads that this cell may start, without a holder of the load turn: each
+/// engine cell of the deployment has the same share of the weight store.
+TurnChanged shareOfLoads(const CatalogView &view, double loadsPerSecond) {
+  std::uint32_t cells = 0;
+  view.all<ServiceConfig>().forEach([&cells](const ServiceConfig &service) {
+    if (service.Kind == ServiceKind::Engine)
+      cells += service.Cells;
+  });
+  TurnChanged turn;
+  turn.LoadsPerSecond = loadsPerSecond / std::max(cells, 1U);
+  return turn;
+}
+
+/// Whether a rule's adapter, a name or a prefix with `*`, covers a name.
+bool covers(const PlacementRule &rule, std::string_view name) {
+  std::string_view pattern = rule.Adapter;
+  if (!pattern.ends_with('*'))
+    return pattern == name;
+  pattern.remove_suffix(1);
+  return name.starts_with(pattern);
+}
+
+} // namespace
+
+void CellRunner::configure(const CatalogView &view) {
+  Deferred deferred;
+  {
+    std::lock_guard lock(Mutex);
+    Classes.clear();
+    view.all<ServiceClass>().forEach(
+        [this](const ServiceClass &it) { Classes.emplace(it.Name, it); });
+    auto service = view.find<ServiceConfig>(Cell.substr(0, Cell.find('/')));
+    Plain = service && service->Kind == ServiceKind::Plain;
+    if (service)
+      handle(ObjectiveChanged{service->ObjectivePercent / Percent}, deferred);
+    handle(shareOfLoads(view, Hooks.LoadsPerSecond), deferred);
+    configureReplicas(view, deferred);
+    configureRules(view, deferred);
+    configurePins(view, deferred);
+  }
+  for (auto &call : deferred)
+    call();
+}
+
+void CellRunner::configureReplicas(const CatalogView &view,
+                                   Deferred &deferred) {
+  view.all<ReplicaConfig>().forEach([&](const ReplicaConfig &config) {
+    auto service = view.find<ServiceConfig>(config.Service);
+    if (!service || cellOfReplica(*service, config) != Cell)
+      return;
+    auto [it, added] = ReplicaKeys.try_emplace(
+        config.Name, static_cast<ReplicaKey>(Replicas.size()));
+    if (added)
+      Replicas.emplace_back();
+    auto &replica = Replicas[it->second];
+    bool same = !added && !replica.Removed && replica.Config == config;
+    replica.Config = config;
+    replica.Removed = false;
+    replica.Drained = view.find<DrainEntry>(config.Name) != nullptr;
+    if (!same)
+      handle(ReplicaAdded{it->second, domainOf(config.FailureDomain),
+                          config.Slots, config.Batch, config.ChecksFencing},
+             deferred);
+    applyDraining(it->second, deferred);
+  });
+  for (auto &[name, key] : ReplicaKeys) {
+    if (view.find<ReplicaConfig>(name) || Replicas[key].Removed)
+      continue;
+    Replicas[key].Removed = true;
+    handle(ReplicaRemoved{key}, deferred);
+  }
+}
+
+void CellRunner::applyDraining(ReplicaKey key, Deferred &deferred) {
+  auto &replica = Replicas[key];
+  bool draining = replica.Leaving || replica.Drained;
+  if (replica.Draining == draining)
+    return;
+  replica.Draining = draining;
+  handle(ReplicaDraining{key, draining}, deferred);
+}
+
+void CellRunner::setLeaving(const std::vector<std::string> &replicas) {
+  Deferred deferred;
+  {
+    std::lock_guard lock(Mutex);
+    for (auto &[name, key] : ReplicaKeys) {
+      Replicas[key].Leaving =
+          std::find(replicas.begin(), replicas.end(), name) != replicas.end();
+      applyDraining(key, deferred);
+    }
+  }
+  for (auto &call : deferred)
+    call();
+}
+
+void CellRunner::configurePins(const CatalogView &view, Deferred &deferred) {
+  decltype(PinsTold) wanted;
+  view.all<PinEntry>().forEach([&](const PinEntry &it) {
+    auto adapter = view.find<AdapterConfig>(it.Pin.Adapter.Name);
+    auto service =
+        adapter ? view.find<ServiceConfig>(adapter->Service) : nullptr;
+    auto text = it.Pin.Adapter.text();
+    if (!service || cellOf(*service, text) != Cell)
+      return;
+    const auto &domain = it.Pin.FailureDomain;
+    wanted[{keyOf(text), domain.empty() ? 0 : domainOf(domain)}] =
+        it.Pin.Copies;
+  });
+  for (const auto &[pin, copies] : wanted) {
+    auto it = PinsTold.find(pin);
+    if (it == PinsTold.end() || it->second != copies)
+      handle(PinChanged{pin.first, pin.second, copies}, deferred);
+  }
+  for (const auto &[pin, copies] : PinsTold) {
+    if (!wanted.contains(pin))
+      handle(PinChanged{pin.first, pin.second, 0}, deferred);
+  }
+  PinsTold = std::move(wanted);
+}
+
+void CellRunner::configureRules(const CatalogView &view, Deferred &deferred) {
+  Rules.clear();
+  // Rules are named by their position; the first that covers an adapter counts.
+  std::map<std::string, PlacementRule> ordered;
+  view.all<RuleEntry>().forEach(
+      [&](const RuleEntry &it) { ordered.emplace(it.Name, it.Rule); });
+  for (auto &[name, rule] : ordered)
+    Rules.push_back(std::move(rule));
+  for (AdapterKey it = 1; it < AdapterNames.size(); ++it)
+    applyRule(it, deferred);
+}
+
+void CellRunner::applyRule(AdapterKey adapter, Deferred &deferred) {
+  auto told = RulesTold.find(adapter);
+  if (adapter == NoAdapter || (Rules.empty() && told == RulesTold.end()))
+    return;
+  const auto &text = AdapterNames[adapter];
+  auto name = std::string_view(text).substr(0, text.rfind('@'));
+  RuleChanged event;
+  event.Adapter = adapter;
+  for (const auto &rule : Rules) {
+    if (!covers(rule, name))
+      continue;
+    for (const auto &domain : rule.FailureDomains)
+      event.Domains.push_back(domainOf(domain));
+    break;
+  }
+  if (told == RulesTold.end() ? event.Domains.empty()
+                              : told->second == event.Domains)
+    return;
+  RulesTold[adapter] = event.Domains;
+  handle(event, deferred);
+}
+
+bool CellRunner::orderLoad(const std::string &adapter,
+                           const std::string &replica) {
+  Deferred deferred;
+  {
+    std::lock_guard lock(Mutex);
+    auto it = ReplicaKeys.find(replica);
+    if (it == ReplicaKeys.end() || Replicas[it->second].Removed)
+      return false;
+    auto key = keyOf(adapter);
+    applyRule(key, deferred);
+    handle(OperatorLoad{it->second, key}, deferred);
+  }
+  for (auto &call : deferred)
+    call();
+  return true;
+}
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Main.cpp
+++ b/Programs/hemlockgladed/Main.cpp
@@ -34,6 +34,7 @@
   asio::io_context context;
   auto work = asio::make_work_guard(context);
   Node node(context, settings);
+  node.onStopped([&context] { context.stop(); });
   node.start();
   if (!FLAGS_port_file.empty())
     std::ofstream(FLAGS_port_file) << node.callerPort() << '\n'
@@ -41,9 +42,7 @@
   LOG(INFO) << "start node=" << settings.Name
             << " callers=" << node.callerPort() << " peers=" << node.peerPort();
   asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&](asio::error_code, int) {
-    node.stop([&context] { context.stop(); });
-  });
+  signals.async_wait([&](asio::error_code, int) { node.stop(); });
   std::vector<std::thread> threads;
   for (std::uint32_t it = 0; it < settings.Threads; ++it)
     threads.emplace_back([&context] { context.run(); });
--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -3,20 +3,17 @@
 #include "Answers.h"
 
 #include <easylogging++.h>
-#include <nlohmann/json.hpp>
 #include <random>
 
 namespace hemlockglade {
 
-using nlohmann::json;
-
 namespace {
 
 constexpr Span TickInterval = std::chrono::milliseconds(50);
 constexpr Span RecoveryInterval = std::chrono::milliseconds(250);
 constexpr Span CleanUpInterval = std::chrono::seconds(10);
+constexpr Span MetricsInterval = std::chrono::seconds(1);
 constexpr Span IdlePoll = std::chrono::milliseconds(50);
-constexpr std::string_view ConfigKey = "config/head";
 
 /// A node that is silent for a whole lease runs nothing any more, unless it
 /// is frozen; engines that take its orders then get more time.
@@ -28,6 +25,12 @@
   return recovery;
 }
 
+ConfigSettings configSettings(const NodeSettings &settings) {
+  ConfigSettings config;
+  config.TableInterval = settings.ConfigInterval;
+  return config;
+}
+
 std::int64_t wallMs() {
   auto since = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
@@ -43,111 +46,56 @@
 } // namespace
 
 Node::Node(asio::io_context &context, NodeSettings settings)
-    : Context(context), Settings(std::move(settings)), Timers(context),
+    : Context(context), Settings(std::move(settings)),
+      Incarnation(newIncarnation()), Timers(context), Metrics(Registry),
       Client(context), ControlClient(context), Engines(ControlClient),
       Platform(ControlClient, Settings.PlatformUrl),
+      Config(Settings.Name, Platform, configSettings(Settings), configHooks()),
       Cells(Settings.Name, recoverySettings(Settings), Engines, cellHooks()),
       Asker([this](const std::string &cell) { return Cells.find(cell); },
             [this](const std::string &cell) { return Leases->ownerOf(cell); }),
-      Incarnation(newIncarnation()),
       Callers({Settings.Name, Incarnation, Settings.DirectoryTtl},
               callerHooks()),
-      Exchanges(exchangeHooks()), Retries(RetryPolicySettings{}),
-      InForce(std::make_shared<Catalog>()) {}
+      Admin(Settings.Name, ControlClient, Config, Cells, adminHooks()),
+      Exchanges(exchangeHooks()), Claims(newClaimBook()),
+      Retries(RetryPolicySettings{}) {}
 
 Node::~Node() = default;
 
-void Node::start() {
-  Peers =
-      std::make_unique<PeerNet>(Context, Settings.Address, Settings.PeerPort,
-                                [this](std::shared_ptr<PeerStream> stream) {
-                                  if (stream->path() == peer_path::Admit)
-                                    Asker.serve(stream);
-                                  else
-                                    stream->close();
-                                });
-  Asker.attach(*Peers);
-  Cells.attach(*Peers);
-  HttpServerSettings http;
-  http.Address = Settings.Address;
-  http.Port = Settings.CallerPort;
-  Http = std::make_unique<HttpServer>(
-      Context, http,
-      [this](HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
-        onHttp(std::move(incoming), std::move(reply));
-      });
-  NodeRecord self{Settings.Name,
-                  Incarnation,
-                  Settings.Address + ':' + std::to_string(Http->port()),
-                  Settings.Address + ':' + std::to_string(Peers->port()),
-                  Settings.FailureDomain,
-                  false};
-  LeaseHooks hooks;
-  hooks.Now = &TimerService::now;
-  hooks.OnOwned = [this](const std::string &cell, Epoch fence) {
-    Cells.own(cell, fence);
-  };
-  hooks.OnLost = [this](const std::string &cell) { Cells.lose(cell); };
-  Leases = std::make_shared<LeaseKeeper>(
-      LeaseSettings{Settings.LeaseDuration, Settings.LeaseMargin}, self,
-      Platform.table(), hooks);
-  ClaimHooks claims;
-  claims.WallMs = &wallMs;
-  claims.After = [this](Span delay, std::function<void()> call) {
+std::function<void(Span, std::function<void()>)> Node::after() {
+  return [this](Span delay, std::function<void()> call) {
     Timers.after(delay, [call = std::move(call)](Instant) { call(); });
   };
-  Claims = std::make_shared<ClaimBook>(ClaimSettings{},
-                                       Settings.Name + '-' + Incarnation,
-                                       Platform.table(), claims);
-  Subscriptions.push_back(Timers.every(
-      RecoveryInterval, [this](Instant now) { Cells.tickRecovery(now); }));
-  Subscriptions.push_back(
-      Timers.every(CleanUpInterval, [this](Instant) { cleanUpClaims(); }));
-  Subscriptions.push_back(Timers.every(
-      Settings.RenewInterval, [this](Instant) { Leases->round(cellNames()); }));
-  Subscriptions.push_back(Timers.every(Settings.ConfigInterval,
-                                       [this](Instant) { lookAtConfig(); }));
-  Subscriptions.push_back(Timers.every(Settings.ConfigInterval,
-                                       [this](Instant) { lookAtHosts(); }));
-  Subscriptions.push_back(
-      Timers.every(TickInterval, [this](Instant) { Cells.tick(); }));
-  Subscriptions.push_back(Timers.every(
-      Settings.ReportInterval, [this](Instant) { Cells.askReports(); }));
-  Leases->round({});
-  lookAtConfig();
-}
-
-void Node::onHttp(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
-  const auto &path = incoming.Path;
-  if (Callers.take(incoming, reply))
-    return;
-  if (path == "/healthz")
-    return reply->sendWhole(200, {}, "ok\n");
-  if (path == "/admin/show")
-    return onShow(incoming, *reply);
-  if (path == "/admin/apply" && incoming.Method == "POST")
-    return onApply(std::move(incoming), std::move(reply));
-  answer::error(*reply, 404, "not_found", "no such path");
 }
 
 OwnedCellsHooks Node::cellHooks() {
   OwnedCellsHooks hooks;
-  hooks.InForce = [this] { return catalog(); };
+  hooks.InForce = [this] { return Config.inForce(); };
   hooks.Nodes = [this] { return Leases->nodes(); };
   hooks.Holds = [this](const std::string &cell) { return Leases->holds(cell); };
   hooks.Mode = [this](const std::string &cell) { return Leases->modeOf(cell); };
   hooks.Post = [this](std::function<void()> call) {
     asio::post(Context, std::move(call));
   };
-  hooks.After = [this](Span delay, std::function<void()> call) {
-    Timers.after(delay, [call = std::move(call)](Instant) { call(); });
+  hooks.After = after();
+  hooks.LoadsPerSecond = Settings.LoadsPerSecond;
+  return hooks;
+}
+
+ConfigLinkHooks Node::configHooks() {
+  ConfigLinkHooks hooks;
+  hooks.Nodes = [this] { return Leases->nodes(); };
+  hooks.After = after();
+  hooks.OnInForce = [this](const CatalogView &view) {
+    Cells.configure(view);
+    Leases->round(cellNames());
   };
   return hooks;
 }
 
 CallerFrontHooks Node::callerHooks() {
   CallerFrontHooks hooks;
-  hooks.InForce = [this] { return catalog(); };
+  hooks.InForce = [this] { return Config.inForce(); };
   hooks.Addresses = [this](const std::string &cell) {
     return addressesFor(cell);
   };
@@ -161,6 +109,18 @@
   return hooks;
 }
 
+AdminFrontHooks Node::adminHooks() {
+  AdminFrontHooks hooks;
+  hooks.Nodes = [this] { return Leases->nodes(); };
+  hooks.CellRecords = [this] { return Leases->cells(); };
+  hooks.OwnerOf = [this](const std::string &cell) {
+    return Leases->ownerOf(cell);
+  };
+  hooks.After = after();
+  hooks.StopSelf = [this] { stop(); };
+  return hooks;
+}
+
 std::shared_ptr<const ExchangeHooks> Node::exchangeHooks() {
   auto hooks = std::make_shared<ExchangeHooks>();
   hooks->Ask = [this](const AdmitRequest &request, Admission::OnReply reply) {
@@ -185,15 +145,121 @@
     Claims->record(ticket, outcome);
   };
   hooks->MayRetry = [this](const FailedAttempt &attempt) {
-    return Retries.decide(attempt, TimerService::now());
-  };
-  hooks->After = [this](Span delay, std::function<void()> call) {
-    Timers.after(delay, [call = std::move(call)](Instant) { call(); });
+    auto verdict = Retries.decide(attempt, TimerService::now());
+    if (verdict == RetryVerdict::Retry)
+      Metrics.onRetry();
+    return verdict;
   };
+  hooks->After = after();
   hooks->OnEnd = [this](const ExchangeEnd &end) { onExchangeEnd(end); };
   return hooks;
 }
 
+LeaseHooks Node::leaseHooks() {
+  LeaseHooks hooks;
+  hooks.Now = &TimerService::now;
+  hooks.OnOwned = [this](const std::string &cell, Epoch fence) {
+    Cells.own(cell, fence);
+  };
+  hooks.OnLost = [this](const std::string &cell) { Cells.lose(cell); };
+  return hooks;
+}
+
+std::shared_ptr<ClaimBook> Node::newClaimBook() {
+  ClaimHooks hooks;
+  hooks.WallMs = &wallMs;
+  hooks.After = after();
+  return std::make_shared<ClaimBook>(ClaimSettings{},
+                                     Settings.Name + '-' + Incarnation,
+                                     Metrics.timed(Platform.table()), hooks);
+}
+
+void Node::start() {
+  listen();
+  NodeRecord self{Settings.Name,
+                  Incarnation,
+                  Settings.Address + ':' + std::to_string(Http->port()),
+                  Settings.Address + ':' + std::to_string(Peers->port()),
+                  Settings.FailureDomain,
+                  false,
+                  false};
+  Leases = std::make_shared<LeaseKeeper>(
+      LeaseSettings{Settings.LeaseDuration, Settings.LeaseMargin}, self,
+      Metrics.timed(Platform.table()), leaseHooks());
+  subscribe();
+  Leases->round({});
+  Config.round();
+}
+
+void Node::listen() {
+  HttpServerSettings http;
+  http.Address = Settings.Address;
+  http.Port = Settings.CallerPort;
+  Http = std::make_unique<HttpServer>(
+      Context, http,
+      [this](HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
+        onHttp(std::move(incoming), std::move(reply));
+      });
+  Peers = std::make_unique<PeerNet>(
+      Context, Settings.Address, Settings.PeerPort,
+      [this](std::shared_ptr<PeerStream> stream) { onPeer(stream); });
+  Asker.attach(*Peers);
+  Cells.attach(*Peers);
+  Config.attach(*Peers);
+}
+
+void Node::every(Span period, std::function<void()> call) {
+  Subscriptions.push_back(
+      Timers.every(period, [call = std::move(call)](Instant) { call(); }));
+}
+
+void Node::subscribe() {
+  every(Settings.RenewInterval, [this] { Leases->round(cellNames()); });
+  every(Settings.ConfigInterval, [this] { Config.round(); });
+  every(Settings.ConfigInterval, [this] { lookAtHosts(); });
+  every(Settings.ReportInterval, [this] { Cells.askReports(); });
+  every(TickInterval, [this] { Cells.tick(); });
+  every(RecoveryInterval, [this] { Cells.tickRecovery(TimerService::now()); });
+  every(CleanUpInterval, [this] { cleanUpClaims(); });
+  every(MetricsInterval, [this] { refreshMetrics(); });
+}
+
+void Node::onHttp(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
+  if (!Leases)
+    return answer::error(*reply, 503, "starting", "the node is starting");
+  if (Callers.take(incoming, reply) || Admin.take(incoming, reply))
+    return;
+  if (incoming.Path == "/metrics")
+    return reply->sendWhole(200, {{"Content-Type", "text/plain"}},
+                            Registry.expose());
+  if (incoming.Path == "/healthz")
+    return reply->sendWhole(200, {}, "ok\n");
+  if (incoming.Path == "/readyz")
+    return onReady(*reply);
+  answer::error(*reply, 404, "not_found", "no such path");
+}
+
+void Node::onReady(HttpReply &reply) {
+  if (Leaving)
+    return answer::error(reply, 503, "leaving", "the node is leaving");
+  if (!Config.caughtUp())
+    return answer::error(reply, 503, "starting",
+                         "the configuration is not in force yet");
+  reply.sendWhole(200, {}, "ready\n");
+}
+
+void Node::onPeer(const std::shared_ptr<PeerStream> &stream) {
+  const auto &path = stream->path();
+  if (path == peer_path::Admit)
+    Asker.serve(stream);
+  else if (path == peer_path::Recover)
+    Cells.serveRecovery(stream);
+  else if (path == peer_path::Config)
+    Config.serve(stream);
+  else
+    stream->close();
+}
+
 void Node::onExchangeEnd(const ExchangeEnd &end) {
   LOG(INFO) << "end request=" << end.Request.Id
             << " attempt=" << end.Request.Admit.Attempt
@@ -201,6 +267,7 @@
             << " replica=" << end.Replica
             << " outcome=" << outcomeName(end.Ended) << " reason=" << end.Reason
             << " gone=" << end.Gone;
+  Metrics.onEnd(end);
 }
 
 std::vector<std::string> Node::addressesFor(const std::string &cell) const {
@@ -215,104 +282,14 @@
   return addresses;
 }
 
-void Node::onShow(const HttpIncoming &incoming, HttpReply &reply) {
-  auto what = queryValue(incoming.Query, "what");
-  json rows = json::array();
-  if (what == "nodes") {
-    for (const auto &node : Leases->nodes())
-      rows.push_back({{"node", node.Name},
-                      {"callers", node.CallerAddress},
-                      {"failure_domain", node.FailureDomain},
-                      {"leaving", node.Leaving}});
-  } else if (what == "cells") {
-    for (const auto &[cell, record] : Leases->cells())
-      rows.push_back(
-          {{"cell", cell}, {"owner", record.Owner}, {"epoch", record.Fence}});
-  } else if (what == "config") {
-    rows.push_back({{"revision", catalog()->Number},
-                    {"adapters", catalog()->Adapters.size()},
-                    {"replicas", catalog()->Replicas.size()}});
-  } else {
-    for (const auto &runner : Cells.all()) {
-      for (const auto &[replica, resident] : runner->loaded())
-        rows.push_back({{"replica", replica},
-                        {"adapter", runner->adapterName(resident.Adapter)},
-                        {"running", resident.Running}});
-    }
-  }
-  answer::json(reply, 200, {{"rows", rows}});
-}
-
-void Node::onApply(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
-  auto parsed = readDeclarations(incoming.Body);
-  if (!parsed)
-    return answer::error(*reply, 400, "invalid_declarations",
-                         parsed.error().Text);
-  Platform.table().Get(
-      std::string(ConfigKey),
-      [this, reply, text = std::move(incoming.Body)](auto row) mutable {
-        if (!row)
-          return answer::error(*reply, 503, "store_unavailable",
-                               "the table did not answer");
-        commitCatalog(std::move(text), *row ? (*row)->Version : 0, reply);
+std::vector<std::string> Node::cellNames() const {
+  std::vector<std::string> out;
+  Config.inForce()->all<ServiceConfig>().forEach(
+      [&out](const ServiceConfig &service) {
+        for (std::uint32_t it = 0; it < service.Cells; ++it)
+          out.push_back(cellName(service.Name, it));
       });
-}
-
-void Node::commitCatalog(std::string text, std::uint64_t expected,
-                         std::shared_ptr<HttpReply> reply) {
-  TableTransaction transaction;
-  transaction.AttemptId = Incarnation + "-config-" + std::to_string(++Commands);
-  transaction.Writes.push_back({std::string(ConfigKey), expected, text});
-  Platform.table().Commit(transaction, [this, reply, expected,
-                                        text](auto result) {
-    if (!result)
-      return answer::error(
-          *reply, result.error() == TableError::Conflict ? 409 : 503,
-          "not_committed", "another change came first, or the table is away");
-    takeConfig({std::string(ConfigKey), expected + 1, text});
-    answer::json(*reply, 200, {{"revision", expected + 1}});
-  });
-}
-
-void Node::lookAtConfig() {
-  Platform.table().Get(std::string(ConfigKey), [this](auto row) {
-    if (row && *row)
-      takeConfig(**row);
-  });
-}
-
-void Node::takeConfig(const TableRow &row) {
-  {
-    std::lock_guard lock(Mutex);
-    if (row.Version <= ConfigVersion)
-      return;
-  }
-  auto parsed = readDeclarations(row.Value);
-  if (!parsed) {
-    LOG(ERROR) << "config revision=" << row.Version
-               << " unreadable: " << parsed.error().Text;
-    return;
-  }
-  parsed->Number = row.Version;
-  auto next = std::make_shared<const Catalog>(std::move(*parsed));
-  {
-    std::lock_guard lock(Mutex);
-    if (row.Version <= ConfigVersion)
-      return;
-    ConfigVersion = row.Version;
-    InForce = next;
-  }
-  LOG(INFO) << "config revision=" << row.Version << " in-force";
-  Cells.configure(*next);
-  Leases->round(cellNames());
-}
-
-void Node::cleanUpClaims() {
-  auto nodes = Leases->nodes();
-  for (std::size_t it = 0; it < nodes.size(); ++it) {
-    if (nodes[it].Name == Settings.Name)
-      Claims->cleanUp(it, nodes.size());
-  }
+  return out;
 }
 
 void Node::lookAtHosts() {
@@ -328,45 +305,43 @@
   });
 }
 
-std::vector<std::string> Node::cellNames() const {
-  auto inForce = catalog();
-  std::vector<std::string> out;
-  for (const auto &[name, service] : inForce->Services) {
-    for (std::uint32_t it = 0; it < service.Cells; ++it)
-      out.push_back(cellName(name, it));
+void Node::cleanUpClaims() {
+  auto nodes = Leases->nodes();
+  for (std::size_t it = 0; it < nodes.size(); ++it) {
+    if (nodes[it].Name == Settings.Name)
+      Claims->cleanUp(it, nodes.size());
   }
-  return out;
 }
 
-std::shared_ptr<const Catalog> Node::catalog() const {
-  std::lock_guard lock(Mutex);
-  return InForce;
+void Node::refreshMetrics() {
+  Metrics.refresh(Cells, Config.inForce()->number(), Leases->nodes(),
+                  Http->unfinished());
 }
 
-void Node::stop(std::function<void()> done) {
+void Node::stop() {
   if (Leaving.exchange(true))
     return;
   LOG(INFO) << "stop node=" << Settings.Name;
-  Leases->release([this, done = std::move(done)]() mutable {
+  Leases->release([this] {
     // Callers may keep our address for the time to live.
     auto until = TimerService::now() + Settings.StopBound;
     Timers.after(Settings.DirectoryTtl,
-                 [this, until, done = std::move(done)](Instant) mutable {
-                   waitUntilIdle(until, std::move(done));
-                 });
+                 [this, until](Instant) { waitUntilIdle(until); });
   });
 }
 
-void Node::waitUntilIdle(Instant until, std::function<void()> done) {
+void Node::waitUntilIdle(Instant until) {
   bool late = TimerService::now() >= until;
   auto unfinished = Http->unfinished();
-  if (unfinished == 0 || late) {
-    if (unfinished)
-      LOG(WARNING) << "stop cuts unfinished=" << unfinished;
-    return Leases->retire(std::move(done));
+  if (unfinished && !late) {
+    Timers.after(IdlePoll, [this, until](Instant) { waitUntilIdle(until); });
+    return;
   }
-  Timers.after(IdlePoll, [this, until, done = std::move(done)](Instant) {
-    waitUntilIdle(until, done);
+  if (unfinished)
+    LOG(WARNING) << "stop cuts unfinished=" << unfinished;
+  Leases->retire([this] {
+    if (Stopped)
+      Stopped();
   });
 }
 
--- a/Programs/hemlockgladed/Node.h
+++ b/Programs/hemlockgladed/Node.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "AdminFront.h"
 #include "CallerFront.h"
-#include "OwnedCells.h"
+#include "NodeMetrics.h"
 
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
@@ -9,65 +10,74 @@
 namespace hemlockglade {
 
 /// One node: an entry for callers, perhaps the owner of cells, and a member
-/// of the system.
+/// of the system. It only wires its parts together.
 class Node {
 public:
   Node(asio::io_context &context, NodeSettings settings);
   ~Node();
+  Node(const Node &) = delete;
+  Node &operator=(const Node &) = delete;
 
   /// Listens and takes part. Throws std::exception if it can't.
   void start();
   /// Leaves gracefully: finishes what runs, gives up its leases, then calls
-  /// `done`.
-  void stop(std::function<void()> done);
+  /// the hook of `onStopped`. A second call changes nothing.
+  void stop();
+  /// Sets the hook that is called once the node has left.
+  void onStopped(std::function<void()> hook) { Stopped = std::move(hook); }
 
   std::uint16_t callerPort() const { return Http->port(); }
   std::uint16_t peerPort() const { return Peers->port(); }
 
 private:
   void onHttp(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
-  void onShow(const HttpIncoming &incoming, HttpReply &reply);
-  void onApply(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
-  void commitCatalog(std::string text, std::uint64_t expected,
-                     std::shared_ptr<HttpReply> reply);
+  void onPeer(const std::shared_ptr<PeerStream> &stream);
+  void onReady(HttpReply &reply);
+  void listen();
+  void subscribe();
+  void every(Span period, std::function<void()> call);
+
   OwnedCellsHooks cellHooks();
+  ConfigLinkHooks configHooks();
   CallerFrontHooks callerHooks();
+  AdminFrontHooks adminHooks();
   std::shared_ptr<const ExchangeHooks> exchangeHooks();
+  LeaseHooks leaseHooks();
+  std::shared_ptr<ClaimBook> newClaimBook();
+  std::function<void(Span, std::function<void()>)> after();
+
   std::vector<std::string> addressesFor(const std::string &cell) const;
+  std::vector<std::string> cellNames() const;
   void onExchangeEnd(const ExchangeEnd &end);
-
-  void lookAtConfig();
-  void takeConfig(const TableRow &row);
   void lookAtHosts();
   void cleanUpClaims();
-  std::vector<std::string> cellNames() const;
-  std::shared_ptr<const Catalog> catalog() const;
-  void waitUntilIdle(Instant until, std::function<void()> done);
+  void refreshMetrics();
+  void waitUntilIdle(Instant until);
 
   asio::io_context &Context;
-  NodeSettings Settings;
+  const NodeSettings Settings;
+  const std::string Incarnation;
   TimerService Timers;
+  MetricRegistry Registry;
+  NodeMetrics Metrics;
   HttpClient Client;
   HttpClient ControlClient;
   EngineClient Engines;
   PlatformClient Platform;
+  std::shared_ptr<LeaseKeeper> Leases;
+  ConfigLink Config;
   OwnedCells Cells;
   Admission Asker;
-  std::string Incarnation;
   CallerFront Callers;
+  AdminFront Admin;
   std::shared_ptr<const ExchangeHooks> Exchanges;
   std::shared_ptr<ClaimBook> Claims;
   RetryPolicy Retries;
   std::unique_ptr<HttpServer> Http;
   std::unique_ptr<PeerNet> Peers;
-  std::shared_ptr<LeaseKeeper> Leases;
   std::vector<TimerService::Subscription> Subscriptions;
-  std::atomic<std::uint64_t> Commands{0};
   std::atomic<bool> Leaving{false};
-
-  mutable std::mutex Mutex;
-  std::shared_ptr<const Catalog> InForce;
-  std::uint64_t ConfigVersion = 0;
+  std::function<void()> Stopped;
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/OwnedCells.cpp
+++ b/Programs/hemlockgladed/OwnedCells.cpp
@@ -59,13 +59,13 @@
 
 void OwnedCells::own(const std::string &cell, Epoch fence) {
   LOG(INFO) << "own cell=" << cell << " epoch=" << fence;
-  auto inForce = Hooks.InForce();
   CellRunnerHooks hooks;
   hooks.Holds = [this, cell] { return Hooks.Holds(cell); };
   hooks.Mode = [this, cell] { return modeOf(cell); };
   hooks.Post = Hooks.Post;
+  hooks.LoadsPerSecond = Hooks.LoadsPerSecond;
   auto runner = std::make_shared<CellRunner>(cell, fence, Engines, hooks);
-  runner->configure(*inForce);
+  runner->configure(*Hooks.InForce());
   std::vector<std::string> leaving;
   {
     std::lock_guard lock(Mutex);
@@ -73,19 +73,23 @@
     leaving = LeavingReplicas;
   }
   runner->setLeaving(leaving);
-  bool allChecked = true;
-  for (const auto &[name, replica] : inForce->Replicas) {
-    auto service = inForce->Services.find(replica.Service);
-    if (service != inForce->Services.end() &&
-        cellOfReplica(service->second, replica) == cell)
-      allChecked = allChecked && replica.ChecksFencing;
-  }
   auto now = TimerService::now();
-  Keeper.begin(cell, fence, recentNodes(now), allChecked, now);
+  Keeper.begin(cell, fence, recentNodes(now), allCheckFencing(cell), now);
   runner->tick();
   runner->askReports();
 }
 
+bool OwnedCells::allCheckFencing(const std::string &cell) const {
+  auto inForce = Hooks.InForce();
+  bool all = true;
+  inForce->all<ReplicaConfig>().forEach([&](const ReplicaConfig &replica) {
+    auto service = inForce->find<ServiceConfig>(replica.Service);
+    if (service && cellOfReplica(*service, replica) == cell)
+      all = all && replica.ChecksFencing;
+  });
+  return all;
+}
+
 void OwnedCells::lose(const std::string &cell) {
   LOG(INFO) << "lose cell=" << cell;
   Keeper.end(cell);
@@ -106,9 +110,9 @@
   return Keeper.mode(cell, Hooks.Mode(cell));
 }
 
-void OwnedCells::configure(const Catalog &catalog) {
+void OwnedCells::configure(const CatalogView &view) {
   for (auto &runner : all())
-    runner->configure(catalog);
+    runner->configure(view);
 }
 
 void OwnedCells::setLeaving(const std::vector<std::string> &replicas) {
--- a/Programs/hemlockgladed/OwnedCells.h
+++ b/Programs/hemlockgladed/OwnedCells.h
@@ -8,7 +8,7 @@
 /// What the owned cells need of their node.
 struct OwnedCellsHooks {
   /// The configuration in force.
-  std::function<std::shared_ptr<const Catalog>()> InForce;
+  std::function<std::shared_ptr<const CatalogView>()> InForce;
   /// Nodes that live, this one included.
   std::function<std::vector<NodeRecord>()> Nodes;
   /// Whether the lease allows orders that only an owner may give.
@@ -16,6 +16,8 @@
   std::function<LeaseMode(const std::string &cell)> Mode;
   std::function<void(std::function<void()>)> Post;
   std::function<void(Span, std::function<void()>)> After;
+  /// Rate of the weight store for the whole deployment.
+  double LoadsPerSecond = 3.0;
 };
 
 /// The cells that this node owns: their runners, and the recovery that goes
@@ -33,7 +35,7 @@
   /// The cell isn't ours any more.
   void lose(const std::string &cell);
   /// A new configuration is in force.
-  void configure(const Catalog &catalog);
+  void configure(const CatalogView &view);
   /// Replicas that the platform's list calls leaving.
   void setLeaving(const std::vector<std::string> &replicas);
   /// To be called often: deadlines, lease modes, loads.
@@ -57,6 +59,7 @@
 private:
   RecoveryHooks recoveryHooks();
   std::vector<RecoveryNode> recentNodes(Instant now);
+  bool allCheckFencing(const std::string &cell) const;
 
   std::string Self;
   RecoverySettings Recovery;
--- a/StandIns/StandInServiceMain.cpp
+++ b/StandIns/StandInServiceMain.cpp
@@ -38,6 +38,8 @@
   void onHttp(const HttpIncoming &in, const std::shared_ptr<HttpReply> &reply) {
     if (in.Path == "/control")
       return control(in, *reply);
+    if (in.Path == "/healthz")
+      return reply->sendWhole(200, {}, "ok\n");
     if (take(CutBefore)) {
       Host.record({{"event", "cut_before"}});
       return breakReply(*reply);
--- a/UnitTests/Coordination/Config/ConfigKeeperTest.cpp
+++ b/UnitTests/Coordination/Config/ConfigKeeperTest.cpp
@@ -63,7 +63,10 @@
 std::vector<std::string> schedule(std::uint64_t seed,
                                   Without without = Without::Nothing) {
   ConfigWorld world(seed, without);
-  world.Table.Faults = {0.05, 0.15, 0.1, std::chrono::milliseconds(400)};
+  world.Table.Faults.NotSent = 0.05;
+  world.Table.Faults.LoseAnswer = 0.15;
+  world.Table.Faults.LoseRequest = 0.1;
+  world.Table.Faults.MaxDelay = std::chrono::milliseconds(400);
   world.ObjectLoss = 0.02;
   world.OldAnswers = 0.2;
   for (int it = 0; it < 4; ++it)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -34,13 +34,16 @@
 EOF
 
 any=127.0.0.1:${PORT[entry-1]}
-"$BIN/hemlockctl" --node "$any" apply "$RUN/declarations.yaml"
+"$BIN/hemlockctl" --node "$any" apply "$RUN/declarations.yaml" --wait_s 10
 
 directory() { curl -sf "http://$1/directory?$2"; }
-owned() { directory "$any" "model=oath-fr@7" | grep -q addresses &&
-  "$BIN/hemlockctl" --node "$any" show cells | grep -q '"owner":"entry'; }
+# owner_of CELL : name of the node that owns it.
+owner_of() {
+  "$BIN/hemlockctl" --node "$any" --output json show cells |
+    tr '{' '\n' | sed -n "s#.*\"cell\":\"$1\".*\"owner\":\"\(entry-[0-9]*\)\".*#\1#p"
+}
+owned() { [ -n "$(owner_of assistant/0)" ] && [ -n "$(owner_of booking/0)" ]; }
 wait_for 20 owned
-sleep 2
 
 # address QUERY : asks the directory which node to use.
 address() {
@@ -74,8 +77,7 @@
 curl -sf "http://$(address service=booking)/services/booking/seats/12" -d hold
 
 echo "killing the owner of the engines' cell"
-owner=$("$BIN/hemlockctl" --node "$any" show cells |
-  tr '{' '\n' | sed -n 's/.*"cell":"assistant\/0".*"owner":"\([^"]*\)".*/\1/p')
+owner=$(owner_of assistant/0)
 kill -KILL "${PID[$owner]}"
 unset "PID[$owner]"
 NODES=($(printf '%s\n' entry-1 entry-2 entry-3 | grep -v "$owner"))
