Membership: a bound on each round, and suspects are told

Cause: while regions merged a node answered exchanges of everybody: 63 KB in one round at 90 members, where 23 KB/s is the budget. Nodes that started together took 68 s to find each other. With a fifth of the messages lost a suspect could die before it heard of it. Ruled out: fewer exchanges; the merge then waits for its next turn. Change: records in all messages of a round share one budget and a node that has none left says so; seeds that aren't members are asked each round after the start; a few members ping a suspect so that it can refute. Conclusion: what a node sends in a round is bounded also while regions merge.

--- a/Hemlockglade/Coordination/Config/ConfigKeeper.cpp
+++ b/Hemlockglade/Coordination/Config/ConfigKeeper.cpp
@@ -318,13 +318,19 @@
 }
 
 void ConfigKeeper::publish() {
-  std::lock_guard lock(PublishMutex);
-  auto view = current();
-  if (view->number() <= Published)
+  std::unique_lock lock(PublishMutex);
+  if (Publishing)
     return;
-  Published = view->number();
-  if (Hooks.OnInForce)
-    Hooks.OnInForce(std::move(view));
+  Publishing = true;
+  // One thread calls the hook at a time; what comes meanwhile it sees here.
+  for (auto view = current(); view->number() > Published; view = current()) {
+    Published = view->number();
+    lock.unlock();
+    if (Hooks.OnInForce)
+      Hooks.OnInForce(std::move(view));
+    lock.lock();
+  }
+  Publishing = false;
 }
 
 ConfigAnswer ConfigKeeper::answer(const ConfigFetch &fetch) const {
--- a/Hemlockglade/Coordination/Config/ConfigKeeper.h
+++ b/Hemlockglade/Coordination/Config/ConfigKeeper.h
@@ -80,9 +80,10 @@
   mutable std::mutex ApplyMutex;
   ConfigHistory History;
 
-  /// Held while OnInForce is called, so that the calls rise.
   std::mutex PublishMutex;
   Revision Published = 0;
+  /// A thread is calling OnInForce; so the calls come one by one and rise.
+  bool Publishing = false;
 
   mutable std::mutex Mutex;
   Revision Target = 0;
--- a/Hemlockglade/Coordination/Membership/MemberTypes.h
+++ b/Hemlockglade/Coordination/Membership/MemberTypes.h
@@ -102,6 +102,8 @@
   std::size_t GossipPerRound = 2;
   /// Rounds for which a new revision counts as a rumour.
   std::uint64_t HeadRounds = 4;
+  /// Pings a round, from all members together, that tell a suspect of it.
+  std::size_t SuspectPings = 4;
   /// Hearsay that one round checks by probes of its own.
   std::size_t VerifyPerRound = 2;
   /// A suspect is dead after this, times the binary logarithm of the number
@@ -115,15 +117,19 @@
   std::uint32_t RumourFactor = 2;
   /// Rumours in one message, in bytes.
   std::size_t RumourBytes = 900;
+  /// Records in all messages of one round together, in bytes. Beyond it
+  /// messages go without.
+  std::size_t RoundBytes = 10000;
   /// Rounds between two exchanges of everything.
   std::uint64_t SyncEvery = 10;
   /// Time between two messages of one exchange.
   Span SyncPause = std::chrono::milliseconds(400);
   /// Messages of one exchange at most.
   std::uint32_t SyncMessages = 128;
-  /// Exchanges between two that go to a seed, so that groups of nodes that
+  /// Rounds after the start in which a seed that isn't a member is asked each
+  /// time; later it is asked when an exchange is due. So groups of nodes that
   /// started apart find each other.
-  std::uint64_t SeedEvery = 6;
+  std::uint64_t SeedRounds = 30;
   /// Hearsay that waits to be checked, at most.
   std::size_t MaxDoubtful = 64;
   /// Members that are told at once that this node leaves.
@@ -153,7 +159,8 @@
   std::function<Revision()> InForce;
   /// A peer has that revision in force.
   std::function<void(Revision, const std::string &peer)> OnRevision;
-  /// What is known of a member has changed.
+  /// What is known of a member has changed. From several threads the calls
+  /// may come in another order than the changes: find() has the truth.
   std::function<void(const MemberRecord &)> OnMember;
   /// A cell's owner has changed.
   std::function<void(const CellOwner &)> OnCell;
--- a/Hemlockglade/Coordination/Membership/Membership.cpp
+++ b/Hemlockglade/Coordination/Membership/Membership.cpp
@@ -24,7 +24,7 @@
 Membership::Membership(const MembershipSettings &settings, MemberRecord self,
                        MembershipHooks hooks, std::uint64_t seed)
     : Settings(settings), Hooks(std::move(hooks)), Self(std::move(self)),
-      Table(Settings, seed), Random(seed) {
+      Table(Settings, seed), Random(seed), BytesLeft(Settings.RoundBytes) {
   Rumours.add(MemberRumour + Self.Name);
 }
 
@@ -43,7 +43,8 @@
 }
 
 void Membership::addRumours(MemberMessage &message) {
-  std::size_t left = Settings.RumourBytes;
+  std::size_t left = std::min(Settings.RumourBytes, BytesLeft);
+  BytesLeft -= left;
   auto fits = [&left](const auto &record) {
     auto size = wireSize(record);
     if (size > left)
@@ -72,6 +73,7 @@
                    message.Members.push_back(*record);
                  return true;
                });
+  BytesLeft += left;
 }
 
 Membership::Send Membership::ping(const MemberTable::Member &to,
@@ -107,6 +109,7 @@
     std::lock_guard lock(Mutex);
     onPause(now);
     ++Rounds;
+    BytesLeft = Settings.RoundBytes;
     effects.Members = Table.expire(now);
     if (inForce != LastInForce)
       HeadRounds = Settings.HeadRounds;
@@ -134,6 +137,12 @@
     add(1, [this](const MemberTable::Member &it) {
       return lives(it.Record) && it.Record.Region != Self.Region;
     });
+  // A suspect has to hear of it to refute it; a few of all members tell it.
+  auto tellsSuspect = [this](const MemberTable::Member &it) {
+    return it.Record.State == MemberState::Suspect &&
+           Random() % Table.liveCount() < Settings.SuspectPings;
+  };
+  add(Settings.SuspectPings, tellsSuspect);
   if (Rounds % Settings.DeadEvery == 0)
     add(1, [](const MemberTable::Member &it) {
       return it.Record.State == MemberState::Dead;
@@ -333,6 +342,17 @@
   return Self;
 }
 
+std::optional<MemberRecord> Membership::find(const std::string &name) const {
+  std::lock_guard lock(Mutex);
+  const auto *member = Table.find(name);
+  return member ? std::optional(member->Record) : std::nullopt;
+}
+
+std::size_t Membership::liveCount() const {
+  std::lock_guard lock(Mutex);
+  return Table.liveCount();
+}
+
 std::optional<CellOwner> Membership::ownerOf(const std::string &cell) const {
   std::lock_guard lock(Mutex);
   const auto *owner = Table.cell(cell);
--- a/Hemlockglade/Coordination/Membership/Membership.h
+++ b/Hemlockglade/Coordination/Membership/Membership.h
@@ -25,7 +25,7 @@
   void round();
   /// Answers a peer's message; may call back later, and gives nothing if there
   /// is no answer.
-  void serve(MemberMessage message, const Reply &reply);
+  void serve(const MemberMessage &message, const Reply &reply);
 
   /// Tells everybody that this node takes no new callers.
   void leave();
@@ -39,6 +39,10 @@
   /// What is known of all other nodes, the dead included, and of this one.
   std::vector<MemberRecord> members() const;
   MemberRecord self() const;
+  /// What is known of one other node.
+  std::optional<MemberRecord> find(const std::string &name) const;
+  /// Other nodes that are alive or suspect.
+  std::size_t liveCount() const;
   std::optional<CellOwner> ownerOf(const std::string &cell) const;
   /// Address for peers of a live member, at random; nothing if alone.
   std::optional<std::string> anyPeer() const;
@@ -76,6 +80,9 @@
   void takeSelf(std::uint64_t incarnation, MemberState state);
   void doubt(const std::string &name);
 
+  void addDifferent(const std::vector<std::uint64_t> &hashes,
+                    MemberMessage &message);
+
   // Without it.
   void take(const MemberMessage &message);
   void tell(const Effects &effects);
@@ -89,6 +96,8 @@
   void serveRequest(const MemberMessage &message, const Reply &reply);
   MemberMessage answerTo(const MemberMessage &message);
   void syncOfRound();
+  std::optional<Send> syncTarget();
+  std::string unknownSeed();
   void sync(const std::string &name, const std::string &address,
             std::uint32_t left);
   void onSynced(const std::string &name, const std::string &address,
@@ -107,10 +116,14 @@
   std::deque<std::string> Doubtful;
   /// A member that came back from the dead, to exchange everything with.
   std::string Returned;
+  /// The last exchange was refused for want of bytes.
+  bool SyncAgain = false;
   std::uint64_t Rounds = 0;
   Instant LastRound{};
   Revision LastInForce = 0;
   std::uint64_t HeadRounds = 0;
+  /// Bytes of records that may still be sent in this round.
+  std::size_t BytesLeft = 0;
   Revision Watched = 0;
   Instant WatchUntil{};
 };
--- a/Hemlockglade/Coordination/Membership/MembershipExchange.cpp
+++ b/Hemlockglade/Coordination/Membership/MembershipExchange.cpp
@@ -90,7 +90,7 @@
             });
 }
 
-void Membership::serve(MemberMessage message, const Reply &reply) {
+void Membership::serve(const MemberMessage &message, const Reply &reply) {
   take(message);
   if (message.Kind == MemberMessageKind::PingRequest)
     return serveRequest(message, reply);
@@ -106,15 +106,25 @@
       message.SeenState != Self.State)
     answer.Members.push_back(Self);
   if (message.Kind == MemberMessageKind::Sync) {
-    answer.Hashes = Table.hashes(Self);
-    answer.More =
-        Table.addDifferent(Self, message.Hashes, Settings.SyncBytes, answer);
+    addDifferent(message.Hashes, answer);
   } else {
     addRumours(answer);
   }
   return answer;
 }
 
+void Membership::addDifferent(const std::vector<std::uint64_t> &hashes,
+                              MemberMessage &message) {
+  // Too little left in this round: the other will come again.
+  auto bytes = std::min(Settings.SyncBytes, BytesLeft);
+  if (bytes < Settings.SyncBytes)
+    return;
+  if (message.Kind == MemberMessageKind::Answer)
+    message.Hashes = Table.hashes(Self);
+  message.More = Table.addDifferent(Self, hashes, bytes, message);
+  BytesLeft -= std::min(BytesLeft, wireSize(message));
+}
+
 void Membership::serveRequest(const MemberMessage &message,
                               const Reply &reply) {
   auto inForce = Hooks.InForce();
@@ -135,40 +145,53 @@
             });
 }
 
+std::string Membership::unknownSeed() {
+  auto seeds = Hooks.Seeds();
+  std::lock_guard lock(Mutex);
+  std::set<std::string> known{Self.PeerAddress};
+  for (const auto &[name, it] : Table.members()) {
+    if (isLive(name))
+      known.insert(it.Record.PeerAddress);
+  }
+  std::erase_if(seeds, [&](const auto &it) { return known.contains(it); });
+  return seeds.empty() ? std::string() : seeds[Random() % seeds.size()];
+}
+
+std::optional<Membership::Send> Membership::syncTarget() {
+  std::lock_guard lock(Mutex);
+  auto fits = [this](const MemberTable::Member &it) {
+    bool chosen = Returned.empty() || it.Record.Name == Returned;
+    return it.Record.State == MemberState::Alive && chosen;
+  };
+  auto chosen = Table.choose(1, fits);
+  Returned.clear();
+  if (chosen.empty())
+    return std::nullopt;
+  const auto &record = chosen.front()->Record;
+  return Send{record.Name, record.PeerAddress, {}};
+}
+
 void Membership::syncOfRound() {
-  std::string name;
-  std::string address;
-  bool seed = false;
+  bool due = false;
+  bool starting = false;
+  bool alone = false;
   {
     std::lock_guard lock(Mutex);
-    bool alone = Table.liveCount() == 0;
-    // Each node has its own turn, so that not all exchange at once.
-    bool due = (Rounds + Random() % 2) % Settings.SyncEvery == 0;
-    if (!alone && !due && Returned.empty())
-      return;
-    seed = alone || (due && Rounds / Settings.SyncEvery % Settings.SeedEvery ==
-                                Settings.SeedEvery - 1);
-    auto fits = [this](const MemberTable::Member &it) {
-      bool chosen = Returned.empty() || it.Record.Name == Returned;
-      return it.Record.State == MemberState::Alive && chosen;
-    };
-    for (const auto *it : Table.choose(1, fits)) {
-      name = it->Record.Name;
-      address = it->Record.PeerAddress;
-    }
-    Returned.clear();
+    due = Rounds % Settings.SyncEvery == 0;
+    starting = Rounds <= Settings.SeedRounds;
+    alone = Table.liveCount() == 0;
+    due = due || SyncAgain || !Returned.empty();
+    SyncAgain = false;
   }
-  if (seed) {
-    auto seeds = Hooks.Seeds();
-    std::lock_guard lock(Mutex);
-    std::erase(seeds, Self.PeerAddress);
-    if (!seeds.empty()) {
-      name.clear();
-      address = seeds[Random() % seeds.size()];
-    }
+  if (due) {
+    if (auto target = syncTarget())
+      sync(target->Name, target->Address, Settings.SyncMessages);
   }
-  if (!address.empty())
-    sync(name, address, Settings.SyncMessages);
+  if (!due && !starting && !alone)
+    return;
+  auto seed = unknownSeed();
+  if (!seed.empty())
+    sync({}, seed, Settings.SyncMessages);
 }
 
 void Membership::sync(const std::string &name, const std::string &address,
@@ -196,8 +219,11 @@
   Send push{name, address, {}};
   {
     std::lock_guard lock(Mutex);
+    // The other had nothing left for this round: somebody else is asked.
+    SyncAgain = answer.Hashes.empty();
     push.Message = compose(MemberMessageKind::SyncPush, name, inForce);
-    Table.addDifferent(Self, answer.Hashes, Settings.SyncBytes, push.Message);
+    if (!answer.Hashes.empty())
+      addDifferent(answer.Hashes, push.Message);
   }
   // While there is more to come, what is known here is not yet worth telling.
   bool tells = !push.Message.Members.empty() || !push.Message.Cells.empty();
--- a/UnitTests/Coordination/Membership/MemberWorld.h
+++ b/UnitTests/Coordination/Membership/MemberWorld.h
@@ -71,11 +71,8 @@
 
   /// What a node thinks of another; nothing if it doesn't know it.
   std::optional<MemberState> seen(const Node &by, const std::string &of) const {
-    for (const auto &it : by.Member->members()) {
-      if (it.Name == of)
-        return it.State;
-    }
-    return std::nullopt;
+    auto record = by.Member->find(of);
+    return record ? std::optional(record->State) : std::nullopt;
   }
 
   /// Whether all nodes that are up satisfy `holds`.
--- a/UnitTests/Coordination/Membership/MembershipTest.cpp
+++ b/UnitTests/Coordination/Membership/MembershipTest.cpp
@@ -34,8 +34,8 @@
 
 TEST_CASE("nobody dies of lost messages", "[membership]") {
   // Without helpers or without time to refute, members do.
-  auto deaths = [](std::size_t helpers, Span suspectTime) {
-    MemberWorld world(11);
+  auto deaths = [](std::uint64_t seed, std::size_t helpers, Span suspectTime) {
+    MemberWorld world(seed);
     world.Settings.Helpers = helpers;
     world.Settings.MinSuspectTime = world.Settings.SuspectTime = suspectTime;
     gather(world, 20);
@@ -50,8 +50,9 @@
     }
     return dead;
   };
-  REQUIRE(deaths(3, 1s) == 0);
-  REQUIRE(deaths(0, 1us) > 0);
+  for (std::uint64_t seed = 11; seed < 16; ++seed)
+    REQUIRE(deaths(seed, 3, 1s) == 0);
+  REQUIRE(deaths(11, 0, 1us) > 0);
 }
 
 TEST_CASE("a leaving node is known everywhere within rounds", "[membership]") {
@@ -189,6 +190,32 @@
   }
 }
 
+TEST_CASE("regions that merge again stay within the bound", "[membership]") {
+  MemberWorld world(8);
+  gather(world, 90, 3);
+  bool together = false;
+  world.Joined = [&](const std::string &a, const std::string &b) {
+    return together || a == b;
+  };
+  world.run(5min);
+  for (auto &[name, node] : world.Nodes)
+    node.MaxRoundBytes = 0;
+  together = true;
+  REQUIRE(world.until([&] { return sidesRight(world, false); }) < 60s);
+  world.run(5s);
+  for (const auto &[name, node] : world.Nodes)
+    REQUIRE(node.MaxRoundBytes < 23000);
+}
+
+TEST_CASE("nodes that start together find each other soon", "[membership]") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    MemberWorld world(seed);
+    for (int it = 0; it < 20; ++it)
+      world.start(it);
+    REQUIRE(world.until([&] { return world.agreed(); }) < 15s);
+  }
+}
+
 TEST_CASE("members agree after any schedule of failures", "[membership]") {
   REQUIRE(rc::check("once the failures are over", [] {
     MemberWorld world(*rc::gen::arbitrary<std::uint64_t>());
