--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -21,6 +21,7 @@
 #include "Hemlockglade/Coordination/Decision/ResidencyTracker.h"
 #include "Hemlockglade/Coordination/Decision/RetryBudget.h"
 #include "Hemlockglade/Coordination/Decision/WaitQueues.h"
+#include "Hemlockglade/Coordination/Directory/Directory.h"
 #include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
 #include "Hemlockglade/Coordination/Lease/LeaseRows.h"
 #include "Hemlockglade/Coordination/Recovery/RecoveryKeeper.h"
--- a/Hemlockglade/Protocol/Protocol.h
+++ b/Hemlockglade/Protocol/Protocol.h
@@ -5,6 +5,7 @@
 #include "Hemlockglade/Protocol/Admin/AdminFormat.h"
 #include "Hemlockglade/Protocol/Endpoint/EngineFormat.h"
 #include "Hemlockglade/Protocol/Message/ConfigMessages.h"
+#include "Hemlockglade/Protocol/Message/MembershipMessages.h"
 #include "Hemlockglade/Protocol/Message/PeerMessages.h"
 #include "Hemlockglade/Protocol/Message/RecoveryMessages.h"
 #include "Hemlockglade/Protocol/Platform/PlatformFormat.h"
