Nodes that start together can share the cells

Ruled out: moving cells between live owners, which costs a recovery each. Change: LeaseSettings::SettleTime (0 by default) leaves cells that never had an owner alone for a while after the first scan. Conclusion: a start is even when the setting is used.

--- a/Hemlockglade/Coordination/Lease/LeaseKeeper.cpp
+++ b/Hemlockglade/Coordination/Lease/LeaseKeeper.cpp
@@ -204,7 +204,7 @@
   {
     std::lock_guard lock(Mutex);
     View.onContact(now);
-    Scanned = true;
+    ScannedAt = ScannedAt.value_or(now);
     for (const auto &row : rows) {
       if (auto sight = lease_rows::sightOfCell(row))
         takeCell(row.Key.substr(lease_rows::CellPrefix.size()), *sight);
--- a/Hemlockglade/Coordination/Lease/LeaseKeeper.h
+++ b/Hemlockglade/Coordination/Lease/LeaseKeeper.h
@@ -114,7 +114,8 @@
   bool Leaving = false;
   bool Retired = false;
   std::optional<Instant> ScanStarted;
-  bool Scanned = false;
+  /// When the first scan of all rows was answered.
+  std::optional<Instant> ScannedAt;
   std::map<std::string, CellSight> Cells;
   std::vector<std::string> Wanted;
   /// Cells and owners with an operation of ours in flight.
--- a/Hemlockglade/Coordination/Lease/LeaseKeeperCells.cpp
+++ b/Hemlockglade/Coordination/Lease/LeaseKeeperCells.cpp
@@ -27,13 +27,15 @@
   {
     std::lock_guard lock(Mutex);
     // Never takes over on a doubtful lease.
-    if (Leaving || !Scanned || !Own.holds(now))
+    if (Leaving || !ScannedAt || !Own.holds(now))
       return;
     for (const auto &cell : Wanted) {
       if (BusyCells.contains(cell))
         continue;
       auto it = Cells.find(cell);
       bool claimable = mayClaim(cell, now);
+      if (!claimable && it == Cells.end())
+        continue;
       bool suspect = !claimable && !isOurs(it->second.Record) &&
                      View.needsCheck(it->second.Record, now);
       // Choosing among all nodes costs most, so it comes last.
@@ -56,7 +58,9 @@
 
 bool LeaseKeeper::mayClaim(const std::string &cell, Instant now) const {
   auto it = Cells.find(cell);
-  return it == Cells.end() || it->second.Record.Owner.empty() ||
+  if (it == Cells.end())
+    return ScannedAt && now >= *ScannedAt + Settings.SettleTime;
+  return it->second.Record.Owner.empty() ||
          View.isOver(it->second.Record.Incarnation, now);
 }
 
--- a/Hemlockglade/Coordination/Lease/LeaseTypes.h
+++ b/Hemlockglade/Coordination/Lease/LeaseTypes.h
@@ -59,6 +59,9 @@
   Span RenewInterval{};
   /// Least time between two scans of all rows; 0 scans in each round.
   Span ScanInterval{};
+  /// Time after the first scan in which cells that never had an owner are left
+  /// alone, so that nodes which start together share them.
+  Span SettleTime{};
   /// How long the row of a dead node is kept. No write of the table may take
   /// effect later than half of this after it was sent.
   Span RowKeep = std::chrono::hours(1);
--- a/UnitTests/Coordination/Lease/LeaseFailureTest.cpp
+++ b/UnitTests/Coordination/Lease/LeaseFailureTest.cpp
@@ -233,3 +233,23 @@
   fleet.run(30s);
   REQUIRE_FALSE(fleet.Table.Rows.contains("node/entry-1"));
 }
+
+TEST_CASE("nodes that start together share the cells", "[lease]") {
+  bool settle = GENERATE(true, false);
+  LeaseSettings settings;
+  settings.SettleTime = settle ? 3s : 0s;
+  LeaseFleet fleet(1, settings);
+  constexpr std::size_t each = 20;
+  for (std::size_t it = 0; it < 7 * each; ++it)
+    fleet.Cells.push_back("c/" + std::to_string(it));
+  for (int it = 0; it < 7; ++it) {
+    fleet.start("entry-" + std::to_string(it));
+    fleet.run(200ms);
+  }
+  fleet.run(10s);
+  REQUIRE(fleet.unheld().empty());
+  std::size_t most = 0;
+  for (const auto &host : fleet.Hosts)
+    most = std::max(most, host->Owned.size());
+  REQUIRE((most < 2 * each) == settle);
+}
