--- a/Bench/Core/Simulation.cpp
+++ b/Bench/Core/Simulation.cpp
@@ -10,6 +10,7 @@
 
 constexpr Span NetworkDelay = std::chrono::microseconds(500);
 constexpr Span DrainStep = std::chrono::seconds(1);
+constexpr Span OrderTimeout = std::chrono::seconds(5);
 constexpr Span TickPeriod = std::chrono::milliseconds(100);
 
 FakeWeightStoreSettings storeSettings(const Workload &work) {
@@ -110,7 +111,11 @@
 }
 
 void Simulation::driveLater(const Event &event) {
-  Loop.after(NetworkDelay, [this, event, owner = Owner] {
+  driveAfter(NetworkDelay, event);
+}
+
+void Simulation::driveAfter(Span delay, const Event &event) {
+  Loop.after(delay, [this, event, owner = Owner] {
     bool release = std::holds_alternative<RequestFinished>(event);
     // The end of a request reaches whoever owns the cell by then.
     if (owner == Owner || release)
@@ -172,13 +177,18 @@
 }
 
 void Simulation::apply(const Load &action) {
-  Loop.after(NetworkDelay, [this, action, owner = Owner] {
-    auto done = [this, action, owner](bool worked) {
+  LoadFailed noAnswer{action.Replica, action.Adapter, action.Order, true};
+  if (orderLost())
+    return driveAfter(OrderTimeout, noAnswer);
+  Loop.after(NetworkDelay, [this, action, noAnswer, owner = Owner] {
+    auto done = [this, action, noAnswer, owner](bool worked) {
       if (!worked)
         ++Out.LoadsFailed;
       if (owner != Owner)
         return;
-      if (worked)
+      if (orderLost())
+        driveAfter(OrderTimeout, noAnswer);
+      else if (worked)
         driveLater(LoadDone{action.Replica, action.Adapter, action.Order});
       else
         driveLater(LoadFailed{action.Replica, action.Adapter, action.Order});
@@ -189,23 +199,33 @@
 
 void Simulation::apply(const Evict &action) {
   ++Out.Evictions;
+  EvictDone refused{action.Replica, action.Adapter, true, action.Order};
   if (Lease != LeaseMode::Held) {
     // The sender looks at its lease again, and does not send this one.
     Judge.evicted(0, false);
-    driveLater(EvictDone{action.Replica, action.Adapter, true, action.Order});
-    return;
+    return driveLater(refused);
   }
-  Loop.after(NetworkDelay, [this, action, owner = Owner] {
+  EvictDone noAnswer{action.Replica, action.Adapter, false, action.Order, true};
+  if (orderLost())
+    return driveAfter(OrderTimeout, noAnswer);
+  Loop.after(NetworkDelay, [this, action, refused, noAnswer, owner = Owner] {
     auto &engine = *node(action.Replica).Engine;
-    bool refused = !engine.up();
-    if (!refused)
+    if (engine.up())
       Judge.evicted(engine.evict(action.Adapter), true);
-    if (owner == Owner)
-      driveLater(
-          EvictDone{action.Replica, action.Adapter, refused, action.Order});
+    if (owner != Owner)
+      return;
+    EvictDone done{action.Replica, action.Adapter, false, action.Order};
+    if (orderLost())
+      driveAfter(OrderTimeout, noAnswer);
+    else
+      driveLater(engine.up() ? done : refused);
   });
 }
 
+bool Simulation::orderLost() {
+  return Work.LostOrders > 0 && Draw.uniform() < Work.LostOrders;
+}
+
 void Simulation::apply(const CancelLoad &action) {
   ++Out.LoadsCancelled;
   Loop.after(NetworkDelay, [this, action] {
--- a/Bench/Core/Simulation.h
+++ b/Bench/Core/Simulation.h
@@ -32,6 +32,9 @@
   void drive(const Event &event);
   /// Drives the event after the network's delay, unless the owner changed.
   void driveLater(const Event &event);
+  void driveAfter(Span delay, const Event &event);
+  /// Draws whether an order or its answer is lost.
+  bool orderLost();
   void apply(const Admit &action);
   void apply(const Refuse &action);
   void apply(const Load &action);
--- a/Bench/Core/Workload.cpp
+++ b/Bench/Core/Workload.cpp
@@ -131,6 +131,7 @@
   reader.read("loads_per_s", out.LoadsPerS);
   reader.read("load_failures", out.LoadFailures);
   reader.read("broken_adapters", out.BrokenAdapters);
+  reader.read("lost_orders", out.LostOrders);
   reader.read("report_period_s", out.ReportPeriodS);
   reader.read("report_lag_s", out.ReportLagS);
   reader.read("report_gaps", out.ReportGaps);
--- a/Bench/Core/Workload.h
+++ b/Bench/Core/Workload.h
@@ -103,6 +103,9 @@
   double LoadFailures = 0;
   /// Part of the adapters that never load.
   double BrokenAdapters = 0;
+  /// Part of the load and evict orders that do not arrive; of as many others
+  /// the answer is lost.
+  double LostOrders = 0;
   double ReportPeriodS = 1;
   double ReportLagS = 0.2;
   /// Part of the reports that are missing.
