--- /dev/null
+++ b/Bench/Core/CostProbe.cpp
@@ -0,0 +1,220 @@
+#include "Bench/Core/CostProbe.h"
+
+#include "Bench/Core/Popularity.h"
+#include "Bench/Core/VirtualLoop.h"
+#include "Hemlockglade/Coordination/Decision/CellCore.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <malloc.h>
+#include <utility>
+
+namespace hemlockglade::bench {
+
+namespace {
+
+constexpr Span Patience = std::chrono::hours(24);
+
+/// Bytes that the program has allocated and not freed.
+double allocated() {
+  auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+CellCoreSettings unlimited() {
+  CellCoreSettings out;
+  out.QueueLimit = std::numeric_limits<std::uint32_t>::max();
+  out.Queues.AdapterLimit = 0;
+  out.Admission.RefuseInfeasible = false;
+  return out;
+}
+
+/// A core whose orders are all carried out at once.
+class ProbedCore {
+public:
+  ProbedCore() : Core(unlimited()) {
+    drive(LeaseChanged{LeaseMode::Held});
+    drive(TurnChanged{1, 1e6});
+  }
+
+  void addReplica(ReplicaKey key, std::uint32_t slots, std::uint32_t batch) {
+    ReplicaAdded event;
+    event.Replica = key;
+    event.Domain = key % 3 + 1;
+    event.Slots = slots;
+    event.Batch = batch;
+    drive(event);
+    ReplicaReport report;
+    report.Replica = key;
+    report.Incarnation = 1;
+    report.TakenAt = Now;
+    drive(report);
+  }
+
+  /// Asks for an adapter; the request ends at once unless it is to run on.
+  void request(AdapterKey adapter, bool runsOn = false) {
+    RequestArrived event;
+    event.Request = ++Requests;
+    event.Adapter = adapter;
+    event.Deadline = Now + Patience;
+    RunsOn = runsOn;
+    drive(event);
+  }
+
+  void advance(Span span) {
+    Now += span;
+    drive(Tick{});
+  }
+
+  std::size_t waiting() const { return Core.waiting(); }
+  std::size_t running() const { return Core.running(); }
+
+  /// Times of the calls since the last `take`, in nanoseconds.
+  std::vector<std::uint32_t> takeTimes() { return std::exchange(Times, {}); }
+
+private:
+  void drive(const Event &event) {
+    Actions.clear();
+    auto before = std::chrono::steady_clock::now();
+    Core.handle(event, Now, Actions);
+    auto spent =
+        std::chrono::nanoseconds(std::chrono::steady_clock::now() - before);
+    Times.push_back(static_cast<std::uint32_t>(spent.count()));
+    for (const auto &action : std::vector<Action>(Actions))
+      std::visit([this](const auto &it) { apply(it); }, action);
+  }
+
+  void apply(const Admit &action) {
+    if (!RunsOn)
+      drive(RequestFinished{action.Request});
+  }
+  void apply(const Load &action) {
+    drive(LoadDone{action.Replica, action.Adapter, action.Order});
+  }
+  void apply(const Evict &action) {
+    drive(EvictDone{action.Replica, action.Adapter, false, action.Order});
+  }
+  void apply(const Refuse &) {}
+  void apply(const CancelLoad &) {}
+
+  CellCore Core;
+  Instant Now = std::chrono::hours(1);
+  RequestKey Requests = 0;
+  bool RunsOn = false;
+  std::vector<Action> Actions;
+  std::vector<std::uint32_t> Times;
+};
+
+constexpr std::uint32_t CellReplicas = 64;
+constexpr std::uint32_t CellSlots = 8;
+constexpr std::uint32_t CellBatch = 32;
+
+void addCell(ProbedCore &core) {
+  for (ReplicaKey it = 1; it <= CellReplicas; ++it)
+    core.addReplica(it, CellSlots, CellBatch);
+}
+
+/// Bytes for each of `n` that `add` adds.
+template <typename F>
+double bytesEach(std::uint32_t n, ProbedCore &core, F add) {
+  core.takeTimes();
+  double before = allocated();
+  for (std::uint32_t it = 1; it <= n; ++it)
+    add(it);
+  core.takeTimes();
+  return std::max(0.0, (allocated() - before) / n);
+}
+
+double bytesPerReplica() {
+  ProbedCore core;
+  return bytesEach(4096, core, [&core](std::uint32_t it) {
+    core.addReplica(it, CellSlots, CellBatch);
+  });
+}
+
+/// Each adapter was asked for once, served and evicted for a later one.
+double bytesPerIdleAdapter() {
+  ProbedCore core;
+  addCell(core);
+  return bytesEach(200000, core, [&core](std::uint32_t it) {
+    core.request(it);
+    core.advance(seconds(2));
+  });
+}
+
+/// Each adapter stays loaded, without requests.
+double bytesPerLoadedAdapter() {
+  constexpr std::uint32_t Adapters = 50000;
+  ProbedCore core;
+  core.addReplica(1, Adapters, CellBatch);
+  return bytesEach(Adapters, core,
+                   [&core](std::uint32_t it) { core.request(it); });
+}
+
+/// One adapter runs all requests.
+nlohmann::json bytesPerRunningRequest() {
+  constexpr std::uint32_t Requests = 100000;
+  ProbedCore core;
+  core.addReplica(1, CellSlots, Requests);
+  core.request(1);
+  double bytes = bytesEach(Requests, core,
+                           [&core](std::uint32_t) { core.request(1, true); });
+  return {{"bytes", bytes}, {"running", core.running()}};
+}
+
+/// The only replica's batch is full.
+nlohmann::json bytesPerWaitingRequest() {
+  ProbedCore core;
+  core.addReplica(1, CellSlots, 1);
+  core.request(1, true);
+  double bytes =
+      bytesEach(100000, core, [&core](std::uint32_t) { core.request(1); });
+  return {{"bytes", bytes}, {"waiting", core.waiting()}};
+}
+
+double quantile(std::vector<std::uint32_t> &values, double part) {
+  auto rank = static_cast<std::ptrdiff_t>(
+      part * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + rank, values.end());
+  return values[static_cast<std::size_t>(rank)];
+}
+
+/// Every adapter has been asked for; then a skewed mix of requests comes.
+nlohmann::json decisionTimes(std::uint32_t adapters) {
+  ProbedCore core;
+  addCell(core);
+  for (AdapterKey it = 1; it <= adapters; ++it) {
+    core.request(it);
+    core.advance(seconds(0.1));
+  }
+  Random draw(1);
+  Popularity popularity(adapters, 0, 1.0, draw);
+  core.takeTimes();
+  for (int it = 0; it < 100000; ++it) {
+    core.request(popularity.draw(draw));
+    core.advance(seconds(0.02));
+  }
+  auto times = core.takeTimes();
+  return {{"adapters", adapters},
+          {"decisions", times.size()},
+          {"ns_p50", quantile(times, 0.5)},
+          {"ns_p99", quantile(times, 0.99)},
+          {"ns_p999", quantile(times, 0.999)}};
+}
+
+} // namespace
+
+nlohmann::json measureCosts() {
+  nlohmann::json out;
+  out["bytes_per_replica"] = bytesPerReplica();
+  out["bytes_per_idle_adapter"] = bytesPerIdleAdapter();
+  out["bytes_per_loaded_adapter"] = bytesPerLoadedAdapter();
+  out["per_running_request"] = bytesPerRunningRequest();
+  out["per_waiting_request"] = bytesPerWaitingRequest();
+  for (std::uint32_t it : {100U, 1000U, 10000U, 100000U})
+    out["decision_times"].push_back(decisionTimes(it));
+  return out;
+}
+
+} // namespace hemlockglade::bench
--- a/Bench/Core/hemlockglade_benchMain.cpp
+++ b/Bench/Core/hemlockglade_benchMain.cpp
@@ -1,3 +1,4 @@
+#include "Bench/Core/CostProbe.h"
 #include "Bench/Core/MarkdownTable.h"
 #include "Bench/Core/Simulation.h"
 
@@ -18,6 +19,7 @@
 DEFINE_string(scenarios, "", "scenarios of the table; all if empty");
 DEFINE_string(policies, "lru,ours,oracle,clairvoyant", "policies of the table");
 DEFINE_uint64(seeds, 3, "the table gives the mean over seeds 1 to this");
+DEFINE_bool(costs, false, "measure the core's memory and decision times");
 DEFINE_bool(list, false, "list scenarios and policies");
 
 namespace {
@@ -114,6 +116,10 @@
   try {
     if (FLAGS_list)
       return list();
+    if (FLAGS_costs) {
+      std::cout << measureCosts().dump(2) << "\n";
+      return 0;
+    }
     if (FLAGS_table)
       return printTable();
     return FLAGS_check.empty() ? runOne() : checkBounds();
