Objective 1 draws work together on fewer replicas

Change: Consolidation lets the replica with the fewest requests rest while the others' batches have room, and wakes one when batches or loads fall short. A copy on a resting replica does not count as a copy.

--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -5,6 +5,7 @@
 #include "Hemlockglade/Coordination/Decision/AdapterTable.h"
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Decision/CellState.h"
+#include "Hemlockglade/Coordination/Decision/Consolidation.h"
 #include "Hemlockglade/Coordination/Decision/CoreTypes.h"
 #include "Hemlockglade/Coordination/Decision/DemandEstimate.h"
 #include "Hemlockglade/Coordination/Decision/EvictionPolicy.h"
--- a/Hemlockglade/Coordination/Decision/CellCore.cpp
+++ b/Hemlockglade/Coordination/Decision/CellCore.cpp
@@ -4,7 +4,7 @@
 
 CellCore::CellCore(const CellCoreSettings &settings, CellCoreHooks hooks)
     : State(settings, std::move(hooks)), Desk(State), Residency(State),
-      Orders(State) {}
+      Orders(State), Rests(State) {}
 
 void CellCore::handle(const Event &event, Instant now,
                       std::vector<Action> &actions) {
@@ -92,6 +92,8 @@
 void CellCore::on(const Tick &) {
   Residency.expireOrders();
   State.refreshSome();
+  if (auto *woken = Rests.run())
+    Desk.serveReplica(*woken);
 }
 
 void CellCore::serveAllOn(ReplicaKey replica) {
--- a/Hemlockglade/Coordination/Decision/CellCore.h
+++ b/Hemlockglade/Coordination/Decision/CellCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hemlockglade/Coordination/Decision/Consolidation.h"
 #include "Hemlockglade/Coordination/Decision/OrderPlanner.h"
 #include "Hemlockglade/Coordination/Decision/RequestDesk.h"
 #include "Hemlockglade/Coordination/Decision/ResidencyTracker.h"
@@ -48,6 +49,7 @@
   RequestDesk Desk;
   ResidencyTracker Residency;
   OrderPlanner Orders;
+  Consolidation Rests;
 };
 
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Decision/CellState.cpp
+++ b/Hemlockglade/Coordination/Decision/CellState.cpp
@@ -92,7 +92,7 @@
   auto *active = Adapters.find(adapter);
   if (!active)
     return;
-  bool copies = active->Holders.size() > 1;
+  bool copies = active->Holders.size() > 1 && servers(*active) > 1;
   for (ReplicaKey it : active->Holders) {
     auto &replica = Book.obtain(it);
     Eviction.refresh(replica, *Book.resident(replica, adapter), copies, Now);
--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -49,6 +49,20 @@
   Span OrderTimeout = std::chrono::seconds(60);
 };
 
+/// How far work is drawn together on fewer replicas.
+struct ConsolidationSettings {
+  /// Part of the batches that is to be in use at objective 1; in proportion
+  /// below, so that nothing rests at objective 0.
+  double FullTarget = 0.75;
+  /// Time over which the load is averaged, and least time between changes.
+  Span MeanOver = std::chrono::seconds(10);
+  Span Period = std::chrono::seconds(10);
+  /// Least time after a replica was woken until one rests.
+  Span AfterWake = std::chrono::seconds(40);
+  /// Adapters that wait for a load above which a replica is woken.
+  std::uint32_t MostLoadsWaiting = 24;
+};
+
 /// Bounds and weights of the decisions in one cell.
 struct CellCoreSettings {
   /// Requests that may wait in the cell.
@@ -64,6 +78,7 @@
   EvictionSettings Eviction;
   PlacementSettings Placement;
   RoutingSettings Routing;
+  ConsolidationSettings Consolidation;
 };
 
 /// What a bench or a test may put in the place of the core's estimates.
--- /dev/null
+++ b/Hemlockglade/Coordination/Decision/Consolidation.cpp
@@ -0,0 +1,73 @@
+#include "Hemlockglade/Coordination/Decision/Consolidation.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockglade {
+
+Replica *Consolidation::run() {
+  const auto &settings = State.Settings.Consolidation;
+  double target = settings.FullTarget * State.Settings.Objective;
+  if (target <= 0)
+    return nullptr;
+  auto inFlight = static_cast<double>(State.Queues.size());
+  for (const auto &it : State.Book.all())
+    inFlight += it.Present ? it.inFlight() : 0;
+  auto past = std::chrono::duration<double>(State.Now - SampledAt);
+  auto over = std::chrono::duration<double>(settings.MeanOver);
+  InFlight += (inFlight - InFlight) * (1 - std::exp(-past / over));
+  SampledAt = State.Now;
+  if (isShort() || InFlight > target * places())
+    return wakeOne();
+  if (State.Now >= NextChange && State.Mode == LeaseMode::Held)
+    restOne();
+  return nullptr;
+}
+
+bool Consolidation::isShort() const {
+  std::size_t loads = State.Planner.size();
+  return State.Mode != LeaseMode::Held ||
+         loads > State.Settings.Consolidation.MostLoadsWaiting;
+}
+
+Replica *Consolidation::wakeOne() {
+  for (auto &it : State.Book.all()) {
+    if (!it.Resting)
+      continue;
+    it.Resting = false;
+    NextChange = State.Now + State.Settings.Consolidation.AfterWake;
+    State.replanAll(it);
+    return &it;
+  }
+  return nullptr;
+}
+
+void Consolidation::restOne() {
+  const auto &settings = State.Settings.Consolidation;
+  Replica *best = nullptr;
+  for (auto &it : State.Book.all()) {
+    if (!it.Present || it.Draining || it.Resting)
+      continue;
+    if (!best || it.inFlight() <= best->inFlight())
+      best = &it;
+  }
+  NextChange = State.Now + settings.Period;
+  if (!best || State.Planner.size() != 0)
+    return;
+  double left = places() - best->Properties.Batch;
+  if (InFlight > settings.FullTarget * State.Settings.Objective * left)
+    return;
+  best->Resting = true;
+  State.replanAll(*best);
+}
+
+double Consolidation::places() const {
+  double n = 0;
+  for (const auto &it : State.Book.all()) {
+    if (it.Present && !it.Draining && !it.Resting)
+      n += it.Properties.Batch;
+  }
+  return n;
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Decision/Consolidation.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Decision/CellState.h"
+
+namespace hemlockglade {
+
+/// Lets replicas rest so that the batches of the others fill, as far as the
+/// cell's objective asks for it and neither loads nor batches fall short.
+class Consolidation {
+public:
+  explicit Consolidation(CellState &state) : State(state) {}
+
+  /// Looks at the load; to be called at each tick. Returns a replica that was
+  /// woken, to be given work, or null.
+  Replica *run();
+
+private:
+  Replica *wakeOne();
+  void restOne();
+  bool isShort() const;
+  /// Places in the batches of the replicas that are awake.
+  double places() const;
+
+  CellState &State;
+  /// Mean number of requests in flight or waiting.
+  double InFlight = 0;
+  Instant SampledAt{};
+  Instant NextChange{};
+};
+
+} // namespace hemlockglade
--- a/Hemlockglade/Coordination/Decision/ReplicaBook.h
+++ b/Hemlockglade/Coordination/Decision/ReplicaBook.h
@@ -64,6 +64,8 @@
   ReplicaAdded Properties;
   bool Present = false;
   bool Draining = false;
+  /// Gets no work so that the batches of others fill.
+  bool Resting = false;
   std::uint64_t Incarnation = 0;
   /// When the newest report was true.
   Instant ReportAt{};
--- a/Hemlockglade/Coordination/Decision/ReplicaChooser.cpp
+++ b/Hemlockglade/Coordination/Decision/ReplicaChooser.cpp
@@ -20,7 +20,7 @@
 
 bool ReplicaChooser::serves(const Replica &replica,
                             const ActiveAdapter &active) const {
-  return replica.Present && !replica.Draining &&
+  return replica.Present && !replica.Draining && !replica.Resting &&
          replica.Silent < Settings.SilentDown &&
          active.allows(replica.Properties.Domain);
 }
--- a/Hemlockglade/Coordination/Decision/ResidencyTracker.cpp
+++ b/Hemlockglade/Coordination/Decision/ResidencyTracker.cpp
@@ -148,6 +148,7 @@
     State.strike(*replica, last.Adapter);
   }
   replica->Present = false;
+  replica->Resting = false;
   replica->Foreign = 0;
 }
 
