--- a/Bench/Core/Bounds.cpp
+++ b/Bench/Core/Bounds.cpp
@@ -32,6 +32,8 @@
   out.Scenario = node["scenario"].as<std::string>();
   out.Policy = node["policy"].as<std::string>();
   out.Seeds = node["seeds"].as<std::vector<std::uint64_t>>();
+  if (out.Seeds.empty())
+    throw std::runtime_error(out.Scenario + " has no seeds");
   for (const auto &it : node["bounds"])
     out.Bounds.push_back(readBound(it));
   return out;
@@ -62,36 +64,33 @@
 
 bool BoundsCheck::check(const std::vector<BoundRow> &rows) {
   bool all = true;
-  for (const auto &row : rows) {
-    for (std::uint64_t seed : row.Seeds)
-      all &= checkRow(row, seed);
-  }
+  for (const auto &row : rows)
+    all &= checkRow(row);
   Out << (all ? "all bounds hold" : "some bounds do not hold") << "\n";
   return all;
 }
 
-bool BoundsCheck::checkRow(const BoundRow &row, std::uint64_t seed) {
-  Out << row.Scenario << " " << row.Policy << " seed " << seed << ":";
+bool BoundsCheck::checkRow(const BoundRow &row) {
+  Out << row.Scenario << " " << row.Policy << " seeds";
+  for (std::uint64_t seed : row.Seeds)
+    Out << " " << seed;
+  Out << ":";
   bool all = true;
   for (const char *it : MustBeZero) {
     if (!bounds(row, it))
-      all &= holds({it, true, 0, ""}, row, seed);
+      all &= holds({it, true, 0, ""}, row);
   }
   for (const auto &it : row.Bounds)
-    all &= holds(it, row, seed);
+    all &= holds(it, row);
   Out << (all ? " ok" : " FAILED") << std::endl;
   return all;
 }
 
-bool BoundsCheck::holds(const Bound &bound, const BoundRow &row,
-                        std::uint64_t seed) {
-  const auto &measured = figures(row.Scenario, row.Policy, seed);
-  double value = measured.at(bound.Figure).get<double>();
+bool BoundsCheck::holds(const Bound &bound, const BoundRow &row) {
+  double value = mean(bound.Figure, row, row.Policy);
   double limit = bound.Value;
-  if (!bound.Versus.empty()) {
-    const auto &other = figures(row.Scenario, bound.Versus, seed);
-    limit *= other.at(bound.Figure).get<double>();
-  }
+  if (!bound.Versus.empty())
+    limit *= mean(bound.Figure, row, bound.Versus);
   bool kept = bound.IsMaximum ? value <= limit : value >= limit;
   bool zeroKept = kept && bound.IsMaximum && limit == 0;
   if (!zeroKept)
@@ -100,6 +99,14 @@
   return kept;
 }
 
+double BoundsCheck::mean(const std::string &figure, const BoundRow &row,
+                         const std::string &policy) {
+  double sum = 0;
+  for (std::uint64_t seed : row.Seeds)
+    sum += figures(row.Scenario, policy, seed).at(figure).get<double>();
+  return sum / static_cast<double>(row.Seeds.size());
+}
+
 const nlohmann::json &BoundsCheck::figures(const std::string &scenario,
                                            const std::string &policy,
                                            std::uint64_t seed) {
--- a/Bench/Core/Bounds.h
+++ b/Bench/Core/Bounds.h
@@ -17,11 +17,11 @@
   bool IsMaximum = true;
   double Value = 0;
   /// If not empty, `Value` is a factor of what this policy reaches in the
-  /// same scenario with the same seed.
+  /// same scenario with the same seeds.
   std::string Versus;
 };
 
-/// A run and the bounds of its figures.
+/// Runs of a policy, and the bounds of the means of their figures.
 struct BoundRow {
   std::string Scenario;
   std::string Policy;
@@ -48,8 +48,10 @@
   bool check(const std::vector<BoundRow> &rows);
 
 private:
-  bool checkRow(const BoundRow &row, std::uint64_t seed);
-  bool holds(const Bound &bound, const BoundRow &row, std::uint64_t seed);
+  bool checkRow(const BoundRow &row);
+  bool holds(const Bound &bound, const BoundRow &row);
+  double mean(const std::string &figure, const BoundRow &row,
+              const std::string &policy);
   const nlohmann::json &figures(const std::string &scenario,
                                 const std::string &policy, std::uint64_t seed);
 
