--- a/Bench/Core/Bounds.cpp
+++ b/Bench/Core/Bounds.cpp
@@ -9,9 +9,12 @@
 
 namespace {
 
-constexpr const char *MustBeZero[] = {"lost", "doubled", "wrong_adapter",
+constexpr const char *MustBeZero[] = {"lost",
+                                      "doubled",
+                                      "wrong_adapter",
                                       "evicted_while_serving",
-                                      "evicted_without_lease"};
+                                      "evicted_without_lease",
+                                      "outside_rule"};
 
 Bound readBound(const YAML::Node &node) {
   Bound out;
--- a/Bench/Core/Checker.h
+++ b/Bench/Core/Checker.h
@@ -25,6 +25,9 @@
   /// An engine that the policy knew lacked the adapter of an admission.
   void wrongAdapter() { ++Out.WrongAdapter; }
 
+  /// A request ran where a rule does not let its adapter run.
+  void outsideRule() { ++Out.OutsideRule; }
+
   /// An eviction took `broken` running requests with it.
   void evicted(std::size_t broken, bool leaseHeld);
 
--- a/Bench/Core/Figures.cpp
+++ b/Bench/Core/Figures.cpp
@@ -46,6 +46,7 @@
   out["wrong_adapter"] = WrongAdapter;
   out["evicted_while_serving"] = EvictedWhileServing;
   out["evicted_without_lease"] = EvictedWithoutLease;
+  out["outside_rule"] = OutsideRule;
   out["stale_admits"] = StaleAdmits;
   out["attempts"] = Attempts;
   out["loads"] = Loads;
--- a/Bench/Core/Figures.h
+++ b/Bench/Core/Figures.h
@@ -21,6 +21,8 @@
   std::uint64_t EvictedWhileServing = 0;
   /// Evictions ordered while the lease did not hold.
   std::uint64_t EvictedWithoutLease = 0;
+  /// Requests that ran where a rule does not let their adapter run.
+  std::uint64_t OutsideRule = 0;
   /// Admissions to an engine that went down or lost the adapter unknown to
   /// the policy; they were not run.
   std::uint64_t StaleAdmits = 0;
--- a/Bench/Core/Simulation.cpp
+++ b/Bench/Core/Simulation.cpp
@@ -85,6 +85,10 @@
     it.Known = 0;
     drive(it.Properties);
   }
+  for (AdapterKey it = 1; it <= Work.Adapters; ++it) {
+    if (DomainKey domain = Work.ruledDomain(it))
+      drive(RuleChanged{it, {domain}});
+  }
   drive(TurnChanged{1, Work.LoadsPerS});
   for (ReplicaKey it = 1; it <= Nodes.size(); ++it)
     sendReport(it);
@@ -158,9 +162,10 @@
 void Simulation::startOn(ReplicaKey replica, RequestKey request,
                          std::uint64_t known) {
   auto &engine = *node(replica).Engine;
-  auto answer = engine.start(Callers.engineRequest(request));
+  auto details = Callers.engineRequest(request);
+  auto answer = engine.start(details);
   if (answer == EngineAnswer::Runs)
-    return;
+    return checkRule(replica, details.Adapter);
   bool policyKnew =
       answer == EngineAnswer::NotLoaded && known == engine.incarnation();
   if (policyKnew)
@@ -170,6 +175,12 @@
   Callers.notRun(request);
 }
 
+void Simulation::checkRule(ReplicaKey replica, AdapterKey adapter) {
+  DomainKey domain = Work.ruledDomain(adapter);
+  if (domain && domain != node(replica).Properties.Domain)
+    Judge.outsideRule();
+}
+
 void Simulation::apply(const Refuse &action) {
   if (!Judge.decided(action.Request))
     return;
--- a/Bench/Core/Simulation.h
+++ b/Bench/Core/Simulation.h
@@ -41,6 +41,7 @@
   void apply(const Evict &action);
   void apply(const CancelLoad &action);
   void startOn(ReplicaKey replica, RequestKey request, std::uint64_t known);
+  void checkRule(ReplicaKey replica, AdapterKey adapter);
   void hashAction(const Action &action);
 
   void scheduleTick();
--- a/Bench/Core/Workload.cpp
+++ b/Bench/Core/Workload.cpp
@@ -1,5 +1,7 @@
 #include "Bench/Core/Workload.h"
 
+#include "Bench/Core/Random.h"
+
 #include <map>
 #include <set>
 #include <stdexcept>
@@ -132,6 +134,7 @@
   reader.read("load_failures", out.LoadFailures);
   reader.read("broken_adapters", out.BrokenAdapters);
   reader.read("lost_orders", out.LostOrders);
+  reader.read("ruled_adapters", out.RuledAdapters);
   reader.read("report_period_s", out.ReportPeriodS);
   reader.read("report_lag_s", out.ReportLagS);
   reader.read("report_gaps", out.ReportGaps);
@@ -142,6 +145,13 @@
 
 } // namespace
 
+std::uint32_t Workload::ruledDomain(std::uint32_t adapter) const {
+  Random draw(adapter);
+  if (draw.uniform() >= RuledAdapters)
+    return 0;
+  return static_cast<std::uint32_t>(draw.below(Domains)) + 1;
+}
+
 std::uint32_t Workload::replicas() const {
   std::uint32_t n = 0;
   for (const auto &group : Engines)
--- a/Bench/Core/Workload.h
+++ b/Bench/Core/Workload.h
@@ -106,12 +106,17 @@
   /// Part of the load and evict orders that do not arrive; of as many others
   /// the answer is lost.
   double LostOrders = 0;
+  /// Part of the adapters that may run in one failure domain only.
+  double RuledAdapters = 0;
   double ReportPeriodS = 1;
   double ReportLagS = 0.2;
   /// Part of the reports that are missing.
   double ReportGaps = 0;
   std::vector<Fault> Faults;
 
+  /// The only failure domain where an adapter may run; 0 if any may.
+  std::uint32_t ruledDomain(std::uint32_t adapter) const;
+
   /// Number of replicas.
   std::uint32_t replicas() const;
 };
