--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -58,7 +58,7 @@
   Span MeanOver = std::chrono::seconds(10);
   Span Period = std::chrono::seconds(10);
   /// Least time after a replica was woken until one rests.
-  Span AfterWake = std::chrono::seconds(40);
+  Span AfterWake = std::chrono::seconds(20);
   /// Adapters that wait for a load above which a replica is woken.
   std::uint32_t MostLoadsWaiting = 24;
 };
--- a/Hemlockglade/Coordination/Decision/DemandEstimate.h
+++ b/Hemlockglade/Coordination/Decision/DemandEstimate.h
@@ -7,18 +7,18 @@
 /// How demand is estimated from past requests.
 struct DemandSettings {
   /// Time in which past demand loses half of its weight.
-  Span HalfLife = std::chrono::seconds(300);
+  Span HalfLife = std::chrono::seconds(500);
   /// The same for the short-term part, which follows bursts and sessions.
-  Span ShortHalfLife = std::chrono::seconds(20);
+  Span ShortHalfLife = std::chrono::seconds(15);
   /// Largest weight of the short-term part; 0 leaves it out. How much of that
   /// it gets is learnt from the gaps between requests.
-  double ShortShare = 1.0;
+  double ShortShare = 1.5;
   /// What is assumed of an adapter before anything is known: so many requests
   /// within so much time.
-  double PriorCount = 0.15;
-  Span PriorTime = std::chrono::seconds(250);
+  double PriorCount = 0.05;
+  Span PriorTime = std::chrono::seconds(400);
   /// Odds that the demand for an adapter has just ended.
-  double EndOdds = 0.02;
+  double EndOdds = 0.1;
 };
 
 /// Estimates how often each adapter is asked for, by two exponentially decayed
--- a/Hemlockglade/Coordination/Decision/EvictionPolicy.h
+++ b/Hemlockglade/Coordination/Decision/EvictionPolicy.h
@@ -15,7 +15,7 @@
   /// then may a report settle it or an eviction follow.
   Span UncertainFor = std::chrono::seconds(5);
   /// What one of several copies is worth, as a part of the only one.
-  double CopyWorth = 0.125;
+  double CopyWorth = 0.02;
   /// Order victims by the time of their last use instead of by demand.
   bool LeastRecentlyUsed = false;
   /// Idle adapters looked at for one victim.
