--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -56,11 +56,11 @@
   double FullTarget = 0.75;
   /// Time over which the load is averaged, and least time between changes.
   Span MeanOver = std::chrono::seconds(10);
-  Span Period = std::chrono::seconds(10);
+  Span Period = std::chrono::seconds(5);
   /// Least time after a replica was woken until one rests.
   Span AfterWake = std::chrono::seconds(20);
   /// Adapters that wait for a load above which a replica is woken.
-  std::uint32_t MostLoadsWaiting = 24;
+  std::uint32_t MostLoadsWaiting = 20;
 };
 
 /// Bounds and weights of the decisions in one cell.
--- a/Hemlockglade/Coordination/Decision/Consolidation.cpp
+++ b/Hemlockglade/Coordination/Decision/Consolidation.cpp
@@ -52,15 +52,26 @@
       best = &it;
   }
   NextChange = State.Now + settings.Period;
-  if (!best || State.Planner.size() != 0)
+  if (!best || State.Planner.size() != 0 || isWaitedFor(*best))
     return;
   double left = places() - best->Properties.Batch;
-  if (InFlight > settings.FullTarget * State.Settings.Objective * left)
+  // The last one that is awake stays so.
+  if (left <= 0 ||
+      InFlight > settings.FullTarget * State.Settings.Objective * left)
     return;
   best->Resting = true;
   State.replanAll(*best);
 }
 
+bool Consolidation::isWaitedFor(const Replica &replica) const {
+  for (const auto &it : replica.Adapters) {
+    const auto *active = State.Adapters.find(it.Adapter);
+    if (active && !active->Queue.empty())
+      return true;
+  }
+  return false;
+}
+
 double Consolidation::places() const {
   double n = 0;
   for (const auto &it : State.Book.all()) {
--- a/Hemlockglade/Coordination/Decision/Consolidation.h
+++ b/Hemlockglade/Coordination/Decision/Consolidation.h
@@ -18,6 +18,8 @@
   Replica *wakeOne();
   void restOne();
   bool isShort() const;
+  /// Whether requests wait for an adapter on the replica.
+  bool isWaitedFor(const Replica &replica) const;
   /// Places in the batches of the replicas that are awake.
   double places() const;
 
--- a/Hemlockglade/Coordination/Decision/OrderPlanner.cpp
+++ b/Hemlockglade/Coordination/Decision/OrderPlanner.cpp
@@ -59,6 +59,10 @@
                   !active.allows(replica->Properties.Domain) ||
                   State.Now - wish.Since > ForgetWish;
   Bounds bounds{0, wish.Load.Replica};
+  if (replica && replica->Resting) {
+    replica->Resting = false;
+    State.replanAll(*replica);
+  }
   if (!there && !hopeless) {
     if (!State.Turn.free(State.Now))
       return;
@@ -76,6 +80,7 @@
 }
 
 void OrderPlanner::loadForDemand() {
+  cancelPrefetch();
   std::size_t free = State.freeSlots();
   while (demandWaits() && State.Turn.free(State.Now) && free != 0) {
     bool loaded = false;
@@ -93,7 +98,6 @@
     if (!loaded)
       break;
   }
-  cancelPrefetch();
   makeRoom();
 }
 
--- a/Hemlockglade/Coordination/Decision/RequestDesk.cpp
+++ b/Hemlockglade/Coordination/Decision/RequestDesk.cpp
@@ -255,6 +255,16 @@
     if (State.Chooser.serves(it, active))
       return true;
   }
+  for (auto &it : State.Book.all()) {
+    if (!it.Resting)
+      continue;
+    it.Resting = false;
+    if (State.Chooser.serves(it, active)) {
+      State.replanAll(it);
+      return true;
+    }
+    it.Resting = true;
+  }
   return false;
 }
 
--- a/Hemlockglade/Coordination/Decision/RequestDesk.h
+++ b/Hemlockglade/Coordination/Decision/RequestDesk.h
@@ -34,6 +34,7 @@
   /// Whether a request that must wait may do so.
   bool mayWait(const RequestArrived &request, const ActiveAdapter &active,
                Reason &why);
+  /// Whether a replica may serve the adapter; one that rests is woken for it.
   bool anyServes(const ActiveAdapter &active);
   void enqueue(const RequestArrived &request, ActiveAdapter &active);
   /// Makes room in a full queue by shedding a lower class.
--- a/Hemlockglade/Coordination/Decision/WaitQueues.cpp
+++ b/Hemlockglade/Coordination/Decision/WaitQueues.cpp
@@ -94,7 +94,9 @@
 }
 
 const WaitingRequest *WaitQueues::lowest() const {
-  return ShedOrder.empty() ? nullptr : find(ShedOrder.begin()->Request);
+  return ShedOrder.empty()
+             ? nullptr
+             : find(static_cast<RequestKey>(-ShedOrder.begin()->Request));
 }
 
 Instant WaitQueues::rankOf(const RequestArrived &arrival, Instant now) const {
@@ -106,7 +108,7 @@
 
 WaitQueues::ShedKey WaitQueues::shedKeyOf(const WaitingRequest &waiting) const {
   return {waiting.Arrival.Priority, -waiting.Since.count(),
-          waiting.Arrival.Request};
+          -static_cast<std::int64_t>(waiting.Arrival.Request)};
 }
 
 void WaitQueues::updateHead(ActiveAdapter &active) const {
--- a/Hemlockglade/Coordination/Decision/WaitQueues.h
+++ b/Hemlockglade/Coordination/Decision/WaitQueues.h
@@ -61,9 +61,9 @@
 private:
   struct ShedKey {
     std::uint8_t Priority = 0;
-    /// Later ones first.
-    std::int64_t Lateness = 0;
-    RequestKey Request = 0;
+    /// Negated, so that later ones come first.
+    std::int64_t Since = 0;
+    std::int64_t Request = 0;
     auto operator<=>(const ShedKey &) const = default;
   };
 
