--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -8,6 +8,7 @@
 #include "Hemlockglade/Coordination/Config/ConfigKeeper.h"
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Decision/CellState.h"
+#include "Hemlockglade/Coordination/Decision/Consolidation.h"
 #include "Hemlockglade/Coordination/Decision/CoreTypes.h"
 #include "Hemlockglade/Coordination/Decision/DemandEstimate.h"
 #include "Hemlockglade/Coordination/Decision/EvictionPolicy.h"
