Waits for room in a batch are estimated, and prompts count towards a deadline

Change: a request that must wait for a place in a batch is refused at once if the queue and the mean service time say that it would be late; the latest start leaves time for the prompt.

--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -16,8 +16,10 @@
   /// The estimated wait is multiplied by this before it is compared with the
   /// time left; below 1 lets doubtful cases wait.
   double Caution = 1.0;
-  /// Time from admission to the first byte that a deadline must leave.
+  /// Time from admission to the first byte that a deadline must leave, and
+  /// what the prompt adds to it.
   Span FirstByte = std::chrono::milliseconds(50);
+  double PromptTokensPerSecond = 8000;
   /// No request is held longer for a load than this, however far its deadline
   /// is: its caller is told at once when to come back.
   Span LongestStall = std::chrono::seconds(20);
--- a/Hemlockglade/Coordination/Decision/RequestDesk.cpp
+++ b/Hemlockglade/Coordination/Decision/RequestDesk.cpp
@@ -161,8 +161,7 @@
 
 void RequestDesk::giveUp() {
   while (const auto *waiting = State.Queues.due(State.Now)) {
-    Instant latest =
-        waiting->Arrival.Deadline - State.Settings.Admission.FirstByte;
+    Instant latest = latestStart(waiting->Arrival);
     if (latest <= State.Now) {
       refuseWaiting(*waiting, Reason::DeadlinePassed);
       continue;
@@ -230,7 +229,7 @@
   if (!State.Queues.roomFor(request, &active, why))
     return false;
   const auto &settings = State.Settings.Admission;
-  Instant latest = request.Deadline - settings.FirstByte;
+  Instant latest = latestStart(request);
   why = Reason::DeadlinePassed;
   if (latest <= State.Now)
     return false;
@@ -272,7 +271,7 @@
                           ActiveAdapter &active) {
   bool stalled = request.Adapter != NoAdapter && State.servers(active) == 0;
   const auto &settings = State.Settings.Admission;
-  Instant check = request.Deadline - settings.FirstByte;
+  Instant check = latestStart(request);
   if (stalled)
     check = std::min(check - State.Turn.expected(),
                      State.Now + settings.LongestStall);
@@ -292,7 +291,9 @@
                                const ActiveAdapter &active) {
   if (request.Adapter == NoAdapter)
     return batchWait(active.Queue.size() + 1);
-  if (State.servers(active) != 0 || State.isLoading(active))
+  if (State.servers(active) != 0)
+    return waitForRoom(request, active);
+  if (State.isLoading(active))
     return Span{};
   Span backoff = std::max(Span{}, active.NotBefore - State.Now);
   // What comes after the request in the queue doesn't delay it; one that
@@ -303,6 +304,29 @@
   return backoff + loadWait(ahead + State.Turn.running() + 1);
 }
 
+Span RequestDesk::waitForRoom(const RequestArrived &request,
+                              const ActiveAdapter &active) {
+  std::int64_t places = 0;
+  for (ReplicaKey it : active.Holders) {
+    if (State.serves(it, active))
+      places += State.Book.obtain(it).Properties.Batch;
+  }
+  // Its own queue goes through its holders only, and all queues through all
+  // replicas; what waits for a load does not wait for room.
+  auto own = static_cast<std::int64_t>(active.Queue.size() + 1);
+  Span wait = State.ServiceTime * own / std::max<std::int64_t>(1, places);
+  std::size_t all = State.Queues.fromClass(request.Priority);
+  return std::max(wait, batchWait(all - std::min(all, State.Planner.firsts())));
+}
+
+Instant RequestDesk::latestStart(const RequestArrived &request) const {
+  const auto &settings = State.Settings.Admission;
+  auto prompt =
+      static_cast<std::int64_t>(request.PromptTokens * MicrosecondsPerSecond /
+                                settings.PromptTokensPerSecond);
+  return request.Deadline - settings.FirstByte - Span(prompt);
+}
+
 Span RequestDesk::loadWait(std::size_t loads) const {
   double rate = State.Turn.rate();
   if (rate <= 0)
--- a/Hemlockglade/Coordination/Decision/RequestDesk.h
+++ b/Hemlockglade/Coordination/Decision/RequestDesk.h
@@ -44,6 +44,9 @@
 
   /// Time until the request could be admitted, as far as can be told.
   Span expectedWait(const RequestArrived &request, const ActiveAdapter &active);
+  Span waitForRoom(const RequestArrived &request, const ActiveAdapter &active);
+  /// When the request must be admitted to meet its deadline.
+  Instant latestStart(const RequestArrived &request) const;
   Span loadWait(std::size_t loads) const;
   Span batchWait(std::size_t requests) const;
   Span retryAfter() const;
