--- a/UnitTests/Coordination/Decision/RequestDeskTest.cpp
+++ b/UnitTests/Coordination/Decision/RequestDeskTest.cpp
@@ -145,9 +145,14 @@
   core.arrive(2, 8, 1, 3s);
   CHECK(core.pass(2400ms).empty());
   CHECK(core.pass(100ms) == "refuse 2 deadline-infeasible");
-  CHECK(core.arrive(3, 7, 1, 1s).empty());
-  CHECK(core.pass(900ms).empty());
-  CHECK(core.pass(100ms) == "refuse 3 deadline-passed");
+  // A place in the batch takes two seconds by all that is known yet.
+  CHECK(core.arrive(3, 7, 1, 1s) == "refuse 3 deadline-infeasible");
+  CHECK(core.arrive(4, 7, 1, 3s).empty());
+  CHECK(core.pass(2900ms).empty());
+  CHECK(core.pass(100ms) == "refuse 4 deadline-passed");
+  // Reading a prompt of 8000 tokens takes a second.
+  RequestArrived event{5, 7, 1, core.Now + 2500ms, 0, 8000};
+  CHECK(core.send(event) == "refuse 5 deadline-infeasible");
 }
 
 TEST_CASE("a storm of retries adds no more than its share", "[desk]") {
