Node: callbacks take const references where they only look

Change: signatures only; a commit of its own, since the file is others'. Conclusion: no behaviour changes.

--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -53,14 +53,14 @@
 Node::~Node() = default;
 
 void Node::start() {
-  Peers =
-      std::make_unique<PeerNet>(Context, Settings.Address, Settings.PeerPort,
-                                [this](std::shared_ptr<PeerStream> stream) {
-                                  if (stream->path() == peer_path::Admit)
-                                    Asker.serve(stream);
-                                  else
-                                    stream->close();
-                                });
+  Peers = std::make_unique<PeerNet>(
+      Context, Settings.Address, Settings.PeerPort,
+      [this](const std::shared_ptr<PeerStream> &stream) {
+        if (stream->path() == peer_path::Admit)
+          Asker.serve(stream);
+        else
+          stream->close();
+      });
   Asker.attach(*Peers);
   HttpServerSettings http;
   http.Address = Settings.Address;
@@ -107,9 +107,9 @@
 void Node::onHttp(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
   const auto &path = incoming.Path;
   if (path == CompletionsPath || path == ChatPath)
-    return onCompletion(std::move(incoming), std::move(reply));
+    return onCompletion(incoming, std::move(reply));
   if (path.starts_with(ServicesPrefix))
-    return onService(std::move(incoming), std::move(reply));
+    return onService(incoming, std::move(reply));
   if (path == "/directory")
     return onDirectory(incoming, *reply);
   if (path == "/healthz")
@@ -117,7 +117,7 @@
   if (path == "/admin/show")
     return onShow(incoming, *reply);
   if (path == "/admin/apply" && incoming.Method == "POST")
-    return onApply(std::move(incoming), std::move(reply));
+    return onApply(std::move(incoming), reply);
   sendError(*reply, 404, "not_found", "no such path");
 }
 
@@ -144,7 +144,7 @@
   return request;
 }
 
-void Node::onCompletion(HttpIncoming incoming,
+void Node::onCompletion(const HttpIncoming &incoming,
                         std::shared_ptr<HttpReply> reply) {
   auto inForce = catalog();
   auto completion = readCompletion(incoming.Body, [&](const std::string &name) {
@@ -181,7 +181,8 @@
   begin(std::move(request), std::move(reply));
 }
 
-void Node::onService(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
+void Node::onService(const HttpIncoming &incoming,
+                     std::shared_ptr<HttpReply> reply) {
   auto rest = incoming.Path.substr(ServicesPrefix.size());
   auto slash = std::min(rest.find('/'), rest.size());
   auto name = rest.substr(0, slash);
@@ -257,7 +258,8 @@
   sendJson(reply, 200, {{"rows", rows}});
 }
 
-void Node::onApply(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
+void Node::onApply(HttpIncoming incoming,
+                   const std::shared_ptr<HttpReply> &reply) {
   auto parsed = readDeclarations(incoming.Body);
   if (!parsed)
     return sendError(*reply, 400, "invalid_declarations", parsed.error().Text);
@@ -272,7 +274,7 @@
 }
 
 void Node::commitCatalog(std::string text, std::uint64_t expected,
-                         std::shared_ptr<HttpReply> reply) {
+                         const std::shared_ptr<HttpReply> &reply) {
   TableTransaction transaction;
   transaction.AttemptId =
       Incarnation + "-config-" + std::to_string(++LastRequest);
--- a/Programs/hemlockgladed/Node.h
+++ b/Programs/hemlockgladed/Node.h
@@ -24,13 +24,15 @@
 
 private:
   void onHttp(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
-  void onCompletion(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
-  void onService(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
+  void onCompletion(const HttpIncoming &incoming,
+                    std::shared_ptr<HttpReply> reply);
+  void onService(const HttpIncoming &incoming,
+                 std::shared_ptr<HttpReply> reply);
   void onDirectory(const HttpIncoming &incoming, HttpReply &reply);
   void onShow(const HttpIncoming &incoming, HttpReply &reply);
-  void onApply(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
+  void onApply(HttpIncoming incoming, const std::shared_ptr<HttpReply> &reply);
   void commitCatalog(std::string text, std::uint64_t expected,
-                     std::shared_ptr<HttpReply> reply);
+                     const std::shared_ptr<HttpReply> &reply);
   ExchangeRequest newExchange(const HttpIncoming &incoming);
   void begin(ExchangeRequest request, std::shared_ptr<HttpReply> reply);
 
