--- a/Hemlockglade/Protocol/Settings/SchemaReader.cpp
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.cpp
@@ -75,8 +75,9 @@
   return tl::unexpected(faults.take());
 }
 
-SchemaReader::SchemaReader(YAML::Node node, std::string path, FaultList &faults)
-    : Map(std::move(node)), Path(std::move(path)), Faults(faults) {
+SchemaReader::SchemaReader(const YAML::Node &node, std::string path,
+                           FaultList &faults)
+    : Map(node), Path(std::move(path)), Faults(faults) {
   if (Map.IsMap())
     return;
   auto key = Path.substr(0, Path.empty() ? 0 : Path.size() - 1);
--- a/Hemlockglade/Protocol/Settings/SchemaReader.h
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.h
@@ -47,7 +47,7 @@
   using TextCheck = std::function<bool(std::string_view)>;
 
   /// `path` is put before the keys in faults, such as `replicas[2].`.
-  SchemaReader(YAML::Node node, std::string path, FaultList &faults);
+  SchemaReader(const YAML::Node &node, std::string path, FaultList &faults);
 
   /// Text that a check accepts; `expected` says what that is.
   void text(const char *key, std::string &member, Presence presence,
--- a/Hemlockglade/State/Metrics/Distribution.cpp
+++ b/Hemlockglade/State/Metrics/Distribution.cpp
@@ -43,7 +43,8 @@
 
   double quantile(std::size_t index) const {
     if (count() > ExactSamples)
-      return acc::extended_p_square(Estimator)[index];
+      return acc::extended_p_square(
+          Estimator)[static_cast<std::ptrdiff_t>(index)];
     return exactQuantile(DistributionQuantiles[index]);
   }
 
@@ -54,7 +55,8 @@
       return std::numeric_limits<double>::quiet_NaN();
     auto sorted = First;
     std::sort(sorted.begin(), sorted.begin() + n);
-    auto rank = static_cast<std::size_t>(std::ceil(share * n));
+    auto rank =
+        static_cast<std::size_t>(std::ceil(share * static_cast<double>(n)));
     return sorted[std::max<std::size_t>(rank, 1) - 1];
   }
 
--- a/Hemlockglade/State/Metrics/MetricRegistry.cpp
+++ b/Hemlockglade/State/Metrics/MetricRegistry.cpp
@@ -64,14 +64,16 @@
 std::string seriesText(const std::string &name, const std::string &labels,
                        const Distribution &it) {
   auto summary = it.summary();
+  auto prefix = labels.empty() ? labels : labels + ',';
   std::string out;
   for (std::size_t n = 0; n < DistributionQuantiles.size(); ++n) {
-    auto quantile = "quantile=\"" + numberText(DistributionQuantiles[n]) + '"';
-    out += series(name, labels.empty() ? quantile : labels + ',' + quantile,
-                  numberText(summary.RecentQuantiles[n]));
+    auto quantile = prefix;
+    quantile += "quantile=\"" + numberText(DistributionQuantiles[n]) + '"';
+    out += series(name, quantile, numberText(summary.RecentQuantiles[n]));
   }
   out += series(name + "_sum", labels, numberText(summary.Sum));
-  return out + series(name + "_count", labels, std::to_string(summary.Count));
+  out += series(name + "_count", labels, std::to_string(summary.Count));
+  return out;
 }
 
 /// Adds the text of each family of one kind, by name.
@@ -79,11 +81,13 @@
 void exposeFamilies(const Families &families, std::string_view kind,
                     std::map<std::string, std::string> &out) {
   for (const auto &[name, family] : families.ByName) {
-    auto text = "# HELP " + name + ' ' + family.Help + "\n# TYPE " + name +
-                ' ' + std::string(kind) + '\n';
+    auto &text = out[name];
+    text += "# HELP " + name;
+    text += ' ' + family.Help;
+    text += "\n# TYPE " + name;
+    text += ' ' + std::string(kind) + '\n';
     for (const auto &[labels, it] : family.Series)
       text += seriesText(name, labels, it);
-    out.emplace(name, std::move(text));
   }
 }
 
--- a/UnitTests/State/Metrics/MetricsTest.cpp
+++ b/UnitTests/State/Metrics/MetricsTest.cpp
@@ -146,13 +146,14 @@
 }
 
 TEST_CASE("no sample of concurrent threads is lost", "[metrics]") {
-  constexpr int Threads = 4;
-  constexpr int Samples = 5000;
+  constexpr std::size_t Threads = 4;
+  constexpr std::size_t Samples = 5000;
   MetricRegistry registry;
   std::vector<std::thread> threads;
-  for (int it = 0; it < Threads; ++it)
+  threads.reserve(Threads);
+  for (std::size_t it = 0; it < Threads; ++it)
     threads.emplace_back([&registry] {
-      for (int n = 0; n < Samples; ++n) {
+      for (std::size_t n = 0; n < Samples; ++n) {
         registry.counter(Refused).add();
         registry.gauge(Members).add(1);
         registry.distribution(Stall).record(1);
