Whether a revision is in force is decided where it is tested

Cause: the tool's wait for a revision was only tried by hand; a node whose revision is not known would have counted as having it. Ruled out: a test of the tool as a process (needs a node or a fake server). Change: nodesBehind beside the message formats, with a test that failed first for the unknown revision; damaged declarations by RapidCheck.

--- a/Hemlockglade/Protocol/Admin/AdminFormat.cpp
+++ b/Hemlockglade/Protocol/Admin/AdminFormat.cpp
@@ -1,9 +1,36 @@
 #include "Hemlockglade/Protocol/Admin/AdminFormat.h"
 
+#include <algorithm>
 #include <cassert>
 #include <nlohmann/json.hpp>
 
-namespace hemlockglade::admin_format {
+namespace hemlockglade {
+
+std::optional<std::vector<std::string>> nodesBehind(const RowSet &nodes,
+                                                    Revision revision) {
+  auto columnOf = [&](std::string_view name) {
+    auto it = std::find(nodes.Columns.begin(), nodes.Columns.end(), name);
+    return static_cast<std::size_t>(it - nodes.Columns.begin());
+  };
+  auto node = columnOf("node");
+  auto state = columnOf("state");
+  auto inForce = columnOf("revision");
+  if (std::max({node, state, inForce}) >= nodes.Columns.size())
+    return std::nullopt;
+  std::vector<std::string> behind;
+  bool anyLive = false;
+  for (const auto &row : nodes.Rows) {
+    if (row[state] != FieldValue(std::string(LiveState)))
+      continue;
+    anyLive = true;
+    const auto *number = std::get_if<std::int64_t>(&row[inForce]);
+    if (!number || *number < static_cast<std::int64_t>(revision))
+      behind.push_back(valueText(row[node]));
+  }
+  return anyLive ? std::optional(std::move(behind)) : std::nullopt;
+}
+
+namespace admin_format {
 
 using nlohmann::json;
 
@@ -141,4 +168,6 @@
   return {numbered ? column->get<std::size_t>() : 0, textOf(error, "message")};
 }
 
-} // namespace hemlockglade::admin_format
+} // namespace admin_format
+
+} // namespace hemlockglade
--- a/Hemlockglade/Protocol/Admin/AdminFormat.h
+++ b/Hemlockglade/Protocol/Admin/AdminFormat.h
@@ -3,6 +3,8 @@
 #include "Hemlockglade/Protocol/ProtocolError.h"
 #include "Hemlockglade/Protocol/Statement/StatementRows.h"
 
+#include <optional>
+
 namespace hemlockglade {
 
 /// Paths of the operators' interface on a node's caller port.
@@ -52,6 +54,14 @@
   bool operator==(const ChangeAnswer &) const = default;
 };
 
+/// The state, in `show nodes`, of a node that serves.
+inline constexpr std::string_view LiveState = "live";
+
+/// The live nodes that don't have the revision in force yet, from the rows of
+/// `show nodes`; nothing if the rows tell of no live node.
+std::optional<std::vector<std::string>> nodesBehind(const RowSet &nodes,
+                                                    Revision revision);
+
 /// The operators' messages as JSON; both the node's and the tool's side.
 namespace admin_format {
 
--- a/Programs/hemlockctl/Commands.cpp
+++ b/Programs/hemlockctl/Commands.cpp
@@ -1,6 +1,5 @@
 #include "Commands.h"
 
-#include <array>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -14,7 +13,6 @@
 constexpr std::size_t CommandIdBytes = 16;
 /// Time between two looks at the revisions that nodes have in force.
 constexpr Span ForcePoll = std::chrono::milliseconds(200);
-constexpr std::string_view LiveState = "live";
 
 std::string newCommandId() {
   constexpr std::string_view Digits = "0123456789abcdef";
@@ -67,31 +65,6 @@
   return out;
 }
 
-std::size_t columnOf(const RowSet &rows, std::string_view name) {
-  auto it = std::find(rows.Columns.begin(), rows.Columns.end(), name);
-  return static_cast<std::size_t>(it - rows.Columns.begin());
-}
-
-/// The live nodes that do not have the revision in force, as text; nothing if
-/// the rows don't tell.
-std::optional<std::string> behind(const RowSet &rows, Revision revision) {
-  auto node = columnOf(rows, "node");
-  auto state = columnOf(rows, "state");
-  auto inForce = columnOf(rows, "revision");
-  if (std::max({node, state, inForce}) >= rows.Columns.size())
-    return std::nullopt;
-  std::string out;
-  bool anyLive = false;
-  for (const auto &row : rows.Rows) {
-    if (row[state] != FieldValue(std::string(LiveState)))
-      continue;
-    anyLive = true;
-    if (valueLess(row[inForce], static_cast<std::int64_t>(revision)))
-      out += ' ' + valueText(row[node]);
-  }
-  return anyLive ? std::optional(out) : std::nullopt;
-}
-
 void printChanges(const ChangeAnswer &answer) {
   for (const auto &it : answer.Changes)
     std::cout << it << '\n';
@@ -238,14 +211,14 @@
   std::string why;
   while (true) {
     auto rows = query("show nodes");
-    auto late = rows ? behind(*rows, revision) : std::nullopt;
+    auto late = rows ? nodesBehind(*rows, revision) : std::nullopt;
     if (late && late->empty()) {
       // Stdout stays one JSON message.
       (Settings.Json ? std::cerr : std::cout)
           << "in force on every live node\n";
       return ExitCode::Done;
     }
-    why = late   ? "not yet on:" + *late
+    why = late   ? "not yet on: " + join(*late)
           : rows ? "the nodes' revisions are not known"
                  : rows.error().Message;
     if (std::chrono::steady_clock::now() + ForcePoll > until)
--- a/UnitTests/Protocol/Admin/AdminFormatTest.cpp
+++ b/UnitTests/Protocol/Admin/AdminFormatTest.cpp
@@ -37,3 +37,20 @@
   CHECK_THAT(admin_format::readError(body).Message,
              Catch::Contains("not understood"));
 }
+
+TEST_CASE("a revision is in force when each live node has it", "[admin]") {
+  auto nodes = rowsFor(ShowSubject::Nodes);
+  CHECK_FALSE(nodesBehind(nodes, 1));
+  auto add = [&](const char *name, const char *state, std::int64_t revision) {
+    nodes.Rows.push_back({name, "127.0.0.1:1", "hall-a", state, revision});
+  };
+  add("entry-1", "leaving", 3);
+  CHECK_FALSE(nodesBehind(nodes, 1));
+  add("entry-2", "live", 5);
+  add("entry-3", "live", 4);
+  CHECK(nodesBehind(nodes, 4)->empty());
+  CHECK(*nodesBehind(nodes, 5) == std::vector<std::string>{"entry-3"});
+  nodes.Rows.push_back({"entry-4", "", "", "live", std::string()});
+  CHECK(nodesBehind(nodes, 5)->size() == 2);
+  CHECK_FALSE(nodesBehind(rowsFor(ShowSubject::Cells), 1));
+}
--- a/UnitTests/Protocol/Settings/DeclarationsTest.cpp
+++ b/UnitTests/Protocol/Settings/DeclarationsTest.cpp
@@ -227,3 +227,22 @@
       "+ drained a-1"};
   CHECK(diffCatalogs(before, after) == lines);
 }
+
+TEST_CASE("damaged declarations give faults and nothing worse",
+          "[declarations]") {
+  auto holds = rc::check("each fault has its line in the file", [] {
+    auto text = writeDeclarations(anyCatalog());
+    for (auto n = number(1, 4); n > 0; --n)
+      text[number(0, text.size() - 1)] = *rc::gen::arbitrary<char>();
+    auto catalog = checkDeclarations(text, "x");
+    if (catalog)
+      return;
+    auto lines = std::count(text.begin(), text.end(), '\n') + 1;
+    RC_ASSERT(!catalog.error().empty());
+    for (const auto &it : catalog.error())
+      RC_ASSERT(it.Line >= 1 && it.Line <= lines);
+  });
+  REQUIRE(holds);
+  CHECK_FALSE(checkDeclarations(std::string(100'000, '['), "x"));
+  CHECK_FALSE(checkDeclarations("? a\n: b\n? [c]\n: d\n", "x"));
+}
