--- a/Hemlockglade/Transport/Http/HttpClient.cpp
+++ b/Hemlockglade/Transport/Http/HttpClient.cpp
@@ -103,9 +103,11 @@
     Transfers.clear();
     curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, nullptr);
     curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, nullptr);
-    curl_multi_cleanup(Multi);
+    // Before libcurl closes them: another thread may be given the same number
+    // for a new descriptor at once.
     for (auto &[fd, watch] : Watches)
       watch->Descriptor.release();
+    curl_multi_cleanup(Multi);
   }
 
   Ticket start(HttpRequest request, HttpHooks hooks) {
@@ -155,13 +157,19 @@
     auto &request = transfer->Request;
     CURL *easy = curl_easy_init();
     transfer->Easy = easy;
-    for (const auto &[name, value] : request.Fields)
-      transfer->List =
-          curl_slist_append(transfer->List, (name + ": " + value).c_str());
+    for (const auto &[name, value] : request.Fields) {
+      // libcurl leaves out a field that ends in a colon.
+      auto line = value.empty() ? name + ';' : name + ": " + value;
+      transfer->List = curl_slist_append(transfer->List, line.c_str());
+    }
     transfer->List = curl_slist_append(transfer->List, "Expect:");
     curl_easy_setopt(easy, CURLOPT_URL, request.Url.c_str());
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.Method.c_str());
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->List);
+    // An answer to HEAD has a length and no body.
+    if (request.Method == "HEAD")
+      curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
--- a/Hemlockglade/Transport/Http/HttpServer.cpp
+++ b/Hemlockglade/Transport/Http/HttpServer.cpp
@@ -1,7 +1,8 @@
 #include "Hemlockglade/Transport/Http/HttpServer.h"
 
-#include <atomic>
-#include <cstring>
+#include "Hemlockglade/Protocol/Endpoint/EngineFormat.h"
+
+#include <asio/post.hpp>
 #include <mutex>
 #include <restinio/all.hpp>
 #include <strings.h>
@@ -12,15 +13,12 @@
 namespace {
 
 using ConnectionId = restinio::connection_id_t;
+using RequestId = restinio::request_id_t;
 
-/// Tells replies that their caller has gone.
+/// Tells replies that their caller has gone. A connection may have two
+/// requests at once, so each request has its own hook.
 class ConnectionWatch {
 public:
-  void opened(ConnectionId id) {
-    std::lock_guard lock(Mutex);
-    Hooks[id];
-  }
-
   void state_changed(const restinio::connection_state::notice_t &notice) {
     using restinio::connection_state::accepted_t;
     using restinio::connection_state::closed_t;
@@ -30,12 +28,12 @@
       closed(notice.connection_id());
   }
 
-  void watch(ConnectionId id, std::function<void()> hook) {
+  void watch(ConnectionId id, RequestId request, std::function<void()> hook) {
     {
       std::lock_guard lock(Mutex);
       auto it = Hooks.find(id);
       if (it != Hooks.end()) {
-        it->second = std::move(hook);
+        it->second.emplace_back(request, std::move(hook));
         return;
       }
     }
@@ -43,30 +41,45 @@
       hook();
   }
 
-  void unwatch(ConnectionId id) {
+  void unwatch(ConnectionId id, RequestId request) {
     std::lock_guard lock(Mutex);
     auto it = Hooks.find(id);
     if (it != Hooks.end())
-      it->second = nullptr;
+      std::erase_if(it->second,
+                    [request](const auto &it) { return it.first == request; });
+  }
+
+  std::size_t connections() const {
+    std::lock_guard lock(Mutex);
+    return Hooks.size();
   }
 
 private:
+  using RequestHooks = std::vector<std::pair<RequestId, std::function<void()>>>;
+
+  void opened(ConnectionId id) {
+    std::lock_guard lock(Mutex);
+    Hooks[id];
+  }
+
   void closed(ConnectionId id) {
-    std::function<void()> hook;
+    RequestHooks hooks;
     {
       std::lock_guard lock(Mutex);
       auto it = Hooks.find(id);
       if (it == Hooks.end())
         return;
-      hook = std::move(it->second);
+      hooks = std::move(it->second);
       Hooks.erase(it);
     }
-    if (hook)
-      hook();
+    for (auto &[request, hook] : hooks) {
+      if (hook)
+        hook();
+    }
   }
 
-  std::mutex Mutex;
-  std::unordered_map<ConnectionId, std::function<void()>> Hooks;
+  mutable std::mutex Mutex;
+  std::unordered_map<ConnectionId, RequestHooks> Hooks;
 };
 
 struct ServerTraits : restinio::default_traits_t {
@@ -93,10 +106,11 @@
 
 class Reply : public HttpReply, public std::enable_shared_from_this<Reply> {
 public:
-  Reply(restinio::request_handle_t request,
+  Reply(asio::io_context &context, restinio::request_handle_t request,
         std::shared_ptr<ConnectionWatch> watch, std::shared_ptr<void> token)
-      : Request(std::move(request)), Watch(std::move(watch)),
-        Id(Request->connection_id()), Token(std::move(token)) {}
+      : Context(context), Request(std::move(request)), Watch(std::move(watch)),
+        Connection(Request->connection_id()), Id(Request->request_id()),
+        Token(std::move(token)) {}
 
   Reply(const Reply &) = delete;
   Reply &operator=(const Reply &) = delete;
@@ -104,77 +118,126 @@
   ~Reply() override {
     // An unanswered request would hold its connection for ever.
     if (Request)
-      sendWhole(500, {}, "");
-    else
-      abort();
+      answer(UnansweredStatus, {}, "", false);
+    else if (Builder)
+      breakOff();
   }
 
   void sendWhole(int status, const HttpFields &fields,
                  std::string body) override {
     std::lock_guard lock(Mutex);
-    if (!Request)
-      return;
-    Watch->unwatch(Id);
-    auto response = Request->create_response(statusLine(status));
-    for (const auto &[name, value] : fields)
-      response.append_header(name, value);
-    response.set_body(std::move(body));
-    response.done([token = std::move(Token)](const auto &) {});
-    Request.reset();
+    if (Request)
+      answer(status, fields, std::move(body), false);
+  }
+
+  /// Sends a whole answer and closes the connection after it.
+  void refuse(int status, const HttpFields &fields, std::string body) {
+    std::lock_guard lock(Mutex);
+    answer(status, fields, std::move(body), true);
   }
 
   void startStream(int status, const HttpFields &fields) override {
     std::lock_guard lock(Mutex);
     if (!Request)
       return;
-    Builder.emplace(Request->create_response<restinio::chunked_output_t>(
-        statusLine(status)));
-    for (const auto &[name, value] : fields)
-      Builder->append_header(name, value);
-    Request.reset();
+    startChunks(status, fields);
     Builder->flush();
   }
 
   void sendPart(std::string part, std::function<void(bool)> sent) override {
     std::lock_guard lock(Mutex);
-    if (!Builder)
+    if (!Builder) {
+      notSent(Context, std::move(sent));
       return;
+    }
     Builder->append_chunk(std::move(part));
-    Builder->flush([sent = std::move(sent)](const auto &ec) {
-      if (sent)
-        sent(!ec);
-    });
+    if (!sent) {
+      Builder->flush();
+      return;
+    }
+    Builder->flush(
+        [&context = Context, sent = std::move(sent)](const auto &ec) mutable {
+          // A failure may be told from inside the call, under our lock.
+          if (ec)
+            notSent(context, std::move(sent));
+          else
+            sent(true);
+        });
   }
 
   void finishStream() override {
     std::lock_guard lock(Mutex);
     if (!Builder)
       return;
-    Watch->unwatch(Id);
+    Watch->unwatch(Connection, Id);
     Builder->done([token = std::move(Token)](const auto &) {});
     Builder.reset();
+    Socket.reset();
   }
 
   void abort() override {
     std::lock_guard lock(Mutex);
-    Watch->unwatch(Id);
-    if (Builder) {
-      // RESTinio has no call that breaks a connection. A file that is shorter
-      // than promised makes it fail inside a chunk, so the caller sees at once
-      // that the answer is not whole.
-      Builder->append_chunk(restinio::sendfile(restinio::open_file("/dev/null"),
-                                               restinio::file_meta_t{1, {}}));
-      Builder->flush();
-    }
-    Builder.reset();
-    Request.reset();
+    if (Request)
+      startChunks(UnansweredStatus, {});
+    if (Builder)
+      breakOff();
   }
 
   void onGone(std::function<void()> gone) override {
-    Watch->watch(Id, std::move(gone));
+    Watch->watch(Connection, Id, std::move(gone));
   }
 
 private:
+  static constexpr int UnansweredStatus = 500;
+
+  static void notSent(asio::io_context &context,
+                      std::function<void(bool)> sent) {
+    if (sent)
+      asio::post(context, [sent = std::move(sent)] { sent(false); });
+  }
+
+  void answer(int status, const HttpFields &fields, std::string body,
+              bool close) {
+    Watch->unwatch(Connection, Id);
+    auto response = Request->create_response(statusLine(status));
+    for (const auto &[name, value] : fields)
+      response.append_header(name, value);
+    if (close)
+      response.connection_close();
+    response.set_body(std::move(body));
+    response.done([token = std::move(Token)](const auto &) {});
+    Request.reset();
+  }
+
+  void startChunks(int status, const HttpFields &fields) {
+    // The builder takes it out of the request.
+    Socket = restinio::impl::access_req_connection(*Request);
+    Builder.emplace(Request->create_response<restinio::chunked_output_t>(
+        statusLine(status)));
+    for (const auto &[name, value] : fields)
+      Builder->append_header(name, value);
+    Request.reset();
+  }
+
+  /// Breaks the connection inside the answer.
+  void breakOff() {
+    Watch->unwatch(Connection, Id);
+    Builder->flush();
+    // RESTinio has no call that breaks a connection. A file that is shorter
+    // than promised makes it fail, so the caller sees at once that the answer
+    // is not whole.
+    restinio::writable_items_container_t items;
+    items.emplace_back(restinio::sendfile(restinio::open_file("/dev/null"),
+                                          restinio::file_meta_t{1, {}}));
+    restinio::response_output_flags_t flags{
+        restinio::response_parts_attr_t::not_final_parts,
+        restinio::response_connection_attr_t::connection_close};
+    Socket->write_response_parts(Id, flags,
+                                 restinio::write_group_t(std::move(items)));
+    Socket.reset();
+    Builder.reset();
+  }
+
   static restinio::http_status_line_t statusLine(int status) {
     const char *reason = status < 300   ? "OK"
                          : status < 500 ? "Request refused"
@@ -183,14 +246,46 @@
             reason};
   }
 
+  asio::io_context &Context;
   std::mutex Mutex;
   restinio::request_handle_t Request;
   std::optional<Streamed> Builder;
   std::shared_ptr<ConnectionWatch> Watch;
-  ConnectionId Id;
+  ConnectionId Connection;
+  RequestId Id;
+  /// Set while an answer in parts runs.
+  restinio::impl::connection_handle_t Socket;
   std::shared_ptr<void> Token;
 };
 
+/// The status that refuses a request which is over a limit; 0 if none is.
+int overLimit(const HttpServerSettings &settings,
+              const restinio::request_t &request, std::size_t connections) {
+  constexpr int BodyTooLarge = 413;
+  constexpr int TooMany = 429;
+  constexpr int FieldsTooLarge = 431;
+  if (connections > settings.MaxConnections)
+    return TooMany;
+  if (request.body().size() > settings.MaxBodyBytes)
+    return BodyTooLarge;
+  bool tooLarge = request.header().fields_count() > settings.MaxFields;
+  request.header().for_each_field([&](const auto &field) {
+    tooLarge = tooLarge || field.value().size() > settings.MaxFieldBytes;
+  });
+  return tooLarge ? FieldsTooLarge : 0;
+}
+
+/// Refuses a request that is over a limit before anything has run.
+void refuseOverLimit(Reply &reply, int status) {
+  constexpr std::string_view RetrySeconds = "1";
+  reply.refuse(status,
+               {{"Content-Type", "application/json"},
+                {"Retry-After", std::string(RetrySeconds)},
+                {std::string(header::Outcome),
+                 std::string(outcomeName(Outcome::NotRun))}},
+               errorBody("over_limit", "the request is over a limit"));
+}
+
 HttpIncoming toIncoming(const restinio::request_t &request) {
   HttpIncoming in;
   const auto &header = request.header();
@@ -227,23 +322,27 @@
                        const HttpServerSettings &settings, HttpHandler handler)
     : Inner(std::make_unique<Impl>()) {
   constexpr auto NoLimit = std::chrono::hours(24);
+  // RESTinio closes a connection without an answer at its own limits, so they
+  // are wider than ours, which refuse with a status.
+  constexpr std::size_t Wider = 2;
   auto watch = Inner->Watch;
   auto answers = Inner->Answers;
   restinio::incoming_http_msg_limits_t limits;
-  limits.max_body_size(settings.MaxBodyBytes);
-  limits.max_field_value_size(settings.MaxFieldBytes);
-  limits.max_field_count(settings.MaxFields);
+  limits.max_body_size(settings.MaxBodyBytes * Wider);
+  limits.max_field_value_size(settings.MaxFieldBytes * Wider);
+  limits.max_field_count(settings.MaxFields * Wider);
   Inner->Listener = std::make_unique<Server>(
       restinio::external_io_context(context), [&](auto &server) {
         server.address(settings.Address)
             .port(settings.Port)
-            // Reading on while a request runs shows that its caller left.
-            .max_pipelined_requests(2)
+            // Reading on while requests run shows that their caller left; it
+            // stops when as many as this run on one connection.
+            .max_pipelined_requests(3)
             .handle_request_timeout(NoLimit)
             .read_next_http_message_timelimit(std::chrono::minutes(5))
             .write_http_response_timelimit(std::chrono::minutes(5))
             .incoming_http_msg_limits(limits)
-            .max_parallel_connections(settings.MaxConnections)
+            .max_parallel_connections(settings.MaxConnections * Wider)
             .connection_state_listener(watch)
             .acceptor_options_setter([](auto &options) {
               options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
@@ -254,12 +353,17 @@
             .acceptor_post_bind_hook([this](auto &acceptor) {
               Inner->Port = acceptor.local_endpoint().port();
             })
-            .request_handler([handler = std::move(handler), watch,
-                              answers](restinio::request_handle_t request) {
-              auto incoming = toIncoming(*request);
-              handler(std::move(incoming),
-                      std::make_shared<Reply>(std::move(request), watch,
-                                              answers->token()));
+            .request_handler([handler = std::move(handler), watch, answers,
+                              settings,
+                              &context](restinio::request_handle_t request) {
+              auto over = overLimit(settings, *request, watch->connections());
+              auto incoming = over ? HttpIncoming() : toIncoming(*request);
+              auto reply = std::make_shared<Reply>(context, std::move(request),
+                                                   watch, answers->token());
+              if (over)
+                refuseOverLimit(*reply, over);
+              else
+                handler(std::move(incoming), std::move(reply));
               return restinio::request_accepted();
             });
       });
--- a/Hemlockglade/Transport/Http/HttpServer.h
+++ b/Hemlockglade/Transport/Http/HttpServer.h
@@ -61,9 +61,17 @@
   std::string Address = "127.0.0.1";
   /// 0 lets the kernel choose.
   std::uint16_t Port = 0;
+  /// Connections at once; a request on one more is refused with 429. Beyond
+  /// twice as many none is accepted until others have closed.
   std::size_t MaxConnections = 20000;
+  /// Bytes of one header field's value; more is refused with 431. Beyond twice
+  /// as much the connection is closed without an answer.
   std::size_t MaxFieldBytes = 16 * 1024;
+  /// Header fields; more are refused with 431, and beyond twice as many the
+  /// connection is closed without an answer.
   std::size_t MaxFields = 100;
+  /// Bytes of a body; more is refused with 413. Beyond twice as much the
+  /// connection is closed without an answer, before the body is read.
   std::size_t MaxBodyBytes = 4 * 1024 * 1024;
 };
 
