--- a/Hemlockglade/Transport/Peer/PeerLink.cpp
+++ b/Hemlockglade/Transport/Peer/PeerLink.cpp
@@ -6,7 +6,9 @@
 #include <asio/write.hpp>
 #include <cassert>
 #include <cstring>
+#include <netinet/tcp.h>
 #include <nghttp2/nghttp2.h>
+#include <sys/socket.h>
 
 namespace hemlockglade {
 
@@ -16,6 +18,17 @@
 constexpr std::uint32_t MaxMessage = 16 * 1024 * 1024;
 constexpr std::uint32_t MaxStreams = 100000;
 constexpr std::int32_t WindowBytes = 4 * 1024 * 1024;
+/// Bytes that may wait for a slow reader on one stream.
+constexpr std::size_t MaxQueued = 4 * std::size_t{MaxMessage};
+/// A drained buffer larger than this is given back.
+constexpr std::size_t KeptBuffer = 16 * 1024;
+constexpr auto ConnectTimeout = std::chrono::seconds(2);
+
+// A host that vanished sends no end; the kernel asks for a sign of life.
+constexpr int KeepAliveIdleSeconds = 3;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 3;
+constexpr int UnackedMilliseconds = 6000;
 
 std::uint32_t readLength(std::string_view data) {
   std::uint32_t n = 0;
@@ -68,7 +81,9 @@
     if (it == self.Streams.end())
       return 0;
     auto stream = it->second;
-    if (self.Accept && frame->hd.type == NGHTTP2_HEADERS) {
+    bool opens = frame->hd.type == NGHTTP2_HEADERS &&
+                 frame->headers.cat == NGHTTP2_HCAT_REQUEST;
+    if (self.Accept && opens) {
       auto ok = field(":status", "200");
       auto provider = source();
       nghttp2_submit_response(session, stream->Id, &ok, 1, &provider);
@@ -76,8 +91,12 @@
     }
     bool mayEnd =
         frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
-    if (mayEnd && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM))
-      self.endStream(stream->Id, true);
+    if (mayEnd && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM)) {
+      self.endStream(*stream, true);
+      // The stream is forgotten only when both sides have ended it.
+      stream->Ended = true;
+      nghttp2_session_resume_data(session, stream->Id);
+    }
     return 0;
   }
 
@@ -88,16 +107,19 @@
     if (it == self.Streams.end())
       return 0;
     auto stream = it->second;
-    stream->Incoming.append(reinterpret_cast<const char *>(data), size);
-    self.deliver(*stream);
-    return 0;
+    std::string_view part(reinterpret_cast<const char *>(data), size);
+    return self.deliver(*stream, part) ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
   }
 
   static int onStreamClose(nghttp2_session *, std::int32_t id,
                            std::uint32_t error, void *user) {
     auto &self = link(user);
-    self.endStream(id, error == NGHTTP2_NO_ERROR);
-    self.Streams.erase(id);
+    auto it = self.Streams.find(id);
+    if (it == self.Streams.end())
+      return 0;
+    auto stream = it->second;
+    self.Streams.erase(it);
+    endStream(*stream, error == NGHTTP2_NO_ERROR);
     return 0;
   }
 
@@ -109,10 +131,17 @@
     if (it == self.Streams.end())
       return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     auto &stream = *it->second;
-    auto n = std::min(size, stream.Outgoing.size());
-    std::memcpy(buf, stream.Outgoing.data(), n);
-    stream.Outgoing.erase(0, n);
-    if (stream.Outgoing.empty() && stream.Ended) {
+    auto n = std::min(size, stream.Outgoing.size() - stream.Taken);
+    std::memcpy(buf, stream.Outgoing.data() + stream.Taken, n);
+    stream.Taken += n;
+    bool drained = stream.Taken == stream.Outgoing.size();
+    if (drained) {
+      stream.Outgoing.clear();
+      stream.Taken = 0;
+      if (stream.Outgoing.capacity() > KeptBuffer)
+        stream.Outgoing.shrink_to_fit();
+    }
+    if (drained && stream.Ended) {
       *flags |= NGHTTP2_DATA_FLAG_EOF;
       return static_cast<ssize_t>(n);
     }
@@ -129,7 +158,7 @@
 PeerLink::PeerLink(asio::ip::tcp::socket socket, Strand strand,
                    OnStream onStream)
     : Socket(std::move(socket)), Executor(std::move(strand)),
-      Accept(std::move(onStream)) {}
+      ConnectTimer(Executor), Accept(std::move(onStream)) {}
 
 PeerLink::~PeerLink() { nghttp2_session_del(Session); }
 
@@ -158,30 +187,55 @@
   nghttp2_session_set_local_window_size(Session, NGHTTP2_FLAG_NONE, 0,
                                         WindowBytes);
   Connected = true;
-  asio::error_code ec;
-  Socket.set_option(asio::ip::tcp::no_delay(true), ec);
+  watchPeer();
   for (auto &stream : std::exchange(Waiting, {}))
     submit(stream);
   flush();
   read();
 }
 
+void PeerLink::watchPeer() {
+  asio::error_code ec;
+  Socket.set_option(asio::ip::tcp::no_delay(true), ec);
+  Socket.set_option(asio::socket_base::keep_alive(true), ec);
+  auto set = [this](int name, int value) {
+    ::setsockopt(Socket.native_handle(), IPPROTO_TCP, name, &value,
+                 sizeof value);
+  };
+  set(TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  set(TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  set(TCP_KEEPCNT, KeepAliveProbes);
+  set(TCP_USER_TIMEOUT, UnackedMilliseconds);
+}
+
 void PeerLink::connect(const asio::ip::tcp::endpoint &endpoint) {
-  Socket.async_connect(
-      endpoint, asio::bind_executor(
-                    Executor, [self = shared_from_this()](asio::error_code ec) {
-                      if (ec)
-                        self->fail();
-                      else
-                        self->start();
-                    }));
+  // The caller may be on any thread; the socket is used on the strand only.
+  asio::post(Executor, [self = shared_from_this(), endpoint] {
+    if (self->Failed)
+      return;
+    self->ConnectTimer.expires_after(ConnectTimeout);
+    self->ConnectTimer.async_wait(asio::bind_executor(
+        self->Executor, [weak = self->weak_from_this()](asio::error_code ec) {
+          auto link = weak.lock();
+          if (!ec && link && !link->Connected)
+            link->fail();
+        }));
+    self->Socket.async_connect(
+        endpoint,
+        asio::bind_executor(self->Executor, [self](asio::error_code ec) {
+          self->ConnectTimer.cancel();
+          if (ec || self->Failed)
+            self->fail();
+          else
+            self->start();
+        }));
+  });
 }
 
 void PeerLink::open(std::shared_ptr<PeerStream> stream) {
   asio::dispatch(Executor, [self = shared_from_this(), stream] {
     if (self->Failed) {
-      if (!std::exchange(stream->Closed, true) && stream->OnClosed)
-        stream->OnClosed(false);
+      endStream(*stream, false);
     } else if (self->Connected) {
       self->submit(stream);
       self->flush();
@@ -203,8 +257,9 @@
   auto id = nghttp2_submit_request(Session, nullptr, fields.data(),
                                    fields.size(), &provider, nullptr);
   if (id < 0) {
-    if (!std::exchange(stream->Closed, true) && stream->OnClosed)
-      stream->OnClosed(false);
+    // The connection's stream numbers are used up; the next one starts anew.
+    retire();
+    endStream(*stream, false);
     return;
   }
   stream->Id = id;
@@ -217,14 +272,29 @@
   asio::dispatch(Executor, [self = shared_from_this(), &stream,
                             message = std::move(message),
                             keep = stream.shared_from_this()] {
-    auto n = static_cast<std::uint32_t>(message.size());
-    std::array<char, LengthBytes> head{};
-    std::memcpy(head.data(), &n, LengthBytes);
-    stream.Outgoing.append(head.data(), head.size()).append(message);
-    self->wake(stream);
+    if (!stream.Closed)
+      self->queue(stream, message);
   });
 }
 
+void PeerLink::queue(PeerStream &stream, std::string_view message) {
+  auto waiting = stream.Outgoing.size() - stream.Taken;
+  if (waiting + message.size() > MaxQueued) {
+    stream.Outgoing = {};
+    stream.Taken = 0;
+    if (Connected && stream.Id)
+      nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, stream.Id,
+                                NGHTTP2_CANCEL);
+    endStream(stream, false);
+    return flush();
+  }
+  auto n = static_cast<std::uint32_t>(message.size());
+  std::array<char, LengthBytes> head{};
+  std::memcpy(head.data(), &n, LengthBytes);
+  stream.Outgoing.append(head.data(), head.size()).append(message);
+  wake(stream);
+}
+
 void PeerLink::close(PeerStream &stream) {
   asio::dispatch(Executor, [self = shared_from_this(), &stream,
                             keep = stream.shared_from_this()] {
@@ -240,33 +310,41 @@
   flush();
 }
 
-void PeerLink::deliver(PeerStream &stream) {
-  std::string_view rest = stream.Incoming;
+bool PeerLink::deliver(PeerStream &stream, std::string_view data) {
+  bool gathered = !stream.Incoming.empty();
+  if (gathered)
+    stream.Incoming.append(data);
+  std::string_view rest = gathered ? stream.Incoming : data;
   while (rest.size() >= LengthBytes) {
     auto n = readLength(rest);
-    if (n > MaxMessage) {
-      shut();
-      return;
-    }
+    if (n > MaxMessage)
+      return false;
     if (rest.size() < LengthBytes + n)
       break;
     auto message = rest.substr(LengthBytes, n);
     rest.remove_prefix(LengthBytes + n);
-    if (stream.OnMessage)
+    if (stream.OnMessage && !stream.Closed)
       stream.OnMessage(message);
   }
-  stream.Incoming.erase(0, stream.Incoming.size() - rest.size());
+  if (gathered)
+    stream.Incoming.erase(0, stream.Incoming.size() - rest.size());
+  else
+    stream.Incoming.assign(rest);
+  if (stream.Incoming.empty() && stream.Incoming.capacity() > KeptBuffer)
+    stream.Incoming.shrink_to_fit();
+  return true;
 }
 
-void PeerLink::endStream(std::int32_t id, bool clean) {
-  auto it = Streams.find(id);
-  if (it == Streams.end())
-    return;
-  auto stream = it->second;
-  if (std::exchange(stream->Closed, true))
+void PeerLink::endStream(PeerStream &stream, bool clean) {
+  if (std::exchange(stream.Closed, true))
     return;
-  if (stream->OnClosed)
-    stream->OnClosed(clean);
+  if (auto hook = std::exchange(stream.OnClosed, nullptr))
+    hook(clean);
+}
+
+void PeerLink::retire() {
+  if (auto hook = std::exchange(OnShut, nullptr))
+    hook();
 }
 
 void PeerLink::read() {
@@ -276,8 +354,10 @@
                                         asio::error_code ec, std::size_t n) {
         if (ec || self->Failed)
           return self->fail();
+        self->Busy = true;
         auto taken =
             nghttp2_session_mem_recv(self->Session, self->ReadBuffer.data(), n);
+        self->Busy = false;
         if (taken < 0)
           return self->fail();
         self->flush();
@@ -287,16 +367,18 @@
 }
 
 void PeerLink::flush() {
-  if (Writing || Failed)
+  if (Writing || Failed || Busy || !Connected)
     return;
   WriteBuffer.clear();
   const std::uint8_t *data = nullptr;
-  while (auto n = nghttp2_session_mem_send(Session, &data)) {
-    if (n < 0)
-      return fail();
+  Busy = true;
+  auto n = nghttp2_session_mem_send(Session, &data);
+  for (; n > 0; n = nghttp2_session_mem_send(Session, &data))
     WriteBuffer.append(reinterpret_cast<const char *>(data),
                        static_cast<std::size_t>(n));
-  }
+  Busy = false;
+  if (n < 0)
+    return fail();
   if (WriteBuffer.empty())
     return;
   Writing = true;
@@ -317,18 +399,14 @@
     return;
   asio::error_code ec;
   Socket.close(ec);
+  ConnectTimer.cancel();
+  retire();
   auto waiting = std::exchange(Waiting, {});
   auto streams = std::exchange(Streams, {});
-  for (auto &stream : waiting) {
-    if (!std::exchange(stream->Closed, true) && stream->OnClosed)
-      stream->OnClosed(false);
-  }
-  for (auto &[id, stream] : streams) {
-    if (!std::exchange(stream->Closed, true) && stream->OnClosed)
-      stream->OnClosed(false);
-  }
-  if (OnShut)
-    OnShut();
+  for (auto &stream : waiting)
+    endStream(*stream, false);
+  for (auto &[id, stream] : streams)
+    endStream(*stream, false);
 }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Transport/Peer/PeerLink.h
+++ b/Hemlockglade/Transport/Peer/PeerLink.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 #include <unordered_map>
 #include <vector>
@@ -27,7 +28,7 @@
 
   /// Begins on a connected socket. Call on the strand.
   void start();
-  /// Connects first, then begins.
+  /// Connects first, within a bound, then begins.
   void connect(const asio::ip::tcp::endpoint &endpoint);
   /// Opens a stream; its hooks must be set already.
   void open(std::shared_ptr<PeerStream> stream);
@@ -37,7 +38,8 @@
   void send(PeerStream &stream, std::string message);
   void close(PeerStream &stream);
 
-  /// Called once when the connection is over.
+  /// Called once when the connection takes no more streams, before its streams
+  /// are told that it is over.
   std::function<void()> OnShut;
 
 private:
@@ -47,17 +49,23 @@
   void read();
   void flush();
   void fail();
-  void deliver(PeerStream &stream);
+  void watchPeer();
+  bool deliver(PeerStream &stream, std::string_view data);
   void wake(PeerStream &stream);
-  void endStream(std::int32_t id, bool clean);
+  void retire();
+  void queue(PeerStream &stream, std::string_view message);
+  static void endStream(PeerStream &stream, bool clean);
 
   asio::ip::tcp::socket Socket;
   Strand Executor;
+  asio::steady_timer ConnectTimer;
   OnStream Accept;
   nghttp2_session *Session = nullptr;
   bool Connected = false;
   bool Failed = false;
   bool Writing = false;
+  /// nghttp2 is at work; it must not be asked to send from inside.
+  bool Busy = false;
   std::vector<std::shared_ptr<PeerStream>> Waiting;
   std::unordered_map<std::int32_t, std::shared_ptr<PeerStream>> Streams;
   std::array<std::uint8_t, 16384> ReadBuffer;
--- a/Hemlockglade/Transport/Peer/PeerNet.cpp
+++ b/Hemlockglade/Transport/Peer/PeerNet.cpp
@@ -1,13 +1,38 @@
 #include "Hemlockglade/Transport/Peer/PeerNet.h"
 
-#include <asio/dispatch.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <charconv>
 #include <set>
 
 namespace hemlockglade {
 
-/// Links, by address of the peer; outlives the net while a link is closing.
-struct PeerNet::Shared {
+namespace {
+
+/// How long to wait when no connection can be accepted for now, as when the
+/// process has no descriptors left.
+constexpr auto AcceptRetry = std::chrono::milliseconds(100);
+
+} // namespace
+
+/// What the handlers of a net use; outlives it while they run. All is used
+/// under the mutex.
+struct PeerNet::Shared : std::enable_shared_from_this<Shared> {
+  Shared(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint,
+         PeerLink::OnStream onStream)
+      : Context(context), Acceptor(context, endpoint), Retry(context),
+        Accept(std::move(onStream)) {}
+
+  /// Waits for the next connection; call under the mutex.
+  void accept();
+  void add(asio::ip::tcp::socket socket);
+  std::shared_ptr<PeerLink> linkTo(const std::string &address);
+
+  asio::io_context &Context;
   std::mutex Mutex;
+  asio::ip::tcp::acceptor Acceptor;
+  asio::steady_timer Retry;
+  PeerLink::OnStream Accept;
   std::map<std::string, std::shared_ptr<PeerLink>> Links;
   std::set<std::shared_ptr<PeerLink>> Accepted;
   bool Closed = false;
@@ -15,66 +40,107 @@
 
 asio::ip::tcp::endpoint parseEndpoint(const std::string &address) {
   auto colon = address.rfind(':');
-  if (colon == std::string::npos)
+  std::uint16_t port = 0;
+  auto digits = colon == std::string::npos
+                    ? std::string_view()
+                    : std::string_view(address).substr(colon + 1);
+  auto last = digits.data() + digits.size();
+  auto [end, ec] = std::from_chars(digits.data(), last, port);
+  if (digits.empty() || ec != std::errc() || end != last)
     throw asio::system_error(asio::error::invalid_argument, address);
-  auto port = std::stoi(address.substr(colon + 1));
-  return {asio::ip::make_address(address.substr(0, colon)),
-          static_cast<std::uint16_t>(port)};
+  return {asio::ip::make_address(address.substr(0, colon)), port};
 }
 
 PeerNet::PeerNet(asio::io_context &context, const std::string &address,
                  std::uint16_t port, PeerLink::OnStream onStream)
-    : Context(context),
-      Acceptor(context, {asio::ip::make_address(address), port}),
-      Accept(std::move(onStream)), Port(Acceptor.local_endpoint().port()),
-      State(std::make_shared<Shared>()) {
-  accept();
+    : State(std::make_shared<Shared>(
+          context,
+          asio::ip::tcp::endpoint(asio::ip::make_address(address), port),
+          std::move(onStream))) {
+  Port = State->Acceptor.local_endpoint().port();
+  std::lock_guard lock(State->Mutex);
+  State->accept();
 }
 
 PeerNet::~PeerNet() { close(); }
 
-void PeerNet::accept() {
-  Acceptor.async_accept([this, state = State](asio::error_code ec,
-                                              asio::ip::tcp::socket socket) {
-    std::unique_lock lock(state->Mutex);
-    if (ec || state->Closed)
+void PeerNet::Shared::accept() {
+  Acceptor.async_accept([self = shared_from_this()](
+                            asio::error_code ec, asio::ip::tcp::socket socket) {
+    std::lock_guard lock(self->Mutex);
+    if (self->Closed)
       return;
-    auto strand = asio::make_strand(Context);
-    auto link = std::make_shared<PeerLink>(std::move(socket), strand, Accept);
-    link->OnShut = [state, weak = std::weak_ptr(link)] {
-      std::lock_guard guard(state->Mutex);
-      state->Accepted.erase(weak.lock());
-    };
-    state->Accepted.insert(link);
-    asio::dispatch(strand, [link] { link->start(); });
-    lock.unlock();
-    accept();
+    if (!ec) {
+      self->add(std::move(socket));
+      return self->accept();
+    }
+    self->Retry.expires_after(AcceptRetry);
+    self->Retry.async_wait([self](asio::error_code) {
+      std::lock_guard again(self->Mutex);
+      if (!self->Closed)
+        self->accept();
+    });
   });
 }
 
-std::shared_ptr<PeerLink> PeerNet::linkTo(const std::string &address) {
-  std::lock_guard lock(State->Mutex);
-  auto &link = State->Links[address];
-  if (link)
-    return link;
+void PeerNet::Shared::add(asio::ip::tcp::socket socket) {
   auto strand = asio::make_strand(Context);
-  link = std::make_shared<PeerLink>(asio::ip::tcp::socket(strand), strand,
-                                    nullptr);
-  link->OnShut = [state = State, address, weak = std::weak_ptr(link)] {
-    std::lock_guard guard(state->Mutex);
-    auto it = state->Links.find(address);
-    if (it != state->Links.end() && it->second == weak.lock())
-      state->Links.erase(it);
+  auto link = std::make_shared<PeerLink>(std::move(socket), strand, Accept);
+  link->OnShut = [state = weak_from_this(), weak = std::weak_ptr(link)] {
+    auto self = state.lock();
+    if (!self)
+      return;
+    std::lock_guard guard(self->Mutex);
+    self->Accepted.erase(weak.lock());
   };
-  link->connect(parseEndpoint(address));
+  Accepted.insert(link);
+  asio::post(strand, [link] { link->start(); });
+}
+
+std::shared_ptr<PeerLink> PeerNet::Shared::linkTo(const std::string &address) {
+  std::lock_guard lock(Mutex);
+  if (Closed)
+    return nullptr;
+  auto it = Links.find(address);
+  if (it != Links.end())
+    return it->second;
+  asio::ip::tcp::endpoint endpoint;
+  try {
+    endpoint = parseEndpoint(address);
+  } catch (const asio::system_error &) {
+    return nullptr;
+  }
+  auto strand = asio::make_strand(Context);
+  auto link = std::make_shared<PeerLink>(asio::ip::tcp::socket(strand), strand,
+                                         nullptr);
+  link->OnShut = [state = weak_from_this(), address,
+                  weak = std::weak_ptr(link)] {
+    auto self = state.lock();
+    if (!self)
+      return;
+    std::lock_guard guard(self->Mutex);
+    auto it = self->Links.find(address);
+    if (it != self->Links.end() && it->second == weak.lock())
+      self->Links.erase(it);
+  };
+  Links.emplace(address, link);
+  link->connect(endpoint);
   return link;
 }
 
 std::shared_ptr<PeerStream> PeerNet::open(const std::string &address,
                                           std::string path, std::string message,
                                           PeerHooks hooks) {
-  auto link = linkTo(address);
+  auto link = State->linkTo(address);
   auto stream = std::make_shared<PeerStream>(link, std::move(path));
+  if (!link) {
+    // As with any other stream, the end is not told from inside the call.
+    asio::post(State->Context, [stream, closed = std::move(hooks.OnClosed)] {
+      if (closed)
+        closed(false);
+    });
+    return stream;
+  }
   stream->OnMessage = std::move(hooks.OnMessage);
   stream->OnClosed = std::move(hooks.OnClosed);
   stream->send(std::move(message));
@@ -90,9 +156,10 @@
     for (auto &[address, link] : State->Links)
       links.push_back(link);
     links.insert(links.end(), State->Accepted.begin(), State->Accepted.end());
+    asio::error_code ec;
+    State->Acceptor.close(ec);
+    State->Retry.cancel();
   }
-  asio::error_code ec;
-  Acceptor.close(ec);
   for (auto &link : links)
     link->shut();
 }
--- a/Hemlockglade/Transport/Peer/PeerNet.h
+++ b/Hemlockglade/Transport/Peer/PeerNet.h
@@ -28,7 +28,8 @@
 
   std::uint16_t port() const { return Port; }
 
-  /// Opens a stream to `ip:port` and sends its first message.
+  /// Opens a stream to `ip:port` and sends its first message. If that can't
+  /// be done, the stream ends, which OnClosed is told later.
   std::shared_ptr<PeerStream> open(const std::string &address, std::string path,
                                    std::string message, PeerHooks hooks);
   /// Stops listening and breaks all connections.
@@ -37,12 +38,6 @@
 private:
   struct Shared;
 
-  void accept();
-  std::shared_ptr<PeerLink> linkTo(const std::string &address);
-
-  asio::io_context &Context;
-  asio::ip::tcp::acceptor Acceptor;
-  PeerLink::OnStream Accept;
   std::uint16_t Port = 0;
   std::shared_ptr<Shared> State;
 };
--- a/Hemlockglade/Transport/Peer/PeerStream.h
+++ b/Hemlockglade/Transport/Peer/PeerStream.h
@@ -19,7 +19,8 @@
   /// Path that the stream was opened with; it names the kind of exchange.
   const std::string &path() const { return Path; }
 
-  /// Sends one message.
+  /// Sends one message; dropped if the stream is over. A stream whose other
+  /// side reads too slowly for what is sent is broken.
   void send(std::string message);
   /// Ends this side after what was sent.
   void close();
@@ -27,7 +28,7 @@
   /// Called for each message of the other side, on the link's strand.
   std::function<void(std::string_view message)> OnMessage;
   /// Called once when the stream is over. `clean` if the other side ended it
-  /// on purpose, not by a broken connection.
+  /// on purpose, not by a broken connection. This side ends with it.
   std::function<void(bool clean)> OnClosed;
 
 private:
@@ -38,6 +39,8 @@
   std::int32_t Id = 0;
   // What follows is touched on the link's strand only.
   std::string Outgoing;
+  /// Bytes of Outgoing that have been given to the connection.
+  std::size_t Taken = 0;
   std::string Incoming;
   bool Ended = false;
   bool Closed = false;
--- a/UnitTests/Transport/HttpTest.cpp
+++ b/UnitTests/Transport/HttpTest.cpp
@@ -100,8 +100,8 @@
 }
 
 TEST_CASE("streamed parts arrive in order, whole, as they are sent", "[http]") {
-  HttpPair pair;
   ReplyPtr held;
+  HttpPair pair;
   pair.serve([&](HttpIncoming in, ReplyPtr reply) {
     reply->startStream(200, {{"X-Kind", "stream"}});
     if (in.Path == "/held")
@@ -166,10 +166,10 @@
 }
 
 TEST_CASE("a receiver that does not read holds the sender back", "[http]") {
+  int sent = 0;
   HttpPair pair;
   constexpr int Parts = 2000;
   constexpr std::size_t PartBytes = 65536;
-  int sent = 0;
   std::function<void(ReplyPtr)> next = [&](const ReplyPtr &reply) {
     if (sent == Parts)
       return reply->finishStream();
@@ -206,9 +206,9 @@
 TEST_CASE("a caller who goes away is told once, at any stage", "[http]") {
   for (bool streaming : {false, true}) {
     CAPTURE(streaming);
-    HttpPair pair;
     ReplyPtr held;
     int gone = 0;
+    HttpPair pair;
     pair.serve([&](HttpIncoming, ReplyPtr reply) {
       held = reply;
       reply->onGone([&] { ++gone; });
@@ -259,9 +259,9 @@
 
 TEST_CASE("two requests on one connection keep their own answers and hooks",
           "[http]") {
-  HttpPair pair;
   std::vector<ReplyPtr> held;
   std::vector<int> gone(3);
+  HttpPair pair;
   pair.serve([&](HttpIncoming, ReplyPtr reply) {
     auto turn = held.size();
     reply->onGone([&, turn] { ++gone[turn]; });
@@ -288,9 +288,9 @@
 
 TEST_CASE("one of two running requests may end and the other's hook stays",
           "[http]") {
-  HttpPair pair;
   std::vector<ReplyPtr> held;
   std::vector<int> gone(2);
+  HttpPair pair;
   pair.serve([&](HttpIncoming, ReplyPtr reply) {
     auto turn = held.size();
     reply->onGone([&, turn] { ++gone[turn]; });
@@ -307,12 +307,12 @@
 
 TEST_CASE("what is over a limit gets a clear refusal and reaches no handler",
           "[http]") {
+  int handled = 0;
   HttpPair pair;
   pair.Settings.MaxBodyBytes = 1000;
   pair.Settings.MaxFieldBytes = 200;
   pair.Settings.MaxFields = 10;
   pair.Settings.MaxConnections = 2;
-  int handled = 0;
   pair.serve([&](HttpIncoming, ReplyPtr reply) {
     ++handled;
     reply->sendWhole(200, {}, "fine");
@@ -365,9 +365,9 @@
 }
 
 TEST_CASE("a transfer can be cancelled at any stage, once", "[http]") {
-  HttpPair pair;
   ReplyPtr held;
   int gone = 0;
+  HttpPair pair;
   pair.serve([&](HttpIncoming, ReplyPtr reply) {
     held = reply;
     reply->onGone([&] { ++gone; });
@@ -429,8 +429,8 @@
 }
 
 TEST_CASE("a request that must not run twice is not sent twice", "[http]") {
-  HttpPair pair;
   int received = 0;
+  HttpPair pair;
   // Answers the first request of a connection, and breaks it at the next.
   RawServer server(pair.Context, [&](RawPeer &peer) {
     if (peer.Closed || !peer.has("\r\n\r\n"))
@@ -471,14 +471,14 @@
 
 TEST_CASE("client and server may go while transfers run", "[http]") {
   for (bool clientFirst : {false, true}) {
-    HttpPair pair;
     std::vector<ReplyPtr> held;
+    std::vector<Answer> answers(20);
+    HttpPair pair;
     pair.serve([&](HttpIncoming, ReplyPtr reply) {
       reply->startStream(200, {});
       reply->sendPart("part", nullptr);
       held.push_back(std::move(reply));
     });
-    std::vector<Answer> answers(20);
     for (auto &answer : answers)
       pair.Client->start(pair.request(), answer.hooks());
     REQUIRE(pair.until([&] { return answers.back().Body == "part"; }));
@@ -498,13 +498,13 @@
 }
 
 TEST_CASE("several threads may run the context", "[http]") {
+  constexpr std::size_t Count = 200;
+  std::vector<Answer> answers(Count);
   HttpPair pair;
   pair.serve([&](HttpIncoming, ReplyPtr reply) {
     reply->startStream(200, {});
     pump(reply, 1, 50, 10);
   });
-  constexpr std::size_t Count = 200;
-  std::vector<Answer> answers(Count);
   std::atomic<std::size_t> over{0};
   for (auto &answer : answers) {
     auto hooks = answer.hooks();
