--- a/Hemlockglade/State/State.h
+++ b/Hemlockglade/State/State.h
@@ -8,3 +8,5 @@
 #include "Hemlockglade/State/Config/ConfigDelta.h"
 #include "Hemlockglade/State/Config/ShardedMap.h"
 #include "Hemlockglade/State/Ids.h"
+#include "Hemlockglade/State/Metrics/MetricNames.h"
+#include "Hemlockglade/State/Metrics/MetricRegistry.h"
--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -111,6 +111,40 @@
     askReport(doubted, address);
 }
 
+void CellRunner::adopt(const RegisteredRequest &request) {
+  Deferred deferred;
+  {
+    std::lock_guard lock(Mutex);
+    auto replica = ReplicaKeys.find(request.Replica);
+    if (replica == ReplicaKeys.end() || Adopted.contains(request.Id))
+      return;
+    auto key = ++LastRequest;
+    Adopted.emplace(request.Id, key);
+    LOG(INFO) << "adopt request=" << request.Id
+              << " adapter=" << request.Adapter
+              << " replica=" << request.Replica
+              << " admitted=" << request.Admitted << " epoch=" << Fence
+              << " cell=" << Cell;
+    handle(RequestAdopted{key, keyOf(request.Adapter), replica->second},
+           deferred);
+  }
+  for (auto &call : deferred)
+    call();
+}
+
+void CellRunner::finishAdopted(const std::string &id) {
+  RequestKey key = 0;
+  {
+    std::lock_guard lock(Mutex);
+    auto it = Adopted.find(id);
+    if (it == Adopted.end())
+      return;
+    key = it->second;
+    Adopted.erase(it);
+  }
+  drive(RequestFinished{key});
+}
+
 void CellRunner::setLeaving(const std::vector<std::string> &replicas) {
   Deferred deferred;
   {
@@ -131,14 +165,13 @@
 void CellRunner::stop() { drive(LeaseChanged{LeaseMode::None}); }
 
 void CellRunner::tick() {
-  bool holds = Hooks.Holds();
+  auto mode = Hooks.Mode();
   Deferred deferred;
   {
     std::lock_guard lock(Mutex);
-    if (holds != Held) {
-      Held = holds;
-      handle(LeaseChanged{holds ? LeaseMode::Held : LeaseMode::Doubtful},
-             deferred);
+    if (mode != Mode) {
+      Mode = mode;
+      handle(LeaseChanged{mode}, deferred);
     }
     handle(Tick{}, deferred);
   }
@@ -247,22 +280,23 @@
             << " reason=" << reasonName(action.Why)
             << " queue=" << Core.waiting() << " epoch=" << Fence
             << " cell=" << Cell;
-  deferred.push_back(
-      [self = shared_from_this(), action, address = replica.Address, adapter] {
-        auto ticket = self->Engines.load(
-            address, adapter, self->Fence, [self, action](OrderResult result) {
-              {
-                std::lock_guard lock(self->Mutex);
-                self->Loads.erase({action.Replica, action.Adapter});
-              }
-              if (result == OrderResult::Done)
-                self->drive(LoadDone{action.Replica, action.Adapter});
-              else
-                self->drive(LoadFailed{action.Replica, action.Adapter});
-            });
-        std::lock_guard lock(self->Mutex);
-        self->Loads[{action.Replica, action.Adapter}] = ticket;
-      });
+  deferred.push_back([self = shared_from_this(), action,
+                      address = replica.Address, adapter] {
+    auto ticket = self->Engines.load(
+        address, adapter, self->Fence, [self, action](OrderResult result) {
+          {
+            std::lock_guard lock(self->Mutex);
+            self->Loads.erase({action.Replica, action.Adapter});
+          }
+          if (result == OrderResult::Done)
+            return self->drive(
+                LoadDone{action.Replica, action.Adapter, action.Order});
+          self->drive(LoadFailed{action.Replica, action.Adapter, action.Order,
+                                 result == OrderResult::Unknown});
+        });
+    std::lock_guard lock(self->Mutex);
+    self->Loads[{action.Replica, action.Adapter}] = ticket;
+  });
 }
 
 void CellRunner::apply(const Evict &action, Deferred &deferred) {
@@ -276,11 +310,14 @@
       [self = shared_from_this(), action, address = replica.Address, adapter] {
         // The lease is looked at again right before the order leaves.
         if (!self->Hooks.Holds())
-          return self->drive(EvictDone{action.Replica, action.Adapter, true});
+          return self->drive(
+              EvictDone{action.Replica, action.Adapter, true, action.Order});
         self->Engines.unload(
             address, adapter, self->Fence, [self, action](OrderResult result) {
-              bool refused = result != OrderResult::Done;
-              self->drive(EvictDone{action.Replica, action.Adapter, refused});
+              bool unknown = result == OrderResult::Unknown;
+              bool refused = result != OrderResult::Done && !unknown;
+              self->drive(EvictDone{action.Replica, action.Adapter, refused,
+                                    action.Order, unknown});
             });
       });
 }
