Protocol formats: round trips and malformed input, and the faults found

Cause: messages, platform and engine formats had no tests. Ruled out: a parser callback for the depth; a scan of the text is simpler and comes before anything is built. Change: JsonText.h: parseJson refuses more than 100 levels, writeJson replaces bytes that are not UTF-8; limits for MessagePack lengths; both escape digits are needed. Conclusion: AdminFormat parses without the depth limit, but by the same non-recursive parser; it was not changed.

--- a/Hemlockglade/Protocol/Endpoint/EngineFormat.cpp
+++ b/Hemlockglade/Protocol/Endpoint/EngineFormat.cpp
@@ -1,6 +1,7 @@
 #include "Hemlockglade/Protocol/Endpoint/EngineFormat.h"
 
-#include <nlohmann/json.hpp>
+#include "Hemlockglade/Protocol/JsonText.h"
+
 #include <xxhash.h>
 
 namespace hemlockglade {
@@ -44,7 +45,7 @@
 
 tl::expected<EngineReport, ProtocolError> readReport(std::string_view body) {
   try {
-    auto node = json::parse(body);
+    auto node = parseJson(body);
     EngineReport report;
     report.Incarnation = node.at("incarnation").get<std::string>();
     report.Running = node.at("running").get<std::uint32_t>();
@@ -70,7 +71,7 @@
 
 tl::expected<std::string, ProtocolError> readOrder(std::string_view body) {
   try {
-    return json::parse(body).at("lora_name").get<std::string>();
+    return parseJson(body).at("lora_name").get<std::string>();
   } catch (const json::exception &error) {
     return malformed(error.what());
   }
@@ -85,7 +86,7 @@
   constexpr std::size_t BytesPerToken = 4;
   constexpr std::uint32_t DefaultMaxTokens = 16;
   try {
-    auto node = json::parse(body);
+    auto node = parseJson(body);
     if (!node.is_object())
       return malformed("the body is not a JSON object");
     auto model = node.find("model");
@@ -117,7 +118,7 @@
 }
 
 std::string errorBody(std::string_view type, std::string_view message) {
-  return json{{"error", {{"type", type}, {"message", message}}}}.dump();
+  return writeJson({{"error", {{"type", type}, {"message", message}}}});
 }
 
 } // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Protocol/JsonText.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace hemlockglade {
+
+/// Levels of arrays and objects that a JSON text of others may have. Writing a
+/// value needs stack for each level.
+inline constexpr std::size_t MaxJsonDepth = 100;
+
+/// Parses a JSON text of others. Throws nlohmann::json::exception if it is
+/// malformed or nested too deeply.
+nlohmann::json parseJson(std::string_view text);
+
+/// Writes a value; bytes that are not UTF-8 are replaced by U+FFFD.
+std::string writeJson(const nlohmann::json &node);
+
+} // namespace hemlockglade
--- a/Hemlockglade/Protocol/Message/PeerMessages.h
+++ b/Hemlockglade/Protocol/Message/PeerMessages.h
@@ -74,8 +74,16 @@
 template <typename T>
 tl::expected<T, ProtocolError> unpack(std::string_view data) {
   try {
+    // A length can't be larger than the bytes that are there.
+    auto n = data.size();
+    std::size_t end = 0;
+    auto handle = msgpack::unpack(data.data(), n, end, nullptr, nullptr,
+                                  msgpack::unpack_limit(n, n, n, n, n, n));
+    if (end != n)
+      return tl::unexpected(
+          ProtocolError{ProtocolErrorKind::Malformed, "bytes are left over"});
     T message;
-    msgpack::unpack(data.data(), data.size()).get().convert(message);
+    handle.get().convert(message);
     return message;
   } catch (const std::exception &error) {
     return tl::unexpected(
--- a/Hemlockglade/Protocol/Platform/PlatformFormat.cpp
+++ b/Hemlockglade/Protocol/Platform/PlatformFormat.cpp
@@ -1,8 +1,9 @@
 #include "Hemlockglade/Protocol/Platform/PlatformFormat.h"
 
+#include "Hemlockglade/Protocol/JsonText.h"
+
 #include <cctype>
 #include <charconv>
-#include <nlohmann/json.hpp>
 
 namespace hemlockglade {
 
@@ -24,7 +25,7 @@
 template <typename T, typename Read>
 tl::expected<T, ProtocolError> parseBody(std::string_view body, Read read) {
   try {
-    return read(json::parse(body));
+    return read(parseJson(body));
   } catch (const json::exception &error) {
     return tl::unexpected(
         ProtocolError{ProtocolErrorKind::Malformed, error.what()});
@@ -42,7 +43,7 @@
     node["value"] = write.Value ? json(*write.Value) : json(nullptr);
     writes.push_back(std::move(node));
   }
-  return json{{"attempt", transaction.AttemptId}, {"writes", writes}}.dump();
+  return writeJson({{"attempt", transaction.AttemptId}, {"writes", writes}});
 }
 
 tl::expected<TableTransaction, ProtocolError>
@@ -61,7 +62,7 @@
   });
 }
 
-std::string rowBody(const TableRow &row) { return toJson(row).dump(); }
+std::string rowBody(const TableRow &row) { return writeJson(toJson(row)); }
 
 tl::expected<TableRow, ProtocolError> readRow(std::string_view body) {
   return parseBody<TableRow>(body, [](const json &it) { return toRow(it); });
@@ -71,7 +72,7 @@
   json list = json::array();
   for (const auto &row : rows)
     list.push_back(toJson(row));
-  return json{{"rows", list}}.dump();
+  return writeJson({{"rows", list}});
 }
 
 tl::expected<std::vector<TableRow>, ProtocolError>
@@ -92,7 +93,7 @@
     list.push_back({{"name", host.Name},
                     {"address", host.Address},
                     {"state", host.Leaving ? "leaving" : "live"}});
-  return json{{"hosts", list}}.dump();
+  return writeJson({{"hosts", list}});
 }
 
 tl::expected<std::vector<HostEntry>, ProtocolError>
@@ -136,9 +137,10 @@
     for (std::size_t it = 0; it < value.size(); ++it) {
       unsigned byte = 0;
       bool escaped = value[it] == '%' && it + 2 < value.size();
-      if (escaped && std::from_chars(value.data() + it + 1,
-                                     value.data() + it + 3, byte, 16)
-                             .ec == std::errc()) {
+      auto digits = value.data() + it + 1;
+      auto [end, ec] = escaped ? std::from_chars(digits, digits + 2, byte, 16)
+                               : std::from_chars_result{digits, std::errc()};
+      if (escaped && ec == std::errc() && end == digits + 2) {
         out += static_cast<char>(byte);
         it += 2;
       } else {
--- /dev/null
+++ b/UnitTests/Protocol/Message/PeerMessagesTest.cpp
@@ -0,0 +1,84 @@
+#include "Hemlockglade/Protocol/Protocol.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace hemlockglade;
+
+namespace {
+
+/// All fields of a message, for comparing.
+auto fields(const AdmitRequest &it) {
+  return std::tie(it.Id, it.Attempt, it.Cell, it.Adapter, it.Class,
+                  it.DeadlineUs, it.PrefixHash, it.PromptTokens, it.Caller);
+}
+auto fields(const AdmitReply &it) {
+  return std::tie(it.Granted, it.Replica, it.Address, it.Fence, it.Reason,
+                  it.RetryAfterUs, it.LoadStallUs);
+}
+
+AdmitRequest anyRequest() {
+  AdmitRequest out;
+  out.Id = *rc::gen::arbitrary<std::string>();
+  out.Attempt = *rc::gen::arbitrary<std::uint32_t>();
+  out.Cell = *rc::gen::arbitrary<std::string>();
+  out.Adapter = *rc::gen::arbitrary<std::string>();
+  out.Class = *rc::gen::arbitrary<std::string>();
+  out.DeadlineUs = *rc::gen::arbitrary<std::int64_t>();
+  out.PrefixHash = *rc::gen::arbitrary<std::uint64_t>();
+  out.PromptTokens = *rc::gen::arbitrary<std::uint32_t>();
+  out.Caller = *rc::gen::arbitrary<std::string>();
+  return out;
+}
+
+AdmitReply anyReply() {
+  AdmitReply out;
+  out.Granted = *rc::gen::arbitrary<bool>();
+  out.Replica = *rc::gen::arbitrary<std::string>();
+  out.Address = *rc::gen::arbitrary<std::string>();
+  out.Fence = *rc::gen::arbitrary<Epoch>();
+  out.Reason = *rc::gen::arbitrary<std::string>();
+  out.RetryAfterUs = *rc::gen::arbitrary<std::int64_t>();
+  out.LoadStallUs = *rc::gen::arbitrary<std::int64_t>();
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("peer messages come back as they were", "[message]") {
+  REQUIRE(rc::check([] {
+    auto request = anyRequest();
+    auto again = unpack<AdmitRequest>(pack(request));
+    RC_ASSERT(again.has_value());
+    RC_ASSERT(fields(*again) == fields(request));
+    auto reply = anyReply();
+    auto back = unpack<AdmitReply>(pack(reply));
+    RC_ASSERT(back.has_value());
+    RC_ASSERT(fields(*back) == fields(reply));
+    FinishNotice notice{*rc::gen::arbitrary<std::uint8_t>()};
+    RC_ASSERT(unpack<FinishNotice>(pack(notice))->Result == notice.Result);
+  }));
+}
+
+TEST_CASE("a cut or changed peer message gives a message or an error",
+          "[message]") {
+  REQUIRE(rc::check([] {
+    auto data = pack(anyRequest());
+    auto cut = *rc::gen::inRange<std::size_t>(0, data.size());
+    RC_ASSERT_FALSE(unpack<AdmitRequest>(data.substr(0, cut)).has_value());
+    data[cut] = *rc::gen::arbitrary<char>();
+    unpack<AdmitRequest>(data);
+    unpack<AdmitReply>(data);
+    unpack<AdmitRequest>(*rc::gen::arbitrary<std::string>());
+  }));
+}
+
+TEST_CASE("a length that the bytes do not hold takes no memory", "[message]") {
+  for (std::string head : {"\xdd", "\xdf", "\xdb", "\xc6", "\xc9"}) {
+    auto claim = head + "\xff\xff\xff\xf0";
+    REQUIRE_FALSE(unpack<AdmitRequest>(claim).has_value());
+    REQUIRE_FALSE(unpack<AdmitRequest>("\x99" + claim).has_value());
+  }
+  auto trailing = pack(FinishNotice{1}) + "x";
+  REQUIRE_FALSE(unpack<FinishNotice>(trailing).has_value());
+}
