--- a/Hemlockglade/Transport/Http/HttpClient.cpp
+++ b/Hemlockglade/Transport/Http/HttpClient.cpp
@@ -1,6 +1,6 @@
 #include "Hemlockglade/Transport/Http/HttpClient.h"
 
-#include <asio/dispatch.hpp>
+#include <array>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <cassert>
 #include <curl/curl.h>
+#include <sys/epoll.h>
 #include <unordered_map>
 
 namespace hemlockglade {
@@ -86,7 +87,7 @@
 public:
   explicit Impl(asio::io_context &context)
       : Strand(asio::make_strand(context)), Timer(Strand),
-        Multi(curl_multi_init()) {
+        Ready(Strand, epoll_create1(EPOLL_CLOEXEC)), Multi(curl_multi_init()) {
     constexpr long KeptConnections = 4096;
     curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &Impl::onSocket);
     curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
@@ -103,13 +104,14 @@
     Transfers.clear();
     curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, nullptr);
     curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, nullptr);
-    // Before libcurl closes them: another thread may be given the same number
-    // for a new descriptor at once.
-    for (auto &[fd, watch] : Watches)
-      watch->Descriptor.release();
     curl_multi_cleanup(Multi);
   }
 
+  /// Begins to wait for sockets that are ready.
+  void open() {
+    asio::post(Strand, [self = shared_from_this()] { self->wait(); });
+  }
+
   Ticket start(HttpRequest request, HttpHooks hooks) {
     auto transfer = std::make_unique<Transfer>();
     transfer->Number = ++LastTicket;
@@ -139,20 +141,11 @@
       if (it == self->Transfers.end())
         return;
       curl_easy_pause(it->second->Easy, CURLPAUSE_CONT);
-      self->drive(CURL_SOCKET_TIMEOUT, 0);
+      self->driveTimers();
     });
   }
 
 private:
-  struct Watch {
-    explicit Watch(const asio::strand<asio::io_context::executor_type> &strand)
-        : Descriptor(strand) {}
-    asio::posix::stream_descriptor Descriptor;
-    int Wanted = 0;
-    bool Reading = false;
-    bool Writing = false;
-  };
-
   void add(std::shared_ptr<Transfer> transfer) {
     auto &request = transfer->Request;
     CURL *easy = curl_easy_init();
@@ -210,9 +203,9 @@
       transfer->Hooks.OnDone(result);
   }
 
-  void drive(curl_socket_t fd, int events) {
+  void driveTimers() {
     int running = 0;
-    curl_multi_socket_action(Multi, fd, events, &running);
+    curl_multi_socket_action(Multi, CURL_SOCKET_TIMEOUT, 0, &running);
     collect();
   }
 
@@ -241,78 +234,77 @@
         [weak = self->weak_from_this()](asio::error_code ec) {
           auto impl = weak.lock();
           if (!ec && impl)
-            impl->drive(CURL_SOCKET_TIMEOUT, 0);
+            impl->driveTimers();
         });
     return 0;
   }
 
-  static int onSocket(CURL *, curl_socket_t fd, int what, void *user, void *) {
+  static int onSocket(CURL *, curl_socket_t fd, int what, void *user,
+                      void *known) {
     auto *self = static_cast<Impl *>(user);
-    if (what == CURL_POLL_REMOVE) {
-      auto it = self->Watches.find(fd);
-      if (it != self->Watches.end()) {
-        // curl owns the descriptor and closes it itself.
-        it->second->Descriptor.release();
-        self->Watches.erase(it);
-      }
-      return 0;
-    }
-    auto &watch = self->Watches[fd];
-    if (!watch) {
-      watch = std::make_shared<Watch>(self->Strand);
-      watch->Descriptor.assign(fd);
-    }
-    watch->Wanted = what;
-    self->arm(fd, watch);
+    int set = self->Ready.native_handle();
+    epoll_event event{};
+    event.data.fd = fd;
+    if (what & CURL_POLL_IN)
+      event.events |= EPOLLIN;
+    if (what & CURL_POLL_OUT)
+      event.events |= EPOLLOUT;
+    // Nothing is wanted of a paused transfer; a socket that stayed in the set
+    // would report its end over and over.
+    bool wanted = what != CURL_POLL_REMOVE && event.events;
+    if (wanted)
+      epoll_ctl(set, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &event);
+    else if (known)
+      epoll_ctl(set, EPOLL_CTL_DEL, fd, nullptr);
+    curl_multi_assign(self->Multi, fd, wanted ? self : nullptr);
     return 0;
   }
 
-  void arm(curl_socket_t fd, const std::shared_ptr<Watch> &watch) {
-    if ((watch->Wanted & CURL_POLL_IN) && !watch->Reading) {
-      watch->Reading = true;
-      wait(fd, watch, asio::posix::stream_descriptor::wait_read);
-    }
-    if ((watch->Wanted & CURL_POLL_OUT) && !watch->Writing) {
-      watch->Writing = true;
-      wait(fd, watch, asio::posix::stream_descriptor::wait_write);
-    }
-  }
-
-  void wait(curl_socket_t fd, const std::shared_ptr<Watch> &watch,
-            asio::posix::stream_descriptor::wait_type type) {
-    bool reading = type == asio::posix::stream_descriptor::wait_read;
-    watch->Descriptor.async_wait(type, [weak = weak_from_this(), fd, watch,
-                                        reading](asio::error_code ec) {
-      (reading ? watch->Reading : watch->Writing) = false;
-      auto self = weak.lock();
-      if (!self || !self->watched(fd, watch))
-        return;
-      int events = reading ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
-      bool wanted = watch->Wanted & (reading ? CURL_POLL_IN : CURL_POLL_OUT);
-      if (ec)
-        events = CURL_CSELECT_ERR;
-      if (wanted || ec)
-        self->drive(fd, events);
-      if (!ec && self->watched(fd, watch))
-        self->arm(fd, watch);
-    });
+  /// Waits until any socket is ready. The sockets are in a set of their own
+  /// that stays as it is from event to event, so that a busy client pays for
+  /// one wait for many events.
+  void wait() {
+    Ready.async_wait(asio::posix::stream_descriptor::wait_read,
+                     [weak = weak_from_this()](asio::error_code ec) {
+                       auto self = weak.lock();
+                       if (ec || !self)
+                         return;
+                       self->serveReady();
+                       self->wait();
+                     });
   }
 
-  bool watched(curl_socket_t fd, const std::shared_ptr<Watch> &watch) const {
-    auto it = Watches.find(fd);
-    return it != Watches.end() && it->second == watch;
+  void serveReady() {
+    constexpr int Batch = 64;
+    std::array<epoll_event, Batch> events{};
+    int n = epoll_wait(Ready.native_handle(), events.data(), Batch, 0);
+    for (int it = 0; it < n; ++it) {
+      auto seen = events[static_cast<std::size_t>(it)];
+      int action = 0;
+      // libcurl finds out about an error by trying.
+      if (seen.events & (EPOLLIN | EPOLLERR | EPOLLHUP))
+        action |= CURL_CSELECT_IN;
+      if (seen.events & (EPOLLOUT | EPOLLERR | EPOLLHUP))
+        action |= CURL_CSELECT_OUT;
+      int running = 0;
+      curl_multi_socket_action(Multi, seen.data.fd, action, &running);
+    }
+    collect();
   }
 
   asio::strand<asio::io_context::executor_type> Strand;
   asio::steady_timer Timer;
+  /// The set of sockets that libcurl waits for.
+  asio::posix::stream_descriptor Ready;
   CURLM *Multi;
   std::atomic<Ticket> LastTicket{0};
   std::unordered_map<Ticket, std::shared_ptr<Transfer>> Transfers;
-  std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> Watches;
 };
 
 HttpClient::HttpClient(asio::io_context &context)
-    : Inner(std::make_shared<Impl>(context)) {}
+    : Inner(std::make_shared<Impl>(context)) {
+  Inner->open();
+}
 
 HttpClient::~HttpClient() = default;
 
--- a/scripts/path-bench.sh
+++ b/scripts/path-bench.sh
@@ -38,8 +38,8 @@
 YAML
 
 any=127.0.0.1:${PORT[entry-1]}
-"$BIN/hemlockctl" --node "$any" apply "$RUN/declarations.yaml" >/dev/null
-cells() { "$BIN/hemlockctl" --node "$any" show cells; }
+curl -sf --data-binary "@$RUN/declarations.yaml" "$any/admin/apply" >/dev/null
+cells() { curl -sf "$any/admin/show?what=cells"; }
 owned() { cells | grep -q '"owner":"entry'; }
 wait_for 20 owned
 sleep 1
