--- a/Programs/hemlockgladed/ConfigLink.cpp
+++ b/Programs/hemlockgladed/ConfigLink.cpp
@@ -8,14 +8,6 @@
 
 using OnAnswer = std::function<void(std::optional<ConfigAnswer>)>;
 
-ConfigAnswerMessage toMessage(const ConfigAnswer &answer) {
-  return {answer.Number, answer.TooOld, answer.Deltas, answer.Piece};
-}
-
-ConfigAnswer toAnswer(const ConfigAnswerMessage &message) {
-  return {message.Number, message.TooOld, message.Deltas, message.Piece};
-}
-
 } // namespace
 
 ConfigLink::ConfigLink(std::string self, PlatformClient &platform,
@@ -72,16 +64,16 @@
   auto shared = std::make_shared<OnAnswer>(std::move(done));
   PeerHooks hooks;
   hooks.OnMessage = [shared](std::string_view message) {
-    auto answer = unpack<ConfigAnswerMessage>(message);
+    auto answer = unpack<ConfigAnswer>(message);
     if (auto call = std::exchange(*shared, nullptr))
-      call(answer ? std::optional(toAnswer(*answer)) : std::nullopt);
+      call(answer ? std::optional(std::move(*answer)) : std::nullopt);
   };
   hooks.OnClosed = [shared](bool) {
     if (auto call = std::exchange(*shared, nullptr))
       call(std::nullopt);
   };
-  Net->open(address, std::string(peer_path::Config),
-            pack(ConfigFetchMessage{fetch.From, fetch.Piece}), std::move(hooks))
+  Net->open(address, std::string(peer_path::Config), pack(fetch),
+            std::move(hooks))
       ->close();
 }
 
@@ -89,10 +81,10 @@
   stream->OnMessage = [this,
                        weak = std::weak_ptr(stream)](std::string_view message) {
     auto open = weak.lock();
-    auto fetch = unpack<ConfigFetchMessage>(message);
+    auto fetch = unpack<ConfigFetch>(message);
     if (!open || !fetch)
       return;
-    open->send(pack(toMessage(Keeper->answer({fetch->From, fetch->Piece}))));
+    open->send(pack(Keeper->answer(*fetch)));
     open->close();
   };
 }
