--- /dev/null
+++ b/Bench/Membership/ConfigBench.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <iosfwd>
+
+namespace hemlockglade::bench {
+
+/// Measures the configuration at several numbers of adapters and prints a
+/// table.
+void measureConfiguration(std::ostream &out);
+
+} // namespace hemlockglade::bench
