--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -2,10 +2,10 @@
 
 // The public header of the Coordination layer: decisions, leases, the table.
 
-#include "Hemlockglade/Coordination/Decision/AdapterTable.h"
 #include "Hemlockglade/Coordination/Claim/ClaimBook.h"
 #include "Hemlockglade/Coordination/Config/ConfigFormat.h"
 #include "Hemlockglade/Coordination/Config/ConfigKeeper.h"
+#include "Hemlockglade/Coordination/Decision/AdapterTable.h"
 #include "Hemlockglade/Coordination/Decision/CellCore.h"
 #include "Hemlockglade/Coordination/Decision/CellState.h"
 #include "Hemlockglade/Coordination/Decision/Consolidation.h"
@@ -25,9 +25,9 @@
 #include "Hemlockglade/Coordination/Directory/Directory.h"
 #include "Hemlockglade/Coordination/Lease/LeaseKeeper.h"
 #include "Hemlockglade/Coordination/Lease/LeaseRows.h"
+#include "Hemlockglade/Coordination/Membership/MemberTypes.h"
+#include "Hemlockglade/Coordination/Membership/Membership.h"
 #include "Hemlockglade/Coordination/Recovery/RecoveryKeeper.h"
 #include "Hemlockglade/Coordination/Retry/OutcomeOf.h"
 #include "Hemlockglade/Coordination/Retry/RetryPolicy.h"
-#include "Hemlockglade/Coordination/Membership/MemberTypes.h"
-#include "Hemlockglade/Coordination/Membership/Membership.h"
 #include "Hemlockglade/Coordination/Table.h"
--- a/Hemlockglade/Coordination/Decision/CoreTypes.h
+++ b/Hemlockglade/Coordination/Decision/CoreTypes.h
@@ -203,12 +203,11 @@
 /// Time has passed.
 struct Tick {};
 
-using Event =
-    std::variant<RequestArrived, RequestFinished, RequestAdopted, LoadDone,
-                 LoadFailed, EvictDone, ReplicaAdded, ReplicaRemoved,
-                 ReplicaDraining, ReplicaReport, ReplicaSilent, LeaseChanged,
-                 TurnChanged, PinChanged, RuleChanged, OperatorLoad,
-                 ObjectiveChanged, Tick>;
+using Event = std::variant<RequestArrived, RequestFinished, RequestAdopted,
+                           LoadDone, LoadFailed, EvictDone, ReplicaAdded,
+                           ReplicaRemoved, ReplicaDraining, ReplicaReport,
+                           ReplicaSilent, LeaseChanged, TurnChanged, PinChanged,
+                           RuleChanged, OperatorLoad, ObjectiveChanged, Tick>;
 
 // Actions: what to do about it.
 
