An aborted answer breaks its connection, before and inside a stream

Cause: aborting a started stream put a file into RESTinio's chunked builder, which reads it as a buffer: a null call, and the process fell. A node fell each time a streaming caller went away. Aborting before the head did nothing, so the other side waited for ever. Ruled out: a race of caller and endpoint; it fails with one caller, too. Change: the file is written past the builder, in both cases.

--- a/Hemlockglade/Transport/Http/HttpServer.cpp
+++ b/Hemlockglade/Transport/Http/HttpServer.cpp
@@ -96,7 +96,9 @@
   Reply(restinio::request_handle_t request,
         std::shared_ptr<ConnectionWatch> watch, std::shared_ptr<void> token)
       : Request(std::move(request)), Watch(std::move(watch)),
-        Id(Request->connection_id()), Token(std::move(token)) {}
+        Id(Request->connection_id()), Number(Request->request_id()),
+        Connection(restinio::impl::access_req_connection(*Request)),
+        Token(std::move(token)) {}
 
   Reply(const Reply &) = delete;
   Reply &operator=(const Reply &) = delete;
@@ -158,14 +160,8 @@
   void abort() override {
     std::lock_guard lock(Mutex);
     Watch->unwatch(Id);
-    if (Builder) {
-      // RESTinio has no call that breaks a connection. A file that is shorter
-      // than promised makes it fail inside a chunk, so the caller sees at once
-      // that the answer is not whole.
-      Builder->append_chunk(restinio::sendfile(restinio::open_file("/dev/null"),
-                                               restinio::file_meta_t{1, {}}));
-      Builder->flush();
-    }
+    if (Builder || Request)
+      breakConnection();
     Builder.reset();
     Request.reset();
   }
@@ -175,6 +171,20 @@
   }
 
 private:
+  /// RESTinio has no call that breaks a connection. A file that is shorter
+  /// than promised makes the write fail, so the caller sees at once that the
+  /// answer is not whole. A chunk can't be a file, so the builder is passed by.
+  void breakConnection() {
+    restinio::writable_items_container_t items;
+    items.emplace_back(restinio::sendfile(restinio::open_file("/dev/null"),
+                                          restinio::file_meta_t{1, {}}));
+    Connection->write_response_parts(
+        Number,
+        {restinio::response_parts_attr_t::not_final_parts,
+         restinio::response_connection_attr_t::connection_close},
+        restinio::write_group_t(std::move(items)));
+  }
+
   static restinio::http_status_line_t statusLine(int status) {
     const char *reason = status < 300   ? "OK"
                          : status < 500 ? "Request refused"
@@ -188,6 +198,8 @@
   std::optional<Streamed> Builder;
   std::shared_ptr<ConnectionWatch> Watch;
   ConnectionId Id;
+  restinio::request_id_t Number;
+  restinio::impl::connection_handle_t Connection;
   std::shared_ptr<void> Token;
 };
 
