--- a/StandIns/EngineRun.cpp
+++ b/StandIns/EngineRun.cpp
@@ -58,12 +58,6 @@
   Reply->finishStream();
 }
 
-void EngineRun::breakOff() {
-  if (Stream)
-    Reply->abort();
-  else
-    breakReply(*Reply);
-}
 
 json EngineRun::chunk(const std::string &text) const {
   json choice{{"index", 0}};
--- a/StandIns/EngineRun.h
+++ b/StandIns/EngineRun.h
@@ -21,8 +21,6 @@
   void replay(std::uint64_t seen);
   /// Sends the end of the answer.
   void finish();
-  /// Breaks the connection inside the answer.
-  void breakOff();
 
   std::uint64_t Number = 0;
   std::string Adapter;
--- a/StandIns/StandInEngineMain.cpp
+++ b/StandIns/StandInEngineMain.cpp
@@ -355,7 +355,7 @@
                  {"whole", event == "finished" && !run.Truncated},
                  {"hash", textHash(run.Text)}});
     if (event == "cut" && run.Reply)
-      run.breakOff();
+      run.Reply->abort();
     run.Reply.reset();
   }
 
--- a/StandIns/StandInHost.cpp
+++ b/StandIns/StandInHost.cpp
@@ -32,11 +32,6 @@
   return text.empty() ? fallback : std::atoll(text.c_str());
 }
 
-void breakReply(HttpReply &reply) {
-  // The server can break only an answer that has begun.
-  reply.startStream(200, {});
-  reply.abort();
-}
 
 std::string textHash(std::string_view text) {
   constexpr std::size_t Length = 17;
--- a/StandIns/StandInHost.h
+++ b/StandIns/StandInHost.h
@@ -38,10 +38,6 @@
 std::int64_t queryNumber(const HttpIncoming &in, std::string_view name,
                          std::int64_t fallback);
 
-/// Breaks the connection, so that the other side sees an answer that isn't
-/// whole, whether or not it has begun.
-void breakReply(HttpReply &reply);
-
 /// Hash of a text as it stands in the history.
 std::string textHash(std::string_view text);
 
--- a/StandIns/StandInPlatformMain.cpp
+++ b/StandIns/StandInPlatformMain.cpp
@@ -42,7 +42,7 @@
     auto name = operationOf(in.Path);
     const auto &mode = Modes[name];
     if (mode.Name == "down")
-      return breakReply(*reply);
+      return reply->abort();
     if (mode.Name == "hang")
       return Hanging.push_back({in, reply});
     if (mode.Name != "slow")
@@ -140,7 +140,7 @@
   void row(const HttpIncoming &in, HttpReply &reply) {
     auto it = Rows.find(queryValue(in.Query, "key"));
     if (Modes["row"].Name == "lose")
-      return breakReply(reply);
+      return reply.abort();
     if (it == Rows.end())
       return reply.sendWhole(404, {}, "");
     reply.sendWhole(200, {}, platform_format::rowBody(it->second));
@@ -152,7 +152,7 @@
       return reply.sendWhole(400, {}, transaction.error().Text);
     bool done = Seen.contains(transaction->AttemptId) || commit(*transaction);
     if (Modes["commit"].Name == "lose")
-      return breakReply(reply);
+      return reply.abort();
     reply.sendWhole(done ? 200 : 409, {}, done ? "{}" : "conflict");
   }
 
@@ -160,7 +160,7 @@
     if (in.Method == "PUT")
       Objects[in.Path] = in.Body;
     if (Modes["objects"].Name == "lose")
-      return breakReply(reply);
+      return reply.abort();
     auto it = Objects.find(in.Path);
     if (it == Objects.end())
       return reply.sendWhole(404, {}, "");
--- a/StandIns/StandInServiceMain.cpp
+++ b/StandIns/StandInServiceMain.cpp
@@ -40,7 +40,7 @@
       return control(in, *reply);
     if (take(CutBefore)) {
       Host.record({{"event", "cut_before"}});
-      return breakReply(*reply);
+      return reply->abort();
     }
     auto body = json::parse(in.Body, nullptr, false);
     auto call = std::make_shared<Call>();
@@ -87,7 +87,7 @@
                  {"whole", !call.Cut && !call.Gone},
                  {"hash", textHash(call.Answer)}});
     if (call.Cut)
-      breakReply(*call.Reply);
+      call.Reply->abort();
     else
       call.Reply->sendWhole(200, {{"Content-Type", "application/json"}},
                             call.Answer);
