--- a/Hemlockglade/Protocol/Protocol.h
+++ b/Hemlockglade/Protocol/Protocol.h
@@ -2,9 +2,18 @@
 
 // The public header of the Protocol layer: what goes over the wire.
 
+#include "Hemlockglade/Protocol/Admin/AdminFormat.h"
 #include "Hemlockglade/Protocol/Endpoint/EngineFormat.h"
+#include "Hemlockglade/Protocol/Message/ConfigMessages.h"
 #include "Hemlockglade/Protocol/Message/PeerMessages.h"
+#include "Hemlockglade/Protocol/Message/RecoveryMessages.h"
 #include "Hemlockglade/Protocol/Platform/PlatformFormat.h"
 #include "Hemlockglade/Protocol/ProtocolError.h"
+#include "Hemlockglade/Protocol/Settings/CatalogDiff.h"
 #include "Hemlockglade/Protocol/Settings/Declarations.h"
 #include "Hemlockglade/Protocol/Settings/NodeSettings.h"
+#include "Hemlockglade/Protocol/Settings/SettingsFault.h"
+#include "Hemlockglade/Protocol/Settings/TextChecks.h"
+#include "Hemlockglade/Protocol/Statement/FieldValue.h"
+#include "Hemlockglade/Protocol/Statement/Statement.h"
+#include "Hemlockglade/Protocol/Statement/StatementRows.h"
