--- a/StandIns/EngineRun.cpp
+++ b/StandIns/EngineRun.cpp
@@ -58,7 +58,6 @@
   Reply->finishStream();
 }
 
-
 json EngineRun::chunk(const std::string &text) const {
   json choice{{"index", 0}};
   if (Chat)
--- a/StandIns/StandInHost.cpp
+++ b/StandIns/StandInHost.cpp
@@ -32,7 +32,6 @@
   return text.empty() ? fallback : std::atoll(text.c_str());
 }
 
-
 std::string textHash(std::string_view text) {
   constexpr std::size_t Length = 17;
   std::array<char, Length> buf{};
--- a/StandIns/StandInServiceMain.cpp
+++ b/StandIns/StandInServiceMain.cpp
@@ -38,6 +38,9 @@
   void onHttp(const HttpIncoming &in, const std::shared_ptr<HttpReply> &reply) {
     if (in.Path == "/control")
       return control(in, *reply);
+    // A plain service has no load report.
+    if (in.Path == "/load")
+      return reply->sendWhole(404, {}, errorBody("not_found", in.Path));
     if (take(CutBefore)) {
       Host.record({{"event", "cut_before"}});
       return reply->abort();
