Plain services are not asked for load reports

Cause: the owner asked GET /load of every replica. A plain service has none, so after three askings it counted as down and all its calls were refused no-replica, for ever. Change: only replicas of engine services are asked. Conclusion: a plain service that is away is told by its failed calls.

--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -48,6 +48,7 @@
         Replicas.emplace_back();
       auto &replica = Replicas[it->second];
       replica.Config = config;
+      replica.Reports = service->second.Kind == ServiceKind::Engine;
       replica.Removed = false;
       handle(ReplicaAdded{it->second, domainOf(config.FailureDomain),
                           config.Slots, config.Batch, config.ChecksFencing},
@@ -100,7 +101,7 @@
     std::lock_guard lock(Mutex);
     auto it = Requests.find(request);
     if (it != Requests.end()) {
-      if (outcome == Outcome::NotRun)
+      if (outcome == Outcome::NotRun && Replicas[it->second.Replica].Reports)
         doubted = it->second.Replica;
       address = Replicas[doubted].Config.Address;
       Requests.erase(it);
@@ -184,7 +185,7 @@
   {
     std::lock_guard lock(Mutex);
     for (ReplicaKey it = 1; it < Replicas.size(); ++it) {
-      if (!Replicas[it].Removed)
+      if (!Replicas[it].Removed && Replicas[it].Reports)
         asked.emplace_back(it, Replicas[it].Config.Address);
     }
   }
--- a/Programs/hemlockgladed/CellRunner.h
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -58,6 +58,8 @@
 private:
   struct ReplicaState {
     ReplicaConfig Config;
+    /// Whether it publishes load reports; plain services don't.
+    bool Reports = true;
     bool Removed = false;
     bool Draining = false;
     std::vector<ResidentAdapter> Resident;
