An answer without outcome before a stop breaks the promise of whole answers

Cause: an answer 500 of a node that was stopped 20 s later was laid to the stop. Conclusion: the verdict names the right promise.

--- a/UnitTests/History/HistoryChecker.h
+++ b/UnitTests/History/HistoryChecker.h
@@ -66,7 +66,8 @@
   void inForceInTime(Verdict &verdict) const;
   void oneChangeARevision(Verdict &verdict) const;
 
-  bool terminated(const std::string &address) const;
+  /// Whether the node that answered had been told to stop by then.
+  bool terminated(const HistoryEvent &answer) const;
   bool currentEver(const std::string &adapter, Instant at) const;
   bool excused(const HistoryEvent &look) const;
   std::vector<const HistoryEvent *> of(std::string_view kind) const;
