Chaos picks the owner in half of the faults of nodes

Cause: with four nodes the owner was paused or killed in a quarter of the cases only. Change: the node that took the engines' cell last is preferred.

--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -38,7 +38,9 @@
 one_of() { local all=("$@"); below $#; PICK=${all[$PICK]}; }
 
 note() { "$BIN/HistoryNote" "$RUN/history-operator.jsonl" operator "$@"; }
-control() { curl -s --max-time 5 "http://127.0.0.1:$1/control?$2" >/dev/null; }
+control() {
+  curl -s --max-time 5 "http://127.0.0.1:$1/control?$2" >/dev/null
+}
 say() { echo "$(date +%T) $*"; }
 
 # --- the system
@@ -144,10 +146,24 @@
   fi
 }
 
+# a_node : sets PICK to a node; in half of the cases to the one that took over
+# the engines' cell last, if it is still there.
+a_node() {
+  local any owner
+  one_of "${NODES[@]}"
+  any=$PICK
+  below 2
+  [ "$PICK" = 0 ] && { PICK=$any; return; }
+  owner=$(cd "$RUN" && grep -H ' own cell=assistant/0 ' "${NODES[@]/%/.log}" |
+    sed 's/^\([^:]*\)\.log:\([^ ]*\) .*/\2 \1/' | sort | tail -1)
+  PICK=${owner#* }
+  PICK=${PICK:-$any}
+}
+
 # --- faults; each ends what it began
 
 fault_kill() {
-  one_of "${NODES[@]}"
+  a_node
   local node=$PICK
   say "kill $node"
   note killed "node=$node" "to=127.0.0.1:${PORT[$node]}"
@@ -161,7 +177,7 @@
 }
 
 fault_pause() {
-  one_of "${NODES[@]}"
+  a_node
   local node=$PICK
   below 3
   local span=$((LEASE_S + 1 + PICK))
@@ -244,7 +260,7 @@
 }
 
 fault_rolling() {
-  one_of "${NODES[@]}"
+  a_node
   local node=$PICK
   say "replace $node"
   add_node
