--- a/Programs/hemlockgladed/CellRunner.h
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -65,6 +65,8 @@
 private:
   struct ReplicaState {
     ReplicaConfig Config;
+    /// Whether it publishes load reports; plain services don't.
+    bool Reports = true;
     bool Removed = false;
     /// The platform's list calls it leaving.
     bool Leaving = false;
--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -7,7 +7,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
-SEED=1 ROUNDS=3 REQUESTS=300 ONLY="" KEEP=""
+SEED=1 ROUNDS=3 REQUESTS=600 ONLY="" KEEP=""
 while [ $# -gt 0 ]; do
   case $1 in
   --seed) SEED=$2 ;;
@@ -38,7 +38,9 @@
 one_of() { local all=("$@"); below $#; PICK=${all[$PICK]}; }
 
 note() { "$BIN/HistoryNote" "$RUN/history-operator.jsonl" operator "$@"; }
-control() { curl -s --max-time 5 "http://127.0.0.1:$1/control?$2" >/dev/null; }
+control() {
+  curl -s --max-time 5 "http://127.0.0.1:$1/control?$2" >/dev/null
+}
 say() { echo "$(date +%T) $*"; }
 
 # --- the system
@@ -85,7 +87,7 @@
 }
 
 start_chaos_engine() {
-  start_endpoint "$1" StandInEngine --slots 4 --token_us 5000 \
+  start_endpoint "$1" StandInEngine --slots 3 --token_us 5000 \
     --linger_ms 1500 --report_lag_ms 300 \
     --weights "http://127.0.0.1:${PORT[platform]}" "${@:2}"
 }
@@ -110,7 +112,7 @@
       [ "$name" = assistant-4 ] && checks=false
       echo "  - {name: $name, service: assistant," \
         "address: \"127.0.0.1:${PORT[relay-$name]}\"," \
-        "failure_domain: hall-a, slots: 4, checks_fencing: $checks}"
+        "failure_domain: hall-a, slots: 3, checks_fencing: $checks}"
     done
     for name in "${SERVICES[@]}"; do
       echo "  - {name: $name, service: booking," \
@@ -131,21 +133,37 @@
 
 # apply CHANGE FILE NODE : an operator applies a change and notes the answer.
 apply() {
-  local answer revision
-  if answer=$("$BIN/hemlockctl" --node "127.0.0.1:${PORT[$3]}" apply "$2" 2>&1)
-  then
-    revision=$(grep -o 'revision[^0-9]*[0-9]*' <<<"$answer" |
-      grep -o '[0-9]*$' | head -1)
+  local answer revision code
+  answer=$("$BIN/hemlockctl" --node "127.0.0.1:${PORT[$3]}" apply "$2" 2>&1)
+  code=$?
+  revision=$(grep -o 'revision[^0-9]*[0-9]*' <<<"$answer" |
+    grep -o '[0-9]*$' | head -1)
+  # 4 says: committed, but not yet in force everywhere.
+  if [ "$code" = 0 ] || [ "$code" = 4 ]; then
     note accepted "change=$1" "revision=$revision"
   else
-    note unaccepted "change=$1" "said=$(tr '\n"' '  ' <<<"$answer")"
+    note unaccepted "change=$1" "code=$code" "said=$(tr '\n"' '  ' <<<"$answer")"
   fi
 }
 
+# a_node : sets PICK to a node; in half of the cases to the one that took over
+# the engines' cell last, if it is still there.
+a_node() {
+  local any owner
+  one_of "${NODES[@]}"
+  any=$PICK
+  below 2
+  [ "$PICK" = 0 ] && { PICK=$any; return; }
+  owner=$(cd "$RUN" && grep -H ' own cell=assistant/0 ' "${NODES[@]/%/.log}" |
+    sed 's/^\([^:]*\)\.log:\([^ ]*\) .*/\2 \1/' | sort | tail -1)
+  PICK=${owner#* }
+  PICK=${PICK:-$any}
+}
+
 # --- faults; each ends what it began
 
 fault_kill() {
-  one_of "${NODES[@]}"
+  a_node
   local node=$PICK
   say "kill $node"
   note killed "node=$node" "to=127.0.0.1:${PORT[$node]}"
@@ -159,7 +177,7 @@
 }
 
 fault_pause() {
-  one_of "${NODES[@]}"
+  a_node
   local node=$PICK
   below 3
   local span=$((LEASE_S + 1 + PICK))
@@ -242,7 +260,7 @@
 }
 
 fault_rolling() {
-  one_of "${NODES[@]}"
+  a_node
   local node=$PICK
   say "replace $node"
   add_node
@@ -320,7 +338,7 @@
   local it
   for it in $(seq "$CALLERS"); do
     "$BIN/StandInCaller" --name "caller-$1-$it" --seed "$SEED$1$it" \
-      --requests $((REQUESTS / CALLERS)) --workers 8 --pause_ms 50 \
+      --requests $((REQUESTS / CALLERS)) --workers 8 --pause_ms 150 \
       --models "$MODELS" --services booking --nodes_file "$RUN/nodes" \
       --history "$RUN/history-caller-$1-$it.jsonl" \
       >"$RUN/caller-$1-$it.log" 2>&1 &
