Nodes know each other by probing and rumours; leases in the keeper's own rhythm

Cause: a node knew the others only from its scans of the lease rows, heard of a new revision only when it looked at the table, and of a change of hands only at its next renewal. Ruled out: rumours as proof of ownership; they only make the keeper look at the table at once. Change: MembershipLink over /member streams, revisions learned from peers and fetched from them, the directory chosen by place, lease rounds every 250 ms with renewals and scans at their own intervals, recovery that also asks the former owner, a node that stops if its name is taken. Conclusion: what a node learns no longer depends on how often it scans.

--- a/Hemlockglade/Protocol/Settings/NodeSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.cpp
@@ -26,6 +26,7 @@
   map.number("threads", out.Threads, ThreadRange);
   map.milliseconds("lease_ms", out.LeaseDuration, {100, 10 * MinuteMs});
   map.milliseconds("renew_ms", out.RenewInterval, {10, 10 * MinuteMs});
+  map.milliseconds("scan_ms", out.ScanInterval, {10, 10 * MinuteMs});
   map.milliseconds("lease_margin_ms", out.LeaseMargin, {0, MinuteMs});
   map.milliseconds("config_poll_ms", out.ConfigInterval, {10, MinuteMs});
   map.number("loads_per_second", out.LoadsPerSecond, {1, 100000});
--- a/Hemlockglade/Protocol/Settings/NodeSettings.h
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.h
@@ -29,6 +29,8 @@
   Span LeaseDuration = std::chrono::seconds(10);
   /// Time between renewals.
   Span RenewInterval = std::chrono::seconds(3);
+  /// Time between two looks at all lease rows.
+  Span ScanInterval = std::chrono::seconds(1);
   /// Allowance for clocks that drift.
   Span LeaseMargin = std::chrono::seconds(1);
   /// Time between two looks at the configuration's head.
--- a/Programs/hemlockgladed/CallerFront.cpp
+++ b/Programs/hemlockgladed/CallerFront.cpp
@@ -196,7 +196,10 @@
     return answer::error(reply, 404, "service_not_found", "no service " + name);
   if (key.empty())
     key = incoming.Remote;
-  auto addresses = Hooks.Addresses(cellOf(*service, key));
+  auto cell = cellOf(*service, key);
+  auto domain = queryValue(incoming.Query, "failure_domain");
+  auto region = queryValue(incoming.Query, "region");
+  auto addresses = Hooks.Addresses({incoming.Remote, domain, region, cell});
   auto ttl = std::chrono::duration<double>(Settings.DirectoryTtl).count();
   answer::json(reply, 200, {{"addresses", addresses}, {"ttl_s", ttl}});
 }
--- a/Programs/hemlockgladed/CallerFront.h
+++ b/Programs/hemlockgladed/CallerFront.h
@@ -9,8 +9,8 @@
 struct CallerFrontHooks {
   /// The configuration in force.
   std::function<std::shared_ptr<const CatalogView>()> InForce;
-  /// Addresses for callers of a cell, best first.
-  std::function<std::vector<std::string>(const std::string &cell)> Addresses;
+  /// Addresses for callers, best first; the query's owner is the cell's name.
+  std::function<std::vector<std::string>(const DirectoryQuery &)> Addresses;
   /// Starts an exchange.
   std::function<void(ExchangeRequest, std::shared_ptr<HttpReply>)> Begin;
 };
--- a/Programs/hemlockgladed/ConfigLink.cpp
+++ b/Programs/hemlockgladed/ConfigLink.cpp
@@ -1,5 +1,7 @@
 #include "ConfigLink.h"
 
+#include "PeerAsk.h"
+
 #include <easylogging++.h>
 
 namespace hemlockglade {
@@ -10,9 +12,9 @@
 
 } // namespace
 
-ConfigLink::ConfigLink(std::string self, PlatformClient &platform,
-                       const ConfigSettings &settings, ConfigLinkHooks hooks)
-    : Self(std::move(self)), Hooks(std::move(hooks)),
+ConfigLink::ConfigLink(PlatformClient &platform, const ConfigSettings &settings,
+                       ConfigLinkHooks hooks)
+    : Hooks(std::move(hooks)),
       Keeper(std::make_shared<ConfigKeeper>(settings, keeperHooks(platform))) {}
 
 ConfigHooks ConfigLink::keeperHooks(PlatformClient &platform) {
@@ -32,9 +34,13 @@
   hooks.DropObject = [&platform](std::string name) {
     platform.dropObject(name);
   };
-  hooks.AnyPeer = [this] { return anyPeer(); };
-  hooks.AskPeer = [this](std::string peer, ConfigFetch fetch, OnAnswer done) {
-    askPeer(peer, fetch, std::move(done));
+  hooks.AnyPeer = Hooks.AnyPeer;
+  hooks.AskPeer = [this](const std::string &address, const ConfigFetch &fetch,
+                         OnAnswer done) {
+    if (!Net)
+      return done(std::nullopt);
+    askPeer<ConfigAnswer>(*Net, address, peer_path::Config, fetch,
+                          std::move(done));
   };
   hooks.OnInForce = [this](std::shared_ptr<const CatalogView> view) {
     LOG(INFO) << "config revision=" << view->number() << " in-force";
@@ -43,56 +49,17 @@
   return hooks;
 }
 
-std::optional<std::string> ConfigLink::anyPeer() {
-  auto nodes = Hooks.Nodes();
-  std::erase_if(nodes,
-                [this](const NodeRecord &node) { return node.Name == Self; });
-  if (nodes.empty())
-    return std::nullopt;
-  return nodes[NextPeer++ % nodes.size()].Name;
-}
-
-void ConfigLink::askPeer(const std::string &peer, const ConfigFetch &fetch,
-                         OnAnswer done) {
-  std::string address;
-  for (const auto &node : Hooks.Nodes()) {
-    if (node.Name == peer)
-      address = node.PeerAddress;
-  }
-  if (address.empty() || !Net)
-    return done(std::nullopt);
-  auto shared = std::make_shared<OnAnswer>(std::move(done));
-  PeerHooks hooks;
-  hooks.OnMessage = [shared](std::string_view message) {
-    auto answer = unpack<ConfigAnswer>(message);
-    if (auto call = std::exchange(*shared, nullptr))
-      call(answer ? std::optional(std::move(*answer)) : std::nullopt);
-  };
-  hooks.OnClosed = [shared](bool) {
-    if (auto call = std::exchange(*shared, nullptr))
-      call(std::nullopt);
-  };
-  Net->open(address, std::string(peer_path::Config), pack(fetch),
-            std::move(hooks))
-      ->close();
-}
-
 void ConfigLink::serve(const std::shared_ptr<PeerStream> &stream) {
-  stream->OnMessage = [this,
-                       weak = std::weak_ptr(stream)](std::string_view message) {
-    auto open = weak.lock();
-    auto fetch = unpack<ConfigFetch>(message);
-    if (!open || !fetch)
-      return;
-    open->send(pack(Keeper->answer(*fetch)));
-    open->close();
-  };
+  answerPeer<ConfigFetch, ConfigAnswer>(
+      stream, [keeper = Keeper](const ConfigFetch &fetch, auto reply) {
+        reply(keeper->answer(fetch));
+      });
 }
 
 void ConfigLink::round() { Keeper->round(); }
 
-void ConfigLink::learn(Revision number, const std::string &node) {
-  Keeper->learn(number, node);
+void ConfigLink::learn(Revision number, const std::string &address) {
+  Keeper->learn(number, address);
 }
 
 void ConfigLink::propose(ConfigProposal proposal, ConfigCallback done) {
--- a/Programs/hemlockgladed/ConfigLink.h
+++ b/Programs/hemlockgladed/ConfigLink.h
@@ -8,8 +8,8 @@
 
 /// What the configuration's link needs of its node.
 struct ConfigLinkHooks {
-  /// Nodes that live, this one included.
-  std::function<std::vector<NodeRecord>()> Nodes;
+  /// Peer address of a live node, another one now and then; nothing if alone.
+  std::function<std::optional<std::string>()> AnyPeer;
   std::function<void(Span, std::function<void()>)> After;
   /// A higher revision is in force.
   std::function<void(const CatalogView &)> OnInForce;
@@ -18,17 +18,16 @@
 /// Connects the configuration's keeper to the platform and to other nodes.
 class ConfigLink {
 public:
-  /// `self` is this node's name.
-  ConfigLink(std::string self, PlatformClient &platform,
-             const ConfigSettings &settings, ConfigLinkHooks hooks);
+  ConfigLink(PlatformClient &platform, const ConfigSettings &settings,
+             ConfigLinkHooks hooks);
 
   /// Gives the network, once there is one.
   void attach(PeerNet &net) { Net = &net; }
 
   /// To be called about once a second.
   void round();
-  /// Another node said that this revision exists.
-  void learn(Revision number, const std::string &node);
+  /// The node at that peer address has this revision in force.
+  void learn(Revision number, const std::string &address);
   /// Takes changes to the table; see ConfigKeeper.
   void propose(ConfigProposal proposal, ConfigCallback done);
   /// Answers another node's stream.
@@ -43,15 +42,10 @@
 
 private:
   ConfigHooks keeperHooks(PlatformClient &platform);
-  std::optional<std::string> anyPeer();
-  void askPeer(const std::string &peer, const ConfigFetch &fetch,
-               std::function<void(std::optional<ConfigAnswer>)> done);
 
-  std::string Self;
   ConfigLinkHooks Hooks;
   PeerNet *Net = nullptr;
   std::shared_ptr<ConfigKeeper> Keeper;
-  std::atomic<std::size_t> NextPeer{0};
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Span TickInterval = std::chrono::milliseconds(50);
+constexpr Span LeaseInterval = std::chrono::milliseconds(250);
 constexpr Span RecoveryInterval = std::chrono::milliseconds(250);
 constexpr Span CleanUpInterval = std::chrono::seconds(10);
 constexpr Span MetricsInterval = std::chrono::seconds(1);
@@ -50,7 +51,8 @@
       Incarnation(newIncarnation()), Timers(context), Metrics(Registry),
       Client(context), ControlClient(context), Engines(ControlClient),
       Platform(ControlClient, Settings.PlatformUrl),
-      Config(Settings.Name, Platform, configSettings(Settings), configHooks()),
+      Config(Platform, configSettings(Settings), configHooks()),
+      Members(MembershipSettings{}, memberHooks()),
       Cells(Settings.Name, recoverySettings(Settings), Engines, cellHooks()),
       Asker([this](const std::string &cell) { return Cells.find(cell); },
             [this](const std::string &cell) { return Leases->ownerOf(cell); }),
@@ -84,7 +86,7 @@
 
 ConfigLinkHooks Node::configHooks() {
   ConfigLinkHooks hooks;
-  hooks.Nodes = [this] { return Leases->nodes(); };
+  hooks.AnyPeer = [this] { return Members.anyPeer(); };
   hooks.After = after();
   hooks.OnInForce = [this](const CatalogView &view) {
     Cells.configure(view);
@@ -93,11 +95,36 @@
   return hooks;
 }
 
+MembershipLinkHooks Node::memberHooks() {
+  MembershipLinkHooks hooks;
+  hooks.After = after();
+  hooks.Seeds = [this] {
+    std::vector<std::string> seeds;
+    for (const auto &node : Leases->nodes()) {
+      if (node.Name != Settings.Name)
+        seeds.push_back(node.PeerAddress);
+    }
+    return seeds;
+  };
+  hooks.InForce = [this] { return Config.inForce()->number(); };
+  hooks.OnRevision = [this](Revision number, const std::string &address) {
+    Config.learn(number, address);
+  };
+  // A change of hands is looked at in the table at once.
+  hooks.OnCell = [this](const CellOwner &cell) {
+    auto known = Leases->cells();
+    auto it = known.find(cell.Cell);
+    if (it == known.end() || it->second.Owner != cell.Owner)
+      Leases->round(cellNames());
+  };
+  return hooks;
+}
+
 CallerFrontHooks Node::callerHooks() {
   CallerFrontHooks hooks;
   hooks.InForce = [this] { return Config.inForce(); };
-  hooks.Addresses = [this](const std::string &cell) {
-    return addressesFor(cell);
+  hooks.Addresses = [this](const DirectoryQuery &query) {
+    return addressesFor(query);
   };
   hooks.Begin = [this](ExchangeRequest request,
                        std::shared_ptr<HttpReply> reply) {
@@ -159,9 +186,21 @@
   LeaseHooks hooks;
   hooks.Now = &TimerService::now;
   hooks.OnOwned = [this](const std::string &cell, Epoch fence) {
-    Cells.own(cell, fence);
+    auto known = Leases->cells();
+    const auto &record = known[cell];
+    std::optional<RecoveryNode> former;
+    if (!record.FormerOwner.empty())
+      former = {record.FormerOwner, record.FormerIncarnation};
+    Cells.own(cell, fence, former);
+    Members->tellCell({cell, Settings.Name, fence});
+  };
+  hooks.OnLost = [this](const std::string &cell) {
+    Cells.lose(cell);
+    auto known = Leases->cells();
+    auto it = known.find(cell);
+    if (it != known.end() && it->second.Owner.empty())
+      Members->tellCell({cell, "", it->second.Fence});
   };
-  hooks.OnLost = [this](const std::string &cell) { Cells.lose(cell); };
   return hooks;
 }
 
@@ -183,9 +222,15 @@
                   Settings.FailureDomain,
                   false,
                   false};
+  LeaseSettings lease;
+  lease.Duration = Settings.LeaseDuration;
+  lease.Margin = Settings.LeaseMargin;
+  lease.RenewInterval = Settings.RenewInterval;
+  lease.ScanInterval = Settings.ScanInterval;
+  lease.SettleTime = 2 * Settings.ScanInterval;
   Leases = std::make_shared<LeaseKeeper>(
-      LeaseSettings{Settings.LeaseDuration, Settings.LeaseMargin}, self,
-      Metrics.timed(Platform.table()), leaseHooks());
+      lease, self, Metrics.timed(Platform.table()), leaseHooks());
+  Members.start(*Peers, memberRecord(), std::hash<std::string>{}(Incarnation));
   subscribe();
   Leases->round({});
   Config.round();
@@ -214,7 +259,8 @@
 }
 
 void Node::subscribe() {
-  every(Settings.RenewInterval, [this] { Leases->round(cellNames()); });
+  every(LeaseInterval, [this] { leaseRound(); });
+  every(MembershipSettings{}.Round, [this] { Members.round(); });
   every(Settings.ConfigInterval, [this] { Config.round(); });
   every(Settings.ConfigInterval, [this] { lookAtHosts(); });
   every(Settings.ReportInterval, [this] { Cells.askReports(); });
@@ -256,6 +302,8 @@
     Cells.serveRecovery(stream);
   else if (path == peer_path::Config)
     Config.serve(stream);
+  else if (path == peer_path::Member)
+    Members.serve(stream);
   else
     stream->close();
 }
@@ -270,16 +318,31 @@
   Metrics.onEnd(end);
 }
 
-std::vector<std::string> Node::addressesFor(const std::string &cell) const {
-  std::vector<std::string> addresses;
-  auto owner = Leases->ownerOf(cell);
-  if (owner && !owner->Leaving)
-    addresses.push_back(owner->CallerAddress);
-  for (const auto &node : Leases->nodes()) {
-    if (!node.Leaving && !(owner && node.Name == owner->Name))
-      addresses.push_back(node.CallerAddress);
+MemberRecord Node::memberRecord() const {
+  MemberRecord self;
+  self.Name = Settings.Name;
+  self.Incarnation = static_cast<std::uint64_t>(wallMs());
+  self.CallerAddress = Settings.Address + ':' + std::to_string(Http->port());
+  self.PeerAddress = Settings.Address + ':' + std::to_string(Peers->port());
+  self.FailureDomain = Settings.FailureDomain;
+  self.Region = Settings.Region;
+  return self;
+}
+
+std::vector<std::string> Node::addressesFor(const DirectoryQuery &query) const {
+  DirectoryQuery asked = query;
+  auto owner = Leases->ownerOf(std::string(query.Owner));
+  asked.Owner = owner ? std::string_view(owner->Name) : std::string_view();
+  return chooseAddresses(DirectorySettings{}, asked, Members->members())
+      .Addresses;
+}
+
+void Node::leaseRound() {
+  if (Leases->superseded()) {
+    LOG(ERROR) << "another process has taken the name " << Settings.Name;
+    return Stopped();
   }
-  return addresses;
+  Leases->round(cellNames());
 }
 
 std::vector<std::string> Node::cellNames() const {
@@ -322,6 +385,7 @@
   if (Leaving.exchange(true))
     return;
   LOG(INFO) << "stop node=" << Settings.Name;
+  Members->leave();
   Leases->release([this] {
     // Callers may keep our address for the time to live.
     auto until = TimerService::now() + Settings.StopBound;
@@ -339,6 +403,7 @@
   }
   if (unfinished)
     LOG(WARNING) << "stop cuts unfinished=" << unfinished;
+  Members->depart();
   Leases->retire([this] {
     if (Stopped)
       Stopped();
--- a/Programs/hemlockgladed/Node.h
+++ b/Programs/hemlockgladed/Node.h
@@ -2,6 +2,7 @@
 
 #include "AdminFront.h"
 #include "CallerFront.h"
+#include "MembershipLink.h"
 #include "NodeMetrics.h"
 
 #include <asio/post.hpp>
@@ -39,6 +40,7 @@
 
   OwnedCellsHooks cellHooks();
   ConfigLinkHooks configHooks();
+  MembershipLinkHooks memberHooks();
   CallerFrontHooks callerHooks();
   AdminFrontHooks adminHooks();
   std::shared_ptr<const ExchangeHooks> exchangeHooks();
@@ -46,9 +48,11 @@
   std::shared_ptr<ClaimBook> newClaimBook();
   std::function<void(Span, std::function<void()>)> after();
 
-  std::vector<std::string> addressesFor(const std::string &cell) const;
+  std::vector<std::string> addressesFor(const DirectoryQuery &query) const;
+  MemberRecord memberRecord() const;
   std::vector<std::string> cellNames() const;
   void onExchangeEnd(const ExchangeEnd &end);
+  void leaseRound();
   void lookAtHosts();
   void cleanUpClaims();
   void refreshMetrics();
@@ -66,6 +70,7 @@
   PlatformClient Platform;
   std::shared_ptr<LeaseKeeper> Leases;
   ConfigLink Config;
+  MembershipLink Members;
   OwnedCells Cells;
   Admission Asker;
   CallerFront Callers;
--- a/Programs/hemlockgladed/OwnedCells.cpp
+++ b/Programs/hemlockgladed/OwnedCells.cpp
@@ -57,7 +57,8 @@
   return nodes;
 }
 
-void OwnedCells::own(const std::string &cell, Epoch fence) {
+void OwnedCells::own(const std::string &cell, Epoch fence,
+                     const std::optional<RecoveryNode> &former) {
   LOG(INFO) << "own cell=" << cell << " epoch=" << fence;
   CellRunnerHooks hooks;
   hooks.Holds = [this, cell] { return Hooks.Holds(cell); };
@@ -74,7 +75,10 @@
   }
   runner->setLeaving(leaving);
   auto now = TimerService::now();
-  Keeper.begin(cell, fence, recentNodes(now), allCheckFencing(cell), now);
+  auto nodes = recentNodes(now);
+  if (former)
+    nodes.push_back(*former);
+  Keeper.begin(cell, fence, nodes, allCheckFencing(cell), now);
   runner->tick();
   runner->askReports();
 }
--- a/Programs/hemlockgladed/OwnedCells.h
+++ b/Programs/hemlockgladed/OwnedCells.h
@@ -30,8 +30,9 @@
   /// Gives the network, once there is one.
   void attach(PeerNet &net);
 
-  /// The cell is ours under this epoch.
-  void own(const std::string &cell, Epoch fence);
+  /// The cell is ours under this epoch; `former` owned it before.
+  void own(const std::string &cell, Epoch fence,
+           const std::optional<RecoveryNode> &former);
   /// The cell isn't ours any more.
   void lose(const std::string &cell);
   /// A new configuration is in force.
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -29,6 +29,7 @@
 platform_url: http://127.0.0.1:${PORT[platform]}
 lease_ms: ${LEASE_MS:-3000}
 renew_ms: ${RENEW_MS:-500}
+scan_ms: ${SCAN_MS:-200}
 lease_margin_ms: ${MARGIN_MS:-500}
 config_poll_ms: 200
 directory_ttl_ms: 1000
