An overdue load lets one more start beside it

Ruled out: a shorter timeout (a slow store would have its loads ordered again). Change: a load over three mean times and 1 s gives its turn to one other; an eviction without an answer for 500 ms is not counted on for room.

--- a/Hemlockglade/Coordination/Decision/CellState.cpp
+++ b/Hemlockglade/Coordination/Decision/CellState.cpp
@@ -155,7 +155,7 @@
     return std::nullopt;
   OpenOrder open = *it;
   Orders.erase(it);
-  if (open.IsLoad)
+  if (open.IsLoad && !open.Overdue)
     Turn.dropped();
   return open;
 }
--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -51,6 +51,12 @@
   /// `LoadTimes` times the mean time of a load if that is more.
   Span OrderTimeout = std::chrono::seconds(3);
   int LoadTimes = 8;
+  /// A load that takes this many times the mean, and at least `Overdue`, lets
+  /// one more start beside it, in case it was lost.
+  int OverdueTimes = 3;
+  Span Overdue = std::chrono::milliseconds(1000);
+  /// An eviction without an answer for longer is not counted on.
+  Span EvictionDue = std::chrono::milliseconds(500);
 };
 
 /// How far work is drawn together on fewer replicas.
@@ -106,6 +112,8 @@
   std::uint64_t Order = 0;
   Instant GivenAt{};
   bool IsLoad = false;
+  /// Whether it gave its turn back because it is overdue.
+  bool Overdue = false;
 };
 
 /// What the parts of one core share: the books, the queues, and the event
--- a/Hemlockglade/Coordination/Decision/OrderPlanner.cpp
+++ b/Hemlockglade/Coordination/Decision/OrderPlanner.cpp
@@ -106,7 +106,8 @@
     return;
   std::size_t leaving = 0;
   for (const auto &it : State.Orders)
-    leaving += it.IsLoad ? 0 : 1;
+    leaving += !it.IsLoad &&
+               State.Now - it.GivenAt < State.Settings.Placement.EvictionDue;
   std::size_t have = State.freeSlots() + leaving;
   auto parallel = State.Turn.parallel();
   auto free = parallel - std::min(parallel, State.Turn.running());
--- a/Hemlockglade/Coordination/Decision/ResidencyTracker.cpp
+++ b/Hemlockglade/Coordination/Decision/ResidencyTracker.cpp
@@ -292,6 +292,7 @@
     OpenOrder open = State.Orders[it];
     Span timeout = open.IsLoad ? loadTimeout : settings.OrderTimeout;
     if (State.Now - open.GivenAt < timeout) {
+      markOverdue(State.Orders[it]);
       ++it;
       continue;
     }
@@ -303,6 +304,18 @@
   }
 }
 
+void ResidencyTracker::markOverdue(OpenOrder &open) {
+  const auto &settings = State.Settings.Placement;
+  Span due =
+      std::max(settings.Overdue, State.Turn.expected() * settings.OverdueTimes);
+  auto overdue = [](const OpenOrder &it) { return it.Overdue; };
+  bool first = std::none_of(State.Orders.begin(), State.Orders.end(), overdue);
+  if (!open.IsLoad || !first || State.Now - open.GivenAt < due)
+    return;
+  open.Overdue = true;
+  State.Turn.dropped();
+}
+
 void ResidencyTracker::forgetAll() {
   for (auto &replica : State.Book.all()) {
     if (!replica.Present)
--- a/Hemlockglade/Coordination/Decision/ResidencyTracker.h
+++ b/Hemlockglade/Coordination/Decision/ResidencyTracker.h
@@ -40,6 +40,8 @@
   /// Whether the report shows that the resident's open order was carried out.
   static bool answersOrder(const Resident &resident, const ReplicaReport &event,
                            bool reported);
+  /// Gives the turn of a load that takes too long to another.
+  void markOverdue(OpenOrder &open);
   void takeAnswer(Replica &replica, Resident &resident);
   void addReported(Replica &replica, const ReplicaReport &event);
 
--- a/UnitTests/Coordination/Decision/OrderPlannerTest.cpp
+++ b/UnitTests/Coordination/Decision/OrderPlannerTest.cpp
@@ -268,3 +268,21 @@
   // Demand goes before it.
   CHECK(core.arrive(1, 9) == "cancel 7@1, load 9@1");
 }
+
+TEST_CASE("a lost answer or order does not hold the others up", "[orders]") {
+  CoreProbe core;
+  core.replicas(1, 2, 8);
+  core.arrive(1, 1);
+  core.arrive(2, 2);
+  SECTION("the next load starts beside one that is overdue, once") {
+    CHECK(core.pass(1100ms).empty());
+    CHECK(core.pass(200ms) == "load 2@1");
+    core.arrive(3, 3);
+    CHECK(core.pass(1500ms).empty());
+  }
+  SECTION("a report from after the order stands for its answer") {
+    core.Now += 300ms;
+    CHECK(core.report(1, 1, {{1, 0}}, 400ms).empty());
+    CHECK(core.report(1, 1, {{1, 0}}) == "admit 1@1, load 2@1");
+  }
+}
