--- a/Hemlockglade/Coordination/Decision/CellState.cpp
+++ b/Hemlockglade/Coordination/Decision/CellState.cpp
@@ -50,7 +50,7 @@
 std::size_t CellState::freeSlots() {
   std::size_t n = 0;
   for (const auto &it : Book.all()) {
-    if (it.Present && !it.Draining && it.hasFreeSlot())
+    if (Chooser.works(it) && it.NoLoadBefore <= Now && it.hasFreeSlot())
       n += it.Properties.Slots - it.Adapters.size();
   }
   return n;
--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -155,7 +155,7 @@
   /// Replicas that serve the adapter.
   std::uint32_t servers(const ActiveAdapter &active);
   bool isLoading(const ActiveAdapter &active);
-  /// Free slots on replicas that may get work.
+  /// Free slots on replicas that may get loads now.
   std::size_t freeSlots();
 
   /// Changes the state of a resident and all that depends on it.
--- a/Hemlockglade/Coordination/Decision/ReplicaChooser.cpp
+++ b/Hemlockglade/Coordination/Decision/ReplicaChooser.cpp
@@ -18,11 +18,14 @@
     : Settings(settings), Objective(objective), Book(book),
       Prefixes(settings.Prefixes) {}
 
+bool ReplicaChooser::works(const Replica &replica) const {
+  return replica.Present && !replica.Draining && !replica.Resting &&
+         replica.Silent < Settings.SilentDown;
+}
+
 bool ReplicaChooser::serves(const Replica &replica,
                             const ActiveAdapter &active) const {
-  return replica.Present && !replica.Draining && !replica.Resting &&
-         replica.Silent < Settings.SilentDown &&
-         active.allows(replica.Properties.Domain);
+  return works(replica) && active.allows(replica.Properties.Domain);
 }
 
 Replica *ReplicaChooser::choose(const RequestArrived &request,
--- a/Hemlockglade/Coordination/Decision/ReplicaChooser.h
+++ b/Hemlockglade/Coordination/Decision/ReplicaChooser.h
@@ -38,7 +38,9 @@
   ReplicaChooser(const RoutingSettings &settings, double objective,
                  ReplicaBook &book);
 
-  /// Whether the replica may get new work, apart from room in its batch.
+  /// Whether the replica may get new work at all.
+  bool works(const Replica &replica) const;
+  /// Whether it may get the adapter's, apart from room in its batch.
   bool serves(const Replica &replica, const ActiveAdapter &active) const;
   /// The best replica with room that has the adapter loaded; null if none.
   Replica *choose(const RequestArrived &request, const ActiveAdapter &active,
--- a/UnitTests/Coordination/Decision/OrderPlannerTest.cpp
+++ b/UnitTests/Coordination/Decision/OrderPlannerTest.cpp
@@ -286,3 +286,15 @@
     CHECK(core.report(1, 1, {{1, 0}}) == "admit 1@1, load 2@1");
   }
 }
+
+TEST_CASE("a free slot that can't be used is no room", "[orders]") {
+  CoreProbe core;
+  core.replicas(2, 1, 8);
+  core.place(7, 1);
+  SECTION("the replica is down") {
+    for (int it = 0; it < 4; ++it)
+      core.send(ReplicaSilent{2});
+  }
+  SECTION("it drains") { core.send(ReplicaDraining{2}); }
+  CHECK(core.arrive(1, 8) == "evict 7@1");
+}
