--- a/Hemlockglade/Coordination/Decision/DemandEstimate.h
+++ b/Hemlockglade/Coordination/Decision/DemandEstimate.h
@@ -15,8 +15,8 @@
   double ShortShare = 1.5;
   /// What is assumed of an adapter before anything is known: so many requests
   /// within so much time.
-  double PriorCount = 0.05;
-  Span PriorTime = std::chrono::seconds(400);
+  double PriorCount = 0.15;
+  Span PriorTime = std::chrono::seconds(250);
   /// Odds that the demand for an adapter has just ended.
   double EndOdds = 0.1;
 };
