--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -47,8 +47,16 @@
   /// Wait after an adapter's first failed load; doubles up to the longest.
   Span FirstBackoff = std::chrono::milliseconds(500);
   Span LongestBackoff = std::chrono::seconds(60);
-  /// An order without an answer for this long counts as unknown.
-  Span OrderTimeout = std::chrono::seconds(60);
+  /// An order without an answer for this long counts as unknown; a load gets
+  /// `LoadTimes` times the mean time of a load if that is more.
+  Span OrderTimeout = std::chrono::seconds(3);
+  int LoadTimes = 8;
+  /// A load that takes this many times the mean, and at least `Overdue`, lets
+  /// one more start beside it, in case it was lost.
+  int OverdueTimes = 3;
+  Span Overdue = std::chrono::milliseconds(1000);
+  /// An eviction without an answer for longer is not counted on.
+  Span EvictionDue = std::chrono::milliseconds(500);
 };
 
 /// How far work is drawn together on fewer replicas.
@@ -104,6 +112,8 @@
   std::uint64_t Order = 0;
   Instant GivenAt{};
   bool IsLoad = false;
+  /// Whether it gave its turn back because it is overdue.
+  bool Overdue = false;
 };
 
 /// What the parts of one core share: the books, the queues, and the event
@@ -145,7 +155,7 @@
   /// Replicas that serve the adapter.
   std::uint32_t servers(const ActiveAdapter &active);
   bool isLoading(const ActiveAdapter &active);
-  /// Free slots on replicas that may get work.
+  /// Free slots on replicas that may get loads now.
   std::size_t freeSlots();
 
   /// Changes the state of a resident and all that depends on it.
