--- a/Bench/Path/LeanEngine.cpp
+++ b/Bench/Path/LeanEngine.cpp
@@ -53,6 +53,7 @@
     if (Gone)
       return false;
     if (Next == Tokens) {
+      end();
       send(chunk("data: [DONE]\n\n") + "0\r\n\r\n");
       return false;
     }
@@ -68,7 +69,14 @@
   std::size_t interval() const { return Interval; }
 
 private:
+  void end() {
+    auto it = Engine.Resident.find(Model);
+    if (std::exchange(Runs, false) && it != Engine.Resident.end())
+      --it->second;
+  }
+
   void shut() {
+    end();
     Gone = true;
     asio::error_code ec;
     Socket.close(ec);
@@ -90,10 +98,20 @@
     if (line.starts_with("GET /load")) {
       EngineReport report;
       report.Incarnation = "lean";
+      for (const auto &[adapter, running] : Engine.Resident) {
+        report.Resident.emplace_back(adapter, running);
+        report.Running += running;
+      }
       return send(wholeAnswer(engine_format::reportBody(report)));
     }
-    if (line.find("lora_adapter") != std::string::npos)
+    if (line.find("lora_adapter") != std::string::npos) {
+      auto adapter = engine_format::readOrder(body).value_or("");
+      if (line.find("unload") != std::string::npos)
+        Engine.Resident.erase(adapter);
+      else
+        Engine.Resident.try_emplace(adapter);
       return send(wholeAnswer("{}"));
+    }
     begin(body);
   }
 
@@ -104,6 +122,8 @@
     Interval = node.value("interval_us", std::size_t{TickUs}) / TickUs;
     Interval = std::clamp<std::size_t>(Interval, 1, WheelSlots - 1);
     Next = 0;
+    ++Engine.Resident[Model];
+    Runs = true;
     send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
          "Transfer-Encoding: chunked\r\n\r\n");
     if (step())
@@ -144,6 +164,7 @@
   std::size_t Tokens = 0;
   std::size_t Interval = 1;
   bool Gone = false;
+  bool Runs = false;
 };
 
 LeanEngine::LeanEngine(asio::io_context &context)
--- a/Bench/Path/LeanEngine.h
+++ b/Bench/Path/LeanEngine.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -34,6 +35,8 @@
   asio::ip::tcp::acceptor Acceptor;
   asio::steady_timer Timer;
   std::size_t Tick = 0;
+  /// Adapters that were loaded, and requests running on each.
+  std::map<std::string, std::uint32_t> Resident;
   std::vector<std::vector<std::shared_ptr<Session>>> Wheel;
 };
 
--- a/Bench/Path/LoadClient.cpp
+++ b/Bench/Path/LoadClient.cpp
@@ -12,6 +12,10 @@
 
 using Clock = std::chrono::steady_clock;
 
+/// Loopback addresses that connections come from, in turn.
+constexpr std::uint32_t FirstCaller = 0x7f000002;
+constexpr std::uint32_t Callers = 32;
+
 std::int64_t nowNs() { return Clock::now().time_since_epoch().count(); }
 
 /// The number after `mark`, or -1.
@@ -44,6 +48,10 @@
     Busy = true;
     if (Socket.is_open())
       return write();
+    // A node bounds the streams of one caller, which it knows by address.
+    asio::ip::address_v4 own(FirstCaller + Client.Connections++ % Callers);
+    Socket.open(asio::ip::tcp::v4());
+    Socket.bind({own, 0});
     Socket.async_connect(Client.Target.Address,
                          [self = shared_from_this()](asio::error_code ec) {
                            if (ec)
@@ -145,7 +153,7 @@
 void LoadClient::run(std::size_t count, std::chrono::nanoseconds gap,
                      std::chrono::nanoseconds phase) {
   Left = count;
-  Open = count;
+  Open += count;
   Gap = gap;
   Timer.expires_after(phase);
   sendNext();
--- a/Bench/Path/LoadClient.h
+++ b/Bench/Path/LoadClient.h
@@ -58,6 +58,7 @@
   asio::steady_timer Timer;
   std::size_t Left = 0;
   std::size_t Open = 0;
+  std::uint32_t Connections = 0;
   std::size_t Turn = 0;
   std::chrono::nanoseconds Gap{};
   std::vector<std::shared_ptr<Connection>> Idle;
--- a/Bench/Path/LoadRun.cpp
+++ b/Bench/Path/LoadRun.cpp
@@ -11,6 +11,7 @@
 
 std::vector<double> processorOf(const std::vector<pid_t> &watched) {
   std::vector<double> out;
+  out.reserve(watched.size());
   for (auto pid : watched)
     out.push_back(readUsage(pid).Processor);
   return out;
--- a/Bench/Path/path_benchMain.cpp
+++ b/Bench/Path/path_benchMain.cpp
@@ -15,6 +15,7 @@
 #include <gflags/gflags.h>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -32,6 +33,12 @@
 DEFINE_int32(tokens, 277, "events of an answer");
 DEFINE_int32(interval_us, 20000, "time between two events");
 DEFINE_int32(window_ms, 5000, "how long to measure at each rate");
+DEFINE_string(memory_sizes, "",
+              "numbers of requests and connections for the memory table");
+DEFINE_string(memory_what, "running",
+              "what the memory table holds: idle, running or waiting; nodes "
+              "that have held nothing else give the truest figures");
+DEFINE_string(waiting_model, "", "adapter of a replica that runs one request");
 DEFINE_int32(threads, 2, "threads of the load program");
 
 namespace {
@@ -151,6 +158,96 @@
   return failed;
 }
 
+/// Runs the context until `done` holds, within a bound.
+bool runUntil(asio::io_context &context, const std::function<bool()> &done) {
+  constexpr auto Bound = std::chrono::seconds(10);
+  auto until = std::chrono::steady_clock::now() + Bound;
+  while (!done() && std::chrono::steady_clock::now() < until) {
+    context.restart();
+    context.run_one_until(until);
+  }
+  return done();
+}
+
+/// One row: what the nodes hold for each of `count` things.
+void memoryRow(const std::string &what, std::size_t count,
+               const std::vector<pid_t> &pids,
+               const std::vector<std::size_t> &before) {
+  std::cout << "| " << what << " | " << count;
+  for (std::size_t it = 0; it < pids.size(); ++it) {
+    auto now = readUsage(pids[it]).Resident;
+    auto grown = static_cast<double>(now) - static_cast<double>(before[it]);
+    std::cout << " | " << now / 1024 << " | "
+              << grown / static_cast<double>(count);
+  }
+  std::cout << " |" << std::endl;
+}
+
+std::vector<std::size_t> residentOf(const std::vector<pid_t> &pids) {
+  std::vector<std::size_t> out;
+  out.reserve(pids.size());
+  for (auto pid : pids)
+    out.push_back(readUsage(pid).Resident);
+  return out;
+}
+
+/// Opens connections through the entry and leaves them idle.
+bool idleConnections(const std::vector<pid_t> &pids) {
+  asio::io_context context(1);
+  std::vector<asio::ip::tcp::socket> sockets;
+  auto before = residentOf(pids);
+  for (const auto &size : split(FLAGS_memory_sizes)) {
+    while (sockets.size() < std::stoul(size)) {
+      sockets.emplace_back(context);
+      sockets.back().connect(parseEndpoint(FLAGS_entry));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    memoryRow("idle connection", sockets.size(), pids, before);
+  }
+  return true;
+}
+
+/// Adds requests through the entry that run, or wait if `waits`, until the
+/// numbers are reached; they are given up at the end.
+bool heldRequests(const std::vector<pid_t> &pids, const LoadTarget &to,
+                  bool waits) {
+  asio::io_context context(1);
+  std::atomic<std::uint64_t> seen{0};
+  LoadClient client(context, to, seen);
+  auto before = residentOf(pids);
+  std::size_t sent = 0;
+  bool held = true;
+  for (const auto &size : split(FLAGS_memory_sizes)) {
+    auto count = std::stoul(size);
+    client.run(count - sent, std::chrono::milliseconds(2), {});
+    sent = count;
+    auto end = std::chrono::steady_clock::now() +
+               std::chrono::milliseconds(1000 + 2 * static_cast<int>(count));
+    held = held && runUntil(context, [&] {
+             return waits ? std::chrono::steady_clock::now() > end
+                          : seen.load() >= count;
+           });
+    memoryRow(waits ? "waiting request" : "running request", count, pids,
+              before);
+  }
+  std::cout << "\nfailed: " << client.Result.Failed
+            << ", events: " << seen.load() << std::endl;
+  return held && client.Result.Failed == 0;
+}
+
+bool memoryTable(const std::vector<pid_t> &pids) {
+  constexpr int HoldUs = 60000000;
+  FLAGS_interval_us = HoldUs;
+  std::cout << "\n| what | number | owner KiB | owner bytes each | entry KiB | "
+               "entry bytes each |\n|---|---|---|---|---|---|\n";
+  if (FLAGS_memory_what == "idle")
+    return idleConnections(pids);
+  bool waits = FLAGS_memory_what == "waiting";
+  if (waits)
+    FLAGS_models = FLAGS_waiting_model;
+  return heldRequests(pids, target("", FLAGS_entry, 2), waits);
+}
+
 int runEngine() {
   asio::io_context context(1);
   LeanEngine engine(context);
@@ -161,10 +258,7 @@
   return 0;
 }
 
-} // namespace
-
-int main(int argc, char **argv) {
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+int run() {
   if (FLAGS_engine)
     return runEngine();
   std::vector<pid_t> pids;
@@ -175,7 +269,26 @@
     return 2;
   }
   std::cout.precision(4);
-  auto failed = latencyTable(pids);
-  failed += processorTable(pids);
+  std::uint64_t failed = 0;
+  if (!FLAGS_latency_rates.empty())
+    failed += latencyTable(pids);
+  if (!FLAGS_rates.empty())
+    failed += processorTable(pids);
+  if (!FLAGS_memory_sizes.empty() && !memoryTable(pids)) {
+    std::cerr << "path_bench: not all requests were held\n";
+    ++failed;
+  }
   return failed ? 1 : 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  try {
+    return run();
+  } catch (const std::exception &error) {
+    std::cerr << "path_bench: " << error.what() << '\n';
+    return 1;
+  }
+}
--- a/Hemlockglade/Transport/Http/HttpServer.h
+++ b/Hemlockglade/Transport/Http/HttpServer.h
@@ -66,13 +66,13 @@
   std::size_t MaxConnections = 20000;
   /// Bytes of one header field's value; more is refused with 431. Beyond twice
   /// as much the connection is closed without an answer.
-  std::size_t MaxFieldBytes = 16 * 1024;
+  std::size_t MaxFieldBytes = std::size_t{16} * 1024;
   /// Header fields; more are refused with 431, and beyond twice as many the
   /// connection is closed without an answer.
   std::size_t MaxFields = 100;
   /// Bytes of a body; more is refused with 413. Beyond twice as much the
   /// connection is closed without an answer, before the body is read.
-  std::size_t MaxBodyBytes = 4 * 1024 * 1024;
+  std::size_t MaxBodyBytes = std::size_t{4} * 1024 * 1024;
 };
 
 /// An HTTP/1.1 server on the given context, by RESTinio.
