--- a/Hemlockglade/Transport/Endpoint/EngineClient.cpp
+++ b/Hemlockglade/Transport/Endpoint/EngineClient.cpp
@@ -60,14 +60,14 @@
   HttpRequest request;
   request.Url = "http://" + address + "/load";
   request.Timeout = ReportTimeout;
-  Client.fetch(
-      std::move(request),
-      [done = std::move(done)](const HttpResult &result, std::string body) {
-        auto report = engine_format::readReport(body);
-        if (!result.Whole || result.Status != Ok || !report)
-          return done(std::nullopt);
-        done(std::move(*report));
-      });
+  Client.fetch(std::move(request),
+               [done = std::move(done)](const HttpResult &result,
+                                        const std::string &body) {
+                 auto report = engine_format::readReport(body);
+                 if (!result.Whole || result.Status != Ok || !report)
+                   return done(std::nullopt);
+                 done(std::move(*report));
+               });
 }
 
 void EngineClient::cancel(HttpClient::Ticket ticket) { Client.cancel(ticket); }
--- a/Hemlockglade/Transport/Platform/PlatformClient.cpp
+++ b/Hemlockglade/Transport/Platform/PlatformClient.cpp
@@ -29,57 +29,57 @@
 
 TableHooks PlatformClient::table() {
   TableHooks hooks;
-  hooks.Get = [this](std::string key,
+  hooks.Get = [this](const std::string &key,
                      TableCallback<std::optional<TableRow>> done) {
     auto url = Url + "/table/row?key=" + urlEncode(key);
-    Client.fetch(
-        request("GET", url, ""),
-        [done = std::move(done)](const HttpResult &result, std::string body) {
-          if (result.Whole && result.Status == NotFound)
-            return done(std::optional<TableRow>());
-          auto row = platform_format::readRow(body);
-          if (!result.Whole || result.Status != Ok || !row)
-            return done(tl::unexpected(failure(result)));
-          done(std::optional<TableRow>(std::move(*row)));
-        });
+    Client.fetch(request("GET", url, ""),
+                 [done = std::move(done)](const HttpResult &result,
+                                          const std::string &body) {
+                   if (result.Whole && result.Status == NotFound)
+                     return done(std::optional<TableRow>());
+                   auto row = platform_format::readRow(body);
+                   if (!result.Whole || result.Status != Ok || !row)
+                     return done(tl::unexpected(failure(result)));
+                   done(std::optional<TableRow>(std::move(*row)));
+                 });
   };
-  hooks.Scan = [this](std::string prefix,
+  hooks.Scan = [this](const std::string &prefix,
                       TableCallback<std::vector<TableRow>> done) {
     auto url = Url + "/table/scan?prefix=" + urlEncode(prefix);
-    Client.fetch(
-        request("GET", url, ""),
-        [done = std::move(done)](const HttpResult &result, std::string body) {
-          auto rows = platform_format::readRows(body);
-          if (!result.Whole || result.Status != Ok || !rows)
-            return done(tl::unexpected(failure(result)));
-          done(std::move(*rows));
-        });
+    Client.fetch(request("GET", url, ""),
+                 [done = std::move(done)](const HttpResult &result,
+                                          const std::string &body) {
+                   auto rows = platform_format::readRows(body);
+                   if (!result.Whole || result.Status != Ok || !rows)
+                     return done(tl::unexpected(failure(result)));
+                   done(std::move(*rows));
+                 });
   };
-  hooks.Commit = [this](TableTransaction transaction,
+  hooks.Commit = [this](const TableTransaction &transaction,
                         TableCallback<bool> done) {
     auto body = platform_format::commitBody(transaction);
-    Client.fetch(
-        request("POST", Url + "/table/commit", std::move(body)),
-        [done = std::move(done)](const HttpResult &result, std::string) {
-          if (result.Whole && result.Status == Ok)
-            return done(true);
-          if (result.Whole && result.Status == Conflict)
-            return done(tl::unexpected(TableError::Conflict));
-          done(tl::unexpected(failure(result)));
-        });
+    Client.fetch(request("POST", Url + "/table/commit", std::move(body)),
+                 [done = std::move(done)](const HttpResult &result,
+                                          const std::string &) {
+                   if (result.Whole && result.Status == Ok)
+                     return done(true);
+                   if (result.Whole && result.Status == Conflict)
+                     return done(tl::unexpected(TableError::Conflict));
+                   done(tl::unexpected(failure(result)));
+                 });
   };
   return hooks;
 }
 
 void PlatformClient::hosts(TableCallback<std::vector<HostEntry>> done) {
-  Client.fetch(
-      request("GET", Url + "/hosts", ""),
-      [done = std::move(done)](const HttpResult &result, std::string body) {
-        auto hosts = readHostList(body);
-        if (!result.Whole || result.Status != Ok || !hosts)
-          return done(tl::unexpected(failure(result)));
-        done(std::move(*hosts));
-      });
+  Client.fetch(request("GET", Url + "/hosts", ""),
+               [done = std::move(done)](const HttpResult &result,
+                                        const std::string &body) {
+                 auto hosts = readHostList(body);
+                 if (!result.Whole || result.Status != Ok || !hosts)
+                   return done(tl::unexpected(failure(result)));
+                 done(std::move(*hosts));
+               });
 }
 
 } // namespace hemlockglade
