--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -31,8 +31,8 @@
 renew_ms: ${RENEW_MS:-500}
 scan_ms: ${SCAN_MS:-200}
 lease_margin_ms: ${MARGIN_MS:-500}
-config_poll_ms: 200
-directory_ttl_ms: 1000
+config_poll_ms: ${CONFIG_POLL_MS:-200}
+directory_ttl_ms: ${DIRECTORY_TTL_MS:-1000}
 EOF
   start "$1" hemlockgladed --config "$RUN/$1.yaml"
 }
