--- a/StandIns/StandInServiceMain.cpp
+++ b/StandIns/StandInServiceMain.cpp
@@ -41,6 +41,8 @@
     // A plain service has no load report.
     if (in.Path == "/load")
       return reply->sendWhole(404, {}, errorBody("not_found", in.Path));
+    if (in.Path == "/healthz")
+      return reply->sendWhole(200, {}, "ok\n");
     if (take(CutBefore)) {
       Host.record({{"event", "cut_before"}});
       return reply->abort();
