The observer asks by a statement, as operators do

Cause: the path it asked is gone with the operators' front. Change: POST /admin/statement, show config. Conclusion: the configuration's promise is looked at again.

--- a/StandIns/StandInCallerMain.cpp
+++ b/StandIns/StandInCallerMain.cpp
@@ -277,7 +277,13 @@
   void look() {
     for (const auto &node : Directory.nodes()) {
       HttpRequest request;
-      request.Url = "http://" + node + "/admin/show?what=config";
+      request.Method = "POST";
+      request.Url = "http://" + node + std::string(admin_path::Statement);
+      request.Body = json{
+          {"statement", "show config"},
+          {"id", FLAGS_name},
+          {"operator",
+           FLAGS_name}}.dump();
       request.Timeout = ObserveTimeout;
       auto asked = TimerService::now().count();
       Client.fetch(request, [this, node, asked](const HttpResult &result,
