--- a/Bench/Core/Simulation.h
+++ b/Bench/Core/Simulation.h
@@ -32,12 +32,16 @@
   void drive(const Event &event);
   /// Drives the event after the network's delay, unless the owner changed.
   void driveLater(const Event &event);
+  void driveAfter(Span delay, const Event &event);
+  /// Draws whether an order or its answer is lost.
+  bool orderLost();
   void apply(const Admit &action);
   void apply(const Refuse &action);
   void apply(const Load &action);
   void apply(const Evict &action);
   void apply(const CancelLoad &action);
   void startOn(ReplicaKey replica, RequestKey request, std::uint64_t known);
+  void checkRule(ReplicaKey replica, AdapterKey adapter);
   void hashAction(const Action &action);
 
   void scheduleTick();
--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -16,8 +16,10 @@
   /// The estimated wait is multiplied by this before it is compared with the
   /// time left; below 1 lets doubtful cases wait.
   double Caution = 1.0;
-  /// Time from admission to the first byte that a deadline must leave.
+  /// Time from admission to the first byte that a deadline must leave, and
+  /// what the prompt adds to it.
   Span FirstByte = std::chrono::milliseconds(50);
+  double PromptTokensPerSecond = 8000;
   /// No request is held longer for a load than this, however far its deadline
   /// is: its caller is told at once when to come back.
   Span LongestStall = std::chrono::seconds(20);
@@ -49,6 +51,20 @@
   Span OrderTimeout = std::chrono::seconds(60);
 };
 
+/// How far work is drawn together on fewer replicas.
+struct ConsolidationSettings {
+  /// Part of the batches that is to be in use at objective 1; in proportion
+  /// below, so that nothing rests at objective 0.
+  double FullTarget = 0.75;
+  /// Time over which the load is averaged, and least time between changes.
+  Span MeanOver = std::chrono::seconds(10);
+  Span Period = std::chrono::seconds(5);
+  /// Least time after a replica was woken until one rests.
+  Span AfterWake = std::chrono::seconds(20);
+  /// Adapters that wait for a load above which a replica is woken.
+  std::uint32_t MostLoadsWaiting = 20;
+};
+
 /// Bounds and weights of the decisions in one cell.
 struct CellCoreSettings {
   /// Requests that may wait in the cell.
@@ -64,6 +80,7 @@
   EvictionSettings Eviction;
   PlacementSettings Placement;
   RoutingSettings Routing;
+  ConsolidationSettings Consolidation;
 };
 
 /// What a bench or a test may put in the place of the core's estimates.
--- a/Hemlockglade/Coordination/Decision/RequestDesk.h
+++ b/Hemlockglade/Coordination/Decision/RequestDesk.h
@@ -34,6 +34,7 @@
   /// Whether a request that must wait may do so.
   bool mayWait(const RequestArrived &request, const ActiveAdapter &active,
                Reason &why);
+  /// Whether a replica may serve the adapter; one that rests is woken for it.
   bool anyServes(const ActiveAdapter &active);
   void enqueue(const RequestArrived &request, ActiveAdapter &active);
   /// Makes room in a full queue by shedding a lower class.
@@ -43,6 +44,9 @@
 
   /// Time until the request could be admitted, as far as can be told.
   Span expectedWait(const RequestArrived &request, const ActiveAdapter &active);
+  Span waitForRoom(const RequestArrived &request, const ActiveAdapter &active);
+  /// When the request must be admitted to meet its deadline.
+  Instant latestStart(const RequestArrived &request) const;
   Span loadWait(std::size_t loads) const;
   Span batchWait(std::size_t requests) const;
   Span retryAfter() const;
--- a/Hemlockglade/Coordination/Lease/LeaseKeeper.h
+++ b/Hemlockglade/Coordination/Lease/LeaseKeeper.h
@@ -85,7 +85,7 @@
                  const std::optional<TableRow> &row);
   void fence(const NodeSight &sight);
   void claim(const std::string &cell);
-  void writeCell(const std::string &cell, CellRecord record,
+  void writeCell(const std::string &cell, const CellRecord &record,
                  std::uint64_t version, std::function<void()> then);
   void readCell(const std::string &cell, std::function<void()> then);
   void releaseCells(std::function<void()> done);
@@ -95,7 +95,7 @@
   // All below need the lock.
   void takeCell(const std::string &cell, const CellSight &sight);
   bool isOurs(const CellRecord &cell) const;
-  bool mayClaim(const std::string &cell) const;
+  bool mayClaim(const std::string &cell, Instant now) const;
   std::vector<std::string> ownedCells() const;
   void loseAll(const std::vector<std::string> &owned);
   void takeOwn(const std::optional<TableRow> &row, Instant now);
@@ -109,10 +109,13 @@
   OwnLease Own;
   LeaseView View;
   std::optional<Instant> RenewalSent;
+  /// The row must be written though the lease is fresh.
+  bool RenewNow = false;
   bool Leaving = false;
   bool Retired = false;
   std::optional<Instant> ScanStarted;
-  bool Scanned = false;
+  /// When the first scan of all rows was answered.
+  std::optional<Instant> ScannedAt;
   std::map<std::string, CellSight> Cells;
   std::vector<std::string> Wanted;
   /// Cells and owners with an operation of ours in flight.
--- a/StandIns/StandInServiceMain.cpp
+++ b/StandIns/StandInServiceMain.cpp
@@ -38,9 +38,6 @@
   void onHttp(const HttpIncoming &in, const std::shared_ptr<HttpReply> &reply) {
     if (in.Path == "/control")
       return control(in, *reply);
-    // A plain service has no load report.
-    if (in.Path == "/load")
-      return reply->sendWhole(404, {}, errorBody("not_found", in.Path));
     if (in.Path == "/healthz")
       return reply->sendWhole(200, {}, "ok\n");
     if (take(CutBefore)) {
