A refusal without an id isn't laid to another sending's run

Cause: a keyed copy was refused (404, no X-Request-Id) by a node without the configuration; the checker held the run of the first sending against it. Ruled out: leaving such answers out. A run that no other sending's answer names still breaks the promise, and is planted as a breach. Change: the runs that other answers name are theirs. Conclusion: a wrong check is replaced by one as strict.

--- a/UnitTests/History/HistoryChecker.cpp
+++ b/UnitTests/History/HistoryChecker.cpp
@@ -201,16 +201,30 @@
     if (!answer || answer->Outcome != "not-run")
       continue;
     ++verdict.Examined;
-    // Sendings of one key share their tag; the entry's id tells them apart.
-    bool byId = !answer->Key.empty() && !answer->Request.empty();
     for (const auto *run : Index.runsOf(answer->Tag)) {
-      if (!byId || run->Ran->Request == answer->Request)
+      if (isRunOf(*run, *answer))
         add(verdict, "said not to have run, but ran",
             {sending.Sent, run->Ran, answer});
     }
   }
 }
 
+/// Sendings of one key share their tag; the entry's id tells them apart. An
+/// answer without an id has every run that no other sending has.
+bool HistoryChecker::isRunOf(const HistoryRun &run,
+                             const HistoryEvent &answer) const {
+  if (answer.Key.empty())
+    return true;
+  if (!answer.Request.empty())
+    return run.Ran->Request == answer.Request;
+  const auto &all = Index.sendings();
+  return std::none_of(all.begin(), all.end(), [&](const auto &it) {
+    const auto *other = it.second.Answered;
+    return other && other->Tag == answer.Tag &&
+           other->Request == run.Ran->Request;
+  });
+}
+
 void HistoryChecker::atMostOnce(Verdict &verdict) const {
   std::map<std::string, std::vector<const HistoryEvent *>> runs;
   for (const auto &[name, sending] : Index.sendings()) {
--- a/UnitTests/History/HistoryChecker.h
+++ b/UnitTests/History/HistoryChecker.h
@@ -69,6 +69,7 @@
   /// Whether the node that answered had been told to stop by then.
   bool terminated(const HistoryEvent &answer) const;
   bool currentEver(const std::string &adapter, Instant at) const;
+  bool isRunOf(const HistoryRun &run, const HistoryEvent &answer) const;
   bool excused(const HistoryEvent &look) const;
   std::vector<const HistoryEvent *> of(std::string_view kind) const;
 
--- a/UnitTests/History/HistoryCheckerTest.cpp
+++ b/UnitTests/History/HistoryCheckerTest.cpp
@@ -64,6 +64,8 @@
 40 c sent sending=k/1b tag=k key=K to=n3 service=booking
 41 s1 ran run=1 tag=k request=r7
 42 c answered sending=k/1b tag=k key=K to=n3 outcome=not-run status=503 request=r8
+43 c sent sending=k/1c tag=k key=K to=n3 service=booking
+44 c answered sending=k/1c tag=k key=K to=n3 outcome=not-run status=404
 50 s1 finished run=1 tag=k whole=true hash=h7
 51 c answered sending=k/1 tag=k key=K to=n2 outcome=complete status=200 hash=h7 request=r7
 60 c sent sending=d/1 tag=d/1 adapter=oath to=n2
@@ -185,13 +187,18 @@
      {"42 c"},
      "42 c answered sending=k/1b tag=k key=K to=n3 outcome=not-run "
      "status=503 request=r7"},
+    {"not-run without an id, and a run that nobody else has",
+     Promise::NotRunIsTrue,
+     {"51 c"},
+     "51 c answered sending=k/1 tag=k key=K to=n2 outcome=complete "
+     "status=200 hash=h7 request=r6"},
     {"a key ran at two endpoints",
      Promise::AtMostOnce,
-     {},
+     {"43 c", "44 c"},
      "43 s2 ran run=4 tag=k request=r9"},
     {"a key ran twice at one endpoint",
      Promise::AtMostOnce,
-     {},
+     {"43 c", "44 c"},
      "43 s1 ran run=4 tag=k request=r9"},
     {"work after the list said leaving",
      Promise::LeavingEndpoint,
