--- a/Hemlockglade/Coordination/Decision/OrderPlanner.cpp
+++ b/Hemlockglade/Coordination/Decision/OrderPlanner.cpp
@@ -106,7 +106,8 @@
     return;
   std::size_t leaving = 0;
   for (const auto &it : State.Orders)
-    leaving += it.IsLoad ? 0 : 1;
+    leaving += !it.IsLoad &&
+               State.Now - it.GivenAt < State.Settings.Placement.EvictionDue;
   std::size_t have = State.freeSlots() + leaving;
   auto parallel = State.Turn.parallel();
   auto free = parallel - std::min(parallel, State.Turn.running());
@@ -215,8 +216,10 @@
   for (ReplicaKey it : active.Holders) {
     auto &replica = State.Book.obtain(it);
     auto *resident = State.Book.resident(replica, active.Key);
+    // An eviction without a result could still take it away again.
+    bool canCome = resident->OrderedLoad || State.Now >= resident->SettledAfter;
     if (resident->State == Hold::Uncertain && resident->Running == 0 &&
-        mayTake(replica, active, bounds))
+        canCome && mayTake(replica, active, bounds))
       return &replica;
   }
   Replica *best = nullptr;
