A stream goes on at another node after its entry is lost

Cause: a caller whose entry was killed in the middle of an answer lost it, although the engine still had it. Ruled out: a new admission through the queue; the request runs already, so the owner counts it on its replica as it does after a takeover. Request ids that can be guessed; who knows an id may go on with its stream, so ids end in 64 random bits. Change: Last-Event-ID with the request id and the replica of the first answer; an engine that can't go on gives the outcome unknown.

--- a/Hemlockglade/Protocol/Message/PeerMessages.h
+++ b/Hemlockglade/Protocol/Message/PeerMessages.h
@@ -36,8 +36,11 @@
   std::uint32_t PromptTokens = 0;
   /// Who asks, for limits.
   std::string Caller;
+  /// Replica that runs the request already, for going on with its stream;
+  /// empty for a new request.
+  std::string ResumeOn;
   MSGPACK_DEFINE(Id, Attempt, Cell, Adapter, Class, DeadlineUs, PrefixHash,
-                 PromptTokens, Caller)
+                 PromptTokens, Caller, ResumeOn)
 };
 
 /// Owner to entry: the answer to AdmitRequest.
--- a/Programs/hemlockgladed/CallerFront.cpp
+++ b/Programs/hemlockgladed/CallerFront.cpp
@@ -3,6 +3,7 @@
 #include "Answers.h"
 
 #include <charconv>
+#include <random>
 
 namespace hemlockglade {
 
@@ -16,8 +17,10 @@
 constexpr Span DefaultDeadline = std::chrono::seconds(30);
 constexpr std::size_t MaxKeyBytes = 256;
 constexpr std::size_t IncarnationDigits = 8;
+constexpr std::size_t MaxIdBytes = 256;
+constexpr std::string_view LastEventId = "Last-Event-ID";
 constexpr std::array<std::string_view, 4> PassedFields{
-    "Content-Type", "Accept", "Last-Event-ID", header::IdempotencyKey};
+    "Content-Type", "Accept", LastEventId, header::IdempotencyKey};
 
 /// Methods that HTTP defines to have no effect when repeated.
 bool isSafeMethod(std::string_view method) {
@@ -59,9 +62,13 @@
 }
 
 std::string CallerFront::newRequestId() {
+  // The last part can't be guessed: who knows an id may go on with its stream.
+  thread_local std::random_device device;
+  std::array<char, 17> buf{};
+  std::snprintf(buf.data(), buf.size(), "%08x%08x", device(), device());
   return Settings.Node + '-' +
          Settings.Incarnation.substr(0, IncarnationDigits) + '-' +
-         std::to_string(++LastRequest);
+         std::to_string(++LastRequest) + '-' + buf.data();
 }
 
 bool CallerFront::prepare(const HttpIncoming &incoming,
@@ -150,9 +157,31 @@
   request.Admit.Cell = cellOf(*service, request.Admit.Adapter);
   request.Admit.PrefixHash = completion->PrefixHash;
   request.Admit.PromptTokens = completion->PromptTokens;
+  if (incoming.field(LastEventId) && !prepareResume(incoming, *reply, request))
+    return;
   Hooks.Begin(std::move(request), reply);
 }
 
+bool CallerFront::prepareResume(const HttpIncoming &incoming, HttpReply &reply,
+                                ExchangeRequest &request) {
+  auto id = incoming.field(header::RequestId);
+  auto replica = incoming.field(header::Replica);
+  if (!id || !replica || id->size() > MaxIdBytes) {
+    answer::error(reply, 400, "invalid_resume",
+                  "going on with a stream needs the request id and the replica "
+                  "of its first answer");
+    return false;
+  }
+  request.Id = *id;
+  request.Admit.Id = *id;
+  request.Admit.ResumeOn = *replica;
+  request.Resume = true;
+  request.Repeatable = false;
+  // The key was claimed when the request was first sent.
+  request.IdempotencyKey.clear();
+  return true;
+}
+
 void CallerFront::onService(HttpIncoming &incoming,
                             const std::shared_ptr<HttpReply> &reply) {
   auto rest = incoming.Path.substr(ServicesPrefix.size());
--- a/Programs/hemlockgladed/CallerFront.h
+++ b/Programs/hemlockgladed/CallerFront.h
@@ -47,6 +47,9 @@
   /// Fills in what all requests share; false if a header was refused.
   bool prepare(const HttpIncoming &incoming, const CatalogView &inForce,
                HttpReply &reply, ExchangeRequest &request);
+  /// Fills in what going on with a stream needs; false if it was refused.
+  bool prepareResume(const HttpIncoming &incoming, HttpReply &reply,
+                     ExchangeRequest &request);
   std::string newRequestId();
 
   CallerFrontSettings Settings;
--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// When to come back if the replica of a stream isn't known here.
+constexpr Span ResumeRetryAfter = std::chrono::seconds(1);
+
 std::int64_t toUs(Span span) { return span.count(); }
 
 } // namespace
@@ -32,7 +35,41 @@
   return Domains.try_emplace(domain, next).first->second;
 }
 
+RequestKey CellRunner::resume(const AdmitRequest &request, OnReply reply) {
+  Deferred deferred;
+  RequestKey key = 0;
+  {
+    std::lock_guard lock(Mutex);
+    key = ++LastRequest;
+    AdmitReply answer;
+    answer.Fence = Fence;
+    answer.Replica = request.ResumeOn;
+    auto it = ReplicaKeys.find(request.ResumeOn);
+    if (it == ReplicaKeys.end() || Replicas[it->second].Removed) {
+      answer.Reason = reasonName(Reason::NoReplica);
+      answer.RetryAfterUs = toUs(ResumeRetryAfter);
+    } else {
+      // It runs there already, so it is counted and not decided on.
+      answer.Granted = true;
+      answer.Address = Replicas[it->second].Config.Address;
+      handle(RequestAdopted{key, keyOf(request.Adapter), it->second}, deferred);
+    }
+    LOG(INFO) << "resume request=" << request.Id
+              << " adapter=" << request.Adapter
+              << " replica=" << request.ResumeOn
+              << " granted=" << answer.Granted << " reason=" << answer.Reason
+              << " queue=" << Core.waiting() << " epoch=" << Fence
+              << " cell=" << Cell;
+    Hooks.Post([call = std::move(reply), answer] { call(answer); });
+  }
+  for (auto &call : deferred)
+    call();
+  return key;
+}
+
 RequestKey CellRunner::admit(const AdmitRequest &request, OnReply reply) {
+  if (!request.ResumeOn.empty())
+    return resume(request, std::move(reply));
   Deferred deferred;
   RequestKey key = 0;
   {
--- a/Programs/hemlockgladed/CellRunner.h
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -106,6 +106,7 @@
   void addRunning(RowSet &rows) const;
   void addReplicas(RowSet &rows) const;
   void addRequests(const std::string &node, RowSet &rows) const;
+  RequestKey resume(const AdmitRequest &request, OnReply reply);
   AdapterKey keyOf(const std::string &adapter);
   void configureReplicas(const CatalogView &view, Deferred &deferred);
   void configurePins(const CatalogView &view, Deferred &deferred);
--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -266,7 +266,8 @@
 }
 
 Outcome Exchange::ended(const HttpResult &result) const {
-  if (Foreign)
+  // An engine that can't go on with a stream may still have run it.
+  if (Foreign || (Request.Resume && Status >= FirstError))
     return Outcome::Unknown;
   AttemptSeen seen;
   seen.MayHaveSent = result.MayHaveSent;
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -19,6 +19,8 @@
   bool Stream = false;
   /// Whether running it twice does no harm.
   bool Repeatable = true;
+  /// Whether this goes on with a stream that another entry began.
+  bool Resume = false;
   /// The caller's key; a request with one runs at most once under it.
   std::string IdempotencyKey;
   /// The caller's place under its limit; free again with the last copy.
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -37,10 +37,12 @@
   start "$1" hemlockgladed --config "$RUN/$1.yaml"
 }
 
-# start_engine NAME : starts a stand-in engine.
+# start_engine NAME ARGS... : starts a stand-in engine.
 start_engine() {
-  start "$1" StandInEngine --name "$1" --history "$RUN/history.jsonl" \
-    --weights "http://127.0.0.1:${PORT[platform]}"
+  local name=$1
+  shift
+  start "$name" StandInEngine --name "$name" --history "$RUN/history.jsonl" \
+    --weights "http://127.0.0.1:${PORT[platform]}" "$@"
 }
 
 # stop_all : ends what this script started, nodes first and gracefully.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,8 +13,8 @@
 start_node entry-1 hall-a
 start_node entry-2 hall-b
 start_node entry-3 hall-c
-start_engine assistant-1
-start_engine assistant-2
+start_engine assistant-1 --linger_ms 10000
+start_engine assistant-2 --linger_ms 10000
 start booking-1 StandInService --name booking-1 --history "$RUN/history.jsonl"
 
 cat >"$RUN/declarations.yaml" <<EOF
@@ -76,11 +76,43 @@
 done
 curl -sf "http://$(address service=booking)/services/booking/seats/12" -d hold
 
+# Going on with a stream at another node after its entry was killed.
+entry=$(for node in "${NODES[@]}"; do
+  [ "$node" != "$(owner_of assistant/0)" ] && echo "$node"
+done | tail -1)
+long='{"model":"oath-fr@7","prompt":"the whole list","stream":true,"max_tokens":400}'
+curl -sN -D "$RUN/head" "http://127.0.0.1:${PORT[$entry]}/v1/completions" \
+  -d "$long" >"$RUN/first" &
+reader=$!
+has_tokens() { [ "$(grep -c '^id: ' "$RUN/first")" -ge 20 ]; }
+wait_for 10 has_tokens
+echo "killing $entry in the middle of a stream"
+kill -KILL "${PID[$entry]}"
+wait "$reader" || true
+unset "PID[$entry]"
+NODES=($(printf '%s\n' "${NODES[@]}" | grep -v "$entry"))
+any=127.0.0.1:${PORT[${NODES[0]}]}
+field() { sed -n "s/^$1: \([^[:space:]]*\).*/\1/p" "$RUN/head"; }
+seen=$(sed -n 's/^id: //p' "$RUN/first" | tail -1)
+curl -sN --max-time 20 "http://$any/v1/completions" -d "$long" \
+  -H "X-Request-Id: $(field X-Request-Id)" \
+  -H "X-Replica: $(field X-Replica)" -H "Last-Event-ID: $seen" >"$RUN/second"
+from=$(sed -n 's/^id: //p' "$RUN/second" | head -1)
+to=$(sed -n 's/^id: //p' "$RUN/second" | tail -1)
+echo "went on at ${NODES[0]}: tokens $from to $to after $seen"
+if [ "$from" != $((seen + 1)) ] || [ "$to" != 400 ] ||
+  ! grep -q '"outcome":"complete"' "$RUN/second"; then
+  echo "the stream did not go on as it should"
+  exit 1
+fi
+start_node entry-4 hall-c
+NODES+=(entry-4)
+
 echo "killing the owner of the engines' cell"
 owner=$(owner_of assistant/0)
 kill -KILL "${PID[$owner]}"
 unset "PID[$owner]"
-NODES=($(printf '%s\n' entry-1 entry-2 entry-3 | grep -v "$owner"))
+NODES=($(printf '%s\n' "${NODES[@]}" | grep -v "$owner"))
 any=127.0.0.1:${PORT[${NODES[0]}]}
 wait_for 30 complete oath-fr@7
 complete oath-fr@7
