An exchange that waits for an owner stays alive

Cause: between two askings only a weak pointer held the exchange, so it died and its reply answered 500 without an outcome. Ruled out: the reply's own fallback; it is what made the loss visible. Change: the timer holds the exchange.

--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -90,10 +90,9 @@
   // A new round makes the answer to the last one late, whatever it says.
   ++Round;
   giveBack(Outcome::NotRun);
-  Hooks->After(OwnerRetryInterval, [weak = weak_from_this()] {
-    if (auto self = weak.lock())
-      self->ask();
-  });
+  // Nothing else keeps the exchange until it asks again.
+  Hooks->After(OwnerRetryInterval,
+               [self = shared_from_this()] { self->ask(); });
 }
 
 void Exchange::onAdmitted(std::uint32_t round, const AdmitReply &reply) {
