Stand-ins and history checker are clean under clang-tidy

Cause: exceptions out of main, copies of what is only read. Change: one guard for all mains; references.

--- a/StandIns/CallerDirectory.cpp
+++ b/StandIns/CallerDirectory.cpp
@@ -49,8 +49,8 @@
       "http://" + known[++Next % known.size()] + "/directory?" + query;
   request.Timeout = AskTimeout;
   auto asked = TimerService::now();
-  Client.fetch(request, [this, query, asked, done,
-                         again](const HttpResult &result, std::string body) {
+  Client.fetch(request, [this, query, asked, done, again](
+                            const HttpResult &result, const std::string &body) {
     if (result.Whole && result.Status == 200)
       take(query, asked, body);
     auto it = Kept.find(query);
--- a/StandIns/HistoryNoteMain.cpp
+++ b/StandIns/HistoryNoteMain.cpp
@@ -8,8 +8,11 @@
 
 INITIALIZE_EASYLOGGINGPP
 
-int main(int argc, char **argv) {
-  using namespace hemlockglade;
+namespace {
+
+using namespace hemlockglade;
+
+int run(int argc, char **argv) {
   constexpr int FirstPair = 4;
   if (argc < FirstPair) {
     std::cerr << "HistoryNote FILE WHO EVENT [NAME=VALUE]...\n";
@@ -29,3 +32,9 @@
   host.record(line);
   return 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv) {
+  return hemlockglade::guarded([argc, argv] { return run(argc, argv); });
+}
--- a/StandIns/StandIn.h
+++ b/StandIns/StandIn.h
@@ -20,7 +20,7 @@
 
 /// Runs a stand-in class until SIGTERM. The port file gets the port that
 /// others use and, if that isn't the HTTP listener's, the control port.
-template <typename T> int runStandIn(int argc, char **argv) {
+template <typename T> int serveStandIn(int argc, char **argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   asio::io_context context(1);
   gflags::CommandLineFlagInfo name;
@@ -46,4 +46,9 @@
   return 0;
 }
 
+/// What the main of a stand-in does.
+template <typename T> int runStandIn(int argc, char **argv) {
+  return guarded([argc, argv] { return serveStandIn<T>(argc, argv); });
+}
+
 } // namespace hemlockglade
--- a/StandIns/StandInCallerMain.cpp
+++ b/StandIns/StandInCallerMain.cpp
@@ -308,9 +308,7 @@
   TimerService::Subscription Round;
 };
 
-} // namespace
-
-int main(int argc, char **argv) {
+int run(int argc, char **argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   asio::io_context context(1);
   StandIn host(context, FLAGS_name, FLAGS_history);
@@ -331,3 +329,9 @@
   std::cout << std::endl;
   return 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv) {
+  return hemlockglade::guarded([argc, argv] { return run(argc, argv); });
+}
--- a/StandIns/StandInHost.h
+++ b/StandIns/StandInHost.h
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/Transport/Transport.h"
 
+#include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
@@ -38,6 +39,16 @@
 std::int64_t queryNumber(const HttpIncoming &in, std::string_view name,
                          std::int64_t fallback);
 
+/// Runs what `main` does, and says why if it can't.
+template <typename Call> int guarded(Call call) {
+  try {
+    return call();
+  } catch (...) {
+    std::fputs("stand-in: ended by an exception\n", stderr);
+    return 1;
+  }
+}
+
 /// Hash of a text as it stands in the history.
 std::string textHash(std::string_view text);
 
--- a/StandIns/StandInRelayMain.cpp
+++ b/StandIns/StandInRelayMain.cpp
@@ -62,7 +62,7 @@
   bool open() const { return Near.is_open(); }
 
 private:
-  static constexpr std::size_t BufferBytes = 16 * 1024;
+  static constexpr std::size_t BufferBytes = 16UL * 1024;
 
   /// One direction.
   struct Flow {
--- a/UnitTests/History/HistoryChecker.cpp
+++ b/UnitTests/History/HistoryChecker.cpp
@@ -110,7 +110,11 @@
     const auto &asked = sending->Sent->Adapter;
     const auto &served = run.Ran->Adapter;
     if (!answers(served, asked))
-      add(verdict, "asked " + asked + ", ran on " + served,
+      add(verdict,
+          std::string("asked ")
+              .append(asked)
+              .append(", ran on ")
+              .append(served),
           {sending->Sent, run.Ran});
     else if (served != asked && !currentEver(served, run.Ran->At))
       add(verdict, served + " was never the current version",
