The caller's directory takes its hook by reference

Cause: clang-tidy, a hook copied for each call. Measured: builds without warnings; clang-tidy has nothing on the file itself. Conclusion: none.

--- a/StandIns/CallerDirectory.cpp
+++ b/StandIns/CallerDirectory.cpp
@@ -25,15 +25,16 @@
   return out;
 }
 
-void CallerDirectory::find(const std::string &query, OnAnswer done) {
+void CallerDirectory::find(const std::string &query, const OnAnswer &done) {
   auto it = Kept.find(query);
   if (it != Kept.end() &&
       TimerService::now() < it->second.AskedAt + it->second.TimeToLive)
     return done(it->second);
-  ask(query, Tries, std::move(done));
+  ask(query, Tries, done);
 }
 
-void CallerDirectory::ask(const std::string &query, int tries, OnAnswer done) {
+void CallerDirectory::ask(const std::string &query, int tries,
+                          const OnAnswer &done) {
   if (tries == 0)
     return done({});
   auto again = [this, query, tries, done] {
--- a/StandIns/CallerDirectory.h
+++ b/StandIns/CallerDirectory.h
@@ -24,7 +24,7 @@
 
   /// Gives the answer to a query, asking until a node gives one. With no
   /// address in it if none did in all tries.
-  void find(const std::string &query, OnAnswer done);
+  void find(const std::string &query, const OnAnswer &done);
 
   /// Nodes that are said to be there now.
   std::vector<std::string> nodes() const;
@@ -32,7 +32,7 @@
 private:
   static constexpr int Tries = 150;
 
-  void ask(const std::string &query, int tries, OnAnswer done);
+  void ask(const std::string &query, int tries, const OnAnswer &done);
   void take(const std::string &query, Instant asked, const std::string &body);
 
   StandIn &Host;
