--- a/StandIns/StandInCallerMain.cpp
+++ b/StandIns/StandInCallerMain.cpp
@@ -277,7 +277,13 @@
   void look() {
     for (const auto &node : Directory.nodes()) {
       HttpRequest request;
-      request.Url = "http://" + node + "/admin/show?what=config";
+      request.Method = "POST";
+      request.Url = "http://" + node + std::string(admin_path::Statement);
+      request.Body = json{
+          {"statement", "show config"},
+          {"id", FLAGS_name},
+          {"operator",
+           FLAGS_name}}.dump();
       request.Timeout = ObserveTimeout;
       auto asked = TimerService::now().count();
       Client.fetch(request, [this, node, asked](const HttpResult &result,
@@ -302,9 +308,7 @@
   TimerService::Subscription Round;
 };
 
-} // namespace
-
-int main(int argc, char **argv) {
+int run(int argc, char **argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   asio::io_context context(1);
   StandIn host(context, FLAGS_name, FLAGS_history);
@@ -325,3 +329,9 @@
   std::cout << std::endl;
   return 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv) {
+  return hemlockglade::guarded([argc, argv] { return run(argc, argv); });
+}
