A frozen owner does not hold requests back after its cell has a new one

Cause: an entry that asked a frozen owner waited for the stream, which a stopped process keeps open: requests ended only when the owner was woken, some past their deadline. Ruled out: keepalive of the connection; the frozen host's kernel goes on answering it. Change: PendingAsks ends the wait when the cell has another owner, which makes the exchange ask again, or 100 ms after the deadline.

--- a/Hemlockglade/Coordination/Coordination.h
+++ b/Hemlockglade/Coordination/Coordination.h
@@ -29,5 +29,6 @@
 #include "Hemlockglade/Coordination/Membership/Membership.h"
 #include "Hemlockglade/Coordination/Recovery/RecoveryKeeper.h"
 #include "Hemlockglade/Coordination/Retry/OutcomeOf.h"
+#include "Hemlockglade/Coordination/Retry/PendingAsks.h"
 #include "Hemlockglade/Coordination/Retry/RetryPolicy.h"
 #include "Hemlockglade/Coordination/Table.h"
--- a/Programs/hemlockgladed/Admission.cpp
+++ b/Programs/hemlockgladed/Admission.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr std::int64_t OwnerRetryUs = 1000000;
+/// An owner's own refusal at the deadline may be on its way for this long.
+constexpr Span DeadlineGrace = std::chrono::milliseconds(100);
 
 AdmitReply refusal(std::string reason) {
   AdmitReply reply;
@@ -15,15 +17,23 @@
 
 /// An asker's side of the stream.
 struct Asked {
+  std::shared_ptr<PendingAsks> Pending;
   std::mutex Mutex;
   Admission::OnReply Reply;
+  PendingAsks::Ticket Ticket = 0;
 
   Admission::OnReply take() {
     std::lock_guard lock(Mutex);
+    Pending->remove(Ticket);
     return std::exchange(Reply, nullptr);
   }
 };
 
+std::string reasonOf(AskFailure failure) {
+  return failure == AskFailure::DeadlinePassed ? "deadline-passed"
+                                               : "owner-lost";
+}
+
 /// An owner's side of the stream.
 struct Served {
   std::mutex Mutex;
@@ -65,7 +75,15 @@
                                                     const AdmitRequest &request,
                                                     OnReply reply) {
   auto asked = std::make_shared<Asked>();
+  asked->Pending = Pending;
   asked->Reply = std::move(reply);
+  auto deadline =
+      TimerService::now() + Span(request.DeadlineUs) + DeadlineGrace;
+  asked->Ticket = Pending->add(request.Cell, owner.PeerAddress, deadline,
+                               [asked](AskFailure failure) {
+                                 if (auto call = asked->take())
+                                   call(refusal(reasonOf(failure)));
+                               });
   PeerHooks hooks;
   hooks.OnMessage = [asked](std::string_view message) {
     auto answer = unpack<AdmitReply>(message);
@@ -85,6 +103,13 @@
   });
 }
 
+void Admission::tick(Instant now) {
+  Pending->tick(now, [this](const std::string &cell) {
+    auto owner = Owner(cell);
+    return owner ? owner->PeerAddress : std::string();
+  });
+}
+
 void Admission::serve(const std::shared_ptr<PeerStream> &stream) {
   auto served = std::make_shared<Served>();
   stream->OnMessage = [this, served,
--- a/Programs/hemlockgladed/Admission.h
+++ b/Programs/hemlockgladed/Admission.h
@@ -46,6 +46,8 @@
                                        OnReply reply);
   /// Serves a stream that another node opened.
   void serve(const std::shared_ptr<PeerStream> &stream);
+  /// Waits no longer for owners that have lost their cell, nor past deadlines.
+  void tick(Instant now);
 
 private:
   std::shared_ptr<AdmissionTicket>
@@ -53,6 +55,7 @@
 
   FindRunner Runner;
   FindOwner Owner;
+  std::shared_ptr<PendingAsks> Pending = std::make_shared<PendingAsks>();
   PeerNet *Net = nullptr;
 };
 
--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -265,6 +265,7 @@
   every(Settings.ConfigInterval, [this] { lookAtHosts(); });
   every(Settings.ReportInterval, [this] { Cells.askReports(); });
   every(TickInterval, [this] { Cells.tick(); });
+  every(TickInterval, [this] { Asker.tick(TimerService::now()); });
   every(RecoveryInterval, [this] { Cells.tickRecovery(TimerService::now()); });
   every(CleanUpInterval, [this] { cleanUpClaims(); });
   every(MetricsInterval, [this] { refreshMetrics(); });
