--- a/Hemlockglade/Coordination/Membership/Membership.cpp
+++ b/Hemlockglade/Coordination/Membership/Membership.cpp
@@ -278,12 +278,16 @@
     Hooks.OnRevision(message.InForce, message.From);
 }
 
-void Membership::leave() {
+void Membership::enter() { setLeaving(false); }
+
+void Membership::leave() { setLeaving(true); }
+
+void Membership::setLeaving(bool leaving) {
   {
     std::lock_guard lock(Mutex);
-    if (Self.Leaving)
+    if (Self.Leaving == leaving || Self.State == MemberState::Left)
       return;
-    Self.Leaving = true;
+    Self.Leaving = leaving;
     ++Self.Incarnation;
     Rumours.add(MemberRumour + Self.Name);
   }
--- a/Hemlockglade/Coordination/Membership/Membership.h
+++ b/Hemlockglade/Coordination/Membership/Membership.h
@@ -27,6 +27,9 @@
   /// is no answer.
   void serve(const MemberMessage &message, const Reply &reply);
 
+  /// Tells everybody that this node takes callers, after it was made with
+  /// `Leaving` set. Does nothing if it takes them already.
+  void enter();
   /// Tells everybody that this node takes no new callers.
   void leave();
   /// Tells everybody that this node is gone; the last thing it says.
@@ -65,6 +68,8 @@
     std::vector<CellOwner> Cells;
   };
 
+  void setLeaving(bool leaving);
+
   // With the lock held.
   MemberMessage compose(MemberMessageKind kind, const std::string &to,
                         Revision inForce) const;
--- a/Hemlockglade/Protocol/Endpoint/EngineFormat.cpp
+++ b/Hemlockglade/Protocol/Endpoint/EngineFormat.cpp
@@ -117,6 +117,19 @@
   }
 }
 
+bool isWholeCompletion(std::string_view body) {
+  try {
+    auto node = parseJson(body);
+    const auto &choices = node.at("choices");
+    return !choices.empty() &&
+           std::all_of(choices.begin(), choices.end(), [](const json &it) {
+             return it.at("finish_reason").is_string();
+           });
+  } catch (const json::exception &) {
+    return false;
+  }
+}
+
 std::string errorBody(std::string_view type, std::string_view message) {
   return writeJson({{"error", {{"type", type}, {"message", message}}}});
 }
--- a/Hemlockglade/Protocol/Endpoint/EngineFormat.h
+++ b/Hemlockglade/Protocol/Endpoint/EngineFormat.h
@@ -65,6 +65,10 @@
     std::string_view body,
     const std::function<std::uint32_t(const std::string &)> &currentVersion);
 
+/// Whether the body of an answer that was not streamed came to its end: each
+/// choice says why the engine finished it.
+bool isWholeCompletion(std::string_view body);
+
 /// An OpenAI-style error body.
 std::string errorBody(std::string_view type, std::string_view message);
 
--- a/Hemlockglade/Protocol/Protocol.h
+++ b/Hemlockglade/Protocol/Protocol.h
@@ -4,6 +4,7 @@
 
 #include "Hemlockglade/Protocol/Admin/AdminFormat.h"
 #include "Hemlockglade/Protocol/Endpoint/EngineFormat.h"
+#include "Hemlockglade/Protocol/Endpoint/EventSplitter.h"
 #include "Hemlockglade/Protocol/Message/MembershipMessages.h"
 #include "Hemlockglade/Protocol/Message/PeerMessages.h"
 #include "Hemlockglade/Protocol/Message/RecoveryMessages.h"
--- a/Hemlockglade/Protocol/Settings/NodeSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.cpp
@@ -23,6 +23,7 @@
            isIpv4Address);
   map.number("caller_port", out.CallerPort, PortRange);
   map.number("peer_port", out.PeerPort, PortRange);
+  map.texts("seeds", out.Seeds, "a numeric ip:port", isEndpointAddress);
   map.number("threads", out.Threads, ThreadRange);
   map.milliseconds("lease_ms", out.LeaseDuration, {100, 10 * MinuteMs});
   map.milliseconds("renew_ms", out.RenewInterval, {10, 10 * MinuteMs});
--- a/Hemlockglade/Protocol/Settings/NodeSettings.h
+++ b/Hemlockglade/Protocol/Settings/NodeSettings.h
@@ -23,6 +23,9 @@
   std::uint16_t PeerPort = 0;
   /// Base URL of the platform.
   std::string PlatformUrl;
+  /// Peer addresses, `ip:port`, of nodes to ask at the start when the table
+  /// does not answer.
+  std::vector<std::string> Seeds;
   /// Threads that serve.
   std::uint32_t Threads = 2;
   /// How long a lease lasts after its renewal was sent.
--- a/Hemlockglade/Protocol/Settings/SchemaReader.cpp
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.cpp
@@ -187,6 +187,18 @@
   });
 }
 
+void SchemaReader::texts(const char *key, std::vector<std::string> &member,
+                         std::string_view expected,
+                         bool (*accepts)(std::string_view)) {
+  list(key, Presence::Optional, [&](const YAML::Node &node, std::string path) {
+    if (node.IsScalar() && accepts(node.Scalar()))
+      member.push_back(node.Scalar());
+    else
+      Faults.add(node.Mark(), std::move(path),
+                 std::string(expected) + found(node));
+  });
+}
+
 void SchemaReader::numbers(const char *key, std::vector<std::uint32_t> &member,
                            Presence presence, NumberRange range) {
   list(key, presence, [&](const YAML::Node &node, std::string path) {
--- a/Hemlockglade/Protocol/Settings/SchemaReader.h
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.h
@@ -71,6 +71,9 @@
   /// A list of names without repeats.
   void names(const char *key, std::vector<std::string> &member,
              Presence presence);
+  /// A list of texts that a check accepts.
+  void texts(const char *key, std::vector<std::string> &member,
+             std::string_view expected, bool (*accepts)(std::string_view));
   /// A list of whole numbers without repeats.
   void numbers(const char *key, std::vector<std::uint32_t> &member,
                Presence presence, NumberRange range);
--- a/Hemlockglade/Transport/Http/HttpClient.cpp
+++ b/Hemlockglade/Transport/Http/HttpClient.cpp
@@ -30,6 +30,8 @@
   HttpFields Fields;
   int Status = 0;
   bool HeadGiven = false;
+  /// libcurl was about to send the request, once.
+  bool Sent = false;
 
   Transfer() = default;
   Transfer(const Transfer &) = delete;
@@ -81,6 +83,19 @@
   return size * n;
 }
 
+/// Idle connections older than this are not used again: common servers close
+/// theirs after 5 s, and a request that meets that is lost.
+constexpr long KeptIdleSeconds = 4;
+
+/// libcurl sends a request once more by itself if a kept connection breaks
+/// before an answer. Whether to try again is not its decision: the first
+/// sending may have been run.
+int onBeforeSending(void *user, char *, char *, int, int) {
+  auto *transfer = static_cast<Transfer *>(user);
+  return std::exchange(transfer->Sent, true) ? CURL_PREREQFUNC_ABORT
+                                             : CURL_PREREQFUNC_OK;
+}
+
 } // namespace
 
 class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
@@ -181,6 +196,9 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, KeptIdleSeconds);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onBeforeSending);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
     Transfers.emplace(transfer->Number, transfer);
     curl_multi_add_handle(Multi, easy);
--- a/Programs/hemlockgladed/CallerFront.cpp
+++ b/Programs/hemlockgladed/CallerFront.cpp
@@ -46,6 +46,13 @@
 bool CallerFront::take(HttpIncoming &incoming,
                        const std::shared_ptr<HttpReply> &reply) {
   const auto &path = incoming.Path;
+  bool ours = path == CompletionsPath || path == ChatPath ||
+              path == DirectoryPath || path.starts_with(ServicesPrefix);
+  if (ours && Hooks.InForce()->number() == 0 && !Hooks.CaughtUp()) {
+    // A node that has just started knows no services yet; others do.
+    answer::error(*reply, 503, "starting", "the node is starting");
+    return true;
+  }
   if (path == CompletionsPath || path == ChatPath) {
     onCompletion(incoming, reply);
     return true;
--- a/Programs/hemlockgladed/CallerFront.h
+++ b/Programs/hemlockgladed/CallerFront.h
@@ -9,6 +9,8 @@
 struct CallerFrontHooks {
   /// The configuration in force.
   std::function<std::shared_ptr<const CatalogView>()> InForce;
+  /// Whether the newest configuration that was heard of is in force.
+  std::function<bool()> CaughtUp;
   /// Addresses for callers, best first; the query's owner is the cell's name.
   std::function<std::vector<std::string>(const DirectoryQuery &)> Addresses;
   /// Starts an exchange.
--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -217,30 +217,34 @@
   // An answer that is marked as another request's is never passed on.
   if (Ended || Foreign)
     return true;
+  if (Unsent > UnsentLimit) {
+    Paused = true;
+    return false;
+  }
   if (ToFirstByte == Span{})
     ToFirstByte = TimerService::now() - Arrived;
-  bool events = Request.Stream && Status < FirstError;
-  if (!Streaming && (events || Held.size() + part.size() > WholeLimit)) {
-    startStream();
-    if (!Held.empty())
-      Reply->sendPart(std::exchange(Held, {}), nullptr);
-  }
-  if (!Streaming) {
+  if (Request.Stream && Status < FirstError)
+    part = Events.take(part);
+  else if (!Streaming && Held.size() + part.size() <= WholeLimit) {
     Held.append(part);
     return true;
   }
-  if (Unsent > UnsentLimit) {
-    Paused = true;
-    return false;
-  }
-  Unsent += part.size();
-  Reply->sendPart(std::string(part),
-                  [self = shared_from_this(), n = part.size()](bool ok) {
-                    self->onSent(n, ok);
-                  });
+  if (!part.empty())
+    pass(part);
   return true;
 }
 
+void Exchange::pass(std::string_view part) {
+  if (!Streaming)
+    startStream();
+  Held.append(part);
+  auto n = Held.size();
+  Unsent += n;
+  Reply->sendPart(
+      std::exchange(Held, {}),
+      [self = shared_from_this(), n](bool ok) { self->onSent(n, ok); });
+}
+
 void Exchange::onSent(std::size_t n, bool ok) {
   if (!ok)
     return onGone();
@@ -272,11 +276,20 @@
   seen.MayHaveSent = result.MayHaveSent;
   seen.RefusedBeforeRunning =
       result.Whole && refusedBeforeRunning(result.Status);
-  seen.AnswerWhole = result.Whole;
-  seen.PassedWhole = result.Whole;
+  seen.AnswerWhole = result.Whole && isWhole();
+  seen.PassedWhole = seen.AnswerWhole;
   return outcomeOf(seen);
 }
 
+bool Exchange::isWhole() const {
+  if (Request.Admit.Adapter.empty() || Status >= FirstError)
+    return true;
+  // HTTP can end well although the engine did not come to its end.
+  if (Request.Stream)
+    return Events.finished();
+  return Streaming || isWholeCompletion(Held);
+}
+
 bool Exchange::tryAgain(Outcome outcome) {
   FailedAttempt attempt;
   attempt.Repeatable = Request.Repeatable;
@@ -299,6 +312,7 @@
   EndpointFields.clear();
   Foreign = false;
   Held.clear();
+  Events = {};
   ask();
   return true;
 }
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -86,6 +86,8 @@
   void startStream();
   void answer(Outcome outcome, const HttpResult &result);
   Outcome ended(const HttpResult &result) const;
+  bool isWhole() const;
+  void pass(std::string_view part);
   void refuse(const std::string &reason, Span retryAfter);
   void refuseTaken(const ClaimAnswer &answer);
   void giveBack(Outcome outcome);
@@ -117,6 +119,7 @@
   /// The endpoint's answer is marked as another request's.
   bool Foreign = false;
   std::string Held;
+  EventSplitter Events;
   std::size_t Unsent = 0;
   Span ToFirstByte{};
   bool Paused = false;
--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -14,6 +14,8 @@
 constexpr Span RecoveryInterval = std::chrono::milliseconds(250);
 constexpr Span CleanUpInterval = std::chrono::seconds(10);
 constexpr Span MetricsInterval = std::chrono::seconds(1);
+/// Time in which all nodes hear that one leaves.
+constexpr Span LeaveSpread = std::chrono::seconds(2);
 constexpr Span IdlePoll = std::chrono::milliseconds(50);
 
 /// A node that is silent for a whole lease runs nothing any more, unless it
@@ -104,6 +106,8 @@
       if (node.Name != Settings.Name)
         seeds.push_back(node.PeerAddress);
     }
+    // Without the table, those that the settings name.
+    seeds.insert(seeds.end(), Settings.Seeds.begin(), Settings.Seeds.end());
     return seeds;
   };
   hooks.InForce = [this] { return Config.inForce()->number(); };
@@ -123,6 +127,7 @@
 CallerFrontHooks Node::callerHooks() {
   CallerFrontHooks hooks;
   hooks.InForce = [this] { return Config.inForce(); };
+  hooks.CaughtUp = [this] { return Config.caughtUp(); };
   hooks.Addresses = [this](const DirectoryQuery &query) {
     return addressesFor(query);
   };
@@ -261,7 +266,7 @@
 void Node::subscribe() {
   every(LeaseInterval, [this] { leaseRound(); });
   every(MembershipSettings{}.Round, [this] { Members.round(); });
-  every(Settings.ConfigInterval, [this] { Config.round(); });
+  every(Settings.ConfigInterval, [this] { configRound(); });
   every(Settings.ConfigInterval, [this] { lookAtHosts(); });
   every(Settings.ReportInterval, [this] { Cells.askReports(); });
   every(TickInterval, [this] { Cells.tick(); });
@@ -326,6 +331,8 @@
   self.PeerAddress = Settings.Address + ':' + std::to_string(Peers->port());
   self.FailureDomain = Settings.FailureDomain;
   self.Region = Settings.Region;
+  // Not for callers until the configuration is in force here.
+  self.Leaving = true;
   return self;
 }
 
@@ -333,8 +340,18 @@
   DirectoryQuery asked = query;
   auto owner = Leases->ownerOf(std::string(query.Owner));
   asked.Owner = owner ? std::string_view(owner->Name) : std::string_view();
-  return chooseAddresses(DirectorySettings{}, asked, Members->members())
-      .Addresses;
+  auto addresses =
+      chooseAddresses(DirectorySettings{}, asked, Members->members()).Addresses;
+  // A caller that got here is served here if there is no better place.
+  if (addresses.empty() && !Leaving)
+    addresses.push_back(Members->self().CallerAddress);
+  return addresses;
+}
+
+void Node::configRound() {
+  Config.round();
+  if (!Leaving && Config.caughtUp())
+    Members->enter();
 }
 
 void Node::leaseRound() {
@@ -387,9 +404,10 @@
   LOG(INFO) << "stop node=" << Settings.Name;
   Members->leave();
   Leases->release([this] {
-    // Callers may keep our address for the time to live.
+    // Callers may keep our address for the time to live, and other nodes may
+    // give it out until they have heard that we leave.
     auto until = TimerService::now() + Settings.StopBound;
-    Timers.after(Settings.DirectoryTtl,
+    Timers.after(Settings.DirectoryTtl + LeaveSpread,
                  [this, until](Instant) { waitUntilIdle(until); });
   });
 }
--- a/Programs/hemlockgladed/Node.h
+++ b/Programs/hemlockgladed/Node.h
@@ -52,6 +52,7 @@
   MemberRecord memberRecord() const;
   std::vector<std::string> cellNames() const;
   void onExchangeEnd(const ExchangeEnd &end);
+  void configRound();
   void leaseRound();
   void lookAtHosts();
   void cleanUpClaims();
--- a/StandIns/EngineRun.cpp
+++ b/StandIns/EngineRun.cpp
@@ -65,6 +65,8 @@
                                             {"content", text}};
   else
     choice["text"] = text;
+  if (!Stream)
+    choice["finish_reason"] = Truncated ? json(nullptr) : json("stop");
   return {{"id", Id},
           {"model", Adapter},
           {"replica", Replica},
