Tests of the daemon's parts: the exchange

Cause: the daemon's own parts were tested only by whole processes. First the exchange, against a scripted HTTP endpoint, with a caller in memory and the node's hooks in the test's hands. Ruled out: timers of real length; the exchange's timers come due when the test says so.

--- /dev/null
+++ b/UnitTests/Node/ExchangeTest.cpp
@@ -0,0 +1,421 @@
+#include "ExchangeRig.h"
+#include "UnitTests/Coordination/FakeTable.h"
+
+using namespace hemlockglade;
+using namespace hemlockglade::test;
+
+namespace {
+
+const Act Good = answerOf(200, "answer");
+const Act Refused = answerOf(503, "busy");
+const Act CutBeforeHead{"", true};
+const Act CutInBody{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nansw", true};
+const Act EventsBegin{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                      "Content-Length: 40\r\n\r\ndata: a\n\n"};
+
+Act foreign(const Act &act) {
+  auto at = act.Bytes.find("\r\n") + 2;
+  auto bytes = act.Bytes;
+  return {bytes.insert(at, "X-Request-Id: r2\r\n"), act.Close};
+}
+
+auto alwaysRetry = [](const FailedAttempt &it) {
+  return it.How != Outcome::Complete && it.Attempts < 3
+             ? RetryVerdict::Retry
+             : RetryVerdict::AttemptsSpent;
+};
+
+} // namespace
+
+TEST_CASE("each way that attempts end has its outcome and its repeats",
+          "[exchange]") {
+  struct Case {
+    std::string Name;
+    bool Repeatable;
+    std::deque<Act> Acts;
+    int Status;
+    std::string Ended;
+    std::size_t Attempts;
+  };
+  std::vector<Case> cases{
+      {"whole", false, {Good}, 200, "complete", 1},
+      {"an error of the endpoint's own",
+       true,
+       {answerOf(500, "broken")},
+       500,
+       "complete",
+       1},
+      {"refused once", false, {Refused, Good}, 200, "complete", 2},
+      {"refused always", false, {Refused, Refused, Refused}, 503, "not-run", 3},
+      {"cut before the head", false, {CutBeforeHead}, 502, "unknown", 1},
+      {"cut in the body", false, {CutInBody}, 502, "unknown", 1},
+      {"cut before the head, repeatable",
+       true,
+       {CutBeforeHead, Good},
+       200,
+       "complete",
+       2},
+      {"cut in the body, repeatable",
+       true,
+       {CutInBody, Good},
+       200,
+       "complete",
+       2},
+      {"unknown, then refused",
+       true,
+       {CutInBody, Refused, Refused},
+       503,
+       "unknown",
+       3},
+      {"another request's answer", false, {foreign(Good)}, 502, "unknown", 1},
+      {"another request's answer, repeatable",
+       true,
+       {foreign(Good), Good},
+       200,
+       "complete",
+       2}};
+  for (auto &it : cases) {
+    CAPTURE(it.Name);
+    ExchangeRig rig;
+    rig.Request.Repeatable = it.Repeatable;
+    rig.Engine.Acts = it.Acts;
+    rig.run();
+    CHECK(rig.Reply->Begun == 1);
+    CHECK(rig.Reply->Ended);
+    CHECK(rig.Reply->Status == it.Status);
+    CHECK(rig.Reply->outcome() == it.Ended);
+    CHECK(outcomeName(rig.Ends[0].Ended) == it.Ended);
+    CHECK(rig.Engine.Requests.size() == it.Attempts);
+    CHECK((it.Status != 200 || rig.Reply->Body == "answer"));
+    CHECK(rig.allGivenBack());
+  }
+}
+
+TEST_CASE("without the retry policy a request that must not run twice does",
+          "[exchange]") {
+  ExchangeRig rig;
+  rig.Request.Repeatable = false;
+  rig.Engine.Acts = {CutInBody, Good};
+  rig.Hooks->MayRetry = alwaysRetry;
+  rig.run();
+  CHECK(rig.Engine.Requests.size() == 2);
+}
+
+TEST_CASE("a port that nobody listens on is not run", "[exchange]") {
+  ExchangeRig rig;
+  auto dead = rig.grant();
+  dead.Address = Loopback::address(rig.deadPort());
+  rig.Admissions = {dead};
+  rig.Request.Repeatable = false;
+  rig.run();
+  CHECK(rig.Reply->Status == 200);
+  CHECK(rig.GivenBack.front() == Outcome::NotRun);
+}
+
+TEST_CASE("a stream goes to its caller whole, with its outcome at its end",
+          "[exchange]") {
+  ExchangeRig rig;
+  rig.Request.Stream = true;
+  rig.Engine.Acts = {EventsBegin};
+  rig.start();
+  REQUIRE(rig.until([&] { return rig.Reply->Body == "data: a\n\n"; }));
+  CHECK(rig.Ends.empty());
+  CHECK(rig.Register.size() == 1);
+  rig.Engine.send({std::string(40 - 9, '-')});
+  REQUIRE(rig.finish());
+  CHECK(rig.Reply->Ended);
+  CHECK(rig.Reply->Body.find("\"outcome\":\"complete\"") != std::string::npos);
+  CHECK(rig.allGivenBack());
+}
+
+TEST_CASE("a stream whose first byte has passed is not begun again",
+          "[exchange]") {
+  for (bool policy : {true, false}) {
+    CAPTURE(policy);
+    ExchangeRig rig;
+    rig.Request.Stream = true;
+    rig.Engine.Acts = {{EventsBegin.Bytes, true}, {EventsBegin.Bytes, true}};
+    if (!policy)
+      rig.Hooks->MayRetry = [n = 0](const FailedAttempt &) mutable {
+        return n++ ? RetryVerdict::AttemptsSpent : RetryVerdict::Retry;
+      };
+    rig.run();
+    auto first = rig.Reply->Body.find("data: a");
+    bool doubled =
+        rig.Reply->Body.find("data: a", first + 1) != first &&
+        rig.Reply->Body.find("data: a", first + 1) != std::string::npos;
+    CHECK(doubled == !policy);
+    CHECK(rig.Reply->Body.find("\"outcome\":\"unknown\"") != std::string::npos);
+  }
+}
+
+TEST_CASE("a long answer that breaks off is broken off for its caller",
+          "[exchange]") {
+  ExchangeRig rig;
+  rig.Request.Repeatable = false;
+  rig.Engine.Acts = {{"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" +
+                          std::string(600000, 'x'),
+                      true}};
+  rig.run();
+  CHECK(rig.Reply->Aborted);
+  CHECK(rig.Ends[0].Ended == Outcome::Unknown);
+}
+
+TEST_CASE("parts of another request's stream are never passed on",
+          "[exchange]") {
+  // Without the mark there is nothing to tell it by.
+  for (bool marked : {true, false}) {
+    ExchangeRig rig;
+    rig.Request.Stream = true;
+    rig.Request.Repeatable = false;
+    auto act = answerOf(200, "data: theirs\n\n");
+    rig.Engine.Acts = {marked ? foreign(act) : act};
+    rig.run();
+    bool passed = rig.Reply->Body.find("theirs") != std::string::npos;
+    CHECK(passed == !marked);
+    CHECK((rig.Ends[0].Ended == Outcome::Unknown) == marked);
+  }
+}
+
+TEST_CASE("what a claim's answer means for its request", "[exchange]") {
+  struct Case {
+    ClaimResult Result;
+    int Status;
+    std::string Told;
+    std::string Id;
+  };
+  for (const auto &it :
+       std::vector<Case>{{ClaimResult::Claimed, 200, "complete", "r1"},
+                         {ClaimResult::Taken, 409, "complete", "r0"},
+                         {ClaimResult::OtherBody, 422, "not-run", "r1"},
+                         {ClaimResult::StoreUnavailable, 503, "not-run", "r1"},
+                         {ClaimResult::Ambiguous, 502, "unknown", "r1"}}) {
+    CAPTURE(it.Status);
+    ExchangeRig rig;
+    rig.Request.IdempotencyKey = "k";
+    rig.Request.Repeatable = false;
+    rig.ClaimGiven.emplace();
+    rig.ClaimGiven->Result = it.Result;
+    rig.ClaimGiven->Recorded = Outcome::Complete;
+    rig.ClaimGiven->RequestId = "r0";
+    rig.run();
+    bool claimed = it.Result == ClaimResult::Claimed;
+    CHECK(rig.Reply->Status == it.Status);
+    CHECK(rig.Reply->outcome() == it.Told);
+    CHECK(rig.Reply->field(header::RequestId) == it.Id);
+    CHECK(rig.Reply->field("Retry-After") == (it.Status == 503 ? "5" : ""));
+    CHECK(rig.Engine.Requests.size() == (claimed ? 1 : 0));
+    CHECK(rig.Recorded.size() == (claimed ? 1 : 0));
+    CHECK(rig.allGivenBack());
+  }
+}
+
+TEST_CASE("one key runs once, whatever the entry", "[exchange]") {
+  // Without the comparison of versions in the table both win the claim.
+  for (bool compares : {true, false}) {
+    CAPTURE(compares);
+    VirtualTime time;
+    FakeTable table(time, 1);
+    table.Compares = compares;
+    ClaimHooks hooks;
+    hooks.WallMs = [] { return 1; };
+    hooks.After = [&](Span span, std::function<void()> call) {
+      time.after(span, std::move(call));
+    };
+    std::size_t runs = 0;
+    std::vector<int> statuses;
+    std::vector<std::unique_ptr<ExchangeRig>> rigs;
+    std::vector<std::shared_ptr<ClaimBook>> books;
+    for (int it = 0; it < 2; ++it) {
+      books.push_back(std::make_shared<ClaimBook>(
+          ClaimSettings{}, "node-" + std::to_string(it), table.hooks(), hooks));
+      auto &rig = *rigs.emplace_back(std::make_unique<ExchangeRig>());
+      rig.Request.IdempotencyKey = "k";
+      rig.Request.Id = "r" + std::to_string(it);
+      rig.Hooks->Claim = [book = books.back()](const ExchangeRequest &request,
+                                               ClaimBook::OnAnswer done) {
+        book->claim({"s", request.IdempotencyKey, request.Body, request.Id},
+                    std::move(done));
+      };
+      rig.start();
+      REQUIRE(rig.until([&] { return !rig.Register.empty(); }));
+    }
+    time.advance(std::chrono::seconds(1));
+    for (auto &rig : rigs) {
+      REQUIRE(rig->finish());
+      runs += rig->Engine.Requests.size();
+      statuses.push_back(rig->Reply->Status);
+    }
+    CHECK(runs == (compares ? 1 : 2));
+    CHECK(std::count(statuses.begin(), statuses.end(), 409) ==
+          (compares ? 1 : 0));
+  }
+}
+
+TEST_CASE("a caller who leaves while it waits gives its place back",
+          "[exchange]") {
+  ExchangeRig rig;
+  rig.HoldAdmissions = true;
+  rig.start();
+  rig.Reply->leave();
+  REQUIRE(rig.Ends.size() == 1);
+  CHECK(rig.Ends[0].Gone);
+  CHECK(rig.Ends[0].Ended == Outcome::NotRun);
+  CHECK(rig.allGivenBack());
+  // A grant that was on its way finds nobody.
+  rig.AskReplies[0](rig.grant());
+  rig.settle();
+  CHECK(rig.Register.empty());
+  CHECK(rig.Engine.Requests.empty());
+}
+
+TEST_CASE("a caller who leaves while its key is claimed sends nothing",
+          "[exchange]") {
+  ExchangeRig rig;
+  rig.Request.IdempotencyKey = "k";
+  rig.start();
+  REQUIRE(rig.until([&] { return !rig.Claims.empty(); }));
+  rig.Reply->leave();
+  CHECK(rig.Ends[0].Ended == Outcome::NotRun);
+  CHECK(rig.allGivenBack());
+  CHECK(rig.Recorded.empty());
+  ClaimAnswer answer;
+  answer.Result = ClaimResult::Claimed;
+  rig.Claims[0](answer);
+  rig.settle();
+  CHECK(rig.Recorded == std::vector{Outcome::NotRun});
+  CHECK(rig.Engine.Requests.empty());
+  CHECK(rig.Ends.size() == 1);
+}
+
+TEST_CASE("a caller who leaves while its answer comes ends the transfer",
+          "[exchange]") {
+  ExchangeRig rig;
+  rig.Request.Stream = true;
+  rig.Request.IdempotencyKey = "k";
+  rig.ClaimGiven.emplace().Result = ClaimResult::Claimed;
+  rig.Engine.Acts = {EventsBegin};
+  rig.start();
+  REQUIRE(rig.until([&] { return !rig.Reply->Body.empty(); }));
+  rig.Reply->leave();
+  CHECK(rig.Ends[0].Gone);
+  CHECK(rig.Ends[0].Ended == Outcome::Unknown);
+  CHECK(rig.Recorded == std::vector{Outcome::Unknown});
+  CHECK(rig.allGivenBack());
+  CHECK(rig.until([&] { return rig.Engine.Closed == 1; }));
+  CHECK(rig.Ends.size() == 1);
+}
+
+TEST_CASE("an owner that is lost while a request waits is asked again",
+          "[exchange]") {
+  for (const auto *reason : {"owner-lost", "no-owner", "not-owner"}) {
+    ExchangeRig rig;
+    rig.Admissions = {ExchangeRig::refusal(reason)};
+    rig.start();
+    REQUIRE(rig.until([&] { return !rig.Timers.empty(); }));
+    rig.settle(1);
+    CHECK(rig.Reply->Begun == 0);
+    CHECK(rig.GivenBack.size() == 1);
+    rig.fire();
+    REQUIRE(rig.finish());
+    CHECK(rig.Reply->Status == 200);
+    CHECK(rig.Asked.size() == 2);
+    CHECK(rig.Asked[1].DeadlineUs <= rig.Asked[0].DeadlineUs);
+    CHECK(rig.allGivenBack());
+  }
+}
+
+TEST_CASE("an owner's refusal is passed on with its time to come back",
+          "[exchange]") {
+  ExchangeRig rig;
+  rig.Admissions = {ExchangeRig::refusal("queue-full")};
+  rig.run();
+  CHECK(rig.Reply->Status == 503);
+  CHECK(rig.Reply->outcome() == "not-run");
+  CHECK(rig.Reply->field("Retry-After") == "2");
+  CHECK(rig.Reply->Body.find("queue-full") != std::string::npos);
+  CHECK(rig.Engine.Requests.empty());
+}
+
+TEST_CASE("past its deadline a request is refused, not asked again",
+          "[exchange]") {
+  ExchangeRig rig;
+  rig.Request.Deadline = TimerService::now() + std::chrono::milliseconds(200);
+  rig.Admissions = {ExchangeRig::refusal("owner-lost")};
+  rig.start();
+  REQUIRE(rig.until([&] { return !rig.GivenBack.empty(); }));
+  while (TimerService::now() < rig.Request.Deadline)
+    ;
+  rig.fire();
+  REQUIRE(rig.Ends.size() == 1);
+  CHECK(rig.Ends[0].Reason == "deadline-passed");
+  CHECK(rig.Reply->Status == 503);
+  CHECK(rig.Reply->outcome() == "not-run");
+  CHECK(rig.Reply->field("Retry-After") == "1");
+  CHECK(rig.Asked.size() == 1);
+}
+
+TEST_CASE("a late grant of an earlier asking is not used", "[exchange]") {
+  // Off: the late grant comes as if it answered the present asking.
+  for (bool rounds : {true, false}) {
+    CAPTURE(rounds);
+    ExchangeRig rig;
+    ScriptedEndpoint other{rig.Context};
+    rig.HoldAdmissions = true;
+    rig.start();
+    rig.AskReplies[0](ExchangeRig::refusal("owner-lost"));
+    rig.fire();
+    REQUIRE(rig.Asked.size() == 2);
+    auto late = rig.grant(2);
+    late.Address = other.address();
+    rig.AskReplies[rounds ? 0 : 1](late);
+    if (rounds)
+      rig.AskReplies[1](rig.grant());
+    REQUIRE(rig.finish());
+    CHECK(other.Requests.size() == (rounds ? 0 : 1));
+    CHECK(rig.Engine.Requests.size() == (rounds ? 1 : 0));
+    CHECK(rig.allGivenBack());
+  }
+}
+
+TEST_CASE("a grant of an owner that has been followed is not sent",
+          "[exchange]") {
+  for (bool checked : {true, false}) {
+    CAPTURE(checked);
+    ExchangeRig rig;
+    rig.Admissions = {rig.grant(2), rig.grant(3)};
+    rig.Promised = checked ? 3 : 0;
+    rig.start();
+    REQUIRE(rig.until([&] { return !rig.GivenBack.empty(); }));
+    CHECK(rig.Engine.Requests.empty() == checked);
+    rig.fire();
+    REQUIRE(rig.finish());
+    auto fence = rig.Engine.Requests.back().find("X-Fencing-Epoch: 3");
+    CHECK((fence != std::string::npos) == checked);
+    CHECK(rig.Engine.Requests.size() == 1);
+    CHECK(rig.allGivenBack());
+  }
+}
+
+TEST_CASE("a slow caller makes the endpoint wait, and loses nothing",
+          "[exchange]") {
+  constexpr std::size_t Limit = std::size_t{256} * 1024;
+  std::string body;
+  for (int it = 0; body.size() < 8 * Limit; ++it)
+    body += std::to_string(it) + ',';
+  ExchangeRig rig;
+  rig.Reply->Slow = true;
+  rig.Engine.Acts = {answerOf(200, body)};
+  rig.start();
+  REQUIRE(rig.until([&] { return rig.Reply->Unsent > Limit; }));
+  rig.settle();
+  CHECK(rig.Ends.empty());
+  REQUIRE(rig.until([&] {
+    while (rig.Reply->sendOne())
+      continue;
+    return !rig.Ends.empty();
+  }));
+  CHECK(rig.Reply->Body == body);
+  CHECK(rig.Ends[0].Ended == Outcome::Complete);
+  CHECK(rig.Reply->MostUnsent <= 3 * Limit);
+}
