An answer that is cut in its header isn't whole

Cause: libcurl reports success for an answer that ends inside its header; the exchange then told its caller 200 and `complete`, with an empty body, and the caller had not got the answer. Ruled out: the exchange itself; it trusts the client's word of `Whole`. Change: the client calls an answer whole only if the empty line after its header has come. Measured: NodeTests "each way that attempts end": before 200/complete for "cut in the head" (5 checks failed), after 502/unknown, and a repeat if repeatable. Conclusion: mended. An answer with neither length nor chunks still ends with its connection, whole or not; HTTP gives no way to tell.

--- a/Hemlockglade/Transport/Http/HttpClient.cpp
+++ b/Hemlockglade/Transport/Http/HttpClient.cpp
@@ -29,6 +29,9 @@
   curl_slist *List = nullptr;
   HttpFields Fields;
   int Status = 0;
+  /// The empty line after the header has come. Without it libcurl takes an
+  /// answer that is cut in its header for one without a body.
+  bool HeadWhole = false;
   bool HeadGiven = false;
 
   Transfer() = default;
@@ -58,8 +61,11 @@
   std::string_view line(data, size * n);
   if (line.starts_with("HTTP/")) {
     transfer->Fields.clear();
+    transfer->HeadWhole = false;
     return size * n;
   }
+  if (line == "\r\n" || line == "\n")
+    transfer->HeadWhole = true;
   auto colon = line.find(':');
   if (colon == std::string_view::npos)
     return size * n;
@@ -195,6 +201,10 @@
     long sent = 0;
     curl_easy_getinfo(transfer->Easy, CURLINFO_REQUEST_SIZE, &sent);
     result.MayHaveSent = sent > 0;
+    if (result.Whole && !transfer->HeadWhole) {
+      result.Whole = false;
+      result.Error = "the answer is cut in its header";
+    }
     if (result.Whole)
       transfer->giveHead();
     result.Status = transfer->Status;
--- a/UnitTests/Node/ExchangeTest.cpp
+++ b/UnitTests/Node/ExchangeTest.cpp
@@ -9,6 +9,7 @@
 const Act Good = answerOf(200, "answer");
 const Act Refused = answerOf(503, "busy");
 const Act CutBeforeHead{"", true};
+const Act CutInHead{"HTTP/1.1 200 OK\r\nContent-Le", true};
 const Act CutInBody{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nansw", true};
 const Act EventsBegin{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                       "Content-Length: 40\r\n\r\ndata: a\n\n"};
@@ -48,6 +49,7 @@
       {"refused once", false, {Refused, Good}, 200, "complete", 2},
       {"refused always", false, {Refused, Refused, Refused}, 503, "not-run", 3},
       {"cut before the head", false, {CutBeforeHead}, 502, "unknown", 1},
+      {"cut in the head", false, {CutInHead}, 502, "unknown", 1},
       {"cut in the body", false, {CutInBody}, 502, "unknown", 1},
       {"cut before the head, repeatable",
        true,
@@ -55,6 +57,12 @@
        200,
        "complete",
        2},
+      {"cut in the head, repeatable",
+       true,
+       {CutInHead, Good},
+       200,
+       "complete",
+       2},
       {"cut in the body, repeatable",
        true,
        {CutInBody, Good},
