A request whose owner never answers is refused at its deadline

Cause: only the owner watched a waiting request's deadline. One that is frozen or cut off without an end of its connection held the request until its caller gave up. Ruled out: asking another owner meanwhile; a request may wait in the owner's queue for good reasons until its deadline. Change: the exchange sets a timer for the deadline and a grace of 100 ms while its asking has no answer; then it refuses, not run, with a time to come back. What a timer for each waiting request costs is not measured.

--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t WholeLimit = std::size_t{256} * 1024;
 /// Time between two askings while a cell has no owner that answers.
 constexpr Span OwnerRetryInterval = std::chrono::milliseconds(100);
+/// How long past the deadline an owner's own refusal is waited for.
+constexpr Span OwnerGrace = std::chrono::milliseconds(100);
 /// When to come back if the table can't be asked.
 constexpr Span StoreRetryAfter = std::chrono::seconds(5);
 constexpr int FirstError = 400;
@@ -71,6 +73,7 @@
     if (left <= Span{})
       return refuse("deadline-passed", OwnerRetryInterval);
     round = ++Round;
+    Waiting = true;
     Request.Admit.DeadlineUs = left.count();
     admit = Request.Admit;
   }
@@ -81,9 +84,22 @@
       });
   std::lock_guard lock(Mutex);
   if (Ended || round != Round)
-    ticket->finish(Outcome::NotRun);
-  else
-    Ticket = std::move(ticket);
+    return ticket->finish(Outcome::NotRun);
+  Ticket = std::move(ticket);
+  if (!Waiting)
+    return;
+  Hooks->After(Span(admit.DeadlineUs) + OwnerGrace,
+               [weak = weak_from_this(), round] {
+                 if (auto self = weak.lock())
+                   self->onLate(round);
+               });
+}
+
+void Exchange::onLate(std::uint32_t round) {
+  std::lock_guard lock(Mutex);
+  if (Ended || round != Round || !Waiting)
+    return;
+  refuse("deadline-passed", OwnerRetryInterval);
 }
 
 void Exchange::askAgain() {
@@ -100,6 +116,7 @@
   std::lock_guard lock(Mutex);
   if (Ended || round != Round)
     return;
+  Waiting = false;
   if (!reply.Granted) {
     if (isOwnerless(reply.Reason))
       return askAgain();
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -73,6 +73,8 @@
 private:
   void ask();
   void askAgain();
+  /// The deadline is over; the owner has said nothing if it is still asked.
+  void onLate(std::uint32_t round);
   void onAdmitted(std::uint32_t round, const AdmitReply &reply);
   void claim();
   void onClaimed(const ClaimAnswer &answer);
@@ -104,6 +106,8 @@
   std::recursive_mutex Mutex;
   /// Rises with each asking for admission, so that late answers are known.
   std::uint32_t Round = 0;
+  /// The asking of this round has no answer.
+  bool Waiting = false;
   std::shared_ptr<AdmissionTicket> Ticket;
   AdmitReply Grant;
   bool Registered = false;
--- a/UnitTests/Node/ExchangeTest.cpp
+++ b/UnitTests/Node/ExchangeTest.cpp
@@ -363,6 +363,20 @@
   CHECK(rig.Asked.size() == 1);
 }
 
+TEST_CASE("an owner that never answers does not hold a request past its "
+          "deadline",
+          "[exchange]") {
+  ExchangeRig rig;
+  rig.HoldAdmissions = true;
+  rig.start();
+  rig.fire();
+  REQUIRE(rig.Ends.size() == 1);
+  CHECK(rig.Ends[0].Reason == "deadline-passed");
+  CHECK(rig.Reply->Status == 503);
+  CHECK(rig.Reply->outcome() == "not-run");
+  CHECK(rig.allGivenBack());
+}
+
 TEST_CASE("a late grant of an earlier asking is not used", "[exchange]") {
   // Off: the late grant comes as if it answered the present asking.
   for (bool rounds : {true, false}) {
