A request that waits to ask for an owner again is kept alive

Cause: while an exchange waited 100 ms to ask again (no owner, owner lost, grant refused by the register), nothing held it: the owner's answer had been given and its callback was gone, and the timer had a weak pointer. The request was dropped without an answer, its end neither logged nor counted. Ruled out: the rig; it first held the callbacks and so hid the fault, and now lets go of them as an owner does. Change: the timer holds the exchange. Measured: NodeTests "an owner that is lost ... is asked again", "past its deadline ...", "a grant of an owner that has been followed ...": before 3 failed of 19, after 19 passed (286 assertions). Conclusion: mended.

--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -106,10 +106,9 @@
   // A new round makes the answer to the last one late, whatever it says.
   ++Round;
   giveBack(Outcome::NotRun);
-  Hooks->After(OwnerRetryInterval, [weak = weak_from_this()] {
-    if (auto self = weak.lock())
-      self->ask();
-  });
+  // Between two askings the timer alone keeps the exchange.
+  Hooks->After(OwnerRetryInterval,
+               [self = shared_from_this()] { self->ask(); });
 }
 
 void Exchange::onAdmitted(std::uint32_t round, const AdmitReply &reply) {
--- a/UnitTests/Node/ExchangeRig.h
+++ b/UnitTests/Node/ExchangeRig.h
@@ -93,7 +93,9 @@
   void setHooks() {
     Hooks->Ask = [this](const AdmitRequest &request, Admission::OnReply reply) {
       Asked.push_back(request);
-      AskReplies.push_back(reply);
+      // An answer that was given is not kept, as an owner keeps none.
+      if (HoldAdmissions)
+        AskReplies.push_back(reply);
       auto answer = grant();
       if (!Admissions.empty()) {
         answer = Admissions.front();
