--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -106,7 +106,7 @@
   // A new round makes the answer to the last one late, whatever it says.
   ++Round;
   giveBack(Outcome::NotRun);
-  // Between two askings the timer alone keeps the exchange.
+  // Nothing else keeps the exchange until it asks again.
   Hooks->After(OwnerRetryInterval,
                [self = shared_from_this()] { self->ask(); });
 }
