Bench: slopes for the planned size, one command

Cause: nothing measured how memory, time, table operations and bytes grow. Ruled out: only quoting the other benches; their sizes and units differ, and none gives a fit. Change: Bench/Capacity (capacity_bench) for the libraries and scripts/capacity.sh for these and for real processes; one Markdown table with a least-squares fit and its residual.

--- /dev/null
+++ b/Bench/Capacity/TableSlopes.cpp
@@ -0,0 +1,205 @@
+#include "HeapCount.h"
+#include "Slope.h"
+#include "Slopes.h"
+
+#include "UnitTests/Coordination/Lease/LeaseFigures.h"
+
+namespace hemlockglade::bench {
+
+namespace {
+
+using namespace hemlockglade::test;
+using namespace std::chrono_literals;
+
+constexpr int RunningMs = 20;
+
+/// A claim book on a table in memory.
+struct BookWorld {
+  VirtualTime Time;
+  FakeTable Table{Time, 1};
+  std::shared_ptr<ClaimBook> Book;
+
+  explicit BookWorld(Span window) {
+    ClaimSettings settings;
+    settings.Group.Window = window;
+    Book = std::make_shared<ClaimBook>(settings, "entry-1", Table.hooks(),
+                                       hooks());
+  }
+
+  ClaimHooks hooks() {
+    ClaimHooks out;
+    out.WallMs = [this] { return Time.now().count() / 1000; };
+    out.After = [this](Span delay, std::function<void()> call) {
+      Time.after(delay, std::move(call));
+    };
+    return out;
+  }
+
+  void claim(std::size_t number) {
+    auto key = std::to_string(number);
+    Book->claim({"labels", key, "body", key}, [this](ClaimAnswer answer) {
+      if (answer.Result != ClaimResult::Claimed)
+        return;
+      Time.after(std::chrono::milliseconds(RunningMs), [this, answer] {
+        Book->record(answer.Ticket, Outcome::Complete);
+      });
+    });
+  }
+};
+
+/// Transactions a second of one book for claims with their outcomes.
+double claimWrites(Span window, std::size_t perSecond) {
+  constexpr std::size_t Seconds = 20;
+  BookWorld world(window);
+  Span pause(static_cast<std::int64_t>(1e6 / static_cast<double>(perSecond)));
+  for (std::size_t it = 0; it < perSecond * Seconds; ++it) {
+    world.claim(it);
+    world.Time.advance(pause);
+  }
+  world.Time.advance(5s);
+  return static_cast<double>(world.Table.Writes) / Seconds;
+}
+
+/// The fake table's own work is in it.
+double claimMicros(std::size_t n) {
+  return microsOf([n] {
+    BookWorld world(2ms);
+    for (std::size_t it = 0; it < n; ++it) {
+      world.claim(it);
+      world.Time.advance(500us);
+    }
+    world.Time.advance(5s);
+  });
+}
+
+double claimsInFlightBytes(std::size_t n) {
+  BookWorld world(2ms);
+  std::vector<TableCallback<bool>> held;
+  auto table = world.Table.hooks();
+  table.Commit = [&held](TableTransaction, TableCallback<bool> done) {
+    held.push_back(std::move(done));
+  };
+  held.reserve(n);
+  auto before = heapBytes();
+  auto book = std::make_shared<ClaimBook>(ClaimSettings{}, "entry-1", table,
+                                          world.hooks());
+  for (std::size_t it = 0; it < n; ++it) {
+    auto key = std::to_string(it);
+    book->claim({"labels", key, "body", key}, [](const ClaimAnswer &) {});
+  }
+  return heapBytes() - before;
+}
+
+/// Processor time of one round of one keeper beside the rows of others; the
+/// fake table's copies of the rows are in it.
+double leaseRoundMicros(std::size_t n, Span scanEvery) {
+  constexpr int Rounds = 10;
+  VirtualTime time;
+  FakeTable table(time, 1);
+  std::vector<std::string> cells;
+  for (std::size_t it = 0; it < n; ++it) {
+    auto number = std::to_string(it);
+    NodeRecord node{"entry-" + number, "incarnation-" + number + "-1",
+                    "10.20.30.40:8000", "10.20.30.40:8001", "hall-a"};
+    CellRecord cell{node.Name, 1, node.Incarnation, {}, {}};
+    cells.push_back("assistant/" + number);
+    table.apply({"node" + number,
+                 {{lease_rows::nodeKey(node.Name), 0,
+                   lease_rows::write(node, "a-" + number)}}});
+    table.apply({"cell" + number,
+                 {{lease_rows::cellKey(cells.back()), 0,
+                   lease_rows::write(cell, "a-" + number)}}});
+  }
+  LeaseSettings settings;
+  settings.ScanInterval = scanEvery;
+  LeaseHooks hooks;
+  hooks.Now = [&time] { return time.now(); };
+  hooks.OnOwned = [](const std::string &, Epoch) {};
+  hooks.OnLost = [](const std::string &) {};
+  NodeRecord self{"entry-x", "incarnation-x", "c", "p", "hall-a"};
+  auto keeper =
+      std::make_shared<LeaseKeeper>(settings, self, table.hooks(), hooks);
+  keeper->round(cells);
+  time.advance(100ms);
+  return microsOf([&] {
+           for (int it = 0; it < Rounds; ++it) {
+             keeper->round(cells);
+             time.advance(100ms);
+           }
+         }) /
+         Rounds;
+}
+
+FigureSetup gossiping(std::size_t nodes, std::size_t cells) {
+  FigureSetup setup;
+  setup.Gossip = true;
+  setup.Round = 1s;
+  setup.Scan = 60s;
+  setup.Nodes = static_cast<int>(nodes);
+  setup.Cells = static_cast<int>(cells);
+  return setup;
+}
+
+void measureIdle(std::ostream &out) {
+  Slope reads{"leases idle, told by gossip, all nodes together",
+              "reads/s",
+              "nodes",
+              planned::Nodes,
+              {}};
+  auto writes = reads;
+  writes.Unit = "writes/s";
+  auto rows = reads;
+  rows.Unit = "rows read/s";
+  for (std::size_t n : {10, 25, 50, 100}) {
+    FigureFleet fleet(1, gossiping(n, n));
+    auto figures = fleet.measure(120s);
+    auto size = static_cast<double>(n);
+    reads.Points.push_back({size, figures.Reads / figures.Seconds});
+    writes.Points.push_back({size, figures.Writes / figures.Seconds});
+    rows.Points.push_back({size, figures.RowsRead / figures.Seconds});
+  }
+  print(out, reads);
+  print(out, writes);
+  print(out, rows);
+}
+
+void measureFailover(std::ostream &out) {
+  constexpr std::size_t Nodes = 10;
+  Slope reads{"failover, told by gossip", "reads", "cells lost", 1, {}};
+  auto writes = reads;
+  writes.Unit = "writes";
+  for (std::size_t cells : {10, 40, 80, 160}) {
+    FigureFleet fleet(2, gossiping(Nodes, cells));
+    auto figures = fleet.lose(Going::Killed);
+    auto lost = static_cast<double>(fleet.Lost);
+    reads.Points.push_back({lost, figures.Reads});
+    writes.Points.push_back({lost, figures.Writes});
+  }
+  print(out, reads);
+  print(out, writes);
+}
+
+} // namespace
+
+void measureTable(std::ostream &out) {
+  measureIdle(out);
+  measureFailover(out);
+  for (auto [what, every] :
+       {std::pair("lease round that scans", Span{}),
+        std::pair("lease round that does not scan", Span(60s))})
+    measureSlope(out, {what, "us", "nodes and cells", planned::Nodes, {}},
+                 {50, 200, 580},
+                 [every](std::size_t n) { return leaseRoundMicros(n, every); });
+  for (auto [what, window] :
+       {std::pair("claims of one book, window 2 ms", Span(2ms)),
+        std::pair("claims of one book, window 50 ms", Span(50ms)),
+        std::pair("claims of one book, window 200 ms", Span(200ms))})
+    measureSlope(out, {what, "writes/s", "claims/s", 39, {}}, {2, 10, 39, 160},
+                 [window](std::size_t n) { return claimWrites(window, n); });
+  measureSlope(out, {"claim with its outcome", "us", "claims", 0, {}},
+               {1000, 4000, 16000}, &claimMicros);
+  measureSlope(out, {"claim in flight", "bytes", "claims", 100, {}},
+               {1000, 4000, 16000}, &claimsInFlightBytes);
+}
+
+} // namespace hemlockglade::bench
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,217 @@
+#!/usr/bin/env bash
+# Measures the slopes that docs/CAPACITY.md is worked out from and prints them
+# as one Markdown table: first those of the libraries (capacity_bench), then
+# those of real processes on loopback. Takes about six minutes; at most 24
+# nodes or 48 engines at a time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ -x build/capacity_bench ] || scripts/build.sh >/dev/null
+RUN=$(mktemp -d)
+source scripts/cluster.sh
+trap 'stop_all; rm -rf "$RUN"' EXIT
+
+SETTLE_S=6
+SAMPLE_S=12
+TOKENS=277
+# Time from the first to the last event of an answer, in seconds.
+ANSWER_S=5.52
+TICKS=$(getconf CLK_TCK)
+
+row() { "$BIN/capacity_bench" --fit "$1"; }
+# join LIST... : the points as one word.
+join() { local IFS=,; echo "$*"; }
+calc() { awk "BEGIN { printf \"%.6g\", $1 }"; }
+
+# start_default_node NAME : a node with the settings that are the defaults.
+start_default_node() {
+  cat >"$RUN/$1.yaml" <<YAML
+name: $1
+failure_domain: hall-a
+region: tunis-north
+platform_url: http://127.0.0.1:${PORT[platform]}
+YAML
+  start "$1" hemlockgladed --config "$RUN/$1.yaml"
+}
+
+# ticks PID... : processor time of the processes together, in clock ticks.
+ticks() {
+  local pid sum=0 stat
+  for pid; do
+    stat=$(sed 's/.*) //' "/proc/$pid/stat")
+    set -- $stat
+    sum=$((sum + ${12} + ${13}))
+  done
+  echo "$sum"
+}
+memory() { awk -v key="$2:" '$1 == key { print $2 * 1024 }' "/proc/$1/status"; }
+
+# operations NODE... : table operations of the nodes since they started.
+operations() {
+  local node
+  for node; do
+    curl -s --max-time 5 "http://127.0.0.1:${PORT[$node]}/metrics"
+  done | awk '/^hemlockglade_store_latency_seconds_count/ { n += $NF }
+              END { print n + 0 }'
+}
+
+restart_platform() {
+  stop_all
+  PID=()
+  start platform StandInPlatform
+}
+
+# declare_system CELLS REPLICAS ADAPTERS [ADDRESS...] : writes declarations.
+declare_system() {
+  local cells=$1 replicas=$2 adapters=$3 it address
+  shift 3
+  echo "services:"
+  echo "  - {name: assistant, kind: engine, base_model: b, cells: $cells}"
+  echo "replicas:"
+  for ((it = 1; it <= replicas; ++it)); do
+    address=${!it}
+    echo "  - {name: engine-$it, service: assistant," \
+      "address: \"$address\", failure_domain: hall-a, batch: 4000}"
+  done
+  echo "classes:"
+  echo "  - {name: default, priority: 1, deadline_ms: 10000}"
+  echo "adapters:"
+  seq -f '  - {name: adapter-%.0f, service: assistant, versions: [1]}' \
+    "$adapters"
+}
+
+apply_to() {
+  "$BIN/hemlockctl" --node "127.0.0.1:${PORT[$1]}" apply "$2" >/dev/null
+}
+
+# measure_idle : idle nodes, a cell for each.
+measure_idle() {
+  local n it before after tick_before tick_after micros=() operations=()
+  for n in 3 6 12 24; do
+    restart_platform
+    local nodes=() pids=()
+    for it in $(seq "$n"); do
+      start_default_node "entry-$it"
+      nodes+=("entry-$it")
+      pids+=("${PID[entry-$it]}")
+    done
+    declare_system "$n" 1 1 127.0.0.1:9 >"$RUN/d.yaml"
+    apply_to entry-1 "$RUN/d.yaml"
+    sleep "$SETTLE_S"
+    before=$(operations "${nodes[@]}")
+    tick_before=$(ticks "${pids[@]}")
+    sleep "$SAMPLE_S"
+    after=$(operations "${nodes[@]}")
+    tick_after=$(ticks "${pids[@]}")
+    operations+=("$n:$(calc "($after - $before) / $SAMPLE_S / $n")")
+    micros+=("$n:$(calc \
+      "($tick_after - $tick_before) * 1e6 / $TICKS / $SAMPLE_S / $n")")
+  done
+  row "idle node, table operations of leases|operations/s a node|nodes|580|$(
+    join "${operations[@]}")"
+  row "idle node, processor|us/s a node|nodes|580|$(join "${micros[@]}")"
+}
+
+# measure_configuration : memory of a node by adapters. Each size has a system
+# of its own; the node that reads the declarations is not the measured one.
+measure_configuration() {
+  local n bytes=()
+  for n in 1000 10000 49000; do
+    restart_platform
+    start_default_node entry-1
+    start_default_node entry-2
+    declare_system 2 1 "$n" 127.0.0.1:9 >"$RUN/d.yaml"
+    apply_to entry-1 "$RUN/d.yaml"
+    sleep 4
+    bytes+=("$n:$(memory "${PID[entry-2]}" VmRSS)")
+  done
+  row "node, resident memory|bytes|adapters|49000|$(join "${bytes[@]}")"
+}
+
+# measure_reports : one node that owns the cell of all engines, nothing runs.
+measure_reports() {
+  local n it before micros=()
+  for n in 8 24 48; do
+    restart_platform
+    local addresses=()
+    for it in $(seq "$n"); do
+      start "engine-$it" path_bench --engine
+      addresses+=("127.0.0.1:${PORT[engine-$it]}")
+    done
+    start_default_node entry-1
+    declare_system 1 "$n" 8 "${addresses[@]}" >"$RUN/d.yaml"
+    apply_to entry-1 "$RUN/d.yaml"
+    sleep "$SETTLE_S"
+    before=$(ticks "${PID[entry-1]}")
+    sleep "$SAMPLE_S"
+    micros+=("$n:$(calc "($(ticks "${PID[entry-1]}") - $before) * 1e6 /
+      $TICKS / $SAMPLE_S")")
+  done
+  row "owner, idle replicas asked twice a second|us/s|replicas|21|$(
+    join "${micros[@]}")"
+}
+
+# measure_path : requests and their events through real nodes.
+measure_path() {
+  local it rate models="" addresses=() owner entry other
+  restart_platform
+  for it in 1 2 3; do start_default_node "entry-$it"; done
+  for it in 1 2 3 4; do
+    start "engine-$it" path_bench --engine
+    addresses+=("127.0.0.1:${PORT[engine-$it]}")
+  done
+  for it in $(seq 8); do models+="adapter-$it@1,"; done
+  declare_system 1 4 8 "${addresses[@]}" >"$RUN/d.yaml"
+  apply_to entry-1 "$RUN/d.yaml"
+  cells() { curl -sf "127.0.0.1:${PORT[entry-1]}/admin/show?what=cells"; }
+  owned() { cells | grep -q '"owner":"entry'; }
+  wait_for 30 owned
+  sleep 3
+  owner=$(cells | tr '{' '\n' |
+    sed -n 's/.*"cell":"assistant\/0".*"owner":"\([^"]*\)".*/\1/p')
+  for other in entry-1 entry-2 entry-3; do
+    [ "$other" != "$owner" ] && entry=$other
+  done
+  local short_owner=() long_owner=() asked=() long_entry=() held=() failed=0
+  for rate in 20 50 80; do
+    "$BIN/path_bench" --owner "127.0.0.1:${PORT[$owner]}" \
+      --entry "127.0.0.1:${PORT[$entry]}" \
+      --direct "127.0.0.1:${PORT[engine-1]}" \
+      --pids "${PID[$owner]},${PID[$entry]}" --models "${models%,}" \
+      --latency_rates "" --rates "$rate" --tokens "$TOKENS" \
+      --window_ms 4000 >"$RUN/path.md" || failed=1
+    # Columns: case, events, rate, events/s, failed, owner, entry cores.
+    local cores
+    cores=$(awk -F'|' -v tokens="$TOKENS" '
+      /entry is owner/ { c[$3 + 0, "o"] = $7 * 1e6 }
+      /entry is not/ { c[$3 + 0, "a"] = $7 * 1e6; c[$3 + 0, "e"] = $8 * 1e6 }
+      END { print c[1, "o"], c[tokens, "o"], c[1, "a"], c[tokens, "e"],
+                  c[1, "e"] }' "$RUN/path.md")
+    set -- $cores
+    short_owner+=("$rate:$1")
+    long_owner+=("$rate:$2")
+    asked+=("$rate:$3")
+    long_entry+=("$rate:$4")
+    held+=("$(calc "$rate * $ANSWER_S"):$(memory "${PID[$entry]}" VmHWM)")
+  done
+  row "node that is entry and owner, answers of 1 event|us/s|requests/s|155|$(
+    join "${short_owner[@]}")"
+  row "node that is entry and owner, answers of $TOKENS events|us/s|requests/s|155|$(
+    join "${long_owner[@]}")"
+  row "owner that is asked by an entry|us/s|requests/s|155|$(
+    join "${asked[@]}")"
+  row "entry that asks an owner, answers of $TOKENS events|us/s|requests/s|155|$(
+    join "${long_entry[@]}")"
+  row "entry, most resident memory|bytes|requests that run|2200|$(
+    join "${held[@]}")"
+  [ "$failed" = 0 ] || echo "(some requests of this run failed)"
+}
+
+echo "load average before: $(cut -d' ' -f1-3 /proc/loadavg), $(nproc) cores"
+echo
+"$BIN/capacity_bench"
+measure_idle
+measure_configuration
+measure_reports
+measure_path
+echo
+echo "load average after: $(cut -d' ' -f1-3 /proc/loadavg)"
