--- a/Hemlockglade/Coordination/Decision/CellState.cpp
+++ b/Hemlockglade/Coordination/Decision/CellState.cpp
@@ -50,7 +50,7 @@
 std::size_t CellState::freeSlots() {
   std::size_t n = 0;
   for (const auto &it : Book.all()) {
-    if (it.Present && !it.Draining && it.hasFreeSlot())
+    if (Chooser.works(it) && it.NoLoadBefore <= Now && it.hasFreeSlot())
       n += it.Properties.Slots - it.Adapters.size();
   }
   return n;
@@ -155,7 +155,7 @@
     return std::nullopt;
   OpenOrder open = *it;
   Orders.erase(it);
-  if (open.IsLoad)
+  if (open.IsLoad && !open.Overdue)
     Turn.dropped();
   return open;
 }
