A key's cell is found without a string for each candidate

Ruled out: keeping the cells in the view; that changes what a view is. Change: cellOf writes all candidates' names into one buffer. Measured (capacity_bench, least of three tries, machine shared): 67.3 ms before and 36.0 ms after for 12,000 replicas; 5.2 us before and 2.6 us after for one adapter among 143 cells. Conclusion: 1.4% of a core for a node with one cell, still 2.7% with two.

--- a/Hemlockglade/State/Catalog.cpp
+++ b/Hemlockglade/State/Catalog.cpp
@@ -1,5 +1,7 @@
 #include "Hemlockglade/State/Catalog.h"
 
+#include <charconv>
+#include <limits>
 #include <xxhash.h>
 
 namespace hemlockglade {
@@ -22,17 +24,24 @@
 }
 
 std::string cellOf(const ServiceConfig &service, std::string_view key) {
-  std::string best;
+  // One buffer for all names: this runs for each request and, at a change of
+  // the configuration, for each replica.
+  auto name = service.Name + '/';
+  auto prefix = name.size();
+  name.resize(prefix + std::numeric_limits<std::uint32_t>::digits10 + 1);
+  char *end = name.data() + name.size();
+  std::uint32_t best = 0;
   std::uint64_t bestWeight = 0;
   for (std::uint32_t it = 0; it < service.Cells; ++it) {
-    auto cell = cellName(service.Name, it);
-    auto weight = rendezvousWeight(cell, key);
-    if (best.empty() || weight > bestWeight) {
-      best = std::move(cell);
+    char *last = std::to_chars(name.data() + prefix, end, it).ptr;
+    auto length = static_cast<std::size_t>(last - name.data());
+    auto weight = rendezvousWeight({name.data(), length}, key);
+    if (weight > bestWeight) {
+      best = it;
       bestWeight = weight;
     }
   }
-  return best;
+  return service.Cells ? cellName(service.Name, best) : std::string();
 }
 
 std::string cellOfReplica(const ServiceConfig &service,
