capacity.sh: the rate of the reports is worked out on one line

Cause: awk does not take an expression that is broken after a division, and the run ended there. Change: one line.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -130,7 +130,7 @@
 
 # measure_reports : one node that owns the cell of all engines, nothing runs.
 measure_reports() {
-  local n it before micros=()
+  local n it before after micros=()
   for n in 8 24 48; do
     restart_platform
     local addresses=()
@@ -144,8 +144,8 @@
     sleep "$SETTLE_S"
     before=$(ticks "${PID[entry-1]}")
     sleep "$SAMPLE_S"
-    micros+=("$n:$(calc "($(ticks "${PID[entry-1]}") - $before) * 1e6 /
-      $TICKS / $SAMPLE_S")")
+    after=$(ticks "${PID[entry-1]}")
+    micros+=("$n:$(calc "($after - $before) * 1e6 / $TICKS / $SAMPLE_S")")
   done
   row "owner, idle replicas asked twice a second|us/s|replicas|21|$(
     join "${micros[@]}")"
