Consolidation to 0.72 of the batches

At a target of 0.75 a burst left more than 20 loads waiting more often, each of which wakes a replica in the middle of the burst: more loads for less fill. Change: Consolidation.FullTarget 0.75 to 0.72.

--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -63,7 +63,7 @@
 struct ConsolidationSettings {
   /// Part of the batches that is to be in use at objective 1; in proportion
   /// below, so that nothing rests at objective 0.
-  double FullTarget = 0.75;
+  double FullTarget = 0.72;
   /// Time over which the load is averaged, and least time between changes.
   Span MeanOver = std::chrono::seconds(10);
   Span Period = std::chrono::seconds(5);
