A changed objective reaches the consolidation

Cause: ObjectiveChanged was handed to the routing alone, so replicas began to rest or stopped doing so only at a new start of the core; and at objective 0 those that rested were not woken. Change: the objective is kept in the cell's settings, and at 0 one resting replica is woken at each look. Conclusion: a setting changed in the running cell holds at once.

--- a/Hemlockglade/Coordination/Decision/CellCore.cpp
+++ b/Hemlockglade/Coordination/Decision/CellCore.cpp
@@ -90,6 +90,7 @@
 void CellCore::on(const OperatorLoad &event) { Orders.operatorLoad(event); }
 
 void CellCore::on(const ObjectiveChanged &event) {
+  State.Settings.Objective = event.Objective;
   State.Chooser.setObjective(event.Objective);
 }
 
--- a/Hemlockglade/Coordination/Decision/Consolidation.cpp
+++ b/Hemlockglade/Coordination/Decision/Consolidation.cpp
@@ -9,7 +9,7 @@
   const auto &settings = State.Settings.Consolidation;
   double target = settings.FullTarget * State.Settings.Objective;
   if (target <= 0)
-    return nullptr;
+    return wakeOne();
   auto inFlight = static_cast<double>(State.Queues.size());
   for (const auto &it : State.Book.all())
     inFlight += it.Present ? it.inFlight() : 0;
--- a/UnitTests/Coordination/Decision/ReplicaChooserTest.cpp
+++ b/UnitTests/Coordination/Decision/ReplicaChooserTest.cpp
@@ -175,3 +175,18 @@
   CHECK(core.send(ReplicaRemoved{1}).empty());
   CHECK(core.arrive(2, 8).find("refuse") == std::string::npos);
 }
+
+TEST_CASE("a changed objective lets replicas rest and wakes them",
+          "[routing]") {
+  CoreProbe core;
+  core.send(ReplicaAdded{1, 1, 2, 4});
+  core.send(ReplicaAdded{2, 2, 2, 4, false, 6});
+  core.place(7, 1);
+  core.place(7, 2);
+  core.send(ObjectiveChanged{1});
+  core.pass(60s);
+  CHECK(core.arrive(1, 7) == "admit 1@1");
+  core.send(ObjectiveChanged{0});
+  core.pass(1s);
+  CHECK(core.arrive(2, 7) == "admit 2@2");
+}
