The objective gives the part of the spare replicas that rests

Ruled out: another curve for the target; the point where it begins to act would still hang on the load. Change: needed places = all - objective * (all - in flight / FullTarget). At 0 and 1 as before.

--- a/Bench/Core/Policies.cpp
+++ b/Bench/Core/Policies.cpp
@@ -56,16 +56,22 @@
   return policyOf(std::make_shared<CellCore>(coreSettings(workload)));
 }
 
-Policy makeOursStall(const Workload &workload, const Trace &) {
+Policy makeWithObjective(const Workload &workload, double objective) {
   auto settings = coreSettings(workload);
-  settings.Objective = 0;
+  settings.Objective = objective;
   return policyOf(std::make_shared<CellCore>(settings));
 }
 
+Policy makeOursStall(const Workload &workload, const Trace &) {
+  return makeWithObjective(workload, 0);
+}
+
+Policy makeOursHalf(const Workload &workload, const Trace &) {
+  return makeWithObjective(workload, 0.5);
+}
+
 Policy makeOursBatch(const Workload &workload, const Trace &) {
-  auto settings = coreSettings(workload);
-  settings.Objective = 1;
-  return policyOf(std::make_shared<CellCore>(settings));
+  return makeWithObjective(workload, 1);
 }
 
 Policy makeOursLru(const Workload &workload, const Trace &) {
@@ -99,6 +105,8 @@
     {"ours", "the decision core with the scenario's objective", makeOurs},
     {"ours-stall", "ours with short load stalls as its objective",
      makeOursStall},
+    {"ours-half", "ours with the objective half way between the two",
+     makeOursHalf},
     {"ours-batch", "ours with full batches as its objective", makeOursBatch},
     {"ours-lru", "ours that evicts the least recently used", makeOursLru},
     {"oracle", "ours that evicts by the true expected demand", makeOracle},
--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -61,8 +61,8 @@
 
 /// How far work is drawn together on fewer replicas.
 struct ConsolidationSettings {
-  /// Part of the batches that is to be in use at objective 1; in proportion
-  /// below, so that nothing rests at objective 0.
+  /// Part of the batches that is to be in use at objective 1. Below, that part
+  /// of the spare replicas rests which the objective gives; none at 0.
   double FullTarget = 0.72;
   /// Time over which the load is averaged, and least time between changes.
   Span MeanOver = std::chrono::seconds(10);
--- a/Hemlockglade/Coordination/Decision/Consolidation.cpp
+++ b/Hemlockglade/Coordination/Decision/Consolidation.cpp
@@ -7,8 +7,7 @@
 
 Replica *Consolidation::run() {
   const auto &settings = State.Settings.Consolidation;
-  double target = settings.FullTarget * State.Settings.Objective;
-  if (target <= 0)
+  if (settings.FullTarget <= 0 || State.Settings.Objective <= 0)
     return wakeOne();
   auto inFlight = static_cast<double>(State.Queues.size());
   for (const auto &it : State.Book.all())
@@ -17,7 +16,7 @@
   auto over = std::chrono::duration<double>(settings.MeanOver);
   InFlight += (inFlight - InFlight) * (1 - std::exp(-past / over));
   SampledAt = State.Now;
-  if (isShort() || InFlight > target * places())
+  if (isShort() || places(false) < placesNeeded())
     return wakeOne();
   if (State.Now >= NextChange && State.Mode == LeaseMode::Held)
     restOne();
@@ -54,10 +53,9 @@
   NextChange = State.Now + settings.Period;
   if (!best || State.Planner.size() != 0 || isWaitedFor(*best))
     return;
-  double left = places() - best->Properties.Batch;
+  double left = places(false) - best->Properties.Batch;
   // The last one that is awake stays so.
-  if (left <= 0 ||
-      InFlight > settings.FullTarget * State.Settings.Objective * left)
+  if (left <= 0 || left < placesNeeded())
     return;
   best->Resting = true;
   State.replanAll(*best);
@@ -72,13 +70,19 @@
   return false;
 }
 
-double Consolidation::places() const {
+double Consolidation::places(bool resting) const {
   double n = 0;
   for (const auto &it : State.Book.all()) {
-    if (it.Present && !it.Draining && !it.Resting)
+    if (it.Present && !it.Draining && (resting || !it.Resting))
       n += it.Properties.Batch;
   }
   return n;
 }
 
+double Consolidation::placesNeeded() const {
+  double all = places(true);
+  double full = InFlight / State.Settings.Consolidation.FullTarget;
+  return all - State.Settings.Objective * (all - full);
+}
+
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Decision/Consolidation.h
+++ b/Hemlockglade/Coordination/Decision/Consolidation.h
@@ -20,8 +20,11 @@
   bool isShort() const;
   /// Whether requests wait for an adapter on the replica.
   bool isWaitedFor(const Replica &replica) const;
-  /// Places in the batches of the replicas that are awake.
-  double places() const;
+  /// Places in the batches of the replicas that are awake, or of all.
+  double places(bool resting) const;
+  /// Places that must be awake: the objective gives the part of the spare ones
+  /// that may rest.
+  double placesNeeded() const;
 
   CellState &State;
   /// Mean number of requests in flight or waiting.
--- a/UnitTests/Coordination/Decision/CellCorePropertyTest.cpp
+++ b/UnitTests/Coordination/Decision/CellCorePropertyTest.cpp
@@ -24,7 +24,7 @@
 TEST_CASE("random orders of events break no invariant", "[core]") {
   REQUIRE(rc::check([] {
     CellCoreSettings settings;
-    settings.Objective = *rc::gen::element(0.0, 1.0);
+    settings.Objective = *rc::gen::element(0.0, 0.5, 1.0);
     settings.QueueLimit = *rc::gen::element(3U, 2000U);
     CoreWorld world(anyShape(), settings);
     world.run(*rc::gen::inRange(1U, 400U));
--- a/UnitTests/Coordination/Decision/ReplicaChooserTest.cpp
+++ b/UnitTests/Coordination/Decision/ReplicaChooserTest.cpp
@@ -190,3 +190,20 @@
   core.pass(1s);
   CHECK(core.arrive(2, 7) == "admit 2@2");
 }
+
+TEST_CASE("the objective gives the part of the spare replicas that rests",
+          "[routing]") {
+  auto [objective, places] = GENERATE(
+      table<double, int>({{0, 20}, {0.25, 16}, {0.5, 12}, {0.75, 8}, {1, 4}}));
+  CellCoreSettings settings;
+  settings.Objective = objective;
+  CoreProbe core(settings);
+  core.replicas(5, 2, 4);
+  for (ReplicaKey it = 1; it <= 5; ++it)
+    core.place(7, it);
+  core.pass(120s);
+  int admitted = 0;
+  for (RequestKey it = 1; it <= 20; ++it)
+    admitted += core.arrive(it, 7).starts_with("admit");
+  CHECK(admitted == places);
+}
