--- a/UnitTests/Coordination/Decision/ReplicaChooserTest.cpp
+++ b/UnitTests/Coordination/Decision/ReplicaChooserTest.cpp
@@ -175,3 +175,35 @@
   CHECK(core.send(ReplicaRemoved{1}).empty());
   CHECK(core.arrive(2, 8).find("refuse") == std::string::npos);
 }
+
+TEST_CASE("a changed objective lets replicas rest and wakes them",
+          "[routing]") {
+  CoreProbe core;
+  core.send(ReplicaAdded{1, 1, 2, 4});
+  core.send(ReplicaAdded{2, 2, 2, 4, false, 6});
+  core.place(7, 1);
+  core.place(7, 2);
+  core.send(ObjectiveChanged{1});
+  core.pass(60s);
+  CHECK(core.arrive(1, 7) == "admit 1@1");
+  core.send(ObjectiveChanged{0});
+  core.pass(1s);
+  CHECK(core.arrive(2, 7) == "admit 2@2");
+}
+
+TEST_CASE("the objective gives the part of the spare replicas that rests",
+          "[routing]") {
+  auto [objective, places] = GENERATE(
+      table<double, int>({{0, 20}, {0.25, 16}, {0.5, 12}, {0.75, 8}, {1, 4}}));
+  CellCoreSettings settings;
+  settings.Objective = objective;
+  CoreProbe core(settings);
+  core.replicas(5, 2, 4);
+  for (ReplicaKey it = 1; it <= 5; ++it)
+    core.place(7, it);
+  core.pass(120s);
+  int admitted = 0;
+  for (RequestKey it = 1; it <= 20; ++it)
+    admitted += core.arrive(it, 7).starts_with("admit");
+  CHECK(admitted == places);
+}
