--- a/Hemlockglade/Protocol/Admin/AdminFormat.cpp
+++ b/Hemlockglade/Protocol/Admin/AdminFormat.cpp
@@ -1,8 +1,9 @@
 #include "Hemlockglade/Protocol/Admin/AdminFormat.h"
 
+#include "Hemlockglade/Protocol/JsonText.h"
+
 #include <algorithm>
 #include <cassert>
-#include <nlohmann/json.hpp>
 
 namespace hemlockglade {
 
@@ -36,13 +37,16 @@
 
 namespace {
 
+/// The body as JSON; discarded if it is none, or nested too deeply.
 json parse(std::string_view body) {
-  return json::parse(body, nullptr, /*allow_exceptions=*/false);
+  try {
+    return parseJson(body);
+  } catch (const json::exception &) {
+    return json(json::value_t::discarded);
+  }
 }
 
-std::string dump(const json &node) {
-  return node.dump(-1, ' ', false, json::error_handler_t::replace) + '\n';
-}
+std::string dump(const json &node) { return writeJson(node) + '\n'; }
 
 /// Text of a member; empty if there is none.
 std::string textOf(const json &node, const char *key) {
--- a/Programs/hemlockgladed/AdminFront.cpp
+++ b/Programs/hemlockgladed/AdminFront.cpp
@@ -189,24 +189,17 @@
       std::lock_guard lock(state->Mutex);
       ++state->Left;
     }
-    HttpRequest out;
-    out.Method = "POST";
-    out.Url = "http://" + node.CallerAddress;
-    out.Url += admin_path::Statement;
-    out.Fields = {{std::string(ForwardedField), Self}};
-    out.Body = admin_format::statementBody(asked);
-    out.Timeout = ForwardTimeout;
-    Client.fetch(out, [arrived, name = node.Name](const HttpResult &result,
-                                                  const std::string &body) {
-      arrived(name, result.Whole ? body : std::string());
-    });
+    Client.fetch(toNode(node, asked),
+                 [arrived, name = node.Name](const HttpResult &result,
+                                             const std::string &body) {
+                   arrived(name, result.Whole ? body : std::string());
+                 });
   }
   arrived("", "");
 }
 
-void AdminFront::forward(const NodeRecord &node,
-                         const StatementRequest &request,
-                         const ReplyPtr &reply) {
+HttpRequest AdminFront::toNode(const NodeRecord &node,
+                               const StatementRequest &request) const {
   HttpRequest out;
   out.Method = "POST";
   out.Url = "http://" + node.CallerAddress;
@@ -214,14 +207,21 @@
   out.Fields = {{std::string(ForwardedField), Self}};
   out.Body = admin_format::statementBody(request);
   out.Timeout = ForwardTimeout;
-  Client.fetch(out, [reply, name = node.Name](const HttpResult &result,
-                                              std::string body) {
-    if (!result.Whole)
-      return sendError(*reply, Unavailable,
-                       "node " + name + " did not answer: " + result.Error);
-    reply->sendWhole(result.Status, {{"Content-Type", "application/json"}},
-                     std::move(body));
-  });
+  return out;
+}
+
+void AdminFront::forward(const NodeRecord &node,
+                         const StatementRequest &request,
+                         const ReplyPtr &reply) {
+  Client.fetch(
+      toNode(node, request),
+      [reply, name = node.Name](const HttpResult &result, std::string body) {
+        if (!result.Whole)
+          return sendError(*reply, Unavailable,
+                           "node " + name + " did not answer: " + result.Error);
+        reply->sendWhole(result.Status, {{"Content-Type", "application/json"}},
+                         std::move(body));
+      });
 }
 
 void AdminFront::run(const statement::Load &load,
--- a/Programs/hemlockgladed/AdminFront.h
+++ b/Programs/hemlockgladed/AdminFront.h
@@ -58,6 +58,8 @@
   void addCells(RowSet &rows) const;
   void gather(const statement::Show &show, const StatementRequest &request,
               const ReplyPtr &reply);
+  HttpRequest toNode(const NodeRecord &node,
+                     const StatementRequest &request) const;
   void forward(const NodeRecord &node, const StatementRequest &request,
                const ReplyPtr &reply);
   /// Commits changes that are worked out from the configuration in force; a
--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -16,6 +16,8 @@
 constexpr Span MetricsInterval = std::chrono::seconds(1);
 /// Time in which all nodes hear that one leaves.
 constexpr Span LeaveSpread = std::chrono::seconds(2);
+/// Declarations of 49,000 adapters and 12,000 replicas are 4.7 MB.
+constexpr std::size_t MaxBodyBytes = std::size_t{8} * 1024 * 1024;
 constexpr Span IdlePoll = std::chrono::milliseconds(50);
 
 /// A node that is silent for a whole lease runs nothing any more, unless it
@@ -245,6 +247,7 @@
   HttpServerSettings http;
   http.Address = Settings.Address;
   http.Port = Settings.CallerPort;
+  http.MaxBodyBytes = MaxBodyBytes;
   Http = std::make_unique<HttpServer>(
       Context, http,
       [this](HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
--- a/UnitTests/Protocol/Admin/AdminFormatTest.cpp
+++ b/UnitTests/Protocol/Admin/AdminFormatTest.cpp
@@ -54,3 +54,12 @@
   CHECK(nodesBehind(nodes, 5)->size() == 2);
   CHECK_FALSE(nodesBehind(rowsFor(ShowSubject::Cells), 1));
 }
+
+TEST_CASE("a message that is nested too deeply is refused", "[admin]") {
+  constexpr std::size_t Levels = 200000;
+  std::string deep(Levels, '[');
+  deep += "1" + std::string(Levels, ']');
+  CHECK_FALSE(admin_format::readStatementRequest(deep));
+  CHECK_FALSE(admin_format::readRows(R"({"columns":["a"],"rows":[{"a":)" +
+                                     deep + "}]}"));
+}
