--- a/Bench/Capacity/TableSlopes.cpp
+++ b/Bench/Capacity/TableSlopes.cpp
@@ -37,13 +37,14 @@
 
   void claim(std::size_t number) {
     auto key = std::to_string(number);
-    Book->claim({"labels", key, "body", key}, [this](ClaimAnswer answer) {
-      if (answer.Result != ClaimResult::Claimed)
-        return;
-      Time.after(std::chrono::milliseconds(RunningMs), [this, answer] {
-        Book->record(answer.Ticket, Outcome::Complete);
-      });
-    });
+    Book->claim(
+        {"labels", key, "body", key}, [this](const ClaimAnswer &answer) {
+          if (answer.Result != ClaimResult::Claimed)
+            return;
+          Time.after(std::chrono::milliseconds(RunningMs), [this, answer] {
+            Book->record(answer.Ticket, Outcome::Complete);
+          });
+        });
   }
 };
 
@@ -76,7 +77,7 @@
   BookWorld world(2ms);
   std::vector<TableCallback<bool>> held;
   auto table = world.Table.hooks();
-  table.Commit = [&held](TableTransaction, TableCallback<bool> done) {
+  table.Commit = [&held](const TableTransaction &, TableCallback<bool> done) {
     held.push_back(std::move(done));
   };
   held.reserve(n);
@@ -184,18 +185,20 @@
 void measureTable(std::ostream &out) {
   measureIdle(out);
   measureFailover(out);
-  for (auto [what, every] :
-       {std::pair("lease round that scans", Span{}),
-        std::pair("lease round that does not scan", Span(60s))})
+  auto rounds = [&out](const char *what, Span every) {
     measureSlope(out, {what, "us", "nodes and cells", planned::Nodes, {}},
                  {50, 200, 580},
                  [every](std::size_t n) { return leaseRoundMicros(n, every); });
-  for (auto [what, window] :
-       {std::pair("claims of one book, window 2 ms", Span(2ms)),
-        std::pair("claims of one book, window 50 ms", Span(50ms)),
-        std::pair("claims of one book, window 200 ms", Span(200ms))})
+  };
+  rounds("lease round that scans", Span{});
+  rounds("lease round that does not scan", 60s);
+  auto claims = [&out](const char *what, Span window) {
     measureSlope(out, {what, "writes/s", "claims/s", 39, {}}, {2, 10, 39, 160},
                  [window](std::size_t n) { return claimWrites(window, n); });
+  };
+  claims("claims of one book, window 2 ms", 2ms);
+  claims("claims of one book, window 50 ms", 50ms);
+  claims("claims of one book, window 200 ms", 200ms);
   measureSlope(out, {"claim with its outcome", "us", "claims", 0, {}},
                {1000, 4000, 16000}, &claimMicros);
   measureSlope(out, {"claim in flight", "bytes", "claims", 100, {}},
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Measures the slopes that docs/CAPACITY.md is worked out from and prints them
-# as one Markdown table: first those of the libraries (capacity_bench), then
-# those of real processes on loopback. Takes about six minutes; at most 24
-# nodes or 48 engines at a time.
+# as one Markdown table: those of the libraries (capacity_bench), then those of
+# real processes on loopback, and last the table of path-bench.sh. Takes about
+# eight minutes; at most 24 nodes or 48 engines at a time. Needs a build, or
+# makes one.
 #   scripts/capacity.sh [libraries|idle|configuration|reports|path]...
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -13,9 +14,6 @@
 
 SETTLE_S=5
 SAMPLE_S=10
-TOKENS=277
-# Time from the first to the last event of an answer, in seconds.
-ANSWER_S=5.52
 TICKS=$(getconf CLK_TCK)
 
 row() { "$BIN/capacity_bench" --fit "$1"; }
@@ -44,6 +42,7 @@
   done
   echo "$sum"
 }
+# memory PID KEY : bytes, as /proc says them.
 memory() { awk -v key="$2:" '$1 == key { print $2 * 1024 }' "/proc/$1/status"; }
 
 # operations NODE... : table operations of the nodes since they started.
@@ -151,60 +150,12 @@
     join "${micros[@]}")"
 }
 
-# measure_path : requests and their events through real nodes.
+# measure_path : what requests and their events cost at three rates.
 measure_path() {
-  local it rate models="" addresses=() owner entry other
-  restart_platform
-  for it in 1 2 3; do start_default_node "entry-$it"; done
-  for it in 1 2 3 4; do
-    start "engine-$it" path_bench --engine
-    addresses+=("127.0.0.1:${PORT[engine-$it]}")
-  done
-  for it in $(seq 8); do models+="adapter-$it@1,"; done
-  declare_system 1 4 8 "${addresses[@]}" >"$RUN/d.yaml"
-  apply_to entry-1 "$RUN/d.yaml"
-  cells() { curl -sf "127.0.0.1:${PORT[entry-1]}/admin/show?what=cells"; }
-  owned() { cells | grep -q '"owner":"entry'; }
-  wait_for 30 owned
-  sleep 3
-  owner=$(cells | tr '{' '\n' |
-    sed -n 's/.*"cell":"assistant\/0".*"owner":"\([^"]*\)".*/\1/p')
-  for other in entry-1 entry-2 entry-3; do
-    [ "$other" != "$owner" ] && entry=$other
-  done
-  local short_owner=() long_owner=() asked=() long_entry=() held=() failed=0
-  for rate in 20 50 80; do
-    "$BIN/path_bench" --owner "127.0.0.1:${PORT[$owner]}" \
-      --entry "127.0.0.1:${PORT[$entry]}" \
-      --direct "127.0.0.1:${PORT[engine-1]}" \
-      --pids "${PID[$owner]},${PID[$entry]}" --models "${models%,}" \
-      --latency_rates "" --rates "$rate" --tokens "$TOKENS" \
-      --window_ms 4000 >"$RUN/path.md" || failed=1
-    # Columns: case, events, rate, events/s, failed, owner, entry cores.
-    local cores
-    cores=$(awk -F'|' -v tokens="$TOKENS" '
-      /entry is owner/ { c[$3 + 0, "o"] = $7 * 1e6 }
-      /entry is not/ { c[$3 + 0, "a"] = $7 * 1e6; c[$3 + 0, "e"] = $8 * 1e6 }
-      END { print c[1, "o"], c[tokens, "o"], c[1, "a"], c[tokens, "e"],
-                  c[1, "e"] }' "$RUN/path.md")
-    set -- $cores
-    short_owner+=("$rate:$1")
-    long_owner+=("$rate:$2")
-    asked+=("$rate:$3")
-    long_entry+=("$rate:$4")
-    held+=("$(calc "$rate * $ANSWER_S"):$(memory "${PID[$entry]}" VmHWM)")
-  done
-  row "node that is entry and owner, answers of 1 event|us/s|requests/s|155|$(
-    join "${short_owner[@]}")"
-  row "node that is entry and owner, answers of $TOKENS events|us/s|requests/s|155|$(
-    join "${long_owner[@]}")"
-  row "owner that is asked by an entry|us/s|requests/s|155|$(
-    join "${asked[@]}")"
-  row "entry that asks an owner, answers of $TOKENS events|us/s|requests/s|155|$(
-    join "${long_entry[@]}")"
-  row "entry, most resident memory|bytes|requests that run|2200|$(
-    join "${held[@]}")"
-  [ "$failed" = 0 ] || echo "(some requests of this run failed)"
+  stop_all || true
+  PID=()
+  scripts/path-bench.sh --latency_rates "" --rates 20,50,80 \
+    --window_ms 3000
 }
 
 [ $# -gt 0 ] || set -- libraries idle configuration reports path
