--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -10,7 +10,7 @@
 [ -x build/capacity_bench ] || scripts/build.sh >/dev/null
 RUN=$(mktemp -d)
 source scripts/cluster.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+trap 'stop_all || true; rm -rf "$RUN"' EXIT
 
 SETTLE_S=5
 SAMPLE_S=10
--- a/scripts/path-bench.sh
+++ b/scripts/path-bench.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 RUN=$(mktemp -d)
 source scripts/cluster.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+trap 'stop_all || true; rm -rf "$RUN"' EXIT
 
 start platform StandInPlatform
 for node in 1 2 3; do
@@ -42,8 +42,8 @@
 YAML
 
 any=127.0.0.1:${PORT[entry-1]}
-curl -sf --data-binary "@$RUN/declarations.yaml" "$any/admin/apply" >/dev/null
-cells() { curl -sf "$any/admin/show?what=cells"; }
+"$BIN/hemlockctl" --node "$any" apply "$RUN/declarations.yaml" >/dev/null
+cells() { "$BIN/hemlockctl" --node "$any" --output json show cells; }
 owned() { cells | grep -q '"owner":"entry'; }
 wait_for 20 owned
 sleep 1
