--- a/Hemlockglade/Transport/Http/HttpClient.cpp
+++ b/Hemlockglade/Transport/Http/HttpClient.cpp
@@ -29,7 +29,12 @@
   curl_slist *List = nullptr;
   HttpFields Fields;
   int Status = 0;
+  /// The empty line after the header has come. Without it libcurl takes an
+  /// answer that is cut in its header for one without a body.
+  bool HeadWhole = false;
   bool HeadGiven = false;
+  /// libcurl was about to send the request, once.
+  bool Sent = false;
 
   Transfer() = default;
   Transfer(const Transfer &) = delete;
@@ -58,8 +63,11 @@
   std::string_view line(data, size * n);
   if (line.starts_with("HTTP/")) {
     transfer->Fields.clear();
+    transfer->HeadWhole = false;
     return size * n;
   }
+  if (line == "\r\n" || line == "\n")
+    transfer->HeadWhole = true;
   auto colon = line.find(':');
   if (colon == std::string_view::npos)
     return size * n;
@@ -81,6 +89,19 @@
   return size * n;
 }
 
+/// Idle connections older than this are not used again: common servers close
+/// theirs after 5 s, and a request that meets that is lost.
+constexpr long KeptIdleSeconds = 4;
+
+/// libcurl sends a request once more by itself if a kept connection breaks
+/// before an answer. Whether to try again is not its decision: the first
+/// sending may have been run.
+int onBeforeSending(void *user, char *, char *, int, int) {
+  auto *transfer = static_cast<Transfer *>(user);
+  return std::exchange(transfer->Sent, true) ? CURL_PREREQFUNC_ABORT
+                                             : CURL_PREREQFUNC_OK;
+}
+
 } // namespace
 
 class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
@@ -181,6 +202,9 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, KeptIdleSeconds);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onBeforeSending);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
     Transfers.emplace(transfer->Number, transfer);
     curl_multi_add_handle(Multi, easy);
@@ -195,6 +219,10 @@
     long sent = 0;
     curl_easy_getinfo(transfer->Easy, CURLINFO_REQUEST_SIZE, &sent);
     result.MayHaveSent = sent > 0;
+    if (result.Whole && !transfer->HeadWhole) {
+      result.Whole = false;
+      result.Error = "the answer is cut in its header";
+    }
     if (result.Whole)
       transfer->giveHead();
     result.Status = transfer->Status;
--- a/Programs/hemlockgladed/CallerFront.h
+++ b/Programs/hemlockgladed/CallerFront.h
@@ -9,6 +9,8 @@
 struct CallerFrontHooks {
   /// The configuration in force.
   std::function<std::shared_ptr<const CatalogView>()> InForce;
+  /// Whether the newest configuration that was heard of is in force.
+  std::function<bool()> CaughtUp;
   /// Addresses for callers, best first; the query's owner is the cell's name.
   std::function<std::vector<std::string>(const DirectoryQuery &)> Addresses;
   /// Starts an exchange.
@@ -47,6 +49,9 @@
   /// Fills in what all requests share; false if a header was refused.
   bool prepare(const HttpIncoming &incoming, const CatalogView &inForce,
                HttpReply &reply, ExchangeRequest &request);
+  /// Fills in what going on with a stream needs; false if it was refused.
+  bool prepareResume(const HttpIncoming &incoming, HttpReply &reply,
+                     ExchangeRequest &request);
   std::string newRequestId();
 
   CallerFrontSettings Settings;
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -19,6 +19,8 @@
   bool Stream = false;
   /// Whether running it twice does no harm.
   bool Repeatable = true;
+  /// Whether this goes on with a stream that another entry began.
+  bool Resume = false;
   /// The caller's key; a request with one runs at most once under it.
   std::string IdempotencyKey;
   /// The caller's place under its limit; free again with the last copy.
@@ -71,6 +73,8 @@
 private:
   void ask();
   void askAgain();
+  /// The deadline is over; the owner has said nothing if it is still asked.
+  void onLate(std::uint32_t round);
   void onAdmitted(std::uint32_t round, const AdmitReply &reply);
   void claim();
   void onClaimed(const ClaimAnswer &answer);
@@ -84,6 +88,8 @@
   void startStream();
   void answer(Outcome outcome, const HttpResult &result);
   Outcome ended(const HttpResult &result) const;
+  bool isWhole() const;
+  void pass(std::string_view part);
   void refuse(const std::string &reason, Span retryAfter);
   void refuseTaken(const ClaimAnswer &answer);
   void giveBack(Outcome outcome);
@@ -102,6 +108,8 @@
   std::recursive_mutex Mutex;
   /// Rises with each asking for admission, so that late answers are known.
   std::uint32_t Round = 0;
+  /// The asking of this round has no answer.
+  bool Waiting = false;
   std::shared_ptr<AdmissionTicket> Ticket;
   AdmitReply Grant;
   bool Registered = false;
@@ -115,6 +123,7 @@
   /// The endpoint's answer is marked as another request's.
   bool Foreign = false;
   std::string Held;
+  EventSplitter Events;
   std::size_t Unsent = 0;
   Span ToFirstByte{};
   bool Paused = false;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -31,16 +31,18 @@
 renew_ms: ${RENEW_MS:-500}
 scan_ms: ${SCAN_MS:-200}
 lease_margin_ms: ${MARGIN_MS:-500}
-config_poll_ms: 200
-directory_ttl_ms: 1000
+config_poll_ms: ${CONFIG_POLL_MS:-200}
+directory_ttl_ms: ${DIRECTORY_TTL_MS:-1000}
 EOF
   start "$1" hemlockgladed --config "$RUN/$1.yaml"
 }
 
-# start_engine NAME : starts a stand-in engine.
+# start_engine NAME ARGS... : starts a stand-in engine.
 start_engine() {
-  start "$1" StandInEngine --name "$1" --history "$RUN/history.jsonl" \
-    --weights "http://127.0.0.1:${PORT[platform]}"
+  local name=$1
+  shift
+  start "$name" StandInEngine --name "$name" --history "$RUN/history.jsonl" \
+    --weights "http://127.0.0.1:${PORT[platform]}" "$@"
 }
 
 # stop_all : ends what this script started, nodes first and gracefully.
