--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t WholeLimit = std::size_t{256} * 1024;
 /// Time between two askings while a cell has no owner that answers.
 constexpr Span OwnerRetryInterval = std::chrono::milliseconds(100);
+/// How long past the deadline an owner's own refusal is waited for.
+constexpr Span OwnerGrace = std::chrono::milliseconds(100);
 /// When to come back if the table can't be asked.
 constexpr Span StoreRetryAfter = std::chrono::seconds(5);
 constexpr int FirstError = 400;
@@ -71,6 +73,7 @@
     if (left <= Span{})
       return refuse("deadline-passed", OwnerRetryInterval);
     round = ++Round;
+    Waiting = true;
     Request.Admit.DeadlineUs = left.count();
     admit = Request.Admit;
   }
@@ -81,9 +84,22 @@
       });
   std::lock_guard lock(Mutex);
   if (Ended || round != Round)
-    ticket->finish(Outcome::NotRun);
-  else
-    Ticket = std::move(ticket);
+    return ticket->finish(Outcome::NotRun);
+  Ticket = std::move(ticket);
+  if (!Waiting)
+    return;
+  Hooks->After(Span(admit.DeadlineUs) + OwnerGrace,
+               [weak = weak_from_this(), round] {
+                 if (auto self = weak.lock())
+                   self->onLate(round);
+               });
+}
+
+void Exchange::onLate(std::uint32_t round) {
+  std::lock_guard lock(Mutex);
+  if (Ended || round != Round || !Waiting)
+    return;
+  refuse("deadline-passed", OwnerRetryInterval);
 }
 
 void Exchange::askAgain() {
@@ -99,6 +115,7 @@
   std::lock_guard lock(Mutex);
   if (Ended || round != Round)
     return;
+  Waiting = false;
   if (!reply.Granted) {
     if (isOwnerless(reply.Reason))
       return askAgain();
@@ -217,30 +234,34 @@
   // An answer that is marked as another request's is never passed on.
   if (Ended || Foreign)
     return true;
+  if (Unsent > UnsentLimit) {
+    Paused = true;
+    return false;
+  }
   if (ToFirstByte == Span{})
     ToFirstByte = TimerService::now() - Arrived;
-  bool events = Request.Stream && Status < FirstError;
-  if (!Streaming && (events || Held.size() + part.size() > WholeLimit)) {
-    startStream();
-    if (!Held.empty())
-      Reply->sendPart(std::exchange(Held, {}), nullptr);
-  }
-  if (!Streaming) {
+  if (Request.Stream && Status < FirstError)
+    part = Events.take(part);
+  else if (!Streaming && Held.size() + part.size() <= WholeLimit) {
     Held.append(part);
     return true;
   }
-  if (Unsent > UnsentLimit) {
-    Paused = true;
-    return false;
-  }
-  Unsent += part.size();
-  Reply->sendPart(std::string(part),
-                  [self = shared_from_this(), n = part.size()](bool ok) {
-                    self->onSent(n, ok);
-                  });
+  if (!part.empty())
+    pass(part);
   return true;
 }
 
+void Exchange::pass(std::string_view part) {
+  if (!Streaming)
+    startStream();
+  Held.append(part);
+  auto n = Held.size();
+  Unsent += n;
+  Reply->sendPart(
+      std::exchange(Held, {}),
+      [self = shared_from_this(), n](bool ok) { self->onSent(n, ok); });
+}
+
 void Exchange::onSent(std::size_t n, bool ok) {
   if (!ok)
     return onGone();
@@ -272,11 +293,20 @@
   seen.MayHaveSent = result.MayHaveSent;
   seen.RefusedBeforeRunning =
       result.Whole && refusedBeforeRunning(result.Status);
-  seen.AnswerWhole = result.Whole;
-  seen.PassedWhole = result.Whole;
+  seen.AnswerWhole = result.Whole && isWhole();
+  seen.PassedWhole = seen.AnswerWhole;
   return outcomeOf(seen);
 }
 
+bool Exchange::isWhole() const {
+  if (Request.Admit.Adapter.empty() || Status >= FirstError)
+    return true;
+  // HTTP can end well although the engine did not come to its end.
+  if (Request.Stream)
+    return Events.finished();
+  return Streaming || isWholeCompletion(Held);
+}
+
 bool Exchange::tryAgain(Outcome outcome) {
   FailedAttempt attempt;
   attempt.Repeatable = Request.Repeatable;
@@ -299,6 +329,7 @@
   EndpointFields.clear();
   Foreign = false;
   Held.clear();
+  Events = {};
   ask();
   return true;
 }
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -73,6 +73,8 @@
 private:
   void ask();
   void askAgain();
+  /// The deadline is over; the owner has said nothing if it is still asked.
+  void onLate(std::uint32_t round);
   void onAdmitted(std::uint32_t round, const AdmitReply &reply);
   void claim();
   void onClaimed(const ClaimAnswer &answer);
@@ -86,6 +88,8 @@
   void startStream();
   void answer(Outcome outcome, const HttpResult &result);
   Outcome ended(const HttpResult &result) const;
+  bool isWhole() const;
+  void pass(std::string_view part);
   void refuse(const std::string &reason, Span retryAfter);
   void refuseTaken(const ClaimAnswer &answer);
   void giveBack(Outcome outcome);
@@ -104,6 +108,8 @@
   std::recursive_mutex Mutex;
   /// Rises with each asking for admission, so that late answers are known.
   std::uint32_t Round = 0;
+  /// The asking of this round has no answer.
+  bool Waiting = false;
   std::shared_ptr<AdmissionTicket> Ticket;
   AdmitReply Grant;
   bool Registered = false;
@@ -117,6 +123,7 @@
   /// The endpoint's answer is marked as another request's.
   bool Foreign = false;
   std::string Held;
+  EventSplitter Events;
   std::size_t Unsent = 0;
   Span ToFirstByte{};
   bool Paused = false;
