--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -23,6 +23,10 @@
   /// No request is held longer for a load than this, however far its deadline
   /// is: its caller is told at once when to come back.
   Span LongestStall = std::chrono::seconds(20);
+  /// Longest expected wait at which a request is held behind those of a higher
+  /// class that wait for a load: more of them will come and go first, which
+  /// the expectation does not know.
+  Span LongestWaitBehind = std::chrono::seconds(6);
   /// Bounds of Retry-After.
   Span ShortestRetryAfter = std::chrono::milliseconds(250);
   Span LongestRetryAfter = std::chrono::seconds(60);
--- a/Hemlockglade/Coordination/Decision/LoadPlanner.h
+++ b/Hemlockglade/Coordination/Decision/LoadPlanner.h
@@ -41,6 +41,8 @@
   std::size_t firsts() const { return ByWeight.size() - Copies; }
   /// Adapters whose first waiting request has this class or a higher one.
   std::size_t ahead(std::uint8_t priority) const;
+  /// Adapters whose first waiting request has this class.
+  std::size_t ofClass(std::uint8_t priority) const { return Classes[priority]; }
 
   static constexpr std::size_t MostCandidates = 16;
   /// The adapters with the largest claims, best first; valid until the next
--- a/Hemlockglade/Coordination/Decision/RequestDesk.cpp
+++ b/Hemlockglade/Coordination/Decision/RequestDesk.cpp
@@ -240,7 +240,9 @@
     why = active.NotBefore > State.Now ? Reason::LoadFailing
                                        : Reason::DeadlineInfeasible;
     Span wait = expectedWait(request, active);
-    Span left = std::min(latest - State.Now, settings.LongestStall);
+    Span longest =
+        isBehind(request) ? settings.LongestWaitBehind : settings.LongestStall;
+    Span left = std::min(latest - State.Now, longest);
     if (static_cast<double>(wait.count()) * settings.Caution >
         static_cast<double>(left.count()))
       return false;
@@ -249,6 +251,11 @@
   return State.Queues.size() < State.Settings.QueueLimit || shedFor(request);
 }
 
+bool RequestDesk::isBehind(const RequestArrived &request) const {
+  return State.Planner.ahead(request.Priority) >
+         State.Planner.ofClass(request.Priority);
+}
+
 bool RequestDesk::anyServes(const ActiveAdapter &active) {
   for (const auto &it : State.Book.all()) {
     if (State.Chooser.serves(it, active))
--- a/Hemlockglade/Coordination/Decision/RequestDesk.h
+++ b/Hemlockglade/Coordination/Decision/RequestDesk.h
@@ -34,6 +34,8 @@
   /// Whether a request that must wait may do so.
   bool mayWait(const RequestArrived &request, const ActiveAdapter &active,
                Reason &why);
+  /// Whether requests of a higher class wait for a load.
+  bool isBehind(const RequestArrived &request) const;
   /// Whether a replica may serve the adapter; one that rests is woken for it.
   bool anyServes(const ActiveAdapter &active);
   void enqueue(const RequestArrived &request, ActiveAdapter &active);
--- a/UnitTests/Coordination/Decision/RequestDeskTest.cpp
+++ b/UnitTests/Coordination/Decision/RequestDeskTest.cpp
@@ -186,3 +186,20 @@
   CHECK(core.loaded(7).empty());
   CHECK(core.arrive(3, 7) == "load 7@1");
 }
+
+TEST_CASE("a request behind a higher class is refused earlier", "[admission]") {
+  // One second for each load, with the one that runs and its own.
+  auto [waiting, priority, refused] =
+      GENERATE(table<AdapterKey, std::uint8_t, bool>({{4, 1, false},
+                                                      {5, 1, true},
+                                                      {5, 2, false},
+                                                      {14, 2, false},
+                                                      {14, 1, true}}));
+  CoreProbe core;
+  core.replicas(1, 64, 64);
+  core.send(TurnChanged{1, 1});
+  core.arrive(100, 100, 2);
+  for (AdapterKey it = 1; it <= waiting; ++it)
+    REQUIRE(core.arrive(it, it, 2).empty());
+  CHECK(core.arrive(101, 101, priority).starts_with("refuse") == refused);
+}
