--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -67,7 +67,7 @@
 struct ConsolidationSettings {
   /// Part of the batches that is to be in use at objective 1. Below, that part
   /// of the spare replicas rests which the objective gives; none at 0.
-  double FullTarget = 0.72;
+  double FullTarget = 0.70;
   /// Time over which the load is averaged, and least time between changes.
   Span MeanOver = std::chrono::seconds(10);
   Span Period = std::chrono::seconds(5);
