Random worlds of the core are drawn from their whole range

Cause: rc::gen::inRange draws from a small part of its range while a test's size is small, so most of the 100 worlds had few replicas, adapters and steps. Change: anyIn, as in the other random worlds; ranges and counts as before.

--- a/UnitTests/Coordination/Decision/CellCorePropertyTest.cpp
+++ b/UnitTests/Coordination/Decision/CellCorePropertyTest.cpp
@@ -1,3 +1,4 @@
+#include "UnitTests/Coordination/CheckMany.h"
 #include "UnitTests/Coordination/Decision/CoreWorld.h"
 
 #include <catch2/catch.hpp>
@@ -11,10 +12,10 @@
 CoreWorld::Shape anyShape() {
   CoreWorld::Shape shape;
   shape.Seed = *rc::gen::arbitrary<std::uint64_t>();
-  shape.Replicas = *rc::gen::inRange(1U, 6U);
-  shape.Slots = *rc::gen::inRange(1U, 5U);
-  shape.Batch = *rc::gen::inRange(1U, 6U);
-  shape.Adapters = *rc::gen::inRange(2U, 20U);
+  shape.Replicas = *anyIn(1U, 6U);
+  shape.Slots = *anyIn(1U, 5U);
+  shape.Batch = *anyIn(1U, 6U);
+  shape.Adapters = *anyIn(2U, 20U);
   shape.Faults = *rc::gen::element(0U, 5U, 15U, 40U);
   return shape;
 }
@@ -27,7 +28,7 @@
     settings.Objective = *rc::gen::element(0.0, 0.5, 1.0);
     settings.QueueLimit = *rc::gen::element(3U, 2000U);
     CoreWorld world(anyShape(), settings);
-    world.run(*rc::gen::inRange(1U, 400U));
+    world.run(*anyIn(1U, 400U));
     for (const auto &it : world.broken())
       RC_LOG(it);
     RC_ASSERT(world.broken().empty());
