--- a/Hemlockglade/Coordination/Decision/CellState.h
+++ b/Hemlockglade/Coordination/Decision/CellState.h
@@ -23,6 +23,10 @@
   /// No request is held longer for a load than this, however far its deadline
   /// is: its caller is told at once when to come back.
   Span LongestStall = std::chrono::seconds(20);
+  /// Longest expected wait at which a request is held behind those of a higher
+  /// class that wait for a load: more of them will come and go first, which
+  /// the expectation does not know.
+  Span LongestWaitBehind = std::chrono::seconds(6);
   /// Bounds of Retry-After.
   Span ShortestRetryAfter = std::chrono::milliseconds(250);
   Span LongestRetryAfter = std::chrono::seconds(60);
@@ -63,7 +67,7 @@
 struct ConsolidationSettings {
   /// Part of the batches that is to be in use at objective 1. Below, that part
   /// of the spare replicas rests which the objective gives; none at 0.
-  double FullTarget = 0.72;
+  double FullTarget = 0.70;
   /// Time over which the load is averaged, and least time between changes.
   Span MeanOver = std::chrono::seconds(10);
   Span Period = std::chrono::seconds(5);
