A load report counts from when it was asked for

Cause: a report was taken as of its arrival. One that the engine made before a load and that was heard after it said that the adapter isn't there, so the owner struck it out and loaded it again; at a takeover the first report had the same effect on a load that was under way. Ruled out: the core, which compares the times it is given. Change: a report's time is that of its asking less its age: what it says was so after that, and what changed since isn't judged by it. Measured: NodeTests "a report that was overtaken by a load": before 2 load orders, after 1. Conclusion: mended. The engine's own requests are now compared with ours as of the asking, so what begins while a report is on its way may count as foreign until the next one; not measured.

--- a/Programs/hemlockgladed/CellRunner.cpp
+++ b/Programs/hemlockgladed/CellRunner.cpp
@@ -183,22 +183,26 @@
 }
 
 void CellRunner::askReport(ReplicaKey replica, const std::string &address) {
+  // What a report says was so after it was asked for, perhaps well before it
+  // is heard.
+  auto asked = TimerService::now();
   if (Plain)
-    return Engines.probe(
-        address, [weak = weak_from_this(), replica](bool alive) {
-          // A plain service has no report; being there is all it tells.
-          auto self = weak.lock();
-          if (self)
-            self->takeReport(replica, alive ? std::optional(EngineReport())
-                                            : std::nullopt);
-        });
-  Engines.report(address, [weak = weak_from_this(), replica](auto report) {
-    if (auto self = weak.lock())
-      self->takeReport(replica, report);
-  });
+    return Engines.probe(address, [weak = weak_from_this(), replica,
+                                   asked](bool alive) {
+      // A plain service has no report; being there is all it tells.
+      auto self = weak.lock();
+      if (self)
+        self->takeReport(replica, asked,
+                         alive ? std::optional(EngineReport()) : std::nullopt);
+    });
+  Engines.report(address,
+                 [weak = weak_from_this(), replica, asked](auto report) {
+                   if (auto self = weak.lock())
+                     self->takeReport(replica, asked, report);
+                 });
 }
 
-void CellRunner::takeReport(ReplicaKey replica,
+void CellRunner::takeReport(ReplicaKey replica, Instant asked,
                             const std::optional<EngineReport> &report) {
   if (!report) {
     {
@@ -211,8 +215,7 @@
   event.Replica = replica;
   event.Incarnation =
       XXH3_64bits(report->Incarnation.data(), report->Incarnation.size());
-  event.TakenAt =
-      TimerService::now() - std::chrono::milliseconds(report->AgeMs);
+  event.TakenAt = asked - std::chrono::milliseconds(report->AgeMs);
   event.Running = report->Running;
   {
     std::lock_guard lock(Mutex);
--- a/Programs/hemlockgladed/CellRunner.h
+++ b/Programs/hemlockgladed/CellRunner.h
@@ -99,7 +99,7 @@
   void apply(const CancelLoad &action, Deferred &deferred);
   void drive(const Event &event);
   void askReport(ReplicaKey replica, const std::string &address);
-  void takeReport(ReplicaKey replica,
+  void takeReport(ReplicaKey replica, Instant asked,
                   const std::optional<EngineReport> &report);
   void addLoaded(RowSet &rows) const;
   void addWaiting(RowSet &rows) const;
