A replica leaves its cell with its service, and stays drained

Cause: a cell's owner dropped a replica only if it was declared no more. One that was given to another service, or whose number of cells changed, kept getting work and orders from its former cell too. And a drained replica that was taken out and declared again got work, since the runner believed that the core still knew of the draining. Ruled out: the core; it forgets draining with the replica, as it should. Change: the runner drops what the configuration no longer gives to its cell, and forgets then that it told of draining. Not proved: a replica that is first declared while it is drained may be given what waits in the instant between both events.

--- a/Programs/hemlockgladed/CellRunnerConfig.cpp
+++ b/Programs/hemlockgladed/CellRunnerConfig.cpp
@@ -2,6 +2,8 @@
 
 #include "CellRunner.h"
 
+#include <set>
+
 namespace hemlockglade {
 
 namespace {
@@ -54,6 +56,8 @@
 
 void CellRunner::configureReplicas(const CatalogView &view,
                                    Deferred &deferred) {
+  // A replica may be declared still, but for another cell.
+  std::set<ReplicaKey> present;
   view.all<ReplicaConfig>().forEach([&](const ReplicaConfig &config) {
     auto service = view.find<ServiceConfig>(config.Service);
     if (!service || cellOfReplica(*service, config) != Cell)
@@ -62,6 +66,7 @@
         config.Name, static_cast<ReplicaKey>(Replicas.size()));
     if (added)
       Replicas.emplace_back();
+    present.insert(it->second);
     auto &replica = Replicas[it->second];
     bool same = !added && !replica.Removed && replica.Config == config;
     replica.Config = config;
@@ -74,9 +79,12 @@
     applyDraining(it->second, deferred);
   });
   for (auto &[name, key] : ReplicaKeys) {
-    if (view.find<ReplicaConfig>(name) || Replicas[key].Removed)
+    auto &replica = Replicas[key];
+    if (present.contains(key) || replica.Removed)
       continue;
-    Replicas[key].Removed = true;
+    replica.Removed = true;
+    // The core forgets it with the replica.
+    replica.Draining = false;
     handle(ReplicaRemoved{key}, deferred);
   }
 }
--- a/UnitTests/Node/CellsRig.h
+++ b/UnitTests/Node/CellsRig.h
@@ -122,6 +122,8 @@
   /// What the lease says right before an order leaves, and how often it did.
   bool Holds = true;
   int HoldsAsked = 0;
+  /// Whether engines are asked for their reports now and then.
+  bool Reports = true;
   std::vector<std::shared_ptr<PeerStream>> Streams;
   OwnedCells Cells;
   Admission Asker;
@@ -137,6 +139,8 @@
     return Rig.until([&] {
       Cells.tickRecovery(TimerService::now());
       Cells.tick();
+      if (Reports && ++Turns % TurnsPerReport == 0)
+        Cells.askReports();
       nudge();
       return condition();
     });
@@ -152,6 +156,9 @@
   }
 
 private:
+  static constexpr int TurnsPerReport = 64;
+  int Turns = 0;
+
   /// Something to run, so that the loop turns while nothing else comes.
   void nudge() {
     asio::post(Rig.Context, [] {});
--- a/UnitTests/Node/ScriptedEndpoint.h
+++ b/UnitTests/Node/ScriptedEndpoint.h
@@ -57,10 +57,6 @@
           return it.substr(0, it.find('\r')).find(text) != std::string::npos;
         }));
   }
-  /// Sends more on the connection that asked last.
-  void send(Act act) { write(Sessions.back(), std::move(act)); }
-
-private:
   struct Session {
     explicit Session(asio::ip::tcp::socket socket)
         : Socket(std::move(socket)) {}
@@ -70,6 +66,15 @@
   };
   using SessionPtr = std::shared_ptr<Session>;
 
+  /// The connection that asked last.
+  SessionPtr last() const { return Last; }
+  /// Sends more on a connection.
+  void send(Act act, const SessionPtr &session) {
+    write(session, std::move(act));
+  }
+  void send(Act act) { write(Last, std::move(act)); }
+
+private:
   void accept() {
     Server.async_accept(
         [this](asio::error_code ec, asio::ip::tcp::socket socket) {
@@ -110,6 +115,7 @@
       return;
     Requests.push_back(text.substr(0, size));
     text.erase(0, size);
+    Last = session;
     write(session, OnRequest(Requests.back()));
   }
   void write(const SessionPtr &session, Act act) {
@@ -124,6 +130,7 @@
 
   asio::ip::tcp::acceptor Server;
   std::vector<SessionPtr> Sessions;
+  SessionPtr Last;
 };
 
 } // namespace hemlockglade::test
