--- a/Programs/hemlockgladed/CallerFront.cpp
+++ b/Programs/hemlockgladed/CallerFront.cpp
@@ -27,14 +27,17 @@
   return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
-/// Reads a deadline in milliseconds; nothing if it isn't a positive number.
-std::optional<Span> readDeadline(const std::string &text) {
+/// Reads a deadline in milliseconds, `most` if it is longer; nothing if it
+/// isn't a positive number.
+std::optional<Span> readDeadline(const std::string &text,
+                                 std::chrono::milliseconds most) {
   std::int64_t ms = 0;
   const char *end = text.data() + text.size();
   auto [rest, ec] = std::from_chars(text.data(), end, ms);
   if (ec != std::errc() || rest != end || ms <= 0)
     return std::nullopt;
-  return std::chrono::milliseconds(ms);
+  // Bounded before it becomes microseconds, which it may be too large for.
+  return std::min(std::chrono::milliseconds(ms), most);
 }
 
 } // namespace
@@ -95,13 +98,13 @@
     return false;
   }
   if (auto field = incoming.field(header::Deadline)) {
-    auto asked = readDeadline(*field);
+    auto asked = readDeadline(*field, Settings.MaxDeadline);
     if (!asked) {
       answer::error(reply, 400, "invalid_deadline",
                     "the deadline is not a positive number of milliseconds");
       return false;
     }
-    deadline = std::min(*asked, Settings.MaxDeadline);
+    deadline = *asked;
   }
   request.Deadline = TimerService::now() + deadline;
   request.IdempotencyKey = incoming.field(header::IdempotencyKey).value_or("");
--- a/Programs/hemlockgladed/CallerFront.h
+++ b/Programs/hemlockgladed/CallerFront.h
@@ -24,7 +24,7 @@
   /// How long callers may keep an address.
   Span DirectoryTtl = std::chrono::seconds(5);
   /// Longest deadline that a caller may ask for.
-  Span MaxDeadline = std::chrono::minutes(10);
+  std::chrono::milliseconds MaxDeadline = std::chrono::minutes(10);
   /// Requests that one caller's address may have running at one node.
   std::uint32_t MaxPerCaller = 512;
 };
