--- a/Programs/hemlockgladed/RecoveryLinks.cpp
+++ b/Programs/hemlockgladed/RecoveryLinks.cpp
@@ -76,9 +76,9 @@
 void RecoveryLinks::onAnswer(const RecoveryNode &node, const std::string &cell,
                              Epoch fence, const RunningAnswer &answer) {
   // What a former answer named and this one doesn't has ended unheard, while
-  // the stream was broken.
+  // the stream was broken. A refusal names nothing and ends nothing.
   std::set<std::string> ended;
-  {
+  if (!answer.Refused) {
     std::lock_guard lock(Mutex);
     auto &known = Asks[{node.Name + '/' + node.Incarnation, cell}].Known;
     ended = std::exchange(known, {});
