--- a/UnitTests/Node/CellRunnerTest.cpp
+++ b/UnitTests/Node/CellRunnerTest.cpp
@@ -63,6 +63,9 @@
     owner.Node.Holds = !looked;
     auto reply = owner.ask("b@1");
     REQUIRE(owner.Node.until([&] { return owner.Node.HoldsAsked > 0; }));
+    if (!looked)
+      REQUIRE(owner.Node.until(
+          [&] { return !owner.Engine.orders("unload").empty(); }));
     owner.settle();
     CHECK(owner.Engine.orders("unload").empty() == looked);
     CHECK(owner.Engine.Loaded.contains("a@1") == looked);
--- a/UnitTests/Node/CellsRig.h
+++ b/UnitTests/Node/CellsRig.h
@@ -158,10 +158,13 @@
 private:
   static constexpr int TurnsPerReport = 64;
   int Turns = 0;
+  // One at a time, or what the loop has to do would only grow.
+  std::shared_ptr<bool> Nudged = std::make_shared<bool>(false);
 
   /// Something to run, so that the loop turns while nothing else comes.
   void nudge() {
-    asio::post(Rig.Context, [] {});
+    if (!std::exchange(*Nudged, true))
+      asio::post(Rig.Context, [nudged = Nudged] { *nudged = false; });
   }
   void accept(const std::shared_ptr<PeerStream> &stream) {
     Streams.push_back(stream);
