--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -33,6 +33,7 @@
 lease_margin_ms: ${MARGIN_MS:-500}
 config_poll_ms: ${CONFIG_POLL_MS:-200}
 directory_ttl_ms: ${DIRECTORY_TTL_MS:-1000}
+seeds: [${SEEDS:-}]
 EOF
   start "$1" hemlockgladed --config "$RUN/$1.yaml"
 }
--- a/scripts/failover-bench.sh
+++ b/scripts/failover-bench.sh
@@ -387,7 +387,9 @@
   done
   control "op=all&mode=down"
   began=$(now_us)
+  SEEDS="\"127.0.0.1:${PEER[entry-1]}\", \"127.0.0.1:${PEER[entry-2]}\""
   add_node
+  SEEDS=""
   sleep 10
   late=$(logged "config revision=$REVISION in-force" "$began" \
     "$RUN/${NODES[-1]}.log")
