--- a/UnitTests/Coordination/Lease/LeaseLookTest.cpp
+++ b/UnitTests/Coordination/Lease/LeaseLookTest.cpp
@@ -33,7 +33,7 @@
   auto &owner = startRareScans(fleet);
   owner.Keeper->release([] {});
   fleet.run(50ms);
-  REQUIRE(fleet.unheld().size() >= 1);
+  REQUIRE_FALSE(fleet.unheld().empty());
   bool told = GENERATE(true, false);
   for (auto &host : fleet.Hosts) {
     for (const auto &cell : fleet.unheld()) {
