What a plain service's status means is its own affair; short answers are errors

Found by reading, by the one who wrote the daemon's tests. An engine's answer that was short of its end was passed on with 200. Ruled out: the same list as for engines; only X-Outcome: not-run of the service counts, a 429 or 503 without it is unknown. Change: Exchange tells engines from plain services; a short answer is 502. Lint findings of the transport are mended. Conclusion: not-run is said of a plain service only on its own word.

--- a/Hemlockglade/Transport/Http/HttpClient.cpp
+++ b/Hemlockglade/Transport/Http/HttpClient.cpp
@@ -167,13 +167,15 @@
   }
 
 private:
-  void add(std::shared_ptr<Transfer> transfer) {
+  void add(const std::shared_ptr<Transfer> &transfer) {
     auto &request = transfer->Request;
     CURL *easy = curl_easy_init();
     transfer->Easy = easy;
     for (const auto &[name, value] : request.Fields) {
       // libcurl leaves out a field that ends in a colon.
-      auto line = value.empty() ? name + ';' : name + ": " + value;
+      auto line = name;
+      line += value.empty() ? ";" : ": ";
+      line += value;
       transfer->List = curl_slist_append(transfer->List, line.c_str());
     }
     transfer->List = curl_slist_append(transfer->List, "Expect:");
--- a/Hemlockglade/Transport/Http/HttpServer.cpp
+++ b/Hemlockglade/Transport/Http/HttpServer.cpp
@@ -19,6 +19,7 @@
 /// requests at once, so each request has its own hook.
 class ConnectionWatch {
 public:
+  // NOLINTNEXTLINE(readability-identifier-naming): RESTinio's name for it.
   void state_changed(const restinio::connection_state::notice_t &notice) {
     using restinio::connection_state::accepted_t;
     using restinio::connection_state::closed_t;
@@ -117,10 +118,14 @@
 
   ~Reply() override {
     // An unanswered request would hold its connection for ever.
-    if (Request)
-      answer(UnansweredStatus, {}, "", false);
-    else if (Builder)
-      breakOff();
+    try {
+      if (Request)
+        answer(UnansweredStatus, {}, "", false);
+      else if (Builder)
+        breakOff();
+    } catch (const std::exception &) {
+      // The caller has gone, or memory has run out: nobody is left to tell.
+    }
   }
 
   void sendWhole(int status, const HttpFields &fields,
--- a/Hemlockglade/Transport/Peer/PeerLink.cpp
+++ b/Hemlockglade/Transport/Peer/PeerLink.cpp
@@ -21,7 +21,7 @@
 /// Bytes that may wait for a slow reader on one stream.
 constexpr std::size_t MaxQueued = 4 * std::size_t{MaxMessage};
 /// A drained buffer larger than this is given back.
-constexpr std::size_t KeptBuffer = 16 * 1024;
+constexpr std::size_t KeptBuffer = std::size_t{16} * 1024;
 constexpr auto ConnectTimeout = std::chrono::seconds(2);
 
 // A host that vanished sends no end; the kernel asks for a sign of life.
@@ -132,7 +132,7 @@
       return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     auto &stream = *it->second;
     auto n = std::min(size, stream.Outgoing.size() - stream.Taken);
-    std::memcpy(buf, stream.Outgoing.data() + stream.Taken, n);
+    std::copy_n(stream.Outgoing.data() + stream.Taken, n, buf);
     stream.Taken += n;
     bool drained = stream.Taken == stream.Outgoing.size();
     if (drained) {
--- a/Hemlockglade/Transport/Peer/PeerNet.cpp
+++ b/Hemlockglade/Transport/Peer/PeerNet.cpp
@@ -62,7 +62,13 @@
   State->accept();
 }
 
-PeerNet::~PeerNet() { close(); }
+PeerNet::~PeerNet() {
+  try {
+    close();
+  } catch (const std::exception &) {
+    // Memory has run out; the links end with their connections.
+  }
+}
 
 void PeerNet::Shared::accept() {
   Acceptor.async_accept([self = shared_from_this()](
--- a/Hemlockglade/Transport/Platform/PlatformClient.cpp
+++ b/Hemlockglade/Transport/Platform/PlatformClient.cpp
@@ -85,10 +85,11 @@
 void PlatformClient::putObject(const std::string &name, std::string data,
                                std::function<void(bool)> done) {
   auto url = Url + "/objects/" + urlEncode(name);
-  Client.fetch(request("PUT", url, std::move(data)),
-               [done = std::move(done)](const HttpResult &result, std::string) {
-                 done(result.Whole && result.Status == Ok);
-               });
+  Client.fetch(
+      request("PUT", url, std::move(data)),
+      [done = std::move(done)](const HttpResult &result, const std::string &) {
+        done(result.Whole && result.Status == Ok);
+      });
 }
 
 void PlatformClient::getObject(
--- a/Programs/hemlockgladed/Exchange.cpp
+++ b/Programs/hemlockgladed/Exchange.cpp
@@ -22,6 +22,7 @@
 constexpr int FirstError = 400;
 constexpr int Conflict = 409;
 constexpr int Unprocessable = 422;
+constexpr int TooMany = 429;
 constexpr int Unavailable = 503;
 constexpr int BadGateway = 502;
 
@@ -29,8 +30,8 @@
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-/// Whether an endpoint that answers so has refused before running.
-bool refusedBeforeRunning(int status) {
+/// Whether an engine that answers so has refused before running.
+bool isEngineRefusal(int status) {
   constexpr std::array Refusals{400, 404, 405, 409, 413, 422, 429, 503};
   return std::find(Refusals.begin(), Refusals.end(), status) != Refusals.end();
 }
@@ -291,15 +292,28 @@
     return Outcome::Unknown;
   AttemptSeen seen;
   seen.MayHaveSent = result.MayHaveSent;
-  seen.RefusedBeforeRunning =
-      result.Whole && refusedBeforeRunning(result.Status);
-  seen.AnswerWhole = result.Whole && isWhole();
+  seen.RefusedBeforeRunning = result.Whole && refusedBeforeRunning();
+  seen.AnswerWhole = result.Whole && (seen.RefusedBeforeRunning || isWhole());
   seen.PassedWhole = seen.AnswerWhole;
   return outcomeOf(seen);
 }
 
+bool Exchange::refusedBeforeRunning() const {
+  if (!Request.Admit.Adapter.empty())
+    return isEngineRefusal(Status);
+  // What a plain service's status means is its own affair: it may answer 409
+  // or 503 after it has run. Only its word counts.
+  return std::any_of(EndpointFields.begin(), EndpointFields.end(),
+                     [](const auto &field) {
+                       return sameName(field.first, header::Outcome) &&
+                              field.second == outcomeName(Outcome::NotRun);
+                     });
+}
+
 bool Exchange::isWhole() const {
-  if (Request.Admit.Adapter.empty() || Status >= FirstError)
+  if (Request.Admit.Adapter.empty())
+    return Status != TooMany && Status != Unavailable;
+  if (Status >= FirstError)
     return true;
   // HTTP can end well although the engine did not come to its end.
   if (Request.Stream)
@@ -347,7 +361,8 @@
     return outcome == Outcome::Complete ? Reply->finishStream()
                                         : Reply->abort();
   }
-  if (result.Whole && !Foreign)
+  bool fits = Request.Admit.Adapter.empty() || isWhole();
+  if (result.Whole && !Foreign && fits)
     return Reply->sendWhole(result.Status, answerFields(outcome),
                             std::move(Held));
   EndpointFields.clear();
--- a/Programs/hemlockgladed/Exchange.h
+++ b/Programs/hemlockgladed/Exchange.h
@@ -88,6 +88,7 @@
   void startStream();
   void answer(Outcome outcome, const HttpResult &result);
   Outcome ended(const HttpResult &result) const;
+  bool refusedBeforeRunning() const;
   bool isWhole() const;
   void pass(std::string_view part);
   void refuse(const std::string &reason, Span retryAfter);
--- a/StandIns/StandInServiceMain.cpp
+++ b/StandIns/StandInServiceMain.cpp
@@ -49,7 +49,10 @@
     call->Tag = body.is_object() ? body.value("user", "") : "";
     if (take(Refuse)) {
       Host.record({{"event", "refused"}, {"tag", call->Tag}});
-      return reply->sendWhole(503, {}, errorBody("refused", "not now"));
+      return reply->sendWhole(503,
+                              {{std::string(header::Outcome),
+                                std::string(outcomeName(Outcome::NotRun))}},
+                              errorBody("refused", "not now"));
     }
     call->Run = ++LastRun;
     call->Cut = take(CutAfter);
--- a/UnitTests/Node/CallerFrontTest.cpp
+++ b/UnitTests/Node/CallerFrontTest.cpp
@@ -11,6 +11,7 @@
   std::shared_ptr<const CatalogView> InForce;
   std::vector<ExchangeRequest> Begun;
   std::unique_ptr<CallerFront> Callers;
+  bool CaughtUp = true;
 
   Front() {
     Catalog catalog;
@@ -27,6 +28,7 @@
     settings.MaxPerCaller = 2;
     CallerFrontHooks hooks;
     hooks.InForce = [this] { return InForce; };
+    hooks.CaughtUp = [this] { return CaughtUp; };
     hooks.Begin = [this](ExchangeRequest request, std::shared_ptr<HttpReply>) {
       Begun.push_back(std::move(request));
     };
@@ -166,3 +168,16 @@
     CHECK(front.Begun[0].Repeatable == it.Repeatable);
   }
 }
+
+TEST_CASE("a node that has just started sends callers elsewhere", "[caller]") {
+  Front front;
+  front.CaughtUp = false;
+  auto reply = front.send(completion("oath"));
+  CHECK(reply->Status == 503);
+  CHECK(reply->outcome() == "not-run");
+  CHECK(reply->field("Retry-After") == "1");
+  CHECK(front.Begun.empty());
+  front.CaughtUp = true;
+  front.send(completion("oath"));
+  CHECK(front.Begun.size() == 1);
+}
--- a/UnitTests/Node/ExchangeTest.cpp
+++ b/UnitTests/Node/ExchangeTest.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-const Act Good = answerOf(200, "answer");
+const Act Good = answerOf(200, WholeBody);
+const Act Short =
+    answerOf(200, R"({"choices":[{"text":"ans","finish_reason":null}]})");
 const Act Refused = answerOf(503, "busy");
 const Act CutBeforeHead{"", true};
 const Act CutInHead{"HTTP/1.1 200 OK\r\nContent-Le", true};
@@ -46,6 +48,8 @@
        500,
        "complete",
        1},
+      {"short of its end", false, {Short}, 502, "unknown", 1},
+      {"short of its end, repeatable", true, {Short, Good}, 200, "complete", 2},
       {"refused once", false, {Refused, Good}, 200, "complete", 2},
       {"refused always", false, {Refused, Refused, Refused}, 503, "not-run", 3},
       {"cut before the head", false, {CutBeforeHead}, 502, "unknown", 1},
@@ -94,7 +98,7 @@
     CHECK(rig.Reply->outcome() == it.Ended);
     CHECK(outcomeName(rig.Ends[0].Ended) == it.Ended);
     CHECK(rig.Engine.Requests.size() == it.Attempts);
-    CHECK((it.Status != 200 || rig.Reply->Body == "answer"));
+    CHECK((it.Status != 200 || rig.Reply->Body == WholeBody));
     CHECK(rig.allGivenBack());
   }
 }
@@ -129,7 +133,7 @@
   REQUIRE(rig.until([&] { return rig.Reply->Body == "data: a\n\n"; }));
   CHECK(rig.Ends.empty());
   CHECK(rig.Register.size() == 1);
-  rig.Engine.send({std::string(40 - 9, '-')});
+  rig.Engine.send({':' + std::string(14, '-') + "\n\ndata: [DONE]\n\n"});
   REQUIRE(rig.finish());
   CHECK(rig.Reply->Ended);
   CHECK(rig.Reply->Body.find("\"outcome\":\"complete\"") != std::string::npos);
@@ -157,6 +161,46 @@
   }
 }
 
+TEST_CASE("a stream without its end is not complete", "[exchange]") {
+  ExchangeRig rig;
+  rig.Request.Stream = true;
+  rig.Request.Repeatable = false;
+  rig.Engine.Acts = {answerOf(200, "data: a\n\ndata: torn")};
+  rig.run();
+  CHECK(rig.Ends[0].Ended == Outcome::Unknown);
+  CHECK(rig.Reply->Body.find("torn") == std::string::npos);
+  CHECK(rig.Reply->Body.find("\"outcome\":\"unknown\"") != std::string::npos);
+}
+
+TEST_CASE("what a plain service's status means is its own affair",
+          "[exchange]") {
+  struct Case {
+    int Status;
+    std::string Fields;
+    Outcome Ended;
+    std::size_t Attempts;
+  };
+  for (const auto &it :
+       std::vector<Case>{{200, "", Outcome::Complete, 1},
+                         {409, "", Outcome::Complete, 1},
+                         {404, "", Outcome::Complete, 1},
+                         {503, "", Outcome::Unknown, 1},
+                         {429, "", Outcome::Unknown, 1},
+                         {503, "X-Outcome: not-run\r\n", Outcome::NotRun, 3},
+                         {409, "X-Outcome: not-run\r\n", Outcome::NotRun, 3}}) {
+    CAPTURE(it.Status, it.Fields);
+    ExchangeRig rig;
+    rig.Request.Admit.Adapter.clear();
+    rig.Request.Repeatable = false;
+    auto act = answerOf(it.Status, "seat", it.Fields);
+    rig.Engine.Acts = {act, act, act};
+    rig.run();
+    CHECK(rig.Ends[0].Ended == it.Ended);
+    CHECK(rig.Engine.Requests.size() == it.Attempts);
+    CHECK(rig.Reply->Status == it.Status);
+  }
+}
+
 TEST_CASE("a long answer that breaks off is broken off for its caller",
           "[exchange]") {
   ExchangeRig rig;
@@ -176,7 +220,7 @@
     ExchangeRig rig;
     rig.Request.Stream = true;
     rig.Request.Repeatable = false;
-    auto act = answerOf(200, "data: theirs\n\n");
+    auto act = answerOf(200, "data: theirs\n\ndata: [DONE]\n\n");
     rig.Engine.Acts = {marked ? foreign(act) : act};
     rig.run();
     bool passed = rig.Reply->Body.find("theirs") != std::string::npos;
--- a/UnitTests/Node/ScriptedEndpoint.h
+++ b/UnitTests/Node/ScriptedEndpoint.h
@@ -14,6 +14,10 @@
 };
 
 /// A whole HTTP answer.
+/// The body of an engine's whole answer.
+inline const std::string WholeBody =
+    R"({"choices":[{"text":"answer","finish_reason":"stop"}]})";
+
 inline Act answerOf(int status, const std::string &body,
                     const std::string &fields = "") {
   return {"HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " +
@@ -42,7 +46,7 @@
   std::size_t Closed = 0;
   std::function<Act(const std::string &request)> OnRequest = [this](auto &) {
     if (Acts.empty())
-      return answerOf(200, "answer");
+      return answerOf(200, WholeBody);
     auto act = std::move(Acts.front());
     Acts.pop_front();
     return act;
