--- a/Programs/hemlockctl/Commands.cpp
+++ b/Programs/hemlockctl/Commands.cpp
@@ -150,47 +150,41 @@
   return ExitCode::Done;
 }
 
-ExitCode Commands::diff(const std::string &file) {
+tl::expected<ChangeAnswer, ExitCode>
+Commands::sendDeclarations(std::string_view path, const std::string &file) {
   auto text = readChecked(file);
   if (!text)
-    return text.error();
-  auto request = newRequest("POST", admin_path::Diff);
+    return tl::unexpected(text.error());
+  auto request = newRequest("POST", path);
   request.Body = std::move(*text);
   auto body = send(request);
   if (!body)
-    return body.error();
+    return tl::unexpected(body.error());
   auto answer = admin_format::readChange(*body);
   if (!answer) {
     tellError(answer.error().Message);
-    return ExitCode::Refused;
+    return tl::unexpected(ExitCode::Refused);
   }
   if (Settings.Json)
     std::cout << *body;
   else
     printChanges(*answer);
+  return *answer;
+}
+
+ExitCode Commands::diff(const std::string &file) {
+  auto answer = sendDeclarations(admin_path::Diff, file);
+  if (!answer)
+    return answer.error();
   return answer->Changes.empty() ? ExitCode::Done : ExitCode::Differs;
 }
 
 ExitCode Commands::apply(const std::string &file) {
-  auto text = readChecked(file);
-  if (!text)
-    return text.error();
-  auto request = newRequest("POST", admin_path::Apply);
-  request.Body = std::move(*text);
-  auto body = send(request);
-  if (!body)
-    return body.error();
-  auto answer = admin_format::readChange(*body);
-  if (!answer) {
-    tellError(answer.error().Message);
-    return ExitCode::Refused;
-  }
-  if (Settings.Json) {
-    std::cout << *body;
-  } else {
-    printChanges(*answer);
+  auto answer = sendDeclarations(admin_path::Apply, file);
+  if (!answer)
+    return answer.error();
+  if (!Settings.Json)
     std::cout << "committed as revision " << answer->Number << '\n';
-  }
   return Settings.Wait.count() > 0 ? waitForce(answer->Number) : ExitCode::Done;
 }
 
--- a/Programs/hemlockctl/Commands.h
+++ b/Programs/hemlockctl/Commands.h
@@ -50,6 +50,9 @@
   ExitCode check(const std::string &file);
   ExitCode exportDeclarations();
 
+  /// Posts a checked file and prints what it changes.
+  tl::expected<ChangeAnswer, ExitCode>
+  sendDeclarations(std::string_view path, const std::string &file);
   /// Waits until every live node has the revision in force.
   ExitCode waitForce(Revision revision);
   /// Rows of a query; nothing if no node gave them.
