The tree is clean under the linter, tests included

Ruled out: leaving the tests out of the lint, or checks out of .clang-tidy. Change: the linter's own fixes, and three by hand (a cast, a string built in place, a destructor of a test's fixture).

--- a/Hemlockglade/Transport/Http/HttpClient.cpp
+++ b/Hemlockglade/Transport/Http/HttpClient.cpp
@@ -139,11 +139,9 @@
     transfer->Request = std::move(request);
     transfer->Hooks = std::move(hooks);
     auto number = transfer->Number;
-    asio::post(Strand,
-               [self = shared_from_this(), shared = std::shared_ptr<Transfer>(
-                                               std::move(transfer))]() mutable {
-                 self->add(std::move(shared));
-               });
+    asio::post(Strand, [self = shared_from_this(),
+                        shared = std::shared_ptr<Transfer>(std::move(
+                            transfer))]() mutable { self->add(shared); });
     return number;
   }
 
--- a/Programs/hemlockgladed/ConfigLink.cpp
+++ b/Programs/hemlockgladed/ConfigLink.cpp
@@ -22,16 +22,16 @@
   hooks.Now = &TimerService::now;
   hooks.After = Hooks.After;
   hooks.Table = platform.table();
-  hooks.PutObject = [&platform](std::string name, std::string data,
+  hooks.PutObject = [&platform](const std::string &name, std::string data,
                                 std::function<void(bool)> done) {
     platform.putObject(name, std::move(data), std::move(done));
   };
   hooks.GetObject =
-      [&platform](std::string name,
+      [&platform](const std::string &name,
                   std::function<void(std::optional<std::string>)> done) {
         platform.getObject(name, std::move(done));
       };
-  hooks.DropObject = [&platform](std::string name) {
+  hooks.DropObject = [&platform](const std::string &name) {
     platform.dropObject(name);
   };
   hooks.AnyPeer = Hooks.AnyPeer;
@@ -42,7 +42,7 @@
     askPeer<ConfigAnswer>(*Net, address, peer_path::Config, fetch,
                           std::move(done));
   };
-  hooks.OnInForce = [this](std::shared_ptr<const CatalogView> view) {
+  hooks.OnInForce = [this](const std::shared_ptr<const CatalogView> &view) {
     LOG(INFO) << "config revision=" << view->number() << " in-force";
     Hooks.OnInForce(*view);
   };
--- a/Programs/hemlockgladed/Node.cpp
+++ b/Programs/hemlockgladed/Node.cpp
@@ -244,12 +244,12 @@
   http.MaxBodyBytes = MaxBodyBytes;
   Http = std::make_unique<HttpServer>(
       Context, http,
-      [this](HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
-        onHttp(std::move(incoming), std::move(reply));
+      [this](HttpIncoming incoming, const std::shared_ptr<HttpReply> &reply) {
+        onHttp(std::move(incoming), reply);
       });
   Peers = std::make_unique<PeerNet>(
       Context, Settings.Address, Settings.PeerPort,
-      [this](std::shared_ptr<PeerStream> stream) { onPeer(stream); });
+      [this](const std::shared_ptr<PeerStream> &stream) { onPeer(stream); });
   Asker.attach(*Peers);
   Cells.attach(*Peers);
   Config.attach(*Peers);
@@ -273,7 +273,8 @@
   every(MetricsInterval, [this] { refreshMetrics(); });
 }
 
-void Node::onHttp(HttpIncoming incoming, std::shared_ptr<HttpReply> reply) {
+void Node::onHttp(HttpIncoming incoming,
+                  const std::shared_ptr<HttpReply> &reply) {
   if (!Leases)
     return answer::error(*reply, 503, "starting", "the node is starting");
   if (Callers.take(incoming, reply) || Admin.take(incoming, reply))
--- a/Programs/hemlockgladed/Node.h
+++ b/Programs/hemlockgladed/Node.h
@@ -31,7 +31,7 @@
   std::uint16_t peerPort() const { return Peers->port(); }
 
 private:
-  void onHttp(HttpIncoming incoming, std::shared_ptr<HttpReply> reply);
+  void onHttp(HttpIncoming incoming, const std::shared_ptr<HttpReply> &reply);
   void onPeer(const std::shared_ptr<PeerStream> &stream);
   void onReady(HttpReply &reply);
   void listen();
--- a/UnitTests/Coordination/Claim/ClaimBookTest.cpp
+++ b/UnitTests/Coordination/Claim/ClaimBookTest.cpp
@@ -59,7 +59,7 @@
   TableHooks tableHooks() {
     auto hooks = Table.hooks();
     auto get = hooks.Get;
-    hooks.Get = [this, get](std::string key, auto done) {
+    hooks.Get = [this, get](const std::string &key, auto done) {
       if (ReadBack)
         return get(key, done);
       Time.after(Span(1),
--- a/UnitTests/Coordination/Claim/ClaimFiguresTest.cpp
+++ b/UnitTests/Coordination/Claim/ClaimFiguresTest.cpp
@@ -33,7 +33,7 @@
   for (int it = 0; it < count; ++it) {
     bool repeat = repeatEvery && it % repeatEvery == repeatEvery - 1;
     auto key = std::to_string(repeat ? it - repeatEvery / 2 : it);
-    book->claim({"labels", key, "body", key}, [&](ClaimAnswer answer) {
+    book->claim({"labels", key, "body", key}, [&](const ClaimAnswer &answer) {
       if (answer.Result == ClaimResult::Claimed)
         time.after(20ms, [&, answer] {
           book->record(answer.Ticket, Outcome::Complete);
--- a/UnitTests/Coordination/Decision/ReplicaChooserTest.cpp
+++ b/UnitTests/Coordination/Decision/ReplicaChooserTest.cpp
@@ -105,7 +105,7 @@
   next(core, 77, tokens);
   core.finish(500);
   for (int it = 0; it < busy; ++it)
-    core.arrive(static_cast<RequestKey>(it + 1), 7);
+    core.arrive(static_cast<RequestKey>(it) + 1, 7);
   core.send(ReplicaDraining{2, false});
   RequestArrived event{501, 7, 1, core.Now + 10s, 77, tokens};
   CHECK(core.send(event) == "admit 501" + place);
--- a/UnitTests/Coordination/Lease/LeaseThreadsTest.cpp
+++ b/UnitTests/Coordination/Lease/LeaseThreadsTest.cpp
@@ -59,6 +59,7 @@
 /// Runs a call on several threads, `count` times each.
 void onThreads(int count, const std::function<void(int thread)> &call) {
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int it = 0; it < 4; ++it)
     threads.emplace_back([&, it] {
       for (int n = 0; n < count; ++n)
@@ -109,7 +110,7 @@
   onThreads(200, [&](int thread) {
     // All threads use the same 200 keys.
     auto key = std::to_string(next[thread]++);
-    book->claim({"s", key, "body", "r"}, [&](ClaimAnswer answer) {
+    book->claim({"s", key, "body", "r"}, [&](const ClaimAnswer &answer) {
       ++answers;
       if (answer.Result != ClaimResult::Claimed)
         return;
--- a/UnitTests/Node/CallerFrontTest.cpp
+++ b/UnitTests/Node/CallerFrontTest.cpp
@@ -29,7 +29,8 @@
     CallerFrontHooks hooks;
     hooks.InForce = [this] { return InForce; };
     hooks.CaughtUp = [this] { return CaughtUp; };
-    hooks.Begin = [this](ExchangeRequest request, std::shared_ptr<HttpReply>) {
+    hooks.Begin = [this](ExchangeRequest request,
+                         const std::shared_ptr<HttpReply> &) {
       Begun.push_back(std::move(request));
     };
     Callers = std::make_unique<CallerFront>(settings, hooks);
--- a/UnitTests/Protocol/Endpoint/EngineFormatTest.cpp
+++ b/UnitTests/Protocol/Endpoint/EngineFormatTest.cpp
@@ -102,8 +102,9 @@
        {repeated("[", Depth) + repeated("]", Depth),
         repeated("{\"a\":", Depth) + "1" + repeated("}", Depth)}) {
     for (std::string field : {"prompt", "messages", "other"}) {
-      auto read = readCompletion(
-          R"({"model":"a@1",")" + field + "\":" + deep + "}", current);
+      std::string body = R"({"model":"a@1",")";
+      body.append(field).append("\":").append(deep).append("}");
+      auto read = readCompletion(body, current);
       REQUIRE_FALSE(read.has_value());
     }
     REQUIRE_FALSE(engine_format::readReport(deep).has_value());
--- a/UnitTests/State/Config/CatalogStoreTest.cpp
+++ b/UnitTests/State/Config/CatalogStoreTest.cpp
@@ -52,6 +52,7 @@
 std::vector<ConfigChange> arbitraryChanges() {
   std::vector<ConfigChange> out;
   auto n = *rc::gen::inRange(0, 40);
+  out.reserve(n);
   for (int it = 0; it < n; ++it)
     out.push_back(arbitraryChange());
   return out;
--- a/UnitTests/Transport/ClientsTest.cpp
+++ b/UnitTests/Transport/ClientsTest.cpp
@@ -17,14 +17,15 @@
 struct Fixture : Loopback {
   Script Next;
   std::vector<HttpIncoming> Asked;
-  HttpServer Server{Context, HttpServerSettings(),
-                    [this](HttpIncoming in, std::shared_ptr<HttpReply> reply) {
-                      Asked.push_back(std::move(in));
-                      if (Next.Abort)
-                        reply->abort();
-                      else
-                        reply->sendWhole(Next.Status, {}, Next.Body);
-                    }};
+  HttpServer Server{
+      Context, HttpServerSettings(),
+      [this](HttpIncoming in, const std::shared_ptr<HttpReply> &reply) {
+        Asked.push_back(std::move(in));
+        if (Next.Abort)
+          reply->abort();
+        else
+          reply->sendWhole(Next.Status, {}, Next.Body);
+      }};
   HttpClient Client{Context};
 
   std::string target() {
--- a/UnitTests/Transport/HttpTest.cpp
+++ b/UnitTests/Transport/HttpTest.cpp
@@ -19,8 +19,12 @@
   ~HttpPair() {
     Client.reset();
     Server.reset();
-    Context.restart();
-    Context.poll();
+    // What throws here has failed its test before.
+    try {
+      Context.restart();
+      Context.poll();
+    } catch (const std::exception &) {
+    }
   }
 
   void serve(HttpHandler handler) {
@@ -71,7 +75,7 @@
 
 TEST_CASE("whole answers pass both ways unchanged", "[http]") {
   HttpPair pair;
-  pair.serve([](HttpIncoming in, ReplyPtr reply) {
+  pair.serve([](HttpIncoming in, const ReplyPtr &reply) {
     HttpFields fields{{"X-Method", in.Method},
                       {"X-Target", in.Path + '?' + in.Query},
                       {"X-Empty", in.field("x-empty") ? "there" : "missing"}};
@@ -102,7 +106,7 @@
 TEST_CASE("streamed parts arrive in order, whole, as they are sent", "[http]") {
   ReplyPtr held;
   HttpPair pair;
-  pair.serve([&](HttpIncoming in, ReplyPtr reply) {
+  pair.serve([&](const HttpIncoming &in, const ReplyPtr &reply) {
     reply->startStream(200, {{"X-Kind", "stream"}});
     if (in.Path == "/held")
       held = reply;
@@ -128,7 +132,7 @@
 
 TEST_CASE("a paused transfer goes on and loses and doubles nothing", "[http]") {
   HttpPair pair;
-  pair.serve([&](HttpIncoming, ReplyPtr reply) {
+  pair.serve([&](const HttpIncoming &, const ReplyPtr &reply) {
     reply->startStream(200, {});
     pump(reply, 1, 300, 2000);
   });
@@ -179,7 +183,7 @@
         next(reply);
     });
   };
-  pair.serve([&](HttpIncoming, ReplyPtr reply) {
+  pair.serve([&](const HttpIncoming &, const ReplyPtr &reply) {
     reply->startStream(200, {});
     next(reply);
   });
@@ -209,7 +213,7 @@
     ReplyPtr held;
     int gone = 0;
     HttpPair pair;
-    pair.serve([&](HttpIncoming, ReplyPtr reply) {
+    pair.serve([&](const HttpIncoming &, const ReplyPtr &reply) {
       held = reply;
       reply->onGone([&] { ++gone; });
       if (streaming)
@@ -236,7 +240,7 @@
   for (std::string how : {"before", "head", "part", "dropped"}) {
     CAPTURE(how);
     HttpPair pair;
-    pair.serve([&](HttpIncoming, ReplyPtr reply) {
+    pair.serve([&](const HttpIncoming &, const ReplyPtr &reply) {
       if (how != "before")
         reply->startStream(200, {});
       if (how == "part" || how == "dropped")
@@ -251,7 +255,7 @@
     REQUIRE(answer.Ends == 1);
   }
   HttpPair pair;
-  pair.serve([](HttpIncoming, const ReplyPtr &) {});
+  pair.serve([](const HttpIncoming &, const ReplyPtr &) {});
   Answer unanswered;
   REQUIRE(pair.ask(pair.request(), unanswered));
   REQUIRE(unanswered.Result.Status == 500);
@@ -262,7 +266,7 @@
   std::vector<ReplyPtr> held;
   std::vector<int> gone(3);
   HttpPair pair;
-  pair.serve([&](HttpIncoming, ReplyPtr reply) {
+  pair.serve([&](const HttpIncoming &, ReplyPtr reply) {
     auto turn = held.size();
     reply->onGone([&, turn] { ++gone[turn]; });
     held.push_back(std::move(reply));
@@ -291,7 +295,7 @@
   std::vector<ReplyPtr> held;
   std::vector<int> gone(2);
   HttpPair pair;
-  pair.serve([&](HttpIncoming, ReplyPtr reply) {
+  pair.serve([&](const HttpIncoming &, ReplyPtr reply) {
     auto turn = held.size();
     reply->onGone([&, turn] { ++gone[turn]; });
     held.push_back(std::move(reply));
@@ -313,7 +317,7 @@
   pair.Settings.MaxFieldBytes = 200;
   pair.Settings.MaxFields = 10;
   pair.Settings.MaxConnections = 2;
-  pair.serve([&](HttpIncoming, ReplyPtr reply) {
+  pair.serve([&](const HttpIncoming &, const ReplyPtr &reply) {
     ++handled;
     reply->sendWhole(200, {}, "fine");
   });
@@ -368,7 +372,7 @@
   ReplyPtr held;
   int gone = 0;
   HttpPair pair;
-  pair.serve([&](HttpIncoming, ReplyPtr reply) {
+  pair.serve([&](const HttpIncoming &, const ReplyPtr &reply) {
     held = reply;
     reply->onGone([&] { ++gone; });
     reply->startStream(200, {});
@@ -476,7 +480,7 @@
     std::vector<ReplyPtr> held;
     std::vector<Answer> answers(20);
     HttpPair pair;
-    pair.serve([&](HttpIncoming, ReplyPtr reply) {
+    pair.serve([&](const HttpIncoming &, ReplyPtr reply) {
       reply->startStream(200, {});
       reply->sendPart("part", nullptr);
       held.push_back(std::move(reply));
@@ -503,7 +507,7 @@
   constexpr std::size_t Count = 200;
   std::vector<Answer> answers(Count);
   HttpPair pair;
-  pair.serve([&](HttpIncoming, ReplyPtr reply) {
+  pair.serve([&](const HttpIncoming &, const ReplyPtr &reply) {
     reply->startStream(200, {});
     pump(reply, 1, 50, 10);
   });
@@ -518,6 +522,7 @@
     pair.Client->start(pair.request(), hooks);
   }
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int it = 0; it < 4; ++it)
     threads.emplace_back([&] { pair.Context.run(); });
   for (auto &thread : threads)
--- a/UnitTests/Transport/PeerTest.cpp
+++ b/UnitTests/Transport/PeerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
 using namespace hemlockglade;
 
@@ -30,7 +31,8 @@
 struct PeerPair : Loopback {
   PeerLink::OnStream Accept;
   std::unique_ptr<PeerNet> Server = std::make_unique<PeerNet>(
-      Context, "127.0.0.1", 0, [this](StreamPtr stream) { Accept(stream); });
+      Context, "127.0.0.1", 0,
+      [this](StreamPtr stream) { Accept(std::move(stream)); });
   std::unique_ptr<PeerNet> Client =
       std::make_unique<PeerNet>(Context, "127.0.0.1", 0, nullptr);
 
@@ -280,7 +282,8 @@
   std::vector<End> ends(10);
   std::vector<StreamPtr> streams;
   PeerPair pair;
-  pair.Accept = [&](StreamPtr stream) { accepted.push_back(stream); };
+  pair.Accept = [&](const StreamPtr &stream) { accepted.push_back(stream); };
+  streams.reserve(ends.size());
   for (auto &end : ends)
     streams.push_back(pair.open(end));
   REQUIRE(pair.until([&] { return accepted.size() == 10; }));
