The last lint findings in the tests

Ruled out: nothing else; the list of the whole run was gone through by file. Change: parameters by reference, widened products, a fixture's destructor.

--- a/UnitTests/Protocol/Endpoint/EngineFormatTest.cpp
+++ b/UnitTests/Protocol/Endpoint/EngineFormatTest.cpp
@@ -23,7 +23,8 @@
 
 TEST_CASE("reports and orders come back as they were", "[engine]") {
   REQUIRE(rc::check([](std::uint32_t running, std::uint32_t waiting,
-                       std::int64_t age, std::vector<std::uint32_t> resident) {
+                       std::int64_t age,
+                       const std::vector<std::uint32_t> &resident) {
     EngineReport report{"i", running, waiting, {}, age};
     for (auto it : resident)
       report.Resident.emplace_back("a@" + std::to_string(it), it);
@@ -84,7 +85,7 @@
   std::string body =
       R"({"model":"a@1","prompt":["x",{"y":null}],"max_tokens":9})";
   auto report = engine_format::reportBody({"i", 1, 2, {{"a@1", 3}}, 4});
-  REQUIRE(rc::check([&](std::string text) {
+  REQUIRE(rc::check([&](const std::string &text) {
     for (auto changed : {body, report}) {
       changed[*rc::gen::inRange<std::size_t>(0, changed.size())] =
           *rc::gen::arbitrary<char>();
--- a/UnitTests/Transport/PeerTest.cpp
+++ b/UnitTests/Transport/PeerTest.cpp
@@ -39,7 +39,11 @@
   ~PeerPair() {
     Client.reset();
     Server.reset();
-    settle();
+    // What throws here has failed its test before.
+    try {
+      settle();
+    } catch (const std::exception &) {
+    }
   }
 
   StreamPtr open(End &end, std::string message = "hello") {
@@ -220,7 +224,7 @@
   End client;
   PeerPair pair;
   pair.Accept = [&](const StreamPtr &stream) { server.attach(*stream); };
-  std::string large(16 * 1024 * 1024, 'm');
+  std::string large(std::size_t{16} * 1024 * 1024, 'm');
   large.back() = 'e';
   auto stream = pair.open(client, large);
   stream->send("small");
@@ -269,7 +273,7 @@
   auto peer = RawPeer::to(pair.Context, pair.Server->port());
   peer->send(rawFrames(framed(4, "good")));
   REQUIRE(pair.until([&] { return server.Messages.size() == 1; }));
-  std::string message(1024 * 1024, 'm');
+  std::string message(std::size_t{1024} * 1024, 'm');
   for (int it = 0; it < 100 && server.Ends.empty(); ++it) {
     accepted->send(message);
     pair.settle(1);
