--- a/Bench/Capacity/TableSlopes.cpp
+++ b/Bench/Capacity/TableSlopes.cpp
@@ -75,9 +75,10 @@
 
 double claimsInFlightBytes(std::size_t n) {
   BookWorld world(2ms);
-  std::vector<TableCallback<bool>> held;
+  std::vector<TableCallback<std::uint64_t>> held;
   auto table = world.Table.hooks();
-  table.Commit = [&held](const TableTransaction &, TableCallback<bool> done) {
+  table.Commit = [&held](const TableTransaction &,
+                         TableCallback<std::uint64_t> done) {
     held.push_back(std::move(done));
   };
   held.reserve(n);
--- a/Hemlockglade/Coordination/Claim/ClaimBook.cpp
+++ b/Hemlockglade/Coordination/Claim/ClaimBook.cpp
@@ -51,7 +51,7 @@
 }
 
 void ClaimBook::onSent(const AttemptPtr &attempt,
-                       tl::expected<bool, TableError> result) {
+                       tl::expected<std::uint64_t, TableError> result) {
   if (result) {
     ClaimAnswer answer;
     answer.Result = ClaimResult::Claimed;
@@ -164,7 +164,7 @@
 }
 
 void ClaimBook::onRecordSent(const RecordPtr &record,
-                             tl::expected<bool, TableError> result) {
+                             tl::expected<std::uint64_t, TableError> result) {
   if (result)
     return endRecord(false);
   if (result.error() == TableError::Conflict)
--- a/Hemlockglade/Coordination/Claim/ClaimBook.h
+++ b/Hemlockglade/Coordination/Claim/ClaimBook.h
@@ -52,14 +52,15 @@
   using RecordPtr = std::shared_ptr<Record>;
 
   void send(const AttemptPtr &attempt);
-  void onSent(const AttemptPtr &attempt, tl::expected<bool, TableError> result);
+  void onSent(const AttemptPtr &attempt,
+              tl::expected<std::uint64_t, TableError> result);
   void readBack(const AttemptPtr &attempt);
   void onReadBack(const AttemptPtr &attempt,
                   const std::optional<TableRow> &row);
   void finish(const AttemptPtr &attempt, ClaimAnswer answer);
   void sendRecord(const RecordPtr &record);
   void onRecordSent(const RecordPtr &record,
-                    tl::expected<bool, TableError> result);
+                    tl::expected<std::uint64_t, TableError> result);
   void readRecord(const RecordPtr &record);
   void retryRecord(const RecordPtr &record);
   void endRecord(bool dropped);
--- a/Hemlockglade/Coordination/Claim/GroupCommit.cpp
+++ b/Hemlockglade/Coordination/Claim/GroupCommit.cpp
@@ -7,7 +7,7 @@
     : Settings(settings), Name(std::move(name)), Table(std::move(table)),
       Hooks(std::move(hooks)) {}
 
-void GroupCommit::add(TableWrite write, TableCallback<bool> done) {
+void GroupCommit::add(TableWrite write, TableCallback<std::uint64_t> done) {
   std::vector<Group> full;
   bool first = false;
   std::uint64_t number = 0;
--- a/Hemlockglade/Coordination/Claim/GroupCommit.h
+++ b/Hemlockglade/Coordination/Claim/GroupCommit.h
@@ -33,14 +33,14 @@
               GroupHooks hooks);
 
   /// Adds a write; `done` when its transaction has ended.
-  void add(TableWrite write, TableCallback<bool> done);
+  void add(TableWrite write, TableCallback<std::uint64_t> done);
   /// Transactions sent since the start.
   std::uint64_t sent() const;
 
 private:
   struct Group {
     TableTransaction Transaction;
-    std::vector<TableCallback<bool>> Done;
+    std::vector<TableCallback<std::uint64_t>> Done;
     std::set<std::string> Keys;
   };
 
--- a/Hemlockglade/Coordination/Config/ConfigCommit.cpp
+++ b/Hemlockglade/Coordination/Config/ConfigCommit.cpp
@@ -85,7 +85,7 @@
                      });
 }
 
-void ConfigCommit::onSubmitted(tl::expected<bool, TableError> result) {
+void ConfigCommit::onSubmitted(tl::expected<std::uint64_t, TableError> result) {
   if (result)
     return accept(Base + 1, false);
   readBack();
--- a/Hemlockglade/Coordination/Config/ConfigCommit.h
+++ b/Hemlockglade/Coordination/Config/ConfigCommit.h
@@ -28,7 +28,7 @@
   void prepare();
   void putDelta();
   void submit();
-  void onSubmitted(tl::expected<bool, TableError> result);
+  void onSubmitted(tl::expected<std::uint64_t, TableError> result);
   void readBack();
   void onReadBack(tl::expected<std::optional<TableRow>, TableError> row);
   /// Finds out what came after our base: this command or another.
--- a/Hemlockglade/Coordination/Lease/LeaseKeeper.cpp
+++ b/Hemlockglade/Coordination/Lease/LeaseKeeper.cpp
@@ -35,7 +35,7 @@
 }
 
 void LeaseKeeper::commit(TableTransaction transaction,
-                         TableCallback<bool> done) {
+                         TableCallback<std::uint64_t> done) {
   {
     std::lock_guard lock(Mutex);
     ++Counts.Commits;
@@ -116,8 +116,9 @@
          });
 }
 
-void LeaseKeeper::onRenewed(const std::string &attempt,
-                            const tl::expected<bool, TableError> &result) {
+void LeaseKeeper::onRenewed(
+    const std::string &attempt,
+    const tl::expected<std::uint64_t, TableError> &result) {
   Instant now = Hooks.Now();
   {
     std::lock_guard lock(Mutex);
--- a/Hemlockglade/Coordination/Lease/LeaseKeeper.h
+++ b/Hemlockglade/Coordination/Lease/LeaseKeeper.h
@@ -72,11 +72,11 @@
   };
 
   void get(std::string key, TableCallback<std::optional<TableRow>> done);
-  void commit(TableTransaction transaction, TableCallback<bool> done);
+  void commit(TableTransaction transaction, TableCallback<std::uint64_t> done);
   void renew();
   void sendRenewal();
   void onRenewed(const std::string &attempt,
-                 const tl::expected<bool, TableError> &result);
+                 const tl::expected<std::uint64_t, TableError> &result);
   void readOwn(std::function<void()> then);
   bool startScan();
   void scan();
--- /dev/null
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Orders/EngineOrder.h"
+#include "Hemlockglade/State/Routing/RoutePlan.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace hemlockglade {
+
+/// What a replica holds, as its cell's owner knows it.
+struct ResidentWeights {
+  std::uint64_t Version = 0;
+  /// When it can serve; later than now while it is being loaded.
+  Instant ReadyAt{};
+  /// It is being dropped: nothing new may be sent for it.
+  bool Leaving = false;
+
+  bool operator==(const ResidentWeights &) const = default;
+};
+
+using Residency = std::map<WeightsRef, ResidentWeights>;
+
+/// What the desk wants done now.
+struct DeskAction {
+  enum class Kind : std::uint8_t { Order, Report };
+
+  Kind What = Kind::Order;
+  std::string Replica;
+  EngineOrder Order;
+  /// Why, for the log.
+  std::string_view Reason;
+};
+
+/// Decides which weights the replicas of one cell hold: loads what requests
+/// wait for, copies what is wanted much, drops what is wanted least. It has no
+/// clock and no sockets: time comes with the calls, orders go out as actions.
+class CellDesk {
+public:
+  struct Settings {
+    /// Time that an adapter takes to load when it comes from the weight store.
+    /// Learnt upwards and downwards from how early requests came; this is the
+    /// first guess.
+    Span AdapterLoad = std::chrono::milliseconds(260);
+    /// Loads on their way at full speed over the whole deployment.
+    std::uint32_t LoadsAtFullSpeed = 8;
+    /// Loads on their way to one replica.
+    std::uint32_t LoadsPerReplica = 4;
+    /// Adapters that a replica dropped lately come back this much faster.
+    double QuickShare = 0.1;
+    /// Adapters dropped lately that are taken to come back fast.
+    std::size_t QuickMemory = 100;
+    /// Half life of the demand estimate. Demand moves several times in half a
+    /// minute, and an adapter of the 80 most wanted comes about every 5 s.
+    Span DemandHalfLife = std::chrono::seconds(8);
+    /// Requests a second from which on an adapter that another cell holds is
+    /// worth a copy here. A load from the weight store costs as much as the
+    /// bytes of 8 requests between failure domains; demand holds for some 15 s.
+    double RateForCopy = 0.6;
+    /// Requests a second that one copy serves before another is worth a place.
+    double RatePerCopy = 3;
+    /// An adapter that was asked for this recently may still be running.
+    Span RecentUse = std::chrono::milliseconds(2500);
+    /// Cells of the deployment, which share the rate of base model loads.
+    std::uint32_t Cells = 1;
+    /// Time after an order without an answer until the engine is asked.
+    Span DoubtDelay = std::chrono::milliseconds(300);
+    /// Base model loads under way in the cell at the same time.
+    std::uint32_t ModelLoads = 1;
+  };
+
+  explicit CellDesk(Settings settings) : Setup(settings) {}
+
+  /// Sets the replicas of the cell that run engines, and what their services
+  /// say of them.
+  void setReplicas(const std::vector<ReplicaRecord> &replicas,
+                   std::shared_ptr<const RoutePlan> plan, Instant now);
+  /// Operators have named a version.
+  void setVersion(const WeightsRef &weights, std::uint64_t version);
+  /// Requests for weights of a service came, at any node.
+  void onDemand(const std::string &service, const WeightsRef &weights,
+                double requests, Instant now);
+  /// Requests wait at a node for weights that no replica of the cell has.
+  void onWant(const std::string &service, const WeightsRef &weights,
+              Instant now);
+  /// How many requests run at a replica, over all nodes.
+  void setRunning(const std::string &replica, std::uint32_t running);
+  /// A request for weights that should be ready was refused.
+  void onRefusedEarly(const std::string &replica, const WeightsRef &weights,
+                      Instant now);
+  /// A replica does not have weights that the books say it has.
+  void onMissing(const std::string &replica, const WeightsRef &weights,
+                 Instant now);
+
+  /// What to do now. Nothing is ordered unless `mayOrder`.
+  std::vector<DeskAction> plan(bool mayOrder, Instant now);
+  void onOrderAnswer(const std::string &replica, const EngineOrder &order,
+                     OrderAnswer answer, Instant now);
+  void onReport(const std::string &replica,
+                const std::optional<HoldingsReport> &report, Instant now);
+  /// Forgets all that was learnt from own orders, as after a time without the
+  /// lease in which another node ordered.
+  void forget();
+
+  /// What each replica holds. Changes of it raise `revision`.
+  const Residency &residency(const std::string &replica) const;
+  std::vector<std::string> replicas() const;
+  std::uint64_t revision() const { return Revision; }
+  double demandOf(const std::string &service, const WeightsRef &weights,
+                  Instant now) const;
+
+private:
+  struct Demand {
+    double Weight = 0;
+    Instant At{};
+    Instant LastAsked{};
+    /// Requests wait for it, since when; nothing if none do.
+    std::optional<Instant> WantedAt;
+  };
+  using DemandKey = std::pair<std::string, WeightsRef>;
+
+  struct Book {
+    ReplicaRecord Record;
+    std::shared_ptr<const RoutePlan> Plan;
+    const EngineSpec *Engine = nullptr;
+    std::uint64_t Count = 0;
+    Residency Held;
+    /// Dropped lately, the latest first.
+    std::list<WeightsRef> Quick;
+    std::uint32_t Running = 0;
+    bool OrderOpen = false;
+    bool ReportOpen = false;
+    /// When the books have to be compared with the engine's; none if not.
+    std::optional<Instant> ReportDue;
+    /// A base model is being loaded until then.
+    Instant ModelBusyUntil{};
+  };
+
+  double rate(const Demand &demand, Instant now) const;
+  double rateOf(const DemandKey &key, Instant now) const;
+  double worthOf(const Book &book, const WeightsRef &weights,
+                 const ResidentWeights &held, Instant now) const;
+  std::size_t copies(const DemandKey &key) const;
+  void countCopies();
+  bool current(const WeightsRef &weights, std::uint64_t version) const;
+  std::size_t adapters(const Book &book) const;
+  std::size_t loading(const Book &book, Instant now) const;
+  std::size_t loading(Instant now) const;
+  bool orderable(const Book &book, Instant now) const;
+  void adopt(Book &book, const HeldWeights &held, const HeldWeights &pending,
+             std::uint64_t count, Instant now);
+  void planModels(std::vector<DeskAction> &actions, Instant now);
+  void planAdapters(std::vector<DeskAction> &actions, Instant now);
+  bool place(const DemandKey &key, double worth, std::string_view reason,
+             std::vector<DeskAction> &actions, Instant now);
+  const WeightsRef *victim(const Book &book, double below, Instant now) const;
+  void order(Book &book, OrderKind kind, const WeightsRef &weights,
+             std::string_view reason, std::vector<DeskAction> &actions);
+  Span loadTime(const Book &book, const WeightsRef &weights, Instant now) const;
+  void remember(Book &book, const WeightsRef &weights);
+  void changed() { ++Revision; }
+
+  Settings Setup;
+  std::map<std::string, Book> Books;
+  std::map<WeightsRef, std::uint64_t> Versions;
+  std::map<DemandKey, Demand> Demands;
+  /// Copies of current versions in the cell, kept for one round of planning.
+  std::map<DemandKey, std::size_t> Copies;
+  Instant NextModelLoad{};
+  std::uint64_t Revision = 1;
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Table.h"
+#include "Hemlockglade/State/Ids.h"
+
+#include <memory>
+
+namespace hemlockglade {
+
+/// The lease row of a cell: who may give orders to its replicas.
+struct CellLeaseRow {
+  /// Host that holds the lease; a restarted process keeps it.
+  std::string Holder;
+  /// The process on that host.
+  std::string Incarnation;
+  /// `ip:port` for peers.
+  std::string Address;
+  Epoch Fence = 0;
+  /// The holder has given the lease up and orders nothing any more.
+  bool Released = false;
+  /// The holder has waited out its predecessor and may order.
+  bool Ordering = false;
+
+  std::string text() const;
+  static std::optional<CellLeaseRow> parse(const std::string &text);
+};
+
+/// Why a cell's lease changed, for the log.
+enum class LeaseChange : std::uint8_t {
+  Taken,
+  MayOrder,
+  Lapsed,
+  Regained,
+  Lost,
+  Released,
+  HolderSeen,
+};
+
+std::string_view leaseChangeName(LeaseChange change);
+
+/// One cell's lease as one node sees it: renews it if it holds it, takes it
+/// over if its holder has gone. All time is counted from before a call was
+/// sent, on the clock of this host, which runs while the host is suspended.
+class CellLease : public std::enable_shared_from_this<CellLease> {
+public:
+  struct Settings {
+    std::string Holder;
+    std::string Incarnation;
+    std::string Address;
+    /// Time between renewals. Three fit into the validity, so that one that is
+    /// lost costs nothing.
+    Span RenewEvery = std::chrono::milliseconds(600);
+    /// How long a renewal gives the right to order.
+    Span Validity = std::chrono::milliseconds(1800);
+    /// Time that must lie between the last order of one holder and the first
+    /// of the next; the deployment's bound.
+    Span Handover = std::chrono::milliseconds(3000);
+    /// Longest time an order is on its way before its connection is reset.
+    Span OrderTravel = std::chrono::milliseconds(400);
+    /// A holder that was heard from this recently is not doubted.
+    Span Silence = std::chrono::milliseconds(900);
+    /// Time between looks at the row of a silent holder.
+    Span LookEvery = std::chrono::milliseconds(500);
+  };
+  using Clock = std::function<Instant()>;
+  using OnChange = std::function<void(LeaseChange, const CellLease &)>;
+
+  CellLease(std::string cell, Settings settings, TableHooks table, Clock clock,
+            OnChange onChange);
+
+  /// Does what is due; to be called about ten times a second. A lease that is
+  /// free is taken only after it has been free for `reluctance`.
+  void tick(Span reluctance);
+  /// The holder has told that its lease, at this version of the row, lasts for
+  /// `remaining`.
+  void onHeard(std::uint64_t version, Span remaining);
+  /// Gives the lease up, if it is held.
+  void release();
+
+  const std::string &cell() const { return Cell; }
+  bool held() const { return Mine; }
+  /// Whether orders may be given at this moment. To be asked right before each.
+  bool mayOrder() const;
+  Epoch fence() const { return Row ? Row->Fence : 0; }
+  /// The row as last read or written.
+  const std::optional<CellLeaseRow> &row() const { return Row; }
+  std::uint64_t version() const { return Version; }
+  /// How long the own lease still lasts.
+  Span remaining() const;
+
+private:
+  void renew();
+  void giveUp();
+  void look();
+  void onRow(const std::optional<TableRow> &row, Instant sentAt);
+  void take(Instant freeAt, Instant ordersFrom);
+  void commit(CellLeaseRow row, Instant freeAt, Instant ordersFrom);
+  void onCommitted(const CellLeaseRow &row, Instant sentAt, Instant ordersFrom,
+                   const tl::expected<std::uint64_t, TableError> &result);
+  void adopt(const CellLeaseRow &row, std::uint64_t version);
+  void lose();
+  void watchValidity();
+  bool isOwn(const CellLeaseRow &row) const;
+  std::string key() const { return "lease/" + Cell; }
+
+  const std::string Cell;
+  const Settings Setup;
+  TableHooks Table;
+  Clock Now;
+  OnChange Changed;
+
+  bool Busy = false;
+  bool Mine = false;
+  bool Leaving = false;
+  /// The version may be another than we think: read before writing.
+  bool InDoubt = true;
+  bool TellOrdering = false;
+  std::optional<CellLeaseRow> Row;
+  std::uint64_t Version = 0;
+  /// When this version of the row was first seen, and from when on its holder
+  /// surely has no right to order any more.
+  Instant FreeAt{};
+  Instant HeardAt{-3'600'000'000};
+  Instant LookedAt{-3'600'000'000};
+  /// When the row was first found not to exist.
+  std::optional<Instant> FirstLookAt;
+  Span Reluctance{0};
+  Instant RenewedAt{};
+  Instant ValidUntil{};
+  Instant OrdersFrom{};
+  bool WasOrdering = false;
+  /// Own attempt whose end is not known.
+  std::optional<CellLeaseRow> Attempt;
+  Instant AttemptSentAt{};
+  Instant AttemptOrdersFrom{};
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Registry/Registry.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Hemlockglade/State/Routing/ReplicaRecord.h"
+#include "Hemlockglade/State/Routing/RoutePlan.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <tl/expected.hpp>
+
+namespace hemlockglade {
+
+/// How a look at the registry failed.
+enum class RegistryError : std::uint8_t {
+  /// The registry did not answer, or turned the call away.
+  Unavailable,
+  /// Changes since the position are no longer known: read everything anew.
+  HistoryGone,
+};
+
+/// What operators have declared, or what has changed of it.
+struct OperatorChanges {
+  /// The newest plan, if it is among the changes.
+  std::shared_ptr<const RoutePlan> Plan;
+  std::vector<WeightsVersion> Versions;
+  /// Position behind these changes, for the next look.
+  std::uint64_t Position = 0;
+};
+
+/// The replicas that are registered, or what has changed of them.
+struct ReplicaChanges {
+  /// Whether this is the whole list rather than changes.
+  bool Whole = false;
+  std::vector<ReplicaRecord> Present;
+  /// Incarnations whose entries were removed.
+  std::vector<std::string> Removed;
+  std::uint64_t Position = 0;
+};
+
+template <typename T>
+using RegistryCallback = std::function<void(tl::expected<T, RegistryError>)>;
+
+/// Where operators' declarations and replicas are found. Every function returns
+/// at once and calls back later.
+struct RegistryHooks {
+  /// Everything that operators have declared.
+  std::function<void(RegistryCallback<OperatorChanges>)> ReadOperator;
+  /// Waits up to `wait` for changes behind the position.
+  std::function<void(std::uint64_t position, Span wait,
+                     RegistryCallback<OperatorChanges>)>
+      WatchOperator;
+  std::function<void(RegistryCallback<ReplicaChanges>)> ReadReplicas;
+  std::function<void(std::uint64_t position, RegistryCallback<ReplicaChanges>)>
+      WatchReplicas;
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Route/RepeatBudget.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Hemlockglade/State/Ids.h"
+
+#include <array>
+#include <map>
+#include <string>
+
+namespace hemlockglade {
+
+/// One node's part of the budget of repeats that all nodes share: repeats of a
+/// service within a sliding window are bounded by a share of its requests and
+/// a fixed number.
+class RepeatBudget {
+public:
+  struct Settings {
+    /// Repeats allowed for each request, over all nodes.
+    double Share = 0.2;
+    /// Repeats allowed beside, over all nodes.
+    double Extra = 20;
+    Span Window = std::chrono::seconds(10);
+    /// Part of the budget that is used. The rest covers that nodes see
+    /// different numbers of requests and of each other.
+    double Used = 0.75;
+  };
+
+  explicit RepeatBudget(const Settings &settings) : Setup(settings) {}
+
+  /// A request for the service came.
+  void onRequest(const std::string &service, Instant now);
+  /// Whether one more repeat may be sent; if so, it is counted.
+  bool spend(const std::string &service, Instant now);
+  /// How many nodes share the budget.
+  void setNodes(std::size_t nodes) { Nodes = nodes ? nodes : 1; }
+
+private:
+  static constexpr std::size_t SlotCount = 20;
+
+  struct Slot {
+    std::int64_t Number = -1;
+    std::uint32_t Requests = 0;
+    std::uint32_t Repeats = 0;
+  };
+  using Slots = std::array<Slot, SlotCount>;
+
+  Slot &slot(Slots &slots, Instant now) const;
+  std::int64_t numberOf(Instant now) const;
+
+  Settings Setup;
+  std::size_t Nodes = 1;
+  std::map<std::string, Slots> Services;
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -0,0 +1,327 @@
+#include "Hemlockglade/Coordination/Route/ReplicaView.h"
+
+#include <algorithm>
+
+namespace hemlockglade {
+
+namespace {
+
+/// Replicas that owners may tell of before the registry does.
+constexpr std::size_t MaxEarly = 1024;
+
+Residency residencyOf(const ReplicaRecord &record, Instant now) {
+  Residency out;
+  for (const auto &[weights, version] : record.Held)
+    out[weights] = {version, now, false};
+  return out;
+}
+
+} // namespace
+
+void ReplicaView::takeRecord(const ReplicaRecord &record, Instant now) {
+  auto [it, isNew] = Replicas.try_emplace(record.Incarnation);
+  auto &seen = it->second;
+  // A heartbeat that was on its way when the replica began to leave must not
+  // bring it back.
+  bool leaving = !isNew && seen.Record.Draining;
+  seen.Record = record;
+  seen.Record.Draining = record.Draining || leaving;
+  seen.VanishesAt.reset();
+  if (auto told = Early.find(record.Incarnation); told != Early.end()) {
+    seen.Held = std::move(told->second);
+    seen.ByOwner = true;
+    Early.erase(told);
+  }
+  if (!seen.ByOwner)
+    seen.Held = residencyOf(record, now);
+}
+
+void ReplicaView::onRegistry(const ReplicaChanges &changes, bool unreachable,
+                             Instant now) {
+  auto vanish = [&](Seen &seen) {
+    if (!unreachable)
+      seen.Record.Draining = true;
+    if (!seen.VanishesAt)
+      seen.VanishesAt = now + (unreachable ? Setup.LapseGrace : Span(0));
+  };
+  for (const auto &it : changes.Present)
+    takeRecord(it, now);
+  for (const auto &it : changes.Removed)
+    if (auto at = Replicas.find(it); at != Replicas.end())
+      vanish(at->second);
+  if (!changes.Whole)
+    return;
+  std::set<std::string> present;
+  for (const auto &it : changes.Present)
+    present.insert(it.Incarnation);
+  for (auto &[id, seen] : Replicas)
+    if (!present.contains(id))
+      vanish(seen);
+}
+
+void ReplicaView::onVersion(const WeightsRef &weights, std::uint64_t version,
+                            Instant now) {
+  auto &named = Versions[weights];
+  if (version > named.Version)
+    named = {version, now};
+}
+
+void ReplicaView::onResidency(const std::string &replica, Residency held,
+                              Instant) {
+  auto it = Replicas.find(replica);
+  if (it == Replicas.end()) {
+    if (Early.size() < MaxEarly)
+      Early[replica] = std::move(held);
+    return;
+  }
+  it->second.Held = std::move(held);
+  it->second.ByOwner = true;
+}
+
+void ReplicaView::onOthersRunning(const std::string &replica,
+                                  std::uint32_t running, Instant now) {
+  auto it = Replicas.find(replica);
+  if (it == Replicas.end())
+    return;
+  it->second.Others = running;
+  it->second.OthersAt = now;
+}
+
+void ReplicaView::onOwnerLost(const std::string &failureDomain) {
+  for (auto &[id, seen] : Replicas)
+    if (seen.Record.FailureDomain == failureDomain)
+      seen.ByOwner = false;
+}
+
+bool ReplicaView::usable(const Seen &seen) const {
+  return !seen.Record.Draining && !seen.Replaced;
+}
+
+bool ReplicaView::versionServes(const WeightsRef &weights,
+                                std::uint64_t version, Instant now) const {
+  auto it = Versions.find(weights);
+  if (weights.Adapter.empty() || it == Versions.end() ||
+      version >= it->second.Version)
+    return true;
+  return now - it->second.At < Setup.OldVersionGrace;
+}
+
+std::uint64_t ReplicaView::partKey(const RouteQuery &query,
+                                   std::uint64_t part) {
+  constexpr std::uint64_t Odd = 0x9E3779B97F4A7C15ULL;
+  auto weights = query.Weights ? query.Weights->text() : std::string();
+  return (part ^ std::hash<std::string>{}(weights)) * Odd;
+}
+
+std::uint32_t ReplicaView::sharedTokens(const Seen &seen,
+                                        const RouteQuery &query) const {
+  if (query.Parts.empty())
+    return 0;
+  std::size_t n = 0;
+  while (n < query.Parts.size() &&
+         seen.Parts.contains(partKey(query, query.Parts[n])))
+    ++n;
+  return static_cast<std::uint32_t>(query.SharedTokens * n /
+                                    query.Parts.size());
+}
+
+bool ReplicaView::hasRoom(const Seen &seen, const RouteQuery &query) const {
+  const auto *service = Plan ? Plan->service(seen.Record.Service) : nullptr;
+  if (!service || !service->Engine)
+    return true;
+  auto running = seen.Own + seen.Others;
+  double bound = service->Engine->Slots * (1 + Setup.QueueShare);
+  if (running + 1 > bound)
+    return false;
+  if (!service->Engine->MemoryTokens || seen.Own == 0)
+    return true;
+  // The requests of other nodes are taken to be as large as our own.
+  double each =
+      static_cast<double>(seen.OwnTokens) / static_cast<double>(seen.Own);
+  double tokens = each * running + query.Tokens;
+  return tokens <=
+         Setup.MemoryShare * static_cast<double>(service->Engine->MemoryTokens);
+}
+
+double ReplicaView::usualFailures(const std::string &service,
+                                  Instant now) const {
+  double least = 1;
+  for (const auto &[id, seen] : Replicas)
+    if (seen.Record.Service == service && usable(seen))
+      least = std::min(least, seen.Health.ownFailures(now));
+  return least + Setup.UsualFailures;
+}
+
+double ReplicaView::cost(const Seen &seen, const RouteQuery &query,
+                         double usualFailures, Instant now) const {
+  double out = static_cast<double>(seen.Own + seen.Others) /
+               std::max(1U, seen.Record.Slots);
+  if (seen.Record.FailureDomain != Setup.FailureDomain)
+    out += Setup.FarCost;
+  double own = std::max(0.0, seen.Health.ownFailures(now) - usualFailures);
+  out += Setup.FailureCost * (seen.Health.failures(now) + own);
+  if (seen.Health.overdue(now))
+    out += Setup.OverdueCost;
+  constexpr double Thousand = 1000;
+  out -= Setup.PrefixGain * sharedTokens(seen, query) / Thousand;
+  return out;
+}
+
+RouteChoice ReplicaView::choose(const RouteQuery &query, Instant now) {
+  RouteChoice out;
+  const Seen *best = nullptr;
+  double lowest = 0;
+  bool full = false;
+  bool known = false;
+  bool near = false;
+  Instant soonest = Instant::max();
+  double usual = usualFailures(query.Service, now);
+  for (const auto &[id, seen] : Replicas) {
+    if (seen.Record.Service != query.Service || !usable(seen))
+      continue;
+    known = true;
+    near = near || seen.Record.FailureDomain == Setup.FailureDomain;
+    if (query.Avoid.contains(id))
+      continue;
+    if (query.Weights) {
+      auto held = seen.Held.find(*query.Weights);
+      if (held == seen.Held.end() || held->second.Leaving ||
+          !versionServes(*query.Weights, held->second.Version, now))
+        continue;
+      if (held->second.ReadyAt > now) {
+        soonest = std::min(soonest, held->second.ReadyAt);
+        continue;
+      }
+    }
+    if (!hasRoom(seen, query)) {
+      full = true;
+      continue;
+    }
+    double its = cost(seen, query, usual, now);
+    if (best && its >= lowest)
+      continue;
+    best = &seen;
+    lowest = its;
+  }
+  if (!best) {
+    out.ReadyAt = soonest;
+    if (!known)
+      out.What = RouteChoice::Kind::Nobody;
+    else if (soonest != Instant::max())
+      out.What = RouteChoice::Kind::Wait;
+    else if (full)
+      out.What = RouteChoice::Kind::Full;
+    else
+      out.What =
+          query.Weights ? RouteChoice::Kind::Missing : RouteChoice::Kind::Full;
+    return out;
+  }
+  out.What = RouteChoice::Kind::Send;
+  out.Replica = best->Record;
+  if (query.Weights)
+    out.Version = best->Held.at(*query.Weights).Version;
+  out.Far = near && best->Record.FailureDomain != Setup.FailureDomain;
+  out.Running = best->Own + best->Others;
+  out.LoadAge = now - best->OthersAt;
+  return out;
+}
+
+std::uint64_t ReplicaView::onSent(const std::string &replica,
+                                  const RouteQuery &query, Instant now) {
+  auto attempt = NextAttempt++;
+  auto it = Replicas.find(replica);
+  if (it == Replicas.end())
+    return attempt;
+  auto &seen = it->second;
+  ++seen.Own;
+  seen.OwnTokens += query.Tokens;
+  seen.Health.onSent(attempt, now);
+  for (auto part : query.Parts)
+    seen.Parts[partKey(query, part)] = now;
+  return attempt;
+}
+
+void ReplicaView::onAnswered(const std::string &replica, std::uint64_t attempt,
+                             Instant now) {
+  if (auto it = Replicas.find(replica); it != Replicas.end())
+    it->second.Health.onAnswered(attempt, now);
+}
+
+void ReplicaView::onEnd(const std::string &replica, std::uint64_t attempt,
+                        const RouteQuery &query, AttemptVerdict verdict,
+                        Instant now) {
+  auto it = Replicas.find(replica);
+  if (it == Replicas.end())
+    return;
+  auto &seen = it->second;
+  seen.Own -= seen.Own ? 1 : 0;
+  seen.OwnTokens -= std::min<std::uint64_t>(seen.OwnTokens, query.Tokens);
+  seen.Health.onEnd(attempt, verdict, now);
+}
+
+void ReplicaView::onWeightsRefused(const std::string &replica,
+                                   const WeightsRef &weights, bool missing,
+                                   Instant now) {
+  // What is being loaded is tried again after a tenth of what a load takes.
+  constexpr auto Again = std::chrono::milliseconds(30);
+  auto it = Replicas.find(replica);
+  if (it == Replicas.end())
+    return;
+  auto held = it->second.Held.find(weights);
+  if (held == it->second.Held.end())
+    return;
+  if (missing)
+    it->second.Held.erase(held);
+  else
+    held->second.ReadyAt = now + Again;
+}
+
+void ReplicaView::onReplaced(const std::string &replica) {
+  if (auto it = Replicas.find(replica); it != Replicas.end())
+    it->second.Replaced = true;
+}
+
+void ReplicaView::tidy(Instant now) {
+  constexpr auto KeepGone = std::chrono::seconds(10);
+  for (auto it = Replicas.begin(); it != Replicas.end();) {
+    auto &seen = it->second;
+    if (seen.VanishesAt && now >= *seen.VanishesAt)
+      seen.Record.Draining = true;
+    bool over = seen.VanishesAt && now >= *seen.VanishesAt + KeepGone;
+    if (seen.Parts.size() > Setup.PartMemory)
+      seen.Parts.clear();
+    it = over && seen.Own == 0 ? Replicas.erase(it) : std::next(it);
+  }
+}
+
+std::vector<ReplicaRecord>
+ReplicaView::replicasIn(const std::string &domain) const {
+  std::vector<ReplicaRecord> out;
+  for (const auto &[id, seen] : Replicas)
+    if (usable(seen) && seen.Record.FailureDomain == domain)
+      out.push_back(seen.Record);
+  return out;
+}
+
+std::vector<ReplicaRecord> ReplicaView::all() const {
+  std::vector<ReplicaRecord> out;
+  for (const auto &[id, seen] : Replicas)
+    if (usable(seen))
+      out.push_back(seen.Record);
+  return out;
+}
+
+std::map<std::string, std::uint32_t> ReplicaView::ownRunning() const {
+  std::map<std::string, std::uint32_t> out;
+  for (const auto &[id, seen] : Replicas)
+    if (seen.Own)
+      out[id] = seen.Own;
+  return out;
+}
+
+Span ReplicaView::usualAnswer(const std::string &replica) const {
+  auto it = Replicas.find(replica);
+  return it == Replicas.end() ? Span(0) : it->second.Health.usualAnswer();
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Orders/CellDesk.h"
+#include "Hemlockglade/Coordination/Registry/Registry.h"
+#include "Hemlockglade/Coordination/Route/ReplicaHealth.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace hemlockglade {
+
+/// What a request needs of a replica.
+struct RouteQuery {
+  std::string Service;
+  /// Weights that the replica must hold; none for plain services.
+  std::optional<WeightsRef> Weights;
+  /// Shared parts of the prompt, for replicas that have read them.
+  std::vector<std::uint64_t> Parts;
+  std::uint32_t SharedTokens = 0;
+  /// Tokens that the request takes up at most.
+  std::uint32_t Tokens = 0;
+  /// Incarnations that are not to be tried again.
+  std::set<std::string> Avoid;
+};
+
+/// What the view says to a query.
+struct RouteChoice {
+  enum class Kind : std::uint8_t {
+    /// Send it to the replica.
+    Send,
+    /// A replica will have the weights at `ReadyAt`.
+    Wait,
+    /// No replica has the weights, or will: they have to be loaded.
+    Missing,
+    /// All that could are full.
+    Full,
+    /// No replica of the service is known.
+    Nobody,
+  };
+
+  Kind What = Kind::Nobody;
+  ReplicaRecord Replica;
+  /// Version of the weights there; 0 if not known.
+  std::uint64_t Version = 0;
+  Instant ReadyAt{};
+  /// Whether the replica is in another failure domain though the own one has
+  /// replicas of the service: the weights are wanted nearer.
+  bool Far = false;
+  std::uint32_t Running = 0;
+  /// Age of what was known about the replica's load.
+  Span LoadAge{0};
+};
+
+/// One node's view of all replicas: what the registry, the cells' owners and
+/// its own requests tell of them. Chooses where a request goes. No clock, no
+/// sockets.
+class ReplicaView {
+public:
+  struct Settings {
+    std::string FailureDomain;
+    /// Load, in shares of a replica's slots, that a replica in another failure
+    /// domain has to be below a near one to be taken.
+    double FarCost = 0.2;
+    /// Load that a thousand tokens of a prompt are worth which need not be
+    /// read again.
+    double PrefixGain = 0.15;
+    /// Cost of a replica whose requests all fail, in the same unit.
+    double FailureCost = 3;
+    /// Cost of one with overdue requests.
+    double OverdueCost = 1.5;
+    /// Own failures that all replicas of a service may show.
+    double UsualFailures = 0.1;
+    /// An older version of weights is used this long after a newer was named.
+    Span OldVersionGrace = std::chrono::milliseconds(2500);
+    /// Replicas whose entries vanish while the registry was out of reach are
+    /// used for this long: they may have lapsed and come back.
+    Span LapseGrace = std::chrono::milliseconds(1700);
+    /// Requests that may wait at an engine beyond its slots, as a share.
+    double QueueShare = 0;
+    /// Share of an engine's memory for running requests that is filled.
+    double MemoryShare = 0.92;
+    /// Shared parts remembered for a replica.
+    std::size_t PartMemory = 4096;
+  };
+
+  explicit ReplicaView(Settings settings) : Setup(std::move(settings)) {}
+
+  void setPlan(std::shared_ptr<const RoutePlan> plan) {
+    Plan = std::move(plan);
+  }
+  /// `unreachable`: the registry was out of reach shortly before.
+  void onRegistry(const ReplicaChanges &changes, bool unreachable, Instant now);
+  void onVersion(const WeightsRef &weights, std::uint64_t version, Instant now);
+  /// An owner tells what a replica holds, and how many requests run there that
+  /// this node has not sent.
+  void onResidency(const std::string &replica, Residency held, Instant now);
+  void onOthersRunning(const std::string &replica, std::uint32_t running,
+                       Instant now);
+  /// The owner of a cell is gone: what it told is used on, but the replicas'
+  /// own heartbeats count again.
+  void onOwnerLost(const std::string &failureDomain);
+
+  RouteChoice choose(const RouteQuery &query, Instant now);
+
+  /// A request goes to a replica; gives the number of the attempt.
+  std::uint64_t onSent(const std::string &replica, const RouteQuery &query,
+                       Instant now);
+  void onAnswered(const std::string &replica, std::uint64_t attempt,
+                  Instant now);
+  void onEnd(const std::string &replica, std::uint64_t attempt,
+             const RouteQuery &query, AttemptVerdict verdict, Instant now);
+  /// The replica refused because it does not have the weights, or not yet.
+  void onWeightsRefused(const std::string &replica, const WeightsRef &weights,
+                        bool missing, Instant now);
+  /// Another incarnation has the replica's address.
+  void onReplaced(const std::string &replica);
+  void tidy(Instant now);
+
+  /// Records of the replicas in use in a failure domain.
+  std::vector<ReplicaRecord> replicasIn(const std::string &domain) const;
+  /// All records, for a node that starts while the registry is away.
+  std::vector<ReplicaRecord> all() const;
+  /// Own running requests at each replica that has any.
+  std::map<std::string, std::uint32_t> ownRunning() const;
+  std::size_t size() const { return Replicas.size(); }
+  /// Usual time to an answer's first byte at a replica.
+  Span usualAnswer(const std::string &replica) const;
+
+private:
+  struct Seen {
+    ReplicaRecord Record;
+    /// What it holds; from its cell's owner if `ByOwner`.
+    Residency Held;
+    bool ByOwner = false;
+    std::uint32_t Own = 0;
+    std::uint64_t OwnTokens = 0;
+    std::uint32_t Others = 0;
+    Instant OthersAt{};
+    ReplicaHealth Health;
+    /// Shared parts sent there, with the weights they were read for.
+    std::unordered_map<std::uint64_t, Instant> Parts;
+    /// Its entry vanished; used until then.
+    std::optional<Instant> VanishesAt;
+    bool Replaced = false;
+  };
+  struct Candidate;
+
+  bool usable(const Seen &seen) const;
+  double cost(const Seen &seen, const RouteQuery &query, double usualFailures,
+              Instant now) const;
+  bool versionServes(const WeightsRef &weights, std::uint64_t version,
+                     Instant now) const;
+  std::uint32_t sharedTokens(const Seen &seen, const RouteQuery &query) const;
+  bool hasRoom(const Seen &seen, const RouteQuery &query) const;
+  double usualFailures(const std::string &service, Instant now) const;
+  void takeRecord(const ReplicaRecord &record, Instant now);
+  static std::uint64_t partKey(const RouteQuery &query, std::uint64_t part);
+
+  Settings Setup;
+  std::shared_ptr<const RoutePlan> Plan;
+  std::map<std::string, Seen> Replicas;
+  /// What owners told of replicas that the registry has not shown yet.
+  std::map<std::string, Residency> Early;
+  struct Named {
+    std::uint64_t Version = 0;
+    Instant At{};
+  };
+  std::map<WeightsRef, Named> Versions;
+  std::uint64_t NextAttempt = 1;
+};
+
+} // namespace hemlockglade
--- a/Hemlockglade/Coordination/Table.h
+++ b/Hemlockglade/Coordination/Table.h
@@ -10,7 +10,8 @@
 
 namespace hemlockglade {
 
-/// A row of the platform's table. Versions start at 1 and rise by one.
+/// A row of the platform's table. Versions are opaque but for two things: they
+/// rise with each change of the row, and 0 stands for no row.
 struct TableRow {
   std::string Key;
   std::uint64_t Version = 0;
@@ -55,7 +56,11 @@
   std::function<void(std::string prefix,
                      TableCallback<std::vector<TableRow>> done)>
       Scan;
-  std::function<void(TableTransaction transaction, TableCallback<bool> done)>
+  /// Success tells the version that the written rows have now. A table that
+  /// counts all its changes together may tell a later one; a commit on it then
+  /// conflicts, and the row has to be read.
+  std::function<void(TableTransaction transaction,
+                     TableCallback<std::uint64_t> done)>
       Commit;
 };
 
--- a/Hemlockglade/Protocol/Endpoint/EventSplitter.h
+++ b/Hemlockglade/Protocol/Endpoint/EventSplitter.h
@@ -18,6 +18,8 @@
 
   /// Whether the last whole event was `data: [DONE]` and nothing came after.
   bool finished() const { return Done && Rest.empty(); }
+  /// Whether an event has begun and not ended.
+  bool torn() const { return !Rest.empty(); }
   /// Whether an event was longer than is allowed.
   bool overflowed() const { return Overflowed; }
 
--- /dev/null
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "Hemlockglade/Protocol/Message/PeerMessages.h"
+
+namespace hemlockglade {
+
+namespace peer_path {
+/// A node follows a cell's owner: it tells its part of the load and hears what
+/// the replicas hold. The cell's name follows the path.
+inline constexpr std::string_view Cell = "/cell/";
+/// A node that starts asks another what it knows.
+inline constexpr std::string_view Briefing = "/briefing";
+} // namespace peer_path
+
+/// A node as callers' addresses are chosen from.
+struct MemberNotice {
+  std::string Node;
+  /// Process; another start of the node has another one.
+  std::string Incarnation;
+  /// `ip:port` for callers.
+  std::string CallerAddress;
+  std::string FailureDomain;
+  /// Takes callers: has what it needs and does not leave.
+  bool Ready = false;
+  MSGPACK_DEFINE(Node, Incarnation, CallerAddress, FailureDomain, Ready)
+};
+
+/// Requests for weights that came to a node since its last beat.
+struct DemandNotice {
+  std::string Service;
+  std::string Weights;
+  std::uint32_t Requests = 0;
+  /// Some wait now.
+  bool Waiting = false;
+  MSGPACK_DEFINE(Service, Weights, Requests, Waiting)
+};
+
+/// A replica refused weights that it should have had.
+struct RefusalNotice {
+  std::string Replica;
+  std::string Weights;
+  /// It does not have them at all, rather than not yet.
+  bool Missing = false;
+  MSGPACK_DEFINE(Replica, Weights, Missing)
+};
+
+struct RunningNotice {
+  std::string Replica;
+  std::uint32_t Running = 0;
+  MSGPACK_DEFINE(Replica, Running)
+};
+
+/// Node to owner, again and again on `/cell/NAME`.
+struct NodeBeat {
+  MemberNotice Self;
+  /// Own running requests at the cell's replicas, all of them.
+  std::vector<RunningNotice> Running;
+  std::vector<DemandNotice> Demand;
+  std::vector<RefusalNotice> Refusals;
+  MSGPACK_DEFINE(Self, Running, Demand, Refusals)
+};
+
+struct HeldNotice {
+  std::string Weights;
+  std::uint64_t Version = 0;
+  /// Time until it can serve; 0 if it can.
+  std::int64_t ReadyInUs = 0;
+  bool Leaving = false;
+  MSGPACK_DEFINE(Weights, Version, ReadyInUs, Leaving)
+};
+
+/// What one replica holds.
+struct ReplicaNotice {
+  std::string Replica;
+  std::vector<HeldNotice> Held;
+  MSGPACK_DEFINE(Replica, Held)
+};
+
+/// Owner to node, again and again on `/cell/NAME`.
+struct OwnerBeat {
+  /// Version of the lease row, and how long the lease lasts.
+  std::uint64_t LeaseVersion = 0;
+  std::int64_t RemainingUs = 0;
+  Epoch Fence = 0;
+  /// The owner may give orders now.
+  bool Ordering = false;
+  /// Replicas whose weights have changed since the last beat.
+  std::vector<ReplicaNotice> Replicas;
+  /// Requests that other nodes run at each replica.
+  std::vector<RunningNotice> Running;
+  /// All nodes that follow the owner; sent when they have changed.
+  std::vector<MemberNotice> Members;
+  bool MembersChanged = false;
+  MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
+                 Members, MembersChanged)
+};
+
+/// What a node tells one that starts while the registry is away.
+struct BriefingReply {
+  /// The plan in force, as operators wrote it; empty if there is none.
+  std::string PlanText;
+  /// Replicas in use, as they registered: incarnation and text.
+  std::vector<std::pair<std::string, std::string>> Replicas;
+  /// Weights and the newest version that operators named.
+  std::vector<std::pair<std::string, std::uint64_t>> Versions;
+  /// Cells and the text of their lease rows.
+  std::vector<std::pair<std::string, std::string>> Leases;
+  MSGPACK_DEFINE(PlanText, Replicas, Versions, Leases)
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
@@ -0,0 +1,65 @@
+#include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
+
+#include "Hemlockglade/Protocol/Settings/SchemaReader.h"
+#include "Hemlockglade/Protocol/Settings/TextChecks.h"
+
+namespace hemlockglade {
+
+namespace {
+
+constexpr std::string_view AddressWords = "a numeric ip:port";
+constexpr std::uint64_t MinuteMs = 60'000;
+constexpr double MinuteSeconds = 60;
+
+bool isEndpointOrEmpty(std::string_view text) {
+  return text.empty() || isEndpointAddress(text);
+}
+
+/// Binds every key of the schema to its member.
+void bindKeys(SchemaReader &map, GatewaySettings &out) {
+  map.name("name", out.Name, Presence::Required);
+  map.name("failure_domain", out.FailureDomain, Presence::Required);
+  map.text("address", out.Address, Presence::Required, "a numeric IPv4 address",
+           isIpv4Address);
+  map.number("peer_port", out.PeerPort, {0, 65535});
+  map.text("caller_address", out.CallerAddress, Presence::Required,
+           AddressWords, isEndpointAddress);
+  map.text("readiness_address", out.ReadinessAddress, Presence::Optional,
+           AddressWords, isEndpointOrEmpty);
+  map.text("directory_address", out.DirectoryAddress, Presence::Optional,
+           AddressWords, isEndpointOrEmpty);
+  map.text("metrics_address", out.MetricsAddress, Presence::Optional,
+           AddressWords, isEndpointOrEmpty);
+  map.text("registry_address", out.RegistryAddress, Presence::Required,
+           AddressWords, isEndpointAddress);
+  map.names("failure_domains", out.FailureDomains, Presence::Required);
+  map.texts("seeds", out.Seeds, AddressWords, isEndpointAddress);
+  map.number("max_descriptors", out.MaxDescriptors, {64, 1'000'000});
+  map.seconds("stop_bound_s", out.StopBound, 0.1, MinuteSeconds);
+  map.milliseconds("handover_ms", out.Handover, {0, MinuteMs});
+  map.seconds("max_directory_ttl_s", out.MaxDirectoryTtl, 0.1, MinuteSeconds);
+  map.real("repeat_share", out.RepeatShare, 0, 1);
+  map.number("repeat_extra", out.RepeatExtra, {0, 1'000'000});
+  map.seconds("repeat_window_s", out.RepeatWindow, 0.1, 10 * MinuteSeconds);
+  map.milliseconds("drain_bound_ms", out.DrainBound, {1, MinuteMs});
+  map.milliseconds("heartbeat_ms", out.HeartbeatInterval, {1, MinuteMs});
+}
+
+} // namespace
+
+tl::expected<GatewaySettings, SettingsFaults>
+readGatewaySettings(const std::string &text, const std::string &file) {
+  auto root = parseYaml(text, file);
+  if (!root)
+    return tl::unexpected(root.error());
+  FaultList faults(file);
+  GatewaySettings settings;
+  SchemaReader map(*root, "", faults);
+  bindKeys(map, settings);
+  map.finish();
+  if (!faults.empty())
+    return tl::unexpected(faults.take());
+  return settings;
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Hemlockglade/Protocol/Settings/SettingsFault.h"
+#include "Hemlockglade/State/Ids.h"
+
+#include <tl/expected.hpp>
+
+namespace hemlockglade {
+
+/// Settings of a node that serves from a registry: routes, replicas and
+/// operators' declarations come from there, not from declarations of its own.
+struct GatewaySettings {
+  /// Unique name of the node.
+  std::string Name;
+  /// Failure domain of the host.
+  std::string FailureDomain;
+  /// Numeric address for peers.
+  std::string Address;
+  std::uint16_t PeerPort = 0;
+  /// `ip:port` where callers are served.
+  std::string CallerAddress;
+  /// `ip:port` where readiness is asked for.
+  std::string ReadinessAddress;
+  /// `ip:port` where callers ask which address to use.
+  std::string DirectoryAddress;
+  /// `ip:port` where metrics are served; empty for none.
+  std::string MetricsAddress;
+  /// `ip:port` of the registry and table.
+  std::string RegistryAddress;
+  /// Failure domains of the deployment; each is a cell.
+  std::vector<std::string> FailureDomains;
+  /// Numeric addresses of hosts to ask at a start without the registry.
+  std::vector<std::string> Seeds;
+
+  std::uint32_t MaxDescriptors = 1024;
+  /// Longest time that a stop may take.
+  Span StopBound = std::chrono::seconds(8);
+  /// Time that must lie between the orders of two holders.
+  Span Handover = std::chrono::seconds(3);
+  /// Longest time that callers may keep a directory answer.
+  Span MaxDirectoryTtl = std::chrono::seconds(5);
+  /// Repeats over all nodes: share of the requests, number, and window.
+  double RepeatShare = 0.2;
+  std::uint32_t RepeatExtra = 20;
+  Span RepeatWindow = std::chrono::seconds(10);
+  /// Time within which a leaving replica must get no new work.
+  Span DrainBound = std::chrono::seconds(2);
+  /// Time between two heartbeats of a replica.
+  Span HeartbeatInterval = std::chrono::milliseconds(1200);
+};
+
+/// Reads a settings file's text; `file` is the name that faults give.
+tl::expected<GatewaySettings, SettingsFaults>
+readGatewaySettings(const std::string &text, const std::string &file);
+
+} // namespace hemlockglade
--- a/Hemlockglade/Protocol/Settings/SchemaReader.cpp
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.cpp
@@ -131,6 +131,29 @@
     member = std::chrono::milliseconds(out);
 }
 
+void SchemaReader::real(const char *key, double &member, double min,
+                        double max) {
+  auto node = find(key, Presence::Optional);
+  if (!node.IsDefined())
+    return;
+  double out = 0;
+  bool good = node.IsScalar() && node.Tag() != QuotedTag &&
+              readWhole(node.Scalar(), out) && out >= min && out <= max;
+  if (good)
+    member = out;
+  else
+    fault(key, "a number from " + std::to_string(min) + " to " +
+                   std::to_string(max) + found(node));
+}
+
+void SchemaReader::seconds(const char *key, Span &member, double min,
+                           double max) {
+  constexpr double UsPerS = 1e6;
+  double out = static_cast<double>(member.count()) / UsPerS;
+  real(key, out, min, max);
+  member = Span(static_cast<std::int64_t>(out * UsPerS));
+}
+
 void SchemaReader::flag(const char *key, bool &member) {
   constexpr std::string_view Words[] = {"false", "true"};
   std::size_t index = member ? 1 : 0;
--- a/Hemlockglade/Protocol/Settings/SchemaReader.h
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.h
@@ -59,6 +59,10 @@
   void number(const char *key, T &member, NumberRange range);
   /// A whole number of milliseconds within a range.
   void milliseconds(const char *key, Span &member, NumberRange range);
+  /// A number of seconds within a range, fractions included.
+  void seconds(const char *key, Span &member, double min, double max);
+  /// A number within a range, fractions included.
+  void real(const char *key, double &member, double min, double max);
   /// `true` or `false`.
   void flag(const char *key, bool &member);
   /// One of several words; gives the index of the one that stands there.
--- /dev/null
+++ b/Hemlockglade/State/Routing/ReplicaRecord.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Hemlockglade/State/Ids.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hemlockglade {
+
+/// Weights that a request wants or a replica holds: a base model, or an
+/// adapter of one.
+struct WeightsRef {
+  std::string Model;
+  /// Empty for the base model itself.
+  std::string Adapter;
+
+  auto operator<=>(const WeightsRef &) const = default;
+  std::string text() const {
+    return Adapter.empty() ? Model : Model + "/" + Adapter;
+  }
+  /// Reads `model` or `model/adapter`.
+  static WeightsRef parse(std::string_view text) {
+    auto slash = text.find('/');
+    if (slash == std::string_view::npos)
+      return {std::string(text), {}};
+    return {std::string(text.substr(0, slash)),
+            std::string(text.substr(slash + 1))};
+  }
+};
+
+/// Weights that a replica holds, with the version of each.
+using HeldWeights = std::map<WeightsRef, std::uint64_t>;
+
+/// What the registry says of one start of a replica.
+struct ReplicaRecord {
+  /// Names this start of the replica; another start has another one.
+  std::string Incarnation;
+  std::string Service;
+  /// `ip:port`
+  std::string Address;
+  std::string FailureDomain;
+  std::uint32_t Slots = 1;
+  /// It leaves: no new work.
+  bool Draining = false;
+  /// Time until it is taken away whatever it runs; 0 if not announced.
+  Span LeavesIn{0};
+  /// How much longer it is slow after its start.
+  Span ColdFor{0};
+  /// What it holds, as of its last heartbeat.
+  HeldWeights Held;
+};
+
+/// A newer version of an adapter's weights that operators have named.
+struct WeightsVersion {
+  WeightsRef Weights;
+  std::uint64_t Version = 0;
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Transport/Http1/CallerServer.cpp
@@ -0,0 +1,66 @@
+#include "Hemlockglade/Transport/Http1/CallerServer.h"
+
+namespace hemlockglade {
+
+namespace {
+
+/// Pause before accepting again when no descriptor is free.
+constexpr auto AcceptRetry = std::chrono::milliseconds(50);
+
+} // namespace
+
+CallerServer::CallerServer(asio::io_context &context,
+                           const asio::ip::tcp::endpoint &address,
+                           std::size_t maxConnections, CallerHooks hooks)
+    : Context(context), Acceptor(context, address), Retry(context),
+      MaxConnections(maxConnections),
+      Hooks(std::make_shared<const CallerHooks>(std::move(hooks))) {
+  accept();
+}
+
+CallerServer::~CallerServer() {
+  *Alive = false;
+  asio::error_code ec;
+  Acceptor.close(ec);
+  auto open = std::move(Connections);
+  for (const auto &it : open) {
+    it->OnClosed = nullptr;
+    it->abort();
+  }
+}
+
+void CallerServer::accept() {
+  Acceptor.async_accept([this, alive = Alive](asio::error_code ec,
+                                              asio::ip::tcp::socket socket) {
+    if (!*alive)
+      return;
+    if (ec) {
+      Retry.expires_after(AcceptRetry);
+      Retry.async_wait([this, alive](asio::error_code) {
+        if (*alive)
+          accept();
+      });
+      return;
+    }
+    if (Connections.size() < MaxConnections) {
+      auto it =
+          std::make_shared<CallerConnection>(Context, std::move(socket), Hooks);
+      Connections.insert(it);
+      it->OnClosed = [this, alive, weak = std::weak_ptr(it)] {
+        if (*alive)
+          Connections.erase(weak.lock());
+      };
+      it->start();
+    }
+    accept();
+  });
+}
+
+void CallerServer::closeIdle() {
+  auto open = Connections;
+  for (const auto &it : open)
+    if (it->idle())
+      it->abort();
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Transport/Http1/HttpMessage.cpp
@@ -0,0 +1,91 @@
+#include "Hemlockglade/Transport/Http1/HttpMessage.h"
+
+#include <algorithm>
+#include <array>
+#include <http_parser.h>
+
+namespace hemlockglade {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> ConnectionFields{
+    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE",
+    "Trailer",    "Upgrade",    "Expect",           "Content-Length"};
+
+char lower(char sign) {
+  return sign >= 'A' && sign <= 'Z' ? static_cast<char>(sign + ('a' - 'A'))
+                                    : sign;
+}
+
+std::string_view trimmed(std::string_view text) {
+  constexpr std::string_view Blanks = " \t";
+  auto first = text.find_first_not_of(Blanks);
+  if (first == std::string_view::npos)
+    return {};
+  return text.substr(first, text.find_last_not_of(Blanks) - first + 1);
+}
+
+void appendFields(std::string &out, const HttpFields &fields) {
+  for (const auto &it : fields)
+    out.append(it.Name).append(": ").append(it.Value).append("\r\n");
+  out.append("\r\n");
+}
+
+} // namespace
+
+bool sameFieldName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](char x, char y) { return lower(x) == lower(y); });
+}
+
+const std::string *findField(const HttpFields &fields, std::string_view name) {
+  for (const auto &it : fields)
+    if (sameFieldName(it.Name, name))
+      return &it.Value;
+  return nullptr;
+}
+
+bool isConnectionField(std::string_view name) {
+  return std::any_of(
+      ConnectionFields.begin(), ConnectionFields.end(),
+      [name](std::string_view it) { return sameFieldName(it, name); });
+}
+
+bool hasToken(std::string_view value, std::string_view word) {
+  while (!value.empty()) {
+    auto comma = value.find(',');
+    if (sameFieldName(trimmed(value.substr(0, comma)), word))
+      return true;
+    if (comma == std::string_view::npos)
+      return false;
+    value.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
+std::string_view HttpRequestHead::path() const {
+  std::string_view target = Target;
+  return target.substr(0, target.find('?'));
+}
+
+std::string_view reasonPhrase(std::uint16_t status) {
+  return http_status_str(static_cast<http_status>(status));
+}
+
+std::string writeHead(const HttpRequestHead &head) {
+  std::string out;
+  out.append(head.Method).append(" ").append(head.Target);
+  out.append(" HTTP/1.1\r\n");
+  appendFields(out, head.Fields);
+  return out;
+}
+
+std::string writeHead(const HttpAnswerHead &head) {
+  std::string out = "HTTP/1.1 " + std::to_string(head.Status) + " ";
+  out.append(reasonPhrase(head.Status)).append("\r\n");
+  appendFields(out, head.Fields);
+  return out;
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Hemlockglade/Transport/Http1/SocketOptions.cpp
@@ -0,0 +1,39 @@
+#include "Hemlockglade/Transport/Http1/SocketOptions.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace hemlockglade {
+
+namespace {
+
+/// Unanswered probes after which a silent connection is over; with one second
+/// between them an idle connection is known dead 2 s after the first.
+constexpr int ProbeCount = 2;
+constexpr int ProbeIntervalSeconds = 1;
+
+void setTcp(asio::ip::tcp::socket &socket, int name, int value) {
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof value);
+}
+
+} // namespace
+
+void setUpSocket(asio::ip::tcp::socket &socket, const SilenceBounds &bounds) {
+  asio::error_code ec;
+  socket.non_blocking(true, ec);
+  socket.set_option(asio::ip::tcp::no_delay(true), ec);
+  socket.set_option(asio::socket_base::keep_alive(true), ec);
+  setTcp(socket, TCP_KEEPIDLE, static_cast<int>(bounds.ProbeAfter.count()));
+  setTcp(socket, TCP_KEEPINTVL, ProbeIntervalSeconds);
+  setTcp(socket, TCP_KEEPCNT, ProbeCount);
+  setTcp(socket, TCP_USER_TIMEOUT,
+         static_cast<int>(bounds.Unacknowledged.count()));
+}
+
+void resetSocket(asio::ip::tcp::socket &socket) {
+  asio::error_code ec;
+  socket.set_option(asio::socket_base::linger(true, 0), ec);
+  socket.close(ec);
+}
+
+} // namespace hemlockglade
--- a/Hemlockglade/Transport/Peer/PeerNet.cpp
+++ b/Hemlockglade/Transport/Peer/PeerNet.cpp
@@ -154,6 +154,19 @@
   return stream;
 }
 
+void PeerNet::drop(const std::string &address) {
+  std::shared_ptr<PeerLink> link;
+  {
+    std::lock_guard lock(State->Mutex);
+    auto it = State->Links.find(address);
+    if (it == State->Links.end())
+      return;
+    link = it->second;
+    State->Links.erase(it);
+  }
+  link->shut();
+}
+
 void PeerNet::close() {
   std::vector<std::shared_ptr<PeerLink>> links;
   {
--- a/Hemlockglade/Transport/Peer/PeerNet.h
+++ b/Hemlockglade/Transport/Peer/PeerNet.h
@@ -32,6 +32,9 @@
   /// be done, the stream ends, which OnClosed is told later.
   std::shared_ptr<PeerStream> open(const std::string &address, std::string path,
                                    std::string message, PeerHooks hooks);
+  /// Breaks the connection to a peer that has gone silent, so that the next
+  /// stream gets a new one.
+  void drop(const std::string &address);
   /// Stops listening and breaks all connections.
   void close();
 
--- a/Hemlockglade/Transport/Platform/PlatformClient.cpp
+++ b/Hemlockglade/Transport/Platform/PlatformClient.cpp
@@ -56,13 +56,14 @@
                  });
   };
   hooks.Commit = [this](const TableTransaction &transaction,
-                        TableCallback<bool> done) {
+                        TableCallback<std::uint64_t> done) {
     auto body = platform_format::commitBody(transaction);
     Client.fetch(request("POST", Url + "/table/commit", std::move(body)),
                  [done = std::move(done)](const HttpResult &result,
                                           const std::string &) {
+                   // This table does not tell the rows' new versions.
                    if (result.Whole && result.Status == Ok)
-                     return done(true);
+                     return done(0);
                    if (result.Whole && result.Status == Conflict)
                      return done(tl::unexpected(TableError::Conflict));
                    done(tl::unexpected(failure(result)));
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -0,0 +1,425 @@
+#include "Programs/hemlockgladed/Gateway/CellMember.h"
+
+namespace hemlockglade {
+
+namespace {
+
+/// Number of the node's own entry among an owner's followers.
+constexpr std::uint64_t SelfFollower = 0;
+/// A stream to an owner that is silent for this long is opened anew.
+constexpr auto OwnerSilence = std::chrono::milliseconds(1500);
+/// Time between tries to reach an owner.
+constexpr auto ReopenEvery = std::chrono::milliseconds(300);
+
+bool operator!=(const MemberNotice &a, const MemberNotice &b) {
+  return a.Node != b.Node || a.Incarnation != b.Incarnation ||
+         a.CallerAddress != b.CallerAddress ||
+         a.FailureDomain != b.FailureDomain || a.Ready != b.Ready;
+}
+
+std::string_view orderName(OrderKind kind) {
+  return kind == OrderKind::Load ? "load" : "unload";
+}
+
+} // namespace
+
+CellMember::CellMember(Settings settings, Hooks hooks, ReplicaView &view,
+                       PeerNet &net, EventLog &log)
+    : Setup(std::move(settings)), Out(std::move(hooks)), View(view), Net(net),
+      Log(log), Desk(Setup.Desk) {
+  Lease = std::make_shared<CellLease>(
+      Setup.Cell, Setup.Lease, Out.Table, [] { return TimerService::now(); },
+      [this](LeaseChange change, const CellLease &lease) {
+        Log.write(LogClass::State, "lease",
+                  {{"cell", lease.cell()},
+                   {"change", leaseChangeName(change)},
+                   {"holder", lease.row() ? lease.row()->Holder : ""},
+                   {"fence", lease.fence()},
+                   {"row_version", lease.version()},
+                   {"remaining_ms", lease.remaining()}});
+      });
+}
+
+void CellMember::tick() {
+  Lease->tick(Setup.Reluctance);
+  if (Lease->held())
+    own();
+  else if (Owning)
+    disown();
+  if (!Owning)
+    follow();
+  auto now = TimerService::now();
+  if (Urgent || now - BeatAt >= Setup.BeatEvery)
+    beat();
+  if (Owning)
+    broadcast();
+}
+
+void CellMember::leave() { Lease->release(); }
+
+bool CellMember::fresh() const {
+  return Owning || TimerService::now() - OwnerHeardAt < Setup.MemberSilence;
+}
+
+bool CellMember::canOrder() const {
+  return Owning ? Lease->mayOrder() : OwnerOrders && fresh();
+}
+
+void CellMember::onVersion(const WeightsRef &weights, std::uint64_t version) {
+  Desk.setVersion(weights, version);
+}
+
+void CellMember::onDemand(const std::string &service, const WeightsRef &weights,
+                          bool waiting) {
+  auto &notice = Demand[{service, weights}];
+  notice.Service = service;
+  notice.Weights = weights.text();
+  notice.Requests += waiting ? 0 : 1;
+  if (waiting && !notice.Waiting)
+    Urgent = true;
+  notice.Waiting = notice.Waiting || waiting;
+  if (Urgent && Owning)
+    tick();
+  else if (Urgent)
+    beat();
+}
+
+void CellMember::onRefusal(const std::string &replica,
+                           const WeightsRef &weights, bool missing) {
+  Refusals.push_back({replica, weights.text(), missing});
+}
+
+NodeBeat CellMember::takeBeat() {
+  NodeBeat out;
+  out.Self = Out.Self();
+  auto inCell = View.replicasIn(Setup.Cell);
+  auto running = View.ownRunning();
+  for (const auto &it : inCell)
+    if (auto n = running.find(it.Incarnation); n != running.end())
+      out.Running.push_back({n->first, n->second});
+  for (auto &[key, notice] : std::exchange(Demand, {}))
+    out.Demand.push_back(std::move(notice));
+  out.Refusals = std::exchange(Refusals, {});
+  return out;
+}
+
+void CellMember::beat() {
+  Urgent = false;
+  BeatAt = TimerService::now();
+  if (Owning) {
+    onNodeBeat(Followers[SelfFollower], takeBeat());
+    return;
+  }
+  if (Owner)
+    Owner->send(pack(takeBeat()));
+}
+
+void CellMember::follow() {
+  auto now = TimerService::now();
+  const auto &row = Lease->row();
+  if (Owner && now - std::max(OwnerHeardAt, OpenedAt) > OwnerSilence) {
+    Net.drop(OwnerAddress);
+    unfollow();
+  }
+  if (!row || row->Released || row->Address.empty())
+    return;
+  if (Owner && OwnerAddress == row->Address)
+    return;
+  if (now - OpenedAt < ReopenEvery)
+    return;
+  unfollow();
+  OpenedAt = now;
+  OwnerAddress = row->Address;
+  PeerHooks hooks;
+  auto self = std::make_shared<std::weak_ptr<PeerStream>>();
+  hooks.OnMessage = [this, alive = Alive, self](std::string_view message) {
+    if (!*alive || self->lock() != Owner)
+      return;
+    auto beat = unpack<OwnerBeat>(message);
+    if (beat)
+      onOwnerBeat(*beat);
+    else
+      Log.write(LogClass::State, "message-refused",
+                {{"what", "owner beat"}, {"cell", Setup.Cell}});
+  };
+  hooks.OnClosed = [this, alive = Alive, self](bool) {
+    if (*alive && self->lock() == Owner)
+      unfollow();
+  };
+  Owner = Net.open(OwnerAddress, std::string(peer_path::Cell) + Setup.Cell,
+                   pack(takeBeat()), std::move(hooks));
+  *self = Owner;
+}
+
+void CellMember::unfollow() {
+  auto owner = std::exchange(Owner, nullptr);
+  if (!owner)
+    return;
+  owner->OnClosed = nullptr;
+  owner->close();
+  OwnerOrders = false;
+  View.onOwnerLost(Setup.Cell);
+  Log.write(LogClass::State, "owner-lost",
+            {{"cell", Setup.Cell},
+             {"address", OwnerAddress},
+             {"heard_ms_ago", TimerService::now() - OwnerHeardAt}});
+}
+
+void CellMember::onOwnerBeat(const OwnerBeat &beat) {
+  auto now = TimerService::now();
+  if (now - OwnerHeardAt > OwnerSilence)
+    Log.write(LogClass::State, "owner-heard",
+              {{"cell", Setup.Cell},
+               {"address", OwnerAddress},
+               {"fence", beat.Fence}});
+  OwnerHeardAt = now;
+  OwnerOrders = beat.Ordering;
+  Lease->onHeard(beat.LeaseVersion, Span(beat.RemainingUs));
+  for (const auto &it : beat.Replicas) {
+    Residency held;
+    for (const auto &at : it.Held)
+      held[WeightsRef::parse(at.Weights)] = {
+          at.Version, at.ReadyInUs ? now + Span(at.ReadyInUs) : now,
+          at.Leaving};
+    View.onResidency(it.Replica, std::move(held), now);
+  }
+  for (const auto &it : beat.Running)
+    View.onOthersRunning(it.Replica, it.Running, now);
+  if (beat.MembersChanged)
+    Members = beat.Members;
+  if (!beat.Replicas.empty())
+    Out.OnChanged();
+}
+
+void CellMember::own() {
+  auto now = TimerService::now();
+  if (!std::exchange(Owning, true)) {
+    unfollow();
+    Desk.forget();
+    Followers[SelfFollower];
+    BeatAt = Instant{};
+  }
+  Desk.setReplicas(View.replicasIn(Setup.Cell), Out.Plan(), now);
+  countRunning();
+  for (const auto &it : Desk.plan(Lease->mayOrder(), now))
+    carryOut(it);
+}
+
+void CellMember::disown() {
+  Owning = false;
+  for (auto &[id, follower] : std::exchange(Followers, {}))
+    if (follower.Stream) {
+      follower.Stream->OnClosed = nullptr;
+      follower.Stream->close();
+    }
+  View.onOwnerLost(Setup.Cell);
+}
+
+void CellMember::carryOut(const DeskAction &action) {
+  auto records = View.replicasIn(Setup.Cell);
+  auto it = std::find_if(records.begin(), records.end(), [&](const auto &r) {
+    return r.Incarnation == action.Replica;
+  });
+  if (it == records.end())
+    return;
+  if (action.What == DeskAction::Kind::Report) {
+    Out.Engines.Report(*it, [this, alive = Alive,
+                             replica = action.Replica](const auto &report) {
+      if (*alive)
+        Desk.onReport(replica, report, TimerService::now());
+    });
+    return;
+  }
+  auto order = action.Order;
+  order.Holder = Lease->row()->Holder;
+  order.Fence = Lease->fence();
+  if (!Lease->mayOrder()) {
+    Desk.onOrderAnswer(action.Replica, order, OrderAnswer::Rejected,
+                       TimerService::now());
+    return;
+  }
+  ++Orders;
+  auto sentAt = TimerService::now();
+  Out.Engines.Order(*it, order,
+                    [this, alive = Alive, order, sentAt,
+                     replica = action.Replica,
+                     reason = action.Reason](OrderAnswer answer) {
+                      if (!*alive)
+                        return;
+                      auto now = TimerService::now();
+                      Log.write(LogClass::State, "order",
+                                {{"cell", Setup.Cell},
+                                 {"replica", replica},
+                                 {"kind", orderName(order.Kind)},
+                                 {"weights", order.Weights.text()},
+                                 {"version", order.Version},
+                                 {"count", order.ExpectedCount},
+                                 {"fence", order.Fence},
+                                 {"reason", reason},
+                                 {"answer", orderAnswerName(answer)},
+                                 {"took_ms", now - sentAt}});
+                      Desk.onOrderAnswer(replica, order, answer, now);
+                      if (Owning)
+                        tick();
+                    });
+}
+
+void CellMember::onFollower(const std::shared_ptr<PeerStream> &stream) {
+  if (!Owning) {
+    // The other node will read the lease row again and find the owner.
+    stream->close();
+    return;
+  }
+  auto id = NextFollower++;
+  auto &follower = Followers[id];
+  follower.Stream = stream;
+  follower.BeatAt = TimerService::now();
+  stream->OnMessage = [this, alive = Alive, id](std::string_view message) {
+    auto it = *alive ? Followers.find(id) : Followers.end();
+    if (it == Followers.end())
+      return;
+    auto beat = unpack<NodeBeat>(message);
+    if (beat)
+      onNodeBeat(it->second, *beat);
+    else
+      Log.write(LogClass::State, "message-refused",
+                {{"what", "node beat"}, {"cell", Setup.Cell}});
+  };
+  stream->OnClosed = [this, alive = Alive, id](bool) {
+    if (*alive && Followers.erase(id))
+      ++MembersRevision;
+  };
+}
+
+void CellMember::onNodeBeat(Follower &follower, const NodeBeat &beat) {
+  auto now = TimerService::now();
+  follower.BeatAt = now;
+  if (follower.Self != beat.Self) {
+    follower.Self = beat.Self;
+    ++MembersRevision;
+  }
+  follower.Running.clear();
+  for (const auto &it : beat.Running)
+    follower.Running[it.Replica] = it.Running;
+  bool waits = false;
+  for (const auto &it : beat.Demand) {
+    auto weights = WeightsRef::parse(it.Weights);
+    if (it.Requests)
+      Desk.onDemand(it.Service, weights, it.Requests, now);
+    if (it.Waiting)
+      Desk.onWant(it.Service, weights, now);
+    waits = waits || it.Waiting;
+  }
+  for (const auto &it : beat.Refusals) {
+    auto weights = WeightsRef::parse(it.Weights);
+    if (it.Missing)
+      Desk.onMissing(it.Replica, weights, now);
+    else
+      Desk.onRefusedEarly(it.Replica, weights, now);
+  }
+  if (waits && &follower != &Followers[SelfFollower]) {
+    own();
+    broadcast();
+  }
+}
+
+void CellMember::countRunning() {
+  TotalRunning.clear();
+  for (const auto &[id, follower] : Followers)
+    for (const auto &[replica, n] : follower.Running)
+      TotalRunning[replica] += n;
+  for (const auto &it : Desk.replicas()) {
+    auto n = TotalRunning.find(it);
+    Desk.setRunning(it, n == TotalRunning.end() ? 0 : n->second);
+  }
+}
+
+std::vector<MemberNotice> CellMember::memberList() {
+  auto now = TimerService::now();
+  std::vector<MemberNotice> out;
+  for (auto &[id, follower] : Followers) {
+    if (follower.Self.Node.empty())
+      continue;
+    auto member = follower.Self;
+    if (id != SelfFollower && now - follower.BeatAt > Setup.MemberSilence)
+      member.Ready = false;
+    out.push_back(std::move(member));
+  }
+  return out;
+}
+
+OwnerBeat CellMember::beatFor(Follower &follower) {
+  auto now = TimerService::now();
+  OwnerBeat out;
+  out.LeaseVersion = Lease->version();
+  out.RemainingUs = Lease->remaining().count();
+  out.Fence = Lease->fence();
+  out.Ordering = Lease->mayOrder();
+  if (follower.ToldRevision != Desk.revision()) {
+    follower.ToldRevision = Desk.revision();
+    for (const auto &replica : Desk.replicas()) {
+      const auto &held = Desk.residency(replica);
+      auto [it, isNew] = follower.Told.try_emplace(replica);
+      if (!isNew && it->second == held)
+        continue;
+      it->second = held;
+      ReplicaNotice notice{replica, {}};
+      for (const auto &[weights, at] : held)
+        notice.Held.push_back({weights.text(), at.Version,
+                               std::max(Span(0), at.ReadyAt - now).count(),
+                               at.Leaving});
+      out.Replicas.push_back(std::move(notice));
+    }
+  }
+  for (const auto &replica : Desk.replicas()) {
+    auto total = TotalRunning.find(replica);
+    auto own = follower.Running.find(replica);
+    std::uint32_t n = total == TotalRunning.end() ? 0 : total->second;
+    n -= own == follower.Running.end() ? 0 : std::min(n, own->second);
+    auto [it, isNew] = follower.ToldRunning.try_emplace(replica, 0);
+    if (it->second == n)
+      continue;
+    it->second = n;
+    out.Running.push_back({replica, n});
+  }
+  return out;
+}
+
+void CellMember::broadcast() {
+  auto now = TimerService::now();
+  bool due = now - BroadcastAt >= Setup.BeatEvery;
+  if (due) {
+    BroadcastAt = now;
+    countRunning();
+    std::erase_if(Followers, [&](const auto &it) {
+      return it.first != SelfFollower &&
+             now - it.second.BeatAt > Setup.MemberGone;
+    });
+    auto members = memberList();
+    bool changed = members.size() != Members.size();
+    for (std::size_t it = 0; !changed && it < members.size(); ++it)
+      changed = members[it] != Members[it];
+    if (changed) {
+      Members = std::move(members);
+      ++MembersRevision;
+    }
+  }
+  for (auto &[id, follower] : Followers) {
+    if (!due && follower.ToldRevision == Desk.revision())
+      continue;
+    auto beat = beatFor(follower);
+    if (follower.ToldMembers != MembersRevision) {
+      follower.ToldMembers = MembersRevision;
+      beat.MembersChanged = true;
+      beat.Members = Members;
+    }
+    if (id == SelfFollower) {
+      beat.MembersChanged = false;
+      onOwnerBeat(beat);
+    } else {
+      follower.Stream->send(pack(beat));
+    }
+  }
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Orders/CellDesk.h"
+#include "Hemlockglade/Coordination/Orders/CellLease.h"
+#include "Hemlockglade/Coordination/Route/ReplicaView.h"
+#include "Hemlockglade/Protocol/Message/CellMessages.h"
+#include "Hemlockglade/State/Log/EventLog.h"
+#include "Hemlockglade/Transport/Peer/PeerNet.h"
+#include "Hemlockglade/Transport/Time/TimerService.h"
+
+#include <unordered_map>
+
+namespace hemlockglade {
+
+/// One node's part in one cell. Every node follows the cell's owner: it tells
+/// what it wants and runs there, and hears what the replicas hold. The node
+/// that has the cell's lease is the owner, its own follower among them.
+class CellMember {
+public:
+  struct Settings {
+    std::string Cell;
+    CellLease::Settings Lease;
+    CellDesk::Settings Desk;
+    /// How long a free lease is left to nodes that are nearer.
+    Span Reluctance{0};
+    /// Time between two beats when there is nothing urgent.
+    Span BeatEvery = std::chrono::milliseconds(300);
+    /// A node that has not beaten for this long is not offered to callers.
+    Span MemberSilence = std::chrono::milliseconds(1200);
+    /// It is forgotten after this.
+    Span MemberGone = std::chrono::seconds(6);
+  };
+  struct Hooks {
+    TableHooks Table;
+    EngineHooks Engines;
+    std::function<MemberNotice()> Self;
+    /// What the replicas hold or do has changed for this node.
+    std::function<void()> OnChanged;
+    std::function<std::shared_ptr<const RoutePlan>()> Plan;
+  };
+
+  CellMember(Settings settings, Hooks hooks, ReplicaView &view, PeerNet &net,
+             EventLog &log);
+
+  /// Does what is due; to be called about every 50 ms.
+  void tick();
+  /// A node opened a stream to follow this one.
+  void onFollower(const std::shared_ptr<PeerStream> &stream);
+  void onVersion(const WeightsRef &weights, std::uint64_t version);
+
+  /// A request for weights came here; `waiting` if no replica has them.
+  void onDemand(const std::string &service, const WeightsRef &weights,
+                bool waiting);
+  void onRefusal(const std::string &replica, const WeightsRef &weights,
+                 bool missing);
+
+  /// Gives the lease up and orders no more.
+  void leave();
+
+  /// Whether this cell can load weights now, as far as this node knows.
+  bool canOrder() const;
+  /// Nodes that follow the owner, as last told, and whether that is recent.
+  const std::vector<MemberNotice> &members() const { return Members; }
+  bool fresh() const;
+  const CellLease &lease() const { return *Lease; }
+  const std::string &cell() const { return Setup.Cell; }
+  std::uint64_t orders() const { return Orders; }
+
+private:
+  struct Follower {
+    std::shared_ptr<PeerStream> Stream;
+    MemberNotice Self;
+    Instant BeatAt{};
+    std::map<std::string, std::uint32_t> Running;
+    /// What it was told last.
+    std::map<std::string, Residency> Told;
+    std::uint64_t ToldRevision = 0;
+    std::map<std::string, std::uint32_t> ToldRunning;
+    std::uint64_t ToldMembers = 0;
+  };
+
+  // The node's side.
+  void follow();
+  void beat();
+  NodeBeat takeBeat();
+  void onOwnerBeat(const OwnerBeat &beat);
+  void unfollow();
+
+  // The owner's side.
+  void own();
+  void carryOut(const DeskAction &action);
+  void onNodeBeat(Follower &follower, const NodeBeat &beat);
+  void broadcast();
+  OwnerBeat beatFor(Follower &follower);
+  std::vector<MemberNotice> memberList();
+  void countRunning();
+  void disown();
+
+  Settings Setup;
+  Hooks Out;
+  ReplicaView &View;
+  PeerNet &Net;
+  EventLog &Log;
+  std::shared_ptr<CellLease> Lease;
+  CellDesk Desk;
+  bool Owning = false;
+
+  std::shared_ptr<PeerStream> Owner;
+  std::string OwnerAddress;
+  Instant OwnerHeardAt{-3'600'000'000};
+  Instant OpenedAt{-3'600'000'000};
+  bool OwnerOrders = false;
+  std::vector<MemberNotice> Members;
+
+  std::map<std::pair<std::string, WeightsRef>, DemandNotice> Demand;
+  std::vector<RefusalNotice> Refusals;
+  bool Urgent = false;
+  Instant BeatAt{};
+
+  std::map<std::uint64_t, Follower> Followers;
+  std::uint64_t NextFollower = 1;
+  std::uint64_t MembersRevision = 1;
+  std::map<std::string, std::uint32_t> TotalRunning;
+  Instant BroadcastAt{};
+  std::uint64_t Orders = 0;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -0,0 +1,493 @@
+#include "Programs/hemlockgladed/Gateway/Gateway.h"
+
+#include <asio/post.hpp>
+#include <random>
+
+namespace hemlockglade {
+
+namespace {
+
+/// Descriptors kept back for peers, the registry and files.
+constexpr std::size_t ReservedDescriptors = 300;
+/// Share of the others that callers may use; the rest is for replicas.
+constexpr double CallerShare = 0.6;
+/// How long callers keep an address: short, so that a host that died is asked
+/// for a second only, at one small answer a caller and second.
+constexpr auto DirectoryTtl = std::chrono::milliseconds(1000);
+constexpr std::size_t MaxAddresses = 64;
+constexpr auto TickPeriod = std::chrono::milliseconds(50);
+constexpr auto RefreshPeriod = std::chrono::seconds(1);
+/// How much longer than the cell's own hosts others leave a free lease alone.
+constexpr auto FarReluctance = std::chrono::milliseconds(700);
+constexpr auto OwnReluctance = std::chrono::milliseconds(0);
+/// Time before the bound of a stop at which what still runs is cut, so that the
+/// process ends by itself.
+constexpr auto StopMargin = std::chrono::milliseconds(700);
+constexpr auto StopLook = std::chrono::milliseconds(50);
+constexpr std::uint16_t Ok = 200;
+constexpr std::uint16_t BadRequest = 400;
+constexpr std::uint16_t NotFound = 404;
+constexpr std::uint16_t Unavailable = 503;
+constexpr auto StartingRetry = std::chrono::milliseconds(300);
+constexpr double UsPerS = 1e6;
+
+constexpr MetricFamily RequestsFamily{"hemlockglade_requests_total",
+                                      "Requests that ended, by result."};
+constexpr MetricFamily FirstByteFamily{
+    "hemlockglade_first_byte_seconds",
+    "Time from a request's arrival to the first byte of its answer."};
+constexpr MetricFamily RegistryCallsFamily{
+    "hemlockglade_registry_calls", "Calls to the registry since the start."};
+constexpr MetricFamily WaitingFamily{"hemlockglade_waiting_requests",
+                                     "Requests that wait for a replica."};
+constexpr MetricFamily ServingFamily{"hemlockglade_serving_requests",
+                                     "Requests that are being served."};
+constexpr MetricFamily PlanFamily{"hemlockglade_plan_version",
+                                  "Version of the plan in force."};
+constexpr MetricFamily LogLeftOutFamily{"hemlockglade_log_lines_left_out",
+                                        "Log lines left out by the bound."};
+
+std::string newIncarnation() {
+  std::random_device random;
+  constexpr std::string_view Hex = "0123456789abcdef";
+  constexpr int Length = 12;
+  std::string out;
+  for (int it = 0; it < Length; ++it)
+    out.push_back(Hex[random() % Hex.size()]);
+  return out;
+}
+
+HttpPool::Settings poolSettings() { return {}; }
+
+} // namespace
+
+Gateway::Gateway(asio::io_context &context, GatewaySettings settings,
+                 PlatformPort port, EventLog &log)
+    : Context(context), Settings(std::move(settings)),
+      Incarnation(newIncarnation()), Port(std::move(port)), Log(log),
+      Timers(context), View([this] {
+        ReplicaView::Settings out;
+        out.FailureDomain = Settings.FailureDomain;
+        return out;
+      }()),
+      Budget([this] {
+        RepeatBudget::Settings out;
+        out.Share = Settings.RepeatShare;
+        out.Extra = Settings.RepeatExtra;
+        out.Window = Settings.RepeatWindow;
+        return out;
+      }()),
+      Pool(context, poolSettings()), Shared(exchangeContext()) {}
+
+Gateway::~Gateway() {
+  for (const auto &it : Exchanges)
+    it->cut();
+}
+
+asio::ip::tcp::endpoint Gateway::endpointOf(const std::string &address) const {
+  return parseEndpoint(address);
+}
+
+ExchangeContext Gateway::exchangeContext() {
+  return {
+      Context,
+      View,
+      Budget,
+      Pool,
+      Log,
+      Port.Labels,
+      [this](const auto &service, const auto &weights, bool waiting) {
+        onDemand(service, weights, waiting);
+      },
+      [this](const ReplicaRecord &replica, const auto &weights, bool missing) {
+        auto it = Cells.find(replica.FailureDomain);
+        if (it != Cells.end())
+          it->second->onRefusal(replica.Incarnation, weights, missing);
+      },
+      [this](const GatewayExchange &exchange) { onEnd(exchange); }};
+}
+
+void Gateway::start() {
+  join();
+  listen();
+  RegistryWatch::Hooks hooks;
+  hooks.OnOperator = [this](const auto &changes) { onOperator(changes); };
+  hooks.OnReplicas = [this](const auto &changes, bool unreachable) {
+    onReplicas(changes, unreachable);
+  };
+  Watch = std::make_unique<RegistryWatch>(
+      Timers, Port.Registry, RegistryWatch::Settings{}, std::move(hooks), Log);
+  Watch->start();
+  Subscriptions.push_back(
+      Timers.every(TickPeriod, [this](Instant) { tick(); }));
+  Subscriptions.push_back(
+      Timers.every(RefreshPeriod, [this](Instant) { refresh(); }));
+  Log.write(LogClass::State, "start",
+            {{"incarnation", Incarnation},
+             {"version", HEMLOCKGLADE_VERSION},
+             {"callers", Settings.CallerAddress},
+             {"failure_domain", Settings.FailureDomain}});
+}
+
+void Gateway::join() {
+  Peers =
+      std::make_unique<PeerNet>(Context, Settings.Address, Settings.PeerPort,
+                                [this](const auto &stream) { onPeer(stream); });
+  for (const auto &cell : Settings.FailureDomains) {
+    CellMember::Settings setup;
+    setup.Cell = cell;
+    setup.Lease.Holder = Settings.Name;
+    setup.Lease.Incarnation = Incarnation;
+    setup.Lease.Address =
+        Settings.Address + ":" + std::to_string(Peers->port());
+    setup.Lease.Handover = Settings.Handover;
+    setup.Desk.Cells =
+        static_cast<std::uint32_t>(Settings.FailureDomains.size());
+    setup.Reluctance =
+        cell == Settings.FailureDomain ? OwnReluctance : FarReluctance;
+    CellMember::Hooks hooks;
+    hooks.Table = Port.Table;
+    hooks.Engines = Port.Engines;
+    hooks.Self = [this] { return self(); };
+    hooks.OnChanged = [this] { wakeWaiting(); };
+    hooks.Plan = [this] { return Plan; };
+    Cells[cell] = std::make_unique<CellMember>(
+        std::move(setup), std::move(hooks), View, *Peers, Log);
+  }
+}
+
+CallerHooks Gateway::callerHooks() {
+  CallerHooks hooks;
+  hooks.Bounds = [this] {
+    CallerBounds out;
+    if (!Plan)
+      return out;
+    out.MaxHeadBytes = Plan->limits().MaxHeadBytes;
+    out.MaxBodyBytes = Plan->limits().MaxBodyBytes;
+    out.RequestTimeout = Plan->limits().HeadTimeout;
+    out.IdleTimeout = Plan->limits().IdleTimeout;
+    return out;
+  };
+  hooks.Closing = [this] { return Leaving; };
+  hooks.OnRefused = [this](std::uint16_t status, std::string_view why) {
+    Log.write(LogClass::Request, "refused-unread",
+              {{"status", std::uint32_t{status}}, {"why", why}});
+  };
+  return hooks;
+}
+
+void Gateway::listen() {
+  std::size_t usable = Settings.MaxDescriptors > ReservedDescriptors
+                           ? Settings.MaxDescriptors - ReservedDescriptors
+                           : Settings.MaxDescriptors / 2;
+  auto most =
+      static_cast<std::size_t>(CallerShare * static_cast<double>(usable));
+  auto hooks = callerHooks();
+  hooks.OnRequest = [this](CallerRequest request, auto reply) {
+    onRequest(std::move(request), std::move(reply));
+  };
+  Callers = std::make_unique<CallerServer>(
+      Context, endpointOf(Settings.CallerAddress), most, hooks);
+  auto serve = [this, &hooks](const std::string &address, auto handler) {
+    hooks.OnRequest = [handler](const CallerRequest &request, auto reply) {
+      handler(request, *reply);
+    };
+    constexpr std::size_t SideConnections = 256;
+    return address.empty()
+               ? nullptr
+               : std::make_unique<CallerServer>(Context, endpointOf(address),
+                                                SideConnections, hooks);
+  };
+  Directory = serve(Settings.DirectoryAddress,
+                    [this](const auto &request, auto &reply) {
+                      onDirectory(request, reply);
+                    });
+  Readiness = serve(Settings.ReadinessAddress,
+                    [this](const auto &request, auto &reply) {
+                      onReadiness(request, reply);
+                    });
+  MetricsServer =
+      serve(Settings.MetricsAddress, [this](const auto &request, auto &reply) {
+        onMetrics(request, reply);
+      });
+}
+
+bool Gateway::ready() const { return Plan && SeenReplicas && !Leaving; }
+
+MemberNotice Gateway::self() const {
+  return {Settings.Name, Incarnation, Settings.CallerAddress,
+          Settings.FailureDomain, ready()};
+}
+
+void Gateway::onOperator(const OperatorChanges &changes) {
+  auto now = TimerService::now();
+  if (changes.Plan && (!Plan || changes.Plan->version() > Plan->version())) {
+    Log.write(LogClass::State, "plan",
+              {{"version", changes.Plan->version()},
+               {"before", Plan ? Plan->version() : 0},
+               {"routes",
+                static_cast<std::uint64_t>(changes.Plan->routes().size())}});
+    Plan = changes.Plan;
+    View.setPlan(Plan);
+  }
+  for (const auto &it : changes.Versions) {
+    auto &known = Versions[it.Weights];
+    if (it.Version <= known)
+      continue;
+    known = it.Version;
+    Log.write(LogClass::State, "weights-version",
+              {{"weights", it.Weights.text()}, {"version", it.Version}});
+    View.onVersion(it.Weights, it.Version, now);
+    for (auto &[name, cell] : Cells)
+      cell->onVersion(it.Weights, it.Version);
+  }
+  wakeWaiting();
+}
+
+void Gateway::onReplicas(const ReplicaChanges &changes, bool unreachable) {
+  View.onRegistry(changes, unreachable, TimerService::now());
+  for (const auto &it : changes.Removed)
+    Log.write(LogClass::State, "replica-gone",
+              {{"replica", it}, {"unreachable_lately", unreachable}});
+  for (const auto &it : changes.Present)
+    if (it.Draining)
+      Log.write(LogClass::State, "replica-leaves",
+                {{"replica", it.Incarnation},
+                 {"address", it.Address},
+                 {"leaves_in_ms", it.LeavesIn}});
+  SeenReplicas = SeenReplicas || View.size() > 0;
+  wakeWaiting();
+}
+
+void Gateway::refuse(CallerReply &reply, std::string_view id,
+                     std::uint16_t status, std::string_view why,
+                     std::optional<Span> retryAfter) {
+  Log.write(LogClass::Request, "refused",
+            {{"request", id},
+             {"status", std::uint32_t{status}},
+             {"why", why},
+             {"plan", Plan ? Plan->version() : 0}});
+  HttpAnswerHead head{status, {}};
+  for (auto &[name, value] : Port.Labels.OwnAnswer(id))
+    head.Fields.push_back({name, value});
+  if (retryAfter)
+    head.Fields.push_back(
+        {"Retry-After",
+         std::to_string(static_cast<double>(retryAfter->count()) / UsPerS)
+             .substr(0, 4)});
+  reply.respond(std::move(head), why);
+}
+
+void Gateway::onRequest(CallerRequest request,
+                        std::shared_ptr<CallerReply> reply) {
+  LabelFields fields;
+  for (const auto &it : request.Head.Fields)
+    fields.emplace_back(it.Name, it.Value);
+  auto labels = Port.Labels.ReadRequest(fields);
+  if (!Plan)
+    return refuse(*reply, labels.Id, Unavailable, "no plan yet",
+                  Span(StartingRetry));
+  const auto *host = findField(request.Head.Fields, "Host");
+  const auto *route = Plan->find(*host, request.Head.path());
+  if (!route)
+    return refuse(*reply, labels.Id, NotFound, "no route");
+  if (labels.Id.empty())
+    return refuse(*reply, labels.Id, BadRequest, "the request has no id");
+  auto exchange = std::make_shared<GatewayExchange>(
+      Shared, ExchangeSetup, Plan, *route, std::move(request),
+      std::move(labels), std::move(reply));
+  Exchanges.insert(exchange);
+  exchange->start();
+}
+
+void Gateway::onEnd(const GatewayExchange &exchange) {
+  Metrics.counter(RequestsFamily, {{"result", exchange.outcome()}}).add(1);
+  if (auto first = exchange.firstByte())
+    Metrics.distribution(FirstByteFamily)
+        .record(std::chrono::duration<double>(*first).count());
+  auto self =
+      std::const_pointer_cast<GatewayExchange>(exchange.shared_from_this());
+  // The exchange's own functions may still run; it goes when they are over.
+  asio::post(Context, [self] {});
+  Exchanges.erase(self);
+}
+
+CellMember *Gateway::homeOf(const WeightsRef &weights) {
+  // The same cell for all nodes, so that weights are loaded once, and again
+  // where they still lie in a replica's memory. Cells that can't load now are
+  // passed over.
+  CellMember *best = nullptr;
+  std::pair<bool, std::uint64_t> most{};
+  for (auto &[name, cell] : Cells) {
+    std::pair<bool, std::uint64_t> rank{
+        cell->canOrder(),
+        std::hash<std::string>{}(weights.text() + "@" + name)};
+    if (best && rank <= most)
+      continue;
+    best = cell.get();
+    most = rank;
+  }
+  return best;
+}
+
+void Gateway::onDemand(const std::string &service, const WeightsRef &weights,
+                       bool waiting) {
+  auto own = Cells.find(Settings.FailureDomain);
+  auto *home = homeOf(weights);
+  if (waiting && home)
+    return home->onDemand(service, weights, true);
+  if (own != Cells.end())
+    own->second->onDemand(service, weights, false);
+  if (home && (own == Cells.end() || home != own->second.get()))
+    home->onDemand(service, weights, false);
+}
+
+void Gateway::wakeWaiting() {
+  if (std::exchange(WakePosted, true))
+    return;
+  asio::post(Context, [this] {
+    WakePosted = false;
+    std::vector<std::shared_ptr<GatewayExchange>> waiting;
+    for (const auto &it : Exchanges)
+      if (it->waiting())
+        waiting.push_back(it);
+    // The most urgent first, then the one that came first.
+    std::sort(waiting.begin(), waiting.end(), [](const auto &a, const auto &b) {
+      return std::pair(a->route().Priority, a->arrivedAt()) <
+             std::pair(b->route().Priority, b->arrivedAt());
+    });
+    for (const auto &it : waiting)
+      it->wake();
+  });
+}
+
+std::vector<MemberNotice> Gateway::members() const {
+  std::map<std::string, MemberNotice> known;
+  bool anyFresh = false;
+  for (const auto &[name, cell] : Cells)
+    anyFresh = anyFresh || cell->fresh();
+  for (const auto &[name, cell] : Cells) {
+    if (anyFresh && !cell->fresh())
+      continue;
+    for (const auto &it : cell->members()) {
+      auto [at, isNew] = known.try_emplace(it.Node, it);
+      if (!isNew)
+        at->second.Ready = at->second.Ready && it.Ready;
+    }
+  }
+  known[Settings.Name] = self();
+  std::vector<MemberNotice> out;
+  for (auto &[name, it] : known)
+    out.push_back(std::move(it));
+  return out;
+}
+
+void Gateway::onDirectory(const CallerRequest &request, CallerReply &reply) {
+  auto query = Port.Directory.Read(request.Head.Target);
+  if (!query)
+    return reply.respond({NotFound, {}}, "");
+  std::vector<std::string> near;
+  std::vector<std::string> all;
+  for (const auto &it : members()) {
+    if (!it.Ready)
+      continue;
+    all.push_back(it.CallerAddress);
+    if (it.FailureDomain == query->FailureDomain)
+      near.push_back(it.CallerAddress);
+  }
+  auto &out = near.empty() ? all : near;
+  if (out.size() > MaxAddresses)
+    out.resize(MaxAddresses);
+  if (out.empty())
+    return reply.respond({Unavailable, {}}, "no node is ready");
+  auto ttl = std::min<Span>(DirectoryTtl, Settings.MaxDirectoryTtl);
+  HttpAnswerHead head{Ok, {{"Content-Type", "application/json"}}};
+  reply.respond(std::move(head), Port.Directory.Write(out, ttl));
+}
+
+void Gateway::onReadiness(const CallerRequest &request, CallerReply &reply) {
+  if (!Port.Directory.AsksReadiness(request.Head.Target))
+    return reply.respond({NotFound, {}}, "");
+  reply.respond({ready() ? Ok : Unavailable, {}}, ready() ? "ready" : "not");
+}
+
+void Gateway::onMetrics(const CallerRequest &, CallerReply &reply) {
+  HttpAnswerHead head{Ok, {{"Content-Type", "text/plain; version=0.0.4"}}};
+  reply.respond(std::move(head), Metrics.expose());
+}
+
+void Gateway::onPeer(const std::shared_ptr<PeerStream> &stream) {
+  const auto &path = stream->path();
+  if (path.starts_with(peer_path::Cell)) {
+    auto it = Cells.find(path.substr(peer_path::Cell.size()));
+    if (it != Cells.end())
+      return it->second->onFollower(stream);
+  }
+  stream->close();
+}
+
+void Gateway::tick() {
+  for (auto &[name, cell] : Cells)
+    cell->tick();
+}
+
+void Gateway::refresh() {
+  View.tidy(TimerService::now());
+  Pool.tidy();
+  Port.Tidy();
+  std::size_t nodes = 0;
+  for (const auto &it : members())
+    nodes += it.Ready ? 1 : 0;
+  Budget.setNodes(nodes);
+  std::size_t waiting = 0;
+  for (const auto &it : Exchanges)
+    waiting += it->waiting() ? 1 : 0;
+  Metrics.gauge(WaitingFamily).set(static_cast<double>(waiting));
+  Metrics.gauge(ServingFamily).set(static_cast<double>(Exchanges.size()));
+  Metrics.gauge(PlanFamily)
+      .set(Plan ? static_cast<double>(Plan->version()) : 0);
+  Metrics.gauge(RegistryCallsFamily).set(static_cast<double>(Port.Calls()));
+  Metrics.gauge(LogLeftOutFamily).set(static_cast<double>(Log.dropped()));
+}
+
+void Gateway::reload(const GatewaySettings &settings) {
+  // Addresses and names can't change under a running node; bounds can.
+  Settings.StopBound = settings.StopBound;
+  Settings.MaxDirectoryTtl = settings.MaxDirectoryTtl;
+  Log.write(LogClass::State, "reload", {{"result", "in force"}});
+}
+
+void Gateway::stop() {
+  if (std::exchange(Leaving, true))
+    return;
+  Log.write(LogClass::State, "stop",
+            {{"open", static_cast<std::uint64_t>(Exchanges.size())}});
+  for (auto &[name, cell] : Cells)
+    cell->leave();
+  waitUntilIdle(TimerService::now() + Settings.StopBound - StopMargin);
+}
+
+void Gateway::waitUntilIdle(Instant until) {
+  auto now = TimerService::now();
+  // Callers keep addresses for a while and come on connections that are open;
+  // they are served until the time that such an address may be kept is over.
+  auto quietFrom =
+      until - Settings.StopBound + StopMargin +
+      std::min<Span>(Settings.MaxDirectoryTtl * 3 / 4, Settings.StopBound / 2);
+  if (now < until && (!Exchanges.empty() || now < quietFrom)) {
+    Timers.after(StopLook, [this, until](Instant) { waitUntilIdle(until); });
+    return;
+  }
+  auto open = Exchanges;
+  for (const auto &it : open)
+    it->cut();
+  Log.write(LogClass::State, "stopped",
+            {{"cut", static_cast<std::uint64_t>(open.size())}});
+  constexpr auto LastWrites = std::chrono::milliseconds(50);
+  Timers.after(LastWrites, [this](Instant) {
+    if (Stopped)
+      Stopped();
+  });
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
+#include "Hemlockglade/State/Metrics/MetricRegistry.h"
+#include "Hemlockglade/Transport/Http1/CallerServer.h"
+#include "Programs/hemlockgladed/Gateway/CellMember.h"
+#include "Programs/hemlockgladed/Gateway/GatewayExchange.h"
+#include "Programs/hemlockgladed/Gateway/PlatformPort.h"
+#include "Programs/hemlockgladed/Gateway/RegistryWatch.h"
+
+#include <unordered_set>
+
+namespace hemlockglade {
+
+/// A node that serves from a registry: takes callers' requests, routes them to
+/// registered replicas, and has a part in each cell. All of it runs on one
+/// thread, the one that runs the io_context.
+class Gateway {
+public:
+  Gateway(asio::io_context &context, GatewaySettings settings,
+          PlatformPort port, EventLog &log);
+  ~Gateway();
+  Gateway(const Gateway &) = delete;
+  Gateway &operator=(const Gateway &) = delete;
+
+  /// Listens and takes part. Throws std::exception if it can't.
+  void start();
+  /// Leaves: no longer offered to callers, serves what is open, then calls the
+  /// hook of `onStopped`. A second call changes nothing.
+  void stop();
+  void onStopped(std::function<void()> hook) { Stopped = std::move(hook); }
+  /// Takes over what may change while the node runs.
+  void reload(const GatewaySettings &settings);
+
+  bool ready() const;
+
+private:
+  void listen();
+  void join();
+  void onOperator(const OperatorChanges &changes);
+  void onReplicas(const ReplicaChanges &changes, bool unreachable);
+  void onRequest(CallerRequest request, std::shared_ptr<CallerReply> reply);
+  void onDirectory(const CallerRequest &request, CallerReply &reply);
+  void onReadiness(const CallerRequest &request, CallerReply &reply);
+  void onMetrics(const CallerRequest &request, CallerReply &reply);
+  void onPeer(const std::shared_ptr<PeerStream> &stream);
+  void onDemand(const std::string &service, const WeightsRef &weights,
+                bool waiting);
+  CellMember *homeOf(const WeightsRef &weights);
+  void onEnd(const GatewayExchange &exchange);
+  void wakeWaiting();
+  void refuse(CallerReply &reply, std::string_view id, std::uint16_t status,
+              std::string_view why, std::optional<Span> retryAfter = {});
+  void tick();
+  void refresh();
+  void waitUntilIdle(Instant until);
+  CallerHooks callerHooks();
+  std::vector<MemberNotice> members() const;
+  MemberNotice self() const;
+  ExchangeContext exchangeContext();
+  asio::ip::tcp::endpoint endpointOf(const std::string &address) const;
+
+  asio::io_context &Context;
+  GatewaySettings Settings;
+  const std::string Incarnation;
+  PlatformPort Port;
+  EventLog &Log;
+  TimerService Timers;
+  MetricRegistry Metrics;
+  ReplicaView View;
+  RepeatBudget Budget;
+  HttpPool Pool;
+  ExchangeContext Shared;
+  const ExchangeSettings ExchangeSetup;
+  std::unique_ptr<PeerNet> Peers;
+  std::map<std::string, std::unique_ptr<CellMember>> Cells;
+  std::unique_ptr<RegistryWatch> Watch;
+  std::unique_ptr<CallerServer> Callers;
+  std::unique_ptr<CallerServer> Directory;
+  std::unique_ptr<CallerServer> Readiness;
+  std::unique_ptr<CallerServer> MetricsServer;
+  std::shared_ptr<const RoutePlan> Plan;
+  std::map<WeightsRef, std::uint64_t> Versions;
+  std::unordered_set<std::shared_ptr<GatewayExchange>> Exchanges;
+  bool SeenReplicas = false;
+  bool Leaving = false;
+  bool WakePosted = false;
+  std::vector<TimerService::Subscription> Subscriptions;
+  std::function<void()> Stopped;
+};
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "Hemlockglade/Coordination/Route/RepeatBudget.h"
+#include "Hemlockglade/Coordination/Route/ReplicaView.h"
+#include "Hemlockglade/Protocol/Endpoint/EventSplitter.h"
+#include "Hemlockglade/Protocol/Exchange/RequestLabels.h"
+#include "Hemlockglade/State/Log/EventLog.h"
+#include "Hemlockglade/Transport/Http1/CallerConnection.h"
+#include "Hemlockglade/Transport/Http1/HttpPool.h"
+
+#include <asio/steady_timer.hpp>
+
+namespace hemlockglade {
+
+class GatewayExchange;
+
+/// What exchanges share: the parts of the node that they use.
+struct ExchangeContext {
+  asio::io_context &Context;
+  ReplicaView &View;
+  RepeatBudget &Budget;
+  HttpPool &Pool;
+  EventLog &Log;
+  LabelHooks Labels;
+  /// Requests for weights came; `waiting` if no replica has them.
+  std::function<void(const std::string &service, const WeightsRef &weights,
+                     bool waiting)>
+      OnDemand;
+  std::function<void(const ReplicaRecord &replica, const WeightsRef &weights,
+                     bool missing)>
+      OnRefusal;
+  std::function<void(const GatewayExchange &exchange)> OnEnd;
+};
+
+/// Bounds of one exchange that are not the route's.
+struct ExchangeSettings {
+  /// Share of the time that a caller has for which a request is held before
+  /// it has been sent anywhere; then it is refused with a time to come back.
+  double HoldShare = 0.45;
+  /// Time between looks while a request waits, when nothing wakes it.
+  Span WaitStep = std::chrono::milliseconds(25);
+  /// Time that has to be left for an attempt to be worth it.
+  Span LeastAttempt = std::chrono::milliseconds(20);
+  /// A kept connection that rested longer is not used for what must not run
+  /// twice: if it broke just now the request's fate would be unknown.
+  Span UnsafeIdle = std::chrono::milliseconds(2000);
+  /// A repeatable request is sent elsewhere when its replica takes this many
+  /// times the usual time, and at least the least.
+  double SlowFactor = 6;
+  Span LeastSlow = std::chrono::milliseconds(300);
+  /// A stream that may resume is carried on elsewhere after a pause of this
+  /// many times the route's longest pause.
+  double StallFactor = 4;
+  Span LeastStall = std::chrono::milliseconds(1200);
+  /// Bytes of a plain answer that are held until it is complete.
+  std::size_t MaxAnswer = std::size_t{8} * 1024 * 1024;
+  /// Bytes that may wait for a slow caller before its replica is not read.
+  std::size_t MaxQueued = std::size_t{256} * 1024;
+};
+
+/// One request of a caller, from its arrival to its answer: finds a replica,
+/// passes request and answer on, tries again where that is allowed.
+class GatewayExchange : public std::enable_shared_from_this<GatewayExchange> {
+public:
+  GatewayExchange(ExchangeContext &shared, const ExchangeSettings &settings,
+                  std::shared_ptr<const RoutePlan> plan, const Route &route,
+                  CallerRequest request, RequestLabels labels,
+                  std::shared_ptr<CallerReply> reply);
+  ~GatewayExchange();
+
+  void start();
+  /// Something that it may wait for has changed.
+  void wake();
+  /// Ends it without a complete answer, at the end of a stop.
+  void cut();
+
+  bool waiting() const { return Waiting; }
+  const Route &route() const { return Way; }
+  const std::string &service() const { return Query.Service; }
+  std::uint16_t status() const { return Status; }
+  std::string_view outcome() const { return Result; }
+  Instant arrivedAt() const { return Request.ArrivedAt; }
+  std::optional<Span> firstByte() const { return FirstByte; }
+
+private:
+  /// What has come of the attempt that is under way.
+  struct Attempt {
+    std::shared_ptr<HttpConnection> Connection;
+    ReplicaRecord Replica;
+    std::uint64_t Number = 0;
+    Instant SentAt{};
+    std::optional<HttpAnswerHead> Head;
+    AnswerLabels Labels;
+    std::string Body;
+    EventSplitter Events;
+    /// Skip events of a resumed stream up to the last one passed on.
+    bool Resumed = false;
+  };
+
+  void next();
+  void hold(const RouteChoice &choice);
+  void send(const RouteChoice &choice);
+  bool onHead(const HttpAnswerHead &head);
+  void onBody(std::string_view part);
+  void onDone();
+  void onFailed(HttpFailure how);
+  void onNotRun();
+  void onUnknown(std::string_view why);
+  void onPlainAnswer();
+  void passEvents(std::string_view events);
+  void onStreamEnd(bool whole, std::string_view why);
+  void onTimer();
+  void onAttemptTimer();
+  void arm();
+  void armAttempt(Span span);
+  void endAttempt(AttemptVerdict verdict);
+  bool mayRepeat() const;
+  bool spendRepeat(std::string_view why);
+  void answerOwn(std::uint16_t status, std::string_view why,
+                 std::optional<Span> retryAfter = std::nullopt);
+  void finish(std::uint16_t status, std::string_view result);
+  void onCallerGone();
+  Span timeLeft() const;
+  Span retryAfter() const;
+  bool engine() const { return Query.Weights.has_value(); }
+
+  ExchangeContext &Shared;
+  const ExchangeSettings &Setup;
+  std::shared_ptr<const RoutePlan> Plan;
+  const Route &Way;
+  CallerRequest Request;
+  RequestLabels Labels;
+  LabelFields Fields;
+  std::shared_ptr<CallerReply> Reply;
+  RouteQuery Query;
+  Instant EndsAt{};
+  Instant HoldUntil{};
+  asio::steady_timer Timer;
+  asio::steady_timer AttemptTimer;
+  std::unique_ptr<Attempt> Now;
+  bool Waiting = false;
+  bool Done = false;
+  bool AnswerBegun = false;
+  bool EverSent = false;
+  /// It has reached a replica that may have run it.
+  bool MayHaveRun = false;
+  bool DemandTold = false;
+  std::set<std::string> Tried;
+  std::uint32_t Arrivals = 0;
+  std::string LastEvent;
+  std::uint64_t EventsPassed = 0;
+  std::uint16_t Status = 0;
+  std::string_view Result;
+  std::string_view WaitReason;
+  std::optional<Span> FirstByte;
+};
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Main.cpp
+++ b/Programs/hemlockgladed/Main.cpp
@@ -1,3 +1,4 @@
+#include "GatewayMain.h"
 #include "Node.h"
 
 #include <csignal>
@@ -13,6 +14,9 @@
 DEFINE_string(config, "", "settings file of this node (YAML)");
 DEFINE_string(port_file, "",
               "file to write the chosen ports to: callers, then peers");
+DEFINE_bool(gateway, false,
+            "serve from a registry: routes and replicas are found there, not "
+            "in declarations of our own");
 DEFINE_bool(check_config, false, "only check the settings file");
 
 namespace {
@@ -58,6 +62,8 @@
   gflags::SetUsageMessage("serves callers and owns cells; see README.md");
   gflags::SetVersionString(HEMLOCKGLADE_VERSION);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_gateway)
+    return runGateway(FLAGS_config, FLAGS_check_config);
   setUpLog();
   std::ifstream file(FLAGS_config);
   if (!file) {
--- a/Programs/hemlockgladed/NodeMetrics.cpp
+++ b/Programs/hemlockgladed/NodeMetrics.cpp
@@ -87,7 +87,8 @@
     scan(std::move(prefix), timedCallback(*this, "scan", std::move(done)));
   };
   out.Commit = [this, commit = std::move(table.Commit)](
-                   TableTransaction transaction, TableCallback<bool> done) {
+                   TableTransaction transaction,
+                   TableCallback<std::uint64_t> done) {
     commit(std::move(transaction),
            timedCallback(*this, "commit", std::move(done)));
   };
--- a/UnitTests/Coordination/FakeTable.h
+++ b/UnitTests/Coordination/FakeTable.h
@@ -66,15 +66,21 @@
       });
     };
     hooks.Commit = [this](TableTransaction transaction,
-                          TableCallback<bool> done) {
+                          TableCallback<std::uint64_t> done) {
       ++Writes;
-      request<bool>(
-          [done = std::move(done)](tl::expected<bool, TableError> result) {
+      request<std::uint64_t>(
+          [done = std::move(done)](
+              tl::expected<std::uint64_t, TableError> result) {
             if (result && !*result)
               return done(tl::unexpected(TableError::Conflict));
             done(std::move(result));
           },
-          [this, transaction] { return apply(transaction); });
+          [this, transaction] {
+            if (!apply(transaction))
+              return std::uint64_t{0};
+            auto it = Rows.find(transaction.Writes.front().Key);
+            return it == Rows.end() ? 1 : it->second.Version;
+          });
     };
     return hooks;
   }
--- a/UnitTests/Coordination/Lease/LeaseFleet.h
+++ b/UnitTests/Coordination/Lease/LeaseFleet.h
@@ -216,7 +216,7 @@
       inner.Scan(prefix, guard<std::vector<TableRow>>(host, done));
     };
     hooks.Commit = [this, inner, &host](TableTransaction transaction,
-                                        TableCallback<bool> done) {
+                                        TableCallback<std::uint64_t> done) {
       auto &first = transaction.Writes.front();
       bool fence = first.Value &&
                    first.Value->find("\"over\":true") != std::string::npos;
@@ -231,7 +231,7 @@
         auto it = Table.Rows.find(first.Key);
         first.ExpectedVersion = it == Table.Rows.end() ? 0 : it->second.Version;
       }
-      inner.Commit(transaction, guard<bool>(host, done));
+      inner.Commit(transaction, guard<std::uint64_t>(host, done));
     };
     return hooks;
   }
