--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -204,6 +204,8 @@
     for (const auto &[weights, held] : book.Held)
       if (!held.Leaving && current(weights, held.Version))
         ++Copies[{book.Record.Service, weights}];
+    if (book.Making && !book.Held.contains(*book.Making))
+      ++Copies[{book.Record.Service, *book.Making}];
   }
 }
 
@@ -216,10 +218,10 @@
                         Instant now) const {
   bool quick = std::find(book.Quick.begin(), book.Quick.end(), weights) !=
                book.Quick.end();
-  // Other cells load as well; each gets its share of the full speed.
-  double share =
-      std::max(1.0, static_cast<double>(loading(now) + 1) * Setup.Cells /
-                        static_cast<double>(Setup.LoadsAtFullSpeed) / 2);
+  // Loads beyond those at full speed share it.
+  double share = std::max(
+      1.0, static_cast<double>(loading(now) + LoadingElsewhere + 1) /
+               static_cast<double>(Setup.LoadsAtFullSpeed));
   double us = static_cast<double>(Setup.AdapterLoad.count());
   us *= quick ? Setup.QuickShare : share;
   constexpr double SlackUs = 12'000;
@@ -350,6 +352,14 @@
 }
 
 void CellDesk::planAdapters(std::vector<DeskAction> &actions, Instant now) {
+  for (auto &[id, book] : Books) {
+    if (!book.Making || !orderable(book, now))
+      continue;
+    if (adapters(book) < book.Engine->AdapterSlots)
+      order(book, OrderKind::Load, *book.Making, book.MakingFor, actions);
+    else
+      book.Making.reset();
+  }
   std::vector<std::pair<double, DemandKey>> wanted;
   std::vector<std::pair<double, DemandKey>> scarce;
   for (auto &[key, demand] : Demands) {
@@ -372,12 +382,15 @@
   // The longest waiting first, then what gains most.
   std::sort(wanted.begin(), wanted.end());
   constexpr double Any = 1e9;
-  for (const auto &[age, key] : wanted)
+  for (const auto &[age, key] : wanted) {
+    if (!mayLoad(now))
+      return;
     place(key, Any, "requests wait", actions, now);
+  }
   std::sort(scarce.begin(), scarce.end());
   int left = CopiesARound;
   for (const auto &[worth, key] : scarce) {
-    if (left == 0 || loading(now) * Setup.Cells >= Setup.LoadsAtFullSpeed)
+    if (left == 0 || !mayLoad(now))
       break;
     if (place(key, -worth / GainOverVictim, "demand", actions, now))
       --left;
@@ -392,7 +405,7 @@
   double lowest = 0;
   for (auto &[id, book] : Books) {
     if (book.Record.Service != key.first || !orderable(book, now) ||
-        loading(book, now) >= Setup.LoadsPerReplica)
+        book.Making || loading(book, now) >= Setup.LoadsPerReplica)
       continue;
     auto model = book.Held.find({key.second.Model, {}});
     auto held = book.Held.find(key.second);
@@ -432,6 +445,8 @@
   }
   if (!best)
     return false;
+  best->Making = key.second;
+  best->MakingFor = reason;
   if (drop)
     order(*best, OrderKind::Unload, WeightsRef(*drop), reason, actions);
   else
@@ -451,6 +466,9 @@
   changed();
   bool isModel = order.Weights.Adapter.empty();
   bool load = order.Kind == OrderKind::Load;
+  bool madeRoom = !load && answer == OrderAnswer::Holds;
+  if (!madeRoom)
+    book.Making.reset();
   switch (answer) {
   case OrderAnswer::Accepted:
   case OrderAnswer::Holds:
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -44,7 +44,8 @@
     /// Learnt upwards and downwards from how early requests came; this is the
     /// first guess.
     Span AdapterLoad = std::chrono::milliseconds(260);
-    /// Loads on their way at full speed over the whole deployment.
+    /// Loads on their way over the whole deployment at which each still has the
+    /// full speed; more would only make all of them slower.
     std::uint32_t LoadsAtFullSpeed = 8;
     /// Loads on their way to one replica.
     std::uint32_t LoadsPerReplica = 4;
@@ -87,6 +88,8 @@
               Instant now);
   /// How many requests run at a replica, over all nodes.
   void setRunning(const std::string &replica, std::uint32_t running);
+  /// Adapters that other cells are loading at this moment.
+  void setLoadingElsewhere(std::size_t n) { LoadingElsewhere = n; }
   /// A request for weights that should be ready was refused.
   void onRefusedEarly(const std::string &replica, const WeightsRef &weights,
                       Instant now);
@@ -130,6 +133,10 @@
     /// Dropped lately, the latest first.
     std::list<WeightsRef> Quick;
     std::uint32_t Running = 0;
+    /// Adapter that the replica is to load next; a place is being made for it,
+    /// or its order is on its way.
+    std::optional<WeightsRef> Making;
+    std::string_view MakingFor;
     bool OrderOpen = false;
     bool ReportOpen = false;
     /// When the books have to be compared with the engine's; none if not.
@@ -148,6 +155,9 @@
   std::size_t adapters(const Book &book) const;
   std::size_t loading(const Book &book, Instant now) const;
   std::size_t loading(Instant now) const;
+  bool mayLoad(Instant now) const {
+    return loading(now) + LoadingElsewhere < Setup.LoadsAtFullSpeed;
+  }
   bool orderable(const Book &book, Instant now) const;
   void adopt(Book &book, const HeldWeights &held, const HeldWeights &pending,
              std::uint64_t count, Instant now);
@@ -169,6 +179,7 @@
   /// Copies of current versions in the cell, kept for one round of planning.
   std::map<DemandKey, std::size_t> Copies;
   Instant NextModelLoad{};
+  std::size_t LoadingElsewhere = 0;
   std::uint64_t Revision = 1;
 };
 
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -87,6 +87,63 @@
   it->second.OthersAt = now;
 }
 
+void ReplicaView::onOtherSent(const std::string &replica,
+                              std::uint32_t tokens, Instant now) {
+  auto it = Replicas.find(replica);
+  if (it == Replicas.end())
+    return;
+  auto &seen = it->second;
+  seen.BusyUntil = std::max(now, seen.BusyUntil) +
+                   timeToRead(seen.Record.Service, tokens);
+}
+
+Span ReplicaView::timeToRead(const std::string &service,
+                             std::uint32_t tokens) const {
+  auto it = Speeds.find(service);
+  double each = it == Speeds.end() ? ReadingSpeed().usPerToken()
+                                   : it->second.usPerToken();
+  return Span(static_cast<std::int64_t>(each * tokens));
+}
+
+void ReplicaView::onFirstEvent(const std::string &replica,
+                               const RouteQuery &query, Span took,
+                               bool clean) {
+  auto it = Replicas.find(replica);
+  if (it != Replicas.end() && clean)
+    Speeds[it->second.Record.Service].add(
+        query.PromptTokens - std::min(query.PromptTokens,
+                                      sharedTokens(it->second, query)),
+        took);
+}
+
+std::uint32_t ReplicaView::tokensToRead(const std::string &replica,
+                                        const RouteQuery &query) const {
+  auto it = Replicas.find(replica);
+  if (it == Replicas.end())
+    return query.PromptTokens;
+  return query.PromptTokens -
+         std::min(query.PromptTokens, sharedTokens(it->second, query));
+}
+
+bool ReplicaView::suspect(const std::string &replica, Instant now) const {
+  auto it = Replicas.find(replica);
+  return it != Replicas.end() &&
+         it->second.Health.ownFailures(now) >
+             usualFailures(it->second.Record.Service, now);
+}
+
+std::size_t ReplicaView::loadingOutside(const std::string &domain,
+                                        Instant now) const {
+  std::size_t n = 0;
+  for (const auto &[id, seen] : Replicas) {
+    if (seen.Record.FailureDomain == domain)
+      continue;
+    for (const auto &[weights, held] : seen.Held)
+      n += held.ReadyAt > now ? 1 : 0;
+  }
+  return n;
+}
+
 void ReplicaView::onOwnerLost(const std::string &failureDomain) {
   for (auto &[id, seen] : Replicas)
     if (seen.Record.FailureDomain == failureDomain)
@@ -162,6 +219,8 @@
   out += Setup.FailureCost * (seen.Health.failures(now) + own);
   if (seen.Health.overdue(now))
     out += Setup.OverdueCost;
+  auto backlog = std::max(Span(0), seen.BusyUntil - now);
+  out += Setup.BacklogCost * std::chrono::duration<double>(backlog).count();
   constexpr double Thousand = 1000;
   out -= Setup.PrefixGain * sharedTokens(seen, query) / Thousand;
   return out;
@@ -216,7 +275,11 @@
           query.Weights ? RouteChoice::Kind::Missing : RouteChoice::Kind::Full;
     return out;
   }
-  out.What = RouteChoice::Kind::Send;
+  bool paced = query.Weights && now < query.PaceUntil &&
+               best->BusyUntil - now > Setup.PaceBacklog;
+  out.What = paced ? RouteChoice::Kind::Pace : RouteChoice::Kind::Send;
+  out.ReadyAt = best->BusyUntil - Setup.PaceBacklog;
+  out.Clean = best->BusyUntil <= now;
   out.Replica = best->Record;
   if (query.Weights)
     out.Version = best->Held.at(*query.Weights).Version;
@@ -236,6 +299,12 @@
   ++seen.Own;
   seen.OwnTokens += query.Tokens;
   seen.Health.onSent(attempt, now);
+  if (query.Weights) {
+    auto toRead = query.PromptTokens -
+                  std::min(query.PromptTokens, sharedTokens(seen, query));
+    seen.BusyUntil = std::max(now, seen.BusyUntil) +
+                     timeToRead(seen.Record.Service, toRead);
+  }
   for (auto part : query.Parts)
     seen.Parts[partKey(query, part)] = now;
   return attempt;
@@ -270,7 +339,11 @@
   auto held = it->second.Held.find(weights);
   if (held == it->second.Held.end())
     return;
-  if (missing)
+  // An engine says the same of weights that it is just loading as of ones that
+  // it does not have; what should have been ready a moment ago is taken to be
+  // late.
+  constexpr auto Late = std::chrono::milliseconds(1000);
+  if (missing && now - held->second.ReadyAt > Late)
     it->second.Held.erase(held);
   else
     held->second.ReadyAt = now + Again;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/Coordination/Orders/CellDesk.h"
 #include "Hemlockglade/Coordination/Registry/Registry.h"
+#include "Hemlockglade/Coordination/Route/ReadingSpeed.h"
 #include "Hemlockglade/Coordination/Route/ReplicaHealth.h"
 
 #include <set>
@@ -19,6 +20,11 @@
   std::uint32_t SharedTokens = 0;
   /// Tokens that the request takes up at most.
   std::uint32_t Tokens = 0;
+  /// Prompt tokens.
+  std::uint32_t PromptTokens = 0;
+  /// Until then the request may be held back for its replica to have read the
+  /// prompts that it has.
+  Instant PaceUntil{};
   /// Incarnations that are not to be tried again.
   std::set<std::string> Avoid;
 };
@@ -30,6 +36,8 @@
     Send,
     /// A replica will have the weights at `ReadyAt`.
     Wait,
+    /// The best replica still reads prompts; it is nearly done at `ReadyAt`.
+    Pace,
     /// No replica has the weights, or will: they have to be loaded.
     Missing,
     /// All that could are full.
@@ -47,6 +55,8 @@
   /// replicas of the service: the weights are wanted nearer.
   bool Far = false;
   std::uint32_t Running = 0;
+  /// The engine has no prompts to read, as far as is known.
+  bool Clean = false;
   /// Age of what was known about the replica's load.
   Span LoadAge{0};
 };
@@ -68,6 +78,12 @@
     double FailureCost = 3;
     /// Cost of one with overdue requests.
     double OverdueCost = 1.5;
+    /// Load that a second of prompts to read is worth.
+    double BacklogCost = 1.0;
+    /// Time to read prompts that may be left when the next one is sent: the
+    /// engine then never idles, and its running streams, whose tokens come
+    /// between the pieces of prompts, have no long pause.
+    Span PaceBacklog = std::chrono::milliseconds(25);
     /// Own failures that all replicas of a service may show.
     double UsualFailures = 0.1;
     /// An older version of weights is used this long after a newer was named.
@@ -96,6 +112,9 @@
   void onResidency(const std::string &replica, Residency held, Instant now);
   void onOthersRunning(const std::string &replica, std::uint32_t running,
                        Instant now);
+  /// Another node sent a request to a replica.
+  void onOtherSent(const std::string &replica, std::uint32_t tokens,
+                   Instant now);
   /// The owner of a cell is gone: what it told is used on, but the replicas'
   /// own heartbeats count again.
   void onOwnerLost(const std::string &failureDomain);
@@ -107,6 +126,15 @@
                        Instant now);
   void onAnswered(const std::string &replica, std::uint64_t attempt,
                   Instant now);
+  /// The first event of an engine's answer came `took` after the request was
+  /// sent; `clean` if the engine had no prompt to read before.
+  void onFirstEvent(const std::string &replica, const RouteQuery &query,
+                    Span took, bool clean);
+  /// Tokens of the query's prompt that the replica has to read.
+  std::uint32_t tokensToRead(const std::string &replica,
+                             const RouteQuery &query) const;
+  /// Whether the replica fails more of its requests than its like.
+  bool suspect(const std::string &replica, Instant now) const;
   void onEnd(const std::string &replica, std::uint64_t attempt,
              const RouteQuery &query, AttemptVerdict verdict, Instant now);
   /// The replica refused because it does not have the weights, or not yet.
@@ -123,6 +151,8 @@
   /// Own running requests at each replica that has any.
   std::map<std::string, std::uint32_t> ownRunning() const;
   std::size_t size() const { return Replicas.size(); }
+  /// Adapters that are being loaded, but for those in a failure domain.
+  std::size_t loadingOutside(const std::string &domain, Instant now) const;
   /// Usual time to an answer's first byte at a replica.
   Span usualAnswer(const std::string &replica) const;
 
@@ -136,6 +166,8 @@
     std::uint64_t OwnTokens = 0;
     std::uint32_t Others = 0;
     Instant OthersAt{};
+    /// When it will have read the prompts that were sent to it.
+    Instant BusyUntil{};
     ReplicaHealth Health;
     /// Shared parts sent there, with the weights they were read for.
     std::unordered_map<std::uint64_t, Instant> Parts;
@@ -154,6 +186,7 @@
   bool hasRoom(const Seen &seen, const RouteQuery &query) const;
   double usualFailures(const std::string &service, Instant now) const;
   void takeRecord(const ReplicaRecord &record, Instant now);
+  Span timeToRead(const std::string &service, std::uint32_t tokens) const;
   static std::uint64_t partKey(const RouteQuery &query, std::uint64_t part);
 
   Settings Setup;
@@ -167,6 +200,8 @@
   };
   std::map<WeightsRef, Named> Versions;
   std::uint64_t NextAttempt = 1;
+  /// How fast the engines of each service read prompts.
+  std::map<std::string, ReadingSpeed> Speeds;
 };
 
 } // namespace hemlockglade
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -50,6 +50,13 @@
   MSGPACK_DEFINE(Replica, Running)
 };
 
+/// A request went to a replica, with this much of a prompt to read.
+struct SentNotice {
+  std::string Replica;
+  std::uint32_t Tokens = 0;
+  MSGPACK_DEFINE(Replica, Tokens)
+};
+
 /// Node to owner, again and again on `/cell/NAME`.
 struct NodeBeat {
   MemberNotice Self;
@@ -57,7 +64,11 @@
   std::vector<RunningNotice> Running;
   std::vector<DemandNotice> Demand;
   std::vector<RefusalNotice> Refusals;
-  MSGPACK_DEFINE(Self, Running, Demand, Refusals)
+  /// Requests sent since the last beat.
+  std::vector<SentNotice> Sent;
+  /// Only `Demand` and `Sent` mean something: there was no time for the rest.
+  bool Brief = false;
+  MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Brief)
 };
 
 struct HeldNotice {
@@ -91,8 +102,10 @@
   /// All nodes that follow the owner; sent when they have changed.
   std::vector<MemberNotice> Members;
   bool MembersChanged = false;
+  /// Requests that other nodes sent since the last beat.
+  std::vector<SentNotice> Sent;
   MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
-                 Members, MembersChanged)
+                 Members, MembersChanged, Sent)
 };
 
 /// What a node tells one that starts while the registry is away.
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -84,6 +84,59 @@
     beat();
 }
 
+void CellMember::onSent(const std::string &replica, std::uint32_t tokens) {
+  Sent.push_back({replica, tokens});
+  flushSoon();
+}
+
+void CellMember::flushSoon() {
+  if (std::exchange(FlushDue, true))
+    return;
+  Out.After(Setup.FlushEvery, [this, alive = Alive] {
+    if (*alive)
+      flush();
+  });
+}
+
+void CellMember::flush() {
+  FlushDue = false;
+  if (!Owning) {
+    if (!Owner)
+      return Sent.clear();
+    NodeBeat brief;
+    brief.Brief = true;
+    brief.Sent = std::exchange(Sent, {});
+    return Owner->send(pack(brief));
+  }
+  onSentNotices(Followers[SelfFollower], std::exchange(Sent, {}));
+  for (auto &[id, follower] : Followers) {
+    if (id == SelfFollower || follower.Sent.empty())
+      continue;
+    OwnerBeat brief;
+    brief.LeaseVersion = Lease->version();
+    brief.RemainingUs = Lease->remaining().count();
+    brief.Fence = Lease->fence();
+    brief.Ordering = Lease->mayOrder();
+    brief.Sent = std::exchange(follower.Sent, {});
+    follower.Stream->send(pack(brief));
+  }
+}
+
+void CellMember::onSentNotices(Follower &from,
+                               const std::vector<SentNotice> &sent) {
+  if (sent.empty())
+    return;
+  for (auto &[id, follower] : Followers)
+    if (&follower != &from && id != SelfFollower)
+      follower.Sent.insert(follower.Sent.end(), sent.begin(), sent.end());
+  if (&from == &Followers[SelfFollower])
+    return;
+  auto now = TimerService::now();
+  for (const auto &it : sent)
+    View.onOtherSent(it.Replica, it.Tokens, now);
+  flushSoon();
+}
+
 void CellMember::onRefusal(const std::string &replica,
                            const WeightsRef &weights, bool missing) {
   Refusals.push_back({replica, weights.text(), missing});
@@ -179,10 +232,12 @@
     Residency held;
     for (const auto &at : it.Held)
       held[WeightsRef::parse(at.Weights)] = {
-          at.Version, at.ReadyInUs ? now + Span(at.ReadyInUs) : now,
+          at.Version, at.ReadyInUs ? now + Span(at.ReadyInUs) : Instant{},
           at.Leaving};
     View.onResidency(it.Replica, std::move(held), now);
   }
+  for (const auto &it : beat.Sent)
+    View.onOtherSent(it.Replica, it.Tokens, now);
   for (const auto &it : beat.Running)
     View.onOthersRunning(it.Replica, it.Running, now);
   if (beat.MembersChanged)
@@ -201,6 +256,7 @@
   }
   Desk.setReplicas(View.replicasIn(Setup.Cell), Out.Plan(), now);
   countRunning();
+  Desk.setLoadingElsewhere(View.loadingOutside(Setup.Cell, now));
   for (const auto &it : Desk.plan(Lease->mayOrder(), now))
     carryOut(it);
 }
@@ -294,6 +350,9 @@
 void CellMember::onNodeBeat(Follower &follower, const NodeBeat &beat) {
   auto now = TimerService::now();
   follower.BeatAt = now;
+  onSentNotices(follower, beat.Sent);
+  if (beat.Brief)
+    return;
   if (follower.Self != beat.Self) {
     follower.Self = beat.Self;
     ++MembersRevision;
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -25,6 +25,9 @@
     Span Reluctance{0};
     /// Time between two beats when there is nothing urgent.
     Span BeatEvery = std::chrono::milliseconds(300);
+    /// Time that notices of sent requests are gathered. Shorter than what an
+    /// engine needs for the shortest prompts, some 10 ms.
+    Span FlushEvery = std::chrono::milliseconds(3);
     /// A node that has not beaten for this long is not offered to callers.
     Span MemberSilence = std::chrono::milliseconds(1200);
     /// It is forgotten after this.
@@ -37,6 +40,7 @@
     /// What the replicas hold or do has changed for this node.
     std::function<void()> OnChanged;
     std::function<std::shared_ptr<const RoutePlan>()> Plan;
+    std::function<void(Span, std::function<void()>)> After;
   };
 
   CellMember(Settings settings, Hooks hooks, ReplicaView &view, PeerNet &net,
@@ -51,6 +55,8 @@
   /// A request for weights came here; `waiting` if no replica has them.
   void onDemand(const std::string &service, const WeightsRef &weights,
                 bool waiting);
+  /// A request went from here to one of the cell's replicas.
+  void onSent(const std::string &replica, std::uint32_t tokens);
   void onRefusal(const std::string &replica, const WeightsRef &weights,
                  bool missing);
 
@@ -77,11 +83,16 @@
     std::uint64_t ToldRevision = 0;
     std::map<std::string, std::uint32_t> ToldRunning;
     std::uint64_t ToldMembers = 0;
+    /// Requests of others that it has not been told of.
+    std::vector<SentNotice> Sent;
   };
 
   // The node's side.
   void follow();
   void beat();
+  void flushSoon();
+  void flush();
+  void onSentNotices(Follower &from, const std::vector<SentNotice> &sent);
   NodeBeat takeBeat();
   void onOwnerBeat(const OwnerBeat &beat);
   void unfollow();
@@ -114,6 +125,8 @@
 
   std::map<std::pair<std::string, WeightsRef>, DemandNotice> Demand;
   std::vector<RefusalNotice> Refusals;
+  std::vector<SentNotice> Sent;
+  bool FlushDue = false;
   bool Urgent = false;
   Instant BeatAt{};
 
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -104,7 +104,12 @@
         if (it != Cells.end())
           it->second->onRefusal(replica.Incarnation, weights, missing);
       },
-      [this](const GatewayExchange &exchange) { onEnd(exchange); }};
+      [this](const ReplicaRecord &replica, std::uint32_t tokens) {
+            auto it = Cells.find(replica.FailureDomain);
+            if (it != Cells.end())
+              it->second->onSent(replica.Incarnation, tokens);
+          },
+          [this](const GatewayExchange &exchange) { onEnd(exchange); }};
 }
 
 void Gateway::start() {
@@ -151,6 +156,9 @@
     hooks.Self = [this] { return self(); };
     hooks.OnChanged = [this] { wakeWaiting(); };
     hooks.Plan = [this] { return Plan; };
+    hooks.After = [this](Span delay, std::function<void()> call) {
+      Timers.after(delay, [call = std::move(call)](Instant) { call(); });
+    };
     Cells[cell] = std::make_unique<CellMember>(
         std::move(setup), std::move(hooks), View, *Peers, Log);
   }
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -88,6 +88,9 @@
   const auto *service = Plan->service(Query.Service);
   if (service && service->Engine)
     Query.Weights = Labels.Weights;
+  Query.PromptTokens = Labels.PromptTokens;
+  Query.PaceUntil =
+      Request.ArrivedAt + scaled(Way.TargetLatency, Setup.PaceShare);
   Query.Tokens = Labels.PromptTokens + Labels.MaxOutputTokens;
   for (std::size_t it = 0; it + 1 < Labels.Prompt.size(); ++it) {
     Query.Parts.push_back(Labels.Prompt[it].Id);
@@ -118,8 +121,10 @@
 void GatewayExchange::arm() {
   auto now = TimerService::now();
   Span due = EndsAt - now;
+  // A wait whose end is known need not be looked at before.
+  constexpr Span LeastWait = std::chrono::milliseconds(1);
   if (Waiting)
-    due = std::min(due, Setup.WaitStep);
+    due = std::min(due, std::clamp(WakeAt - now, LeastWait, Setup.WaitStep));
   Timer.expires_after(std::max(Span(0), due));
   Timer.async_wait([weak = weak_from_this()](asio::error_code ec) {
     auto self = weak.lock();
@@ -188,6 +193,8 @@
     return answerOwn(Unavailable, "held too long", retryAfter());
   }
   Waiting = true;
+  WakeAt = choice.ReadyAt == Instant::max() ? now + Setup.WaitStep
+                                            : choice.ReadyAt;
   switch (choice.What) {
   case RouteChoice::Kind::Missing:
     WaitReason = "weights missing";
@@ -196,7 +203,11 @@
   case RouteChoice::Kind::Wait:
     WaitReason = "weights loading";
     break;
+  case RouteChoice::Kind::Pace:
+    WaitReason = "engine reads";
+    break;
   case RouteChoice::Kind::Full:
+    WakeAt = now + Setup.WaitStep;
     WaitReason = "replicas full";
     break;
   default:
@@ -234,6 +245,10 @@
   Now->Replica = choice.Replica;
   Now->SentAt = now;
   Now->Resumed = EventsPassed > 0;
+  Now->Clean = choice.Clean;
+  if (engine())
+    Shared.OnSent(choice.Replica,
+                  Shared.View.tokensToRead(choice.Replica.Incarnation, Query));
   Now->Number = Shared.View.onSent(choice.Replica.Incarnation, Query, now);
   bool once = !Way.idempotent();
   Now->Connection =
@@ -345,6 +360,9 @@
 }
 
 void GatewayExchange::passEvents(std::string_view events) {
+  if (!std::exchange(Now->FirstEvent, true))
+    Shared.View.onFirstEvent(Now->Replica.Incarnation, Query,
+                             TimerService::now() - Now->SentAt, Now->Clean);
   if (!AnswerBegun) {
     AnswerBegun = true;
     FirstByte = TimerService::now() - Request.ArrivedAt;
@@ -385,8 +403,10 @@
     return onUnknown("failure without signature");
   if (!success && promisesNotRun(status))
     return onUnknown("the replica's status would promise too much");
-  // A failure of the replica itself may not happen at another one.
+  // A replica that fails more than its like does so by itself; another one
+  // may answer the same request well.
   if (status >= ServerError && !AnswerBegun && mayRepeat() &&
+      Shared.View.suspect(Now->Replica.Incarnation, TimerService::now()) &&
       spendRepeat("replica's own failure")) {
     auto failed = Now->Replica.Incarnation;
     endAttempt(AttemptVerdict::OwnFailure);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -29,6 +29,9 @@
   std::function<void(const ReplicaRecord &replica, const WeightsRef &weights,
                      bool missing)>
       OnRefusal;
+  /// A request goes to an engine that has to read this many tokens for it.
+  std::function<void(const ReplicaRecord &replica, std::uint32_t tokens)>
+      OnSent;
   std::function<void(const GatewayExchange &exchange)> OnEnd;
 };
 
@@ -39,6 +42,9 @@
   double HoldShare = 0.45;
   /// Time between looks while a request waits, when nothing wakes it.
   Span WaitStep = std::chrono::milliseconds(25);
+  /// Share of a route's target latency for which a request may be held back so
+  /// that its engine reads one prompt after the other.
+  double PaceShare = 0.45;
   /// Time that has to be left for an attempt to be worth it.
   Span LeastAttempt = std::chrono::milliseconds(20);
   /// A kept connection that rested longer is not used for what must not run
@@ -93,6 +99,9 @@
     AnswerLabels Labels;
     std::string Body;
     EventSplitter Events;
+    /// The engine had no prompts to read when the request was sent.
+    bool Clean = false;
+    bool FirstEvent = false;
     /// Skip events of a resumed stream up to the last one passed on.
     bool Resumed = false;
   };
@@ -152,6 +161,7 @@
   std::uint16_t Status = 0;
   std::string_view Result;
   std::string_view WaitReason;
+  Instant WakeAt{};
   std::optional<Span> FirstByte;
 };
 
--- a/UnitTests/Transport/ClientsTest.cpp
+++ b/UnitTests/Transport/ClientsTest.cpp
@@ -66,7 +66,7 @@
     CAPTURE(it.Other.Status, it.Other.Body, it.Other.Abort, it.Other.Dead);
     auto platform = fixture.platform();
     auto table = platform.table();
-    Got<bool> commit;
+    Got<std::uint64_t> commit;
     Got<std::optional<TableRow>> get;
     Got<std::vector<TableRow>> scan;
     table.Commit({"attempt", {{"k", 1, "v"}}}, commit.hook());
