A stop refuses in time what it could not finish; a time-out never promises not run

Ruled out: closing the listener at once: callers hold the address for up to 3 s. Change: after 28 in 100 of the time a stop may take generations are refused with a time to come back, plain requests after 75 in 100; idle connections go at 42; what waits is refused after 1 s. A request counts as sent once its connection is open.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -219,9 +219,9 @@
   bool quick = std::find(book.Quick.begin(), book.Quick.end(), weights) !=
                book.Quick.end();
   // Loads beyond those at full speed share it.
-  double share = std::max(
-      1.0, static_cast<double>(loading(now) + LoadingElsewhere + 1) /
-               static_cast<double>(Setup.LoadsAtFullSpeed));
+  double share =
+      std::max(1.0, static_cast<double>(loading(now) + LoadingElsewhere + 1) /
+                        static_cast<double>(Setup.LoadsAtFullSpeed));
   double us = static_cast<double>(Setup.AdapterLoad.count());
   us *= quick ? Setup.QuickShare : share;
   constexpr double SlackUs = 12'000;
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -87,14 +87,14 @@
   it->second.OthersAt = now;
 }
 
-void ReplicaView::onOtherSent(const std::string &replica,
-                              std::uint32_t tokens, Instant now) {
+void ReplicaView::onOtherSent(const std::string &replica, std::uint32_t tokens,
+                              Instant now) {
   auto it = Replicas.find(replica);
   if (it == Replicas.end())
     return;
   auto &seen = it->second;
-  seen.BusyUntil = std::max(now, seen.BusyUntil) +
-                   timeToRead(seen.Record.Service, tokens);
+  seen.BusyUntil =
+      std::max(now, seen.BusyUntil) + timeToRead(seen.Record.Service, tokens);
 }
 
 Span ReplicaView::timeToRead(const std::string &service,
@@ -106,13 +106,12 @@
 }
 
 void ReplicaView::onFirstEvent(const std::string &replica,
-                               const RouteQuery &query, Span took,
-                               bool clean) {
+                               const RouteQuery &query, Span took, bool clean) {
   auto it = Replicas.find(replica);
   if (it != Replicas.end() && clean)
     Speeds[it->second.Record.Service].add(
-        query.PromptTokens - std::min(query.PromptTokens,
-                                      sharedTokens(it->second, query)),
+        query.PromptTokens -
+            std::min(query.PromptTokens, sharedTokens(it->second, query)),
         took);
 }
 
@@ -302,8 +301,8 @@
   if (query.Weights) {
     auto toRead = query.PromptTokens -
                   std::min(query.PromptTokens, sharedTokens(seen, query));
-    seen.BusyUntil = std::max(now, seen.BusyUntil) +
-                     timeToRead(seen.Record.Service, toRead);
+    seen.BusyUntil =
+        std::max(now, seen.BusyUntil) + timeToRead(seen.Record.Service, toRead);
   }
   for (auto part : query.Parts)
     seen.Parts[partKey(query, part)] = now;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -22,7 +22,18 @@
 constexpr auto OwnReluctance = std::chrono::milliseconds(0);
 /// Time before the bound of a stop at which what still runs is cut, so that the
 /// process ends by itself.
-constexpr auto StopMargin = std::chrono::milliseconds(700);
+constexpr auto StopMargin = std::chrono::milliseconds(250);
+/// How a stop goes on, as shares of its bound. Callers that hold this address
+/// come for a while; a generation that starts after the first share might not
+/// end in time, a plain request not after the second. From the third on nobody
+/// should hold the address any more.
+constexpr double LastGeneration = 0.28;
+constexpr double LastPlain = 0.75;
+constexpr double QuietFrom = 0.42;
+/// A request that waits for a replica when the stop begins is refused after
+/// this, while it still has time to go elsewhere.
+constexpr auto LeavingHold = std::chrono::milliseconds(1000);
+constexpr auto LeavingRetry = std::chrono::milliseconds(20);
 constexpr auto StopLook = std::chrono::milliseconds(50);
 constexpr std::uint16_t Ok = 200;
 constexpr std::uint16_t BadRequest = 400;
@@ -105,11 +116,11 @@
           it->second->onRefusal(replica.Incarnation, weights, missing);
       },
       [this](const ReplicaRecord &replica, std::uint32_t tokens) {
-            auto it = Cells.find(replica.FailureDomain);
-            if (it != Cells.end())
-              it->second->onSent(replica.Incarnation, tokens);
-          },
-          [this](const GatewayExchange &exchange) { onEnd(exchange); }};
+        auto it = Cells.find(replica.FailureDomain);
+        if (it != Cells.end())
+          it->second->onSent(replica.Incarnation, tokens);
+      },
+      [this](const GatewayExchange &exchange) { onEnd(exchange); }};
 }
 
 void Gateway::start() {
@@ -301,11 +312,23 @@
     return refuse(*reply, labels.Id, NotFound, "no route");
   if (labels.Id.empty())
     return refuse(*reply, labels.Id, BadRequest, "the request has no id");
+  const auto *service = Plan->service(route->Targets.front().Service);
+  bool generates = service && service->Engine;
+  if (Leaving && stopShare() > (generates ? LastGeneration : LastPlain))
+    return refuse(*reply, labels.Id, Unavailable, "this node stops",
+                  Span(LeavingRetry));
   auto exchange = std::make_shared<GatewayExchange>(
       Shared, ExchangeSetup, Plan, *route, std::move(request),
       std::move(labels), std::move(reply));
   Exchanges.insert(exchange);
   exchange->start();
+  if (Leaving)
+    exchange->holdAtMost(LeavingHold);
+}
+
+double Gateway::stopShare() const {
+  return std::chrono::duration<double>(TimerService::now() - StoppedAt) /
+         std::chrono::duration<double>(Settings.StopBound);
 }
 
 void Gateway::onEnd(const GatewayExchange &exchange) {
@@ -470,19 +493,21 @@
     return;
   Log.write(LogClass::State, "stop",
             {{"open", static_cast<std::uint64_t>(Exchanges.size())}});
+  StoppedAt = TimerService::now();
   for (auto &[name, cell] : Cells)
     cell->leave();
-  waitUntilIdle(TimerService::now() + Settings.StopBound - StopMargin);
+  auto open = Exchanges;
+  for (const auto &it : open)
+    it->holdAtMost(LeavingHold);
+  waitUntilIdle(StoppedAt + Settings.StopBound - StopMargin);
 }
 
 void Gateway::waitUntilIdle(Instant until) {
   auto now = TimerService::now();
-  // Callers keep addresses for a while and come on connections that are open;
-  // they are served until the time that such an address may be kept is over.
-  auto quietFrom =
-      until - Settings.StopBound + StopMargin +
-      std::min<Span>(Settings.MaxDirectoryTtl * 3 / 4, Settings.StopBound / 2);
-  if (now < until && (!Exchanges.empty() || now < quietFrom)) {
+  bool quiet = stopShare() > QuietFrom;
+  if (quiet)
+    Callers->closeIdle();
+  if (now < until && (!Exchanges.empty() || !quiet)) {
     Timers.after(StopLook, [this, until](Instant) { waitUntilIdle(until); });
     return;
   }
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -54,6 +54,8 @@
   void tick();
   void refresh();
   void waitUntilIdle(Instant until);
+  /// How much of the time that a stop may take has gone, 0 to 1.
+  double stopShare() const;
   CallerHooks callerHooks();
   std::vector<MemberNotice> members() const;
   MemberNotice self() const;
@@ -84,6 +86,7 @@
   std::unordered_set<std::shared_ptr<GatewayExchange>> Exchanges;
   bool SeenReplicas = false;
   bool Leaving = false;
+  Instant StoppedAt{};
   bool WakePosted = false;
   std::vector<TimerService::Subscription> Subscriptions;
   std::function<void()> Stopped;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -141,8 +141,11 @@
       arm();
     return;
   }
-  if (Now)
+  if (Now) {
+    // A request is written as soon as its connection is open.
+    MayHaveRun = MayHaveRun || Now->Connection->open();
     endAttempt(AttemptVerdict::Bad);
+  }
   if (AnswerBegun) {
     Reply->abort();
     return finish(0, "out of time in its answer");
@@ -193,8 +196,8 @@
     return answerOwn(Unavailable, "held too long", retryAfter());
   }
   Waiting = true;
-  WakeAt = choice.ReadyAt == Instant::max() ? now + Setup.WaitStep
-                                            : choice.ReadyAt;
+  WakeAt =
+      choice.ReadyAt == Instant::max() ? now + Setup.WaitStep : choice.ReadyAt;
   switch (choice.What) {
   case RouteChoice::Kind::Missing:
     WaitReason = "weights missing";
@@ -319,6 +322,7 @@
 }
 
 void GatewayExchange::onAttemptTimer() {
+  MayHaveRun = MayHaveRun || Now->Connection->open();
   if (!mayRepeat() || !spendRepeat("slow"))
     return;
   auto slow = Now->Replica.Incarnation;
@@ -580,6 +584,10 @@
   finish(0, "caller left");
 }
 
+void GatewayExchange::holdAtMost(Span span) {
+  HoldUntil = std::min(HoldUntil, TimerService::now() + span);
+}
+
 void GatewayExchange::cut() {
   if (Done)
     return;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -77,6 +77,8 @@
   void start();
   /// Something that it may wait for has changed.
   void wake();
+  /// Shortens how long it may be held before it is sent anywhere.
+  void holdAtMost(Span span);
   /// Ends it without a complete answer, at the end of a stop.
   void cut();
 
