--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -178,7 +178,7 @@
 }
 
 std::size_t CellDesk::loading(const Book &book, Instant now) const {
-  std::size_t n = 0;
+  std::size_t n = book.Making && !book.Held.contains(*book.Making) ? 1 : 0;
   for (const auto &[weights, held] : book.Held)
     n += !weights.Adapter.empty() && held.ReadyAt > now ? 1 : 0;
   return n;
--- a/Hemlockglade/Transport/Http1/CallerConnection.cpp
+++ b/Hemlockglade/Transport/Http1/CallerConnection.cpp
@@ -26,7 +26,7 @@
   return out;
 }
 
-std::size_t countFields(const HttpFields &fields, std::string_view name) {
+std::size_t countFields(const HeaderFields &fields, std::string_view name) {
   std::size_t n = 0;
   for (const auto &it : fields)
     n += sameFieldName(it.Name, name) ? 1 : 0;
--- a/Hemlockglade/Transport/Http1/HttpCaller.h
+++ b/Hemlockglade/Transport/Http1/HttpCaller.h
@@ -17,7 +17,7 @@
   asio::ip::tcp::endpoint Address;
   std::string Method = "GET";
   std::string Target;
-  HttpFields Fields;
+  HeaderFields Fields;
   std::string Body;
   /// Time until the call is given up; its connection is reset then, so that
   /// it can't arrive later.
--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -224,7 +224,7 @@
   resetSocket(Socket);
 }
 
-void HttpConnection::readKeepAlive(const HttpFields &fields) {
+void HttpConnection::readKeepAlive(const HeaderFields &fields) {
   constexpr std::string_view Key = "timeout=";
   const auto *value = findField(fields, "Keep-Alive");
   if (!value)
--- a/Hemlockglade/Transport/Http1/HttpConnection.h
+++ b/Hemlockglade/Transport/Http1/HttpConnection.h
@@ -81,7 +81,7 @@
   void onEnd(asio::error_code ec);
   void fail(HttpFailure how);
   void shut();
-  void readKeepAlive(const HttpFields &fields);
+  void readKeepAlive(const HeaderFields &fields);
 
   asio::io_context &Context;
   asio::ip::tcp::socket Socket;
--- a/Hemlockglade/Transport/Http1/HttpMessage.cpp
+++ b/Hemlockglade/Transport/Http1/HttpMessage.cpp
@@ -25,7 +25,7 @@
   return text.substr(first, text.find_last_not_of(Blanks) - first + 1);
 }
 
-void appendFields(std::string &out, const HttpFields &fields) {
+void appendFields(std::string &out, const HeaderFields &fields) {
   for (const auto &it : fields)
     out.append(it.Name).append(": ").append(it.Value).append("\r\n");
   out.append("\r\n");
@@ -39,7 +39,7 @@
                     [](char x, char y) { return lower(x) == lower(y); });
 }
 
-const std::string *findField(const HttpFields &fields, std::string_view name) {
+const std::string *findField(const HeaderFields &fields, std::string_view name) {
   for (const auto &it : fields)
     if (sameFieldName(it.Name, name))
       return &it.Value;
--- a/Hemlockglade/Transport/Http1/HttpMessage.h
+++ b/Hemlockglade/Transport/Http1/HttpMessage.h
@@ -8,17 +8,17 @@
 namespace hemlockglade {
 
 /// One header field as it was sent.
-struct HttpField {
+struct HeaderField {
   std::string Name;
   std::string Value;
 };
 
-using HttpFields = std::vector<HttpField>;
+using HeaderFields = std::vector<HeaderField>;
 
 /// Whether two field names are the same; HTTP ignores their case.
 bool sameFieldName(std::string_view a, std::string_view b);
 /// The first field of that name, or nothing.
-const std::string *findField(const HttpFields &fields, std::string_view name);
+const std::string *findField(const HeaderFields &fields, std::string_view name);
 /// Whether the field concerns one connection only and is never passed on.
 bool isConnectionField(std::string_view name);
 /// Whether one of the comma-separated words of a value is `word`.
@@ -29,7 +29,7 @@
   std::string Method;
   /// Path and query as sent.
   std::string Target;
-  HttpFields Fields;
+  HeaderFields Fields;
 
   /// The target without its query.
   std::string_view path() const;
@@ -38,7 +38,7 @@
 /// Start line and fields of an answer.
 struct HttpAnswerHead {
   std::uint16_t Status = 0;
-  HttpFields Fields;
+  HeaderFields Fields;
 };
 
 /// The usual reason phrase of a status.
--- a/Hemlockglade/Transport/Http1/HttpReader.cpp
+++ b/Hemlockglade/Transport/Http1/HttpReader.cpp
@@ -79,7 +79,7 @@
 
 HttpReader::HttpReader(Side side) : Direction(side) { next(); }
 
-HttpFields &HttpReader::fields() {
+HeaderFields &HttpReader::fields() {
   return Direction == Side::Requests ? Request.Fields : Answer.Fields;
 }
 
--- a/Hemlockglade/Transport/Http1/HttpReader.h
+++ b/Hemlockglade/Transport/Http1/HttpReader.h
@@ -62,7 +62,7 @@
 private:
   struct Callbacks;
 
-  HttpFields &fields();
+  HeaderFields &fields();
 
   Side Direction;
   State Now = State::Idle;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -33,7 +33,7 @@
          status == TooMany || status == Unavailable;
 }
 
-LabelFields viewsOf(const HttpFields &fields) {
+LabelFields viewsOf(const HeaderFields &fields) {
   LabelFields out;
   out.reserve(fields.size());
   for (const auto &it : fields)
@@ -41,8 +41,8 @@
   return out;
 }
 
-HttpFields fieldsOf(const OwnedFields &fields) {
-  HttpFields out;
+HeaderFields fieldsOf(const OwnedFields &fields) {
+  HeaderFields out;
   for (const auto &[name, value] : fields)
     out.push_back({name, value});
   return out;
--- /dev/null
+++ b/UnitTests/Coordination/Orders/CellDeskTest.cpp
@@ -0,0 +1,267 @@
+#include "Hemlockglade/Coordination/Orders/CellDesk.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <rapidcheck.h>
+
+namespace hemlockglade::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string Service = "drafts";
+const std::string Model = "base";
+
+WeightsRef adapter(int n) { return {Model, "a" + std::to_string(n)}; }
+
+std::shared_ptr<const RoutePlan> planWith(std::uint32_t places) {
+  EngineSpec engine;
+  engine.Slots = 8;
+  engine.AdapterSlots = places;
+  engine.WeightsMb = 1000;
+  engine.LoadsPerSecond = 3;
+  engine.Models = {{Model, 900, std::chrono::seconds(5), 1}};
+  ServiceSpec service{Service, "/", 10, engine};
+  return std::make_shared<const RoutePlan>(
+      1, std::vector<Route>{}, std::vector{service}, CallerLimits{});
+}
+
+/// An engine that obeys orders as the desk's engines do, or not.
+struct FakeEngine {
+  ReplicaRecord Record;
+  HeldWeights Held;
+  std::uint64_t Count = 0;
+  std::uint32_t Places = 2;
+  bool Crashed = false;
+  std::size_t Loads = 0;
+
+  OrderAnswer obey(const EngineOrder &order) {
+    if (order.ExpectedCount != Count)
+      return OrderAnswer::Conflict;
+    bool holds = Held.contains(order.Weights);
+    if (order.Kind == OrderKind::Unload) {
+      if (holds)
+        ++Count;
+      Held.erase(order.Weights);
+      return OrderAnswer::Holds;
+    }
+    if (holds && (order.Version == 0 || Held[order.Weights] >= order.Version))
+      return OrderAnswer::Holds;
+    ++Count;
+    ++Loads;
+    Held[order.Weights] = order.Version;
+    std::size_t adapters = 0;
+    for (const auto &[weights, version] : Held)
+      adapters += weights.Adapter.empty() ? 0 : 1;
+    Crashed = Crashed || adapters > Places;
+    return OrderAnswer::Accepted;
+  }
+};
+
+struct DeskWorld {
+  explicit DeskWorld(int replicas, std::uint32_t places = 2)
+      : Plan(planWith(places)) {
+    for (int it = 0; it < replicas; ++it) {
+      FakeEngine engine;
+      engine.Record.Incarnation = "i-" + std::to_string(it);
+      engine.Record.Service = Service;
+      engine.Record.Slots = 8;
+      engine.Held[{Model, {}}] = 1;
+      engine.Record.Held = engine.Held;
+      engine.Places = places;
+      Engines[engine.Record.Incarnation] = engine;
+    }
+    show();
+  }
+
+  void show() {
+    std::vector<ReplicaRecord> records;
+    for (const auto &[id, it] : Engines)
+      records.push_back(it.Record);
+    Desk.setReplicas(records, Plan, Now);
+  }
+
+  /// Carries out what the desk wants; `lose` says whether an order's answer is
+  /// lost, with 2 also the order.
+  std::size_t round(const std::function<int()> &lose = [] { return 0; }) {
+    auto actions = Desk.plan(true, Now);
+    for (const auto &it : actions) {
+      auto &engine = Engines[it.Replica];
+      if (it.What == DeskAction::Kind::Report) {
+        Desk.onReport(it.Replica,
+                      HoldingsReport{engine.Held, {}, false, engine.Count},
+                      Now);
+        continue;
+      }
+      auto how = lose();
+      auto answer = how == 2 ? OrderAnswer::Unknown : engine.obey(it.Order);
+      if (how == 2)
+        Late.emplace_back(it.Replica, it.Order);
+      Desk.onOrderAnswer(it.Replica, it.Order,
+                         how ? OrderAnswer::Unknown : answer, Now);
+    }
+    return actions.size();
+  }
+
+  void rounds(
+      int n, const std::function<int()> &lose = [] { return 0; }) {
+    for (int it = 0; it < n; ++it) {
+      Now += milliseconds(50);
+      round(lose);
+    }
+  }
+
+  std::size_t copies(const WeightsRef &weights) const {
+    std::size_t n = 0;
+    for (const auto &[id, it] : Engines)
+      n += it.Held.contains(weights) ? 1 : 0;
+    return n;
+  }
+
+  Instant Now = std::chrono::seconds(1000);
+  std::shared_ptr<const RoutePlan> Plan;
+  std::map<std::string, FakeEngine> Engines;
+  CellDesk Desk{CellDesk::Settings{}};
+  std::vector<std::pair<std::string, EngineOrder>> Late;
+};
+
+} // namespace
+
+TEST_CASE("an adapter that requests wait for is loaded once", "[desk]") {
+  DeskWorld world(3);
+  world.rounds(2);
+  for (int it = 0; it < 5; ++it)
+    world.Desk.onWant(Service, adapter(1), world.Now);
+  world.rounds(10);
+  CHECK(world.copies(adapter(1)) == 1);
+}
+
+TEST_CASE("requests that wait get one copy also where a place is made first",
+          "[desk]") {
+  DeskWorld world(3, 1);
+  world.rounds(2);
+  for (int n = 1; n <= 3; ++n)
+    world.Desk.onWant(Service, adapter(n), world.Now);
+  world.rounds(20);
+  world.Now += std::chrono::seconds(10);
+  for (int it = 0; it < 5; ++it) {
+    world.Desk.onWant(Service, adapter(9), world.Now);
+    world.rounds(1);
+  }
+  world.rounds(10);
+  CHECK(world.copies(adapter(9)) == 1);
+  for (const auto &[id, engine] : world.Engines)
+    CHECK_FALSE(engine.Crashed);
+}
+
+TEST_CASE("nothing is ordered without the right to", "[desk]") {
+  DeskWorld world(2);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  CHECK(world.Desk.plan(false, world.Now).empty());
+}
+
+TEST_CASE("what is wanted least makes room", "[desk]") {
+  DeskWorld world(1, 2);
+  world.rounds(2);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  world.Desk.onWant(Service, adapter(2), world.Now);
+  world.rounds(10);
+  for (int it = 0; it < 20; ++it)
+    world.Desk.onDemand(Service, adapter(1), 1, world.Now);
+  world.Desk.onDemand(Service, adapter(2), 1, world.Now);
+  world.Now += std::chrono::seconds(4);
+  world.Desk.onWant(Service, adapter(3), world.Now);
+  world.rounds(10);
+  CHECK(world.copies(adapter(1)) == 1);
+  CHECK(world.copies(adapter(2)) == 0);
+  CHECK(world.copies(adapter(3)) == 1);
+}
+
+TEST_CASE("an adapter goes back to the replica that dropped it", "[desk]") {
+  DeskWorld world(4, 1);
+  world.rounds(2);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  world.rounds(10);
+  std::string first;
+  for (const auto &[id, it] : world.Engines)
+    if (it.Held.contains(adapter(1)))
+      first = id;
+  REQUIRE_FALSE(first.empty());
+  for (int n = 2; n <= 5; ++n) {
+    world.Now += std::chrono::seconds(3);
+    world.Desk.onWant(Service, adapter(n), world.Now);
+    world.rounds(10);
+  }
+  REQUIRE(world.copies(adapter(1)) == 0);
+  world.Now += std::chrono::seconds(5);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  world.rounds(10);
+  CHECK(world.Engines[first].Held.contains(adapter(1)));
+}
+
+TEST_CASE("a newer version gets a copy beside the older one", "[desk]") {
+  DeskWorld world(2);
+  world.rounds(2);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  world.rounds(10);
+  world.Desk.setVersion(adapter(1), 7);
+  world.Desk.onDemand(Service, adapter(1), 10, world.Now);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  world.rounds(10);
+  std::size_t newer = 0;
+  for (const auto &[id, it] : world.Engines) {
+    auto held = it.Held.find(adapter(1));
+    newer += held != it.Held.end() && held->second == 7 ? 1 : 0;
+  }
+  CHECK(newer == 1);
+}
+
+TEST_CASE("loads on their way over all cells are bounded", "[desk]") {
+  DeskWorld world(6, 20);
+  world.rounds(2);
+  world.Desk.setLoadingElsewhere(6);
+  for (int n = 0; n < 30; ++n)
+    world.Desk.onWant(Service, adapter(n), world.Now);
+  world.Now += milliseconds(50);
+  world.round();
+  std::size_t loads = 0;
+  for (const auto &[id, it] : world.Engines)
+    loads += it.Loads;
+  CHECK(loads == 2);
+}
+
+TEST_CASE("no replica is told to hold more than its places, whatever is lost",
+          "[desk]") {
+  rc::check([] {
+    auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    std::mt19937_64 random(seed);
+    auto upTo = [&random](int n) {
+      return static_cast<int>(random() % static_cast<std::uint64_t>(n));
+    };
+    DeskWorld world(3, 3);
+    constexpr int Rounds = 200;
+    constexpr int Adapters = 12;
+    for (int it = 0; it < Rounds; ++it) {
+      world.Desk.onDemand(Service, adapter(upTo(Adapters)), 1, world.Now);
+      world.Desk.onWant(Service, adapter(upTo(Adapters)), world.Now);
+      world.rounds(1, [&] {
+        constexpr int Often = 10;
+        auto n = upTo(Often);
+        return n < 7 ? 0 : (n < 9 ? 1 : 2);
+      });
+      // An order without an answer may be carried out much later.
+      if (!world.Late.empty() && upTo(4) == 0) {
+        auto [replica, order] = world.Late.front();
+        world.Late.erase(world.Late.begin());
+        world.Engines[replica].obey(order);
+      }
+      if (upTo(20) == 0)
+        world.Now += std::chrono::seconds(upTo(5));
+    }
+    for (const auto &[id, engine] : world.Engines)
+      RC_ASSERT(!engine.Crashed);
+  });
+}
+
+} // namespace hemlockglade::test
--- /dev/null
+++ b/UnitTests/Coordination/Orders/CellLeaseTest.cpp
@@ -0,0 +1,286 @@
+#include "Hemlockglade/Coordination/Orders/CellLease.h"
+#include "UnitTests/Coordination/FakeTable.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace hemlockglade::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Span Step = milliseconds(50);
+constexpr Span Handover = milliseconds(3000);
+
+/// A host whose process looks after one cell's lease.
+class LeaseHost {
+public:
+  LeaseHost(VirtualTime &time, FakeTable &table, std::string name)
+      : Time(time), Table(table), Name(std::move(name)) {
+    restart();
+  }
+
+  /// A new process on the same host.
+  void restart() {
+    CellLease::Settings settings;
+    settings.Holder = Name;
+    settings.Incarnation = Name + "-" + std::to_string(++Starts);
+    settings.Address = "10.0.0.1:7";
+    settings.Handover = Handover;
+    Alive = std::make_shared<bool>(true);
+    Lease = std::make_shared<CellLease>(
+        "hall-a", settings, hooks(), [this] { return Time.now(); },
+        [](LeaseChange, const CellLease &) {});
+  }
+
+  void tick() {
+    if (!Frozen)
+      Lease->tick(Span(0));
+  }
+
+  VirtualTime &Time;
+  FakeTable &Table;
+  std::string Name;
+  std::shared_ptr<CellLease> Lease;
+  bool Frozen = false;
+  bool Cut = false;
+
+private:
+  /// The table as this host reaches it: nothing comes through a cut.
+  TableHooks hooks() {
+    auto inner = Table.hooks();
+    TableHooks out;
+    out.Get = [this, inner](std::string key, auto done) {
+      if (Cut)
+        return fail(done);
+      inner.Get(std::move(key), guard(done));
+    };
+    out.Commit = [this, inner](TableTransaction transaction, auto done) {
+      if (Cut)
+        return fail(done);
+      inner.Commit(std::move(transaction), guard(done));
+    };
+    return out;
+  }
+
+  template <typename Done> void fail(Done done) {
+    Time.after(milliseconds(20), [alive = Alive, done] {
+      if (*alive)
+        done(tl::unexpected(TableError::NotSent));
+    });
+  }
+
+  template <typename Done> Done guard(Done done) {
+    return [this, alive = Alive, done](auto result) {
+      if (*alive && Cut)
+        return done(tl::unexpected(TableError::Ambiguous));
+      if (*alive)
+        done(std::move(result));
+    };
+  }
+
+  std::shared_ptr<bool> Alive;
+  int Starts = 0;
+};
+
+/// Several hosts over one table, and a record of who could order when.
+struct LeaseWorld {
+  explicit LeaseWorld(std::uint64_t seed, int hosts = 3) : Table(Time, seed) {
+    for (int it = 0; it < hosts; ++it)
+      Hosts.push_back(std::make_unique<LeaseHost>(
+          Time, Table, "host-" + std::to_string(it)));
+  }
+
+  void run(Span span) {
+    for (Span gone{0}; gone < span; gone += Step) {
+      Time.advance(Step);
+      for (auto &it : Hosts)
+        it->tick();
+      check();
+    }
+  }
+
+  /// Every host that may order at this moment does.
+  void check() {
+    for (auto &it : Hosts) {
+      if (it->Frozen || !it->Lease->mayOrder())
+        continue;
+      if (!LastHost.empty() && LastHost != it->Name) {
+        TooSoon = TooSoon || Time.now() - LastAt < Handover;
+        FenceFell = FenceFell || it->Lease->fence() <= LastFence;
+      }
+      FenceFell = FenceFell || it->Lease->fence() < LastFence;
+      LastHost = it->Name;
+      LastFence = it->Lease->fence();
+      LastAt = Time.now();
+    }
+  }
+
+  LeaseHost *holder() {
+    for (auto &it : Hosts)
+      if (it->Lease->mayOrder())
+        return it.get();
+    return nullptr;
+  }
+
+  VirtualTime Time;
+  FakeTable Table;
+  std::vector<std::unique_ptr<LeaseHost>> Hosts;
+  std::string LastHost;
+  Epoch LastFence = 0;
+  Instant LastAt{};
+  bool TooSoon = false;
+  bool FenceFell = false;
+};
+
+} // namespace
+
+TEST_CASE("the first host that asks may order at once", "[lease]") {
+  LeaseWorld world(1);
+  world.run(milliseconds(500));
+  REQUIRE(world.holder());
+  CHECK(world.holder()->Lease->fence() == 1);
+}
+
+TEST_CASE("a lease that lost its host is taken over after the handover",
+          "[lease]") {
+  LeaseWorld world(2);
+  world.run(milliseconds(2000));
+  auto *first = world.holder();
+  REQUIRE(first);
+  first->Frozen = true;
+  world.run(milliseconds(8000));
+  auto *next = world.holder();
+  REQUIRE(next);
+  CHECK(next != first);
+  CHECK(next->Lease->fence() == 2);
+  CHECK_FALSE(world.TooSoon);
+}
+
+TEST_CASE("a frozen holder does not order when it wakes", "[lease]") {
+  LeaseWorld world(3);
+  world.run(milliseconds(2000));
+  auto *first = world.holder();
+  REQUIRE(first);
+  first->Frozen = true;
+  world.run(milliseconds(7000));
+  first->Frozen = false;
+  CHECK_FALSE(first->Lease->mayOrder());
+  world.run(milliseconds(2000));
+  CHECK_FALSE(first->Lease->held());
+  CHECK_FALSE(world.TooSoon);
+}
+
+TEST_CASE("a holder that is heard of is left alone while its lease lasts",
+          "[lease]") {
+  LeaseWorld world(4, 2);
+  world.run(milliseconds(2000));
+  auto *first = world.holder();
+  REQUIRE(first);
+  auto &other =
+      first == world.Hosts[0].get() ? *world.Hosts[1] : *world.Hosts[0];
+  first->Cut = true;
+  SECTION("a lease that has run out is taken over though its holder talks") {
+    for (int it = 0; it < 160; ++it) {
+      world.run(Step);
+      other.Lease->onHeard(first->Lease->version(), first->Lease->remaining());
+    }
+    CHECK(world.holder() == &other);
+  }
+  SECTION("one that lasts is not") {
+    for (int it = 0; it < 160; ++it) {
+      world.run(Step);
+      other.Lease->onHeard(first->Lease->version(), milliseconds(1000));
+    }
+    CHECK_FALSE(other.Lease->held());
+  }
+  CHECK_FALSE(world.TooSoon);
+}
+
+TEST_CASE("a lease that is given up can be taken at once", "[lease]") {
+  LeaseWorld world(5);
+  world.run(milliseconds(2000));
+  auto *first = world.holder();
+  REQUIRE(first);
+  first->Lease->release();
+  CHECK_FALSE(first->Lease->mayOrder());
+  world.run(milliseconds(1500));
+  bool taken = false;
+  for (auto &it : world.Hosts)
+    taken = taken || (it.get() != first && it->Lease->held());
+  CHECK(taken);
+  world.run(milliseconds(3500));
+  CHECK(world.holder());
+  CHECK_FALSE(world.TooSoon);
+}
+
+TEST_CASE("a process that starts again on the holder's host goes on",
+          "[lease]") {
+  LeaseWorld world(6);
+  world.run(milliseconds(3000));
+  auto *first = world.holder();
+  REQUIRE(first);
+  first->restart();
+  world.run(milliseconds(1500));
+  CHECK(world.holder() == first);
+  CHECK(first->Lease->fence() == 2);
+}
+
+TEST_CASE("one that starts while it waited for its predecessor waits on",
+          "[lease]") {
+  LeaseWorld world(7, 2);
+  world.run(milliseconds(3000));
+  auto *first = world.holder();
+  REQUIRE(first);
+  auto &other =
+      first == world.Hosts[0].get() ? *world.Hosts[1] : *world.Hosts[0];
+  first->Frozen = true;
+  while (!other.Lease->held())
+    world.run(Step);
+  other.restart();
+  world.run(milliseconds(10000));
+  CHECK(world.holder() == &other);
+  CHECK_FALSE(world.TooSoon);
+}
+
+TEST_CASE("a row that reads as nothing counts as another's", "[lease]") {
+  LeaseWorld world(8, 1);
+  world.Table.Rows["lease/hall-a"] = {"lease/hall-a", 5, "no lease row"};
+  world.run(milliseconds(1000));
+  CHECK_FALSE(world.holder());
+  world.run(milliseconds(8000));
+  CHECK(world.holder());
+}
+
+TEST_CASE("no two hosts order within the handover, whatever fails", "[lease]") {
+  rc::check([] {
+    auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    LeaseWorld world(seed);
+    std::mt19937_64 random(seed);
+    auto chance = [&random](double p) {
+      return std::uniform_real_distribution<double>(0, 1)(random) < p;
+    };
+    world.Table.Faults.NotSent = chance(0.5) ? 0.1 : 0;
+    world.Table.Faults.LoseAnswer = chance(0.5) ? 0.35 : 0;
+    world.Table.Faults.LoseRequest = chance(0.5) ? 0.1 : 0;
+    world.Table.Faults.Late = chance(0.5) ? 0.2 : 0;
+    constexpr int Rounds = 60;
+    for (int it = 0; it < Rounds; ++it) {
+      for (auto &host : world.Hosts) {
+        if (chance(0.1))
+          host->Frozen = !host->Frozen;
+        if (chance(0.1))
+          host->Cut = !host->Cut;
+        if (!host->Frozen && chance(0.05))
+          host->restart();
+      }
+      world.Table.Down = chance(0.1);
+      world.run(milliseconds(500));
+    }
+    RC_ASSERT(!world.TooSoon);
+    RC_ASSERT(!world.FenceFell);
+  });
+}
+
+} // namespace hemlockglade::test
--- /dev/null
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -0,0 +1,225 @@
+#include "Hemlockglade/Coordination/Route/ReplicaView.h"
+
+#include <catch2/catch.hpp>
+
+namespace hemlockglade::test {
+
+namespace {
+
+using Kind = RouteChoice::Kind;
+using std::chrono::milliseconds;
+
+const WeightsRef Adapter{"base", "a1"};
+
+ReplicaRecord record(std::string id, std::string domain = "hall-a") {
+  ReplicaRecord out;
+  out.Incarnation = std::move(id);
+  out.Service = "drafts";
+  out.Address = "10.0.0.1:80";
+  out.FailureDomain = std::move(domain);
+  out.Slots = 4;
+  out.Held[Adapter] = 1;
+  return out;
+}
+
+struct ViewFixture {
+  ViewFixture()
+      : View([] {
+          ReplicaView::Settings out;
+          out.FailureDomain = "hall-a";
+          return out;
+        }()) {
+    EngineSpec engine;
+    engine.Slots = 4;
+    engine.MemoryTokens = 10000;
+    ServiceSpec drafts{"drafts", "/", 10, engine};
+    ServiceSpec plain{"plain", "/", 10, std::nullopt};
+    View.setPlan(std::make_shared<const RoutePlan>(
+        1, std::vector<Route>{}, std::vector{drafts, plain}, CallerLimits{}));
+  }
+
+  void present(std::vector<ReplicaRecord> records, bool whole = true) {
+    View.onRegistry({whole, std::move(records), {}, 1}, false, Now);
+  }
+
+  RouteQuery query() const {
+    RouteQuery out;
+    out.Service = "drafts";
+    out.Weights = Adapter;
+    out.PromptTokens = 1000;
+    out.Tokens = 1200;
+    return out;
+  }
+
+  RouteChoice choose() { return View.choose(query(), Now); }
+
+  Instant Now = std::chrono::seconds(1000);
+  ReplicaView View;
+};
+
+} // namespace
+
+TEST_CASE("a replica that leaves gets nothing new", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  CHECK(it.choose().What == Kind::Send);
+  auto leaving = record("i-1");
+  leaving.Draining = true;
+  it.present({leaving}, false);
+  CHECK(it.choose().What == Kind::Nobody);
+  SECTION("also when a heartbeat from before comes late") {
+    it.present({record("i-1")}, false);
+    CHECK(it.choose().What == Kind::Nobody);
+  }
+}
+
+TEST_CASE("an entry that is removed ends the use of its replica", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onRegistry({false, {}, {"i-1"}, 2}, false, it.Now);
+  CHECK(it.choose().What == Kind::Nobody);
+}
+
+TEST_CASE("entries that vanish behind an outage are used for a while",
+          "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onRegistry({true, {}, {}, 2}, true, it.Now);
+  CHECK(it.choose().What == Kind::Send);
+  it.Now += milliseconds(1900);
+  it.View.tidy(it.Now);
+  CHECK(it.choose().What == Kind::Nobody);
+}
+
+TEST_CASE("weights decide who can serve", "[view]") {
+  ViewFixture it;
+  auto other = record("i-1");
+  other.Held.clear();
+  it.present({other});
+  CHECK(it.choose().What == Kind::Missing);
+  it.View.onResidency("i-1", {{Adapter, {1, it.Now + milliseconds(200)}}},
+                      it.Now);
+  CHECK(it.choose().What == Kind::Wait);
+  it.Now += milliseconds(201);
+  CHECK(it.choose().What == Kind::Send);
+  it.View.onResidency("i-1", {{Adapter, {1, it.Now, true}}}, it.Now);
+  CHECK(it.choose().What == Kind::Missing);
+}
+
+TEST_CASE("an owner may tell of a replica before the registry does", "[view]") {
+  ViewFixture it;
+  it.View.onResidency("i-1", {{Adapter, {3, Instant{}}}}, it.Now);
+  auto other = record("i-1");
+  other.Held.clear();
+  it.present({other});
+  auto choice = it.choose();
+  CHECK(choice.What == Kind::Send);
+  CHECK(choice.Version == 3);
+}
+
+TEST_CASE("an older version serves for a short time only", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onVersion(Adapter, 2, it.Now);
+  CHECK(it.choose().What == Kind::Send);
+  it.Now += milliseconds(2600);
+  CHECK(it.choose().What == Kind::Missing);
+  it.View.onVersion(Adapter, 1, it.Now);
+  CHECK(it.choose().What == Kind::Missing);
+}
+
+TEST_CASE("a near replica is preferred until it is fuller", "[view]") {
+  ViewFixture it;
+  it.present({record("i-far", "hall-b"), record("i-near")});
+  CHECK(it.choose().Replica.Incarnation == "i-near");
+  it.View.onOthersRunning("i-near", 2, it.Now);
+  auto choice = it.choose();
+  CHECK(choice.Replica.Incarnation == "i-far");
+  CHECK(choice.Far);
+}
+
+TEST_CASE("slots and memory bound what runs at an engine", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onOthersRunning("i-1", 4, it.Now);
+  CHECK(it.choose().What == Kind::Full);
+  it.View.onOthersRunning("i-1", 0, it.Now);
+  auto large = it.query();
+  large.Tokens = 9000;
+  it.View.onSent("i-1", large, it.Now);
+  CHECK(it.choose().What == Kind::Full);
+}
+
+TEST_CASE("a request waits while its engine reads prompts", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  auto query = it.query();
+  query.PaceUntil = it.Now + milliseconds(400);
+  it.View.onSent("i-1", query, it.Now);
+  auto choice = it.View.choose(query, it.Now);
+  CHECK(choice.What == Kind::Pace);
+  CHECK(choice.ReadyAt > it.Now);
+  SECTION("until the prompts are nearly read") {
+    CHECK(it.View.choose(query, choice.ReadyAt).What == Kind::Send);
+  }
+  SECTION("but not for longer than it may be held") {
+    it.View.onOtherSent("i-1", 100000, it.Now);
+    CHECK(it.View.choose(query, query.PaceUntil).What == Kind::Send);
+  }
+}
+
+TEST_CASE("replicas that fail or stay silent are avoided", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1"), record("i-2")});
+  auto query = it.query();
+  SECTION("bad answers") {
+    for (int n = 0; n < 6; ++n) {
+      auto attempt = it.View.onSent("i-1", query, it.Now);
+      it.View.onEnd("i-1", attempt, query, AttemptVerdict::Bad, it.Now);
+    }
+  }
+  SECTION("no answer") {
+    it.View.onSent("i-1", query, it.Now);
+    it.Now += std::chrono::seconds(3);
+  }
+  CHECK(it.choose().Replica.Incarnation == "i-2");
+}
+
+TEST_CASE("failures of their own count against the usual ones", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1"), record("i-2")});
+  auto query = it.query();
+  auto fail = [&](const std::string &id) {
+    auto attempt = it.View.onSent(id, query, it.Now);
+    it.View.onEnd(id, attempt, query, AttemptVerdict::OwnFailure, it.Now);
+  };
+  for (int n = 0; n < 6; ++n)
+    fail("i-1");
+  CHECK(it.View.suspect("i-1", it.Now));
+  for (int n = 0; n < 6; ++n)
+    fail("i-2");
+  CHECK_FALSE(it.View.suspect("i-1", it.Now));
+}
+
+TEST_CASE("weights that should just be ready are taken to be late", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onResidency("i-1", {{Adapter, {1, it.Now}}}, it.Now);
+  it.View.onWeightsRefused("i-1", Adapter, true, it.Now);
+  CHECK(it.choose().What == Kind::Wait);
+  it.View.onResidency("i-1", {{Adapter, {1, Instant{}}}}, it.Now);
+  it.View.onWeightsRefused("i-1", Adapter, true, it.Now);
+  CHECK(it.choose().What == Kind::Missing);
+}
+
+TEST_CASE("the speed of reading is learnt from first events", "[view]") {
+  ReadingSpeed speed;
+  CHECK(speed.usPerToken() == Approx(50));
+  for (int n = 1; n <= 40; ++n) {
+    auto tokens = static_cast<std::uint32_t>(100 * (n % 10 + 1));
+    speed.add(tokens, Span(18000 + 30 * std::int64_t{tokens}));
+  }
+  CHECK(speed.usPerToken() == Approx(30).epsilon(0.02));
+}
+
+} // namespace hemlockglade::test
--- /dev/null
+++ b/UnitTests/Transport/Http1/CallerServerTest.cpp
@@ -0,0 +1,167 @@
+#include "Hemlockglade/Transport/Http1/CallerServer.h"
+
+#include "UnitTests/Transport/Http1/RawPeer.h"
+
+namespace hemlockglade::test {
+
+namespace {
+
+struct ServerFixture : Loopback {
+  ServerFixture() : Peer(Context) {
+    CallerHooks hooks;
+    hooks.Bounds = [this] { return Bounds; };
+    hooks.Closing = [this] { return Closing; };
+    hooks.OnRefused = [this](std::uint16_t status, std::string_view) {
+      Refused = status;
+    };
+    hooks.OnRequest = [this](CallerRequest request, auto reply) {
+      Requests.push_back(std::move(request));
+      Replies.push_back(std::move(reply));
+    };
+    Server = std::make_unique<CallerServer>(Context, localhost(0), 10,
+                                            std::move(hooks));
+    Peer.connect(Server->port());
+  }
+
+  bool untilRequests(std::size_t n) {
+    return until([this, n] { return Requests.size() == n; });
+  }
+  bool untilGot(const std::string &text) {
+    return until(
+        [this, &text] { return Peer.Got.find(text) != std::string::npos; });
+  }
+
+  CallerBounds Bounds;
+  bool Closing = false;
+  std::uint16_t Refused = 0;
+  std::vector<CallerRequest> Requests;
+  std::vector<std::shared_ptr<CallerReply>> Replies;
+  std::unique_ptr<CallerServer> Server;
+  RawPeer Peer;
+};
+
+const std::string Get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("requests of a kept connection are answered in order", "[callers]") {
+  ServerFixture it;
+  it.Peer.send(Get + "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                     "2\r\n\r\nhi");
+  REQUIRE(it.untilRequests(1));
+  it.settle();
+  CHECK(it.Requests.size() == 1);
+  it.Replies[0]->respond({200, {}}, "one");
+  REQUIRE(it.untilRequests(2));
+  CHECK(it.Requests[1].Body == "hi");
+  it.Replies[1]->respond({200, {}}, "two");
+  REQUIRE(it.untilGot("two"));
+  CHECK_FALSE(it.Peer.Ended);
+}
+
+TEST_CASE("a caller who leaves is noticed while its request runs",
+          "[callers]") {
+  ServerFixture it;
+  it.Peer.send(Get);
+  REQUIRE(it.untilRequests(1));
+  bool gone = false;
+  it.Replies[0]->OnGone = [&gone] { gone = true; };
+  SECTION("by ending") { it.Peer.close(); }
+  SECTION("by a reset") { it.Peer.reset(); }
+  CHECK(it.until([&gone] { return gone; }));
+}
+
+TEST_CASE("an answer in parts ends with its last chunk", "[callers]") {
+  ServerFixture it;
+  it.Peer.send(Get);
+  REQUIRE(it.untilRequests(1));
+  it.Replies[0]->begin({200, {{"Content-Length", "999"}}});
+  it.Replies[0]->part("hello");
+  REQUIRE(it.untilGot("5\r\nhello\r\n"));
+  CHECK(it.Peer.Got.find("999") == std::string::npos);
+  SECTION("complete") {
+    it.Replies[0]->finish();
+    CHECK(it.untilGot("0\r\n\r\n"));
+  }
+  SECTION("an abort can't look like one") {
+    it.Replies[0]->abort();
+    REQUIRE(it.until([&] { return it.Peer.Ended; }));
+    CHECK(it.Peer.Got.find("0\r\n\r\n") == std::string::npos);
+  }
+}
+
+TEST_CASE("a reply that is dropped breaks its connection", "[callers]") {
+  ServerFixture it;
+  it.Peer.send(Get);
+  REQUIRE(it.untilRequests(1));
+  it.Replies.clear();
+  CHECK(it.until([&] { return it.Peer.Ended; }));
+}
+
+TEST_CASE("what could hide a second request is refused", "[callers]") {
+  ServerFixture it;
+  auto head = GENERATE(
+      as<std::string>{}, "Host: x\r\nHost: y\r\n", "",
+      "Host: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n");
+  it.Peer.send("POST / HTTP/1.1\r\n" + head + "\r\n");
+  REQUIRE(it.untilGot("HTTP/1.1 400"));
+  CHECK(it.until([&] { return it.Peer.Ended; }));
+  CHECK(it.Requests.empty());
+}
+
+TEST_CASE("callers' requests are bounded", "[callers]") {
+  ServerFixture it;
+  SECTION("in their head") {
+    it.Bounds.MaxHeadBytes = 50;
+    it.Peer.send("GET / HTTP/1.1\r\nX: " + std::string(100, 'a'));
+    CHECK(it.untilGot("HTTP/1.1 431"));
+  }
+  SECTION("in their body") {
+    it.Bounds.MaxBodyBytes = 3;
+    it.Peer.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                 "8\r\n\r\n01234567");
+    CHECK(it.untilGot("HTTP/1.1 413"));
+  }
+  SECTION("in time") {
+    it.Bounds.RequestTimeout = std::chrono::milliseconds(50);
+    it.Peer.send("GET / HTTP/1.1\r\n");
+    CHECK(it.untilGot("HTTP/1.1 408"));
+    CHECK(it.Refused == 408);
+  }
+  CHECK(it.until([&] { return it.Peer.Ended; }));
+}
+
+TEST_CASE("a server that closes says so in its answers", "[callers]") {
+  ServerFixture it;
+  it.Closing = true;
+  it.Peer.send(Get);
+  REQUIRE(it.untilRequests(1));
+  it.Replies[0]->respond({200, {}}, "last");
+  REQUIRE(it.untilGot("Connection: close"));
+  CHECK(it.until([&] { return it.Peer.Ended; }));
+}
+
+TEST_CASE("a caller that asks to go on is told to", "[callers]") {
+  ServerFixture it;
+  it.Peer.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: "
+               "100-continue\r\n\r\n");
+  REQUIRE(it.untilGot("100 Continue"));
+  it.Peer.send("hi");
+  REQUIRE(it.untilRequests(1));
+  CHECK(it.Requests[0].Body == "hi");
+}
+
+TEST_CASE("resting connections can be ended", "[callers]") {
+  ServerFixture it;
+  it.Peer.send(Get);
+  REQUIRE(it.untilRequests(1));
+  it.Server->closeIdle();
+  it.settle();
+  CHECK_FALSE(it.Peer.Ended);
+  it.Replies[0]->respond({200, {}}, "one");
+  REQUIRE(it.untilGot("one"));
+  it.Server->closeIdle();
+  CHECK(it.until([&] { return it.Peer.Ended; }));
+}
+
+} // namespace hemlockglade::test
--- /dev/null
+++ b/UnitTests/Transport/Http1/HttpConnectionTest.cpp
@@ -0,0 +1,185 @@
+#include "Hemlockglade/Transport/Http1/HttpCaller.h"
+#include "UnitTests/Transport/Http1/RawPeer.h"
+
+namespace hemlockglade::test {
+
+namespace {
+
+const std::string Request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+std::string answer(const std::string &body, const std::string &extra = "") {
+  return "HTTP/1.1 200 OK\r\n" + extra +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct CallFixture : Loopback {
+  CallFixture()
+      : Acceptor(Context, localhost(0)), Peer(Context),
+        Pool(Context, HttpPool::Settings{}) {
+    Peer.accept(Acceptor);
+  }
+
+  void start(const std::function<bool(const HttpAnswerHead &)> &onHead = {}) {
+    Done = false;
+    Failure.reset();
+    Body.clear();
+    HttpCallHooks hooks;
+    hooks.OnHead = onHead;
+    hooks.OnBody = [this](std::string_view part) { Body.append(part); };
+    hooks.OnDone = [this] { Done = true; };
+    hooks.OnFailed = [this](HttpFailure how) { Failure = how; };
+    Connection->call(Request, "", false, std::move(hooks));
+  }
+
+  void take() { Connection = Pool.take(Acceptor.local_endpoint()); }
+  bool untilAsked() {
+    return until(
+        [this] { return Peer.Got.find("\r\n\r\n") != std::string::npos; });
+  }
+  bool untilEnd() {
+    return until([this] { return Done || Failure.has_value(); });
+  }
+
+  asio::ip::tcp::acceptor Acceptor;
+  RawPeer Peer;
+  HttpPool Pool;
+  std::shared_ptr<HttpConnection> Connection;
+  bool Done = false;
+  std::optional<HttpFailure> Failure;
+  std::string Body;
+};
+
+} // namespace
+
+TEST_CASE("a connection is used again after a whole answer", "[connection]") {
+  CallFixture it;
+  it.take();
+  it.start();
+  REQUIRE(it.untilAsked());
+  it.Peer.send(answer("one"));
+  REQUIRE(it.untilEnd());
+  CHECK(it.Done);
+  CHECK(it.Body == "one");
+  auto first = it.Connection;
+  it.Pool.give(first);
+  it.take();
+  CHECK(it.Connection == first);
+}
+
+TEST_CASE("an answer that its caller does not know is passed over",
+          "[connection]") {
+  CallFixture it;
+  it.take();
+  int heads = 0;
+  it.start([&heads](const HttpAnswerHead &head) {
+    ++heads;
+    return findField(head.Fields, "X-Mine") != nullptr;
+  });
+  REQUIRE(it.untilAsked());
+  it.Peer.send(answer("stray") + answer("mine", "X-Mine: 1\r\n"));
+  REQUIRE(it.untilEnd());
+  CHECK(heads == 2);
+  CHECK(it.Body == "mine");
+}
+
+TEST_CASE("bytes that come unasked end an idle connection", "[connection]") {
+  CallFixture it;
+  it.take();
+  it.start();
+  REQUIRE(it.untilAsked());
+  it.Peer.send(answer("one"));
+  REQUIRE(it.untilEnd());
+  auto first = it.Connection;
+  it.Pool.give(first);
+  it.Peer.send(answer("extra"));
+  REQUIRE(it.until([&] { return !first->open(); }));
+  it.take();
+  CHECK(it.Connection != first);
+}
+
+TEST_CASE("a connection with bytes behind its answer is not kept",
+          "[connection]") {
+  CallFixture it;
+  it.take();
+  it.start();
+  REQUIRE(it.untilAsked());
+  it.Peer.send(answer("one") + "extra");
+  REQUIRE(it.untilEnd());
+  it.settle();
+  CHECK_FALSE(it.Connection->reusable());
+}
+
+TEST_CASE("how a call ends without an answer is told apart", "[connection]") {
+  CallFixture it;
+  it.take();
+  it.start();
+  REQUIRE(it.untilAsked());
+  SECTION("the other side ended it") {
+    it.Peer.close();
+    REQUIRE(it.untilEnd());
+    CHECK(it.Failure == HttpFailure::Ended);
+  }
+  SECTION("the other side reset it") {
+    it.Peer.reset();
+    REQUIRE(it.untilEnd());
+    CHECK(it.Failure == HttpFailure::Broken);
+  }
+  SECTION("a body without a length that is reset is not complete") {
+    it.Peer.send("HTTP/1.1 200 OK\r\n\r\npart");
+    REQUIRE(it.until([&] { return it.Body == "part"; }));
+    it.Peer.reset();
+    REQUIRE(it.untilEnd());
+    CHECK_FALSE(it.Done);
+  }
+  SECTION("a body without a length that ends is complete") {
+    it.Peer.send("HTTP/1.1 200 OK\r\n\r\npart");
+    it.Peer.close();
+    REQUIRE(it.untilEnd());
+    CHECK(it.Done);
+    CHECK_FALSE(it.Connection->reusable());
+  }
+  SECTION("it is no HTTP") {
+    it.Peer.send("what is this\r\n\r\n");
+    REQUIRE(it.untilEnd());
+    CHECK(it.Failure == HttpFailure::Broken);
+  }
+}
+
+TEST_CASE("no connection means that nothing was sent", "[connection]") {
+  CallFixture it;
+  it.Connection = std::make_shared<HttpConnection>(
+      it.Context, Loopback::localhost(it.deadPort()),
+      HttpConnection::Settings{});
+  it.start();
+  REQUIRE(it.untilEnd());
+  CHECK(it.Failure == HttpFailure::NotConnected);
+}
+
+TEST_CASE("an idle connection is given up before the other side ends it",
+          "[connection]") {
+  CallFixture it;
+  it.take();
+  it.start();
+  REQUIRE(it.untilAsked());
+  it.Peer.send(answer("one", "Keep-Alive: timeout=0\r\n"));
+  REQUIRE(it.untilEnd());
+  auto first = it.Connection;
+  it.Pool.give(first);
+  it.take();
+  CHECK(it.Connection != first);
+}
+
+TEST_CASE("a short call ends at its time", "[connection]") {
+  CallFixture it;
+  HttpCaller caller(it.Context, HttpPool::Settings{});
+  HttpCall call;
+  call.Address = it.Acceptor.local_endpoint();
+  call.Timeout = std::chrono::milliseconds(60);
+  std::optional<tl::expected<HttpAnswer, HttpFailure>> result;
+  caller.call(call, [&](auto got) { result = std::move(got); });
+  REQUIRE(it.until([&] { return result.has_value(); }));
+  CHECK_FALSE(result->has_value());
+  CHECK(it.until([&] { return it.Peer.Ended; }));
+}
+
+} // namespace hemlockglade::test
--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -12,7 +12,7 @@
 fi
 
 readonly JOBS=${STYLE_JOBS:-10}
-readonly FOLDERS=(Hemlockglade Programs StandIns Bench UnitTests)
+readonly FOLDERS=(Hemlockglade Programs platform StandIns Bench UnitTests)
 
 if [ "$#" -gt 0 ]; then
   files=("$@")
