Framing that others could read differently is refused

Cause: http_parser takes a blank before a field's colon and a coding behind chunked; the test for it failed on both. Ruled out: leaving it to the replicas. Change: the reader checks that a head frames its body in one way only. Measured: TransportTests [reader],[connection],[callers]: 113 assertions pass.

--- a/Hemlockglade/Transport/Http1/HttpReader.cpp
+++ b/Hemlockglade/Transport/Http1/HttpReader.cpp
@@ -4,6 +4,26 @@
 
 namespace hemlockglade {
 
+namespace {
+
+/// Whether a head's fields frame its body in one way only. The parser takes
+/// some forms that others read differently: a blank in a name, another coding
+/// behind "chunked".
+bool isFramedOnce(const HeaderFields &fields) {
+  std::size_t framings = 0;
+  for (const auto &it : fields) {
+    if (it.Name.find_first_of(" \t") != std::string::npos)
+      return false;
+    bool coded = sameFieldName(it.Name, "Transfer-Encoding");
+    if (coded && !sameFieldName(it.Value, "chunked"))
+      return false;
+    framings += coded || sameFieldName(it.Name, "Content-Length") ? 1 : 0;
+  }
+  return framings <= 1;
+}
+
+} // namespace
+
 /// http_parser's callbacks; `data` is the reader.
 struct HttpReader::Callbacks {
   static HttpReader &self(http_parser *parser) {
@@ -35,7 +55,10 @@
   }
 
   static int onHeadComplete(http_parser *parser) {
+    constexpr int Refuse = -1;
     auto &reader = self(parser);
+    if (!isFramedOnce(reader.fields()))
+      return Refuse;
     reader.Now = State::InBody;
     reader.Answer.Status = static_cast<std::uint16_t>(parser->status_code);
     if (reader.Direction == Side::Requests)
