Under load late requests let timely ones go first; base models load one by one

Cause: a request was sent after 0.45 of its target whatever its engine had to read, so that an overloaded engine made all of them late; three cells loaded base models at once, each three times slower. Ruled out: a longer hold for all: the queue is the same. Change: an engine gets a prompt when it has nearly read the ones before; ranks and lateness lower that bound; base model loads are counted over all cells.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -317,8 +317,12 @@
   auto busy = std::count_if(Books.begin(), Books.end(), [now](const auto &it) {
     return it.second.ModelBusyUntil > now;
   });
+  auto underWay = static_cast<double>(busy) +
+                  static_cast<double>(ModelsElsewhere);
   for (auto &[id, book] : Books) {
-    if (now < NextModelLoad || busy >= Setup.ModelLoads)
+    auto most = std::max(1.0, std::floor(Setup.ModelLoadsPerRate *
+                                         book.Engine->LoadsPerSecond));
+    if (now < NextModelLoad || underWay >= most)
       return;
     if (!orderable(book, now) || book.Engine->Models.empty())
       continue;
@@ -327,7 +331,7 @@
       if (const auto *model = book.Engine->model(weights.Model))
         used += weights.Adapter.empty() ? model->WeightsMb : model->AdapterMb;
     const ModelSpec *best = nullptr;
-    double most = -1;
+    double neediest = -1;
     for (const auto &model : book.Engine->Models) {
       WeightsRef weights{model.Name, {}};
       if (book.Held.contains(weights) ||
@@ -336,15 +340,15 @@
       DemandKey key{book.Record.Service, weights};
       auto n = copies(key);
       double need = (rateOf(key, now) + LeastDemand) / (1.0 + double(n));
-      if (need > most) {
-        most = need;
+      if (need > neediest) {
+        neediest = need;
         best = &model;
       }
     }
     if (!best)
       continue;
     order(book, OrderKind::Load, {best->Name, {}}, "model missing", actions);
-    ++busy;
+    ++underWay;
     double gap = Setup.Cells / std::max(0.1, book.Engine->LoadsPerSecond);
     constexpr double UsPerS = 1e6;
     NextModelLoad = now + Span(static_cast<std::int64_t>(gap * UsPerS));
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -68,8 +68,10 @@
     std::uint32_t Cells = 1;
     /// Time after an order without an answer until the engine is asked.
     Span DoubtDelay = std::chrono::milliseconds(300);
-    /// Base model loads under way in the cell at the same time.
-    std::uint32_t ModelLoads = 1;
+    /// Base model loads under way in the whole deployment for each load a second
+    /// that the weight store allows. Loads share its speed, so that one after
+    /// the other each replica is ready sooner on average.
+    double ModelLoadsPerRate = 0.25;
   };
 
   explicit CellDesk(Settings settings) : Setup(settings) {}
@@ -90,6 +92,8 @@
   void setRunning(const std::string &replica, std::uint32_t running);
   /// Adapters that other cells are loading at this moment.
   void setLoadingElsewhere(std::size_t n) { LoadingElsewhere = n; }
+  /// Base models that other cells are loading at this moment.
+  void setModelsElsewhere(std::size_t n) { ModelsElsewhere = n; }
   /// A request for weights that should be ready was refused.
   void onRefusedEarly(const std::string &replica, const WeightsRef &weights,
                       Instant now);
@@ -180,6 +184,7 @@
   std::map<DemandKey, std::size_t> Copies;
   Instant NextModelLoad{};
   std::size_t LoadingElsewhere = 0;
+  std::size_t ModelsElsewhere = 0;
   std::uint64_t Revision = 1;
 };
 
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -102,7 +102,8 @@
   auto it = Speeds.find(service);
   double each = it == Speeds.end() ? ReadingSpeed().usPerToken()
                                    : it->second.usPerToken();
-  return Span(static_cast<std::int64_t>(each * tokens));
+  return Span(
+      static_cast<std::int64_t>(Setup.ReadOverhead * each * tokens));
 }
 
 void ReplicaView::onFirstEvent(const std::string &replica,
@@ -131,14 +132,14 @@
              usualFailures(it->second.Record.Service, now);
 }
 
-std::size_t ReplicaView::loadingOutside(const std::string &domain,
+std::size_t ReplicaView::loadingOutside(const std::string &domain, bool models,
                                         Instant now) const {
   std::size_t n = 0;
   for (const auto &[id, seen] : Replicas) {
     if (seen.Record.FailureDomain == domain)
       continue;
     for (const auto &[weights, held] : seen.Held)
-      n += held.ReadyAt > now ? 1 : 0;
+      n += held.ReadyAt > now && weights.Adapter.empty() == models ? 1 : 0;
   }
   return n;
 }
@@ -274,10 +275,10 @@
           query.Weights ? RouteChoice::Kind::Missing : RouteChoice::Kind::Full;
     return out;
   }
-  bool paced = query.Weights && now < query.PaceUntil &&
-               best->BusyUntil - now > Setup.PaceBacklog;
+  auto bound = paceBound(query, now);
+  bool paced = query.Weights && best->BusyUntil - now > bound;
   out.What = paced ? RouteChoice::Kind::Pace : RouteChoice::Kind::Send;
-  out.ReadyAt = best->BusyUntil - Setup.PaceBacklog;
+  out.ReadyAt = best->BusyUntil - bound;
   out.Clean = best->BusyUntil <= now;
   out.Replica = best->Record;
   if (query.Weights)
@@ -288,6 +289,14 @@
   return out;
 }
 
+Span ReplicaView::paceBound(const RouteQuery &query, Instant now) const {
+  if (now >= query.TimelyUntil)
+    return -Setup.LateIdle;
+  constexpr std::uint32_t MostRanks = 4;
+  return Setup.PaceBacklog -
+         Setup.RankStep * static_cast<int>(std::min(MostRanks, query.Rank));
+}
+
 std::uint64_t ReplicaView::onSent(const std::string &replica,
                                   const RouteQuery &query, Instant now) {
   auto attempt = NextAttempt++;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -22,9 +22,10 @@
   std::uint32_t Tokens = 0;
   /// Prompt tokens.
   std::uint32_t PromptTokens = 0;
-  /// Until then the request may be held back for its replica to have read the
-  /// prompts that it has.
-  Instant PaceUntil{};
+  /// Until then the request can still be in time; later it lets others go first.
+  Instant TimelyUntil{};
+  /// Rank of its route; 0 is the most urgent.
+  std::uint32_t Rank = 0;
   /// Incarnations that are not to be tried again.
   std::set<std::string> Avoid;
 };
@@ -84,6 +85,15 @@
     /// engine then never idles, and its running streams, whose tokens come
     /// between the pieces of prompts, have no long pause.
     Span PaceBacklog = std::chrono::milliseconds(25);
+    /// How much less may be left for each rank that a request is behind, so that
+    /// of requests that wait the more urgent go first.
+    Span RankStep = std::chrono::milliseconds(6);
+    /// How long an engine must have read nothing before a request that is late
+    /// anyway is sent to it.
+    Span LateIdle = std::chrono::milliseconds(30);
+    /// Time to read a prompt beside what its tokens take: tokens of running
+    /// streams are made in between, a step of some 11 ms beside one of 72 ms.
+    double ReadOverhead = 1.15;
     /// Own failures that all replicas of a service may show.
     double UsualFailures = 0.1;
     /// An older version of weights is used this long after a newer was named.
@@ -151,8 +161,10 @@
   /// Own running requests at each replica that has any.
   std::map<std::string, std::uint32_t> ownRunning() const;
   std::size_t size() const { return Replicas.size(); }
-  /// Adapters that are being loaded, but for those in a failure domain.
-  std::size_t loadingOutside(const std::string &domain, Instant now) const;
+  /// Weights that are being loaded, but for those in a failure domain:
+  /// adapters, or base models.
+  std::size_t loadingOutside(const std::string &domain, bool models,
+                             Instant now) const;
   /// Usual time to an answer's first byte at a replica.
   Span usualAnswer(const std::string &replica) const;
 
@@ -186,6 +198,8 @@
   bool hasRoom(const Seen &seen, const RouteQuery &query) const;
   double usualFailures(const std::string &service, Instant now) const;
   void takeRecord(const ReplicaRecord &record, Instant now);
+  /// Backlog up to which an engine gets the request.
+  Span paceBound(const RouteQuery &query, Instant now) const;
   Span timeToRead(const std::string &service, std::uint32_t tokens) const;
   static std::uint64_t partKey(const RouteQuery &query, std::uint64_t part);
 
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -256,7 +256,8 @@
   }
   Desk.setReplicas(View.replicasIn(Setup.Cell), Out.Plan(), now);
   countRunning();
-  Desk.setLoadingElsewhere(View.loadingOutside(Setup.Cell, now));
+  Desk.setLoadingElsewhere(View.loadingOutside(Setup.Cell, false, now));
+  Desk.setModelsElsewhere(View.loadingOutside(Setup.Cell, true, now));
   for (const auto &it : Desk.plan(Lease->mayOrder(), now))
     carryOut(it);
 }
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -89,8 +89,9 @@
   if (service && service->Engine)
     Query.Weights = Labels.Weights;
   Query.PromptTokens = Labels.PromptTokens;
-  Query.PaceUntil =
-      Request.ArrivedAt + scaled(Way.TargetLatency, Setup.PaceShare);
+  Query.TimelyUntil =
+      Request.ArrivedAt + scaled(Way.TargetLatency, Setup.TimelyShare);
+  Query.Rank = Way.Priority;
   Query.Tokens = Labels.PromptTokens + Labels.MaxOutputTokens;
   for (std::size_t it = 0; it + 1 < Labels.Prompt.size(); ++it) {
     Query.Parts.push_back(Labels.Prompt[it].Id);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -42,9 +42,10 @@
   double HoldShare = 0.45;
   /// Time between looks while a request waits, when nothing wakes it.
   Span WaitStep = std::chrono::milliseconds(25);
-  /// Share of a route's target latency for which a request may be held back so
-  /// that its engine reads one prompt after the other.
-  double PaceShare = 0.45;
+  /// Share of a route's target latency after which a request that has not been
+  /// sent is taken to be late: an engine needs some 200 ms to read a prompt and
+  /// begin.
+  double TimelyShare = 0.75;
   /// Time that has to be left for an attempt to be worth it.
   Span LeastAttempt = std::chrono::milliseconds(20);
   /// A kept connection that rested longer is not used for what must not run
