--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -13,7 +13,7 @@
 /// what it drops.
 constexpr double GainOverVictim = 1.5;
 /// Copies for demand alone that are ordered in one round.
-constexpr int CopiesARound = 1;
+constexpr int CopiesARound = 3;
 
 double seconds(Span span) {
   return std::chrono::duration<double>(span).count();
@@ -25,16 +25,16 @@
 
 } // namespace
 
-void CellDesk::setReplicas(const std::vector<ReplicaRecord> &replicas,
+void CellDesk::setReplicas(const std::vector<ReplicaPtr> &replicas,
                            std::shared_ptr<const RoutePlan> plan, Instant now) {
   std::map<std::string, Book> kept;
   for (const auto &record : replicas) {
-    const auto *service = plan ? plan->service(record.Service) : nullptr;
+    const auto *service = plan ? plan->service(record->Service) : nullptr;
     if (!service || !service->Engine)
       continue;
-    auto it = Books.find(record.Incarnation);
+    auto it = Books.find(record->Incarnation);
     bool isNew = it == Books.end();
-    auto &book = kept[record.Incarnation];
+    auto &book = kept[record->Incarnation];
     if (!isNew)
       book = std::move(it->second);
     book.Record = record;
@@ -42,7 +42,7 @@
     book.Engine = &*service->Engine;
     if (isNew) {
       // A heartbeat does not tell how many orders the engine has accepted.
-      adopt(book, record.Held, {}, 0, now);
+      adopt(book, record->Held, {}, 0, now);
       book.ReportDue = now;
     }
   }
@@ -127,6 +127,7 @@
   auto &demand = Demands[{service, weights}];
   if (!demand.WantedAt)
     demand.WantedAt = now;
+  Wanted.insert({service, weights});
   demand.LastAsked = now;
 }
 
@@ -192,24 +193,27 @@
 }
 
 bool CellDesk::orderable(const Book &book, Instant now) const {
-  return !book.Record.Draining && !book.OrderOpen && !book.ReportOpen &&
+  return !book.Replaced && !book.OrderOpen && !book.ReportOpen &&
          !book.ReportDue && book.ModelBusyUntil <= now;
 }
 
 void CellDesk::countCopies() {
+  CopiesKnown = true;
   Copies.clear();
   for (const auto &[id, book] : Books) {
-    if (book.Record.Draining)
+    if (book.Replaced)
       continue;
     for (const auto &[weights, held] : book.Held)
       if (!held.Leaving && current(weights, held.Version))
-        ++Copies[{book.Record.Service, weights}];
+        ++Copies[{book.Record->Service, weights}];
     if (book.Making && !book.Held.contains(*book.Making))
-      ++Copies[{book.Record.Service, *book.Making}];
+      ++Copies[{book.Record->Service, *book.Making}];
   }
 }
 
-std::size_t CellDesk::copies(const DemandKey &key) const {
+std::size_t CellDesk::copies(const DemandKey &key) {
+  if (!CopiesKnown)
+    countCopies();
   auto it = Copies.find(key);
   return it == Copies.end() ? 0 : it->second;
 }
@@ -236,8 +240,8 @@
 }
 
 double CellDesk::worthOf(const Book &book, const WeightsRef &weights,
-                         const ResidentWeights &held, Instant now) const {
-  DemandKey key{book.Record.Service, weights};
+                         const ResidentWeights &held, Instant now) {
+  DemandKey key{book.Record->Service, weights};
   if (!current(weights, held.Version))
     return 0;
   auto it = Demands.find(key);
@@ -249,13 +253,13 @@
 }
 
 const WeightsRef *CellDesk::victim(const Book &book, double below,
-                                   Instant now) const {
+                                   Instant now) {
   const WeightsRef *best = nullptr;
   double least = below;
   for (const auto &[weights, held] : book.Held) {
     if (weights.Adapter.empty() || held.Leaving || held.ReadyAt > now)
       continue;
-    DemandKey key{book.Record.Service, weights};
+    DemandKey key{book.Record->Service, weights};
     auto it = Demands.find(key);
     bool wanted = it != Demands.end() && it->second.WantedAt;
     bool recent = it != Demands.end() &&
@@ -276,7 +280,7 @@
                      std::string_view reason,
                      std::vector<DeskAction> &actions) {
   DeskAction action;
-  action.Replica = book.Record.Incarnation;
+  action.Replica = book.Record->Incarnation;
   action.Order.Kind = kind;
   action.Order.Weights = weights;
   action.Order.ExpectedCount = book.Count;
@@ -295,19 +299,15 @@
 
 std::vector<DeskAction> CellDesk::plan(bool mayOrder, Instant now) {
   std::vector<DeskAction> actions;
-  std::erase_if(Demands, [&](const auto &it) {
-    return !it.second.WantedAt && rate(it.second, now) < LeastDemand;
-  });
+  if (!mayOrder)
+    return actions;
   for (auto &[id, book] : Books) {
-    if (!mayOrder || book.ReportOpen || book.OrderOpen || !book.ReportDue ||
+    if (book.ReportOpen || book.OrderOpen || !book.ReportDue ||
         *book.ReportDue > now)
       continue;
     book.ReportOpen = true;
     actions.push_back({DeskAction::Kind::Report, id, {}, "books in doubt"});
   }
-  if (!mayOrder)
-    return actions;
-  countCopies();
   planModels(actions, now);
   planAdapters(actions, now);
   return actions;
@@ -317,14 +317,18 @@
   auto busy = std::count_if(Books.begin(), Books.end(), [now](const auto &it) {
     return it.second.ModelBusyUntil > now;
   });
-  auto underWay = static_cast<double>(busy) +
-                  static_cast<double>(ModelsElsewhere);
+  auto underWay =
+      static_cast<double>(busy) + static_cast<double>(ModelsElsewhere);
   for (auto &[id, book] : Books) {
-    auto most = std::max(1.0, std::floor(Setup.ModelLoadsPerRate *
-                                         book.Engine->LoadsPerSecond));
+    auto most = std::max(
+        1.0, std::floor(Setup.ModelLoadsPerRate * book.Engine->LoadsPerSecond));
     if (now < NextModelLoad || underWay >= most)
       return;
-    if (!orderable(book, now) || book.Engine->Models.empty())
+    bool complete = std::all_of(book.Engine->Models.begin(),
+                                book.Engine->Models.end(), [&](const auto &it) {
+                                  return book.Held.contains({it.Name, {}});
+                                });
+    if (complete || !orderable(book, now))
       continue;
     double used = 0;
     for (const auto &[weights, held] : book.Held)
@@ -337,7 +341,7 @@
       if (book.Held.contains(weights) ||
           used + model.WeightsMb > book.Engine->WeightsMb)
         continue;
-      DemandKey key{book.Record.Service, weights};
+      DemandKey key{book.Record->Service, weights};
       auto n = copies(key);
       double need = (rateOf(key, now) + LeastDemand) / (1.0 + double(n));
       if (need > neediest) {
@@ -364,39 +368,58 @@
     else
       book.Making.reset();
   }
-  std::vector<std::pair<double, DemandKey>> wanted;
-  std::vector<std::pair<double, DemandKey>> scarce;
-  for (auto &[key, demand] : Demands) {
-    if (key.second.Adapter.empty())
-      continue;
-    auto n = copies(key);
-    double rateNow = rate(demand, now);
-    if (n > 0)
+  planWanted(actions, now);
+  if (now < NextScan)
+    return;
+  NextScan = now + Setup.ScanEvery;
+  std::erase_if(Demands, [&](const auto &it) {
+    return !it.second.WantedAt && rate(it.second, now) < LeastDemand;
+  });
+  planScarce(actions, now);
+}
+
+void CellDesk::planWanted(std::vector<DeskAction> &actions, Instant now) {
+  // The longest waiting first.
+  std::vector<std::pair<Instant, DemandKey>> waiting;
+  for (auto it = Wanted.begin(); it != Wanted.end();) {
+    auto &demand = Demands[*it];
+    bool served = it->second.Adapter.empty() || copies(*it) > 0;
+    if (served) {
       demand.WantedAt.reset();
-    if (demand.WantedAt) {
-      wanted.emplace_back(-seconds(now - *demand.WantedAt), key);
+      it = Wanted.erase(it);
       continue;
     }
-    double perCopy = rateNow / (static_cast<double>(n) + 1);
-    bool few = n == 0 ? rateNow > Setup.RateForCopy
-                      : rateNow > Setup.RatePerCopy * static_cast<double>(n);
-    if (few)
-      scarce.emplace_back(-perCopy, key);
+    waiting.emplace_back(demand.WantedAt.value_or(now), *it);
+    ++it;
   }
-  // The longest waiting first, then what gains most.
-  std::sort(wanted.begin(), wanted.end());
+  std::sort(waiting.begin(), waiting.end());
   constexpr double Any = 1e9;
-  for (const auto &[age, key] : wanted) {
+  for (const auto &[since, key] : waiting) {
     if (!mayLoad(now))
       return;
     place(key, Any, "requests wait", actions, now);
   }
-  std::sort(scarce.begin(), scarce.end());
+}
+
+void CellDesk::planScarce(std::vector<DeskAction> &actions, Instant now) {
+  std::vector<std::pair<double, DemandKey>> scarce;
+  for (const auto &[key, demand] : Demands) {
+    if (key.second.Adapter.empty() || demand.WantedAt)
+      continue;
+    double rateNow = rate(demand, now);
+    if (rateNow < Setup.RateForCopy)
+      continue;
+    auto n = static_cast<double>(copies(key));
+    if (n == 0 || rateNow > Setup.RatePerCopy * n)
+      scarce.emplace_back(rateNow / (n + 1), key);
+  }
+  // What gains most first.
+  std::sort(scarce.rbegin(), scarce.rend());
   int left = CopiesARound;
   for (const auto &[worth, key] : scarce) {
     if (left == 0 || !mayLoad(now))
-      break;
-    if (place(key, -worth / GainOverVictim, "demand", actions, now))
+      return;
+    if (place(key, worth / GainOverVictim, "demand", actions, now))
       --left;
   }
 }
@@ -408,7 +431,7 @@
   const WeightsRef *drop = nullptr;
   double lowest = 0;
   for (auto &[id, book] : Books) {
-    if (book.Record.Service != key.first || !orderable(book, now) ||
+    if (book.Record->Service != key.first || !orderable(book, now) ||
         book.Making || loading(book, now) >= Setup.LoadsPerReplica)
       continue;
     auto model = book.Held.find({key.second.Model, {}});
@@ -451,11 +474,11 @@
     return false;
   best->Making = key.second;
   best->MakingFor = reason;
+  CopiesKnown = false;
   if (drop)
     order(*best, OrderKind::Unload, WeightsRef(*drop), reason, actions);
   else
     order(*best, OrderKind::Load, key.second, reason, actions);
-  ++Copies[key];
   return true;
 }
 
@@ -473,6 +496,7 @@
   bool madeRoom = !load && answer == OrderAnswer::Holds;
   if (!madeRoom)
     book.Making.reset();
+  CopiesKnown = false;
   switch (answer) {
   case OrderAnswer::Accepted:
   case OrderAnswer::Holds:
@@ -511,7 +535,7 @@
         now + (answer == OrderAnswer::Unknown ? Setup.DoubtDelay : Span(0));
     return;
   case OrderAnswer::OtherIncarnation:
-    book.Record.Draining = true;
+    book.Replaced = true;
     return;
   }
 }
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace hemlockglade {
@@ -66,11 +67,14 @@
     Span RecentUse = std::chrono::milliseconds(2500);
     /// Cells of the deployment, which share the rate of base model loads.
     std::uint32_t Cells = 1;
+    /// Time between looks at all demand, for copies that nobody waits for. With
+    /// 500 adapters a look takes some 0.1 ms.
+    Span ScanEvery = std::chrono::milliseconds(250);
     /// Time after an order without an answer until the engine is asked.
     Span DoubtDelay = std::chrono::milliseconds(300);
-    /// Base model loads under way in the whole deployment for each load a second
-    /// that the weight store allows. Loads share its speed, so that one after
-    /// the other each replica is ready sooner on average.
+    /// Base model loads under way in the whole deployment for each load a
+    /// second that the weight store allows. Loads share its speed, so that one
+    /// after the other each replica is ready sooner on average.
     double ModelLoadsPerRate = 0.25;
   };
 
@@ -78,7 +82,7 @@
 
   /// Sets the replicas of the cell that run engines, and what their services
   /// say of them.
-  void setReplicas(const std::vector<ReplicaRecord> &replicas,
+  void setReplicas(const std::vector<ReplicaPtr> &replicas,
                    std::shared_ptr<const RoutePlan> plan, Instant now);
   /// Operators have named a version.
   void setVersion(const WeightsRef &weights, std::uint64_t version);
@@ -129,7 +133,9 @@
   using DemandKey = std::pair<std::string, WeightsRef>;
 
   struct Book {
-    ReplicaRecord Record;
+    ReplicaPtr Record;
+    /// Another incarnation answers at its address.
+    bool Replaced = false;
     std::shared_ptr<const RoutePlan> Plan;
     const EngineSpec *Engine = nullptr;
     std::uint64_t Count = 0;
@@ -152,8 +158,8 @@
   double rate(const Demand &demand, Instant now) const;
   double rateOf(const DemandKey &key, Instant now) const;
   double worthOf(const Book &book, const WeightsRef &weights,
-                 const ResidentWeights &held, Instant now) const;
-  std::size_t copies(const DemandKey &key) const;
+                 const ResidentWeights &held, Instant now);
+  std::size_t copies(const DemandKey &key);
   void countCopies();
   bool current(const WeightsRef &weights, std::uint64_t version) const;
   std::size_t adapters(const Book &book) const;
@@ -169,19 +175,29 @@
   void planAdapters(std::vector<DeskAction> &actions, Instant now);
   bool place(const DemandKey &key, double worth, std::string_view reason,
              std::vector<DeskAction> &actions, Instant now);
-  const WeightsRef *victim(const Book &book, double below, Instant now) const;
+  const WeightsRef *victim(const Book &book, double below, Instant now);
+  void planWanted(std::vector<DeskAction> &actions, Instant now);
+  void planScarce(std::vector<DeskAction> &actions, Instant now);
   void order(Book &book, OrderKind kind, const WeightsRef &weights,
              std::string_view reason, std::vector<DeskAction> &actions);
   Span loadTime(const Book &book, const WeightsRef &weights, Instant now) const;
   void remember(Book &book, const WeightsRef &weights);
-  void changed() { ++Revision; }
+  void changed() {
+    ++Revision;
+    CopiesKnown = false;
+  }
 
   Settings Setup;
   std::map<std::string, Book> Books;
   std::map<WeightsRef, std::uint64_t> Versions;
   std::map<DemandKey, Demand> Demands;
-  /// Copies of current versions in the cell, kept for one round of planning.
+  /// Those that requests wait for.
+  std::set<DemandKey> Wanted;
+  Instant NextScan{};
+  /// Copies of current versions in the cell; counted anew when the books have
+  /// changed.
   std::map<DemandKey, std::size_t> Copies;
+  bool CopiesKnown = false;
   Instant NextModelLoad{};
   std::size_t LoadingElsewhere = 0;
   std::size_t ModelsElsewhere = 0;
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -23,10 +23,14 @@
   auto &seen = it->second;
   // A heartbeat that was on its way when the replica began to leave must not
   // bring it back.
-  bool leaving = !isNew && seen.Record.Draining;
-  seen.Record = record;
-  seen.Record.Draining = record.Draining || leaving;
+  bool leaves = record.Draining || (!isNew && seen.Leaving);
+  if (isNew || leaves != seen.Leaving)
+    ++Revision;
+  seen.Record = std::make_shared<const ReplicaRecord>(record);
+  seen.Leaving = leaves;
   seen.VanishesAt.reset();
+  if (isNew)
+    index();
   if (auto told = Early.find(record.Incarnation); told != Early.end()) {
     seen.Held = std::move(told->second);
     seen.ByOwner = true;
@@ -39,8 +43,10 @@
 void ReplicaView::onRegistry(const ReplicaChanges &changes, bool unreachable,
                              Instant now) {
   auto vanish = [&](Seen &seen) {
-    if (!unreachable)
-      seen.Record.Draining = true;
+    if (!unreachable) {
+      seen.Leaving = true;
+      ++Revision;
+    }
     if (!seen.VanishesAt)
       seen.VanishesAt = now + (unreachable ? Setup.LapseGrace : Span(0));
   };
@@ -94,7 +100,7 @@
     return;
   auto &seen = it->second;
   seen.BusyUntil =
-      std::max(now, seen.BusyUntil) + timeToRead(seen.Record.Service, tokens);
+      std::max(now, seen.BusyUntil) + timeToRead(seen.Record->Service, tokens);
 }
 
 Span ReplicaView::timeToRead(const std::string &service,
@@ -102,15 +108,14 @@
   auto it = Speeds.find(service);
   double each = it == Speeds.end() ? ReadingSpeed().usPerToken()
                                    : it->second.usPerToken();
-  return Span(
-      static_cast<std::int64_t>(Setup.ReadOverhead * each * tokens));
+  return Span(static_cast<std::int64_t>(Setup.ReadOverhead * each * tokens));
 }
 
 void ReplicaView::onFirstEvent(const std::string &replica,
                                const RouteQuery &query, Span took, bool clean) {
   auto it = Replicas.find(replica);
   if (it != Replicas.end() && clean)
-    Speeds[it->second.Record.Service].add(
+    Speeds[it->second.Record->Service].add(
         query.PromptTokens -
             std::min(query.PromptTokens, sharedTokens(it->second, query)),
         took);
@@ -129,14 +134,14 @@
   auto it = Replicas.find(replica);
   return it != Replicas.end() &&
          it->second.Health.ownFailures(now) >
-             usualFailures(it->second.Record.Service, now);
+             usualFailures(it->second.Record->Service, now);
 }
 
 std::size_t ReplicaView::loadingOutside(const std::string &domain, bool models,
                                         Instant now) const {
   std::size_t n = 0;
   for (const auto &[id, seen] : Replicas) {
-    if (seen.Record.FailureDomain == domain)
+    if (seen.Record->FailureDomain == domain)
       continue;
     for (const auto &[weights, held] : seen.Held)
       n += held.ReadyAt > now && weights.Adapter.empty() == models ? 1 : 0;
@@ -146,12 +151,12 @@
 
 void ReplicaView::onOwnerLost(const std::string &failureDomain) {
   for (auto &[id, seen] : Replicas)
-    if (seen.Record.FailureDomain == failureDomain)
+    if (seen.Record->FailureDomain == failureDomain)
       seen.ByOwner = false;
 }
 
 bool ReplicaView::usable(const Seen &seen) const {
-  return !seen.Record.Draining && !seen.Replaced;
+  return !seen.Leaving && !seen.Replaced;
 }
 
 bool ReplicaView::versionServes(const WeightsRef &weights,
@@ -183,7 +188,7 @@
 }
 
 bool ReplicaView::hasRoom(const Seen &seen, const RouteQuery &query) const {
-  const auto *service = Plan ? Plan->service(seen.Record.Service) : nullptr;
+  const auto *service = Plan ? Plan->service(seen.Record->Service) : nullptr;
   if (!service || !service->Engine)
     return true;
   auto running = seen.Own + seen.Others;
@@ -203,17 +208,20 @@
 double ReplicaView::usualFailures(const std::string &service,
                                   Instant now) const {
   double least = 1;
-  for (const auto &[id, seen] : Replicas)
-    if (seen.Record.Service == service && usable(seen))
-      least = std::min(least, seen.Health.ownFailures(now));
+  auto all = ByService.find(service);
+  if (all == ByService.end())
+    return least;
+  for (const auto *it : all->second)
+    if (usable(*it))
+      least = std::min(least, it->Health.ownFailures(now));
   return least + Setup.UsualFailures;
 }
 
 double ReplicaView::cost(const Seen &seen, const RouteQuery &query,
                          double usualFailures, Instant now) const {
   double out = static_cast<double>(seen.Own + seen.Others) /
-               std::max(1U, seen.Record.Slots);
-  if (seen.Record.FailureDomain != Setup.FailureDomain)
+               std::max(1U, seen.Record->Slots);
+  if (seen.Record->FailureDomain != Setup.FailureDomain)
     out += Setup.FarCost;
   double own = std::max(0.0, seen.Health.ownFailures(now) - usualFailures);
   out += Setup.FailureCost * (seen.Health.failures(now) + own);
@@ -234,13 +242,17 @@
   bool known = false;
   bool near = false;
   Instant soonest = Instant::max();
-  double usual = usualFailures(query.Service, now);
-  for (const auto &[id, seen] : Replicas) {
-    if (seen.Record.Service != query.Service || !usable(seen))
+  // An engine's own failures are too few to tell it from its like.
+  double usual = query.Weights ? 1 : usualFailures(query.Service, now);
+  static const std::vector<Seen *> None;
+  auto all = ByService.find(query.Service);
+  for (const auto *it : all == ByService.end() ? None : all->second) {
+    const auto &seen = *it;
+    if (!usable(seen))
       continue;
     known = true;
-    near = near || seen.Record.FailureDomain == Setup.FailureDomain;
-    if (query.Avoid.contains(id))
+    near = near || seen.Record->FailureDomain == Setup.FailureDomain;
+    if (query.Avoid.contains(seen.Record->Incarnation))
       continue;
     if (query.Weights) {
       auto held = seen.Held.find(*query.Weights);
@@ -283,7 +295,7 @@
   out.Replica = best->Record;
   if (query.Weights)
     out.Version = best->Held.at(*query.Weights).Version;
-  out.Far = near && best->Record.FailureDomain != Setup.FailureDomain;
+  out.Far = near && best->Record->FailureDomain != Setup.FailureDomain;
   out.Running = best->Own + best->Others;
   out.LoadAge = now - best->OthersAt;
   return out;
@@ -310,8 +322,8 @@
   if (query.Weights) {
     auto toRead = query.PromptTokens -
                   std::min(query.PromptTokens, sharedTokens(seen, query));
-    seen.BusyUntil =
-        std::max(now, seen.BusyUntil) + timeToRead(seen.Record.Service, toRead);
+    seen.BusyUntil = std::max(now, seen.BusyUntil) +
+                     timeToRead(seen.Record->Service, toRead);
   }
   for (auto part : query.Parts)
     seen.Parts[partKey(query, part)] = now;
@@ -358,44 +370,48 @@
 }
 
 void ReplicaView::onReplaced(const std::string &replica) {
-  if (auto it = Replicas.find(replica); it != Replicas.end())
+  if (auto it = Replicas.find(replica); it != Replicas.end()) {
     it->second.Replaced = true;
+    ++Revision;
+  }
 }
 
 void ReplicaView::tidy(Instant now) {
   constexpr auto KeepGone = std::chrono::seconds(10);
   for (auto it = Replicas.begin(); it != Replicas.end();) {
     auto &seen = it->second;
-    if (seen.VanishesAt && now >= *seen.VanishesAt)
-      seen.Record.Draining = true;
+    if (seen.VanishesAt && now >= *seen.VanishesAt && !seen.Leaving) {
+      seen.Leaving = true;
+      ++Revision;
+    }
     bool over = seen.VanishesAt && now >= *seen.VanishesAt + KeepGone;
     if (seen.Parts.size() > Setup.PartMemory)
       seen.Parts.clear();
     it = over && seen.Own == 0 ? Replicas.erase(it) : std::next(it);
   }
+  index();
 }
 
-std::vector<ReplicaRecord>
-ReplicaView::replicasIn(const std::string &domain) const {
-  std::vector<ReplicaRecord> out;
-  for (const auto &[id, seen] : Replicas)
-    if (usable(seen) && seen.Record.FailureDomain == domain)
-      out.push_back(seen.Record);
-  return out;
+void ReplicaView::index() {
+  ByService.clear();
+  for (auto &[id, seen] : Replicas)
+    ByService[seen.Record->Service].push_back(&seen);
 }
 
-std::vector<ReplicaRecord> ReplicaView::all() const {
-  std::vector<ReplicaRecord> out;
+std::vector<ReplicaPtr>
+ReplicaView::replicasIn(const std::string &domain) const {
+  std::vector<ReplicaPtr> out;
   for (const auto &[id, seen] : Replicas)
-    if (usable(seen))
+    if (usable(seen) && seen.Record->FailureDomain == domain)
       out.push_back(seen.Record);
   return out;
 }
 
-std::map<std::string, std::uint32_t> ReplicaView::ownRunning() const {
+std::map<std::string, std::uint32_t>
+ReplicaView::ownRunning(const std::string &domain) const {
   std::map<std::string, std::uint32_t> out;
   for (const auto &[id, seen] : Replicas)
-    if (seen.Own)
+    if (seen.Own && seen.Record->FailureDomain == domain)
       out[id] = seen.Own;
   return out;
 }
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -22,7 +22,8 @@
   std::uint32_t Tokens = 0;
   /// Prompt tokens.
   std::uint32_t PromptTokens = 0;
-  /// Until then the request can still be in time; later it lets others go first.
+  /// Until then the request can still be in time; later it lets others go
+  /// first.
   Instant TimelyUntil{};
   /// Rank of its route; 0 is the most urgent.
   std::uint32_t Rank = 0;
@@ -48,7 +49,8 @@
   };
 
   Kind What = Kind::Nobody;
-  ReplicaRecord Replica;
+  /// Set for `Send` and `Pace`.
+  ReplicaPtr Replica;
   /// Version of the weights there; 0 if not known.
   std::uint64_t Version = 0;
   Instant ReadyAt{};
@@ -85,8 +87,8 @@
     /// engine then never idles, and its running streams, whose tokens come
     /// between the pieces of prompts, have no long pause.
     Span PaceBacklog = std::chrono::milliseconds(25);
-    /// How much less may be left for each rank that a request is behind, so that
-    /// of requests that wait the more urgent go first.
+    /// How much less may be left for each rank that a request is behind, so
+    /// that of requests that wait the more urgent go first.
     Span RankStep = std::chrono::milliseconds(6);
     /// How long an engine must have read nothing before a request that is late
     /// anyway is sent to it.
@@ -155,11 +157,12 @@
   void tidy(Instant now);
 
   /// Records of the replicas in use in a failure domain.
-  std::vector<ReplicaRecord> replicasIn(const std::string &domain) const;
-  /// All records, for a node that starts while the registry is away.
-  std::vector<ReplicaRecord> all() const;
-  /// Own running requests at each replica that has any.
-  std::map<std::string, std::uint32_t> ownRunning() const;
+  std::vector<ReplicaPtr> replicasIn(const std::string &domain) const;
+  /// Rises whenever `replicasIn` may give something else.
+  std::uint64_t revision() const { return Revision; }
+  /// Own running requests at each replica of a failure domain that has any.
+  std::map<std::string, std::uint32_t>
+  ownRunning(const std::string &domain) const;
   std::size_t size() const { return Replicas.size(); }
   /// Weights that are being loaded, but for those in a failure domain:
   /// adapters, or base models.
@@ -170,7 +173,9 @@
 
 private:
   struct Seen {
-    ReplicaRecord Record;
+    ReplicaPtr Record;
+    /// It gets no new work.
+    bool Leaving = false;
     /// What it holds; from its cell's owner if `ByOwner`.
     Residency Held;
     bool ByOwner = false;
@@ -187,7 +192,6 @@
     std::optional<Instant> VanishesAt;
     bool Replaced = false;
   };
-  struct Candidate;
 
   bool usable(const Seen &seen) const;
   double cost(const Seen &seen, const RouteQuery &query, double usualFailures,
@@ -198,6 +202,7 @@
   bool hasRoom(const Seen &seen, const RouteQuery &query) const;
   double usualFailures(const std::string &service, Instant now) const;
   void takeRecord(const ReplicaRecord &record, Instant now);
+  void index();
   /// Backlog up to which an engine gets the request.
   Span paceBound(const RouteQuery &query, Instant now) const;
   Span timeToRead(const std::string &service, std::uint32_t tokens) const;
@@ -206,6 +211,9 @@
   Settings Setup;
   std::shared_ptr<const RoutePlan> Plan;
   std::map<std::string, Seen> Replicas;
+  /// The same by service, for choosing.
+  std::map<std::string, std::vector<Seen *>> ByService;
+  std::uint64_t Revision = 1;
   /// What owners told of replicas that the registry has not shown yet.
   std::map<std::string, Residency> Early;
   struct Named {
--- a/Hemlockglade/State/Log/EventLog.cpp
+++ b/Hemlockglade/State/Log/EventLog.cpp
@@ -1,5 +1,6 @@
 #include "Hemlockglade/State/Log/EventLog.h"
 
+#include <algorithm>
 #include <fcntl.h>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -13,17 +14,32 @@
 /// lines.
 constexpr std::size_t MaxWaiting = std::size_t{256} * 1024;
 
+/// Whether a text stands in JSON as it is.
+bool isPlain(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char it) {
+    constexpr char FirstPrintable = ' ';
+    constexpr char LastPrintable = '~';
+    return it >= FirstPrintable && it <= LastPrintable && it != '"' &&
+           it != '\\';
+  });
+}
+
 void appendText(std::string &out, std::string_view text) {
-  out.append(nlohmann::json(text).dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace));
+  if (isPlain(text))
+    out.append("\"").append(text).append("\"");
+  else
+    out.append(nlohmann::json(text).dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void appendValue(std::string &out, const LogField::Value &value) {
   std::visit(
       [&out](const auto &it) {
-        if constexpr (std::is_same_v<std::decay_t<decltype(it)>,
-                                     std::string_view>)
+        using Kind = std::decay_t<decltype(it)>;
+        if constexpr (std::is_same_v<Kind, std::string_view>)
           appendText(out, it);
+        else if constexpr (std::is_same_v<Kind, bool>)
+          out.append(it ? "true" : "false");
         else
           out.append(nlohmann::json(it).dump());
       },
--- a/Hemlockglade/State/Routing/ReplicaRecord.h
+++ b/Hemlockglade/State/Routing/ReplicaRecord.h
@@ -3,6 +3,7 @@
 #include "Hemlockglade/State/Ids.h"
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,8 @@
   HeldWeights Held;
 };
 
+using ReplicaPtr = std::shared_ptr<const ReplicaRecord>;
+
 /// A newer version of an adapter's weights that operators have named.
 struct WeightsVersion {
   WeightsRef Weights;
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -78,9 +78,7 @@
   if (waiting && !notice.Waiting)
     Urgent = true;
   notice.Waiting = notice.Waiting || waiting;
-  if (Urgent && Owning)
-    tick();
-  else if (Urgent)
+  if (Urgent)
     beat();
 }
 
@@ -145,11 +143,8 @@
 NodeBeat CellMember::takeBeat() {
   NodeBeat out;
   out.Self = Out.Self();
-  auto inCell = View.replicasIn(Setup.Cell);
-  auto running = View.ownRunning();
-  for (const auto &it : inCell)
-    if (auto n = running.find(it.Incarnation); n != running.end())
-      out.Running.push_back({n->first, n->second});
+  for (const auto &[replica, n] : View.ownRunning(Setup.Cell))
+    out.Running.push_back({replica, n});
   for (auto &[key, notice] : std::exchange(Demand, {}))
     out.Demand.push_back(std::move(notice));
   out.Refusals = std::exchange(Refusals, {});
@@ -254,7 +249,12 @@
     Followers[SelfFollower];
     BeatAt = Instant{};
   }
-  Desk.setReplicas(View.replicasIn(Setup.Cell), Out.Plan(), now);
+  auto plan = Out.Plan();
+  if (DeskRevision != View.revision() || DeskPlan != plan) {
+    DeskRevision = View.revision();
+    DeskPlan = plan;
+    Desk.setReplicas(View.replicasIn(Setup.Cell), plan, now);
+  }
   countRunning();
   Desk.setLoadingElsewhere(View.loadingOutside(Setup.Cell, false, now));
   Desk.setModelsElsewhere(View.loadingOutside(Setup.Cell, true, now));
@@ -275,13 +275,13 @@
 void CellMember::carryOut(const DeskAction &action) {
   auto records = View.replicasIn(Setup.Cell);
   auto it = std::find_if(records.begin(), records.end(), [&](const auto &r) {
-    return r.Incarnation == action.Replica;
+    return r->Incarnation == action.Replica;
   });
   if (it == records.end())
     return;
   if (action.What == DeskAction::Kind::Report) {
-    Out.Engines.Report(*it, [this, alive = Alive,
-                             replica = action.Replica](const auto &report) {
+    Out.Engines.Report(**it, [this, alive = Alive,
+                              replica = action.Replica](const auto &report) {
       if (*alive)
         Desk.onReport(replica, report, TimerService::now());
     });
@@ -297,7 +297,7 @@
   }
   ++Orders;
   auto sentAt = TimerService::now();
-  Out.Engines.Order(*it, order,
+  Out.Engines.Order(**it, order,
                     [this, alive = Alive, order, sentAt,
                      replica = action.Replica,
                      reason = action.Reason](OrderAnswer answer) {
@@ -377,10 +377,22 @@
     else
       Desk.onRefusedEarly(it.Replica, weights, now);
   }
-  if (waits && &follower != &Followers[SelfFollower]) {
+  if (waits)
+    planSoon();
+}
+
+void CellMember::planSoon() {
+  if (std::exchange(PlanDue, true))
+    return;
+  Out.After(Setup.PlanEvery, [this, alive = Alive] {
+    if (!*alive)
+      return;
+    PlanDue = false;
+    if (!Owning)
+      return;
     own();
     broadcast();
-  }
+  });
 }
 
 void CellMember::countRunning() {
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -28,6 +28,9 @@
     /// Time that notices of sent requests are gathered. Shorter than what an
     /// engine needs for the shortest prompts, some 10 ms.
     Span FlushEvery = std::chrono::milliseconds(3);
+    /// Least time between two plans that something urgent asks for; a plan
+    /// takes some 20 us.
+    Span PlanEvery = std::chrono::milliseconds(2);
     /// A node that has not beaten for this long is not offered to callers.
     Span MemberSilence = std::chrono::milliseconds(1200);
     /// It is forgotten after this.
@@ -91,6 +94,7 @@
   void follow();
   void beat();
   void flushSoon();
+  void planSoon();
   void flush();
   void onSentNotices(Follower &from, const std::vector<SentNotice> &sent);
   NodeBeat takeBeat();
@@ -115,6 +119,9 @@
   std::shared_ptr<CellLease> Lease;
   CellDesk Desk;
   bool Owning = false;
+  /// What the desk was told of last.
+  std::uint64_t DeskRevision = 0;
+  std::shared_ptr<const RoutePlan> DeskPlan;
 
   std::shared_ptr<PeerStream> Owner;
   std::string OwnerAddress;
@@ -127,6 +134,7 @@
   std::vector<RefusalNotice> Refusals;
   std::vector<SentNotice> Sent;
   bool FlushDue = false;
+  bool PlanDue = false;
   bool Urgent = false;
   Instant BeatAt{};
 
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -380,7 +380,7 @@
     WakePosted = false;
     std::vector<std::shared_ptr<GatewayExchange>> waiting;
     for (const auto &it : Exchanges)
-      if (it->waiting())
+      if (it->waitsForChange())
         waiting.push_back(it);
     // The most urgent first, then the one that came first.
     std::sort(waiting.begin(), waiting.end(), [](const auto &a, const auto &b) {
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -123,7 +123,7 @@
   auto now = TimerService::now();
   Span due = EndsAt - now;
   // A wait whose end is known need not be looked at before.
-  constexpr Span LeastWait = std::chrono::milliseconds(1);
+  constexpr Span LeastWait = std::chrono::milliseconds(2);
   if (Waiting)
     due = std::min(due, std::clamp(WakeAt - now, LeastWait, Setup.WaitStep));
   Timer.expires_after(std::max(Span(0), due));
@@ -197,6 +197,8 @@
     return answerOwn(Unavailable, "held too long", retryAfter());
   }
   Waiting = true;
+  Paced = choice.What == RouteChoice::Kind::Pace ||
+          choice.What == RouteChoice::Kind::Full;
   WakeAt =
       choice.ReadyAt == Instant::max() ? now + Setup.WaitStep : choice.ReadyAt;
   switch (choice.What) {
@@ -225,14 +227,14 @@
   Waiting = false;
   asio::ip::tcp::endpoint address;
   try {
-    address = parseEndpoint(choice.Replica.Address);
+    address = parseEndpoint(choice.Replica->Address);
   } catch (const asio::system_error &) {
-    Query.Avoid.insert(choice.Replica.Incarnation);
+    Query.Avoid.insert(choice.Replica->Incarnation);
     return hold(choice);
   }
   ForwardLabels labels;
   labels.TimeLeft = timeLeft();
-  labels.Incarnation = choice.Replica.Incarnation;
+  labels.Incarnation = choice.Replica->Incarnation;
   if (engine())
     labels.Priority = std::min(LowestRank, Way.Priority);
   if (engine() && choice.Version)
@@ -251,14 +253,14 @@
   Now->Resumed = EventsPassed > 0;
   Now->Clean = choice.Clean;
   if (engine())
-    Shared.OnSent(choice.Replica,
-                  Shared.View.tokensToRead(choice.Replica.Incarnation, Query));
-  Now->Number = Shared.View.onSent(choice.Replica.Incarnation, Query, now);
+    Shared.OnSent(*choice.Replica,
+                  Shared.View.tokensToRead(choice.Replica->Incarnation, Query));
+  Now->Number = Shared.View.onSent(choice.Replica->Incarnation, Query, now);
   bool once = !Way.idempotent();
   Now->Connection =
       Shared.Pool.take(address, once ? Setup.UnsafeIdle : Span::max());
   bool kept = Now->Connection->open();
-  Tried.insert(choice.Replica.Incarnation);
+  Tried.insert(choice.Replica->Incarnation);
   EverSent = true;
   Shared.Log.write(LogClass::Request, "send",
                    {{"request", Labels.Id},
@@ -266,7 +268,7 @@
                     {"service", Query.Service},
                     {"weights", engine() ? Query.Weights->text() : ""},
                     {"version", choice.Version},
-                    {"replica", choice.Replica.Incarnation},
+                    {"replica", choice.Replica->Incarnation},
                     {"running", choice.Running},
                     {"load_age_ms", choice.LoadAge},
                     {"far", choice.Far},
@@ -301,19 +303,25 @@
       self->onFailed(how);
   };
   if (Way.idempotent()) {
-    auto usual = Shared.View.usualAnswer(choice.Replica.Incarnation);
+    auto usual = Shared.View.usualAnswer(choice.Replica->Incarnation);
     Span least = Way.Kind == RouteKind::Stream
                      ? std::max(Setup.LeastStall, Way.TargetLatency)
                      : Setup.LeastSlow;
-    armAttempt(std::max(least, scaled(usual, Setup.SlowFactor)));
+    expectWithin(std::max(least, scaled(usual, Setup.SlowFactor)));
+    armAttempt();
   }
   arm();
   Now->Connection->call(writeHead(head), Request.Body,
                         Request.Head.Method == "HEAD", std::move(hooks));
 }
 
-void GatewayExchange::armAttempt(Span span) {
-  AttemptTimer.expires_after(span);
+void GatewayExchange::expectWithin(Span span) {
+  Now->StuckAt = TimerService::now() + span;
+}
+
+void GatewayExchange::armAttempt() {
+  // The timer is not moved with each event: it looks when it fires.
+  AttemptTimer.expires_after(Now->StuckAt - TimerService::now());
   AttemptTimer.async_wait([weak = weak_from_this(),
                            number = Now->Number](asio::error_code ec) {
     auto self = weak.lock();
@@ -323,10 +331,12 @@
 }
 
 void GatewayExchange::onAttemptTimer() {
+  if (TimerService::now() < Now->StuckAt)
+    return armAttempt();
   MayHaveRun = MayHaveRun || Now->Connection->open();
   if (!mayRepeat() || !spendRepeat("slow"))
     return;
-  auto slow = Now->Replica.Incarnation;
+  auto slow = Now->Replica->Incarnation;
   endAttempt(AttemptVerdict::Bad);
   Query.Avoid.insert(slow);
   next();
@@ -338,13 +348,13 @@
     Shared.Log.write(LogClass::Request, "stray-answer",
                      {{"request", Labels.Id},
                       {"answers", labels.Id},
-                      {"replica", Now->Replica.Incarnation}});
+                      {"replica", Now->Replica->Incarnation}});
     return false;
   }
   auto now = TimerService::now();
   Now->Head = head;
   Now->Labels = labels;
-  Shared.View.onAnswered(Now->Replica.Incarnation, Now->Number, now);
+  Shared.View.onAnswered(Now->Replica->Incarnation, Now->Number, now);
   if (!labels.NotRun)
     MayHaveRun = true;
   return true;
@@ -366,7 +376,7 @@
 
 void GatewayExchange::passEvents(std::string_view events) {
   if (!std::exchange(Now->FirstEvent, true))
-    Shared.View.onFirstEvent(Now->Replica.Incarnation, Query,
+    Shared.View.onFirstEvent(Now->Replica->Incarnation, Query,
                              TimerService::now() - Now->SentAt, Now->Clean);
   if (!AnswerBegun) {
     AnswerBegun = true;
@@ -378,7 +388,7 @@
   ++EventsPassed;
   Reply->part(events);
   if (Way.idempotent() && Way.TargetGap > Span(0))
-    armAttempt(
+    expectWithin(
         std::max(Setup.LeastStall, scaled(Way.TargetGap, Setup.StallFactor)));
   if (Done || !Now || Reply->queued() < Setup.MaxQueued)
     return;
@@ -411,9 +421,9 @@
   // A replica that fails more than its like does so by itself; another one
   // may answer the same request well.
   if (status >= ServerError && !AnswerBegun && mayRepeat() &&
-      Shared.View.suspect(Now->Replica.Incarnation, TimerService::now()) &&
+      Shared.View.suspect(Now->Replica->Incarnation, TimerService::now()) &&
       spendRepeat("replica's own failure")) {
-    auto failed = Now->Replica.Incarnation;
+    auto failed = Now->Replica->Incarnation;
     endAttempt(AttemptVerdict::OwnFailure);
     Query.Avoid.insert(failed);
     return next();
@@ -444,7 +454,7 @@
 
 void GatewayExchange::onFailed(HttpFailure how) {
   if (how == HttpFailure::NotConnected) {
-    auto failed = Now->Replica.Incarnation;
+    auto failed = Now->Replica->Incarnation;
     Tried.erase(failed);
     endAttempt(AttemptVerdict::Bad);
     Query.Avoid.insert(failed);
@@ -460,7 +470,8 @@
 
 void GatewayExchange::onNotRun() {
   ++Arrivals;
-  auto replica = Now->Replica;
+  auto record = Now->Replica;
+  const auto &replica = *record;
   auto status = Now->Head->Status;
   bool misdirected = status == OtherIncarnation;
   bool replaced = misdirected && !Now->Labels.Incarnation.empty() &&
@@ -514,7 +525,7 @@
 void GatewayExchange::onUnknown(std::string_view why) {
   std::string failed;
   if (Now) {
-    failed = Now->Replica.Incarnation;
+    failed = Now->Replica->Incarnation;
     endAttempt(AttemptVerdict::Bad);
   }
   if (mayRepeat() && spendRepeat(why)) {
@@ -533,7 +544,7 @@
     return;
   AttemptTimer.cancel();
   auto attempt = std::exchange(Now, nullptr);
-  Shared.View.onEnd(attempt->Replica.Incarnation, attempt->Number, Query,
+  Shared.View.onEnd(attempt->Replica->Incarnation, attempt->Number, Query,
                     verdict, TimerService::now());
   // A connection in the middle of an answer is reset, which also ends the run.
   if (attempt->Connection->reusable())
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -84,6 +84,8 @@
   void cut();
 
   bool waiting() const { return Waiting; }
+  /// Whether it waits for weights or replicas, rather than for a turn.
+  bool waitsForChange() const { return Waiting && !Paced; }
   const Route &route() const { return Way; }
   const std::string &service() const { return Query.Service; }
   std::uint16_t status() const { return Status; }
@@ -95,7 +97,7 @@
   /// What has come of the attempt that is under way.
   struct Attempt {
     std::shared_ptr<HttpConnection> Connection;
-    ReplicaRecord Replica;
+    ReplicaPtr Replica;
     std::uint64_t Number = 0;
     Instant SentAt{};
     std::optional<HttpAnswerHead> Head;
@@ -105,6 +107,8 @@
     /// The engine had no prompts to read when the request was sent.
     bool Clean = false;
     bool FirstEvent = false;
+    /// When the attempt is taken to be stuck, unless something comes before.
+    Instant StuckAt{};
     /// Skip events of a resumed stream up to the last one passed on.
     bool Resumed = false;
   };
@@ -124,7 +128,8 @@
   void onTimer();
   void onAttemptTimer();
   void arm();
-  void armAttempt(Span span);
+  void expectWithin(Span span);
+  void armAttempt();
   void endAttempt(AttemptVerdict verdict);
   bool mayRepeat() const;
   bool spendRepeat(std::string_view why);
@@ -151,6 +156,7 @@
   asio::steady_timer AttemptTimer;
   std::unique_ptr<Attempt> Now;
   bool Waiting = false;
+  bool Paced = false;
   bool Done = false;
   bool AnswerBegun = false;
   bool EverSent = false;
--- a/UnitTests/Coordination/Orders/CellDeskTest.cpp
+++ b/UnitTests/Coordination/Orders/CellDeskTest.cpp
@@ -76,9 +76,9 @@
   }
 
   void show() {
-    std::vector<ReplicaRecord> records;
+    std::vector<ReplicaPtr> records;
     for (const auto &[id, it] : Engines)
-      records.push_back(it.Record);
+      records.push_back(std::make_shared<const ReplicaRecord>(it.Record));
     Desk.setReplicas(records, Plan, Now);
   }
 
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -132,10 +132,10 @@
 TEST_CASE("a near replica is preferred until it is fuller", "[view]") {
   ViewFixture it;
   it.present({record("i-far", "hall-b"), record("i-near")});
-  CHECK(it.choose().Replica.Incarnation == "i-near");
+  CHECK(it.choose().Replica->Incarnation == "i-near");
   it.View.onOthersRunning("i-near", 2, it.Now);
   auto choice = it.choose();
-  CHECK(choice.Replica.Incarnation == "i-far");
+  CHECK(choice.Replica->Incarnation == "i-far");
   CHECK(choice.Far);
 }
 
@@ -194,7 +194,7 @@
     it.View.onSent("i-1", query, it.Now);
     it.Now += std::chrono::seconds(3);
   }
-  CHECK(it.choose().Replica.Incarnation == "i-2");
+  CHECK(it.choose().Replica->Incarnation == "i-2");
 }
 
 TEST_CASE("failures of their own count against the usual ones", "[view]") {
