Orders without an answer are repeated at once; streams are held for less than callers wait

Cause: an order without an answer cost 0.7 s before its replica was ordered again; a request for a stream was held for up to 6.75 s while its caller leaves after 4 s without an event. Ruled out: asking the engine first: the count that each order expects settles which of two was carried out.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -526,13 +526,16 @@
     }
     return;
   case OrderAnswer::Conflict:
-  case OrderAnswer::Unknown:
   case OrderAnswer::Rejected:
   case OrderAnswer::Fenced:
+  case OrderAnswer::Unknown:
     if (!load && book.Held.contains(order.Weights))
       book.Held[order.Weights].Leaving = false;
-    book.ReportDue =
-        now + (answer == OrderAnswer::Unknown ? Setup.DoubtDelay : Span(0));
+    // An order without an answer may be carried out at any time, but not after
+    // another one that expects the same count: the next order settles which of
+    // the two holds, so that nothing has to wait.
+    if (answer != OrderAnswer::Unknown)
+      book.ReportDue = now;
     return;
   case OrderAnswer::OtherIncarnation:
     book.Replaced = true;
--- a/Hemlockglade/Coordination/Orders/CellLease.h
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -56,7 +56,7 @@
     /// of the next; the deployment's bound.
     Span Handover = std::chrono::milliseconds(3000);
     /// Longest time an order is on its way before its connection is reset.
-    Span OrderTravel = std::chrono::milliseconds(400);
+    Span OrderTravel = std::chrono::milliseconds(250);
     /// A holder that was heard from this recently is not doubted.
     Span Silence = std::chrono::milliseconds(900);
     /// Time between looks at the row of a silent holder.
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -102,6 +102,14 @@
     allowed = std::min(allowed, *Labels.TimeLeft);
   EndsAt = Request.ArrivedAt + allowed;
   HoldUntil = Request.ArrivedAt + scaled(allowed, Setup.HoldShare);
+  if (Way.Kind == RouteKind::Stream) {
+    auto patience =
+        std::max({Setup.LeastPatience,
+                  scaled(Way.TargetLatency, Setup.PatienceInTargets),
+                  scaled(Way.TargetGap, Setup.PatienceInGaps)});
+    HoldFor = scaled(patience, Setup.PatienceShare);
+    HoldUntil = std::min(HoldUntil, Request.ArrivedAt + HoldFor);
+  }
   LastEvent = Labels.ResumeBehind;
 }
 
@@ -204,7 +212,10 @@
   switch (choice.What) {
   case RouteChoice::Kind::Missing:
     WaitReason = "weights missing";
-    Shared.OnDemand(Query.Service, *Query.Weights, true);
+    if (now - WantToldAt >= Setup.WantEvery) {
+      WantToldAt = now;
+      Shared.OnDemand(Query.Service, *Query.Weights, true);
+    }
     break;
   case RouteChoice::Kind::Wait:
     WaitReason = "weights loading";
@@ -512,7 +523,11 @@
 }
 
 bool GatewayExchange::spendRepeat(std::string_view why) {
-  bool allowed = Shared.Budget.spend(Query.Service, TimerService::now());
+  auto now = TimerService::now();
+  bool allowed = Shared.Budget.spend(Query.Service, now);
+  // A caller who has heard something waits as long again.
+  if (allowed)
+    HoldUntil = std::max(HoldUntil, now + HoldFor);
   Shared.Log.write(LogClass::Request, "repeat",
                    {{"request", Labels.Id},
                     {"why", why},
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -40,6 +40,15 @@
   /// Share of the time that a caller has for which a request is held before
   /// it has been sent anywhere; then it is refused with a time to come back.
   double HoldShare = 0.45;
+  /// Callers of a stream leave when nothing comes for the longest of these: a
+  /// time, and multiples of the target latency and of the longest pause.
+  Span LeastPatience = std::chrono::seconds(2);
+  double PatienceInTargets = 4;
+  double PatienceInGaps = 8;
+  /// Share of that patience for which a stream's request is held.
+  double PatienceShare = 0.65;
+  /// Time between two reminders that weights are waited for.
+  Span WantEvery = std::chrono::milliseconds(200);
   /// Time between looks while a request waits, when nothing wakes it.
   Span WaitStep = std::chrono::milliseconds(25);
   /// Share of a route's target latency after which a request that has not been
@@ -152,6 +161,9 @@
   RouteQuery Query;
   Instant EndsAt{};
   Instant HoldUntil{};
+  /// Longest hold of a stream's request, before its first event and between
+  /// two; 0 for others.
+  Span HoldFor{0};
   asio::steady_timer Timer;
   asio::steady_timer AttemptTimer;
   std::unique_ptr<Attempt> Now;
@@ -171,6 +183,7 @@
   std::string_view Result;
   std::string_view WaitReason;
   Instant WakeAt{};
+  Instant WantToldAt{};
   std::optional<Span> FirstByte;
 };
 
