An engine that does not answer rests; adapters that leave hold nothing up

Cause: an engine that refused connections was ordered again at once, hundreds of times a second; a replica whose adapter was still in use got no orders until that adapter had gone, up to 6 s; a named version did not count as missing until something else changed (found by its test). Ruled out: the bound on loads under way: 8 were rarely reached. Change: rests of 40 to 1280 ms, a check that holds nothing up, victims that have surely ended first, copies counted anew with a version.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -85,6 +85,7 @@
 void CellDesk::setVersion(const WeightsRef &weights, std::uint64_t version) {
   auto &known = Versions[weights];
   known = std::max(known, version);
+  CopiesKnown = false;
 }
 
 bool CellDesk::current(const WeightsRef &weights, std::uint64_t version) const {
@@ -194,7 +195,8 @@
 
 bool CellDesk::orderable(const Book &book, Instant now) const {
   return !book.Replaced && !book.OrderOpen && !book.ReportOpen &&
-         !book.ReportDue && book.ModelBusyUntil <= now;
+         !book.ReportDue && book.ModelBusyUntil <= now &&
+         book.RestsUntil <= now;
 }
 
 void CellDesk::countCopies() {
@@ -268,6 +270,8 @@
     if (wanted || recent)
       continue;
     double worth = worthOf(book, weights, held, now);
+    bool unsure = it != Demands.end() && now - it->second.LastAsked < Setup.SureEnd;
+    worth += unsure ? Setup.UnsureWorth : 0;
     if (worth < least) {
       least = worth;
       best = &weights;
@@ -302,8 +306,9 @@
   if (!mayOrder)
     return actions;
   for (auto &[id, book] : Books) {
-    if (book.ReportOpen || book.OrderOpen || !book.ReportDue ||
-        *book.ReportDue > now)
+    bool due = (book.ReportDue && *book.ReportDue <= now) ||
+               (book.CheckDue && *book.CheckDue <= now);
+    if (book.ReportOpen || book.OrderOpen || !due)
       continue;
     book.ReportOpen = true;
     actions.push_back({DeskAction::Kind::Report, id, {}, "books in doubt"});
@@ -482,6 +487,13 @@
   return true;
 }
 
+void CellDesk::rest(Book &book, Instant now) {
+  constexpr std::uint32_t MostDoublings = 10;
+  auto doublings = std::min(book.Unanswered++, MostDoublings);
+  book.RestsUntil =
+      now + std::min(Setup.LongestRest, Setup.FirstRest * (1 << doublings));
+}
+
 void CellDesk::onOrderAnswer(const std::string &replica,
                              const EngineOrder &order, OrderAnswer answer,
                              Instant now) {
@@ -493,6 +505,10 @@
   changed();
   bool isModel = order.Weights.Adapter.empty();
   bool load = order.Kind == OrderKind::Load;
+  if (answer == OrderAnswer::Unknown)
+    rest(book, now);
+  else
+    book.Unanswered = 0;
   bool madeRoom = !load && answer == OrderAnswer::Holds;
   if (!madeRoom)
     book.Making.reset();
@@ -521,7 +537,7 @@
       } else {
         // It goes once its requests are over.
         book.Count += 1;
-        book.ReportDue = now + Setup.DoubtDelay;
+        book.CheckDue = now + Setup.DoubtDelay;
       }
     }
     return;
@@ -552,10 +568,13 @@
   auto &book = it->second;
   book.ReportOpen = false;
   if (!report) {
-    book.ReportDue = now + Setup.DoubtDelay;
+    rest(book, now);
+    book.ReportDue = book.RestsUntil;
     return;
   }
+  book.Unanswered = 0;
   book.ReportDue.reset();
+  book.CheckDue.reset();
   Residency before = book.Held;
   adopt(book, report->Held, report->Pending, report->OrderCount, now);
   if (report->Busy) {
@@ -568,7 +587,7 @@
     if (!stays)
       continue;
     book.Held[weights].Leaving = true;
-    book.ReportDue = now + Setup.DoubtDelay;
+    book.CheckDue = now + Setup.DoubtDelay;
   }
 }
 
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -65,12 +65,21 @@
     double RatePerCopy = 3;
     /// An adapter that was asked for this recently may still be running.
     Span RecentUse = std::chrono::milliseconds(2500);
+    /// One that was asked for less recently than this has surely ended its runs;
+    /// others are worth this many requests a second more than their demand.
+    Span SureEnd = std::chrono::milliseconds(6000);
+    double UnsureWorth = 0.1;
     /// Cells of the deployment, which share the rate of base model loads.
     std::uint32_t Cells = 1;
     /// Time between looks at all demand, for copies that nobody waits for. With
     /// 500 adapters a look takes some 0.1 ms.
     Span ScanEvery = std::chrono::milliseconds(250);
-    /// Time after an order without an answer until the engine is asked.
+    /// Time that an engine is left alone after an order without an answer, twice
+    /// as long after each further one, up to the longest. One that is down
+    /// refuses at once; others take its loads meanwhile.
+    Span FirstRest = std::chrono::milliseconds(40);
+    Span LongestRest = std::chrono::milliseconds(1280);
+    /// Time until an engine is asked again about what it was still at.
     Span DoubtDelay = std::chrono::milliseconds(300);
     /// Base model loads under way in the whole deployment for each load a
     /// second that the weight store allows. Loads share its speed, so that one
@@ -149,8 +158,14 @@
     std::string_view MakingFor;
     bool OrderOpen = false;
     bool ReportOpen = false;
+    /// Orders in a row without an answer, and until when it gets none.
+    std::uint32_t Unanswered = 0;
+    Instant RestsUntil{};
     /// When the books have to be compared with the engine's; none if not.
     std::optional<Instant> ReportDue;
+    /// When to look whether adapters that leave have gone. Orders need not wait
+    /// for that: the places they take are counted until then.
+    std::optional<Instant> CheckDue;
     /// A base model is being loaded until then.
     Instant ModelBusyUntil{};
   };
@@ -182,6 +197,7 @@
              std::string_view reason, std::vector<DeskAction> &actions);
   Span loadTime(const Book &book, const WeightsRef &weights, Instant now) const;
   void remember(Book &book, const WeightsRef &weights);
+  void rest(Book &book, Instant now);
   void changed() {
     ++Revision;
     CopiesKnown = false;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -596,7 +596,9 @@
                    {{"request", Labels.Id},
                     {"status", std::uint32_t{status}},
                     {"result", result},
-                    {"arrivals", static_cast<std::uint64_t>(Tried.size())},
+                    {"weights", engine() ? Query.Weights->text() : ""},
+                    {"wait", WaitReason},
+       {"arrivals", static_cast<std::uint64_t>(Tried.size())},
                     {"events", EventsPassed},
                     {"first_ms", FirstByte.value_or(Span(0))},
                     {"took_ms", TimerService::now() - Request.ArrivedAt}});
--- a/UnitTests/Coordination/Orders/CellDeskTest.cpp
+++ b/UnitTests/Coordination/Orders/CellDeskTest.cpp
@@ -231,6 +231,23 @@
   CHECK(loads == 2);
 }
 
+TEST_CASE("an engine that does not answer is left alone for a while",
+          "[desk]") {
+  DeskWorld world(2);
+  world.rounds(2);
+  std::size_t orders = 0;
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  constexpr int Rounds = 500;
+  for (int it = 0; it < Rounds; ++it) {
+    world.Now += milliseconds(2);
+    world.Desk.onWant(Service, adapter(1), world.Now);
+    orders += world.round([] { return 2; });
+  }
+  // Two engines, a second: rests of 40, 80, 160, 320 and 640 ms.
+  CHECK(orders >= 6);
+  CHECK(orders <= 12);
+}
+
 TEST_CASE("no replica is told to hold more than its places, whatever is lost",
           "[desk]") {
   rc::check([] {
