What is in use is never unloaded; the most wanted weights are loaded first

Ruled out: asking reports for what runs: they are late and priced. Change: nodes tell the owner what their requests use and when they end; the desk drops nothing that is used; loads are ordered by demand and age.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -132,6 +132,14 @@
   demand.LastAsked = now;
 }
 
+void CellDesk::onUse(const std::string &replica, const WeightsRef &weights,
+                     std::int32_t change) {
+  auto [it, isNew] = Uses.try_emplace({replica, weights}, 0);
+  it->second += change;
+  if (it->second <= 0)
+    Uses.erase(it);
+}
+
 void CellDesk::setRunning(const std::string &replica, std::uint32_t running) {
   auto it = Books.find(replica);
   if (it != Books.end())
@@ -267,11 +275,10 @@
     bool recent = it != Demands.end() &&
                   now - it->second.LastAsked < Setup.RecentUse &&
                   copies(key) < 2 && current(weights, held.Version);
-    if (wanted || recent)
+    bool used = Uses.contains({book.Record->Incarnation, weights});
+    if (wanted || recent || used)
       continue;
     double worth = worthOf(book, weights, held, now);
-    bool unsure = it != Demands.end() && now - it->second.LastAsked < Setup.SureEnd;
-    worth += unsure ? Setup.UnsureWorth : 0;
     if (worth < least) {
       least = worth;
       best = &weights;
@@ -384,8 +391,8 @@
 }
 
 void CellDesk::planWanted(std::vector<DeskAction> &actions, Instant now) {
-  // The longest waiting first.
-  std::vector<std::pair<Instant, DemandKey>> waiting;
+  // Loads are few a second: the most wanted first, others as they grow old.
+  std::vector<std::pair<double, DemandKey>> waiting;
   for (auto it = Wanted.begin(); it != Wanted.end();) {
     auto &demand = Demands[*it];
     bool served = it->second.Adapter.empty() || copies(*it) > 0;
@@ -394,12 +401,13 @@
       it = Wanted.erase(it);
       continue;
     }
-    waiting.emplace_back(demand.WantedAt.value_or(now), *it);
+    double age = seconds(now - demand.WantedAt.value_or(now));
+    waiting.emplace_back(rate(demand, now) + Setup.WaitWeight * age, *it);
     ++it;
   }
-  std::sort(waiting.begin(), waiting.end());
+  std::sort(waiting.rbegin(), waiting.rend());
   constexpr double Any = 1e9;
-  for (const auto &[since, key] : waiting) {
+  for (const auto &[need, key] : waiting) {
     if (!mayLoad(now))
       return;
     place(key, Any, "requests wait", actions, now);
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -63,20 +63,19 @@
     double RateForCopy = 0.6;
     /// Requests a second that one copy serves before another is worth a place.
     double RatePerCopy = 3;
-    /// An adapter that was asked for this recently may still be running.
-    Span RecentUse = std::chrono::milliseconds(2500);
-    /// One that was asked for less recently than this has surely ended its runs;
-    /// others are worth this many requests a second more than their demand.
-    Span SureEnd = std::chrono::milliseconds(6000);
-    double UnsureWorth = 0.1;
+    /// An adapter that was asked for this recently may be about to be used.
+    Span RecentUse = std::chrono::milliseconds(700);
+    /// Load order of what requests wait for: a second of waiting counts as this
+    /// many requests a second.
+    double WaitWeight = 0.2;
     /// Cells of the deployment, which share the rate of base model loads.
     std::uint32_t Cells = 1;
     /// Time between looks at all demand, for copies that nobody waits for. With
     /// 500 adapters a look takes some 0.1 ms.
     Span ScanEvery = std::chrono::milliseconds(250);
-    /// Time that an engine is left alone after an order without an answer, twice
-    /// as long after each further one, up to the longest. One that is down
-    /// refuses at once; others take its loads meanwhile.
+    /// Time that an engine is left alone after an order without an answer,
+    /// twice as long after each further one, up to the longest. One that is
+    /// down refuses at once; others take its loads meanwhile.
     Span FirstRest = std::chrono::milliseconds(40);
     Span LongestRest = std::chrono::milliseconds(1280);
     /// Time until an engine is asked again about what it was still at.
@@ -103,6 +102,10 @@
               Instant now);
   /// How many requests run at a replica, over all nodes.
   void setRunning(const std::string &replica, std::uint32_t running);
+  /// Requests that use weights at a replica began or ended, at any node. What
+  /// is in use is not dropped: an engine takes no other order until it is free.
+  void onUse(const std::string &replica, const WeightsRef &weights,
+             std::int32_t change);
   /// Adapters that other cells are loading at this moment.
   void setLoadingElsewhere(std::size_t n) { LoadingElsewhere = n; }
   /// Base models that other cells are loading at this moment.
@@ -205,6 +208,7 @@
 
   Settings Setup;
   std::map<std::string, Book> Books;
+  std::map<std::pair<std::string, WeightsRef>, std::int32_t> Uses;
   std::map<WeightsRef, std::uint64_t> Versions;
   std::map<DemandKey, Demand> Demands;
   /// Those that requests wait for.
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -320,6 +320,7 @@
   seen.OwnTokens += query.Tokens;
   seen.Health.onSent(attempt, now);
   if (query.Weights) {
+    ++seen.OwnUses[*query.Weights];
     auto toRead = query.PromptTokens -
                   std::min(query.PromptTokens, sharedTokens(seen, query));
     seen.BusyUntil = std::max(now, seen.BusyUntil) +
@@ -346,6 +347,11 @@
   seen.Own -= seen.Own ? 1 : 0;
   seen.OwnTokens -= std::min<std::uint64_t>(seen.OwnTokens, query.Tokens);
   seen.Health.onEnd(attempt, verdict, now);
+  if (!query.Weights)
+    return;
+  auto use = seen.OwnUses.find(*query.Weights);
+  if (use != seen.OwnUses.end() && --use->second == 0)
+    seen.OwnUses.erase(use);
 }
 
 void ReplicaView::onWeightsRefused(const std::string &replica,
@@ -416,6 +422,16 @@
   return out;
 }
 
+std::map<std::pair<std::string, WeightsRef>, std::uint32_t>
+ReplicaView::ownUses(const std::string &domain) const {
+  std::map<std::pair<std::string, WeightsRef>, std::uint32_t> out;
+  for (const auto &[id, seen] : Replicas)
+    if (seen.Record->FailureDomain == domain)
+      for (const auto &[weights, n] : seen.OwnUses)
+        out[{id, weights}] = n;
+  return out;
+}
+
 Span ReplicaView::usualAnswer(const std::string &replica) const {
   auto it = Replicas.find(replica);
   return it == Replicas.end() ? Span(0) : it->second.Health.usualAnswer();
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -163,6 +163,9 @@
   /// Own running requests at each replica of a failure domain that has any.
   std::map<std::string, std::uint32_t>
   ownRunning(const std::string &domain) const;
+  /// Own running requests at each replica of a failure domain, by weights.
+  std::map<std::pair<std::string, WeightsRef>, std::uint32_t>
+  ownUses(const std::string &domain) const;
   std::size_t size() const { return Replicas.size(); }
   /// Weights that are being loaded, but for those in a failure domain:
   /// adapters, or base models.
@@ -181,6 +184,7 @@
     bool ByOwner = false;
     std::uint32_t Own = 0;
     std::uint64_t OwnTokens = 0;
+    std::map<WeightsRef, std::uint32_t> OwnUses;
     std::uint32_t Others = 0;
     Instant OthersAt{};
     /// When it will have read the prompts that were sent to it.
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -57,6 +57,14 @@
   MSGPACK_DEFINE(Replica, Tokens)
 };
 
+/// Requests of a node that use weights at a replica: how many more, or fewer.
+struct UseNotice {
+  std::string Replica;
+  std::string Weights;
+  std::int32_t Change = 0;
+  MSGPACK_DEFINE(Replica, Weights, Change)
+};
+
 /// Node to owner, again and again on `/cell/NAME`.
 struct NodeBeat {
   MemberNotice Self;
@@ -66,9 +74,12 @@
   std::vector<RefusalNotice> Refusals;
   /// Requests sent since the last beat.
   std::vector<SentNotice> Sent;
-  /// Only `Demand` and `Sent` mean something: there was no time for the rest.
+  /// Changes of what the node's requests use; in the first beat of a stream all
+  /// of it.
+  std::vector<UseNotice> Uses;
+  /// Only `Sent` and `Uses` mean something: there was no time for the rest.
   bool Brief = false;
-  MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Brief)
+  MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief)
 };
 
 struct HeldNotice {
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -82,11 +82,37 @@
     beat();
 }
 
-void CellMember::onSent(const std::string &replica, std::uint32_t tokens) {
+void CellMember::onSent(const std::string &replica, std::uint32_t tokens,
+                        const WeightsRef &weights) {
   Sent.push_back({replica, tokens});
+  Uses.push_back({replica, weights.text(), 1});
   flushSoon();
 }
 
+void CellMember::onDone(const std::string &replica, const WeightsRef &weights) {
+  // An end is not urgent: it goes with the next beat or notice.
+  Uses.push_back({replica, weights.text(), -1});
+}
+
+std::vector<UseNotice> CellMember::allUses() const {
+  std::vector<UseNotice> out;
+  for (const auto &[key, n] : View.ownUses(Setup.Cell))
+    out.push_back({key.first, key.second.text(), static_cast<std::int32_t>(n)});
+  return out;
+}
+
+void CellMember::onUses(Follower &from, const std::vector<UseNotice> &uses) {
+  for (const auto &it : uses) {
+    from.Uses[{it.Replica, it.Weights}] += it.Change;
+    Desk.onUse(it.Replica, WeightsRef::parse(it.Weights), it.Change);
+  }
+}
+
+void CellMember::dropUses(Follower &follower) {
+  for (const auto &[key, n] : std::exchange(follower.Uses, {}))
+    Desk.onUse(key.first, WeightsRef::parse(key.second), -n);
+}
+
 void CellMember::flushSoon() {
   if (std::exchange(FlushDue, true))
     return;
@@ -99,13 +125,15 @@
 void CellMember::flush() {
   FlushDue = false;
   if (!Owning) {
-    if (!Owner)
-      return Sent.clear();
     NodeBeat brief;
     brief.Brief = true;
     brief.Sent = std::exchange(Sent, {});
-    return Owner->send(pack(brief));
+    brief.Uses = std::exchange(Uses, {});
+    if (Owner)
+      Owner->send(pack(brief));
+    return;
   }
+  onUses(Followers[SelfFollower], std::exchange(Uses, {}));
   onSentNotices(Followers[SelfFollower], std::exchange(Sent, {}));
   for (auto &[id, follower] : Followers) {
     if (id == SelfFollower || follower.Sent.empty())
@@ -148,6 +176,7 @@
   for (auto &[key, notice] : std::exchange(Demand, {}))
     out.Demand.push_back(std::move(notice));
   out.Refusals = std::exchange(Refusals, {});
+  out.Uses = std::exchange(Uses, {});
   return out;
 }
 
@@ -194,8 +223,10 @@
     if (*alive && self->lock() == Owner)
       unfollow();
   };
+  auto first = takeBeat();
+  first.Uses = allUses();
   Owner = Net.open(OwnerAddress, std::string(peer_path::Cell) + Setup.Cell,
-                   pack(takeBeat()), std::move(hooks));
+                   pack(first), std::move(hooks));
   *self = Owner;
 }
 
@@ -246,7 +277,8 @@
   if (!std::exchange(Owning, true)) {
     unfollow();
     Desk.forget();
-    Followers[SelfFollower];
+    Uses.clear();
+    onUses(Followers[SelfFollower], allUses());
     BeatAt = Instant{};
   }
   auto plan = Out.Plan();
@@ -264,11 +296,13 @@
 
 void CellMember::disown() {
   Owning = false;
-  for (auto &[id, follower] : std::exchange(Followers, {}))
+  for (auto &[id, follower] : std::exchange(Followers, {})) {
+    dropUses(follower);
     if (follower.Stream) {
       follower.Stream->OnClosed = nullptr;
       follower.Stream->close();
     }
+  }
   View.onOwnerLost(Setup.Cell);
 }
 
@@ -343,8 +377,12 @@
                 {{"what", "node beat"}, {"cell", Setup.Cell}});
   };
   stream->OnClosed = [this, alive = Alive, id](bool) {
-    if (*alive && Followers.erase(id))
-      ++MembersRevision;
+    auto it = *alive ? Followers.find(id) : Followers.end();
+    if (it == Followers.end())
+      return;
+    dropUses(it->second);
+    Followers.erase(it);
+    ++MembersRevision;
   };
 }
 
@@ -352,6 +390,7 @@
   auto now = TimerService::now();
   follower.BeatAt = now;
   onSentNotices(follower, beat.Sent);
+  onUses(follower, beat.Uses);
   if (beat.Brief)
     return;
   if (follower.Self != beat.Self) {
@@ -457,16 +496,23 @@
   return out;
 }
 
+void CellMember::forgetSilent(Instant now) {
+  for (auto it = Followers.begin(); it != Followers.end();) {
+    bool gone =
+        it->first != SelfFollower && now - it->second.BeatAt > Setup.MemberGone;
+    if (gone)
+      dropUses(it->second);
+    it = gone ? Followers.erase(it) : std::next(it);
+  }
+}
+
 void CellMember::broadcast() {
   auto now = TimerService::now();
   bool due = now - BroadcastAt >= Setup.BeatEvery;
   if (due) {
     BroadcastAt = now;
     countRunning();
-    std::erase_if(Followers, [&](const auto &it) {
-      return it.first != SelfFollower &&
-             now - it.second.BeatAt > Setup.MemberGone;
-    });
+    forgetSilent(now);
     auto members = memberList();
     bool changed = members.size() != Members.size();
     for (std::size_t it = 0; !changed && it < members.size(); ++it)
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -59,7 +59,10 @@
   void onDemand(const std::string &service, const WeightsRef &weights,
                 bool waiting);
   /// A request went from here to one of the cell's replicas.
-  void onSent(const std::string &replica, std::uint32_t tokens);
+  void onSent(const std::string &replica, std::uint32_t tokens,
+              const WeightsRef &weights);
+  /// It is over.
+  void onDone(const std::string &replica, const WeightsRef &weights);
   void onRefusal(const std::string &replica, const WeightsRef &weights,
                  bool missing);
 
@@ -81,6 +84,7 @@
     MemberNotice Self;
     Instant BeatAt{};
     std::map<std::string, std::uint32_t> Running;
+    std::map<std::pair<std::string, std::string>, std::int32_t> Uses;
     /// What it was told last.
     std::map<std::string, Residency> Told;
     std::uint64_t ToldRevision = 0;
@@ -96,6 +100,9 @@
   void flushSoon();
   void planSoon();
   void flush();
+  void onUses(Follower &from, const std::vector<UseNotice> &uses);
+  void dropUses(Follower &follower);
+  std::vector<UseNotice> allUses() const;
   void onSentNotices(Follower &from, const std::vector<SentNotice> &sent);
   NodeBeat takeBeat();
   void onOwnerBeat(const OwnerBeat &beat);
@@ -109,6 +116,7 @@
   OwnerBeat beatFor(Follower &follower);
   std::vector<MemberNotice> memberList();
   void countRunning();
+  void forgetSilent(Instant now);
   void disown();
 
   Settings Setup;
@@ -133,6 +141,7 @@
   std::map<std::pair<std::string, WeightsRef>, DemandNotice> Demand;
   std::vector<RefusalNotice> Refusals;
   std::vector<SentNotice> Sent;
+  std::vector<UseNotice> Uses;
   bool FlushDue = false;
   bool PlanDue = false;
   bool Urgent = false;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -115,10 +115,16 @@
         if (it != Cells.end())
           it->second->onRefusal(replica.Incarnation, weights, missing);
       },
-      [this](const ReplicaRecord &replica, std::uint32_t tokens) {
+      [this](const ReplicaRecord &replica, std::uint32_t tokens,
+             const WeightsRef &weights) {
         auto it = Cells.find(replica.FailureDomain);
         if (it != Cells.end())
-          it->second->onSent(replica.Incarnation, tokens);
+          it->second->onSent(replica.Incarnation, tokens, weights);
+      },
+      [this](const ReplicaRecord &replica, const WeightsRef &weights) {
+        auto it = Cells.find(replica.FailureDomain);
+        if (it != Cells.end())
+          it->second->onDone(replica.Incarnation, weights);
       },
       [this](const GatewayExchange &exchange) { onEnd(exchange); }};
 }
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -265,7 +265,8 @@
   Now->Clean = choice.Clean;
   if (engine())
     Shared.OnSent(*choice.Replica,
-                  Shared.View.tokensToRead(choice.Replica->Incarnation, Query));
+                  Shared.View.tokensToRead(choice.Replica->Incarnation, Query),
+                  *Query.Weights);
   Now->Number = Shared.View.onSent(choice.Replica->Incarnation, Query, now);
   bool once = !Way.idempotent();
   Now->Connection =
@@ -561,6 +562,8 @@
   auto attempt = std::exchange(Now, nullptr);
   Shared.View.onEnd(attempt->Replica->Incarnation, attempt->Number, Query,
                     verdict, TimerService::now());
+  if (engine())
+    Shared.OnDone(*attempt->Replica, *Query.Weights);
   // A connection in the middle of an answer is reset, which also ends the run.
   if (attempt->Connection->reusable())
     Shared.Pool.give(attempt->Connection);
@@ -598,7 +601,7 @@
                     {"result", result},
                     {"weights", engine() ? Query.Weights->text() : ""},
                     {"wait", WaitReason},
-       {"arrivals", static_cast<std::uint64_t>(Tried.size())},
+                    {"arrivals", static_cast<std::uint64_t>(Tried.size())},
                     {"events", EventsPassed},
                     {"first_ms", FirstByte.value_or(Span(0))},
                     {"took_ms", TimerService::now() - Request.ArrivedAt}});
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -30,8 +30,12 @@
                      bool missing)>
       OnRefusal;
   /// A request goes to an engine that has to read this many tokens for it.
-  std::function<void(const ReplicaRecord &replica, std::uint32_t tokens)>
+  std::function<void(const ReplicaRecord &replica, std::uint32_t tokens,
+                     const WeightsRef &weights)>
       OnSent;
+  /// It is over there.
+  std::function<void(const ReplicaRecord &replica, const WeightsRef &weights)>
+      OnDone;
   std::function<void(const GatewayExchange &exchange)> OnEnd;
 };
 
