--- /dev/null
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -0,0 +1,419 @@
+#include "Programs/hemlockgladed/Gateway/GatewayExchange.h"
+
+#include "Hemlockglade/Transport/Http1/CallerServer.h"
+#include "UnitTests/Node/Gateway/ScriptedReplica.h"
+#include "UnitTests/Transport/Http1/RawPeer.h"
+
+namespace hemlockglade::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Then = ScriptedReplica::Then;
+
+std::string_view valueOf(const LabelFields &fields, std::string_view name) {
+  for (const auto &[key, value] : fields)
+    if (sameFieldName(key, name))
+      return value;
+  return {};
+}
+
+/// Labels under names of the test's own.
+LabelHooks testLabels() {
+  LabelHooks hooks;
+  hooks.ReadRequest = [](const LabelFields &fields) {
+    RequestLabels out;
+    out.Id = valueOf(fields, "Id");
+    out.TimeLeft = milliseconds(2000);
+    out.ResumeBehind = valueOf(fields, "Behind");
+    return out;
+  };
+  hooks.Forward = [](const LabelFields &fields, const ForwardLabels &labels) {
+    OwnedFields out;
+    for (const auto &[name, value] : fields)
+      if (!isConnectionField(name) && !sameFieldName(name, "Behind"))
+        out.emplace_back(name, value);
+    out.emplace_back("Meant-For", labels.Incarnation);
+    if (!labels.ResumeBehind.empty())
+      out.emplace_back("Behind", labels.ResumeBehind);
+    return out;
+  };
+  hooks.ReadAnswer = [](std::uint16_t, const LabelFields &fields) {
+    AnswerLabels out;
+    out.Id = valueOf(fields, "Id");
+    out.Sealed = !valueOf(fields, "Seal").empty();
+    out.NotRun = !valueOf(fields, "Not-Run").empty();
+    out.Events = valueOf(fields, "Content-Type") == "text/event-stream";
+    return out;
+  };
+  hooks.OwnAnswer = [](std::string_view id) {
+    return OwnedFields{{"Id", std::string(id)}};
+  };
+  return hooks;
+}
+
+std::string answer(int status, const std::string &body,
+                   const std::string &fields = "Id: r1\r\nSeal: s\r\n") {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string chunk(const std::string &text) {
+  std::ostringstream out;
+  out << std::hex << text.size() << "\r\n" << text << "\r\n";
+  return out.str();
+}
+
+std::string event(int n) {
+  return "id: " + std::to_string(n) + "\ndata: " + std::to_string(n) + "\n\n";
+}
+
+const std::string StreamHead =
+    "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: first\r\nContent-Type: "
+    "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+struct ExchangeFixture : Loopback {
+  ExchangeFixture()
+      : Log(
+            {"n"}, [this](std::string_view line) { Lines.emplace_back(line); },
+            [] { return std::chrono::microseconds(0); }),
+        View([] {
+          ReplicaView::Settings out;
+          out.FailureDomain = "hall-a";
+          return out;
+        }()),
+        Budget({}),
+        Pool(Context, HttpPool::Settings{}), Shared{Context,
+                                                    View,
+                                                    Budget,
+                                                    Pool,
+                                                    Log,
+                                                    testLabels(),
+                                                    {},
+                                                    {},
+                                                    {},
+                                                    {},
+                                                    [this](const auto &it) {
+                                                      Outcome = it.outcome();
+                                                      Ended = true;
+                                                    }},
+        First(Context), Second(Context), Peer(Context) {
+    Way.Name = "r";
+    Way.Targets = {{"s", 1}};
+    Way.Timeout = milliseconds(2000);
+    Way.TargetLatency = milliseconds(500);
+    CallerHooks hooks;
+    hooks.Bounds = [] { return CallerBounds{}; };
+    hooks.Closing = [] { return false; };
+    hooks.OnRequest = [this](CallerRequest request, auto reply) {
+      LabelFields fields;
+      for (const auto &it : request.Head.Fields)
+        fields.emplace_back(it.Name, it.Value);
+      auto labels = Shared.Labels.ReadRequest(fields);
+      Plan = std::make_shared<const RoutePlan>(
+          1, std::vector{Way},
+          std::vector{ServiceSpec{"s", "/", 10, std::nullopt}}, CallerLimits{});
+      View.setPlan(Plan);
+      Exchange = std::make_shared<GatewayExchange>(
+          Shared, Setup, Plan, Plan->routes()[0], std::move(request),
+          std::move(labels), std::move(reply));
+      Exchange->start();
+    };
+    Server = std::make_unique<CallerServer>(Context, localhost(0), 10,
+                                            std::move(hooks));
+    Peer.connect(Server->port());
+  }
+
+  /// Registers the replicas; the first is the nearer one.
+  void present(bool both = true) {
+    std::vector<ReplicaRecord> records;
+    for (auto *it : {&First, &Second}) {
+      ReplicaRecord record;
+      record.Incarnation = it == &First ? "i-1" : "i-2";
+      record.Service = "s";
+      record.Address = it->address();
+      record.FailureDomain = it == &First ? "hall-a" : "hall-b";
+      record.Slots = 8;
+      if (it == &First || both)
+        records.push_back(record);
+    }
+    View.onRegistry({true, records, {}, 1}, false, TimerService::now());
+  }
+
+  void ask(const std::string &more = "") {
+    Peer.send("POST /x/y?z=1 HTTP/1.1\r\nHost: a\r\nId: r1\r\n" + more +
+              "Content-Length: 2\r\n\r\nhi");
+  }
+
+  bool untilEnd() {
+    return until([this] { return Ended; });
+  }
+  bool untilGot(const std::string &text) {
+    return until(
+        [this, &text] { return Peer.Got.find(text) != std::string::npos; });
+  }
+  bool has(const std::string &text) const {
+    return Peer.Got.find(text) != std::string::npos;
+  }
+
+  std::vector<std::string> Lines;
+  EventLog Log;
+  ReplicaView View;
+  RepeatBudget Budget;
+  HttpPool Pool;
+  ExchangeContext Shared;
+  ExchangeSettings Setup;
+  Route Way;
+  std::shared_ptr<const RoutePlan> Plan;
+  ScriptedReplica First;
+  ScriptedReplica Second;
+  RawPeer Peer;
+  std::unique_ptr<CallerServer> Server;
+  std::shared_ptr<GatewayExchange> Exchange;
+  bool Ended = false;
+  std::string Outcome;
+};
+
+} // namespace
+
+TEST_CASE("request and answer are passed on unchanged", "[gateway]") {
+  ExchangeFixture it;
+  it.present();
+  it.First.Script = {{answer(200, "hello", "Id: r1\r\nSeal: s\r\nX: 1\r\n")}};
+  it.ask();
+  REQUIRE(it.untilGot("hello"));
+  CHECK(it.has("HTTP/1.1 200"));
+  CHECK(it.has("Seal: s"));
+  CHECK(it.has("X: 1"));
+  REQUIRE(it.First.Requests.size() == 1);
+  const auto &sent = it.First.Requests[0];
+  CHECK(sent.Head.Method == "POST");
+  CHECK(sent.Head.Target == "/x/y?z=1");
+  CHECK(sent.Body == "hi");
+  CHECK(*findField(sent.Head.Fields, "Meant-For") == "i-1");
+}
+
+TEST_CASE("what must not run twice is not sent again", "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::RunOnce;
+  it.Way.MaxAttempts = 3;
+  it.present();
+  auto step = GENERATE(
+      as<ScriptedReplica::Step>{}, ScriptedReplica::Step{"", Then::Close},
+      ScriptedReplica::Step{"", Then::Reset},
+      ScriptedReplica::Step{"HTTP/1.1 200 OK\r\nId: r1\r\nSeal: "
+                            "s\r\nContent-Length: 9\r\n\r\nhal",
+                            Then::Close},
+      ScriptedReplica::Step{"nonsense\r\n\r\n", Then::Keep},
+      ScriptedReplica::Step{answer(200, "x", "Id: r1\r\n"), Then::Keep},
+      ScriptedReplica::Step{answer(503, "x"), Then::Keep},
+      ScriptedReplica::Step{answer(429, "x", "Id: r1\r\n"), Then::Keep});
+  it.First.Script = {step};
+  it.ask();
+  REQUIRE(it.untilGot("HTTP/1.1 502"));
+  CHECK_FALSE(it.has("Seal"));
+  CHECK(it.Second.Requests.empty());
+}
+
+TEST_CASE("what may run again is sent to another replica", "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Repeatable;
+  it.Way.MaxAttempts = 2;
+  it.present();
+  it.First.Script = {{"", Then::Reset}};
+  it.Second.Script = {{answer(200, "hello")}};
+  it.ask();
+  REQUIRE(it.untilGot("hello"));
+  CHECK(it.Second.Requests.size() == 1);
+}
+
+TEST_CASE("attempts are bounded by the route", "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Repeatable;
+  it.Way.MaxAttempts = 1;
+  it.present();
+  it.First.Script = {{"", Then::Reset}};
+  it.ask();
+  REQUIRE(it.untilGot("HTTP/1.1 502"));
+  CHECK(it.Second.Requests.empty());
+}
+
+TEST_CASE("a request that was shed goes elsewhere whatever it is",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::RunOnce;
+  it.present();
+  auto shed = answer(503, "", "Not-Run: 1\r\n");
+  it.First.Script = {{shed}, {shed}, {shed}};
+  SECTION("to one that takes it") {
+    it.Second.Script = {{answer(200, "hello")}};
+    it.ask();
+    CHECK(it.untilGot("hello"));
+  }
+  SECTION("and is refused with a time to come back if none does") {
+    it.Setup.HoldShare = 0.05;
+    it.Second.Script = {{shed}, {shed}, {shed}};
+    it.ask();
+    REQUIRE(it.untilGot("HTTP/1.1 503"));
+    CHECK(it.has("Retry-After: 0."));
+  }
+}
+
+TEST_CASE("a replica that can't be reached costs no attempt", "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::RunOnce;
+  it.present();
+  it.First.stop();
+  it.Second.Script = {{answer(200, "hello")}};
+  it.ask();
+  CHECK(it.untilGot("hello"));
+}
+
+TEST_CASE("a request that was sent is never said not to have run",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::RunOnce;
+  it.Way.Timeout = milliseconds(150);
+  it.present();
+  it.ask();
+  REQUIRE(it.untilEnd());
+  REQUIRE(it.untilGot("HTTP/1.1 504"));
+  CHECK(it.until([&] { return it.First.Ended == 1; }));
+}
+
+TEST_CASE("a request without a replica is refused in time", "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Timeout = milliseconds(300);
+  it.ask();
+  REQUIRE(it.untilGot("HTTP/1.1 503"));
+  CHECK(it.has("Retry-After"));
+}
+
+TEST_CASE("a failure of the replica's own is passed on with its signature",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Repeatable;
+  it.Way.MaxAttempts = 2;
+  it.present();
+  it.First.Script = {{answer(500, "sorry")}};
+  it.ask();
+  REQUIRE(it.untilGot("sorry"));
+  CHECK(it.has("HTTP/1.1 500"));
+  CHECK(it.has("Seal: s"));
+}
+
+TEST_CASE("an answer to another request is passed over", "[gateway]") {
+  ExchangeFixture it;
+  it.present();
+  it.First.Script = {
+      {answer(200, "stray", "Id: other\r\nSeal: s\r\n") + answer(200, "mine")}};
+  it.ask();
+  REQUIRE(it.untilGot("mine"));
+  CHECK_FALSE(it.has("stray"));
+}
+
+TEST_CASE("a caller who leaves ends the run", "[gateway]") {
+  ExchangeFixture it;
+  it.present();
+  it.ask();
+  REQUIRE(it.until([&] { return it.First.Requests.size() == 1; }));
+  it.Peer.close();
+  CHECK(it.until([&] { return it.First.Ended == 1; }));
+  CHECK(it.Outcome == "caller left");
+}
+
+TEST_CASE("events are passed on whole", "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.present();
+  it.First.Script = {{StreamHead + chunk(event(1)) + chunk("id: 2\nda")}};
+  it.ask();
+  REQUIRE(it.untilGot(event(1)));
+  it.settle();
+  CHECK_FALSE(it.has("id: 2"));
+}
+
+TEST_CASE("a whole stream ends as complete", "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.present();
+  it.First.Script = {
+      {StreamHead + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"}};
+  it.ask();
+  REQUIRE(it.untilGot("\r\n0\r\n\r\n"));
+  CHECK(it.Outcome == "complete");
+}
+
+TEST_CASE("a broken stream goes on elsewhere behind its last whole event",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.Way.Resumable = true;
+  it.Way.MaxAttempts = 2;
+  it.present();
+  it.First.Script = {
+      {StreamHead + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\n"),
+       Then::Reset}};
+  auto rest = StreamHead;
+  rest.replace(rest.find("first"), 5, "other");
+  it.Second.Script = {{rest + chunk(event(3)) + "0\r\n\r\n"}};
+  it.ask();
+  REQUIRE(it.untilGot("\r\n0\r\n\r\n"));
+  REQUIRE(it.Second.Requests.size() == 1);
+  CHECK(*findField(it.Second.Requests[0].Head.Fields, "Behind") == "2");
+  CHECK(it.has("Seal: first"));
+  CHECK_FALSE(it.has("Seal: other"));
+  auto at = it.Peer.Got.find(event(2));
+  CHECK(it.Peer.Got.find(event(2), at + 1) == std::string::npos);
+  CHECK(it.has(event(3)));
+}
+
+TEST_CASE("a broken stream that can't go on does not look complete",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.Way.MaxAttempts = 2;
+  it.present();
+  auto then = GENERATE(Then::Reset, Then::Close);
+  it.First.Script = {{StreamHead + chunk(event(1)), then}};
+  it.ask();
+  REQUIRE(it.until([&] { return it.Peer.Ended; }));
+  CHECK_FALSE(it.has("\r\n0\r\n\r\n"));
+  CHECK(it.Second.Requests.empty());
+}
+
+TEST_CASE("a stream that stalls goes on elsewhere", "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.Way.Resumable = true;
+  it.Way.MaxAttempts = 2;
+  it.Way.TargetGap = milliseconds(20);
+  it.Setup.LeastStall = milliseconds(100);
+  it.Way.TargetLatency = milliseconds(100);
+  it.present();
+  it.First.Script = {{StreamHead + chunk(event(1))}};
+  it.Second.Script = {{StreamHead + chunk(event(2)) + "0\r\n\r\n"}};
+  it.ask();
+  REQUIRE(it.untilGot("\r\n0\r\n\r\n"));
+  CHECK(it.First.Ended == 1);
+}
+
+TEST_CASE("a request that is cut by a stop is answered by what is known",
+          "[gateway]") {
+  ExchangeFixture it;
+  SECTION("not run, if it was sent nowhere") {
+    it.ask();
+    REQUIRE(it.until([&] { return it.Exchange != nullptr; }));
+    it.Exchange->cut();
+    CHECK(it.untilGot("HTTP/1.1 503"));
+  }
+  SECTION("unknown, if it was sent") {
+    it.present();
+    it.ask();
+    REQUIRE(it.until([&] { return it.First.Requests.size() == 1; }));
+    it.Exchange->cut();
+    CHECK(it.untilGot("HTTP/1.1 502"));
+  }
+}
+
+} // namespace hemlockglade::test
--- /dev/null
+++ b/UnitTests/Node/Gateway/ScriptedReplica.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "Hemlockglade/Transport/Http1/HttpReader.h"
+#include "UnitTests/Transport/Loopback.h"
+
+#include <memory>
+
+namespace hemlockglade::test {
+
+/// A replica that answers each request with what the test says, byte for byte.
+class ScriptedReplica {
+public:
+  enum class Then : std::uint8_t { Keep, Close, Reset };
+  struct Step {
+    std::string Bytes;
+    Then After = Then::Keep;
+  };
+  struct Request {
+    HttpRequestHead Head;
+    std::string Body;
+  };
+
+  explicit ScriptedReplica(asio::io_context &context)
+      : Context(context), Acceptor(context, Loopback::localhost(0)) {
+    accept();
+  }
+
+  std::string address() const {
+    return Loopback::address(Acceptor.local_endpoint().port());
+  }
+
+  /// Stops listening, as a replica that is gone.
+  void stop() { Acceptor.close(); }
+
+  /// One for each request, in order; none means silence.
+  std::vector<Step> Script;
+  std::vector<Request> Requests;
+  /// Connections that the other side has ended.
+  int Ended = 0;
+
+private:
+  struct Connection {
+    explicit Connection(asio::io_context &context) : Socket(context) {}
+    asio::ip::tcp::socket Socket;
+    HttpReader Reader{HttpReader::Side::Requests};
+    std::string Body;
+    std::array<char, 4096> Buffer{};
+  };
+
+  void accept() {
+    auto it = std::make_shared<Connection>(Context);
+    Acceptor.async_accept(it->Socket, [this, it](asio::error_code ec) {
+      if (ec)
+        return;
+      it->Reader.OnBody = [raw = it.get()](std::string_view part) {
+        raw->Body.append(part);
+      };
+      read(it);
+      accept();
+    });
+  }
+
+  void read(const std::shared_ptr<Connection> &it) {
+    it->Socket.async_read_some(
+        asio::buffer(it->Buffer), [this, it](asio::error_code ec, auto n) {
+          if (ec) {
+            ++Ended;
+            return;
+          }
+          it->Reader.feed({it->Buffer.data(), n});
+          if (it->Reader.state() == HttpReader::State::Complete)
+            answer(*it);
+          read(it);
+        });
+  }
+
+  void answer(Connection &it) {
+    Requests.push_back({it.Reader.takeRequest(), std::exchange(it.Body, {})});
+    it.Reader.next();
+    if (Script.size() < Requests.size())
+      return;
+    const auto &step = Script[Requests.size() - 1];
+    asio::error_code ec;
+    asio::write(it.Socket, asio::buffer(step.Bytes), ec);
+    if (step.After == Then::Reset)
+      it.Socket.set_option(asio::socket_base::linger(true, 0), ec);
+    if (step.After != Then::Keep)
+      it.Socket.close(ec);
+  }
+
+  asio::io_context &Context;
+  asio::ip::tcp::acceptor Acceptor;
+};
+
+} // namespace hemlockglade::test
--- /dev/null
+++ b/UnitTests/Platform/DocumentsTest.cpp
@@ -0,0 +1,163 @@
+#include "platform/Documents.h"
+
+#include "Hemlockglade/Protocol/JsonText.h"
+#include "platform/Base64.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace hemlockglade::test {
+
+namespace {
+
+using namespace platform_document;
+using std::chrono::milliseconds;
+
+const std::string Plan = R"({"version":7,"unknown":1,"routes":[
+ {"name":"r1","host":"a.example","prefix":"/x/","type":"streaming",
+  "timeout_ms":15000,"target_latency_ms":1000,"priority":1,
+  "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+  "max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300},
+ {"name":"r2","host":"a.example","prefix":"/y/","type":"safe","service":"s2"},
+ {"name":"r3","host":"a.example","prefix":"/z/","type":"new","service":"s2"}],
+ "services":[{"name":"s1","health_path":"/h","max_connections":360,
+  "engine":{"slots":64,"kv_capacity_tokens":132765,"weights_mb":66600.0,
+   "adapter_slots":20,"loads_per_s":2.8,
+   "models":[{"name":"m","weights_mb":65099.99,"load_time_s":5.3,
+              "adapters":3000,"adapter_size_mb":12.0}]}},
+  {"name":"s2","health_path":"/h","max_connections":96}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+} // namespace
+
+TEST_CASE("a plan is read", "[documents]") {
+  auto plan = readPlan(Plan);
+  REQUIRE(plan);
+  CHECK(plan->version() == 7);
+  const auto *route = plan->find("a.example", "/x/1");
+  REQUIRE(route);
+  CHECK(route->Kind == RouteKind::Stream);
+  CHECK(route->Resumable);
+  CHECK(route->Timeout == milliseconds(15000));
+  CHECK(route->TargetLatency == milliseconds(1000));
+  CHECK(route->TargetGap == milliseconds(300));
+  CHECK(route->MaxAttempts == 2);
+  CHECK(route->Priority == 1);
+  REQUIRE(route->Targets.size() == 2);
+  CHECK(route->Targets[0].Weight == 90);
+  CHECK(plan->find("a.example", "/y/")->Kind == RouteKind::Repeatable);
+  CHECK(plan->find("a.example", "/z/")->Kind == RouteKind::RunOnce);
+  const auto *service = plan->service("s1");
+  REQUIRE(service);
+  REQUIRE(service->Engine);
+  CHECK(service->Engine->AdapterSlots == 20);
+  CHECK(service->Engine->Models[0].LoadTime == milliseconds(5300));
+  CHECK_FALSE(plan->service("s2")->Engine);
+  CHECK(plan->limits().IdleTimeout == milliseconds(15000));
+}
+
+TEST_CASE("a plan that is wrong is refused with what is wrong", "[documents]") {
+  auto text = GENERATE(
+      as<std::string>{}, "", "[]", "{}", R"({"version":"x","routes":[]})",
+      R"({"version":1,"routes":[{"host":"a"}],"services":[]})",
+      R"({"version":1,"routes":[{"host":"a","prefix":"/","split":[]}],)"
+      R"("services":[]})",
+      R"({"version":1,"routes":{},"services":[{"name":3}]})");
+  auto plan = readPlan(text);
+  CAPTURE(text);
+  REQUIRE_FALSE(plan);
+  CHECK_FALSE(plan.error().empty());
+}
+
+TEST_CASE("a replica's entry is read", "[documents]") {
+  auto replica = readReplica(
+      "i-1",
+      R"({"service":"s1","address":"10.0.0.1:80","zone":"hall-a",)"
+      R"("version":"v1","slots":64,"state":"draining","remaining_ms":1800,)"
+      R"("cold_remaining_ms":10,"sequence":4,"models":[{"name":"m",)"
+      R"("version":2,"adapters":["a1@3","a2"]}]})");
+  REQUIRE(replica);
+  CHECK(replica->Incarnation == "i-1");
+  CHECK(replica->Draining);
+  CHECK(replica->LeavesIn == milliseconds(1800));
+  CHECK(replica->Held.at({"m", ""}) == 2);
+  CHECK(replica->Held.at({"m", "a1"}) == 3);
+  CHECK(replica->Held.at({"m", "a2"}) == 0);
+  CHECK_FALSE(readReplica("i-1", R"({"service":"s1"})"));
+}
+
+TEST_CASE("a report and a version are read", "[documents]") {
+  auto report = readReport(
+      R"({"stage":"combined","models":[{"name":"m","version":1,)"
+      R"("adapters":["a1@1"]}],"pending":["m/a7@2","odd"],"busy":true,)"
+      R"("sequence":9})");
+  REQUIRE(report);
+  CHECK(report->OrderCount == 9);
+  CHECK(report->Busy);
+  CHECK(report->Pending.size() == 1);
+  CHECK(report->Pending.at({"m", "a7"}) == 2);
+  auto version = readVersion(R"({"model":"m","adapter":"a1","version":4})");
+  REQUIRE(version);
+  CHECK(version->Weights == WeightsRef{"m", "a1"});
+  CHECK(version->Version == 4);
+  CHECK_FALSE(readVersion(R"({"model":"m"})"));
+}
+
+TEST_CASE("an order is written", "[documents]") {
+  EngineOrder order;
+  order.Kind = OrderKind::Load;
+  order.Weights = {"m", "a1"};
+  order.Version = 4;
+  order.ExpectedCount = 2;
+  order.Holder = "node-7";
+  order.Fence = 41;
+  auto node = parseJson(writeOrder(order));
+  CHECK(node == parseJson(R"({"operation":"loading","model":"m",
+    "adapter":"a1","version":4,"if_revision":2,"holder":"node-7",
+    "fencing_token":41})"));
+  order.Kind = OrderKind::Unload;
+  order.Weights.Adapter.clear();
+  order.Version = 0;
+  node = parseJson(writeOrder(order));
+  CHECK(node["operation"] == "unloading");
+  CHECK_FALSE(node.contains("adapter"));
+  CHECK_FALSE(node.contains("version"));
+}
+
+TEST_CASE("addresses are written", "[documents]") {
+  auto node = parseJson(writeAddresses({"10.0.0.1:8"}, milliseconds(1500)));
+  CHECK(node["addresses"][0] == "10.0.0.1:8");
+  CHECK(node["ttl_s"] == 1.5);
+}
+
+TEST_CASE("any text is read or refused", "[documents]") {
+  rc::check([] {
+    auto text = *rc::gen::arbitrary<std::string>();
+    readPlan(text);
+    readReplica("i", text);
+    readReport(text);
+    readVersion(text);
+  });
+  rc::check([] {
+    // A plan with one byte changed.
+    auto text = Plan;
+    auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[at] = *rc::gen::arbitrary<char>();
+    readPlan(text);
+  });
+}
+
+TEST_CASE("base64 is written and read", "[documents]") {
+  CHECK(toBase64("") == "");
+  CHECK(toBase64("node-1") == "bm9kZS0x");
+  CHECK(toBase64("a") == "YQ==");
+  CHECK(fromBase64("YQ==") == "a");
+  CHECK_FALSE(fromBase64("Y*=="));
+  rc::check([] {
+    auto bytes = *rc::gen::arbitrary<std::string>();
+    RC_ASSERT(fromBase64(toBase64(bytes)) == bytes);
+  });
+}
+
+} // namespace hemlockglade::test
--- /dev/null
+++ b/UnitTests/Platform/HeadersTest.cpp
@@ -0,0 +1,117 @@
+#include "platform/Headers.h"
+
+#include <catch2/catch.hpp>
+
+namespace hemlockglade::test {
+
+namespace {
+
+std::string valueOf(const OwnedFields &fields, std::string_view name) {
+  std::string out;
+  for (const auto &[key, value] : fields)
+    if (key == name)
+      out = out.empty() ? value : out + "," + value;
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("a request's labels are read", "[headers]") {
+  auto labels = platformLabels().ReadRequest(
+      {{"x-attempt-id", "id-1"},
+       {"X-Deadline-Ms", "1500"},
+       {"X-Model", "base/a1"},
+       {"X-Token-Count", "1460,80"},
+       {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+       {"Last-Event-Id", "12"}});
+  CHECK(labels.Id == "id-1");
+  CHECK(labels.TimeLeft == std::chrono::milliseconds(1500));
+  CHECK(labels.Weights == WeightsRef{"base", "a1"});
+  CHECK(labels.PromptTokens == 1460);
+  CHECK(labels.MaxOutputTokens == 80);
+  REQUIRE(labels.Prompt.size() == 3);
+  CHECK(labels.Prompt[0].Id == 0x5c1e07a2);
+  CHECK(labels.Prompt[2].Tokens == 250);
+  CHECK(labels.ResumeBehind == "12");
+}
+
+TEST_CASE("labels that are missing or wrong are left out", "[headers]") {
+  auto labels = platformLabels().ReadRequest(
+      {{"X-Deadline-Ms", "soon"},
+       {"X-Token-Count", "many"},
+       {"X-Prompt-Prefix", "5c1e07a2:800,zz:1,91bd3f06:410"}});
+  CHECK(labels.Id.empty());
+  CHECK_FALSE(labels.TimeLeft);
+  CHECK_FALSE(labels.Weights);
+  CHECK(labels.PromptTokens == 0);
+  CHECK(labels.Prompt.size() == 1);
+  CHECK(platformLabels().ReadRequest({{"X-Deadline-Ms", "-5"}}).TimeLeft ==
+        Span(0));
+  CHECK(platformLabels()
+            .ReadRequest({{"X-Deadline-Ms", "9223372036854775807"}})
+            .TimeLeft == std::chrono::hours(24));
+}
+
+TEST_CASE("what only the product may set is replaced or dropped", "[headers]") {
+  ForwardLabels labels;
+  labels.TimeLeft = std::chrono::milliseconds(900);
+  labels.Incarnation = "i-1";
+  labels.Priority = 3;
+  labels.Version = 7;
+  auto out = platformLabels().Forward({{"Host", "a.example"},
+                                       {"X-Attempt-Id", "id-1"},
+                                       {"X-Deadline-Ms", "1500"},
+                                       {"x-expect-instance", "forged"},
+                                       {"X-Request-Priority", "0"},
+                                       {"X-Expect-Version", "1"},
+                                       {"X-Hold", "h"},
+                                       {"X-Pin-Ms", "1"},
+                                       {"X-Kv-Backup", "10.0.0.1:1"},
+                                       {"Kv-From", "10.0.0.1:1/x"},
+                                       {"Kv-Fetch", "10.0.0.1:1"},
+                                       {"Connection", "keep-alive"},
+                                       {"Transfer-Encoding", "chunked"},
+                                       {"X-Other", "kept"}},
+                                      labels);
+  CHECK(valueOf(out, "Host") == "a.example");
+  CHECK(valueOf(out, "X-Attempt-Id") == "id-1");
+  CHECK(valueOf(out, "X-Deadline-Ms") == "900");
+  CHECK(valueOf(out, "X-Expect-Instance") == "i-1");
+  CHECK(valueOf(out, "X-Request-Priority") == "3");
+  CHECK(valueOf(out, "X-Expect-Version") == "7");
+  CHECK(valueOf(out, "X-Other") == "kept");
+  for (const auto *name :
+       {"x-expect-instance", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
+        "Kv-Fetch", "Connection", "Transfer-Encoding"})
+    CHECK(valueOf(out, name).empty());
+}
+
+TEST_CASE("a stream goes on behind the last event passed on", "[headers]") {
+  ForwardLabels labels;
+  LabelFields sent{{"Last-Event-Id", "5"}};
+  CHECK(valueOf(platformLabels().Forward(sent, labels), "Last-Event-Id") ==
+        "5");
+  labels.ResumeBehind = "9";
+  CHECK(valueOf(platformLabels().Forward(sent, labels), "Last-Event-Id") ==
+        "9");
+}
+
+TEST_CASE("an answer's labels are read", "[headers]") {
+  auto read = platformLabels().ReadAnswer;
+  auto good = read(200, {{"X-Attempt-Id", "id-1"},
+                         {"X-Response-Seal", "s"},
+                         {"Content-Type", "text/event-stream; charset=utf-8"}});
+  CHECK(good.Id == "id-1");
+  CHECK(good.Sealed);
+  CHECK(good.Events);
+  CHECK_FALSE(good.NotRun);
+  CHECK_FALSE(good.Encoded);
+  CHECK(read(503, {{"X-Not-Executed", "1"}}).NotRun);
+  CHECK_FALSE(read(503, {}).NotRun);
+  auto other = read(421, {{"X-Instance-Id", "i-2"}});
+  CHECK(other.NotRun);
+  CHECK(other.Incarnation == "i-2");
+  CHECK(read(200, {{"Content-Encoding", "gzip"}}).Encoded);
+}
+
+} // namespace hemlockglade::test
--- /dev/null
+++ b/UnitTests/Platform/StoreTest.cpp
@@ -0,0 +1,205 @@
+#include "platform/Store.h"
+
+#include "Hemlockglade/Protocol/JsonText.h"
+#include "Hemlockglade/Transport/Http1/CallerServer.h"
+#include "UnitTests/Transport/Loopback.h"
+#include "platform/Base64.h"
+
+namespace hemlockglade::test {
+
+namespace {
+
+/// A store, or an engine, that answers as the test says.
+struct StoreFixture : Loopback {
+  StoreFixture()
+      : Log(
+            {"n"}, [this](std::string_view line) { Lines.emplace_back(line); },
+            [] { return std::chrono::microseconds(0); }) {
+    CallerHooks hooks;
+    hooks.Bounds = [] { return CallerBounds{}; };
+    hooks.Closing = [] { return false; };
+    hooks.OnRequest = [this](CallerRequest request, auto reply) {
+      Calls.push_back(request);
+      if (Silent) {
+        Held.push_back(std::move(reply));
+        return;
+      }
+      auto answer = Answers.empty() ? Answer : Answers.front();
+      if (!Answers.empty())
+        Answers.erase(Answers.begin());
+      reply->respond({answer.first, {}}, answer.second);
+    };
+    Server = std::make_unique<CallerServer>(Context, localhost(0), 10,
+                                            std::move(hooks));
+    PlatformStore::Settings settings;
+    settings.Address = localhost(Server->port());
+    settings.CallTimeout = std::chrono::milliseconds(80);
+    settings.EngineTimeout = std::chrono::milliseconds(80);
+    Store = std::make_unique<PlatformStore>(Context, settings, Log);
+  }
+
+  template <typename T> T wait(std::optional<T> &result) {
+    REQUIRE(until([&] { return result.has_value(); }));
+    return std::move(*result);
+  }
+
+  tl::expected<std::uint64_t, TableError> commit() {
+    std::optional<tl::expected<std::uint64_t, TableError>> result;
+    Store->table().Commit({"a", {{"k", 4, "v"}}},
+                          [&](auto it) { result = it; });
+    return wait(result);
+  }
+
+  ReplicaRecord replica() const {
+    ReplicaRecord out;
+    out.Incarnation = "i-1";
+    out.Address = address(Server->port());
+    return out;
+  }
+
+  OrderAnswer order() {
+    std::optional<OrderAnswer> result;
+    Store->engines().Order(replica(), {}, [&](auto it) { result = it; });
+    return wait(result);
+  }
+
+  std::vector<std::string> Lines;
+  EventLog Log;
+  std::vector<CallerRequest> Calls;
+  std::pair<std::uint16_t, std::string> Answer{200, "{}"};
+  std::vector<std::pair<std::uint16_t, std::string>> Answers;
+  std::vector<std::shared_ptr<CallerReply>> Held;
+  bool Silent = false;
+  std::unique_ptr<CallerServer> Server;
+  std::unique_ptr<PlatformStore> Store;
+};
+
+std::string row(const std::string &key, const std::string &value) {
+  return R"({"table":"t","part":"","key":")" + key + R"(","ver":5,"value":")" +
+         toBase64(value) + R"("})";
+}
+
+} // namespace
+
+TEST_CASE("a commit is one conditional change", "[store]") {
+  StoreFixture it;
+  it.Answer = {200, R"({"ver":412,"now_ms":1})"};
+  CHECK(it.commit() == 412);
+  REQUIRE(it.Calls.size() == 1);
+  CHECK(it.Calls[0].Head.Target == "/hemlockglade/rows-tx");
+  auto body = parseJson(it.Calls[0].Body);
+  CHECK(body["if_revision"][0]["ver"] == 4);
+  CHECK(body["if_revision"][0]["key"] == "k");
+  CHECK(body["put"][0]["value"] == "dg==");
+}
+
+TEST_CASE("what is known of a commit follows from its answer", "[store]") {
+  StoreFixture it;
+  SECTION("a conflict changed nothing") {
+    it.Answer = {412, "{}"};
+    CHECK(it.commit().error() == TableError::Conflict);
+  }
+  SECTION("neither did a call that was turned away") {
+    it.Answer = {503, ""};
+    CHECK(it.commit().error() == TableError::NotSent);
+    it.Answer = {429, ""};
+    CHECK(it.commit().error() == TableError::NotSent);
+  }
+  SECTION("any other answer leaves it open") {
+    it.Answer = {500, ""};
+    CHECK(it.commit().error() == TableError::Ambiguous);
+  }
+  SECTION("so does none") {
+    it.Silent = true;
+    CHECK(it.commit().error() == TableError::Ambiguous);
+  }
+  SECTION("an answer that does not tell the version makes it 0") {
+    it.Answer = {200, "what"};
+    CHECK(it.commit() == 0);
+  }
+}
+
+TEST_CASE("a table of several pages is read whole", "[store]") {
+  StoreFixture it;
+  it.Answers = {{200, R"({"rows":[)" + row("lease/a", "1") +
+                          R"(],"has_more":true,"ver":7,"now_ms":1})"},
+                {200, R"({"rows":[)" + row("lease/b", "2") + "," +
+                          row("other", "3") +
+                          R"(],"has_more":false,"ver":9,"now_ms":1})"}};
+  std::optional<tl::expected<std::vector<TableRow>, TableError>> result;
+  it.Store->table().Scan("lease/", [&](auto got) { result = got; });
+  auto rows = it.wait(result);
+  REQUIRE(rows);
+  REQUIRE(rows->size() == 2);
+  CHECK((*rows)[1].Value == "2");
+  REQUIRE(it.Calls.size() == 2);
+  CHECK(it.Calls[1].Head.Target.find("from=lease/a%01") != std::string::npos);
+}
+
+TEST_CASE("operators' rows become a plan and versions", "[store]") {
+  StoreFixture it;
+  auto plan = R"({"version":3,"routes":[],"services":[]})";
+  it.Answer = {200, R"({"rows":[)" + row("config", plan) + "," +
+                        row("version/m.a1",
+                            R"({"model":"m","adapter":"a1","version":2})") +
+                        "," + row("version/bad", "[]") + "," +
+                        R"({"key":"gone","deleted":true,"ver":8}],)" +
+                        R"("has_more":false,"ver":9,"now_ms":1})"};
+  std::optional<tl::expected<OperatorChanges, RegistryError>> result;
+  it.Store->registry().ReadOperator([&](auto got) { result = got; });
+  auto changes = it.wait(result);
+  REQUIRE(changes);
+  REQUIRE(changes->Plan);
+  CHECK(changes->Plan->version() == 3);
+  CHECK(changes->Versions.size() == 1);
+  CHECK(changes->Position == 9);
+  // What could not be read is told, and the rest is not lost.
+  CHECK(it.Lines.size() == 1);
+}
+
+TEST_CASE("the feed tells what came and what went", "[store]") {
+  StoreFixture it;
+  it.Answer = {200, R"({"rows":[)" +
+                        row("i-1", R"({"service":"s","address":"1.2.3.4:5"})") +
+                        R"(,{"key":"i-2","ver":6,"deleted":true}],"ver":6})"};
+  std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+  it.Store->registry().WatchReplicas(5, [&](auto got) { result = got; });
+  auto changes = it.wait(result);
+  REQUIRE(changes);
+  CHECK_FALSE(changes->Whole);
+  CHECK(changes->Present.size() == 1);
+  CHECK(changes->Removed == std::vector<std::string>{"i-2"});
+  CHECK(it.Calls[0].Head.Target ==
+        "/hemlockglade/rows-feed?table=servers&after=5&wait_ms=0");
+}
+
+TEST_CASE("a feed whose history is gone says so", "[store]") {
+  StoreFixture it;
+  it.Answer = {410, ""};
+  std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+  it.Store->registry().WatchReplicas(5, [&](auto got) { result = got; });
+  CHECK(it.wait(result).error() == RegistryError::HistoryGone);
+}
+
+TEST_CASE("an engine's answer to an order is told apart", "[store]") {
+  StoreFixture it;
+  auto [status, answer] =
+      GENERATE(table<int, OrderAnswer>({{202, OrderAnswer::Accepted},
+                                        {200, OrderAnswer::Holds},
+                                        {409, OrderAnswer::Conflict},
+                                        {412, OrderAnswer::Fenced},
+                                        {421, OrderAnswer::OtherIncarnation},
+                                        {400, OrderAnswer::Rejected}}));
+  it.Answer = {static_cast<std::uint16_t>(status), ""};
+  CHECK(it.order() == answer);
+  REQUIRE(it.Calls.size() == 1);
+  CHECK(*findField(it.Calls[0].Head.Fields, "X-Expect-Instance") == "i-1");
+}
+
+TEST_CASE("an order without an answer is open", "[store]") {
+  StoreFixture it;
+  it.Silent = true;
+  CHECK(it.order() == OrderAnswer::Unknown);
+}
+
+} // namespace hemlockglade::test
