--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 void CellDesk::setReplicas(const std::vector<ReplicaPtr> &replicas,
-                           std::shared_ptr<const RoutePlan> plan, Instant now) {
+                           const std::shared_ptr<const RoutePlan> &plan,
+                           Instant now) {
   std::map<std::string, Book> kept;
   for (const auto &record : replicas) {
     const auto *service = plan ? plan->service(record->Service) : nullptr;
@@ -325,6 +326,13 @@
   return actions;
 }
 
+bool CellDesk::holdsAllModels(const Book &book) {
+  const auto &models = book.Engine->Models;
+  return std::all_of(models.begin(), models.end(), [&](const auto &it) {
+    return book.Held.contains({it.Name, {}});
+  });
+}
+
 void CellDesk::planModels(std::vector<DeskAction> &actions, Instant now) {
   auto busy = std::count_if(Books.begin(), Books.end(), [now](const auto &it) {
     return it.second.ModelBusyUntil > now;
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -91,7 +91,7 @@
   /// Sets the replicas of the cell that run engines, and what their services
   /// say of them.
   void setReplicas(const std::vector<ReplicaPtr> &replicas,
-                   std::shared_ptr<const RoutePlan> plan, Instant now);
+                   const std::shared_ptr<const RoutePlan> &plan, Instant now);
   /// Operators have named a version.
   void setVersion(const WeightsRef &weights, std::uint64_t version);
   /// Requests for weights of a service came, at any node.
@@ -189,6 +189,7 @@
   bool orderable(const Book &book, Instant now) const;
   void adopt(Book &book, const HeldWeights &held, const HeldWeights &pending,
              std::uint64_t count, Instant now);
+  static bool holdsAllModels(const Book &book);
   void planModels(std::vector<DeskAction> &actions, Instant now);
   void planAdapters(std::vector<DeskAction> &actions, Instant now);
   bool place(const DemandKey &key, double worth, std::string_view reason,
--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -195,7 +195,8 @@
   commit(std::move(row), freeAt, ordersFrom);
 }
 
-void CellLease::commit(CellLeaseRow row, Instant freeAt, Instant ordersFrom) {
+void CellLease::commit(const CellLeaseRow &row, Instant freeAt,
+                       Instant ordersFrom) {
   FreeAt = freeAt;
   Busy = true;
   auto sentAt = Now();
--- a/Hemlockglade/Coordination/Orders/CellLease.h
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -94,7 +94,7 @@
   void look();
   void onRow(const std::optional<TableRow> &row, Instant sentAt);
   void take(Instant freeAt, Instant ordersFrom);
-  void commit(CellLeaseRow row, Instant freeAt, Instant ordersFrom);
+  void commit(const CellLeaseRow &row, Instant freeAt, Instant ordersFrom);
   void onCommitted(const CellLeaseRow &row, Instant sentAt, Instant ordersFrom,
                    const tl::expected<std::uint64_t, TableError> &result);
   void adopt(const CellLeaseRow &row, std::uint64_t version);
--- a/Hemlockglade/State/Routing/ReplicaRecord.h
+++ b/Hemlockglade/State/Routing/ReplicaRecord.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace hemlockglade {
@@ -16,7 +17,10 @@
   /// Empty for the base model itself.
   std::string Adapter;
 
-  auto operator<=>(const WeightsRef &) const = default;
+  bool operator==(const WeightsRef &) const = default;
+  bool operator<(const WeightsRef &other) const {
+    return std::tie(Model, Adapter) < std::tie(other.Model, other.Adapter);
+  }
   std::string text() const {
     return Adapter.empty() ? Model : Model + "/" + Adapter;
   }
--- a/Hemlockglade/Transport/Http1/CallerConnection.cpp
+++ b/Hemlockglade/Transport/Http1/CallerConnection.cpp
@@ -40,7 +40,13 @@
   Connection->Active = this;
 }
 
-CallerReply::~CallerReply() { abort(); }
+CallerReply::~CallerReply() {
+  try {
+    abort();
+  } catch (const std::exception &) {
+    // Memory has run out; the connection ends with its last owner.
+  }
+}
 
 void CallerReply::respond(HttpAnswerHead head, std::string_view body) {
   if (!Connection)
--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -39,8 +39,8 @@
     Dropping = true;
 }
 
-void HttpConnection::call(std::string head, std::string body, bool bodiless,
-                          HttpCallHooks hooks) {
+void HttpConnection::call(std::string head, const std::string &body,
+                          bool bodiless, HttpCallHooks hooks) {
   Hooks = std::make_shared<HttpCallHooks>(std::move(hooks));
   Outgoing = std::move(head);
   Outgoing.append(body);
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -208,7 +208,7 @@
   auto most =
       static_cast<std::size_t>(CallerShare * static_cast<double>(usable));
   auto hooks = callerHooks();
-  hooks.OnRequest = [this](CallerRequest request, auto reply) {
+  hooks.OnRequest = [this](CallerRequest &&request, auto reply) {
     onRequest(std::move(request), std::move(reply));
   };
   Callers = std::make_unique<CallerServer>(
@@ -414,6 +414,7 @@
   }
   known[Settings.Name] = self();
   std::vector<MemberNotice> out;
+  out.reserve(known.size());
   for (auto &[name, it] : known)
     out.push_back(std::move(it));
   return out;
--- a/UnitTests/Coordination/Orders/CellLeaseTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseTest.cpp
@@ -51,12 +51,12 @@
   TableHooks hooks() {
     auto inner = Table.hooks();
     TableHooks out;
-    out.Get = [this, inner](std::string key, auto done) {
+    out.Get = [this, inner](const std::string &key, auto done) {
       if (Cut)
         return fail(done);
       inner.Get(std::move(key), guard(done));
     };
-    out.Commit = [this, inner](TableTransaction transaction, auto done) {
+    out.Commit = [this, inner](const TableTransaction &transaction, auto done) {
       if (Cut)
         return fail(done);
       inner.Commit(std::move(transaction), guard(done));
--- a/UnitTests/Platform/DocumentsTest.cpp
+++ b/UnitTests/Platform/DocumentsTest.cpp
@@ -149,7 +149,7 @@
 }
 
 TEST_CASE("base64 is written and read", "[documents]") {
-  CHECK(toBase64("") == "");
+  CHECK(toBase64("").empty());
   CHECK(toBase64("node-1") == "bm9kZS0x");
   CHECK(toBase64("a") == "YQ==");
   CHECK(fromBase64("YQ==") == "a");
--- a/UnitTests/Platform/HeadersTest.cpp
+++ b/UnitTests/Platform/HeadersTest.cpp
@@ -10,7 +10,7 @@
   std::string out;
   for (const auto &[key, value] : fields)
     if (key == name)
-      out = out.empty() ? value : out + "," + value;
+      out.append(out.empty() ? "" : ",").append(value);
   return out;
 }
 
--- a/UnitTests/Platform/StoreTest.cpp
+++ b/UnitTests/Platform/StoreTest.cpp
@@ -18,7 +18,7 @@
     CallerHooks hooks;
     hooks.Bounds = [] { return CallerBounds{}; };
     hooks.Closing = [] { return false; };
-    hooks.OnRequest = [this](CallerRequest request, auto reply) {
+    hooks.OnRequest = [this](const CallerRequest &request, auto reply) {
       Calls.push_back(request);
       if (Silent) {
         Held.push_back(std::move(reply));
