A node that starts again does nothing from its earlier life in the member world

Ruled out: the member table: nobody is dead there by hearsay, and the order of what it tells is right. Change: timers and answers of the test's world end with the start of the node that they belong to, as they do with a process. Conclusion: a fault of the test's world, which is stricter now: an earlier life has no effect at all.

--- a/UnitTests/Coordination/Membership/MemberWorld.h
+++ b/UnitTests/Coordination/Membership/MemberWorld.h
@@ -20,6 +20,9 @@
     std::uint64_t Bytes = 0;
     std::uint64_t MaxRoundBytes = 0;
     std::uint64_t RoundBytes = 0;
+    /// Ends with this start of the node: what an earlier process still had
+    /// under way does nothing any more.
+    std::shared_ptr<bool> Life = std::make_shared<bool>(true);
     /// What it was last told of each other node.
     std::map<std::string, MemberState> Told;
   };
@@ -137,15 +140,22 @@
 
   MembershipHooks hooks(const std::string &name) {
     MembershipHooks hooks;
+    std::weak_ptr<bool> life = Nodes[name].Life;
     hooks.Now = [this] { return Time.now(); };
-    hooks.After = [this, name](Span span, std::function<void()> call) {
-      Time.after(span, [this, name, call] { whenAwake(name, call); });
+    hooks.After = [this, name, life](Span span, std::function<void()> call) {
+      Time.after(span, [this, name, life, call] {
+        if (!life.expired())
+          whenAwake(name, call);
+      });
     };
-    hooks.Ask = [this, name](const std::string &to, MemberMessage message,
-                             auto done) {
-      auto answer = [this, name, to, done](const auto &reply) {
+    hooks.Ask = [this, name, life](const std::string &to, MemberMessage message,
+                                   auto done) {
+      auto answer = [this, name, life, to, done](const auto &reply) {
         if (reply)
-          deliver(to, name, *reply, [done](const auto &it) { done(it); });
+          deliver(to, name, *reply, [done, life](const auto &it) {
+            if (!life.expired())
+              done(it);
+          });
       };
       deliver(name, to, message, [this, to, answer](const auto &it) {
         Nodes[to].Member->serve(it, answer);
