A node that starts while the registry is away learns from a peer; rarer calls meanwhile

Cause: a process that started while the store was away answered 503 until it was back; nodes called a store that did not answer up to 11 times a second. Ruled out: keeping a copy on disk: hosts have none. Change: plan, versions, replicas and lease rows are asked from the hosts that the settings name; pauses between failing looks double up to a bound.

--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -44,7 +44,7 @@
                      Clock clock, OnChange onChange)
     : Cell(std::move(cell)), Setup(std::move(settings)),
       Table(std::move(table)), Now(std::move(clock)),
-      Changed(std::move(onChange)) {}
+      Changed(std::move(onChange)), LookPause(Setup.LookEvery) {}
 
 bool CellLease::isOwn(const CellLeaseRow &row) const {
   return row.Holder == Setup.Holder && row.Incarnation == Setup.Incarnation;
@@ -87,7 +87,7 @@
     return;
   if (!InDoubt && Row && now >= FreeAt + reluctance)
     return take(FreeAt, FreeAt + Setup.Handover + Setup.OrderTravel);
-  if (now - LookedAt >= Setup.LookEvery)
+  if (now - LookedAt >= LookPause)
     look();
 }
 
@@ -106,6 +106,9 @@
   LookedAt = sentAt;
   Table.Get(key(), [self = shared_from_this(), sentAt](auto result) {
     self->Busy = false;
+    const auto &setup = self->Setup;
+    self->LookPause = result ? setup.LookEvery
+                             : std::min(setup.LongestLook, self->LookPause * 2);
     if (result)
       self->onRow(*result, sentAt);
   });
@@ -188,6 +191,14 @@
   FreeAt = std::max(FreeAt, now + remaining);
 }
 
+void CellLease::onTold(const CellLeaseRow &row) {
+  if (Row || isOwn(row))
+    return;
+  Row = row;
+  InDoubt = true;
+  Changed(LeaseChange::HolderSeen, *this);
+}
+
 void CellLease::take(Instant freeAt, Instant ordersFrom) {
   CellLeaseRow row{Setup.Holder,  Setup.Incarnation,
                    Setup.Address, Row->Fence + 1,
--- a/Hemlockglade/Coordination/Orders/CellLease.h
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -59,8 +59,10 @@
     Span OrderTravel = std::chrono::milliseconds(250);
     /// A holder that was heard from this recently is not doubted.
     Span Silence = std::chrono::milliseconds(900);
-    /// Time between looks at the row of a silent holder.
+    /// Time between looks at the row of a silent holder, and the longest when
+    /// the table does not answer either.
     Span LookEvery = std::chrono::milliseconds(500);
+    Span LongestLook = std::chrono::milliseconds(1500);
   };
   using Clock = std::function<Instant()>;
   using OnChange = std::function<void(LeaseChange, const CellLease &)>;
@@ -74,6 +76,9 @@
   /// The holder has told that its lease, at this version of the row, lasts for
   /// `remaining`.
   void onHeard(std::uint64_t version, Span remaining);
+  /// Another node tells who holds the lease; taken only while nothing is known,
+  /// and never as a ground to take the lease over.
+  void onTold(const CellLeaseRow &row);
   /// Gives the lease up, if it is held.
   void release();
 
@@ -122,6 +127,8 @@
   Instant FreeAt{};
   Instant HeardAt{-3'600'000'000};
   Instant LookedAt{-3'600'000'000};
+  /// Time between looks now.
+  Span LookPause{0};
   /// When the row was first found not to exist.
   std::optional<Instant> FirstLookAt;
   Span Reluctance{0};
--- a/Hemlockglade/Coordination/Registry/Registry.h
+++ b/Hemlockglade/Coordination/Registry/Registry.h
@@ -4,6 +4,7 @@
 #include "Hemlockglade/State/Routing/RoutePlan.h"
 
 #include <functional>
+#include <string_view>
 #include <memory>
 #include <optional>
 #include <tl/expected.hpp>
@@ -52,6 +53,12 @@
   std::function<void(RegistryCallback<ReplicaChanges>)> ReadReplicas;
   std::function<void(std::uint64_t position, RegistryCallback<ReplicaChanges>)>
       WatchReplicas;
+  /// Read what another node passes on: `Source` of a plan or a replica.
+  std::function<std::shared_ptr<const RoutePlan>(std::string_view source)>
+      ReadPlan;
+  std::function<std::optional<ReplicaRecord>(std::string_view incarnation,
+                                             std::string_view source)>
+      ReadReplica;
 };
 
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -413,6 +413,14 @@
   return out;
 }
 
+std::vector<ReplicaPtr> ReplicaView::inUse() const {
+  std::vector<ReplicaPtr> out;
+  for (const auto &[id, seen] : Replicas)
+    if (usable(seen))
+      out.push_back(seen.Record);
+  return out;
+}
+
 std::map<std::string, std::uint32_t>
 ReplicaView::ownRunning(const std::string &domain) const {
   std::map<std::string, std::uint32_t> out;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -158,6 +158,8 @@
 
   /// Records of the replicas in use in a failure domain.
   std::vector<ReplicaPtr> replicasIn(const std::string &domain) const;
+  /// Records of all replicas in use.
+  std::vector<ReplicaPtr> inUse() const;
   /// Rises whenever `replicasIn` may give something else.
   std::uint64_t revision() const { return Revision; }
   /// Own running requests at each replica of a failure domain that has any.
--- a/Hemlockglade/State/Routing/ReplicaRecord.h
+++ b/Hemlockglade/State/Routing/ReplicaRecord.h
@@ -54,6 +54,8 @@
   Span ColdFor{0};
   /// What it holds, as of its last heartbeat.
   HeldWeights Held;
+  /// The entry as it is registered, for nodes that can't read it themselves.
+  std::string Source;
 };
 
 using ReplicaPtr = std::shared_ptr<const ReplicaRecord>;
--- a/Hemlockglade/State/Routing/RoutePlan.h
+++ b/Hemlockglade/State/Routing/RoutePlan.h
@@ -102,6 +102,9 @@
   RoutePlan(std::uint64_t version, std::vector<Route> routes,
             std::vector<ServiceSpec> services, CallerLimits limits);
 
+  /// The plan as operators wrote it, for nodes that can't read it themselves.
+  std::string Source;
+
   /// Rises with each plan, by more than one at times.
   std::uint64_t version() const { return Number; }
   const std::vector<Route> &routes() const { return All; }
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -75,6 +75,7 @@
   const std::vector<MemberNotice> &members() const { return Members; }
   bool fresh() const;
   const CellLease &lease() const { return *Lease; }
+  void onTold(const CellLeaseRow &row) { Lease->onTold(row); }
   const std::string &cell() const { return Setup.Cell; }
   std::uint64_t orders() const { return Orders; }
 
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -16,6 +16,9 @@
 constexpr auto DirectoryTtl = std::chrono::milliseconds(1000);
 constexpr std::size_t MaxAddresses = 64;
 constexpr auto TickPeriod = std::chrono::milliseconds(50);
+/// Time after which a node that has heard nothing from the registry asks a
+/// peer, and then the next: the registry answers in some 10 ms.
+constexpr auto BriefingPeriod = std::chrono::milliseconds(300);
 constexpr auto RefreshPeriod = std::chrono::seconds(1);
 /// How much longer than the cell's own hosts others leave a free lease alone.
 constexpr auto FarReluctance = std::chrono::milliseconds(700);
@@ -142,6 +145,8 @@
   Watch->start();
   Subscriptions.push_back(
       Timers.every(TickPeriod, [this](Instant) { tick(); }));
+  Subscriptions.push_back(
+      Timers.every(BriefingPeriod, [this](Instant) { askBriefing(); }));
   Subscriptions.push_back(
       Timers.every(RefreshPeriod, [this](Instant) { refresh(); }));
   Log.write(LogClass::State, "start",
@@ -461,9 +466,68 @@
     if (it != Cells.end())
       return it->second->onFollower(stream);
   }
+  if (path == peer_path::Briefing)
+    stream->send(pack(briefing()));
   stream->close();
 }
 
+BriefingReply Gateway::briefing() const {
+  BriefingReply out;
+  if (Plan)
+    out.PlanText = Plan->Source;
+  for (const auto &it : View.inUse())
+    out.Replicas.emplace_back(it->Incarnation, it->Source);
+  for (const auto &[weights, version] : Versions)
+    out.Versions.emplace_back(weights.text(), version);
+  for (const auto &[name, cell] : Cells)
+    if (const auto &row = cell->lease().row())
+      out.Leases.emplace_back(name, row->text());
+  return out;
+}
+
+void Gateway::askBriefing() {
+  if (Settings.Seeds.empty() || (Plan && SeenReplicas) || Leaving)
+    return;
+  auto seed = Settings.Seeds[NextSeed++ % Settings.Seeds.size()];
+  auto peer = seed.substr(0, seed.rfind(':')) + ":" +
+              std::to_string(Settings.PeerPort);
+  if (peer.starts_with(Settings.Address + ":"))
+    return;
+  PeerHooks hooks;
+  hooks.OnMessage = [this](std::string_view message) {
+    if (auto reply = unpack<BriefingReply>(message))
+      onBriefing(*reply);
+    else
+      Log.write(LogClass::State, "message-refused", {{"what", "briefing"}});
+  };
+  Peers->open(peer, std::string(peer_path::Briefing), "?", std::move(hooks));
+}
+
+void Gateway::onBriefing(const BriefingReply &reply) {
+  OperatorChanges declared;
+  if (!Plan && !reply.PlanText.empty())
+    declared.Plan = Port.Registry.ReadPlan(reply.PlanText);
+  for (const auto &[weights, version] : reply.Versions)
+    declared.Versions.push_back({WeightsRef::parse(weights), version});
+  ReplicaChanges replicas;
+  for (const auto &[incarnation, source] : reply.Replicas)
+    if (auto it = Port.Registry.ReadReplica(incarnation, source))
+      replicas.Present.push_back(std::move(*it));
+  Log.write(LogClass::State, "briefing",
+            {{"plan", declared.Plan ? declared.Plan->version() : 0},
+             {"replicas",
+              static_cast<std::uint64_t>(replicas.Present.size())}});
+  onOperator(declared);
+  if (!SeenReplicas && !replicas.Present.empty())
+    onReplicas(replicas, true);
+  for (const auto &[name, text] : reply.Leases) {
+    auto cell = Cells.find(name);
+    auto row = CellLeaseRow::parse(text);
+    if (cell != Cells.end() && row)
+      cell->second->onTold(*row);
+  }
+}
+
 void Gateway::tick() {
   for (auto &[name, cell] : Cells)
     cell->tick();
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -44,6 +44,9 @@
   void onReadiness(const CallerRequest &request, CallerReply &reply);
   void onMetrics(const CallerRequest &request, CallerReply &reply);
   void onPeer(const std::shared_ptr<PeerStream> &stream);
+  BriefingReply briefing() const;
+  void askBriefing();
+  void onBriefing(const BriefingReply &reply);
   void onDemand(const std::string &service, const WeightsRef &weights,
                 bool waiting);
   CellMember *homeOf(const WeightsRef &weights);
@@ -88,6 +91,7 @@
   bool Leaving = false;
   Instant StoppedAt{};
   bool WakePosted = false;
+  std::size_t NextSeed = 0;
   std::vector<TimerService::Subscription> Subscriptions;
   std::function<void()> Stopped;
 };
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -5,7 +5,8 @@
 RegistryWatch::RegistryWatch(TimerService &timers, RegistryHooks registry,
                              Settings settings, Hooks hooks, EventLog &log)
     : Timers(timers), Registry(std::move(registry)), Setup(settings),
-      Out(std::move(hooks)), Log(log) {}
+      Out(std::move(hooks)), Log(log), OperatorPause(Setup.Pause),
+      ReplicaPause(Setup.Pause) {}
 
 void RegistryWatch::start() {
   lookAtOperator();
@@ -38,6 +39,7 @@
     const tl::expected<OperatorChanges, RegistryError> &result) {
   if (result) {
     note(true, "operator");
+    OperatorPause = Setup.Pause;
     OperatorPosition = result->Position;
     Out.OnOperator(*result);
     return lookAtOperator();
@@ -47,7 +49,8 @@
     return lookAtOperator();
   }
   note(false, "operator");
-  Timers.after(Setup.Pause, [this](Instant) { lookAtOperator(); });
+  Timers.after(OperatorPause, [this](Instant) { lookAtOperator(); });
+  again(OperatorPause, Setup.LongestPause);
 }
 
 void RegistryWatch::lookAtReplicas() {
@@ -60,12 +63,13 @@
 
 void RegistryWatch::onReplicas(
     const tl::expected<ReplicaChanges, RegistryError> &result) {
-  auto again = [this](Instant) { lookAtReplicas(); };
+  auto look = [this](Instant) { lookAtReplicas(); };
   if (result) {
     note(true, "replicas");
+    ReplicaPause = Setup.Pause;
     ReplicaPosition = result->Position;
     Out.OnReplicas(*result, unreachableLately());
-    Timers.after(Setup.ReplicaPeriod, again);
+    Timers.after(Setup.ReplicaPeriod, look);
     return;
   }
   if (result.error() == RegistryError::HistoryGone) {
@@ -73,7 +77,8 @@
     return lookAtReplicas();
   }
   note(false, "replicas");
-  Timers.after(Setup.Pause, again);
+  Timers.after(ReplicaPause, look);
+  again(ReplicaPause, Setup.LongestPause);
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -17,8 +17,10 @@
     /// Time between looks at the replicas. Half of the usual bound on new work
     /// for one that leaves (2 s) less the time that a look takes when slow.
     Span ReplicaPeriod = std::chrono::milliseconds(1000);
-    /// Pause after a look that failed.
+    /// Pause after a look that failed, twice as long after each further one, up
+    /// to the longest. Calls are priced also while nobody answers.
     Span Pause = std::chrono::milliseconds(400);
+    Span LongestPause = std::chrono::milliseconds(1000);
     /// A registry that failed this recently may have let entries lapse.
     Span LapseWindow = std::chrono::milliseconds(4000);
   };
@@ -41,6 +43,9 @@
   void onReplicas(const tl::expected<ReplicaChanges, RegistryError> &result);
   void note(bool good, std::string_view what);
   bool unreachableLately() const;
+  static void again(Span &pause, Span longest) {
+    pause = std::min(longest, pause * 2);
+  }
 
   TimerService &Timers;
   RegistryHooks Registry;
@@ -51,6 +56,8 @@
   std::optional<std::uint64_t> ReplicaPosition;
   bool Reachable = true;
   Instant FailedAt{-3'600'000'000};
+  Span OperatorPause{0};
+  Span ReplicaPause{0};
 };
 
 } // namespace hemlockglade
