Leases outlast short outages, and go back to nodes of their own domain

Cause: with leases of 1.8 s nobody could order while the store was away for all, and each restart in turn left its cell with whoever was there: after a rolling restart one node held all three cells, and its freeze stopped all loads. Ruled out: extending a lease by promises of the other nodes while the store is away: a node that nobody knows of yet could take over. Change: a lease is valid for 6.5 s, renewed each 1.2 s; the cell of another failure domain is handed over once a node there has been ready for 3 s. The lease tests keep their own times, 1.8 s; with handing over in the random schedules none has two holders within the handover. A holder that dies for good stops the orders of its cell for 9.8 s; other cells load for it.

--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -52,7 +52,8 @@
 
 bool CellLease::mayOrder() const {
   auto now = Now();
-  return Mine && !Leaving && now >= OrdersFrom && now < ValidUntil;
+  return Mine && !Leaving && now >= std::max(OrdersFrom, AbstainsUntil) &&
+         now < ValidUntil;
 }
 
 Span CellLease::remaining() const {
@@ -85,7 +86,7 @@
   }
   if (now - HeardAt < Setup.Silence)
     return;
-  if (!InDoubt && Row && now >= FreeAt + reluctance)
+  if (!InDoubt && Row && now >= std::max(FreeAt + reluctance, AbstainsUntil))
     return take(FreeAt, FreeAt + Setup.Handover + Setup.OrderTravel);
   if (now - LookedAt >= LookPause)
     look();
@@ -269,6 +270,13 @@
     giveUp();
 }
 
+void CellLease::handOver() {
+  if (!Mine || Busy || InDoubt || Leaving)
+    return;
+  AbstainsUntil = Now() + Setup.Abstain;
+  giveUp();
+}
+
 void CellLease::giveUp() {
   if (!Mine || Row->Released)
     return;
--- a/Hemlockglade/Coordination/Orders/CellLease.h
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -47,11 +47,14 @@
     std::string Holder;
     std::string Incarnation;
     std::string Address;
-    /// Time between renewals. Three fit into the validity, so that one that is
-    /// lost costs nothing.
-    Span RenewEvery = std::chrono::milliseconds(600);
-    /// How long a renewal gives the right to order.
-    Span Validity = std::chrono::milliseconds(1800);
+    /// Time between renewals; five fit into the validity, so that lost ones
+    /// cost nothing.
+    Span RenewEvery = std::chrono::milliseconds(1200);
+    /// How long a renewal gives the right to order. A holder that the table
+    /// turns away, or a table that is away, mostly comes back within 7 s; other
+    /// cells load for a cell whose holder has gone, so that a longer takeover
+    /// costs little.
+    Span Validity = std::chrono::milliseconds(6500);
     /// Time that must lie between the last order of one holder and the first
     /// of the next; the deployment's bound.
     Span Handover = std::chrono::milliseconds(3000);
@@ -59,6 +62,8 @@
     Span OrderTravel = std::chrono::milliseconds(250);
     /// A holder that was heard from this recently is not doubted.
     Span Silence = std::chrono::milliseconds(900);
+    /// How long a node that has handed a lease over leaves it to others.
+    Span Abstain = std::chrono::seconds(5);
     /// Time between looks at the row of a silent holder, and the longest when
     /// the table does not answer either.
     Span LookEvery = std::chrono::milliseconds(500);
@@ -81,6 +86,9 @@
   void onTold(const CellLeaseRow &row);
   /// Gives the lease up, if it is held.
   void release();
+  /// Lets a node that is nearer have the lease; takes part on, but leaves the
+  /// lease alone for a while.
+  void handOver();
 
   const std::string &cell() const { return Cell; }
   bool held() const { return Mine; }
@@ -132,6 +140,7 @@
   /// When the row was first found not to exist.
   std::optional<Instant> FirstLookAt;
   Span Reluctance{0};
+  Instant AbstainsUntil{};
   Instant RenewedAt{};
   Instant ValidUntil{};
   Instant OrdersFrom{};
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -496,6 +496,23 @@
   return out;
 }
 
+void CellMember::handOverIfNearer(Instant now) {
+  bool nearer = Setup.Cell != Setup.FailureDomain &&
+                std::any_of(Members.begin(), Members.end(), [&](const auto &m) {
+                  return m.Ready && m.FailureDomain == Setup.Cell;
+                });
+  if (!nearer) {
+    NearerSince.reset();
+    return;
+  }
+  if (!NearerSince)
+    NearerSince = now;
+  if (now - *NearerSince < Setup.NearerReady)
+    return;
+  NearerSince.reset();
+  Lease->handOver();
+}
+
 void CellMember::forgetSilent(Instant now) {
   for (auto it = Followers.begin(); it != Followers.end();) {
     bool gone =
@@ -521,6 +538,7 @@
       Members = std::move(members);
       ++MembersRevision;
     }
+    handOverIfNearer(now);
   }
   for (auto &[id, follower] : Followers) {
     if (!due && follower.ToldRevision == Desk.revision())
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -31,6 +31,11 @@
     /// Least time between two plans that something urgent asks for; a plan
     /// takes some 20 us.
     Span PlanEvery = std::chrono::milliseconds(2);
+    /// Failure domain of this node. The cell of another one is handed over once
+    /// a node there has been ready for the time below, so that the loss of one
+    /// host stops the orders of one cell only.
+    std::string FailureDomain;
+    Span NearerReady = std::chrono::seconds(3);
     /// A node that has not beaten for this long is not offered to callers.
     Span MemberSilence = std::chrono::milliseconds(1200);
     /// It is forgotten after this.
@@ -118,6 +123,7 @@
   std::vector<MemberNotice> memberList();
   void countRunning();
   void forgetSilent(Instant now);
+  void handOverIfNearer(Instant now);
   void disown();
 
   Settings Setup;
@@ -153,6 +159,8 @@
   std::uint64_t MembersRevision = 1;
   std::map<std::string, std::uint32_t> TotalRunning;
   Instant BroadcastAt{};
+  /// Since when a node of the cell's own failure domain is ready.
+  std::optional<Instant> NearerSince;
   std::uint64_t Orders = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -163,6 +163,7 @@
   for (const auto &cell : Settings.FailureDomains) {
     CellMember::Settings setup;
     setup.Cell = cell;
+    setup.FailureDomain = Settings.FailureDomain;
     setup.Lease.Holder = Settings.Name;
     setup.Lease.Incarnation = Incarnation;
     setup.Lease.Address =
@@ -489,8 +490,8 @@
   if (Settings.Seeds.empty() || (Plan && SeenReplicas) || Leaving)
     return;
   auto seed = Settings.Seeds[NextSeed++ % Settings.Seeds.size()];
-  auto peer = seed.substr(0, seed.rfind(':')) + ":" +
-              std::to_string(Settings.PeerPort);
+  auto peer =
+      seed.substr(0, seed.rfind(':')) + ":" + std::to_string(Settings.PeerPort);
   if (peer.starts_with(Settings.Address + ":"))
     return;
   PeerHooks hooks;
@@ -513,10 +514,10 @@
   for (const auto &[incarnation, source] : reply.Replicas)
     if (auto it = Port.Registry.ReadReplica(incarnation, source))
       replicas.Present.push_back(std::move(*it));
-  Log.write(LogClass::State, "briefing",
-            {{"plan", declared.Plan ? declared.Plan->version() : 0},
-             {"replicas",
-              static_cast<std::uint64_t>(replicas.Present.size())}});
+  Log.write(
+      LogClass::State, "briefing",
+      {{"plan", declared.Plan ? declared.Plan->version() : 0},
+       {"replicas", static_cast<std::uint64_t>(replicas.Present.size())}});
   onOperator(declared);
   if (!SeenReplicas && !replicas.Present.empty())
     onReplicas(replicas, true);
--- a/UnitTests/Coordination/Orders/CellLeaseTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseTest.cpp
@@ -28,6 +28,8 @@
     settings.Incarnation = Name + "-" + std::to_string(++Starts);
     settings.Address = "10.0.0.1:7";
     settings.Handover = Handover;
+    settings.RenewEvery = milliseconds(600);
+    settings.Validity = milliseconds(1800);
     Alive = std::make_shared<bool>(true);
     Lease = std::make_shared<CellLease>(
         "hall-a", settings, hooks(), [this] { return Time.now(); },
@@ -215,6 +217,42 @@
   CHECK_FALSE(world.TooSoon);
 }
 
+TEST_CASE("a lease that is handed over goes to another host", "[lease]") {
+  LeaseWorld world(9, 2);
+  world.run(milliseconds(2000));
+  auto *first = world.holder();
+  REQUIRE(first);
+  first->Lease->handOver();
+  CHECK_FALSE(first->Lease->mayOrder());
+  world.run(milliseconds(5000));
+  auto *next = world.holder();
+  REQUIRE(next);
+  CHECK(next != first);
+  CHECK_FALSE(world.TooSoon);
+  SECTION("and comes back if that one goes") {
+    next->Frozen = true;
+    world.run(milliseconds(8000));
+    CHECK(world.holder() == first);
+    CHECK_FALSE(world.TooSoon);
+  }
+}
+
+TEST_CASE("what another node tells of a lease is no ground to take it",
+          "[lease]") {
+  LeaseWorld world(10, 1);
+  auto &host = *world.Hosts[0];
+  host.Cut = true;
+  host.Lease->onTold({"host-9", "host-9-1", "10.0.0.9:7", 4, false, true});
+  world.run(milliseconds(10000));
+  CHECK_FALSE(host.Lease->held());
+  REQUIRE(host.Lease->row());
+  CHECK(host.Lease->row()->Address == "10.0.0.9:7");
+  // The table knows better: nobody ever held it.
+  host.Cut = false;
+  world.run(milliseconds(3000));
+  CHECK(host.Lease->held());
+}
+
 TEST_CASE("a process that starts again on the holder's host goes on",
           "[lease]") {
   LeaseWorld world(6);
@@ -274,6 +312,8 @@
           host->Cut = !host->Cut;
         if (!host->Frozen && chance(0.05))
           host->restart();
+        if (!host->Frozen && chance(0.05))
+          host->Lease->handOver();
       }
       world.Table.Down = chance(0.1);
       world.run(milliseconds(500));
