Requests that wait long for a turn ask for another copy of their weights

Cause: after a start of everything, and where several wanted adapters share a replica, requests waited for engines that read other prompts, while other engines rested: the demand estimate alone copies too late. Change: after 600 ms of waiting the adapter's home is asked for a copy.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -133,6 +133,11 @@
   demand.LastAsked = now;
 }
 
+void CellDesk::onPressed(const std::string &service, const WeightsRef &weights,
+                         Instant now) {
+  Demands[{service, weights}].PressedAt = now;
+}
+
 void CellDesk::onUse(const std::string &replica, const WeightsRef &weights,
                      std::int32_t change) {
   auto [it, isNew] = Uses.try_emplace({replica, weights}, 0);
@@ -428,10 +433,13 @@
     if (key.second.Adapter.empty() || demand.WantedAt)
       continue;
     double rateNow = rate(demand, now);
+    bool pressed = now - demand.PressedAt < Setup.PressedFor;
+    if (pressed)
+      rateNow = std::max(rateNow, Setup.RateForCopy);
     if (rateNow < Setup.RateForCopy)
       continue;
     auto n = static_cast<double>(copies(key));
-    if (n == 0 || rateNow > Setup.RatePerCopy * n)
+    if (n == 0 || pressed || rateNow > Setup.RatePerCopy * n)
       scarce.emplace_back(rateNow / (n + 1), key);
   }
   // What gains most first.
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -65,6 +65,9 @@
     double RatePerCopy = 3;
     /// An adapter that was asked for this recently may be about to be used.
     Span RecentUse = std::chrono::milliseconds(700);
+    /// Requests that wait for engines at their limit ask for a copy for this
+    /// long.
+    Span PressedFor = std::chrono::milliseconds(700);
     /// Load order of what requests wait for: a second of waiting counts as this
     /// many requests a second.
     double WaitWeight = 0.2;
@@ -100,6 +103,10 @@
   /// Requests wait at a node for weights that no replica of the cell has.
   void onWant(const std::string &service, const WeightsRef &weights,
               Instant now);
+  /// Requests wait at a node because the replicas that have the weights are at
+  /// their limit.
+  void onPressed(const std::string &service, const WeightsRef &weights,
+                 Instant now);
   /// How many requests run at a replica, over all nodes.
   void setRunning(const std::string &replica, std::uint32_t running);
   /// Requests that use weights at a replica began or ended, at any node. What
@@ -139,6 +146,7 @@
     double Weight = 0;
     Instant At{};
     Instant LastAsked{};
+    Instant PressedAt{-3'600'000'000};
     /// Requests wait for it, since when; nothing if none do.
     std::optional<Instant> WantedAt;
   };
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -32,7 +32,9 @@
   std::uint32_t Requests = 0;
   /// Some wait now.
   bool Waiting = false;
-  MSGPACK_DEFINE(Service, Weights, Requests, Waiting)
+  /// Some wait because the engines that have the weights are at their limit.
+  bool Pressed = false;
+  MSGPACK_DEFINE(Service, Weights, Requests, Waiting, Pressed)
 };
 
 /// A replica refused weights that it should have had.
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -82,6 +82,14 @@
     beat();
 }
 
+void CellMember::onPressed(const std::string &service,
+                           const WeightsRef &weights) {
+  auto &notice = Demand[{service, weights}];
+  notice.Service = service;
+  notice.Weights = weights.text();
+  notice.Pressed = true;
+}
+
 void CellMember::onSent(const std::string &replica, std::uint32_t tokens,
                         const WeightsRef &weights) {
   Sent.push_back({replica, tokens});
@@ -407,6 +415,8 @@
       Desk.onDemand(it.Service, weights, it.Requests, now);
     if (it.Waiting)
       Desk.onWant(it.Service, weights, now);
+    if (it.Pressed)
+      Desk.onPressed(it.Service, weights, now);
     waits = waits || it.Waiting;
   }
   for (const auto &it : beat.Refusals) {
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -63,6 +63,7 @@
   /// A request for weights came here; `waiting` if no replica has them.
   void onDemand(const std::string &service, const WeightsRef &weights,
                 bool waiting);
+  void onPressed(const std::string &service, const WeightsRef &weights);
   /// A request went from here to one of the cell's replicas.
   void onSent(const std::string &replica, std::uint32_t tokens,
               const WeightsRef &weights);
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -113,6 +113,10 @@
       [this](const auto &service, const auto &weights, bool waiting) {
         onDemand(service, weights, waiting);
       },
+      [this](const std::string &service, const WeightsRef &weights) {
+        if (auto *home = homeOf(weights))
+          home->onPressed(service, weights);
+      },
       [this](const ReplicaRecord &replica, const auto &weights, bool missing) {
         auto it = Cells.find(replica.FailureDomain);
         if (it != Cells.end())
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -222,10 +222,12 @@
     break;
   case RouteChoice::Kind::Pace:
     WaitReason = "engine reads";
+    tellPressed(now);
     break;
   case RouteChoice::Kind::Full:
     WakeAt = now + Setup.WaitStep;
     WaitReason = "replicas full";
+    tellPressed(now);
     break;
   default:
     WaitReason = "no replica known";
@@ -233,6 +235,14 @@
   arm();
 }
 
+void GatewayExchange::tellPressed(Instant now) {
+  bool pressed = now - Request.ArrivedAt >= Setup.PressedAfter;
+  if (!engine() || !pressed || now - WantToldAt < Setup.WantEvery)
+    return;
+  WantToldAt = now;
+  Shared.OnPressed(Query.Service, *Query.Weights);
+}
+
 void GatewayExchange::send(const RouteChoice &choice) {
   auto now = TimerService::now();
   Waiting = false;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -26,6 +26,10 @@
   std::function<void(const std::string &service, const WeightsRef &weights,
                      bool waiting)>
       OnDemand;
+  /// A request waits because the engines that have the weights are at their
+  /// limit.
+  std::function<void(const std::string &service, const WeightsRef &weights)>
+      OnPressed;
   std::function<void(const ReplicaRecord &replica, const WeightsRef &weights,
                      bool missing)>
       OnRefusal;
@@ -51,6 +55,9 @@
   double PatienceInGaps = 8;
   /// Share of that patience for which a stream's request is held.
   double PatienceShare = 0.65;
+  /// A request that has waited this long for an engine's turn asks for another
+  /// copy of its weights.
+  Span PressedAfter = std::chrono::milliseconds(600);
   /// Time between two reminders that weights are waited for.
   Span WantEvery = std::chrono::milliseconds(200);
   /// Time between looks while a request waits, when nothing wakes it.
@@ -129,6 +136,7 @@
   void next();
   void hold(const RouteChoice &choice);
   void send(const RouteChoice &choice);
+  void tellPressed(Instant now);
   bool onHead(const HttpAnswerHead &head);
   void onBody(std::string_view part);
   void onDone();
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -93,6 +93,7 @@
                                                     {},
                                                     {},
                                                     {},
+                                                    {},
                                                     [this](const auto &it) {
                                                       Outcome = it.outcome();
                                                       Ended = true;
