Refusals tell callers to come back when something can have changed

Cause: with the store away and all processes started anew, callers were told to come back after 0.3 s, used their one repeat and were refused again; the same where nobody may load weights. Ruled out: holding them: they leave, and no address is sure to answer. Change: 2 s where the registry is away or no cell can load; a node that knows nothing yet looks at the registry each 0.3 s.

--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -42,7 +42,10 @@
 constexpr std::uint16_t BadRequest = 400;
 constexpr std::uint16_t NotFound = 404;
 constexpr std::uint16_t Unavailable = 503;
+/// When to come back to a node that knows no plan yet: it has read one after
+/// some 10 ms, or waits for a registry that is away, mostly for seconds.
 constexpr auto StartingRetry = std::chrono::milliseconds(300);
+constexpr auto AwayRetry = std::chrono::milliseconds(2000);
 constexpr double UsPerS = 1e6;
 
 constexpr MetricFamily RequestsFamily{"hemlockglade_requests_total",
@@ -133,6 +136,11 @@
         if (it != Cells.end())
           it->second->onDone(replica.Incarnation, weights);
       },
+      [this] {
+        return std::any_of(Cells.begin(), Cells.end(), [](const auto &it) {
+          return it.second->canOrder();
+        });
+      },
       [this](const GatewayExchange &exchange) { onEnd(exchange); }};
 }
 
@@ -321,7 +329,7 @@
   auto labels = Port.Labels.ReadRequest(fields);
   if (!Plan)
     return refuse(*reply, labels.Id, Unavailable, "no plan yet",
-                  Span(StartingRetry));
+                  Watch->reachable() ? Span(StartingRetry) : Span(AwayRetry));
   const auto *host = findField(request.Head.Fields, "Host");
   const auto *route = Plan->find(*host, request.Head.path());
   if (!route)
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -171,10 +171,15 @@
 
 Span GatewayExchange::retryAfter() const {
   // A caller that comes back finds the weights loaded: the usual load takes a
-  // quarter of a second, and a few wait for each other.
+  // quarter of a second, and a few wait for each other. While nobody may load,
+  // that takes seconds.
   constexpr auto LoadTurn = std::chrono::milliseconds(500);
+  constexpr auto NextHolder = std::chrono::milliseconds(2000);
   constexpr auto PlainTurn = std::chrono::milliseconds(100);
-  return engine() ? Span(LoadTurn) : Span(PlainTurn);
+  if (!engine())
+    return PlainTurn;
+  bool loads = !Shared.CanLoad || Shared.CanLoad();
+  return loads ? Span(LoadTurn) : Span(NextHolder);
 }
 
 void GatewayExchange::next() {
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -40,6 +40,8 @@
   /// It is over there.
   std::function<void(const ReplicaRecord &replica, const WeightsRef &weights)>
       OnDone;
+  /// Whether any cell can load weights now.
+  std::function<bool()> CanLoad;
   std::function<void(const GatewayExchange &exchange)> OnEnd;
 };
 
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -50,7 +50,8 @@
   }
   note(false, "operator");
   Timers.after(OperatorPause, [this](Instant) { lookAtOperator(); });
-  again(OperatorPause, Setup.LongestPause);
+  if (OperatorPosition)
+    again(OperatorPause, Setup.LongestPause);
 }
 
 void RegistryWatch::lookAtReplicas() {
@@ -78,7 +79,8 @@
   }
   note(false, "replicas");
   Timers.after(ReplicaPause, look);
-  again(ReplicaPause, Setup.LongestPause);
+  if (ReplicaPosition)
+    again(ReplicaPause, Setup.LongestPause);
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -17,9 +17,10 @@
     /// Time between looks at the replicas. Half of the usual bound on new work
     /// for one that leaves (2 s) less the time that a look takes when slow.
     Span ReplicaPeriod = std::chrono::milliseconds(1000);
-    /// Pause after a look that failed, twice as long after each further one, up
-    /// to the longest. Calls are priced also while nobody answers.
-    Span Pause = std::chrono::milliseconds(400);
+    /// Pause after a look that failed; once something is known, twice as long
+    /// after each further one, up to the longest. Calls are priced also while
+    /// nobody answers, but a node that knows nothing serves nobody.
+    Span Pause = std::chrono::milliseconds(300);
     Span LongestPause = std::chrono::milliseconds(1000);
     /// A registry that failed this recently may have let entries lapse.
     Span LapseWindow = std::chrono::milliseconds(4000);
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -94,6 +94,7 @@
                                                     {},
                                                     {},
                                                     {},
+                                                    {},
                                                     [this](const auto &it) {
                                                       Outcome = it.outcome();
                                                       Ended = true;
