--- a/Hemlockglade/Coordination/Registry/Registry.h
+++ b/Hemlockglade/Coordination/Registry/Registry.h
@@ -4,9 +4,9 @@
 #include "Hemlockglade/State/Routing/RoutePlan.h"
 
 #include <functional>
-#include <string_view>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <tl/expected.hpp>
 
 namespace hemlockglade {
--- a/Hemlockglade/State/Metrics/MetricRegistry.cpp
+++ b/Hemlockglade/State/Metrics/MetricRegistry.cpp
@@ -76,6 +76,24 @@
   return out;
 }
 
+std::string seriesText(const std::string &name, const std::string &labels,
+                       const Histogram &it) {
+  auto prefix = labels.empty() ? labels : labels + ',';
+  std::string out;
+  std::uint64_t below = 0;
+  for (std::size_t n = 0; n <= Histogram::Bounds.size(); ++n) {
+    below += it.count(n);
+    bool last = n == Histogram::Bounds.size();
+    auto bound = prefix + "le=\"";
+    bound += last ? "+Inf" : numberText(Histogram::Bounds[n]);
+    bound += '"';
+    out += series(name + "_bucket", bound, std::to_string(below));
+  }
+  out += series(name + "_sum", labels, numberText(it.sum()));
+  out += series(name + "_count", labels, std::to_string(below));
+  return out;
+}
+
 /// Adds the text of each family of one kind, by name.
 template <typename Families>
 void exposeFamilies(const Families &families, std::string_view kind,
@@ -127,6 +145,11 @@
   return find(&Shard::Distributions, family, labels);
 }
 
+Histogram &MetricRegistry::histogram(const MetricFamily &family,
+                                     const MetricLabels &labels) {
+  return find(&Shard::Histograms, family, labels);
+}
+
 std::string MetricRegistry::expose() const {
   std::map<std::string, std::string> families;
   for (const auto &shard : Shards) {
@@ -134,6 +157,7 @@
     exposeFamilies(shard.Counters, "counter", families);
     exposeFamilies(shard.Gauges, "gauge", families);
     exposeFamilies(shard.Distributions, "summary", families);
+    exposeFamilies(shard.Histograms, "histogram", families);
   }
   std::string out;
   for (const auto &[name, text] : families)
--- a/Hemlockglade/State/Metrics/MetricRegistry.h
+++ b/Hemlockglade/State/Metrics/MetricRegistry.h
@@ -3,6 +3,7 @@
 #include "Hemlockglade/State/Metrics/Counter.h"
 #include "Hemlockglade/State/Metrics/Distribution.h"
 #include "Hemlockglade/State/Metrics/Gauge.h"
+#include "Hemlockglade/State/Metrics/Histogram.h"
 
 #include <array>
 #include <map>
@@ -35,6 +36,8 @@
   Gauge &gauge(const MetricFamily &family, const MetricLabels &labels = {});
   Distribution &distribution(const MetricFamily &family,
                              const MetricLabels &labels = {});
+  Histogram &histogram(const MetricFamily &family,
+                       const MetricLabels &labels = {});
 
   /// Everything in the usual text exposition format, sorted by name.
   std::string expose() const;
@@ -56,6 +59,7 @@
     Families<Counter> Counters;
     Families<Gauge> Gauges;
     Families<Distribution> Distributions;
+    Families<Histogram> Histograms;
   };
 
   Shard &shardOf(std::string_view name);
--- a/Hemlockglade/Transport/Http1/HttpMessage.cpp
+++ b/Hemlockglade/Transport/Http1/HttpMessage.cpp
@@ -39,7 +39,8 @@
                     [](char x, char y) { return lower(x) == lower(y); });
 }
 
-const std::string *findField(const HeaderFields &fields, std::string_view name) {
+const std::string *findField(const HeaderFields &fields,
+                             std::string_view name) {
   for (const auto &it : fields)
     if (sameFieldName(it.Name, name))
       return &it.Value;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -53,6 +53,20 @@
 constexpr MetricFamily FirstByteFamily{
     "hemlockglade_first_byte_seconds",
     "Time from a request's arrival to the first byte of its answer."};
+constexpr MetricFamily RequestTimeFamily{
+    "hemlockglade_request_seconds",
+    "Time from a request's arrival to the end of its answer."};
+constexpr MetricFamily HeldFamily{
+    "hemlockglade_held_seconds",
+    "Time that requests were held before they were first sent to a replica."};
+constexpr MetricFamily RefusedFamily{
+    "hemlockglade_refused_total",
+    "Requests that were refused before a route was found for them, by status."};
+constexpr MetricFamily OrdersFamily{
+    "hemlockglade_orders", "Orders to replicas since the start, by cell."};
+constexpr MetricFamily CellFamily{
+    "hemlockglade_cell_ordering",
+    "1 for each cell whose replicas this node may give orders to."};
 constexpr MetricFamily RegistryCallsFamily{
     "hemlockglade_registry_calls", "Calls to the registry since the start."};
 constexpr MetricFamily WaitingFamily{"hemlockglade_waiting_requests",
@@ -305,6 +319,7 @@
 void Gateway::refuse(CallerReply &reply, std::string_view id,
                      std::uint16_t status, std::string_view why,
                      std::optional<Span> retryAfter) {
+  Metrics.counter(RefusedFamily, {{"status", std::to_string(status)}}).add(1);
   Log.write(LogClass::Request, "refused",
             {{"request", id},
              {"status", std::uint32_t{status}},
@@ -356,10 +371,21 @@
 }
 
 void Gateway::onEnd(const GatewayExchange &exchange) {
-  Metrics.counter(RequestsFamily, {{"result", exchange.outcome()}}).add(1);
+  std::string_view service = exchange.service();
+  Metrics
+      .counter(RequestsFamily,
+               {{"service", service}, {"result", exchange.outcome()}})
+      .add(1);
+  auto inSeconds = [](Span span) {
+    return std::chrono::duration<double>(span).count();
+  };
   if (auto first = exchange.firstByte())
-    Metrics.distribution(FirstByteFamily)
-        .record(std::chrono::duration<double>(*first).count());
+    Metrics.histogram(FirstByteFamily, {{"service", service}})
+        .record(inSeconds(*first));
+  Metrics.histogram(RequestTimeFamily, {{"service", service}})
+      .record(inSeconds(TimerService::now() - exchange.arrivedAt()));
+  Metrics.histogram(HeldFamily, {{"service", service}})
+      .record(inSeconds(exchange.heldFor()));
   auto self =
       std::const_pointer_cast<GatewayExchange>(exchange.shared_from_this());
   // The exchange's own functions may still run; it goes when they are over.
@@ -557,6 +583,12 @@
   std::size_t waiting = 0;
   for (const auto &it : Exchanges)
     waiting += it->waiting() ? 1 : 0;
+  for (const auto &[name, cell] : Cells) {
+    Metrics.gauge(OrdersFamily, {{"cell", name}})
+        .set(static_cast<double>(cell->orders()));
+    Metrics.gauge(CellFamily, {{"cell", name}})
+        .set(cell->lease().mayOrder() ? 1 : 0);
+  }
   Metrics.gauge(WaitingFamily).set(static_cast<double>(waiting));
   Metrics.gauge(ServingFamily).set(static_cast<double>(Exchanges.size()));
   Metrics.gauge(PlanFamily)
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -289,6 +289,8 @@
   bool kept = Now->Connection->open();
   Tried.insert(choice.Replica->Incarnation);
   EverSent = true;
+  if (!FirstSent)
+    FirstSent = now - Request.ArrivedAt;
   Shared.Log.write(LogClass::Request, "send",
                    {{"request", Labels.Id},
                     {"route", Way.Name},
@@ -625,6 +627,10 @@
   Shared.OnEnd(*this);
 }
 
+Span GatewayExchange::heldFor() const {
+  return FirstSent.value_or(TimerService::now() - Request.ArrivedAt);
+}
+
 void GatewayExchange::onCallerGone() {
   if (Now)
     endAttempt(AttemptVerdict::Good);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -114,6 +114,8 @@
   std::string_view outcome() const { return Result; }
   Instant arrivedAt() const { return Request.ArrivedAt; }
   std::optional<Span> firstByte() const { return FirstByte; }
+  /// How long it was held before it was first sent, or until its end.
+  Span heldFor() const;
 
 private:
   /// What has come of the attempt that is under way.
@@ -199,6 +201,8 @@
   Instant WakeAt{};
   Instant WantToldAt{};
   std::optional<Span> FirstByte;
+  /// Time from the arrival to the first sending.
+  std::optional<Span> FirstSent;
 };
 
 } // namespace hemlockglade
--- a/UnitTests/State/Metrics/MetricsTest.cpp
+++ b/UnitTests/State/Metrics/MetricsTest.cpp
@@ -167,3 +167,21 @@
   CHECK(summary.Count == Threads * Samples);
   CHECK(summary.Sum == Threads * Samples);
 }
+
+TEST_CASE("a histogram counts samples below each bound", "[metrics]") {
+  MetricRegistry registry;
+  auto &it = registry.histogram(Stall, {{"service", "drafts"}});
+  for (double seconds : {0.001, 0.002, 0.03, 99.0})
+    it.record(seconds);
+  auto text = registry.expose();
+  auto has = [&text](const std::string &line) {
+    return text.find(line + "\n") != std::string::npos;
+  };
+  CHECK(has("# TYPE x_stall_seconds histogram"));
+  CHECK(has("x_stall_seconds_bucket{service=\"drafts\",le=\"0.002\"} 2"));
+  CHECK(has("x_stall_seconds_bucket{service=\"drafts\",le=\"0.025\"} 2"));
+  CHECK(has("x_stall_seconds_bucket{service=\"drafts\",le=\"0.05\"} 3"));
+  CHECK(has("x_stall_seconds_bucket{service=\"drafts\",le=\"30\"} 3"));
+  CHECK(has("x_stall_seconds_bucket{service=\"drafts\",le=\"+Inf\"} 4"));
+  CHECK(has("x_stall_seconds_count{service=\"drafts\"} 4"));
+}
