The last lint findings of the new code

Cause: the linter's own fixes left moves without effect. Ruled out: nothing. Change: its fixes once more, and a binding that a lambda captured.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -349,11 +349,7 @@
         1.0, std::floor(Setup.ModelLoadsPerRate * book.Engine->LoadsPerSecond));
     if (now < NextModelLoad || underWay >= most)
       return;
-    bool complete = std::all_of(book.Engine->Models.begin(),
-                                book.Engine->Models.end(), [&](const auto &it) {
-                                  return book.Held.contains({it.Name, {}});
-                                });
-    if (complete || !orderable(book, now))
+    if (holdsAllModels(book) || !orderable(book, now))
       continue;
     double used = 0;
     for (const auto &[weights, held] : book.Held)
--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -98,7 +98,7 @@
   RenewedAt = Now();
   auto row = *Row;
   row.Ordering = mayOrder();
-  commit(std::move(row), FreeAt, OrdersFrom);
+  commit(row, FreeAt, OrdersFrom);
 }
 
 void CellLease::look() {
@@ -204,7 +204,7 @@
   CellLeaseRow row{Setup.Holder,  Setup.Incarnation,
                    Setup.Address, Row->Fence + 1,
                    false,         false};
-  commit(std::move(row), freeAt, ordersFrom);
+  commit(row, freeAt, ordersFrom);
 }
 
 void CellLease::commit(const CellLeaseRow &row, Instant freeAt,
@@ -284,7 +284,7 @@
     return look();
   auto row = *Row;
   row.Released = true;
-  commit(std::move(row), Now(), OrdersFrom);
+  commit(row, Now(), OrdersFrom);
 }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Transport/Http1/HttpCaller.cpp
+++ b/Hemlockglade/Transport/Http1/HttpCaller.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-void HttpCaller::call(HttpCall call, Done done) {
+void HttpCaller::call(const HttpCall &call, Done done) {
   auto running = std::make_shared<Running>(Context);
   running->Done = std::move(done);
   running->Connection = Pool.take(call.Address);
@@ -65,8 +65,8 @@
     running->end(tl::unexpected(how));
   };
   auto head = headOf(call);
-  running->Connection->call(std::move(head), std::move(call.Body),
-                            call.Method == "HEAD", std::move(hooks));
+  running->Connection->call(std::move(head), call.Body, call.Method == "HEAD",
+                            std::move(hooks));
 }
 
 } // namespace hemlockglade
--- a/Hemlockglade/Transport/Http1/HttpCaller.h
+++ b/Hemlockglade/Transport/Http1/HttpCaller.h
@@ -35,7 +35,7 @@
       : Context(context), Pool(context, settings) {}
 
   /// Calls back later, never from inside.
-  void call(HttpCall call, Done done);
+  void call(const HttpCall &call, Done done);
   void tidy() { Pool.tidy(); }
 
 private:
--- a/UnitTests/Coordination/Orders/CellLeaseTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseTest.cpp
@@ -56,12 +56,12 @@
     out.Get = [this, inner](const std::string &key, auto done) {
       if (Cut)
         return fail(done);
-      inner.Get(std::move(key), guard(done));
+      inner.Get(key, guard(done));
     };
     out.Commit = [this, inner](const TableTransaction &transaction, auto done) {
       if (Cut)
         return fail(done);
-      inner.Commit(std::move(transaction), guard(done));
+      inner.Commit(transaction, guard(done));
     };
     return out;
   }
