The gateway's and the desk's large files are split by subject

Ruled out: nothing. Change: what a gateway tells peers, how an exchange takes answers, and what a desk orders stand in files of their own; no line of them changed otherwise.

--- /dev/null
+++ b/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
@@ -0,0 +1,282 @@
+// What a desk orders, and why.
+
+#include "Hemlockglade/Coordination/Orders/CellDesk.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockglade {
+
+namespace {
+
+/// Demand below this is forgotten: one request some 60 s ago.
+constexpr double LeastDemand = 0.005;
+/// A load for demand alone, with nobody waiting, has to gain this much over
+/// what it drops.
+constexpr double GainOverVictim = 1.5;
+/// Copies for demand alone that are ordered in one round.
+constexpr int CopiesARound = 3;
+
+double seconds(Span span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+std::uint64_t mix(std::string_view a, std::string_view b) {
+  return std::hash<std::string_view>{}(a)*31 + std::hash<std::string_view>{}(b);
+}
+
+} // namespace
+
+std::vector<DeskAction> CellDesk::plan(bool mayOrder, Instant now) {
+  std::vector<DeskAction> actions;
+  if (!mayOrder)
+    return actions;
+  for (auto &[id, book] : Books) {
+    bool due = (book.ReportDue && *book.ReportDue <= now) ||
+               (book.CheckDue && *book.CheckDue <= now);
+    if (book.ReportOpen || book.OrderOpen || !due)
+      continue;
+    book.ReportOpen = true;
+    actions.push_back({DeskAction::Kind::Report, id, {}, "books in doubt"});
+  }
+  planModels(actions, now);
+  planAdapters(actions, now);
+  return actions;
+}
+
+bool CellDesk::holdsAllModels(const Book &book) {
+  const auto &models = book.Engine->Models;
+  return std::all_of(models.begin(), models.end(), [&](const auto &it) {
+    return book.Held.contains({it.Name, {}});
+  });
+}
+
+void CellDesk::planModels(std::vector<DeskAction> &actions, Instant now) {
+  auto busy = std::count_if(Books.begin(), Books.end(), [now](const auto &it) {
+    return it.second.ModelBusyUntil > now;
+  });
+  auto underWay =
+      static_cast<double>(busy) + static_cast<double>(ModelsElsewhere);
+  for (auto &[id, book] : Books) {
+    auto most = std::max(
+        1.0, std::floor(Setup.ModelLoadsPerRate * book.Engine->LoadsPerSecond));
+    if (now < NextModelLoad || underWay >= most)
+      return;
+    if (holdsAllModels(book) || !orderable(book, now))
+      continue;
+    double used = 0;
+    for (const auto &[weights, held] : book.Held)
+      if (const auto *model = book.Engine->model(weights.Model))
+        used += weights.Adapter.empty() ? model->WeightsMb : model->AdapterMb;
+    const ModelSpec *best = nullptr;
+    double neediest = -1;
+    for (const auto &model : book.Engine->Models) {
+      WeightsRef weights{model.Name, {}};
+      if (book.Held.contains(weights) ||
+          used + model.WeightsMb > book.Engine->WeightsMb)
+        continue;
+      DemandKey key{book.Record->Service, weights};
+      auto n = copies(key);
+      double need = (rateOf(key, now) + LeastDemand) / (1.0 + double(n));
+      if (need > neediest) {
+        neediest = need;
+        best = &model;
+      }
+    }
+    if (!best)
+      continue;
+    order(book, OrderKind::Load, {best->Name, {}}, "model missing", actions);
+    ++underWay;
+    double gap = Setup.Cells / std::max(0.1, book.Engine->LoadsPerSecond);
+    constexpr double UsPerS = 1e6;
+    NextModelLoad = now + Span(static_cast<std::int64_t>(gap * UsPerS));
+  }
+}
+
+void CellDesk::planAdapters(std::vector<DeskAction> &actions, Instant now) {
+  for (auto &[id, book] : Books) {
+    if (!book.Making || !orderable(book, now))
+      continue;
+    if (adapters(book) < book.Engine->AdapterSlots)
+      order(book, OrderKind::Load, *book.Making, book.MakingFor, actions);
+    else
+      book.Making.reset();
+  }
+  planWanted(actions, now);
+  if (now < NextScan)
+    return;
+  NextScan = now + Setup.ScanEvery;
+  std::erase_if(Demands, [&](const auto &it) {
+    return !it.second.WantedAt && rate(it.second, now) < LeastDemand;
+  });
+  planScarce(actions, now);
+}
+
+void CellDesk::planWanted(std::vector<DeskAction> &actions, Instant now) {
+  // Loads are few a second: the most wanted first, others as they grow old.
+  std::vector<std::pair<double, DemandKey>> waiting;
+  for (auto it = Wanted.begin(); it != Wanted.end();) {
+    auto &demand = Demands[*it];
+    bool served = it->second.Adapter.empty() || copies(*it) > 0;
+    if (served) {
+      demand.WantedAt.reset();
+      it = Wanted.erase(it);
+      continue;
+    }
+    double age = seconds(now - demand.WantedAt.value_or(now));
+    waiting.emplace_back(rate(demand, now) + Setup.WaitWeight * age, *it);
+    ++it;
+  }
+  std::sort(waiting.rbegin(), waiting.rend());
+  constexpr double Any = 1e9;
+  for (const auto &[need, key] : waiting) {
+    if (!mayLoad(now))
+      return;
+    place(key, Any, "requests wait", actions, now);
+  }
+}
+
+void CellDesk::planScarce(std::vector<DeskAction> &actions, Instant now) {
+  std::vector<std::pair<double, DemandKey>> scarce;
+  for (const auto &[key, demand] : Demands) {
+    if (key.second.Adapter.empty() || demand.WantedAt)
+      continue;
+    double rateNow = rate(demand, now);
+    bool pressed = now - demand.PressedAt < Setup.PressedFor;
+    if (pressed)
+      rateNow = std::max(rateNow, Setup.RateForCopy);
+    if (rateNow < Setup.RateForCopy)
+      continue;
+    auto n = static_cast<double>(copies(key));
+    if (n == 0 || pressed || rateNow > Setup.RatePerCopy * n)
+      scarce.emplace_back(rateNow / (n + 1), key);
+  }
+  // What gains most first.
+  std::sort(scarce.rbegin(), scarce.rend());
+  int left = CopiesARound;
+  for (const auto &[worth, key] : scarce) {
+    if (left == 0 || !mayLoad(now))
+      return;
+    if (place(key, worth / GainOverVictim, "demand", actions, now))
+      --left;
+  }
+}
+
+bool CellDesk::place(const DemandKey &key, double worth,
+                     std::string_view reason, std::vector<DeskAction> &actions,
+                     Instant now) {
+  Book *best = nullptr;
+  const WeightsRef *drop = nullptr;
+  double lowest = 0;
+  for (auto &[id, book] : Books) {
+    if (book.Record->Service != key.first || !orderable(book, now) ||
+        book.Making || loading(book, now) >= Setup.LoadsPerReplica)
+      continue;
+    auto model = book.Held.find({key.second.Model, {}});
+    auto held = book.Held.find(key.second);
+    if (model == book.Held.end() || model->second.ReadyAt > now)
+      continue;
+    bool older = held != book.Held.end();
+    if (older &&
+        (held->second.Leaving || current(key.second, held->second.Version)))
+      continue;
+    bool full = !older && adapters(book) >= book.Engine->AdapterSlots;
+    const auto *out = full ? victim(book, worth, now) : nullptr;
+    if (full && !out)
+      continue;
+    double cost = full ? worthOf(book, *out, book.Held.at(*out), now) : 0;
+    // The load of a replica counts in shares of its slots; coming back fast
+    // outweighs half of them.
+    cost += static_cast<double>(book.Running) / book.Engine->Slots;
+    bool quick = std::find(book.Quick.begin(), book.Quick.end(), key.second) !=
+                 book.Quick.end();
+    // Replacing an older version in place waits for what runs on it; another
+    // replica is better as long as one has room.
+    constexpr double InPlace = 2;
+    cost += older ? InPlace : 0;
+    constexpr double QuickGain = 0.5;
+    // An adapter goes to the same replica again where nothing speaks against
+    // it: one that was dropped lately comes back ten times as fast.
+    constexpr double Spread = 0.3;
+    constexpr std::uint64_t Steps = 1024;
+    cost -= quick ? QuickGain : 0;
+    cost += Spread * static_cast<double>(mix(id, key.second.Adapter) % Steps) /
+            Steps;
+    if (best && cost >= lowest)
+      continue;
+    best = &book;
+    drop = out;
+    lowest = cost;
+  }
+  if (!best)
+    return false;
+  best->Making = key.second;
+  best->MakingFor = reason;
+  CopiesKnown = false;
+  if (drop)
+    order(*best, OrderKind::Unload, WeightsRef(*drop), reason, actions);
+  else
+    order(*best, OrderKind::Load, key.second, reason, actions);
+  return true;
+}
+
+const WeightsRef *CellDesk::victim(const Book &book, double below,
+                                   Instant now) {
+  const WeightsRef *best = nullptr;
+  double least = below;
+  for (const auto &[weights, held] : book.Held) {
+    if (weights.Adapter.empty() || held.Leaving || held.ReadyAt > now)
+      continue;
+    DemandKey key{book.Record->Service, weights};
+    auto it = Demands.find(key);
+    bool wanted = it != Demands.end() && it->second.WantedAt;
+    bool recent = it != Demands.end() &&
+                  now - it->second.LastAsked < Setup.RecentUse &&
+                  copies(key) < 2 && current(weights, held.Version);
+    bool used = Uses.contains({book.Record->Incarnation, weights});
+    if (wanted || recent || used)
+      continue;
+    double worth = worthOf(book, weights, held, now);
+    if (worth < least) {
+      least = worth;
+      best = &weights;
+    }
+  }
+  return best;
+}
+
+double CellDesk::worthOf(const Book &book, const WeightsRef &weights,
+                         const ResidentWeights &held, Instant now) {
+  DemandKey key{book.Record->Service, weights};
+  if (!current(weights, held.Version))
+    return 0;
+  auto it = Demands.find(key);
+  if (it == Demands.end())
+    return 0;
+  // A copy is worth the requests that come to it.
+  auto n = std::max<std::size_t>(1, copies(key));
+  return rate(it->second, now) / static_cast<double>(n);
+}
+
+void CellDesk::order(Book &book, OrderKind kind, const WeightsRef &weights,
+                     std::string_view reason,
+                     std::vector<DeskAction> &actions) {
+  DeskAction action;
+  action.Replica = book.Record->Incarnation;
+  action.Order.Kind = kind;
+  action.Order.Weights = weights;
+  action.Order.ExpectedCount = book.Count;
+  if (kind == OrderKind::Load) {
+    auto it = Versions.find(weights);
+    action.Order.Version = it == Versions.end() ? 0 : it->second;
+  }
+  action.Reason = reason;
+  book.OrderOpen = true;
+  if (kind == OrderKind::Unload) {
+    book.Held[weights].Leaving = true;
+    changed();
+  }
+  actions.push_back(std::move(action));
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -0,0 +1,133 @@
+// What a gateway tells other nodes and hears from them.
+
+#include "Programs/hemlockgladed/Gateway/Gateway.h"
+
+namespace hemlockglade {
+
+std::vector<MemberNotice> Gateway::members() const {
+  std::map<std::string, MemberNotice> known;
+  bool anyFresh = false;
+  for (const auto &[name, cell] : Cells)
+    anyFresh = anyFresh || cell->fresh();
+  for (const auto &[name, cell] : Cells) {
+    if (anyFresh && !cell->fresh())
+      continue;
+    for (const auto &it : cell->members()) {
+      auto [at, isNew] = known.try_emplace(it.Node, it);
+      if (!isNew)
+        at->second.Ready = at->second.Ready && it.Ready;
+    }
+  }
+  known[Settings.Name] = self();
+  std::vector<MemberNotice> out;
+  out.reserve(known.size());
+  for (auto &[name, it] : known)
+    out.push_back(std::move(it));
+  return out;
+}
+
+MemberNotice Gateway::self() const {
+  return {Settings.Name, Incarnation, Settings.CallerAddress,
+          Settings.FailureDomain, ready()};
+}
+
+void Gateway::onPeer(const std::shared_ptr<PeerStream> &stream) {
+  const auto &path = stream->path();
+  if (path.starts_with(peer_path::Cell)) {
+    auto it = Cells.find(path.substr(peer_path::Cell.size()));
+    if (it != Cells.end())
+      return it->second->onFollower(stream);
+  }
+  if (path == peer_path::Briefing)
+    stream->send(pack(briefing()));
+  stream->close();
+}
+
+BriefingReply Gateway::briefing() const {
+  BriefingReply out;
+  if (Plan)
+    out.PlanText = Plan->Source;
+  for (const auto &it : View.inUse())
+    out.Replicas.emplace_back(it->Incarnation, it->Source);
+  for (const auto &[weights, version] : Versions)
+    out.Versions.emplace_back(weights.text(), version);
+  for (const auto &[name, cell] : Cells)
+    if (const auto &row = cell->lease().row())
+      out.Leases.emplace_back(name, row->text());
+  return out;
+}
+
+void Gateway::askBriefing() {
+  if (Settings.Seeds.empty() || (Plan && SeenReplicas) || Leaving)
+    return;
+  auto seed = Settings.Seeds[NextSeed++ % Settings.Seeds.size()];
+  auto peer =
+      seed.substr(0, seed.rfind(':')) + ":" + std::to_string(Settings.PeerPort);
+  if (peer.starts_with(Settings.Address + ":"))
+    return;
+  PeerHooks hooks;
+  hooks.OnMessage = [this](std::string_view message) {
+    if (auto reply = unpack<BriefingReply>(message))
+      onBriefing(*reply);
+    else
+      Log.write(LogClass::State, "message-refused", {{"what", "briefing"}});
+  };
+  Peers->open(peer, std::string(peer_path::Briefing), "?", std::move(hooks));
+}
+
+void Gateway::onBriefing(const BriefingReply &reply) {
+  OperatorChanges declared;
+  if (!Plan && !reply.PlanText.empty())
+    declared.Plan = Port.Registry.ReadPlan(reply.PlanText);
+  for (const auto &[weights, version] : reply.Versions)
+    declared.Versions.push_back({WeightsRef::parse(weights), version});
+  ReplicaChanges replicas;
+  for (const auto &[incarnation, source] : reply.Replicas)
+    if (auto it = Port.Registry.ReadReplica(incarnation, source))
+      replicas.Present.push_back(std::move(*it));
+  Log.write(
+      LogClass::State, "briefing",
+      {{"plan", declared.Plan ? declared.Plan->version() : 0},
+       {"replicas", static_cast<std::uint64_t>(replicas.Present.size())}});
+  onOperator(declared);
+  if (!SeenReplicas && !replicas.Present.empty())
+    onReplicas(replicas, true);
+  for (const auto &[name, text] : reply.Leases) {
+    auto cell = Cells.find(name);
+    auto row = CellLeaseRow::parse(text);
+    if (cell != Cells.end() && row)
+      cell->second->onTold(*row);
+  }
+}
+
+CellMember *Gateway::homeOf(const WeightsRef &weights) {
+  // The same cell for all nodes, so that weights are loaded once, and again
+  // where they still lie in a replica's memory. Cells that can't load now are
+  // passed over.
+  CellMember *best = nullptr;
+  std::pair<bool, std::uint64_t> most{};
+  for (auto &[name, cell] : Cells) {
+    std::pair<bool, std::uint64_t> rank{
+        cell->canOrder(),
+        std::hash<std::string>{}(weights.text() + "@" + name)};
+    if (best && rank <= most)
+      continue;
+    best = cell.get();
+    most = rank;
+  }
+  return best;
+}
+
+void Gateway::onDemand(const std::string &service, const WeightsRef &weights,
+                       bool waiting) {
+  auto own = Cells.find(Settings.FailureDomain);
+  auto *home = homeOf(weights);
+  if (waiting && home)
+    return home->onDemand(service, weights, true);
+  if (own != Cells.end())
+    own->second->onDemand(service, weights, false);
+  if (home && (own == Cells.end() || home != own->second.get()))
+    home->onDemand(service, weights, false);
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/GatewayStatus.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Hemlockglade/Protocol/Exchange/RequestLabels.h"
+#include "Hemlockglade/Transport/Http1/HttpMessage.h"
+
+namespace hemlockglade::gateway {
+
+/// Statuses that the gateway gives or looks at.
+inline constexpr std::uint16_t FirstSuccess = 200;
+inline constexpr std::uint16_t FirstRedirect = 300;
+inline constexpr std::uint16_t RequestTimeout = 408;
+inline constexpr std::uint16_t OtherIncarnation = 421;
+inline constexpr std::uint16_t TooMany = 429;
+inline constexpr std::uint16_t ServerError = 500;
+inline constexpr std::uint16_t BadGateway = 502;
+inline constexpr std::uint16_t Unavailable = 503;
+inline constexpr std::uint16_t GatewayTimeout = 504;
+
+/// Whether a status tells of success.
+inline bool isSuccess(std::uint16_t status) {
+  return status >= FirstSuccess && status < FirstRedirect;
+}
+
+/// Whether a status tells a caller that its request has not run.
+inline bool promisesNotRun(std::uint16_t status) {
+  return status == RequestTimeout || status == OtherIncarnation ||
+         status == TooMany || status == Unavailable;
+}
+
+/// Fields as views, for the label hooks.
+inline LabelFields viewsOf(const HeaderFields &fields) {
+  LabelFields out;
+  out.reserve(fields.size());
+  for (const auto &it : fields)
+    out.emplace_back(it.Name, it.Value);
+  return out;
+}
+
+/// A span times a factor.
+inline Span scaled(Span span, double factor) {
+  return Span(
+      static_cast<std::int64_t>(static_cast<double>(span.count()) * factor));
+}
+
+} // namespace hemlockglade::gateway
