--- a/Hemlockglade/Protocol/Settings/GatewaySettings.h
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -45,8 +45,8 @@
   Span RepeatWindow = std::chrono::seconds(10);
   /// Time within which a leaving replica must get no new work.
   Span DrainBound = std::chrono::seconds(2);
-  /// Time between two heartbeats of a replica.
-  Span HeartbeatInterval = std::chrono::milliseconds(1200);
+  /// Time within which requests must begin on weights that were named newer.
+  Span VersionBound = std::chrono::seconds(5);
 };
 
 /// Reads a settings file's text; `file` is the name that faults give.
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -99,6 +99,10 @@
       Timers(context), View([this] {
         ReplicaView::Settings out;
         out.FailureDomain = Settings.FailureDomain;
+        out.OldVersionGrace = Settings.VersionBound / 2;
+        constexpr double LapseShare = 0.85;
+        out.LapseGrace = Span(static_cast<std::int64_t>(
+            LapseShare * static_cast<double>(Settings.DrainBound.count())));
         return out;
       }()),
       Budget([this] {
@@ -166,8 +170,10 @@
   hooks.OnReplicas = [this](const auto &changes, bool unreachable) {
     onReplicas(changes, unreachable);
   };
-  Watch = std::make_unique<RegistryWatch>(
-      Timers, Port.Registry, RegistryWatch::Settings{}, std::move(hooks), Log);
+  RegistryWatch::Settings watch;
+  watch.ReplicaPeriod = std::min(watch.ReplicaPeriod, Settings.DrainBound / 2);
+  Watch = std::make_unique<RegistryWatch>(Timers, Port.Registry, watch,
+                                          std::move(hooks), Log);
   Watch->start();
   Subscriptions.push_back(
       Timers.every(TickPeriod, [this](Instant) { tick(); }));
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -14,8 +14,8 @@
     /// Longest wait of one look at operators' declarations. A connection that
     /// has gone silent is noticed after this and the call's time-out.
     Span OperatorWait = std::chrono::milliseconds(2500);
-    /// Time between looks at the replicas. Half of the usual bound on new work
-    /// for one that leaves (2 s) less the time that a look takes when slow.
+    /// Longest time between looks at the replicas: half of the usual bound on
+    /// new work for one that leaves, 2 s. A shorter bound shortens it.
     Span ReplicaPeriod = std::chrono::milliseconds(1000);
     /// Pause after a look that failed; once something is known, twice as long
     /// after each further one, up to the longest. Calls are priced also while
--- /dev/null
+++ b/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
@@ -0,0 +1,53 @@
+#include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
+
+#include <catch2/catch.hpp>
+
+namespace hemlockglade::test {
+
+namespace {
+
+const std::string Least = "name: entry-1\nfailure_domain: hall-a\n"
+                          "address: 10.0.0.1\ncaller_address: 10.0.0.1:80\n"
+                          "registry_address: 10.0.0.2:80\n"
+                          "failure_domains: [hall-a, hall-b]\n";
+
+} // namespace
+
+TEST_CASE("a gateway's settings are read", "[gateway-settings]") {
+  auto settings = readGatewaySettings(
+      Least + "stop_bound_s: 2.5\nrepeat_share: 0.25\nhandover_ms: 4000\n"
+              "drain_bound_ms: 900\nversion_bound_ms: 800\n"
+              "metrics_address: \"\"\nseeds: [\"10.0.0.3:7\"]\n",
+      "f");
+  REQUIRE(settings);
+  CHECK(settings->Name == "entry-1");
+  CHECK(settings->FailureDomains.size() == 2);
+  CHECK(settings->StopBound == std::chrono::milliseconds(2500));
+  CHECK(settings->RepeatShare == Approx(0.25));
+  CHECK(settings->Handover == std::chrono::seconds(4));
+  CHECK(settings->DrainBound == std::chrono::milliseconds(900));
+  CHECK(settings->VersionBound == std::chrono::milliseconds(800));
+  CHECK(settings->MetricsAddress.empty());
+}
+
+TEST_CASE("faults of a gateway's settings are told all at once",
+          "[gateway-settings]") {
+  auto settings = readGatewaySettings(
+      "name: entry-1\nfailure_domain: \"a b\"\naddress: here\n"
+      "caller_address: 10.0.0.1\nregistry_address: 10.0.0.2:80\n"
+      "failure_domains: [hall-a]\nrepeat_share: much\nstop_bound_s: 1000\n"
+      "unknown: 1\n",
+      "f");
+  REQUIRE_FALSE(settings);
+  CHECK(settings.error().size() == 6);
+  CHECK(settings.error().front().Line == 2);
+}
+
+TEST_CASE("a settings file that is no mapping is refused",
+          "[gateway-settings]") {
+  CHECK_FALSE(readGatewaySettings("[]", "f"));
+  CHECK_FALSE(readGatewaySettings("name: [", "f"));
+  CHECK_FALSE(readGatewaySettings("", "f"));
+}
+
+} // namespace hemlockglade::test
