Holds are logged when their reason changes

Cause: a request that was held showed only at its end why. Ruled out: a line for each look: hundreds a second under load. Change: one line when a hold begins or its reason changes, with what is known of its end; a load that was never told has no age.

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -297,7 +297,8 @@
     out.Version = best->Held.at(*query.Weights).Version;
   out.Far = near && best->Record->FailureDomain != Setup.FailureDomain;
   out.Running = best->Own + best->Others;
-  out.LoadAge = now - best->OthersAt;
+  if (best->OthersAt > Instant{})
+    out.LoadAge = now - best->OthersAt;
   return out;
 }
 
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -60,7 +60,8 @@
   std::uint32_t Running = 0;
   /// The engine has no prompts to read, as far as is known.
   bool Clean = false;
-  /// Age of what was known about the replica's load.
+  /// Age of what was known about the replica's load at other nodes; 0 if they
+  /// never told.
   Span LoadAge{0};
 };
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -189,9 +189,25 @@
   default:
     WaitReason = "no replica known";
   }
+  noteHold(choice, now);
   arm();
 }
 
+void GatewayExchange::noteHold(const RouteChoice &choice, Instant now) {
+  if (WaitReason == NotedReason)
+    return;
+  NotedReason = WaitReason;
+  bool known = choice.ReadyAt != Instant::max() && choice.ReadyAt > now;
+  Shared.Log.write(LogClass::Request, "hold",
+                   {{"request", Labels.Id},
+                    {"reason", WaitReason},
+                    {"service", Query.Service},
+                    {"weights", engine() ? Query.Weights->text() : ""},
+                    {"ready_in_ms", known ? choice.ReadyAt - now : Span(0)},
+                    {"held_until_ms", HoldUntil - now},
+                    {"can_load", !Shared.CanLoad || Shared.CanLoad()}});
+}
+
 void GatewayExchange::tellPressed(Instant now) {
   bool pressed = now - Request.ArrivedAt >= Setup.PressedAfter;
   if (!engine() || !pressed || now - WantToldAt < Setup.WantEvery)
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -141,6 +141,7 @@
   void hold(const RouteChoice &choice);
   void send(const RouteChoice &choice);
   void tellPressed(Instant now);
+  void noteHold(const RouteChoice &choice, Instant now);
   bool onHead(const HttpAnswerHead &head);
   void onBody(std::string_view part);
   void onDone();
@@ -198,6 +199,7 @@
   std::uint16_t Status = 0;
   std::string_view Result;
   std::string_view WaitReason;
+  std::string_view NotedReason;
   Instant WakeAt{};
   Instant WantToldAt{};
   std::optional<Span> FirstByte;
