--- /dev/null
+++ b/UnitTests/Node/Gateway/GatewayTest.cpp
@@ -0,0 +1,312 @@
+#include "Programs/hemlockgladed/Gateway/Gateway.h"
+
+#include "UnitTests/Node/Gateway/ScriptedReplica.h"
+#include "UnitTests/Transport/Http1/RawPeer.h"
+
+namespace hemlockglade::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A platform in memory, in terms of the product's hooks.
+struct FakePlatform {
+  explicit FakePlatform(asio::io_context &context) : Context(context) {}
+
+  /// Operators declare a plan with one route to the service `s`.
+  void declare(std::uint64_t version, const std::string &prefix) {
+    Route route;
+    route.Name = "r" + std::to_string(version);
+    route.Host = "a.example";
+    route.Prefix = prefix;
+    route.Targets = {{"s", 1}};
+    route.Timeout = milliseconds(2000);
+    RoutePlan plan(version, {route}, {ServiceSpec{"s", "/", 10, std::nullopt}},
+                   {});
+    plan.Source = prefix + std::to_string(version);
+    Declared.Plan = std::make_shared<const RoutePlan>(std::move(plan));
+    Known[Declared.Plan->Source] = Declared.Plan;
+    ++Declared.Position;
+    if (auto wait = std::exchange(Waiting, nullptr))
+      answer(wait, Declared);
+  }
+
+  void registerReplica(const std::string &address) {
+    ReplicaRecord record;
+    record.Incarnation = "i-1";
+    record.Service = "s";
+    record.Address = address;
+    record.FailureDomain = "hall-a";
+    record.Slots = 4;
+    record.Source = address;
+    Replicas.Present = {record};
+  }
+
+  template <typename Done, typename T> void answer(Done done, T value) {
+    asio::post(Context, [done, value] { done(value); });
+  }
+
+  PlatformPort port() {
+    PlatformPort out;
+    out.Registry.ReadOperator = [this](auto done) {
+      if (Away)
+        return fail(done);
+      answer(done, Declared);
+    };
+    out.Registry.WatchOperator = [this](std::uint64_t, Span, auto done) {
+      if (Away)
+        return fail(done);
+      Waiting = done;
+    };
+    out.Registry.ReadReplicas = [this](auto done) {
+      if (Away)
+        return fail(done);
+      auto all = Replicas;
+      all.Whole = true;
+      answer(done, all);
+    };
+    out.Registry.WatchReplicas = [this](std::uint64_t, auto done) {
+      if (Away)
+        return fail(done);
+      answer(done, Replicas);
+    };
+    out.Registry.ReadPlan = [this](std::string_view source) {
+      auto it = Known.find(std::string(source));
+      return it == Known.end() ? nullptr : it->second;
+    };
+    out.Registry.ReadReplica = [](std::string_view incarnation,
+                                  std::string_view source) {
+      ReplicaRecord record;
+      record.Incarnation = incarnation;
+      record.Service = "s";
+      record.Address = source;
+      record.FailureDomain = "hall-a";
+      record.Slots = 4;
+      return std::optional(record);
+    };
+    out.Table.Get = [this](const std::string &, auto done) {
+      asio::post(Context,
+                 [done] { done(tl::unexpected(TableError::NotSent)); });
+    };
+    out.Table.Commit = [this](const TableTransaction &, auto done) {
+      asio::post(Context,
+                 [done] { done(tl::unexpected(TableError::NotSent)); });
+    };
+    out.Labels.ReadRequest = [](const LabelFields &fields) {
+      RequestLabels labels;
+      for (const auto &[name, value] : fields)
+        if (sameFieldName(name, "Id"))
+          labels.Id = value;
+      return labels;
+    };
+    out.Labels.Forward = [](const LabelFields &fields, const ForwardLabels &) {
+      OwnedFields all;
+      for (const auto &[name, value] : fields)
+        if (!isConnectionField(name))
+          all.emplace_back(name, value);
+      return all;
+    };
+    out.Labels.ReadAnswer = [](std::uint16_t, const LabelFields &) {
+      AnswerLabels labels;
+      labels.Sealed = true;
+      return labels;
+    };
+    out.Labels.OwnAnswer = [](std::string_view) { return OwnedFields{}; };
+    out.Directory.Read = [](std::string_view target) {
+      return std::optional(AddressQuery{std::string(target.substr(1))});
+    };
+    out.Directory.Write = [](const std::vector<std::string> &addresses, Span) {
+      std::string all;
+      for (const auto &it : addresses)
+        all.append("<").append(it).append(">");
+      return all;
+    };
+    out.Directory.AsksReadiness = [](std::string_view) { return true; };
+    out.Tidy = [] {};
+    out.Calls = [] { return std::uint64_t{0}; };
+    return out;
+  }
+
+  template <typename Done> void fail(Done done) {
+    asio::post(Context,
+               [done] { done(tl::unexpected(RegistryError::Unavailable)); });
+  }
+
+  asio::io_context &Context;
+  OperatorChanges Declared;
+  ReplicaChanges Replicas;
+  std::map<std::string, std::shared_ptr<const RoutePlan>> Known;
+  RegistryCallback<OperatorChanges> Waiting;
+  bool Away = false;
+};
+
+struct GatewayFixture : Loopback {
+  GatewayFixture()
+      : Platform(Context), Replica(Context),
+        Log(
+            {"n"}, [](std::string_view) {},
+            [] { return std::chrono::microseconds(0); }) {
+    auto ports = freePorts(4);
+    Settings.Name = "entry-1";
+    Settings.FailureDomain = "hall-a";
+    Settings.Address = "127.0.0.1";
+    Settings.PeerPort = ports[0];
+    Settings.CallerAddress = address(ports[1]);
+    Settings.DirectoryAddress = address(ports[2]);
+    Settings.ReadinessAddress = address(ports[3]);
+    Settings.RegistryAddress = address(1);
+    Settings.FailureDomains = {"hall-a"};
+    Settings.StopBound = milliseconds(1500);
+  }
+
+  std::vector<std::uint16_t> freePorts(int n) {
+    std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> held;
+    std::vector<std::uint16_t> out;
+    for (int it = 0; it < n; ++it) {
+      held.push_back(
+          std::make_unique<asio::ip::tcp::acceptor>(Context, localhost(0)));
+      out.push_back(held.back()->local_endpoint().port());
+    }
+    return out;
+  }
+
+  void start() {
+    Node = std::make_unique<Gateway>(Context, Settings, Platform.port(), Log);
+    Node->onStopped([this] { Stopped = true; });
+    Node->start();
+  }
+
+  bool untilReady() {
+    return until([this] { return Node->ready(); });
+  }
+
+  /// Sends a request on a connection of its own and gives what comes back.
+  std::string ask(const std::string &to, const std::string &path,
+                  const std::string &id = "r1") {
+    RawPeer peer(Context);
+    peer.connect(parseEndpoint(to).port());
+    peer.send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nId: " + id +
+              "\r\n\r\n");
+    until([&peer] {
+      return peer.Ended || peer.Got.find("\r\n\r\n") != std::string::npos;
+    });
+    settle();
+    return peer.Got;
+  }
+
+  FakePlatform Platform;
+  ScriptedReplica Replica;
+  EventLog Log;
+  GatewaySettings Settings;
+  std::unique_ptr<Gateway> Node;
+  bool Stopped = false;
+};
+
+bool has(const std::string &text, const std::string &part) {
+  return text.find(part) != std::string::npos;
+}
+
+const std::string Hello = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+} // namespace
+
+TEST_CASE("a node that knows no plan says when to come back, never 404",
+          "[gateway]") {
+  GatewayFixture it;
+  it.Platform.Away = true;
+  it.start();
+  it.settle();
+  auto got = it.ask(it.Settings.CallerAddress, "/x/");
+  CHECK(has(got, "HTTP/1.1 503"));
+  CHECK(has(got, "Retry-After"));
+  CHECK(has(it.ask(it.Settings.ReadinessAddress, "/"), "HTTP/1.1 503"));
+  CHECK(has(it.ask(it.Settings.DirectoryAddress, "/hall-a"), "HTTP/1.1 503"));
+}
+
+TEST_CASE("a node with plan and replicas is ready, listed and serves",
+          "[gateway]") {
+  GatewayFixture it;
+  it.Platform.declare(1, "/x/");
+  it.Platform.registerReplica(it.Replica.address());
+  it.Replica.Script = {{Hello}};
+  it.start();
+  REQUIRE(it.untilReady());
+  CHECK(has(it.ask(it.Settings.ReadinessAddress, "/"), "HTTP/1.1 200"));
+  CHECK(has(it.ask(it.Settings.DirectoryAddress, "/hall-a"),
+            "<" + it.Settings.CallerAddress + ">"));
+  CHECK(has(it.ask(it.Settings.CallerAddress, "/x/1"), "hello"));
+  CHECK(has(it.ask(it.Settings.CallerAddress, "/y/1"), "HTTP/1.1 404"));
+  CHECK(has(it.ask(it.Settings.CallerAddress, "/x/1", ""), "HTTP/1.1 400"));
+}
+
+TEST_CASE("a plan is only replaced by a higher version", "[gateway]") {
+  GatewayFixture it;
+  it.Platform.declare(5, "/x/");
+  it.Platform.registerReplica(it.Replica.address());
+  it.Replica.Script = {{Hello}, {Hello}};
+  it.start();
+  REQUIRE(it.untilReady());
+  it.Platform.declare(4, "/old/");
+  it.settle();
+  CHECK(has(it.ask(it.Settings.CallerAddress, "/old/"), "HTTP/1.1 404"));
+  CHECK(has(it.ask(it.Settings.CallerAddress, "/x/"), "hello"));
+  it.Platform.declare(9, "/new/");
+  it.settle();
+  CHECK(has(it.ask(it.Settings.CallerAddress, "/x/"), "HTTP/1.1 404"));
+  CHECK(has(it.ask(it.Settings.CallerAddress, "/new/"), "hello"));
+}
+
+TEST_CASE("a stop is not listed, finishes what runs, and ends in time",
+          "[gateway]") {
+  GatewayFixture it;
+  it.Platform.declare(1, "/x/");
+  it.Platform.registerReplica(it.Replica.address());
+  it.start();
+  REQUIRE(it.untilReady());
+  RawPeer peer(it.Context);
+  peer.connect(parseEndpoint(it.Settings.CallerAddress).port());
+  peer.send("GET /x/ HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n\r\n");
+  REQUIRE(it.until([&] { return it.Replica.Requests.size() == 1; }));
+  auto began = TimerService::now();
+  it.Node->stop();
+  CHECK(has(it.ask(it.Settings.ReadinessAddress, "/"), "HTTP/1.1 503"));
+  SECTION("what is answered in time") {
+    it.Replica.Script = {{Hello}, {Hello}};
+    // A request that comes meanwhile is served as well, and told to go.
+    auto late = it.ask(it.Settings.CallerAddress, "/x/");
+    CHECK(has(late, "hello"));
+    CHECK(has(late, "Connection: close"));
+  }
+  SECTION("what is not") {}
+  REQUIRE(it.until([&] { return it.Stopped; }));
+  CHECK(TimerService::now() - began < it.Settings.StopBound);
+  // It was sent, so that nobody may say that it did not run.
+  CHECK(it.until([&] { return has(peer.Got, "HTTP/1.1 502"); }));
+}
+
+TEST_CASE("a node that starts without the registry asks a peer", "[gateway]") {
+  GatewayFixture first;
+  first.Platform.declare(3, "/x/");
+  first.Platform.registerReplica(first.Replica.address());
+  first.start();
+  REQUIRE(first.untilReady());
+  FakePlatform away(first.Context);
+  away.Away = true;
+  away.Known = first.Platform.Known;
+  auto settings = first.Settings;
+  auto ports = first.freePorts(3);
+  settings.Name = "entry-2";
+  // Peers' ports are the same on all hosts; the second host is 127.0.0.2.
+  settings.Address = "127.0.0.2";
+  settings.Seeds = {"127.0.0.1:1"};
+  settings.CallerAddress = Loopback::address(ports[0]);
+  settings.DirectoryAddress = Loopback::address(ports[1]);
+  settings.ReadinessAddress = Loopback::address(ports[2]);
+  Gateway second(first.Context, settings, away.port(), first.Log);
+  second.start();
+  REQUIRE(first.until([&] { return second.ready(); }));
+  first.Replica.Script = {{Hello}};
+  CHECK(has(first.ask(settings.CallerAddress, "/x/"), "hello"));
+}
+
+} // namespace hemlockglade::test
