A replica that vanished alone gets nothing more, one that vanished has its time

Ruled out: late looks: the node saw the removal 0.35 s after it. Change: only entries that vanish together, a third of those in use or more, count as lapsed; the time of one that lapsed is looked at with each choice.

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -42,27 +42,37 @@
 
 void ReplicaView::onRegistry(const ReplicaChanges &changes, bool unreachable,
                              Instant now) {
-  auto vanish = [&](Seen &seen) {
-    if (!unreachable) {
-      seen.Leaving = true;
-      ++Revision;
-    }
-    if (!seen.VanishesAt)
-      seen.VanishesAt = now + (unreachable ? Setup.LapseGrace : Span(0));
-  };
   for (const auto &it : changes.Present)
     takeRecord(it, now);
-  for (const auto &it : changes.Removed)
-    if (auto at = Replicas.find(it); at != Replicas.end())
-      vanish(at->second);
-  if (!changes.Whole)
-    return;
+  std::set<std::string> vanished(changes.Removed.begin(),
+                                 changes.Removed.end());
   std::set<std::string> present;
   for (const auto &it : changes.Present)
     present.insert(it.Incarnation);
-  for (auto &[id, seen] : Replicas)
-    if (!present.contains(id))
-      vanish(seen);
+  std::size_t used = 0;
+  for (const auto &[id, seen] : Replicas) {
+    used += usable(seen) ? 1 : 0;
+    if (changes.Whole && !present.contains(id))
+      vanished.insert(id);
+  }
+  // Entries lapse together when the registry itself was away. A single one that
+  // goes while only this node was cut off is a replica that left, for which the
+  // bound on new work runs already.
+  constexpr double LapseShare = 1.0 / 3;
+  bool lapsed = unreachable && static_cast<double>(vanished.size()) >=
+                                   LapseShare * static_cast<double>(used);
+  for (const auto &it : vanished)
+    if (auto at = Replicas.find(it); at != Replicas.end())
+      vanish(at->second, lapsed, now);
+}
+
+void ReplicaView::vanish(Seen &seen, bool lapsed, Instant now) {
+  if (!lapsed) {
+    seen.Leaving = true;
+    ++Revision;
+  }
+  if (!seen.VanishesAt)
+    seen.VanishesAt = now + (lapsed ? Setup.LapseGrace : Span(0));
 }
 
 void ReplicaView::onVersion(const WeightsRef &weights, std::uint64_t version,
@@ -248,7 +258,7 @@
   auto all = ByService.find(query.Service);
   for (const auto *it : all == ByService.end() ? None : all->second) {
     const auto &seen = *it;
-    if (!usable(seen))
+    if (!usable(seen) || (seen.VanishesAt && now >= *seen.VanishesAt))
       continue;
     known = true;
     near = near || seen.Record->FailureDomain == Setup.FailureDomain;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -209,6 +209,7 @@
   bool hasRoom(const Seen &seen, const RouteQuery &query) const;
   double usualFailures(const std::string &service, Instant now) const;
   void takeRecord(const ReplicaRecord &record, Instant now);
+  void vanish(Seen &seen, bool lapsed, Instant now);
   void index();
   /// Backlog up to which an engine gets the request.
   Span paceBound(const RouteQuery &query, Instant now) const;
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -92,6 +92,25 @@
   CHECK(it.choose().What == Kind::Nobody);
 }
 
+TEST_CASE("a replica that vanished is not used beyond its time", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onRegistry({true, {}, {}, 2}, true, it.Now);
+  // Nothing but a choice looks at the time here.
+  it.Now += milliseconds(1701);
+  CHECK(it.choose().What == Kind::Nobody);
+}
+
+TEST_CASE("one entry that vanishes among many has not lapsed", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1"), record("i-2"), record("i-3"), record("i-4")});
+  it.View.onRegistry({false, {}, {"i-1"}, 2}, true, it.Now);
+  it.View.onOthersRunning("i-2", 3, it.Now);
+  it.View.onOthersRunning("i-3", 3, it.Now);
+  it.View.onOthersRunning("i-4", 3, it.Now);
+  CHECK(it.choose().Replica->Incarnation != "i-1");
+}
+
 TEST_CASE("weights decide who can serve", "[view]") {
   ViewFixture it;
   auto other = record("i-1");
