No verdict of the new tests comes from how long it took

Cause: the store's tests gave calls that are answered 80 ms, and the stop's test compared clock times; on a machine that is busy both could fail without a fault. Ruled out: wider times: a call that nobody answers has to end soon in a test. Change: only the calls that stay unanswered use a short time-out; the stop is judged by its last log line, one request cut.

--- a/UnitTests/Node/Gateway/GatewayTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayTest.cpp
@@ -144,7 +144,7 @@
   GatewayFixture()
       : Platform(Context), Replica(Context),
         Log(
-            {"n"}, [](std::string_view) {},
+            {"n"}, [this](std::string_view line) { Lines.emplace_back(line); },
             [] { return std::chrono::microseconds(0); }) {
     auto ports = freePorts(4);
     Settings.Name = "entry-1";
@@ -194,6 +194,7 @@
     return peer.Got;
   }
 
+  std::vector<std::string> Lines;
   FakePlatform Platform;
   ScriptedReplica Replica;
   EventLog Log;
@@ -267,7 +268,6 @@
   peer.connect(parseEndpoint(it.Settings.CallerAddress).port());
   peer.send("GET /x/ HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n\r\n");
   REQUIRE(it.until([&] { return it.Replica.Requests.size() == 1; }));
-  auto began = TimerService::now();
   it.Node->stop();
   CHECK(has(it.ask(it.Settings.ReadinessAddress, "/"), "HTTP/1.1 503"));
   SECTION("what is answered in time") {
@@ -279,7 +279,9 @@
   }
   SECTION("what is not") {}
   REQUIRE(it.until([&] { return it.Stopped; }));
-  CHECK(TimerService::now() - began < it.Settings.StopBound);
+  // It ended by itself, and cut the one request that nobody answered.
+  REQUIRE_FALSE(it.Lines.empty());
+  CHECK(has(it.Lines.back(), "\"event\":\"stopped\",\"cut\":1"));
   // It was sent, so that nobody may say that it did not run.
   CHECK(it.until([&] { return has(peer.Got, "HTTP/1.1 502"); }));
 }
--- a/UnitTests/Platform/StoreTest.cpp
+++ b/UnitTests/Platform/StoreTest.cpp
@@ -33,9 +33,13 @@
                                             std::move(hooks));
     PlatformStore::Settings settings;
     settings.Address = localhost(Server->port());
-    settings.CallTimeout = std::chrono::milliseconds(80);
-    settings.EngineTimeout = std::chrono::milliseconds(80);
+    // Only a call that nobody answers is to reach its time-out.
+    settings.CallTimeout = std::chrono::seconds(20);
+    settings.EngineTimeout = std::chrono::seconds(20);
     Store = std::make_unique<PlatformStore>(Context, settings, Log);
+    settings.CallTimeout = std::chrono::milliseconds(50);
+    settings.EngineTimeout = std::chrono::milliseconds(50);
+    Hasty = std::make_unique<PlatformStore>(Context, settings, Log);
   }
 
   template <typename T> T wait(std::optional<T> &result) {
@@ -43,10 +47,13 @@
     return std::move(*result);
   }
 
+  /// The client to use: the hasty one where nobody answers.
+  PlatformStore &client() { return Silent ? *Hasty : *Store; }
+
   tl::expected<std::uint64_t, TableError> commit() {
     std::optional<tl::expected<std::uint64_t, TableError>> result;
-    Store->table().Commit({"a", {{"k", 4, "v"}}},
-                          [&](auto it) { result = it; });
+    client().table().Commit({"a", {{"k", 4, "v"}}},
+                            [&](auto it) { result = it; });
     return wait(result);
   }
 
@@ -59,7 +66,7 @@
 
   OrderAnswer order() {
     std::optional<OrderAnswer> result;
-    Store->engines().Order(replica(), {}, [&](auto it) { result = it; });
+    client().engines().Order(replica(), {}, [&](auto it) { result = it; });
     return wait(result);
   }
 
@@ -72,6 +79,7 @@
   bool Silent = false;
   std::unique_ptr<CallerServer> Server;
   std::unique_ptr<PlatformStore> Store;
+  std::unique_ptr<PlatformStore> Hasty;
 };
 
 std::string row(const std::string &key, const std::string &value) {
