Dead code and copies of the gateway are taken out

Cause: read again: fields, retry times and unread tokens were worked out twice or thrice; four members and two functions were used by nobody; a branch of a hold could never be reached. Ruled out: urlEncode in the adapter: it encodes slashes, which a test spells out. Change: one copy of each, the dead ones gone; behaviour as before.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -97,11 +97,6 @@
   return it == Demands.end() ? 0 : rate(it->second, now);
 }
 
-double CellDesk::demandOf(const std::string &service, const WeightsRef &weights,
-                          Instant now) const {
-  return rateOf({service, weights}, now);
-}
-
 void CellDesk::onDemand(const std::string &service, const WeightsRef &weights,
                         double requests, Instant now) {
   auto &demand = Demands[{service, weights}];
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -138,8 +138,6 @@
   const Residency &residency(const std::string &replica) const;
   std::vector<std::string> replicas() const;
   std::uint64_t revision() const { return Revision; }
-  double demandOf(const std::string &service, const WeightsRef &weights,
-                  Instant now) const;
 
 private:
   struct Demand {
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -125,10 +125,8 @@
                                const RouteQuery &query, Span took, bool clean) {
   auto it = Replicas.find(replica);
   if (it != Replicas.end() && clean)
-    Speeds[it->second.Record->Service].add(
-        query.PromptTokens -
-            std::min(query.PromptTokens, sharedTokens(it->second, query)),
-        took);
+    Speeds[it->second.Record->Service].add(unreadTokens(it->second, query),
+                                           took);
 }
 
 std::uint32_t ReplicaView::tokensToRead(const std::string &replica,
@@ -136,8 +134,13 @@
   auto it = Replicas.find(replica);
   if (it == Replicas.end())
     return query.PromptTokens;
+  return unreadTokens(it->second, query);
+}
+
+std::uint32_t ReplicaView::unreadTokens(const Seen &seen,
+                                        const RouteQuery &query) const {
   return query.PromptTokens -
-         std::min(query.PromptTokens, sharedTokens(it->second, query));
+         std::min(query.PromptTokens, sharedTokens(seen, query));
 }
 
 bool ReplicaView::suspect(const std::string &replica, Instant now) const {
@@ -332,10 +335,9 @@
   seen.Health.onSent(attempt, now);
   if (query.Weights) {
     ++seen.OwnUses[*query.Weights];
-    auto toRead = query.PromptTokens -
-                  std::min(query.PromptTokens, sharedTokens(seen, query));
-    seen.BusyUntil = std::max(now, seen.BusyUntil) +
-                     timeToRead(seen.Record->Service, toRead);
+    seen.BusyUntil =
+        std::max(now, seen.BusyUntil) +
+        timeToRead(seen.Record->Service, unreadTokens(seen, query));
   }
   for (auto part : query.Parts)
     seen.Parts[partKey(query, part)] = now;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -205,6 +205,7 @@
               Instant now) const;
   bool versionServes(const WeightsRef &weights, std::uint64_t version,
                      Instant now) const;
+  std::uint32_t unreadTokens(const Seen &seen, const RouteQuery &query) const;
   std::uint32_t sharedTokens(const Seen &seen, const RouteQuery &query) const;
   bool hasRoom(const Seen &seen, const RouteQuery &query) const;
   double usualFailures(const std::string &service, Instant now) const;
--- a/Hemlockglade/Transport/Http1/HttpPool.cpp
+++ b/Hemlockglade/Transport/Http1/HttpPool.cpp
@@ -46,18 +46,6 @@
   idle.push_back(connection);
 }
 
-void HttpPool::forget(const asio::ip::tcp::endpoint &address) {
-  auto it = Idle.find(address);
-  if (it == Idle.end())
-    return;
-  auto idle = std::move(it->second);
-  Idle.erase(it);
-  for (auto &connection : idle) {
-    connection->OnIdleEnd = nullptr;
-    connection->abort();
-  }
-}
-
 void HttpPool::tidy() {
   auto now = TimerService::now();
   for (auto it = Idle.begin(); it != Idle.end();) {
--- a/Hemlockglade/Transport/Http1/HttpPool.h
+++ b/Hemlockglade/Transport/Http1/HttpPool.h
@@ -30,8 +30,6 @@
                                        Span mostIdle = Span::max());
   /// Gives a connection back after its call.
   void give(const std::shared_ptr<HttpConnection> &connection);
-  /// Drops the idle connections to an address.
-  void forget(const asio::ip::tcp::endpoint &address);
   /// Drops idle connections that are past their time.
   void tidy();
 
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -1,5 +1,7 @@
 #include "Programs/hemlockgladed/Gateway/Gateway.h"
 
+#include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
+
 #include <asio/post.hpp>
 #include <random>
 
@@ -46,7 +48,6 @@
 /// some 10 ms, or waits for a registry that is away, mostly for seconds.
 constexpr auto StartingRetry = std::chrono::milliseconds(300);
 constexpr auto AwayRetry = std::chrono::milliseconds(2000);
-constexpr double UsPerS = 1e6;
 
 constexpr MetricFamily RequestsFamily{"hemlockglade_requests_total",
                                       "Requests that ended, by result."};
@@ -88,8 +89,6 @@
   return out;
 }
 
-HttpPool::Settings poolSettings() { return {}; }
-
 } // namespace
 
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings,
@@ -112,17 +111,13 @@
         out.Window = Settings.RepeatWindow;
         return out;
       }()),
-      Pool(context, poolSettings()), Shared(exchangeContext()) {}
+      Pool(context, HttpPool::Settings{}), Shared(exchangeContext()) {}
 
 Gateway::~Gateway() {
   for (const auto &it : Exchanges)
     it->cut();
 }
 
-asio::ip::tcp::endpoint Gateway::endpointOf(const std::string &address) const {
-  return parseEndpoint(address);
-}
-
 ExchangeContext Gateway::exchangeContext() {
   return {
       Context,
@@ -250,7 +245,7 @@
     onRequest(std::move(request), std::move(reply));
   };
   Callers = std::make_unique<CallerServer>(
-      Context, endpointOf(Settings.CallerAddress), most, hooks);
+      Context, parseEndpoint(Settings.CallerAddress), most, hooks);
   auto serve = [this, &hooks](const std::string &address, auto handler) {
     hooks.OnRequest = [handler](const CallerRequest &request, auto reply) {
       handler(request, *reply);
@@ -258,7 +253,7 @@
     constexpr std::size_t SideConnections = 256;
     return address.empty()
                ? nullptr
-               : std::make_unique<CallerServer>(Context, endpointOf(address),
+               : std::make_unique<CallerServer>(Context, parseEndpoint(address),
                                                 SideConnections, hooks);
   };
   Directory = serve(Settings.DirectoryAddress,
@@ -326,23 +321,15 @@
              {"status", std::uint32_t{status}},
              {"why", why},
              {"plan", Plan ? Plan->version() : 0}});
-  HttpAnswerHead head{status, {}};
-  for (auto &[name, value] : Port.Labels.OwnAnswer(id))
-    head.Fields.push_back({name, value});
+  HttpAnswerHead head{status, gateway::fieldsOf(Port.Labels.OwnAnswer(id))};
   if (retryAfter)
-    head.Fields.push_back(
-        {"Retry-After",
-         std::to_string(static_cast<double>(retryAfter->count()) / UsPerS)
-             .substr(0, 4)});
+    head.Fields.push_back(gateway::retryAfterField(*retryAfter));
   reply.respond(std::move(head), why);
 }
 
 void Gateway::onRequest(CallerRequest request,
                         std::shared_ptr<CallerReply> reply) {
-  LabelFields fields;
-  for (const auto &it : request.Head.Fields)
-    fields.emplace_back(it.Name, it.Value);
-  auto labels = Port.Labels.ReadRequest(fields);
+  auto labels = Port.Labels.ReadRequest(gateway::viewsOf(request.Head.Fields));
   if (!Plan)
     return refuse(*reply, labels.Id, Unavailable, "no plan yet",
                   Watch->reachable() ? Span(StartingRetry) : Span(AwayRetry));
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -63,7 +63,6 @@
   std::vector<MemberNotice> members() const;
   MemberNotice self() const;
   ExchangeContext exchangeContext();
-  asio::ip::tcp::endpoint endpointOf(const std::string &address) const;
 
   asio::io_context &Context;
   GatewaySettings Settings;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -5,7 +5,6 @@
 #include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace hemlockglade {
 
@@ -15,14 +14,6 @@
 
 /// Ranks that requests have at engines.
 constexpr std::uint32_t LowestRank = 9;
-constexpr double UsPerS = 1e6;
-
-HeaderFields fieldsOf(const OwnedFields &fields) {
-  HeaderFields out;
-  for (const auto &[name, value] : fields)
-    out.push_back({name, value});
-  return out;
-}
 
 } // namespace
 
@@ -151,11 +142,6 @@
   auto now = TimerService::now();
   if (engine() && !std::exchange(DemandTold, true))
     Shared.OnDemand(Query.Service, *Query.Weights, false);
-  if (choice.What == RouteChoice::Kind::Missing && !Query.Avoid.empty() &&
-      !engine()) {
-    // All have been tried; the least bad one may have recovered.
-    Query.Avoid.clear();
-  }
   if (now >= HoldUntil) {
     if (MayHaveRun)
       return answerOwn(BadGateway, "no replica to try again");
@@ -244,7 +230,6 @@
   Now = std::make_unique<Attempt>();
   Now->Replica = choice.Replica;
   Now->SentAt = now;
-  Now->Resumed = EventsPassed > 0;
   Now->Clean = choice.Clean;
   if (engine())
     Shared.OnSent(*choice.Replica,
@@ -382,11 +367,8 @@
     return finish(0, why);
   }
   HttpAnswerHead head{status, fieldsOf(Shared.Labels.OwnAnswer(Labels.Id))};
-  if (retryAfter) {
-    auto text =
-        std::to_string(static_cast<double>(retryAfter->count()) / UsPerS);
-    head.Fields.push_back({"Retry-After", text.substr(0, text.find('.') + 3)});
-  }
+  if (retryAfter)
+    head.Fields.push_back(retryAfterField(*retryAfter));
   head.Fields.push_back({"Content-Type", "text/plain"});
   Reply->respond(std::move(head), why);
   finish(status, why);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -133,8 +133,6 @@
     bool FirstEvent = false;
     /// When the attempt is taken to be stuck, unless something comes before.
     Instant StuckAt{};
-    /// Skip events of a resumed stream up to the last one passed on.
-    bool Resumed = false;
   };
 
   void next();
@@ -193,7 +191,6 @@
   bool MayHaveRun = false;
   bool DemandTold = false;
   std::set<std::string> Tried;
-  std::uint32_t Arrivals = 0;
   std::string LastEvent;
   std::uint64_t EventsPassed = 0;
   std::uint16_t Status = 0;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -153,14 +153,12 @@
                      {{"request", Labels.Id}, {"replica", failed}});
     return next();
   }
-  ++Arrivals;
   MayHaveRun = true;
   onUnknown(how == HttpFailure::Ended ? "connection ended"
                                       : "connection broke");
 }
 
 void GatewayExchange::onNotRun() {
-  ++Arrivals;
   auto record = Now->Replica;
   const auto &replica = *record;
   auto status = Now->Head->Status;
--- a/Programs/hemlockgladed/Gateway/GatewayStatus.h
+++ b/Programs/hemlockgladed/Gateway/GatewayStatus.h
@@ -36,6 +36,22 @@
   return out;
 }
 
+/// Fields as the transport sends them.
+inline HeaderFields fieldsOf(const OwnedFields &fields) {
+  HeaderFields out;
+  for (const auto &[name, value] : fields)
+    out.push_back({name, value});
+  return out;
+}
+
+/// When to come back, in seconds with two decimals.
+inline HeaderField retryAfterField(Span span) {
+  constexpr double UsPerS = 1e6;
+  constexpr std::size_t PointAndDecimals = 3;
+  auto text = std::to_string(static_cast<double>(span.count()) / UsPerS);
+  return {"Retry-After", text.substr(0, text.find('.') + PointAndDecimals)};
+}
+
 /// A span times a factor.
 inline Span scaled(Span span, double factor) {
   return Span(
