Cells load base models in turns, so that the rate holds however many begin

Cause: an owner's first load of a base model waited for nothing, and the rate was divided among the cells only from the second on. Sixty cells whose engines are all empty began 60 loads at once where the weight store allows 5.75 to 18 in 5 s, 23 cells began 23; owners that change added one more each. Ruled out: counting loads elsewhere alone, which owners hear of too late when all begin together. Change: an owner that begins waits for its cell's turn, and for 2 s at most after another may have ordered.

--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -73,6 +73,15 @@
     double WaitWeight = 0.2;
     /// Cells of the deployment, which share the rate of base model loads.
     std::uint32_t Cells = 1;
+    /// Place of this cell among them, from 0. Owners that begin at the same
+    /// time load base models in this order, each a share of the rate later:
+    /// sixty cells whose engines were all empty began 60 loads at once where
+    /// 18 were allowed in 5 s, counted in the test of the rate.
+    std::uint32_t Turn = 0;
+    /// Longest time for which a new owner loads no base model. Loads are
+    /// counted over 5 s, and the owner before ordered nothing in the 3.25 s of
+    /// the handover.
+    Span ModelPauseOfNewOwner = std::chrono::milliseconds(2000);
     /// Time between looks at all demand, for copies that nobody waits for. With
     /// 500 adapters a look takes some 0.1 ms.
     Span ScanEvery = std::chrono::milliseconds(250);
@@ -197,6 +206,7 @@
              std::uint64_t count, Instant now);
   static bool holdsAllModels(const Book &book);
   void planModels(std::vector<DeskAction> &actions, Instant now);
+  void beginTurns(Instant now);
   void planAdapters(std::vector<DeskAction> &actions, Instant now);
   bool place(const DemandKey &key, double worth, std::string_view reason,
              std::vector<DeskAction> &actions, Instant now);
@@ -226,6 +236,8 @@
   std::map<DemandKey, std::size_t> Copies;
   bool CopiesKnown = false;
   Instant NextModelLoad{};
+  /// Whether the last look allowed orders.
+  bool MayOrder = false;
   std::size_t LoadingElsewhere = 0;
   std::size_t ModelsElsewhere = 0;
   std::uint64_t Revision = 1;
--- a/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
@@ -17,6 +17,14 @@
 /// Copies for demand alone that are ordered in one round.
 constexpr int CopiesARound = 3;
 
+/// Loads of base models a second that a plan is taken to allow at least.
+constexpr double LeastRate = 0.1;
+
+Span spanOf(double seconds) {
+  constexpr double UsPerS = 1e6;
+  return Span(static_cast<std::int64_t>(seconds * UsPerS));
+}
+
 std::uint64_t mix(std::string_view a, std::string_view b) {
   return std::hash<std::string_view>{}(a)*31 + std::hash<std::string_view>{}(b);
 }
@@ -25,6 +33,9 @@
 
 std::vector<DeskAction> CellDesk::plan(bool mayOrder, Instant now) {
   std::vector<DeskAction> actions;
+  if (mayOrder && !MayOrder)
+    beginTurns(now);
+  MayOrder = mayOrder;
   if (!mayOrder)
     return actions;
   for (auto &[id, book] : Books) {
@@ -47,6 +58,16 @@
   });
 }
 
+void CellDesk::beginTurns(Instant now) {
+  double rate = LeastRate;
+  for (const auto &[id, book] : Books)
+    rate = std::max(rate, book.Engine->LoadsPerSecond);
+  // The owner before may have ordered just before its end.
+  Span gap = std::min(Setup.ModelPauseOfNewOwner, spanOf(Setup.Cells / rate));
+  NextModelLoad =
+      std::max(NextModelLoad, now + gap + spanOf(Setup.Turn / rate));
+}
+
 void CellDesk::planModels(std::vector<DeskAction> &actions, Instant now) {
   auto busy = std::count_if(Books.begin(), Books.end(), [now](const auto &it) {
     return it.second.ModelBusyUntil > now;
@@ -83,9 +104,8 @@
       continue;
     order(book, OrderKind::Load, {best->Name, {}}, "model missing", actions);
     ++underWay;
-    double gap = Setup.Cells / std::max(0.1, book.Engine->LoadsPerSecond);
-    constexpr double UsPerS = 1e6;
-    NextModelLoad = now + Span(static_cast<std::int64_t>(gap * UsPerS));
+    double gap = Setup.Cells / std::max(LeastRate, book.Engine->LoadsPerSecond);
+    NextModelLoad = now + spanOf(gap);
   }
 }
 
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -187,6 +187,7 @@
   Peers =
       std::make_unique<PeerNet>(Context, Settings.Address, Settings.PeerPort,
                                 [this](const auto &stream) { onPeer(stream); });
+  std::uint32_t turn = 0;
   for (const auto &cell : Settings.FailureDomains) {
     CellMember::Settings setup;
     setup.Cell = cell;
@@ -198,6 +199,7 @@
     setup.Lease.Handover = Settings.Handover;
     setup.Desk.Cells =
         static_cast<std::uint32_t>(Settings.FailureDomains.size());
+    setup.Desk.Turn = turn++;
     setup.Reluctance =
         cell == Settings.FailureDomain ? OwnReluctance : FarReluctance;
     CellMember::Hooks hooks;
--- /dev/null
+++ b/UnitTests/Coordination/Orders/ModelLoadRateTest.cpp
@@ -0,0 +1,212 @@
+#include "Hemlockglade/Coordination/Orders/CellDesk.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+#include <rapidcheck.h>
+
+namespace hemlockglade::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string Service = "drafts";
+const WeightsRef Model{"base", {}};
+constexpr auto Step = milliseconds(50);
+constexpr auto Window = seconds(5);
+
+/// An engine that may hold one base model.
+struct Engine {
+  ReplicaRecord Record;
+  bool Holds = false;
+  std::uint64_t Count = 0;
+  /// Being loaded until then.
+  std::optional<Instant> LoadsUntil;
+};
+
+/// A cell, its desk and whether the desk's owner may order.
+struct Cell {
+  std::unique_ptr<CellDesk> Desk;
+  std::map<std::string, Engine> Engines;
+  Instant OrdersFrom{};
+  int Generation = 0;
+};
+
+/// Several cells whose engines start empty; owners hear of loads elsewhere
+/// late, change, and engines come back empty.
+struct LoadWorld {
+  LoadWorld(std::uint64_t seed, std::uint32_t cells, int engines, double rate)
+      : Random(seed), Rate(rate) {
+    EngineSpec engine;
+    engine.Slots = 8;
+    engine.AdapterSlots = 2;
+    engine.WeightsMb = 1000;
+    engine.LoadsPerSecond = rate;
+    engine.Models = {{Model.Model, 900, LoadTime, 1}};
+    Plan = std::make_shared<const RoutePlan>(
+        1, std::vector<Route>{},
+        std::vector{ServiceSpec{Service, "/", 10, engine}}, CallerLimits{});
+    Cells.resize(cells);
+    for (std::uint32_t it = 0; it < cells; ++it) {
+      newOwner(it);
+      for (int n = 0; n < engines; ++n)
+        addEngine(Cells[it]);
+    }
+  }
+
+  std::uint64_t upTo(std::uint64_t n) { return Random() % n; }
+
+  void newOwner(std::uint32_t cell) {
+    CellDesk::Settings settings;
+    settings.Cells = static_cast<std::uint32_t>(Cells.size());
+    settings.Turn = cell;
+    Cells[cell].Desk = std::make_unique<CellDesk>(settings);
+  }
+
+  void addEngine(Cell &cell) {
+    Engine engine;
+    engine.Record.Incarnation = "i-" + std::to_string(NextEngine++);
+    engine.Record.Service = Service;
+    engine.Record.Slots = 8;
+    cell.Engines[engine.Record.Incarnation] = engine;
+  }
+
+  std::size_t underWay(const Cell &cell) const {
+    return static_cast<std::size_t>(std::count_if(
+        cell.Engines.begin(), cell.Engines.end(),
+        [](const auto &it) { return it.second.LoadsUntil.has_value(); }));
+  }
+
+  void trouble() {
+    constexpr std::uint64_t Rarely = 40;
+    for (std::uint32_t it = 0; it < Cells.size(); ++it) {
+      auto &cell = Cells[it];
+      if (upTo(Rarely * 5) == 0) {
+        // The owner changes: the next may order after the handover.
+        newOwner(it);
+        cell.OrdersFrom = Now + milliseconds(3250);
+      }
+      if (upTo(Rarely) == 0 && !cell.Engines.empty()) {
+        cell.Engines.erase(cell.Engines.begin());
+        addEngine(cell);
+      }
+    }
+  }
+
+  void step() {
+    Now += Step;
+    std::size_t all = 0;
+    for (auto &cell : Cells) {
+      for (auto &[id, it] : cell.Engines)
+        if (it.LoadsUntil && *it.LoadsUntil <= Now) {
+          it.LoadsUntil.reset();
+          it.Holds = true;
+        }
+      all += underWay(cell);
+    }
+    Told.push_back(all);
+    constexpr std::size_t ToldLate = 6;
+    if (Told.size() > ToldLate)
+      Told.pop_front();
+    for (auto &cell : Cells)
+      run(cell);
+  }
+
+  void run(Cell &cell) {
+    std::vector<ReplicaPtr> records;
+    for (const auto &[id, it] : cell.Engines)
+      records.push_back(std::make_shared<const ReplicaRecord>(it.Record));
+    cell.Desk->setReplicas(records, Plan, Now);
+    auto own = std::min(Told.front(), underWay(cell));
+    cell.Desk->setModelsElsewhere(Told.front() - own);
+    for (const auto &it : cell.Desk->plan(Now >= cell.OrdersFrom, Now))
+      obey(cell, it);
+  }
+
+  void obey(Cell &cell, const DeskAction &action) {
+    auto &engine = cell.Engines.at(action.Replica);
+    if (action.What == DeskAction::Kind::Report) {
+      HoldingsReport report;
+      if (engine.Holds)
+        report.Held[Model] = 1;
+      report.Busy = engine.LoadsUntil.has_value();
+      report.OrderCount = engine.Count;
+      cell.Desk->onReport(action.Replica, report, Now);
+      return;
+    }
+    auto answer = OrderAnswer::Conflict;
+    if (engine.Holds) {
+      answer = OrderAnswer::Holds;
+    } else if (!engine.LoadsUntil &&
+               action.Order.ExpectedCount == engine.Count) {
+      answer = OrderAnswer::Accepted;
+      ++engine.Count;
+      engine.LoadsUntil = Now + LoadTime;
+      Starts.push_back(Now);
+    }
+    constexpr std::uint64_t Often = 10;
+    bool lost = upTo(Often) == 0;
+    cell.Desk->onOrderAnswer(action.Replica, action.Order,
+                             lost ? OrderAnswer::Unknown : answer, Now);
+  }
+
+  /// Loads that began in the window that had most.
+  std::size_t most() const {
+    std::size_t out = 0;
+    for (auto it = Starts.begin(); it != Starts.end(); ++it)
+      out = std::max(
+          out, static_cast<std::size_t>(
+                   std::upper_bound(it, Starts.end(), *it + Window) - it));
+    return out;
+  }
+
+  std::mt19937_64 Random;
+  double Rate;
+  Span LoadTime = seconds(5);
+  std::shared_ptr<const RoutePlan> Plan;
+  std::vector<Cell> Cells;
+  std::deque<std::size_t> Told;
+  std::vector<Instant> Starts;
+  Instant Now = seconds(1000);
+  int NextEngine = 0;
+};
+
+/// What the weight store allows in a window: its rate, a tenth more, and
+/// three.
+double allowed(double rate) { return rate * inSeconds(Window) * 1.1 + 3; }
+
+} // namespace
+
+TEST_CASE("cells that start together keep the rate of base model loads",
+          "[desk]") {
+  auto cells = GENERATE(1U, 3U, 8U, 23U, 60U);
+  auto rate = GENERATE(0.5, 1.0, 2.8, 17.0, 40.0);
+  LoadWorld world(1, cells, 6, rate);
+  constexpr int Steps = 600;
+  for (int it = 0; it < Steps; ++it)
+    world.step();
+  INFO(cells << " cells, " << rate << " loads a second");
+  CHECK(static_cast<double>(world.most()) <= allowed(rate));
+  CHECK(world.Starts.size() >= 4);
+}
+
+TEST_CASE("the rate of base model loads holds whatever fails", "[desk]") {
+  rc::check([] {
+    auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    auto cells = *rc::gen::inRange(1U, 25U);
+    auto engines = *rc::gen::inRange(1, 12);
+    auto rate = *rc::gen::element(0.5, 1.0, 2.8, 8.0, 17.0, 40.0);
+    LoadWorld world(seed, cells, engines, rate);
+    constexpr int Steps = 500;
+    for (int it = 0; it < Steps; ++it) {
+      world.trouble();
+      world.step();
+    }
+    RC_ASSERT(static_cast<double>(world.most()) <= allowed(rate));
+  });
+}
+
+} // namespace hemlockglade::test
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -2,12 +2,11 @@
 # Measures the slopes that docs/CAPACITY.md is worked out from and prints them
 # as one Markdown table: those of the libraries (capacity_bench), then those of
 # real processes on loopback, and last the table of path-bench.sh. Takes about
-# eight minutes; at most 24 nodes or 48 engines at a time. Needs a build, or
-# makes one.
+# eight minutes; at most 24 nodes or 48 engines at a time. Makes a
+# build if there is none.
 #   scripts/capacity.sh [libraries|idle|configuration|reports|path]...
 set -euo pipefail
 cd "$(dirname "$0")/.."
-[ -x build/capacity_bench ] || scripts/build.sh >/dev/null
 RUN=$(mktemp -d)
 source scripts/cluster.sh
 trap 'stop_all || true; rm -rf "$RUN"' EXIT
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,7 +1,13 @@
 # Starts and stops a small system on loopback; sourced by the other scripts.
 # Needs RUN (a folder for logs) to be set. All processes are ended by pid.
+# Makes a build if there is none.
 
 BIN=${BIN:-build}
+if [ ! -x "$BIN/hemlockgladed" ]; then
+  [ "$BIN" = build ] || { echo "no build in $BIN" >&2; exit 2; }
+  echo "no build yet: making one" >&2
+  scripts/build.sh >&2 || exit 2
+fi
 declare -A PID PORT PEER
 
 # start NAME PROGRAM ARGS... : starts a process and waits for its port file.
--- a/scripts/path-bench.sh
+++ b/scripts/path-bench.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Measures what the path through hemlockglade costs and prints it as Markdown:
 # a platform, three nodes, four cheap engines and the load program, all on
-# loopback. Arguments go to the load program. Needs a build.
+# loopback. Arguments go to the load program. Makes a
+# build if there is none.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 RUN=$(mktemp -d)
