A faster weight store gets more adapter loads at once

Stores that allow 17 and 40 base model loads a second serve 40 and 64 adapter loads at full speed, so that engines' places stayed empty there. Ruled out: learning the figure from how long loads take, since answers do not tell when a load began to be slow. Change: the bound follows the rate that the plan names, 2.4 for each base model load a second, at least 8. Measured: 'a faster weight store gets more loads at once' failed first (8 against 96).

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -9,6 +9,7 @@
                            const std::shared_ptr<const RoutePlan> &plan,
                            Instant now) {
   std::map<std::string, Book> kept;
+  double rate = 0;
   for (const auto &record : replicas) {
     const auto *service = plan ? plan->service(record->Service) : nullptr;
     if (!service || !service->Engine)
@@ -21,6 +22,7 @@
     book.Record = record;
     book.Plan = plan;
     book.Engine = &*service->Engine;
+    rate = std::max(rate, book.Engine->LoadsPerSecond);
     if (isNew) {
       // A heartbeat does not tell how many orders the engine has accepted.
       adopt(book, record->Held, {}, 0, now);
@@ -30,6 +32,8 @@
   if (kept.size() != Books.size())
     changed();
   Books = std::move(kept);
+  LoadsAtOnce = std::max<std::size_t>(
+      Setup.LeastLoads, static_cast<std::size_t>(Setup.LoadsPerRate * rate));
 }
 
 Span CellDesk::Book::modelLoadTime(const ModelSpec &model) const {
@@ -224,7 +228,7 @@
   // Loads beyond those at full speed share it.
   double share =
       std::max(1.0, static_cast<double>(loading(now) + LoadingElsewhere + 1) /
-                        static_cast<double>(Setup.LoadsAtFullSpeed));
+                        static_cast<double>(LoadsAtOnce));
   double us = static_cast<double>(Setup.AdapterLoad.count());
   us *= quick ? Setup.QuickShare : share;
   constexpr double SlackUs = 12'000;
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -45,9 +45,13 @@
     /// Learnt upwards and downwards from how early requests came; this is the
     /// first guess.
     Span AdapterLoad = std::chrono::milliseconds(260);
-    /// Loads on their way over the whole deployment at which each still has the
-    /// full speed; more would only make all of them slower.
-    std::uint32_t LoadsAtFullSpeed = 8;
+    /// Loads of adapters on their way over the whole deployment for each base
+    /// model load a second that the weight store allows, and at least. Beyond
+    /// what the store gives at full speed all of them become slower, by no more
+    /// than the share beyond; below it places stay unused. Stores differ: 1.6
+    /// to 2.9 such loads for each base model load have full speed.
+    double LoadsPerRate = 2.4;
+    std::uint32_t LeastLoads = 8;
     /// Loads on their way to one replica.
     std::uint32_t LoadsPerReplica = 4;
     /// Adapters that a replica dropped lately come back this much faster.
@@ -211,7 +215,7 @@
   std::size_t loading(const Book &book, Instant now) const;
   std::size_t loading(Instant now) const;
   bool mayLoad(Instant now) const {
-    return loading(now) + LoadingElsewhere < Setup.LoadsAtFullSpeed;
+    return loading(now) + LoadingElsewhere < LoadsAtOnce;
   }
   bool orderable(const Book &book, Instant now) const;
   void adopt(Book &book, const HeldWeights &held, const HeldWeights &pending,
@@ -255,6 +259,8 @@
   /// Whether the last look allowed orders.
   bool MayOrder = false;
   std::size_t LoadingElsewhere = 0;
+  /// Adapter loads that may be on their way over all cells.
+  std::size_t LoadsAtOnce = 0;
   std::size_t ModelsElsewhere = 0;
   std::uint64_t Revision = 1;
 };
--- a/UnitTests/Coordination/Orders/CellDeskTest.cpp
+++ b/UnitTests/Coordination/Orders/CellDeskTest.cpp
@@ -15,12 +15,12 @@
 
 WeightsRef adapter(int n) { return {Model, "a" + std::to_string(n)}; }
 
-std::shared_ptr<const RoutePlan> planWith(std::uint32_t places) {
+std::shared_ptr<const RoutePlan> planWith(std::uint32_t places, double rate) {
   EngineSpec engine;
   engine.Slots = 8;
   engine.AdapterSlots = places;
   engine.WeightsMb = 1000;
-  engine.LoadsPerSecond = 3;
+  engine.LoadsPerSecond = rate;
   engine.Models = {{Model, 900, std::chrono::seconds(5), {}, {}, 1}};
   ServiceSpec service{Service, "/", 10, engine};
   return std::make_shared<const RoutePlan>(
@@ -60,8 +60,8 @@
 };
 
 struct DeskWorld {
-  explicit DeskWorld(int replicas, std::uint32_t places = 2)
-      : Plan(planWith(places)) {
+  explicit DeskWorld(int replicas, std::uint32_t places = 2, double rate = 3)
+      : Plan(planWith(places, rate)) {
     for (int it = 0; it < replicas; ++it) {
       FakeEngine engine;
       engine.Record.Incarnation = "i-" + std::to_string(it);
@@ -231,6 +231,18 @@
   CHECK(loads == 2);
 }
 
+TEST_CASE("a faster weight store gets more loads at once", "[desk]") {
+  DeskWorld world(24, 20, 40);
+  world.rounds(2);
+  for (int n = 0; n < 200; ++n)
+    world.Desk.onWant(Service, adapter(n), world.Now);
+  world.rounds(4);
+  std::size_t loads = 0;
+  for (const auto &[id, it] : world.Engines)
+    loads += it.Loads;
+  CHECK(loads == 96);
+}
+
 TEST_CASE("an engine that does not answer is left alone for a while",
           "[desk]") {
   DeskWorld world(2);
