Owners tell the nodes of their failure domain what they saw in the registry

Ruled out: longer times between looks, which the bound on leaving replicas does not allow. Change: the node that owns a cell looks as before and passes on what changed, with how long ago that was the newest, to the nodes of its failure domain. They look only while nobody tells them anything fresher than 1.35 s, or where a position is missing. Heartbeats that change nothing that requests are routed by are not passed on.

--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -67,6 +67,48 @@
   MSGPACK_DEFINE(Replica, Weights, Change)
 };
 
+/// Declarations of operators that were seen in one look at the registry.
+struct DeclaredNotice {
+  /// The plan as operators wrote it; empty if it did not change.
+  std::string PlanText;
+  std::vector<std::pair<std::string, std::uint64_t>> Versions;
+  MSGPACK_DEFINE(PlanText, Versions)
+};
+
+/// Replicas that changed in one look at the registry.
+struct RegisteredNotice {
+  /// Incarnation and entry as it is registered.
+  std::vector<std::pair<std::string, std::string>> Present;
+  std::vector<std::string> Removed;
+  MSGPACK_DEFINE(Present, Removed)
+};
+
+/// What an owner has seen in the registry, for a node that need not look then.
+struct RegistryNews {
+  /// Complete from one position up to another; 0 if there is nothing to tell.
+  std::uint64_t OperatorFrom = 0;
+  std::uint64_t OperatorPosition = 0;
+  /// How long ago that was the registry's newest, as the owner knows.
+  std::int64_t OperatorAgeUs = 0;
+  std::vector<DeclaredNotice> Declared;
+  std::uint64_t ReplicaFrom = 0;
+  std::uint64_t ReplicaPosition = 0;
+  std::int64_t ReplicaAgeUs = 0;
+  std::vector<RegisteredNotice> Registered;
+  /// The registry was out of the owner's reach shortly before.
+  bool Unreachable = false;
+  MSGPACK_DEFINE(OperatorFrom, OperatorPosition, OperatorAgeUs, Declared,
+                 ReplicaFrom, ReplicaPosition, ReplicaAgeUs, Registered,
+                 Unreachable)
+};
+
+/// Positions in the registry up to which a node knows it; 0 if it does not.
+struct RegistryPositions {
+  std::uint64_t Operator = 0;
+  std::uint64_t Replica = 0;
+  MSGPACK_DEFINE(Operator, Replica)
+};
+
 /// Node to owner, again and again on `/cell/NAME`.
 struct NodeBeat {
   MemberNotice Self;
@@ -81,7 +123,9 @@
   std::vector<UseNotice> Uses;
   /// Only `Sent` and `Uses` mean something: there was no time for the rest.
   bool Brief = false;
-  MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief)
+  /// Set if the node wants news of the registry.
+  RegistryPositions Knows;
+  MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief, Knows)
 };
 
 struct HeldNotice {
@@ -117,8 +161,9 @@
   bool MembersChanged = false;
   /// Requests that other nodes sent since the last beat.
   std::vector<SentNotice> Sent;
+  RegistryNews News;
   MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
-                 Members, MembersChanged, Sent)
+                 Members, MembersChanged, Sent, News)
 };
 
 /// What a node tells one that starts while the registry is away.
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -69,6 +69,13 @@
   Desk.setVersion(weights, version);
 }
 
+void CellMember::onRegistryNews() {
+  if (!Owning)
+    return;
+  NewsDue = true;
+  planSoon();
+}
+
 void CellMember::onDemand(const std::string &service, const WeightsRef &weights,
                           bool waiting) {
   auto &notice = Demand[{service, weights}];
@@ -185,6 +192,8 @@
     out.Demand.push_back(std::move(notice));
   out.Refusals = std::exchange(Refusals, {});
   out.Uses = std::exchange(Uses, {});
+  if (Out.Knows)
+    out.Knows = Out.Knows();
   return out;
 }
 
@@ -276,6 +285,7 @@
     View.onOthersRunning(it.Replica, it.Running, now);
   if (beat.MembersChanged)
     Members = beat.Members;
+  Out.OnNews(beat.News);
   if (!beat.Replicas.empty())
     Out.OnChanged();
 }
@@ -401,6 +411,9 @@
   onUses(follower, beat.Uses);
   if (beat.Brief)
     return;
+  follower.Knows.Operator =
+      std::max(follower.Knows.Operator, beat.Knows.Operator);
+  follower.Knows.Replica = std::max(follower.Knows.Replica, beat.Knows.Replica);
   if (follower.Self != beat.Self) {
     follower.Self = beat.Self;
     ++MembersRevision;
@@ -506,6 +519,15 @@
   return out;
 }
 
+void CellMember::addNews(Follower &follower, OwnerBeat &beat) {
+  if (!follower.Knows.Operator || !follower.Knows.Replica)
+    return;
+  beat.News = Out.NewsSince(follower.Knows);
+  auto &knows = follower.Knows;
+  knows.Operator = std::max(knows.Operator, beat.News.OperatorPosition);
+  knows.Replica = std::max(knows.Replica, beat.News.ReplicaPosition);
+}
+
 void CellMember::handOverIfNearer(Instant now) {
   bool nearer = Setup.Cell != Setup.FailureDomain &&
                 std::any_of(Members.begin(), Members.end(), [&](const auto &m) {
@@ -550,10 +572,13 @@
     }
     handOverIfNearer(now);
   }
+  bool news = std::exchange(NewsDue, false);
   for (auto &[id, follower] : Followers) {
-    if (!due && follower.ToldRevision == Desk.revision())
+    if (!due && !news && follower.ToldRevision == Desk.revision())
       continue;
     auto beat = beatFor(follower);
+    if (id != SelfFollower)
+      addNews(follower, beat);
     if (follower.ToldMembers != MembersRevision) {
       follower.ToldMembers = MembersRevision;
       beat.MembersChanged = true;
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -49,6 +49,11 @@
     std::function<void()> OnChanged;
     std::function<std::shared_ptr<const RoutePlan>()> Plan;
     std::function<void(Span, std::function<void()>)> After;
+    /// Up to where this node knows the registry, if this cell's owner is to
+    /// tell it news; none if not set.
+    std::function<RegistryPositions()> Knows;
+    std::function<RegistryNews(const RegistryPositions &known)> NewsSince;
+    std::function<void(const RegistryNews &)> OnNews;
   };
 
   CellMember(Settings settings, Hooks hooks, ReplicaView &view, PeerNet &net,
@@ -59,6 +64,8 @@
   /// A node opened a stream to follow this one.
   void onFollower(const std::shared_ptr<PeerStream> &stream);
   void onVersion(const WeightsRef &weights, std::uint64_t version);
+  /// This node has seen something new in the registry.
+  void onRegistryNews();
 
   /// A request for weights came here; `waiting` if no replica has them.
   void onDemand(const std::string &service, const WeightsRef &weights,
@@ -80,6 +87,7 @@
   /// Nodes that follow the owner, as last told, and whether that is recent.
   const std::vector<MemberNotice> &members() const { return Members; }
   bool fresh() const;
+  bool owning() const { return Owning; }
   const CellLease &lease() const { return *Lease; }
   void onTold(const CellLeaseRow &row) { Lease->onTold(row); }
   const std::string &cell() const { return Setup.Cell; }
@@ -99,6 +107,8 @@
     std::uint64_t ToldMembers = 0;
     /// Requests of others that it has not been told of.
     std::vector<SentNotice> Sent;
+    /// Up to where it knows the registry, by itself or from this node.
+    RegistryPositions Knows;
   };
 
   // The node's side.
@@ -121,6 +131,7 @@
   void onNodeBeat(Follower &follower, const NodeBeat &beat);
   void broadcast();
   OwnerBeat beatFor(Follower &follower);
+  void addNews(Follower &follower, OwnerBeat &beat);
   std::vector<MemberNotice> memberList();
   void countRunning();
   void forgetSilent(Instant now);
@@ -152,6 +163,7 @@
   std::vector<UseNotice> Uses;
   bool FlushDue = false;
   bool PlanDue = false;
+  bool NewsDue = false;
   bool Urgent = false;
   Instant BeatAt{};
 
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -165,6 +165,14 @@
   hooks.OnReplicas = [this](const auto &changes, bool unreachable) {
     onReplicas(changes, unreachable);
   };
+  hooks.Tells = [this] {
+    return std::any_of(Cells.begin(), Cells.end(),
+                       [](const auto &it) { return it.second->owning(); });
+  };
+  hooks.OnNews = [this] {
+    for (auto &[name, cell] : Cells)
+      cell->onRegistryNews();
+  };
   RegistryWatch::Settings watch;
   watch.ReplicaPeriod = std::min(watch.ReplicaPeriod, Settings.DrainBound / 2);
   Watch = std::make_unique<RegistryWatch>(Timers, Port.Registry, watch,
@@ -211,6 +219,12 @@
     hooks.After = [this](Span delay, std::function<void()> call) {
       Timers.after(delay, [call = std::move(call)](Instant) { call(); });
     };
+    if (cell == Settings.FailureDomain)
+      hooks.Knows = [this] { return Watch->positions(); };
+    hooks.NewsSince = [this](const RegistryPositions &known) {
+      return Watch->newsSince(known);
+    };
+    hooks.OnNews = [this](const RegistryNews &news) { Watch->onTold(news); };
     Cells[cell] = std::make_unique<CellMember>(
         std::move(setup), std::move(hooks), View, *Peers, Log);
   }
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -27,21 +27,41 @@
             {{"look", what}});
 }
 
+Span RegistryWatch::spared(Instant seenAt) const {
+  auto now = TimerService::now();
+  if (Out.Tells() || now - ToldAt > Setup.ToldSilence)
+    return Span(0);
+  auto until = seenAt + Setup.ReplicaPeriod + Setup.ToldSlack;
+  return std::max(Span(0), until - now);
+}
+
+void RegistryWatch::planOperator(Span pause) {
+  Timers.after(pause, [this](Instant) { lookAtOperator(); });
+}
+
+void RegistryWatch::planReplicas(Span pause) {
+  Timers.after(pause, [this](Instant) { lookAtReplicas(); });
+}
+
 void RegistryWatch::lookAtOperator() {
+  auto left = OperatorPosition ? spared(OperatorSeenAt) : Span(0);
+  if (left > Span(0))
+    return planOperator(left);
   auto done = [this](const auto &result) { onOperator(result); };
-  if (OperatorPosition)
-    Registry.WatchOperator(*OperatorPosition, Setup.OperatorWait, done);
-  else
-    Registry.ReadOperator(done);
+  if (!OperatorPosition)
+    return Registry.ReadOperator(done);
+  AwaitsOperator = true;
+  Registry.WatchOperator(*OperatorPosition, Setup.OperatorWait, done);
 }
 
 void RegistryWatch::onOperator(
     const tl::expected<OperatorChanges, RegistryError> &result) {
+  AwaitsOperator = false;
   if (result) {
     note(true, "operator");
     OperatorPause = Setup.Pause;
-    OperatorPosition = result->Position;
-    Out.OnOperator(*result);
+    OperatorSeenAt = TimerService::now();
+    takeOperator(*result);
     return lookAtOperator();
   }
   if (result.error() == RegistryError::HistoryGone) {
@@ -49,12 +69,25 @@
     return lookAtOperator();
   }
   note(false, "operator");
-  Timers.after(OperatorPause, [this](Instant) { lookAtOperator(); });
+  planOperator(OperatorPause);
   if (OperatorPosition)
     again(OperatorPause, Setup.LongestPause);
 }
 
+void RegistryWatch::takeOperator(const OperatorChanges &changes) {
+  // What was told meanwhile may be newer. Plans and versions only ever rise.
+  OperatorPosition = std::max(OperatorPosition.value_or(0), changes.Position);
+  bool news = Seen.onOperator(changes);
+  Out.OnOperator(changes);
+  if (news)
+    Out.OnNews();
+}
+
 void RegistryWatch::lookAtReplicas() {
+  auto left = ReplicaPosition ? spared(ReplicasSeenAt) : Span(0);
+  if (left > Span(0))
+    return planReplicas(left);
+  ReplicasAskedAt = TimerService::now();
   auto done = [this](const auto &result) { onReplicas(result); };
   if (ReplicaPosition)
     Registry.WatchReplicas(*ReplicaPosition, done);
@@ -64,23 +97,120 @@
 
 void RegistryWatch::onReplicas(
     const tl::expected<ReplicaChanges, RegistryError> &result) {
-  auto look = [this](Instant) { lookAtReplicas(); };
   if (result) {
     note(true, "replicas");
     ReplicaPause = Setup.Pause;
-    ReplicaPosition = result->Position;
-    Out.OnReplicas(*result, unreachableLately());
-    Timers.after(Setup.ReplicaPeriod, look);
-    return;
+    // An answer from before what was told meanwhile would bring back replicas
+    // that are gone.
+    if (result->Position >= ReplicaPosition.value_or(0)) {
+      ReplicasSeenAt = std::max(ReplicasSeenAt, ReplicasAskedAt);
+      takeReplicas(*result, unreachableLately());
+    }
+    return planReplicas(Setup.ReplicaPeriod);
   }
   if (result.error() == RegistryError::HistoryGone) {
     ReplicaPosition.reset();
     return lookAtReplicas();
   }
   note(false, "replicas");
-  Timers.after(ReplicaPause, look);
+  planReplicas(ReplicaPause);
   if (ReplicaPosition)
     again(ReplicaPause, Setup.LongestPause);
 }
 
+void RegistryWatch::takeReplicas(const ReplicaChanges &changes,
+                                 bool unreachable) {
+  ReplicaPosition = changes.Position;
+  bool news = Seen.onReplicas(changes);
+  Out.OnReplicas(changes, unreachable);
+  if (news)
+    Out.OnNews();
+}
+
+RegistryPositions RegistryWatch::positions() const {
+  return {OperatorPosition.value_or(0), ReplicaPosition.value_or(0)};
+}
+
+Instant RegistryWatch::operatorSeenAt() const {
+  // While the registry answers looks at the replicas, it would also have
+  // answered the call that waits for declarations.
+  return AwaitsOperator ? std::max(OperatorSeenAt, ReplicasSeenAt)
+                        : OperatorSeenAt;
+}
+
+RegistryNews RegistryWatch::newsSince(const RegistryPositions &known) const {
+  auto now = TimerService::now();
+  RegistryNews out;
+  if (auto all = Seen.operators().since(known.Operator)) {
+    out.OperatorFrom = known.Operator;
+    out.OperatorPosition = Seen.operators().position();
+    out.OperatorAgeUs = (now - operatorSeenAt()).count();
+    for (const auto &it : *all) {
+      DeclaredNotice notice{it.Plan ? it.Plan->Source : "", {}};
+      for (const auto &at : it.Versions)
+        notice.Versions.emplace_back(at.Weights.text(), at.Version);
+      out.Declared.push_back(std::move(notice));
+    }
+  }
+  if (auto all = Seen.replicas().since(known.Replica)) {
+    out.ReplicaFrom = known.Replica;
+    out.ReplicaPosition = Seen.replicas().position();
+    out.ReplicaAgeUs = (now - ReplicasSeenAt).count();
+    for (const auto &it : *all) {
+      RegisteredNotice notice{{}, it.Removed};
+      for (const auto &at : it.Present)
+        notice.Present.emplace_back(at.Incarnation, at.Source);
+      out.Registered.push_back(std::move(notice));
+    }
+  }
+  out.Unreachable = unreachableLately();
+  return out;
+}
+
+void RegistryWatch::onTold(const RegistryNews &news) {
+  auto now = TimerService::now();
+  if (!news.OperatorPosition && !news.ReplicaPosition)
+    return;
+  ToldAt = now;
+  takeDeclared(news, now);
+  takeRegistered(news, now);
+}
+
+void RegistryWatch::takeDeclared(const RegistryNews &news, Instant now) {
+  bool follows = OperatorPosition && *OperatorPosition >= news.OperatorFrom &&
+                 *OperatorPosition <= news.OperatorPosition;
+  if (!news.OperatorPosition || !follows)
+    return;
+  for (const auto &it : news.Declared) {
+    OperatorChanges changes;
+    changes.Position = news.OperatorPosition;
+    if (!it.PlanText.empty())
+      changes.Plan = Registry.ReadPlan(it.PlanText);
+    for (const auto &[weights, version] : it.Versions)
+      changes.Versions.push_back({WeightsRef::parse(weights), version});
+    takeOperator(changes);
+  }
+  takeOperator({nullptr, {}, news.OperatorPosition});
+  OperatorSeenAt = std::max(OperatorSeenAt, now - Span(news.OperatorAgeUs));
+}
+
+void RegistryWatch::takeRegistered(const RegistryNews &news, Instant now) {
+  bool follows = ReplicaPosition && *ReplicaPosition >= news.ReplicaFrom &&
+                 *ReplicaPosition <= news.ReplicaPosition;
+  if (!news.ReplicaPosition || !follows)
+    return;
+  for (const auto &it : news.Registered) {
+    ReplicaChanges changes;
+    changes.Position = news.ReplicaPosition;
+    changes.Removed = it.Removed;
+    for (const auto &[incarnation, source] : it.Present)
+      if (auto record = Registry.ReadReplica(incarnation, source))
+        changes.Present.push_back(std::move(*record));
+    takeReplicas(changes, unreachableLately() || news.Unreachable);
+  }
+  ReplicaPosition = news.ReplicaPosition;
+  Seen.onReplicas({false, {}, {}, news.ReplicaPosition});
+  ReplicasSeenAt = std::max(ReplicasSeenAt, now - Span(news.ReplicaAgeUs));
+}
+
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -1,13 +1,16 @@
 #pragma once
 
-#include "Hemlockglade/Coordination/Registry/Registry.h"
+#include "Hemlockglade/Coordination/Registry/RegistryLog.h"
+#include "Hemlockglade/Protocol/Message/CellMessages.h"
 #include "Hemlockglade/State/Log/EventLog.h"
 #include "Hemlockglade/Transport/Time/TimerService.h"
 
 namespace hemlockglade {
 
 /// Keeps one node up to date with the registry: waits for what operators
-/// declare, and looks at the replicas again and again.
+/// declare, and looks at the replicas again and again. A node that an owner
+/// tells of both does not look itself while what it is told is fresh: with 73
+/// nodes that saves nine tenths of the calls.
 class RegistryWatch {
 public:
   struct Settings {
@@ -22,26 +25,52 @@
     /// nobody answers, but a node that knows nothing serves nobody.
     Span Pause = std::chrono::milliseconds(300);
     Span LongestPause = std::chrono::milliseconds(1000);
+    /// How much older than the longest time between looks what a node is told
+    /// may become before it looks itself: the time between two beats of an
+    /// owner, 300 ms, and their way.
+    Span ToldSlack = std::chrono::milliseconds(350);
+    /// An owner that has been silent for this long, two beats, tells no more.
+    Span ToldSilence = std::chrono::milliseconds(700);
     /// A registry that failed this recently may have let entries lapse.
     Span LapseWindow = std::chrono::milliseconds(4000);
   };
   struct Hooks {
     std::function<void(const OperatorChanges &)> OnOperator;
     std::function<void(const ReplicaChanges &, bool unreachable)> OnReplicas;
+    /// Whether this node tells others, so that it has to look itself.
+    std::function<bool()> Tells;
+    /// There is something new to tell.
+    std::function<void()> OnNews;
   };
 
   RegistryWatch(TimerService &timers, RegistryHooks registry, Settings settings,
                 Hooks hooks, EventLog &log);
 
   void start();
+  /// An owner tells what it saw.
+  void onTold(const RegistryNews &news);
+  /// What to tell a node that knows the registry up to these positions.
+  RegistryNews newsSince(const RegistryPositions &known) const;
+  RegistryPositions positions() const;
   /// Whether the last look succeeded.
   bool reachable() const { return Reachable; }
 
 private:
+  static constexpr Instant LongAgo{-3'600'000'000};
+
   void lookAtOperator();
   void lookAtReplicas();
   void onOperator(const tl::expected<OperatorChanges, RegistryError> &result);
   void onReplicas(const tl::expected<ReplicaChanges, RegistryError> &result);
+  void takeOperator(const OperatorChanges &changes);
+  void takeReplicas(const ReplicaChanges &changes, bool unreachable);
+  void takeDeclared(const RegistryNews &news, Instant now);
+  void takeRegistered(const RegistryNews &news, Instant now);
+  void planOperator(Span pause);
+  void planReplicas(Span pause);
+  /// How much longer nothing has to be looked at that was seen then.
+  Span spared(Instant seenAt) const;
+  Instant operatorSeenAt() const;
   void note(bool good, std::string_view what);
   bool unreachableLately() const;
   static void again(Span &pause, Span longest) {
@@ -55,8 +84,17 @@
   EventLog &Log;
   std::optional<std::uint64_t> OperatorPosition;
   std::optional<std::uint64_t> ReplicaPosition;
+  RegistryLog Seen{RegistryLog::Settings{}};
+  /// When the registry was as this node knows it, at the latest.
+  Instant OperatorSeenAt{LongAgo};
+  Instant ReplicasSeenAt{LongAgo};
+  /// When the look under way was begun, and whether it waits for declarations
+  /// behind what is known.
+  Instant ReplicasAskedAt{};
+  bool AwaitsOperator = false;
+  Instant ToldAt{LongAgo};
   bool Reachable = true;
-  Instant FailedAt{-3'600'000'000};
+  Instant FailedAt{LongAgo};
   Span OperatorPause{0};
   Span ReplicaPause{0};
 };
--- /dev/null
+++ b/UnitTests/Coordination/Route/RegistryLogTest.cpp
@@ -0,0 +1,78 @@
+#include "Hemlockglade/Coordination/Registry/RegistryLog.h"
+
+#include <catch2/catch.hpp>
+
+namespace hemlockglade::test {
+
+namespace {
+
+ReplicaRecord replica(const std::string &incarnation, bool draining = false) {
+  ReplicaRecord out;
+  out.Incarnation = incarnation;
+  out.Service = "s";
+  out.Draining = draining;
+  return out;
+}
+
+ReplicaChanges seen(std::uint64_t position, std::vector<ReplicaRecord> present,
+                    std::vector<std::string> removed = {}) {
+  return {false, std::move(present), std::move(removed), position};
+}
+
+} // namespace
+
+TEST_CASE("changes are told in order from where a node stands", "[registry]") {
+  RegistryLog log({});
+  log.onReplicas({true, {replica("i-1")}, {}, 10});
+  CHECK(log.onReplicas(seen(12, {replica("i-2")})));
+  CHECK(log.onReplicas(seen(15, {}, {"i-2"})));
+  CHECK(log.onReplicas(seen(16, {replica("i-2")})));
+  auto all = log.replicas().since(10);
+  REQUIRE(all);
+  REQUIRE(all->size() == 3);
+  CHECK((*all)[0].Present[0].Incarnation == "i-2");
+  CHECK((*all)[1].Removed[0] == "i-2");
+  CHECK((*all)[2].Present[0].Incarnation == "i-2");
+  CHECK(log.replicas().since(15)->size() == 1);
+  CHECK(log.replicas().since(16)->empty());
+  CHECK(log.replicas().position() == 16);
+}
+
+TEST_CASE("a node that stands before what is kept is told nothing",
+          "[registry]") {
+  RegistryLog log({2});
+  CHECK_FALSE(log.replicas().since(0));
+  log.onReplicas({true, {}, {}, 10});
+  CHECK_FALSE(log.replicas().since(9));
+  for (int it = 0; it < 3; ++it)
+    log.onReplicas(seen(11 + it, {replica("i-" + std::to_string(it))}));
+  CHECK_FALSE(log.replicas().since(10));
+  CHECK(log.replicas().since(11)->size() == 2);
+  log.onReplicas({true, {}, {}, 20});
+  CHECK_FALSE(log.replicas().since(13));
+}
+
+TEST_CASE("heartbeats that change nothing are not told", "[registry]") {
+  RegistryLog log({});
+  log.onReplicas({true, {replica("i-1")}, {}, 10});
+  CHECK_FALSE(log.onReplicas(seen(11, {replica("i-1")})));
+  CHECK(log.replicas().since(10)->empty());
+  CHECK(log.replicas().position() == 11);
+  CHECK(log.onReplicas(seen(12, {replica("i-1", true)})));
+  CHECK(log.replicas().since(10)->size() == 1);
+}
+
+TEST_CASE("what operators declare is told, looks without news are not",
+          "[registry]") {
+  RegistryLog log({});
+  CHECK_FALSE(log.onOperator({nullptr, {}, 5}));
+  CHECK_FALSE(log.onOperator({nullptr, {}, 7}));
+  CHECK(log.onOperator({nullptr, {{{"m", "a"}, 3}}, 8}));
+  auto all = log.operators().since(5);
+  REQUIRE(all);
+  REQUIRE(all->size() == 1);
+  CHECK((*all)[0].Versions[0].Version == 3);
+  CHECK(log.operators().position() == 8);
+}
+
+} // namespace hemlockglade::test
--- /dev/null
+++ b/UnitTests/Node/Gateway/RegistryWatchTest.cpp
@@ -0,0 +1,181 @@
+#include "Programs/hemlockgladed/Gateway/RegistryWatch.h"
+
+#include "UnitTests/Transport/Loopback.h"
+
+namespace hemlockglade::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Longer than any test.
+constexpr Span Long = std::chrono::hours(1);
+
+/// A registry that counts looks and answers them at once, but for the one that
+/// waits for declarations.
+struct WatchFixture : Loopback {
+  explicit WatchFixture(Span slack = Long, Span silence = Long)
+      : Log(
+            {"n"}, [](std::string_view) {},
+            [] { return std::chrono::microseconds(0); }),
+        Timers(Context) {
+    RegistryHooks registry;
+    registry.ReadOperator = [this](auto done) {
+      post([done, this] { done(OperatorChanges{nullptr, {}, Position}); });
+    };
+    registry.WatchOperator = [this](std::uint64_t, Span wait, auto done) {
+      ++Waits;
+      Timers.after(wait, [done, this](Instant) {
+        done(OperatorChanges{nullptr, {}, Position});
+      });
+    };
+    registry.ReadReplicas = [this](auto done) {
+      post([done, this] { done(ReplicaChanges{true, {}, {}, Position}); });
+    };
+    registry.WatchReplicas = [this](std::uint64_t, auto done) {
+      ++Looks;
+      post([done, this] { done(ReplicaChanges{false, {}, {}, Position}); });
+    };
+    registry.ReadReplica = [](std::string_view incarnation, std::string_view) {
+      ReplicaRecord out;
+      out.Incarnation = incarnation;
+      return std::optional(out);
+    };
+    RegistryWatch::Settings settings;
+    settings.OperatorWait = milliseconds(50);
+    settings.ReplicaPeriod = milliseconds(100);
+    settings.ToldSlack = slack;
+    settings.ToldSilence = silence;
+    RegistryWatch::Hooks hooks;
+    hooks.OnOperator = [this](const auto &it) {
+      Versions += it.Versions.size();
+    };
+    hooks.OnReplicas = [this](const auto &it, bool) {
+      for (const auto &at : it.Present)
+        Present.push_back(at.Incarnation);
+    };
+    hooks.Tells = [this] { return Tells; };
+    hooks.OnNews = [this] { ++News; };
+    Watch = std::make_unique<RegistryWatch>(Timers, registry, settings,
+                                            std::move(hooks), Log);
+    Watch->start();
+    until([this] { return Watch->positions().Replica != 0; });
+  }
+
+  void post(std::function<void()> call) {
+    asio::post(Context, std::move(call));
+  }
+
+  /// Tells the node again and again, as an owner does.
+  void tellAgainAndAgain(Span age) {
+    Telling = Timers.every(milliseconds(20), [this, age](Instant) {
+      ++Tellings;
+      RegistryNews news;
+      news.OperatorFrom = news.ReplicaFrom = Position;
+      news.OperatorPosition = news.ReplicaPosition = Position;
+      news.ReplicaAgeUs = news.OperatorAgeUs = age.count();
+      Watch->onTold(news);
+    });
+  }
+  bool untilTold(int times) {
+    return until([this, times] { return Tellings >= times; });
+  }
+
+  EventLog Log;
+  TimerService Timers;
+  std::uint64_t Position = 10;
+  bool Tells = false;
+  int Looks = 0;
+  int Waits = 0;
+  int News = 0;
+  std::size_t Versions = 0;
+  std::vector<std::string> Present;
+  int Tellings = 0;
+  std::unique_ptr<RegistryWatch> Watch;
+  TimerService::Subscription Telling;
+};
+
+} // namespace
+
+TEST_CASE("a node that is told of the registry does not look", "[gateway]") {
+  WatchFixture it;
+  it.tellAgainAndAgain(Span(0));
+  // The look that waits for declarations ends by itself.
+  REQUIRE(it.untilTold(10));
+  it.Looks = it.Waits = 0;
+  REQUIRE(it.untilTold(30));
+  CHECK(it.Looks == 0);
+  CHECK(it.Waits == 0);
+}
+
+TEST_CASE("a node looks again when the one that told it falls silent",
+          "[gateway]") {
+  WatchFixture it(milliseconds(50), milliseconds(80));
+  it.tellAgainAndAgain(Span(0));
+  REQUIRE(it.untilTold(10));
+  it.Telling.reset();
+  it.Looks = it.Waits = 0;
+  CHECK(it.until([&] { return it.Looks > 0 && it.Waits > 0; }));
+}
+
+TEST_CASE("a node that has to tell others looks though it is told",
+          "[gateway]") {
+  WatchFixture it;
+  it.Tells = true;
+  it.tellAgainAndAgain(Span(0));
+  CHECK(it.until([&] { return it.Looks > 2 && it.Waits > 2; }));
+}
+
+TEST_CASE("news with old knowledge do not keep a node from looking",
+          "[gateway]") {
+  WatchFixture it(milliseconds(50));
+  it.tellAgainAndAgain(std::chrono::seconds(1));
+  CHECK(it.until([&] { return it.Looks > 2 && it.Waits > 2; }));
+}
+
+TEST_CASE("news are taken only where they follow on what is known",
+          "[gateway]") {
+  WatchFixture it;
+  RegistryNews news;
+  news.ReplicaFrom = 10;
+  news.ReplicaPosition = 12;
+  news.Registered = {{{{"i-1", "text"}}, {}}};
+  SECTION("those that do") {
+    it.Watch->onTold(news);
+    CHECK(it.Present == std::vector<std::string>{"i-1"});
+    CHECK(it.Watch->positions().Replica == 12);
+  }
+  SECTION("not behind a gap") {
+    news.ReplicaFrom = 11;
+    it.Watch->onTold(news);
+    CHECK(it.Present.empty());
+    CHECK(it.Watch->positions().Replica == 10);
+  }
+  SECTION("not twice") {
+    it.Watch->onTold(news);
+    news.ReplicaPosition = 11;
+    it.Watch->onTold(news);
+    CHECK(it.Present.size() == 1);
+  }
+}
+
+TEST_CASE("what a node was told it tells on", "[gateway]") {
+  WatchFixture it;
+  RegistryNews news;
+  news.ReplicaFrom = news.OperatorFrom = 10;
+  news.ReplicaPosition = news.OperatorPosition = 12;
+  news.Registered = {{{{"i-1", "text"}}, {}}};
+  news.Declared = {{"", {{"m/a", 3}}}};
+  it.Watch->onTold(news);
+  CHECK(it.News == 2);
+  CHECK(it.Versions == 1);
+  auto told = it.Watch->newsSince({10, 10});
+  REQUIRE(told.Registered.size() == 1);
+  CHECK(told.Registered[0].Present[0].first == "i-1");
+  REQUIRE(told.Declared.size() == 1);
+  CHECK(told.Declared[0].Versions[0].second == 3);
+  CHECK(told.ReplicaPosition == 12);
+  CHECK(it.Watch->newsSince({1, 1}).ReplicaPosition == 0);
+}
+
+} // namespace hemlockglade::test
