SIGHUP takes over seeds and the budget of repeats, and has a test

Change: GatewaySignals holds what signals do, apart from the program's main, so that a test can raise them; a reload also takes over seeds and the repeats' bounds. Ruled out: addresses, names and failure domains, which can't change under a running node.

--- a/Hemlockglade/Coordination/Route/RepeatBudget.h
+++ b/Hemlockglade/Coordination/Route/RepeatBudget.h
@@ -30,6 +30,8 @@
   void onRequest(const std::string &service, Instant now);
   /// Whether one more repeat may be sent; if so, it is counted.
   bool spend(const std::string &service, Instant now);
+  /// Takes over other bounds; what is counted stays.
+  void setBounds(const Settings &settings) { Setup = settings; }
   /// How many nodes share the budget.
   void setNodes(std::size_t nodes) { Nodes = nodes ? nodes : 1; }
 
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -94,6 +94,9 @@
   std::uint64_t orders() const { return Orders; }
 
 private:
+  /// Number of the node's own entry among an owner's followers.
+  static constexpr std::uint64_t SelfFollower = 0;
+
   struct Follower {
     std::shared_ptr<PeerStream> Stream;
     MemberNotice Self;
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -0,0 +1,324 @@
+// What a node does for a cell that it owns.
+
+#include "Programs/hemlockgladed/Gateway/CellMember.h"
+
+namespace hemlockglade {
+
+namespace {
+
+bool operator!=(const MemberNotice &a, const MemberNotice &b) {
+  return a.Node != b.Node || a.Incarnation != b.Incarnation ||
+         a.CallerAddress != b.CallerAddress ||
+         a.FailureDomain != b.FailureDomain || a.Ready != b.Ready;
+}
+
+std::string_view orderName(OrderKind kind) {
+  return kind == OrderKind::Load ? "load" : "unload";
+}
+
+} // namespace
+
+void CellMember::own() {
+  auto now = TimerService::now();
+  if (!std::exchange(Owning, true)) {
+    unfollow();
+    Desk.forget();
+    Uses.clear();
+    onUses(Followers[SelfFollower], allUses());
+    BeatAt = Instant{};
+  }
+  auto plan = Out.Plan();
+  if (DeskRevision != View.revision() || DeskPlan != plan) {
+    DeskRevision = View.revision();
+    DeskPlan = plan;
+    Desk.setReplicas(View.replicasIn(Setup.Cell), plan, now);
+  }
+  countRunning();
+  Desk.setLoadingElsewhere(View.loadingOutside(Setup.Cell, false, now));
+  Desk.setModelsElsewhere(View.loadingOutside(Setup.Cell, true, now));
+  for (const auto &it : Desk.plan(Lease->mayOrder(), now))
+    carryOut(it);
+}
+
+void CellMember::disown() {
+  Owning = false;
+  for (auto &[id, follower] : std::exchange(Followers, {})) {
+    dropUses(follower);
+    if (follower.Stream) {
+      follower.Stream->OnClosed = nullptr;
+      follower.Stream->close();
+    }
+  }
+  View.onOwnerLost(Setup.Cell);
+}
+
+void CellMember::carryOut(const DeskAction &action) {
+  auto records = View.replicasIn(Setup.Cell);
+  auto it = std::find_if(records.begin(), records.end(), [&](const auto &r) {
+    return r->Incarnation == action.Replica;
+  });
+  if (it == records.end())
+    return;
+  if (action.What == DeskAction::Kind::Report) {
+    Out.Engines.Report(**it, [this, alive = Alive,
+                              replica = action.Replica](const auto &report) {
+      if (*alive)
+        Desk.onReport(replica, report, TimerService::now());
+    });
+    return;
+  }
+  auto order = action.Order;
+  order.Holder = Lease->row()->Holder;
+  order.Fence = Lease->fence();
+  if (!Lease->mayOrder()) {
+    Desk.onOrderAnswer(action.Replica, order, OrderAnswer::Rejected,
+                       TimerService::now());
+    return;
+  }
+  ++Orders;
+  auto sentAt = TimerService::now();
+  Out.Engines.Order(**it, order,
+                    [this, alive = Alive, order, sentAt,
+                     replica = action.Replica,
+                     reason = action.Reason](OrderAnswer answer) {
+                      if (!*alive)
+                        return;
+                      auto now = TimerService::now();
+                      Log.write(LogClass::State, "order",
+                                {{"cell", Setup.Cell},
+                                 {"replica", replica},
+                                 {"kind", orderName(order.Kind)},
+                                 {"weights", order.Weights.text()},
+                                 {"version", order.Version},
+                                 {"count", order.ExpectedCount},
+                                 {"fence", order.Fence},
+                                 {"reason", reason},
+                                 {"answer", orderAnswerName(answer)},
+                                 {"took_ms", now - sentAt}});
+                      Desk.onOrderAnswer(replica, order, answer, now);
+                      if (Owning)
+                        tick();
+                    });
+}
+
+void CellMember::onFollower(const std::shared_ptr<PeerStream> &stream) {
+  if (!Owning) {
+    // The other node will read the lease row again and find the owner.
+    stream->close();
+    return;
+  }
+  auto id = NextFollower++;
+  auto &follower = Followers[id];
+  follower.Stream = stream;
+  follower.BeatAt = TimerService::now();
+  stream->OnMessage = [this, alive = Alive, id](std::string_view message) {
+    auto it = *alive ? Followers.find(id) : Followers.end();
+    if (it == Followers.end())
+      return;
+    auto beat = unpack<NodeBeat>(message);
+    if (beat)
+      onNodeBeat(it->second, *beat);
+    else
+      Log.write(LogClass::State, "message-refused",
+                {{"what", "node beat"}, {"cell", Setup.Cell}});
+  };
+  stream->OnClosed = [this, alive = Alive, id](bool) {
+    auto it = *alive ? Followers.find(id) : Followers.end();
+    if (it == Followers.end())
+      return;
+    dropUses(it->second);
+    Followers.erase(it);
+    ++MembersRevision;
+  };
+}
+
+void CellMember::onNodeBeat(Follower &follower, const NodeBeat &beat) {
+  auto now = TimerService::now();
+  follower.BeatAt = now;
+  onSentNotices(follower, beat.Sent);
+  onUses(follower, beat.Uses);
+  if (beat.Brief)
+    return;
+  follower.Knows.Operator =
+      std::max(follower.Knows.Operator, beat.Knows.Operator);
+  follower.Knows.Replica = std::max(follower.Knows.Replica, beat.Knows.Replica);
+  if (follower.Self != beat.Self) {
+    follower.Self = beat.Self;
+    ++MembersRevision;
+  }
+  follower.Running.clear();
+  for (const auto &it : beat.Running)
+    follower.Running[it.Replica] = it.Running;
+  bool waits = false;
+  for (const auto &it : beat.Demand) {
+    auto weights = WeightsRef::parse(it.Weights);
+    if (it.Requests)
+      Desk.onDemand(it.Service, weights, it.Requests, now);
+    if (it.Waiting)
+      Desk.onWant(it.Service, weights, now);
+    if (it.Pressed)
+      Desk.onPressed(it.Service, weights, now);
+    waits = waits || it.Waiting;
+  }
+  for (const auto &it : beat.Refusals) {
+    auto weights = WeightsRef::parse(it.Weights);
+    if (it.Missing)
+      Desk.onMissing(it.Replica, weights, now);
+    else
+      Desk.onRefusedEarly(it.Replica, weights, now);
+  }
+  if (waits)
+    planSoon();
+}
+
+void CellMember::planSoon() {
+  if (std::exchange(PlanDue, true))
+    return;
+  Out.After(Setup.PlanEvery, [this, alive = Alive] {
+    if (!*alive)
+      return;
+    PlanDue = false;
+    if (!Owning)
+      return;
+    own();
+    broadcast();
+  });
+}
+
+void CellMember::countRunning() {
+  TotalRunning.clear();
+  for (const auto &[id, follower] : Followers)
+    for (const auto &[replica, n] : follower.Running)
+      TotalRunning[replica] += n;
+  for (const auto &it : Desk.replicas()) {
+    auto n = TotalRunning.find(it);
+    Desk.setRunning(it, n == TotalRunning.end() ? 0 : n->second);
+  }
+}
+
+std::vector<MemberNotice> CellMember::memberList() {
+  auto now = TimerService::now();
+  std::vector<MemberNotice> out;
+  for (auto &[id, follower] : Followers) {
+    if (follower.Self.Node.empty())
+      continue;
+    auto member = follower.Self;
+    if (id != SelfFollower && now - follower.BeatAt > Setup.MemberSilence)
+      member.Ready = false;
+    out.push_back(std::move(member));
+  }
+  return out;
+}
+
+OwnerBeat CellMember::beatFor(Follower &follower) {
+  auto now = TimerService::now();
+  OwnerBeat out;
+  out.LeaseVersion = Lease->version();
+  out.RemainingUs = Lease->remaining().count();
+  out.Fence = Lease->fence();
+  out.Ordering = Lease->mayOrder();
+  if (follower.ToldRevision != Desk.revision()) {
+    follower.ToldRevision = Desk.revision();
+    for (const auto &replica : Desk.replicas()) {
+      const auto &held = Desk.residency(replica);
+      auto [it, isNew] = follower.Told.try_emplace(replica);
+      if (!isNew && it->second == held)
+        continue;
+      it->second = held;
+      ReplicaNotice notice{replica, {}};
+      for (const auto &[weights, at] : held)
+        notice.Held.push_back({weights.text(), at.Version,
+                               std::max(Span(0), at.ReadyAt - now).count(),
+                               at.Leaving});
+      out.Replicas.push_back(std::move(notice));
+    }
+  }
+  for (const auto &replica : Desk.replicas()) {
+    auto total = TotalRunning.find(replica);
+    auto own = follower.Running.find(replica);
+    std::uint32_t n = total == TotalRunning.end() ? 0 : total->second;
+    n -= own == follower.Running.end() ? 0 : std::min(n, own->second);
+    auto [it, isNew] = follower.ToldRunning.try_emplace(replica, 0);
+    if (it->second == n)
+      continue;
+    it->second = n;
+    out.Running.push_back({replica, n});
+  }
+  return out;
+}
+
+void CellMember::addNews(Follower &follower, OwnerBeat &beat) {
+  if (!follower.Knows.Operator || !follower.Knows.Replica)
+    return;
+  beat.News = Out.NewsSince(follower.Knows);
+  auto &knows = follower.Knows;
+  knows.Operator = std::max(knows.Operator, beat.News.OperatorPosition);
+  knows.Replica = std::max(knows.Replica, beat.News.ReplicaPosition);
+}
+
+void CellMember::handOverIfNearer(Instant now) {
+  bool nearer = Setup.Cell != Setup.FailureDomain &&
+                std::any_of(Members.begin(), Members.end(), [&](const auto &m) {
+                  return m.Ready && m.FailureDomain == Setup.Cell;
+                });
+  if (!nearer) {
+    NearerSince.reset();
+    return;
+  }
+  if (!NearerSince)
+    NearerSince = now;
+  if (now - *NearerSince < Setup.NearerReady)
+    return;
+  NearerSince.reset();
+  Lease->handOver();
+}
+
+void CellMember::forgetSilent(Instant now) {
+  for (auto it = Followers.begin(); it != Followers.end();) {
+    bool gone =
+        it->first != SelfFollower && now - it->second.BeatAt > Setup.MemberGone;
+    if (gone)
+      dropUses(it->second);
+    it = gone ? Followers.erase(it) : std::next(it);
+  }
+}
+
+void CellMember::broadcast() {
+  auto now = TimerService::now();
+  bool due = now - BroadcastAt >= Setup.BeatEvery;
+  if (due) {
+    BroadcastAt = now;
+    countRunning();
+    forgetSilent(now);
+    auto members = memberList();
+    bool changed = members.size() != Members.size();
+    for (std::size_t it = 0; !changed && it < members.size(); ++it)
+      changed = members[it] != Members[it];
+    if (changed) {
+      Members = std::move(members);
+      ++MembersRevision;
+    }
+    handOverIfNearer(now);
+  }
+  bool news = std::exchange(NewsDue, false);
+  for (auto &[id, follower] : Followers) {
+    if (!due && !news && follower.ToldRevision == Desk.revision())
+      continue;
+    auto beat = beatFor(follower);
+    if (id != SelfFollower)
+      addNews(follower, beat);
+    if (follower.ToldMembers != MembersRevision) {
+      follower.ToldMembers = MembersRevision;
+      beat.MembersChanged = true;
+      beat.Members = Members;
+    }
+    if (id == SelfFollower) {
+      beat.MembersChanged = false;
+      onOwnerBeat(beat);
+    } else {
+      follower.Stream->send(pack(beat));
+    }
+  }
+}
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -7,16 +7,10 @@
 
 namespace hemlockglade {
 
+using namespace gateway;
+
 namespace {
 
-/// Descriptors kept back for peers, the registry and files.
-constexpr std::size_t ReservedDescriptors = 300;
-/// Share of the others that callers may use; the rest is for replicas.
-constexpr double CallerShare = 0.6;
-/// How long callers keep an address: short, so that a host that died is asked
-/// for a second only, at one small answer a caller and second.
-constexpr auto DirectoryTtl = std::chrono::milliseconds(1000);
-constexpr std::size_t MaxAddresses = 64;
 constexpr auto TickPeriod = std::chrono::milliseconds(50);
 /// Time after which a node that has heard nothing from the registry asks a
 /// peer, and then the next: the registry answers in some 10 ms.
@@ -40,10 +34,6 @@
 constexpr auto LeavingHold = std::chrono::milliseconds(1000);
 constexpr auto LeavingRetry = std::chrono::milliseconds(20);
 constexpr auto StopLook = std::chrono::milliseconds(50);
-constexpr std::uint16_t Ok = 200;
-constexpr std::uint16_t BadRequest = 400;
-constexpr std::uint16_t NotFound = 404;
-constexpr std::uint16_t Unavailable = 503;
 /// When to come back to a node that knows no plan yet: it has read one after
 /// some 10 ms, or waits for a registry that is away, mostly for seconds.
 constexpr auto StartingRetry = std::chrono::milliseconds(300);
@@ -79,6 +69,14 @@
 constexpr MetricFamily LogLeftOutFamily{"hemlockglade_log_lines_left_out",
                                         "Log lines left out by the bound."};
 
+RepeatBudget::Settings budgetOf(const GatewaySettings &settings) {
+  RepeatBudget::Settings out;
+  out.Share = settings.RepeatShare;
+  out.Extra = settings.RepeatExtra;
+  out.Window = settings.RepeatWindow;
+  return out;
+}
+
 std::string newIncarnation() {
   std::random_device random;
   constexpr std::string_view Hex = "0123456789abcdef";
@@ -104,14 +102,8 @@
             LapseShare * static_cast<double>(Settings.DrainBound.count())));
         return out;
       }()),
-      Budget([this] {
-        RepeatBudget::Settings out;
-        out.Share = Settings.RepeatShare;
-        out.Extra = Settings.RepeatExtra;
-        out.Window = Settings.RepeatWindow;
-        return out;
-      }()),
-      Pool(context, HttpPool::Settings{}), Shared(exchangeContext()) {}
+      Budget(budgetOf(Settings)), Pool(context, HttpPool::Settings{}),
+      Shared(exchangeContext()) {}
 
 Gateway::~Gateway() {
   for (const auto &it : Exchanges)
@@ -230,62 +222,6 @@
   }
 }
 
-CallerHooks Gateway::callerHooks() {
-  CallerHooks hooks;
-  hooks.Bounds = [this] {
-    CallerBounds out;
-    if (!Plan)
-      return out;
-    out.MaxHeadBytes = Plan->limits().MaxHeadBytes;
-    out.MaxBodyBytes = Plan->limits().MaxBodyBytes;
-    out.RequestTimeout = Plan->limits().HeadTimeout;
-    out.IdleTimeout = Plan->limits().IdleTimeout;
-    return out;
-  };
-  hooks.Closing = [this] { return Leaving; };
-  hooks.OnRefused = [this](std::uint16_t status, std::string_view why) {
-    Log.write(LogClass::Request, "refused-unread",
-              {{"status", std::uint32_t{status}}, {"why", why}});
-  };
-  return hooks;
-}
-
-void Gateway::listen() {
-  std::size_t usable = Settings.MaxDescriptors > ReservedDescriptors
-                           ? Settings.MaxDescriptors - ReservedDescriptors
-                           : Settings.MaxDescriptors / 2;
-  auto most =
-      static_cast<std::size_t>(CallerShare * static_cast<double>(usable));
-  auto hooks = callerHooks();
-  hooks.OnRequest = [this](CallerRequest &&request, auto reply) {
-    onRequest(std::move(request), std::move(reply));
-  };
-  Callers = std::make_unique<CallerServer>(
-      Context, parseEndpoint(Settings.CallerAddress), most, hooks);
-  auto serve = [this, &hooks](const std::string &address, auto handler) {
-    hooks.OnRequest = [handler](const CallerRequest &request, auto reply) {
-      handler(request, *reply);
-    };
-    constexpr std::size_t SideConnections = 256;
-    return address.empty()
-               ? nullptr
-               : std::make_unique<CallerServer>(Context, parseEndpoint(address),
-                                                SideConnections, hooks);
-  };
-  Directory = serve(Settings.DirectoryAddress,
-                    [this](const auto &request, auto &reply) {
-                      onDirectory(request, reply);
-                    });
-  Readiness = serve(Settings.ReadinessAddress,
-                    [this](const auto &request, auto &reply) {
-                      onReadiness(request, reply);
-                    });
-  MetricsServer =
-      serve(Settings.MetricsAddress, [this](const auto &request, auto &reply) {
-        onMetrics(request, reply);
-      });
-}
-
 bool Gateway::ready() const { return Plan && SeenReplicas && !Leaving; }
 
 void Gateway::onOperator(const OperatorChanges &changes) {
@@ -337,15 +273,15 @@
              {"status", std::uint32_t{status}},
              {"why", why},
              {"plan", Plan ? Plan->version() : 0}});
-  HttpAnswerHead head{status, gateway::fieldsOf(Port.Labels.OwnAnswer(id))};
+  HttpAnswerHead head{status, fieldsOf(Port.Labels.OwnAnswer(id))};
   if (retryAfter)
-    head.Fields.push_back(gateway::retryAfterField(*retryAfter));
+    head.Fields.push_back(retryAfterField(*retryAfter));
   reply.respond(std::move(head), why);
 }
 
 void Gateway::onRequest(CallerRequest request,
                         std::shared_ptr<CallerReply> reply) {
-  auto labels = Port.Labels.ReadRequest(gateway::viewsOf(request.Head.Fields));
+  auto labels = Port.Labels.ReadRequest(viewsOf(request.Head.Fields));
   if (!Plan)
     return refuse(*reply, labels.Id, Unavailable, "no plan yet",
                   Watch->reachable() ? Span(StartingRetry) : Span(AwayRetry));
@@ -413,40 +349,6 @@
   });
 }
 
-void Gateway::onDirectory(const CallerRequest &request, CallerReply &reply) {
-  auto query = Port.Directory.Read(request.Head.Target);
-  if (!query)
-    return reply.respond({NotFound, {}}, "");
-  std::vector<std::string> near;
-  std::vector<std::string> all;
-  for (const auto &it : members()) {
-    if (!it.Ready)
-      continue;
-    all.push_back(it.CallerAddress);
-    if (it.FailureDomain == query->FailureDomain)
-      near.push_back(it.CallerAddress);
-  }
-  auto &out = near.empty() ? all : near;
-  if (out.size() > MaxAddresses)
-    out.resize(MaxAddresses);
-  if (out.empty())
-    return reply.respond({Unavailable, {}}, "no node is ready");
-  auto ttl = std::min<Span>(DirectoryTtl, Settings.MaxDirectoryTtl);
-  HttpAnswerHead head{Ok, {{"Content-Type", "application/json"}}};
-  reply.respond(std::move(head), Port.Directory.Write(out, ttl));
-}
-
-void Gateway::onReadiness(const CallerRequest &request, CallerReply &reply) {
-  if (!Port.Directory.AsksReadiness(request.Head.Target))
-    return reply.respond({NotFound, {}}, "");
-  reply.respond({ready() ? Ok : Unavailable, {}}, ready() ? "ready" : "not");
-}
-
-void Gateway::onMetrics(const CallerRequest &, CallerReply &reply) {
-  HttpAnswerHead head{Ok, {{"Content-Type", "text/plain; version=0.0.4"}}};
-  reply.respond(std::move(head), Metrics.expose());
-}
-
 void Gateway::tick() {
   for (auto &[name, cell] : Cells)
     cell->tick();
@@ -481,6 +383,11 @@
   // Addresses and names can't change under a running node; bounds can.
   Settings.StopBound = settings.StopBound;
   Settings.MaxDirectoryTtl = settings.MaxDirectoryTtl;
+  Settings.Seeds = settings.Seeds;
+  Settings.RepeatShare = settings.RepeatShare;
+  Settings.RepeatExtra = settings.RepeatExtra;
+  Settings.RepeatWindow = settings.RepeatWindow;
+  Budget.setBounds(budgetOf(Settings));
   Log.write(LogClass::State, "reload", {{"result", "in force"}});
 }
 
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -33,6 +33,7 @@
   void reload(const GatewaySettings &settings);
 
   bool ready() const;
+  const GatewaySettings &settings() const { return Settings; }
 
 private:
   void listen();
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/GatewayListen.cpp
@@ -0,0 +1,114 @@
+// Where a gateway is reached by callers, by those who ask for addresses and by
+// those who look at it.
+
+#include "Programs/hemlockgladed/Gateway/Gateway.h"
+#include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
+
+namespace hemlockglade {
+
+using namespace gateway;
+
+namespace {
+
+/// Descriptors kept back for peers, the registry and files.
+constexpr std::size_t ReservedDescriptors = 300;
+/// Share of the others that callers may use; the rest is for replicas.
+constexpr double CallerShare = 0.6;
+/// How long callers keep an address: short, so that a host that died is asked
+/// for a second only, at one small answer a caller and second.
+constexpr auto DirectoryTtl = std::chrono::milliseconds(1000);
+constexpr std::size_t MaxAddresses = 64;
+
+} // namespace
+
+CallerHooks Gateway::callerHooks() {
+  CallerHooks hooks;
+  hooks.Bounds = [this] {
+    CallerBounds out;
+    if (!Plan)
+      return out;
+    out.MaxHeadBytes = Plan->limits().MaxHeadBytes;
+    out.MaxBodyBytes = Plan->limits().MaxBodyBytes;
+    out.RequestTimeout = Plan->limits().HeadTimeout;
+    out.IdleTimeout = Plan->limits().IdleTimeout;
+    return out;
+  };
+  hooks.Closing = [this] { return Leaving; };
+  hooks.OnRefused = [this](std::uint16_t status, std::string_view why) {
+    Log.write(LogClass::Request, "refused-unread",
+              {{"status", std::uint32_t{status}}, {"why", why}});
+  };
+  return hooks;
+}
+
+void Gateway::listen() {
+  std::size_t usable = Settings.MaxDescriptors > ReservedDescriptors
+                           ? Settings.MaxDescriptors - ReservedDescriptors
+                           : Settings.MaxDescriptors / 2;
+  auto most =
+      static_cast<std::size_t>(CallerShare * static_cast<double>(usable));
+  auto hooks = callerHooks();
+  hooks.OnRequest = [this](CallerRequest &&request, auto reply) {
+    onRequest(std::move(request), std::move(reply));
+  };
+  Callers = std::make_unique<CallerServer>(
+      Context, parseEndpoint(Settings.CallerAddress), most, hooks);
+  auto serve = [this, &hooks](const std::string &address, auto handler) {
+    hooks.OnRequest = [handler](const CallerRequest &request, auto reply) {
+      handler(request, *reply);
+    };
+    constexpr std::size_t SideConnections = 256;
+    return address.empty()
+               ? nullptr
+               : std::make_unique<CallerServer>(Context, parseEndpoint(address),
+                                                SideConnections, hooks);
+  };
+  Directory = serve(Settings.DirectoryAddress,
+                    [this](const auto &request, auto &reply) {
+                      onDirectory(request, reply);
+                    });
+  Readiness = serve(Settings.ReadinessAddress,
+                    [this](const auto &request, auto &reply) {
+                      onReadiness(request, reply);
+                    });
+  MetricsServer =
+      serve(Settings.MetricsAddress, [this](const auto &request, auto &reply) {
+        onMetrics(request, reply);
+      });
+}
+
+void Gateway::onDirectory(const CallerRequest &request, CallerReply &reply) {
+  auto query = Port.Directory.Read(request.Head.Target);
+  if (!query)
+    return reply.respond({NotFound, {}}, "");
+  std::vector<std::string> near;
+  std::vector<std::string> all;
+  for (const auto &it : members()) {
+    if (!it.Ready)
+      continue;
+    all.push_back(it.CallerAddress);
+    if (it.FailureDomain == query->FailureDomain)
+      near.push_back(it.CallerAddress);
+  }
+  auto &out = near.empty() ? all : near;
+  if (out.size() > MaxAddresses)
+    out.resize(MaxAddresses);
+  if (out.empty())
+    return reply.respond({Unavailable, {}}, "no node is ready");
+  auto ttl = std::min<Span>(DirectoryTtl, Settings.MaxDirectoryTtl);
+  HttpAnswerHead head{Ok, {{"Content-Type", "application/json"}}};
+  reply.respond(std::move(head), Port.Directory.Write(out, ttl));
+}
+
+void Gateway::onReadiness(const CallerRequest &request, CallerReply &reply) {
+  if (!Port.Directory.AsksReadiness(request.Head.Target))
+    return reply.respond({NotFound, {}}, "");
+  reply.respond({ready() ? Ok : Unavailable, {}}, ready() ? "ready" : "not");
+}
+
+void Gateway::onMetrics(const CallerRequest &, CallerReply &reply) {
+  HttpAnswerHead head{Ok, {{"Content-Type", "text/plain; version=0.0.4"}}};
+  reply.respond(std::move(head), Metrics.expose());
+}
+
+} // namespace hemlockglade
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/GatewaySignals.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Programs/hemlockgladed/Gateway/Gateway.h"
+
+#include <asio/signal_set.hpp>
+
+namespace hemlockglade {
+
+/// Reads and checks a settings file; the error says what is wrong where.
+tl::expected<GatewaySettings, std::string>
+readGatewayFile(const std::string &path);
+
+/// Obeys the signals of a running node: SIGTERM and SIGINT stop it, SIGHUP has
+/// its settings file read again. Bad settings are refused with a log line, and
+/// those before stay in force.
+class GatewaySignals {
+public:
+  GatewaySignals(asio::io_context &context, Gateway &gateway, EventLog &log,
+                 std::string path);
+
+private:
+  void awaitReload();
+  void reload();
+
+  Gateway &Node;
+  EventLog &Log;
+  const std::string Path;
+  asio::signal_set Stops;
+  asio::signal_set Reloads;
+};
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/GatewayStatus.h
+++ b/Programs/hemlockgladed/Gateway/GatewayStatus.h
@@ -6,8 +6,10 @@
 namespace hemlockglade::gateway {
 
 /// Statuses that the gateway gives or looks at.
-inline constexpr std::uint16_t FirstSuccess = 200;
+inline constexpr std::uint16_t Ok = 200;
 inline constexpr std::uint16_t FirstRedirect = 300;
+inline constexpr std::uint16_t BadRequest = 400;
+inline constexpr std::uint16_t NotFound = 404;
 inline constexpr std::uint16_t RequestTimeout = 408;
 inline constexpr std::uint16_t OtherIncarnation = 421;
 inline constexpr std::uint16_t TooMany = 429;
@@ -18,7 +20,7 @@
 
 /// Whether a status tells of success.
 inline bool isSuccess(std::uint16_t status) {
-  return status >= FirstSuccess && status < FirstRedirect;
+  return status >= Ok && status < FirstRedirect;
 }
 
 /// Whether a status tells a caller that its request has not run.
--- a/UnitTests/Node/Gateway/GatewayTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayTest.cpp
@@ -1,8 +1,13 @@
-#include "Programs/hemlockgladed/Gateway/Gateway.h"
+#include "Programs/hemlockgladed/Gateway/GatewaySignals.h"
 
 #include "UnitTests/Node/Gateway/ScriptedReplica.h"
 #include "UnitTests/Transport/Http1/RawPeer.h"
 
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
 namespace hemlockglade::test {
 
 namespace {
@@ -203,6 +208,36 @@
   bool Stopped = false;
 };
 
+/// A settings file of a running node, with some lines of the test's own.
+struct SettingsFile {
+  explicit SettingsFile(const GatewaySettings &settings) : Base(settings) {
+    char name[] = "/tmp/gateway-settings-XXXXXX";
+    int descriptor = ::mkstemp(name);
+    REQUIRE(descriptor >= 0);
+    ::close(descriptor);
+    Path = name;
+  }
+  ~SettingsFile() { std::remove(Path.c_str()); }
+  SettingsFile(const SettingsFile &) = delete;
+  SettingsFile &operator=(const SettingsFile &) = delete;
+
+  void write(const std::string &more) const {
+    std::ofstream(Path) << "name: " << Base.Name
+                        << "\nfailure_domain: " << Base.FailureDomain
+                        << "\naddress: " << Base.Address
+                        << "\npeer_port: " << Base.PeerPort
+                        << "\ncaller_address: " << Base.CallerAddress
+                        << "\nreadiness_address: " << Base.ReadinessAddress
+                        << "\ndirectory_address: " << Base.DirectoryAddress
+                        << "\nregistry_address: " << Base.RegistryAddress
+                        << "\nfailure_domains: [hall-a]\n"
+                        << more;
+  }
+
+  GatewaySettings Base;
+  std::string Path;
+};
+
 bool has(const std::string &text, const std::string &part) {
   return text.find(part) != std::string::npos;
 }
@@ -286,6 +321,43 @@
   CHECK(it.until([&] { return has(peer.Got, "HTTP/1.1 502"); }));
 }
 
+TEST_CASE("a node that gets SIGHUP reads its settings again", "[gateway]") {
+  GatewayFixture it;
+  it.Platform.declare(1, "/x/");
+  it.Platform.registerReplica(it.Replica.address());
+  it.start();
+  REQUIRE(it.untilReady());
+  SettingsFile file(it.Settings);
+  GatewaySignals signals(it.Context, *it.Node, it.Log, file.Path);
+  auto after = [&it](const std::string &text) {
+    return it.until([&] { return has(it.Lines.back(), text); });
+  };
+  file.write("stop_bound_s: 3\n");
+  ::raise(SIGHUP);
+  REQUIRE(after("\"event\":\"reload\",\"result\":\"in force\""));
+  CHECK(it.Node->settings().StopBound == std::chrono::seconds(3));
+  file.write("stop_bound_s: soon\n");
+  ::raise(SIGHUP);
+  REQUIRE(after("\"event\":\"reload\",\"result\":\"refused\""));
+  CHECK(has(it.Lines.back(), "stop_bound_s"));
+  CHECK(it.Node->settings().StopBound == std::chrono::seconds(3));
+  CHECK(it.Node->ready());
+  file.write("repeat_extra: 7\nseeds: [\"127.0.0.9:1\"]\n");
+  ::raise(SIGHUP);
+  REQUIRE(after("\"event\":\"reload\",\"result\":\"in force\""));
+  CHECK(it.Node->settings().RepeatExtra == 7);
+  CHECK(it.Node->settings().Seeds.size() == 1);
+}
+
+TEST_CASE("a node that gets SIGTERM stops", "[gateway]") {
+  GatewayFixture it;
+  it.start();
+  it.settle();
+  GatewaySignals signals(it.Context, *it.Node, it.Log, "none");
+  ::raise(SIGTERM);
+  CHECK(it.until([&] { return it.Stopped; }));
+}
+
 TEST_CASE("a node that starts without the registry asks a peer", "[gateway]") {
   GatewayFixture first;
   first.Platform.declare(3, "/x/");
