One writer of outgoing bytes for both kinds of connection

Cause: CallerConnection and HttpConnection each had the same loop of partial writes; the check of framing stood in the reader and again behind it; an owner kept what it had told followers of replicas long gone. Ruled out: a change of what goes over the wire; only who holds the bytes changes. Change: OutgoingBytes; the second check goes ('framing that could hide a second request is refused' holds the first); forgetReplicas.

--- a/Hemlockglade/Transport/Http1/CallerConnection.cpp
+++ b/Hemlockglade/Transport/Http1/CallerConnection.cpp
@@ -100,7 +100,7 @@
 }
 
 std::size_t CallerReply::queued() const {
-  return Connection ? Connection->Outgoing.size() - Connection->Sent : 0;
+  return Connection ? Connection->Outgoing.size() : 0;
 }
 
 CallerConnection::CallerConnection(asio::io_context &context,
@@ -199,12 +199,9 @@
                         TimerService::now()};
   SentContinue = false;
   Reader.next();
-  // Two lengths, or a host named twice, would let a part of one request pass
-  // for another request further on.
-  if (countFields(request.Head.Fields, "Host") != 1 ||
-      (countFields(request.Head.Fields, "Transfer-Encoding") > 0 &&
-       countFields(request.Head.Fields, "Content-Length") > 0))
-    return refuse(BadRequest, "host or framing is ambiguous");
+  // A host named twice would be another one further on.
+  if (countFields(request.Head.Fields, "Host") != 1)
+    return refuse(BadRequest, "not one host");
   HeadRequest = request.Head.Method == "HEAD";
   EndsAfterWrite = !KeepsAlive || Hooks->Closing();
   auto reply = std::make_shared<CallerReply>(shared_from_this());
@@ -234,19 +231,12 @@
 void CallerConnection::write() {
   if (Writing || Shut)
     return;
-  asio::error_code ec;
-  while (Sent < Outgoing.size() && !ec) {
-    auto rest = asio::buffer(Outgoing.data() + Sent, Outgoing.size() - Sent);
-    auto n = Socket.write_some(rest, ec);
-    Sent += ec ? 0 : n;
-  }
-  if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
+  auto result = Outgoing.writeTo(Socket);
+  if (result == OutgoingBytes::Result::Broken) {
     asio::post(Context, [self = shared_from_this()] { self->onGone(); });
     return;
   }
-  if (Sent == Outgoing.size()) {
-    Outgoing.clear();
-    Sent = 0;
+  if (result == OutgoingBytes::Result::Done) {
     if (Active && Active->OnDrained)
       Active->OnDrained();
     if (!Active && EndsAfterWrite)
--- a/Hemlockglade/Transport/Http1/CallerConnection.h
+++ b/Hemlockglade/Transport/Http1/CallerConnection.h
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/State/Ids.h"
 #include "Hemlockglade/Transport/Http1/HttpReader.h"
+#include "Hemlockglade/Transport/Http1/OutgoingBytes.h"
 #include "Hemlockglade/Transport/Http1/SocketOptions.h"
 
 #include <array>
@@ -107,8 +108,7 @@
   std::string Body;
   /// Bytes that came behind the request that is being answered.
   std::string Ahead;
-  std::string Outgoing;
-  std::size_t Sent = 0;
+  OutgoingBytes Outgoing;
   std::array<char, 8192> Buffer{};
   CallerReply *Active = nullptr;
   bool HeadRequest = false;
--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -42,9 +42,9 @@
 void HttpConnection::call(std::string head, const std::string &body,
                           bool bodiless, HttpCallHooks hooks) {
   Hooks = std::make_shared<HttpCallHooks>(std::move(hooks));
-  Outgoing = std::move(head);
+  Outgoing = {};
+  Outgoing.append(head);
   Outgoing.append(body);
-  Sent = 0;
   Bodiless = bodiless;
   Dropping = false;
   Reusable = true;
@@ -92,26 +92,13 @@
 void HttpConnection::write() {
   if (Writing || Shut)
     return;
-  asio::error_code ec;
-  while (Sent < Outgoing.size()) {
-    auto rest = asio::buffer(Outgoing.data() + Sent, Outgoing.size() - Sent);
-    auto n = Socket.write_some(rest, ec);
-    if (ec)
-      break;
-    Sent += n;
-  }
-  if (!ec || ec == asio::error::interrupted) {
-    if (Sent == Outgoing.size()) {
-      Outgoing.clear();
-      Sent = 0;
-      return;
-    }
-  } else if (ec != asio::error::would_block && ec != asio::error::try_again) {
-    // An answer may have come before the connection broke; the reading side
-    // tells, so that it is not lost.
+  auto result = Outgoing.writeTo(Socket);
+  // An answer may have come before the connection broke; the reading side
+  // tells, so that it is not lost.
+  if (result == OutgoingBytes::Result::Broken)
     Reusable = false;
+  if (result != OutgoingBytes::Result::Waits)
     return;
-  }
   Writing = true;
   Socket.async_wait(asio::socket_base::wait_write,
                     [self = shared_from_this()](asio::error_code ec) {
@@ -175,7 +162,7 @@
     return;
   // An answer that came before the request was out leaves the rest of the
   // request on the connection, where the next one would start.
-  if (!Reader.keepsAlive() || Sent < Outgoing.size())
+  if (!Reader.keepsAlive() || !Outgoing.empty())
     Reusable = false;
   IdleSince = TimerService::now();
   if (hooks->OnDone)
--- a/Hemlockglade/Transport/Http1/HttpConnection.h
+++ b/Hemlockglade/Transport/Http1/HttpConnection.h
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/State/Ids.h"
 #include "Hemlockglade/Transport/Http1/HttpReader.h"
+#include "Hemlockglade/Transport/Http1/OutgoingBytes.h"
 #include "Hemlockglade/Transport/Http1/SocketOptions.h"
 
 #include <array>
@@ -90,8 +91,7 @@
   Settings Setup;
   HttpReader Reader{HttpReader::Side::Answers};
   std::shared_ptr<HttpCallHooks> Hooks;
-  std::string Outgoing;
-  std::size_t Sent = 0;
+  OutgoingBytes Outgoing;
   std::array<char, 8192> Buffer{};
   bool Connected = false;
   bool Connecting = false;
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -139,6 +139,8 @@
   void countRunning();
   void forgetSilent(Instant now);
   void handOverIfNearer(Instant now);
+  /// Drops what followers were told of replicas that are gone.
+  void forgetReplicas();
   void disown();
 
   Settings Setup;
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -32,6 +32,7 @@
     DeskRevision = View.revision();
     DeskPlan = plan;
     Desk.setReplicas(View.replicasIn(Setup.Cell), plan, now);
+    forgetReplicas();
   }
   countRunning();
   Desk.setLoadingElsewhere(View.loadingOutside(Setup.Cell, false, now));
@@ -40,6 +41,16 @@
     carryOut(it);
 }
 
+void CellMember::forgetReplicas() {
+  auto all = Desk.replicas();
+  std::set<std::string> known(all.begin(), all.end());
+  auto gone = [&known](const auto &it) { return !known.contains(it.first); };
+  for (auto &[id, follower] : Followers) {
+    std::erase_if(follower.Told, gone);
+    std::erase_if(follower.ToldRunning, gone);
+  }
+}
+
 void CellMember::disown() {
   Owning = false;
   for (auto &[id, follower] : std::exchange(Followers, {})) {
