--- a/UnitTests/History/HistoryChecker.h
+++ b/UnitTests/History/HistoryChecker.h
@@ -14,6 +14,7 @@
   LeavingEndpoint,
   GracefulStop,
   ConfigurationHolds,
+  OneHolder,
 };
 
 /// The promise's name in a verdict.
@@ -39,6 +40,10 @@
   Span Leaving = std::chrono::seconds(2);
   /// After a configuration was accepted.
   Span Configuration = std::chrono::seconds(12);
+  /// Between the orders of two holders to one engine.
+  Span Lease = std::chrono::seconds(3);
+  /// After a holder was woken, in which its orders do not count.
+  Span Thaw = std::chrono::milliseconds(300);
 };
 
 /// Decides each promise from a history alone.
@@ -60,11 +65,15 @@
   void atMostOnce(Verdict &verdict) const;
   void leavingEndpoint(Verdict &verdict) const;
   void gracefulStop(Verdict &verdict) const;
+  bool killedWhileStopping(const HistoryEvent &stop,
+                           const HistoryEvent *exit) const;
   void gracefulStopOf(const HistoryEvent &stop, Verdict &verdict) const;
   void cancelledWithin(const HistorySpell &stop, Verdict &verdict) const;
   void neverReverts(Verdict &verdict) const;
   void inForceInTime(Verdict &verdict) const;
   void oneChangeARevision(Verdict &verdict) const;
+  void oneHolder(Verdict &verdict) const;
+  bool justWoken(const HistoryEvent &order) const;
 
   /// Whether the node that answered had been told to stop by then.
   bool terminated(const HistoryEvent &answer) const;
--- a/UnitTests/History/HistoryEvent.cpp
+++ b/UnitTests/History/HistoryEvent.cpp
@@ -33,6 +33,8 @@
     out.To = text("to");
     out.Endpoint = text("endpoint");
     out.Change = text("change");
+    out.Holder = text("holder");
+    out.Fence = node.value("fence", out.Fence);
     out.Current = node.value("current", out.Current);
     out.Run = node.value("run", out.Run);
     out.Revision = node.value("revision", out.Revision);
--- a/UnitTests/History/HistoryEvent.h
+++ b/UnitTests/History/HistoryEvent.h
@@ -30,6 +30,9 @@
   /// Address of the node that was asked or that something happened to.
   std::string To;
   std::string Endpoint;
+  /// Who gave an order, and the fencing number that it bore.
+  std::string Holder;
+  std::uint64_t Fence = 0;
   /// Name of an operator's change.
   std::string Change;
   /// Adapters and the versions that a change calls current.
--- /dev/null
+++ b/UnitTests/Soak/SoakMain.cpp
@@ -0,0 +1,120 @@
+// Real gateways under load while things fail, all drawn from a seed, and a
+// verdict from what callers and replicas saw.
+
+#include "UnitTests/History/HistoryChecker.h"
+#include "UnitTests/Soak/SoakWorld.h"
+
+#include <filesystem>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "what happens follows from it; when, not quite");
+DEFINE_double(seconds, 20, "how long things fail, in seconds");
+DEFINE_string(program, "build/hemlockgladed", "the gateway's program");
+DEFINE_string(folder, "", "folder for settings and logs; a new one if empty");
+DEFINE_int32(nodes, 6, "gateways");
+DEFINE_int32(engines, 6, "engines");
+DEFINE_double(rate, 40, "requests a second");
+DEFINE_double(recovery, 12, "time to serve again after faults, in seconds");
+DEFINE_string(plant, "",
+              "a breach that the verdict has to find: swap, twice "
+              "or refused");
+DEFINE_double(fault_every, 0.7, "mean time between faults, in seconds");
+
+namespace hemlockglade::soak {
+
+namespace {
+
+constexpr int UsageError = 2;
+
+Span toSpan(double seconds) {
+  constexpr double UsPerS = 1e6;
+  return Span(static_cast<std::int64_t>(seconds * UsPerS));
+}
+
+bool judge(SoakWorld &world) {
+  HistoryBounds bounds;
+  bounds.Configuration = std::chrono::seconds(3);
+  HistoryChecker checker(world.history().take(), bounds);
+  bool held = true;
+  for (const auto &verdict : checker.check()) {
+    std::cout << (verdict.Violations.empty() ? "held    " : "BROKEN  ")
+              << promiseName(verdict.Which) << ": " << verdict.Examined
+              << " examined, " << verdict.Violations.size() << " violations\n";
+    constexpr std::size_t Shown = 5;
+    for (std::size_t it = 0; it < verdict.Violations.size() && it < Shown;
+         ++it) {
+      std::cout << "  " << verdict.Violations[it].Text << '\n';
+      for (const auto &line : verdict.Violations[it].Lines)
+        std::cout << "    " << line << '\n';
+    }
+    held = held && verdict.Violations.empty();
+  }
+  // Nine in ten: callers of the last faults may still come to their ends.
+  constexpr double LeastServed = 0.9;
+  auto [sent, complete] = world.quietEnd();
+  bool serves = complete >= LeastServed * sent;
+  std::cout << (serves ? "held    " : "BROKEN  ")
+            << "serves again: " << complete << " of " << sent << " complete\n";
+  bool lives = world.selfEnds() == 0;
+  std::cout << (lives ? "held    " : "BROKEN  ")
+            << "no gateway ends by itself: " << world.selfEnds() << " ends\n";
+  return held && serves && lives;
+}
+
+std::optional<SoakReplica::Plant> plantNamed(std::string_view name) {
+  using Plant = SoakReplica::Plant;
+  if (name.empty())
+    return Plant::None;
+  if (name == "swap")
+    return Plant::SwapsAnswers;
+  if (name == "twice")
+    return Plant::RunsTwice;
+  if (name == "refused")
+    return Plant::RunsRefused;
+  return std::nullopt;
+}
+
+int run() {
+  SoakWorld::Settings settings;
+  settings.Program = std::filesystem::absolute(FLAGS_program);
+  settings.Folder = FLAGS_folder;
+  if (settings.Folder.empty()) {
+    char name[] = "/tmp/hemlockglade-soak-XXXXXX";
+    if (!::mkdtemp(name))
+      return UsageError;
+    settings.Folder = name;
+  }
+  std::filesystem::create_directories(settings.Folder);
+  settings.Seed = FLAGS_seed;
+  settings.Nodes = FLAGS_nodes;
+  settings.Engines = FLAGS_engines;
+  settings.Rate = FLAGS_rate;
+  settings.FaultEvery = toSpan(FLAGS_fault_every);
+  settings.Recovery = toSpan(FLAGS_recovery);
+  auto planted = plantNamed(FLAGS_plant);
+  if (!planted) {
+    std::cerr << "platform_soak: no plant is called " << FLAGS_plant << '\n';
+    return UsageError;
+  }
+  settings.Planted = *planted;
+  SoakWorld world(settings);
+  world.play(toSpan(FLAGS_seconds));
+  const auto &counts = world.counts();
+  std::cout << "seed " << FLAGS_seed << ": " << counts.Sent << " sent, "
+            << counts.Complete << " complete, " << counts.Refused
+            << " refused, " << counts.Failed << " failed, " << counts.Unknown
+            << " unknown, " << counts.Left << " left; logs in "
+            << settings.Folder << '\n';
+  return judge(world) ? 0 : 1;
+}
+
+} // namespace
+
+} // namespace hemlockglade::soak
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("platform_soak --seed N --seconds S");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return hemlockglade::soak::run();
+}
--- /dev/null
+++ b/UnitTests/Soak/SoakStore.cpp
@@ -0,0 +1,209 @@
+#include "UnitTests/Soak/SoakStore.h"
+
+#include "Hemlockglade/Protocol/JsonText.h"
+#include "Hemlockglade/Protocol/QueryText.h"
+#include "platform/Base64.h"
+#include "platform/Names.h"
+
+namespace hemlockglade::soak {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t MaxConnections = 2000;
+
+asio::ip::tcp::endpoint anyPort() {
+  return {asio::ip::make_address("127.0.0.1"), 0};
+}
+
+std::uint64_t numberOf(std::string_view target, std::string_view name) {
+  auto text = queryValue(queryOf(target), name);
+  return text.empty() ? 0 : std::stoull(text);
+}
+
+} // namespace
+
+SoakStore::SoakStore(asio::io_context &context, std::uint64_t seed)
+    : Context(context), Timers(context), Random(seed),
+      Server(context, anyPort(), MaxConnections, hooks()) {}
+
+CallerHooks SoakStore::hooks() {
+  CallerHooks out;
+  out.Bounds = [] { return CallerBounds{}; };
+  out.Closing = [] { return false; };
+  out.OnRequest = [this](const CallerRequest &request, auto reply) {
+    serve(request, reply);
+  };
+  return out;
+}
+
+void SoakStore::serve(const CallerRequest &request,
+                      const std::shared_ptr<CallerReply> &reply) {
+  switch (Now) {
+  case Mood::Silent:
+    Unanswered.push_back(reply);
+    return;
+  case Mood::Busy:
+    return reply->respond({503, {}}, "{}");
+  case Mood::LosesAnswers:
+    if (request.Head.path() == platform_name::RowsChange && Random() % 2)
+      return change(request, *reply, true);
+    return answer(request, reply);
+  case Mood::Slow:
+    Timers.after(Delay,
+                 [this, request, reply](Instant) { answer(request, reply); });
+    return;
+  case Mood::Well:
+    return answer(request, reply);
+  }
+}
+
+void SoakStore::answer(const CallerRequest &request,
+                       const std::shared_ptr<CallerReply> &reply) {
+  auto path = request.Head.path();
+  if (path == platform_name::RowsRead)
+    read(request, *reply);
+  else if (path == platform_name::RowsWatch)
+    feed(request, reply);
+  else if (path == platform_name::RowsChange)
+    change(request, *reply, false);
+  else
+    reply->respond({404, {}}, "{}");
+}
+
+void SoakStore::read(const CallerRequest &request, CallerReply &reply) {
+  constexpr std::size_t PageRows = 50;
+  const auto &target = request.Head.Target;
+  const auto &table = Tables[queryValue(queryOf(target), "table")];
+  auto from = queryValue(queryOf(target), "from");
+  Json rows = Json::array();
+  bool more = false;
+  for (auto it = table.lower_bound(from); it != table.end(); ++it) {
+    if (it->second.Removed)
+      continue;
+    if (rows.size() == PageRows) {
+      more = true;
+      break;
+    }
+    rows.push_back({{"key", it->first},
+                    {"ver", it->second.Version},
+                    {"value", toBase64(it->second.Value)}});
+  }
+  reply.respond(
+      {200, {}},
+      Json{{"rows", rows}, {"has_more", more}, {"ver", Version}, {"now_ms", 0}}
+          .dump());
+}
+
+std::string SoakStore::changesSince(const std::string &table,
+                                    std::uint64_t after, bool &any) const {
+  std::map<std::uint64_t, Json> changed;
+  auto all = Tables.find(table);
+  if (all != Tables.end())
+    for (const auto &[key, row] : all->second) {
+      if (row.Version <= after)
+        continue;
+      Json it{{"key", key}, {"ver", row.Version}};
+      if (row.Removed)
+        it["deleted"] = true;
+      else
+        it["value"] = toBase64(row.Value);
+      changed.emplace(row.Version, std::move(it));
+    }
+  any = !changed.empty();
+  Json rows = Json::array();
+  for (auto &[version, it] : changed)
+    rows.push_back(std::move(it));
+  return Json{{"rows", rows}, {"ver", Version}, {"now_ms", 0}}.dump();
+}
+
+void SoakStore::feed(const CallerRequest &request,
+                     const std::shared_ptr<CallerReply> &reply) {
+  const auto &target = request.Head.Target;
+  auto table = queryValue(queryOf(target), "table");
+  auto after = numberOf(target, "after");
+  if (after < Oldest)
+    return reply->respond({410, {}}, "{}");
+  bool any = false;
+  auto body = changesSince(table, after, any);
+  auto wait = std::chrono::milliseconds(numberOf(target, "wait_ms"));
+  if (any || wait.count() == 0)
+    return reply->respond({200, {}}, body);
+  auto it = Waiters.insert(Waiters.end(), {table, after, reply});
+  Timers.after(wait, [this, weak = std::weak_ptr(reply)](Instant) {
+    auto reply = weak.lock();
+    for (auto at = Waiters.begin(); reply && at != Waiters.end(); ++at)
+      if (at->Reply == reply) {
+        bool any = false;
+        reply->respond({200, {}}, changesSince(at->Table, at->After, any));
+        Waiters.erase(at);
+        return;
+      }
+  });
+  reply->OnGone = [this, it] { Waiters.erase(it); };
+}
+
+void SoakStore::wake() {
+  if (Now != Mood::Well && Now != Mood::LosesAnswers)
+    return;
+  for (auto it = Waiters.begin(); it != Waiters.end();) {
+    bool any = false;
+    auto body = changesSince(it->Table, it->After, any);
+    if (!any) {
+      ++it;
+      continue;
+    }
+    auto reply = it->Reply;
+    reply->OnGone = nullptr;
+    it = Waiters.erase(it);
+    reply->respond({200, {}}, body);
+  }
+}
+
+void SoakStore::change(const CallerRequest &request, CallerReply &reply,
+                       bool loses) {
+  auto node = Json::parse(request.Body);
+  bool holds = true;
+  for (const auto &it : node.at("if_revision")) {
+    auto &row = Tables[it.at("table")][it.at("key")];
+    auto expected = it.at("ver").get<std::uint64_t>();
+    holds = holds && (row.Removed ? 0 : row.Version) == expected;
+  }
+  if (holds) {
+    ++Version;
+    for (const auto &it : node.at("put"))
+      Tables[it.at("table")][it.at("key")] = {
+          fromBase64(it.at("value").get<std::string>()).value_or(""), Version,
+          false};
+    for (const auto &it : node.at("remove"))
+      Tables[it.at("table")][it.at("key")] = {"", Version, true};
+  }
+  if (loses)
+    reply.abort();
+  else
+    reply.respond({static_cast<std::uint16_t>(holds ? 200 : 412), {}},
+                  Json{{"ver", Version}, {"rows", Json::array()}}.dump());
+  wake();
+}
+
+void SoakStore::put(const std::string &table, const std::string &key,
+                    const std::string &value) {
+  Tables[table][key] = {value, ++Version, false};
+  wake();
+}
+
+void SoakStore::remove(const std::string &table, const std::string &key) {
+  Tables[table][key] = {"", ++Version, true};
+  wake();
+}
+
+void SoakStore::dropHistory() {
+  Oldest = Version;
+  for (auto &it : std::exchange(Waiters, {})) {
+    it.Reply->OnGone = nullptr;
+    it.Reply->respond({410, {}}, "{}");
+  }
+}
+
+} // namespace hemlockglade::soak
--- /dev/null
+++ b/UnitTests/Soak/SoakStore.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Hemlockglade/Transport/Http1/CallerServer.h"
+#include "Hemlockglade/Transport/Time/TimerService.h"
+
+#include <list>
+#include <map>
+#include <random>
+
+namespace hemlockglade::soak {
+
+/// A stand-in for the platform's store: rows in tables, changed together, with
+/// a feed of changes. It can be told to misbehave.
+class SoakStore {
+public:
+  enum class Mood : std::uint8_t {
+    Well,
+    /// Takes calls and never answers.
+    Silent,
+    /// Answers 503, nothing done.
+    Busy,
+    /// Does every second change and breaks the connection instead of answering.
+    LosesAnswers,
+    /// Answers after `Delay`.
+    Slow,
+  };
+
+  SoakStore(asio::io_context &context, std::uint64_t seed);
+
+  std::uint16_t port() const { return Server.port(); }
+  void setMood(Mood mood) { Now = mood; }
+  Mood mood() const { return Now; }
+  /// Forgets changes before now: feeds from before are told so.
+  void dropHistory();
+
+  /// Writes of operators and replicas, which reach the store in any mood.
+  void put(const std::string &table, const std::string &key,
+           const std::string &value);
+  void remove(const std::string &table, const std::string &key);
+
+private:
+  struct Row {
+    std::string Value;
+    std::uint64_t Version = 0;
+    bool Removed = false;
+  };
+  struct Waiter {
+    std::string Table;
+    std::uint64_t After = 0;
+    std::shared_ptr<CallerReply> Reply;
+  };
+  using Table = std::map<std::string, Row>;
+
+  CallerHooks hooks();
+  void serve(const CallerRequest &request,
+             const std::shared_ptr<CallerReply> &reply);
+  void answer(const CallerRequest &request,
+              const std::shared_ptr<CallerReply> &reply);
+  void read(const CallerRequest &request, CallerReply &reply);
+  void feed(const CallerRequest &request,
+            const std::shared_ptr<CallerReply> &reply);
+  void change(const CallerRequest &request, CallerReply &reply, bool loses);
+  std::string changesSince(const std::string &table, std::uint64_t after,
+                           bool &any) const;
+  void wake();
+
+  static constexpr Span Delay = std::chrono::milliseconds(300);
+
+  asio::io_context &Context;
+  TimerService Timers;
+  std::mt19937_64 Random;
+  Mood Now = Mood::Well;
+  std::map<std::string, Table> Tables;
+  std::uint64_t Version = 1;
+  std::uint64_t Oldest = 0;
+  std::list<Waiter> Waiters;
+  std::vector<std::shared_ptr<CallerReply>> Unanswered;
+  CallerServer Server;
+};
+
+} // namespace hemlockglade::soak
--- /dev/null
+++ b/UnitTests/Soak/SoakWorld.cpp
@@ -0,0 +1,325 @@
+#include "UnitTests/Soak/SoakWorld.h"
+
+#include "Hemlockglade/Protocol/JsonText.h"
+
+#include <iostream>
+#include <unistd.h>
+
+namespace hemlockglade::soak {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::vector<std::string> Domains{"hall-a", "hall-b", "hall-c"};
+constexpr int PlainReplicas = 3;
+constexpr auto QuietTime = seconds(4);
+constexpr auto LongestHarm = milliseconds(5000);
+
+Json route(const std::string &prefix, const std::string &type,
+           std::string_view service, int attempts, bool resumable) {
+  Json out{{"name", "r" + prefix},  {"host", "a.example"},
+           {"prefix", prefix},      {"type", type},
+           {"timeout_ms", 3000},    {"target_latency_ms", 500},
+           {"target_gap_ms", 200},  {"priority", 1},
+           {"service", service},    {"max_attempts", attempts},
+           {"resumable", resumable}};
+  return out;
+}
+
+} // namespace
+
+SoakWorld::SoakWorld(Settings settings)
+    : Setup(std::move(settings)), Random(Setup.Seed), Timers(Context),
+      Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
+  Callers.setRate(Setup.Rate);
+  buildReplicas();
+  declare();
+  buildNodes();
+}
+
+SoakWorld::~SoakWorld() = default;
+
+void SoakWorld::buildReplicas() {
+  for (int it = 0; it < Setup.Engines + PlainReplicas; ++it) {
+    SoakReplica::Settings replica;
+    replica.Engine = it < Setup.Engines;
+    replica.Planted = Setup.Planted;
+    replica.Service = replica.Engine ? site::EngineService : site::PlainService;
+    replica.FailureDomain =
+        Domains[static_cast<std::size_t>(it) % Domains.size()];
+    Replicas.push_back(std::make_unique<SoakReplica>(
+        Context, std::move(replica), Store, History, Random()));
+  }
+}
+
+void SoakWorld::buildNodes() {
+  // A loopback network of its own, so that soaks can run side by side.
+  constexpr int Networks = 200;
+  auto network = "127." + std::to_string(2 + ::getpid() % Networks) + ".0.";
+  constexpr int FirstHost = 11;
+  constexpr std::uint16_t FirstPort = 7100;
+  std::vector<std::string> seeds;
+  for (int it = 0; it < std::min(3, Setup.Nodes); ++it)
+    seeds.push_back(network + std::to_string(FirstHost + it) + ":" +
+                    std::to_string(FirstPort + 4));
+  for (int it = 0; it < Setup.Nodes; ++it) {
+    SoakNode::Settings node;
+    node.Program = Setup.Program;
+    node.Folder = Setup.Folder;
+    node.Name = "n" + std::to_string(it);
+    node.FailureDomain = Domains[static_cast<std::size_t>(it) % Domains.size()];
+    node.Address = network + std::to_string(FirstHost + it);
+    node.FirstPort = FirstPort;
+    node.Seeds = seeds;
+    Nodes.push_back(std::make_unique<SoakNode>(Context, std::move(node),
+                                               Store.port(), History));
+    Nodes.back()->start();
+  }
+}
+
+void SoakWorld::runFor(Span span) {
+  Context.restart();
+  Context.run_for(span);
+}
+
+void SoakWorld::play(Span faulty) {
+  constexpr auto LookEvery = milliseconds(20);
+  Looking = Timers.every(LookEvery, [this](Instant) {
+    for (auto &it : Nodes)
+      it->look();
+  });
+  // Leases come about, and the first adapters are loaded.
+  constexpr auto Start = seconds(2);
+  runFor(Start);
+  Callers.start();
+  runFor(Start);
+  Faulty = true;
+  nextFault();
+  runFor(faulty);
+  Faulty = false;
+  heal();
+  runFor(Setup.Recovery);
+  auto before = Callers.counts();
+  runFor(QuietTime);
+  auto after = Callers.counts();
+  Quiet = {after.Sent - before.Sent - (after.Left - before.Left),
+           after.Complete - before.Complete};
+  Callers.stop();
+  constexpr auto Last = seconds(5);
+  constexpr auto Look = milliseconds(100);
+  auto until = TimerService::now() + Last;
+  while (!Callers.idle() && TimerService::now() < until)
+    runFor(Look);
+}
+
+int SoakWorld::selfEnds() const {
+  int n = 0;
+  for (const auto &it : Nodes)
+    n += it->selfEnds();
+  return n;
+}
+
+void SoakWorld::say(const std::string &what) {
+  std::cout << TimerService::now().count() / 1000 << " " << what << '\n';
+}
+
+void SoakWorld::nextFault() {
+  Timers.after(upTo(2 * Setup.FaultEvery), [this](Instant) {
+    if (!Faulty)
+      return;
+    fault();
+    nextFault();
+  });
+}
+
+void SoakWorld::fault() {
+  constexpr std::uint64_t Kinds = 10;
+  switch (Random() % Kinds) {
+  case 0:
+  case 1:
+  case 2:
+    return nodeFault(oneOf(Nodes));
+  case 3:
+    return storeFault();
+  case 4:
+  case 5:
+    return linkFault();
+  case 6:
+    return declare();
+  case 7:
+    return declareVersion();
+  default:
+    return replicaFault(oneOf(Replicas));
+  }
+}
+
+void SoakWorld::nodeFault(SoakNode &node) {
+  auto later = milliseconds(200) + upTo(LongestHarm);
+  switch (Random() % 4) {
+  case 0:
+    say("kill " + node.name());
+    node.kill();
+    break;
+  case 1:
+    say("pause " + node.name());
+    node.pause();
+    Timers.after(later, [&node](Instant) { node.wake(); });
+    return;
+  case 2:
+    say("terminate " + node.name());
+    node.terminate();
+    break;
+  default:
+    say("reload " + node.name());
+    node.reload();
+    return;
+  }
+  // It is started again some time after its end.
+  Timers.after(later + SoakNode::StopBound + seconds(2),
+               [&node](Instant) { node.start(); });
+}
+
+void SoakWorld::storeMood(SoakStore::Mood mood) {
+  Store.setMood(mood);
+  bool harmed = mood != SoakStore::Mood::Well;
+  if (harmed == std::exchange(StoreDisturbed, harmed))
+    return;
+  History.note("soak", harmed ? "silent" : "answering").Endpoint = "platform";
+  for (auto &it : Nodes)
+    it->disturb(harmed);
+}
+
+void SoakWorld::storeFault() {
+  constexpr std::uint64_t Moods = 6;
+  auto kind = Random() % Moods;
+  if (kind == 5) {
+    say("the store drops its history");
+    return Store.dropHistory();
+  }
+  if (StoreDisturbed)
+    return;
+  auto mood =
+      static_cast<SoakStore::Mood>(1 + std::min<std::uint64_t>(kind, 3));
+  say("store mood " + std::to_string(static_cast<int>(mood)));
+  storeMood(mood);
+  Timers.after(milliseconds(200) + upTo(LongestHarm),
+               [this](Instant) { storeMood(SoakStore::Mood::Well); });
+}
+
+void SoakWorld::linkFault() {
+  constexpr std::uint64_t Harms = 4;
+  auto harm = static_cast<SoakProxy::Harm>(1 + Random() % Harms);
+  auto span = milliseconds(200) + upTo(LongestHarm);
+  if (Random() % 2) {
+    auto &node = oneOf(Nodes);
+    if (node.link().harm() != SoakProxy::Harm::None)
+      return;
+    say("store link of " + node.name() + " harm " +
+        std::to_string(static_cast<int>(harm)));
+    node.link().setHarm(harm);
+    node.disturb(true);
+    Timers.after(span, [&node](Instant) {
+      node.link().setHarm(SoakProxy::Harm::None);
+      node.disturb(false);
+    });
+    return;
+  }
+  auto &replica = oneOf(Replicas);
+  say("link of " + replica.incarnation() + " harm " +
+      std::to_string(static_cast<int>(harm)));
+  replica.link().setHarm(harm);
+  Timers.after(span, [&replica](Instant) {
+    replica.link().setHarm(SoakProxy::Harm::None);
+  });
+}
+
+void SoakWorld::replicaFault(SoakReplica &replica) {
+  constexpr std::uint64_t Kinds = 8;
+  auto kind = Random() % Kinds;
+  auto span = milliseconds(500) + upTo(LongestHarm);
+  if (kind < 2) {
+    say((kind ? "crash " : "leave ") + replica.incarnation());
+    if (kind)
+      replica.crash();
+    else
+      replica.leave();
+    Timers.after(span + seconds(3), [&replica](Instant) {
+      if (!replica.up())
+        replica.start();
+    });
+    return;
+  }
+  constexpr std::uint64_t Moods = 5;
+  auto mood = static_cast<SoakReplica::Mood>(1 + Random() % Moods);
+  say("replica " + replica.incarnation() + " mood " +
+      std::to_string(static_cast<int>(mood)));
+  replica.setMood(mood);
+  Timers.after(
+      span, [&replica](Instant) { replica.setMood(SoakReplica::Mood::Well); });
+}
+
+void SoakWorld::declare() {
+  ++Plan;
+  Json models = Json::array({{{"name", site::Model},
+                              {"weights_mb", 900},
+                              {"load_time_s", 2.0},
+                              {"adapters", site::Adapters},
+                              {"adapter_size_mb", 1.0}}});
+  Json engine{{"slots", 8},         {"kv_capacity_tokens", 50000},
+              {"weights_mb", 1000}, {"adapter_slots", site::AdapterPlaces},
+              {"loads_per_s", 3.0}, {"models", models}};
+  Json services =
+      Json::array({{{"name", site::EngineService},
+                    {"max_connections", 200},
+                    {"engine", engine}},
+                   {{"name", site::PlainService}, {"max_connections", 200}}});
+  Json routes =
+      Json::array({route("/chat/", "streaming", site::EngineService, 2, true),
+                   route("/once/", "streaming", site::EngineService, 1, false),
+                   route("/order/", "unsafe", site::PlainService, 1, false),
+                   route("/look/", "safe", site::PlainService, 2, false)});
+  for (std::uint64_t it = 1; it <= Plan; ++it)
+    routes.push_back(route("/probe/" + std::to_string(it) + "/", "safe",
+                           site::PlainService, 1, false));
+  Json plan{{"version", Plan},
+            {"routes", routes},
+            {"services", services},
+            {"limits", Json::object()}};
+  Store.put("op", "config", plan.dump());
+  auto &event = History.note("operator", "accepted");
+  event.Revision = Plan;
+  event.Change = "plan " + std::to_string(Plan);
+  Callers.setPlan(Plan);
+}
+
+void SoakWorld::declareVersion() {
+  auto name = "a" + std::to_string(1 + Random() % 5);
+  auto full = std::string(site::Model) + "/" + name;
+  if (Versions.empty())
+    for (int it = 1; it <= site::Adapters; ++it)
+      Versions[std::string(site::Model) + "/a" + std::to_string(it)] = 1;
+  ++Versions[full];
+  say("version " + std::to_string(Versions[full]) + " of " + full);
+  Store.put("op", "version/" + std::string(site::Model) + "." + name,
+            Json{{"model", site::Model},
+                 {"adapter", name},
+                 {"version", Versions[full]}}
+                .dump());
+}
+
+void SoakWorld::heal() {
+  say("all is well");
+  storeMood(SoakStore::Mood::Well);
+  for (auto &it : Replicas) {
+    it->setMood(SoakReplica::Mood::Well);
+    if (!it->up())
+      it->start();
+  }
+  for (auto &it : Nodes)
+    it->wake();
+}
+
+} // namespace hemlockglade::soak
--- /dev/null
+++ b/UnitTests/Soak/SoakWorld.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "UnitTests/Soak/SoakCallers.h"
+
+namespace hemlockglade::soak {
+
+/// A deployment on loopback: real gateways, and stand-ins for all else. Does
+/// what the seed says to it.
+class SoakWorld {
+public:
+  struct Settings {
+    std::string Program;
+    std::string Folder;
+    std::uint64_t Seed = 1;
+    int Nodes = 6;
+    int Engines = 6;
+    /// Requests a second.
+    double Rate = 40;
+    /// Mean time between two faults; they overlap.
+    Span FaultEvery = std::chrono::milliseconds(700);
+    /// Time after the last fault until the deployment must serve again.
+    Span Recovery = std::chrono::seconds(12);
+    SoakReplica::Plant Planted = SoakReplica::Plant::None;
+  };
+
+  explicit SoakWorld(Settings settings);
+  ~SoakWorld();
+
+  /// Plays for so long with faults, then heals everything and plays on until
+  /// the deployment must serve again.
+  void play(Span faulty);
+
+  SoakHistory &history() { return History; }
+  const SoakCallers::Counts &counts() const { return Callers.counts(); }
+  /// Requests of the quiet end, and those of them that were complete.
+  std::pair<int, int> quietEnd() const { return Quiet; }
+  /// Times that a gateway ended by itself.
+  int selfEnds() const;
+
+private:
+  void buildNodes();
+  void buildReplicas();
+  void runFor(Span span);
+  void nextFault();
+  void fault();
+  void nodeFault(SoakNode &node);
+  void storeFault();
+  void linkFault();
+  void replicaFault(SoakReplica &replica);
+  void declare();
+  void declareVersion();
+  void heal();
+  void say(const std::string &what);
+  Span upTo(Span span) {
+    return Span(static_cast<std::int64_t>(
+        Random() % static_cast<std::uint64_t>(span.count())));
+  }
+  template <typename T> T &oneOf(std::list<std::unique_ptr<T>> &all) {
+    return **std::next(all.begin(),
+                       static_cast<std::ptrdiff_t>(Random() % all.size()));
+  }
+  void storeMood(SoakStore::Mood mood);
+
+  Settings Setup;
+  std::mt19937_64 Random;
+  asio::io_context Context;
+  TimerService Timers;
+  SoakHistory History;
+  SoakStore Store;
+  std::list<std::unique_ptr<SoakNode>> Nodes;
+  std::list<std::unique_ptr<SoakReplica>> Replicas;
+  SoakCallers Callers;
+  bool Faulty = false;
+  bool StoreDisturbed = false;
+  std::uint64_t Plan = 0;
+  std::map<std::string, std::uint32_t> Versions;
+  std::pair<int, int> Quiet{0, 0};
+  TimerService::Subscription Looking;
+};
+
+} // namespace hemlockglade::soak
