A soak holds the loopback network that it uses

Ruled out: a crash of the gateways, which left no other end in the logs. Change: the first network whose lowest address is free is taken and held.

--- a/UnitTests/Soak/SoakWorld.cpp
+++ b/UnitTests/Soak/SoakWorld.cpp
@@ -55,10 +55,28 @@
   }
 }
 
-void SoakWorld::buildNodes() {
-  // A loopback network of its own, so that soaks can run side by side.
+std::string SoakWorld::takeNetwork() {
+  // A loopback network of its own, so that soaks can run side by side: the one
+  // whose first address nobody holds.
   constexpr int Networks = 200;
-  auto network = "127." + std::to_string(2 + ::getpid() % Networks) + ".0.";
+  constexpr std::uint16_t HeldPort = 7099;
+  for (int it = 0; it < Networks; ++it) {
+    auto network = "127." + std::to_string(2 + (::getpid() + it) % Networks);
+    network += ".0.";
+    asio::error_code ec;
+    Network.open(asio::ip::tcp::v4(), ec);
+    Network.bind({asio::ip::make_address(network + "1"), HeldPort}, ec);
+    if (!ec)
+      Network.listen(1, ec);
+    if (!ec)
+      return network;
+    Network.close();
+  }
+  throw std::runtime_error("no loopback network is free");
+}
+
+void SoakWorld::buildNodes() {
+  auto network = takeNetwork();
   constexpr int FirstHost = 11;
   constexpr std::uint16_t FirstPort = 7100;
   std::vector<std::string> seeds;
--- a/UnitTests/Soak/SoakWorld.h
+++ b/UnitTests/Soak/SoakWorld.h
@@ -38,6 +38,7 @@
   int selfEnds() const;
 
 private:
+  std::string takeNetwork();
   void buildNodes();
   void buildReplicas();
   void runFor(Span span);
@@ -65,6 +66,8 @@
   std::mt19937_64 Random;
   asio::io_context Context;
   TimerService Timers;
+  /// Holds the soak's loopback network.
+  asio::ip::tcp::acceptor Network{Context};
   SoakHistory History;
   SoakStore Store;
   std::list<std::unique_ptr<SoakNode>> Nodes;
