A new owner's first words do not bring back the nodes of the one before

Cause: a node counted a cell's list of nodes as fresh once it had heard anything of the cell's owner. Change: a list counts once the present owner has told it. Measured: 'a new owner's silence about nodes does not bring back old ones' failed first and passes.

--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -216,6 +216,9 @@
   owner->OnClosed = nullptr;
   owner->close();
   OwnerOrders = false;
+  // A new owner's first messages need not say which nodes there are; those that
+  // the one before told of may be gone, itself among them.
+  MembersTold = false;
   View.onOwnerLost(Setup.Cell);
   Log.write(LogClass::State, "owner-lost",
             {{"cell", Setup.Cell},
@@ -245,8 +248,10 @@
     View.onOtherSent(it.Replica, it.Tokens, now);
   for (const auto &it : beat.Running)
     View.onOthersRunning(it.Replica, it.Running, now);
-  if (beat.MembersChanged)
+  if (beat.MembersChanged) {
     Members = beat.Members;
+    MembersTold = true;
+  }
   Out.OnNews(beat.News);
   if (!beat.Replicas.empty())
     Out.OnChanged();
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -94,6 +94,8 @@
   /// Nodes that follow the owner, as last told, and whether that is recent.
   const std::vector<MemberNotice> &members() const { return Members; }
   bool fresh() const;
+  /// Whether the nodes are those that the present owner told of.
+  bool membersFresh() const { return fresh() && (Owning || MembersTold); }
   bool owning() const { return Owning; }
   const CellLease &lease() const { return *Lease; }
   void onTold(const CellLeaseRow &row) { Lease->onTold(row); }
@@ -181,6 +183,7 @@
   Instant OpenedAt{-3'600'000'000};
   bool OwnerOrders = false;
   std::vector<MemberNotice> Members;
+  bool MembersTold = false;
 
   std::map<std::pair<std::string, WeightsRef>, DemandNotice> Demand;
   std::vector<RefusalNotice> Refusals;
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -8,9 +8,9 @@
   std::map<std::string, MemberNotice> known;
   bool anyFresh = false;
   for (const auto &[name, cell] : Cells)
-    anyFresh = anyFresh || cell->fresh();
+    anyFresh = anyFresh || cell->membersFresh();
   for (const auto &[name, cell] : Cells) {
-    if (anyFresh && !cell->fresh())
+    if (anyFresh && !cell->membersFresh())
       continue;
     for (const auto &it : cell->members()) {
       auto [at, isNew] = known.try_emplace(it.Node, it);
