--- a/UnitTests/History/HistoryCheckMain.cpp
+++ b/UnitTests/History/HistoryCheckMain.cpp
@@ -42,20 +42,6 @@
   return good;
 }
 
-void print(const Verdict &verdict) {
-  std::cout << (verdict.Violations.empty() ? "held    " : "BROKEN  ")
-            << promiseName(verdict.Which) << ": " << verdict.Examined
-            << " examined, " << verdict.Violations.size() << " violations\n";
-  int shown = 0;
-  for (const auto &violation : verdict.Violations) {
-    if (++shown > FLAGS_shown)
-      break;
-    std::cout << "  " << violation.Text << '\n';
-    for (const auto &line : violation.Lines)
-      std::cout << "    " << line << '\n';
-  }
-}
-
 } // namespace
 
 int main(int argc, char **argv) {
@@ -69,7 +55,7 @@
                          {toSpan(FLAGS_leaving_s), toSpan(FLAGS_config_s)});
   bool broken = false;
   for (const auto &verdict : checker.check()) {
-    print(verdict);
+    print(std::cout, verdict, static_cast<std::size_t>(FLAGS_shown));
     broken = broken || !verdict.Violations.empty();
   }
   return broken ? Broken : good ? 0 : Unreadable;
--- a/UnitTests/History/HistoryChecker.cpp
+++ b/UnitTests/History/HistoryChecker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ostream>
 #include <set>
 
 namespace hemlockglade {
@@ -48,6 +49,18 @@
   return Names[static_cast<std::size_t>(promise)];
 }
 
+void print(std::ostream &out, const Verdict &verdict, std::size_t shown) {
+  out << (verdict.Violations.empty() ? "held    " : "BROKEN  ")
+      << promiseName(verdict.Which) << ": " << verdict.Examined << " examined, "
+      << verdict.Violations.size() << " violations\n";
+  for (std::size_t it = 0; it < std::min(shown, verdict.Violations.size());
+       ++it) {
+    out << "  " << verdict.Violations[it].Text << '\n';
+    for (const auto &line : verdict.Violations[it].Lines)
+      out << "    " << line << '\n';
+  }
+}
+
 HistoryChecker::HistoryChecker(std::vector<HistoryEvent> events,
                                HistoryBounds bounds)
     : Index(std::move(events)), Bounds(bounds) {}
--- a/UnitTests/History/HistoryChecker.h
+++ b/UnitTests/History/HistoryChecker.h
@@ -2,6 +2,8 @@
 
 #include "UnitTests/History/HistoryIndex.h"
 
+#include <iosfwd>
+
 namespace hemlockglade {
 
 /// What must always hold, in the order of the users' list.
@@ -34,6 +36,9 @@
   std::vector<Violation> Violations;
 };
 
+/// Prints a verdict and its first `shown` violations.
+void print(std::ostream &out, const Verdict &verdict, std::size_t shown);
+
 /// Bounds that the promises with "seconds" in them are held to.
 struct HistoryBounds {
   /// After the list says that an endpoint is leaving.
--- a/UnitTests/Soak/SoakMain.cpp
+++ b/UnitTests/Soak/SoakMain.cpp
@@ -38,16 +38,8 @@
   HistoryChecker checker(world.history().take(), bounds);
   bool held = true;
   for (const auto &verdict : checker.check()) {
-    std::cout << (verdict.Violations.empty() ? "held    " : "BROKEN  ")
-              << promiseName(verdict.Which) << ": " << verdict.Examined
-              << " examined, " << verdict.Violations.size() << " violations\n";
     constexpr std::size_t Shown = 5;
-    for (std::size_t it = 0; it < verdict.Violations.size() && it < Shown;
-         ++it) {
-      std::cout << "  " << verdict.Violations[it].Text << '\n';
-      for (const auto &line : verdict.Violations[it].Lines)
-        std::cout << "    " << line << '\n';
-    }
+    print(std::cout, verdict, Shown);
     held = held && verdict.Violations.empty();
   }
   // Nine in ten: callers of the last faults may still come to their ends.
