The soak's looks at the plan in force say something, and its gateways end with it

Cause: the look named two hosts, since the calling client adds one, and got 400, which counted as the plan being in force: that promise showed nothing. Ruled out: crashes of gateways; two soaks with one network (each address of the batch looked up). Change: looks are requests of their own; a soak that is told to end ends its gateways and takes no network where something listens.

--- a/UnitTests/Soak/SoakCallers.cpp
+++ b/UnitTests/Soak/SoakCallers.cpp
@@ -16,6 +16,8 @@
 constexpr auto ProbeEvery = milliseconds(500);
 constexpr auto LooksEvery = milliseconds(1000);
 
+constexpr std::uint16_t FirstError = 400;
+
 bool promisesNotRun(std::uint16_t status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -218,24 +220,32 @@
 
 void SoakCallers::probe(SoakNode &node) {
   // Each version of the plan adds a route that only it and later ones have.
-  HttpCall call;
-  call.Address = parseEndpoint(node.caller());
-  call.Method = "GET";
-  call.Target = "/probe/" + std::to_string(Plan) + "/";
-  call.Fields = {
+  HttpRequestHead head{"GET", "/probe/" + std::to_string(Plan) + "/", {}};
+  head.Fields = {
       {"Host", "a.example"},
       {std::string(platform_name::RequestId), "p" + std::to_string(++Number)},
       {std::string(platform_name::TimeLeftMs), "400"}};
   auto askedAt = TimerService::now();
-  Asking.call(call,
-              [this, askedAt, plan = Plan, name = node.name()](auto answer) {
-                if (!answer || answer->Head.Status == 503)
-                  return;
-                auto &event = History.note("callers", "in_force");
-                event.To = name;
-                event.AskedAt = askedAt;
-                event.Revision = answer->Head.Status == 404 ? plan - 1 : plan;
-              });
+  auto connection = Pool.take(parseEndpoint(node.caller()));
+  auto status = std::make_shared<std::uint16_t>(0);
+  HttpCallHooks hooks;
+  hooks.OnHead = [status](const HttpAnswerHead &head) {
+    *status = head.Status;
+    return true;
+  };
+  hooks.OnDone = [this, connection, status, askedAt, plan = Plan,
+                  name = node.name()] {
+    Pool.give(connection);
+    constexpr std::uint16_t NoRoute = 404;
+    // Only these two say which plan was looked at.
+    if (*status != NoRoute && *status >= FirstError)
+      return;
+    auto &event = History.note("callers", "in_force");
+    event.To = name;
+    event.AskedAt = askedAt;
+    event.Revision = *status == NoRoute ? plan - 1 : plan;
+  };
+  connection->call(writeHead(head), "", false, std::move(hooks));
 }
 
 } // namespace hemlockglade::soak
--- a/UnitTests/Soak/SoakWorld.cpp
+++ b/UnitTests/Soak/SoakWorld.cpp
@@ -15,6 +15,9 @@
 
 const std::vector<std::string> Domains{"hall-a", "hall-b", "hall-c"};
 constexpr int PlainReplicas = 3;
+/// Last part of the first gateway's address, and the first of its ports.
+constexpr int FirstHost = 11;
+constexpr std::uint16_t FirstPort = 7100;
 constexpr auto QuietTime = seconds(4);
 constexpr auto LongestHarm = milliseconds(5000);
 
@@ -34,6 +37,12 @@
 SoakWorld::SoakWorld(Settings settings)
     : Setup(std::move(settings)), Random(Setup.Seed), Timers(Context),
       Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
+  Ends.async_wait([this](asio::error_code ec, int) {
+    if (ec)
+      return;
+    Nodes.clear();
+    std::exit(2);
+  });
   Callers.setRate(Setup.Rate);
   buildReplicas();
   declare();
@@ -55,6 +64,16 @@
   }
 }
 
+bool SoakWorld::isFree(const std::string &network) {
+  // A soak that was killed leaves its gateways behind.
+  asio::ip::tcp::socket socket(Context);
+  asio::error_code ec;
+  socket.connect(
+      {asio::ip::make_address(network + std::to_string(FirstHost)), FirstPort},
+      ec);
+  return bool(ec);
+}
+
 std::string SoakWorld::takeNetwork() {
   // A loopback network of its own, so that soaks can run side by side: the one
   // whose first address nobody holds.
@@ -68,7 +87,7 @@
     Network.bind({asio::ip::make_address(network + "1"), HeldPort}, ec);
     if (!ec)
       Network.listen(1, ec);
-    if (!ec)
+    if (!ec && isFree(network))
       return network;
     Network.close();
   }
@@ -77,8 +96,6 @@
 
 void SoakWorld::buildNodes() {
   auto network = takeNetwork();
-  constexpr int FirstHost = 11;
-  constexpr std::uint16_t FirstPort = 7100;
   std::vector<std::string> seeds;
   for (int it = 0; it < std::min(3, Setup.Nodes); ++it)
     seeds.push_back(network + std::to_string(FirstHost + it) + ":" +
--- a/UnitTests/Soak/SoakWorld.h
+++ b/UnitTests/Soak/SoakWorld.h
@@ -2,6 +2,9 @@
 
 #include "UnitTests/Soak/SoakCallers.h"
 
+#include <asio/signal_set.hpp>
+#include <csignal>
+
 namespace hemlockglade::soak {
 
 /// A deployment on loopback: real gateways, and stand-ins for all else. Does
@@ -39,6 +42,8 @@
 
 private:
   std::string takeNetwork();
+  /// Whether nothing listens where the first gateway is to.
+  bool isFree(const std::string &network);
   void buildNodes();
   void buildReplicas();
   void runFor(Span span);
@@ -68,6 +73,8 @@
   TimerService Timers;
   /// Holds the soak's loopback network.
   asio::ip::tcp::acceptor Network{Context};
+  /// Ends the gateways with a soak that is told to end.
+  asio::signal_set Ends{Context, SIGTERM, SIGINT, SIGHUP};
   SoakHistory History;
   SoakStore Store;
   std::list<std::unique_ptr<SoakNode>> Nodes;
