--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -39,7 +39,7 @@
     Dropping = true;
 }
 
-void HttpConnection::call(std::string head, const std::string &body,
+void HttpConnection::call(const std::string &head, const std::string &body,
                           bool bodiless, HttpCallHooks hooks) {
   Hooks = std::make_shared<HttpCallHooks>(std::move(hooks));
   Outgoing = {};
--- a/Hemlockglade/Transport/Http1/HttpConnection.h
+++ b/Hemlockglade/Transport/Http1/HttpConnection.h
@@ -52,7 +52,7 @@
 
   /// Sends a request, connecting first if needed. The hooks are called later,
   /// never from inside, until OnDone or OnFailed.
-  void call(std::string head, const std::string &body, bool bodiless,
+  void call(const std::string &head, const std::string &body, bool bodiless,
             HttpCallHooks hooks);
   /// Ends the connection at once; no hook is called any more.
   void abort();
