--- a/Hemlockglade/Transport/Http1/HttpCaller.cpp
+++ b/Hemlockglade/Transport/Http1/HttpCaller.cpp
@@ -65,7 +65,7 @@
     running->end(tl::unexpected(how));
   };
   auto head = headOf(call);
-  running->Connection->call(std::move(head), call.Body, call.Method == "HEAD",
+  running->Connection->call(head, call.Body, call.Method == "HEAD",
                             std::move(hooks));
 }
 
