One obedient core for both programs that measure the decision core

Cause: CostProbe and CoreSlopes each had a core without limits whose orders are carried out at once, line for line the same but for the timing. Change: ObedientCore; CostProbe sets a hook around each call to time it.

--- a/Bench/Capacity/CoreSlopes.cpp
+++ b/Bench/Capacity/CoreSlopes.cpp
@@ -2,10 +2,7 @@
 #include "Slope.h"
 #include "Slopes.h"
 
-#include "Hemlockglade/Coordination/Decision/CellCore.h"
-
-#include <limits>
-#include <utility>
+#include "Bench/Core/ObedientCore.h"
 
 namespace hemlockglade::bench {
 
@@ -17,129 +14,49 @@
 constexpr std::uint32_t AdaptersOfReplica = 4;
 constexpr int Decisions = 20000;
 
-CellCoreSettings unlimited() {
-  CellCoreSettings out;
-  out.QueueLimit = std::numeric_limits<std::uint32_t>::max();
-  out.Queues.AdapterLimit = 0;
-  out.Admission.RefuseInfeasible = false;
-  return out;
-}
-
-/// A core whose orders are all carried out at once.
-class DrivenCore {
-public:
-  DrivenCore() : Core(unlimited()) {
-    drive(LeaseChanged{LeaseMode::Held});
-    drive(TurnChanged{1, 1e6});
-  }
-
-  void addReplica(ReplicaKey key, std::uint32_t slots = Slots,
-                  std::uint32_t batch = Batch) {
-    ReplicaAdded event;
-    event.Replica = key;
-    event.Domain = key % 3 + 1;
-    event.Slots = slots;
-    event.Batch = batch;
-    drive(event);
-    drive(reportOf(key));
-  }
-
-  static ReplicaReport reportOf(ReplicaKey key) {
-    ReplicaReport report;
-    report.Replica = key;
-    report.Incarnation = 1;
-    return report;
-  }
-
-  /// Asks for an adapter; the request ends at once unless it is to run on.
-  void request(AdapterKey adapter, bool runsOn = false) {
-    RequestArrived event;
-    event.Request = ++Requests;
-    event.Adapter = adapter;
-    event.Deadline = Now + std::chrono::hours(24);
-    RunsOn = runsOn;
-    drive(event);
-  }
-
-  void advance(Span span) {
-    Now += span;
-    drive(Tick{});
-  }
-
-  void drive(Event event) {
-    if (auto *report = std::get_if<ReplicaReport>(&event))
-      report->TakenAt = Now;
-    std::vector<Action> actions;
-    Core.handle(event, Now, actions);
-    for (const auto &action : actions)
-      std::visit([this](const auto &it) { apply(it); }, action);
-  }
-
-  std::size_t waiting() const { return Core.waiting(); }
-
-private:
-  void apply(const Admit &it) {
-    if (!RunsOn)
-      drive(RequestFinished{it.Request});
-  }
-  void apply(const Load &it) {
-    drive(LoadDone{it.Replica, it.Adapter, it.Order});
-  }
-  void apply(const Evict &it) {
-    drive(EvictDone{it.Replica, it.Adapter, false, it.Order});
-  }
-  void apply(const Refuse &) {}
-  void apply(const CancelLoad &) {}
-
-  CellCore Core;
-  Instant Now = std::chrono::hours(1);
-  RequestKey Requests = 0;
-  bool RunsOn = false;
-};
-
 /// Bytes that a core of that many things holds beyond an empty one.
 double bytesOf(std::size_t n,
-               const std::function<void(DrivenCore &, std::size_t)> &fill) {
+               const std::function<void(ObedientCore &, std::size_t)> &fill) {
   auto before = heapBytes();
-  DrivenCore core;
+  ObedientCore core;
   fill(core, n);
   return heapBytes() - before;
 }
 
-void fillIdle(DrivenCore &core, std::size_t n) {
+void fillIdle(ObedientCore &core, std::size_t n) {
   for (ReplicaKey it = 1; it <= 16; ++it)
-    core.addReplica(it);
+    core.addReplica(it, Slots, Batch);
   for (AdapterKey it = 1; it <= n; ++it) {
     core.request(it);
     core.advance(std::chrono::seconds(2));
   }
 }
 
-void fillLoaded(DrivenCore &core, std::size_t n) {
-  core.addReplica(1, static_cast<std::uint32_t>(n));
+void fillLoaded(ObedientCore &core, std::size_t n) {
+  core.addReplica(1, static_cast<std::uint32_t>(n), Batch);
   for (AdapterKey it = 1; it <= n; ++it)
     core.request(it);
 }
 
-void fillReplicas(DrivenCore &core, std::size_t n) {
+void fillReplicas(ObedientCore &core, std::size_t n) {
   for (ReplicaKey it = 1; it <= n; ++it)
-    core.addReplica(it);
+    core.addReplica(it, Slots, Batch);
 }
 
-void fillRunning(DrivenCore &core, std::size_t n) {
+void fillRunning(ObedientCore &core, std::size_t n) {
   core.addReplica(1, Slots, static_cast<std::uint32_t>(n));
   for (std::size_t it = 0; it < n; ++it)
     core.request(1, true);
 }
 
-void fillWaiting(DrivenCore &core, std::size_t n) {
+void fillWaiting(ObedientCore &core, std::size_t n) {
   core.addReplica(1, Slots, 1);
   for (std::size_t it = 0; it <= n; ++it)
     core.request(1, true);
 }
 
 /// A cell with its share of the adapters, all asked for once.
-void fillCell(DrivenCore &core, std::size_t replicas) {
+void fillCell(ObedientCore &core, std::size_t replicas) {
   fillReplicas(core, replicas);
   auto adapters = static_cast<AdapterKey>(replicas * AdaptersOfReplica);
   for (AdapterKey it = 1; it <= adapters; ++it) {
@@ -149,7 +66,7 @@
 }
 
 double decisionMicros(std::size_t replicas) {
-  DrivenCore core;
+  ObedientCore core;
   fillCell(core, replicas);
   auto adapters = replicas * AdaptersOfReplica;
   AdapterKey next = 0;
@@ -163,7 +80,7 @@
 }
 
 double tickMicros(std::size_t replicas) {
-  DrivenCore core;
+  ObedientCore core;
   fillCell(core, replicas);
   return microsOf([&core] {
            for (int it = 0; it < Decisions; ++it)
@@ -173,9 +90,9 @@
 }
 
 double reportMicros(std::size_t replicas) {
-  DrivenCore core;
+  ObedientCore core;
   fillCell(core, replicas);
-  auto report = DrivenCore::reportOf(1);
+  auto report = ObedientCore::reportOf(1);
   for (AdapterKey it = 1; it <= Slots; ++it)
     report.Resident.push_back({it, 0});
   return microsOf([&] {
--- a/Bench/Core/CostProbe.cpp
+++ b/Bench/Core/CostProbe.cpp
@@ -1,108 +1,42 @@
 #include "Bench/Core/CostProbe.h"
 
+#include "Bench/Core/ObedientCore.h"
 #include "Bench/Core/Popularity.h"
 #include "Bench/Core/VirtualLoop.h"
-#include "Hemlockglade/Coordination/Decision/CellCore.h"
 
 #include <algorithm>
 #include <chrono>
-#include <limits>
 #include <malloc.h>
-#include <utility>
 
 namespace hemlockglade::bench {
 
 namespace {
 
-constexpr Span Patience = std::chrono::hours(24);
-
 /// Bytes that the program has allocated and not freed.
 double allocated() {
   auto info = mallinfo2();
   return static_cast<double>(info.uordblks + info.hblkhd);
 }
 
-CellCoreSettings unlimited() {
-  CellCoreSettings out;
-  out.QueueLimit = std::numeric_limits<std::uint32_t>::max();
-  out.Queues.AdapterLimit = 0;
-  out.Admission.RefuseInfeasible = false;
-  return out;
-}
-
-/// A core whose orders are all carried out at once.
-class ProbedCore {
+/// A core that notes how long each of its calls took.
+class ProbedCore : public ObedientCore {
 public:
-  ProbedCore() : Core(unlimited()) {
-    drive(LeaseChanged{LeaseMode::Held});
-    drive(TurnChanged{1, 1e6});
-  }
-
-  void addReplica(ReplicaKey key, std::uint32_t slots, std::uint32_t batch) {
-    ReplicaAdded event;
-    event.Replica = key;
-    event.Domain = key % 3 + 1;
-    event.Slots = slots;
-    event.Batch = batch;
-    drive(event);
-    ReplicaReport report;
-    report.Replica = key;
-    report.Incarnation = 1;
-    report.TakenAt = Now;
-    drive(report);
-  }
-
-  /// Asks for an adapter; the request ends at once unless it is to run on.
-  void request(AdapterKey adapter, bool runsOn = false) {
-    RequestArrived event;
-    event.Request = ++Requests;
-    event.Adapter = adapter;
-    event.Deadline = Now + Patience;
-    RunsOn = runsOn;
-    drive(event);
+  ProbedCore() {
+    Around = [this](const std::function<void()> &call) {
+      auto before = std::chrono::steady_clock::now();
+      call();
+      auto spent =
+          std::chrono::nanoseconds(std::chrono::steady_clock::now() - before);
+      Times.push_back(static_cast<std::uint32_t>(spent.count()));
+    };
   }
-
-  void advance(Span span) {
-    Now += span;
-    drive(Tick{});
-  }
-
-  std::size_t waiting() const { return Core.waiting(); }
-  std::size_t running() const { return Core.running(); }
+  ProbedCore(const ProbedCore &) = delete;
+  ProbedCore &operator=(const ProbedCore &) = delete;
 
   /// Times of the calls since the last `take`, in nanoseconds.
   std::vector<std::uint32_t> takeTimes() { return std::exchange(Times, {}); }
 
 private:
-  void drive(const Event &event) {
-    Actions.clear();
-    auto before = std::chrono::steady_clock::now();
-    Core.handle(event, Now, Actions);
-    auto spent =
-        std::chrono::nanoseconds(std::chrono::steady_clock::now() - before);
-    Times.push_back(static_cast<std::uint32_t>(spent.count()));
-    for (const auto &action : std::vector<Action>(Actions))
-      std::visit([this](const auto &it) { apply(it); }, action);
-  }
-
-  void apply(const Admit &action) {
-    if (!RunsOn)
-      drive(RequestFinished{action.Request});
-  }
-  void apply(const Load &action) {
-    drive(LoadDone{action.Replica, action.Adapter, action.Order});
-  }
-  void apply(const Evict &action) {
-    drive(EvictDone{action.Replica, action.Adapter, false, action.Order});
-  }
-  void apply(const Refuse &) {}
-  void apply(const CancelLoad &) {}
-
-  CellCore Core;
-  Instant Now = std::chrono::hours(1);
-  RequestKey Requests = 0;
-  bool RunsOn = false;
-  std::vector<Action> Actions;
   std::vector<std::uint32_t> Times;
 };
 
