Being told that nothing was declared wakes nobody

Cause: a node that was told of the registry without news took that as a change of declarations and woke all its waiting requests, at each beat of its owner (300 ms). Replicas, told the same way, did not. Change: only the position moves on, as for replicas.

--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -190,7 +190,8 @@
       changes.Versions.push_back({WeightsRef::parse(weights), version});
     takeOperator(changes);
   }
-  takeOperator({nullptr, {}, news.OperatorPosition});
+  OperatorPosition = news.OperatorPosition;
+  Seen.onOperator({nullptr, {}, news.OperatorPosition});
   OperatorSeenAt = std::max(OperatorSeenAt, now - Span(news.OperatorAgeUs));
 }
 
