One conversion of seconds to a span

Cause: seven places each multiplied by a million and cut, or divided by it, beside inSeconds. A test's report names all its fields (a compiler warning).

--- a/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
@@ -20,11 +20,6 @@
 /// Loads of base models a second that a plan is taken to allow at least.
 constexpr double LeastRate = 0.1;
 
-Span spanOf(double seconds) {
-  constexpr double UsPerS = 1e6;
-  return Span(static_cast<std::int64_t>(seconds * UsPerS));
-}
-
 std::uint64_t mix(std::string_view a, std::string_view b) {
   return std::hash<std::string_view>{}(a)*31 + std::hash<std::string_view>{}(b);
 }
--- a/Hemlockglade/Protocol/Settings/SchemaReader.cpp
+++ b/Hemlockglade/Protocol/Settings/SchemaReader.cpp
@@ -148,10 +148,9 @@
 
 void SchemaReader::seconds(const char *key, Span &member, double min,
                            double max) {
-  constexpr double UsPerS = 1e6;
-  double out = static_cast<double>(member.count()) / UsPerS;
+  double out = inSeconds(member);
   real(key, out, min, max);
-  member = Span(static_cast<std::int64_t>(out * UsPerS));
+  member = spanOf(out);
 }
 
 void SchemaReader::flag(const char *key, bool &member) {
--- a/Hemlockglade/State/Ids.h
+++ b/Hemlockglade/State/Ids.h
@@ -18,6 +18,12 @@
   return std::chrono::duration<double>(span).count();
 }
 
+/// A number of seconds as a span, cut to microseconds.
+inline Span spanOf(double seconds) {
+  constexpr double UsPerS = 1e6;
+  return Span(static_cast<std::int64_t>(seconds * UsPerS));
+}
+
 /// Fencing number of a cell's ownership; rises with each change of owner.
 using Epoch = std::uint64_t;
 /// Number of an accepted configuration; rises by one with each commit.
--- a/Programs/hemlockgladed/Gateway/GatewayStatus.h
+++ b/Programs/hemlockgladed/Gateway/GatewayStatus.h
@@ -48,9 +48,8 @@
 
 /// When to come back, in seconds with two decimals.
 inline HeaderField retryAfterField(Span span) {
-  constexpr double UsPerS = 1e6;
   constexpr std::size_t PointAndDecimals = 3;
-  auto text = std::to_string(static_cast<double>(span.count()) / UsPerS);
+  auto text = std::to_string(inSeconds(span));
   return {"Retry-After", text.substr(0, text.find('.') + PointAndDecimals)};
 }
 
--- a/UnitTests/Coordination/Orders/CellDeskTest.cpp
+++ b/UnitTests/Coordination/Orders/CellDeskTest.cpp
@@ -90,7 +90,7 @@
       auto &engine = Engines[it.Replica];
       if (it.What == DeskAction::Kind::Report) {
         Desk.onReport(it.Replica,
-                      HoldingsReport{engine.Held, {}, false, engine.Count},
+                      HoldingsReport{engine.Held, {}, false, engine.Count, {}},
                       Now);
         continue;
       }
--- a/UnitTests/History/HistoryCheckMain.cpp
+++ b/UnitTests/History/HistoryCheckMain.cpp
@@ -20,11 +20,6 @@
 constexpr int Broken = 1;
 constexpr int Unreadable = 2;
 
-Span toSpan(double seconds) {
-  return std::chrono::duration_cast<Span>(
-      std::chrono::duration<double>(seconds));
-}
-
 /// Reads a file; false if a line is no history line.
 bool read(const char *path, std::vector<HistoryEvent> &events) {
   std::ifstream file(path);
@@ -52,7 +47,7 @@
   for (int it = 1; it < argc; ++it)
     good = read(argv[it], events) && good;
   HistoryChecker checker(std::move(events),
-                         {toSpan(FLAGS_leaving_s), toSpan(FLAGS_config_s)});
+                         {spanOf(FLAGS_leaving_s), spanOf(FLAGS_config_s)});
   bool broken = false;
   for (const auto &verdict : checker.check()) {
     print(std::cout, verdict, static_cast<std::size_t>(FLAGS_shown));
--- a/UnitTests/Platform/Soak/SoakCallers.cpp
+++ b/UnitTests/Platform/Soak/SoakCallers.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Soak/SoakCallers.h"
+#include "UnitTests/Platform/Soak/SoakCallers.h"
 
 #include "Hemlockglade/Protocol/JsonText.h"
 #include "Hemlockglade/Transport/Peer/PeerNet.h"
@@ -60,9 +60,7 @@
     return;
   if (!Known.All.empty())
     send();
-  constexpr double UsPerS = 1e6;
-  auto pause = Span(static_cast<std::int64_t>(UsPerS / Rate));
-  Timers.after(pause, [this](Instant) { next(); });
+  Timers.after(spanOf(1 / Rate), [this](Instant) { next(); });
 }
 
 void SoakCallers::ask() {
@@ -84,9 +82,7 @@
     auto body = parseJson(answer->Body);
     Known.All = body.at("addresses").template get<std::vector<std::string>>();
     Known.AskedAt = askedAt;
-    constexpr double UsPerS = 1e6;
-    Known.TimeToLive = Span(static_cast<std::int64_t>(
-        UsPerS * body.at("ttl_s").template get<double>()));
+    Known.TimeToLive = spanOf(body.at("ttl_s").template get<double>());
   });
 }
 
--- a/UnitTests/Platform/Soak/SoakCallers.h
+++ b/UnitTests/Platform/Soak/SoakCallers.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Hemlockglade/Transport/Http1/HttpCaller.h"
-#include "UnitTests/Soak/SoakNode.h"
-#include "UnitTests/Soak/SoakReplica.h"
+#include "UnitTests/Platform/Soak/SoakNode.h"
+#include "UnitTests/Platform/Soak/SoakReplica.h"
 
 #include <list>
 
--- a/UnitTests/Platform/Soak/SoakHistory.cpp
+++ b/UnitTests/Platform/Soak/SoakHistory.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Soak/SoakHistory.h"
+#include "UnitTests/Platform/Soak/SoakHistory.h"
 
 #include <sstream>
 
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -2,7 +2,7 @@
 // verdict from what callers and replicas saw.
 
 #include "UnitTests/History/HistoryChecker.h"
-#include "UnitTests/Soak/SoakWorld.h"
+#include "UnitTests/Platform/Soak/SoakWorld.h"
 
 #include <filesystem>
 #include <gflags/gflags.h>
@@ -27,11 +27,6 @@
 
 constexpr int UsageError = 2;
 
-Span toSpan(double seconds) {
-  constexpr double UsPerS = 1e6;
-  return Span(static_cast<std::int64_t>(seconds * UsPerS));
-}
-
 bool judge(SoakWorld &world) {
   HistoryBounds bounds;
   bounds.Configuration = std::chrono::seconds(3);
@@ -82,8 +77,8 @@
   settings.Nodes = FLAGS_nodes;
   settings.Engines = FLAGS_engines;
   settings.Rate = FLAGS_rate;
-  settings.FaultEvery = toSpan(FLAGS_fault_every);
-  settings.Recovery = toSpan(FLAGS_recovery);
+  settings.FaultEvery = spanOf(FLAGS_fault_every);
+  settings.Recovery = spanOf(FLAGS_recovery);
   auto planted = plantNamed(FLAGS_plant);
   if (!planted) {
     std::cerr << "platform_soak: no plant is called " << FLAGS_plant << '\n';
@@ -91,7 +86,7 @@
   }
   settings.Planted = *planted;
   SoakWorld world(settings);
-  world.play(toSpan(FLAGS_seconds));
+  world.play(spanOf(FLAGS_seconds));
   const auto &counts = world.counts();
   std::cout << "seed " << FLAGS_seed << ": " << counts.Sent << " sent, "
             << counts.Complete << " complete, " << counts.Refused
--- a/UnitTests/Platform/Soak/SoakNode.cpp
+++ b/UnitTests/Platform/Soak/SoakNode.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Soak/SoakNode.h"
+#include "UnitTests/Platform/Soak/SoakNode.h"
 
 #include <csignal>
 #include <fcntl.h>
--- a/UnitTests/Platform/Soak/SoakNode.h
+++ b/UnitTests/Platform/Soak/SoakNode.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "UnitTests/Soak/SoakHistory.h"
-#include "UnitTests/Soak/SoakProxy.h"
+#include "UnitTests/Platform/Soak/SoakHistory.h"
+#include "UnitTests/Platform/Soak/SoakProxy.h"
 
 #include <optional>
 #include <sys/types.h>
--- a/UnitTests/Platform/Soak/SoakProxy.cpp
+++ b/UnitTests/Platform/Soak/SoakProxy.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Soak/SoakProxy.h"
+#include "UnitTests/Platform/Soak/SoakProxy.h"
 
 #include "Hemlockglade/Transport/Http1/SocketOptions.h"
 
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Soak/SoakReplica.h"
+#include "UnitTests/Platform/Soak/SoakReplica.h"
 
 #include "Hemlockglade/Protocol/JsonText.h"
 #include "platform/Names.h"
@@ -102,7 +102,7 @@
   Timers.after(3 * BeatEvery,
                [this, gone = Incarnation, alive = Alive](Instant) {
                  if (*alive)
-                   Store.remove("servers", gone);
+                   Store.remove(platform_name::ReplicaTable, gone);
                });
 }
 
@@ -141,7 +141,7 @@
 
 void SoakReplica::beat() {
   ++Beats;
-  Store.put("servers", Incarnation, entry());
+  Store.put(platform_name::ReplicaTable, Incarnation, entry());
 }
 
 void SoakReplica::serve(const CallerRequest &request,
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "UnitTests/Soak/SoakHistory.h"
-#include "UnitTests/Soak/SoakProxy.h"
-#include "UnitTests/Soak/SoakStore.h"
+#include "UnitTests/Platform/Soak/SoakHistory.h"
+#include "UnitTests/Platform/Soak/SoakProxy.h"
+#include "UnitTests/Platform/Soak/SoakStore.h"
 
 #include <memory>
 #include <random>
--- a/UnitTests/Platform/Soak/SoakStore.cpp
+++ b/UnitTests/Platform/Soak/SoakStore.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Soak/SoakStore.h"
+#include "UnitTests/Platform/Soak/SoakStore.h"
 
 #include "Hemlockglade/Protocol/JsonText.h"
 #include "Hemlockglade/Protocol/QueryText.h"
@@ -187,14 +187,15 @@
   wake();
 }
 
-void SoakStore::put(const std::string &table, const std::string &key,
-                    const std::string &value) {
-  Tables[table][key] = {value, ++Version, false};
+void SoakStore::put(std::string_view table, std::string_view key,
+                    std::string value) {
+  Tables[std::string(table)][std::string(key)] = {std::move(value), ++Version,
+                                                  false};
   wake();
 }
 
-void SoakStore::remove(const std::string &table, const std::string &key) {
-  Tables[table][key] = {"", ++Version, true};
+void SoakStore::remove(std::string_view table, std::string_view key) {
+  Tables[std::string(table)][std::string(key)] = {"", ++Version, true};
   wake();
 }
 
--- a/UnitTests/Platform/Soak/SoakStore.h
+++ b/UnitTests/Platform/Soak/SoakStore.h
@@ -34,9 +34,8 @@
   void dropHistory();
 
   /// Writes of operators and replicas, which reach the store in any mood.
-  void put(const std::string &table, const std::string &key,
-           const std::string &value);
-  void remove(const std::string &table, const std::string &key);
+  void put(std::string_view table, std::string_view key, std::string value);
+  void remove(std::string_view table, std::string_view key);
 
 private:
   struct Row {
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -1,6 +1,7 @@
-#include "UnitTests/Soak/SoakWorld.h"
+#include "UnitTests/Platform/Soak/SoakWorld.h"
 
 #include "Hemlockglade/Protocol/JsonText.h"
+#include "platform/Names.h"
 
 #include <iostream>
 #include <unistd.h>
@@ -323,7 +324,7 @@
             {"routes", routes},
             {"services", services},
             {"limits", Json::object()}};
-  Store.put("op", "config", plan.dump());
+  Store.put(platform_name::OperatorTable, platform_name::PlanKey, plan.dump());
   auto &event = History.note("operator", "accepted");
   event.Revision = Plan;
   event.Change = "plan " + std::to_string(Plan);
@@ -338,7 +339,9 @@
       Versions[std::string(site::Model) + "/a" + std::to_string(it)] = 1;
   ++Versions[full];
   say("version " + std::to_string(Versions[full]) + " of " + full);
-  Store.put("op", "version/" + std::string(site::Model) + "." + name,
+  Store.put(platform_name::OperatorTable,
+            std::string(platform_name::VersionKeys) + std::string(site::Model) +
+                "." + name,
             Json{{"model", site::Model},
                  {"adapter", name},
                  {"version", Versions[full]}}
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "UnitTests/Soak/SoakCallers.h"
+#include "UnitTests/Platform/Soak/SoakCallers.h"
 
 #include <asio/signal_set.hpp>
 #include <csignal>
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -26,7 +26,7 @@
     build/platform_soak --seed "$seed" --seconds "$seconds" \
       --fault_every "$every" | grep -E '^(held|BROKEN|  )' || true
     [ "${PIPESTATUS[0]}" -eq 0 ] || status=1
-  done <UnitTests/Soak/seeds.txt
+  done <UnitTests/Platform/Soak/seeds.txt
   exit "$status"
 fi
 SECONDS_LONG=$(awk "BEGIN { print 60 * $MINUTES }")
