--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -14,9 +14,9 @@
     const auto *service = plan ? plan->service(record->Service) : nullptr;
     if (!service || !service->Engine)
       continue;
-    auto it = Books.find(record->Incarnation);
+    auto it = Books.find(record->Life.text());
     bool isNew = it == Books.end();
-    auto &book = kept[record->Incarnation];
+    auto &book = kept[record->Life.text()];
     if (!isNew)
       book = std::move(it->second);
     book.Record = record;
@@ -315,6 +315,21 @@
   }
 }
 
+bool CellDesk::reportsThisStart(Book &book, const HoldingsReport &report,
+                                Instant now) const {
+  auto ours = book.Record->Life.startedAtMs();
+  auto its = report.StartedAtMs;
+  if (!ours || !its || ours == its)
+    return true;
+  // A later start is in the registry within a heartbeat; until then the books
+  // of this one order nothing. An earlier one's report was on its way.
+  if (its > ours)
+    book.Replaced = true;
+  else
+    book.ReportDue = now + Setup.DoubtDelay;
+  return false;
+}
+
 void CellDesk::onReport(const std::string &replica,
                         const std::optional<HoldingsReport> &report,
                         Instant now) {
@@ -329,6 +344,8 @@
     return;
   }
   book.Unanswered = 0;
+  if (!reportsThisStart(book, *report, now))
+    return;
   book.Local = report->Local;
   book.ReportDue.reset();
   book.CheckDue.reset();
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -168,7 +168,7 @@
 
   struct Book {
     ReplicaPtr Record;
-    /// Another incarnation answers at its address.
+    /// Another start of it, or another replica, answers at its address.
     bool Replaced = false;
     std::shared_ptr<const RoutePlan> Plan;
     const EngineSpec *Engine = nullptr;
@@ -220,6 +220,8 @@
   bool orderable(const Book &book, Instant now) const;
   void adopt(Book &book, const HeldWeights &held, const HeldWeights &pending,
              std::uint64_t count, Instant now);
+  bool reportsThisStart(Book &book, const HoldingsReport &report,
+                        Instant now) const;
   static bool holdsAllModels(const Book &book);
   const ModelSpec *missingModel(const Book &book, Instant now);
   std::size_t modelsFromStore(Instant now) const;
--- a/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
@@ -264,7 +264,7 @@
     bool recent = it != Demands.end() &&
                   now - it->second.LastAsked < Setup.RecentUse &&
                   copies(key) < 2 && current(weights, held.Version);
-    bool used = Uses.contains({book.Record->Incarnation, weights});
+    bool used = Uses.contains({book.Record->Life.text(), weights});
     if (wanted || recent || used)
       continue;
     double worth = worthOf(book, weights, held, now);
@@ -293,7 +293,7 @@
                      std::string_view reason,
                      std::vector<DeskAction> &actions) {
   DeskAction action;
-  action.Replica = book.Record->Incarnation;
+  action.Replica = book.Record->Life.text();
   action.Order.Kind = kind;
   action.Order.Weights = weights;
   action.Order.ExpectedCount = book.Count;
--- a/Hemlockglade/Coordination/Orders/EngineOrder.h
+++ b/Hemlockglade/Coordination/Orders/EngineOrder.h
@@ -62,6 +62,8 @@
   bool Busy = false;
   std::uint64_t OrderCount = 0;
   LocalCopies Local;
+  /// Unix time in milliseconds of the start that reports; 0 if not told.
+  std::uint64_t StartedAtMs = 0;
 };
 
 /// How orders reach engines. Calls back later, never from inside.
--- a/Hemlockglade/Coordination/Registry/Registry.h
+++ b/Hemlockglade/Coordination/Registry/Registry.h
@@ -33,9 +33,12 @@
   /// Whether this is the whole list rather than changes.
   bool Whole = false;
   std::vector<ReplicaRecord> Present;
-  /// Incarnations whose entries were removed.
+  /// Ids of replicas whose entries were removed.
   std::vector<std::string> Removed;
   std::uint64_t Position = 0;
+  /// Ids under which something lies that is no replica's entry. Nothing new is
+  /// known of these replicas.
+  std::vector<std::string> Unread = {};
 };
 
 template <typename T>
@@ -56,7 +59,7 @@
   /// Read what another node passes on: `Source` of a plan or a replica.
   std::function<std::shared_ptr<const RoutePlan>(std::string_view source)>
       ReadPlan;
-  std::function<std::optional<ReplicaRecord>(std::string_view incarnation,
+  std::function<std::optional<ReplicaRecord>(std::string_view id,
                                              std::string_view source)>
       ReadReplica;
 };
--- a/Hemlockglade/Coordination/Registry/RegistryLog.cpp
+++ b/Hemlockglade/Coordination/Registry/RegistryLog.cpp
@@ -16,13 +16,13 @@
 }
 
 bool RegistryLog::matters(const ReplicaRecord &record) {
-  auto [it, isNew] = Known.try_emplace(record.Incarnation, record);
+  auto [it, isNew] = Known.try_emplace(record.Life.id(), record);
   const auto &old = it->second;
   // Most heartbeats change nothing that requests are routed by; what a replica
   // holds is told by its cell's owner. Told in full they would be 30 KB/s to
   // each node of a deployment with 140 replicas.
-  bool same = !isNew && old.Service == record.Service &&
-              old.Address == record.Address &&
+  bool same = !isNew && old.Life == record.Life &&
+              old.Service == record.Service && old.Address == record.Address &&
               old.FailureDomain == record.FailureDomain &&
               old.Slots == record.Slots && old.Draining == record.Draining;
   it->second = record;
@@ -33,7 +33,7 @@
   if (changes.Whole) {
     Known.clear();
     for (const auto &it : changes.Present)
-      Known.emplace(it.Incarnation, it);
+      Known.emplace(it.Life.id(), it);
     Replicas.reset(changes.Position);
     return false;
   }
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -24,8 +24,29 @@
          (rests != Resting.end() && now < rests->second);
 }
 
-void ReplicaView::takeRecord(const ReplicaRecord &record, Instant now) {
-  auto [it, isNew] = Replicas.try_emplace(record.Incarnation);
+bool ReplicaView::takeLife(const ReplicaLife &life, Instant now,
+                           std::vector<ReplicaPtr> &ended) {
+  auto [at, isFirst] = Lives.try_emplace(life.id(), life);
+  // An earlier start's heartbeat that was on its way, or an entry that does not
+  // tell its start where the one before did.
+  if (life.before(at->second))
+    return false;
+  if (!isFirst && at->second.before(life))
+    if (auto it = Replicas.find(at->second.text()); it != Replicas.end()) {
+      it->second.Replaced = true;
+      it->second.VanishesAt = now;
+      ++Revision;
+      ended.push_back(it->second.Record);
+    }
+  at->second = life;
+  return true;
+}
+
+void ReplicaView::takeRecord(const ReplicaRecord &record, Instant now,
+                             std::vector<ReplicaPtr> &ended) {
+  if (!takeLife(record.Life, now, ended))
+    return;
+  auto [it, isNew] = Replicas.try_emplace(record.Life.text());
   auto &seen = it->second;
   // A heartbeat that was on its way when the replica began to leave must not
   // bring it back.
@@ -37,7 +58,7 @@
   seen.VanishesAt.reset();
   if (isNew)
     index();
-  if (auto told = Early.find(record.Incarnation); told != Early.end()) {
+  if (auto told = Early.find(record.Life.text()); told != Early.end()) {
     seen.Held = std::move(told->second);
     seen.ByOwner = true;
     Early.erase(told);
@@ -46,17 +67,19 @@
     seen.Held = residencyOf(record, now);
 }
 
-void ReplicaView::onRegistry(const ReplicaChanges &changes, bool unreachable,
-                             Instant now) {
+std::vector<ReplicaPtr> ReplicaView::onRegistry(const ReplicaChanges &changes,
+                                                bool unreachable, Instant now) {
+  std::vector<ReplicaPtr> ended;
   for (const auto &it : changes.Present)
-    takeRecord(it, now);
+    takeRecord(it, now, ended);
   std::set<std::string> vanished(changes.Removed.begin(),
                                  changes.Removed.end());
-  std::set<std::string> present;
+  std::set<std::string> present(changes.Unread.begin(), changes.Unread.end());
   for (const auto &it : changes.Present)
-    present.insert(it.Incarnation);
+    present.insert(it.Life.id());
   std::size_t used = 0;
-  for (const auto &[id, seen] : Replicas) {
+  for (const auto &[key, seen] : Replicas) {
+    const auto &id = seen.Record->Life.id();
     used += usable(seen) ? 1 : 0;
     if (changes.Whole && !present.contains(id))
       vanished.insert(id);
@@ -67,9 +90,10 @@
   constexpr double LapseShare = 1.0 / 3;
   bool lapsed = unreachable && static_cast<double>(vanished.size()) >=
                                    LapseShare * static_cast<double>(used);
-  for (const auto &it : vanished)
-    if (auto at = Replicas.find(it); at != Replicas.end())
-      vanish(at->second, lapsed, now);
+  for (auto &[key, seen] : Replicas)
+    if (vanished.contains(seen.Record->Life.id()))
+      vanish(seen, lapsed, now);
+  return ended;
 }
 
 void ReplicaView::vanish(Seen &seen, bool lapsed, Instant now) {
@@ -180,11 +204,17 @@
 
 bool ReplicaView::versionServes(const WeightsRef &weights,
                                 std::uint64_t version, Instant now) const {
+  auto replaced = replacedAt(weights, version);
+  return !replaced || now - *replaced < Setup.OldVersionGrace;
+}
+
+std::optional<Instant> ReplicaView::replacedAt(const WeightsRef &weights,
+                                               std::uint64_t version) const {
   auto it = Versions.find(weights);
   if (weights.Adapter.empty() || it == Versions.end() ||
       version >= it->second.Version)
-    return true;
-  return now - it->second.At < Setup.OldVersionGrace;
+    return std::nullopt;
+  return it->second.At;
 }
 
 std::uint64_t ReplicaView::partKey(const RouteQuery &query,
@@ -271,7 +301,7 @@
       continue;
     known = true;
     near = near || seen.Record->FailureDomain == Setup.FailureDomain;
-    if (query.passesOver(seen.Record->Incarnation, now))
+    if (query.passesOver(seen.Record->Life.text(), now))
       continue;
     if (query.Weights) {
       auto held = seen.Held.find(*query.Weights);
@@ -312,8 +342,11 @@
   out.ReadyAt = best->BusyUntil - bound;
   out.Clean = best->BusyUntil <= now;
   out.Replica = best->Record;
-  if (query.Weights)
+  if (query.Weights) {
     out.Version = best->Held.at(*query.Weights).Version;
+    if (auto replaced = replacedAt(*query.Weights, out.Version))
+      out.BeginsBy = *replaced + Setup.OldVersionEnd;
+  }
   out.Far = near && best->Record->FailureDomain != Setup.FailureDomain;
   out.Running = best->Own + best->Others;
   if (best->OthersAt > Instant{})
@@ -412,7 +445,15 @@
     bool over = seen.VanishesAt && now >= *seen.VanishesAt + KeepGone;
     if (seen.Parts.size() > Setup.PartMemory)
       seen.Parts.clear();
-    it = over && seen.Own == 0 ? Replicas.erase(it) : std::next(it);
+    if (!over || seen.Own > 0) {
+      ++it;
+      continue;
+    }
+    const auto &life = seen.Record->Life;
+    if (auto at = Lives.find(life.id());
+        at != Lives.end() && at->second == life)
+      Lives.erase(at);
+    it = Replicas.erase(it);
   }
   index();
 }
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -27,10 +27,10 @@
   Instant TimelyUntil{};
   /// Rank of its route; 0 is the most urgent.
   std::uint32_t Rank = 0;
-  /// Incarnations that are not to be tried again.
+  /// Starts of replicas that are not to be tried again.
   std::set<std::string> Avoid;
-  /// Incarnations that turned this request away unrun, until when each is left
-  /// alone by it.
+  /// Starts of replicas that turned this request away unrun, until when each is
+  /// left alone by it.
   std::map<std::string, Instant> Resting;
 
   bool passesOver(const std::string &incarnation, Instant now) const;
@@ -59,6 +59,9 @@
   /// Version of the weights there; 0 if not known.
   std::uint64_t Version = 0;
   Instant ReadyAt{};
+  /// Set where the version there has been replaced: the request has to begin by
+  /// then, or not at all on these weights.
+  std::optional<Instant> BeginsBy;
   /// Whether the replica is in another failure domain though the own one has
   /// replicas of the service: the weights are wanted nearer.
   bool Far = false;
@@ -106,6 +109,10 @@
     double UsualFailures = 0.1;
     /// An older version of weights is used this long after a newer was named.
     Span OldVersionGrace = std::chrono::milliseconds(2500);
+    /// From this long after a newer version was named on, nothing may begin on
+    /// an older one. Below the bound that operators are promised by what a node
+    /// needs to hear of a version, some 100 ms, and of an answer's start.
+    Span OldVersionEnd = std::chrono::milliseconds(4200);
     /// Replicas whose entries vanish while the registry was out of reach are
     /// used for this long: they may have lapsed and come back.
     Span LapseGrace = std::chrono::milliseconds(1700);
@@ -122,8 +129,10 @@
   void setPlan(std::shared_ptr<const RoutePlan> plan) {
     Plan = std::move(plan);
   }
-  /// `unreachable`: the registry was out of reach shortly before.
-  void onRegistry(const ReplicaChanges &changes, bool unreachable, Instant now);
+  /// `unreachable`: the registry was out of reach shortly before. Gives the
+  /// replicas that have started anew, as they were before.
+  std::vector<ReplicaPtr> onRegistry(const ReplicaChanges &changes,
+                                     bool unreachable, Instant now);
   void onVersion(const WeightsRef &weights, std::uint64_t version, Instant now);
   /// An owner tells what a replica holds, and how many requests run there that
   /// this node has not sent.
@@ -210,11 +219,18 @@
               Instant now) const;
   bool versionServes(const WeightsRef &weights, std::uint64_t version,
                      Instant now) const;
+  /// When a newer version than this was named, if one was.
+  std::optional<Instant> replacedAt(const WeightsRef &weights,
+                                    std::uint64_t version) const;
   std::uint32_t unreadTokens(const Seen &seen, const RouteQuery &query) const;
   std::uint32_t sharedTokens(const Seen &seen, const RouteQuery &query) const;
   bool hasRoom(const Seen &seen, const RouteQuery &query) const;
   double usualFailures(const std::string &service, Instant now) const;
-  void takeRecord(const ReplicaRecord &record, Instant now);
+  /// Whether a start of a replica is the latest that is known; one before ends.
+  bool takeLife(const ReplicaLife &life, Instant now,
+                std::vector<ReplicaPtr> &ended);
+  void takeRecord(const ReplicaRecord &record, Instant now,
+                  std::vector<ReplicaPtr> &ended);
   void vanish(Seen &seen, bool lapsed, Instant now);
   void index();
   /// Backlog up to which an engine gets the request.
@@ -225,6 +241,8 @@
   Settings Setup;
   std::shared_ptr<const RoutePlan> Plan;
   std::map<std::string, Seen> Replicas;
+  /// The latest start of each replica, by its id.
+  std::map<std::string, ReplicaLife> Lives;
   /// The same by service, for choosing.
   std::map<std::string, std::vector<Seen *>> ByService;
   std::uint64_t Revision = 1;
--- a/Hemlockglade/State/Routing/ReplicaRecord.h
+++ b/Hemlockglade/State/Routing/ReplicaRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hemlockglade/State/Ids.h"
+#include "Hemlockglade/State/Routing/ReplicaLife.h"
 
 #include <map>
 #include <memory>
@@ -39,8 +40,8 @@
 
 /// What the registry says of one start of a replica.
 struct ReplicaRecord {
-  /// Names this start of the replica; another start has another one.
-  std::string Incarnation;
+  /// Which start of which replica this is.
+  ReplicaLife Life;
   std::string Service;
   /// `ip:port`
   std::string Address;
--- a/Hemlockglade/Transport/Http1/HttpPool.cpp
+++ b/Hemlockglade/Transport/Http1/HttpPool.cpp
@@ -46,6 +46,18 @@
   idle.push_back(connection);
 }
 
+void HttpPool::drop(const asio::ip::tcp::endpoint &address) {
+  auto it = Idle.find(address);
+  if (it == Idle.end())
+    return;
+  auto connections = std::move(it->second);
+  Idle.erase(it);
+  for (const auto &connection : connections) {
+    connection->OnIdleEnd = nullptr;
+    connection->abort();
+  }
+}
+
 void HttpPool::tidy() {
   auto now = TimerService::now();
   for (auto it = Idle.begin(); it != Idle.end();) {
--- a/Hemlockglade/Transport/Http1/HttpPool.h
+++ b/Hemlockglade/Transport/Http1/HttpPool.h
@@ -30,6 +30,8 @@
                                        Span mostIdle = Span::max());
   /// Gives a connection back after its call.
   void give(const std::shared_ptr<HttpConnection> &connection);
+  /// Drops the idle connections to an address.
+  void drop(const asio::ip::tcp::endpoint &address);
   /// Drops idle connections that are past their time.
   void tidy();
 
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -67,7 +67,7 @@
 void CellMember::carryOut(const DeskAction &action) {
   auto records = View.replicasIn(Setup.Cell);
   auto it = std::find_if(records.begin(), records.end(), [&](const auto &r) {
-    return r->Incarnation == action.Replica;
+    return r->Life.text() == action.Replica;
   });
   if (it == records.end())
     return;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -97,6 +97,8 @@
         ReplicaView::Settings out;
         out.FailureDomain = Settings.FailureDomain;
         out.OldVersionGrace = Settings.VersionBound / 2;
+        constexpr double EndShare = 0.84;
+        out.OldVersionEnd = scaled(Settings.VersionBound, EndShare);
         constexpr double LapseShare = 0.85;
         out.LapseGrace = Span(static_cast<std::int64_t>(
             LapseShare * static_cast<double>(Settings.DrainBound.count())));
@@ -128,18 +130,18 @@
       [this](const ReplicaRecord &replica, const auto &weights, bool missing) {
         auto it = Cells.find(replica.FailureDomain);
         if (it != Cells.end())
-          it->second->onRefusal(replica.Incarnation, weights, missing);
+          it->second->onRefusal(replica.Life.text(), weights, missing);
       },
       [this](const ReplicaRecord &replica, std::uint32_t tokens,
              const WeightsRef &weights) {
         auto it = Cells.find(replica.FailureDomain);
         if (it != Cells.end())
-          it->second->onSent(replica.Incarnation, tokens, weights);
+          it->second->onSent(replica.Life.text(), tokens, weights);
       },
       [this](const ReplicaRecord &replica, const WeightsRef &weights) {
         auto it = Cells.find(replica.FailureDomain);
         if (it != Cells.end())
-          it->second->onDone(replica.Incarnation, weights);
+          it->second->onDone(replica.Life.text(), weights);
       },
       [this] {
         return std::any_of(Cells.begin(), Cells.end(), [](const auto &it) {
@@ -250,20 +252,36 @@
 }
 
 void Gateway::onReplicas(const ReplicaChanges &changes, bool unreachable) {
-  View.onRegistry(changes, unreachable, TimerService::now());
+  for (const auto &it :
+       View.onRegistry(changes, unreachable, TimerService::now()))
+    onRestarted(*it);
   for (const auto &it : changes.Removed)
     Log.write(LogClass::State, "replica-gone",
               {{"replica", it}, {"unreachable_lately", unreachable}});
+  if (!changes.Unread.empty())
+    Log.write(LogClass::State, "entries-unread",
+              {{"entries", static_cast<std::uint64_t>(changes.Unread.size())},
+               {"first", changes.Unread.front()}});
   for (const auto &it : changes.Present)
     if (it.Draining)
       Log.write(LogClass::State, "replica-leaves",
-                {{"replica", it.Incarnation},
+                {{"replica", it.Life.text()},
                  {"address", it.Address},
                  {"leaves_in_ms", it.LeavesIn}});
   SeenReplicas = SeenReplicas || View.size() > 0;
   wakeWaiting();
 }
 
+void Gateway::onRestarted(const ReplicaRecord &before) {
+  Log.write(LogClass::State, "replica-restarted",
+            {{"replica", before.Life.text()}, {"address", before.Address}});
+  // Nothing listens any more behind connections of before.
+  Pool.drop(parseEndpoint(before.Address));
+  auto open = Exchanges;
+  for (const auto &it : open)
+    it->onRestarted(before.Life);
+}
+
 void Gateway::refuse(CallerReply &reply, std::string_view id,
                      std::uint16_t status, std::string_view why,
                      std::optional<Span> retryAfter) {
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -40,6 +40,8 @@
   void join();
   void onOperator(const OperatorChanges &changes);
   void onReplicas(const ReplicaChanges &changes, bool unreachable);
+  /// A replica has started anew; what ran on it before is lost.
+  void onRestarted(const ReplicaRecord &before);
   void onRequest(CallerRequest request, std::shared_ptr<CallerReply> reply);
   void onDirectory(const CallerRequest &request, CallerReply &reply);
   void onReadiness(const CallerRequest &request, CallerReply &reply);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -209,12 +209,12 @@
   try {
     address = parseEndpoint(choice.Replica->Address);
   } catch (const asio::system_error &) {
-    Query.Avoid.insert(choice.Replica->Incarnation);
+    Query.Avoid.insert(choice.Replica->Life.text());
     return hold(choice);
   }
   ForwardLabels labels;
   labels.TimeLeft = timeLeft();
-  labels.Incarnation = choice.Replica->Incarnation;
+  labels.Incarnation = choice.Replica->Life.id();
   if (engine())
     labels.Priority = std::min(LowestRank, Way.Priority);
   if (engine() && choice.Version)
@@ -231,16 +231,17 @@
   Now->Replica = choice.Replica;
   Now->SentAt = now;
   Now->Clean = choice.Clean;
+  Now->BeginsBy = choice.BeginsBy;
   if (engine())
     Shared.OnSent(*choice.Replica,
-                  Shared.View.tokensToRead(choice.Replica->Incarnation, Query),
+                  Shared.View.tokensToRead(choice.Replica->Life.text(), Query),
                   *Query.Weights);
-  Now->Number = Shared.View.onSent(choice.Replica->Incarnation, Query, now);
+  Now->Number = Shared.View.onSent(choice.Replica->Life.text(), Query, now);
   bool once = !Way.idempotent();
   Now->Connection =
       Shared.Pool.take(address, once ? Setup.UnsafeIdle : Span::max());
   bool kept = Now->Connection->open();
-  Tried.insert(choice.Replica->Incarnation);
+  Tried.insert(choice.Replica->Life.text());
   EverSent = true;
   if (!FirstSent)
     FirstSent = now - Request.ArrivedAt;
@@ -250,7 +251,7 @@
                     {"service", Query.Service},
                     {"weights", engine() ? Query.Weights->text() : ""},
                     {"version", choice.Version},
-                    {"replica", choice.Replica->Incarnation},
+                    {"replica", choice.Replica->Life.text()},
                     {"running", choice.Running},
                     {"load_age_ms", choice.LoadAge},
                     {"far", choice.Far},
@@ -285,13 +286,13 @@
       self->onFailed(how);
   };
   if (Way.idempotent()) {
-    auto usual = Shared.View.usualAnswer(choice.Replica->Incarnation);
+    auto usual = Shared.View.usualAnswer(choice.Replica->Life.text());
     Span least = Way.Kind == RouteKind::Stream
                      ? std::max(Setup.LeastStall, Way.TargetLatency)
                      : Setup.LeastSlow;
     expectWithin(std::max(least, scaled(usual, Setup.SlowFactor)));
-    armAttempt();
   }
+  armAttempt();
   arm();
   Now->Connection->call(writeHead(head), Request.Body,
                         Request.Head.Method == "HEAD", std::move(hooks));
@@ -302,8 +303,13 @@
 }
 
 void GatewayExchange::armAttempt() {
+  auto due = Now->StuckAt;
+  if (Now->BeginsBy && !Now->FirstEvent)
+    due = std::min(due, *Now->BeginsBy);
+  if (due == Instant::max())
+    return;
   // The timer is not moved with each event: it looks when it fires.
-  AttemptTimer.expires_after(Now->StuckAt - TimerService::now());
+  AttemptTimer.expires_after(due - TimerService::now());
   AttemptTimer.async_wait([weak = weak_from_this(),
                            number = Now->Number](asio::error_code ec) {
     auto self = weak.lock();
@@ -312,13 +318,44 @@
   });
 }
 
+void GatewayExchange::onRestarted(const ReplicaLife &before) {
+  if (Done || !Now || Now->Replica->Life != before)
+    return;
+  Now->Orphaned = true;
+  Now->StuckAt =
+      std::min(Now->StuckAt, TimerService::now() + Setup.OrphanPatience);
+  armAttempt();
+}
+
+void GatewayExchange::noteAlive() {
+  // Something came: the request runs at the new start of its replica.
+  if (std::exchange(Now->Orphaned, false))
+    Now->StuckAt = Way.idempotent() ? TimerService::now() + Setup.LeastStall
+                                    : Instant::max();
+}
+
+bool GatewayExchange::beginsTooLate() const {
+  return Now->BeginsBy && !Now->FirstEvent &&
+         TimerService::now() >= *Now->BeginsBy;
+}
+
 void GatewayExchange::onAttemptTimer() {
-  if (TimerService::now() < Now->StuckAt)
+  bool late = beginsTooLate();
+  if (!late && TimerService::now() < Now->StuckAt)
     return armAttempt();
   MayHaveRun = MayHaveRun || Now->Connection->open();
+  // A request that an engine has queued behind others would begin on weights
+  // that were replaced long ago; ending it here is the only way to prevent
+  // that.
+  if (late)
+    return onUnknown("would begin on replaced weights");
+  if (Now->Orphaned && !Now->Connection->open())
+    return onFailed(HttpFailure::NotConnected);
+  if (Now->Orphaned)
+    return onUnknown("replica started anew");
   if (!mayRepeat() || !spendRepeat("slow"))
     return;
-  auto slow = Now->Replica->Incarnation;
+  auto slow = Now->Replica->Life.text();
   endAttempt(AttemptVerdict::Bad);
   Query.Avoid.insert(slow);
   next();
@@ -349,7 +386,7 @@
     return;
   AttemptTimer.cancel();
   auto attempt = std::exchange(Now, nullptr);
-  Shared.View.onEnd(attempt->Replica->Incarnation, attempt->Number, Query,
+  Shared.View.onEnd(attempt->Replica->Life.text(), attempt->Number, Query,
                     verdict, TimerService::now());
   if (engine())
     Shared.OnDone(*attempt->Replica, *Query.Weights);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -74,6 +74,10 @@
   /// Twice as long after each further time: where a whole service is full,
   /// asking again helps nobody.
   Span ShedRest = std::chrono::milliseconds(50);
+  /// Time in which something has to come from a replica that has started anew
+  /// since a request was sent to it: it may have been sent to the new start
+  /// already. Plain answers take 30 to 60 ms, pauses of streams are shorter.
+  Span OrphanPatience = std::chrono::milliseconds(400);
   /// Time that has to be left for an attempt to be worth it.
   Span LeastAttempt = std::chrono::milliseconds(20);
   /// A kept connection that rested longer is not used for what must not run
@@ -106,6 +110,9 @@
   void start();
   /// Something that it may wait for has changed.
   void wake();
+  /// A replica has started anew. An attempt there is over, unless it already
+  /// runs at the new start and something comes soon.
+  void onRestarted(const ReplicaLife &before);
   /// Shortens how long it may be held before it is sent anywhere.
   void holdAtMost(Span span);
   /// Ends it without a complete answer, at the end of a stop.
@@ -137,8 +144,13 @@
     /// The engine had no prompts to read when the request was sent.
     bool Clean = false;
     bool FirstEvent = false;
-    /// When the attempt is taken to be stuck, unless something comes before.
-    Instant StuckAt{};
+    /// When the attempt is taken to be stuck, unless something comes before;
+    /// never if the attempt may not be repeated and its replica lives.
+    Instant StuckAt = Instant::max();
+    /// If it has not begun by then it must not, as its weights were replaced.
+    std::optional<Instant> BeginsBy;
+    /// Its replica has started anew since it was sent.
+    bool Orphaned = false;
   };
 
   void next();
@@ -160,6 +172,8 @@
   void arm();
   void expectWithin(Span span);
   void armAttempt();
+  void noteAlive();
+  bool beginsTooLate() const;
   void endAttempt(AttemptVerdict verdict);
   bool mayRepeat() const;
   bool spendRepeat(std::string_view why);
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -39,19 +39,21 @@
     Shared.Log.write(LogClass::Request, "stray-answer",
                      {{"request", Labels.Id},
                       {"answers", labels.Id},
-                      {"replica", Now->Replica->Incarnation}});
+                      {"replica", Now->Replica->Life.text()}});
     return false;
   }
   auto now = TimerService::now();
+  noteAlive();
   Now->Head = head;
   Now->Labels = labels;
-  Shared.View.onAnswered(Now->Replica->Incarnation, Now->Number, now);
+  Shared.View.onAnswered(Now->Replica->Life.text(), Now->Number, now);
   if (!labels.NotRun)
     MayHaveRun = true;
   return true;
 }
 
 void GatewayExchange::onBody(std::string_view part) {
+  noteAlive();
   bool events = Now->Labels.Events && isSuccess(Now->Head->Status) &&
                 Now->Labels.Sealed && !Now->Labels.Encoded;
   if (!events) {
@@ -67,7 +69,7 @@
 
 void GatewayExchange::passEvents(std::string_view events) {
   if (!std::exchange(Now->FirstEvent, true))
-    Shared.View.onFirstEvent(Now->Replica->Incarnation, Query,
+    Shared.View.onFirstEvent(Now->Replica->Life.text(), Query,
                              TimerService::now() - Now->SentAt, Now->Clean);
   if (!AnswerBegun) {
     AnswerBegun = true;
@@ -112,9 +114,9 @@
   // A replica that fails more than its like does so by itself; another one
   // may answer the same request well.
   if (status >= ServerError && !AnswerBegun && mayRepeat() &&
-      Shared.View.suspect(Now->Replica->Incarnation, TimerService::now()) &&
+      Shared.View.suspect(Now->Replica->Life.text(), TimerService::now()) &&
       spendRepeat("replica's own failure")) {
-    auto failed = Now->Replica->Incarnation;
+    auto failed = Now->Replica->Life.text();
     endAttempt(AttemptVerdict::OwnFailure);
     Query.Avoid.insert(failed);
     return next();
@@ -145,7 +147,7 @@
 
 void GatewayExchange::onFailed(HttpFailure how) {
   if (how == HttpFailure::NotConnected) {
-    auto failed = Now->Replica->Incarnation;
+    auto failed = Now->Replica->Life.text();
     Tried.erase(failed);
     endAttempt(AttemptVerdict::Bad);
     Query.Avoid.insert(failed);
@@ -164,30 +166,30 @@
   auto status = Now->Head->Status;
   bool misdirected = status == OtherIncarnation;
   bool replaced = misdirected && !Now->Labels.Incarnation.empty() &&
-                  Now->Labels.Incarnation != replica.Incarnation;
+                  Now->Labels.Incarnation != replica.Life.id();
   Shared.Log.write(LogClass::Request, "not-run",
                    {{"request", Labels.Id},
-                    {"replica", replica.Incarnation},
+                    {"replica", replica.Life.text()},
                     {"answered_by", Now->Labels.Incarnation},
                     {"status", std::uint32_t{status}}});
   // An engine that lacks the weights answers like one that has been replaced;
   // the difference is which incarnation answers.
   if (replaced) {
     endAttempt(AttemptVerdict::Bad);
-    Shared.View.onReplaced(replica.Incarnation);
+    Shared.View.onReplaced(replica.Life.text());
   } else if (engine()) {
     endAttempt(AttemptVerdict::Good);
-    Shared.View.onWeightsRefused(replica.Incarnation, *Query.Weights,
+    Shared.View.onWeightsRefused(replica.Life.text(), *Query.Weights,
                                  misdirected, TimerService::now());
     Shared.OnRefusal(replica, *Query.Weights, misdirected);
   } else {
     endAttempt(AttemptVerdict::Shed);
     auto &rest =
-        NextRest.try_emplace(replica.Incarnation, Setup.ShedRest).first->second;
-    Query.Resting[replica.Incarnation] = TimerService::now() + rest;
+        NextRest.try_emplace(replica.Life.text(), Setup.ShedRest).first->second;
+    Query.Resting[replica.Life.text()] = TimerService::now() + rest;
     rest *= 2;
   }
-  Tried.erase(replica.Incarnation);
+  Tried.erase(replica.Life.text());
   auto now = TimerService::now();
   if (Shared.Budget.spend(Query.Service, now))
     return next();
@@ -201,7 +203,7 @@
 void GatewayExchange::onUnknown(std::string_view why) {
   std::string failed;
   if (Now) {
-    failed = Now->Replica->Incarnation;
+    failed = Now->Replica->Life.text();
     endAttempt(AttemptVerdict::Bad);
   }
   if (mayRepeat() && spendRepeat(why)) {
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -48,7 +48,7 @@
   if (Plan)
     out.PlanText = Plan->Source;
   for (const auto &it : View.inUse())
-    out.Replicas.emplace_back(it->Incarnation, it->Source);
+    out.Replicas.emplace_back(it->Life.id(), it->Source);
   for (const auto &[weights, version] : Versions)
     out.Versions.emplace_back(weights.text(), version);
   for (const auto &[name, cell] : Cells)
@@ -82,8 +82,8 @@
   for (const auto &[weights, version] : reply.Versions)
     declared.Versions.push_back({WeightsRef::parse(weights), version});
   ReplicaChanges replicas;
-  for (const auto &[incarnation, source] : reply.Replicas)
-    if (auto it = Port.Registry.ReadReplica(incarnation, source))
+  for (const auto &[id, source] : reply.Replicas)
+    if (auto it = Port.Registry.ReadReplica(id, source))
       replicas.Present.push_back(std::move(*it));
   Log.write(
       LogClass::State, "briefing",
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -159,7 +159,7 @@
     for (const auto &it : *all) {
       RegisteredNotice notice{{}, it.Removed};
       for (const auto &at : it.Present)
-        notice.Present.emplace_back(at.Incarnation, at.Source);
+        notice.Present.emplace_back(at.Life.id(), at.Source);
       out.Registered.push_back(std::move(notice));
     }
   }
@@ -204,8 +204,8 @@
     ReplicaChanges changes;
     changes.Position = news.ReplicaPosition;
     changes.Removed = it.Removed;
-    for (const auto &[incarnation, source] : it.Present)
-      if (auto record = Registry.ReadReplica(incarnation, source))
+    for (const auto &[id, source] : it.Present)
+      if (auto record = Registry.ReadReplica(id, source))
         changes.Present.push_back(std::move(*record));
     takeReplicas(changes, unreachableLately() || news.Unreachable);
   }
--- a/UnitTests/Coordination/Orders/CellDeskTest.cpp
+++ b/UnitTests/Coordination/Orders/CellDeskTest.cpp
@@ -64,13 +64,13 @@
       : Plan(planWith(places, rate)) {
     for (int it = 0; it < replicas; ++it) {
       FakeEngine engine;
-      engine.Record.Incarnation = "i-" + std::to_string(it);
+      engine.Record.Life = ReplicaLife("i-" + std::to_string(it));
       engine.Record.Service = Service;
       engine.Record.Slots = 8;
       engine.Held[{Model, {}}] = 1;
       engine.Record.Held = engine.Held;
       engine.Places = places;
-      Engines[engine.Record.Incarnation] = engine;
+      Engines[engine.Record.Life.text()] = engine;
     }
     show();
   }
@@ -293,4 +293,92 @@
   });
 }
 
+namespace {
+
+/// The engine starts again under its id and holds what it held, if anything.
+void restart(DeskWorld &world, const std::string &key, std::uint64_t startMs) {
+  auto engine = world.Engines.at(key);
+  world.Engines.erase(key);
+  engine.Record.Life = ReplicaLife(engine.Record.Life.id(), startMs);
+  engine.Held = {{{Model, {}}, 1}};
+  engine.Record.Held = engine.Held;
+  engine.Count = 0;
+  world.Engines[engine.Record.Life.text()] = engine;
+}
+
+} // namespace
+
+TEST_CASE("books end with an engine's life", "[desk][life]") {
+  DeskWorld world(1);
+  world.rounds(2);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  world.rounds(4);
+  CHECK(world.Desk.residency("i-0").contains(adapter(1)));
+  restart(world, "i-0", 2000);
+  world.show();
+  CHECK_FALSE(world.Desk.residency("i-0#2000").contains(adapter(1)));
+  CHECK(world.Desk.residency("i-0").empty());
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  world.rounds(4);
+  CHECK(world.Engines.at("i-0#2000").Held.contains(adapter(1)));
+}
+
+TEST_CASE("a report of another start leaves the books alone", "[desk][life]") {
+  DeskWorld world(1);
+  restart(world, "i-0", 1000);
+  world.show();
+  world.rounds(2);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  world.rounds(4);
+  HoldingsReport other{{{{Model, {}}, 1}}, {}, false, 7, {}, 0};
+  SECTION("of an earlier one: a new report is asked for") {
+    other.StartedAtMs = 500;
+    world.Desk.onReport("i-0#1000", other, world.Now);
+    CHECK(world.Desk.residency("i-0#1000").contains(adapter(1)));
+    world.Desk.onWant(Service, adapter(2), world.Now);
+    world.rounds(12);
+    CHECK(world.Engines.at("i-0#1000").Held.contains(adapter(2)));
+  }
+  SECTION("of a later one: nothing more is ordered until it is registered") {
+    other.StartedAtMs = 2000;
+    world.Desk.onReport("i-0#1000", other, world.Now);
+    world.Desk.onWant(Service, adapter(2), world.Now);
+    world.rounds(12);
+    CHECK_FALSE(world.Engines.at("i-0#1000").Held.contains(adapter(2)));
+    restart(world, "i-0#1000", 2000);
+    world.show();
+    world.rounds(4);
+    CHECK(world.Engines.at("i-0#2000").Held.contains(adapter(2)));
+  }
+}
+
+TEST_CASE("orders to a former start that are carried out late never fill an "
+          "engine beyond its places",
+          "[desk][life]") {
+  bool held = rc::check([] {
+    DeskWorld world(2);
+    auto draw = [](int most) { return *rc::gen::inRange(0, most); };
+    std::uint64_t startMs = 1000;
+    for (int step = 0; step < 60; ++step) {
+      world.Desk.onWant(Service, adapter(draw(9)), world.Now);
+      world.Now += milliseconds(50);
+      world.round([&draw] { return draw(4) == 0 ? 2 : 0; });
+      if (draw(8) == 0) {
+        restart(world, world.Engines.begin()->first, startMs += 1000);
+        world.show();
+      }
+      if (draw(4) != 0)
+        continue;
+      for (auto &[key, order] : std::exchange(world.Late, {}))
+        for (auto &[now, engine] : world.Engines)
+          // The id is all that an engine compares.
+          if (engine.Record.Life.id() == key.substr(0, key.find('#')))
+            engine.obey(order);
+    }
+    for (const auto &[key, engine] : world.Engines)
+      RC_ASSERT(!engine.Crashed);
+  });
+  CHECK(held);
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Coordination/Orders/ModelLoadRateTest.cpp
+++ b/UnitTests/Coordination/Orders/ModelLoadRateTest.cpp
@@ -72,10 +72,10 @@
   void addEngine(Cell &cell, bool hasCopy = false) {
     Engine engine;
     engine.HasCopy = hasCopy;
-    engine.Record.Incarnation = "i-" + std::to_string(NextEngine++);
+    engine.Record.Life = ReplicaLife("i-" + std::to_string(NextEngine++));
     engine.Record.Service = Service;
     engine.Record.Slots = 8;
-    cell.Engines[engine.Record.Incarnation] = engine;
+    cell.Engines[engine.Record.Life.text()] = engine;
   }
 
   std::size_t underWay(const Cell &cell) const {
--- a/UnitTests/Coordination/Route/RegistryLogTest.cpp
+++ b/UnitTests/Coordination/Route/RegistryLogTest.cpp
@@ -8,7 +8,7 @@
 
 ReplicaRecord replica(const std::string &incarnation, bool draining = false) {
   ReplicaRecord out;
-  out.Incarnation = incarnation;
+  out.Life = ReplicaLife(incarnation);
   out.Service = "s";
   out.Draining = draining;
   return out;
@@ -30,9 +30,9 @@
   auto all = log.replicas().since(10);
   REQUIRE(all);
   REQUIRE(all->size() == 3);
-  CHECK((*all)[0].Present[0].Incarnation == "i-2");
+  CHECK((*all)[0].Present[0].Life.text() == "i-2");
   CHECK((*all)[1].Removed[0] == "i-2");
-  CHECK((*all)[2].Present[0].Incarnation == "i-2");
+  CHECK((*all)[2].Present[0].Life.text() == "i-2");
   CHECK(log.replicas().since(15)->size() == 1);
   CHECK(log.replicas().since(16)->empty());
   CHECK(log.replicas().position() == 16);
@@ -75,4 +75,14 @@
   CHECK(log.operators().position() == 8);
 }
 
+TEST_CASE("a start under the same id is told", "[registry-log][life]") {
+  RegistryLog log({});
+  auto first = replica("i-1");
+  first.Life = ReplicaLife("i-1", 1000);
+  log.onReplicas({true, {first}, {}, 1});
+  CHECK_FALSE(log.onReplicas({false, {first}, {}, 2}));
+  first.Life = ReplicaLife("i-1", 2000);
+  CHECK(log.onReplicas({false, {first}, {}, 3}));
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -13,7 +13,7 @@
 
 ReplicaRecord record(std::string id, std::string domain = "hall-a") {
   ReplicaRecord out;
-  out.Incarnation = std::move(id);
+  out.Life = ReplicaLife(std::move(id));
   out.Service = "drafts";
   out.Address = "10.0.0.1:80";
   out.FailureDomain = std::move(domain);
@@ -108,7 +108,7 @@
   it.View.onOthersRunning("i-2", 3, it.Now);
   it.View.onOthersRunning("i-3", 3, it.Now);
   it.View.onOthersRunning("i-4", 3, it.Now);
-  CHECK(it.choose().Replica->Incarnation != "i-1");
+  CHECK(it.choose().Replica->Life.text() != "i-1");
 }
 
 TEST_CASE("weights decide who can serve", "[view]") {
@@ -151,10 +151,10 @@
 TEST_CASE("a near replica is preferred until it is fuller", "[view]") {
   ViewFixture it;
   it.present({record("i-far", "hall-b"), record("i-near")});
-  CHECK(it.choose().Replica->Incarnation == "i-near");
+  CHECK(it.choose().Replica->Life.text() == "i-near");
   it.View.onOthersRunning("i-near", 2, it.Now);
   auto choice = it.choose();
-  CHECK(choice.Replica->Incarnation == "i-far");
+  CHECK(choice.Replica->Life.text() == "i-far");
   CHECK(choice.Far);
 }
 
@@ -213,7 +213,7 @@
     it.View.onSent("i-1", query, it.Now);
     it.Now += std::chrono::seconds(3);
   }
-  CHECK(it.choose().Replica->Incarnation == "i-2");
+  CHECK(it.choose().Replica->Life.text() == "i-2");
 }
 
 TEST_CASE("failures of their own count against the usual ones", "[view]") {
@@ -253,4 +253,100 @@
   CHECK(speed.usPerToken() == Approx(30).epsilon(0.02));
 }
 
+namespace {
+
+/// The same replica as it says of itself after a start at another time.
+ReplicaRecord startedAt(std::uint64_t ms) {
+  auto out = record("i-1");
+  out.Life = ReplicaLife("i-1", ms);
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("a replica that starts again under its id knows nothing of before",
+          "[view][life]") {
+  ViewFixture it;
+  it.present({startedAt(1000)});
+  auto query = it.query();
+  query.Parts = {7};
+  query.SharedTokens = 500;
+  it.View.onSent("i-1#1000", query, it.Now);
+  it.View.onResidency("i-1#1000", {{Adapter, {1, it.Now}}}, it.Now);
+  CHECK(it.View.tokensToRead("i-1#1000", query) == 500);
+  auto next = startedAt(2000);
+  next.Held.clear();
+  auto ended = it.View.onRegistry({false, {next}, {}, 2}, false, it.Now);
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0]->Life.text() == "i-1#1000");
+  CHECK(it.choose().What == Kind::Missing);
+  CHECK(it.View.tokensToRead("i-1#2000", query) == 1000);
+  CHECK(it.View.replicasIn("hall-a").size() == 1);
+  CHECK(it.View.replicasIn("hall-a")[0]->Life.text() == "i-1#2000");
+  // The request that was under way there ends at its own start.
+  it.View.onEnd("i-1#1000", 1, query, AttemptVerdict::Bad, it.Now);
+  CHECK(it.View.ownRunning("hall-a").empty());
+}
+
+TEST_CASE("a heartbeat of an earlier start changes nothing", "[view][life]") {
+  ViewFixture it;
+  it.present({startedAt(2000)});
+  auto old = startedAt(1000);
+  old.Draining = true;
+  CHECK(it.View.onRegistry({false, {old}, {}, 2}, false, it.Now).empty());
+  CHECK(it.choose().Replica->Life.text() == "i-1#2000");
+  SECTION("nor does one that does not tell its start") {
+    old.Life = ReplicaLife("i-1");
+    it.present({old}, false);
+    CHECK(it.choose().Replica->Life.text() == "i-1#2000");
+  }
+}
+
+TEST_CASE("a replica that left in one life serves in the next",
+          "[view][life]") {
+  ViewFixture it;
+  auto leaving = startedAt(1000);
+  leaving.Draining = true;
+  it.present({leaving});
+  CHECK(it.choose().What == Kind::Nobody);
+  it.present({startedAt(2000)}, false);
+  CHECK(it.choose().Replica->Life.text() == "i-1#2000");
+  it.View.onRegistry({false, {}, {"i-1"}, 3}, false, it.Now);
+  CHECK(it.choose().What == Kind::Nobody);
+}
+
+TEST_CASE("an owner may tell of a new start before the registry does",
+          "[view][life]") {
+  ViewFixture it;
+  it.present({startedAt(1000)});
+  it.View.onResidency("i-1#2000", {}, it.Now);
+  CHECK(it.choose().Replica->Life.text() == "i-1#1000");
+  it.present({startedAt(2000)}, false);
+  CHECK(it.choose().What == Kind::Missing);
+  it.View.onResidency("i-1#1000", {{Adapter, {1, it.Now}}}, it.Now);
+  CHECK(it.choose().What == Kind::Missing);
+}
+
+TEST_CASE("what lies under a replica's id but is no entry changes nothing",
+          "[view][life]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onRegistry({true, {}, {}, 2, {"i-1"}}, false, it.Now);
+  CHECK(it.choose().What == Kind::Send);
+}
+
+TEST_CASE("a request on weights that were replaced is told by when to begin",
+          "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  CHECK_FALSE(it.choose().BeginsBy);
+  it.View.onVersion(Adapter, 2, it.Now);
+  auto named = it.Now;
+  it.Now += milliseconds(2000);
+  REQUIRE(it.choose().What == Kind::Send);
+  CHECK(it.choose().BeginsBy == named + milliseconds(4200));
+  it.Now += milliseconds(600);
+  CHECK(it.choose().What == Kind::Missing);
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -26,6 +26,8 @@
     out.Id = valueOf(fields, "Id");
     out.TimeLeft = milliseconds(2000);
     out.ResumeBehind = valueOf(fields, "Behind");
+    if (auto weights = valueOf(fields, "Weights"); !weights.empty())
+      out.Weights = WeightsRef::parse(weights);
     return out;
   };
   hooks.Forward = [](const LabelFields &fields, const ForwardLabels &labels) {
@@ -115,7 +117,10 @@
       auto labels = Shared.Labels.ReadRequest(fields);
       Plan = std::make_shared<const RoutePlan>(
           1, std::vector{Way},
-          std::vector{ServiceSpec{"s", "/", 10, std::nullopt}}, CallerLimits{});
+          std::vector{ServiceSpec{"s", "/", 10,
+                                  Generates ? std::optional(EngineSpec{})
+                                            : std::nullopt}},
+          CallerLimits{});
       View.setPlan(Plan);
       Exchange = std::make_shared<GatewayExchange>(
           Shared, Setup, Plan, Plan->routes()[0], std::move(request),
@@ -132,7 +137,7 @@
     std::vector<ReplicaRecord> records;
     for (auto *it : {&First, &Second}) {
       ReplicaRecord record;
-      record.Incarnation = it == &First ? "i-1" : "i-2";
+      record.Life = ReplicaLife(it == &First ? "i-1" : "i-2");
       record.Service = "s";
       record.Address = it->address();
       record.FailureDomain = it == &First ? "hall-a" : "hall-b";
@@ -173,6 +178,8 @@
   RawPeer Peer;
   std::unique_ptr<CallerServer> Server;
   std::shared_ptr<GatewayExchange> Exchange;
+  /// Whether the service runs models.
+  bool Generates = false;
   bool Ended = false;
   std::string Outcome;
 };
@@ -446,4 +453,81 @@
   }
 }
 
+TEST_CASE("what ran at a replica that has started anew goes on elsewhere",
+          "[gateway][life]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.Way.Resumable = true;
+  it.Way.MaxAttempts = 2;
+  it.Way.TargetGap = milliseconds(300);
+  it.Setup.OrphanPatience = milliseconds(60);
+  it.present();
+  it.First.Script = {{StreamHead + chunk(event(0))}};
+  it.Second.Script = {{StreamHead + chunk(event(1)) + chunk("")}};
+  it.ask();
+  REQUIRE(it.untilGot("data: 0"));
+  it.Exchange->onRestarted(ReplicaLife("i-1"));
+  REQUIRE(it.untilEnd());
+  CHECK(it.Outcome == "complete");
+  CHECK(*findField(it.Second.Requests[0].Head.Fields, "Behind") == "0");
+}
+
+TEST_CASE("what may have run at a replica that has started anew is answered "
+          "soon",
+          "[gateway][life]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::RunOnce;
+  it.Setup.OrphanPatience = milliseconds(60);
+  it.present();
+  it.ask();
+  REQUIRE(it.until([&it] { return it.First.Requests.size() == 1; }));
+  it.Exchange->onRestarted(ReplicaLife("i-1"));
+  REQUIRE(it.untilGot("HTTP/1.1 502"));
+  CHECK(it.Outcome == "replica started anew");
+  CHECK(it.Second.Requests.empty());
+}
+
+TEST_CASE("a request that already runs at the new start is left alone",
+          "[gateway][life]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.Setup.OrphanPatience = milliseconds(60);
+  it.present();
+  it.First.Script = {{StreamHead + chunk(event(0))}};
+  it.ask();
+  REQUIRE(it.until([&it] { return it.First.Requests.size() == 1; }));
+  it.Exchange->onRestarted(ReplicaLife("i-1"));
+  REQUIRE(it.untilGot("data: 0"));
+  bool passed = false;
+  asio::steady_timer timer(it.Context, 3 * it.Setup.OrphanPatience);
+  timer.async_wait([&passed](asio::error_code) { passed = true; });
+  REQUIRE(it.until([&passed] { return passed; }));
+  CHECK_FALSE(it.Ended);
+}
+
+TEST_CASE("a request that would begin on replaced weights goes on elsewhere",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.Way.Resumable = true;
+  it.Way.MaxAttempts = 2;
+  it.Generates = true;
+  it.present();
+  const WeightsRef adapter{"m", "a1"};
+  auto now = TimerService::now();
+  it.View.onResidency("i-1", {{adapter, {1, now}}}, now);
+  // Named so long ago that the request has to begin within some 100 ms.
+  it.View.onVersion(adapter, 2, now - milliseconds(2450));
+  it.Shared.OnDemand = [](auto &&...) {};
+  it.Shared.OnSent = [](auto &&...) {};
+  it.Shared.OnDone = [](auto &&...) {};
+  it.Second.Script = {{StreamHead + chunk(event(0)) + chunk("")}};
+  it.ask("Weights: m/a1\r\n");
+  REQUIRE(it.until([&it] { return it.First.Requests.size() == 1; }));
+  it.View.onResidency("i-2", {{adapter, {2, now}}}, now);
+  REQUIRE(it.untilEnd());
+  CHECK(it.Outcome == "complete");
+  CHECK(it.Second.Requests.size() == 1);
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Node/Gateway/GatewayTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayTest.cpp
@@ -38,7 +38,7 @@
 
   void registerReplica(const std::string &address) {
     ReplicaRecord record;
-    record.Incarnation = "i-1";
+    record.Life = ReplicaLife("i-1");
     record.Service = "s";
     record.Address = address;
     record.FailureDomain = "hall-a";
@@ -82,7 +82,7 @@
     out.Registry.ReadReplica = [](std::string_view incarnation,
                                   std::string_view source) {
       ReplicaRecord record;
-      record.Incarnation = incarnation;
+      record.Life = ReplicaLife(std::string(incarnation));
       record.Service = "s";
       record.Address = source;
       record.FailureDomain = "hall-a";
--- a/UnitTests/Node/Gateway/RegistryWatchTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatchTest.cpp
@@ -38,7 +38,7 @@
     };
     registry.ReadReplica = [](std::string_view incarnation, std::string_view) {
       ReplicaRecord out;
-      out.Incarnation = incarnation;
+      out.Life = ReplicaLife(std::string(incarnation));
       return std::optional(out);
     };
     RegistryWatch::Settings settings;
@@ -52,7 +52,7 @@
     };
     hooks.OnReplicas = [this](const auto &it, bool) {
       for (const auto &at : it.Present)
-        Present.push_back(at.Incarnation);
+        Present.push_back(at.Life.id());
     };
     hooks.Tells = [this] { return Tells; };
     hooks.OnNews = [this] { ++News; };
--- a/UnitTests/Platform/DocumentsTest.cpp
+++ b/UnitTests/Platform/DocumentsTest.cpp
@@ -82,7 +82,7 @@
       R"("cold_remaining_ms":10,"sequence":4,"models":[{"name":"m",)"
       R"("version":2,"adapters":["a1@3","a2"]}]})");
   REQUIRE(replica);
-  CHECK(replica->Incarnation == "i-1");
+  CHECK(replica->Life.text() == "i-1");
   CHECK(replica->Draining);
   CHECK(replica->LeavesIn == milliseconds(1800));
   CHECK(replica->Held.at({"m", ""}) == 2);
@@ -167,4 +167,106 @@
   });
 }
 
+namespace {
+
+const std::string Entry =
+    R"({"service":"s1","address":"10.0.0.1:80","zone":"hall-a","version":"v1",)"
+    R"("slots":64,"state":"ready","cold_remaining_ms":0,"sequence":4,)"
+    R"("born":1733184000123,"stage":"combined",)"
+    R"("models":[{"name":"m","version":2,"adapters":["a1@3"]}],)"
+    R"("available":{"resident":[],"cached_on_disk":["m"]}})";
+
+/// The entry with one field replaced, or left out if there is no value.
+std::string withField(const std::string &field, const std::string &value) {
+  auto node = parseJson(Entry);
+  if (value.empty())
+    node.erase(field);
+  else
+    node[field] = parseJson(value);
+  return writeJson(node);
+}
+
+} // namespace
+
+TEST_CASE("a replica's life is its id and its start", "[documents][life]") {
+  auto replica = readReplica("i-1", Entry);
+  REQUIRE(replica);
+  CHECK(replica->Life == ReplicaLife("i-1", 1733184000123));
+  CHECK(readReplica("i-1", withField("born", ""))->Life == ReplicaLife("i-1"));
+  auto report = readReport(R"({"sequence":1,"models":[],"born":17})");
+  REQUIRE(report);
+  CHECK(report->StartedAtMs == 17);
+}
+
+TEST_CASE("an entry that no replica wrote names no replica",
+          "[documents][foreign]") {
+  auto text = GENERATE(
+      as<std::string>{}, "", "null", "7", "[]", "{}", "\xff\xfe",
+      "{\"a\":", withField("service", ""), withField("service", "3"),
+      withField("service", R"("a b")"), withField("address", ""),
+      withField("address", R"("10.0.0.1")"),
+      withField("address", R"("nowhere:80")"),
+      withField("address", R"("10.0.0.1:99999")"), withField("address", "[]"),
+      withField("zone", ""), withField("zone", "null"),
+      withField("slots", R"("64")"), withField("slots", "-1"),
+      withField("slots", "1.5"), withField("slots", ""), withField("state", ""),
+      withField("state", R"("retired")"), withField("state", "true"),
+      withField("born", R"("1733184000123")"), withField("born", "17.5"),
+      withField("born", "-4"), withField("born", "null"),
+      withField("models", "{\"a\":1}"), withField("models", R"([{"name":7}])"),
+      withField("models", R"([{"name":"m","version":"2"}])"),
+      withField("models", R"([{"name":"m","adapters":[3]}])"),
+      withField("remaining_ms", R"("soon")"), std::string(70'000, '['),
+      "\"" + std::string(70'000, 'x') + "\"");
+  CAPTURE(text.substr(0, 300));
+  auto replica = readReplica("i-1", text);
+  REQUIRE_FALSE(replica);
+  CHECK_FALSE(replica.error().empty());
+}
+
+TEST_CASE("a key that is no name names no replica", "[documents][foreign]") {
+  auto key = GENERATE(as<std::string>{}, "", "a b", "a\r\nX: 1", "\xc3\xa4",
+                      std::string(201, 'x'));
+  CHECK_FALSE(readReplica(key, Entry));
+}
+
+TEST_CASE("no bytes make the reading of documents fail otherwise than by an "
+          "error",
+          "[documents][fuzz]") {
+  const std::string Report =
+      R"({"stage":"combined","models":[{"name":"m","version":1,"adapters":)"
+      R"(["a1@1"]}],"pending":["m/a7@2"],"busy":true,"available":{"resident":)"
+      R"(["m"],"cached_on_disk":["m"]},"sequence":9,"born":5})";
+  const std::string Version = R"({"model":"m","adapter":"a1","version":4})";
+  const std::vector<std::string> texts{Plan, Entry, Report, Version};
+  bool held = rc::check([&texts] {
+    auto text = texts[*rc::gen::inRange<std::size_t>(0, texts.size())];
+    auto changes = *rc::gen::inRange(1, 6);
+    for (int it = 0; it < changes && !text.empty(); ++it) {
+      auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+      switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        text[at] = *rc::gen::arbitrary<char>();
+        break;
+      case 1:
+        text.erase(at, *rc::gen::inRange<std::size_t>(1, 12));
+        break;
+      case 2:
+        text.insert(at,
+                    text.substr(*rc::gen::inRange<std::size_t>(0, at + 1), 12));
+        break;
+      default:
+        text.insert(at, *rc::gen::element<std::string>(
+                            "null", "-1", "1e99", "\"\"", "[", "}", "1.5"));
+      }
+    }
+    if (auto replica = readReplica("i-1", text))
+      RC_ASSERT(!replica->Service.empty() && !replica->Address.empty());
+    static_cast<void>(readPlan(text));
+    static_cast<void>(readReport(text));
+    static_cast<void>(readVersion(text));
+  });
+  CHECK(held);
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Platform/StoreTest.cpp
+++ b/UnitTests/Platform/StoreTest.cpp
@@ -60,7 +60,7 @@
 
   ReplicaRecord replica() const {
     ReplicaRecord out;
-    out.Incarnation = "i-1";
+    out.Life = ReplicaLife("i-1");
     out.Address = address(Server->port());
     return out;
   }
@@ -169,7 +169,8 @@
 TEST_CASE("the feed tells what came and what went", "[store]") {
   StoreFixture it;
   it.Answer = {200, R"({"rows":[)" +
-                        row("i-1", R"({"service":"s","address":"1.2.3.4:5"})") +
+                        row("i-1", R"({"service":"s","address":"1.2.3.4:5",)"
+                                   R"("zone":"z","slots":4,"state":"ready"})") +
                         R"(,{"key":"i-2","ver":6,"deleted":true}],"ver":6})"};
   std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
   it.Store->registry().WatchReplicas(5, [&](auto got) { result = got; });
@@ -211,4 +212,45 @@
   CHECK(it.order() == OrderAnswer::Unknown);
 }
 
+TEST_CASE("entries that something else wrote harm no others and are told once",
+          "[store][foreign]") {
+  StoreFixture it;
+  const std::string good =
+      R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":4,)"
+      R"("state":"ready"})";
+  it.Answer = {200, R"({"rows":[)" + row("i-0", "not JSON") + "," +
+                        row("i-1", good) + "," + row("i-2", "{}") +
+                        R"(,{"key":"i-3","ver":6,"value":"***"},)" +
+                        R"({"key":"i-4","ver":6,"value":7},)" +
+                        row("i-5", good) + R"(],"ver":6,"has_more":false})"};
+  for (int look = 0; look < 3; ++look) {
+    std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+    it.Store->registry().ReadReplicas([&](auto got) { result = got; });
+    auto changes = it.wait(result);
+    REQUIRE(changes);
+    REQUIRE(changes->Present.size() == 2);
+    CHECK(changes->Present[1].Life.id() == "i-5");
+    CHECK(changes->Unread ==
+          std::vector<std::string>{"i-0", "i-2", "i-3", "i-4"});
+  }
+  CHECK(it.Lines.size() == 4);
+}
+
+TEST_CASE("of several changes of an entry the last one holds", "[store]") {
+  StoreFixture it;
+  const std::string good =
+      R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":4,)"
+      R"("state":"ready"})";
+  it.Answer = {200, R"({"rows":[{"key":"i-1","ver":5,"deleted":true},)" +
+                        row("i-1", good) + "," + row("i-2", good) +
+                        R"(,{"key":"i-2","ver":7,"deleted":true}],"ver":7})"};
+  std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+  it.Store->registry().WatchReplicas(4, [&](auto got) { result = got; });
+  auto changes = it.wait(result);
+  REQUIRE(changes);
+  REQUIRE(changes->Present.size() == 1);
+  CHECK(changes->Present[0].Life.id() == "i-1");
+  CHECK(changes->Removed == std::vector<std::string>{"i-2"});
+}
+
 } // namespace hemlockglade::test
