--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -5,6 +5,21 @@
 
 namespace hemlockglade {
 
+namespace {
+
+/// What is left of a weight that halves in each half life.
+double faded(double weight, Span age, Span halfLife) {
+  return weight * std::exp2(-inSeconds(age) / inSeconds(halfLife));
+}
+
+/// Requests a second that keep a fading count at a weight.
+double rateOfWeight(double weight, Span halfLife) {
+  constexpr double Ln2 = 0.6931471805599453;
+  return weight * Ln2 / inSeconds(halfLife);
+}
+
+} // namespace
+
 void CellDesk::setReplicas(const std::vector<ReplicaPtr> &replicas,
                            const std::shared_ptr<const RoutePlan> &plan,
                            Instant now) {
@@ -90,10 +105,14 @@
 }
 
 double CellDesk::rate(const Demand &demand, Instant now) const {
-  constexpr double Ln2 = 0.6931471805599453;
-  double halfLife = inSeconds(Setup.DemandHalfLife);
-  double age = inSeconds(now - demand.At);
-  return demand.Weight * std::exp2(-age / halfLife) * Ln2 / halfLife;
+  auto age = now - demand.At;
+  double slow = rateOfWeight(faded(demand.Weight, age, Setup.DemandHalfLife),
+                             Setup.DemandHalfLife);
+  if (Setup.FastHalfLife <= Span(0))
+    return slow;
+  double fast = faded(demand.FastWeight, age, Setup.FastHalfLife);
+  bool sure = fast >= Setup.FastLeast;
+  return sure ? std::max(slow, rateOfWeight(fast, Setup.FastHalfLife)) : slow;
 }
 
 double CellDesk::rateOf(const DemandKey &key, Instant now) const {
@@ -104,9 +123,11 @@
 void CellDesk::onDemand(const std::string &service, const WeightsRef &weights,
                         double requests, Instant now) {
   auto &demand = Demands[{service, weights}];
-  double age = inSeconds(now - demand.At);
-  demand.Weight *= std::exp2(-age / inSeconds(Setup.DemandHalfLife));
-  demand.Weight += requests;
+  auto age = now - demand.At;
+  demand.Weight = faded(demand.Weight, age, Setup.DemandHalfLife) + requests;
+  if (Setup.FastHalfLife > Span(0))
+    demand.FastWeight =
+        faded(demand.FastWeight, age, Setup.FastHalfLife) + requests;
   demand.At = now;
   demand.LastAsked = now;
 }
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -67,6 +67,12 @@
     /// Half life of the demand estimate. Demand moves several times in half a
     /// minute, and an adapter of the 80 most wanted comes about every 5 s.
     Span DemandHalfLife = std::chrono::seconds(8);
+    /// Half life of a second estimate, which is taken where it is higher: what
+    /// becomes wanted within seconds gets its copies before the slow estimate
+    /// has seen it. Nothing is taken from it below the number of requests that
+    /// makes it sure. 0 switches it off.
+    Span FastHalfLife = std::chrono::milliseconds(0);
+    double FastLeast = 3;
     /// Requests a second from which on an adapter that another cell holds is
     /// worth a copy here. A load from the weight store costs as much as the
     /// bytes of 8 requests between failure domains; demand holds for some 15 s.
@@ -81,6 +87,9 @@
     /// Requests that wait for engines at their limit ask for a copy for this
     /// long.
     Span PressedFor = std::chrono::milliseconds(700);
+    /// Requests a second that one copy has to serve at least while they do, so
+    /// that what presses for a moment doesn't drop everything else.
+    double PressedRatePerCopy = 0;
     /// Load order of what requests wait for: a second of waiting counts as this
     /// many requests a second.
     double WaitWeight = 0.2;
@@ -167,6 +176,7 @@
 private:
   struct Demand {
     double Weight = 0;
+    double FastWeight = 0;
     Instant At{};
     Instant LastAsked{};
     Instant PressedAt{-3'600'000'000};
--- a/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
@@ -176,7 +176,8 @@
     if (rateNow < Setup.RateForCopy)
       continue;
     auto n = static_cast<double>(copies(key));
-    if (n == 0 || pressed || rateNow > Setup.RatePerCopy * n)
+    auto perCopy = pressed ? Setup.PressedRatePerCopy : Setup.RatePerCopy;
+    if (n == 0 || rateNow > perCopy * n)
       scarce.emplace_back(rateNow / (n + 1), key);
   }
   // What gains most first.
--- /dev/null
+++ b/Hemlockglade/Coordination/Orders/HoldingsLog.cpp
@@ -0,0 +1,84 @@
+#include "Hemlockglade/Coordination/Orders/HoldingsLog.h"
+
+namespace hemlockglade {
+
+void HoldingsLog::mark(Entry &entry, const WeightsRef &weights) {
+  entry.ChangedAt[weights] = Number + 1;
+  entry.LastChange = Number + 1;
+  Open = true;
+}
+
+bool HoldingsLog::note(const std::string &replica, const Residency &held) {
+  auto [at, isNew] = Replicas.try_emplace(replica);
+  auto &entry = at->second;
+  if (!isNew && entry.Held == held)
+    return false;
+  if (isNew) {
+    entry.WholeBefore = entry.LastChange = Number + 1;
+    Open = true;
+  }
+  for (const auto &[weights, it] : held) {
+    auto known = entry.Held.find(weights);
+    if (known == entry.Held.end() || !(known->second == it))
+      mark(entry, weights);
+  }
+  for (const auto &[weights, it] : entry.Held)
+    if (!held.contains(weights))
+      mark(entry, weights);
+  entry.Held = held;
+  if (entry.ChangedAt.size() > held.size() + Setup.MostDropped) {
+    std::erase_if(entry.ChangedAt,
+                  [&held](const auto &it) { return !held.contains(it.first); });
+    entry.WholeBefore = Number + 1;
+  }
+  return true;
+}
+
+void HoldingsLog::touch(const std::string &replica, const WeightsRef &weights) {
+  auto it = Replicas.find(replica);
+  if (it != Replicas.end() && it->second.Held.contains(weights))
+    mark(it->second, weights);
+}
+
+void HoldingsLog::close() {
+  if (std::exchange(Open, false))
+    ++Number;
+}
+
+void HoldingsLog::keepOnly(const std::set<std::string> &replicas) {
+  std::erase_if(Replicas, [&replicas](const auto &it) {
+    return !replicas.contains(it.first);
+  });
+}
+
+void HoldingsLog::clear() {
+  Replicas.clear();
+  Number = 0;
+  Open = false;
+}
+
+std::vector<HoldingsChange> HoldingsLog::since(std::uint64_t number) const {
+  std::vector<HoldingsChange> out;
+  for (const auto &[replica, entry] : Replicas) {
+    if (entry.LastChange <= number)
+      continue;
+    HoldingsChange change;
+    change.Replica = replica;
+    change.Whole = number < entry.WholeBefore;
+    if (change.Whole)
+      change.Held = entry.Held;
+    for (const auto &[weights, at] : entry.ChangedAt) {
+      if (change.Whole || at <= number)
+        continue;
+      auto held = entry.Held.find(weights);
+      if (held == entry.Held.end())
+        change.Dropped.push_back(weights);
+      else
+        change.Held.insert(*held);
+    }
+    out.push_back(std::move(change));
+  }
+  return out;
+}
+
+} // namespace hemlockglade
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -124,6 +124,20 @@
   it->second.ByOwner = true;
 }
 
+void ReplicaView::onResidencyChange(const std::string &replica,
+                                    const Residency &changed,
+                                    const std::vector<WeightsRef> &dropped) {
+  auto it = Replicas.find(replica);
+  auto early = Early.find(replica);
+  if (it == Replicas.end() && early == Early.end())
+    return;
+  auto &held = it == Replicas.end() ? early->second : it->second.Held;
+  for (const auto &[weights, at] : changed)
+    held[weights] = at;
+  for (const auto &weights : dropped)
+    held.erase(weights);
+}
+
 void ReplicaView::onOthersRunning(const std::string &replica,
                                   std::uint32_t running, Instant now) {
   auto it = Replicas.find(replica);
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -137,6 +137,9 @@
   /// An owner tells what a replica holds, and how many requests run there that
   /// this node has not sent.
   void onResidency(const std::string &replica, Residency held, Instant now);
+  /// An owner tells what has changed of what it told before.
+  void onResidencyChange(const std::string &replica, const Residency &changed,
+                         const std::vector<WeightsRef> &dropped);
   void onOthersRunning(const std::string &replica, std::uint32_t running,
                        Instant now);
   /// Another node sent a request to a replica.
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -137,11 +137,16 @@
   MSGPACK_DEFINE(Weights, Version, ReadyInUs, Leaving)
 };
 
-/// What one replica holds.
+/// What one replica holds, or what has changed of that since the owner told it
+/// last.
 struct ReplicaNotice {
   std::string Replica;
+  /// All that it holds.
+  bool Whole = false;
   std::vector<HeldNotice> Held;
-  MSGPACK_DEFINE(Replica, Held)
+  /// Weights that it no longer holds.
+  std::vector<std::string> Dropped;
+  MSGPACK_DEFINE(Replica, Whole, Held, Dropped)
 };
 
 /// Owner to node, again and again on `/cell/NAME`.
--- a/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
@@ -27,6 +27,9 @@
   map.real("quick_gain", out.QuickGain, 0, MostCost);
   map.real("same_place_gain", out.SamePlaceGain, 0, MostCost);
   map.seconds("demand_half_life_s", out.DemandHalfLife, 0.1, 3600);
+  map.milliseconds("fast_half_life_ms", out.FastHalfLife, Ms);
+  map.real("fast_least", out.FastLeast, 0, MostRate);
+  map.real("pressed_rate_per_copy", out.PressedRatePerCopy, 0, MostRate);
   map.real("rate_for_copy", out.RateForCopy, 0, MostRate);
   map.real("rate_per_copy", out.RatePerCopy, 0.001, MostRate);
   map.real("gain_over_victim", out.GainOverVictim, 0, MostCost);
@@ -39,6 +42,7 @@
   map.real("hold_share", out.HoldShare, 0, 1);
   map.real("patience_share", out.PatienceShare, 0, 1);
   map.milliseconds("pressed_after_ms", out.PressedAfter, Ms);
+  map.milliseconds("pressed_ahead_ms", out.PressedAhead, Ms);
   map.real("timely_share", out.TimelyShare, 0, 1);
   map.milliseconds("shed_rest_ms", out.ShedRest, Ms);
   map.real("slow_factor", out.SlowFactor, 1, MostCost);
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -226,6 +226,20 @@
              {"heard_ms_ago", TimerService::now() - OwnerHeardAt}});
 }
 
+void CellMember::onHoldings(const ReplicaNotice &notice, Instant now) {
+  Residency held;
+  for (const auto &it : notice.Held)
+    held[WeightsRef::parse(it.Weights)] = {
+        it.Version, it.ReadyInUs ? now + Span(it.ReadyInUs) : Instant{},
+        it.Leaving};
+  if (notice.Whole)
+    return View.onResidency(notice.Replica, std::move(held), now);
+  std::vector<WeightsRef> dropped;
+  for (const auto &it : notice.Dropped)
+    dropped.push_back(WeightsRef::parse(it));
+  View.onResidencyChange(notice.Replica, held, dropped);
+}
+
 void CellMember::onOwnerBeat(const OwnerBeat &beat) {
   auto now = TimerService::now();
   if (now - OwnerHeardAt > OwnerSilence)
@@ -236,14 +250,8 @@
   OwnerHeardAt = now;
   OwnerOrders = beat.Ordering;
   Lease->onHeard(beat.LeaseVersion, Span(beat.RemainingUs));
-  for (const auto &it : beat.Replicas) {
-    Residency held;
-    for (const auto &at : it.Held)
-      held[WeightsRef::parse(at.Weights)] = {
-          at.Version, at.ReadyInUs ? now + Span(at.ReadyInUs) : Instant{},
-          at.Leaving};
-    View.onResidency(it.Replica, std::move(held), now);
-  }
+  for (const auto &it : beat.Replicas)
+    onHoldings(it, now);
   for (const auto &it : beat.Sent)
     View.onOtherSent(it.Replica, it.Tokens, now);
   for (const auto &it : beat.Running)
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/Coordination/Orders/CellDesk.h"
 #include "Hemlockglade/Coordination/Orders/CellLease.h"
+#include "Hemlockglade/Coordination/Orders/HoldingsLog.h"
 #include "Hemlockglade/Coordination/Route/ReplicaView.h"
 #include "Hemlockglade/Protocol/Message/CellMessages.h"
 #include "Hemlockglade/State/Log/EventLog.h"
@@ -106,14 +107,6 @@
   /// Number of the node's own entry among an owner's followers.
   static constexpr std::uint64_t SelfFollower = 0;
 
-  /// What replicas hold, with a number for each change.
-  struct Holdings {
-    std::map<std::string, Residency> Known;
-    std::map<std::string, std::uint64_t> ChangedAt;
-    std::uint64_t Number = 0;
-    std::uint64_t DeskRevision = 0;
-  };
-
   struct Follower {
     std::shared_ptr<PeerStream> Stream;
     MemberNotice Self;
@@ -142,6 +135,7 @@
   void onSentNotices(std::uint64_t from, const std::vector<SentNotice> &sent);
   NodeBeat takeBeat();
   void onOwnerBeat(const OwnerBeat &beat);
+  void onHoldings(const ReplicaNotice &notice, Instant now);
   void unfollow();
 
   // The owner's side.
@@ -198,7 +192,9 @@
   std::map<std::uint64_t, Follower> Followers;
   std::uint64_t NextFollower = 1;
   std::uint64_t MembersRevision = 1;
-  Holdings Held;
+  HoldingsLog Held;
+  /// Revision of the desk's books that the log of holdings has.
+  std::uint64_t NotedRevision = 0;
   /// Requests that were sent since followers were told, and by which follower.
   std::vector<std::pair<std::uint64_t, SentNotice>> SentToTell;
   std::map<std::string, std::uint32_t> TotalRunning;
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -24,7 +24,8 @@
     unfollow();
     Desk.forget();
     Uses.clear();
-    Held = {};
+    Held.clear();
+    NotedRevision = 0;
     SentToTell.clear();
     onUses(Followers[SelfFollower], allUses());
     BeatAt = Instant{};
@@ -46,8 +47,7 @@
   auto all = Desk.replicas();
   std::set<std::string> known(all.begin(), all.end());
   auto gone = [&known](const auto &it) { return !known.contains(it.first); };
-  std::erase_if(Held.Known, gone);
-  std::erase_if(Held.ChangedAt, gone);
+  Held.keepOnly(known);
   for (auto &[id, follower] : Followers)
     std::erase_if(follower.ToldRunning, gone);
 }
@@ -174,6 +174,8 @@
   }
   for (const auto &it : beat.Refusals) {
     auto weights = WeightsRef::parse(it.Weights);
+    // The node has struck it out of its view, whatever turns out to be true.
+    Held.touch(it.Replica, weights);
     if (it.Missing)
       Desk.onMissing(it.Replica, weights, now);
     else
@@ -247,23 +249,18 @@
 }
 
 void CellMember::noteHoldings() {
-  if (Held.DeskRevision == Desk.revision())
+  if (NotedRevision == Desk.revision())
     return;
-  Held.DeskRevision = Desk.revision();
-  bool any = false;
+  NotedRevision = Desk.revision();
+  auto before = Held.number();
   for (const auto &replica : Desk.replicas()) {
     const auto &held = Desk.residency(replica);
-    auto [it, isNew] = Held.Known.try_emplace(replica);
-    if (!isNew && it->second == held)
-      continue;
-    it->second = held;
-    Held.ChangedAt[replica] = Held.Number + 1;
-    View.onResidency(replica, held, TimerService::now());
-    any = true;
+    if (Held.note(replica, held))
+      View.onResidency(replica, held, TimerService::now());
   }
-  if (!any)
+  Held.close();
+  if (Held.number() == before)
     return;
-  ++Held.Number;
   flushSoon();
   Out.OnChanged();
 }
@@ -272,14 +269,14 @@
 CellMember::holdingsSince(std::uint64_t number) const {
   auto now = TimerService::now();
   std::vector<ReplicaNotice> out;
-  for (const auto &[replica, changedAt] : Held.ChangedAt) {
-    if (changedAt <= number)
-      continue;
-    ReplicaNotice notice{replica, {}};
-    for (const auto &[weights, at] : Held.Known.at(replica))
+  for (const auto &change : Held.since(number)) {
+    ReplicaNotice notice{change.Replica, change.Whole, {}, {}};
+    for (const auto &[weights, at] : change.Held)
       notice.Held.push_back({weights.text(), at.Version,
                              std::max(Span(0), at.ReadyAt - now).count(),
                              at.Leaving});
+    for (const auto &weights : change.Dropped)
+      notice.Dropped.push_back(weights.text());
     out.push_back(std::move(notice));
   }
   return out;
@@ -301,10 +298,10 @@
   std::map<std::uint64_t, std::string> packed;
   for (auto &[id, follower] : Followers) {
     bool own = std::exchange(follower.HasSent, false);
-    bool behind = follower.ToldHoldings < Held.Number;
+    bool behind = follower.ToldHoldings < Held.number();
     if (id == SelfFollower || (sent.empty() && !behind))
       continue;
-    auto told = std::exchange(follower.ToldHoldings, Held.Number);
+    auto told = std::exchange(follower.ToldHoldings, Held.number());
     auto &same = packed[told];
     if (!own && !same.empty()) {
       follower.Stream->send(same);
@@ -325,7 +322,7 @@
 OwnerBeat CellMember::beatFor(Follower &follower) {
   auto out = emptyBeat();
   out.Replicas =
-      holdingsSince(std::exchange(follower.ToldHoldings, Held.Number));
+      holdingsSince(std::exchange(follower.ToldHoldings, Held.number()));
   for (const auto &replica : Desk.replicas()) {
     auto total = TotalRunning.find(replica);
     auto own = follower.Running.find(replica);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -105,7 +105,8 @@
   void next();
   void hold(const RouteChoice &choice);
   void send(const RouteChoice &choice);
-  void tellPressed(Instant now);
+  /// `ahead`: it is sure to wait long, whatever it has waited.
+  void tellPressed(bool ahead, Instant now);
   void noteHold(const RouteChoice &choice, Instant now);
   bool onHead(const HttpAnswerHead &head);
   void onBody(std::string_view part);
