--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -47,8 +47,7 @@
   if (kept.size() != Books.size())
     changed();
   Books = std::move(kept);
-  LoadsAtOnce = std::max<std::size_t>(
-      Setup.LeastLoads, static_cast<std::size_t>(Setup.LoadsPerRate * rate));
+  Pace.setRate(rate);
 }
 
 Span CellDesk::Book::modelLoadTime(const ModelSpec &model) const {
@@ -137,6 +136,7 @@
   auto &demand = Demands[{service, weights}];
   if (!demand.WantedAt)
     demand.WantedAt = now;
+  demand.RemindedAt = now;
   Wanted.insert({service, weights});
   demand.LastAsked = now;
 }
@@ -160,6 +160,14 @@
     it->second.Running = running;
 }
 
+void CellDesk::noteLate(const ResidentWeights &held, Instant now) {
+  // Only a load that was due just now tells of the weight store's speed; what
+  // was due long ago has been dropped or lost.
+  constexpr auto JustDue = std::chrono::milliseconds(150);
+  if (now - held.ReadyAt < JustDue)
+    Pace.onLate(now);
+}
+
 void CellDesk::onRefusedEarly(const std::string &replica,
                               const WeightsRef &weights, Instant now) {
   constexpr auto Again = std::chrono::milliseconds(60);
@@ -169,6 +177,7 @@
   auto held = it->second.Held.find(weights);
   if (held == it->second.Held.end())
     return;
+  noteLate(held->second, now);
   held->second.ReadyAt = std::max(held->second.ReadyAt, now + Again);
   changed();
 }
@@ -176,8 +185,12 @@
 void CellDesk::onMissing(const std::string &replica, const WeightsRef &weights,
                          Instant now) {
   auto it = Books.find(replica);
-  if (it == Books.end() || !it->second.Held.contains(weights))
+  if (it == Books.end())
+    return;
+  auto held = it->second.Held.find(weights);
+  if (held == it->second.Held.end())
     return;
+  noteLate(held->second, now);
   it->second.ReportDue = now;
 }
 
@@ -215,6 +228,13 @@
   return n;
 }
 
+bool CellDesk::mayLoad(Instant now) {
+  if (loading(now) + LoadingElsewhere < Pace.most())
+    return true;
+  Pace.onTurnAwaited(now);
+  return false;
+}
+
 bool CellDesk::orderable(const Book &book, Instant now) const {
   return !book.Replaced && !book.OrderOpen && !book.ReportOpen &&
          !book.ReportDue && book.ModelBusyUntil <= now &&
@@ -249,7 +269,7 @@
   // Loads beyond those at full speed share it.
   double share =
       std::max(1.0, static_cast<double>(loading(now) + LoadingElsewhere + 1) /
-                        static_cast<double>(LoadsAtOnce));
+                        static_cast<double>(Pace.most()));
   double us = static_cast<double>(Setup.AdapterLoad.count());
   us *= quick ? Setup.QuickShare : share;
   constexpr double SlackUs = 12'000;
--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hemlockglade/Coordination/Orders/EngineOrder.h"
+#include "Hemlockglade/Coordination/Orders/LoadPace.h"
 #include "Hemlockglade/State/Routing/RoutePlan.h"
 
 #include <list>
@@ -45,13 +46,8 @@
     /// Learnt upwards and downwards from how early requests came; this is the
     /// first guess.
     Span AdapterLoad = std::chrono::milliseconds(260);
-    /// Loads of adapters on their way over the whole deployment for each base
-    /// model load a second that the weight store allows, and at least. Beyond
-    /// what the store gives at full speed all of them become slower, by no more
-    /// than the share beyond; below it places stay unused. Stores differ: 1.6
-    /// to 2.9 such loads for each base model load have full speed.
-    double LoadsPerRate = 2.4;
-    std::uint32_t LeastLoads = 8;
+    /// Loads of adapters on their way over the whole deployment.
+    LoadPace::Settings Pace;
     /// Loads on their way to one replica.
     std::uint32_t LoadsPerReplica = 4;
     /// Adapters that a replica dropped lately come back this much faster.
@@ -70,8 +66,9 @@
     /// Half life of a second estimate, which is taken where it is higher: what
     /// becomes wanted within seconds gets its copies before the slow estimate
     /// has seen it. Nothing is taken from it below the number of requests that
-    /// makes it sure. 0 switches it off.
-    Span FastHalfLife = std::chrono::milliseconds(0);
+    /// makes it sure. 0 switches it off. Worth 0.006 to 0.009 of what callers
+    /// could earn on days on which demand moves within 3 s, 12 days a site.
+    Span FastHalfLife = std::chrono::milliseconds(1000);
     double FastLeast = 3;
     /// Requests a second from which on an adapter that another cell holds is
     /// worth a copy here. A load from the weight store costs as much as the
@@ -89,7 +86,10 @@
     Span PressedFor = std::chrono::milliseconds(700);
     /// Requests a second that one copy has to serve at least while they do, so
     /// that what presses for a moment doesn't drop everything else.
-    double PressedRatePerCopy = 0;
+    double PressedRatePerCopy = 1.5;
+    /// A node reminds of weights that it waits for each 200 ms; what nobody has
+    /// reminded of for this long is not waited for any more and not loaded.
+    Span WantLasts = std::chrono::milliseconds(700);
     /// Load order of what requests wait for: a second of waiting counts as this
     /// many requests a second.
     double WaitWeight = 0.2;
@@ -123,7 +123,7 @@
     double ModelLoadsPerRate = 0.25;
   };
 
-  explicit CellDesk(Settings settings) : Setup(settings) {}
+  explicit CellDesk(Settings settings) : Setup(settings), Pace(Setup.Pace) {}
 
   /// Sets the replicas of the cell that run engines, and what their services
   /// say of them.
@@ -182,6 +182,8 @@
     Instant PressedAt{-3'600'000'000};
     /// Requests wait for it, since when; nothing if none do.
     std::optional<Instant> WantedAt;
+    /// When a node last said so.
+    Instant RemindedAt{};
   };
   using DemandKey = std::pair<std::string, WeightsRef>;
 
@@ -233,12 +235,13 @@
   std::size_t adapters(const Book &book) const;
   std::size_t loading(const Book &book, Instant now) const;
   std::size_t loading(Instant now) const;
-  bool mayLoad(Instant now) const {
-    return loading(now) + LoadingElsewhere < LoadsAtOnce;
-  }
+  /// Whether another adapter may be loaded; one that may not waits for it.
+  bool mayLoad(Instant now);
   bool orderable(const Book &book, Instant now) const;
   void adopt(Book &book, const HeldWeights &held, const HeldWeights &pending,
              std::uint64_t count, Instant now);
+  /// Weights that should be there were not.
+  void noteLate(const ResidentWeights &held, Instant now);
   bool reportsThisStart(Book &book, const HoldingsReport &report,
                         Instant now) const;
   static bool holdsAllModels(const Book &book);
@@ -281,7 +284,7 @@
   bool MayOrder = false;
   std::size_t LoadingElsewhere = 0;
   /// Adapter loads that may be on their way over all cells.
-  std::size_t LoadsAtOnce = 0;
+  LoadPace Pace;
   std::size_t ModelsElsewhere = 0;
   std::uint64_t Revision = 1;
 };
--- a/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDeskPlan.cpp
@@ -146,7 +146,8 @@
   for (auto it = Wanted.begin(); it != Wanted.end();) {
     auto &demand = Demands[*it];
     bool served = it->second.Adapter.empty() || copies(*it) > 0;
-    if (served) {
+    bool givenUp = now - demand.RemindedAt > Setup.WantLasts;
+    if (served || givenUp) {
       demand.WantedAt.reset();
       it = Wanted.erase(it);
       continue;
--- /dev/null
+++ b/Hemlockglade/Coordination/Orders/LoadPace.cpp
@@ -0,0 +1,52 @@
+#include "Hemlockglade/Coordination/Orders/LoadPace.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockglade {
+
+double LoadPace::first() const {
+  return std::max(Setup.Least, Setup.FirstPerRate * Rate);
+}
+
+void LoadPace::bound() {
+  Number = std::clamp(Number, Setup.LowestShare * first(),
+                      std::max(Setup.HighestShare, 1.0) * first());
+}
+
+void LoadPace::setRate(double rate) {
+  if (rate == Rate && Number > 0)
+    return;
+  Rate = rate;
+  Number = first();
+}
+
+void LoadPace::onTurnAwaited(Instant now) {
+  // What lies between two calls counts only if it is short: nobody waited in a
+  // longer pause.
+  constexpr Span Longest = std::chrono::milliseconds(300);
+  auto since = now - std::exchange(RoseAt, now);
+  bool waitedOn = since > Span(0) && since <= Longest;
+  if (!waitedOn || now - FellAt < Setup.FallPause)
+    return;
+  double most = now < NoProbeUntil ? std::max(first(), Number)
+                                   : Setup.HighestShare * first();
+  Number += Setup.RisePerSecond * first() * inSeconds(since);
+  Number = std::min(Number, most);
+  bound();
+}
+
+void LoadPace::onLate(Instant now) {
+  if (Setup.RisePerSecond <= 0 || now - FellAt < Setup.FallPause)
+    return;
+  FellAt = now;
+  if (Number > first()) {
+    NoProbeUntil = now + Setup.ProbePause;
+    Number = std::max(first(), Setup.Fall * Number);
+  } else {
+    Number *= Setup.Fall;
+  }
+  bound();
+}
+
+} // namespace hemlockglade
--- a/Hemlockglade/Coordination/Route/ExchangeSettings.h
+++ b/Hemlockglade/Coordination/Route/ExchangeSettings.h
@@ -20,9 +20,7 @@
   double PatienceShare = 0.65;
   /// A request that has waited this long for an engine's turn asks for another
   /// copy of its weights.
-  Span PressedAfter = std::chrono::milliseconds(600);
-  /// One whose engine will read others' prompts for this long asks at once.
-  Span PressedAhead = std::chrono::seconds(60);
+  Span PressedAfter = std::chrono::milliseconds(300);
   /// Time between two reminders that weights are waited for.
   Span WantEvery = std::chrono::milliseconds(200);
   /// Time between looks while a request waits, when nothing wakes it.
--- a/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
@@ -21,7 +21,9 @@
 }
 
 void bindDesk(SchemaReader &map, CellDesk::Settings &out) {
-  map.real("loads_per_rate", out.LoadsPerRate, 0, MostRate);
+  map.real("loads_per_rate", out.Pace.FirstPerRate, 0, MostRate);
+  map.real("loads_least", out.Pace.Least, 1, MostRate);
+  map.real("loads_rise_per_second", out.Pace.RisePerSecond, 0, 1);
   map.number("loads_per_replica", out.LoadsPerReplica, {1, 1000});
   map.number("quick_memory", out.QuickMemory, {0, 100'000});
   map.real("quick_gain", out.QuickGain, 0, MostCost);
@@ -35,6 +37,7 @@
   map.real("gain_over_victim", out.GainOverVictim, 0, MostCost);
   map.milliseconds("recent_use_ms", out.RecentUse, Ms);
   map.milliseconds("pressed_for_ms", out.PressedFor, Ms);
+  map.milliseconds("want_lasts_ms", out.WantLasts, Ms);
   map.real("wait_weight", out.WaitWeight, 0, MostRate);
 }
 
@@ -42,7 +45,6 @@
   map.real("hold_share", out.HoldShare, 0, 1);
   map.real("patience_share", out.PatienceShare, 0, 1);
   map.milliseconds("pressed_after_ms", out.PressedAfter, Ms);
-  map.milliseconds("pressed_ahead_ms", out.PressedAhead, Ms);
   map.real("timely_share", out.TimelyShare, 0, 1);
   map.milliseconds("shed_rest_ms", out.ShedRest, Ms);
   map.real("slow_factor", out.SlowFactor, 1, MostCost);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -165,12 +165,12 @@
     break;
   case RouteChoice::Kind::Pace:
     WaitReason = "engine reads";
-    tellPressed(choice.ReadyAt - now >= Setup.PressedAhead, now);
+    tellPressed(now);
     break;
   case RouteChoice::Kind::Full:
     WakeAt = now + Setup.WaitStep;
     WaitReason = "replicas full";
-    tellPressed(false, now);
+    tellPressed(now);
     break;
   default:
     WaitReason = "no replica known";
@@ -194,8 +194,8 @@
                     {"can_load", !Shared.CanLoad || Shared.CanLoad()}});
 }
 
-void GatewayExchange::tellPressed(bool ahead, Instant now) {
-  bool pressed = ahead || now - Request.ArrivedAt >= Setup.PressedAfter;
+void GatewayExchange::tellPressed(Instant now) {
+  bool pressed = now - Request.ArrivedAt >= Setup.PressedAfter;
   if (!engine() || !pressed || now - WantToldAt < Setup.WantEvery)
     return;
   WantToldAt = now;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -105,8 +105,7 @@
   void next();
   void hold(const RouteChoice &choice);
   void send(const RouteChoice &choice);
-  /// `ahead`: it is sure to wait long, whatever it has waited.
-  void tellPressed(bool ahead, Instant now);
+  void tellPressed(Instant now);
   void noteHold(const RouteChoice &choice, Instant now);
   bool onHead(const HttpAnswerHead &head);
   void onBody(std::string_view part);
--- a/UnitTests/Coordination/Orders/CellDeskTest.cpp
+++ b/UnitTests/Coordination/Orders/CellDeskTest.cpp
@@ -206,7 +206,8 @@
   world.Desk.onWant(Service, adapter(1), world.Now);
   world.rounds(10);
   world.Desk.setVersion(adapter(1), 7);
-  world.Desk.onDemand(Service, adapter(1), 10, world.Now);
+  // So few that one copy is enough for them.
+  world.Desk.onDemand(Service, adapter(1), 2, world.Now);
   world.Desk.onWant(Service, adapter(1), world.Now);
   world.rounds(10);
   std::size_t newer = 0;
@@ -217,6 +218,52 @@
   CHECK(newer == 1);
 }
 
+TEST_CASE("demand that jumps gets its copies within a second", "[desk]") {
+  DeskWorld world(4);
+  world.rounds(2);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  // Fourteen requests a second, from none before.
+  for (int it = 0; it < 14; ++it) {
+    world.Desk.onDemand(Service, adapter(1), 1, world.Now);
+    world.rounds(1);
+    world.Now += milliseconds(21);
+  }
+  CHECK(world.copies(adapter(1)) >= 3);
+}
+
+TEST_CASE("what presses for a moment does not get all engines", "[desk]") {
+  DeskWorld world(6);
+  world.rounds(2);
+  world.Desk.onWant(Service, adapter(1), world.Now);
+  for (int it = 0; it < 30; ++it) {
+    if (it % 15 == 0)
+      world.Desk.onDemand(Service, adapter(1), 1, world.Now);
+    world.Desk.onPressed(Service, adapter(1), world.Now);
+    world.rounds(1);
+  }
+  CHECK(world.copies(adapter(1)) == 1);
+}
+
+TEST_CASE("what nobody waits for any more is not loaded", "[desk]") {
+  DeskWorld world(1, 2);
+  world.rounds(2);
+  for (int it = 1; it <= 2; ++it)
+    world.Desk.onWant(Service, adapter(it), world.Now);
+  world.rounds(4);
+  // Both places are in use, so that nothing can be loaded.
+  for (int it = 1; it <= 2; ++it)
+    world.Desk.onUse("i-0", adapter(it), 1);
+  world.Desk.onWant(Service, adapter(3), world.Now);
+  world.rounds(20);
+  for (int it = 1; it <= 2; ++it)
+    world.Desk.onUse("i-0", adapter(it), -1);
+  world.rounds(10);
+  CHECK(world.copies(adapter(3)) == 0);
+  world.Desk.onWant(Service, adapter(3), world.Now);
+  world.rounds(10);
+  CHECK(world.copies(adapter(3)) == 1);
+}
+
 TEST_CASE("loads on their way over all cells are bounded", "[desk]") {
   DeskWorld world(6, 20);
   world.rounds(2);
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -349,4 +349,17 @@
   CHECK(it.choose().What == Kind::Missing);
 }
 
+TEST_CASE("an idle engine farther away is better than one that reads long",
+          "[view]") {
+  ViewFixture it;
+  auto far = record("i-far", "hall-b");
+  it.present({record("i-near"), far});
+  REQUIRE(it.choose().Replica->Life.text() == "i-near");
+  // 40 ms of other nodes' prompts: the near engine is not worth that wait.
+  it.View.onOtherSent("i-near", 800, it.Now);
+  auto choice = it.choose();
+  CHECK(choice.What == Kind::Send);
+  CHECK(choice.Replica->Life.text() == "i-far");
+}
+
 } // namespace hemlockglade::test
