--- a/Hemlockglade/Protocol/Account/LogLine.cpp
+++ b/Hemlockglade/Protocol/Account/LogLine.cpp
@@ -20,18 +20,18 @@
 } // namespace
 
 std::string LogLine::text(const char *key) const {
-  auto it = Fields.find(key);
-  return it != Fields.end() && it->is_string() ? it->get<std::string>() : "";
+  auto it = Fields->find(key);
+  return it != Fields->end() && it->is_string() ? it->get<std::string>() : "";
 }
 
 double LogLine::number(const char *key) const {
-  auto it = Fields.find(key);
-  return it != Fields.end() && it->is_number() ? it->get<double>() : 0;
+  auto it = Fields->find(key);
+  return it != Fields->end() && it->is_number() ? it->get<double>() : 0;
 }
 
 bool LogLine::flag(const char *key) const {
-  auto it = Fields.find(key);
-  return it != Fields.end() && it->is_boolean() && it->get<bool>();
+  auto it = Fields->find(key);
+  return it != Fields->end() && it->is_boolean() && it->get<bool>();
 }
 
 std::optional<LogLine> readLogLine(std::string_view text) {
@@ -41,11 +41,12 @@
     return std::nullopt;
   LogLine line;
   try {
-    line.Fields = parseJson(text.substr(begin));
+    line.Fields =
+        std::make_shared<const nlohmann::json>(parseJson(text.substr(begin)));
   } catch (const nlohmann::json::exception &) {
     return std::nullopt;
   }
-  if (!line.Fields.is_object())
+  if (!line.Fields->is_object())
     return std::nullopt;
   line.Node = line.text("node");
   line.Event = line.text("event");
--- a/Hemlockglade/Protocol/Account/LogLine.h
+++ b/Hemlockglade/Protocol/Account/LogLine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -17,8 +18,8 @@
   bool Collected = false;
   std::string Node;
   std::string Event;
-  /// All fields of the line.
-  nlohmann::json Fields;
+  /// All fields of the line; an object.
+  std::shared_ptr<const nlohmann::json> Fields;
 
   /// A field as text; empty if it is not there.
   std::string text(const char *key) const;
--- a/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
+++ b/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
@@ -1,4 +1,5 @@
 #include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
+#include "UnitTests/Protocol/ExampleFile.h"
 
 #include <catch2/catch.hpp>
 
@@ -50,4 +51,39 @@
   CHECK_FALSE(readGatewaySettings("", "f"));
 }
 
+TEST_CASE("decisions are read, checked, and otherwise the defaults",
+          "[gateway-settings]") {
+  auto settings = readGatewaySettings(
+      Least + "decisions:\n  backlog_cost: 2\n  fast_half_life_ms: 0\n", "f");
+  REQUIRE(settings);
+  CHECK(settings->Decisions.Route.BacklogCost == Approx(2));
+  CHECK(settings->Decisions.Desk.FastHalfLife == Span(0));
+  CHECK(settings->Decisions.Desk.RatePerCopy ==
+        CellDesk::Settings{}.RatePerCopy);
+  auto wrong = readGatewaySettings(
+      Least + "decisions:\n  backlog_cost: much\n  hold_share: 2\n  odd: 1\n",
+      "f");
+  REQUIRE_FALSE(wrong);
+  CHECK(wrong.error().size() == 3);
+  CHECK(wrong.error().front().Key == "decisions.backlog_cost");
+  CHECK_FALSE(readGatewaySettings(Least + "decisions: [1]\n", "f"));
+}
+
+TEST_CASE("the example's decisions are the defaults", "[gateway-settings]") {
+  auto text = exampleFile("gateway.yaml");
+  auto settings = readGatewaySettings(text, "gateway.yaml");
+  REQUIRE(settings);
+  const auto &now = settings->Decisions;
+  const DecisionSettings defaults;
+  CHECK(now.Route.BacklogCost == Approx(defaults.Route.BacklogCost));
+  CHECK(now.Route.PaceBacklog == defaults.Route.PaceBacklog);
+  CHECK(now.Desk.Pace.FirstPerRate == Approx(defaults.Desk.Pace.FirstPerRate));
+  CHECK(now.Desk.FastHalfLife == defaults.Desk.FastHalfLife);
+  CHECK(now.Desk.PressedRatePerCopy ==
+        Approx(defaults.Desk.PressedRatePerCopy));
+  CHECK(now.Desk.WantLasts == defaults.Desk.WantLasts);
+  CHECK(now.Exchange.PressedAfter == defaults.Exchange.PressedAfter);
+  CHECK(now.Exchange.LeastStall == defaults.Exchange.LeastStall);
+}
+
 } // namespace hemlockglade::test
