--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -353,8 +353,11 @@
     return onFailed(HttpFailure::NotConnected);
   if (Now->Orphaned)
     return onUnknown("replica started anew");
-  if (!mayRepeat() || !spendRepeat("slow"))
-    return;
+  if (!mayRepeat() || !spendRepeat("slow")) {
+    // It is waited for on; that it begins too late is still looked at.
+    Now->StuckAt = Instant::max();
+    return armAttempt();
+  }
   auto slow = Now->Replica->Life.text();
   endAttempt(AttemptVerdict::Bad);
   Query.Avoid.insert(slow);
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -530,4 +530,27 @@
   CHECK(it.Second.Requests.size() == 1);
 }
 
+TEST_CASE("a slow request that may not be repeated is still ended before it "
+          "begins on replaced weights",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.Way.Resumable = true;
+  it.Way.MaxAttempts = 1;
+  it.Way.TargetLatency = milliseconds(100);
+  it.Setup.LeastStall = milliseconds(100);
+  it.Generates = true;
+  it.present();
+  const WeightsRef adapter{"m", "a1"};
+  auto now = TimerService::now();
+  it.View.onResidency("i-1", {{adapter, {1, now}}}, now);
+  it.View.onVersion(adapter, 2, now - milliseconds(2450));
+  it.Shared.OnDemand = [](auto &&...) {};
+  it.Shared.OnSent = [](auto &&...) {};
+  it.Shared.OnDone = [](auto &&...) {};
+  it.ask("Weights: m/a1\r\n");
+  REQUIRE(it.untilEnd());
+  CHECK(it.Outcome == "would begin on replaced weights");
+}
+
 } // namespace hemlockglade::test
