--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -74,6 +74,8 @@
     "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: first\r\nContent-Type: "
     "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+const WeightsRef Adapter{"m", "a1"};
+
 struct ExchangeFixture : Loopback {
   ExchangeFixture()
       : Log(
@@ -153,6 +155,18 @@
               "Content-Length: 2\r\n\r\nhi");
   }
 
+  /// Only the first replica has the adapter, in a version that was replaced so
+  /// long ago that a request has to begin on it within 1.75 s, if at all.
+  void replaceWeights() {
+    Generates = true;
+    auto now = TimerService::now();
+    View.onResidency("i-1", {{Adapter, {1, now}}}, now);
+    View.onVersion(Adapter, 2, now - milliseconds(2450));
+    Shared.OnDemand = [](auto &&...) {};
+    Shared.OnSent = [](auto &&...) {};
+    Shared.OnDone = [](auto &&...) {};
+  }
+
   bool untilEnd() {
     return until([this] { return Ended; });
   }
@@ -511,20 +525,12 @@
   it.Way.Kind = RouteKind::Stream;
   it.Way.Resumable = true;
   it.Way.MaxAttempts = 2;
-  it.Generates = true;
   it.present();
-  const WeightsRef adapter{"m", "a1"};
-  auto now = TimerService::now();
-  it.View.onResidency("i-1", {{adapter, {1, now}}}, now);
-  // Named so long ago that the request has to begin within some 100 ms.
-  it.View.onVersion(adapter, 2, now - milliseconds(2450));
-  it.Shared.OnDemand = [](auto &&...) {};
-  it.Shared.OnSent = [](auto &&...) {};
-  it.Shared.OnDone = [](auto &&...) {};
+  it.replaceWeights();
   it.Second.Script = {{StreamHead + chunk(event(0)) + chunk("")}};
   it.ask("Weights: m/a1\r\n");
   REQUIRE(it.until([&it] { return it.First.Requests.size() == 1; }));
-  it.View.onResidency("i-2", {{adapter, {2, now}}}, now);
+  it.View.onResidency("i-2", {{Adapter, {2, Instant{}}}}, TimerService::now());
   REQUIRE(it.untilEnd());
   CHECK(it.Outcome == "complete");
   CHECK(it.Second.Requests.size() == 1);
@@ -539,15 +545,8 @@
   it.Way.MaxAttempts = 1;
   it.Way.TargetLatency = milliseconds(100);
   it.Setup.LeastStall = milliseconds(100);
-  it.Generates = true;
   it.present();
-  const WeightsRef adapter{"m", "a1"};
-  auto now = TimerService::now();
-  it.View.onResidency("i-1", {{adapter, {1, now}}}, now);
-  it.View.onVersion(adapter, 2, now - milliseconds(2450));
-  it.Shared.OnDemand = [](auto &&...) {};
-  it.Shared.OnSent = [](auto &&...) {};
-  it.Shared.OnDone = [](auto &&...) {};
+  it.replaceWeights();
   it.ask("Weights: m/a1\r\n");
   REQUIRE(it.untilEnd());
   CHECK(it.Outcome == "would begin on replaced weights");
