Logs and metrics tell how old a node's knowledge of declarations is

Cause of the change: after a late plan nothing that is kept told whether a node's look at declarations hung, or whether it was told old news by its owner. The line registry-regained spoke of both kinds of look together, so that an answered look at replicas hid an open look at declarations.

Change: registry-lost and registry-regained are told for each kind of look, with how long it was lost; a line 'declared' names where declarations came from, when they were asked for and how old the knowledge before was; 'refused' has the age as well; two gauges have it for declarations and replicas.

--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -73,6 +73,12 @@
                                      "Requests that are being served."};
 constexpr MetricFamily PlanFamily{"hemlockglade_plan_version",
                                   "Version of the plan in force."};
+constexpr MetricFamily DeclaredAgeFamily{
+    "hemlockglade_declarations_age_seconds",
+    "Time since operators' declarations were surely as this node has them."};
+constexpr MetricFamily ReplicasAgeFamily{
+    "hemlockglade_replicas_age_seconds",
+    "Time since the registered replicas were surely as this node has them."};
 constexpr MetricFamily LogLeftOutFamily{"hemlockglade_log_lines_left_out",
                                         "Log lines left out by the bound."};
 
@@ -306,7 +312,8 @@
             {{"request", id},
              {"status", std::uint32_t{status}},
              {"why", why},
-             {"plan", Plan ? Plan->version() : 0}});
+             {"plan", Plan ? Plan->version() : 0},
+             {"declared_age_ms", Watch->operatorAge()}});
   HttpAnswerHead head{status, fieldsOf(Port.Labels.OwnAnswer(id))};
   if (retryAfter)
     head.Fields.push_back(retryAfterField(*retryAfter));
@@ -413,6 +420,8 @@
   Metrics.gauge(ServingFamily).set(static_cast<double>(Exchanges.size()));
   Metrics.gauge(PlanFamily)
       .set(Plan ? static_cast<double>(Plan->version()) : 0);
+  Metrics.gauge(DeclaredAgeFamily).set(inSeconds(Watch->operatorAge()));
+  Metrics.gauge(ReplicasAgeFamily).set(inSeconds(Watch->replicasAge()));
   Metrics.gauge(RegistryCallsFamily).set(static_cast<double>(Port.Calls()));
   Metrics.gauge(LogLeftOutFamily).set(static_cast<double>(Log.dropped()));
 }
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -14,17 +14,38 @@
 }
 
 bool RegistryWatch::unreachableLately() const {
-  return TimerService::now() - FailedAt < Setup.LapseWindow;
+  auto failedAt = std::max(OperatorLook.FailedAt, ReplicaLook.FailedAt);
+  return TimerService::now() - failedAt < Setup.LapseWindow;
 }
 
-void RegistryWatch::note(bool good, std::string_view what) {
+void RegistryWatch::note(LookState &look, bool good) {
+  auto now = TimerService::now();
   if (!good)
-    FailedAt = TimerService::now();
-  if (good == Reachable)
+    look.FailedAt = now;
+  if (good == look.Good)
+    return;
+  // Each kind of look by itself: that one is answered again says nothing of the
+  // other, whose call may still be open on a connection that is dead.
+  look.Good = good;
+  if (good)
+    Log.write(LogClass::State, "registry-regained",
+              {{"look", look.Name}, {"lost_for_ms", now - look.LostAt}});
+  else
+    Log.write(LogClass::State, "registry-lost", {{"look", look.Name}});
+  look.LostAt = now;
+}
+
+void RegistryWatch::logDeclared(const OperatorChanges &changes,
+                                std::string_view from) {
+  if (!changes.Plan && changes.Versions.empty())
     return;
-  Reachable = good;
-  Log.write(LogClass::State, good ? "registry-regained" : "registry-lost",
-            {{"look", what}});
+  Log.write(LogClass::State, "declared",
+            {{"from", from},
+             {"plan", changes.Plan ? changes.Plan->version() : 0},
+             {"weights", static_cast<std::uint64_t>(changes.Versions.size())},
+             {"position", changes.Position},
+             {"asked_ms_ago", TimerService::now() - OperatorAskedAt},
+             {"known_ms_ago", operatorAge()}});
 }
 
 Span RegistryWatch::spared(Instant seenAt) const {
@@ -47,6 +68,7 @@
   auto left = OperatorPosition ? spared(OperatorSeenAt) : Span(0);
   if (left > Span(0))
     return planOperator(left);
+  OperatorAskedAt = TimerService::now();
   auto done = [this](const auto &result) { onOperator(result); };
   if (!OperatorPosition)
     return Registry.ReadOperator(done);
@@ -58,23 +80,25 @@
     const tl::expected<OperatorChanges, RegistryError> &result) {
   AwaitsOperator = false;
   if (result) {
-    note(true, "operator");
+    note(OperatorLook, true);
     OperatorPause = Setup.Pause;
+    takeOperator(*result, "registry");
     OperatorSeenAt = TimerService::now();
-    takeOperator(*result);
     return lookAtOperator();
   }
   if (result.error() == RegistryError::HistoryGone) {
     OperatorPosition.reset();
     return lookAtOperator();
   }
-  note(false, "operator");
+  note(OperatorLook, false);
   planOperator(OperatorPause);
   if (OperatorPosition)
     again(OperatorPause, Setup.LongestPause);
 }
 
-void RegistryWatch::takeOperator(const OperatorChanges &changes) {
+void RegistryWatch::takeOperator(const OperatorChanges &changes,
+                                 std::string_view from) {
+  logDeclared(changes, from);
   // What was told meanwhile may be newer. Plans and versions only ever rise.
   OperatorPosition = std::max(OperatorPosition.value_or(0), changes.Position);
   bool news = Seen.onOperator(changes);
@@ -98,7 +122,7 @@
 void RegistryWatch::onReplicas(
     const tl::expected<ReplicaChanges, RegistryError> &result) {
   if (result) {
-    note(true, "replicas");
+    note(ReplicaLook, true);
     ReplicaPause = Setup.Pause;
     // An answer from before what was told meanwhile would bring back replicas
     // that are gone.
@@ -112,7 +136,7 @@
     ReplicaPosition.reset();
     return lookAtReplicas();
   }
-  note(false, "replicas");
+  note(ReplicaLook, false);
   planReplicas(ReplicaPause);
   if (ReplicaPosition)
     again(ReplicaPause, Setup.LongestPause);
@@ -188,7 +212,7 @@
       changes.Plan = Registry.ReadPlan(it.PlanText);
     for (const auto &[weights, version] : it.Versions)
       changes.Versions.push_back({WeightsRef::parse(weights), version});
-    takeOperator(changes);
+    takeOperator(changes, "owner");
   }
   OperatorPosition = news.OperatorPosition;
   Seen.onOperator({nullptr, {}, news.OperatorPosition});
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -52,8 +52,12 @@
   /// What to tell a node that knows the registry up to these positions.
   RegistryNews newsSince(const RegistryPositions &known) const;
   RegistryPositions positions() const;
-  /// Whether the last look succeeded.
-  bool reachable() const { return Reachable; }
+  /// Whether the last look at operators' declarations succeeded.
+  bool reachable() const { return OperatorLook.Good; }
+  /// How long ago declarations, and replicas, were surely as this node knows
+  /// them.
+  Span operatorAge() const { return TimerService::now() - OperatorSeenAt; }
+  Span replicasAge() const { return TimerService::now() - ReplicasSeenAt; }
 
 private:
   static constexpr Instant LongAgo{-3'600'000'000};
@@ -62,7 +66,7 @@
   void lookAtReplicas();
   void onOperator(const tl::expected<OperatorChanges, RegistryError> &result);
   void onReplicas(const tl::expected<ReplicaChanges, RegistryError> &result);
-  void takeOperator(const OperatorChanges &changes);
+  void takeOperator(const OperatorChanges &changes, std::string_view from);
   void takeReplicas(const ReplicaChanges &changes, bool unreachable);
   void takeDeclared(const RegistryNews &news, Instant now);
   void takeRegistered(const RegistryNews &news, Instant now);
@@ -71,7 +75,17 @@
   /// How much longer nothing has to be looked at that was seen then.
   Span spared(Instant seenAt) const;
   Instant operatorSeenAt() const;
-  void note(bool good, std::string_view what);
+  /// How looks of one kind have ended lately.
+  struct LookState {
+    std::string_view Name;
+    bool Good = true;
+    Instant FailedAt{LongAgo};
+    /// Since when all of them failed.
+    Instant LostAt{LongAgo};
+  };
+
+  void note(LookState &look, bool good);
+  void logDeclared(const OperatorChanges &changes, std::string_view from);
   bool unreachableLately() const;
   static void again(Span &pause, Span longest) {
     pause = std::min(longest, pause * 2);
@@ -90,11 +104,12 @@
   Instant ReplicasSeenAt{LongAgo};
   /// When the look under way was begun, and whether it waits for declarations
   /// behind what is known.
+  Instant OperatorAskedAt{};
   Instant ReplicasAskedAt{};
   bool AwaitsOperator = false;
   Instant ToldAt{LongAgo};
-  bool Reachable = true;
-  Instant FailedAt{LongAgo};
+  LookState OperatorLook{"operator"};
+  LookState ReplicaLook{"replicas"};
   Span OperatorPause{0};
   Span ReplicaPause{0};
 };
