--- a/UnitTests/Node/Gateway/RegistryWatchTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatchTest.cpp
@@ -36,7 +36,13 @@
       ++Looks;
       post([done, this] { done(ReplicaChanges{false, {}, {}, Position}); });
     };
-    registry.ReadReplica = [](std::string_view incarnation, std::string_view) {
+    registry.ReadPlan = [](std::string_view) {
+      return std::shared_ptr<const RoutePlan>();
+    };
+    registry.ReadReplica = [](std::string_view incarnation,
+                              std::string_view source) {
+      if (source == "unreadable")
+        return std::optional<ReplicaRecord>();
       ReplicaRecord out;
       out.Life = ReplicaLife(std::string(incarnation));
       return std::optional(out);
@@ -159,6 +165,27 @@
   }
 }
 
+// A node whose position has passed what it could not read never asks for it
+// again, and the plan before stays in force until the next one.
+TEST_CASE("a node does not pass what it was told and can't read", "[gateway]") {
+  WatchFixture it;
+  RegistryNews news;
+  news.ReplicaFrom = news.OperatorFrom = 10;
+  news.ReplicaPosition = news.OperatorPosition = 12;
+  SECTION("a plan") {
+    news.Declared = {{"unreadable", {}}};
+    it.Watch->onTold(news);
+    CHECK(it.Watch->positions().Operator == 10);
+    CHECK(it.Watch->positions().Replica == 12);
+  }
+  SECTION("a replica") {
+    news.Registered = {{{{"i-1", "unreadable"}}, {}}};
+    it.Watch->onTold(news);
+    CHECK(it.Watch->positions().Operator == 12);
+    CHECK(it.Watch->positions().Replica == 10);
+  }
+}
+
 TEST_CASE("what a node was told it tells on", "[gateway]") {
   WatchFixture it;
   RegistryNews news;
