Soak and chaos lose looks in outages and confirm plans as these end

Cause: no run of ours could see the fault. The soak's silent store answered waits that were open when it fell silent; plans that an operator named meanwhile counted from then on, and looks within 3 s of a disturbance counted for nothing; the bound was 3 s.

Change: a silent store never answers what was open or came meanwhile; a plan that is named while it does not answer is confirmed as it does; every run ends with one outage that nothing else excuses, and a plan right behind it; the bound is the settings' 2 s. Chaos: the platform can swallow calls, and two operators race as it answers again.

--- a/StandIns/StandInPlatformMain.cpp
+++ b/StandIns/StandInPlatformMain.cpp
@@ -3,8 +3,9 @@
 //
 //   op=O&mode=M      O: row, scan, commit, objects, hosts, weights or all
 //                    M: up, down (breaks the connection), lose (does it, then
-//                       breaks), hang (answers once the mode changes), or
-//                       slow with &slow_ms=N
+//                       breaks), hang (answers once the mode changes),
+//                       swallow (never answers what came meanwhile), or slow
+//                       with &slow_ms=N
 //   table=M          the same for row, scan and commit
 //   loads_per_second=X  rate of the weight store
 //   leaving=NAME, back=NAME   what the host list says, after its lag
@@ -45,6 +46,8 @@
       return reply->abort();
     if (mode.Name == "hang")
       return Hanging.push_back({in, reply});
+    if (mode.Name == "swallow")
+      return Swallowed.push_back(reply);
     if (mode.Name != "slow")
       return serve(name, in, reply);
     Host.timers().after(
@@ -216,6 +219,7 @@
   Instant LastStep;
   std::map<std::string, OperationMode> Modes;
   std::vector<std::pair<HttpIncoming, std::shared_ptr<HttpReply>>> Hanging;
+  std::vector<std::shared_ptr<HttpReply>> Swallowed;
   std::map<std::string, std::string> Objects;
   std::map<std::string, TableRow> Rows;
   std::set<std::string> Seen;
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -1,6 +1,7 @@
 // Real gateways under load while things fail, all drawn from a seed, and a
 // verdict from what callers and replicas saw.
 
+#include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
 #include "UnitTests/History/HistoryChecker.h"
 #include "UnitTests/Platform/Soak/SoakWorld.h"
 
@@ -29,7 +30,7 @@
 
 bool judge(SoakWorld &world) {
   HistoryBounds bounds;
-  bounds.Configuration = std::chrono::seconds(3);
+  bounds.Configuration = GatewaySettings{}.PlanBound;
   HistoryChecker checker(world.history().take(), bounds);
   bool held = true;
   for (const auto &verdict : checker.check()) {
--- a/UnitTests/Platform/Soak/SoakStore.cpp
+++ b/UnitTests/Platform/Soak/SoakStore.cpp
@@ -28,6 +28,16 @@
     : Context(context), Timers(context), Random(seed),
       Server(context, anyPort(), MaxConnections, hooks()) {}
 
+void SoakStore::setMood(Mood mood) {
+  Now = mood;
+  if (mood != Mood::Silent)
+    return;
+  for (auto &it : std::exchange(Waiters, {})) {
+    it.Reply->OnGone = nullptr;
+    Unanswered.push_back(std::move(it.Reply));
+  }
+}
+
 CallerHooks SoakStore::hooks() {
   CallerHooks out;
   out.Bounds = [] { return CallerBounds{}; };
--- a/UnitTests/Platform/Soak/SoakStore.h
+++ b/UnitTests/Platform/Soak/SoakStore.h
@@ -15,7 +15,8 @@
 public:
   enum class Mood : std::uint8_t {
     Well,
-    /// Takes calls and never answers.
+    /// Takes calls and never answers, also not those that wait already, and
+    /// also not when it is well again.
     Silent,
     /// Answers 503, nothing done.
     Busy,
@@ -28,7 +29,7 @@
   SoakStore(asio::io_context &context, std::uint64_t seed);
 
   std::uint16_t port() const { return Server.port(); }
-  void setMood(Mood mood) { Now = mood; }
+  void setMood(Mood mood);
   Mood mood() const { return Now; }
   /// Forgets changes before now: feeds from before are told so.
   void dropHistory();
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -137,6 +137,7 @@
   runFor(faulty);
   Faulty = false;
   heal();
+  outage();
   runFor(Setup.Recovery);
   auto before = Callers.counts();
   runFor(QuietTime);
@@ -151,6 +152,18 @@
     runFor(Look);
 }
 
+void SoakWorld::outage() {
+  // One outage that nothing else excuses: the nodes that have run through it
+  // must have what is confirmed at its end as soon as at any other time.
+  constexpr auto Calm = seconds(3);
+  runFor(Calm);
+  say("the store is silent");
+  storeMood(SoakStore::Mood::Silent);
+  runFor(milliseconds(100) + upTo(LongestHarm));
+  storeMood(SoakStore::Mood::Well);
+  declare();
+}
+
 int SoakWorld::selfEnds() const {
   int n = 0;
   for (const auto &it : Nodes)
@@ -184,7 +197,7 @@
   case 5:
     return linkFault();
   case 6:
-    return declare();
+    return changePlan();
   case 7:
     return declareVersion();
   default:
@@ -226,6 +239,10 @@
   History.note("soak", harmed ? "silent" : "answering").Endpoint = "platform";
   for (auto &it : Nodes)
     it->disturb(harmed);
+  // Operators work on through outages, so that changes are confirmed as these
+  // end; that is when a look that was lost in one hurts.
+  if (!harmed && (std::exchange(PlanWaits, false) || Random() % 2))
+    declare();
 }
 
 void SoakWorld::storeFault() {
@@ -297,8 +314,17 @@
       span, [&replica](Instant) { replica.setMood(SoakReplica::Mood::Well); });
 }
 
+void SoakWorld::changePlan() {
+  auto mood = Store.mood();
+  if (mood == SoakStore::Mood::Silent || mood == SoakStore::Mood::Busy)
+    PlanWaits = true;
+  else
+    declare();
+}
+
 void SoakWorld::declare() {
   ++Plan;
+  say("plan " + std::to_string(Plan));
   Json models = Json::array({{{"name", site::Model},
                               {"weights_mb", 900},
                               {"load_time_s", 2.0},
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -53,9 +53,13 @@
   void storeFault();
   void linkFault();
   void replicaFault(SoakReplica &replica);
+  /// What an operator does: names a new plan. While the store doesn't answer
+  /// it is confirmed, and counts, as soon as the store does.
+  void changePlan();
   void declare();
   void declareVersion();
   void heal();
+  void outage();
   void say(const std::string &what);
   Span upTo(Span span) {
     return Span(static_cast<std::int64_t>(
@@ -82,6 +86,7 @@
   SoakCallers Callers;
   bool Faulty = false;
   bool StoreDisturbed = false;
+  bool PlanWaits = false;
   std::uint64_t Plan = 0;
   std::map<std::string, std::uint32_t> Versions;
   std::pair<int, int> Quiet{0, 0};
--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -223,13 +223,16 @@
   local operation mode
   one_of all commit row scan weights hosts
   operation=$PICK
-  one_of down lose hang slow
+  one_of down lose hang swallow slow
   mode=$PICK
   below 5
   say "platform: $operation $mode for $((PICK + 1)) s"
   control "${PORT[platform]}" "op=$operation&mode=$mode&slow_ms=700"
   sleep $((PICK + 1))
   control "${PORT[platform]}" "op=all&mode=up"
+  # Changes that are accepted as the platform answers again have to be in force
+  # in time, whatever became of the calls that were open.
+  [ "$mode" != swallow ] || fault_race
 }
 
 fault_restart() {
