An answer is broken off by its socket, not by a file that is too short

Cause of the use after free (address sanitizer, ClientsTest): a file shorter than promised fails inside the call that starts its write, and RESTinio then resets the write that it has just destroyed. Two more came behind it: RESTinio's limit of connections has each connection refer to the server, which was destroyed before its last connection; and tests kept replies longer than the context under them. Ruled out: our own handlers; the stacks of the first two hold RESTinio's code alone.

Change: the server's connections are of a socket class that can be shut from outside while RESTinio owns it (BreakableSocket); a write behind it fails and has RESTinio close. The bound on connections is ours: one too many is closed, where it was not accepted before. Tests let go of replies before the context.

Measured: TransportTests under address and undefined-behaviour sanitizers: use after free at ClientsTest before, 56 cases clean now (one run; alloc_dealloc_mismatch off, which is between RESTinio and Asio).

--- a/Hemlockglade/Transport/Http/HttpServer.cpp
+++ b/Hemlockglade/Transport/Http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Hemlockglade/Transport/Http/HttpServer.h"
 
 #include "Hemlockglade/Protocol/Endpoint/EngineFormat.h"
+#include "Hemlockglade/Transport/Http/BreakableSocket.h"
 
 #include <asio/post.hpp>
 #include <mutex>
@@ -19,6 +20,8 @@
 /// requests at once, so each request has its own hook.
 class ConnectionWatch {
 public:
+  explicit ConnectionWatch(std::size_t most) : Most(most) {}
+
   // NOLINTNEXTLINE(readability-identifier-naming): RESTinio's name for it.
   void state_changed(const restinio::connection_state::notice_t &notice) {
     using restinio::connection_state::accepted_t;
@@ -60,6 +63,11 @@
 
   void opened(ConnectionId id) {
     std::lock_guard lock(Mutex);
+    // What is thrown here closes the connection. RESTinio's own limit would
+    // have each connection refer to the server, which may be gone before the
+    // last of them is.
+    if (Hooks.size() >= Most)
+      throw std::runtime_error("too many connections");
     Hooks[id];
   }
 
@@ -79,13 +87,14 @@
     }
   }
 
+  const std::size_t Most;
   mutable std::mutex Mutex;
   std::unordered_map<ConnectionId, RequestHooks> Hooks;
 };
 
 struct ServerTraits : restinio::default_traits_t {
   using connection_state_listener_t = ConnectionWatch;
-  static constexpr bool use_connection_count_limiter = true;
+  using stream_socket_t = BreakableSocket;
 };
 
 using Server = restinio::http_server_t<ServerTraits>;
@@ -108,9 +117,11 @@
 class Reply : public HttpReply, public std::enable_shared_from_this<Reply> {
 public:
   Reply(asio::io_context &context, restinio::request_handle_t request,
-        std::shared_ptr<ConnectionWatch> watch, std::shared_ptr<void> token)
+        std::shared_ptr<ConnectionWatch> watch, std::shared_ptr<void> token,
+        std::uint16_t port)
       : Context(context), Request(std::move(request)), Watch(std::move(watch)),
-        Connection(Request->connection_id()), Id(Request->request_id()),
+        Connection(Request->connection_id()),
+        Id(Request->request_id()), Ends{port, Request->remote_endpoint()},
         Token(std::move(token)) {}
 
   Reply(const Reply &) = delete;
@@ -177,7 +188,6 @@
     Watch->unwatch(Connection, Id);
     Builder->done([token = std::move(Token)](const auto &) {});
     Builder.reset();
-    Socket.reset();
   }
 
   void abort() override {
@@ -215,8 +225,6 @@
   }
 
   void startChunks(int status, const HttpFields &fields) {
-    // The builder takes it out of the request.
-    Socket = restinio::impl::access_req_connection(*Request);
     Builder.emplace(Request->create_response<restinio::chunked_output_t>(
         statusLine(status)));
     for (const auto &[name, value] : fields)
@@ -228,18 +236,17 @@
   void breakOff() {
     Watch->unwatch(Connection, Id);
     Builder->flush();
-    // RESTinio has no call that breaks a connection. A file that is shorter
-    // than promised makes it fail, so the caller sees at once that the answer
-    // is not whole.
-    restinio::writable_items_container_t items;
-    items.emplace_back(restinio::sendfile(restinio::open_file("/dev/null"),
-                                          restinio::file_meta_t{1, {}}));
-    restinio::response_output_flags_t flags{
-        restinio::response_parts_attr_t::not_final_parts,
-        restinio::response_connection_attr_t::connection_close};
-    Socket->write_response_parts(Id, flags,
-                                 restinio::write_group_t(std::move(items)));
-    Socket.reset();
+    // Behind what was just written. The write that fails then has RESTinio
+    // close the connection also where it reads no further requests. A write
+    // that fails inside the call that starts it, as that of a file shorter than
+    // promised, has RESTinio use what it has destroyed.
+    asio::post(Context,
+               [&context = Context, ends = Ends,
+                builder = std::make_shared<Streamed>(std::move(*Builder))] {
+                 BreakableSockets::of(context).shut(ends);
+                 builder->append_chunk(std::string(1, ' '));
+                 builder->flush();
+               });
     Builder.reset();
   }
 
@@ -258,11 +265,14 @@
   std::shared_ptr<ConnectionWatch> Watch;
   ConnectionId Connection;
   RequestId Id;
-  /// Set while an answer in parts runs.
-  restinio::impl::connection_handle_t Socket;
+  ConnectionEnds Ends;
   std::shared_ptr<void> Token;
 };
 
+/// At limits of the server's own a connection is closed without an answer, so
+/// they are wider than those that refuse with a status, by this factor.
+constexpr std::size_t Wider = 2;
+
 /// The status that refuses a request which is over a limit; 0 if none is.
 int overLimit(const HttpServerSettings &settings,
               const restinio::request_t &request, std::size_t connections) {
@@ -317,7 +327,10 @@
 }
 
 struct HttpServer::Impl {
-  std::shared_ptr<ConnectionWatch> Watch = std::make_shared<ConnectionWatch>();
+  explicit Impl(std::size_t mostConnections)
+      : Watch(std::make_shared<ConnectionWatch>(mostConnections)) {}
+
+  std::shared_ptr<ConnectionWatch> Watch;
   std::shared_ptr<Unfinished> Answers = std::make_shared<Unfinished>();
   std::uint16_t Port = 0;
   std::unique_ptr<Server> Listener;
@@ -325,11 +338,8 @@
 
 HttpServer::HttpServer(asio::io_context &context,
                        const HttpServerSettings &settings, HttpHandler handler)
-    : Inner(std::make_unique<Impl>()) {
+    : Inner(std::make_unique<Impl>(settings.MaxConnections * Wider)) {
   constexpr auto NoLimit = std::chrono::hours(24);
-  // RESTinio closes a connection without an answer at its own limits, so they
-  // are wider than ours, which refuse with a status.
-  constexpr std::size_t Wider = 2;
   auto watch = Inner->Watch;
   auto answers = Inner->Answers;
   restinio::incoming_http_msg_limits_t limits;
@@ -347,7 +357,6 @@
             .read_next_http_message_timelimit(std::chrono::minutes(5))
             .write_http_response_timelimit(std::chrono::minutes(5))
             .incoming_http_msg_limits(limits)
-            .max_parallel_connections(settings.MaxConnections * Wider)
             .connection_state_listener(watch)
             .acceptor_options_setter([](auto &options) {
               options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
@@ -358,13 +367,14 @@
             .acceptor_post_bind_hook([this](auto &acceptor) {
               Inner->Port = acceptor.local_endpoint().port();
             })
-            .request_handler([handler = std::move(handler), watch, answers,
-                              settings,
+            .request_handler([this, handler = std::move(handler), watch,
+                              answers, settings,
                               &context](restinio::request_handle_t request) {
               auto over = overLimit(settings, *request, watch->connections());
               auto incoming = over ? HttpIncoming() : toIncoming(*request);
-              auto reply = std::make_shared<Reply>(context, std::move(request),
-                                                   watch, answers->token());
+              auto reply =
+                  std::make_shared<Reply>(context, std::move(request), watch,
+                                          answers->token(), Inner->Port);
               if (over)
                 refuseOverLimit(*reply, over);
               else
--- a/Hemlockglade/Transport/Http/HttpServer.h
+++ b/Hemlockglade/Transport/Http/HttpServer.h
@@ -62,7 +62,7 @@
   /// 0 lets the kernel choose.
   std::uint16_t Port = 0;
   /// Connections at once; a request on one more is refused with 429. Beyond
-  /// twice as many none is accepted until others have closed.
+  /// twice as many a new one is closed.
   std::size_t MaxConnections = 20000;
   /// Bytes of one header field's value; more is refused with 431. Beyond twice
   /// as much the connection is closed without an answer.
--- a/UnitTests/Transport/HttpTest.cpp
+++ b/UnitTests/Transport/HttpTest.cpp
@@ -15,8 +15,11 @@
   HttpHandler Handler;
   std::unique_ptr<HttpServer> Server;
   std::unique_ptr<HttpClient> Client = std::make_unique<HttpClient>(Context);
+  /// Replies that a test keeps; a reply must not outlive its context.
+  std::vector<ReplyPtr> Kept;
 
   ~HttpPair() {
+    Kept.clear();
     Client.reset();
     Server.reset();
     // What throws here has failed its test before.
@@ -104,8 +107,8 @@
 }
 
 TEST_CASE("streamed parts arrive in order, whole, as they are sent", "[http]") {
-  ReplyPtr held;
   HttpPair pair;
+  auto &held = pair.Kept.emplace_back();
   pair.serve([&](const HttpIncoming &in, const ReplyPtr &reply) {
     reply->startStream(200, {{"X-Kind", "stream"}});
     if (in.Path == "/held")
@@ -210,9 +213,9 @@
 TEST_CASE("a caller who goes away is told once, at any stage", "[http]") {
   for (bool streaming : {false, true}) {
     CAPTURE(streaming);
-    ReplyPtr held;
     int gone = 0;
     HttpPair pair;
+    auto &held = pair.Kept.emplace_back();
     pair.serve([&](const HttpIncoming &, const ReplyPtr &reply) {
       held = reply;
       reply->onGone([&] { ++gone; });
@@ -263,9 +266,9 @@
 
 TEST_CASE("two requests on one connection keep their own answers and hooks",
           "[http]") {
-  std::vector<ReplyPtr> held;
   std::vector<int> gone(3);
   HttpPair pair;
+  auto &held = pair.Kept;
   pair.serve([&](const HttpIncoming &, ReplyPtr reply) {
     auto turn = held.size();
     reply->onGone([&, turn] { ++gone[turn]; });
@@ -292,9 +295,9 @@
 
 TEST_CASE("one of two running requests may end and the other's hook stays",
           "[http]") {
-  std::vector<ReplyPtr> held;
   std::vector<int> gone(2);
   HttpPair pair;
+  auto &held = pair.Kept;
   pair.serve([&](const HttpIncoming &, ReplyPtr reply) {
     auto turn = held.size();
     reply->onGone([&, turn] { ++gone[turn]; });
@@ -369,9 +372,9 @@
 }
 
 TEST_CASE("a transfer can be cancelled at any stage, once", "[http]") {
-  ReplyPtr held;
   int gone = 0;
   HttpPair pair;
+  auto &held = pair.Kept.emplace_back();
   pair.serve([&](const HttpIncoming &, const ReplyPtr &reply) {
     held = reply;
     reply->onGone([&] { ++gone; });
@@ -477,9 +480,9 @@
 
 TEST_CASE("client and server may go while transfers run", "[http]") {
   for (bool clientFirst : {false, true}) {
-    std::vector<ReplyPtr> held;
     std::vector<Answer> answers(20);
     HttpPair pair;
+    auto &held = pair.Kept;
     pair.serve([&](const HttpIncoming &, ReplyPtr reply) {
       reply->startStream(200, {});
       reply->sendPart("part", nullptr);
