A node that the registry turns away hears of a plan from a peer

Change: once its knowledge of declarations is older than the bound on plans, a node asks one of the hosts that its settings name, twice in each bound, for what is newer than its plan; the answer has the plan only if it is. Ruled out: the briefing of a start, which has all replicas, some 50 KB on a grown site for each question.

--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -10,6 +10,9 @@
 inline constexpr std::string_view Cell = "/cell/";
 /// A node that starts asks another what it knows.
 inline constexpr std::string_view Briefing = "/briefing";
+/// A node that the registry does not answer asks another what operators have
+/// declared since. The version of the plan that it has follows the path.
+inline constexpr std::string_view Declared = "/declared/";
 } // namespace peer_path
 
 /// A node as callers' addresses are chosen from.
@@ -173,7 +176,8 @@
                  Members, MembersChanged, Sent, News)
 };
 
-/// What a node tells one that starts while the registry is away.
+/// What a node tells one that starts while the registry is away, or, without
+/// replicas and leases, one that only the registry is out of reach of.
 struct BriefingReply {
   /// The plan in force, as operators wrote it; empty if there is none.
   std::string PlanText;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -188,7 +188,7 @@
   Subscriptions.push_back(
       Timers.every(TickPeriod, [this](Instant) { tick(); }));
   Subscriptions.push_back(
-      Timers.every(BriefingPeriod, [this](Instant) { askBriefing(); }));
+      Timers.every(BriefingPeriod, [this](Instant) { askPeer(); }));
   Subscriptions.push_back(
       Timers.every(RefreshPeriod, [this](Instant) { refresh(); }));
   Log.write(LogClass::State, "start",
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -52,7 +52,12 @@
   void onMetrics(const CallerRequest &request, CallerReply &reply);
   void onPeer(const std::shared_ptr<PeerStream> &stream);
   BriefingReply briefing() const;
-  void askBriefing();
+  /// What a node with that version of the plan lacks of declarations.
+  BriefingReply declaredSince(std::uint64_t planVersion) const;
+  /// Asks a peer for what the registry does not tell: everything before this
+  /// node serves, declarations afterwards.
+  void askPeer();
+  void askBriefing(std::string path);
   void onBriefing(const BriefingReply &reply);
   void onDemand(const std::string &service, const WeightsRef &weights,
                 bool waiting);
@@ -98,6 +103,7 @@
   Instant StoppedAt{};
   bool WakePosted = false;
   std::size_t NextSeed = 0;
+  Instant AskedDeclaredAt{-3'600'000'000};
   std::vector<TimerService::Subscription> Subscriptions;
   std::function<void()> Stopped;
 };
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -2,6 +2,8 @@
 
 #include "Programs/hemlockgladed/Gateway/Gateway.h"
 
+#include <charconv>
+
 namespace hemlockglade {
 
 std::vector<MemberNotice> Gateway::members() const {
@@ -40,9 +42,25 @@
   }
   if (path == peer_path::Briefing)
     stream->send(pack(briefing()));
+  if (path.starts_with(peer_path::Declared)) {
+    std::uint64_t known = 0;
+    auto number = std::string_view(path).substr(peer_path::Declared.size());
+    auto end = number.data() + number.size();
+    if (std::from_chars(number.data(), end, known).ec == std::errc())
+      stream->send(pack(declaredSince(known)));
+  }
   stream->close();
 }
 
+BriefingReply Gateway::declaredSince(std::uint64_t planVersion) const {
+  BriefingReply out;
+  if (Plan && Plan->version() > planVersion)
+    out.PlanText = Plan->Source;
+  for (const auto &[weights, version] : Versions)
+    out.Versions.emplace_back(weights.text(), version);
+  return out;
+}
+
 BriefingReply Gateway::briefing() const {
   BriefingReply out;
   if (Plan)
@@ -57,9 +75,24 @@
   return out;
 }
 
-void Gateway::askBriefing() {
-  if (Settings.Seeds.empty() || (Plan && SeenReplicas) || Leaving)
+void Gateway::askPeer() {
+  if (Settings.Seeds.empty() || Leaving)
     return;
+  if (!Plan || !SeenReplicas)
+    return askBriefing(std::string(peer_path::Briefing));
+  // The registry may turn this node away and serve the others, whose plan
+  // callers then meet beside an older one here. One question in each half of
+  // the bound, of some 100 bytes where nothing is newer.
+  auto now = TimerService::now();
+  if (Watch->operatorAge() < Settings.PlanBound ||
+      now - AskedDeclaredAt < Settings.PlanBound / 2)
+    return;
+  AskedDeclaredAt = now;
+  askBriefing(std::string(peer_path::Declared) +
+              std::to_string(Plan->version()));
+}
+
+void Gateway::askBriefing(std::string path) {
   auto seed = Settings.Seeds[NextSeed++ % Settings.Seeds.size()];
   auto peer =
       seed.substr(0, seed.rfind(':')) + ":" + std::to_string(Settings.PeerPort);
@@ -72,12 +105,12 @@
     else
       Log.write(LogClass::State, "message-refused", {{"what", "briefing"}});
   };
-  Peers->open(peer, std::string(peer_path::Briefing), "?", std::move(hooks));
+  Peers->open(peer, std::move(path), "?", std::move(hooks));
 }
 
 void Gateway::onBriefing(const BriefingReply &reply) {
   OperatorChanges declared;
-  if (!Plan && !reply.PlanText.empty())
+  if (!reply.PlanText.empty())
     declared.Plan = Port.Registry.ReadPlan(reply.PlanText);
   for (const auto &[weights, version] : reply.Versions)
     declared.Versions.push_back({WeightsRef::parse(weights), version});
@@ -85,10 +118,11 @@
   for (const auto &[id, source] : reply.Replicas)
     if (auto it = Port.Registry.ReadReplica(id, source))
       replicas.Present.push_back(std::move(*it));
-  Log.write(
-      LogClass::State, "briefing",
-      {{"plan", declared.Plan ? declared.Plan->version() : 0},
-       {"replicas", static_cast<std::uint64_t>(replicas.Present.size())}});
+  if (declared.Plan || !replicas.Present.empty())
+    Log.write(
+        LogClass::State, "briefing",
+        {{"plan", declared.Plan ? declared.Plan->version() : 0},
+         {"replicas", static_cast<std::uint64_t>(replicas.Present.size())}});
   onOperator(declared);
   if (!SeenReplicas && !replicas.Present.empty())
     onReplicas(replicas, true);
--- a/UnitTests/Node/Gateway/GatewayTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayTest.cpp
@@ -37,6 +37,13 @@
       answer(wait, Declared);
   }
 
+  /// The registry turns this node away from now on.
+  void goAway() {
+    Away = true;
+    if (auto wait = std::exchange(Waiting, nullptr))
+      fail(wait);
+  }
+
   void registerReplica(const std::string &address) {
     ReplicaRecord record;
     record.Life = ReplicaLife("i-1");
@@ -450,29 +457,73 @@
         it.Settings.StopBound / 2 + 2 * lag.most());
 }
 
+namespace {
+
+/// A node beside a first one, with a registry of its own that may be away.
+struct SecondNode {
+  explicit SecondNode(GatewayFixture &first)
+      : Platform(first.Context), Settings(first.Settings) {
+    auto ports = first.freePorts(3);
+    Settings.Name = "entry-2";
+    // Peers' ports are the same on all hosts; the second host is 127.0.0.2.
+    Settings.Address = "127.0.0.2";
+    Settings.Seeds = {"127.0.0.1:1"};
+    Settings.CallerAddress = Loopback::address(ports[0]);
+    Settings.DirectoryAddress = Loopback::address(ports[1]);
+    Settings.ReadinessAddress = Loopback::address(ports[2]);
+  }
+
+  void start(GatewayFixture &first) {
+    Node = std::make_unique<Gateway>(first.Context, Settings, Platform.port(),
+                                     first.Log);
+    Node->start();
+    REQUIRE(first.until([this] { return Node->ready(); }));
+  }
+
+  FakePlatform Platform;
+  GatewaySettings Settings;
+  std::unique_ptr<Gateway> Node;
+};
+
+} // namespace
+
 TEST_CASE("a node that starts without the registry asks a peer", "[gateway]") {
   GatewayFixture first;
   first.Platform.declare(3, "/x/");
   first.Platform.registerReplica(first.Replica.address());
   first.start();
   REQUIRE(first.untilReady());
-  FakePlatform away(first.Context);
-  away.Away = true;
-  away.Known = first.Platform.Known;
-  auto settings = first.Settings;
-  auto ports = first.freePorts(3);
-  settings.Name = "entry-2";
-  // Peers' ports are the same on all hosts; the second host is 127.0.0.2.
-  settings.Address = "127.0.0.2";
-  settings.Seeds = {"127.0.0.1:1"};
-  settings.CallerAddress = Loopback::address(ports[0]);
-  settings.DirectoryAddress = Loopback::address(ports[1]);
-  settings.ReadinessAddress = Loopback::address(ports[2]);
-  Gateway second(first.Context, settings, away.port(), first.Log);
-  second.start();
-  REQUIRE(first.until([&] { return second.ready(); }));
+  SecondNode second(first);
+  second.Platform.Away = true;
+  second.Platform.Known = first.Platform.Known;
+  second.start(first);
+  first.Replica.Script = {{Hello}};
+  CHECK(has(first.ask(second.Settings.CallerAddress, "/x/"), "hello"));
+}
+
+// A node that only the registry is out of reach of serves on; its callers see
+// what was confirmed meanwhile as soon as a peer can tell it.
+TEST_CASE("a node that the registry turns away hears of a plan from a peer",
+          "[gateway]") {
+  GatewayFixture first;
+  first.Platform.declare(3, "/x/");
+  first.Platform.registerReplica(first.Replica.address());
+  first.start();
+  REQUIRE(first.untilReady());
+  SecondNode second(first);
+  second.Settings.PlanBound = second.Settings.DrainBound =
+      std::chrono::milliseconds(200);
+  second.Platform.declare(3, "/x/");
+  second.Platform.registerReplica(first.Replica.address());
+  second.start(first);
+  second.Platform.goAway();
+  first.Platform.declare(4, "/y/");
+  second.Platform.Known = first.Platform.Known;
   first.Replica.Script = {{Hello}};
-  CHECK(has(first.ask(settings.CallerAddress, "/x/"), "hello"));
+  bool served = false;
+  for (int it = 0; it < 1000 && !served; ++it)
+    served = has(first.ask(second.Settings.CallerAddress, "/y/"), " 200 ");
+  CHECK(served);
 }
 
 } // namespace hemlockglade::test
