A server's port lives as long as its connections

Cause: with the sockets that can be broken, the handler of requests took the server along to read its port. A connection may outlive the server, and a request on it would then read what is gone. Found on reading the change again; no run has shown it.

Change: the port stands in the watch that connections share. Behaviour is the same.

No test fails without it.

--- a/Hemlockglade/Transport/Http/HttpServer.cpp
+++ b/Hemlockglade/Transport/Http/HttpServer.cpp
@@ -22,6 +22,10 @@
 public:
   explicit ConnectionWatch(std::size_t most) : Most(most) {}
 
+  /// The port that is listened on; set before the first connection. Kept here,
+  /// since connections may outlive the server.
+  std::uint16_t Port = 0;
+
   // NOLINTNEXTLINE(readability-identifier-naming): RESTinio's name for it.
   void state_changed(const restinio::connection_state::notice_t &notice) {
     using restinio::connection_state::accepted_t;
@@ -332,7 +336,6 @@
 
   std::shared_ptr<ConnectionWatch> Watch;
   std::shared_ptr<Unfinished> Answers = std::make_shared<Unfinished>();
-  std::uint16_t Port = 0;
   std::unique_ptr<Server> Listener;
 };
 
@@ -364,17 +367,17 @@
             .socket_options_setter([](auto &options) {
               options.set_option(asio::ip::tcp::no_delay(true));
             })
-            .acceptor_post_bind_hook([this](auto &acceptor) {
-              Inner->Port = acceptor.local_endpoint().port();
+            .acceptor_post_bind_hook([watch](auto &acceptor) {
+              watch->Port = acceptor.local_endpoint().port();
             })
-            .request_handler([this, handler = std::move(handler), watch,
-                              answers, settings,
+            .request_handler([handler = std::move(handler), watch, answers,
+                              settings,
                               &context](restinio::request_handle_t request) {
               auto over = overLimit(settings, *request, watch->connections());
               auto incoming = over ? HttpIncoming() : toIncoming(*request);
               auto reply =
                   std::make_shared<Reply>(context, std::move(request), watch,
-                                          answers->token(), Inner->Port);
+                                          answers->token(), watch->Port);
               if (over)
                 refuseOverLimit(*reply, over);
               else
@@ -387,7 +390,7 @@
 
 HttpServer::~HttpServer() = default;
 
-std::uint16_t HttpServer::port() const { return Inner->Port; }
+std::uint16_t HttpServer::port() const { return Inner->Watch->Port; }
 
 std::size_t HttpServer::unfinished() const { return Inner->Answers->count(); }
 
