A number of repeats that is not whole is taken

Cause: the small twins of the large site share a deployment's budget out, so the platform names repeat_extra as 35.83; the settings took whole numbers only, and every process ended at its start with code 2. Ruled out: rounding in the template, which can't compute. Change: the number is a real one, in the settings and in the budget. Conclusion: a deployment may name a part of a number; stays.

--- a/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
@@ -14,6 +14,7 @@
 constexpr double MaxCores = 1024;
 constexpr double MinMbps = 0.001;
 constexpr double MaxMbps = 1e6;
+constexpr double MostRepeats = 1e6;
 
 bool isEndpointOrEmpty(std::string_view text) {
   return text.empty() || isEndpointAddress(text);
@@ -45,7 +46,7 @@
   map.milliseconds("handover_ms", out.Handover, {0, MinuteMs});
   map.seconds("max_directory_ttl_s", out.MaxDirectoryTtl, 0.1, MinuteSeconds);
   map.real("repeat_share", out.RepeatShare, 0, 1);
-  map.number("repeat_extra", out.RepeatExtra, {0, 1'000'000});
+  map.real("repeat_extra", out.RepeatExtra, 0, MostRepeats);
   map.seconds("repeat_window_s", out.RepeatWindow, 0.1, 10 * MinuteSeconds);
   map.milliseconds("drain_bound_ms", out.DrainBound, {1, MinuteMs});
   map.milliseconds("plan_bound_ms", out.PlanBound, {1, MinuteMs});
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.h
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -47,7 +47,7 @@
   Span MaxDirectoryTtl = std::chrono::seconds(5);
   /// Repeats over all nodes: share of the requests, number, and window.
   double RepeatShare = 0.2;
-  std::uint32_t RepeatExtra = 20;
+  double RepeatExtra = 20;
   Span RepeatWindow = std::chrono::seconds(10);
   /// Time within which a leaving replica must get no new work.
   Span DrainBound = std::chrono::seconds(2);
--- a/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
+++ b/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
@@ -33,6 +33,14 @@
   CHECK(settings->MetricsAddress.empty());
 }
 
+// A platform shares a deployment's budget out, and names a part of a number.
+TEST_CASE("a number of repeats need not be whole", "[gateway-settings]") {
+  auto settings = readGatewaySettings(Least + "repeat_extra: 35.8333\n", "f");
+  REQUIRE(settings);
+  CHECK(settings->RepeatExtra == Approx(35.8333));
+  CHECK_FALSE(readGatewaySettings(Least + "repeat_extra: -0.5\n", "f"));
+}
+
 TEST_CASE("faults of a gateway's settings are told all at once",
           "[gateway-settings]") {
   auto settings = readGatewaySettings(
