--- /dev/null
+++ b/Hemlockglade/Coordination/Entries/EntryBoard.cpp
@@ -0,0 +1,61 @@
+#include "Hemlockglade/Coordination/Entries/EntryBoard.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hemlockglade {
+
+namespace {
+
+const std::vector<EntryCandidate> *find(const std::vector<DomainEntries> &told,
+                                        const std::string &domain) {
+  for (const auto &it : told)
+    if (it.FailureDomain == domain && !it.Entries.empty())
+      return &it.Entries;
+  return nullptr;
+}
+
+} // namespace
+
+void EntryBoard::onTold(const std::string &cell,
+                        std::vector<DomainEntries> told) {
+  Told[cell] = std::move(told);
+}
+
+std::vector<EntryCandidate> EntryBoard::of(const std::string &domain) const {
+  if (auto own = Told.find(domain); own != Told.end())
+    if (const auto *entries = find(own->second, domain))
+      return *entries;
+  for (const auto &[cell, told] : Told)
+    if (const auto *entries = find(told, domain))
+      return *entries;
+  return {};
+}
+
+std::vector<EntryCandidate> EntryBoard::all() const {
+  std::set<std::string> domains;
+  for (const auto &[cell, told] : Told)
+    for (const auto &it : told)
+      domains.insert(it.FailureDomain);
+  std::vector<EntryCandidate> out;
+  for (const auto &domain : domains)
+    for (auto &it : of(domain))
+      out.push_back(std::move(it));
+  return out;
+}
+
+bool EntryBoard::serves(const std::string &node,
+                        const std::string &domain) const {
+  auto entries = of(domain);
+  return std::any_of(entries.begin(), entries.end(),
+                     [&node](const auto &it) { return it.Node == node; });
+}
+
+double EntryBoard::partOf(const std::string &node,
+                          const std::string &domain) const {
+  if (!serves(node, domain))
+    return 0;
+  return 1 / static_cast<double>(all().size());
+}
+
+} // namespace hemlockglade
--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -70,7 +70,7 @@
   Changed(ordering ? LeaseChange::MayOrder : LeaseChange::Lapsed, *this);
 }
 
-void CellLease::tick(Span reluctance) {
+void CellLease::tick(Span reluctance, Span leastLook) {
   Reluctance = reluctance;
   watchValidity();
   if (Busy)
@@ -88,7 +88,7 @@
     return;
   if (!InDoubt && Row && now >= std::max(FreeAt + reluctance, AbstainsUntil))
     return take(FreeAt, FreeAt + Setup.Handover + Setup.OrderTravel);
-  if (now - LookedAt >= LookPause)
+  if (now - LookedAt >= std::max(LookPause, Row ? leastLook : Span(0)))
     look();
 }
 
@@ -201,10 +201,12 @@
 }
 
 void CellLease::onTold(const CellLeaseRow &row) {
-  if (Row || isOwn(row))
+  if (Mine || Busy || isOwn(row) || (Row && Row->Fence >= row.Fence))
     return;
   Row = row;
   InDoubt = true;
+  // Whoever it is is asked first, and its row read only if it does not answer.
+  LookedAt = Now();
   Changed(LeaseChange::HolderSeen, *this);
 }
 
--- a/Hemlockglade/Coordination/Orders/CellLease.h
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -76,13 +76,14 @@
             OnChange onChange);
 
   /// Does what is due; to be called about ten times a second. A lease that is
-  /// free is taken only after it has been free for `reluctance`.
-  void tick(Span reluctance);
+  /// free is taken only after it has been free for `reluctance`, and a row that
+  /// is known is looked at no more often than each `leastLook`.
+  void tick(Span reluctance, Span leastLook = Span(0));
   /// The holder has told that its lease, at this version of the row, lasts for
   /// `remaining`.
   void onHeard(std::uint64_t version, Span remaining);
-  /// Another node tells who holds the lease; taken only while nothing is known,
-  /// and never as a ground to take the lease over.
+  /// Another node tells who holds the lease; taken while less is known, and
+  /// never as a ground to take the lease over.
   void onTold(const CellLeaseRow &row);
   /// Gives the lease up, if it is held.
   void release();
--- a/Hemlockglade/Coordination/Registry/Registry.h
+++ b/Hemlockglade/Coordination/Registry/Registry.h
@@ -64,4 +64,14 @@
       ReadReplica;
 };
 
+/// Calls to the registry and the table, by what they were for.
+struct RegistryCalls {
+  /// Looks at operators' declarations, and at replicas.
+  std::uint64_t Operator = 0;
+  std::uint64_t Replicas = 0;
+  /// Reads and writes of lease rows.
+  std::uint64_t LeaseReads = 0;
+  std::uint64_t LeaseWrites = 0;
+};
+
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Route/RepeatBudget.h
+++ b/Hemlockglade/Coordination/Route/RepeatBudget.h
@@ -22,6 +22,9 @@
     /// Part of the budget that is used. The rest covers that nodes see
     /// different numbers of requests and of each other.
     double Used = 0.75;
+    /// Part of the fixed number that is used. The rest covers that nodes which
+    /// serve for others may share the same window with them.
+    double ExtraUsed = 0.5;
   };
 
   explicit RepeatBudget(const Settings &settings) : Setup(settings) {}
@@ -32,8 +35,8 @@
   bool spend(const std::string &service, Instant now);
   /// Takes over other bounds; what is counted stays.
   void setBounds(const Settings &settings) { Setup = settings; }
-  /// How many nodes share the budget.
-  void setNodes(std::size_t nodes) { Nodes = nodes ? nodes : 1; }
+  /// Part of the fixed number that is this node's, 0 to 1.
+  void setPart(double part) { Part = part; }
 
 private:
   static constexpr std::size_t SlotCount = 20;
@@ -49,12 +52,9 @@
   std::int64_t numberOf(Instant now) const;
 
   Settings Setup;
-  /// Nodes that are taken to share the budget until others have been heard of:
-  /// of 86 nodes that all started together each took the whole of it, and a
-  /// service got 1,648 repeats in 10 s where 627 were allowed.
-  static constexpr std::size_t UnknownNodes = 32;
-
-  std::size_t Nodes = UnknownNodes;
+  /// None until others have been heard of: nodes that all start together would
+  /// each take the whole of it.
+  double Part = 0;
   std::map<std::string, Slots> Services;
 };
 
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -15,7 +15,7 @@
 inline constexpr std::string_view Declared = "/declared/";
 } // namespace peer_path
 
-/// A node as callers' addresses are chosen from.
+/// A node as it tells of itself.
 struct MemberNotice {
   std::string Node;
   /// Process; another start of the node has another one.
@@ -25,9 +25,29 @@
   std::string FailureDomain;
   /// Takes callers: has what it needs and does not leave.
   bool Ready = false;
-  /// Its host has the processor and the link that a large cell's owner needs.
-  bool Strong = true;
-  MSGPACK_DEFINE(Node, Incarnation, CallerAddress, FailureDomain, Ready, Strong)
+  /// What its host gives it.
+  double Cores = 1;
+  double LinkMbps = 1000;
+  /// It serves callers, or may have to at any moment, and has to be told at
+  /// once of what engines hold and of what others send them.
+  bool Awake = false;
+  MSGPACK_DEFINE(Node, Incarnation, CallerAddress, FailureDomain, Ready, Cores,
+                 LinkMbps, Awake)
+};
+
+/// A node in service.
+struct EntryNotice {
+  std::string Node;
+  /// `ip:port` for callers.
+  std::string CallerAddress;
+  MSGPACK_DEFINE(Node, CallerAddress)
+};
+
+/// The nodes in service of one failure domain.
+struct DomainNotice {
+  std::string FailureDomain;
+  std::vector<EntryNotice> Entries;
+  MSGPACK_DEFINE(FailureDomain, Entries)
 };
 
 /// Requests for weights that came to a node since its last beat.
@@ -130,7 +150,11 @@
   bool Brief = false;
   /// Set if the node wants news of the registry.
   RegistryPositions Knows;
-  MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief, Knows)
+  /// What callers ask of the node, a second.
+  double RequestsPerSecond = 0;
+  double BytesPerSecond = 0;
+  MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief, Knows,
+                 RequestsPerSecond, BytesPerSecond)
 };
 
 struct HeldNotice {
@@ -166,14 +190,18 @@
   std::vector<ReplicaNotice> Replicas;
   /// Requests that other nodes run at each replica.
   std::vector<RunningNotice> Running;
-  /// All nodes that follow the owner; sent when they have changed.
-  std::vector<MemberNotice> Members;
-  bool MembersChanged = false;
+  /// Which nodes serve callers, of each failure domain that the owner knows;
+  /// sent when that has changed.
+  std::vector<DomainNotice> Rosters;
+  bool RostersChanged = false;
+  /// Other cells and the text of their lease rows; sent to nodes of the owner's
+  /// failure domain when they have changed, so that these need not read them.
+  std::vector<std::pair<std::string, std::string>> Leases;
   /// Requests that other nodes sent since the last beat.
   std::vector<SentNotice> Sent;
   RegistryNews News;
   MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
-                 Members, MembersChanged, Sent, News)
+                 Rosters, RostersChanged, Leases, Sent, News)
 };
 
 /// What a node tells one that starts while the registry is away, or, without
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -12,9 +12,9 @@
 } // namespace
 
 CellMember::CellMember(Settings settings, Hooks hooks, ReplicaView &view,
-                       PeerNet &net, EventLog &log)
+                       PeerNet &net, PeerTraffic &traffic, EventLog &log)
     : Setup(std::move(settings)), Out(std::move(hooks)), View(view), Net(net),
-      Log(log), Desk(Setup.Desk) {
+      Traffic(traffic), Log(log), Desk(Setup.Desk) {
   Lease = std::make_shared<CellLease>(
       Setup.Cell, Setup.Lease, Out.Table, [] { return TimerService::now(); },
       [this](LeaseChange change, const CellLease &lease) {
@@ -29,13 +29,21 @@
 }
 
 void CellMember::tick() {
-  Lease->tick(Setup.Reluctance);
+  bool follows = Out.Follows();
+  bool waits = !Out.Self().Awake;
+  // Those in service look after the cells of other failure domains.
+  if (!waits || Setup.Cell == Setup.FailureDomain || Lease->held()) {
+    Lease->tick(Setup.Reluctance + (waits ? Setup.StandbyReluctance : Span(0)),
+                waits ? Setup.StandbyLook : Span(0));
+  }
   if (Lease->held())
     own();
   else if (Owning)
     disown();
-  if (!Owning)
+  if (!Owning && follows)
     follow();
+  else if (!Owning && Owner)
+    unfollow("stands by");
   auto now = TimerService::now();
   if (Urgent || now - BeatAt >= Setup.BeatEvery)
     beat();
@@ -49,6 +57,15 @@
   return Owning || TimerService::now() - OwnerHeardAt < Setup.MemberSilence;
 }
 
+const std::vector<DomainEntries> *CellMember::rosters() const {
+  return fresh() && (Owning || RostersTold) ? &Rosters : nullptr;
+}
+
+Span CellMember::silentFor() const {
+  return Owning ? Span(0)
+                : TimerService::now() - std::max(OwnerHeardAt, StartedAt);
+}
+
 bool CellMember::canOrder() const {
   return Owning ? Lease->mayOrder() : OwnerOrders && fresh();
 }
@@ -136,8 +153,15 @@
   brief.Brief = true;
   brief.Sent = std::exchange(Sent, {});
   brief.Uses = std::exchange(Uses, {});
-  if (Owner)
-    Owner->send(pack(brief));
+  sendToOwner(PeerMessage::NodeNotice, brief);
+}
+
+void CellMember::sendToOwner(PeerMessage kind, const NodeBeat &beat) {
+  if (!Owner)
+    return;
+  auto text = pack(beat);
+  Traffic.add(kind, Setup.Cell == Setup.FailureDomain, text.size());
+  Owner->send(text);
 }
 
 void CellMember::onRefusal(const std::string &replica,
@@ -154,8 +178,10 @@
     out.Demand.push_back(std::move(notice));
   out.Refusals = std::exchange(Refusals, {});
   out.Uses = std::exchange(Uses, {});
-  if (Out.Knows)
-    out.Knows = Out.Knows();
+  out.Knows = Out.Knows();
+  auto load = Out.Load();
+  out.RequestsPerSecond = load.Requests;
+  out.BytesPerSecond = load.Bytes;
   return out;
 }
 
@@ -167,7 +193,7 @@
     return;
   }
   if (Owner)
-    Owner->send(pack(takeBeat()));
+    sendToOwner(PeerMessage::NodeBeat, takeBeat());
 }
 
 void CellMember::follow() {
@@ -175,7 +201,7 @@
   const auto &row = Lease->row();
   if (Owner && now - std::max(OwnerHeardAt, OpenedAt) > OwnerSilence) {
     Net.drop(OwnerAddress);
-    unfollow();
+    unfollow("silent");
   }
   if (!row || row->Released || row->Address.empty())
     return;
@@ -183,7 +209,7 @@
     return;
   if (now - OpenedAt < ReopenEvery)
     return;
-  unfollow();
+  unfollow("another owner");
   OpenedAt = now;
   OwnerAddress = row->Address;
   PeerHooks hooks;
@@ -200,7 +226,7 @@
   };
   hooks.OnClosed = [this, alive = Alive, self](bool) {
     if (*alive && self->lock() == Owner)
-      unfollow();
+      unfollow("closed");
   };
   auto first = takeBeat();
   first.Uses = allUses();
@@ -209,20 +235,22 @@
   *self = Owner;
 }
 
-void CellMember::unfollow() {
+void CellMember::unfollow(std::string_view why) {
   auto owner = std::exchange(Owner, nullptr);
   if (!owner)
     return;
   owner->OnClosed = nullptr;
   owner->close();
   OwnerOrders = false;
-  // A new owner's first messages need not say which nodes there are; those that
-  // the one before told of may be gone, itself among them.
-  MembersTold = false;
+  // A new owner's first messages need not say which nodes serve; those that the
+  // one before told of may be gone, itself among them.
+  RostersTold = false;
+  Out.OnRosters();
   View.onOwnerLost(Setup.Cell);
   Log.write(LogClass::State, "owner-lost",
             {{"cell", Setup.Cell},
              {"address", OwnerAddress},
+             {"why", why},
              {"heard_ms_ago", TimerService::now() - OwnerHeardAt}});
 }
 
@@ -240,6 +268,18 @@
   View.onResidencyChange(notice.Replica, held, dropped);
 }
 
+void CellMember::onRosters(const std::vector<DomainNotice> &told) {
+  Rosters.clear();
+  for (const auto &domain : told) {
+    DomainEntries entries{domain.FailureDomain, {}};
+    for (const auto &it : domain.Entries)
+      entries.Entries.push_back({it.Node, it.CallerAddress, {}});
+    Rosters.push_back(std::move(entries));
+  }
+  RostersTold = true;
+  Out.OnRosters();
+}
+
 void CellMember::onOwnerBeat(const OwnerBeat &beat) {
   auto now = TimerService::now();
   if (now - OwnerHeardAt > OwnerSilence)
@@ -256,10 +296,10 @@
     View.onOtherSent(it.Replica, it.Tokens, now);
   for (const auto &it : beat.Running)
     View.onOthersRunning(it.Replica, it.Running, now);
-  if (beat.MembersChanged) {
-    Members = beat.Members;
-    MembersTold = true;
-  }
+  for (const auto &[cell, row] : beat.Leases)
+    Out.OnLease(cell, row);
+  if (beat.RostersChanged)
+    onRosters(beat.Rosters);
   Out.OnNews(beat.News);
   if (!beat.Replicas.empty())
     Out.OnChanged();
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hemlockglade/Coordination/Entries/EntryBoard.h"
 #include "Hemlockglade/Coordination/Orders/CellDesk.h"
 #include "Hemlockglade/Coordination/Orders/CellLease.h"
 #include "Hemlockglade/Coordination/Orders/HoldingsLog.h"
@@ -8,14 +9,19 @@
 #include "Hemlockglade/State/Log/EventLog.h"
 #include "Hemlockglade/Transport/Peer/PeerNet.h"
 #include "Hemlockglade/Transport/Time/TimerService.h"
+#include "Programs/hemlockgladed/Gateway/PeerTraffic.h"
 
 #include <unordered_map>
 
 namespace hemlockglade {
 
-/// One node's part in one cell. Every node follows the cell's owner: it tells
-/// what it wants and runs there, and hears what the replicas hold. The node
-/// that has the cell's lease is the owner, its own follower among them.
+/// One node's part in one cell. Nodes in service follow the cell's owner: they
+/// tell what they want and run there, and hear what the replicas hold. The
+/// owner chooses which nodes serve callers. The node that has the cell's lease
+/// is the owner, its own follower among them.
+///
+/// A node that stands by follows only the owner of its own failure domain, and
+/// is told only what it needs to take callers or a lease at any moment.
 class CellMember {
 public:
   struct Settings {
@@ -30,13 +36,10 @@
     /// hold, are gathered. Shorter than what an engine needs for the shortest
     /// prompts, some 10 ms.
     Span FlushEvery = std::chrono::milliseconds(3);
-    /// Least time between two plans that something urgent asks for; a plan
-    /// takes some 20 us with four replicas.
+    /// Least time between two plans that something urgent asks for.
     Span PlanEvery = std::chrono::milliseconds(2);
-    /// An owner with many followers waits longer, so much for each: it sends
-    /// at most 2,500 messages a second and plans on a tenth of its time. Else
-    /// an owner with 72 followers and a quarter of a core fell seconds behind
-    /// with what it heard of leaving replicas.
+    /// How much longer an owner waits for each node that it has to tell at
+    /// once: it bounds its messages a second, and what it plans.
     Span FlushEach = std::chrono::microseconds(400);
     Span PlanEach = std::chrono::microseconds(200);
     /// Failure domain of this node. The cell of another one is handed over once
@@ -49,24 +52,44 @@
     Span MemberSilence = std::chrono::milliseconds(1200);
     /// It is forgotten after this.
     Span MemberGone = std::chrono::seconds(6);
+    /// How much longer a node that stands by leaves a free lease, and the look
+    /// at its row, to those in service: few look, and others step in where
+    /// these are gone.
+    Span StandbyReluctance = std::chrono::milliseconds(1500);
+    Span StandbyLook = std::chrono::milliseconds(2000);
+    EntryRoster::Settings Roster;
+    /// How long a new owner goes by the choice of the one before, if it knows
+    /// one: its nodes have yet to find it, and all callers of a failure domain
+    /// would be sent to the few that have.
+    Span RosterSettles = std::chrono::milliseconds(2000);
   };
   struct Hooks {
     TableHooks Table;
     EngineHooks Engines;
     std::function<MemberNotice()> Self;
+    /// What callers ask of this node.
+    std::function<EntryLoad()> Load;
+    /// Whether this node has to follow the cell's owner now.
+    std::function<bool()> Follows;
     /// What the replicas hold or do has changed for this node.
     std::function<void()> OnChanged;
     std::function<std::shared_ptr<const RoutePlan>()> Plan;
     std::function<void(Span, std::function<void()>)> After;
     /// Up to where this node knows the registry, if this cell's owner is to
-    /// tell it news; none if not set.
+    /// tell it news, else zeros.
     std::function<RegistryPositions()> Knows;
+    /// Other cells' lease rows as this node knows them, and as it is told.
+    std::function<std::vector<std::pair<std::string, std::string>>()> Leases;
+    std::function<void(const std::string &cell, const std::string &row)>
+        OnLease;
+    /// Which nodes serve has changed, or is not known any more.
+    std::function<void()> OnRosters;
     std::function<RegistryNews(const RegistryPositions &known)> NewsSince;
     std::function<void(const RegistryNews &)> OnNews;
   };
 
   CellMember(Settings settings, Hooks hooks, ReplicaView &view, PeerNet &net,
-             EventLog &log);
+             PeerTraffic &traffic, EventLog &log);
 
   /// Does what is due; to be called about every 50 ms.
   void tick();
@@ -93,14 +116,16 @@
 
   /// Whether this cell can load weights now, as far as this node knows.
   bool canOrder() const;
-  /// Nodes that follow the owner, as last told, and whether that is recent.
-  const std::vector<MemberNotice> &members() const { return Members; }
   bool fresh() const;
-  /// Whether the nodes are those that the present owner told of.
-  bool membersFresh() const { return fresh() && (Owning || MembersTold); }
+  /// Which nodes serve, as the present owner tells; none if it is silent.
+  const std::vector<DomainEntries> *rosters() const;
+  /// How long the owner has been silent, since the start if it never spoke.
+  Span silentFor() const;
   bool owning() const { return Owning; }
   const CellLease &lease() const { return *Lease; }
   void onTold(const CellLeaseRow &row) { Lease->onTold(row); }
+  /// Tells the owner at once what this node says of itself.
+  void beat();
   const std::string &cell() const { return Setup.Cell; }
   std::uint64_t orders() const { return Orders; }
 
@@ -114,10 +139,12 @@
     Instant BeatAt{};
     std::map<std::string, std::uint32_t> Running;
     std::map<std::pair<std::string, std::string>, std::int32_t> Uses;
+    EntryLoad Load;
     /// Number of the last change of holdings that it was told of.
     std::uint64_t ToldHoldings = 0;
     std::map<std::string, std::uint32_t> ToldRunning;
-    std::uint64_t ToldMembers = 0;
+    std::uint64_t ToldRosters = 0;
+    std::uint64_t ToldLeases = 0;
     /// Some of the requests that are to be told are its own.
     bool HasSent = false;
     /// Up to where it knows the registry, by itself or from this node.
@@ -126,7 +153,6 @@
 
   // The node's side.
   void follow();
-  void beat();
   void flushSoon();
   void planSoon();
   void flush();
@@ -136,14 +162,20 @@
   void onSentNotices(std::uint64_t from, const std::vector<SentNotice> &sent);
   NodeBeat takeBeat();
   void onOwnerBeat(const OwnerBeat &beat);
+  void onRosters(const std::vector<DomainNotice> &told);
   void onHoldings(const ReplicaNotice &notice, Instant now);
-  void unfollow();
+  void unfollow(std::string_view why);
+  void sendToOwner(PeerMessage kind, const NodeBeat &beat);
 
   // The owner's side.
   void own();
   void carryOut(const DeskAction &action);
   void onNodeBeat(std::uint64_t id, const NodeBeat &beat);
+  void takeDemand(const NodeBeat &beat, Instant now);
   void broadcast();
+  void sendTo(Follower &follower, PeerMessage kind, const std::string &text);
+  /// All that a follower has not heard.
+  void tell(std::uint64_t id, Follower &follower);
   OwnerBeat beatFor(Follower &follower);
   OwnerBeat emptyBeat() const;
   void noteHoldings();
@@ -152,7 +184,13 @@
   Span flushEvery() const;
   Span planEvery() const;
   void addNews(Follower &follower, OwnerBeat &beat);
-  std::vector<MemberNotice> memberList();
+  /// Whether a node has been heard lately.
+  bool heard(std::uint64_t id, const Follower &follower, Instant now) const;
+  void chooseEntries(Instant now);
+  void addRosters(OwnerBeat &beat) const;
+  /// Followers that are told at once of what is sent and held.
+  std::size_t toldAtOnce() const;
+  void noteLeases();
   void countRunning();
   void forgetSilent(Instant now);
   /// Whether a node stands nearer to the cell, or as near on a stronger host.
@@ -166,6 +204,7 @@
   Hooks Out;
   ReplicaView &View;
   PeerNet &Net;
+  PeerTraffic &Traffic;
   EventLog &Log;
   std::shared_ptr<CellLease> Lease;
   CellDesk Desk;
@@ -179,8 +218,10 @@
   Instant OwnerHeardAt{-3'600'000'000};
   Instant OpenedAt{-3'600'000'000};
   bool OwnerOrders = false;
-  std::vector<MemberNotice> Members;
-  bool MembersTold = false;
+  Instant StartedAt = TimerService::now();
+  Instant OwnsSince{};
+  std::vector<DomainEntries> Rosters;
+  bool RostersTold = false;
 
   std::map<std::pair<std::string, WeightsRef>, DemandNotice> Demand;
   std::vector<RefusalNotice> Refusals;
@@ -194,7 +235,13 @@
 
   std::map<std::uint64_t, Follower> Followers;
   std::uint64_t NextFollower = 1;
-  std::uint64_t MembersRevision = 1;
+  /// Who serves each failure domain whose nodes follow this one.
+  std::map<std::string, EntryRoster> Choosers;
+  std::uint64_t RostersRevision = 1;
+  /// A node has come, gone or changed what it says of itself.
+  bool NodesChanged = false;
+  std::vector<std::pair<std::string, std::string>> Leases;
+  std::uint64_t LeasesRevision = 1;
   HoldingsLog Held;
   /// Revision of the desk's books that the log of holdings has.
   std::uint64_t NotedRevision = 0;
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -10,9 +10,16 @@
   return a.Node != b.Node || a.Incarnation != b.Incarnation ||
          a.CallerAddress != b.CallerAddress ||
          a.FailureDomain != b.FailureDomain || a.Ready != b.Ready ||
-         a.Strong != b.Strong;
+         a.Awake != b.Awake;
 }
 
+HostMeans meansOf(const MemberNotice &node) {
+  return {node.Cores, node.LinkMbps};
+}
+
+/// How much stronger a host has to be to be given a cell.
+constexpr double MuchStronger = 2;
+
 std::string_view orderName(OrderKind kind) {
   return kind == OrderKind::Load ? "load" : "unload";
 }
@@ -22,7 +29,8 @@
 void CellMember::own() {
   auto now = TimerService::now();
   if (!std::exchange(Owning, true)) {
-    unfollow();
+    unfollow("owns the cell");
+    OwnsSince = now;
     Desk.forget();
     Uses.clear();
     Held.clear();
@@ -55,6 +63,7 @@
 
 void CellMember::disown() {
   Owning = false;
+  RostersTold = false;
   for (auto &[id, follower] : std::exchange(Followers, {})) {
     dropUses(follower);
     if (follower.Stream) {
@@ -63,6 +72,7 @@
     }
   }
   View.onOwnerLost(Setup.Cell);
+  Out.OnRosters();
 }
 
 void CellMember::carryOut(const DeskAction &action) {
@@ -140,7 +150,8 @@
       return;
     dropUses(it->second);
     Followers.erase(it);
-    ++MembersRevision;
+    NodesChanged = true;
+    planSoon();
   };
 }
 
@@ -152,16 +163,29 @@
   onUses(follower, beat.Uses);
   if (beat.Brief)
     return;
-  follower.Knows.Operator =
-      std::max(follower.Knows.Operator, beat.Knows.Operator);
-  follower.Knows.Replica = std::max(follower.Knows.Replica, beat.Knows.Replica);
+  follower.Load = {beat.RequestsPerSecond, beat.BytesPerSecond};
+  if (beat.Knows.Operator && beat.Knows.Replica) {
+    auto &knows = follower.Knows;
+    knows.Operator = std::max(knows.Operator, beat.Knows.Operator);
+    knows.Replica = std::max(knows.Replica, beat.Knows.Replica);
+  } else {
+    follower.Knows = {};
+  }
+  bool woke = beat.Self.Awake && !follower.Self.Awake;
   if (follower.Self != beat.Self) {
     follower.Self = beat.Self;
-    ++MembersRevision;
+    NodesChanged = true;
   }
   follower.Running.clear();
   for (const auto &it : beat.Running)
     follower.Running[it.Replica] = it.Running;
+  takeDemand(beat, now);
+  // It may have callers already.
+  if (woke && id != SelfFollower)
+    tell(id, follower);
+}
+
+void CellMember::takeDemand(const NodeBeat &beat, Instant now) {
   bool waits = false;
   for (const auto &it : beat.Demand) {
     auto weights = WeightsRef::parse(it.Weights);
@@ -211,28 +235,73 @@
   }
 }
 
-std::vector<MemberNotice> CellMember::memberList() {
-  auto now = TimerService::now();
-  std::vector<MemberNotice> out;
-  for (auto &[id, follower] : Followers) {
-    if (follower.Self.Node.empty())
+bool CellMember::heard(std::uint64_t id, const Follower &follower,
+                       Instant now) const {
+  return id == SelfFollower || now - follower.BeatAt <= Setup.MemberSilence;
+}
+
+void CellMember::chooseEntries(Instant now) {
+  if (now - OwnsSince < Setup.RosterSettles)
+    return;
+  NodesChanged = false;
+  struct Domain {
+    std::vector<EntryCandidate> Ready;
+    EntryLoad Load;
+  };
+  std::map<std::string, Domain> domains;
+  for (const auto &[id, it] : Followers) {
+    if (!it.Self.Ready || !heard(id, it, now))
       continue;
-    auto member = follower.Self;
-    if (id != SelfFollower && now - follower.BeatAt > Setup.MemberSilence)
-      member.Ready = false;
-    out.push_back(std::move(member));
+    auto &domain = domains[it.Self.FailureDomain];
+    domain.Ready.push_back(
+        {it.Self.Node, it.Self.CallerAddress, meansOf(it.Self)});
+    domain.Load += it.Load;
+  }
+  std::vector<DomainEntries> chosen;
+  for (const auto &[name, domain] : domains) {
+    auto &chooser = Choosers.try_emplace(name, Setup.Roster).first->second;
+    chosen.push_back({name, chooser.choose(domain.Ready, domain.Load, now)});
   }
+  if (chosen == Rosters)
+    return;
+  Rosters = std::move(chosen);
+  ++RostersRevision;
+  for (const auto &it : Rosters)
+    Log.write(LogClass::State, "entries",
+              {{"cell", Setup.Cell},
+               {"failure_domain", it.FailureDomain},
+               {"in_service", static_cast<std::uint64_t>(it.Entries.size())},
+               {"first", it.Entries.front().Node},
+               {"ready", static_cast<std::uint64_t>(
+                             domains[it.FailureDomain].Ready.size())},
+               {"requests_per_s", domains[it.FailureDomain].Load.Requests},
+               {"bytes_per_s", domains[it.FailureDomain].Load.Bytes}});
+  Out.OnRosters();
+}
+
+void CellMember::noteLeases() {
+  auto leases = Out.Leases();
+  if (leases == Leases)
+    return;
+  Leases = std::move(leases);
+  ++LeasesRevision;
+}
+
+std::size_t CellMember::toldAtOnce() const {
+  std::size_t out = 0;
+  for (const auto &[id, follower] : Followers)
+    out += id != SelfFollower && follower.Self.Awake ? 1 : 0;
   return out;
 }
 
 Span CellMember::flushEvery() const {
-  auto followers = static_cast<int>(Owning ? Followers.size() : 0);
-  return std::max(Setup.FlushEvery, Setup.FlushEach * followers);
+  auto n = static_cast<int>(Owning ? toldAtOnce() : 0);
+  return std::max(Setup.FlushEvery, Setup.FlushEach * n);
 }
 
 Span CellMember::planEvery() const {
-  auto followers = static_cast<int>(Followers.size());
-  return std::max(Setup.PlanEvery, Setup.PlanEach * followers);
+  return std::max(Setup.PlanEvery,
+                  Setup.PlanEach * static_cast<int>(toldAtOnce()));
 }
 
 void CellMember::onSentNotices(std::uint64_t from,
@@ -300,12 +369,13 @@
   for (auto &[id, follower] : Followers) {
     bool own = std::exchange(follower.HasSent, false);
     bool behind = follower.ToldHoldings < Held.number();
-    if (id == SelfFollower || (sent.empty() && !behind))
+    bool waits = id == SelfFollower || !follower.Self.Awake;
+    if (waits || (sent.empty() && !behind))
       continue;
     auto told = std::exchange(follower.ToldHoldings, Held.number());
     auto &same = packed[told];
     if (!own && !same.empty()) {
-      follower.Stream->send(same);
+      sendTo(follower, PeerMessage::OwnerNotice, same);
       continue;
     }
     auto brief = emptyBeat();
@@ -314,7 +384,7 @@
       if (from != id)
         brief.Sent.push_back(notice);
     auto text = pack(brief);
-    follower.Stream->send(text);
+    sendTo(follower, PeerMessage::OwnerNotice, text);
     if (!own)
       same = std::move(text);
   }
@@ -322,6 +392,8 @@
 
 OwnerBeat CellMember::beatFor(Follower &follower) {
   auto out = emptyBeat();
+  if (!follower.Self.Awake)
+    return out;
   out.Replicas =
       holdingsSince(std::exchange(follower.ToldHoldings, Held.number()));
   for (const auto &replica : Desk.replicas()) {
@@ -351,13 +423,15 @@
   bool near = Setup.Cell == Setup.FailureDomain;
   if (!member.Ready || member.FailureDomain != Setup.Cell)
     return false;
-  return !near || (member.Strong && !Out.Self().Strong);
+  auto own = strengthOf(meansOf(Out.Self()));
+  return !near || strengthOf(meansOf(member)) >= MuchStronger * own;
 }
 
 void CellMember::handOverIfBetter(Instant now) {
-  bool better =
-      std::any_of(Members.begin(), Members.end(),
-                  [this](const auto &it) { return isBetterOwner(it); });
+  bool better = std::any_of(
+      Followers.begin(), Followers.end(), [this, now](const auto &it) {
+        return heard(it.first, it.second, now) && isBetterOwner(it.second.Self);
+      });
   if (!better) {
     NearerSince.reset();
     return;
@@ -383,39 +457,53 @@
 void CellMember::broadcast() {
   auto now = TimerService::now();
   bool due = now - BroadcastAt >= Setup.BeatEvery;
+  auto rosters = RostersRevision;
+  if (due || NodesChanged)
+    chooseEntries(now);
   if (due) {
     BroadcastAt = now;
     countRunning();
     forgetSilent(now);
-    auto members = memberList();
-    bool changed = members.size() != Members.size();
-    for (std::size_t it = 0; !changed && it < members.size(); ++it)
-      changed = members[it] != Members[it];
-    if (changed) {
-      Members = std::move(members);
-      ++MembersRevision;
-    }
+    noteLeases();
     handOverIfBetter(now);
   }
   noteHoldings();
   bool news = std::exchange(NewsDue, false);
-  if (!due && !news)
+  if (!due && !news && rosters == RostersRevision)
     return;
-  for (auto &[id, follower] : Followers) {
-    auto beat = beatFor(follower);
-    if (id != SelfFollower)
-      addNews(follower, beat);
-    if (follower.ToldMembers != MembersRevision) {
-      follower.ToldMembers = MembersRevision;
-      beat.MembersChanged = true;
-      beat.Members = Members;
-    }
-    if (id == SelfFollower) {
-      beat.MembersChanged = false;
-      onOwnerBeat(beat);
-    } else {
-      follower.Stream->send(pack(beat));
-    }
+  for (auto &[id, follower] : Followers)
+    tell(id, follower);
+}
+
+void CellMember::tell(std::uint64_t id, Follower &follower) {
+  auto beat = beatFor(follower);
+  // What the owner itself chose and saw it knows already.
+  if (id == SelfFollower)
+    return onOwnerBeat(beat);
+  addNews(follower, beat);
+  if (std::exchange(follower.ToldRosters, RostersRevision) != RostersRevision)
+    addRosters(beat);
+  bool near = follower.Self.FailureDomain == Setup.FailureDomain;
+  if (near &&
+      std::exchange(follower.ToldLeases, LeasesRevision) != LeasesRevision)
+    beat.Leases = Leases;
+  sendTo(follower, PeerMessage::OwnerBeat, pack(beat));
+}
+
+void CellMember::sendTo(Follower &follower, PeerMessage kind,
+                        const std::string &text) {
+  bool near = follower.Self.FailureDomain == Setup.FailureDomain;
+  Traffic.add(kind, near, text.size());
+  follower.Stream->send(text);
+}
+
+void CellMember::addRosters(OwnerBeat &beat) const {
+  beat.RostersChanged = true;
+  for (const auto &domain : Rosters) {
+    DomainNotice notice{domain.FailureDomain, {}};
+    for (const auto &it : domain.Entries)
+      notice.Entries.push_back({it.Node, it.CallerAddress});
+    beat.Rosters.push_back(std::move(notice));
   }
 }
 
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -16,6 +16,7 @@
 /// peer, and then the next: the registry answers in some 10 ms.
 constexpr auto BriefingPeriod = std::chrono::milliseconds(300);
 constexpr auto RefreshPeriod = std::chrono::seconds(1);
+constexpr auto UsagePeriod = std::chrono::seconds(10);
 /// How much longer than the cell's own hosts others leave a free lease alone.
 constexpr auto FarReluctance = std::chrono::milliseconds(700);
 /// The same of a weak host towards strong ones: a look at the lease row comes
@@ -66,7 +67,17 @@
     "hemlockglade_cell_ordering",
     "1 for each cell whose replicas this node may give orders to."};
 constexpr MetricFamily RegistryCallsFamily{
-    "hemlockglade_registry_calls", "Calls to the registry since the start."};
+    "hemlockglade_registry_calls",
+    "Calls to the registry since the start, by what they were for."};
+constexpr MetricFamily PeerMessagesFamily{
+    "hemlockglade_peer_messages",
+    "Messages to other nodes about cells since the start, by kind and by "
+    "whether they went to the own failure domain."};
+constexpr MetricFamily PeerBytesFamily{
+    "hemlockglade_peer_bytes",
+    "Bytes of messages to other nodes about cells since the start."};
+constexpr MetricFamily InServiceFamily{
+    "hemlockglade_in_service", "1 if callers are sent to this node."};
 constexpr MetricFamily WaitingFamily{"hemlockglade_waiting_requests",
                                      "Requests that wait for a replica."};
 constexpr MetricFamily ServingFamily{"hemlockglade_serving_requests",
@@ -172,10 +183,8 @@
   hooks.OnReplicas = [this](const auto &changes, bool unreachable) {
     onReplicas(changes, unreachable);
   };
-  hooks.Tells = [this] {
-    return std::any_of(Cells.begin(), Cells.end(),
-                       [](const auto &it) { return it.second->owning(); });
-  };
+  hooks.Tells = [this] { return ownsCells(); };
+  hooks.StandsBy = [this] { return !Awake; };
   hooks.OnNews = [this] {
     for (auto &[name, cell] : Cells)
       cell->onRegistryNews();
@@ -191,6 +200,8 @@
       Timers.every(BriefingPeriod, [this](Instant) { askPeer(); }));
   Subscriptions.push_back(
       Timers.every(RefreshPeriod, [this](Instant) { refresh(); }));
+  Subscriptions.push_back(
+      Timers.every(UsagePeriod, [this](Instant) { logUsage(); }));
   Log.write(LogClass::State, "start",
             {{"incarnation", Incarnation},
              {"version", HEMLOCKGLADE_VERSION},
@@ -217,26 +228,43 @@
         static_cast<std::uint32_t>(Settings.FailureDomains.size());
     setup.Desk.Turn = turn++;
     setup.Reluctance = reluctance(cell);
-    CellMember::Hooks hooks;
-    hooks.Table = Port.Table;
-    hooks.Engines = Port.Engines;
-    hooks.Self = [this] { return self(); };
-    hooks.OnChanged = [this] { wakeWaiting(); };
-    hooks.Plan = [this] { return Plan; };
-    hooks.After = [this](Span delay, std::function<void()> call) {
-      Timers.after(delay, [call = std::move(call)](Instant) { call(); });
-    };
-    if (cell == Settings.FailureDomain)
-      hooks.Knows = [this] { return Watch->positions(); };
-    hooks.NewsSince = [this](const RegistryPositions &known) {
-      return Watch->newsSince(known);
-    };
-    hooks.OnNews = [this](const RegistryNews &news) { Watch->onTold(news); };
     Cells[cell] = std::make_unique<CellMember>(
-        std::move(setup), std::move(hooks), View, *Peers, Log);
+        std::move(setup), memberHooks(cell), View, *Peers, Traffic, Log);
   }
 }
 
+CellMember::Hooks Gateway::memberHooks(const std::string &cell) {
+  CellMember::Hooks hooks;
+  hooks.Table = Port.Table;
+  hooks.Engines = Port.Engines;
+  hooks.Self = [this] { return self(); };
+  hooks.Load = [this] { return Meter.load(TimerService::now()); };
+  hooks.Follows = [this, cell] { return follows(cell); };
+  hooks.OnChanged = [this] { wakeWaiting(); };
+  hooks.Plan = [this] { return Plan; };
+  hooks.After = [this](Span delay, std::function<void()> call) {
+    Timers.after(delay, [call = std::move(call)](Instant) { call(); });
+  };
+  hooks.Knows = [this, cell] {
+    const auto *from = newsFrom();
+    bool its = from && from->cell() == cell;
+    return its ? Watch->positions() : RegistryPositions{};
+  };
+  hooks.NewsSince = [this](const RegistryPositions &known) {
+    return Watch->newsSince(known);
+  };
+  hooks.OnNews = [this](const RegistryNews &news) { Watch->onTold(news); };
+  hooks.Leases = [this, cell] { return leasesBut(cell); };
+  hooks.OnLease = [this](const std::string &of, const std::string &text) {
+    auto it = Cells.find(of);
+    auto row = CellLeaseRow::parse(text);
+    if (it != Cells.end() && row)
+      it->second->onTold(*row);
+  };
+  hooks.OnRosters = [this] { onRosters(); };
+  return hooks;
+}
+
 bool Gateway::strong() const {
   return Settings.Cores >= StrongCores && Settings.LinkMbps >= StrongMbps;
 }
@@ -341,6 +369,11 @@
       Shared, ExchangeSetup, Plan, *route, std::move(request),
       std::move(labels), std::move(reply));
   Exchanges.insert(exchange);
+  auto now = TimerService::now();
+  Meter.onRequest(now);
+  if (generates)
+    Generations.onRequest(now);
+  keepAwake();
   exchange->start();
   if (Leaving)
     exchange->holdAtMost(LeavingHold);
@@ -364,6 +397,7 @@
       .record(inSeconds(TimerService::now() - exchange.arrivedAt()));
   Metrics.histogram(HeldFamily, {{"service", service}})
       .record(inSeconds(exchange.heldFor()));
+  Meter.onBytes(exchange.bytesMoved(), TimerService::now());
   auto self =
       std::const_pointer_cast<GatewayExchange>(exchange.shared_from_this());
   // The exchange's own functions may still run; it goes when they are over.
@@ -391,6 +425,7 @@
 }
 
 void Gateway::tick() {
+  onRosters();
   for (auto &[name, cell] : Cells)
     cell->tick();
 }
@@ -399,14 +434,6 @@
   View.tidy(TimerService::now());
   Pool.tidy();
   Port.Tidy();
-  std::size_t nodes = 0;
-  for (const auto &it : members())
-    nodes += it.Ready ? 1 : 0;
-  bool told = std::any_of(Cells.begin(), Cells.end(), [](const auto &it) {
-    return it.second->membersFresh();
-  });
-  if (told)
-    Budget.setNodes(nodes);
   std::size_t waiting = 0;
   for (const auto &it : Exchanges)
     waiting += it->waiting() ? 1 : 0;
@@ -422,8 +449,53 @@
       .set(Plan ? static_cast<double>(Plan->version()) : 0);
   Metrics.gauge(DeclaredAgeFamily).set(inSeconds(Watch->operatorAge()));
   Metrics.gauge(ReplicasAgeFamily).set(inSeconds(Watch->replicasAge()));
-  Metrics.gauge(RegistryCallsFamily).set(static_cast<double>(Port.Calls()));
   Metrics.gauge(LogLeftOutFamily).set(static_cast<double>(Log.dropped()));
+  Metrics.gauge(InServiceFamily).set(InService ? 1 : 0);
+  refreshUsage();
+}
+
+void Gateway::refreshUsage() {
+  auto calls = Port.Calls();
+  auto setCalls = [this](std::string_view kind, std::uint64_t n) {
+    Metrics.gauge(RegistryCallsFamily, {{"kind", kind}})
+        .set(static_cast<double>(n));
+  };
+  setCalls("operator", calls.Operator);
+  setCalls("replicas", calls.Replicas);
+  setCalls("lease_reads", calls.LeaseReads);
+  setCalls("lease_writes", calls.LeaseWrites);
+  for (std::size_t it = 0; it < PeerTraffic::Kinds; ++it)
+    for (bool near : {true, false}) {
+      auto kind = static_cast<PeerMessage>(it);
+      const auto &sum = Traffic.sum(kind, near);
+      auto name = peerMessageName(kind);
+      std::string_view to = near ? "own" : "another";
+      Metrics.gauge(PeerMessagesFamily, {{"kind", name}, {"to", to}})
+          .set(static_cast<double>(sum.Messages));
+      Metrics.gauge(PeerBytesFamily, {{"kind", name}, {"to", to}})
+          .set(static_cast<double>(sum.Bytes));
+    }
+}
+
+void Gateway::logUsage() {
+  auto calls = Port.Calls();
+  auto bytes = [this](PeerMessage kind, bool near) {
+    return Traffic.sum(kind, near).Bytes;
+  };
+  Log.write(LogClass::State, "usage",
+            {{"in_service", InService},
+             {"calls_operator", calls.Operator},
+             {"calls_replicas", calls.Replicas},
+             {"calls_lease_reads", calls.LeaseReads},
+             {"calls_lease_writes", calls.LeaseWrites},
+             {"node_beats_near", bytes(PeerMessage::NodeBeat, true)},
+             {"node_beats_far", bytes(PeerMessage::NodeBeat, false)},
+             {"node_notices_near", bytes(PeerMessage::NodeNotice, true)},
+             {"node_notices_far", bytes(PeerMessage::NodeNotice, false)},
+             {"owner_beats_near", bytes(PeerMessage::OwnerBeat, true)},
+             {"owner_beats_far", bytes(PeerMessage::OwnerBeat, false)},
+             {"owner_notices_near", bytes(PeerMessage::OwnerNotice, true)},
+             {"owner_notices_far", bytes(PeerMessage::OwnerNotice, false)}});
 }
 
 void Gateway::reload(const GatewaySettings &settings) {
@@ -444,8 +516,10 @@
   Log.write(LogClass::State, "stop",
             {{"open", static_cast<std::uint64_t>(Exchanges.size())}});
   StoppedAt = TimerService::now();
-  for (auto &[name, cell] : Cells)
+  for (auto &[name, cell] : Cells) {
+    cell->beat();
     cell->leave();
+  }
   auto open = Exchanges;
   for (const auto &it : open)
     it->holdAtMost(LeavingHold);
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -68,12 +68,28 @@
               std::string_view why, std::optional<Span> retryAfter = {});
   void tick();
   void refresh();
+  void refreshUsage();
+  /// Says how much this node has told others and asked of the registry.
+  void logUsage();
   void waitUntilIdle(Instant until);
   /// How much of the time that a stop may take has gone, 0 to 1.
   double stopShare() const;
   CallerHooks callerHooks();
-  std::vector<MemberNotice> members() const;
   MemberNotice self() const;
+  /// Goes by who serves callers now: takes its part of what they share, and
+  /// follows all owners while it may have callers.
+  void onRosters();
+  /// Whether callers may come here: it is in service, or one came lately.
+  void setAwake(bool awake, std::string_view why);
+  void keepAwake();
+  bool ownsCells() const;
+  /// Whether this node has to follow the owner of a cell.
+  bool follows(const std::string &cell) const;
+  /// Whose news of the registry this node hears.
+  const CellMember *newsFrom() const;
+  std::vector<std::pair<std::string, std::string>>
+  leasesBut(const std::string &cell) const;
+  CellMember::Hooks memberHooks(const std::string &cell);
   ExchangeContext exchangeContext();
 
   asio::io_context &Context;
@@ -89,7 +105,16 @@
   ExchangeContext Shared;
   const ExchangeSettings ExchangeSetup;
   std::unique_ptr<PeerNet> Peers;
+  PeerTraffic Traffic;
   std::map<std::string, std::unique_ptr<CellMember>> Cells;
+  EntryBoard Board;
+  /// All requests, and those for engines alone.
+  EntryMeter Meter;
+  EntryMeter Generations;
+  bool InService = false;
+  bool Awake = false;
+  /// When a caller's request came last.
+  Instant AskedAt{-3'600'000'000};
   std::unique_ptr<RegistryWatch> Watch;
   std::unique_ptr<CallerServer> Callers;
   std::unique_ptr<CallerServer> Directory;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -76,6 +76,8 @@
   std::string_view outcome() const { return Result; }
   Instant arrivedAt() const { return Request.ArrivedAt; }
   std::optional<Span> firstByte() const { return FirstByte; }
+  /// Bytes of the bodies of the request and of all answers to it.
+  std::uint64_t bytesMoved() const { return Request.Body.size() + Answered; }
   /// How long it was held before it was first sent, or until its end.
   Span heldFor() const;
 
@@ -164,6 +166,8 @@
   std::map<std::string, Span> NextRest;
   std::string LastEvent;
   std::uint64_t EventsPassed = 0;
+  /// Bytes of answers' bodies.
+  std::uint64_t Answered = 0;
   std::uint16_t Status = 0;
   std::string_view Result;
   std::string_view WaitReason;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -54,6 +54,7 @@
 
 void GatewayExchange::onBody(std::string_view part) {
   noteAlive();
+  Answered += part.size();
   bool events = Now->Labels.Events && isSuccess(Now->Head->Status) &&
                 Now->Labels.Sealed && !Now->Labels.Encoded;
   if (!events) {
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -6,31 +6,90 @@
 
 namespace hemlockglade {
 
-std::vector<MemberNotice> Gateway::members() const {
-  std::map<std::string, MemberNotice> known;
-  bool anyFresh = false;
+namespace {
+
+/// How long a node that has had a caller takes it that more may come: longer
+/// than callers keep an address.
+constexpr auto AwakeFor = std::chrono::seconds(3);
+/// Requests for engines a second that wake a node: a single one, of a caller
+/// that looks around, is served by what the replicas register.
+constexpr double WakingRequests = 1.5;
+/// Silence of the own cell's owner after which a node listens to the others.
+constexpr auto OwnerPatience = std::chrono::milliseconds(3000);
+
+} // namespace
+
+MemberNotice Gateway::self() const {
+  return {Settings.Name, Incarnation,    Settings.CallerAddress,
+          Settings.FailureDomain, ready(), Settings.Cores,
+          Settings.LinkMbps,      Awake};
+}
+
+bool Gateway::ownsCells() const {
+  return std::any_of(Cells.begin(), Cells.end(),
+                     [](const auto &it) { return it.second->owning(); });
+}
+
+const CellMember *Gateway::newsFrom() const {
+  auto own = Cells.find(Settings.FailureDomain);
+  if (own != Cells.end() && own->second->fresh())
+    return own->second.get();
   for (const auto &[name, cell] : Cells)
-    anyFresh = anyFresh || cell->membersFresh();
-  for (const auto &[name, cell] : Cells) {
-    if (anyFresh && !cell->membersFresh())
-      continue;
-    for (const auto &it : cell->members()) {
-      auto [at, isNew] = known.try_emplace(it.Node, it);
-      if (!isNew)
-        at->second.Ready = at->second.Ready && it.Ready;
-    }
-  }
-  known[Settings.Name] = self();
-  std::vector<MemberNotice> out;
-  out.reserve(known.size());
-  for (auto &[name, it] : known)
-    out.push_back(std::move(it));
+    if (cell->fresh() && !cell->owning())
+      return cell.get();
+  return own == Cells.end() ? nullptr : own->second.get();
+}
+
+bool Gateway::follows(const std::string &cell) const {
+  if (Awake || cell == Settings.FailureDomain)
+    return true;
+  auto own = Cells.find(Settings.FailureDomain);
+  return own == Cells.end() || own->second->silentFor() > OwnerPatience;
+}
+
+std::vector<std::pair<std::string, std::string>>
+Gateway::leasesBut(const std::string &cell) const {
+  std::vector<std::pair<std::string, std::string>> out;
+  for (const auto &[name, it] : Cells)
+    if (const auto &row = it->lease().row(); row && name != cell)
+      out.emplace_back(name, row->text());
   return out;
 }
 
-MemberNotice Gateway::self() const {
-  return {Settings.Name,          Incarnation, Settings.CallerAddress,
-          Settings.FailureDomain, ready(),     strong()};
+void Gateway::onRosters() {
+  for (const auto &[name, cell] : Cells)
+    if (const auto *told = cell->rosters())
+      Board.onTold(name, *told);
+    else
+      Board.forget(name);
+  InService = Board.serves(Settings.Name, Settings.FailureDomain);
+  Budget.setPart(Board.partOf(Settings.Name, Settings.FailureDomain));
+  bool asked = TimerService::now() - AskedAt < AwakeFor;
+  setAwake(InService || ownsCells() || asked,
+           InService ? "in service" : "no callers");
+}
+
+void Gateway::keepAwake() {
+  auto now = TimerService::now();
+  if (Generations.load(now).Requests < WakingRequests)
+    return;
+  AskedAt = now;
+  if (Awake)
+    return;
+  setAwake(true, "callers came");
+  for (auto &[name, cell] : Cells)
+    cell->tick();
+}
+
+void Gateway::setAwake(bool awake, std::string_view why) {
+  if (std::exchange(Awake, awake) == awake)
+    return;
+  Log.write(LogClass::State, awake ? "wakes" : "stands-by", {{"why", why}});
+  if (!awake)
+    return;
+  // The owners have to tell it what they hold before its callers come.
+  for (auto &[name, cell] : Cells)
+    cell->beat();
 }
 
 void Gateway::onPeer(const std::shared_ptr<PeerStream> &stream) {
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/PeerTraffic.cpp
@@ -0,0 +1,25 @@
+#include "Programs/hemlockgladed/Gateway/PeerTraffic.h"
+
+namespace hemlockglade {
+
+std::string_view peerMessageName(PeerMessage kind) {
+  switch (kind) {
+  case PeerMessage::NodeBeat:
+    return "node_beat";
+  case PeerMessage::NodeNotice:
+    return "node_notice";
+  case PeerMessage::OwnerBeat:
+    return "owner_beat";
+  case PeerMessage::OwnerNotice:
+    return "owner_notice";
+  }
+  return "unknown";
+}
+
+void PeerTraffic::add(PeerMessage kind, bool near, std::size_t bytes) {
+  auto &sum = Sums[near ? 1 : 0][static_cast<std::size_t>(kind)];
+  ++sum.Messages;
+  sum.Bytes += bytes;
+}
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/PlatformPort.h
+++ b/Programs/hemlockgladed/Gateway/PlatformPort.h
@@ -33,7 +33,7 @@
   /// Drops connections that rested too long.
   std::function<void()> Tidy;
   /// Calls made to the registry and table so far.
-  std::function<std::uint64_t()> Calls;
+  std::function<RegistryCalls()> Calls;
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -48,9 +48,15 @@
              {"known_ms_ago", operatorAge()}});
 }
 
-Span RegistryWatch::spared(Instant seenAt, Span period) const {
+Span RegistryWatch::spared(Instant seenAt, Instant toldAt, Span period) const {
   auto now = TimerService::now();
-  if (Out.Tells() || now - ToldAt > Setup.ToldSilence)
+  if (Out.Tells())
+    return Span(0);
+  // However old what it is told is: while the registry is away, or turns the
+  // owner away, those in service find out for themselves, not all.
+  if (Out.StandsBy && Out.StandsBy())
+    return std::max(Span(0), toldAt + Setup.StandbySilence - now);
+  if (now - ToldAt > Setup.ToldSilence)
     return Span(0);
   auto until = seenAt + period + Setup.ToldSlack;
   return std::max(Span(0), until - now);
@@ -65,7 +71,8 @@
 }
 
 void RegistryWatch::lookAtOperator() {
-  auto left = OperatorPosition ? spared(OperatorSeenAt, Setup.Pace.OperatorWait)
+  auto left = OperatorPosition ? spared(OperatorSeenAt, OperatorToldAt,
+                                        Setup.Pace.OperatorWait)
                                : Span(0);
   if (left > Span(0))
     return planOperator(left);
@@ -126,7 +133,8 @@
 }
 
 void RegistryWatch::lookAtReplicas() {
-  auto left = ReplicaPosition ? spared(ReplicasSeenAt, Setup.Pace.ReplicaPeriod)
+  auto left = ReplicaPosition ? spared(ReplicasSeenAt, ReplicasToldAt,
+                                       Setup.Pace.ReplicaPeriod)
                               : Span(0);
   if (left > Span(0))
     return planReplicas(left);
@@ -233,6 +241,7 @@
   }
   for (const auto &it : all)
     takeOperator(it, "owner");
+  OperatorToldAt = now;
   OperatorPosition = news.OperatorPosition;
   Seen.onOperator({nullptr, {}, news.OperatorPosition});
   OperatorSeenAt = std::max(OperatorSeenAt, now - Span(news.OperatorAgeUs));
@@ -258,6 +267,7 @@
   }
   for (const auto &it : all)
     takeReplicas(it, unreachableLately() || news.Unreachable);
+  ReplicasToldAt = now;
   ReplicaPosition = news.ReplicaPosition;
   Seen.onReplicas({false, {}, {}, news.ReplicaPosition});
   ReplicasSeenAt = std::max(ReplicasSeenAt, now - Span(news.ReplicaAgeUs));
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -22,6 +22,8 @@
     Span ToldSlack = std::chrono::milliseconds(350);
     /// An owner that has been silent for this long, two beats, tells no more.
     Span ToldSilence = std::chrono::milliseconds(700);
+    /// The same for a node that stands by, which hears another owner then.
+    Span StandbySilence = std::chrono::milliseconds(3000);
     /// A registry that failed this recently may have let entries lapse.
     Span LapseWindow = std::chrono::milliseconds(4000);
   };
@@ -30,6 +32,9 @@
     std::function<void(const ReplicaChanges &, bool unreachable)> OnReplicas;
     /// Whether this node tells others, so that it has to look itself.
     std::function<bool()> Tells;
+    /// Whether this node serves no callers, so that it can leave looks to
+    /// others while one tells it anything; never if not set.
+    std::function<bool()> StandsBy;
     /// There is something new to tell.
     std::function<void()> OnNews;
   };
@@ -65,7 +70,7 @@
   void planReplicas(Span pause);
   /// How much longer nothing has to be looked at that was seen then and is
   /// looked at once in the period.
-  Span spared(Instant seenAt, Span period) const;
+  Span spared(Instant seenAt, Instant toldAt, Span period) const;
   /// How looks of one kind have ended lately.
   struct LookState {
     std::string_view Name;
@@ -98,6 +103,9 @@
   Span OperatorWaits{0};
   Instant ReplicasAskedAt{};
   Instant ToldAt{LongAgo};
+  /// When news of each kind were last such that this node could follow them.
+  Instant OperatorToldAt{LongAgo};
+  Instant ReplicasToldAt{LongAgo};
   LookState OperatorLook{"operator"};
   LookState ReplicaLook{"replicas"};
   Span OperatorPause{0};
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -104,7 +104,7 @@
                                                       Ended = true;
                                                     }},
         First(Context), Second(Context), Peer(Context) {
-    Budget.setNodes(1);
+    Budget.setPart(1);
     Way.Name = "r";
     Way.Targets = {{"s", 1}};
     Way.Timeout = milliseconds(2000);
--- a/UnitTests/Node/Gateway/GatewayTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayTest.cpp
@@ -136,7 +136,7 @@
     };
     out.Directory.AsksReadiness = [](std::string_view) { return true; };
     out.Tidy = [] {};
-    out.Calls = [] { return std::uint64_t{0}; };
+    out.Calls = [] { return RegistryCalls{}; };
     return out;
   }
 
