Nodes that start or stand by leave the registry to few

Ruled out: fewer looks for all (the bounds on plans and leaving replicas rest on those of the nodes in service). Change: a briefing tells positions in the registry, so that a node goes on by news from there; a weak host that starts waits 2 s for it. Nodes that stand by look at lease rows each 2 to 3 s and pause 1.5 s after a look that failed. An owner is asked for by its leases' own small question. A new owner's choice settles after 1 s.

--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -88,7 +88,7 @@
     return;
   if (!InDoubt && Row && now >= std::max(FreeAt + reluctance, AbstainsUntil))
     return take(FreeAt, FreeAt + Setup.Handover + Setup.OrderTravel);
-  if (now - LookedAt >= std::max(LookPause, Row ? leastLook : Span(0)))
+  if (now - LookedAt >= std::max(LookPause, leastLook))
     look();
 }
 
--- a/Hemlockglade/Coordination/Orders/CellLease.h
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -76,8 +76,8 @@
             OnChange onChange);
 
   /// Does what is due; to be called about ten times a second. A lease that is
-  /// free is taken only after it has been free for `reluctance`, and a row that
-  /// is known is looked at no more often than each `leastLook`.
+  /// free is taken only after it has been free for `reluctance`, and the row is
+  /// looked at no more often than each `leastLook`.
   void tick(Span reluctance, Span leastLook = Span(0));
   /// The holder has told that its lease, at this version of the row, lasts for
   /// `remaining`.
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -212,7 +212,7 @@
       seen.ByOwner = false;
 }
 
-bool ReplicaView::usable(const Seen &seen) const {
+bool ReplicaView::usable(const Seen &seen) {
   return !seen.Leaving && !seen.Replaced;
 }
 
@@ -495,6 +495,12 @@
   return out;
 }
 
+bool ReplicaView::anyVanishes() const {
+  return std::any_of(Replicas.begin(), Replicas.end(), [](const auto &it) {
+    return usable(it.second) && it.second.VanishesAt;
+  });
+}
+
 std::map<std::string, std::uint32_t>
 ReplicaView::ownRunning(const std::string &domain) const {
   std::map<std::string, std::uint32_t> out;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -181,6 +181,8 @@
   std::vector<ReplicaPtr> replicasIn(const std::string &domain) const;
   /// Records of all replicas in use.
   std::vector<ReplicaPtr> inUse() const;
+  /// Whether some are used on though their entries have vanished.
+  bool anyVanishes() const;
   /// Rises whenever `replicasIn` may give something else.
   std::uint64_t revision() const { return Revision; }
   /// Own running requests at each replica of a failure domain that has any.
@@ -220,7 +222,7 @@
     bool Replaced = false;
   };
 
-  bool usable(const Seen &seen) const;
+  static bool usable(const Seen &seen);
   double cost(const Seen &seen, const RouteQuery &query, double usualFailures,
               Instant now) const;
   bool versionServes(const WeightsRef &weights, std::uint64_t version,
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -8,8 +8,11 @@
 /// A node follows a cell's owner: it tells its part of the load and hears what
 /// the replicas hold. The cell's name follows the path.
 inline constexpr std::string_view Cell = "/cell/";
-/// A node that starts asks another what it knows.
-inline constexpr std::string_view Briefing = "/briefing";
+/// A node that starts asks another what it knows. The version of the plan that
+/// it has, or 0, follows the path.
+inline constexpr std::string_view Briefing = "/briefing/";
+/// A node asks another who owns the cells.
+inline constexpr std::string_view Leases = "/leases";
 /// A node that the registry does not answer asks another what operators have
 /// declared since. The version of the plan that it has follows the path.
 inline constexpr std::string_view Declared = "/declared/";
@@ -215,7 +218,10 @@
   std::vector<std::pair<std::string, std::uint64_t>> Versions;
   /// Cells and the text of their lease rows.
   std::vector<std::pair<std::string, std::string>> Leases;
-  MSGPACK_DEFINE(PlanText, Replicas, Versions, Leases)
+  /// Positions in the registry that all of this is complete up to; 0 where the
+  /// node that tells does not know.
+  RegistryPositions Knows;
+  MSGPACK_DEFINE(PlanText, Replicas, Versions, Leases, Knows)
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -34,7 +34,7 @@
   // Those in service look after the cells of other failure domains.
   if (!waits || Setup.Cell == Setup.FailureDomain || Lease->held()) {
     Lease->tick(Setup.Reluctance + (waits ? Setup.StandbyReluctance : Span(0)),
-                waits ? Setup.StandbyLook : Span(0));
+                waits ? Setup.StandbyLook + Setup.StandbySpread : Span(0));
   }
   if (Lease->held())
     own();
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -57,11 +57,13 @@
     /// these are gone.
     Span StandbyReluctance = std::chrono::milliseconds(1500);
     Span StandbyLook = std::chrono::milliseconds(2000);
+    /// This node's own addition to that, so that not all look together.
+    Span StandbySpread{0};
     EntryRoster::Settings Roster;
     /// How long a new owner goes by the choice of the one before, if it knows
     /// one: its nodes have yet to find it, and all callers of a failure domain
     /// would be sent to the few that have.
-    Span RosterSettles = std::chrono::milliseconds(2000);
+    Span RosterSettles = std::chrono::milliseconds(1000);
   };
   struct Hooks {
     TableHooks Table;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -16,6 +16,9 @@
 /// peer, and then the next: the registry answers in some 10 ms.
 constexpr auto BriefingPeriod = std::chrono::milliseconds(300);
 constexpr auto RefreshPeriod = std::chrono::seconds(1);
+/// How long a weak host that starts waits for what others know before it reads
+/// the registry itself: of many that start together few need to.
+constexpr auto FirstLookAfter = std::chrono::milliseconds(2000);
 constexpr auto UsagePeriod = std::chrono::seconds(10);
 /// How much longer than the cell's own hosts others leave a free lease alone.
 constexpr auto FarReluctance = std::chrono::milliseconds(700);
@@ -101,6 +104,14 @@
   return out;
 }
 
+/// Nodes that stand by look at leases at different times.
+Span standbySpread(const std::string &node) {
+  constexpr Span Most = std::chrono::milliseconds(1000);
+  return Span(static_cast<std::int64_t>(
+      std::hash<std::string>{}(node) %
+      static_cast<std::uint64_t>(Most.count())));
+}
+
 std::string newIncarnation() {
   std::random_device random;
   constexpr std::string_view Hex = "0123456789abcdef";
@@ -129,7 +140,8 @@
         return out;
       }()),
       Budget(budgetOf(Settings)), Pool(context, HttpPool::Settings{}),
-      Shared(exchangeContext()), ExchangeSetup(Settings.Decisions.Exchange) {}
+      Shared(exchangeContext()), ExchangeSetup(Settings.Decisions.Exchange),
+      NextSeed(std::hash<std::string>{}(Settings.Name)) {}
 
 Gateway::~Gateway() {
   for (const auto &it : Exchanges)
@@ -193,7 +205,9 @@
   watch.Pace = Settings.lookPace();
   Watch = std::make_unique<RegistryWatch>(Timers, Port.Registry, watch,
                                           std::move(hooks), Log);
-  Watch->start();
+  bool first = strong() || isSeed() || Settings.Seeds.empty();
+  Watch->start(first ? Span(0) : Span(FirstLookAfter));
+  askPeer();
   Subscriptions.push_back(
       Timers.every(TickPeriod, [this](Instant) { tick(); }));
   Subscriptions.push_back(
@@ -228,6 +242,7 @@
         static_cast<std::uint32_t>(Settings.FailureDomains.size());
     setup.Desk.Turn = turn++;
     setup.Reluctance = reluctance(cell);
+    setup.StandbySpread = standbySpread(Settings.Name);
     Cells[cell] = std::make_unique<CellMember>(
         std::move(setup), memberHooks(cell), View, *Peers, Traffic, Log);
   }
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -51,12 +51,16 @@
   void onReadiness(const CallerRequest &request, CallerReply &reply);
   void onMetrics(const CallerRequest &request, CallerReply &reply);
   void onPeer(const std::shared_ptr<PeerStream> &stream);
-  BriefingReply briefing() const;
+  BriefingReply briefing(std::uint64_t planVersion) const;
   /// What a node with that version of the plan lacks of declarations.
   BriefingReply declaredSince(std::uint64_t planVersion) const;
   /// Asks a peer for what the registry does not tell: everything before this
   /// node serves, declarations afterwards.
   void askPeer();
+  /// Whether others are told to ask this node as they start.
+  bool isSeed() const;
+  /// Whether it is known who owns the cell of the own failure domain.
+  bool knowsOwner() const;
   void askBriefing(std::string path);
   void onBriefing(const BriefingReply &reply);
   void onDemand(const std::string &service, const WeightsRef &weights,
@@ -127,7 +131,7 @@
   bool Leaving = false;
   Instant StoppedAt{};
   bool WakePosted = false;
-  std::size_t NextSeed = 0;
+  std::size_t NextSeed;
   Instant AskedDeclaredAt{-3'600'000'000};
   std::vector<TimerService::Subscription> Subscriptions;
   std::function<void()> Stopped;
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -14,6 +14,18 @@
 /// Requests for engines a second that wake a node: a single one, of a caller
 /// that looks around, is served by what the replicas register.
 constexpr double WakingRequests = 1.5;
+/// The version behind a path that asks for what is newer.
+std::optional<std::uint64_t> versionIn(std::string_view path,
+                                       std::string_view prefix) {
+  if (!path.starts_with(prefix))
+    return std::nullopt;
+  std::uint64_t out = 0;
+  const auto *end = path.data() + path.size();
+  bool good =
+      std::from_chars(path.data() + prefix.size(), end, out).ec == std::errc();
+  return good ? std::optional(out) : std::nullopt;
+}
+
 /// Silence of the own cell's owner after which a node listens to the others.
 constexpr auto OwnerPatience = std::chrono::milliseconds(3000);
 
@@ -99,14 +111,14 @@
     if (it != Cells.end())
       return it->second->onFollower(stream);
   }
-  if (path == peer_path::Briefing)
-    stream->send(pack(briefing()));
-  if (path.starts_with(peer_path::Declared)) {
-    std::uint64_t known = 0;
-    auto number = std::string_view(path).substr(peer_path::Declared.size());
-    auto end = number.data() + number.size();
-    if (std::from_chars(number.data(), end, known).ec == std::errc())
-      stream->send(pack(declaredSince(known)));
+  if (auto known = versionIn(path, peer_path::Briefing))
+    stream->send(pack(briefing(*known)));
+  if (auto known = versionIn(path, peer_path::Declared))
+    stream->send(pack(declaredSince(*known)));
+  if (path == peer_path::Leases) {
+    BriefingReply reply;
+    reply.Leases = leasesBut("");
+    stream->send(pack(reply));
   }
   stream->close();
 }
@@ -120,25 +132,39 @@
   return out;
 }
 
-BriefingReply Gateway::briefing() const {
-  BriefingReply out;
-  if (Plan)
-    out.PlanText = Plan->Source;
+BriefingReply Gateway::briefing(std::uint64_t planVersion) const {
+  auto out = declaredSince(planVersion);
   for (const auto &it : View.inUse())
     out.Replicas.emplace_back(it->Life.id(), it->Source);
-  for (const auto &[weights, version] : Versions)
-    out.Versions.emplace_back(weights.text(), version);
-  for (const auto &[name, cell] : Cells)
-    if (const auto &row = cell->lease().row())
-      out.Leases.emplace_back(name, row->text());
+  out.Leases = leasesBut("");
+  out.Knows = Watch->positions();
+  // One that has lapsed is used for a while yet, and its going is told only to
+  // nodes that know less.
+  if (View.anyVanishes())
+    out.Knows.Replica = 0;
   return out;
 }
 
+bool Gateway::knowsOwner() const {
+  auto own = Cells.find(Settings.FailureDomain);
+  return own == Cells.end() || own->second->lease().row();
+}
+
+bool Gateway::isSeed() const {
+  return std::any_of(Settings.Seeds.begin(), Settings.Seeds.end(),
+                     [this](const auto &it) {
+                       return it.starts_with(Settings.Address + ":");
+                     });
+}
+
 void Gateway::askPeer() {
   if (Settings.Seeds.empty() || Leaving)
     return;
   if (!Plan || !SeenReplicas)
-    return askBriefing(std::string(peer_path::Briefing));
+    return askBriefing(std::string(peer_path::Briefing) +
+                       std::to_string(Plan ? Plan->version() : 0));
+  if (!knowsOwner())
+    return askBriefing(std::string(peer_path::Leases));
   // The registry may turn this node away and serve the others, whose plan
   // callers then meet beside an older one here. One question in each half of
   // the bound, of some 100 bytes where nothing is newer.
@@ -182,9 +208,16 @@
         LogClass::State, "briefing",
         {{"plan", declared.Plan ? declared.Plan->version() : 0},
          {"replicas", static_cast<std::uint64_t>(replicas.Present.size())}});
+  // A position must not pass what could not be read or is not taken.
+  auto knows = reply.Knows;
+  if (!reply.PlanText.empty() && !declared.Plan)
+    knows.Operator = 0;
+  if (SeenReplicas || replicas.Present.size() < reply.Replicas.size())
+    knows.Replica = 0;
   onOperator(declared);
   if (!SeenReplicas && !replicas.Present.empty())
     onReplicas(replicas, true);
+  Watch->onBriefed(knows);
   for (const auto &[name, text] : reply.Leases) {
     auto cell = Cells.find(name);
     auto row = CellLeaseRow::parse(text);
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -8,9 +8,9 @@
       Out(std::move(hooks)), Log(log), OperatorPause(Setup.Pace.Pause),
       ReplicaPause(Setup.Pace.Pause) {}
 
-void RegistryWatch::start() {
-  lookAtOperator();
-  lookAtReplicas();
+void RegistryWatch::start(Span firstLookAfter) {
+  planOperator(firstLookAfter);
+  planReplicas(firstLookAfter);
 }
 
 bool RegistryWatch::unreachableLately() const {
@@ -54,7 +54,7 @@
     return Span(0);
   // However old what it is told is: while the registry is away, or turns the
   // owner away, those in service find out for themselves, not all.
-  if (Out.StandsBy && Out.StandsBy())
+  if (standsBy())
     return std::max(Span(0), toldAt + Setup.StandbySilence - now);
   if (now - ToldAt > Setup.ToldSilence)
     return Span(0);
@@ -118,7 +118,7 @@
   auto now = pause;
   if (knowsSome)
     pause = std::min(Setup.Pace.LongestPause, pause * 2);
-  return now;
+  return standsBy() ? std::max(now, Setup.StandbyPause) : now;
 }
 
 void RegistryWatch::takeOperator(const OperatorChanges &changes,
@@ -210,6 +210,22 @@
   return out;
 }
 
+void RegistryWatch::onBriefed(const RegistryPositions &knows) {
+  // No age is known of it, so that nothing is spared for it but the first look:
+  // news that follow on it tell theirs.
+  auto now = TimerService::now();
+  if (!OperatorPosition && knows.Operator) {
+    OperatorPosition = knows.Operator;
+    Seen.onOperator({nullptr, {}, knows.Operator});
+    OperatorToldAt = now;
+  }
+  if (!ReplicaPosition && knows.Replica) {
+    ReplicaPosition = knows.Replica;
+    Seen.onReplicas({false, {}, {}, knows.Replica});
+    ReplicasToldAt = now;
+  }
+}
+
 void RegistryWatch::onTold(const RegistryNews &news) {
   auto now = TimerService::now();
   if (!news.OperatorPosition && !news.ReplicaPosition)
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -24,6 +24,9 @@
     Span ToldSilence = std::chrono::milliseconds(700);
     /// The same for a node that stands by, which hears another owner then.
     Span StandbySilence = std::chrono::milliseconds(3000);
+    /// Least pause after a look that failed, of a node that stands by. It asks
+    /// others as well, so that few need to look while the registry is away.
+    Span StandbyPause = std::chrono::milliseconds(1500);
     /// A registry that failed this recently may have let entries lapse.
     Span LapseWindow = std::chrono::milliseconds(4000);
   };
@@ -42,9 +45,14 @@
   RegistryWatch(TimerService &timers, RegistryHooks registry, Settings settings,
                 Hooks hooks, EventLog &log);
 
-  void start();
+  /// Looks for the first time after a while, unless another node tells all
+  /// before.
+  void start(Span firstLookAfter);
   /// An owner tells what it saw.
   void onTold(const RegistryNews &news);
+  /// Another node has told all that it knows, complete up to these positions.
+  /// From there on this node goes by news; what it has seen itself holds.
+  void onBriefed(const RegistryPositions &knows);
   /// What to tell a node that knows the registry up to these positions.
   RegistryNews newsSince(const RegistryPositions &known) const;
   RegistryPositions positions() const;
@@ -85,6 +93,7 @@
   bool unreachableLately() const;
   /// The pause before the next look, after one that failed.
   Span pauseAfter(bool firstFailure, bool knowsSome, Span &pause) const;
+  bool standsBy() const { return Out.StandsBy && Out.StandsBy(); }
 
   TimerService &Timers;
   RegistryHooks Registry;
--- a/UnitTests/Node/Gateway/DeclaredInTimeTest.cpp
+++ b/UnitTests/Node/Gateway/DeclaredInTimeTest.cpp
@@ -130,7 +130,7 @@
     out.OnNews = [] {};
     Watch = std::make_unique<RegistryWatch>(
         Timers, hooks(), RegistryWatch::Settings{}, std::move(out), Log);
-    Watch->start();
+    Watch->start(Span(0));
     until([this] { return Known == position(); });
   }
 
--- a/UnitTests/Node/Gateway/RegistryWatchTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatchTest.cpp
@@ -14,13 +14,19 @@
 /// A registry that counts looks and answers them at once, but for the one that
 /// waits for declarations.
 struct WatchFixture : Loopback {
-  explicit WatchFixture(Span slack = Long, Span silence = Long)
+  explicit WatchFixture(Span slack = Long, Span silence = Long,
+                        bool starts = true)
       : Log(
             {"n"}, [](std::string_view) {},
             [] { return std::chrono::microseconds(0); }),
         Timers(Context) {
     RegistryHooks registry;
     registry.ReadOperator = [this](auto done) {
+      ++Reads;
+      if (Away)
+        return post([done] {
+          done(tl::unexpected(RegistryError::Unavailable));
+        });
       post([done, this] { done(OperatorChanges{nullptr, {}, Position}); });
     };
     registry.WatchOperator = [this](std::uint64_t, Span wait, auto done) {
@@ -30,6 +36,11 @@
       });
     };
     registry.ReadReplicas = [this](auto done) {
+      ++Reads;
+      if (Away)
+        return post([done] {
+          done(tl::unexpected(RegistryError::Unavailable));
+        });
       post([done, this] { done(ReplicaChanges{true, {}, {}, Position}); });
     };
     registry.WatchReplicas = [this](std::uint64_t, auto done) {
@@ -52,6 +63,8 @@
     settings.Pace.ReplicaPeriod = milliseconds(100);
     settings.ToldSlack = slack;
     settings.ToldSilence = silence;
+    settings.Pace.Pause = milliseconds(10);
+    settings.StandbyPause = milliseconds(200);
     RegistryWatch::Hooks hooks;
     hooks.OnOperator = [this](const auto &it) {
       Versions += it.Versions.size();
@@ -61,10 +74,13 @@
         Present.push_back(at.Life.id());
     };
     hooks.Tells = [this] { return Tells; };
+    hooks.StandsBy = [this] { return StandsBy; };
     hooks.OnNews = [this] { ++News; };
     Watch = std::make_unique<RegistryWatch>(Timers, registry, settings,
                                             std::move(hooks), Log);
-    Watch->start();
+    if (!starts)
+      return;
+    Watch->start(Span(0));
     until([this] { return Watch->positions().Replica != 0; });
   }
 
@@ -91,6 +107,10 @@
   TimerService Timers;
   std::uint64_t Position = 10;
   bool Tells = false;
+  bool StandsBy = false;
+  /// The registry answers no reading of everything.
+  bool Away = false;
+  int Reads = 0;
   int Looks = 0;
   int Waits = 0;
   int News = 0;
@@ -139,6 +159,61 @@
   CHECK(it.until([&] { return it.Looks > 2 && it.Waits > 2; }));
 }
 
+// While the registry turns the owner away, those in service find out for
+// themselves; all others would only add calls.
+TEST_CASE("a node that stands by does not look while it is told anything",
+          "[gateway]") {
+  WatchFixture it(milliseconds(50));
+  it.StandsBy = true;
+  it.tellAgainAndAgain(std::chrono::seconds(1));
+  REQUIRE(it.untilTold(10));
+  it.Looks = it.Waits = 0;
+  REQUIRE(it.untilTold(30));
+  CHECK(it.Looks == 0);
+  CHECK(it.Waits == 0);
+}
+
+TEST_CASE("a node that another tells all at its start reads nothing",
+          "[gateway]") {
+  WatchFixture it(Long, Long, false);
+  it.StandsBy = true;
+  it.Watch->start(milliseconds(100));
+  it.Watch->onBriefed({10, 10});
+  it.tellAgainAndAgain(Span(0));
+  REQUIRE(it.untilTold(15));
+  CHECK(it.Reads == 0);
+  CHECK(it.Looks == 0);
+  CHECK(it.Watch->positions().Operator == 10);
+  CHECK(it.Watch->positions().Replica == 10);
+}
+
+TEST_CASE("what a node has seen itself is not undone by what it is told",
+          "[gateway]") {
+  WatchFixture it;
+  it.Watch->onBriefed({4, 4});
+  CHECK(it.Watch->positions().Operator == 10);
+  CHECK(it.Watch->positions().Replica == 10);
+}
+
+// After the loss of all while the registry is away, few ask it.
+TEST_CASE("of nodes that know nothing those that stand by ask more rarely",
+          "[gateway]") {
+  int reads[2] = {0, 0};
+  for (bool standsBy : {false, true}) {
+    WatchFixture it(Long, Long, false);
+    it.StandsBy = standsBy;
+    it.Away = true;
+    it.Watch->start(Span(0));
+    bool passed = false;
+    it.Timers.after(milliseconds(300), [&](Instant) { passed = true; });
+    REQUIRE(it.until([&] { return passed; }));
+    reads[standsBy ? 1 : 0] = it.Reads;
+  }
+  CHECK(reads[1] >= 2);
+  CHECK(reads[1] <= 4);
+  CHECK(reads[0] > 2 * reads[1]);
+}
+
 TEST_CASE("news are taken only where they follow on what is known",
           "[gateway]") {
   WatchFixture it;
