A new owner names nobody that the one before named

Cause: a node that took a lease over 6 s after its holder's host had lost power went by the last choice that the holder had told, itself among it; while it only followed, that choice had long not counted. Ruled out: the silent follower's entry (owners of other cells had dropped the host after 1.3 s). Change: the choice is forgotten as the node becomes owner; owners of other cells are believed until its own has settled. Answers of the directory look at the freshness of what was told at that moment, not at the last tick. Test: 'a new owner does not go by whom the one before named', red before.

--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -60,9 +60,9 @@
     /// This node's own addition to that, so that not all look together.
     Span StandbySpread{0};
     EntryRoster::Settings Roster;
-    /// How long a new owner goes by the choice of the one before, if it knows
-    /// one: its nodes have yet to find it, and all callers of a failure domain
-    /// would be sent to the few that have.
+    /// How long a new owner names nobody: its nodes have yet to find it, and all
+    /// callers of a failure domain would be sent to the few that have. What
+    /// owners of other cells tell counts meanwhile.
     Span RosterSettles = std::chrono::milliseconds(1000);
   };
   struct Hooks {
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -31,6 +31,7 @@
   if (!std::exchange(Owning, true)) {
     unfollow("owns the cell");
     OwnsSince = now;
+    Rosters.clear();
     Desk.forget();
     Uses.clear();
     Held.clear();
--- a/Programs/hemlockgladed/Gateway/GatewayListen.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayListen.cpp
@@ -81,6 +81,8 @@
   auto query = Port.Directory.Read(request.Head.Target);
   if (!query)
     return reply.respond({NotFound, {}}, "");
+  // What a silent owner told must not be named, also right after a suspend.
+  onRosters();
   auto entries = Board.of(query->FailureDomain);
   if (entries.empty())
     entries = Board.all();
--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -64,7 +64,9 @@
         done(std::optional(TableRow{key, Row.Fence, Row.text()}));
       });
     };
-    hooks.Table.Commit = [](const TableTransaction &, auto) {};
+    hooks.Table.Commit = [this](const TableTransaction &, auto done) {
+      asio::post(Context, [this, done] { done(Row.Fence + 1); });
+    };
     hooks.Self = [this] {
       return MemberNotice{"n", "p", "", "hall-a", true, 1, 1000, Awake};
     };
@@ -117,6 +119,22 @@
   REQUIRE(it.until([&] { return it.entries() == 1; }));
 }
 
+// The owner before may have been silent for seconds, and be among those that it
+// named.
+TEST_CASE("a new owner does not go by whom the one before named",
+          "[gateway]") {
+  FollowerFixture it;
+  ScriptedOwner first(it.Context);
+  it.follow(first, 1);
+  first.tell({{"n", ""}, {"gone", ""}});
+  REQUIRE(it.until([&] { return it.entries() == 2; }));
+  first.Stream->close();
+  it.Row.Released = true;
+  it.Row.Fence = 2;
+  REQUIRE(it.until([&] { return it.Member->owning(); }));
+  CHECK(it.entries() == 0);
+}
+
 namespace {
 
 /// A node on a weak host that owns the cell, and one that follows it.
