Soak: losses of all gateways that callers are named, in series

Cause: with few nodes in service the loss that matters is of those few, and a soak that draws a gateway of sixty hardly meets them.

--- a/UnitTests/Platform/Soak/SoakCallers.h
+++ b/UnitTests/Platform/Soak/SoakCallers.h
@@ -33,6 +33,8 @@
   void stop() { Going = false; }
   bool idle() const { return Open == 0; }
   const Counts &counts() const { return Seen; }
+  /// The addresses that callers were last named.
+  const std::vector<std::string> &named() const { return Known.All; }
 
 private:
   struct Sending;
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -21,6 +21,9 @@
               "a breach that the verdict has to find: swap, twice "
               "or refused");
 DEFINE_double(fault_every, 0.7, "mean time between faults, in seconds");
+DEFINE_double(entries_every, 0,
+              "time between losses of all gateways that callers were last "
+              "named, in seconds; 0 for none");
 
 namespace hemlockglade::soak {
 
@@ -79,6 +82,7 @@
   settings.Engines = FLAGS_engines;
   settings.Rate = FLAGS_rate;
   settings.FaultEvery = spanOf(FLAGS_fault_every);
+  settings.EntriesEvery = spanOf(FLAGS_entries_every);
   settings.Recovery = spanOf(FLAGS_recovery);
   auto planted = plantNamed(FLAGS_plant);
   if (!planted) {
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -3,6 +3,7 @@
 #include "Hemlockglade/Protocol/JsonText.h"
 #include "platform/Names.h"
 
+#include <algorithm>
 #include <iostream>
 #include <unistd.h>
 
@@ -36,7 +37,8 @@
 } // namespace
 
 SoakWorld::SoakWorld(Settings settings)
-    : Setup(std::move(settings)), Random(Setup.Seed), Timers(Context),
+    : Setup(std::move(settings)), Random(Setup.Seed),
+      EntriesRandom(Setup.Seed), Timers(Context),
       Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
   Ends.async_wait([this](asio::error_code ec, int) {
     if (ec)
@@ -134,6 +136,8 @@
   runFor(Start);
   Faulty = true;
   nextFault();
+  if (Setup.EntriesEvery > Span(0))
+    nextEntriesFault();
   runFor(faulty);
   Faulty = false;
   heal();
@@ -205,9 +209,27 @@
   }
 }
 
-void SoakWorld::nodeFault(SoakNode &node) {
+void SoakWorld::nextEntriesFault() {
+  Timers.after(Setup.EntriesEvery, [this](Instant) {
+    if (!Faulty)
+      return;
+    entriesFault();
+    nextEntriesFault();
+  });
+}
+
+void SoakWorld::entriesFault() {
+  constexpr std::uint64_t Losses = 3;
+  auto kind = EntriesRandom() % Losses;
+  auto named = Callers.named();
+  for (auto &it : Nodes)
+    if (std::count(named.begin(), named.end(), it->caller()))
+      nodeFault(*it, kind);
+}
+
+void SoakWorld::nodeFault(SoakNode &node, std::uint64_t kind) {
   auto later = milliseconds(200) + upTo(LongestHarm);
-  switch (Random() % 4) {
+  switch (kind) {
   case 0:
     say("kill " + node.name());
     node.kill();
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -21,6 +21,9 @@
     double Rate = 40;
     /// Mean time between two faults; they overlap.
     Span FaultEvery = std::chrono::milliseconds(700);
+    /// Mean time between two losses of all that callers were last named; none
+    /// if 0.
+    Span EntriesEvery{0};
     /// Time after the last fault until the deployment must serve again.
     Span Recovery = std::chrono::seconds(12);
     SoakReplica::Plant Planted = SoakReplica::Plant::None;
@@ -49,7 +52,11 @@
   void runFor(Span span);
   void nextFault();
   void fault();
-  void nodeFault(SoakNode &node);
+  void nodeFault(SoakNode &node) { nodeFault(node, Random() % 4); }
+  void nodeFault(SoakNode &node, std::uint64_t kind);
+  void nextEntriesFault();
+  /// Loses, in one way, all gateways that callers were last named.
+  void entriesFault();
   void storeFault();
   void linkFault();
   void replicaFault(SoakReplica &replica);
@@ -73,6 +80,8 @@
 
   Settings Setup;
   std::mt19937_64 Random;
+  /// Of its own, so that what else a seed draws stays as it is.
+  std::mt19937_64 EntriesRandom;
   asio::io_context Context;
   TimerService Timers;
   /// Holds the soak's loopback network.
