A registry that turns owners away is heard of through others

Ruled out: the owners' lease (not over for 6.5 s), the seeds that nodes ask (asked from the bound on only). Change: an owner that the registry turns away hears news from the owners of other cells, in turns, and tells them on with their age. A node that stands by looks itself once what it is told is older than three quarters of a bound (LookPace). A briefing tells the age of what it says.

--- a/Hemlockglade/Coordination/Orders/CellDesk.h
+++ b/Hemlockglade/Coordination/Orders/CellDesk.h
@@ -60,19 +60,17 @@
     double SamePlaceGain = 0.3;
     /// Adapters dropped lately that are taken to come back fast.
     std::size_t QuickMemory = 100;
-    /// Half life of the demand estimate. Demand moves several times in half a
-    /// minute, and an adapter of the 80 most wanted comes about every 5 s.
+    /// Half life of the demand estimate.
     Span DemandHalfLife = std::chrono::seconds(8);
     /// Half life of a second estimate, which is taken where it is higher: what
     /// becomes wanted within seconds gets its copies before the slow estimate
     /// has seen it. Nothing is taken from it below the number of requests that
-    /// makes it sure. 0 switches it off. Worth 0.006 to 0.009 of what callers
-    /// could earn on days on which demand moves within 3 s, 12 days a site.
+    /// makes it sure. 0 switches it off.
     Span FastHalfLife = std::chrono::milliseconds(1000);
     double FastLeast = 3;
     /// Requests a second from which on an adapter that another cell holds is
-    /// worth a copy here. A load from the weight store costs as much as the
-    /// bytes of 8 requests between failure domains; demand holds for some 15 s.
+    /// worth a copy here: a load costs as much as the bytes of several requests
+    /// between failure domains.
     double RateForCopy = 0.6;
     /// Requests a second that one copy serves before another is worth a place.
     double RatePerCopy = 3;
@@ -97,18 +95,15 @@
     std::uint32_t Cells = 1;
     /// Place of this cell among them, from 0. When the weight store becomes
     /// free cells load base models from it in this order, so that each hears of
-    /// the loads of those before it: sixty cells whose engines were all empty
-    /// began 60 loads at once where 18 were allowed in 5 s, counted in the test
-    /// of the rate.
+    /// the loads of those before it.
     std::uint32_t Turn = 0;
-    /// Time within which owners hear of loads in other cells, some 100 ms.
+    /// Time within which owners hear of loads in other cells.
     Span HeardWithin = std::chrono::milliseconds(400);
     /// Time for which a new owner loads no base model from the store. Loads are
     /// counted over 5 s, and the owner before ordered nothing in the 3.25 s of
     /// the handover.
     Span ModelPauseOfNewOwner = std::chrono::milliseconds(2000);
-    /// Time between looks at all demand, for copies that nobody waits for. With
-    /// 500 adapters a look takes some 0.1 ms.
+    /// Time between looks at all demand, for copies that nobody waits for.
     Span ScanEvery = std::chrono::milliseconds(250);
     /// Time that an engine is left alone after an order without an answer,
     /// twice as long after each further one, up to the longest. One that is
--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -166,8 +166,8 @@
            parsed->Ordering ? now : now + Setup.Handover + Setup.OrderTravel);
   } else {
     // What the holder itself told of this version is nearer than what a row
-    // that is seen for the first time allows: a cell whose holder the table
-    // turned away got orders again 1.8 s sooner, of 6.4 s, in the test of that.
+    // that is seen for the first time allows, so that a cell whose holder the
+    // table turns away gets orders again sooner.
     FreeAt = row->Version == HeardVersion ? HeardFreeAt : now + Setup.Validity;
   }
 }
--- a/Hemlockglade/Coordination/Orders/HoldingsLog.h
+++ b/Hemlockglade/Coordination/Orders/HoldingsLog.h
@@ -15,9 +15,8 @@
 };
 
 /// What the replicas of a cell hold, with a number for each change, so that
-/// nodes are told only what they have not heard. Told in full, each load cost
-/// some 500 bytes to each of 72 nodes: at 88 loads a second 25 Mbit/s of an
-/// owner whose host has 10. No clock, no sockets.
+/// nodes are told only what they have not heard: told in full, the loads of a busy
+/// cell would fill the link of a weak owner. No clock, no sockets.
 class HoldingsLog {
 public:
   struct Settings {
--- a/Hemlockglade/Coordination/Orders/LoadPace.h
+++ b/Hemlockglade/Coordination/Orders/LoadPace.h
@@ -15,7 +15,7 @@
 public:
   struct Settings {
     /// First number for each base model load a second that the store is
-    /// declared to allow, and at least. Stores were seen with 2.0 to 3.1.
+    /// declared to allow, and at least.
     double FirstPerRate = 2.4;
     double Least = 8;
     /// Bounds of what is learnt, as shares of the first number.
--- a/Hemlockglade/Coordination/Registry/LookPace.cpp
+++ b/Hemlockglade/Coordination/Registry/LookPace.cpp
@@ -10,6 +10,7 @@
 constexpr double WaitShare = 0.5;
 constexpr double PatienceShare = 0.35;
 constexpr double LongestPauseShare = 0.4;
+constexpr double AgeShare = 0.75;
 constexpr auto LongestWait = std::chrono::milliseconds(2500);
 /// However short a bound is, looks are not made more often.
 constexpr auto LeastSpan = std::chrono::milliseconds(5);
@@ -28,6 +29,8 @@
   out.ReplicaPeriod = share(drainBound, WaitShare, usual.ReplicaPeriod);
   out.Patience = share(bound, PatienceShare, usual.Patience);
   out.LongestPause = share(bound, LongestPauseShare, usual.LongestPause);
+  out.OperatorAge = scaled(planBound, AgeShare);
+  out.ReplicaAge = scaled(drainBound, AgeShare);
   out.Pause = std::min(usual.Pause, out.LongestPause);
   return out;
 }
--- a/Hemlockglade/Coordination/Registry/LookPace.h
+++ b/Hemlockglade/Coordination/Registry/LookPace.h
@@ -10,19 +10,21 @@
 /// A call can be lost at either end: the registry may swallow it, or its
 /// connection may be dead without a sign. So the time until a node knows that a
 /// look is lost belongs to each bound that rests on looks. With `within`, what
-/// is confirmed is known after at most 0.85 of its bound though the look that
-/// was open then is never answered, and after 0.75 of it once the registry
-/// answers again. With a wait of 2.5 s and the same patience, plans with a
-/// bound of 2 s came up to 3.4 s after their confirmation (test "what is
-/// confirmed as the registry answers again is in force in time").
+/// is confirmed is known within its bound though the look that was open then is
+/// never answered, and also once the registry answers again.
 struct LookPace {
   /// Longest wait of one look at operators' declarations.
   Span OperatorWait = std::chrono::milliseconds(1000);
   /// Time between looks at the replicas.
   Span ReplicaPeriod = std::chrono::milliseconds(1000);
-  /// Time that the registry may take for an answer, beside a wait. It answers
-  /// in 4 ms, and in 320 ms when it is 80 times slower than usual.
+  /// Time that the registry may take for an answer, beside a wait; a slow one
+  /// is still waited for.
   Span Patience = std::chrono::milliseconds(700);
+  /// Age of what a node in reserve is told from which on it looks itself: old
+  /// enough that the owner must have lost the registry, and early enough for
+  /// its own look within the bound.
+  Span OperatorAge = std::chrono::milliseconds(3000);
+  Span ReplicaAge = std::chrono::milliseconds(3000);
   /// Pause after a second look that failed; once something is known, twice as
   /// long after each further one, up to the longest. Calls are priced also
   /// while nobody answers, but a node that knows nothing serves nobody.
--- a/Hemlockglade/Coordination/Route/ExchangeSettings.h
+++ b/Hemlockglade/Coordination/Route/ExchangeSettings.h
@@ -26,18 +26,16 @@
   /// Time between looks while a request waits, when nothing wakes it.
   Span WaitStep = std::chrono::milliseconds(25);
   /// Share of a route's target latency after which a request that has not been
-  /// sent is taken to be late: an engine needs some 200 ms to read a prompt and
-  /// begin.
+  /// sent is taken to be late: an engine needs the rest to read its prompt.
   double TimelyShare = 0.75;
   /// How long a plain replica that turned a request away is left alone by it: a
-  /// full queue moves on by some places in the time that one run takes, 30 to
-  /// 60 ms on the users' plain services.
+  /// full queue moves on by some places in the time that one run takes.
   /// Twice as long after each further time: where a whole service is full,
   /// asking again helps nobody.
   Span ShedRest = std::chrono::milliseconds(50);
   /// Time in which something has to come from a replica that has started anew
   /// since a request was sent to it: it may have been sent to the new start
-  /// already. Plain answers take 30 to 60 ms, pauses of streams are shorter.
+  /// already.
   Span OrphanPatience = std::chrono::milliseconds(400);
   /// Time that has to be left for an attempt to be worth it.
   Span LeastAttempt = std::chrono::milliseconds(20);
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -90,10 +90,9 @@
     double FailureCost = 3;
     /// Cost of one with overdue requests.
     double OverdueCost = 1.5;
-    /// Load that a second of prompts to read is worth. At 6 an engine that
-    /// reads for 35 ms loses to an idle one in another failure domain, where at
-    /// 1 a request waited 200 ms for the near one: 0.007 and 0.009 of what
-    /// callers could earn on two sites, 12 days each.
+    /// Load that a second of prompts to read is worth: an engine that reads for
+    /// a few hundredths of a second loses to an idle one in another failure
+    /// domain.
     double BacklogCost = 6;
     /// Time to read prompts that may be left when the next one is sent: the
     /// engine then never idles, and its running streams, whose tokens come
@@ -106,7 +105,7 @@
     /// anyway is sent to it.
     Span LateIdle = std::chrono::milliseconds(30);
     /// Time to read a prompt beside what its tokens take: tokens of running
-    /// streams are made in between, a step of some 11 ms beside one of 72 ms.
+    /// streams are made in between.
     double ReadOverhead = 1.15;
     /// Own failures that all replicas of a service may show.
     double UsualFailures = 0.1;
@@ -114,7 +113,7 @@
     Span OldVersionGrace = std::chrono::milliseconds(2500);
     /// From this long after a newer version was named on, nothing may begin on
     /// an older one. Below the bound that operators are promised by what a node
-    /// needs to hear of a version, some 100 ms, and of an answer's start.
+    /// needs to hear of a version and of an answer's start.
     Span OldVersionEnd = std::chrono::milliseconds(4200);
     /// Replicas whose entries vanish while the registry was out of reach are
     /// used for this long: they may have lapsed and come back.
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -221,7 +221,11 @@
   /// Positions in the registry that all of this is complete up to; 0 where the
   /// node that tells does not know.
   RegistryPositions Knows;
-  MSGPACK_DEFINE(PlanText, Replicas, Versions, Leases, Knows)
+  /// How long ago that was the registry's newest, as that node knows.
+  std::int64_t OperatorAgeUs = 0;
+  std::int64_t ReplicaAgeUs = 0;
+  MSGPACK_DEFINE(PlanText, Replicas, Versions, Leases, Knows, OperatorAgeUs,
+                 ReplicaAgeUs)
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -25,9 +25,8 @@
 /// The same of a weak host towards strong ones: a look at the lease row comes
 /// each 50 ms, so that one that looks at the same time surely is first.
 constexpr auto WeakReluctance = std::chrono::milliseconds(350);
-/// What an owner with 72 followers and 28 engines needs beside callers; one
-/// with 10 Mbit/s and 0.12 cores was out of reach of the registry 2.6 s after
-/// it took such a cell.
+/// What an owner of a large cell needs beside callers; with much less its
+/// followers' messages keep it from the registry.
 constexpr double StrongCores = 0.25;
 constexpr double StrongMbps = 100;
 /// Time before the bound of a stop at which what still runs is cut, so that the
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -26,6 +26,8 @@
   return good ? std::optional(out) : std::nullopt;
 }
 
+/// How long a node hears one of several owners of other cells: two beats.
+constexpr Span NewsTurn = std::chrono::milliseconds(600);
 /// Silence of the own cell's owner after which a node listens to the others.
 constexpr auto OwnerPatience = std::chrono::milliseconds(3000);
 
@@ -44,12 +46,21 @@
 
 const CellMember *Gateway::newsFrom() const {
   auto own = Cells.find(Settings.FailureDomain);
-  if (own != Cells.end() && own->second->fresh())
+  bool owns = own != Cells.end() && own->second->owning();
+  // An owner that the registry turns away tells on what others see.
+  if (owns && Watch->reachable())
+    return nullptr;
+  if (!owns && own != Cells.end() && own->second->fresh())
     return own->second.get();
+  // In turns, since another owner may be turned away as well.
+  std::vector<const CellMember *> others;
   for (const auto &[name, cell] : Cells)
     if (cell->fresh() && !cell->owning())
-      return cell.get();
-  return own == Cells.end() ? nullptr : own->second.get();
+      others.push_back(cell.get());
+  if (others.empty())
+    return own == Cells.end() ? nullptr : own->second.get();
+  auto turn = TimerService::now() / NewsTurn;
+  return others[static_cast<std::size_t>(turn) % others.size()];
 }
 
 bool Gateway::follows(const std::string &cell) const {
@@ -138,6 +149,8 @@
     out.Replicas.emplace_back(it->Life.id(), it->Source);
   out.Leases = leasesBut("");
   out.Knows = Watch->positions();
+  out.OperatorAgeUs = Watch->operatorAge().count();
+  out.ReplicaAgeUs = Watch->replicasAge().count();
   // One that has lapsed is used for a while yet, and its going is told only to
   // nodes that know less.
   if (View.anyVanishes())
@@ -217,7 +230,7 @@
   onOperator(declared);
   if (!SeenReplicas && !replicas.Present.empty())
     onReplicas(replicas, true);
-  Watch->onBriefed(knows);
+  Watch->onBriefed(knows, Span(reply.OperatorAgeUs), Span(reply.ReplicaAgeUs));
   for (const auto &[name, text] : reply.Leases) {
     auto cell = Cells.find(name);
     auto row = CellLeaseRow::parse(text);
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -48,14 +48,17 @@
              {"known_ms_ago", operatorAge()}});
 }
 
-Span RegistryWatch::spared(Instant seenAt, Instant toldAt, Span period) const {
+Span RegistryWatch::spared(Instant seenAt, Instant toldAt, Span period,
+                           Span oldest) const {
   auto now = TimerService::now();
   if (Out.Tells())
     return Span(0);
-  // However old what it is told is: while the registry is away, or turns the
-  // owner away, those in service find out for themselves, not all.
+  // A node that stands by leaves it to others for longer, but callers may come
+  // to it, and the registry may turn away just those who tell.
   if (standsBy())
-    return std::max(Span(0), toldAt + Setup.StandbySilence - now);
+    return std::max(Span(0),
+                    std::min(toldAt + Setup.StandbySilence, seenAt + oldest) -
+                        now);
   if (now - ToldAt > Setup.ToldSilence)
     return Span(0);
   auto until = seenAt + period + Setup.ToldSlack;
@@ -72,7 +75,8 @@
 
 void RegistryWatch::lookAtOperator() {
   auto left = OperatorPosition ? spared(OperatorSeenAt, OperatorToldAt,
-                                        Setup.Pace.OperatorWait)
+                                        Setup.Pace.OperatorWait,
+                                        Setup.Pace.OperatorAge)
                                : Span(0);
   if (left > Span(0))
     return planOperator(left);
@@ -134,7 +138,8 @@
 
 void RegistryWatch::lookAtReplicas() {
   auto left = ReplicaPosition ? spared(ReplicasSeenAt, ReplicasToldAt,
-                                       Setup.Pace.ReplicaPeriod)
+                                       Setup.Pace.ReplicaPeriod,
+                                       Setup.Pace.ReplicaAge)
                               : Span(0);
   if (left > Span(0))
     return planReplicas(left);
@@ -210,19 +215,20 @@
   return out;
 }
 
-void RegistryWatch::onBriefed(const RegistryPositions &knows) {
-  // No age is known of it, so that nothing is spared for it but the first look:
-  // news that follow on it tell theirs.
+void RegistryWatch::onBriefed(const RegistryPositions &knows, Span operatorAge,
+                              Span replicasAge) {
   auto now = TimerService::now();
   if (!OperatorPosition && knows.Operator) {
     OperatorPosition = knows.Operator;
     Seen.onOperator({nullptr, {}, knows.Operator});
     OperatorToldAt = now;
+    OperatorSeenAt = now - operatorAge;
   }
   if (!ReplicaPosition && knows.Replica) {
     ReplicaPosition = knows.Replica;
     Seen.onReplicas({false, {}, {}, knows.Replica});
     ReplicasToldAt = now;
+    ReplicasSeenAt = now - replicasAge;
   }
 }
 
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -10,8 +10,7 @@
 
 /// Keeps one node up to date with the registry: waits for what operators
 /// declare, and looks at the replicas again and again. A node that an owner
-/// tells of both does not look itself while what it is told is fresh: with 73
-/// nodes that saves nine tenths of the calls.
+/// tells of both does not look itself while what it is told is fresh.
 class RegistryWatch {
 public:
   struct Settings {
@@ -36,7 +35,7 @@
     /// Whether this node tells others, so that it has to look itself.
     std::function<bool()> Tells;
     /// Whether this node serves no callers, so that it can leave looks to
-    /// others while one tells it anything; never if not set.
+    /// others for longer; never if not set.
     std::function<bool()> StandsBy;
     /// There is something new to tell.
     std::function<void()> OnNews;
@@ -52,12 +51,13 @@
   void onTold(const RegistryNews &news);
   /// Another node has told all that it knows, complete up to these positions.
   /// From there on this node goes by news; what it has seen itself holds.
-  void onBriefed(const RegistryPositions &knows);
+  void onBriefed(const RegistryPositions &knows, Span operatorAge,
+                 Span replicasAge);
   /// What to tell a node that knows the registry up to these positions.
   RegistryNews newsSince(const RegistryPositions &known) const;
   RegistryPositions positions() const;
-  /// Whether the last look at operators' declarations succeeded.
-  bool reachable() const { return OperatorLook.Good; }
+  /// Whether the last looks of both kinds succeeded.
+  bool reachable() const { return OperatorLook.Good && ReplicaLook.Good; }
   /// How long ago declarations, and replicas, were surely as this node knows
   /// them.
   Span operatorAge() const { return TimerService::now() - OperatorSeenAt; }
@@ -78,7 +78,8 @@
   void planReplicas(Span pause);
   /// How much longer nothing has to be looked at that was seen then and is
   /// looked at once in the period.
-  Span spared(Instant seenAt, Instant toldAt, Span period) const;
+  /// `oldest` is how old it may become for a node that stands by.
+  Span spared(Instant seenAt, Instant toldAt, Span period, Span oldest) const;
   /// How looks of one kind have ended lately.
   struct LookState {
     std::string_view Name;
