--- a/Hemlockglade/Coordination/Orders/CellLease.h
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -51,9 +51,9 @@
     /// cost nothing.
     Span RenewEvery = std::chrono::milliseconds(1200);
     /// How long a renewal gives the right to order. A holder that the table
-    /// turns away, or a table that is away, mostly comes back before that; other
-    /// cells load for a cell whose holder has gone, so that a longer takeover
-    /// costs little.
+    /// turns away, or a table that is away, mostly comes back before that;
+    /// other cells load for a cell whose holder has gone, so that a longer
+    /// takeover costs little.
     Span Validity = std::chrono::milliseconds(6500);
     /// Time that must lie between the last order of one holder and the first
     /// of the next; the deployment's bound.
--- a/Hemlockglade/Coordination/Orders/HoldingsLog.h
+++ b/Hemlockglade/Coordination/Orders/HoldingsLog.h
@@ -15,8 +15,8 @@
 };
 
 /// What the replicas of a cell hold, with a number for each change, so that
-/// nodes are told only what they have not heard: told in full, the loads of a busy
-/// cell would fill the link of a weak owner. No clock, no sockets.
+/// nodes are told only what they have not heard: told in full, the loads of a
+/// busy cell would fill the link of a weak owner. No clock, no sockets.
 class HoldingsLog {
 public:
   struct Settings {
--- a/Hemlockglade/Coordination/Route/RepeatBudget.cpp
+++ b/Hemlockglade/Coordination/Route/RepeatBudget.cpp
@@ -30,8 +30,8 @@
     requests += it.Requests;
     repeats += it.Repeats;
   }
-  double allowed =
-      Setup.Used * Setup.Share * requests + Setup.ExtraUsed * Setup.Extra * Part;
+  double allowed = Setup.Used * Setup.Share * requests +
+                   Setup.ExtraUsed * Setup.Extra * Part;
   if (repeats + 1 > allowed)
     return false;
   ++slot(slots, now).Repeats;
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -60,8 +60,8 @@
     /// This node's own addition to that, so that not all look together.
     Span StandbySpread{0};
     EntryRoster::Settings Roster;
-    /// How long a new owner names nobody: its nodes have yet to find it, and all
-    /// callers of a failure domain would be sent to the few that have. What
+    /// How long a new owner names nobody: its nodes have yet to find it, and
+    /// all callers of a failure domain would be sent to the few that have. What
     /// owners of other cells tell counts meanwhile.
     Span RosterSettles = std::chrono::milliseconds(1000);
   };
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -78,8 +78,8 @@
 constexpr MetricFamily PeerBytesFamily{
     "hemlockglade_peer_bytes",
     "Bytes of messages to other nodes about cells since the start."};
-constexpr MetricFamily InServiceFamily{
-    "hemlockglade_in_service", "1 if callers are sent to this node."};
+constexpr MetricFamily InServiceFamily{"hemlockglade_in_service",
+                                       "1 if callers are sent to this node."};
 constexpr MetricFamily WaitingFamily{"hemlockglade_waiting_requests",
                                      "Requests that wait for a replica."};
 constexpr MetricFamily ServingFamily{"hemlockglade_serving_requests",
@@ -106,9 +106,9 @@
 /// Nodes that stand by look at leases at different times.
 Span standbySpread(const std::string &node) {
   constexpr Span Most = std::chrono::milliseconds(1000);
-  return Span(static_cast<std::int64_t>(
-      std::hash<std::string>{}(node) %
-      static_cast<std::uint64_t>(Most.count())));
+  return Span(
+      static_cast<std::int64_t>(std::hash<std::string>{}(node) %
+                                static_cast<std::uint64_t>(Most.count())));
 }
 
 std::string newIncarnation() {
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -14,6 +14,11 @@
 /// Requests for engines a second that wake a node: a single one, of a caller
 /// that looks around, is served by what the replicas register.
 constexpr double WakingRequests = 1.5;
+/// How long a node hears one of several owners of other cells: two beats.
+constexpr Span NewsTurn = std::chrono::milliseconds(600);
+/// Silence of the own cell's owner after which a node listens to the others.
+constexpr auto OwnerPatience = std::chrono::milliseconds(3000);
+
 /// The version behind a path that asks for what is newer.
 std::optional<std::uint64_t> versionIn(std::string_view path,
                                        std::string_view prefix) {
@@ -26,16 +31,11 @@
   return good ? std::optional(out) : std::nullopt;
 }
 
-/// How long a node hears one of several owners of other cells: two beats.
-constexpr Span NewsTurn = std::chrono::milliseconds(600);
-/// Silence of the own cell's owner after which a node listens to the others.
-constexpr auto OwnerPatience = std::chrono::milliseconds(3000);
-
 } // namespace
 
 MemberNotice Gateway::self() const {
-  return {Settings.Name, Incarnation,    Settings.CallerAddress,
-          Settings.FailureDomain, ready(), Settings.Cores,
+  return {Settings.Name,          Incarnation, Settings.CallerAddress,
+          Settings.FailureDomain, ready(),     Settings.Cores,
           Settings.LinkMbps,      Awake};
 }
 
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -74,10 +74,10 @@
 }
 
 void RegistryWatch::lookAtOperator() {
-  auto left = OperatorPosition ? spared(OperatorSeenAt, OperatorToldAt,
-                                        Setup.Pace.OperatorWait,
-                                        Setup.Pace.OperatorAge)
-                               : Span(0);
+  auto left = OperatorPosition
+                  ? spared(OperatorSeenAt, OperatorToldAt,
+                           Setup.Pace.OperatorWait, Setup.Pace.OperatorAge)
+                  : Span(0);
   if (left > Span(0))
     return planOperator(left);
   OperatorAskedAt = TimerService::now();
@@ -137,10 +137,10 @@
 }
 
 void RegistryWatch::lookAtReplicas() {
-  auto left = ReplicaPosition ? spared(ReplicasSeenAt, ReplicasToldAt,
-                                       Setup.Pace.ReplicaPeriod,
-                                       Setup.Pace.ReplicaAge)
-                              : Span(0);
+  auto left = ReplicaPosition
+                  ? spared(ReplicasSeenAt, ReplicasToldAt,
+                           Setup.Pace.ReplicaPeriod, Setup.Pace.ReplicaAge)
+                  : Span(0);
   if (left > Span(0))
     return planReplicas(left);
   ReplicasAskedAt = TimerService::now();
--- a/UnitTests/Coordination/Entries/EntryRosterTest.cpp
+++ b/UnitTests/Coordination/Entries/EntryRosterTest.cpp
@@ -18,6 +18,7 @@
 
 std::vector<EntryCandidate> hosts(int strong, int weak) {
   std::vector<EntryCandidate> out;
+  out.reserve(static_cast<std::size_t>(strong + weak));
   for (int n = 0; n < strong; ++n)
     out.push_back({"s" + std::to_string(n), "", Strong});
   for (int n = 0; n < weak; ++n)
--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -121,8 +121,7 @@
 
 // The owner before may have been silent for seconds, and be among those that it
 // named.
-TEST_CASE("a new owner does not go by whom the one before named",
-          "[gateway]") {
+TEST_CASE("a new owner does not go by whom the one before named", "[gateway]") {
   FollowerFixture it;
   ScriptedOwner first(it.Context);
   it.follow(first, 1);
@@ -177,8 +176,14 @@
 
   static MemberNotice node(const std::string &name, bool strong,
                            bool awake = true) {
-    return {name,     "p", name + ":80", "hall-a", true, strong ? 0.5 : 0.1,
-            strong ? 200.0 : 20.0, awake};
+    return {name,
+            "p",
+            name + ":80",
+            "hall-a",
+            true,
+            strong ? 0.5 : 0.1,
+            strong ? 200.0 : 20.0,
+            awake};
   }
 
   /// Another node follows; what it hears is kept.
@@ -276,8 +281,10 @@
   OwnerFixture it;
   it.OwnerStrong = true;
   REQUIRE(it.until([&] { return it.Member->owning(); }));
+  constexpr int Nodes = 8;
   std::vector<std::shared_ptr<PeerStream>> open;
-  for (int n = 0; n < 8; ++n)
+  open.reserve(Nodes + 1);
+  for (int n = 0; n < Nodes; ++n)
     open.push_back(
         it.follow(OwnerFixture::node("w" + std::to_string(n), n < 2, n < 2)));
   REQUIRE(it.until([&] { return it.entries() == 3; }));
--- a/UnitTests/Node/Gateway/RegistryWatchTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatchTest.cpp
@@ -24,9 +24,8 @@
     registry.ReadOperator = [this](auto done) {
       ++Reads;
       if (Away)
-        return post([done] {
-          done(tl::unexpected(RegistryError::Unavailable));
-        });
+        return post(
+            [done] { done(tl::unexpected(RegistryError::Unavailable)); });
       post([done, this] { done(OperatorChanges{nullptr, {}, Position}); });
     };
     registry.WatchOperator = [this](std::uint64_t, Span wait, auto done) {
@@ -38,9 +37,8 @@
     registry.ReadReplicas = [this](auto done) {
       ++Reads;
       if (Away)
-        return post([done] {
-          done(tl::unexpected(RegistryError::Unavailable));
-        });
+        return post(
+            [done] { done(tl::unexpected(RegistryError::Unavailable)); });
       post([done, this] { done(ReplicaChanges{true, {}, {}, Position}); });
     };
     registry.WatchReplicas = [this](std::uint64_t, auto done) {
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -37,9 +37,9 @@
 } // namespace
 
 SoakWorld::SoakWorld(Settings settings)
-    : Setup(std::move(settings)), Random(Setup.Seed),
-      EntriesRandom(Setup.Seed), Timers(Context),
-      Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
+    : Setup(std::move(settings)), Random(Setup.Seed), EntriesRandom(Setup.Seed),
+      Timers(Context), Store(Context, Random()),
+      Callers(Context, Nodes, History, Random()) {
   Ends.async_wait([this](asio::error_code ec, int) {
     if (ec)
       return;
