--- a/UnitTests/Coordination/Entries/EntryRosterTest.cpp
+++ b/UnitTests/Coordination/Entries/EntryRosterTest.cpp
@@ -16,12 +16,12 @@
 constexpr HostMeans Strong{0.5, 200};
 constexpr HostMeans Weak{0.12, 20};
 
-std::vector<EntryCandidate> hosts(int strong, int weak) {
+std::vector<EntryCandidate> hosts(std::size_t strong, std::size_t weak) {
   std::vector<EntryCandidate> out;
-  out.reserve(static_cast<std::size_t>(strong + weak));
-  for (int n = 0; n < strong; ++n)
+  out.reserve(strong + weak);
+  for (std::size_t n = 0; n < strong; ++n)
     out.push_back({"s" + std::to_string(n), "", Strong});
-  for (int n = 0; n < weak; ++n)
+  for (std::size_t n = 0; n < weak; ++n)
     out.push_back({"w" + std::to_string(n), "", Weak});
   return out;
 }
@@ -49,7 +49,7 @@
 TEST_CASE("a load that few weak hosts can't bear is shared by more",
           "[entries]") {
   double perSecond = GENERATE(50, 100, 200, 400);
-  int strong = GENERATE(0, 3);
+  std::size_t strong = GENERATE(0, 3);
   auto chosen = choose(hosts(strong, 60), perSecond);
   EntryRoster::Settings setup;
   auto each = requests(perSecond / static_cast<double>(chosen.size()));
@@ -74,7 +74,8 @@
 TEST_CASE("the same nodes are chosen whatever order they are heard in",
           "[entries]") {
   CHECK(checkMany("order of candidates", 100, [] {
-    auto ready = hosts(*rc::gen::inRange(0, 5), *rc::gen::inRange(0, 40));
+    auto ready = hosts(*rc::gen::inRange<std::size_t>(0, 5),
+                       *rc::gen::inRange<std::size_t>(0, 40));
     auto perSecond = *rc::gen::inRange(0, 1000);
     auto first = choose(ready, perSecond);
     std::reverse(ready.begin(), ready.end());
@@ -87,7 +88,8 @@
 TEST_CASE("random losses and returns leave callers with nodes that are ready",
           "[entries]") {
   CHECK(checkMany("losses", 100, [] {
-    auto all = hosts(*rc::gen::inRange(0, 4), *rc::gen::inRange(1, 30));
+    auto all = hosts(*rc::gen::inRange<std::size_t>(0, 4),
+                     *rc::gen::inRange<std::size_t>(1, 30));
     auto perSecond = *rc::gen::inRange(0, 400);
     EntryRoster roster({});
     std::set<std::string> lost;
