A node that has lost its lease says nothing of the next holder's

Cause: a node that read another's row knew that row's version from then on and, until its next tick, still told its followers; its messages named the new holder's version with nothing left of its time. A follower that read the same row took it as free at once. Ruled out: rows told by peers (they are read before they are taken over), late writes (the row's versions were as expected). Change: nothing is told to followers without the lease. Test: 'a node that finds its lease lost says nothing of the next holder's', red before.

--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -493,6 +493,10 @@
 
 void CellMember::sendTo(Follower &follower, PeerMessage kind,
                         const std::string &text) {
+  // Between finding that the lease is lost and the next tick this node knows
+  // the next holder's version, and would tell it as if its time were over.
+  if (!Lease->held())
+    return;
   bool near = follower.Self.FailureDomain == Setup.FailureDomain;
   Traffic.add(kind, near, text.size());
   follower.Stream->send(text);
--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -154,10 +154,22 @@
     settings.BeatEvery = std::chrono::milliseconds(30);
     settings.RosterSettles = Settles;
     CellMember::Hooks hooks;
-    hooks.Table.Get = [this](const std::string &, auto done) {
-      asio::post(Context, [done] { done(std::optional<TableRow>()); });
+    hooks.Table.Get = [this](const std::string &key, auto done) {
+      asio::post(Context, [this, key, done] {
+        auto row =
+            Other ? std::optional(TableRow{key, OtherVersion, Other->text()})
+                  : std::nullopt;
+        done(std::move(row));
+        for (const auto &it : std::exchange(Later, {}))
+          it();
+      });
     };
     hooks.Table.Commit = [this](const TableTransaction &it, auto done) {
+      if (Other) {
+        asio::post(Context,
+                   [done] { done(tl::unexpected(TableError::Conflict)); });
+        return;
+      }
       Row = CellLeaseRow::parse(*it.Writes.front().Value);
       asio::post(Context, [this, done] { done(++Version); });
     };
@@ -168,6 +180,10 @@
           {"hall-b", "b p 10.0.0.9:7 3 0 1"}};
     };
     hooks.After = [this](Span delay, std::function<void()> call) {
+      if (Holds) {
+        Later.push_back(std::move(call));
+        return;
+      }
       Timers.after(delay, [call = std::move(call)](Instant) { call(); });
     };
     Member = std::make_unique<CellMember>(settings, std::move(hooks), View, Net,
@@ -207,6 +223,13 @@
     return told && !told->empty() ? told->front().Entries.size() : 0;
   }
 
+  static constexpr std::uint64_t OtherVersion = 1000;
+  /// The lease as another node has taken it.
+  std::optional<CellLeaseRow> Other;
+  /// What is to be done later is kept until the row has been read again.
+  bool Holds = false;
+  std::vector<std::function<void()>> Later;
+
   static constexpr Span Settles = std::chrono::milliseconds(100);
 
   bool OwnerStrong = false;
@@ -314,4 +337,22 @@
   REQUIRE(it.until([&] { return it.entries() == 1; }));
 }
 
+// A follower that hears the new holder's version with nothing left of its time
+// takes the lease from it at once.
+TEST_CASE("a node that finds its lease lost says nothing of the next holder's",
+          "[gateway]") {
+  OwnerFixture it;
+  it.OwnerStrong = true;
+  REQUIRE(it.until([&] { return it.Member->owning(); }));
+  auto follower = it.follow(OwnerFixture::node("m", true));
+  REQUIRE(it.until([&] { return it.entries() == 2; }));
+  it.Holds = true;
+  it.Member->onSent("engine", 100, WeightsRef::parse("m/a"));
+  it.Other = CellLeaseRow{"m", "q", "10.0.0.2:7", 9, false, false};
+  REQUIRE(it.until([&] { return !it.Member->owning(); }));
+  it.settle();
+  for (const auto &at : it.Heard["m"])
+    CHECK(at.LeaseVersion < OwnerFixture::OtherVersion);
+}
+
 } // namespace hemlockglade::test
