Logs name the same request across attempts, and what an attempt broke on

Cause: no log line said whether two attempts were of the same request, nor which replica a broken attempt had been at, so that the hypotheses on the request that crashes engines could not be told apart. Ruled out: the caller's attempt id (new each time); labels of the prompt (only engines' requests have them); the address a caller comes from (many share one).

--- a/Hemlockglade/Protocol/Exchange/RequestLabels.h
+++ b/Hemlockglade/Protocol/Exchange/RequestLabels.h
@@ -21,6 +21,9 @@
 struct RequestLabels {
   /// Names the request; empty if the caller sent none.
   std::string Id;
+  /// Secret by which the caller shows who it is; empty if it shows none. Never
+  /// logged.
+  std::string Caller;
   /// How long the caller will wait, if it said so.
   std::optional<Span> TimeLeft;
   /// Weights that it wants, if any.
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -15,6 +15,14 @@
 /// Ranks that requests have at engines.
 constexpr std::uint32_t LowestRank = 9;
 
+RequestKey keyOf(const CallerRequest &request, const RequestLabels &labels) {
+  const auto *host = findField(request.Head.Fields, "Host");
+  return RequestIdentity{labels.Caller, request.Head.Method,
+                         host ? std::string_view(*host) : std::string_view(),
+                         request.Head.Target, request.Body}
+      .key();
+}
+
 } // namespace
 
 GatewayExchange::GatewayExchange(ExchangeContext &shared,
@@ -25,8 +33,9 @@
                                  std::shared_ptr<CallerReply> reply)
     : Shared(shared), Setup(settings), Plan(std::move(plan)), Way(route),
       Request(std::move(request)), Labels(std::move(labels)),
-      Fields(viewsOf(Request.Head.Fields)), Reply(std::move(reply)),
-      Timer(shared.Context), AttemptTimer(shared.Context) {
+      Key(keyOf(Request, Labels)), Fields(viewsOf(Request.Head.Fields)),
+      Reply(std::move(reply)), Timer(shared.Context),
+      AttemptTimer(shared.Context) {
   Query.Service = Way.targetFor(std::hash<std::string>{}(Labels.Id));
   const auto *service = Plan->service(Query.Service);
   if (service && service->Engine)
@@ -247,6 +256,7 @@
     FirstSent = now - Request.ArrivedAt;
   Shared.Log.write(LogClass::Request, "send",
                    {{"request", Labels.Id},
+                    {"key", Key.text()},
                     {"route", Way.Name},
                     {"service", Query.Service},
                     {"weights", engine() ? Query.Weights->text() : ""},
@@ -304,7 +314,7 @@
 
 void GatewayExchange::armAttempt() {
   auto due = Now->StuckAt;
-  if (Now->BeginsBy && !Now->FirstEvent)
+  if (Now->BeginsBy && !Now->FirstEventAt)
     due = std::min(due, *Now->BeginsBy);
   if (due == Instant::max())
     return;
@@ -335,7 +345,7 @@
 }
 
 bool GatewayExchange::beginsTooLate() const {
-  return Now->BeginsBy && !Now->FirstEvent &&
+  return Now->BeginsBy && !Now->FirstEventAt &&
          TimerService::now() >= *Now->BeginsBy;
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -4,6 +4,7 @@
 #include "Hemlockglade/Coordination/Route/RepeatBudget.h"
 #include "Hemlockglade/Coordination/Route/ReplicaView.h"
 #include "Hemlockglade/Protocol/Endpoint/EventSplitter.h"
+#include "Hemlockglade/Protocol/Exchange/RequestIdentity.h"
 #include "Hemlockglade/Protocol/Exchange/RequestLabels.h"
 #include "Hemlockglade/State/Log/EventLog.h"
 #include "Hemlockglade/Transport/Http1/CallerConnection.h"
@@ -94,7 +95,7 @@
     EventSplitter Events;
     /// The engine had no prompts to read when the request was sent.
     bool Clean = false;
-    bool FirstEvent = false;
+    std::optional<Instant> FirstEventAt;
     /// When the attempt is taken to be stuck, unless something comes before;
     /// never if the attempt may not be repeated and its replica lives.
     Instant StuckAt = Instant::max();
@@ -115,6 +116,7 @@
   void onFailed(HttpFailure how);
   void onNotRun();
   void onUnknown(std::string_view why);
+  void noteBroken(std::string_view how) const;
   void onPlainAnswer();
   void passEvents(std::string_view events);
   void onStreamEnd(bool whole, std::string_view why);
@@ -142,6 +144,7 @@
   const Route &Way;
   CallerRequest Request;
   RequestLabels Labels;
+  RequestKey Key;
   LabelFields Fields;
   std::shared_ptr<CallerReply> Reply;
   RouteQuery Query;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -69,9 +69,11 @@
 }
 
 void GatewayExchange::passEvents(std::string_view events) {
-  if (!std::exchange(Now->FirstEvent, true))
+  if (!Now->FirstEventAt) {
+    Now->FirstEventAt = TimerService::now();
     Shared.View.onFirstEvent(Now->Replica->Life.text(), Query,
-                             TimerService::now() - Now->SentAt, Now->Clean);
+                             *Now->FirstEventAt - Now->SentAt, Now->Clean);
+  }
   if (!AnswerBegun) {
     AnswerBegun = true;
     FirstByte = TimerService::now() - Request.ArrivedAt;
@@ -157,8 +159,23 @@
     return next();
   }
   MayHaveRun = true;
-  onUnknown(how == HttpFailure::Ended ? "connection ended"
-                                      : "connection broke");
+  auto why =
+      how == HttpFailure::Ended ? "connection ended" : "connection broke";
+  noteBroken(why);
+  onUnknown(why);
+}
+
+void GatewayExchange::noteBroken(std::string_view how) const {
+  auto now = TimerService::now();
+  Shared.Log.write(LogClass::Request, "broke",
+                   {{"request", Labels.Id},
+                    {"key", Key.text()},
+                    {"replica", Now->Replica->Life.text()},
+                    {"how", how},
+                    {"sent_ms_ago", now - Now->SentAt},
+                    {"began", Now->FirstEventAt.has_value()},
+                    {"began_ms_ago",
+                     Now->FirstEventAt ? now - *Now->FirstEventAt : Span(0)}});
 }
 
 void GatewayExchange::onNotRun() {
--- a/UnitTests/Platform/HeadersTest.cpp
+++ b/UnitTests/Platform/HeadersTest.cpp
@@ -20,6 +20,7 @@
   auto labels = platformLabels().ReadRequest(
       {{"x-attempt-id", "id-1"},
        {"X-Deadline-Ms", "1500"},
+       {"X-Key", "secret"},
        {"X-Model", "base/a1"},
        {"X-Token-Count", "1460,80"},
        {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
@@ -33,6 +34,7 @@
   CHECK(labels.Prompt[0].Id == 0x5c1e07a2);
   CHECK(labels.Prompt[2].Tokens == 250);
   CHECK(labels.ResumeBehind == "12");
+  CHECK(labels.Caller == "secret");
 }
 
 TEST_CASE("labels that are missing or wrong are left out", "[headers]") {
