Failing tests: a request that crashes replicas is sent to one after the other

What callers saw: engines end one after the other and their requests with them. The platform in memory of the gateway's tests moves to a header, knows several replicas and a table.

--- /dev/null
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -0,0 +1,241 @@
+#pragma once
+
+#include "Programs/hemlockgladed/Gateway/Gateway.h"
+
+#include "UnitTests/Node/Gateway/ScriptedReplica.h"
+#include "UnitTests/Transport/Http1/RawPeer.h"
+
+#include <asio/post.hpp>
+
+namespace hemlockglade::test {
+
+using std::chrono::milliseconds;
+
+/// A platform in memory, in terms of the product's hooks.
+struct GatewayPlatform {
+  explicit GatewayPlatform(asio::io_context &context) : Context(context) {}
+
+  /// Operators declare a plan with one route to the service `s`.
+  void declare(std::uint64_t version, const std::string &prefix,
+               RouteKind kind = RouteKind::RunOnce,
+               std::uint32_t maxAttempts = 1) {
+    Route route;
+    route.Kind = kind;
+    route.MaxAttempts = maxAttempts;
+    route.Name = "r" + std::to_string(version);
+    route.Host = "a.example";
+    route.Prefix = prefix;
+    route.Targets = {{"s", 1}};
+    route.Timeout = milliseconds(2000);
+    RoutePlan plan(version, {route}, {ServiceSpec{"s", "/", 10, std::nullopt}},
+                   {});
+    plan.Source = prefix + std::to_string(version);
+    Declared.Plan = std::make_shared<const RoutePlan>(std::move(plan));
+    Known[Declared.Plan->Source] = Declared.Plan;
+    ++Declared.Position;
+    for (const auto &wait : std::exchange(Waiting, {}))
+      answer(wait, Declared);
+  }
+
+  /// The registry turns this node away from now on.
+  void goAway() {
+    Away = true;
+    for (const auto &wait : std::exchange(Waiting, {}))
+      fail(wait);
+  }
+
+  void registerReplica(const std::string &address) {
+    Replicas.Present.clear();
+    addReplica(address);
+  }
+
+  /// Registers one more replica, `i-1`, `i-2` and so on.
+  void addReplica(const std::string &address) {
+    ReplicaRecord record;
+    record.Life =
+        ReplicaLife("i-" + std::to_string(Replicas.Present.size() + 1));
+    record.Service = "s";
+    record.Address = address;
+    record.FailureDomain = "hall-a";
+    record.Slots = 4;
+    record.Source = address;
+    Replicas.Present.push_back(record);
+  }
+
+  template <typename Done, typename T> void answer(Done done, T value) {
+    asio::post(Context, [done, value] { done(value); });
+  }
+
+  PlatformPort port() {
+    PlatformPort out;
+    out.Registry.ReadOperator = [this](auto done) {
+      if (Away)
+        return fail(done);
+      answer(done, Declared);
+    };
+    out.Registry.WatchOperator = [this](std::uint64_t, Span, auto done) {
+      if (Away)
+        return fail(done);
+      Waiting.push_back(done);
+    };
+    out.Registry.ReadReplicas = [this](auto done) {
+      if (Away)
+        return fail(done);
+      auto all = Replicas;
+      all.Whole = true;
+      answer(done, all);
+    };
+    out.Registry.WatchReplicas = [this](std::uint64_t, auto done) {
+      if (Away)
+        return fail(done);
+      answer(done, Replicas);
+    };
+    out.Registry.ReadPlan = [this](std::string_view source) {
+      auto it = Known.find(std::string(source));
+      return it == Known.end() ? nullptr : it->second;
+    };
+    out.Registry.ReadReplica = [](std::string_view incarnation,
+                                  std::string_view source) {
+      ReplicaRecord record;
+      record.Life = ReplicaLife(std::string(incarnation));
+      record.Service = "s";
+      record.Address = source;
+      record.FailureDomain = "hall-a";
+      record.Slots = 4;
+      return std::optional(record);
+    };
+    out.Table.Get = [this](const std::string &key, auto done) {
+      asio::post(Context, [this, key, done] {
+        if (!HasTable)
+          return done(tl::unexpected(TableError::NotSent));
+        auto it = Rows.find(key);
+        done(it == Rows.end() ? std::nullopt : std::optional(it->second));
+      });
+    };
+    out.Table.Commit = [this](const TableTransaction &it, auto done) {
+      asio::post(Context, [this, write = it.Writes.front(), done] {
+        if (!HasTable)
+          return done(tl::unexpected(TableError::NotSent));
+        auto &row = Rows[write.Key];
+        if (row.Version != write.ExpectedVersion)
+          return done(tl::unexpected(TableError::Conflict));
+        row = {write.Key, ++RowVersion, *write.Value};
+        done(row.Version);
+      });
+    };
+    out.Labels.ReadRequest = [](const LabelFields &fields) {
+      RequestLabels labels;
+      for (const auto &[name, value] : fields)
+        if (sameFieldName(name, "Id"))
+          labels.Id = value;
+      return labels;
+    };
+    out.Labels.Forward = [](const LabelFields &fields, const ForwardLabels &) {
+      OwnedFields all;
+      for (const auto &[name, value] : fields)
+        if (!isConnectionField(name))
+          all.emplace_back(name, value);
+      return all;
+    };
+    out.Labels.ReadAnswer = [](std::uint16_t, const LabelFields &) {
+      AnswerLabels labels;
+      labels.Sealed = true;
+      return labels;
+    };
+    out.Labels.OwnAnswer = [](std::string_view) { return OwnedFields{}; };
+    out.Directory.Read = [](std::string_view target) {
+      return std::optional(AddressQuery{std::string(target.substr(1))});
+    };
+    out.Directory.Write = [](const std::vector<std::string> &addresses, Span) {
+      std::string all;
+      for (const auto &it : addresses)
+        all.append("<").append(it).append(">");
+      return all;
+    };
+    out.Directory.AsksReadiness = [](std::string_view) { return true; };
+    out.Tidy = [] {};
+    out.Calls = [] { return RegistryCalls{}; };
+    return out;
+  }
+
+  template <typename Done> void fail(Done done) {
+    asio::post(Context,
+               [done] { done(tl::unexpected(RegistryError::Unavailable)); });
+  }
+
+  asio::io_context &Context;
+  OperatorChanges Declared;
+  ReplicaChanges Replicas;
+  std::map<std::string, std::shared_ptr<const RoutePlan>> Known;
+  std::vector<RegistryCallback<OperatorChanges>> Waiting;
+  bool Away = false;
+  /// Whether the table answers, and what it holds.
+  bool HasTable = false;
+  std::map<std::string, TableRow> Rows;
+  std::uint64_t RowVersion = 0;
+};
+
+struct GatewayFixture : Loopback {
+  GatewayFixture()
+      : Platform(Context), Replica(Context),
+        Log(
+            {"n"}, [this](std::string_view line) { Lines.emplace_back(line); },
+            [] { return std::chrono::microseconds(0); }) {
+    auto ports = freePorts(4);
+    Settings.Name = "entry-1";
+    Settings.FailureDomain = "hall-a";
+    Settings.Address = "127.0.0.1";
+    Settings.PeerPort = ports[0];
+    Settings.CallerAddress = address(ports[1]);
+    Settings.DirectoryAddress = address(ports[2]);
+    Settings.ReadinessAddress = address(ports[3]);
+    Settings.RegistryAddress = address(1);
+    Settings.FailureDomains = {"hall-a"};
+    Settings.StopBound = milliseconds(1500);
+  }
+
+  std::vector<std::uint16_t> freePorts(int n) {
+    std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> held;
+    std::vector<std::uint16_t> out;
+    for (int it = 0; it < n; ++it) {
+      held.push_back(
+          std::make_unique<asio::ip::tcp::acceptor>(Context, localhost(0)));
+      out.push_back(held.back()->local_endpoint().port());
+    }
+    return out;
+  }
+
+  void start() {
+    Node = std::make_unique<Gateway>(Context, Settings, Platform.port(), Log);
+    Node->onStopped([this] { Stopped = true; });
+    Node->start();
+  }
+
+  bool untilReady() {
+    return until([this] { return Node->ready(); });
+  }
+
+  /// Sends a request on a connection of its own and gives what comes back.
+  std::string ask(const std::string &to, const std::string &path,
+                  const std::string &id = "r1") {
+    RawPeer peer(Context);
+    peer.connect(parseEndpoint(to).port());
+    peer.send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nId: " + id +
+              "\r\n\r\n");
+    until([&peer] {
+      return peer.Ended || peer.Got.find("\r\n\r\n") != std::string::npos;
+    });
+    settle();
+    return peer.Got;
+  }
+
+  std::vector<std::string> Lines;
+  GatewayPlatform Platform;
+  ScriptedReplica Replica;
+  EventLog Log;
+  GatewaySettings Settings;
+  std::unique_ptr<Gateway> Node;
+  bool Stopped = false;
+};
+
+} // namespace hemlockglade::test
--- a/UnitTests/Node/Gateway/ScriptedReplica.h
+++ b/UnitTests/Node/Gateway/ScriptedReplica.h
@@ -10,7 +10,13 @@
 /// A replica that answers each request with what the test says, byte for byte.
 class ScriptedReplica {
 public:
-  enum class Then : std::uint8_t { Keep, Close, Reset };
+  enum class Then : std::uint8_t {
+    Keep,
+    Close,
+    Reset,
+    /// Ends as a process does: nobody listens, all connections are gone.
+    Crash,
+  };
   struct Step {
     std::string Bytes;
     Then After = Then::Keep;
@@ -32,6 +38,21 @@
   /// Stops listening, as a replica that is gone.
   void stop() { Acceptor.close(); }
 
+  void crash() {
+    Crashed = true;
+    asio::error_code ec;
+    Acceptor.close(ec);
+    for (const auto &weak : Open)
+      if (auto it = weak.lock()) {
+        it->Socket.set_option(asio::socket_base::linger(true, 0), ec);
+        it->Socket.close(ec);
+      }
+  }
+
+  /// Says what to do with a request, in place of the script.
+  std::function<Step(const Request &)> Answer;
+  bool Crashed = false;
+
   /// One for each request, in order; none means silence.
   std::vector<Step> Script;
   std::vector<Request> Requests;
@@ -55,6 +76,7 @@
       it->Reader.OnBody = [raw = it.get()](std::string_view part) {
         raw->Body.append(part);
       };
+      Open.push_back(it);
       read(it);
       accept();
     });
@@ -77,9 +99,11 @@
   void answer(Connection &it) {
     Requests.push_back({it.Reader.takeRequest(), std::exchange(it.Body, {})});
     it.Reader.next();
-    if (Script.size() < Requests.size())
+    if (!Answer && Script.size() < Requests.size())
       return;
-    const auto &step = Script[Requests.size() - 1];
+    auto step = Answer ? Answer(Requests.back()) : Script[Requests.size() - 1];
+    if (step.After == Then::Crash)
+      return crash();
     asio::error_code ec;
     asio::write(it.Socket, asio::buffer(step.Bytes), ec);
     if (step.After == Then::Reset)
@@ -90,6 +114,7 @@
 
   asio::io_context &Context;
   asio::ip::tcp::acceptor Acceptor;
+  std::vector<std::weak_ptr<Connection>> Open;
 };
 
 } // namespace hemlockglade::test
