Soak: a request that crashes the replicas that run it comes again and again

Change: '--crashing_every S': one caller sends the same request each S seconds to any gateway; an engine ends 20 ms after it began to run it and is back after 1.5 s. A replica that ended refuses connections, as a host without the process does; its stand-in kept listening before. The verdict: later than 3 s after the third end at most three more.

--- a/UnitTests/Platform/Soak/SoakCallers.cpp
+++ b/UnitTests/Platform/Soak/SoakCallers.cpp
@@ -44,7 +44,8 @@
                          std::list<std::unique_ptr<SoakNode>> &nodes,
                          SoakHistory &history, std::uint64_t seed)
     : Context(context), Nodes(nodes), History(history), Timers(context),
-      Pool(context, {}), Asking(context, {}), Random(seed) {}
+      Pool(context, {}), Asking(context, {}), Random(seed),
+      CrashingRandom(seed) {}
 
 void SoakCallers::start() {
   Going = true;
@@ -53,6 +54,29 @@
   Subscriptions.push_back(
       Timers.every(ProbeEvery, [this](Instant) { probeAll(); }));
   next();
+  if (CrashingEvery > Span(0))
+    Subscriptions.push_back(
+        Timers.every(CrashingEvery, [this](Instant) { sendCrashing(); }));
+}
+
+void SoakCallers::sendCrashing() {
+  if (!Going || Known.All.empty())
+    return;
+  const auto &address = Known.All[CrashingRandom() % Known.All.size()];
+  HttpRequestHead head{"POST", "/chat" + std::string(site::CrashingTarget), {}};
+  head.Fields = {
+      {"Host", "a.example"},
+      {std::string(platform_name::RequestId), "x" + std::to_string(++Number)},
+      {std::string(platform_name::TimeLeftMs),
+       std::to_string(milliseconds(Deadline).count())},
+      {std::string(platform_name::Weights), std::string(site::Model) + "/a1"},
+      {std::string(platform_name::TokenCounts), "200,48"},
+      {std::string(platform_name::PromptParts), "a1:100,c1:100"},
+      {"Content-Length", "0"}};
+  auto connection = Pool.take(parseEndpoint(address), Span(0));
+  HttpCallHooks hooks;
+  hooks.OnDone = [connection] { connection->abort(); };
+  connection->call(writeHead(head), "", false, std::move(hooks));
 }
 
 void SoakCallers::next() {
--- a/UnitTests/Platform/Soak/SoakCallers.h
+++ b/UnitTests/Platform/Soak/SoakCallers.h
@@ -29,6 +29,8 @@
   void setRate(double rate) { Rate = rate; }
   /// Newest version of the plan that the store has taken.
   void setPlan(std::uint64_t version) { Plan = version; }
+  /// Time between sendings of a request that crashes replicas; none if 0.
+  void setCrashingEvery(Span every) { CrashingEvery = every; }
   void start();
   void stop() { Going = false; }
   bool idle() const { return Open == 0; }
@@ -47,6 +49,8 @@
   void next();
   void ask();
   void send();
+  /// One caller sends the same request again and again, to any gateway.
+  void sendCrashing();
   void probe(SoakNode &node);
   void probeAll();
   std::shared_ptr<Sending> draw();
@@ -65,6 +69,9 @@
   std::mt19937_64 Random;
   Addresses Known;
   double Rate = 40;
+  Span CrashingEvery{0};
+  /// Of its own, so that what else a seed draws stays as it is.
+  std::mt19937_64 CrashingRandom;
   std::uint64_t Plan = 0;
   bool Going = false;
   int Open = 0;
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -5,6 +5,7 @@
 #include "UnitTests/History/HistoryChecker.h"
 #include "UnitTests/Platform/Soak/SoakWorld.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -21,6 +22,9 @@
               "a breach that the verdict has to find: swap, twice "
               "or refused");
 DEFINE_double(fault_every, 0.7, "mean time between faults, in seconds");
+DEFINE_double(crashing_every, 0,
+              "time between sendings of a request that crashes the replicas "
+              "that run it, in seconds; 0 for none");
 DEFINE_double(entries_every, 0,
               "time between losses of all gateways that callers were last "
               "named, in seconds; 0 for none");
@@ -31,6 +35,25 @@
 
 constexpr int UsageError = 2;
 
+/// A request that has crashed three replicas may reach three more later than
+/// the time in which all nodes have to know.
+bool judgeCrashes(const SoakWorld &world) {
+  constexpr std::size_t Convicts = 3;
+  constexpr std::ptrdiff_t Allowed = 3;
+  constexpr auto KnownWithin = std::chrono::seconds(3);
+  const auto &all = world.crashes();
+  std::ptrdiff_t late = 0;
+  if (all.size() >= Convicts)
+    late = std::count_if(all.begin(), all.end(),
+                         [from = all[Convicts - 1] + KnownWithin](
+                             const auto &at) { return at > from; });
+  bool holds = late <= Allowed;
+  std::cout << (holds ? "held    " : "BROKEN  ")
+            << "a request that crashes replicas is sent to few: " << all.size()
+            << " crashed, " << late << " of them late\n";
+  return holds;
+}
+
 bool judge(SoakWorld &world) {
   HistoryBounds bounds;
   bounds.Configuration = GatewaySettings{}.PlanBound;
@@ -50,7 +73,7 @@
   bool lives = world.selfEnds() == 0;
   std::cout << (lives ? "held    " : "BROKEN  ")
             << "no gateway ends by itself: " << world.selfEnds() << " ends\n";
-  return held && serves && lives;
+  return judgeCrashes(world) && held && serves && lives;
 }
 
 std::optional<SoakReplica::Plant> plantNamed(std::string_view name) {
@@ -83,6 +106,7 @@
   settings.Rate = FLAGS_rate;
   settings.FaultEvery = spanOf(FLAGS_fault_every);
   settings.EntriesEvery = spanOf(FLAGS_entries_every);
+  settings.CrashingEvery = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
   auto planted = plantNamed(FLAGS_plant);
   if (!planted) {
--- a/UnitTests/Platform/Soak/SoakProxy.cpp
+++ b/UnitTests/Platform/Soak/SoakProxy.cpp
@@ -54,11 +54,24 @@
   Now = harm;
 }
 
+void SoakProxy::close() {
+  asio::error_code ec;
+  Acceptor.close(ec);
+  resetAll();
+}
+
+void SoakProxy::open() {
+  if (Acceptor.is_open())
+    return;
+  Acceptor = tcp::acceptor(Context, loopback(0));
+  accept();
+}
+
 void SoakProxy::accept() {
   auto pipe = std::make_shared<Pipe>(Context);
   Acceptor.async_accept(
       pipe->Caller, [this, pipe, alive = Alive](asio::error_code ec) {
-        if (!*alive)
+        if (!*alive || ec == asio::error::operation_aborted)
           return;
         if (!ec && Now == Harm::Reset)
           pipe->reset();
--- a/UnitTests/Platform/Soak/SoakProxy.h
+++ b/UnitTests/Platform/Soak/SoakProxy.h
@@ -34,6 +34,10 @@
   Harm harm() const { return Now; }
   /// From now on another port is meant.
   void setTarget(std::uint16_t target) { Target = target; }
+  /// The process behind the address is gone: connections are refused.
+  void close();
+  /// One is there again, at a new port.
+  void open();
 
 private:
   struct Pipe;
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -15,6 +15,10 @@
 constexpr auto LoadTime = milliseconds(60);
 /// How long a replica that leaves still serves, and then is gone.
 constexpr auto ServesOn = milliseconds(2600);
+/// How soon a request that crashes its replica does so, and how soon the
+/// replica is back.
+constexpr auto CrashAfter = milliseconds(20);
+constexpr auto BackAfter = milliseconds(1500);
 constexpr std::size_t MaxConnections = 400;
 
 std::string field(const CallerRequest &request, std::string_view name) {
@@ -83,6 +87,7 @@
   Server = std::make_unique<CallerServer>(
       Context, asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0},
       MaxConnections, std::move(hooks));
+  Link.open();
   Link.setTarget(Server->port());
   note("started");
   Beat = Timers.every(BeatEvery, [this](Instant) { beat(); });
@@ -98,6 +103,7 @@
     it->Reply->abort();
   }
   Server.reset();
+  Link.close();
   // Its entry lapses after three beats without one.
   Timers.after(3 * BeatEvery,
                [this, gone = Incarnation, alive = Alive](Instant) {
@@ -287,6 +293,8 @@
     it->Version = held->second;
     ++Uses[name];
   }
+  if (request.Head.Target.ends_with(site::CrashingTarget) && OnCrashing)
+    return crashUnder(reply);
   it->Number = ++Runs;
   auto behind = field(request, platform_name::ResumeBehind);
   if (!behind.empty())
@@ -324,6 +332,20 @@
                       : run.Adapter + "@" + std::to_string(run.Version);
 }
 
+void SoakReplica::crashUnder(const std::shared_ptr<CallerReply> &reply) {
+  OnCrashing();
+  Timers.after(CrashAfter,
+               [this, reply, its = Incarnation, alive = Alive](Instant) {
+                 if (!*alive || !up() || Incarnation != its)
+                   return;
+                 crash();
+                 Timers.after(BackAfter, [this, alive](Instant) {
+                   if (*alive && !up())
+                     start();
+                 });
+               });
+}
+
 void SoakReplica::step(const std::shared_ptr<Run> &run) {
   if (Now == Mood::Fails) {
     end(*run, "finished", false);
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -17,6 +17,8 @@
 inline constexpr std::string_view PlainService = "book";
 inline constexpr std::size_t AdapterPlaces = 6;
 inline constexpr int Adapters = 40;
+/// How the target of a request ends that crashes the replica that runs it.
+inline constexpr std::string_view CrashingTarget = "/crashing";
 /// Events of a stream.
 inline constexpr int Events = 12;
 /// Text of one event of a request's answer; the same wherever it runs.
@@ -76,6 +78,8 @@
   void crash();
   /// Says that it leaves; it ends later.
   void leave();
+  /// Called as it begins to run a request that crashes it.
+  std::function<void()> OnCrashing;
 
 private:
   struct Run;
@@ -90,6 +94,8 @@
   std::string report() const;
   void run(const CallerRequest &request,
            const std::shared_ptr<CallerReply> &reply);
+  /// Ends some moments later, and starts again.
+  void crashUnder(const std::shared_ptr<CallerReply> &reply);
   void step(const std::shared_ptr<Run> &run);
   void end(Run &run, const char *how, bool whole);
   void noteRun(const Run &run);
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -47,6 +47,7 @@
     std::exit(2);
   });
   Callers.setRate(Setup.Rate);
+  Callers.setCrashingEvery(Setup.CrashingEvery);
   buildReplicas();
   declare();
   buildNodes();
@@ -64,6 +65,10 @@
         Domains[static_cast<std::size_t>(it) % Domains.size()];
     Replicas.push_back(std::make_unique<SoakReplica>(
         Context, std::move(replica), Store, History, Random()));
+    Replicas.back()->OnCrashing = [this] {
+      say("a request crashes a replica");
+      Crashes.push_back(TimerService::now());
+    };
   }
 }
 
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -24,6 +24,8 @@
     /// Mean time between two losses of all that callers were last named; none
     /// if 0.
     Span EntriesEvery{0};
+    /// Time between sendings of a request that crashes replicas; none if 0.
+    Span CrashingEvery{0};
     /// Time after the last fault until the deployment must serve again.
     Span Recovery = std::chrono::seconds(12);
     SoakReplica::Plant Planted = SoakReplica::Plant::None;
@@ -42,6 +44,8 @@
   std::pair<int, int> quietEnd() const { return Quiet; }
   /// Times that a gateway ended by itself.
   int selfEnds() const;
+  /// When replicas began to run the request that crashes them.
+  const std::vector<Instant> &crashes() const { return Crashes; }
 
 private:
   std::string takeNetwork();
@@ -99,6 +103,7 @@
   std::uint64_t Plan = 0;
   std::map<std::string, std::uint32_t> Versions;
   std::pair<int, int> Quiet{0, 0};
+  std::vector<Instant> Crashes;
   TimerService::Subscription Looking;
 };
 
