A lapsed entry confirms an end; replicas that leave accuse nobody; accounts name barred requests

Cause: where the look at a replica got no answer (lost packets), its end was never noted, though its entry lapses seconds later; and a replica that leaves at short notice ends with what it runs, which was noted against it. Change: EndWatch::onGone by the registry, unless that was out of reach lately; the view says whether a replica leaves. 'hemlockctl explain' lists requests under which two or more replicas ended, by key, and which were barred. Measured: tests of both, red before; NodeTests, CoordinationTests green.

--- a/Hemlockglade/Coordination/Crash/EndWatch.cpp
+++ b/Hemlockglade/Coordination/Crash/EndWatch.cpp
@@ -40,6 +40,18 @@
   return out;
 }
 
+std::vector<SuspectEnd> EndWatch::onGone(const std::string &id, Instant now) {
+  std::vector<ReplicaLife> lives;
+  for (const auto &[text, doubt] : Doubts)
+    if (!doubt.Attempts.empty() && doubt.Attempts.front().Life.id() == id)
+      lives.push_back(doubt.Attempts.front().Life);
+  std::vector<SuspectEnd> out;
+  for (const auto &it : lives)
+    for (auto &end : onEnded(it, now))
+      out.push_back(end);
+  return out;
+}
+
 void EndWatch::onAlive(const ReplicaLife &life) {
   auto it = Doubts.find(life.text());
   if (it == Doubts.end())
--- a/Hemlockglade/Coordination/Crash/EndWatch.h
+++ b/Hemlockglade/Coordination/Crash/EndWatch.h
@@ -44,6 +44,8 @@
   bool wantsLook(const ReplicaLife &life);
   /// The replica has ended.
   std::vector<SuspectEnd> onEnded(const ReplicaLife &life, Instant now);
+  /// The registry has the replica no more, whichever of its lives that was.
+  std::vector<SuspectEnd> onGone(const std::string &id, Instant now);
   /// The replica lives.
   void onAlive(const ReplicaLife &life);
   void tidy(Instant now);
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -520,6 +520,11 @@
   return out;
 }
 
+bool ReplicaView::leaving(const std::string &replica) const {
+  auto it = Replicas.find(replica);
+  return it != Replicas.end() && it->second.Leaving;
+}
+
 Span ReplicaView::usualAnswer(const std::string &replica) const {
   auto it = Replicas.find(replica);
   return it == Replicas.end() ? Span(0) : it->second.Health.usualAnswer();
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -165,6 +165,8 @@
   /// Tokens of the query's prompt that the replica has to read.
   std::uint32_t tokensToRead(const std::string &replica,
                              const RouteQuery &query) const;
+  /// Whether the replica is known to leave, or to have left.
+  bool leaving(const std::string &replica) const;
   /// Whether the replica fails more of its requests than its like.
   bool suspect(const std::string &replica, Instant now) const;
   void onEnd(const std::string &replica, std::uint64_t attempt,
--- a/Hemlockglade/Protocol/Account/LogAccount.cpp
+++ b/Hemlockglade/Protocol/Account/LogAccount.cpp
@@ -41,6 +41,10 @@
     ++Tries["not run, " + std::to_string(std::lround(line.number("status")))];
   else if (line.Event == "not-connected")
     ++Tries["not connected"];
+  else if (line.Event == "ended-under")
+    ++Ends[line.text("key")];
+  else if (line.Event == "request-barred")
+    Barred.insert(line.text("key"));
 }
 
 void LogAccount::addSend(const LogLine &line) {
@@ -105,9 +109,20 @@
   printWaits(out);
   printCounts(out, "refusals", Refusals);
   printCounts(out, "tries at replicas, by how they ended", Tries);
+  printEnds(out);
   printWindows(out);
 }
 
+void LogAccount::printEnds(std::ostream &out) const {
+  // Once may be chance: all that ran on a replica ended with it.
+  constexpr std::uint64_t Least = 2;
+  out << "\nrequests under which replicas ended, by key\n";
+  for (const auto &[key, n] : Ends)
+    if (n >= Least || Barred.contains(key))
+      out << std::setw(9) << n << "  " << key
+          << (Barred.contains(key) ? ", barred" : "") << '\n';
+}
+
 void LogAccount::printLoads(std::ostream &out) const {
   out << "\nloads\n      all    first  again, same replica  again, another\n";
   for (const auto &[reason, n] : Loads)
--- a/Hemlockglade/Protocol/Account/LogAccount.h
+++ b/Hemlockglade/Protocol/Account/LogAccount.h
@@ -66,6 +66,10 @@
   }
   /// Tries at replicas by how they ended.
   const std::map<std::string, std::uint64_t> &tries() const { return Tries; }
+  /// Ends of replicas under requests, by the requests' keys, and the keys that
+  /// were barred.
+  const std::map<std::string, std::uint64_t> &ends() const { return Ends; }
+  const std::set<std::string> &barred() const { return Barred; }
   /// By route and number of the window.
   const std::map<std::pair<std::string, std::int64_t>, WindowCounts> &
   windows() const {
@@ -86,6 +90,7 @@
   void addOrder(const LogLine &line);
   void printLoads(std::ostream &out) const;
   void printWaits(std::ostream &out) const;
+  void printEnds(std::ostream &out) const;
   void printWindows(std::ostream &out) const;
 
   Settings Setup;
@@ -97,6 +102,8 @@
   std::map<std::string, WaitCounts> Waits;
   std::map<std::string, std::uint64_t> Refusals;
   std::map<std::string, std::uint64_t> Tries;
+  std::map<std::string, std::uint64_t> Ends;
+  std::set<std::string> Barred;
   std::map<std::pair<std::string, std::int64_t>, WindowCounts> Windows;
 };
 
--- a/Programs/hemlockgladed/Gateway/CrashLink.cpp
+++ b/Programs/hemlockgladed/Gateway/CrashLink.cpp
@@ -16,11 +16,9 @@
 
 void CrashLink::onBroken(const ReplicaRecord &replica, const RequestKey &key,
                          Instant sentAt, std::optional<Instant> beganAt) {
-  // One that leaves ends with what it still runs.
-  if (replica.Draining)
-    return;
   auto now = TimerService::now();
-  take(replica.Life, Watch.onBroken({key, replica.Life, sentAt, beganAt, now}));
+  take(replica.Life.text(),
+       Watch.onBroken({key, replica.Life, sentAt, beganAt, now}));
   if (Watch.wantsLook(replica.Life))
     look(replica);
 }
@@ -38,10 +36,14 @@
 }
 
 void CrashLink::onEnded(const ReplicaLife &life) {
-  take(life, Watch.onEnded(life, TimerService::now()));
+  take(life.text(), Watch.onEnded(life, TimerService::now()));
+}
+
+void CrashLink::onGone(const std::string &id) {
+  take(id, Watch.onGone(id, TimerService::now()));
 }
 
-void CrashLink::take(const ReplicaLife &life,
+void CrashLink::take(std::string_view replica,
                      const std::vector<SuspectEnd> &ends) {
   auto now = TimerService::now();
   bool news = false;
@@ -52,7 +54,7 @@
     news = true;
     Log.write(LogClass::State, "ended-under",
               {{"key", it.Key.text()},
-               {"replica", life.text()},
+               {"replica", replica},
                {"sent_ms_ago", now - it.End.SentAt},
                {"ended_ms_ago", now - it.End.EndedAt},
                {"suspects", static_cast<std::uint64_t>(ends.size())},
--- a/Programs/hemlockgladed/Gateway/CrashLink.h
+++ b/Programs/hemlockgladed/Gateway/CrashLink.h
@@ -31,6 +31,8 @@
                 Instant sentAt, std::optional<Instant> beganAt);
   /// A replica's life is over, as the registry tells.
   void onEnded(const ReplicaLife &life);
+  /// The registry has it no more.
+  void onGone(const std::string &id);
   /// A request ran to its end.
   void onServed(const RequestKey &key);
   void onSent(const RequestKey &key);
@@ -56,7 +58,7 @@
 
 private:
   void look(const ReplicaRecord &replica);
-  void take(const ReplicaLife &life, const std::vector<SuspectEnd> &ends);
+  void take(std::string_view replica, const std::vector<SuspectEnd> &ends);
   void takeRecords(const std::vector<CrashRecord> &records,
                    std::string_view from);
   /// Logs what became of a request, and tells if it is barred from now on.
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -331,9 +331,13 @@
   for (const auto &it :
        View.onRegistry(changes, unreachable, TimerService::now()))
     onRestarted(*it);
-  for (const auto &it : changes.Removed)
+  for (const auto &it : changes.Removed) {
     Log.write(LogClass::State, "replica-gone",
               {{"replica", it}, {"unreachable_lately", unreachable}});
+    // Entries also lapse while the registry is away, of replicas that live.
+    if (!unreachable)
+      Crashes.onGone(it);
+  }
   if (!changes.Unread.empty())
     Log.write(LogClass::State, "entries-unread",
               {{"entries", static_cast<std::uint64_t>(changes.Unread.size())},
--- a/Programs/hemlockgladed/Gateway/GatewayCrashes.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayCrashes.cpp
@@ -20,7 +20,9 @@
   hooks.OnSent = [this](const RequestKey &key) { Crashes.onSent(key); };
   hooks.OnBroken = [this](const ReplicaRecord &replica, const RequestKey &key,
                           Instant sentAt, std::optional<Instant> beganAt) {
-    Crashes.onBroken(replica, key, sentAt, beganAt);
+    // One that leaves ends with what it still runs.
+    if (!View.leaving(replica.Life.text()))
+      Crashes.onBroken(replica, key, sentAt, beganAt);
   };
   hooks.OnServed = [this](const RequestKey &key) { Crashes.onServed(key); };
   return hooks;
--- a/UnitTests/Coordination/Crash/EndWatchTest.cpp
+++ b/UnitTests/Coordination/Crash/EndWatchTest.cpp
@@ -52,6 +52,15 @@
   CHECK(watch.onEnded(Life, Now).size() == 1);
 }
 
+TEST_CASE("an entry that goes tells of an end where no look did", "[crash]") {
+  EndWatch watch;
+  watch.onBroken(broken(1));
+  CHECK(watch.wantsLook(Life));
+  CHECK(watch.onGone("i-2", Now).empty());
+  CHECK(watch.onGone("i-1", Now).size() == 1);
+  CHECK(watch.onGone("i-1", Now).empty());
+}
+
 TEST_CASE("a broken attempt does not wait for news for ever", "[crash]") {
   EndWatch::Settings settings;
   settings.MaxBroken = 3;
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -349,6 +349,14 @@
   CHECK(it.choose().What == Kind::Missing);
 }
 
+TEST_CASE("a replica whose entry has gone is known to leave", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  CHECK_FALSE(it.View.leaving("i-1"));
+  it.View.onRegistry({false, {}, {"i-1"}, 3}, false, it.Now);
+  CHECK(it.View.leaving("i-1"));
+}
+
 TEST_CASE("an idle engine farther away is better than one that reads long",
           "[view]") {
   ViewFixture it;
--- a/UnitTests/Protocol/Account/LogAccountTest.cpp
+++ b/UnitTests/Protocol/Account/LogAccountTest.cpp
@@ -85,4 +85,18 @@
   CHECK(out.str().find("engine reads") != std::string::npos);
 }
 
+TEST_CASE("requests under which replicas ended are named", "[account]") {
+  LogAccount account({});
+  for (int n = 0; n < 3; ++n)
+    add(account, n, R"("event":"ended-under","key":"k1","replica":"i-1")");
+  add(account, 4, R"("event":"ended-under","key":"k2","replica":"i-1")");
+  add(account, 4, R"("event":"request-barred","key":"k1","ends":3)");
+  CHECK(account.ends().at("k1") == 3);
+  CHECK(account.barred() == std::set<std::string>{"k1"});
+  std::ostringstream out;
+  account.print(out);
+  CHECK(out.str().find("3  k1, barred") != std::string::npos);
+  CHECK(out.str().find("k2") == std::string::npos);
+}
+
 } // namespace hemlockglade::test
