Failing tests: a failure of a replica's own clears a request that crashes replicas

An engine that fails a request before it begins it (its own 500, or 504 when its time ran out in the queue) was taken for one that ran it to its end, which cleared what was known against it; so was a stream without an event. Red: 500, 504, an empty stream.

--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -628,8 +628,24 @@
   it.ask();
   REQUIRE(it.untilGot("failed"));
   CHECK(it.BrokenAt == std::vector<std::string>{"i-1"});
-  // A failure of the replica's own shows that it lives on.
-  CHECK(it.Served == 1);
+  // The replica may have failed it before it began to run it.
+  CHECK(it.Served == 0);
+}
+
+TEST_CASE("only an answer that shows a whole run clears a request",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.present(false);
+  auto [step, served] = GENERATE(table<ScriptedReplica::Step, int>(
+      {{{answer(200, "hello")}, 1},
+       {{answer(500, "failed")}, 0},
+       {{answer(504, "out of time in the queue")}, 0},
+       {{StreamHead + chunk(event(1)) + "0\r\n\r\n"}, 1},
+       {{StreamHead + "0\r\n\r\n"}, 0}}));
+  it.First.Script = {step};
+  it.ask();
+  REQUIRE(it.untilEnd());
+  CHECK(it.Served == served);
 }
 
 } // namespace hemlockglade::test
