Only a successful whole run clears a request that crashes replicas

Cause: any signed answer counted as a whole run. An engine's own 500, or its 504 for a request whose time ran out in the queue, comes before the request begins; it cleared the ends that were known. Not ruled out: ends of engines at which the node had given its attempt up. Change: success only, and of a stream only with an event. Why it holds: a request that crashes each replica that begins to run it has no complete success. Measured: the three failing cases green. Conclusion: stays.

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -26,7 +26,7 @@
   std::function<void(const ReplicaRecord &replica, const RequestKey &key,
                      Instant sentAt, std::optional<Instant> beganAt)>
       OnBroken;
-  /// A replica ran it to its end.
+  /// A replica ran it to its end, with success.
   std::function<void(const RequestKey &key)> OnServed;
 };
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -132,7 +132,10 @@
     return onStreamEnd(false, "a resumed stream failed");
   HttpAnswerHead head = *Now->Head;
   auto body = std::move(Now->Body);
-  Shared.Crashes.OnServed(Key);
+  // A failure may come before the replica begins to run the request, and says
+  // nothing of what it does there.
+  if (success)
+    Shared.Crashes.OnServed(Key);
   endAttempt(status >= ServerError ? AttemptVerdict::OwnFailure
                                    : AttemptVerdict::Good);
   FirstByte = TimerService::now() - Request.ArrivedAt;
@@ -146,7 +149,8 @@
       Reply->begin(*Now->Head);
     AnswerBegun = true;
     auto status = Now->Head->Status;
-    Shared.Crashes.OnServed(Key);
+    if (Now->FirstEventAt)
+      Shared.Crashes.OnServed(Key);
     endAttempt(AttemptVerdict::Good);
     Reply->finish();
     return finish(status, "complete");
