--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -294,7 +294,7 @@
     ++Uses[name];
   }
   if (request.Head.Target.ends_with(site::CrashingTarget) && OnCrashing)
-    return crashUnder(reply);
+    return crashUnder(reply, it->Tag);
   it->Number = ++Runs;
   auto behind = field(request, platform_name::ResumeBehind);
   if (!behind.empty())
@@ -332,7 +332,14 @@
                       : run.Adapter + "@" + std::to_string(run.Version);
 }
 
-void SoakReplica::crashUnder(const std::shared_ptr<CallerReply> &reply) {
+void SoakReplica::crashUnder(const std::shared_ptr<CallerReply> &reply,
+                             const std::string &tag) {
+  if (Now == Mood::Fails) {
+    // It fails requests before it begins to run them.
+    Run run;
+    run.Tag = tag;
+    return reply->respond(head(500, run), "failed");
+  }
   OnCrashing();
   Timers.after(CrashAfter,
                [this, reply, its = Incarnation, alive = Alive](Instant) {
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -95,7 +95,8 @@
   void run(const CallerRequest &request,
            const std::shared_ptr<CallerReply> &reply);
   /// Ends some moments later, and starts again.
-  void crashUnder(const std::shared_ptr<CallerReply> &reply);
+  void crashUnder(const std::shared_ptr<CallerReply> &reply,
+                  const std::string &tag);
   void step(const std::shared_ptr<Run> &run);
   void end(Run &run, const char *how, bool whole);
   void noteRun(const Run &run);
