Failing tests: replicas end under a request and nobody counts it

Each test fails on the code as it is: - EndWatch: a look that finds a listener forgets the attempt, though the entry goes afterwards. The case "blames nobody" asserted just that; it asks for the same once the time in which an entry lapses has passed. - Gateway: three ends behind an address that still accepts; entries that stay away after an outage of the registry (a whole read names no removed ones); an attempt that its node gave up, as its caller left, at a replica that ran on and ended under it.

--- a/UnitTests/Coordination/Crash/EndWatchTest.cpp
+++ b/UnitTests/Coordination/Crash/EndWatchTest.cpp
@@ -26,9 +26,18 @@
   CHECK(watch.wantsLook(Life));
   CHECK_FALSE(watch.wantsLook(Life));
   watch.onAlive(Life);
+  watch.tidy(Now + EndWatch::Settings{}.Patience);
   CHECK(watch.onEnded(Life, Now).empty());
 }
 
+TEST_CASE("a listener is no proof that the replica lives on", "[crash]") {
+  EndWatch watch;
+  watch.onBroken(broken(1));
+  CHECK(watch.wantsLook(Life));
+  watch.onAlive(Life);
+  CHECK(watch.onGone("i-1", Now + seconds(3)).size() == 1);
+}
+
 TEST_CASE("a replica's end is told of what may have caused it", "[crash]") {
   EndWatch watch;
   watch.onBroken(broken(1));
--- a/UnitTests/Node/Gateway/CrashingRequestTest.cpp
+++ b/UnitTests/Node/Gateway/CrashingRequestTest.cpp
@@ -95,6 +95,24 @@
   int Asked = 0;
 };
 
+/// Replicas whose end a look at their address does not show.
+struct HiddenEndFixture : CrashingFixture {
+  HiddenEndFixture() : CrashingFixture(RouteKind::RunOnce) {
+    for (const auto &replica : Replicas)
+      replica->Answer = [](const auto &) {
+        return ScriptedReplica::Step{
+            "", ScriptedReplica::Then::CrashBehindListener};
+      };
+  }
+
+  /// The entries of replicas that have ended go.
+  void removeCrashed(bool isTold) {
+    for (std::size_t n = 0; n < Replicas.size(); ++n)
+      if (Replicas[n]->Crashed)
+        Platform.removeReplica("i-" + std::to_string(n + 1), isTold);
+  }
+};
+
 bool has(const std::string &text, const std::string &part) {
   return text.find(part) != std::string::npos;
 }
@@ -152,6 +170,66 @@
   CHECK(after.crashed() == 0);
 }
 
+TEST_CASE("an end that a look did not show counts when the entry goes",
+          "[gateway]") {
+  HiddenEndFixture it;
+  it.start();
+  REQUIRE(it.untilReady());
+  for (int n = 1; n <= MostCrashed; ++n) {
+    it.askAgain(it.Settings.CallerAddress);
+    REQUIRE(it.crashed() == n);
+    it.removeCrashed(true);
+    REQUIRE(it.until([&] { return it.lines("replica-gone") >= n; }));
+  }
+  CHECK(has(it.askAgain(it.Settings.CallerAddress), "HTTP/1.1 503"));
+  CHECK(it.crashed() == MostCrashed);
+}
+
+TEST_CASE("entries that stay away after an outage of the registry are ends",
+          "[gateway]") {
+  HiddenEndFixture it;
+  it.start();
+  REQUIRE(it.untilReady());
+  while (it.crashed() < MostCrashed)
+    it.askAgain(it.Settings.CallerAddress);
+  it.Platform.goAway();
+  it.pass(milliseconds(500));
+  it.removeCrashed(false);
+  it.Platform.Away = false;
+  // They might be back within some two seconds.
+  it.pass(milliseconds(4000));
+  CHECK(has(it.askAgain(it.Settings.CallerAddress), "HTTP/1.1 503"));
+  CHECK(it.crashed() == MostCrashed);
+}
+
+TEST_CASE("a replica that ends under a request after its caller left counts",
+          "[gateway]") {
+  CrashingFixture it(RouteKind::RunOnce);
+  for (const auto &replica : it.Replicas)
+    replica->Answer = nullptr;
+  it.start();
+  REQUIRE(it.untilReady());
+  for (int n = 0; n < MostCrashed; ++n) {
+    RawPeer caller(it.Context);
+    caller.connect(parseEndpoint(it.Settings.CallerAddress).port());
+    caller.send("GET " + std::string(Crashing) +
+                " HTTP/1.1\r\nHost: a.example\r\nId: l" + std::to_string(n) +
+                "\r\n\r\n");
+    ScriptedReplica *runs = nullptr;
+    REQUIRE(it.until([&] {
+      for (const auto &replica : it.Replicas)
+        if (!replica->Crashed && !replica->Requests.empty())
+          runs = replica.get();
+      return runs != nullptr;
+    }));
+    caller.close();
+    REQUIRE(it.until([&] { return it.lines("end") == n + 1; }));
+    runs->crash();
+    it.pass(milliseconds(800));
+  }
+  CHECK(has(it.askAgain(it.Settings.CallerAddress), "HTTP/1.1 503"));
+}
+
 TEST_CASE("connections that break at living replicas bar no request",
           "[gateway]") {
   CrashingFixture it(RouteKind::RunOnce, 1);
--- a/UnitTests/Node/Gateway/GatewayRig.h
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -62,6 +62,14 @@
     Replicas.Present.push_back(record);
   }
 
+  /// Its entry goes, with news of that unless the registry has lost it.
+  void removeReplica(const std::string &id, bool isTold = true) {
+    std::erase_if(Replicas.Present,
+                  [&id](const auto &it) { return it.Life.id() == id; });
+    if (isTold)
+      Replicas.Removed.push_back(id);
+  }
+
   template <typename Done, typename T> void answer(Done done, T value) {
     asio::post(Context, [done, value] { done(value); });
   }
--- a/UnitTests/Node/Gateway/ScriptedReplica.h
+++ b/UnitTests/Node/Gateway/ScriptedReplica.h
@@ -16,6 +16,8 @@
     Reset,
     /// Ends as a process does: nobody listens, all connections are gone.
     Crash,
+    /// Ends, while something else at its address still accepts connections.
+    CrashBehindListener,
   };
   struct Step {
     std::string Bytes;
@@ -39,9 +41,15 @@
   void stop() { Acceptor.close(); }
 
   void crash() {
-    Crashed = true;
     asio::error_code ec;
     Acceptor.close(ec);
+    cutAll();
+  }
+
+  /// All connections are gone.
+  void cutAll() {
+    Crashed = true;
+    asio::error_code ec;
     for (const auto &weak : Open)
       if (auto it = weak.lock()) {
         it->Socket.set_option(asio::socket_base::linger(true, 0), ec);
@@ -104,6 +112,8 @@
     auto step = Answer ? Answer(Requests.back()) : Script[Requests.size() - 1];
     if (step.After == Then::Crash)
       return crash();
+    if (step.After == Then::CrashBehindListener)
+      return cutAll();
     asio::error_code ec;
     asio::write(it.Socket, asio::buffer(step.Bytes), ec);
     if (step.After == Then::Reset)
