Soak: what remains at an ended replica's address is drawn, not left over

Cause: gateways that the soak starts inherited the listeners of its replicas, so that an ended replica's address went on accepting by accident, when a gateway had been started after it.

Change: gateways are started with their standard streams only. What meets connections after an end follows from the replica's start: nobody, a forwarder that resets, a listener that nobody reads from. Tests and bounds as before.

--- a/UnitTests/Node/Gateway/CrashingRequestTest.cpp
+++ b/UnitTests/Node/Gateway/CrashingRequestTest.cpp
@@ -114,11 +114,10 @@
 
   /// Whether the node has heard that all of these are gone.
   bool heardOfCrashed() const {
-    return std::all_of(
-        Platform.Replicas.Removed.begin(), Platform.Replicas.Removed.end(),
-        [this](const auto &id) {
-          return lines("replica-gone\",\"replica\":\"" + id) > 0;
-        });
+    return std::all_of(Platform.Replicas.Removed.begin(),
+                       Platform.Replicas.Removed.end(), [this](const auto &id) {
+                         return lines("replica-gone\",\"replica\":\"" + id) > 0;
+                       });
   }
 };
 
--- a/UnitTests/Platform/Soak/SoakNode.cpp
+++ b/UnitTests/Platform/Soak/SoakNode.cpp
@@ -55,6 +55,8 @@
   ::posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // An inherited listener would go on accepting for a replica that has ended.
+  ::posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   std::string gateway = "--gateway";
   char *args[] = {Setup.Program.data(), gateway.data(), config.data(), nullptr};
   int failed = ::posix_spawn(&Pid, Setup.Program.c_str(), &files, nullptr, args,
--- a/UnitTests/Platform/Soak/SoakProxy.cpp
+++ b/UnitTests/Platform/Soak/SoakProxy.cpp
@@ -54,13 +54,18 @@
   Now = harm;
 }
 
-void SoakProxy::close() {
+void SoakProxy::close(Remains remains) {
   asio::error_code ec;
-  Acceptor.close(ec);
+  if (remains == Remains::Nothing)
+    Acceptor.close(ec);
+  Answers = remains != Remains::SilentListener;
   resetAll();
 }
 
 void SoakProxy::open() {
+  Answers = true;
+  for (auto &it : std::exchange(Held, {}))
+    it->reset();
   if (Acceptor.is_open())
     return;
   Acceptor = tcp::acceptor(Context, loopback(0));
@@ -75,6 +80,8 @@
           return;
         if (!ec && Now == Harm::Reset)
           pipe->reset();
+        else if (!ec && !Answers)
+          Held.push_back(pipe);
         else if (!ec)
           pipe->Server.async_connect(
               loopback(Target), [this, pipe, alive](asio::error_code ec) {
--- a/UnitTests/Platform/Soak/SoakProxy.h
+++ b/UnitTests/Platform/Soak/SoakProxy.h
@@ -23,6 +23,9 @@
     OneWay,
   };
 
+  /// What meets connections to an address whose process is gone.
+  enum class Remains : std::uint8_t { Nothing, Forwarder, SilentListener };
+
   SoakProxy(asio::io_context &context, std::uint16_t target);
   ~SoakProxy();
 
@@ -34,9 +37,9 @@
   Harm harm() const { return Now; }
   /// From now on another port is meant.
   void setTarget(std::uint16_t target) { Target = target; }
-  /// The process behind the address is gone: connections are refused.
-  void close();
-  /// One is there again, at a new port.
+  /// The process behind the address is gone.
+  void close(Remains remains = Remains::Nothing);
+  /// One is there again; at a new port, if nothing has remained.
   void open();
 
 private:
@@ -51,6 +54,9 @@
   asio::ip::tcp::acceptor Acceptor;
   std::uint16_t Target;
   Harm Now = Harm::None;
+  bool Answers = true;
+  /// Connections that a listener has accepted for nobody.
+  std::list<std::shared_ptr<Pipe>> Held;
   std::list<std::weak_ptr<Pipe>> Pipes;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -103,7 +103,10 @@
     it->Reply->abort();
   }
   Server.reset();
-  Link.close();
+  // The random choice follows the start, so that others stay as they are.
+  constexpr std::size_t Kinds = 3;
+  Link.close(static_cast<SoakProxy::Remains>(
+      std::hash<std::string>{}(Incarnation) % Kinds));
   // Its entry lapses after three beats without one.
   Timers.after(3 * BeatEvery,
                [this, gone = Incarnation, alive = Alive](Instant) {
