Failing test: copies of a request that arrive together end too many engines

Cause: engines that end within 100 ms of each other under one request count as one end, wherever they are.

--- a/UnitTests/Coordination/Crash/CrashSceneTest.cpp
+++ b/UnitTests/Coordination/Crash/CrashSceneTest.cpp
@@ -22,6 +22,9 @@
   Span DomainEvery = seconds(15);
   /// Time between arrivals of a request that crashes engines; none if 0.
   Span CrashingEvery{0};
+  /// Copies of it that arrive together, and how often each is sent.
+  int Copies = 1;
+  int CrashingSent = 4;
 };
 
 struct Counts {
@@ -88,7 +91,8 @@
       send({newKey()});
     }
     if (happens(Setup.CrashingEvery))
-      send({CrashingKey, true});
+      for (int it = 0; it < Setup.Copies; ++it)
+        send({CrashingKey, true});
     if (happens(Setup.EndEvery))
       end(All[Random() % Engines]);
     if (happens(Setup.DomainEvery)) {
@@ -109,7 +113,7 @@
     for (auto &it : All)
       if (it.UpAt <= Now)
         up.push_back(&it);
-    if (up.empty() || run.Sent > MostSent)
+    if (up.empty() || run.Sent > (run.Crashing ? Setup.CrashingSent : MostSent))
       return;
     run.SentAt = Now;
     run.BeginsAt = Now + Reading;
@@ -188,4 +192,18 @@
   }
 }
 
+TEST_CASE("copies of a request that arrive together end few engines",
+          "[crash]") {
+  Scene scene;
+  scene.CrashingEvery = seconds(5);
+  scene.Copies = 3;
+  scene.CrashingSent = 1;
+  for (int seed = 1; seed <= Seeds; ++seed) {
+    auto it = Pool(scene, static_cast<std::uint64_t>(seed)).play(PlayFor);
+    // After three engines have ended at most three more.
+    CHECK(it.Crashed >= 1);
+    CHECK(it.Crashed <= 6);
+  }
+}
+
 } // namespace hemlockglade::test
