Ends in several failure domains at once count one by one

Cause: replicas that ended within 100 ms of each other under one request counted as one end wherever they were, so that copies of a request that arrive together crashed up to three replicas a time for each end that counted.

Change: that holds within one failure domain only, since a domain's loss is the one reason that ends replicas together; ends carry a tag of their domain in messages and lease rows (rows without one are read as before).

Ruled out: a shorter window, as nodes see the ends of a lost domain at times that differ by their distance; no window, since a request that was given up as slow at replicas of a domain that is then lost would be barred.

--- a/Hemlockglade/Coordination/Crash/CrashBook.cpp
+++ b/Hemlockglade/Coordination/Crash/CrashBook.cpp
@@ -13,24 +13,23 @@
 
 } // namespace
 
-std::uint64_t lifeTag(std::string_view life) {
-  return XXH3_64bits(life.data(), life.size());
+std::uint64_t crashTag(std::string_view text) {
+  return XXH3_64bits(text.data(), text.size());
 }
 
 std::size_t CrashBook::counted(const CrashRecord &record) const {
-  const CrashEnd *last = nullptr;
-  std::size_t out = 0;
+  std::vector<const CrashEnd *> counted;
   for (const auto &it : record.Ends) {
     // A request that was sent again after an end was there for the next one
     // anew, however soon that came.
-    bool another = !last || it.SentAt > last->EndedAt ||
-                   it.EndedAt - last->EndedAt >= Setup.SameFailure;
-    if (!another)
-      continue;
-    last = &it;
-    ++out;
+    auto explains = [this, &it](const CrashEnd *before) {
+      return before->Domain == it.Domain && it.SentAt <= before->EndedAt &&
+             it.EndedAt - before->EndedAt < Setup.SameFailure;
+    };
+    if (std::none_of(counted.begin(), counted.end(), explains))
+      counted.push_back(&it);
   }
-  return out;
+  return counted.size();
 }
 
 Instant CrashBook::lastEnd(const CrashRecord &record) {
--- a/Hemlockglade/Coordination/Crash/CrashBook.h
+++ b/Hemlockglade/Coordination/Crash/CrashBook.h
@@ -14,6 +14,8 @@
   std::uint64_t Life = 0;
   Instant SentAt{};
   Instant EndedAt{};
+  /// Tag of its failure domain; 0 if unknown.
+  std::uint64_t Domain = 0;
 
   bool operator==(const CrashEnd &) const = default;
 };
@@ -27,8 +29,8 @@
   std::optional<Instant> ServedAt;
 };
 
-/// A replica's life as books and messages name it.
-std::uint64_t lifeTag(std::string_view life);
+/// A replica's life or a failure domain as books and messages name it.
+std::uint64_t crashTag(std::string_view text);
 
 /// Which requests crash the replicas that run them, from what all nodes saw.
 /// A request under which `Limit` replicas ended is barred: it is sent to no
@@ -39,9 +41,9 @@
   struct Settings {
     /// Ends after which a request is barred.
     std::size_t Limit = 3;
-    /// Replicas that end within this time are taken to have ended together,
-    /// for one reason; that counts as one end of a request that was sent to
-    /// several of them before.
+    /// Replicas of one failure domain that end within this time are taken to
+    /// have ended together, for one reason; that counts as one end of a request
+    /// that was sent to several of them before.
     Span SameFailure = std::chrono::milliseconds(100);
     /// How long ends below the limit are remembered.
     Span SuspectFor = std::chrono::minutes(10);
--- a/Hemlockglade/Coordination/Crash/CrashNotes.cpp
+++ b/Hemlockglade/Coordination/Crash/CrashNotes.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-// KEY:LIFE.SENT.ENDED,LIFE.SENT.ENDED;KEY:... with the life in hexadecimal and
-// ages in microseconds, since a repeat may follow an end within less than one
-// millisecond.
+// KEY:LIFE.SENT.ENDED.DOMAIN,LIFE.SENT.ENDED.DOMAIN;KEY:... with the tags in
+// hexadecimal and ages in microseconds, since a repeat may follow an end within
+// less than one millisecond.
 constexpr char RecordEnd = ';';
 constexpr char EndEnd = ',';
 constexpr char FieldEnd = '.';
@@ -57,9 +57,12 @@
   auto life = number<std::uint64_t>(takeUntil(text, FieldEnd), Hex);
   auto sent = readAge(text, now);
   auto ended = readAge(text, now);
-  if (!life || !sent || !ended)
+  // Older rows name no domain.
+  auto domain = text.empty() ? std::optional<std::uint64_t>(0)
+                             : number<std::uint64_t>(text, Hex);
+  if (!life || !sent || !ended || !domain)
     return std::nullopt;
-  return CrashEnd{*life, *sent, *ended};
+  return CrashEnd{*life, *sent, *ended, *domain};
 }
 
 } // namespace
@@ -83,6 +86,8 @@
       write(out, it.Life, Hex);
       writeAge(out, it.SentAt, now);
       writeAge(out, it.EndedAt, now);
+      out += FieldEnd;
+      write(out, it.Domain, Hex);
     }
     out += RecordEnd;
   }
--- a/Hemlockglade/Coordination/Crash/EndWatch.cpp
+++ b/Hemlockglade/Coordination/Crash/EndWatch.cpp
@@ -6,7 +6,8 @@
 
 SuspectEnd EndWatch::endOf(const BrokenAttempt &attempt) {
   return {attempt.Key,
-          {lifeTag(attempt.Life.text()), attempt.SentAt, attempt.BrokeAt}};
+          {crashTag(attempt.Life.text()), attempt.SentAt, attempt.BrokeAt,
+           crashTag(attempt.FailureDomain)}};
 }
 
 std::vector<SuspectEnd> EndWatch::onBroken(const BrokenAttempt &attempt) {
--- a/Hemlockglade/Coordination/Crash/EndWatch.h
+++ b/Hemlockglade/Coordination/Crash/EndWatch.h
@@ -10,6 +10,7 @@
 struct BrokenAttempt {
   RequestKey Key;
   ReplicaLife Life;
+  std::string FailureDomain;
   Instant SentAt{};
   /// When the first part of the answer came, if any did.
   std::optional<Instant> BeganAt;
--- a/Hemlockglade/Protocol/Message/CrashMessages.cpp
+++ b/Hemlockglade/Protocol/Message/CrashMessages.cpp
@@ -5,8 +5,8 @@
 CrashNotice noticeOf(const CrashRecord &record, Instant now) {
   CrashNotice out{record.Key.text(), {}, -1};
   for (const auto &it : record.Ends)
-    out.Ends.push_back(
-        {it.Life, (now - it.SentAt).count(), (now - it.EndedAt).count()});
+    out.Ends.push_back({it.Life, (now - it.SentAt).count(),
+                        (now - it.EndedAt).count(), it.Domain});
   if (record.ServedAt)
     out.ServedAgeUs = (now - *record.ServedAt).count();
   return out;
@@ -18,8 +18,8 @@
     return std::nullopt;
   CrashRecord out{*key, {}, std::nullopt};
   for (const auto &it : notice.Ends)
-    out.Ends.push_back(
-        {it.Life, now - Span(it.SentAgeUs), now - Span(it.EndedAgeUs)});
+    out.Ends.push_back({it.Life, now - Span(it.SentAgeUs),
+                        now - Span(it.EndedAgeUs), it.Domain});
   if (notice.ServedAgeUs >= 0)
     out.ServedAt = now - Span(notice.ServedAgeUs);
   return out;
--- a/Hemlockglade/Protocol/Message/CrashMessages.h
+++ b/Hemlockglade/Protocol/Message/CrashMessages.h
@@ -11,7 +11,8 @@
   /// How long ago the request was sent there, and the replica ended.
   std::int64_t SentAgeUs = 0;
   std::int64_t EndedAgeUs = 0;
-  MSGPACK_DEFINE(Life, SentAgeUs, EndedAgeUs)
+  std::uint64_t Domain = 0;
+  MSGPACK_DEFINE(Life, SentAgeUs, EndedAgeUs, Domain)
 };
 
 /// What a node knows of a request that is suspected of crashing replicas.
--- a/Programs/hemlockgladed/Gateway/CrashLink.cpp
+++ b/Programs/hemlockgladed/Gateway/CrashLink.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Records that a row of the table holds: some 100 bytes each.
+/// Records that a row of the table holds: some 200 bytes each.
 constexpr std::size_t MostNotes = 24;
 /// Ends from which on a record is worth a place in a row.
 constexpr std::size_t NotedEnds = 2;
@@ -21,7 +21,8 @@
                          Instant sentAt, std::optional<Instant> beganAt) {
   auto now = TimerService::now();
   take(replica.Life.text(),
-       Watch.onBroken({key, replica.Life, sentAt, beganAt, now}));
+       Watch.onBroken(
+           {key, replica.Life, replica.FailureDomain, sentAt, beganAt, now}));
   if (Watch.wantsLook(replica.Life))
     look(replica, false);
 }
@@ -30,7 +31,8 @@
                           Instant sentAt, std::optional<Instant> beganAt) {
   auto now = TimerService::now();
   take(replica.Life.text(),
-       Watch.onBroken({key, replica.Life, sentAt, beganAt, now}));
+       Watch.onBroken(
+           {key, replica.Life, replica.FailureDomain, sentAt, beganAt, now}));
   if (Watch.wantsLook(replica.Life))
     lookLater(replica);
 }
--- a/UnitTests/Coordination/Crash/CrashBookTest.cpp
+++ b/UnitTests/Coordination/Crash/CrashBookTest.cpp
@@ -65,6 +65,18 @@
   CHECK(book.endsOf(Key) == 2);
 }
 
+TEST_CASE("replicas of several failure domains do not end for one reason",
+          "[crash]") {
+  CrashBook book;
+  auto sent = Start - seconds(1);
+  for (std::uint64_t life = 1; life <= 3; ++life) {
+    CrashEnd end{life, sent, Start + milliseconds(life)};
+    end.Domain = crashTag("hall-" + std::to_string(life));
+    book.onEnd(Key, end, Later);
+  }
+  CHECK(book.endsOf(Key) == 3);
+}
+
 TEST_CASE("a whole run clears a request of what ended before", "[crash]") {
   auto book = bookWith(3);
   CHECK(book.onServed(Key, Later));
