Leases and looks hold over a table that comes back older than it was

Cause: versions, positions and epoch numbers were taken to rise for ever. After the table came back from an older copy two hosts ordered within the handover, the second under a number given out before (LeaseDrill, three tests of the record); a look waited behind a position that other changes had reached anew.

Change: TableEra puts the era, which the table tells with each answer, before each version, so that versions and positions rise for all other parts; one of another era is no condition for a change, and a change or look that is answered in another era than it was sent in is open. CellLease: a holder whose lease lasts writes its row again over an older one or none; whose lease had ended has lost it; all others wait out the longest lease of the era before; an epoch number lies above the version it was taken at.

Ruled out: an era in each row (older processes misread it); a fixed part of the epoch number for the era, as the explorer showed: a change that was sent for a version given out again wrote over the row, and the number of the era before last came twice (4 of 262,144 sequences of six events). A row that is missing is waited for in an era above the first, or once the process has seen the era rise.

Tables that tell no era are handled as before but for two things: a missing row that was known is waited out, and an older row is written over by a holder whose lease lasts.

--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -1,9 +1,18 @@
 #include "Hemlockglade/Coordination/Orders/CellLease.h"
 
+#include "Hemlockglade/Coordination/TableEra.h"
+
 #include <sstream>
 
 namespace hemlockglade {
 
+namespace {
+
+/// Era of a table that has never come back older than it was.
+constexpr std::uint64_t FirstEra = 1;
+
+} // namespace
+
 std::string CellLeaseRow::text() const {
   std::ostringstream out;
   out << Holder << ' ' << Incarnation << ' ' << Address << ' ' << Fence << ' '
@@ -75,6 +84,7 @@
 
 void CellLease::tick(Span reluctance, Span leastLook) {
   Reluctance = reluctance;
+  noteEra();
   watchValidity();
   if (Busy)
     return;
@@ -95,6 +105,43 @@
     look();
 }
 
+void CellLease::noteEra() {
+  auto era = Table.Era ? Table.Era() : 0;
+  if (era <= Era)
+    return;
+  Era = era;
+  SteppedBack = SteppedBack || Answered;
+  auto now = Now();
+  // Leases were granted until the table went away, before this was seen.
+  OldLeasesEnd = now + Setup.Validity;
+  auto ordersFrom = OldLeasesEnd + Setup.Handover + Setup.OrderTravel;
+  InDoubt = true;
+  // Another may have taken an expired one over.
+  if (Mine && now >= ValidUntil)
+    lose();
+  if (Mine && now < OrdersFrom)
+    OrdersFrom = std::max(OrdersFrom, ordersFrom);
+  if (Mine)
+    return;
+  // One that took effect in this era was meant for another row, and its epoch
+  // number may have been given out.
+  Attempt.reset();
+  FreeAt = std::max(FreeAt, OldLeasesEnd);
+}
+
+Epoch CellLease::nextFence() const {
+  auto known = std::max(HighestFence, Row ? Row->Fence : 0);
+  if (Era == 0)
+    return known + 1;
+  // The table may have forgotten the last number, and a late change may have
+  // written over it. Versions rise all the same, and each is taken over once.
+  return std::max({known, Version, TableEra::startOf(Era)}) + 1;
+}
+
+bool CellLease::isOfThisEra(const CellLeaseRow &row) const {
+  return TableEra::eraOf(row.Fence) == Era;
+}
+
 void CellLease::renew() {
   if (InDoubt)
     return look();
@@ -110,6 +157,8 @@
   LookedAt = sentAt;
   Table.Get(key(), [self = shared_from_this(), sentAt](auto result) {
     self->Busy = false;
+    self->noteEra();
+    self->Answered = self->Answered || result.has_value();
     const auto &setup = self->Setup;
     self->LookPause = result ? setup.LookEvery
                              : std::min(setup.LongestLook, self->LookPause * 2);
@@ -120,47 +169,35 @@
 
 void CellLease::onRow(const std::optional<TableRow> &row, Instant sentAt) {
   auto now = Now();
-  if (!row) {
-    InDoubt = false;
-    Version = 0;
-    Row.reset();
-    if (!FirstLookAt)
-      FirstLookAt = now;
-    // Nobody has ever held this lease.
-    if (!Leaving && now - *FirstLookAt >= Reluctance)
-      commit({Setup.Holder, Setup.Incarnation, Setup.Address, 1, false, false},
-             now, now);
-    return;
-  }
+  if (!row)
+    return onNoRow();
+  Forgotten = false;
   auto parsed = CellLeaseRow::parse(row->Value);
   if (!parsed)
     parsed = CellLeaseRow{};
   InDoubt = false;
   if (ReadNotes)
     ReadNotes(parsed->Notes);
-  if (isOwn(*parsed)) {
-    bool known = Mine || (Attempt && Attempt->Fence == parsed->Fence);
-    Version = row->Version;
-    Row = *parsed;
-    if (known && !Mine) {
-      Mine = true;
-      ValidUntil = AttemptSentAt + Setup.Validity;
-      OrdersFrom = AttemptOrdersFrom;
-      Changed(LeaseChange::Taken, *this);
-    }
+  HighestFence = std::max(HighestFence, parsed->Fence);
+  // While the own lease lasts nobody else can have one: a row of no later epoch
+  // is from an older copy of the table, or was meant for one.
+  bool isOther = !isOwn(*parsed) || parsed->Fence != Row->Fence;
+  if (Mine && now < ValidUntil && isOther && parsed->Fence <= Row->Fence) {
     Attempt.reset();
-    if (Leaving)
-      return giveUp();
-    if (Mine)
-      renew();
-    return;
+    Version = row->Version;
+    return Leaving ? giveUp() : renew();
   }
+  if (isOwn(*parsed))
+    return onOwnRow(*parsed, row->Version);
   lose();
   if (row->Version == Version && Row)
     return;
   adopt(*parsed, row->Version);
   bool sameHost = parsed->Holder == Setup.Holder;
-  if (parsed->Released) {
+  if (!isOfThisEra(*parsed)) {
+    // It may be from an older copy of the table, which lacks its successor.
+    FreeAt = now + Setup.Validity;
+  } else if (parsed->Released) {
     FreeAt = sentAt;
   } else if (sameHost) {
     // The process before this one on the same host is gone. Its right to
@@ -177,6 +214,54 @@
   }
 }
 
+void CellLease::onNoRow() {
+  auto now = Now();
+  InDoubt = false;
+  Version = 0;
+  if (Mine && now < ValidUntil)
+    return Leaving ? giveUp() : renew();
+  lose();
+  if (Row) {
+    // The table has forgotten who held it since.
+    if (!std::exchange(Forgotten, true))
+      FreeAt = std::max(FreeAt, now + Setup.Validity);
+    return;
+  }
+  if (!FirstLookAt)
+    FirstLookAt = now;
+  // Nobody has ever held this lease, unless the table has forgotten who did.
+  bool mayBeHeld = SteppedBack || Era > FirstEra;
+  if (Leaving || now - *FirstLookAt < Reluctance ||
+      (mayBeHeld && now < OldLeasesEnd))
+    return;
+  auto ordersFrom = mayBeHeld ? now + Setup.Handover + Setup.OrderTravel : now;
+  commit({Setup.Holder, Setup.Incarnation, Setup.Address, nextFence(), false,
+          false},
+         now, ordersFrom);
+}
+
+void CellLease::onOwnRow(const CellLeaseRow &row, std::uint64_t version) {
+  bool known = Mine || (Attempt && Attempt->Fence == row.Fence);
+  bool isNew = version != Version;
+  Version = version;
+  Row = row;
+  if (known && !Mine) {
+    Mine = true;
+    ValidUntil = AttemptSentAt + Setup.Validity;
+    OrdersFrom = AttemptOrdersFrom;
+    Changed(LeaseChange::Taken, *this);
+  }
+  Attempt.reset();
+  // One that was lost comes back from an older copy of the table, which lacks
+  // whoever took it over.
+  if (!known && isNew && !(row.Released && isOfThisEra(row)))
+    FreeAt = std::max(FreeAt, Now() + Setup.Validity);
+  if (Leaving)
+    return giveUp();
+  if (Mine)
+    renew();
+}
+
 void CellLease::adopt(const CellLeaseRow &row, std::uint64_t version) {
   bool other =
       !Row || Row->Holder != row.Holder || Row->Incarnation != row.Incarnation;
@@ -219,7 +304,7 @@
 
 void CellLease::take(Instant freeAt, Instant ordersFrom) {
   CellLeaseRow row{Setup.Holder,  Setup.Incarnation,
-                   Setup.Address, Row->Fence + 1,
+                   Setup.Address, nextFence(),
                    false,         false};
   commit(row, freeAt, ordersFrom);
 }
@@ -240,6 +325,7 @@
   Table.Commit(std::move(transaction), [self = shared_from_this(), row, sentAt,
                                         ordersFrom](const auto &result) {
     self->Busy = false;
+    self->noteEra();
     self->onCommitted(row, sentAt, ordersFrom, result);
   });
 }
@@ -258,6 +344,7 @@
   }
   Attempt.reset();
   Row = row;
+  HighestFence = std::max(HighestFence, row.Fence);
   Version = *result;
   if (row.Released) {
     Mine = false;
--- a/Hemlockglade/Coordination/Orders/CellLease.h
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -114,6 +114,11 @@
   Span remaining() const;
 
 private:
+  void noteEra();
+  Epoch nextFence() const;
+  bool isOfThisEra(const CellLeaseRow &row) const;
+  void onNoRow();
+  void onOwnRow(const CellLeaseRow &row, std::uint64_t version);
   void renew();
   void giveUp();
   void look();
@@ -155,6 +160,16 @@
   Instant LookedAt{-3'600'000'000};
   /// Time between looks now.
   Span LookPause{0};
+  /// The table's era, and when no lease that was granted before it began lasts
+  /// any more: the table may have forgotten who held it.
+  std::uint64_t Era = 0;
+  Instant OldLeasesEnd{};
+  /// The table has answered, and its era has risen since.
+  bool Answered = false;
+  bool SteppedBack = false;
+  /// The row is gone from the table, though it existed.
+  bool Forgotten = false;
+  Epoch HighestFence = 0;
   /// When the row was first found not to exist.
   std::optional<Instant> FirstLookAt;
   Span Reluctance{0};
--- a/Hemlockglade/Coordination/Registry/Registry.h
+++ b/Hemlockglade/Coordination/Registry/Registry.h
@@ -39,6 +39,9 @@
   /// Ids under which something lies that is no replica's entry. Nothing new is
   /// known of these replicas.
   std::vector<std::string> Unread = {};
+  /// The registry has come back older than it was: entries that are missing may
+  /// be written again.
+  bool SteppedBack = false;
 };
 
 template <typename T>
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -89,8 +89,9 @@
   // goes while only this node was cut off is a replica that left, for which the
   // bound on new work runs already.
   constexpr double LapseShare = 1.0 / 3;
-  bool lapsed = unreachable && static_cast<double>(vanished.size()) >=
-                                   LapseShare * static_cast<double>(used);
+  bool lapsed = changes.SteppedBack ||
+                (unreachable && static_cast<double>(vanished.size()) >=
+                                    LapseShare * static_cast<double>(used));
   for (auto &[key, seen] : Replicas)
     if (vanished.contains(seen.Record->Life.id()))
       vanish(seen, lapsed, now);
--- a/Hemlockglade/Coordination/Table.h
+++ b/Hemlockglade/Coordination/Table.h
@@ -11,7 +11,8 @@
 namespace hemlockglade {
 
 /// A row of the platform's table. Versions are opaque but for two things: they
-/// rise with each change of the row, and 0 stands for no row.
+/// rise with each change of the row, also when the table comes back older than
+/// it was, and 0 stands for no row.
 struct TableRow {
   std::string Key;
   std::uint64_t Version = 0;
@@ -50,6 +51,9 @@
 /// The platform's transactional table as the coordination layer sees it.
 /// Every function returns at once and calls back later, on any thread.
 struct TableHooks {
+  /// How often the table is known to have come back older than it was: what was
+  /// written last before that is gone. May be empty if it never does.
+  std::function<std::uint64_t()> Era;
   std::function<void(std::string key,
                      TableCallback<std::optional<TableRow>> done)>
       Get;
--- a/UnitTests/Coordination/FakeTable.h
+++ b/UnitTests/Coordination/FakeTable.h
@@ -34,6 +34,10 @@
   bool Compares = true;
   /// While down nothing takes effect and nothing is answered but by failure.
   bool Down = false;
+  /// The era that it tells with its answers, and that of the answer that is
+  /// being given.
+  std::uint64_t Era = 0;
+  std::uint64_t AnsweredEra = 0;
   std::uint64_t Reads = 0;
   std::uint64_t Writes = 0;
   std::uint64_t RowsRead = 0;
@@ -138,9 +142,10 @@
       if (loseRequest || Down)
         return done(tl::unexpected(TableError::Ambiguous));
       T result = work();
-      Time.after(delay(), [loseAnswer, done, result] {
+      Time.after(delay(), [this, era = Era, loseAnswer, done, result] {
         if (loseAnswer)
           return done(tl::unexpected(TableError::Ambiguous));
+        AnsweredEra = era;
         done(result);
       });
     });
--- a/UnitTests/Coordination/Orders/CellLeaseDrillTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseDrillTest.cpp
@@ -3,43 +3,13 @@
 // again. Whoever holds a lease then must not order beside another, nor under an
 // epoch number that another one has had.
 
-#include "UnitTests/Coordination/Orders/CellLeaseWorld.h"
+#include "UnitTests/Coordination/Orders/CellLeaseDrill.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
 namespace hemlockglade::test {
 
-namespace {
-
-/// Keeps copies of the table, to which it can be set back.
-struct DrillWorld : LeaseWorld {
-  using LeaseWorld::LeaseWorld;
-
-  void play(Span span) {
-    for (Span gone{0}; gone < span; gone += LeaseStep) {
-      Copies[Time.now()] = Table.Rows;
-      run(LeaseStep);
-    }
-  }
-
-  /// The table is away, and comes back as it was `age` before.
-  void stepBack(Span age, Span away) {
-    auto copy = Copies.upper_bound(Time.now() - age);
-    auto rows = copy == Copies.begin() ? std::map<std::string, TableRow>{}
-                                       : std::prev(copy)->second;
-    Table.Down = true;
-    play(away);
-    Table.Down = false;
-    Table.Rows = std::move(rows);
-    Copies.clear();
-  }
-
-  std::map<Instant, std::map<std::string, TableRow>> Copies;
-};
-
-} // namespace
-
 TEST_CASE("a former holder does not order when its row comes back",
           "[lease][drill]") {
   DrillWorld world(2, 2);
--- a/UnitTests/Coordination/Orders/CellLeaseWorld.h
+++ b/UnitTests/Coordination/Orders/CellLeaseWorld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hemlockglade/Coordination/Orders/CellLease.h"
+#include "Hemlockglade/Coordination/TableEra.h"
 #include "UnitTests/Coordination/FakeTable.h"
 
 namespace hemlockglade::test {
@@ -28,6 +29,7 @@
     settings.RenewEvery = milliseconds(600);
     settings.Validity = milliseconds(1800);
     Alive = std::make_shared<bool>(true);
+    Era = TableEra();
     Lease = std::make_shared<CellLease>(
         "hall-a", settings, hooks(), [this] { return Time.now(); },
         [](LeaseChange, const CellLease &) {});
@@ -50,35 +52,57 @@
   TableHooks hooks() {
     auto inner = Table.hooks();
     TableHooks out;
+    out.Era = [this] { return Era.era(); };
     out.Get = [this, inner](const std::string &key, auto done) {
       if (Cut)
         return fail(done);
-      inner.Get(key, guard(done));
+      inner.Get(key, guard<std::optional<TableRow>>([this, done](auto result) {
+                  if (result && *result)
+                    (*result)->Version = Era.wide((*result)->Version);
+                  done(std::move(result));
+                }));
     };
     out.Commit = [this, inner](const TableTransaction &transaction, auto done) {
       if (Cut)
         return fail(done);
-      inner.Commit(transaction, guard(done));
+      auto own = Era.own(transaction.Writes.front().ExpectedVersion);
+      if (!own)
+        return fail(done, TableError::Conflict);
+      auto sent = transaction;
+      sent.Writes.front().ExpectedVersion = *own;
+      inner.Commit(sent, guard<std::uint64_t>([this, sentIn = Era.era(),
+                                               done](auto result) {
+                     // Its version may have meant another row by then.
+                     if (result && Era.era() != sentIn)
+                       return done(tl::unexpected(TableError::Ambiguous));
+                     done(result.map([this](auto it) { return Era.wide(it); }));
+                   }));
     };
     return out;
   }
 
-  template <typename Done> void fail(Done done) {
-    Time.after(milliseconds(20), [alive = Alive, done] {
+  template <typename Done>
+  void fail(Done done, TableError how = TableError::NotSent) {
+    Time.after(milliseconds(20), [alive = Alive, done, how] {
       if (*alive)
-        done(tl::unexpected(TableError::NotSent));
+        done(tl::unexpected(how));
     });
   }
 
-  template <typename Done> Done guard(Done done) {
-    return [this, alive = Alive, done](auto result) {
-      if (*alive && Cut)
+  template <typename T> TableCallback<T> guard(TableCallback<T> done) {
+    return [this, alive = Alive, done](tl::expected<T, TableError> result) {
+      if (!*alive)
+        return;
+      bool answered = result || result.error() == TableError::Conflict;
+      if (Cut || (answered && !Era.onAnswer(Table.AnsweredEra)))
         return done(tl::unexpected(TableError::Ambiguous));
-      if (*alive)
-        done(std::move(result));
+      done(std::move(result));
     };
   }
 
+  /// What this process has heard of the table's era.
+  TableEra Era;
+
   std::shared_ptr<bool> Alive;
   int Starts = 0;
 };
--- a/UnitTests/History/HistoryChecker.cpp
+++ b/UnitTests/History/HistoryChecker.cpp
@@ -424,6 +424,8 @@
     bool turns = before && order->Holder != before->Holder;
     if (turns && order->At < before->At + Bounds.Lease && !justWoken(*order))
       add(verdict, "two holders within a lease", {before, order});
+    else if (turns && order->Fence == before->Fence && !justWoken(*order))
+      add(verdict, "two holders of one fencing number", {before, order});
     before = order;
   }
   for (const auto *event : of("overloaded"))
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -25,6 +25,9 @@
 DEFINE_double(crashing_every, 0,
               "time between sendings of a request that crashes the replicas "
               "that run it, in seconds; 0 for none");
+DEFINE_double(drill_every, 0,
+              "time between returns of the store as it was some seconds "
+              "before, in seconds; 0 for none");
 DEFINE_double(entries_every, 0,
               "time between losses of all gateways that callers were last "
               "named, in seconds; 0 for none");
@@ -106,6 +109,7 @@
   settings.Rate = FLAGS_rate;
   settings.FaultEvery = spanOf(FLAGS_fault_every);
   settings.EntriesEvery = spanOf(FLAGS_entries_every);
+  settings.DrillEvery = spanOf(FLAGS_drill_every);
   settings.CrashingEvery = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
   auto planted = plantNamed(FLAGS_plant);
--- a/UnitTests/Platform/Soak/SoakStore.cpp
+++ b/UnitTests/Platform/Soak/SoakStore.cpp
@@ -26,7 +26,54 @@
 
 SoakStore::SoakStore(asio::io_context &context, std::uint64_t seed)
     : Context(context), Timers(context), Random(seed),
-      Server(context, anyPort(), MaxConnections, hooks()) {}
+      Server(context, anyPort(), MaxConnections, hooks()) {
+  constexpr auto CopyEvery = std::chrono::milliseconds(250);
+  Copying = Timers.every(CopyEvery, [this](Instant) { keepCopy(); });
+}
+
+void SoakStore::keepCopy() {
+  constexpr std::size_t MostCopies = 40;
+  Copies.push_back({TimerService::now(), Tables, Version, Oldest});
+  if (Copies.size() > MostCopies)
+    Copies.pop_front();
+}
+
+HttpAnswerHead SoakStore::head(std::uint16_t status) const {
+  return {status,
+          {{std::string(platform_name::StoreEra), std::to_string(Era)}}};
+}
+
+void SoakStore::stepBack(Span age) {
+  if (Copies.empty())
+    return;
+  auto until = TimerService::now() - age;
+  while (Copies.size() > 1 && Copies.back().At > until)
+    Copies.pop_back();
+  auto declared = Tables[std::string(platform_name::OperatorTable)];
+  auto copy = Copies.back();
+  Tables = std::move(copy.Tables);
+  Version = copy.Version;
+  Oldest = copy.Oldest;
+  ++Era;
+  constexpr auto WrittenAgain = std::chrono::milliseconds(300);
+  auto old = Tables[std::string(platform_name::OperatorTable)];
+  Timers.after(WrittenAgain, [this, declared, old](Instant) mutable {
+    auto &now = Tables[std::string(platform_name::OperatorTable)];
+    // What has been declared since the return is newer.
+    for (const auto &[key, row] : declared)
+      if (now[key].Version == old[key].Version && now[key].Value != row.Value)
+        put(platform_name::OperatorTable, key, row.Value);
+  });
+}
+
+std::vector<std::string> SoakStore::keys(std::string_view table) const {
+  std::vector<std::string> out;
+  if (auto it = Tables.find(std::string(table)); it != Tables.end())
+    for (const auto &[key, row] : it->second)
+      if (!row.Removed)
+        out.push_back(key);
+  return out;
+}
 
 void SoakStore::setMood(Mood mood) {
   Now = mood;
@@ -55,7 +102,7 @@
     Unanswered.push_back(reply);
     return;
   case Mood::Busy:
-    return reply->respond({503, {}}, "{}");
+    return reply->respond(head(503), "{}");
   case Mood::LosesAnswers:
     if (request.Head.path() == platform_name::RowsChange && Random() % 2)
       return change(request, *reply, true);
@@ -79,7 +126,7 @@
   else if (path == platform_name::RowsChange)
     change(request, *reply, false);
   else
-    reply->respond({404, {}}, "{}");
+    reply->respond(head(404), "{}");
 }
 
 void SoakStore::read(const CallerRequest &request, CallerReply &reply) {
@@ -101,7 +148,7 @@
                     {"value", toBase64(it->second.Value)}});
   }
   reply.respond(
-      {200, {}},
+      head(200),
       Json{{"rows", rows}, {"has_more", more}, {"ver", Version}, {"now_ms", 0}}
           .dump());
 }
@@ -133,20 +180,20 @@
   const auto &target = request.Head.Target;
   auto table = queryValue(queryOf(target), "table");
   auto after = numberOf(target, "after");
-  if (after < Oldest)
-    return reply->respond({410, {}}, "{}");
+  if (after < Oldest || after > Version)
+    return reply->respond(head(410), "{}");
   bool any = false;
   auto body = changesSince(table, after, any);
   auto wait = std::chrono::milliseconds(numberOf(target, "wait_ms"));
   if (any || wait.count() == 0)
-    return reply->respond({200, {}}, body);
+    return reply->respond(head(200), body);
   auto it = Waiters.insert(Waiters.end(), {table, after, reply});
   Timers.after(wait, [this, weak = std::weak_ptr(reply)](Instant) {
     auto reply = weak.lock();
     for (auto at = Waiters.begin(); reply && at != Waiters.end(); ++at)
       if (at->Reply == reply) {
         bool any = false;
-        reply->respond({200, {}}, changesSince(at->Table, at->After, any));
+        reply->respond(head(200), changesSince(at->Table, at->After, any));
         Waiters.erase(at);
         return;
       }
@@ -167,7 +214,7 @@
     auto reply = it->Reply;
     reply->OnGone = nullptr;
     it = Waiters.erase(it);
-    reply->respond({200, {}}, body);
+    reply->respond(head(200), body);
   }
 }
 
@@ -192,7 +239,7 @@
   if (loses)
     reply.abort();
   else
-    reply.respond({static_cast<std::uint16_t>(holds ? 200 : 412), {}},
+    reply.respond(head(holds ? 200 : 412),
                   Json{{"ver", Version}, {"rows", Json::array()}}.dump());
   wake();
 }
@@ -213,7 +260,7 @@
   Oldest = Version;
   for (auto &it : std::exchange(Waiters, {})) {
     it.Reply->OnGone = nullptr;
-    it.Reply->respond({410, {}}, "{}");
+    it.Reply->respond(head(410), "{}");
   }
 }
 
--- a/UnitTests/Platform/Soak/SoakStore.h
+++ b/UnitTests/Platform/Soak/SoakStore.h
@@ -3,6 +3,7 @@
 #include "Hemlockglade/Transport/Http1/CallerServer.h"
 #include "Hemlockglade/Transport/Time/TimerService.h"
 
+#include <deque>
 #include <list>
 #include <map>
 #include <random>
@@ -34,6 +35,12 @@
   /// Forgets changes before now: feeds from before are told so.
   void dropHistory();
 
+  /// Comes back as it was so long ago, or as far back as is kept. What
+  /// operators have written since is written again soon.
+  void stepBack(Span age);
+  /// Ids of a table's rows.
+  std::vector<std::string> keys(std::string_view table) const;
+
   /// Writes of operators and replicas, which reach the store in any mood.
   void put(std::string_view table, std::string_view key, std::string value);
   void remove(std::string_view table, std::string_view key);
@@ -51,7 +58,16 @@
   };
   using Table = std::map<std::string, Row>;
 
+  struct Copy {
+    Instant At{};
+    std::map<std::string, Table> Tables;
+    std::uint64_t Version = 0;
+    std::uint64_t Oldest = 0;
+  };
+
   CallerHooks hooks();
+  void keepCopy();
+  HttpAnswerHead head(std::uint16_t status) const;
   void serve(const CallerRequest &request,
              const std::shared_ptr<CallerReply> &reply);
   void answer(const CallerRequest &request,
@@ -73,6 +89,10 @@
   std::map<std::string, Table> Tables;
   std::uint64_t Version = 1;
   std::uint64_t Oldest = 0;
+  /// Rises each time that it comes back older than it was.
+  std::uint64_t Era = 1;
+  std::deque<Copy> Copies;
+  TimerService::Subscription Copying;
   std::list<Waiter> Waiters;
   std::vector<std::shared_ptr<CallerReply>> Unanswered;
   CallerServer Server;
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -38,7 +38,7 @@
 
 SoakWorld::SoakWorld(Settings settings)
     : Setup(std::move(settings)), Random(Setup.Seed), EntriesRandom(Setup.Seed),
-      Timers(Context), Store(Context, Random()),
+      DrillRandom(Setup.Seed), Timers(Context), Store(Context, Random()),
       Callers(Context, Nodes, History, Random()) {
   Ends.async_wait([this](asio::error_code ec, int) {
     if (ec)
@@ -143,6 +143,8 @@
   nextFault();
   if (Setup.EntriesEvery > Span(0))
     nextEntriesFault();
+  if (Setup.DrillEvery > Span(0))
+    nextDrill();
   runFor(faulty);
   Faulty = false;
   heal();
@@ -289,6 +291,47 @@
                [this](Instant) { storeMood(SoakStore::Mood::Well); });
 }
 
+void SoakWorld::nextDrill() {
+  Timers.after(Setup.DrillEvery, [this](Instant) {
+    if (!Faulty)
+      return;
+    drill();
+    nextDrill();
+  });
+}
+
+void SoakWorld::drill() {
+  if (StoreDisturbed)
+    return;
+  constexpr std::int64_t LongestAge = 8000;
+  constexpr std::int64_t LongestAway = 2000;
+  auto upToMs = [this](std::int64_t most) {
+    return milliseconds(1 +
+                        static_cast<std::int64_t>(
+                            DrillRandom() % static_cast<std::uint64_t>(most)));
+  };
+  auto age = upToMs(LongestAge);
+  say("the store goes away");
+  storeMood(SoakStore::Mood::Silent);
+  Timers.after(upToMs(LongestAway), [this, age](Instant) {
+    say("the store is back as it was " + std::to_string(age.count()) +
+        " ms before");
+    Store.stepBack(age);
+    storeMood(SoakStore::Mood::Well);
+    // Entries of replicas that have ended lapse again.
+    constexpr auto Lapse = milliseconds(1200);
+    Timers.after(Lapse, [this](Instant) {
+      std::set<std::string> up;
+      for (const auto &it : Replicas)
+        if (it->up())
+          up.insert(it->incarnation());
+      for (const auto &key : Store.keys(platform_name::ReplicaTable))
+        if (!up.contains(key))
+          Store.remove(platform_name::ReplicaTable, key);
+    });
+  });
+}
+
 void SoakWorld::linkFault() {
   constexpr std::uint64_t Harms = 4;
   auto harm = static_cast<SoakProxy::Harm>(1 + Random() % Harms);
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -26,6 +26,8 @@
     Span EntriesEvery{0};
     /// Time between sendings of a request that crashes replicas; none if 0.
     Span CrashingEvery{0};
+    /// Mean time between returns of the store as it was before; none if 0.
+    Span DrillEvery{0};
     /// Time after the last fault until the deployment must serve again.
     Span Recovery = std::chrono::seconds(12);
     SoakReplica::Plant Planted = SoakReplica::Plant::None;
@@ -62,6 +64,9 @@
   /// Loses, in one way, all gateways that callers were last named.
   void entriesFault();
   void storeFault();
+  void nextDrill();
+  /// The store is away for a moment and comes back some seconds older.
+  void drill();
   void linkFault();
   void replicaFault(SoakReplica &replica);
   /// What an operator does: names a new plan. While the store doesn't answer
@@ -86,6 +91,7 @@
   std::mt19937_64 Random;
   /// Of its own, so that what else a seed draws stays as it is.
   std::mt19937_64 EntriesRandom;
+  std::mt19937_64 DrillRandom;
   asio::io_context Context;
   TimerService Timers;
   /// Holds the soak's loopback network.
--- a/UnitTests/Platform/StoreTest.cpp
+++ b/UnitTests/Platform/StoreTest.cpp
@@ -28,7 +28,10 @@
       auto answer = Answers.empty() ? Answer : Answers.front();
       if (!Answers.empty())
         Answers.erase(Answers.begin());
-      reply->respond({answer.first, {}}, answer.second);
+      HttpAnswerHead head{answer.first, {}};
+      if (!Era.empty())
+        head.Fields.push_back({"Store-Era", Era});
+      reply->respond(std::move(head), answer.second);
     };
     Server = std::make_unique<CallerServer>(Context, localhost(0), 10,
                                             std::move(hooks));
@@ -51,13 +54,36 @@
   /// The client to use: the hasty one where nobody answers.
   PlatformStore &client() { return Silent ? *Hasty : *Store; }
 
-  tl::expected<std::uint64_t, TableError> commit() {
+  tl::expected<std::uint64_t, TableError> commit(std::uint64_t expected = 4) {
     std::optional<tl::expected<std::uint64_t, TableError>> result;
-    client().table().Commit({"a", {{"k", 4, "v"}}},
+    client().table().Commit({"a", {{"k", expected, "v"}}},
                             [&](auto it) { result = it; });
     return wait(result);
   }
 
+  /// The version of a row that the store has at its version 5.
+  tl::expected<std::uint64_t, TableError> versionIn(const std::string &era) {
+    Era = era;
+    Answer = {200, R"({"rows":[{"key":"k","ver":5,"value":"dg=="}],"ver":7})"};
+    std::optional<tl::expected<std::optional<TableRow>, TableError>> result;
+    Store->table().Get("k", [&](auto it) { result = it; });
+    return wait(result).map([](const auto &it) { return it->Version; });
+  }
+
+  tl::expected<ReplicaChanges, RegistryError> readReplicas() {
+    Answer = {200, R"({"rows":[],"ver":7})"};
+    std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+    Store->registry().ReadReplicas([&](auto it) { result = it; });
+    return wait(result);
+  }
+
+  tl::expected<ReplicaChanges, RegistryError>
+  watchReplicas(std::uint64_t position) {
+    std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+    Store->registry().WatchReplicas(position, [&](auto it) { result = it; });
+    return wait(result);
+  }
+
   ReplicaRecord replica() const {
     ReplicaRecord out;
     out.Life = ReplicaLife("i-1");
@@ -78,6 +104,7 @@
   std::vector<std::pair<std::uint16_t, std::string>> Answers;
   std::vector<std::shared_ptr<CallerReply>> Held;
   bool Silent = false;
+  std::string Era;
   std::unique_ptr<CallerServer> Server;
   std::unique_ptr<PlatformStore> Store;
   std::unique_ptr<PlatformStore> Hasty;
@@ -191,6 +218,65 @@
   CHECK(it.wait(result).error() == RegistryError::HistoryGone);
 }
 
+TEST_CASE("versions rise though the store gives its own out again", "[store]") {
+  StoreFixture it;
+  auto before = it.versionIn("3");
+  REQUIRE(before);
+  it.Answer = {200, R"({"ver":6})"};
+  auto after = it.commit(*before);
+  REQUIRE(after);
+  CHECK(*after == *before + 1);
+  CHECK(parseJson(it.Calls.back().Body)["if_revision"][0]["ver"] == 5);
+  auto again = it.versionIn("4");
+  REQUIRE(again);
+  CHECK(*again > *after);
+}
+
+TEST_CASE("a version of an earlier era is no condition for a change",
+          "[store]") {
+  StoreFixture it;
+  auto before = it.versionIn("3");
+  SECTION("the new era is known: nothing is sent") {
+    REQUIRE(it.versionIn("4"));
+    auto calls = it.Calls.size();
+    CHECK(it.commit(*before).error() == TableError::Conflict);
+    CHECK(it.Calls.size() == calls);
+  }
+  SECTION("the answer tells it: the change may have met another row") {
+    it.Era = "4";
+    it.Answer = {200, R"({"ver":6})"};
+    CHECK(it.commit(*before).error() == TableError::Ambiguous);
+  }
+}
+
+TEST_CASE("an answer of an earlier era counts for nothing", "[store]") {
+  StoreFixture it;
+  REQUIRE(it.versionIn("4"));
+  CHECK_FALSE(it.versionIn("3"));
+  CHECK(it.Store->era() == 4);
+}
+
+TEST_CASE("everything is read anew when the store has stepped back",
+          "[store]") {
+  StoreFixture it;
+  it.Era = "3";
+  auto first = it.readReplicas();
+  REQUIRE(first);
+  CHECK_FALSE(first->SteppedBack);
+  it.Era = "4";
+  CHECK(it.watchReplicas(first->Position).error() ==
+        RegistryError::HistoryGone);
+  auto calls = it.Calls.size();
+  CHECK(it.watchReplicas(first->Position).error() ==
+        RegistryError::HistoryGone);
+  CHECK(it.Calls.size() == calls);
+  auto second = it.readReplicas();
+  REQUIRE(second);
+  CHECK(second->SteppedBack);
+  CHECK(second->Position > first->Position);
+  CHECK_FALSE(it.readReplicas()->SteppedBack);
+}
+
 TEST_CASE("an engine's answer to an order is told apart", "[store]") {
   StoreFixture it;
   auto [status, answer] =
