Gateway tests take ports that no connection is given

The rig picked ports from those that outgoing connections are given, released them, and a gateway bound them later; in between any process's connection could take one.

Change: ports below that range, each found free by a bind. No check is changed.

--- a/UnitTests/Node/Gateway/GatewayRig.h
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -6,6 +6,7 @@
 #include "UnitTests/Transport/Http1/RawPeer.h"
 
 #include <asio/post.hpp>
+#include <unistd.h>
 
 namespace hemlockglade::test {
 
@@ -210,13 +211,21 @@
     Settings.StopBound = milliseconds(1500);
   }
 
-  std::vector<std::uint16_t> freePorts(int n) {
-    std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> held;
+  /// Ports that are free now, and stay so: connections of other processes get
+  /// theirs from above 32768.
+  std::vector<std::uint16_t> freePorts(std::size_t n) {
+    constexpr int First = 16000;
+    constexpr int Ports = 16000;
+    static int Next = static_cast<int>(::getpid()) * 61;
     std::vector<std::uint16_t> out;
-    for (int it = 0; it < n; ++it) {
-      held.push_back(
-          std::make_unique<asio::ip::tcp::acceptor>(Context, localhost(0)));
-      out.push_back(held.back()->local_endpoint().port());
+    while (out.size() < n) {
+      auto port = static_cast<std::uint16_t>(First + Next++ % Ports);
+      asio::ip::tcp::acceptor held(Context);
+      asio::error_code ec;
+      held.open(asio::ip::tcp::v4(), ec);
+      held.bind(localhost(port), ec);
+      if (!ec)
+        out.push_back(port);
     }
     return out;
   }
