--- a/Programs/hemlockgladed/Gateway/CrashLink.cpp
+++ b/Programs/hemlockgladed/Gateway/CrashLink.cpp
@@ -15,24 +15,26 @@
 /// for a moment, has ended by then.
 constexpr Span LookAgainAfter = std::chrono::milliseconds(300);
 
+BrokenAttempt lostNow(const ReplicaRecord &replica, const RequestKey &key,
+                      Instant sentAt, std::optional<Instant> beganAt) {
+  return {key,    replica.Life, replica.FailureDomain,
+          sentAt, beganAt,      TimerService::now()};
+}
+
 } // namespace
 
 void CrashLink::onBroken(const ReplicaRecord &replica, const RequestKey &key,
                          Instant sentAt, std::optional<Instant> beganAt) {
-  auto now = TimerService::now();
   take(replica.Life.text(),
-       Watch.onBroken(
-           {key, replica.Life, replica.FailureDomain, sentAt, beganAt, now}));
+       Watch.onBroken(lostNow(replica, key, sentAt, beganAt)));
   if (Watch.wantsLook(replica.Life))
     look(replica, false);
 }
 
 void CrashLink::onGivenUp(const ReplicaRecord &replica, const RequestKey &key,
                           Instant sentAt, std::optional<Instant> beganAt) {
-  auto now = TimerService::now();
   take(replica.Life.text(),
-       Watch.onBroken(
-           {key, replica.Life, replica.FailureDomain, sentAt, beganAt, now}));
+       Watch.onBroken(lostNow(replica, key, sentAt, beganAt)));
   if (Watch.wantsLook(replica.Life))
     lookLater(replica);
 }
