Callers show keys, and workspaces' limits hold over all nodes

A denial is made only with declarations confirmed after the request came. Limits: the owner of each cell keeps a part of each limit in a token bucket under its lease; entries book each request, from what was granted ahead or by asking.

--- /dev/null
+++ b/Hemlockglade/Coordination/Quota/QuotaParts.cpp
@@ -0,0 +1,55 @@
+#include "Hemlockglade/Coordination/Quota/QuotaParts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace hemlockglade {
+
+namespace {
+
+/// The same at all nodes, whatever library they were built with.
+std::uint64_t rankOf(std::string_view workspace, std::string_view cell) {
+  std::string text(workspace);
+  text.append("@").append(cell);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
+double allowanceOf(const WorkspaceLimit &limit, const QuotaSettings &settings) {
+  return limit.PerSecond * inSeconds(settings.Window) + limit.Burst;
+}
+
+std::vector<std::string> keepersOf(std::string_view workspace,
+                                   const WorkspaceLimit &limit,
+                                   std::span<const std::string> cells,
+                                   const QuotaSettings &settings) {
+  bool tokens = limit.Unit == LimitUnit::Tokens;
+  auto least = tokens ? settings.LeastPartTokens : settings.LeastPartRequests;
+  auto parts = std::floor(allowanceOf(limit, settings) / least);
+  auto n = static_cast<std::size_t>(
+      std::clamp(parts, 1.0, static_cast<double>(cells.size())));
+  std::vector<std::string> out(cells.begin(), cells.end());
+  std::sort(out.begin(), out.end(), [workspace](const auto &a, const auto &b) {
+    return std::pair(rankOf(workspace, a), std::string_view(a)) >
+           std::pair(rankOf(workspace, b), std::string_view(b));
+  });
+  out.resize(std::min(n, out.size()));
+  return out;
+}
+
+TokenBucket::Settings partOf(const WorkspaceLimit &limit, std::size_t keepers,
+                             const QuotaSettings &settings) {
+  auto n = static_cast<double>(std::max<std::size_t>(1, keepers));
+  auto beyond =
+      settings.Overshoot * allowanceOf(limit, settings) + settings.Slack;
+  TokenBucket::Settings out;
+  out.PerSecond = limit.PerSecond / n;
+  out.Burst = limit.Burst / n;
+  out.Debt = settings.DebtShare * beyond / n;
+  out.DebtGrows = settings.Window;
+  return out;
+}
+
+} // namespace hemlockglade
--- a/Hemlockglade/Protocol/Exchange/RequestLabels.h
+++ b/Hemlockglade/Protocol/Exchange/RequestLabels.h
@@ -28,6 +28,8 @@
   std::optional<Span> TimeLeft;
   /// Weights that it wants, if any.
   std::optional<WeightsRef> Weights;
+  /// Whether it tells its tokens; both counts are 0 if it does not.
+  bool TellsTokens = false;
   std::uint32_t PromptTokens = 0;
   std::uint32_t MaxOutputTokens = 0;
   /// In order; the last part is the request's own.
@@ -47,6 +49,8 @@
   std::optional<std::uint64_t> Version;
   /// A stream is to go on behind this event.
   std::string ResumeBehind;
+  /// Name of the caller's workspace; empty on routes that are open to all.
+  std::string Workspace;
 };
 
 /// What an answer of a replica says about itself.
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -17,6 +17,9 @@
 /// A node that the registry does not answer asks another what operators have
 /// declared since. The version of the plan that it has follows the path.
 inline constexpr std::string_view Declared = "/declared/";
+/// An entry asks a cell's owner for its part of workspaces' limits. The cell's
+/// name follows the path.
+inline constexpr std::string_view Quota = "/quota/";
 } // namespace peer_path
 
 /// A node as it tells of itself.
@@ -227,7 +230,8 @@
   /// Positions in the registry that all of this is complete up to; 0 where the
   /// node that tells does not know.
   RegistryPositions Knows;
-  /// How long ago that was the registry's newest, as that node knows.
+  /// How long ago that was the registry's newest, as that node knows; 0 if the
+  /// reply does not tell of it.
   std::int64_t OperatorAgeUs = 0;
   std::int64_t ReplicaAgeUs = 0;
   /// Requests under which replicas ended.
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
@@ -15,6 +15,7 @@
 constexpr double MinMbps = 0.001;
 constexpr double MaxMbps = 1e6;
 constexpr double MostRepeats = 1e6;
+constexpr double MostUnits = 1e12;
 
 bool isEndpointOrEmpty(std::string_view text) {
   return text.empty() || isEndpointAddress(text);
@@ -51,6 +52,11 @@
   map.milliseconds("drain_bound_ms", out.DrainBound, {1, MinuteMs});
   map.milliseconds("plan_bound_ms", out.PlanBound, {1, MinuteMs});
   map.milliseconds("version_bound_ms", out.VersionBound, {1, MinuteMs});
+  map.seconds("quota_window_s", out.Quota.Window, 0.1, 10 * MinuteSeconds);
+  map.real("quota_overshoot", out.Quota.Overshoot, 0, 1);
+  map.real("quota_slack", out.Quota.Slack, 0, MostUnits);
+  map.flag("revoke_fail_closed", out.RevokeFailClosed);
+  map.milliseconds("revoke_bound_ms", out.RevokeBound, {1, MinuteMs});
   map.section("decisions", [&out](SchemaReader &part) {
     bindDecisions(part, out.Decisions);
   });
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.h
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hemlockglade/Coordination/Quota/QuotaParts.h"
 #include "Hemlockglade/Coordination/Registry/LookPace.h"
 #include "Hemlockglade/Protocol/Settings/DecisionSettings.h"
 #include "Hemlockglade/Protocol/Settings/SettingsFault.h"
@@ -55,6 +56,12 @@
   Span PlanBound = std::chrono::seconds(2);
   /// Time within which requests must begin on weights that were named newer.
   Span VersionBound = std::chrono::seconds(5);
+  /// How far workspaces may go beyond their limits, over all nodes.
+  QuotaSettings Quota;
+  /// Whether callers with keys are turned away once the node has not known for
+  /// so long whether a key has been revoked.
+  bool RevokeFailClosed = false;
+  Span RevokeBound = std::chrono::seconds(5);
   /// How requests are routed and weights are placed.
   DecisionSettings Decisions;
 
--- a/Hemlockglade/State/Routing/RoutePlan.cpp
+++ b/Hemlockglade/State/Routing/RoutePlan.cpp
@@ -38,9 +38,10 @@
 }
 
 RoutePlan::RoutePlan(std::uint64_t version, std::vector<Route> routes,
-                     std::vector<ServiceSpec> services, CallerLimits limits)
+                     std::vector<ServiceSpec> services, CallerLimits limits,
+                     WorkspaceDirectory workspaces)
     : Number(version), All(std::move(routes)), Services(std::move(services)),
-      Limits(limits) {
+      Limits(limits), Workspaces(std::move(workspaces)) {
   for (std::size_t it = 0; it < All.size(); ++it)
     Index[lowerCase(All[it].Host)][All[it].Prefix] = it;
 }
--- a/Hemlockglade/State/Routing/RoutePlan.h
+++ b/Hemlockglade/State/Routing/RoutePlan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hemlockglade/State/Ids.h"
+#include "Hemlockglade/State/Routing/Workspace.h"
 
 #include <map>
 #include <optional>
@@ -46,6 +47,8 @@
   std::uint32_t MaxAttempts = 1;
   /// A stream may go on at another replica behind the last event.
   bool Resumable = false;
+  /// Open to callers that show no key.
+  bool Public = false;
 
   /// Whether a request may be sent again after it may have run.
   bool idempotent() const {
@@ -99,12 +102,13 @@
   Span IdleTimeout = std::chrono::seconds(15);
 };
 
-/// Routes, services and limits that are in force together.
+/// Routes, services, limits and workspaces that are in force together.
 class RoutePlan {
 public:
   RoutePlan() = default;
   RoutePlan(std::uint64_t version, std::vector<Route> routes,
-            std::vector<ServiceSpec> services, CallerLimits limits);
+            std::vector<ServiceSpec> services, CallerLimits limits,
+            WorkspaceDirectory workspaces = {});
 
   /// The plan as operators wrote it, for nodes that can't read it themselves.
   std::string Source;
@@ -114,6 +118,7 @@
   const std::vector<Route> &routes() const { return All; }
   const std::vector<ServiceSpec> &services() const { return Services; }
   const CallerLimits &limits() const { return Limits; }
+  const WorkspaceDirectory &workspaces() const { return Workspaces; }
 
   /// The route of a host with the longest prefix that begins the path.
   const Route *find(std::string_view host, std::string_view path) const;
@@ -124,6 +129,7 @@
   std::vector<Route> All;
   std::vector<ServiceSpec> Services;
   CallerLimits Limits;
+  WorkspaceDirectory Workspaces;
   /// Host, then prefix, to the route's index.
   std::map<std::string, std::map<std::string, std::size_t, std::less<>>,
            std::less<>>
--- /dev/null
+++ b/Hemlockglade/State/Routing/Workspace.cpp
@@ -0,0 +1,38 @@
+#include "Hemlockglade/State/Routing/Workspace.h"
+
+#include <limits>
+
+namespace hemlockglade {
+
+namespace {
+
+/// Stands for the workspace of a key that two declare.
+constexpr std::size_t Nobody = std::numeric_limits<std::size_t>::max();
+
+} // namespace
+
+WorkspaceDirectory::WorkspaceDirectory(
+    std::vector<WorkspaceDeclaration> declared)
+    : Required(true) {
+  for (auto &it : declared) {
+    auto index = Spaces.size();
+    for (const auto &key : it.Keys) {
+      auto [at, isNew] = ByKey.try_emplace(KeyDigest(key), index);
+      if (isNew || at->second == index)
+        continue;
+      at->second = Nobody;
+      Faults.push_back(it.Of.Name + ": shares a key with another workspace");
+    }
+    Spaces.push_back(std::move(it.Of));
+  }
+}
+
+const Workspace *WorkspaceDirectory::find(std::string_view key) const {
+  if (key.empty())
+    return nullptr;
+  auto it = ByKey.find(KeyDigest(key));
+  return it == ByKey.end() || it->second == Nobody ? nullptr
+                                                   : &Spaces[it->second];
+}
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -148,8 +148,10 @@
         return out;
       }()),
       Budget(budgetOf(Settings)), Pool(context, HttpPool::Settings{}),
-      Crashes(crashLinkHooks(), Log), Shared(exchangeContext()),
-      ExchangeSetup(Settings.Decisions.Exchange),
+      Crashes(crashLinkHooks(), Log),
+      Quotas(Settings.FailureDomains, Settings.FailureDomain, Settings.Quota,
+             quotaHooks(), Traffic, Log),
+      Shared(exchangeContext()), ExchangeSetup(Settings.Decisions.Exchange),
       NextSeed(std::hash<std::string>{}(Settings.Name)) {}
 
 Gateway::~Gateway() {
@@ -194,7 +196,8 @@
         });
       },
       [this](const GatewayExchange &exchange) { onEnd(exchange); },
-      crashHooks()};
+      crashHooks(),
+      limitHooks()};
 }
 
 void Gateway::start() {
@@ -237,6 +240,7 @@
   Peers =
       std::make_unique<PeerNet>(Context, Settings.Address, Settings.PeerPort,
                                 [this](const auto &stream) { onPeer(stream); });
+  Quotas.join(*Peers);
   std::uint32_t turn = 0;
   for (const auto &cell : Settings.FailureDomains) {
     CellMember::Settings setup;
@@ -305,13 +309,19 @@
 void Gateway::onOperator(const OperatorChanges &changes) {
   auto now = TimerService::now();
   if (changes.Plan && (!Plan || changes.Plan->version() > Plan->version())) {
-    Log.write(LogClass::State, "plan",
-              {{"version", changes.Plan->version()},
-               {"before", Plan ? Plan->version() : 0},
-               {"routes",
-                static_cast<std::uint64_t>(changes.Plan->routes().size())}});
+    Log.write(
+        LogClass::State, "plan",
+        {{"version", changes.Plan->version()},
+         {"before", Plan ? Plan->version() : 0},
+         {"routes", static_cast<std::uint64_t>(changes.Plan->routes().size())},
+         {"workspaces", static_cast<std::uint64_t>(
+                            changes.Plan->workspaces().all().size())}});
+    for (const auto &it : changes.Plan->workspaces().Faults)
+      Log.write(LogClass::State, "workspace-fault",
+                {{"plan", changes.Plan->version()}, {"why", it}});
     Plan = changes.Plan;
     View.setPlan(Plan);
+    Quotas.setPlan(Plan);
   }
   for (const auto &it : changes.Versions) {
     auto &known = Versions[it.Weights];
@@ -386,19 +396,28 @@
   if (!Plan)
     return refuse(*reply, labels.Id, Unavailable, "no plan yet",
                   Watch->reachable() ? Span(StartingRetry) : Span(AwayRetry));
-  const auto *host = findField(request.Head.Fields, "Host");
-  const auto *route = Plan->find(*host, request.Head.path());
-  if (!route)
-    return refuse(*reply, labels.Id, NotFound, "no route");
+  auto found = access(request, labels);
+  if (found.Denied != CallerAccess::Denial::None)
+    return confirmDenial(std::move(request), std::move(reply));
+  serve(std::move(request), std::move(labels), found, std::move(reply));
+}
+
+void Gateway::serve(CallerRequest request, RequestLabels labels,
+                    const CallerAccess &access,
+                    std::shared_ptr<CallerReply> reply) {
   if (labels.Id.empty())
     return refuse(*reply, labels.Id, BadRequest, "the request has no id");
-  const auto *service = Plan->service(route->Targets.front().Service);
+  if (access.Space && Settings.RevokeFailClosed &&
+      Watch->declaredAge() > Settings.RevokeBound)
+    return refuse(*reply, labels.Id, Unavailable, "keys can't be confirmed",
+                  Span(AwayRetry));
+  const auto *service = Plan->service(access.Way->Targets.front().Service);
   bool generates = service && service->Engine;
   if (Leaving && stopShare() > (generates ? LastGeneration : LastPlain))
     return refuse(*reply, labels.Id, Unavailable, "this node stops",
                   Span(LeavingRetry));
   auto exchange = std::make_shared<GatewayExchange>(
-      Shared, ExchangeSetup, Plan, *route, std::move(request),
+      Shared, ExchangeSetup, Plan, access, std::move(request),
       std::move(labels), std::move(reply));
   Exchanges.insert(exchange);
   auto now = TimerService::now();
@@ -448,8 +467,8 @@
         waiting.push_back(it);
     // The most urgent first, then the one that came first.
     std::sort(waiting.begin(), waiting.end(), [](const auto &a, const auto &b) {
-      return std::pair(a->route().Priority, a->arrivedAt()) <
-             std::pair(b->route().Priority, b->arrivedAt());
+      return std::pair(a->rank(), a->arrivedAt()) <
+             std::pair(b->rank(), b->arrivedAt());
     });
     for (const auto &it : waiting)
       it->wake();
@@ -460,6 +479,7 @@
   onRosters();
   for (auto &[name, cell] : Cells)
     cell->tick();
+  Quotas.tick();
 }
 
 void Gateway::refresh() {
@@ -532,7 +552,11 @@
              {"owner_beats_near", bytes(PeerMessage::OwnerBeat, true)},
              {"owner_beats_far", bytes(PeerMessage::OwnerBeat, false)},
              {"owner_notices_near", bytes(PeerMessage::OwnerNotice, true)},
-             {"owner_notices_far", bytes(PeerMessage::OwnerNotice, false)}});
+             {"owner_notices_far", bytes(PeerMessage::OwnerNotice, false)},
+             {"quota_asks_near", bytes(PeerMessage::QuotaAsk, true)},
+             {"quota_asks_far", bytes(PeerMessage::QuotaAsk, false)},
+             {"quota_grants_near", bytes(PeerMessage::QuotaGrant, true)},
+             {"quota_grants_far", bytes(PeerMessage::QuotaGrant, false)}});
 }
 
 void Gateway::reload(const GatewaySettings &settings) {
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -2,17 +2,26 @@
 
 #include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
 #include "Hemlockglade/State/Metrics/MetricRegistry.h"
+#include "Hemlockglade/State/Routing/CallerAccess.h"
 #include "Hemlockglade/Transport/Http1/CallerServer.h"
 #include "Programs/hemlockgladed/Gateway/CellMember.h"
 #include "Programs/hemlockgladed/Gateway/CrashLink.h"
 #include "Programs/hemlockgladed/Gateway/GatewayExchange.h"
 #include "Programs/hemlockgladed/Gateway/PlatformPort.h"
+#include "Programs/hemlockgladed/Gateway/QuotaLink.h"
 #include "Programs/hemlockgladed/Gateway/RegistryWatch.h"
 
 #include <unordered_set>
 
 namespace hemlockglade {
 
+/// A request that waits for the newest declarations before it is denied.
+struct DeniedRequest {
+  CallerRequest Request;
+  std::shared_ptr<CallerReply> Reply;
+  bool CallerGone = false;
+};
+
 /// A node that serves from a registry: takes callers' requests, routes them to
 /// registered replicas, and has a part in each cell. All of it runs on one
 /// thread, the one that runs the io_context.
@@ -48,6 +57,16 @@
   /// A replica has started anew; what ran on it before is lost.
   void onRestarted(const ReplicaRecord &before);
   void onRequest(CallerRequest request, std::shared_ptr<CallerReply> reply);
+  /// A request that the plan in force does not allow. It is denied by what
+  /// operators had declared when it came, which this node may not know yet.
+  void confirmDenial(CallerRequest request, std::shared_ptr<CallerReply> reply);
+  void askBeforeDenial(std::shared_ptr<DeniedRequest> it);
+  void settleDenial(DeniedRequest &it);
+  void deny(CallerReply &reply, std::string_view id, CallerAccess::Denial why);
+  CallerAccess access(const CallerRequest &request,
+                      const RequestLabels &labels) const;
+  void serve(CallerRequest request, RequestLabels labels,
+             const CallerAccess &access, std::shared_ptr<CallerReply> reply);
   void onDirectory(const CallerRequest &request, CallerReply &reply);
   void onReadiness(const CallerRequest &request, CallerReply &reply);
   void onMetrics(const CallerRequest &request, CallerReply &reply);
@@ -62,6 +81,8 @@
   bool isSeed() const;
   /// Whether it is known who owns the cell of the own failure domain.
   bool knowsOwner() const;
+  /// Asks a peer for what operators have declared beyond what this node knows.
+  void askDeclared();
   void askBriefing(std::string path);
   void onBriefing(const BriefingReply &reply);
   void onDemand(const std::string &service, const WeightsRef &weights,
@@ -98,6 +119,8 @@
   ExchangeContext exchangeContext();
   CrashHooks crashHooks();
   CrashLink::Hooks crashLinkHooks();
+  QuotaLink::Hooks quotaHooks();
+  LimitHooks limitHooks();
   void onBarred(const RequestKey &key);
 
   asio::io_context &Context;
@@ -111,10 +134,11 @@
   RepeatBudget Budget;
   HttpPool Pool;
   CrashLink Crashes;
+  PeerTraffic Traffic;
+  QuotaLink Quotas;
   ExchangeContext Shared;
   const ExchangeSettings ExchangeSetup;
   std::unique_ptr<PeerNet> Peers;
-  PeerTraffic Traffic;
   std::map<std::string, std::unique_ptr<CellMember>> Cells;
   EntryBoard Board;
   /// All requests, and those for engines alone.
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/GatewayAccess.cpp
@@ -0,0 +1,120 @@
+// Which callers' requests a gateway turns away before it looks for a replica.
+
+#include "Programs/hemlockgladed/Gateway/Gateway.h"
+#include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
+
+namespace hemlockglade {
+
+using namespace gateway;
+
+namespace {
+
+/// Age up to which what is known of the declarations serves for a denial: who
+/// was given a key just now may already use it.
+constexpr Span DenialAge = std::chrono::milliseconds(100);
+/// How long a node that the registry does not answer waits for a peer's word.
+constexpr Span PeerPatience = std::chrono::milliseconds(200);
+/// When to come back to a node that can't say whether the key is good.
+constexpr Span UnconfirmedRetry = std::chrono::milliseconds(1000);
+
+std::string_view textOf(CallerAccess::Denial why) {
+  switch (why) {
+  case CallerAccess::Denial::NoRoute:
+    return "no route";
+  case CallerAccess::Denial::NoKey:
+    return "no key";
+  case CallerAccess::Denial::UnknownKey:
+    return "unknown key";
+  case CallerAccess::Denial::None:
+    break;
+  }
+  return "";
+}
+
+} // namespace
+
+QuotaLink::Hooks Gateway::quotaHooks() {
+  QuotaLink::Hooks hooks;
+  hooks.OwnerOf = [this](const std::string &cell) {
+    const auto &row = Cells.at(cell)->lease().row();
+    bool holds = row && !row->Released && row->Holder != Settings.Name;
+    return holds ? row->Address : std::string();
+  };
+  hooks.Holds = [this](const std::string &cell) -> Epoch {
+    auto it = Cells.find(cell);
+    if (it == Cells.end())
+      return 0;
+    const auto &lease = it->second->lease();
+    return lease.held() && lease.remaining() > Span(0) ? lease.fence() : 0;
+  };
+  hooks.After = [this](Span delay, std::function<void()> call) {
+    Timers.after(delay, [call = std::move(call)](Instant) { call(); });
+  };
+  return hooks;
+}
+
+LimitHooks Gateway::limitHooks() {
+  LimitHooks hooks;
+  hooks.Book = [this](const Workspace &workspace, double units, auto decided) {
+    Quotas.book(workspace, units, std::move(decided));
+  };
+  hooks.Charge = [this](const Workspace &workspace, double units) {
+    Quotas.charge(workspace, units);
+  };
+  hooks.GiveBack = [this](const Workspace &workspace, double units) {
+    Quotas.giveBack(workspace, units);
+  };
+  return hooks;
+}
+
+CallerAccess Gateway::access(const CallerRequest &request,
+                             const RequestLabels &labels) const {
+  const auto *host = findField(request.Head.Fields, "Host");
+  return accessOf(*Plan, host ? std::string_view(*host) : std::string_view(),
+                  request.Head.path(), labels.Caller);
+}
+
+void Gateway::deny(CallerReply &reply, std::string_view id,
+                   CallerAccess::Denial why) {
+  bool noRoute = why == CallerAccess::Denial::NoRoute;
+  refuse(reply, id, noRoute ? NotFound : Unauthorized, textOf(why));
+}
+
+void Gateway::confirmDenial(CallerRequest request,
+                            std::shared_ptr<CallerReply> reply) {
+  auto it = std::make_shared<DeniedRequest>();
+  it->Request = std::move(request);
+  it->Reply = std::move(reply);
+  if (Watch->declaredAge() <= DenialAge)
+    return settleDenial(*it);
+  it->Reply->OnGone = [weak = std::weak_ptr(it)] {
+    if (auto denied = weak.lock())
+      denied->CallerGone = true;
+  };
+  Watch->confirm([this, it] { askBeforeDenial(it); });
+}
+
+void Gateway::askBeforeDenial(std::shared_ptr<DeniedRequest> it) {
+  if (Watch->declaredAge() <= Settings.PlanBound || Settings.Seeds.empty())
+    return settleDenial(*it);
+  askDeclared();
+  Timers.after(PeerPatience,
+               [this, it = std::move(it)](Instant) { settleDenial(*it); });
+}
+
+void Gateway::settleDenial(DeniedRequest &it) {
+  if (it.CallerGone)
+    return;
+  it.Reply->OnGone = nullptr;
+  auto labels = Port.Labels.ReadRequest(viewsOf(it.Request.Head.Fields));
+  auto found = access(it.Request, labels);
+  if (found.Denied == CallerAccess::Denial::None)
+    return serve(std::move(it.Request), std::move(labels), found,
+                 std::move(it.Reply));
+  if (Watch->declaredAge() > Settings.PlanBound)
+    return refuse(*it.Reply, labels.Id, Unavailable,
+                  "declarations can't be confirmed", UnconfirmedRetry);
+  deny(*it.Reply, labels.Id, found.Denied);
+}
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -28,14 +28,14 @@
 GatewayExchange::GatewayExchange(ExchangeContext &shared,
                                  const ExchangeSettings &settings,
                                  std::shared_ptr<const RoutePlan> plan,
-                                 const Route &route, CallerRequest request,
-                                 RequestLabels labels,
+                                 const CallerAccess &access,
+                                 CallerRequest request, RequestLabels labels,
                                  std::shared_ptr<CallerReply> reply)
-    : Shared(shared), Setup(settings), Plan(std::move(plan)), Way(route),
-      Request(std::move(request)), Labels(std::move(labels)),
-      Key(keyOf(Request, Labels)), Fields(viewsOf(Request.Head.Fields)),
-      Reply(std::move(reply)), Timer(shared.Context),
-      AttemptTimer(shared.Context) {
+    : Shared(shared), Setup(settings), Plan(std::move(plan)), Way(*access.Way),
+      Space(access.Space), Request(std::move(request)),
+      Labels(std::move(labels)), Key(keyOf(Request, Labels)),
+      Fields(viewsOf(Request.Head.Fields)), Reply(std::move(reply)),
+      Timer(shared.Context), AttemptTimer(shared.Context) {
   Query.Service = Way.targetFor(std::hash<std::string>{}(Labels.Id));
   const auto *service = Plan->service(Query.Service);
   if (service && service->Engine)
@@ -43,7 +43,7 @@
   Query.PromptTokens = Labels.PromptTokens;
   Query.TimelyUntil =
       Request.ArrivedAt + scaled(Way.TargetLatency, Setup.TimelyShare);
-  Query.Rank = Way.Priority;
+  Query.Rank = Space && Space->Priority ? *Space->Priority : Way.Priority;
   Query.Tokens = Labels.PromptTokens + Labels.MaxOutputTokens;
   for (std::size_t it = 0; it + 1 < Labels.Prompt.size(); ++it) {
     Query.Parts.push_back(Labels.Prompt[it].Id);
@@ -76,9 +76,43 @@
     return;
   Shared.Budget.onRequest(Query.Service, TimerService::now());
   arm();
+  book();
+}
+
+double GatewayExchange::units() const {
+  if (Space->Limit->Unit == LimitUnit::Requests)
+    return 1;
+  return Labels.TellsTokens
+             ? double{Labels.PromptTokens} + double{Labels.MaxOutputTokens}
+             : Space->Limit->PlainTokens;
+}
+
+void GatewayExchange::book() {
+  if (!Space || !Space->Limit)
+    return next();
+  Shared.Limits.Book(*Space, units(),
+                     [self = shared_from_this()](auto what, Span retryAfter) {
+                       self->onBooked(what, retryAfter);
+                     });
+}
+
+void GatewayExchange::onBooked(QuotaLink::Verdict what, Span retryAfter) {
+  Booked = what == QuotaLink::Verdict::Go;
+  if (Done)
+    return giveBack();
+  if (what == QuotaLink::Verdict::Limited)
+    return answerOwn(TooMany, "beyond its workspace's limit", retryAfter);
+  if (what == QuotaLink::Verdict::NoKeeper)
+    return answerOwn(Unavailable, "its workspace's limit can't be looked up",
+                     retryAfter);
   next();
 }
 
+void GatewayExchange::giveBack() {
+  if (std::exchange(Booked, false))
+    Shared.Limits.GiveBack(*Space, units());
+}
+
 bool GatewayExchange::endIfBarred() {
   auto barredFor = Shared.Crashes.BarredFor(Key);
   if (!barredFor)
@@ -254,10 +288,11 @@
   labels.TimeLeft = timeLeft();
   labels.Incarnation = choice.Replica->Life.id();
   if (engine())
-    labels.Priority = std::min(LowestRank, Way.Priority);
+    labels.Priority = std::min(LowestRank, Query.Rank);
   if (engine() && choice.Version)
     labels.Version = choice.Version;
   labels.ResumeBehind = LastEvent;
+  labels.Workspace = workspace();
   HttpRequestHead head{Request.Head.Method, Request.Head.Target, {}};
   head.Fields = fieldsOf(Shared.Labels.Forward(Fields, labels));
   if (!Request.Body.empty() || findField(Request.Head.Fields, "Content-Length"))
@@ -274,6 +309,8 @@
     Shared.OnSent(*choice.Replica,
                   Shared.View.tokensToRead(choice.Replica->Life.text(), Query),
                   *Query.Weights);
+  if (Space && Space->Limit && !std::exchange(Booked, true))
+    Shared.Limits.Charge(*Space, units());
   Now->Number = Shared.View.onSent(choice.Replica->Life.text(), Query, now);
   bool once = !Way.idempotent();
   Now->Connection =
@@ -288,6 +325,7 @@
                    {{"request", Labels.Id},
                     {"key", Key.text()},
                     {"route", Way.Name},
+                    {"workspace", workspace()},
                     {"service", Query.Service},
                     {"weights", engine() ? Query.Weights->text() : ""},
                     {"version", choice.Version},
@@ -429,6 +467,9 @@
     return;
   AttemptTimer.cancel();
   auto attempt = std::exchange(Now, nullptr);
+  // What reached a replica may have run, unless it says that it has not.
+  if (attempt->Connection->open() && !attempt->Labels.NotRun)
+    Booked = false;
   Shared.View.onEnd(attempt->Replica->Life.text(), attempt->Number, Query,
                     verdict, TimerService::now());
   if (engine())
@@ -464,10 +505,12 @@
   AttemptTimer.cancel();
   Status = status;
   Result = result;
+  giveBack();
   Shared.Log.write(LogClass::Request, "end",
                    {{"request", Labels.Id},
                     {"status", std::uint32_t{status}},
                     {"result", result},
+                    {"workspace", workspace()},
                     {"weights", engine() ? Query.Weights->text() : ""},
                     {"wait", WaitReason},
                     {"arrivals", static_cast<std::uint64_t>(Tried.size())},
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -7,8 +7,10 @@
 #include "Hemlockglade/Protocol/Exchange/RequestIdentity.h"
 #include "Hemlockglade/Protocol/Exchange/RequestLabels.h"
 #include "Hemlockglade/State/Log/EventLog.h"
+#include "Hemlockglade/State/Routing/CallerAccess.h"
 #include "Hemlockglade/Transport/Http1/CallerConnection.h"
 #include "Hemlockglade/Transport/Http1/HttpPool.h"
+#include "Programs/hemlockgladed/Gateway/QuotaLink.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -36,6 +38,19 @@
   std::function<void(const RequestKey &key)> OnServed;
 };
 
+/// What exchanges ask and tell about their workspaces' limits, in the limits'
+/// units.
+struct LimitHooks {
+  /// Asks before a request may run; `decided` is called once, at once or later.
+  std::function<void(const Workspace &workspace, double units,
+                     QuotaLink::Decided decided)>
+      Book;
+  /// One that may have run runs once more.
+  std::function<void(const Workspace &workspace, double units)> Charge;
+  /// What was booked has not run.
+  std::function<void(const Workspace &workspace, double units)> GiveBack;
+};
+
 /// What exchanges share: the parts of the node that they use.
 struct ExchangeContext {
   asio::io_context &Context;
@@ -66,6 +81,7 @@
   std::function<bool()> CanLoad;
   std::function<void(const GatewayExchange &exchange)> OnEnd;
   CrashHooks Crashes;
+  LimitHooks Limits;
 };
 
 /// One request of a caller, from its arrival to its answer: finds a replica,
@@ -73,9 +89,9 @@
 class GatewayExchange : public std::enable_shared_from_this<GatewayExchange> {
 public:
   GatewayExchange(ExchangeContext &shared, const ExchangeSettings &settings,
-                  std::shared_ptr<const RoutePlan> plan, const Route &route,
-                  CallerRequest request, RequestLabels labels,
-                  std::shared_ptr<CallerReply> reply);
+                  std::shared_ptr<const RoutePlan> plan,
+                  const CallerAccess &access, CallerRequest request,
+                  RequestLabels labels, std::shared_ptr<CallerReply> reply);
   ~GatewayExchange();
 
   void start();
@@ -94,7 +110,8 @@
   bool waiting() const { return Waiting; }
   /// Whether it waits for weights or replicas, rather than for a turn.
   bool waitsForChange() const { return Waiting && !Paced; }
-  const Route &route() const { return Way; }
+  /// Rank of its workspace, or else of its route; 0 is the most urgent.
+  std::uint32_t rank() const { return Query.Rank; }
   const RequestKey &key() const { return Key; }
   const std::string &service() const { return Query.Service; }
   std::uint16_t status() const { return Status; }
@@ -129,6 +146,12 @@
     bool Orphaned = false;
   };
 
+  /// Books the request against its workspace's limit, then goes on.
+  void book();
+  void onBooked(QuotaLink::Verdict what, Span retryAfter);
+  /// Units that the request counts as.
+  double units() const;
+  void giveBack();
   void next();
   /// Answers a request that must not be sent; whether it was one.
   bool endIfBarred();
@@ -163,11 +186,16 @@
   Span timeLeft() const;
   Span retryAfter() const;
   bool engine() const { return Query.Weights.has_value(); }
+  std::string_view workspace() const {
+    return Space ? std::string_view(Space->Name) : std::string_view();
+  }
 
   ExchangeContext &Shared;
   const ExchangeSettings &Setup;
   std::shared_ptr<const RoutePlan> Plan;
   const Route &Way;
+  /// Workspace that it counts for; none on routes that are open to all.
+  const Workspace *Space;
   CallerRequest Request;
   RequestLabels Labels;
   RequestKey Key;
@@ -189,6 +217,8 @@
   bool EverSent = false;
   /// It has reached a replica that may have run it.
   bool MayHaveRun = false;
+  /// Units are booked for an attempt that has not run.
+  bool Booked = false;
   bool DemandTold = false;
   std::set<std::string> Tried;
   /// How long each replica that shed the request rests next time.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -169,6 +169,7 @@
     return next();
   }
   MayHaveRun = true;
+  Booked = false;
   auto why =
       how == HttpFailure::Ended ? "connection ended" : "connection broke";
   onBroken(why);
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -90,6 +90,7 @@
   auto part = Board.partOf(Settings.Name, Settings.FailureDomain);
   Budget.setPart(part);
   auto nodes = part > 0 ? std::lround(1 / part) : 1;
+  Quotas.setEntries(static_cast<std::size_t>(nodes));
   Crashes.setTurn(std::hash<std::string>{}(Settings.Name),
                   static_cast<std::size_t>(nodes));
   bool asked = TimerService::now() - AskedAt < AwakeFor;
@@ -127,6 +128,11 @@
     if (it != Cells.end())
       return it->second->onFollower(stream);
   }
+  if (path.starts_with(peer_path::Quota)) {
+    auto cell = path.substr(peer_path::Quota.size());
+    if (Cells.contains(cell))
+      return Quotas.onEntry(cell, stream);
+  }
   if (auto known = versionIn(path, peer_path::Briefing))
     stream->send(pack(briefing(*known)));
   if (auto known = versionIn(path, peer_path::Declared))
@@ -145,6 +151,8 @@
     out.PlanText = Plan->Source;
   for (const auto &[weights, version] : Versions)
     out.Versions.emplace_back(weights.text(), version);
+  // 0 says that nothing is known of the age.
+  out.OperatorAgeUs = std::max<std::int64_t>(1, Watch->declaredAge().count());
   return out;
 }
 
@@ -191,7 +199,11 @@
   if (Watch->operatorAge() < Settings.PlanBound ||
       now - AskedDeclaredAt < Settings.PlanBound / 2)
     return;
-  AskedDeclaredAt = now;
+  askDeclared();
+}
+
+void Gateway::askDeclared() {
+  AskedDeclaredAt = TimerService::now();
   askBriefing(std::string(peer_path::Declared) +
               std::to_string(Plan->version()));
 }
@@ -235,6 +247,9 @@
     knows.Replica = 0;
   Crashes.onTold(reply.Crashes);
   onOperator(declared);
+  bool tellsAll = reply.PlanText.empty() || declared.Plan;
+  if (reply.OperatorAgeUs > 0 && tellsAll)
+    Watch->onDeclared(Span(reply.OperatorAgeUs));
   if (!SeenReplicas && !replicas.Present.empty())
     onReplicas(replicas, true);
   Watch->onBriefed(knows, Span(reply.OperatorAgeUs), Span(reply.ReplicaAgeUs));
--- a/Programs/hemlockgladed/Gateway/GatewayStatus.h
+++ b/Programs/hemlockgladed/Gateway/GatewayStatus.h
@@ -9,6 +9,7 @@
 inline constexpr std::uint16_t Ok = 200;
 inline constexpr std::uint16_t FirstRedirect = 300;
 inline constexpr std::uint16_t BadRequest = 400;
+inline constexpr std::uint16_t Unauthorized = 401;
 inline constexpr std::uint16_t NotFound = 404;
 inline constexpr std::uint16_t RequestTimeout = 408;
 inline constexpr std::uint16_t OtherIncarnation = 421;
--- a/Programs/hemlockgladed/Gateway/PeerTraffic.cpp
+++ b/Programs/hemlockgladed/Gateway/PeerTraffic.cpp
@@ -12,6 +12,10 @@
     return "owner_beat";
   case PeerMessage::OwnerNotice:
     return "owner_notice";
+  case PeerMessage::QuotaAsk:
+    return "quota_ask";
+  case PeerMessage::QuotaGrant:
+    return "quota_grant";
   }
   return "unknown";
 }
--- a/Programs/hemlockgladed/Gateway/PeerTraffic.h
+++ b/Programs/hemlockgladed/Gateway/PeerTraffic.h
@@ -6,7 +6,7 @@
 
 namespace hemlockglade {
 
-/// What nodes tell each other about cells.
+/// What nodes tell each other about cells and limits.
 enum class PeerMessage : std::uint8_t {
   /// A node's regular message to an owner, and its brief one as it sends
   /// requests.
@@ -16,6 +16,9 @@
   /// send and engines hold.
   OwnerBeat,
   OwnerNotice,
+  /// What an entry asks of an owner of workspaces' limits, and its answer.
+  QuotaAsk,
+  QuotaGrant,
 };
 
 std::string_view peerMessageName(PeerMessage kind);
@@ -28,7 +31,7 @@
     std::uint64_t Messages = 0;
     std::uint64_t Bytes = 0;
   };
-  static constexpr std::size_t Kinds = 4;
+  static constexpr std::size_t Kinds = 6;
 
   void add(PeerMessage kind, bool near, std::size_t bytes);
   const Sum &sum(PeerMessage kind, bool near) const {
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -113,6 +113,53 @@
   planOperator(pauseAfter(first, OperatorPosition.has_value(), OperatorPause));
 }
 
+void RegistryWatch::onDeclared(Span age) {
+  DeclaredSeenAt = std::max(DeclaredSeenAt, TimerService::now() - age);
+}
+
+void RegistryWatch::confirm(std::function<void()> done) {
+  ConfirmNext.push_back(std::move(done));
+  planConfirm();
+}
+
+void RegistryWatch::planConfirm() {
+  if (ConfirmPlanned || ConfirmNumber || ConfirmNext.empty())
+    return;
+  ConfirmPlanned = true;
+  auto due = ConfirmedAt + Setup.ConfirmEvery - TimerService::now();
+  Timers.after(std::max(Span(0), due), [this](Instant) { lookToConfirm(); });
+}
+
+void RegistryWatch::lookToConfirm() {
+  ConfirmPlanned = false;
+  Confirming = std::exchange(ConfirmNext, {});
+  ConfirmedAt = TimerService::now();
+  auto number = ConfirmNumber = ++LastConfirm;
+  auto askedAt = ConfirmedAt;
+  Timers.after(Setup.ConfirmPatience,
+               [this, number](Instant) { endConfirm(number); });
+  auto done = [this, number, askedAt](const auto &result) {
+    if (result) {
+      takeOperator(*result, "look before a denial");
+      OperatorSeenAt = std::max(OperatorSeenAt, askedAt);
+    }
+    endConfirm(number);
+  };
+  if (OperatorPosition)
+    Registry.WatchOperator(*OperatorPosition, Span(0), done);
+  else
+    Registry.ReadOperator(done);
+}
+
+void RegistryWatch::endConfirm(std::uint64_t number) {
+  if (ConfirmNumber != number)
+    return;
+  ConfirmNumber = 0;
+  for (const auto &it : std::exchange(Confirming, {}))
+    it();
+  planConfirm();
+}
+
 Span RegistryWatch::pauseAfter(bool firstFailure, bool knowsSome,
                                Span &pause) const {
   // One lost look has already taken most of the bound, and need not mean more
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -28,6 +28,12 @@
     Span StandbyPause = std::chrono::milliseconds(1500);
     /// A registry that failed this recently may have let entries lapse.
     Span LapseWindow = std::chrono::milliseconds(4000);
+    /// How long who wants the newest declarations waits for them: an answer
+    /// takes some 10 ms.
+    Span ConfirmPatience = std::chrono::milliseconds(250);
+    /// Least time between two looks that are made for that, and age up to which
+    /// what is known needs none: it bounds what callers with wrong keys cost.
+    Span ConfirmEvery = std::chrono::milliseconds(100);
   };
   struct Hooks {
     std::function<void(const OperatorChanges &)> OnOperator;
@@ -53,6 +59,9 @@
   /// From there on this node goes by news; what it has seen itself holds.
   void onBriefed(const RegistryPositions &knows, Span operatorAge,
                  Span replicasAge);
+  /// Looks at the declarations now, and calls back when all that operators had
+  /// declared at the time of the call is known, or can't be had in time.
+  void confirm(std::function<void()> done);
   /// What to tell a node that knows the registry up to these positions.
   RegistryNews newsSince(const RegistryPositions &known) const;
   RegistryPositions positions() const;
@@ -61,6 +70,14 @@
   /// How long ago declarations, and replicas, were surely as this node knows
   /// them.
   Span operatorAge() const { return TimerService::now() - OperatorSeenAt; }
+  /// Another node has told all that it knows of the declarations, which was
+  /// the newest so long ago.
+  void onDeclared(Span age);
+  /// How long ago declarations were surely as this node knows them, by the
+  /// registry or by what another node told.
+  Span declaredAge() const {
+    return TimerService::now() - std::max(OperatorSeenAt, DeclaredSeenAt);
+  }
   Span replicasAge() const { return TimerService::now() - ReplicasSeenAt; }
 
 private:
@@ -74,6 +91,10 @@
   void takeReplicas(const ReplicaChanges &changes, bool unreachable);
   void takeDeclared(const RegistryNews &news, Instant now);
   void takeRegistered(const RegistryNews &news, Instant now);
+  void planConfirm();
+  void lookToConfirm();
+  /// Those who wait are told, whatever came of it.
+  void endConfirm(std::uint64_t number);
   void planOperator(Span pause);
   void planReplicas(Span pause);
   /// How much longer nothing has to be looked at that was seen then and is
@@ -120,6 +141,16 @@
   LookState ReplicaLook{"replicas"};
   Span OperatorPause{0};
   Span ReplicaPause{0};
+  /// When declarations were as this node knows them, by another node's word.
+  Instant DeclaredSeenAt{LongAgo};
+  /// Who waits for a look that is yet to be made, and for the one under way.
+  std::vector<std::function<void()>> ConfirmNext;
+  std::vector<std::function<void()>> Confirming;
+  /// Number of the look under way; 0 if there is none.
+  std::uint64_t ConfirmNumber = 0;
+  std::uint64_t LastConfirm = 0;
+  Instant ConfirmedAt{LongAgo};
+  bool ConfirmPlanned = false;
 };
 
 } // namespace hemlockglade
