Denials ask a peer where the registry does not answer; tests of keys, limits and denials

Cause: a node whose registry call failed denied by knowledge up to the plan's bound old, though a peer may know of the key. Change: confirm says whether it succeeded; if not a peer is asked first.

--- a/Programs/hemlockgladed/Gateway/GatewayAccess.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayAccess.cpp
@@ -91,12 +91,15 @@
     if (auto denied = weak.lock())
       denied->CallerGone = true;
   };
-  Watch->confirm([this, it] { askBeforeDenial(it); });
+  Watch->confirm([this, it](bool known) {
+    if (known || Settings.Seeds.empty())
+      settleDenial(*it);
+    else
+      askBeforeDenial(it);
+  });
 }
 
 void Gateway::askBeforeDenial(std::shared_ptr<DeniedRequest> it) {
-  if (Watch->declaredAge() <= Settings.PlanBound || Settings.Seeds.empty())
-    return settleDenial(*it);
   askDeclared();
   Timers.after(PeerPatience,
                [this, it = std::move(it)](Instant) { settleDenial(*it); });
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -117,7 +117,7 @@
   DeclaredSeenAt = std::max(DeclaredSeenAt, TimerService::now() - age);
 }
 
-void RegistryWatch::confirm(std::function<void()> done) {
+void RegistryWatch::confirm(std::function<void(bool known)> done) {
   ConfirmNext.push_back(std::move(done));
   planConfirm();
 }
@@ -137,13 +137,13 @@
   auto number = ConfirmNumber = ++LastConfirm;
   auto askedAt = ConfirmedAt;
   Timers.after(Setup.ConfirmPatience,
-               [this, number](Instant) { endConfirm(number); });
+               [this, number](Instant) { endConfirm(number, false); });
   auto done = [this, number, askedAt](const auto &result) {
     if (result) {
       takeOperator(*result, "look before a denial");
       OperatorSeenAt = std::max(OperatorSeenAt, askedAt);
     }
-    endConfirm(number);
+    endConfirm(number, result.has_value());
   };
   if (OperatorPosition)
     Registry.WatchOperator(*OperatorPosition, Span(0), done);
@@ -151,12 +151,12 @@
     Registry.ReadOperator(done);
 }
 
-void RegistryWatch::endConfirm(std::uint64_t number) {
+void RegistryWatch::endConfirm(std::uint64_t number, bool known) {
   if (ConfirmNumber != number)
     return;
   ConfirmNumber = 0;
   for (const auto &it : std::exchange(Confirming, {}))
-    it();
+    it(known);
   planConfirm();
 }
 
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -61,7 +61,7 @@
                  Span replicasAge);
   /// Looks at the declarations now, and calls back when all that operators had
   /// declared at the time of the call is known, or can't be had in time.
-  void confirm(std::function<void()> done);
+  void confirm(std::function<void(bool known)> done);
   /// What to tell a node that knows the registry up to these positions.
   RegistryNews newsSince(const RegistryPositions &known) const;
   RegistryPositions positions() const;
@@ -94,7 +94,7 @@
   void planConfirm();
   void lookToConfirm();
   /// Those who wait are told, whatever came of it.
-  void endConfirm(std::uint64_t number);
+  void endConfirm(std::uint64_t number, bool known);
   void planOperator(Span pause);
   void planReplicas(Span pause);
   /// How much longer nothing has to be looked at that was seen then and is
@@ -144,8 +144,8 @@
   /// When declarations were as this node knows them, by another node's word.
   Instant DeclaredSeenAt{LongAgo};
   /// Who waits for a look that is yet to be made, and for the one under way.
-  std::vector<std::function<void()>> ConfirmNext;
-  std::vector<std::function<void()>> Confirming;
+  std::vector<std::function<void(bool)>> ConfirmNext;
+  std::vector<std::function<void(bool)>> Confirming;
   /// Number of the look under way; 0 if there is none.
   std::uint64_t ConfirmNumber = 0;
   std::uint64_t LastConfirm = 0;
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -103,7 +103,8 @@
                                                       Outcome = it.outcome();
                                                       Ended = true;
                                                     },
-                                                    crashHooks()},
+                                                    crashHooks(),
+                                                    limitHooks()},
         First(Context), Second(Context), Peer(Context) {
     Budget.setPart(1);
     Way.Name = "r";
@@ -125,9 +126,12 @@
                                             : std::nullopt}},
           CallerLimits{});
       View.setPlan(Plan);
+      CallerAccess access;
+      access.Way = &Plan->routes()[0];
+      access.Space = Space ? &*Space : nullptr;
       Exchange = std::make_shared<GatewayExchange>(
-          Shared, Setup, Plan, Plan->routes()[0], std::move(request),
-          std::move(labels), std::move(reply));
+          Shared, Setup, Plan, access, std::move(request), std::move(labels),
+          std::move(reply));
       Exchange->start();
     };
     Server = std::make_unique<CallerServer>(Context, localhost(0), 10,
@@ -152,6 +156,26 @@
     return hooks;
   }
 
+  LimitHooks limitHooks() {
+    LimitHooks hooks;
+    hooks.Book = [this](const Workspace &, double units, auto decided) {
+      Booked += units;
+      Decide = decided;
+      if (Decides)
+        decided(*Decides, milliseconds(1500));
+    };
+    hooks.Charge = [this](const Workspace &, double units) { Booked += units; };
+    hooks.GiveBack = [this](const Workspace &, double units) {
+      Booked -= units;
+    };
+    return hooks;
+  }
+
+  /// The caller's workspace has a limit, counted in tokens.
+  void limit() {
+    Space = Workspace{"red", 3, WorkspaceLimit{LimitUnit::Tokens, 1, 1, 200}};
+  }
+
   /// Registers the replicas; the first is the nearer one.
   void present(bool both = true) {
     std::vector<ReplicaRecord> records;
@@ -196,6 +220,12 @@
     return Peer.Got.find(text) != std::string::npos;
   }
 
+  std::optional<Workspace> Space;
+  /// What the limit says at once; none if it says later, by `Decide`.
+  std::optional<QuotaLink::Verdict> Decides = QuotaLink::Verdict::Go;
+  QuotaLink::Decided Decide;
+  /// Units booked, less those given back.
+  double Booked = 0;
   std::vector<std::string> Lines;
   EventLog Log;
   ReplicaView View;
@@ -654,4 +684,95 @@
   CHECK(it.Served == served);
 }
 
+TEST_CASE("a request beyond its workspace's limit is refused at once",
+          "[exchange][limit]") {
+  ExchangeFixture it;
+  it.limit();
+  it.present();
+  it.Decides = QuotaLink::Verdict::Limited;
+  it.ask();
+  REQUIRE(it.untilGot("limit"));
+  CHECK(it.has(" 429 "));
+  CHECK(it.has("Retry-After: 1.50"));
+  CHECK(it.First.Requests.empty());
+}
+
+TEST_CASE("a request waits for its limit, and runs once it may",
+          "[exchange][limit]") {
+  ExchangeFixture it;
+  it.limit();
+  it.present();
+  it.Decides = std::nullopt;
+  it.First.Script = {{answer(200, "hello")}};
+  it.ask();
+  REQUIRE(it.until([&] { return it.Decide != nullptr; }));
+  it.settle();
+  CHECK(it.First.Requests.empty());
+  it.Decide(QuotaLink::Verdict::Go, Span(0));
+  REQUIRE(it.untilGot("hello"));
+  CHECK(it.Booked == 200);
+}
+
+TEST_CASE("a caller who leaves before its limit answers has nothing booked",
+          "[exchange][limit]") {
+  ExchangeFixture it;
+  it.limit();
+  it.present();
+  it.Decides = std::nullopt;
+  it.ask();
+  REQUIRE(it.until([&] { return it.Decide != nullptr; }));
+  it.Peer.close();
+  REQUIRE(it.untilEnd());
+  it.Decide(QuotaLink::Verdict::Go, Span(0));
+  CHECK(it.Booked == 0);
+  CHECK(it.First.Requests.empty());
+}
+
+TEST_CASE("what no replica ran is given back", "[exchange][limit]") {
+  ExchangeFixture it;
+  it.limit();
+  it.present(false);
+  it.First.Answer = [](const auto &) {
+    return ScriptedReplica::Step{answer(503, "", "Not-Run: 1\r\n")};
+  };
+  it.ask();
+  REQUIRE(it.untilEnd());
+  CHECK_FALSE(it.First.Requests.empty());
+  CHECK(it.Booked == 0);
+}
+
+TEST_CASE("each run counts, and each only once", "[exchange][limit]") {
+  ExchangeFixture it;
+  it.limit();
+  it.Way.Kind = RouteKind::Repeatable;
+  it.Way.MaxAttempts = 2;
+  it.present();
+  SECTION("after one that may have run") {
+    it.First.Script = {{"", ScriptedReplica::Then::Reset}};
+    it.Second.Script = {{answer(200, "hello")}};
+    it.ask();
+    REQUIRE(it.untilGot("hello"));
+    CHECK(it.Booked == 400);
+  }
+  SECTION("after one that surely did not") {
+    it.First.Script = {{answer(503, "", "Not-Run: 1\r\n")}};
+    it.Second.Script = {{answer(200, "hello")}};
+    it.First.Answer = nullptr;
+    it.ask();
+    REQUIRE(it.untilGot("hello"));
+    CHECK(it.Booked == 200);
+  }
+}
+
+TEST_CASE("a workspace's rank goes before its route's", "[exchange][limit]") {
+  ExchangeFixture it;
+  it.limit();
+  it.Way.Priority = 1;
+  it.present();
+  it.First.Script = {{answer(200, "hello")}};
+  it.ask();
+  REQUIRE(it.untilGot("hello"));
+  CHECK(it.Exchange->rank() == 3);
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Node/Gateway/GatewayRig.h
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -29,11 +29,13 @@
     route.Targets = {{"s", 1}};
     route.Timeout = milliseconds(2000);
     RoutePlan plan(version, {route}, {ServiceSpec{"s", "/", 10, std::nullopt}},
-                   {});
+                   {}, Workspaces);
     plan.Source = prefix + std::to_string(version);
     Declared.Plan = std::make_shared<const RoutePlan>(std::move(plan));
     Known[Declared.Plan->Source] = Declared.Plan;
     ++Declared.Position;
+    if (Deaf)
+      return;
     for (const auto &wait : std::exchange(Waiting, {}))
       answer(wait, Declared);
   }
@@ -87,9 +89,13 @@
         return fail(done);
       answer(done, Declared);
     };
-    out.Registry.WatchOperator = [this](std::uint64_t, Span, auto done) {
+    out.Registry.WatchOperator = [this](std::uint64_t, Span wait, auto done) {
       if (Away)
         return fail(done);
+      if (wait == Span(0)) {
+        ++LooksAtOnce;
+        return answer(done, Declared);
+      }
       Waiting.push_back(done);
     };
     out.Registry.ReadReplicas = [this](auto done) {
@@ -144,13 +150,18 @@
       for (const auto &[name, value] : fields)
         if (sameFieldName(name, "Id"))
           labels.Id = value;
+        else if (sameFieldName(name, "Key"))
+          labels.Caller = value;
       return labels;
     };
-    out.Labels.Forward = [](const LabelFields &fields, const ForwardLabels &) {
+    out.Labels.Forward = [](const LabelFields &fields,
+                            const ForwardLabels &labels) {
       OwnedFields all;
       for (const auto &[name, value] : fields)
-        if (!isConnectionField(name))
+        if (!isConnectionField(name) && !sameFieldName(name, "Key"))
           all.emplace_back(name, value);
+      if (!labels.Workspace.empty())
+        all.emplace_back("Space", labels.Workspace);
       return all;
     };
     out.Labels.ReadAnswer = [](std::uint16_t, const LabelFields &) {
@@ -184,7 +195,13 @@
   ReplicaChanges Replicas;
   std::map<std::string, std::shared_ptr<const RoutePlan>> Known;
   std::vector<RegistryCallback<OperatorChanges>> Waiting;
+  /// Workspaces of the plans that are declared from now on.
+  WorkspaceDirectory Workspaces;
   bool Away = false;
+  /// Looks that wait for declarations are not answered.
+  bool Deaf = false;
+  /// Looks at declarations that did not wait.
+  int LooksAtOnce = 0;
   bool HistoryLost = false;
   /// Whether the table answers, and what it holds.
   bool HasTable = false;
@@ -242,11 +259,11 @@
 
   /// Sends a request on a connection of its own and gives what comes back.
   std::string ask(const std::string &to, const std::string &path,
-                  const std::string &id = "r1") {
+                  const std::string &id = "r1", const std::string &key = "") {
     RawPeer peer(Context);
     peer.connect(parseEndpoint(to).port());
     peer.send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nId: " + id +
-              "\r\n\r\n");
+              (key.empty() ? "" : "\r\nKey: " + key) + "\r\n\r\n");
     until([&peer] {
       return peer.Ended || peer.Got.find("\r\n\r\n") != std::string::npos;
     });
@@ -263,4 +280,30 @@
   bool Stopped = false;
 };
 
+/// A node beside a first one, with a registry of its own that may be away.
+struct SecondNode {
+  explicit SecondNode(GatewayFixture &first)
+      : Platform(first.Context), Settings(first.Settings) {
+    auto ports = first.freePorts(3);
+    Settings.Name = "entry-2";
+    // Peers' ports are the same on all hosts; the second host is 127.0.0.2.
+    Settings.Address = "127.0.0.2";
+    Settings.Seeds = {"127.0.0.1:1"};
+    Settings.CallerAddress = Loopback::address(ports[0]);
+    Settings.DirectoryAddress = Loopback::address(ports[1]);
+    Settings.ReadinessAddress = Loopback::address(ports[2]);
+  }
+
+  void start(GatewayFixture &first) {
+    Node = std::make_unique<Gateway>(first.Context, Settings, Platform.port(),
+                                     first.Log);
+    Node->start();
+    REQUIRE(first.until([this] { return Node->ready(); }));
+  }
+
+  GatewayPlatform Platform;
+  GatewaySettings Settings;
+  std::unique_ptr<Gateway> Node;
+};
+
 } // namespace hemlockglade::test
--- a/UnitTests/Node/Gateway/GatewayTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayTest.cpp
@@ -253,36 +253,6 @@
         it.Settings.StopBound / 2 + 2 * lag.most());
 }
 
-namespace {
-
-/// A node beside a first one, with a registry of its own that may be away.
-struct SecondNode {
-  explicit SecondNode(GatewayFixture &first)
-      : Platform(first.Context), Settings(first.Settings) {
-    auto ports = first.freePorts(3);
-    Settings.Name = "entry-2";
-    // Peers' ports are the same on all hosts; the second host is 127.0.0.2.
-    Settings.Address = "127.0.0.2";
-    Settings.Seeds = {"127.0.0.1:1"};
-    Settings.CallerAddress = Loopback::address(ports[0]);
-    Settings.DirectoryAddress = Loopback::address(ports[1]);
-    Settings.ReadinessAddress = Loopback::address(ports[2]);
-  }
-
-  void start(GatewayFixture &first) {
-    Node = std::make_unique<Gateway>(first.Context, Settings, Platform.port(),
-                                     first.Log);
-    Node->start();
-    REQUIRE(first.until([this] { return Node->ready(); }));
-  }
-
-  GatewayPlatform Platform;
-  GatewaySettings Settings;
-  std::unique_ptr<Gateway> Node;
-};
-
-} // namespace
-
 TEST_CASE("a node that starts without the registry asks a peer", "[gateway]") {
   GatewayFixture first;
   first.Platform.declare(3, "/x/");
--- a/UnitTests/Platform/DocumentsTest.cpp
+++ b/UnitTests/Platform/DocumentsTest.cpp
@@ -74,6 +74,127 @@
   CHECK_FALSE(plan.error().empty());
 }
 
+namespace {
+
+/// A plan with one route and this list of workspaces.
+std::string planWith(const std::string &workspaces) {
+  return R"({"version":1,"services":[],"routes":[{"host":"a","prefix":"/",)"
+         R"("service":"s","public":true}],"tenants":)" +
+         workspaces + "}";
+}
+
+} // namespace
+
+TEST_CASE("a plan's workspaces are read", "[documents]") {
+  auto plan = readPlan(planWith(
+      R"([{"name":"red","api_keys":["k1","k2"],"priority":1,"unit":"token",)"
+      R"("plain_tokens":200,"rate_per_s":187347,"burst":5.5},)"
+      R"({"name":"blue","api_keys":["k3"],"rate_per_s":3},)"
+      R"({"name":"green","api_keys":[],"rate_per_s":0,"burst":9}])"));
+  REQUIRE(plan);
+  CHECK(plan->routes()[0].Public);
+  const auto &all = plan->workspaces();
+  CHECK(all.required());
+  CHECK(all.Faults.empty());
+  const auto *red = all.find("k2");
+  REQUIRE(red);
+  CHECK(red->Name == "red");
+  CHECK(red->Priority == 1);
+  CHECK(red->Limit == WorkspaceLimit{LimitUnit::Tokens, 187347, 5.5, 200});
+  const auto *blue = all.find("k3");
+  REQUIRE(blue);
+  CHECK_FALSE(blue->Priority);
+  CHECK(blue->Limit == WorkspaceLimit{LimitUnit::Requests, 3, 0, 0});
+  CHECK_FALSE(all.all()[2].Limit);
+  CHECK_FALSE(readPlan(Plan)->workspaces().required());
+}
+
+TEST_CASE("what is wrong with a workspace takes nothing of the others",
+          "[documents]") {
+  struct Wrong {
+    std::string Text;
+    bool HasKey;
+    bool HasLimit;
+  };
+  const std::string Keys = R"("api_keys":["sekret-1"])";
+  auto wrong = GENERATE_COPY(values<Wrong>({
+      {R"({"name":"red","rate_per_s":-1,)" + Keys + "}", true, false},
+      {R"({"name":"red","rate_per_s":1e300,)" + Keys + "}", true, false},
+      {R"({"name":"red","rate_per_s":"9",)" + Keys + "}", true, false},
+      {R"({"name":"red","rate_per_s":9,"burst":[],)" + Keys + "}", true, false},
+      {R"({"name":"red","rate_per_s":9,"unit":"ton",)" + Keys + "}", true,
+       false},
+      {R"({"name":"red","rate_per_s":9,"unit":7,)" + Keys + "}", true, false},
+      {R"({"name":"red","rate_per_s":9,"priority":-1,)" + Keys + "}", true,
+       true},
+      {R"({"name":"red","rate_per_s":9,"api_keys":["","sekret-1",7,"a b"]})",
+       true, true},
+      {R"({"name":"red","rate_per_s":9,"api_keys":"sekret-1"})", false, false},
+      {R"({"name":"red","api_keys":[")" + std::string(300, 'k') + R"("]})",
+       false, false},
+      {R"({"name":"","rate_per_s":9,)" + Keys + "}", false, false},
+      {R"({"name":"blue","rate_per_s":9,)" + Keys + "}", false, false},
+      {R"({"rate_per_s":9,)" + Keys + "}", false, false},
+      {R"(["sekret-1"])", false, false},
+      {R"("sekret-1")", false, false},
+  }));
+  CAPTURE(wrong.Text);
+  auto plan = readPlan(
+      planWith(R"([{"name":"blue","api_keys":["k3"],"rate_per_s":3},)" +
+               wrong.Text + "]"));
+  REQUIRE(plan);
+  const auto &all = plan->workspaces();
+  REQUIRE(all.find("k3"));
+  CHECK(all.find("k3")->Limit);
+  const auto *red = all.find("sekret-1");
+  CHECK((red != nullptr) == wrong.HasKey);
+  if (red)
+    CHECK(red->Limit.has_value() == wrong.HasLimit);
+  for (const auto &it : all.Faults)
+    CHECK(it.find("sekret") == std::string::npos);
+  CHECK_FALSE(all.Faults.empty());
+}
+
+TEST_CASE("a plan that is no JSON is refused without a word of it",
+          "[documents]") {
+  auto plan = readPlan(
+      R"({"tenants":[{"name":"red","api_keys":["sekret-1" "sekret-2"]}]})");
+  REQUIRE_FALSE(plan);
+  CHECK(plan.error().find("sekret") == std::string::npos);
+  // Nor one whose workspaces are no list.
+  auto list = readPlan(planWith(R"({"red":"sekret-1"})"));
+  REQUIRE_FALSE(list);
+  CHECK(list.error().find("sekret") == std::string::npos);
+}
+
+TEST_CASE("no text of workspaces breaks the reader or shows a key",
+          "[documents]") {
+  const std::string Good = planWith(
+      R"([{"name":"red","api_keys":["sekret-1","sekret-2"],"priority":1,)"
+      R"("unit":"token","plain_tokens":200,"rate_per_s":9,"burst":9}])");
+  bool passed = rc::check("any damage to a plan", [&Good] {
+    auto text = Good;
+    auto changes = *rc::gen::inRange(1, 8);
+    for (int it = 0; it < changes; ++it) {
+      auto at = static_cast<std::size_t>(
+          *rc::gen::inRange<int>(0, static_cast<int>(text.size())));
+      if (*rc::gen::arbitrary<bool>())
+        text[at] = *rc::gen::element('"', ',', '[', ']', '{', '}', '-', '0',
+                                     'e', ' ', '\\', '\x80');
+      else
+        text.erase(at, 1);
+    }
+    auto plan = readPlan(text);
+    if (!plan) {
+      RC_ASSERT(plan.error().find("sekret") == std::string::npos);
+      return;
+    }
+    for (const auto &it : plan->workspaces().Faults)
+      RC_ASSERT(it.find("sekret") == std::string::npos);
+  });
+  CHECK(passed);
+}
+
 TEST_CASE("a replica's entry is read", "[documents]") {
   auto replica = readReplica(
       "i-1",
--- a/UnitTests/Platform/HeadersTest.cpp
+++ b/UnitTests/Platform/HeadersTest.cpp
@@ -88,6 +88,32 @@
     CHECK(valueOf(out, name).empty());
 }
 
+TEST_CASE("a caller's key and workspace are never passed on", "[headers]") {
+  ForwardLabels labels;
+  LabelFields sent{{"x-key", "secret"},
+                   {"X-Key", "second"},
+                   {"x-tenant", "forged"},
+                   {"X-Tenant", "forged again"}};
+  auto open = platformLabels().Forward(sent, labels);
+  for (const auto *name : {"x-key", "X-Key", "x-tenant", "X-Tenant"})
+    CHECK(valueOf(open, name).empty());
+  labels.Workspace = "red";
+  auto out = platformLabels().Forward(sent, labels);
+  CHECK(valueOf(out, "X-Tenant") == "red");
+  CHECK(valueOf(out, "x-tenant").empty());
+  CHECK(valueOf(out, "X-Key").empty());
+  // Which of two keys counts is nobody's guess.
+  CHECK(platformLabels().ReadRequest(sent).Caller.empty());
+}
+
+TEST_CASE("whether a request tells its tokens is read", "[headers]") {
+  auto read = platformLabels().ReadRequest;
+  CHECK(read({{"X-Token-Count", "0,80"}}).TellsTokens);
+  CHECK(read({{"X-Token-Count", "14"}}).TellsTokens);
+  CHECK_FALSE(read({{"X-Token-Count", "many"}}).TellsTokens);
+  CHECK_FALSE(read({}).TellsTokens);
+}
+
 TEST_CASE("a stream goes on behind the last event passed on", "[headers]") {
   ForwardLabels labels;
   LabelFields sent{{"Last-Event-Id", "5"}};
--- /dev/null
+++ b/UnitTests/State/Routing/WorkspaceTest.cpp
@@ -0,0 +1,104 @@
+#include "Hemlockglade/State/Routing/CallerAccess.h"
+
+#include <catch2/catch.hpp>
+
+namespace hemlockglade::test {
+
+namespace {
+
+using Denial = CallerAccess::Denial;
+
+WorkspaceDeclaration space(std::string name, std::vector<std::string> keys) {
+  WorkspaceDeclaration out;
+  out.Of.Name = std::move(name);
+  out.Keys = std::move(keys);
+  return out;
+}
+
+Route route(std::string prefix, bool isPublic) {
+  Route out;
+  out.Name = prefix;
+  out.Host = "a.example";
+  out.Prefix = std::move(prefix);
+  out.Targets = {{"s", 1}};
+  out.Public = isPublic;
+  return out;
+}
+
+RoutePlan plan(WorkspaceDirectory workspaces) {
+  return {1,
+          {route("/x/", false), route("/open/", true)},
+          {},
+          {},
+          std::move(workspaces)};
+}
+
+} // namespace
+
+TEST_CASE("a key is found, and nothing that is like it", "[workspace]") {
+  WorkspaceDirectory all({space("red", {"k1", "k2"}), space("blue", {"k3"})});
+  CHECK(all.required());
+  CHECK(all.keys() == 3);
+  REQUIRE(all.find("k2"));
+  CHECK(all.find("k2")->Name == "red");
+  CHECK(all.find("k3")->Name == "blue");
+  for (const auto *wrong : {"", "k", "K1", "k1 ", "k11", "red"})
+    CHECK_FALSE(all.find(wrong));
+}
+
+TEST_CASE("a key of two workspaces belongs to neither", "[workspace]") {
+  WorkspaceDirectory all({space("red", {"shared", "own"}),
+                          space("blue", {"shared"}),
+                          space("green", {"twice", "twice"})});
+  CHECK_FALSE(all.find("shared"));
+  CHECK(all.find("own"));
+  CHECK(all.find("twice"));
+  REQUIRE(all.Faults.size() == 1);
+  CHECK(all.Faults[0].find("blue") == 0);
+  CHECK(all.Faults[0].find("shared key") == std::string::npos);
+}
+
+TEST_CASE("route and workspace of a request are found", "[workspace]") {
+  auto of = plan(WorkspaceDirectory({space("red", {"k1"})}));
+  auto good = accessOf(of, "a.example", "/x/1", "k1");
+  CHECK(good.Denied == Denial::None);
+  CHECK(good.Way->Name == "/x/");
+  CHECK(good.Space->Name == "red");
+  CHECK(accessOf(of, "a.example", "/x/1", "").Denied == Denial::NoKey);
+  CHECK(accessOf(of, "a.example", "/x/1", "k").Denied == Denial::UnknownKey);
+  CHECK(accessOf(of, "a.example", "/y/", "k1").Denied == Denial::NoRoute);
+  CHECK(accessOf(of, "a.example", "/y/", "k").Denied == Denial::NoRoute);
+  // Open to all: also to those whose key is unknown, and counted for nobody.
+  for (const auto *key : {"", "k", "k1"}) {
+    auto open = accessOf(of, "a.example", "/open/1", key);
+    CHECK(open.Denied == Denial::None);
+    CHECK_FALSE(open.Space);
+  }
+}
+
+TEST_CASE("a plan without workspaces asks for no key", "[workspace]") {
+  auto of = plan({});
+  auto found = accessOf(of, "a.example", "/x/1", "k1");
+  CHECK(found.Denied == Denial::None);
+  CHECK_FALSE(found.Space);
+  // An empty list is not the same: nobody has a key.
+  auto nobody = plan(WorkspaceDirectory(std::vector<WorkspaceDeclaration>{}));
+  CHECK(accessOf(nobody, "a.example", "/x/1", "k1").Denied ==
+        Denial::UnknownKey);
+}
+
+TEST_CASE("a key is found among 10,000", "[workspace]") {
+  std::vector<WorkspaceDeclaration> declared;
+  for (int it = 0; it < 1000; ++it) {
+    declared.push_back(space("w" + std::to_string(it), {}));
+    for (int key = 0; key < 10; ++key)
+      declared.back().Keys.push_back("key-" + std::to_string(it) + "-" +
+                                     std::to_string(key));
+  }
+  WorkspaceDirectory all(std::move(declared));
+  CHECK(all.keys() == 10000);
+  CHECK(all.find("key-999-9")->Name == "w999");
+  CHECK_FALSE(all.find("key-1000-0"));
+}
+
+} // namespace hemlockglade::test
