--- a/Hemlockglade/Protocol/Account/LogAccount.cpp
+++ b/Hemlockglade/Protocol/Account/LogAccount.cpp
@@ -41,6 +41,8 @@
     ++Tries["not run, " + std::to_string(std::lround(line.number("status")))];
   else if (line.Event == "not-connected")
     ++Tries["not connected"];
+  else if (line.Event == "not-booked")
+    ++Limited[line.text("workspace")];
   else if (line.Event == "ended-under")
     ++Ends[line.text("key")];
   else if (line.Event == "request-barred")
@@ -109,6 +111,7 @@
   printWaits(out);
   printCounts(out, "refusals", Refusals);
   printCounts(out, "tries at replicas, by how they ended", Tries);
+  printCounts(out, "refused by a limit, by workspace", Limited);
   printEnds(out);
   printWindows(out);
 }
--- a/Hemlockglade/Protocol/Account/LogAccount.h
+++ b/Hemlockglade/Protocol/Account/LogAccount.h
@@ -66,6 +66,10 @@
   }
   /// Tries at replicas by how they ended.
   const std::map<std::string, std::uint64_t> &tries() const { return Tries; }
+  /// Requests that were not booked against their workspace's limit.
+  const std::map<std::string, std::uint64_t> &limited() const {
+    return Limited;
+  }
   /// Ends of replicas under requests, by the requests' keys, and the keys that
   /// were barred.
   const std::map<std::string, std::uint64_t> &ends() const { return Ends; }
@@ -102,6 +106,7 @@
   std::map<std::string, WaitCounts> Waits;
   std::map<std::string, std::uint64_t> Refusals;
   std::map<std::string, std::uint64_t> Tries;
+  std::map<std::string, std::uint64_t> Limited;
   std::map<std::string, std::uint64_t> Ends;
   std::set<std::string> Barred;
   std::map<std::pair<std::string, std::int64_t>, WindowCounts> Windows;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -51,6 +51,9 @@
 
 constexpr MetricFamily RequestsFamily{"hemlockglade_requests_total",
                                       "Requests that ended, by result."};
+constexpr MetricFamily WorkspaceFamily{
+    "hemlockglade_workspace_requests_total",
+    "Requests of workspaces that ended, by result: complete, limited, other."};
 constexpr MetricFamily FirstByteFamily{
     "hemlockglade_first_byte_seconds",
     "Time from a request's arrival to the first byte of its answer."};
@@ -120,6 +123,12 @@
                                 static_cast<std::uint64_t>(Most.count())));
 }
 
+std::string_view resultOf(const GatewayExchange &exchange) {
+  if (exchange.status() == TooMany)
+    return "limited";
+  return isSuccess(exchange.status()) ? "complete" : "other";
+}
+
 std::string newIncarnation() {
   std::random_device random;
   constexpr std::string_view Hex = "0123456789abcdef";
@@ -442,6 +451,11 @@
       .counter(RequestsFamily,
                {{"service", service}, {"result", exchange.outcome()}})
       .add(1);
+  if (auto space = exchange.workspace(); !space.empty())
+    Metrics
+        .counter(WorkspaceFamily,
+                 {{"workspace", space}, {"result", resultOf(exchange)}})
+        .add(1);
   if (auto first = exchange.firstByte())
     Metrics.histogram(FirstByteFamily, {{"service", service}})
         .record(inSeconds(*first));
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -102,6 +102,8 @@
   Booked = what == QuotaLink::Verdict::Go;
   if (Done)
     return giveBack();
+  if (!Booked)
+    noteLimited(retryAfter);
   if (what == QuotaLink::Verdict::Limited)
     return answerOwn(TooMany, "beyond its workspace's limit", retryAfter);
   if (what == QuotaLink::Verdict::NoKeeper)
@@ -110,6 +112,22 @@
   next();
 }
 
+void GatewayExchange::noteLimited(Span retryAfter) {
+  const auto &limit = *Space->Limit;
+  bool tokens = limit.Unit == LimitUnit::Tokens;
+  Shared.Log.write(
+      LogClass::Request, "not-booked",
+      {{"request", Labels.Id},
+       {"workspace", Space->Name},
+       {"asked_for", units()},
+       {"unit", tokens ? "tokens" : "requests"},
+       {"limit_per_s", limit.PerSecond},
+       {"burst", limit.Burst},
+       {"plan", Plan->version()},
+       {"decided_after_ms", TimerService::now() - Request.ArrivedAt},
+       {"retry_after_ms", retryAfter}});
+}
+
 void GatewayExchange::giveBack() {
   if (std::exchange(Booked, false))
     Shared.Limits.GiveBack(*Space, units());
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -117,6 +117,10 @@
   std::uint32_t rank() const { return Query.Rank; }
   const RequestKey &key() const { return Key; }
   const std::string &service() const { return Query.Service; }
+  /// Name of its workspace; empty if it counts for none.
+  std::string_view workspace() const {
+    return Space ? std::string_view(Space->Name) : std::string_view();
+  }
   std::uint16_t status() const { return Status; }
   std::string_view outcome() const { return Result; }
   Instant arrivedAt() const { return Request.ArrivedAt; }
@@ -154,6 +158,7 @@
   void onBooked(QuotaLink::Verdict what, Span retryAfter);
   /// Units that the request counts as.
   double units() const;
+  void noteLimited(Span retryAfter);
   void giveBack();
   void next();
   /// Answers a request that must not be sent; whether it was one.
@@ -193,9 +198,6 @@
   Span timeLeft() const;
   Span retryAfter() const;
   bool engine() const { return Query.Weights.has_value(); }
-  std::string_view workspace() const {
-    return Space ? std::string_view(Space->Name) : std::string_view();
-  }
 
   ExchangeContext &Shared;
   const ExchangeSettings &Setup;
--- a/UnitTests/Platform/Soak/SoakCallers.cpp
+++ b/UnitTests/Platform/Soak/SoakCallers.cpp
@@ -73,12 +73,43 @@
       {std::string(platform_name::TokenCounts), "200,48"},
       {std::string(platform_name::PromptParts), "a1:100,c1:100"},
       {"Content-Length", "0"}};
+  if (Workspaces)
+    addKey(head, "free");
   auto connection = Pool.take(parseEndpoint(address), Span(0));
   HttpCallHooks hooks;
   hooks.OnDone = [connection] { connection->abort(); };
   connection->call(writeHead(head), "", false, std::move(hooks));
 }
 
+void SoakCallers::addKey(HttpRequestHead &head,
+                         const std::string &workspace) const {
+  head.Fields.push_back({std::string(platform_name::CallerKey),
+                         SoakWorkspaces::keyOf(workspace, Plan)});
+  head.Fields.push_back(
+      {std::string(SoakWorkspaces::Truth),
+       SoakWorkspaces::truthOf(workspace, TimerService::now())});
+  // Nobody may choose the workspace that replicas are told.
+  head.Fields.push_back({std::string(platform_name::Workspace), "forged"});
+}
+
+void SoakCallers::probeRevoked(SoakNode &node) {
+  HttpRequestHead head{"GET", "/look/revoked", {}};
+  head.Fields = {
+      {"Host", "a.example"},
+      {std::string(platform_name::RequestId), "v" + std::to_string(++Number)},
+      {std::string(platform_name::TimeLeftMs), "400"},
+      {std::string(platform_name::CallerKey), SoakWorkspaces::revokedBy(Plan)}};
+  auto connection = Pool.take(parseEndpoint(node.caller()));
+  HttpCallHooks hooks;
+  ++Seen.RevokedTried;
+  hooks.OnHead = [this](const HttpAnswerHead &answer) {
+    Seen.RevokedServed += answer.Status < FirstError ? 1 : 0;
+    return true;
+  };
+  hooks.OnDone = [this, connection] { Pool.give(connection); };
+  connection->call(writeHead(head), "", false, std::move(hooks));
+}
+
 void SoakCallers::next() {
   if (!Going)
     return;
@@ -162,6 +193,8 @@
   add(platform_name::TimeLeftMs,
       std::to_string(milliseconds(Deadline).count()));
   add("Content-Length", std::to_string(body.size()));
+  if (Workspaces)
+    addKey(head, Workspaces->draw());
   if (it->Stream) {
     add(platform_name::Weights, it->Adapter);
     add(platform_name::TokenCounts, "200,48");
@@ -213,6 +246,8 @@
     Pool.give(sending->Connection);
   Seen.Complete += outcome == "complete";
   Seen.Refused += outcome == "not-run";
+  constexpr std::uint16_t TooMany = 429;
+  Seen.Limited += sending->Head && sending->Head->Status == TooMany;
   Seen.Failed += outcome == "failed";
   Seen.Unknown += outcome == "unknown" || outcome == "none";
   Seen.Left += outcome == "left";
@@ -234,8 +269,11 @@
   if (!Going)
     return;
   for (auto &it : Nodes)
-    if (it->running() && !it->paused() && !it->stopping())
+    if (it->running() && !it->paused() && !it->stopping()) {
       probe(*it);
+      if (Workspaces && Plan > 1)
+        probeRevoked(*it);
+    }
 }
 
 void SoakCallers::probe(SoakNode &node) {
@@ -245,6 +283,8 @@
       {"Host", "a.example"},
       {std::string(platform_name::RequestId), "p" + std::to_string(++Number)},
       {std::string(platform_name::TimeLeftMs), "400"}};
+  if (Workspaces)
+    addKey(head, "free");
   auto askedAt = TimerService::now();
   auto connection = Pool.take(parseEndpoint(node.caller()));
   auto status = std::make_shared<std::uint16_t>(0);
--- a/UnitTests/Platform/Soak/SoakCallers.h
+++ b/UnitTests/Platform/Soak/SoakCallers.h
@@ -19,6 +19,11 @@
     int Failed = 0;
     int Unknown = 0;
     int Left = 0;
+    /// Refused for being beyond a limit.
+    int Limited = 0;
+    /// Revoked keys that were tried, and those of them that were let in.
+    int RevokedTried = 0;
+    int RevokedServed = 0;
   };
 
   SoakCallers(asio::io_context &context,
@@ -31,6 +36,8 @@
   void setPlan(std::uint64_t version) { Plan = version; }
   /// Time between sendings of a request that crashes replicas; none if 0.
   void setCrashingEvery(Span every) { CrashingEvery = every; }
+  /// Callers belong to these workspaces and show their keys.
+  void setWorkspaces(SoakWorkspaces *all) { Workspaces = all; }
   void start();
   void stop() { Going = false; }
   bool idle() const { return Open == 0; }
@@ -53,6 +60,9 @@
   void sendCrashing();
   void probe(SoakNode &node);
   void probeAll();
+  /// Shows a key that the plan in force has taken away.
+  void probeRevoked(SoakNode &node);
+  void addKey(HttpRequestHead &head, const std::string &workspace) const;
   std::shared_ptr<Sending> draw();
   void onHead(Sending &sending, const HttpAnswerHead &head);
   void finish(const std::shared_ptr<Sending> &sending, std::string outcome,
@@ -63,6 +73,7 @@
   asio::io_context &Context;
   std::list<std::unique_ptr<SoakNode>> &Nodes;
   SoakHistory &History;
+  SoakWorkspaces *Workspaces = nullptr;
   TimerService Timers;
   HttpPool Pool;
   HttpCaller Asking;
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -19,7 +19,7 @@
 DEFINE_double(rate, 40, "requests a second");
 DEFINE_double(recovery, 12, "time to serve again after faults, in seconds");
 DEFINE_string(plant, "",
-              "a breach that the verdict has to find: swap, twice "
+              "a breach that the verdict has to find: workspace, swap, twice "
               "or refused");
 DEFINE_double(fault_every, 0.7, "mean time between faults, in seconds");
 DEFINE_double(crashing_every, 0,
@@ -32,6 +32,9 @@
               "time between losses of all gateways that callers were last "
               "named, in seconds; 0 for none");
 
+DEFINE_bool(workspaces, false,
+            "callers belong to workspaces with keys, one beyond its limit");
+
 namespace hemlockglade::soak {
 
 namespace {
@@ -57,6 +60,37 @@
   return holds;
 }
 
+bool say(bool holds, const std::string &what) {
+  std::cout << (holds ? "held    " : "BROKEN  ") << what << '\n';
+  return holds;
+}
+
+bool judgeWorkspaces(const SoakWorld &world) {
+  const auto *all = world.workspaces();
+  if (!all)
+    return true;
+  bool known = say(all->faults().empty(),
+                   "each run is its caller's workspace's, without a key: " +
+                       std::to_string(all->faults().size()) + " are not");
+  if (!known)
+    std::cout << "  " << all->faults().front() << '\n';
+  auto [most, allowed] = all->mostInWindow();
+  bool held =
+      say(static_cast<double>(most) <= allowed,
+          "a limit holds over all gateways: " + std::to_string(most) +
+              " run in a window, " + std::to_string(allowed) + " may be");
+  for (const auto &name : SoakWorkspaces::names())
+    held = say(all->runsOf(name) > 0,
+               "nobody starves: " + std::to_string(all->runsOf(name)) +
+                   " run of " + name) &&
+           held;
+  auto [tried, served] = world.quietRevoked();
+  return say(served == 0,
+             "a revoked key is refused: " + std::to_string(served) + " of " +
+                 std::to_string(tried) + " served") &&
+         held;
+}
+
 bool judge(SoakWorld &world) {
   HistoryBounds bounds;
   bounds.Configuration = GatewaySettings{}.PlanBound;
@@ -76,7 +110,8 @@
   bool lives = world.selfEnds() == 0;
   std::cout << (lives ? "held    " : "BROKEN  ")
             << "no gateway ends by itself: " << world.selfEnds() << " ends\n";
-  return judgeCrashes(world) && held && serves && lives;
+  return judgeCrashes(world) && judgeWorkspaces(world) && held && serves &&
+         lives;
 }
 
 std::optional<SoakReplica::Plant> plantNamed(std::string_view name) {
@@ -89,6 +124,8 @@
     return Plant::RunsTwice;
   if (name == "refused")
     return Plant::RunsRefused;
+  if (name == "workspace")
+    return Plant::MistakesWorkspace;
   return std::nullopt;
 }
 
@@ -110,6 +147,7 @@
   settings.FaultEvery = spanOf(FLAGS_fault_every);
   settings.EntriesEvery = spanOf(FLAGS_entries_every);
   settings.DrillEvery = spanOf(FLAGS_drill_every);
+  settings.Workspaces = FLAGS_workspaces;
   settings.CrashingEvery = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
   auto planted = plantNamed(FLAGS_plant);
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -304,6 +304,14 @@
     it->Next = std::stoi(behind) + 1;
   it->BreaksOff = Now == Mood::BreaksOff && Random() % 2;
   noteRun(*it);
+  if (Workspaces)
+    Workspaces->onRun(
+        field(request, SoakWorkspaces::Truth),
+        Setup.Planted == Plant::MistakesWorkspace
+            ? "another"
+            : field(request, platform_name::Workspace),
+        findField(request.Head.Fields, platform_name::CallerKey) != nullptr,
+        TimerService::now());
   if (Setup.Planted == Plant::RunsTwice) {
     it->Number = ++Runs;
     noteRun(*it);
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -3,6 +3,7 @@
 #include "UnitTests/Platform/Soak/SoakHistory.h"
 #include "UnitTests/Platform/Soak/SoakProxy.h"
 #include "UnitTests/Platform/Soak/SoakStore.h"
+#include "UnitTests/Platform/Soak/SoakWorkspaces.h"
 
 #include <memory>
 #include <random>
@@ -54,6 +55,8 @@
     RunsTwice,
     /// Runs what it says not to have run.
     RunsRefused,
+    /// Takes requests for another workspace's.
+    MistakesWorkspace,
   };
   struct Settings {
     std::string Service;
@@ -80,6 +83,8 @@
   void leave();
   /// Called as it begins to run a request that crashes it.
   std::function<void()> OnCrashing;
+  /// Told of each run, where there are workspaces.
+  void setWorkspaces(SoakWorkspaces *all) { Workspaces = all; }
 
 private:
   struct Run;
@@ -110,6 +115,7 @@
   Settings Setup;
   SoakStore &Store;
   SoakHistory &History;
+  SoakWorkspaces *Workspaces = nullptr;
   TimerService Timers;
   std::mt19937_64 Random;
   std::string Incarnation;
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -129,6 +129,11 @@
 }
 
 void SoakWorld::play(Span faulty) {
+  if (Setup.Workspaces) {
+    Callers.setWorkspaces(&Workspaces);
+    for (auto &it : Replicas)
+      it->setWorkspaces(&Workspaces);
+  }
   constexpr auto LookEvery = milliseconds(20);
   Looking = Timers.every(LookEvery, [this](Instant) {
     for (auto &it : Nodes)
@@ -153,7 +158,10 @@
   auto before = Callers.counts();
   runFor(QuietTime);
   auto after = Callers.counts();
-  Quiet = {after.Sent - before.Sent - (after.Left - before.Left),
+  QuietRevoked = {after.RevokedTried - before.RevokedTried,
+                  after.RevokedServed - before.RevokedServed};
+  Quiet = {after.Sent - before.Sent - (after.Left - before.Left) -
+               (after.Limited - before.Limited),
            after.Complete - before.Complete};
   Callers.stop();
   constexpr auto Last = seconds(5);
@@ -420,6 +428,8 @@
             {"routes", routes},
             {"services", services},
             {"limits", Json::object()}};
+  if (Setup.Workspaces)
+    plan["tenants"] = SoakWorkspaces::declared(Plan);
   Store.put(platform_name::OperatorTable, platform_name::PlanKey, plan.dump());
   auto &event = History.note("operator", "accepted");
   event.Revision = Plan;
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -28,6 +28,9 @@
     Span CrashingEvery{0};
     /// Mean time between returns of the store as it was before; none if 0.
     Span DrillEvery{0};
+    /// Callers belong to workspaces, with keys that each plan changes; one of
+    /// them sends far beyond its limit.
+    bool Workspaces = false;
     /// Time after the last fault until the deployment must serve again.
     Span Recovery = std::chrono::seconds(12);
     SoakReplica::Plant Planted = SoakReplica::Plant::None;
@@ -46,6 +49,12 @@
   std::pair<int, int> quietEnd() const { return Quiet; }
   /// Times that a gateway ended by itself.
   int selfEnds() const;
+  /// What replicas saw of workspaces; null if there are none.
+  const SoakWorkspaces *workspaces() const {
+    return Setup.Workspaces ? &Workspaces : nullptr;
+  }
+  /// Revoked keys that were tried at the quiet end, and how many were served.
+  std::pair<int, int> quietRevoked() const { return QuietRevoked; }
   /// When replicas began to run the request that crashes them.
   const std::vector<Instant> &crashes() const { return Crashes; }
 
@@ -100,6 +109,7 @@
   asio::signal_set Ends{Context, SIGTERM, SIGINT, SIGHUP};
   SoakHistory History;
   SoakStore Store;
+  SoakWorkspaces Workspaces{Setup.Seed};
   std::list<std::unique_ptr<SoakNode>> Nodes;
   std::list<std::unique_ptr<SoakReplica>> Replicas;
   SoakCallers Callers;
@@ -109,6 +119,7 @@
   std::uint64_t Plan = 0;
   std::map<std::string, std::uint32_t> Versions;
   std::pair<int, int> Quiet{0, 0};
+  std::pair<int, int> QuietRevoked{0, 0};
   std::vector<Instant> Crashes;
   TimerService::Subscription Looking;
 };
