--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -84,9 +84,9 @@
 double GatewayExchange::units() const {
   if (Space->Limit->Unit == LimitUnit::Requests)
     return 1;
-  return Labels.TellsTokens
-             ? double{Labels.PromptTokens} + double{Labels.MaxOutputTokens}
-             : Space->Limit->PlainTokens;
+  return Labels.TellsTokens ? static_cast<double>(Labels.PromptTokens) +
+                                  static_cast<double>(Labels.MaxOutputTokens)
+                            : Space->Limit->PlainTokens;
 }
 
 void GatewayExchange::book() {
