Gateway: metrics, access and turns in files of their own

Change: moves only: counts to GatewayMetrics.cpp, refusals to GatewayAccess.cpp, limits and turns of an exchange to GatewayExchangeTurns.cpp.

--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -49,64 +49,6 @@
 constexpr auto StartingRetry = std::chrono::milliseconds(300);
 constexpr auto AwayRetry = std::chrono::milliseconds(2000);
 
-constexpr MetricFamily RequestsFamily{"hemlockglade_requests_total",
-                                      "Requests that ended, by result."};
-constexpr MetricFamily WorkspaceFamily{
-    "hemlockglade_workspace_requests_total",
-    "Requests of workspaces that ended, by result: complete, limited, other."};
-constexpr MetricFamily FirstByteFamily{
-    "hemlockglade_first_byte_seconds",
-    "Time from a request's arrival to the first byte of its answer."};
-constexpr MetricFamily RequestTimeFamily{
-    "hemlockglade_request_seconds",
-    "Time from a request's arrival to the end of its answer."};
-constexpr MetricFamily HeldFamily{
-    "hemlockglade_held_seconds",
-    "Time that requests were held before they were first sent to a replica."};
-constexpr MetricFamily RefusedFamily{
-    "hemlockglade_refused_total",
-    "Requests that were refused before a route was found for them, by status."};
-constexpr MetricFamily OrdersFamily{
-    "hemlockglade_orders", "Orders to replicas since the start, by cell."};
-constexpr MetricFamily CellFamily{
-    "hemlockglade_cell_ordering",
-    "1 for each cell whose replicas this node may give orders to."};
-constexpr MetricFamily RegistryCallsFamily{
-    "hemlockglade_registry_calls",
-    "Calls to the registry since the start, by what they were for."};
-constexpr MetricFamily PeerMessagesFamily{
-    "hemlockglade_peer_messages",
-    "Messages to other nodes about cells since the start, by kind and by "
-    "whether they went to the own failure domain."};
-constexpr MetricFamily PeerBytesFamily{
-    "hemlockglade_peer_bytes",
-    "Bytes of messages to other nodes about cells since the start."};
-constexpr MetricFamily InServiceFamily{"hemlockglade_in_service",
-                                       "1 if callers are sent to this node."};
-constexpr MetricFamily WaitingFamily{"hemlockglade_waiting_requests",
-                                     "Requests that wait for a replica."};
-constexpr MetricFamily ServingFamily{"hemlockglade_serving_requests",
-                                     "Requests that are being served."};
-constexpr MetricFamily PlanFamily{"hemlockglade_plan_version",
-                                  "Version of the plan in force."};
-constexpr MetricFamily DeclaredAgeFamily{
-    "hemlockglade_declarations_age_seconds",
-    "Time since operators' declarations were surely as this node has them."};
-constexpr MetricFamily ReplicasAgeFamily{
-    "hemlockglade_replicas_age_seconds",
-    "Time since the registered replicas were surely as this node has them."};
-constexpr MetricFamily SuspectsFamily{
-    "hemlockglade_crash_suspects",
-    "Requests under which replicas ended, barred ones among them."};
-constexpr MetricFamily BarredFamily{
-    "hemlockglade_crash_barred",
-    "Requests that are sent to no replica, since several ended under them."};
-constexpr MetricFamily EndsSeenFamily{
-    "hemlockglade_replica_ends_seen",
-    "Replicas that this node found gone behind a broken connection."};
-constexpr MetricFamily LogLeftOutFamily{"hemlockglade_log_lines_left_out",
-                                        "Log lines left out by the bound."};
-
 RepeatBudget::Settings budgetOf(const GatewaySettings &settings) {
   RepeatBudget::Settings out;
   out.Share = settings.RepeatShare;
@@ -123,12 +65,6 @@
                                 static_cast<std::uint64_t>(Most.count())));
 }
 
-std::string_view resultOf(const GatewayExchange &exchange) {
-  if (exchange.status() == TooMany)
-    return "limited";
-  return isSuccess(exchange.status()) ? "complete" : "other";
-}
-
 std::string newIncarnation() {
   std::random_device random;
   constexpr std::string_view Hex = "0123456789abcdef";
@@ -384,22 +320,6 @@
     it->onRestarted(before.Life);
 }
 
-void Gateway::refuse(CallerReply &reply, std::string_view id,
-                     std::uint16_t status, std::string_view why,
-                     std::optional<Span> retryAfter) {
-  Metrics.counter(RefusedFamily, {{"status", std::to_string(status)}}).add(1);
-  Log.write(LogClass::Request, "refused",
-            {{"request", id},
-             {"status", std::uint32_t{status}},
-             {"why", why},
-             {"plan", Plan ? Plan->version() : 0},
-             {"declared_age_ms", Watch->operatorAge()}});
-  HttpAnswerHead head{status, fieldsOf(Port.Labels.OwnAnswer(id))};
-  if (retryAfter)
-    head.Fields.push_back(retryAfterField(*retryAfter));
-  reply.respond(std::move(head), why);
-}
-
 void Gateway::onRequest(CallerRequest request,
                         std::shared_ptr<CallerReply> reply) {
   auto labels = Port.Labels.ReadRequest(viewsOf(request.Head.Fields));
@@ -445,32 +365,6 @@
          inSeconds(Settings.StopBound);
 }
 
-void Gateway::onEnd(const GatewayExchange &exchange) {
-  std::string_view service = exchange.service();
-  Metrics
-      .counter(RequestsFamily,
-               {{"service", service}, {"result", exchange.outcome()}})
-      .add(1);
-  if (auto space = exchange.workspace(); !space.empty())
-    Metrics
-        .counter(WorkspaceFamily,
-                 {{"workspace", space}, {"result", resultOf(exchange)}})
-        .add(1);
-  if (auto first = exchange.firstByte())
-    Metrics.histogram(FirstByteFamily, {{"service", service}})
-        .record(inSeconds(*first));
-  Metrics.histogram(RequestTimeFamily, {{"service", service}})
-      .record(inSeconds(TimerService::now() - exchange.arrivedAt()));
-  Metrics.histogram(HeldFamily, {{"service", service}})
-      .record(inSeconds(exchange.heldFor()));
-  Meter.onBytes(exchange.bytesMoved(), TimerService::now());
-  auto self =
-      std::const_pointer_cast<GatewayExchange>(exchange.shared_from_this());
-  // The exchange's own functions may still run; it goes when they are over.
-  asio::post(Context, [self] {});
-  Exchanges.erase(self);
-}
-
 void Gateway::wakeWaiting() {
   if (std::exchange(WakePosted, true))
     return;
@@ -497,83 +391,6 @@
   Quotas.tick();
 }
 
-void Gateway::refresh() {
-  for (const auto &it : View.tidy(TimerService::now()))
-    Crashes.onEnded(it);
-  Pool.tidy();
-  Crashes.tidy();
-  Port.Tidy();
-  std::size_t waiting = 0;
-  for (const auto &it : Exchanges)
-    waiting += it->waiting() ? 1 : 0;
-  for (const auto &[name, cell] : Cells) {
-    Metrics.gauge(OrdersFamily, {{"cell", name}})
-        .set(static_cast<double>(cell->orders()));
-    Metrics.gauge(CellFamily, {{"cell", name}})
-        .set(cell->lease().mayOrder() ? 1 : 0);
-  }
-  Metrics.gauge(WaitingFamily).set(static_cast<double>(waiting));
-  Metrics.gauge(ServingFamily).set(static_cast<double>(Exchanges.size()));
-  Metrics.gauge(PlanFamily)
-      .set(Plan ? static_cast<double>(Plan->version()) : 0);
-  Metrics.gauge(DeclaredAgeFamily).set(inSeconds(Watch->operatorAge()));
-  Metrics.gauge(ReplicasAgeFamily).set(inSeconds(Watch->replicasAge()));
-  Metrics.gauge(LogLeftOutFamily).set(static_cast<double>(Log.dropped()));
-  Metrics.gauge(InServiceFamily).set(InService ? 1 : 0);
-  Metrics.gauge(SuspectsFamily).set(static_cast<double>(Crashes.suspects()));
-  Metrics.gauge(BarredFamily).set(static_cast<double>(Crashes.barred()));
-  Metrics.gauge(EndsSeenFamily).set(static_cast<double>(Crashes.ended()));
-  refreshUsage();
-}
-
-void Gateway::refreshUsage() {
-  auto calls = Port.Calls();
-  auto setCalls = [this](std::string_view kind, std::uint64_t n) {
-    Metrics.gauge(RegistryCallsFamily, {{"kind", kind}})
-        .set(static_cast<double>(n));
-  };
-  setCalls("operator", calls.Operator);
-  setCalls("replicas", calls.Replicas);
-  setCalls("lease_reads", calls.LeaseReads);
-  setCalls("lease_writes", calls.LeaseWrites);
-  for (std::size_t it = 0; it < PeerTraffic::Kinds; ++it)
-    for (bool near : {true, false}) {
-      auto kind = static_cast<PeerMessage>(it);
-      const auto &sum = Traffic.sum(kind, near);
-      auto name = peerMessageName(kind);
-      std::string_view to = near ? "own" : "another";
-      Metrics.gauge(PeerMessagesFamily, {{"kind", name}, {"to", to}})
-          .set(static_cast<double>(sum.Messages));
-      Metrics.gauge(PeerBytesFamily, {{"kind", name}, {"to", to}})
-          .set(static_cast<double>(sum.Bytes));
-    }
-}
-
-void Gateway::logUsage() {
-  auto calls = Port.Calls();
-  auto bytes = [this](PeerMessage kind, bool near) {
-    return Traffic.sum(kind, near).Bytes;
-  };
-  Log.write(LogClass::State, "usage",
-            {{"in_service", InService},
-             {"calls_operator", calls.Operator},
-             {"calls_replicas", calls.Replicas},
-             {"calls_lease_reads", calls.LeaseReads},
-             {"calls_lease_writes", calls.LeaseWrites},
-             {"node_beats_near", bytes(PeerMessage::NodeBeat, true)},
-             {"node_beats_far", bytes(PeerMessage::NodeBeat, false)},
-             {"node_notices_near", bytes(PeerMessage::NodeNotice, true)},
-             {"node_notices_far", bytes(PeerMessage::NodeNotice, false)},
-             {"owner_beats_near", bytes(PeerMessage::OwnerBeat, true)},
-             {"owner_beats_far", bytes(PeerMessage::OwnerBeat, false)},
-             {"owner_notices_near", bytes(PeerMessage::OwnerNotice, true)},
-             {"owner_notices_far", bytes(PeerMessage::OwnerNotice, false)},
-             {"quota_asks_near", bytes(PeerMessage::QuotaAsk, true)},
-             {"quota_asks_far", bytes(PeerMessage::QuotaAsk, false)},
-             {"quota_grants_near", bytes(PeerMessage::QuotaGrant, true)},
-             {"quota_grants_far", bytes(PeerMessage::QuotaGrant, false)}});
-}
-
 void Gateway::reload(const GatewaySettings &settings) {
   // Addresses and names can't change under a running node; bounds can.
   Settings.StopBound = settings.StopBound;
--- a/Programs/hemlockgladed/Gateway/GatewayAccess.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayAccess.cpp
@@ -1,4 +1,4 @@
-// Which callers' requests a gateway turns away before it looks for a replica.
+// Whom a gateway lets in: keys, routes, and its part in workspaces' limits.
 
 #include "Programs/hemlockgladed/Gateway/Gateway.h"
 #include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr MetricFamily RefusedFamily{
+    "hemlockglade_refused_total",
+    "Requests that were refused before a route was found for them, by status."};
 /// Age up to which what is known of the declarations serves to deny a key: who
 /// was given one just now may already use it.
 constexpr Span KeyDenialAge = std::chrono::milliseconds(100);
@@ -33,6 +36,22 @@
 
 } // namespace
 
+void Gateway::refuse(CallerReply &reply, std::string_view id,
+                     std::uint16_t status, std::string_view why,
+                     std::optional<Span> retryAfter) {
+  Metrics.counter(RefusedFamily, {{"status", std::to_string(status)}}).add(1);
+  Log.write(LogClass::Request, "refused",
+            {{"request", id},
+             {"status", std::uint32_t{status}},
+             {"why", why},
+             {"plan", Plan ? Plan->version() : 0},
+             {"declared_age_ms", Watch->operatorAge()}});
+  HttpAnswerHead head{status, fieldsOf(Port.Labels.OwnAnswer(id))};
+  if (retryAfter)
+    head.Fields.push_back(retryAfterField(*retryAfter));
+  reply.respond(std::move(head), why);
+}
+
 QuotaLink::Hooks Gateway::quotaHooks() {
   QuotaLink::Hooks hooks;
   hooks.OwnerOf = [this](const std::string &cell) {
