A deployment without cells keeps no limit instead of failing

Cause: with an empty list of failure domains the keepers of a limit were taken modulo none. Change: no keeper; booking says so.

--- a/Hemlockglade/Coordination/Quota/QuotaAccount.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaAccount.cpp
@@ -25,6 +25,8 @@
 
 void QuotaAccount::openPurses(const std::string &name, Book &book) const {
   auto keepers = keepersOf(name, book.Limit, Cells, Quota);
+  if (keepers.empty())
+    return;
   // The own cell's owner is near; behind it entries of different cells begin
   // with different keepers.
   auto own = std::find(keepers.begin(), keepers.end(), Own);
@@ -143,12 +145,16 @@
     purse.Granted -= units;
     return;
   }
-  book.Purses.front().Spent += units;
+  if (!book.Purses.empty())
+    book.Purses.front().Spent += units;
 }
 
 void QuotaAccount::giveBack(const Workspace &workspace, double units,
                             Instant now) {
-  auto &purse = bookOf(workspace, now).Purses.front();
+  auto &book = bookOf(workspace, now);
+  if (book.Purses.empty())
+    return;
+  auto &purse = book.Purses.front();
   // What was used without a grant is settled first.
   auto settled = std::min(units, purse.Spent);
   purse.Spent -= settled;
--- a/Hemlockglade/Coordination/Quota/QuotaParts.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaParts.cpp
@@ -25,6 +25,8 @@
                                    const WorkspaceLimit &limit,
                                    std::span<const std::string> cells,
                                    const QuotaSettings &settings) {
+  if (cells.empty())
+    return {};
   bool tokens = limit.Unit == LimitUnit::Tokens;
   auto least = tokens ? settings.LeastPartTokens : settings.LeastPartRequests;
   auto parts = std::floor(allowanceOf(limit, settings) / least);
--- a/UnitTests/Coordination/Quota/QuotaTest.cpp
+++ b/UnitTests/Coordination/Quota/QuotaTest.cpp
@@ -202,6 +202,17 @@
   CHECK(it.outcome(from).second < 0.1);
 }
 
+TEST_CASE("a deployment without cells keeps no limit", "[quota]") {
+  QuotaAccount it(QuotaAccount::Settings{}, bounds());
+  Workspace space{"w", std::nullopt, large()};
+  auto decision = it.book(1, space, 1, seconds(1));
+  REQUIRE(decision);
+  CHECK(decision->What == Verdict::NoKeeper);
+  it.charge(space, 1, seconds(1));
+  it.giveBack(space, 1, seconds(1));
+  CHECK(it.takeAsks(seconds(1)).empty());
+}
+
 TEST_CASE("figures of the ways to share a limit", "[.figures]") {
   std::cout << "way entries load refused used messages/request window\n";
   for (auto way : {QuotaWay::Granted, QuotaWay::AskEach, QuotaWay::EvenSplit})
