--- a/UnitTests/Coordination/Route/PlainServiceTest.cpp
+++ b/UnitTests/Coordination/Route/PlainServiceTest.cpp
@@ -69,6 +69,7 @@
 TEST_CASE("few requests of a workspace wait behind few of another", "[plain]") {
   TurnQueue it;
   std::vector<TurnQueue::Ticket> many;
+  many.reserve(10);
   for (int n = 0; n < 10; ++n)
     many.push_back(it.join("s", {"many", 0, seconds(20), {}}));
   auto few = it.join("s", {"few", 0, seconds(20), {}});
