Account of limits: one way to use a grant, one place for the demand's decay

Cause: booking and charging walked the same loop over grants, and the decay of the demand stood twice. Change: useGranted and demandOf; behaviour is the same. Measured: tests of limits and windows pass; formatting clean.

--- a/Hemlockglade/Coordination/Quota/QuotaAccount.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaAccount.cpp
@@ -66,10 +66,13 @@
   return book;
 }
 
+double QuotaAccount::demandOf(const Book &book, Instant now) const {
+  return book.Demand * std::exp(-inSeconds(now - book.DemandAt) /
+                                inSeconds(Setup.DemandOver));
+}
+
 void QuotaAccount::noteDemand(Book &book, double units, Instant now) const {
-  auto over = inSeconds(Setup.DemandOver);
-  book.Demand *= std::exp(-inSeconds(now - book.DemandAt) / over);
-  book.Demand += units / over;
+  book.Demand = demandOf(book, now) + units / inSeconds(Setup.DemandOver);
   book.DemandAt = now;
   constexpr double Weight = 0.1;
   book.UsualUnits +=
@@ -88,20 +91,26 @@
   purse.Granted = 0;
 }
 
-std::optional<QuotaAccount::Decision>
-QuotaAccount::book(Ticket number, const Workspace &workspace, double units,
-                   Instant now) {
-  auto &book = bookOf(workspace, now);
-  noteDemand(book, units, now);
+bool QuotaAccount::useGranted(Book &book, double units, Instant now) const {
   for (auto &purse : book.Purses) {
     lapse(purse, now);
     if (purse.Granted < units)
       continue;
     purse.Granted -= units;
-    markDue(book);
-    return Decision{number, Verdict::Go, Span(0)};
+    return true;
   }
-  return place(book, 0, {number, units}, now);
+  return false;
+}
+
+std::optional<QuotaAccount::Decision>
+QuotaAccount::book(Ticket number, const Workspace &workspace, double units,
+                   Instant now) {
+  auto &book = bookOf(workspace, now);
+  noteDemand(book, units, now);
+  if (!useGranted(book, units, now))
+    return place(book, 0, {number, units}, now);
+  markDue(book);
+  return Decision{number, Verdict::Go, Span(0)};
 }
 
 std::optional<QuotaAccount::Decision>
@@ -138,14 +147,7 @@
 void QuotaAccount::charge(const Workspace &workspace, double units,
                           Instant now) {
   auto &book = bookOf(workspace, now);
-  for (auto &purse : book.Purses) {
-    lapse(purse, now);
-    if (purse.Granted < units)
-      continue;
-    purse.Granted -= units;
-    return;
-  }
-  if (!book.Purses.empty())
+  if (!useGranted(book, units, now) && !book.Purses.empty())
     book.Purses.front().Spent += units;
 }
 
@@ -166,9 +168,7 @@
   bool nearest = &purse == &book.Purses.front();
   if (!nearest || now < purse.EmptyUntil || now < purse.AheadAfter)
     return 0;
-  auto demand = book.Demand * std::exp(-inSeconds(now - book.DemandAt) /
-                                       inSeconds(Setup.DemandOver));
-  auto wanted = demand * inSeconds(Setup.AheadFor);
+  auto wanted = demandOf(book, now) * inSeconds(Setup.AheadFor);
   // Less serves no whole request before it lapses.
   if (wanted < LeastAhead * book.UsualUnits)
     return 0;
--- a/Hemlockglade/Coordination/Quota/QuotaAccount.h
+++ b/Hemlockglade/Coordination/Quota/QuotaAccount.h
@@ -127,6 +127,10 @@
 
   Book &bookOf(const Workspace &workspace, Instant now);
   void openPurses(const std::string &name, Book &book) const;
+  /// Units a second that callers ask for now.
+  double demandOf(const Book &book, Instant now) const;
+  /// Takes units from what was granted, if one keeper's grant has them all.
+  bool useGranted(Book &book, double units, Instant now) const;
   void noteDemand(Book &book, double units, Instant now) const;
   void markDue(Book &book);
   void addAsks(Book &book, std::map<std::string, Message> &messages,
