Logs and metrics say on which version a request was sent, and since when it was replaced

Cause: nothing told the hypotheses of docs/incidents/version.md apart: a send named its version alone, a name neither the version before nor how old it may be. Change: send lines have the newest version known and for how long the sent one counts as replaced; weights-version lines the version before and how long ago declarations were last sure; not-begun lines and a counter for attempts that are ended before they begin on replaced weights; a histogram of how long versions in use had been replaced. No decision is changed.

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -362,8 +362,11 @@
   out.Replica = best->Record;
   if (query.Weights) {
     out.Version = best->Held.at(*query.Weights).Version;
-    if (auto replaced = replacedAt(*query.Weights, out.Version))
-      out.BeginsBy = *replaced + Setup.OldVersionEnd;
+    if (auto named = Versions.find(*query.Weights); named != Versions.end())
+      out.Newest = named->second.Version;
+    out.ReplacedAt = replacedAt(*query.Weights, out.Version);
+    if (out.ReplacedAt)
+      out.BeginsBy = *out.ReplacedAt + Setup.OldVersionEnd;
   }
   out.Far = near && best->Record->FailureDomain != Setup.FailureDomain;
   out.Running = best->Own + best->Others;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -64,6 +64,10 @@
   /// Version of the weights there; 0 if not known.
   std::uint64_t Version = 0;
   Instant ReadyAt{};
+  /// Newest version that operators are known to have named; 0 if none.
+  std::uint64_t Newest = 0;
+  /// Since when the version there counts as replaced, if it does.
+  std::optional<Instant> ReplacedAt;
   /// Set where the version there has been replaced: the request has to begin by
   /// then, or not at all on these weights.
   std::optional<Instant> BeginsBy;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -273,9 +273,12 @@
     auto &known = Versions[it.Weights];
     if (it.Version <= known)
       continue;
-    known = it.Version;
     Log.write(LogClass::State, "weights-version",
-              {{"weights", it.Weights.text()}, {"version", it.Version}});
+              {{"weights", it.Weights.text()},
+               {"version", it.Version},
+               {"before", known},
+               {"known_ms_ago", Watch->operatorAge()}});
+    known = it.Version;
     View.onVersion(it.Weights, it.Version, now);
     for (auto &[name, cell] : Cells)
       cell->onVersion(it.Weights, it.Version);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -281,7 +281,11 @@
   Now->Replica = choice.Replica;
   Now->SentAt = now;
   Now->Clean = choice.Clean;
+  Now->Version = choice.Version;
   Now->BeginsBy = choice.BeginsBy;
+  ReplacedFor.reset();
+  if (choice.ReplacedAt)
+    ReplacedFor = now - *choice.ReplacedAt;
   if (engine())
     Shared.OnSent(*choice.Replica,
                   Shared.View.tokensToRead(choice.Replica->Life.text(), Query),
@@ -306,6 +310,8 @@
                     {"service", Query.Service},
                     {"weights", engine() ? Query.Weights->text() : ""},
                     {"version", choice.Version},
+                    {"newest", choice.Newest},
+                    {"replaced_ms_ago", ReplacedFor.value_or(Span(0))},
                     {"replica", choice.Replica->Life.text()},
                     {"running", choice.Running},
                     {"load_age_ms", choice.LoadAge},
@@ -399,11 +405,8 @@
   if (!late && TimerService::now() < Now->StuckAt)
     return armAttempt();
   MayHaveRun = MayHaveRun || Now->Connection->open();
-  // A request that an engine has queued behind others would begin on weights
-  // that were replaced long ago; ending it here is the only way to prevent
-  // that.
   if (late)
-    return onUnknown("would begin on replaced weights");
+    return endUnbegun();
   if (Now->Orphaned && !Now->Connection->open())
     return onFailed(HttpFailure::NotConnected);
   if (Now->Orphaned)
@@ -419,6 +422,21 @@
   next();
 }
 
+void GatewayExchange::endUnbegun() {
+  // An engine that has queued the request behind others would begin it on
+  // weights that were replaced long ago; only ending it here prevents that.
+  auto now = TimerService::now();
+  EndedUnbegun = true;
+  Shared.Log.write(LogClass::Request, "not-begun",
+                   {{"request", Labels.Id},
+                    {"weights", Query.Weights->text()},
+                    {"version", Now->Version},
+                    {"replica", Now->Replica->Life.text()},
+                    {"sent_ms_ago", now - Now->SentAt},
+                    {"due_ms_ago", now - *Now->BeginsBy}});
+  onUnknown("would begin on replaced weights");
+}
+
 bool GatewayExchange::mayRepeat() const {
   bool more = Tried.size() < Way.MaxAttempts;
   return Way.idempotent() && more && timeLeft() > Setup.LeastAttempt;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -129,6 +129,12 @@
   std::uint64_t bytesMoved() const { return Request.Body.size() + Answered; }
   /// How long it was held before it was first sent, or until its end.
   Span heldFor() const;
+  /// For how long the version of the last attempt had been replaced when it was
+  /// sent; none if it was the newest known.
+  std::optional<Span> replacedFor() const { return ReplacedFor; }
+  /// Whether an attempt was ended because it would have begun on weights that
+  /// were replaced too long ago.
+  bool endedUnbegun() const { return EndedUnbegun; }
 
 private:
   /// What has come of the attempt that is under way.
@@ -147,6 +153,8 @@
     /// When the attempt is taken to be stuck, unless something comes before;
     /// never if the attempt may not be repeated and its replica lives.
     Instant StuckAt = Instant::max();
+    /// Version of the weights that it was sent for; 0 if not known.
+    std::uint64_t Version = 0;
     /// If it has not begun by then it must not, as its weights were replaced.
     std::optional<Instant> BeginsBy;
     /// Its replica has started anew since it was sent.
@@ -188,6 +196,7 @@
   void armAttempt();
   void noteAlive();
   bool beginsTooLate() const;
+  void endUnbegun();
   void endAttempt(AttemptVerdict verdict);
   bool mayRepeat() const;
   bool spendRepeat(std::string_view why);
@@ -247,6 +256,8 @@
   std::optional<Span> FirstByte;
   /// Time from the arrival to the first sending.
   std::optional<Span> FirstSent;
+  std::optional<Span> ReplacedFor;
+  bool EndedUnbegun = false;
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -25,6 +25,14 @@
 constexpr MetricFamily HeldFamily{
     "hemlockglade_held_seconds",
     "Time that requests were held before they were first sent to a replica."};
+constexpr MetricFamily ReplacedFamily{
+    "hemlockglade_replaced_version_seconds",
+    "For how long the version that a request was sent for had been replaced, "
+    "of requests that were not sent for the newest known."};
+constexpr MetricFamily NotBegunFamily{
+    "hemlockglade_not_begun_total",
+    "Requests with an attempt that was ended because it would have begun on "
+    "weights replaced too long ago."};
 constexpr MetricFamily OrdersFamily{
     "hemlockglade_orders", "Orders to replicas since the start, by cell."};
 constexpr MetricFamily CellFamily{
@@ -92,6 +100,11 @@
       .record(inSeconds(TimerService::now() - exchange.arrivedAt()));
   Metrics.histogram(HeldFamily, {{"service", service}})
       .record(inSeconds(exchange.heldFor()));
+  if (auto replaced = exchange.replacedFor())
+    Metrics.histogram(ReplacedFamily, {{"service", service}})
+        .record(inSeconds(*replaced));
+  if (exchange.endedUnbegun())
+    Metrics.counter(NotBegunFamily, {{"service", service}}).add(1);
   Meter.onBytes(exchange.bytesMoved(), TimerService::now());
   auto self =
       std::const_pointer_cast<GatewayExchange>(exchange.shared_from_this());
