Each version of an adapter is judged from its own successor

What callers saw: an answer by a version of their adapter whose successor had been named up to 14 s before, whenever the adapter was named once more. Cause: the view kept the newest version of each adapter and when the node heard of it, and counted every older version from then. Each name gave all older versions another half of the bound; a copy that was out of use for long was taken into use again. Change: DeclaredVersions keeps the versions that were named with a time each, as long as the times make a difference. A version counts as replaced since the earliest of its successors, a version heard of again keeps its time, and names may come in any order.

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -107,13 +107,6 @@
     seen.VanishesAt = now + (lapsed ? Setup.LapseGrace : Span(0));
 }
 
-void ReplicaView::onVersion(const WeightsRef &weights, std::uint64_t version,
-                            Instant now) {
-  auto &named = Versions[weights];
-  if (version > named.Version)
-    named = {version, now};
-}
-
 void ReplicaView::onResidency(const std::string &replica, Residency held,
                               Instant) {
   auto it = Replicas.find(replica);
@@ -226,11 +219,10 @@
 
 std::optional<Instant> ReplicaView::replacedAt(const WeightsRef &weights,
                                                std::uint64_t version) const {
-  auto it = Versions.find(weights);
-  if (weights.Adapter.empty() || it == Versions.end() ||
-      version >= it->second.Version)
+  // Base models are replaced in place, one after the other.
+  if (weights.Adapter.empty())
     return std::nullopt;
-  return it->second.At;
+  return Versions.replacedAt(weights, version);
 }
 
 std::uint64_t ReplicaView::partKey(const RouteQuery &query,
@@ -362,8 +354,7 @@
   out.Replica = best->Record;
   if (query.Weights) {
     out.Version = best->Held.at(*query.Weights).Version;
-    if (auto named = Versions.find(*query.Weights); named != Versions.end())
-      out.Newest = named->second.Version;
+    out.Newest = Versions.newest(*query.Weights);
     out.ReplacedAt = replacedAt(*query.Weights, out.Version);
     if (out.ReplacedAt)
       out.BeginsBy = *out.ReplacedAt + Setup.OldVersionEnd;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hemlockglade/Coordination/Orders/CellDesk.h"
+#include "Hemlockglade/Coordination/Registry/DeclaredVersions.h"
 #include "Hemlockglade/Coordination/Registry/Registry.h"
 #include "Hemlockglade/Coordination/Route/ReadingSpeed.h"
 #include "Hemlockglade/Coordination/Route/ReplicaHealth.h"
@@ -118,11 +119,11 @@
     double ReadOverhead = 1.15;
     /// Own failures that all replicas of a service may show.
     double UsualFailures = 0.1;
-    /// An older version of weights is used this long after a newer was named.
+    /// A version of weights is used this long after its successor was named.
     Span OldVersionGrace = std::chrono::milliseconds(2500);
-    /// From this long after a newer version was named on, nothing may begin on
-    /// an older one. Below the bound that operators are promised by what a node
-    /// needs to hear of a version and of an answer's start.
+    /// From this long after its successor was named on, nothing may begin on a
+    /// version. Below the bound that operators are promised by what a node
+    /// needs to hear of an answer's start.
     Span OldVersionEnd = std::chrono::milliseconds(4200);
     /// Replicas whose entries vanish while the registry was out of reach are
     /// used for this long: they may have lapsed and come back.
@@ -140,7 +141,8 @@
     std::size_t PartMemory = 4096;
   };
 
-  explicit ReplicaView(Settings settings) : Setup(std::move(settings)) {}
+  explicit ReplicaView(Settings settings)
+      : Setup(std::move(settings)), Versions(Setup.OldVersionEnd) {}
 
   void setPlan(std::shared_ptr<const RoutePlan> plan) {
     Plan = std::move(plan);
@@ -151,7 +153,9 @@
   /// replicas that have started anew, as they were before.
   std::vector<ReplicaPtr> onRegistry(const ReplicaChanges &changes,
                                      bool unreachable, Instant now);
-  void onVersion(const WeightsRef &weights, std::uint64_t version, Instant now);
+  /// Operators have named a version; gives whether it was not known.
+  bool onVersion(const WeightsVersion &named) { return Versions.add(named); }
+  const DeclaredVersions &versions() const { return Versions; }
   /// An owner tells what a replica holds, and how many requests run there that
   /// this node has not sent.
   void onResidency(const std::string &replica, Residency held, Instant now);
@@ -252,7 +256,7 @@
               Instant now) const;
   bool versionServes(const WeightsRef &weights, std::uint64_t version,
                      Instant now) const;
-  /// When a newer version than this was named, if one was.
+  /// Since when a version of an adapter counts as replaced, if it does.
   std::optional<Instant> replacedAt(const WeightsRef &weights,
                                     std::uint64_t version) const;
   std::uint32_t unreadTokens(const Seen &seen, const RouteQuery &query) const;
@@ -282,11 +286,7 @@
   std::uint64_t Revision = 1;
   /// What owners told of replicas that the registry has not shown yet.
   std::map<std::string, Residency> Early;
-  struct Named {
-    std::uint64_t Version = 0;
-    Instant At{};
-  };
-  std::map<WeightsRef, Named> Versions;
+  DeclaredVersions Versions;
   std::uint64_t NextAttempt = 1;
   /// How fast the engines of each service read prompts.
   std::map<std::string, ReadingSpeed> Speeds;
--- a/Hemlockglade/State/Ids.h
+++ b/Hemlockglade/State/Ids.h
@@ -13,6 +13,9 @@
 /// A span of time in microseconds.
 using Span = std::chrono::microseconds;
 
+/// Before everything that a node knows of: an hour before its clock's origin.
+inline constexpr Instant LongAgo{-3'600'000'000};
+
 /// A span in seconds, with fractions.
 inline double inSeconds(Span span) {
   return std::chrono::duration<double>(span).count();
--- a/Hemlockglade/State/Routing/ReplicaRecord.h
+++ b/Hemlockglade/State/Routing/ReplicaRecord.h
@@ -65,6 +65,8 @@
 struct WeightsVersion {
   WeightsRef Weights;
   std::uint64_t Version = 0;
+  /// It was named no earlier than this, as far as is known.
+  Instant NotBefore = LongAgo;
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -253,7 +253,6 @@
 bool Gateway::ready() const { return Plan && SeenReplicas && !Leaving; }
 
 void Gateway::onOperator(const OperatorChanges &changes) {
-  auto now = TimerService::now();
   if (changes.Plan && (!Plan || changes.Plan->version() > Plan->version())) {
     Log.write(
         LogClass::State, "plan",
@@ -269,23 +268,25 @@
     View.setPlan(Plan);
     Quotas.setPlan(Plan);
   }
-  for (const auto &it : changes.Versions) {
-    auto &known = Versions[it.Weights];
-    if (it.Version <= known)
-      continue;
-    Log.write(LogClass::State, "weights-version",
-              {{"weights", it.Weights.text()},
-               {"version", it.Version},
-               {"before", known},
-               {"known_ms_ago", Watch->operatorAge()}});
-    known = it.Version;
-    View.onVersion(it.Weights, it.Version, now);
-    for (auto &[name, cell] : Cells)
-      cell->onVersion(it.Weights, it.Version);
-  }
+  for (const auto &it : changes.Versions)
+    onVersion({it.Weights, it.Version, TimerService::now()});
   wakeWaiting();
 }
 
+void Gateway::onVersion(const WeightsVersion &named) {
+  auto before = View.versions().newest(named.Weights);
+  if (!View.onVersion(named))
+    return;
+  Log.write(LogClass::State, "weights-version",
+            {{"weights", named.Weights.text()},
+             {"version", named.Version},
+             {"before", before},
+             {"known_ms_ago", Watch->operatorAge()}});
+  if (named.Version > before)
+    for (auto &[name, cell] : Cells)
+      cell->onVersion(named.Weights, named.Version);
+}
+
 void Gateway::onReplicas(const ReplicaChanges &changes, bool unreachable) {
   for (const auto &it :
        View.onRegistry(changes, unreachable, TimerService::now()))
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -53,6 +53,7 @@
   /// How long a free lease of a cell is left to better owners.
   Span reluctance(const std::string &cell) const;
   void onOperator(const OperatorChanges &changes);
+  void onVersion(const WeightsVersion &named);
   void onReplicas(const ReplicaChanges &changes, bool unreachable);
   /// A replica has started anew; what ran on it before is lost.
   void onRestarted(const ReplicaRecord &before);
@@ -158,7 +159,6 @@
   std::unique_ptr<CallerServer> Readiness;
   std::unique_ptr<CallerServer> MetricsServer;
   std::shared_ptr<const RoutePlan> Plan;
-  std::map<WeightsRef, std::uint64_t> Versions;
   std::unordered_set<std::shared_ptr<GatewayExchange>> Exchanges;
   bool SeenReplicas = false;
   bool Leaving = false;
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -150,8 +150,8 @@
   BriefingReply out;
   if (Plan && Plan->version() > planVersion)
     out.PlanText = Plan->Source;
-  for (const auto &[weights, version] : Versions)
-    out.Versions.emplace_back(weights.text(), version);
+  for (const auto &it : View.versions().all())
+    out.Versions.emplace_back(it.Weights.text(), it.Version);
   // 0 says that nothing is known of the age.
   out.OperatorAgeUs = std::max<std::int64_t>(1, Watch->declaredAge().count());
   return out;
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -81,8 +81,6 @@
   Span replicasAge() const { return TimerService::now() - ReplicasSeenAt; }
 
 private:
-  static constexpr Instant LongAgo{-3'600'000'000};
-
   void lookAtOperator();
   void lookAtReplicas();
   void onOperator(const tl::expected<OperatorChanges, RegistryError> &result);
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -140,11 +140,11 @@
 TEST_CASE("an older version serves for a short time only", "[view]") {
   ViewFixture it;
   it.present({record("i-1")});
-  it.View.onVersion(Adapter, 2, it.Now);
+  it.View.onVersion({Adapter, 2, it.Now});
   CHECK(it.choose().What == Kind::Send);
   it.Now += milliseconds(2600);
   CHECK(it.choose().What == Kind::Missing);
-  it.View.onVersion(Adapter, 1, it.Now);
+  it.View.onVersion({Adapter, 1, it.Now});
   CHECK(it.choose().What == Kind::Missing);
 }
 
@@ -340,7 +340,7 @@
   ViewFixture it;
   it.present({record("i-1")});
   CHECK_FALSE(it.choose().BeginsBy);
-  it.View.onVersion(Adapter, 2, it.Now);
+  it.View.onVersion({Adapter, 2, it.Now});
   auto named = it.Now;
   it.Now += milliseconds(2000);
   REQUIRE(it.choose().What == Kind::Send);
@@ -350,13 +350,13 @@
 }
 
 TEST_CASE("a name that follows another gives a replaced version no new time",
-          "[view][replaced]") {
+          "[view]") {
   ViewFixture it;
   it.present({record("i-1")});
-  it.View.onVersion(Adapter, 2, it.Now);
+  it.View.onVersion({Adapter, 2, it.Now});
   auto named = it.Now;
   it.Now += milliseconds(2000);
-  it.View.onVersion(Adapter, 3, it.Now);
+  it.View.onVersion({Adapter, 3, it.Now});
   REQUIRE(it.choose().What == Kind::Send);
   CHECK(it.choose().BeginsBy == named + milliseconds(4200));
   it.Now += milliseconds(600);
@@ -365,12 +365,12 @@
 
 TEST_CASE("a replaced copy that was out of use stays so when a newer version "
           "is named",
-          "[view][replaced]") {
+          "[view]") {
   ViewFixture it;
   it.present({record("i-1")});
-  it.View.onVersion(Adapter, 2, it.Now);
+  it.View.onVersion({Adapter, 2, it.Now});
   it.Now += std::chrono::seconds(14);
-  it.View.onVersion(Adapter, 3, it.Now);
+  it.View.onVersion({Adapter, 3, it.Now});
   CHECK(it.choose().What == Kind::Missing);
 }
 
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -203,7 +203,7 @@
     Generates = true;
     auto now = TimerService::now();
     View.onResidency("i-1", {{Adapter, {1, now}}}, now);
-    View.onVersion(Adapter, 2, now - milliseconds(2450));
+    View.onVersion({Adapter, 2, now - milliseconds(2450)});
     Shared.OnDemand = [](auto &&...) {};
     Shared.OnSent = [](auto &&...) {};
     Shared.OnDone = [](auto &&...) {};
