A version counts as named when declarations were last sure, not when a node heard of it

What callers saw: nothing in the record yet; a node that starts, that a peer or an owner tells late, or whose look is answered late gives a replaced version half of the bound anew. Cause: the time of a name was the time of hearing. What stands between the two was covered by a part of the bound that nothing kept. Ruled out: a time in the name itself; the operators' entries have none. Change: a name is dated by the last time at which this node's knowledge of the declarations was sure. Nodes tell each other how old a name may be; such ages count from the receiver's own question, which an owner gives back in its beats, so that time on the way, also in a suspended host's buffers, never makes a name younger. What is not known counts as long ago.

--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -99,11 +99,20 @@
   MSGPACK_DEFINE(Replica, Weights, Change)
 };
 
+/// A version of weights that operators named.
+struct VersionNotice {
+  std::string Weights;
+  std::uint64_t Version = 0;
+  /// How long ago that was, at most.
+  std::int64_t AgeUs = 0;
+  MSGPACK_DEFINE(Weights, Version, AgeUs)
+};
+
 /// Declarations of operators that were seen in one look at the registry.
 struct DeclaredNotice {
   /// The plan as operators wrote it; empty if it did not change.
   std::string PlanText;
-  std::vector<std::pair<std::string, std::uint64_t>> Versions;
+  std::vector<VersionNotice> Versions;
   MSGPACK_DEFINE(PlanText, Versions)
 };
 
@@ -163,8 +172,10 @@
   /// Requests under which replicas ended, as far as that changed since the last
   /// beat; in the first beat of a stream all of them.
   std::vector<CrashNotice> Crashes;
+  /// When it was sent, by the node's own clock; 0 in a brief one.
+  std::int64_t SentAtUs = 0;
   MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief, Knows,
-                 RequestsPerSecond, BytesPerSecond, Crashes)
+                 RequestsPerSecond, BytesPerSecond, Crashes, SentAtUs)
 };
 
 struct HeldNotice {
@@ -212,8 +223,12 @@
   RegistryNews News;
   /// Requests under which replicas ended, as far as the node has not been told.
   std::vector<CrashNotice> Crashes;
+  /// `SentAtUs` of the node's last beat that the owner has taken, so that the
+  /// node knows how long this one may have been on its way; 0 if there is none.
+  std::int64_t AnswersUs = 0;
   MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
-                 Rosters, RostersChanged, Leases, Sent, News, Crashes)
+                 Rosters, RostersChanged, Leases, Sent, News, Crashes,
+                 AnswersUs)
 };
 
 /// What a node tells one that starts while the registry is away, or, without
@@ -223,8 +238,8 @@
   std::string PlanText;
   /// Replicas in use, as they registered: incarnation and text.
   std::vector<std::pair<std::string, std::string>> Replicas;
-  /// Weights and the newest version that operators named.
-  std::vector<std::pair<std::string, std::uint64_t>> Versions;
+  /// Versions that operators named, as far as they make a difference.
+  std::vector<VersionNotice> Versions;
   /// Cells and the text of their lease rows.
   std::vector<std::pair<std::string, std::string>> Leases;
   /// Positions in the registry that all of this is complete up to; 0 where the
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -196,6 +196,7 @@
 NodeBeat CellMember::takeBeat() {
   NodeBeat out;
   out.Self = Out.Self();
+  out.SentAtUs = TimerService::now().count();
   for (const auto &[replica, n] : View.ownRunning(Setup.Cell))
     out.Running.push_back({replica, n});
   for (auto &[key, notice] : std::exchange(Demand, {}))
@@ -327,7 +328,7 @@
     Out.OnLease(cell, row);
   if (beat.RostersChanged)
     onRosters(beat.Rosters);
-  Out.OnNews(beat.News);
+  Out.OnNews(beat.News, beat.AnswersUs ? Span(beat.AnswersUs) : LongAgo);
   takeCrashes(beat.Crashes, OwnerToldCrashes);
   if (!beat.Replicas.empty())
     Out.OnChanged();
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -88,7 +88,9 @@
     /// Which nodes serve has changed, or is not known any more.
     std::function<void()> OnRosters;
     std::function<RegistryNews(const RegistryPositions &known)> NewsSince;
-    std::function<void(const RegistryNews &)> OnNews;
+    /// The owner has told news; it sent them after that time of this node's
+    /// clock.
+    std::function<void(const RegistryNews &, Instant sentAfter)> OnNews;
     /// Requests that crash replicas, which nodes tell each other of.
     CrashLink *Crashes = nullptr;
   };
@@ -155,6 +157,8 @@
     std::uint64_t ToldCrashes = 0;
     /// Some of the requests that are to be told are its own.
     bool HasSent = false;
+    /// When it sent its last beat, by its own clock.
+    std::int64_t SentAtUs = 0;
     /// Up to where it knows the registry, by itself or from this node.
     RegistryPositions Knows;
   };
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -164,6 +164,7 @@
   onUses(follower, beat.Uses);
   if (beat.Brief)
     return;
+  follower.SentAtUs = beat.SentAtUs;
   takeCrashes(beat.Crashes, follower.ToldCrashes);
   follower.Load = {beat.RequestsPerSecond, beat.BytesPerSecond};
   if (beat.Knows.Operator && beat.Knows.Replica) {
@@ -483,6 +484,7 @@
   if (id == SelfFollower)
     return onOwnerBeat(beat);
   addNews(follower, beat);
+  beat.AnswersUs = follower.SentAtUs;
   beat.Crashes = crashesFor(follower.ToldCrashes);
   if (std::exchange(follower.ToldRosters, RostersRevision) != RostersRevision)
     addRosters(beat);
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -228,7 +228,9 @@
   hooks.NewsSince = [this](const RegistryPositions &known) {
     return Watch->newsSince(known);
   };
-  hooks.OnNews = [this](const RegistryNews &news) { Watch->onTold(news); };
+  hooks.OnNews = [this](const RegistryNews &news, Instant sentAfter) {
+    Watch->onTold(news, sentAfter);
+  };
   hooks.Leases = [this, cell] { return leasesBut(cell); };
   hooks.OnLease = [this](const std::string &of, const std::string &text) {
     auto it = Cells.find(of);
@@ -269,7 +271,7 @@
     Quotas.setPlan(Plan);
   }
   for (const auto &it : changes.Versions)
-    onVersion({it.Weights, it.Version, TimerService::now()});
+    onVersion(it);
   wakeWaiting();
 }
 
@@ -281,7 +283,7 @@
             {{"weights", named.Weights.text()},
              {"version", named.Version},
              {"before", before},
-             {"known_ms_ago", Watch->operatorAge()}});
+             {"named_ms_ago", TimerService::now() - named.NotBefore}});
   if (named.Version > before)
     for (auto &[name, cell] : Cells)
       cell->onVersion(named.Weights, named.Version);
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -88,7 +88,8 @@
   /// Asks a peer for what operators have declared beyond what this node knows.
   void askDeclared();
   void askBriefing(std::string path);
-  void onBriefing(const BriefingReply &reply);
+  /// A peer has told what it knows; it was asked at `askedAt`.
+  void onBriefing(const BriefingReply &reply, Instant askedAt);
   void onDemand(const std::string &service, const WeightsRef &weights,
                 bool waiting);
   CellMember *homeOf(const WeightsRef &weights);
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -150,10 +150,13 @@
   BriefingReply out;
   if (Plan && Plan->version() > planVersion)
     out.PlanText = Plan->Source;
+  auto now = TimerService::now();
   for (const auto &it : View.versions().all())
-    out.Versions.emplace_back(it.Weights.text(), it.Version);
+    out.Versions.push_back(
+        {it.Weights.text(), it.Version, (now - it.NotBefore).count()});
   // 0 says that nothing is known of the age.
-  out.OperatorAgeUs = std::max<std::int64_t>(1, Watch->declaredAge().count());
+  out.OperatorAgeUs =
+      std::max<std::int64_t>(1, Watch->sureDeclaredAge().count());
   return out;
 }
 
@@ -164,7 +167,7 @@
     out.Replicas.emplace_back(it->Life.id(), it->Source);
   out.Leases = leasesBut("");
   out.Knows = Watch->positions();
-  out.OperatorAgeUs = Watch->operatorAge().count();
+  out.OperatorAgeUs = Watch->sureAge().count();
   out.ReplicaAgeUs = Watch->replicasAge().count();
   // One that has lapsed is used for a while yet, and its going is told only to
   // nodes that know less.
@@ -216,21 +219,23 @@
   if (peer.starts_with(Settings.Address + ":"))
     return;
   PeerHooks hooks;
-  hooks.OnMessage = [this](std::string_view message) {
+  hooks.OnMessage = [this,
+                     askedAt = TimerService::now()](std::string_view message) {
     if (auto reply = unpack<BriefingReply>(message))
-      onBriefing(*reply);
+      onBriefing(*reply, askedAt);
     else
       Log.write(LogClass::State, "message-refused", {{"what", "briefing"}});
   };
   Peers->open(peer, std::move(path), "?", std::move(hooks));
 }
 
-void Gateway::onBriefing(const BriefingReply &reply) {
+void Gateway::onBriefing(const BriefingReply &reply, Instant askedAt) {
   OperatorChanges declared;
   if (!reply.PlanText.empty())
     declared.Plan = Port.Registry.ReadPlan(reply.PlanText);
-  for (const auto &[weights, version] : reply.Versions)
-    declared.Versions.push_back({WeightsRef::parse(weights), version});
+  for (const auto &it : reply.Versions)
+    declared.Versions.push_back(
+        {WeightsRef::parse(it.Weights), it.Version, askedAt - Span(it.AgeUs)});
   ReplicaChanges replicas;
   for (const auto &[id, source] : reply.Replicas)
     if (auto it = Port.Registry.ReadReplica(id, source))
@@ -247,13 +252,14 @@
   if (SeenReplicas || replicas.Present.size() < reply.Replicas.size())
     knows.Replica = 0;
   Crashes.onTold(reply.Crashes);
-  onOperator(declared);
+  onOperator(Watch->dated(declared));
   bool tellsAll = reply.PlanText.empty() || declared.Plan;
   if (reply.OperatorAgeUs > 0 && tellsAll)
-    Watch->onDeclared(Span(reply.OperatorAgeUs));
+    Watch->onDeclared(Span(reply.OperatorAgeUs), askedAt);
   if (!SeenReplicas && !replicas.Present.empty())
     onReplicas(replicas, true);
-  Watch->onBriefed(knows, Span(reply.OperatorAgeUs), Span(reply.ReplicaAgeUs));
+  Watch->onBriefed(knows, Span(reply.OperatorAgeUs), Span(reply.ReplicaAgeUs),
+                   askedAt);
   for (const auto &[name, text] : reply.Leases) {
     auto cell = Cells.find(name);
     auto row = CellLeaseRow::parse(text);
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -100,8 +100,9 @@
     // new as the end of its wait. Nothing else speaks for the declarations.
     bool changed = result->Plan || !result->Versions.empty();
     auto seenAt = OperatorAskedAt + (changed ? Span(0) : OperatorWaits);
-    OperatorSeenAt =
-        std::max(OperatorSeenAt, std::min(seenAt, TimerService::now()));
+    seenAt = std::min(seenAt, TimerService::now());
+    OperatorSeenAt = std::max(OperatorSeenAt, seenAt);
+    OperatorSureAt = std::max(OperatorSureAt, seenAt);
     return lookAtOperator();
   }
   if (result.error() == RegistryError::HistoryGone) {
@@ -113,8 +114,16 @@
   planOperator(pauseAfter(first, OperatorPosition.has_value(), OperatorPause));
 }
 
-void RegistryWatch::onDeclared(Span age) {
-  DeclaredSeenAt = std::max(DeclaredSeenAt, TimerService::now() - age);
+void RegistryWatch::onDeclared(Span age, Instant askedAt) {
+  DeclaredSeenAt = std::max(DeclaredSeenAt, askedAt - age);
+}
+
+OperatorChanges RegistryWatch::dated(OperatorChanges changes) const {
+  // What was not known when the declarations were last sure was declared later.
+  auto sureAt = TimerService::now() - sureDeclaredAge();
+  for (auto &it : changes.Versions)
+    it.NotBefore = std::max(it.NotBefore, sureAt);
+  return changes;
 }
 
 void RegistryWatch::confirm(std::function<void(bool known)> done) {
@@ -142,6 +151,7 @@
     if (result) {
       takeOperator(*result, "look before a denial");
       OperatorSeenAt = std::max(OperatorSeenAt, askedAt);
+      OperatorSureAt = std::max(OperatorSureAt, askedAt);
     }
     endConfirm(number, result.has_value());
   };
@@ -172,8 +182,9 @@
   return standsBy() ? std::max(now, Setup.StandbyPause) : now;
 }
 
-void RegistryWatch::takeOperator(const OperatorChanges &changes,
+void RegistryWatch::takeOperator(const OperatorChanges &told,
                                  std::string_view from) {
+  auto changes = dated(told);
   logDeclared(changes, from);
   // What was told meanwhile may be newer. Plans and versions only ever rise.
   OperatorPosition = std::max(OperatorPosition.value_or(0), changes.Position);
@@ -239,11 +250,12 @@
   if (auto all = Seen.operators().since(known.Operator)) {
     out.OperatorFrom = known.Operator;
     out.OperatorPosition = Seen.operators().position();
-    out.OperatorAgeUs = (now - OperatorSeenAt).count();
+    out.OperatorAgeUs = (now - OperatorSureAt).count();
     for (const auto &it : *all) {
       DeclaredNotice notice{it.Plan ? it.Plan->Source : "", {}};
       for (const auto &at : it.Versions)
-        notice.Versions.emplace_back(at.Weights.text(), at.Version);
+        notice.Versions.push_back(
+            {at.Weights.text(), at.Version, (now - at.NotBefore).count()});
       out.Declared.push_back(std::move(notice));
     }
   }
@@ -263,13 +275,14 @@
 }
 
 void RegistryWatch::onBriefed(const RegistryPositions &knows, Span operatorAge,
-                              Span replicasAge) {
+                              Span replicasAge, Instant askedAt) {
   auto now = TimerService::now();
   if (!OperatorPosition && knows.Operator) {
     OperatorPosition = knows.Operator;
     Seen.onOperator({nullptr, {}, knows.Operator});
     OperatorToldAt = now;
     OperatorSeenAt = now - operatorAge;
+    OperatorSureAt = std::max(OperatorSureAt, askedAt - operatorAge);
   }
   if (!ReplicaPosition && knows.Replica) {
     ReplicaPosition = knows.Replica;
@@ -279,16 +292,17 @@
   }
 }
 
-void RegistryWatch::onTold(const RegistryNews &news) {
+void RegistryWatch::onTold(const RegistryNews &news, Instant sentAfter) {
   auto now = TimerService::now();
   if (!news.OperatorPosition && !news.ReplicaPosition)
     return;
   ToldAt = now;
-  takeDeclared(news, now);
+  takeDeclared(news, now, sentAfter);
   takeRegistered(news, now);
 }
 
-void RegistryWatch::takeDeclared(const RegistryNews &news, Instant now) {
+void RegistryWatch::takeDeclared(const RegistryNews &news, Instant now,
+                                 Instant sentAfter) {
   bool follows = OperatorPosition && *OperatorPosition >= news.OperatorFrom &&
                  *OperatorPosition <= news.OperatorPosition;
   if (!news.OperatorPosition || !follows)
@@ -304,8 +318,9 @@
       if (!changes.Plan)
         return;
     }
-    for (const auto &[weights, version] : it.Versions)
-      changes.Versions.push_back({WeightsRef::parse(weights), version});
+    for (const auto &at : it.Versions)
+      changes.Versions.push_back({WeightsRef::parse(at.Weights), at.Version,
+                                  sentAfter - Span(at.AgeUs)});
     all.push_back(std::move(changes));
   }
   for (const auto &it : all)
@@ -313,7 +328,9 @@
   OperatorToldAt = now;
   OperatorPosition = news.OperatorPosition;
   Seen.onOperator({nullptr, {}, news.OperatorPosition});
-  OperatorSeenAt = std::max(OperatorSeenAt, now - Span(news.OperatorAgeUs));
+  auto age = Span(news.OperatorAgeUs);
+  OperatorSeenAt = std::max(OperatorSeenAt, now - age);
+  OperatorSureAt = std::max(OperatorSureAt, sentAfter - age);
 }
 
 void RegistryWatch::takeRegistered(const RegistryNews &news, Instant now) {
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -53,12 +53,16 @@
   /// Looks for the first time after a while, unless another node tells all
   /// before.
   void start(Span firstLookAfter);
-  /// An owner tells what it saw.
-  void onTold(const RegistryNews &news);
+  /// An owner tells what it saw; it sent that after `sentAfter`.
+  void onTold(const RegistryNews &news, Instant sentAfter);
   /// Another node has told all that it knows, complete up to these positions.
-  /// From there on this node goes by news; what it has seen itself holds.
+  /// From there on this node goes by news; what it has seen itself holds. The
+  /// node that tells was asked at `askedAt`.
   void onBriefed(const RegistryPositions &knows, Span operatorAge,
-                 Span replicasAge);
+                 Span replicasAge, Instant askedAt);
+  /// What has become known of the declarations, with the earliest time at which
+  /// each version can have been named.
+  OperatorChanges dated(OperatorChanges changes) const;
   /// Looks at the declarations now, and calls back when all that operators had
   /// declared at the time of the call is known, or can't be had in time.
   void confirm(std::function<void(bool known)> done);
@@ -71,13 +75,19 @@
   /// them.
   Span operatorAge() const { return TimerService::now() - OperatorSeenAt; }
   /// Another node has told all that it knows of the declarations, which was
-  /// the newest so long ago.
-  void onDeclared(Span age);
+  /// the newest so long before it was asked.
+  void onDeclared(Span age, Instant askedAt);
   /// How long ago declarations were surely as this node knows them, by the
   /// registry or by what another node told.
   Span declaredAge() const {
     return TimerService::now() - std::max(OperatorSeenAt, DeclaredSeenAt);
   }
+  /// What to tell others of that age: time that messages to this node were on
+  /// their way never makes it shorter.
+  Span sureAge() const { return TimerService::now() - OperatorSureAt; }
+  Span sureDeclaredAge() const {
+    return TimerService::now() - std::max(OperatorSureAt, DeclaredSeenAt);
+  }
   Span replicasAge() const { return TimerService::now() - ReplicasSeenAt; }
 
 private:
@@ -85,9 +95,9 @@
   void lookAtReplicas();
   void onOperator(const tl::expected<OperatorChanges, RegistryError> &result);
   void onReplicas(const tl::expected<ReplicaChanges, RegistryError> &result);
-  void takeOperator(const OperatorChanges &changes, std::string_view from);
+  void takeOperator(const OperatorChanges &told, std::string_view from);
   void takeReplicas(const ReplicaChanges &changes, bool unreachable);
-  void takeDeclared(const RegistryNews &news, Instant now);
+  void takeDeclared(const RegistryNews &news, Instant now, Instant sentAfter);
   void takeRegistered(const RegistryNews &news, Instant now);
   void planConfirm();
   void lookToConfirm();
@@ -126,6 +136,9 @@
   /// When the registry was as this node knows it, at the latest.
   Instant OperatorSeenAt{LongAgo};
   Instant ReplicasSeenAt{LongAgo};
+  /// As `OperatorSeenAt`, but counted from when this node asked, so that time
+  /// that an answer or a message was on its way never makes it later.
+  Instant OperatorSureAt{LongAgo};
   /// When the looks under way were begun, and how long the one at declarations
   /// may wait.
   Instant OperatorAskedAt{};
--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -42,7 +42,7 @@
   hooks.Follows = [] { return true; };
   hooks.Knows = [] { return RegistryPositions{}; };
   hooks.NewsSince = [](const RegistryPositions &) { return RegistryNews{}; };
-  hooks.OnNews = [](const RegistryNews &) {};
+  hooks.OnNews = [](const RegistryNews &, Instant) {};
   hooks.Leases = [] {
     return std::vector<std::pair<std::string, std::string>>{};
   };
--- a/UnitTests/Node/Gateway/RegistryWatchTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatchTest.cpp
@@ -95,7 +95,7 @@
       news.OperatorFrom = news.ReplicaFrom = Position;
       news.OperatorPosition = news.ReplicaPosition = Position;
       news.ReplicaAgeUs = news.OperatorAgeUs = age.count();
-      Watch->onTold(news);
+      Watch->onTold(news, TimerService::now());
     });
   }
   bool untilTold(int times) {
@@ -187,7 +187,7 @@
   WatchFixture it(Long, Long, false);
   it.StandsBy = true;
   it.Watch->start(milliseconds(100));
-  it.Watch->onBriefed({10, 10}, Span(0), Span(0));
+  it.Watch->onBriefed({10, 10}, Span(0), Span(0), TimerService::now());
   it.tellAgainAndAgain(Span(0));
   REQUIRE(it.untilTold(15));
   CHECK(it.Reads == 0);
@@ -199,7 +199,7 @@
 TEST_CASE("what a node has seen itself is not undone by what it is told",
           "[gateway]") {
   WatchFixture it;
-  it.Watch->onBriefed({4, 4}, Span(0), Span(0));
+  it.Watch->onBriefed({4, 4}, Span(0), Span(0), TimerService::now());
   CHECK(it.Watch->positions().Operator == 10);
   CHECK(it.Watch->positions().Replica == 10);
 }
@@ -231,20 +231,20 @@
   news.ReplicaPosition = 12;
   news.Registered = {{{{"i-1", "text"}}, {}}};
   SECTION("those that do") {
-    it.Watch->onTold(news);
+    it.Watch->onTold(news, TimerService::now());
     CHECK(it.Present == std::vector<std::string>{"i-1"});
     CHECK(it.Watch->positions().Replica == 12);
   }
   SECTION("not behind a gap") {
     news.ReplicaFrom = 11;
-    it.Watch->onTold(news);
+    it.Watch->onTold(news, TimerService::now());
     CHECK(it.Present.empty());
     CHECK(it.Watch->positions().Replica == 10);
   }
   SECTION("not twice") {
-    it.Watch->onTold(news);
+    it.Watch->onTold(news, TimerService::now());
     news.ReplicaPosition = 11;
-    it.Watch->onTold(news);
+    it.Watch->onTold(news, TimerService::now());
     CHECK(it.Present.size() == 1);
   }
 }
@@ -258,13 +258,13 @@
   news.ReplicaPosition = news.OperatorPosition = 12;
   SECTION("a plan") {
     news.Declared = {{"unreadable", {}}};
-    it.Watch->onTold(news);
+    it.Watch->onTold(news, TimerService::now());
     CHECK(it.Watch->positions().Operator == 10);
     CHECK(it.Watch->positions().Replica == 12);
   }
   SECTION("a replica") {
     news.Registered = {{{{"i-1", "unreadable"}}, {}}};
-    it.Watch->onTold(news);
+    it.Watch->onTold(news, TimerService::now());
     CHECK(it.Watch->positions().Operator == 12);
     CHECK(it.Watch->positions().Replica == 10);
   }
@@ -277,14 +277,14 @@
   news.ReplicaPosition = news.OperatorPosition = 12;
   news.Registered = {{{{"i-1", "text"}}, {}}};
   news.Declared = {{"", {{"m/a", 3}}}};
-  it.Watch->onTold(news);
+  it.Watch->onTold(news, TimerService::now());
   CHECK(it.News == 2);
   CHECK(it.Versions == 1);
   auto told = it.Watch->newsSince({10, 10});
   REQUIRE(told.Registered.size() == 1);
   CHECK(told.Registered[0].Present[0].first == "i-1");
   REQUIRE(told.Declared.size() == 1);
-  CHECK(told.Declared[0].Versions[0].second == 3);
+  CHECK(told.Declared[0].Versions[0].Version == 3);
   CHECK(told.ReplicaPosition == 12);
   CHECK(it.Watch->newsSince({1, 1}).ReplicaPosition == 0);
 }
--- a/UnitTests/Node/Gateway/ReplacedVersionTest.cpp
+++ b/UnitTests/Node/Gateway/ReplacedVersionTest.cpp
@@ -53,7 +53,7 @@
 
 TEST_CASE("a version is not used after its bound though a node knows its "
           "successor only from its start",
-          "[gateway][replaced]") {
+          "[gateway]") {
   ReplacedFixture it;
   it.Platform.name(Adapter, 2);
   it.pass(Bound);
@@ -65,7 +65,7 @@
 
 TEST_CASE("a version is not used after its bound though a peer told of its "
           "successor late",
-          "[gateway][replaced]") {
+          "[gateway]") {
   ReplacedFixture it;
   it.start();
   REQUIRE(it.untilReady());
@@ -82,7 +82,7 @@
 
 TEST_CASE("a version is not used after its bound though the look that tells of "
           "its successor was answered late",
-          "[gateway][replaced]") {
+          "[gateway]") {
   ReplacedFixture it;
   it.start();
   REQUIRE(it.untilReady());
