A replaced version is sent to for two thirds of its bound

What callers saw: refusals where names come faster than loads; no engine holds the newest version yet and the one before is out of use. Cause: half of the bound was left for hearing of a name. Change: sent to for 0.66 of the bound in place of 0.5; begins until 0.84 as before.

--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -84,7 +84,9 @@
       Timers(context), View([this] {
         auto out = Settings.Decisions.Route;
         out.FailureDomain = Settings.FailureDomain;
-        out.OldVersionGrace = Settings.VersionBound / 2;
+        // Nothing waits at an engine for as long as what lies between the two.
+        constexpr double GraceShare = 0.66;
+        out.OldVersionGrace = scaled(Settings.VersionBound, GraceShare);
         constexpr double EndShare = 0.84;
         out.OldVersionEnd = scaled(Settings.VersionBound, EndShare);
         constexpr double LapseShare = 0.85;
