--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -84,7 +84,9 @@
       Timers(context), View([this] {
         auto out = Settings.Decisions.Route;
         out.FailureDomain = Settings.FailureDomain;
-        out.OldVersionGrace = Settings.VersionBound / 2;
+        // Nothing waits at an engine for as long as what lies between the two.
+        constexpr double GraceShare = 0.66;
+        out.OldVersionGrace = scaled(Settings.VersionBound, GraceShare);
         constexpr double EndShare = 0.84;
         out.OldVersionEnd = scaled(Settings.VersionBound, EndShare);
         constexpr double LapseShare = 0.85;
@@ -228,7 +230,9 @@
   hooks.NewsSince = [this](const RegistryPositions &known) {
     return Watch->newsSince(known);
   };
-  hooks.OnNews = [this](const RegistryNews &news) { Watch->onTold(news); };
+  hooks.OnNews = [this](const RegistryNews &news, Instant sentAfter) {
+    Watch->onTold(news, sentAfter);
+  };
   hooks.Leases = [this, cell] { return leasesBut(cell); };
   hooks.OnLease = [this](const std::string &of, const std::string &text) {
     auto it = Cells.find(of);
@@ -253,7 +257,6 @@
 bool Gateway::ready() const { return Plan && SeenReplicas && !Leaving; }
 
 void Gateway::onOperator(const OperatorChanges &changes) {
-  auto now = TimerService::now();
   if (changes.Plan && (!Plan || changes.Plan->version() > Plan->version())) {
     Log.write(
         LogClass::State, "plan",
@@ -269,20 +272,27 @@
     View.setPlan(Plan);
     Quotas.setPlan(Plan);
   }
-  for (const auto &it : changes.Versions) {
-    auto &known = Versions[it.Weights];
-    if (it.Version <= known)
-      continue;
-    known = it.Version;
-    Log.write(LogClass::State, "weights-version",
-              {{"weights", it.Weights.text()}, {"version", it.Version}});
-    View.onVersion(it.Weights, it.Version, now);
-    for (auto &[name, cell] : Cells)
-      cell->onVersion(it.Weights, it.Version);
-  }
+  for (const auto &it : changes.Versions)
+    onVersion(it);
   wakeWaiting();
 }
 
+void Gateway::onVersion(const WeightsVersion &named) {
+  auto before = View.versions().newest(named.Weights);
+  if (!View.onVersion(named))
+    return;
+  Log.write(LogClass::State, "weights-version",
+            {{"weights", named.Weights.text()},
+             {"version", named.Version},
+             {"before", before},
+             {"named_ms_ago", TimerService::now() - named.NotBefore}});
+  if (named.Version > before)
+    for (auto &[name, cell] : Cells)
+      cell->onVersion(named.Weights, named.Version);
+  for (const auto &it : Exchanges)
+    it->onNamed(named.Weights);
+}
+
 void Gateway::onReplicas(const ReplicaChanges &changes, bool unreachable) {
   for (const auto &it :
        View.onRegistry(changes, unreachable, TimerService::now()))
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -103,6 +103,9 @@
   /// A replica has started anew. An attempt there is over, unless it already
   /// runs at the new start and something comes soon.
   void onRestarted(const ReplicaLife &before);
+  /// A version of weights was named, which may replace the one that an attempt
+  /// waits to begin on.
+  void onNamed(const WeightsRef &weights);
   /// The request is barred. It is answered, unless a replica runs it well.
   void onBarred();
   /// Shortens how long it may be held before it is sent anywhere.
@@ -129,6 +132,12 @@
   std::uint64_t bytesMoved() const { return Request.Body.size() + Answered; }
   /// How long it was held before it was first sent, or until its end.
   Span heldFor() const;
+  /// For how long the version of the last attempt had been replaced when it was
+  /// sent; none if it was the newest known.
+  std::optional<Span> replacedFor() const { return ReplacedFor; }
+  /// Whether an attempt was ended because it would have begun on weights that
+  /// were replaced too long ago.
+  bool endedUnbegun() const { return EndedUnbegun; }
 
 private:
   /// What has come of the attempt that is under way.
@@ -147,6 +156,8 @@
     /// When the attempt is taken to be stuck, unless something comes before;
     /// never if the attempt may not be repeated and its replica lives.
     Instant StuckAt = Instant::max();
+    /// Version of the weights that it was sent for; 0 if not known.
+    std::uint64_t Version = 0;
     /// If it has not begun by then it must not, as its weights were replaced.
     std::optional<Instant> BeginsBy;
     /// Its replica has started anew since it was sent.
@@ -188,6 +199,7 @@
   void armAttempt();
   void noteAlive();
   bool beginsTooLate() const;
+  void endUnbegun();
   void endAttempt(AttemptVerdict verdict);
   bool mayRepeat() const;
   bool spendRepeat(std::string_view why);
@@ -247,6 +259,8 @@
   std::optional<Span> FirstByte;
   /// Time from the arrival to the first sending.
   std::optional<Span> FirstSent;
+  std::optional<Span> ReplacedFor;
+  bool EndedUnbegun = false;
 };
 
 } // namespace hemlockglade
