An engine is not blamed for a request that was taken back before it began

What callers saw: after a name, requests that waited at an engine on the version before were taken back, and the engine counted as failing and was left alone, though it may be the one that takes the newest version. Cause: an attempt that is ended unbegun went the way of one that broke. Ruled out: that it has surely not run; it still counts as one that may have. Change: such an attempt ends without a verdict against its engine, which may get the request back once it holds the newest version.

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -443,7 +443,9 @@
                     {"replica", Now->Replica->Life.text()},
                     {"sent_ms_ago", now - Now->SentAt},
                     {"due_ms_ago", now - *Now->BeginsBy}});
-  onUnknown("would begin on replaced weights");
+  // The engine did nothing wrong, and may be the one that takes the newest.
+  endAttempt(AttemptVerdict::Good);
+  goOn("would begin on replaced weights");
 }
 
 bool GatewayExchange::mayRepeat() const {
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -188,6 +188,8 @@
   void onFailed(HttpFailure how);
   void onNotRun();
   void onUnknown(std::string_view why);
+  /// Sends the request once more where that is allowed, or answers it.
+  void goOn(std::string_view why);
   void onBroken(std::string_view how);
   void onPlainAnswer();
   void passEvents(std::string_view events);
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -232,15 +232,16 @@
 }
 
 void GatewayExchange::onUnknown(std::string_view why) {
-  std::string failed;
   if (Now) {
-    failed = Now->Replica->Life.text();
+    Query.Avoid.insert(Now->Replica->Life.text());
     endAttempt(AttemptVerdict::Bad);
   }
-  if (mayRepeat() && spendRepeat(why)) {
-    Query.Avoid.insert(failed);
+  goOn(why);
+}
+
+void GatewayExchange::goOn(std::string_view why) {
+  if (mayRepeat() && spendRepeat(why))
     return next();
-  }
   if (AnswerBegun) {
     Reply->abort();
     return finish(0, why);
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -588,6 +588,25 @@
   CHECK(it.Second.Requests.size() == 1);
 }
 
+TEST_CASE("an engine that takes the newest weights gets back the request that "
+          "waited there for the ones before",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.Way.Resumable = true;
+  it.Way.MaxAttempts = 2;
+  it.Setup.LeastStall = std::chrono::seconds(5);
+  it.present(false);
+  it.replaceWeights();
+  it.First.Script = {{}, {StreamHead + chunk(event(0)) + chunk("")}};
+  it.ask("Weights: m/a1\r\n");
+  REQUIRE(it.until([&it] { return it.First.Requests.size() == 1; }));
+  it.View.onResidency("i-1", {{Adapter, {2, Instant{}}}}, TimerService::now());
+  REQUIRE(it.untilEnd());
+  CHECK(it.Outcome == "complete");
+  CHECK(it.First.Requests.size() == 2);
+}
+
 TEST_CASE("a slow request that may not be repeated is still ended before it "
           "begins on replaced weights",
           "[gateway]") {
--- a/UnitTests/Node/Gateway/ReplacedVersionTest.cpp
+++ b/UnitTests/Node/Gateway/ReplacedVersionTest.cpp
@@ -51,6 +51,28 @@
 
 } // namespace
 
+TEST_CASE("a version is used on while a node knows that its successor is new",
+          "[gateway]") {
+  ReplacedFixture it;
+  it.start();
+  REQUIRE(it.untilReady());
+  it.Platform.name(Adapter, 2);
+  it.settle();
+  SECTION("by its own look") {
+    it.askFirst();
+    CHECK(it.reachesOldVersion());
+  }
+  SECTION("by a peer's word at its start") {
+    SecondNode second(it);
+    it.holdOldVersion(second.Platform);
+    second.Platform.Known = it.Platform.Known;
+    second.Platform.Away = true;
+    second.start(it);
+    it.askOn(second.Settings.CallerAddress);
+    CHECK(it.reachesOldVersion());
+  }
+}
+
 TEST_CASE("a version is not used after its bound though a node knows its "
           "successor only from its start",
           "[gateway]") {
