What is sure of the declarations rests on positions and on what an answer speaks for

What callers saw: nothing; found by reading the mends again. Cause: (1) a name that a peer had told was dated by that peer's word when a look gave it again, and told on with that later time; (2) after a briefing the log of news passed over names that the briefing alone had told; (3) a look that was answered early because of a row that is neither plan nor version counted as one that had waited to its end, and a whole read took over the wait of the look before; (4) a notice without an age would have meant now; (5) keys that must be confirmed went by an age that time on the way shortens. Ruled out: that a whole read after lost history makes names younger for followers: whoever follows from there knows them.

--- a/Hemlockglade/Coordination/Registry/Registry.h
+++ b/Hemlockglade/Coordination/Registry/Registry.h
@@ -26,6 +26,8 @@
   std::vector<WeightsVersion> Versions;
   /// Position behind these changes, for the next look.
   std::uint64_t Position = 0;
+  /// Whether anything had changed, also what is none of these.
+  bool Any = false;
 };
 
 /// The replicas that are registered, or what has changed of them.
--- a/Hemlockglade/Coordination/Registry/RegistryLog.h
+++ b/Hemlockglade/Coordination/Registry/RegistryLog.h
@@ -61,6 +61,9 @@
   /// Each gives whether there is something new to tell.
   bool onOperator(const OperatorChanges &changes);
   bool onReplicas(const ReplicaChanges &changes);
+  /// What operators had declared up to the position is known some other way, so
+  /// that nothing before it can be told from here.
+  void restartOperators(std::uint64_t position) { Operators.reset(position); }
 
   const ChangeList<OperatorChanges> &operators() const { return Operators; }
   const ChangeList<ReplicaChanges> &replicas() const { return Replicas; }
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -103,8 +103,8 @@
 struct VersionNotice {
   std::string Weights;
   std::uint64_t Version = 0;
-  /// How long ago that was, at most.
-  std::int64_t AgeUs = 0;
+  /// How long ago that was, at most; a day if the node does not tell.
+  std::int64_t AgeUs = Span(std::chrono::hours(24)).count();
   MSGPACK_DEFINE(Weights, Version, AgeUs)
 };
 
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -328,7 +328,8 @@
     Out.OnLease(cell, row);
   if (beat.RostersChanged)
     onRosters(beat.Rosters);
-  Out.OnNews(beat.News, beat.AnswersUs ? Span(beat.AnswersUs) : LongAgo);
+  Out.OnNews(beat.News,
+             beat.AnswersUs ? std::min(now, Span(beat.AnswersUs)) : LongAgo);
   takeCrashes(beat.Crashes, OwnerToldCrashes);
   if (!beat.Replicas.empty())
     Out.OnChanged();
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -289,7 +289,8 @@
   if (named.Version > before)
     for (auto &[name, cell] : Cells)
       cell->onVersion(named.Weights, named.Version);
-  for (const auto &it : Exchanges)
+  auto open = Exchanges;
+  for (const auto &it : open)
     it->onNamed(named.Weights);
 }
 
@@ -348,7 +349,7 @@
   if (labels.Id.empty())
     return refuse(*reply, labels.Id, BadRequest, "the request has no id");
   if (access.Space && Settings.RevokeFailClosed &&
-      Watch->declaredAge() > Settings.RevokeBound)
+      Watch->sureDeclaredAge() > Settings.RevokeBound)
     return refuse(*reply, labels.Id, Unavailable, "keys can't be confirmed",
                   Span(AwayRetry));
   const auto *service = Plan->service(access.Way->Targets.front().Service);
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -252,7 +252,7 @@
   if (SeenReplicas || replicas.Present.size() < reply.Replicas.size())
     knows.Replica = 0;
   Crashes.onTold(reply.Crashes);
-  onOperator(Watch->dated(declared));
+  onOperator(declared);
   bool tellsAll = reply.PlanText.empty() || declared.Plan;
   if (reply.OperatorAgeUs > 0 && tellsAll)
     Watch->onDeclared(Span(reply.OperatorAgeUs), askedAt);
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.cpp
@@ -82,8 +82,10 @@
     return planOperator(left);
   OperatorAskedAt = TimerService::now();
   auto done = [this](const auto &result) { onOperator(result); };
-  if (!OperatorPosition)
+  if (!OperatorPosition) {
+    OperatorWaits = Span(0);
     return Registry.ReadOperator(done);
+  }
   // A registry that has just failed is asked for an answer at once: a wait
   // would only make it later known that this look is lost as well.
   OperatorWaits = OperatorLook.Good ? Setup.Pace.OperatorWait : Span(0);
@@ -98,7 +100,7 @@
     takeOperator(*result, "registry");
     // The answer is surely as new as the question, and one without changes as
     // new as the end of its wait. Nothing else speaks for the declarations.
-    bool changed = result->Plan || !result->Versions.empty();
+    bool changed = result->Any || result->Plan || !result->Versions.empty();
     auto seenAt = OperatorAskedAt + (changed ? Span(0) : OperatorWaits);
     seenAt = std::min(seenAt, TimerService::now());
     OperatorSeenAt = std::max(OperatorSeenAt, seenAt);
@@ -120,9 +122,9 @@
 
 OperatorChanges RegistryWatch::dated(OperatorChanges changes) const {
   // What was not known when the declarations were last sure was declared later.
-  auto sureAt = TimerService::now() - sureDeclaredAge();
+  // A peer's word counts for nothing here: what it told may come again.
   for (auto &it : changes.Versions)
-    it.NotBefore = std::max(it.NotBefore, sureAt);
+    it.NotBefore = std::max(it.NotBefore, OperatorSureAt);
   return changes;
 }
 
@@ -279,7 +281,7 @@
   auto now = TimerService::now();
   if (!OperatorPosition && knows.Operator) {
     OperatorPosition = knows.Operator;
-    Seen.onOperator({nullptr, {}, knows.Operator});
+    Seen.restartOperators(knows.Operator);
     OperatorToldAt = now;
     OperatorSeenAt = now - operatorAge;
     OperatorSureAt = std::max(OperatorSureAt, askedAt - operatorAge);
--- a/Programs/hemlockgladed/Gateway/RegistryWatch.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatch.h
@@ -60,9 +60,6 @@
   /// node that tells was asked at `askedAt`.
   void onBriefed(const RegistryPositions &knows, Span operatorAge,
                  Span replicasAge, Instant askedAt);
-  /// What has become known of the declarations, with the earliest time at which
-  /// each version can have been named.
-  OperatorChanges dated(OperatorChanges changes) const;
   /// Looks at the declarations now, and calls back when all that operators had
   /// declared at the time of the call is known, or can't be had in time.
   void confirm(std::function<void(bool known)> done);
@@ -95,6 +92,9 @@
   void lookAtReplicas();
   void onOperator(const tl::expected<OperatorChanges, RegistryError> &result);
   void onReplicas(const tl::expected<ReplicaChanges, RegistryError> &result);
+  /// What has become known of the declarations, with the earliest time at which
+  /// each version can have been named.
+  OperatorChanges dated(OperatorChanges changes) const;
   void takeOperator(const OperatorChanges &told, std::string_view from);
   void takeReplicas(const ReplicaChanges &changes, bool unreachable);
   void takeDeclared(const RegistryNews &news, Instant now, Instant sentAfter);
--- a/UnitTests/Coordination/Route/RegistryLogTest.cpp
+++ b/UnitTests/Coordination/Route/RegistryLogTest.cpp
@@ -75,6 +75,15 @@
   CHECK(log.operators().position() == 8);
 }
 
+TEST_CASE("what a briefing told alone is not passed over in news",
+          "[registry]") {
+  RegistryLog log({});
+  log.onOperator({nullptr, {}, 5});
+  log.restartOperators(9);
+  CHECK_FALSE(log.operators().since(5));
+  CHECK(log.operators().since(9));
+}
+
 TEST_CASE("a start under the same id is told", "[registry-log][life]") {
   RegistryLog log({});
   auto first = replica("i-1");
--- a/UnitTests/Node/Gateway/RegistryWatchTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatchTest.cpp
@@ -30,6 +30,8 @@
     };
     registry.WatchOperator = [this](std::uint64_t, Span wait, auto done) {
       ++Waits;
+      if (Holds)
+        return HeldLooks.push_back(done);
       Timers.after(wait, [done, this](Instant) {
         done(OperatorChanges{nullptr, {}, Position});
       });
@@ -87,6 +89,16 @@
     asio::post(Context, std::move(call));
   }
 
+  /// The next look for declarations stays open for a while; when it began.
+  Instant holdLook() {
+    constexpr Span HeldFor = milliseconds(150);
+    Holds = true;
+    REQUIRE(until([this] { return !HeldLooks.empty(); }));
+    auto since = TimerService::now();
+    until([&] { return TimerService::now() >= since + HeldFor; });
+    return since;
+  }
+
   /// Tells the node again and again, as an owner does.
   void tellAgainAndAgain(Span age) {
     Telling = Timers.every(milliseconds(20), [this, age](Instant) {
@@ -107,6 +119,9 @@
   std::uint64_t Position = 10;
   bool Tells = false;
   bool StandsBy = false;
+  /// Looks that wait for declarations are not answered yet.
+  bool Holds = false;
+  std::vector<RegistryCallback<OperatorChanges>> HeldLooks;
   /// The registry answers no reading of everything.
   bool Away = false;
   int Reads = 0;
@@ -270,6 +285,28 @@
   }
 }
 
+TEST_CASE("news make a name no younger though a peer told all meanwhile",
+          "[gateway]") {
+  WatchFixture it;
+  auto heldAt = it.holdLook();
+  it.Watch->onDeclared(Span(0), TimerService::now());
+  it.HeldLooks[0](
+      OperatorChanges{nullptr, {{WeightsRef::parse("m/a"), 3}}, 11});
+  auto told = it.Watch->newsSince({10, 10});
+  REQUIRE(told.Declared.size() == 1);
+  CHECK(Span(told.Declared[0].Versions[0].AgeUs) >=
+        TimerService::now() - heldAt - milliseconds(1));
+}
+
+TEST_CASE("a look that is answered early speaks for no more than its question",
+          "[gateway]") {
+  WatchFixture it;
+  auto heldAt = it.holdLook();
+  // Something changed that is neither a plan nor a version.
+  it.HeldLooks[0](OperatorChanges{nullptr, {}, 11, true});
+  CHECK(it.Watch->sureAge() >= TimerService::now() - heldAt - milliseconds(1));
+}
+
 TEST_CASE("what a node was told it tells on", "[gateway]") {
   WatchFixture it;
   RegistryNews news;
