Test: time that news were on their way never makes a version younger

Cause: no test held that an owner's ages count from the receiver's own question rather than from the arrival of the message. Change: a test of RegistryWatch: a name told with an age, after a minute on its way, is dated by both, but not before this node's declarations were last sure. Measured: passes; fails with the version's age counted from the arrival, and with the age of the declarations counted so.

--- a/UnitTests/Node/Gateway/RegistryWatchTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatchTest.cpp
@@ -289,4 +289,30 @@
   CHECK(it.Watch->newsSince({1, 1}).ReplicaPosition == 0);
 }
 
+// A suspended host's buffers may keep a message for long.
+TEST_CASE("time that news were on their way never makes a version younger",
+          "[gateway]") {
+  WatchFixture it(Long, Long, false);
+  auto now = TimerService::now();
+  static constexpr Span Known = std::chrono::hours(1);
+  static constexpr Span OnWay = std::chrono::minutes(1);
+  it.Watch->onBriefed({10, 10}, Span(0), Span(0), now - Known);
+  RegistryNews news;
+  news.OperatorFrom = 10;
+  news.OperatorPosition = 12;
+  auto [age, least, most] =
+      GENERATE(table<Span, Span, Span>({{Span(0), OnWay, 2 * OnWay},
+                                        {OnWay, 2 * OnWay, 3 * OnWay},
+                                        // What was not known then came later.
+                                        {2 * Known, Known, 2 * Known}}));
+  news.Declared = {{"", {{"m/a", 3, age.count()}}}};
+  it.Watch->onTold(news, now - OnWay);
+  auto told = it.Watch->newsSince({10, 10});
+  REQUIRE(told.Declared.size() == 1);
+  auto named = Span(told.Declared[0].Versions[0].AgeUs);
+  CHECK(named >= least);
+  CHECK(named < most);
+  CHECK(Span(told.OperatorAgeUs) >= OnWay);
+}
+
 } // namespace hemlockglade::test
