--- a/Bench/Capacity/StateSlopes.cpp
+++ b/Bench/Capacity/StateSlopes.cpp
@@ -3,6 +3,7 @@
 #include "Slopes.h"
 
 #include "Hemlockglade/Coordination/Coordination.h"
+#include "Hemlockglade/Coordination/Registry/DeclaredVersions.h"
 
 namespace hemlockglade::bench {
 
@@ -111,6 +112,16 @@
   return heapBytes() - before;
 }
 
+double versionBytes(std::size_t n) {
+  auto before = heapBytes();
+  DeclaredVersions versions(std::chrono::seconds(4));
+  for (std::size_t it = 0; it < n; ++it)
+    versions.add({{"assistant-base", "adapter-" + std::to_string(it)},
+                  2,
+                  std::chrono::seconds(it)});
+  return heapBytes() - before;
+}
+
 double registerMicros(std::size_t n) {
   RunningRequests requests;
   std::vector<RegisteredRequest> all;
@@ -138,6 +149,13 @@
       out,
       {"configuration, replica", "bytes", "replicas", planned::Replicas, {}},
       ReplicaSizes, [](std::size_t n) { return viewBytes(n, &replica); });
+  measureSlope(out,
+               {"adapter with a version named",
+                "bytes",
+                "adapters",
+                planned::Adapters,
+                {}},
+               AdapterSizes, &versionBytes);
   measureSlope(out,
                {"configuration, one change read and applied",
                 "us",
