--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -72,6 +72,9 @@
       return MemberNotice{"n", "p", "", "hall-a", true, 1, 1000, Awake};
     };
     quiet(hooks, Crashes);
+    hooks.OnNews = [this](const RegistryNews &, Instant sentAfter) {
+      SentAfter = sentAfter;
+    };
     Member = std::make_unique<CellMember>(settings, std::move(hooks), View, Net,
                                           Traffic, Log);
   }
@@ -87,6 +90,8 @@
     return told && !told->empty() ? told->front().Entries.size() : 0;
   }
 
+  /// Since when the owner's last news can have been on their way.
+  std::optional<Instant> SentAfter;
   /// The cell's lease as the table has it.
   CellLeaseRow Row;
   bool Awake = true;
@@ -123,6 +128,26 @@
   REQUIRE(it.until([&] { return it.entries() == 1; }));
 }
 
+TEST_CASE("news that answer no question may have been on their way for long",
+          "[gateway]") {
+  FollowerFixture it;
+  ScriptedOwner owner(it.Context);
+  it.follow(owner, 1);
+  auto now = TimerService::now();
+  auto answers = GENERATE(as<Span>{}, Span(0), -std::chrono::seconds(2),
+                          std::chrono::hours(1));
+  OwnerBeat beat;
+  beat.AnswersUs = answers == Span(0) ? 0 : (now + answers).count();
+  owner.Stream->send(pack(beat));
+  REQUIRE(it.until([&] { return it.SentAfter.has_value(); }));
+  if (answers == Span(0))
+    CHECK(*it.SentAfter == LongAgo);
+  else if (answers < Span(0))
+    CHECK(*it.SentAfter == now + answers);
+  else
+    CHECK(*it.SentAfter <= TimerService::now());
+}
+
 // The owner before may have been silent for seconds, and be among those that it
 // named.
 TEST_CASE("a new owner does not go by whom the one before named", "[gateway]") {
@@ -263,6 +288,32 @@
   REQUIRE(it.until([&] { return it.Row && it.Row->Released; }));
 }
 
+TEST_CASE("an owner's beats say which of a node's beats they answer",
+          "[gateway]") {
+  OwnerFixture it;
+  it.OwnerStrong = true;
+  REQUIRE(it.until([&] { return it.Member->owning(); }));
+  auto node = it.follow(OwnerFixture::node("m", false));
+  auto answered = [&](std::int64_t sentAt) {
+    auto &heard = it.Heard["m"];
+    return std::any_of(heard.begin(), heard.end(), [sentAt](const auto &beat) {
+      return beat.AnswersUs == sentAt;
+    });
+  };
+  NodeBeat beat;
+  beat.Self = OwnerFixture::node("m", false);
+  beat.SentAtUs = 7;
+  node->send(pack(beat));
+  REQUIRE(it.until([&] { return answered(7); }));
+  // A brief one has no time of its own.
+  NodeBeat brief;
+  brief.Brief = true;
+  node->send(pack(brief));
+  auto heard = it.Heard["m"].size();
+  REQUIRE(it.until([&] { return it.Heard["m"].size() > heard + 2; }));
+  CHECK(it.Heard["m"].back().AnswersUs == 7);
+}
+
 TEST_CASE("a cell stays where nobody is better", "[gateway]") {
   OwnerFixture it;
   bool strong = GENERATE(true, false);
