Failing tests: further events of a kind give older ones new time

Cause, as far as the tests show: (1) each refusal for missing weights moves the time from which they count as late, so that refusals in a row never strike them out; (2) each unload that an engine takes puts the look at the one before off; (3) a base model's load puts off a look that is due at once; (4) a further grant of a limit renews what is left of the one before; (5) a beat that was on its way for longer prolongs a lease of the same version. Ruled out, by tests that pass: entries that vanish again, replicas told to leave again, ends of replicas in a row, limits lowered again and again.

--- a/UnitTests/Coordination/Crash/CrashBookTest.cpp
+++ b/UnitTests/Coordination/Crash/CrashBookTest.cpp
@@ -65,6 +65,16 @@
   CHECK(book.endsOf(Key) == 2);
 }
 
+TEST_CASE("ends that follow on each other do not count as one for ever",
+          "[crash]") {
+  CrashBook book;
+  auto sent = Start - seconds(1);
+  // Each ends within the time of one failure after the one before.
+  for (std::uint64_t life = 1; life <= 6; ++life)
+    book.onEnd(Key, {life, sent, Start + milliseconds(60) * life}, Later);
+  CHECK(book.endsOf(Key) == 3);
+}
+
 TEST_CASE("replicas of several failure domains do not end for one reason",
           "[crash]") {
   CrashBook book;
--- a/UnitTests/Coordination/Orders/CellDeskTest.cpp
+++ b/UnitTests/Coordination/Orders/CellDeskTest.cpp
@@ -1,5 +1,6 @@
 #include "Hemlockglade/Coordination/Orders/CellDesk.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
 #include <rapidcheck.h>
@@ -307,6 +308,59 @@
   CHECK(orders <= 12);
 }
 
+namespace {
+
+EngineOrder orderFor(OrderKind kind, const WeightsRef &weights) {
+  EngineOrder out;
+  out.Kind = kind;
+  out.Weights = weights;
+  return out;
+}
+
+std::size_t reports(const std::vector<DeskAction> &actions) {
+  return static_cast<std::size_t>(
+      std::count_if(actions.begin(), actions.end(), [](const auto &it) {
+        return it.What == DeskAction::Kind::Report;
+      }));
+}
+
+} // namespace
+
+TEST_CASE("unloads in a row do not put off the look at the first", "[desk]") {
+  constexpr std::uint32_t Places = 4;
+  DeskWorld world(1, Places);
+  for (int n = 1; n <= 4; ++n)
+    world.Engines["i-0"].Held[adapter(n)] = 1;
+  world.rounds(2);
+  REQUIRE(world.Desk.residency("i-0").contains(adapter(4)));
+  // The engine lets each go once its requests are over.
+  auto unload = [&world](int n) {
+    world.Desk.onOrderAnswer("i-0", orderFor(OrderKind::Unload, adapter(n)),
+                             OrderAnswer::Accepted, world.Now);
+  };
+  std::size_t looks = 0;
+  for (int n = 1; n <= 4; ++n) {
+    unload(n);
+    world.Now += milliseconds(200);
+    looks += reports(world.Desk.plan(true, world.Now));
+  }
+  CHECK(looks > 0);
+}
+
+TEST_CASE("a base model's load does not put off the look at missing weights",
+          "[desk]") {
+  DeskWorld world(1);
+  world.Engines["i-0"].Held[adapter(1)] = 1;
+  world.rounds(2);
+  REQUIRE(world.Desk.residency("i-0").contains(adapter(1)));
+  // It turns out while the answer to the load is on its way.
+  world.Desk.onMissing("i-0", adapter(1), world.Now);
+  world.Desk.onOrderAnswer("i-0", orderFor(OrderKind::Load, {Model, {}}),
+                           OrderAnswer::Accepted, world.Now);
+  world.Now += milliseconds(50);
+  CHECK(reports(world.Desk.plan(true, world.Now)) == 1);
+}
+
 TEST_CASE("no replica is told to hold more than its places, whatever is lost",
           "[desk]") {
   REQUIRE(rc::check([] {
--- a/UnitTests/Coordination/Orders/CellLeaseTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseTest.cpp
@@ -121,6 +121,31 @@
   CHECK_FALSE(world.TooSoon);
 }
 
+TEST_CASE("beats that were on their way for long give a lease no new time",
+          "[lease]") {
+  LeaseWorld world(4, 2);
+  world.run(milliseconds(2000));
+  auto *first = world.holder();
+  REQUIRE(first);
+  auto &other =
+      first == world.Hosts[0].get() ? *world.Hosts[1] : *world.Hosts[0];
+  auto tell = [&](Span remaining) {
+    other.Lease->onHeard(first->Lease->version(), remaining);
+  };
+  first->Cut = true;
+  world.run(LeaseStep);
+  auto remaining = first->Lease->remaining();
+  tell(remaining);
+  // The same beat again and again, each held up for longer.
+  while (first->Lease->mayOrder()) {
+    world.run(LeaseStep);
+    tell(remaining);
+  }
+  world.run(Handover + milliseconds(250) + 4 * LeaseStep);
+  CHECK(world.holder() == &other);
+  CHECK_FALSE(world.TooSoon);
+}
+
 TEST_CASE("a lease that is given up can be taken at once", "[lease]") {
   LeaseWorld world(5);
   world.run(milliseconds(2000));
--- a/UnitTests/Coordination/Quota/QuotaTest.cpp
+++ b/UnitTests/Coordination/Quota/QuotaTest.cpp
@@ -202,6 +202,78 @@
   CHECK(it.outcome(from).second < 0.1);
 }
 
+TEST_CASE("a further grant gives what is left of the one before no new time",
+          "[quota]") {
+  QuotaAccount it(QuotaAccount::Settings{}, bounds());
+  it.setCells({"a"}, "a");
+  Workspace space{"w", std::nullopt, large()};
+  Instant now = seconds(10);
+  QuotaAccount::Ticket ticket = 0;
+  auto ask = [&](double units) {
+    auto decision = it.book(++ticket, space, units, now);
+    return decision && decision->What == Verdict::Go;
+  };
+  /// Answers what was asked for, in full; gives the units granted ahead.
+  auto grant = [&] {
+    double ahead = 0;
+    for (const auto &message : it.takeAsks(now))
+      for (const auto &asked : message.Asks) {
+        QuotaGrant grant{asked.Workspace, true,
+                         static_cast<std::uint32_t>(asked.Needs.size()),
+                         asked.Ahead, Span(0)};
+        ahead += asked.Ahead;
+        it.onGrants(message.Cell, message.Number, std::span(&grant, 1), now);
+      }
+    return ahead;
+  };
+  for (int n = 0; n < 4; ++n)
+    ask(100);
+  auto first = grant();
+  REQUIRE(first > 100);
+  // Demand grows, so that more is asked for while most of it is left.
+  now += milliseconds(400);
+  std::size_t used = 0;
+  double second = 0;
+  while (second == 0 && used < 20) {
+    REQUIRE(ask(10));
+    ++used;
+    second = grant();
+  }
+  REQUIRE(second > 0);
+  double left = first - 10 * static_cast<double>(used);
+  REQUIRE(left > 0);
+  now += milliseconds(200);
+  it.tick(now);
+  // Only the second one may still be used.
+  std::size_t passed = 0;
+  while (passed < 1000 && ask(10))
+    ++passed;
+  CHECK(10 * static_cast<double>(passed) <= second);
+}
+
+TEST_CASE("a limit that is lowered again gives the larger one no new time",
+          "[quota]") {
+  QuotaWorld it(worldOf(large(), 9, 1));
+  settle(it);
+  it.load(5 * large().PerSecond, UsualTokens, seconds(60));
+  it.advance(seconds(10));
+  auto half = large();
+  half.PerSecond /= 2;
+  half.Burst /= 2;
+  it.setLimit(half);
+  // Lowered a little again and again while the window of the first runs.
+  auto lowered = half;
+  for (Span gone{0}; gone < it.Setup.Quota.Window; gone += milliseconds(500)) {
+    it.advance(milliseconds(500));
+    lowered.PerSecond *= 0.99;
+    lowered.Burst *= 0.99;
+    it.setLimit(lowered);
+  }
+  auto from = it.now();
+  it.advance(seconds(20));
+  CHECK(it.outcome(from).first <= mostAllowed(half) * 20 / 8);
+}
+
 TEST_CASE("a deployment without cells keeps no limit", "[quota]") {
   QuotaAccount it(QuotaAccount::Settings{}, bounds());
   Workspace space{"w", std::nullopt, large()};
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -243,6 +243,49 @@
   CHECK(it.choose().What == Kind::Missing);
 }
 
+TEST_CASE("refusals in a row do not put off that weights are missing",
+          "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onResidency("i-1", {{Adapter, {1, it.Now}}}, it.Now);
+  for (Span gone{0}; gone < milliseconds(1200); gone += milliseconds(40)) {
+    it.Now += milliseconds(40);
+    it.View.onWeightsRefused("i-1", Adapter, true, it.Now);
+  }
+  CHECK(it.choose().What == Kind::Missing);
+  // What its owner tells later counts from then.
+  it.View.onResidency("i-1", {{Adapter, {1, it.Now}}}, it.Now);
+  it.View.onWeightsRefused("i-1", Adapter, true, it.Now);
+  CHECK(it.choose().What == Kind::Wait);
+}
+
+TEST_CASE("entries that vanish again behind an outage get no new time",
+          "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  for (std::uint64_t look = 2; look < 12; ++look) {
+    it.View.onRegistry({true, {}, {}, look}, true, it.Now);
+    it.Now += milliseconds(200);
+    it.View.tidy(it.Now);
+  }
+  CHECK(it.choose().What == Kind::Nobody);
+}
+
+TEST_CASE("a replica that is told to leave again and again gets no new work",
+          "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  auto leaving = record("i-1");
+  leaving.Draining = true;
+  for (int round = 0; round < 10; ++round) {
+    it.present({leaving}, false);
+    CHECK(it.choose().What == Kind::Nobody);
+    it.Now += milliseconds(500);
+    it.present({record("i-1")}, false);
+    CHECK(it.choose().What == Kind::Nobody);
+  }
+}
+
 TEST_CASE("the speed of reading is learnt from first events", "[view]") {
   ReadingSpeed speed;
   CHECK(speed.usPerToken() == Approx(50));
