--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -225,8 +225,8 @@
   return Versions.replacedAt(weights, version);
 }
 
-std::optional<Instant>
-ReplicaView::beginsBy(const WeightsRef &weights, std::uint64_t version) const {
+std::optional<Instant> ReplicaView::beginsBy(const WeightsRef &weights,
+                                             std::uint64_t version) const {
   auto replaced = replacedAt(weights, version);
   if (!replaced)
     return std::nullopt;
