Failing test: a repeat holds a request beyond what a stop allows

What callers saw: nothing in the record; while a node stops, a stream whose replica breaks and that nobody else can run is held for the whole patience again instead of being refused while it still has time to go elsewhere. Cause: each repeat sets the time of holding anew, whatever the stop said.

--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -519,6 +519,24 @@
   }
 }
 
+TEST_CASE("a repeat does not hold a request beyond what a stop allows",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::Stream;
+  it.Way.Resumable = true;
+  it.Way.MaxAttempts = 2;
+  it.present(false);
+  it.First.Script = {{""}};
+  it.ask();
+  REQUIRE(it.until([&] { return it.First.Requests.size() == 1; }));
+  it.Exchange->holdAtMost(milliseconds(100));
+  auto from = TimerService::now();
+  // Nobody else is there to send it to.
+  it.First.crash();
+  REQUIRE(it.untilEnd());
+  CHECK(TimerService::now() - from < milliseconds(600));
+}
+
 TEST_CASE("what ran at a replica that has started anew goes on elsewhere",
           "[gateway][life]") {
   ExchangeFixture it;
