Refusals in a row do not put off that weights are missing

What callers saw: nothing in the record; while a cell has no owner, requests are sent again and again to an engine that has not got the weights. Cause: weights count as lost a second after they should have been ready, but each refusal set that time anew for the next try. Ruled out: a longer pause between tries; it would only make late loads wait. Change: the view keeps apart when weights should first have been ready, until their owner or the registry tells of them again.

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -64,8 +64,10 @@
     seen.ByOwner = true;
     Early.erase(told);
   }
-  if (!seen.ByOwner)
+  if (!seen.ByOwner) {
     seen.Held = residencyOf(record, now);
+    seen.LateSince.clear();
+  }
 }
 
 std::vector<ReplicaPtr> ReplicaView::onRegistry(const ReplicaChanges &changes,
@@ -116,6 +118,7 @@
     return;
   }
   it->second.Held = std::move(held);
+  it->second.LateSince.clear();
   it->second.ByOwner = true;
 }
 
@@ -131,6 +134,12 @@
     held[weights] = at;
   for (const auto &weights : dropped)
     held.erase(weights);
+  if (it == Replicas.end())
+    return;
+  for (const auto &[weights, at] : changed)
+    it->second.LateSince.erase(weights);
+  for (const auto &weights : dropped)
+    it->second.LateSince.erase(weights);
 }
 
 void ReplicaView::onOthersRunning(const std::string &replica,
@@ -453,10 +462,15 @@
   // it does not have; what should have been ready a moment ago is taken to be
   // late.
   constexpr auto Late = std::chrono::milliseconds(1000);
-  if (missing && now - held->second.ReadyAt > Late)
+  // Counted from when it was first due: the next try is no new date.
+  auto &late = it->second.LateSince;
+  auto due = late.try_emplace(weights, held->second.ReadyAt).first;
+  if (missing && now - due->second > Late) {
+    late.erase(due);
     it->second.Held.erase(held);
-  else
+  } else {
     held->second.ReadyAt = now + Again;
+  }
 }
 
 void ReplicaView::onReplaced(const std::string &replica) {
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -236,6 +236,9 @@
     /// What it holds; from its cell's owner if `ByOwner`.
     Residency Held;
     bool ByOwner = false;
+    /// Weights that were refused since what it holds was last told, and when
+    /// they should have been ready.
+    std::map<WeightsRef, Instant> LateSince;
     std::uint32_t Own = 0;
     std::uint64_t OwnTokens = 0;
     std::map<WeightsRef, std::uint32_t> OwnUses;
