What an engine is asked about is not put off by its next order

What callers saw: nothing in the record; a cell's books keep an adapter that has gone, or count one as loaded that is missing, while orders to its engine go on. Cause: an unload that an engine takes, and the load of a base model, set the time of the next look at the engine anew, also where one was due before. Ruled out: the time after an unanswered order or look; nothing is ordered until it is over, so that it can't be prolonged by more orders. Change: an order only brings such a look forward.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -12,6 +12,11 @@
   return weight * std::exp2(-inSeconds(age) / inSeconds(halfLife));
 }
 
+/// Something is due then, unless it is due before.
+void bringForward(std::optional<Instant> &due, Instant at) {
+  due = std::min(due.value_or(at), at);
+}
+
 /// Requests a second that keep a fading count at a weight.
 double rateOfWeight(double weight, Span halfLife) {
   constexpr double Ln2 = 0.6931471805599453;
@@ -322,7 +327,8 @@
         takes = model ? book.modelLoadTime(*model) : Span(0);
         book.FromStore = !book.hasCopy(order.Weights.Model);
         book.ModelBusyUntil = now + takes;
-        book.ReportDue = now + (book.FromStore ? takes / 4 : takes);
+        bringForward(book.ReportDue,
+                     now + (book.FromStore ? takes / 4 : takes));
       }
       book.Held[order.Weights] = {order.Version, now + takes, false};
       book.Count += holds ? 0 : 1;
@@ -334,7 +340,7 @@
       } else {
         // It goes once its requests are over.
         book.Count += 1;
-        book.CheckDue = now + Setup.DoubtDelay;
+        bringForward(book.CheckDue, now + Setup.DoubtDelay);
       }
     }
     return;
