Each grant of a limit ends at its own time

What callers saw: nothing in the record; what is granted ahead may be used for 0.5 s after it was asked for, so that little passes at a node that was cut off, or under a larger limit. Cause: a further grant gave what was left of the one before its own end. Ruled out: ending all of them with the first; a node under steady load would then be without a grant twice a second. Change: an entry keeps its grants apart, uses the oldest first and gives each back at its own end.

--- a/Hemlockglade/Coordination/Quota/QuotaAccount.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaAccount.cpp
@@ -84,19 +84,32 @@
     DueBooks.push_back(&book);
 }
 
-void QuotaAccount::lapse(Purse &purse, Instant now) const {
-  if (purse.Granted <= 0 || now < purse.GrantedUntil)
-    return;
-  purse.Unused += purse.Granted;
-  purse.Granted = 0;
+double QuotaAccount::Purse::granted() const {
+  double out = 0;
+  for (const auto &it : Grants)
+    out += it.Units;
+  return out;
+}
+
+void QuotaAccount::lapse(Purse &purse, Instant now) {
+  std::erase_if(purse.Grants, [&purse, now](const auto &it) {
+    bool over = now >= it.Until;
+    purse.Unused += over ? it.Units : 0;
+    return over;
+  });
 }
 
-bool QuotaAccount::useGranted(Book &book, double units, Instant now) const {
+bool QuotaAccount::useGranted(Book &book, double units, Instant now) {
   for (auto &purse : book.Purses) {
     lapse(purse, now);
-    if (purse.Granted < units)
+    if (purse.granted() < units)
       continue;
-    purse.Granted -= units;
+    for (auto &it : purse.Grants) {
+      auto used = std::min(units, it.Units);
+      it.Units -= used;
+      units -= used;
+    }
+    std::erase_if(purse.Grants, [](const auto &it) { return it.Units <= 0; });
     return true;
   }
   return false;
@@ -172,7 +185,8 @@
   // Less serves no whole request before it lapses.
   if (wanted < LeastAhead * book.UsualUnits)
     return 0;
-  return purse.Granted < RefillShare * wanted ? wanted - purse.Granted : 0;
+  auto granted = purse.granted();
+  return granted < RefillShare * wanted ? wanted - granted : 0;
 }
 
 void QuotaAccount::addAsks(Book &book, std::map<std::string, Message> &messages,
@@ -239,8 +253,7 @@
   if (late) {
     purse.Unused += grant.Ahead;
   } else if (grant.Ahead > 0) {
-    purse.Granted += grant.Ahead;
-    purse.GrantedUntil = purse.AskedAt + Setup.GrantLife;
+    purse.Grants.push_back({grant.Ahead, purse.AskedAt + Setup.GrantLife});
   }
   for (std::size_t it = 0; it < asked.size(); ++it) {
     const auto &request = asked[it];
--- a/Hemlockglade/Coordination/Quota/QuotaAccount.h
+++ b/Hemlockglade/Coordination/Quota/QuotaAccount.h
@@ -90,11 +90,15 @@
     /// Decided while its answer was still to come.
     bool Over = false;
   };
+  struct Grant {
+    double Units = 0;
+    Instant Until{};
+  };
   /// What an entry has of one keeper.
   struct Purse {
     std::string Cell;
-    double Granted = 0;
-    Instant GrantedUntil{};
+    /// What was granted ahead, each with its own end; the earliest first.
+    std::vector<Grant> Grants;
     double Unused = 0;
     double Spent = 0;
     std::deque<Waiting> Waits;
@@ -108,6 +112,8 @@
     Instant SilentUntil{};
     /// Nothing is asked for ahead before, since the keeper has little left.
     Instant AheadAfter{};
+
+    double granted() const;
   };
   struct Book {
     std::string Name;
@@ -130,7 +136,7 @@
   /// Units a second that callers ask for now.
   double demandOf(const Book &book, Instant now) const;
   /// Takes units from what was granted, if one keeper's grant has them all.
-  bool useGranted(Book &book, double units, Instant now) const;
+  static bool useGranted(Book &book, double units, Instant now);
   void noteDemand(Book &book, double units, Instant now) const;
   void markDue(Book &book);
   void addAsks(Book &book, std::map<std::string, Message> &messages,
@@ -143,7 +149,8 @@
   /// Moves all that wait at a purse on to the next.
   void moveOn(Book &book, std::size_t purse, Instant now,
               std::vector<Decision> &out);
-  void lapse(Purse &purse, Instant now) const;
+  /// Gives back what was granted too long ago.
+  static void lapse(Purse &purse, Instant now);
   double aheadOf(const Book &book, const Purse &purse, Instant now) const;
   void takeGrant(Book &book, std::size_t index, const QuotaGrant &grant,
                  Instant now, std::vector<Decision> &out);
