A beat that was on its way for long gives a lease no new time

What callers saw: nothing in the record; a cell whose holder is gone is taken over later by as long as its last beats were on their way or lay in a suspended host's buffers. Cause: of several beats under one version of the row the one that came last counted. Ruled out: a lease that ends too early for its holder; each beat bounds the same end from above, and a renewal has another version. A row that the table has forgotten has no version, so that its beats count as before. Change: under one version the beat that was on its way for the shortest time counts. Measured: the test fails before and passes; all tests of leases with the drill (39 cases, no two holders order within the handover) and NodeTests whole (144).

--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -286,8 +286,11 @@
   if (version > Version)
     InDoubt = true;
   // Whatever the row's version, the holder's right ends by then or is renewed
-  // under a version that we have not heard of.
-  FreeAt = std::max(FreeAt, now + remaining);
+  // under a version that we have not heard of. Of several beats under one
+  // version the one that was on its way for the shortest time is right; a row
+  // that the table has forgotten has none.
+  bool heard = version > 0 && version == HeardVersion;
+  FreeAt = std::max(FreeAt, heard ? HeardFreeAt : now + remaining);
 }
 
 void CellLease::onTold(const CellLeaseRow &row) {
