No repeat holds a request beyond what a stop allows

What callers saw: nothing in the record; while a node stops, a stream whose replica breaks is held for the whole patience again instead of being refused while it still has time to go elsewhere. Cause: each repeat sets the time of holding anew. Ruled out: that repeats hold a request for ever; attempts and the request's own end bound them. Change: what a stop allows is kept apart and bounds each later hold. Measured: the test fails before (1.30 s where 0.1 s are allowed) and passes; NodeTests whole (144).

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -456,7 +456,7 @@
   bool allowed = Shared.Budget.spend(Query.Service, now);
   // A caller who has heard something waits as long again.
   if (allowed)
-    HoldUntil = std::max(HoldUntil, now + HoldFor);
+    HoldUntil = std::min(std::max(HoldUntil, now + HoldFor), HoldLimit);
   Shared.Log.write(LogClass::Request, "repeat",
                    {{"request", Labels.Id},
                     {"why", why},
@@ -540,7 +540,8 @@
 }
 
 void GatewayExchange::holdAtMost(Span span) {
-  HoldUntil = std::min(HoldUntil, TimerService::now() + span);
+  HoldLimit = std::min(HoldLimit, TimerService::now() + span);
+  HoldUntil = std::min(HoldUntil, HoldLimit);
 }
 
 void GatewayExchange::cut() {
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -225,6 +225,8 @@
   RouteQuery Query;
   Instant EndsAt{};
   Instant HoldUntil{};
+  /// What no repeat prolongs.
+  Instant HoldLimit = Instant::max();
   /// Longest hold of a stream's request, before its first event and between
   /// two; 0 for others.
   Span HoldFor{0};
