--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -571,6 +571,23 @@
   CHECK(it.Second.Requests.empty());
 }
 
+TEST_CASE("news of a restart that come again and again give no new time",
+          "[gateway][life]") {
+  ExchangeFixture it;
+  it.Way.Kind = RouteKind::RunOnce;
+  it.Setup.OrphanPatience = milliseconds(60);
+  it.present();
+  it.ask();
+  REQUIRE(it.until([&it] { return it.First.Requests.size() == 1; }));
+  TimerService timers(it.Context);
+  auto telling = timers.every(milliseconds(20), [&it](Instant) {
+    it.Exchange->onRestarted(ReplicaLife("i-1"));
+  });
+  auto from = TimerService::now();
+  REQUIRE(it.untilGot("HTTP/1.1 502"));
+  CHECK(TimerService::now() - from < milliseconds(1000));
+}
+
 TEST_CASE("a request that already runs at the new start is left alone",
           "[gateway][life]") {
   ExchangeFixture it;
