Failing test: an engine that does not answer a look is asked again at once

What callers saw: nothing in the record. Cause: an engine is left alone after a look without an answer, ever longer; but a look at what leaves it stays due, and is made at each plan.

--- a/UnitTests/Coordination/Orders/CellDeskTest.cpp
+++ b/UnitTests/Coordination/Orders/CellDeskTest.cpp
@@ -347,6 +347,28 @@
   CHECK(looks > 0);
 }
 
+TEST_CASE("an engine that says nothing of what leaves it is left alone for a "
+          "while",
+          "[desk]") {
+  DeskWorld world(1);
+  world.Engines["i-0"].Held[adapter(1)] = 1;
+  world.rounds(2);
+  world.Desk.onOrderAnswer("i-0", orderFor(OrderKind::Unload, adapter(1)),
+                           OrderAnswer::Accepted, world.Now);
+  world.Now += milliseconds(400);
+  std::size_t asked = 0;
+  for (int it = 0; it < 50; ++it) {
+    world.Now += milliseconds(2);
+    auto n = reports(world.Desk.plan(true, world.Now));
+    asked += n;
+    if (n)
+      world.Desk.onReport("i-0", std::nullopt, world.Now);
+  }
+  // In 100 ms, with rests of 40 and 80 ms.
+  CHECK(asked >= 2);
+  CHECK(asked <= 3);
+}
+
 TEST_CASE("a base model's load does not put off the look at missing weights",
           "[desk]") {
   DeskWorld world(1);
