An engine that does not answer a look is left alone, whatever leaves it

What callers saw: nothing in the record. Cause: a look at what leaves an engine stayed due when one was not answered. Ruled out: that what leaves is then forgotten; the look after the rest settles it. Change: an unanswered look leaves one look due, at the end of the rest.

--- a/Hemlockglade/Coordination/Orders/CellDesk.cpp
+++ b/Hemlockglade/Coordination/Orders/CellDesk.cpp
@@ -388,6 +388,8 @@
   if (!report) {
     rest(book, now);
     book.ReportDue = book.RestsUntil;
+    // That look settles what leaves as well.
+    book.CheckDue.reset();
     return;
   }
   book.Unanswered = 0;
