The soak names versions again and again and judges on which one requests begin

What callers saw: answers by a version of their adapter whose successor had been acknowledged longer ago than the bound; the soak named versions now and then and no check asked on which one a request began, so that it could not find this. Ruled out: judging from what arrives; an engine may hold a request back, so the time and version at which it begins count, and the sender's state as it was sent.

--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -3,6 +3,7 @@
 
 #include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
 #include "UnitTests/History/HistoryChecker.h"
+#include "UnitTests/Platform/Soak/SoakVersions.h"
 #include "UnitTests/Platform/Soak/SoakWorld.h"
 
 #include <algorithm>
@@ -32,6 +33,9 @@
               "time between losses of all gateways that callers were last "
               "named, in seconds; 0 for none");
 
+DEFINE_double(names_every, 0,
+              "time between names of new versions of few adapters, in seconds; "
+              "0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, one beyond its limit");
 
@@ -91,11 +95,25 @@
          held;
 }
 
-bool judge(SoakWorld &world) {
+bool judgeBeginnings(const std::vector<HistoryEvent> &events, Span bound) {
+  constexpr auto Contact = std::chrono::seconds(3);
+  constexpr std::size_t Shown = 5;
+  auto found = judgeVersions(events, bound, Contact);
+  say(found.Late.empty(),
+      "requests begin on versions that were not replaced beyond the bound: " +
+          std::to_string(found.Late.size()) + " of " +
+          std::to_string(found.Replaced) + " on replaced ones are late");
+  for (std::size_t it = 0; it < std::min(Shown, found.Late.size()); ++it)
+    std::cout << "  " << found.Late[it] << '\n';
+  return found.Late.empty();
+}
+
+bool judge(SoakWorld &world, Span versionBound) {
   HistoryBounds bounds;
   bounds.Configuration = GatewaySettings{}.PlanBound;
-  HistoryChecker checker(world.history().take(), bounds);
-  bool held = true;
+  auto events = world.history().take();
+  bool held = judgeBeginnings(events, versionBound);
+  HistoryChecker checker(std::move(events), bounds);
   for (const auto &verdict : checker.check()) {
     constexpr std::size_t Shown = 5;
     print(std::cout, verdict, Shown);
@@ -147,6 +165,10 @@
   settings.FaultEvery = spanOf(FLAGS_fault_every);
   settings.EntriesEvery = spanOf(FLAGS_entries_every);
   settings.DrillEvery = spanOf(FLAGS_drill_every);
+  settings.NamesEvery = spanOf(FLAGS_names_every);
+  // Short, so that short runs pass it often.
+  if (FLAGS_names_every > 0)
+    settings.VersionBound = std::chrono::seconds(2);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingEvery = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
@@ -164,7 +186,7 @@
             << " refused, " << counts.Failed << " failed, " << counts.Unknown
             << " unknown, " << counts.Left << " left; logs in "
             << settings.Folder << '\n';
-  return judge(world) ? 0 : 1;
+  return judge(world, settings.VersionBound) ? 0 : 1;
 }
 
 } // namespace
--- a/UnitTests/Platform/Soak/SoakNode.cpp
+++ b/UnitTests/Platform/Soak/SoakNode.cpp
@@ -39,7 +39,8 @@
       << "\"\ndirectory_address: \"" << at(2) << "\"\nregistry_address: \""
       << Link.address()
       << "\"\nfailure_domains: [hall-a, hall-b, hall-c]\nstop_bound_s: 4\n"
-      << "repeat_extra: 200\nseeds: [";
+      << "repeat_extra: 200\nversion_bound_ms: "
+      << Setup.VersionBound / std::chrono::milliseconds(1) << "\nseeds: [";
   for (std::size_t it = 0; it < Setup.Seeds.size(); ++it)
     out << (it ? ", " : "") << '"' << Setup.Seeds[it] << '"';
   out << "]\n";
--- a/UnitTests/Platform/Soak/SoakNode.h
+++ b/UnitTests/Platform/Soak/SoakNode.h
@@ -20,6 +20,8 @@
     std::string Address;
     std::uint16_t FirstPort = 0;
     std::vector<std::string> Seeds;
+    /// Time within which requests must begin on weights that were named newer.
+    Span VersionBound{0};
   };
   /// Longest time that a node may take to stop.
   static constexpr Span StopBound = std::chrono::seconds(4);
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -47,10 +47,13 @@
 }
 
 struct SoakReplica::Run {
+  CallerRequest Request;
   std::shared_ptr<CallerReply> Reply;
+  Instant ArrivedAt = TimerService::now();
   std::string Tag;
   std::string Adapter;
   std::uint64_t Version = 0;
+  /// 0 until it begins to run.
   std::uint64_t Number = 0;
   bool Stream = false;
   bool BreaksOff = false;
@@ -63,7 +66,8 @@
                          SoakStore &store, SoakHistory &history,
                          std::uint64_t seed)
     : Context(context), Setup(std::move(settings)), Store(store),
-      History(history), Timers(context), Random(seed), Link(context, 1) {
+      History(history), Timers(context), Random(seed), DelayRandom(seed),
+      Link(context, 1) {
   start();
 }
 
@@ -119,6 +123,10 @@
   if (Leaving || !up())
     return;
   Leaving = true;
+  // What it has taken begins before the time from which nothing may.
+  for (const auto &it : std::set(Running))
+    if (!it->Number)
+      begin(it);
   beat();
   auto &event = note("listed");
   event.Endpoint = Incarnation;
@@ -161,7 +169,7 @@
   if (!meant.empty() && meant != Incarnation)
     return refuse(*reply, 421, tag);
   if (path == platform_name::OrderCall)
-    return order(request, *reply);
+    return order(request, reply);
   if (path == platform_name::ReportCall)
     return reply->respond({200, {}}, report());
   if (Now == Mood::Sheds)
@@ -194,31 +202,43 @@
   return node.dump();
 }
 
-void SoakReplica::order(const CallerRequest &request, CallerReply &reply) {
+void SoakReplica::order(const CallerRequest &request,
+                        const std::shared_ptr<CallerReply> &reply) {
   auto node = Json::parse(request.Body);
   auto &event = note("ordered");
   event.Holder = node.at("holder");
   event.Fence = node.at("fencing_token");
+  if (Now != Mood::LateOrders)
+    return reply->respond({carryOut(request.Body), {}}, "{}");
+  constexpr std::uint64_t MostMs = 5000;
+  auto late = milliseconds(1000 + DelayRandom() % MostMs);
+  Timers.after(late, [this, body = request.Body, reply, at = Incarnation,
+                      alive = Alive](Instant) {
+    if (*alive && up() && at == Incarnation)
+      carryOut(body);
+  });
+}
+
+std::uint16_t SoakReplica::carryOut(const std::string &body) {
+  auto node = Json::parse(body);
   auto expected = node.value("if_revision", Count);
   if (expected != Count)
-    return reply.respond({409, {}}, "{}");
+    return 409;
   auto adapter = node.value("adapter", std::string());
   if (adapter.empty())
-    return reply.respond({200, {}}, "{}");
+    return 200;
   bool loads = node.at("operation") == "loading";
   if (loads) {
     auto version = node.value("version", std::uint64_t{1});
     if (Held.contains(adapter) && Held[adapter] >= version)
-      return reply.respond({200, {}}, "{}");
+      return 200;
     ++Count;
-    bool fits = load(adapter, version);
-    reply.respond({202, {}}, "{}");
-    if (!fits)
+    if (!load(adapter, version))
       asio::post(Context, [this, alive = Alive] {
         if (*alive && up())
           crash();
       });
-    return;
+    return 202;
   }
   ++Count;
   bool used = Uses[adapter] > 0;
@@ -226,7 +246,7 @@
     Going.insert(adapter);
   else
     unload(adapter);
-  reply.respond({static_cast<std::uint16_t>(used ? 202 : 200), {}}, "{}");
+  return used ? 202 : 200;
 }
 
 bool SoakReplica::load(const std::string &adapter, std::uint64_t version) {
@@ -279,6 +299,7 @@
 void SoakReplica::run(const CallerRequest &request,
                       const std::shared_ptr<CallerReply> &reply) {
   auto it = std::make_shared<Run>();
+  it->Request = request;
   it->Reply = reply;
   it->Tag = field(request, platform_name::RequestId);
   it->Stream = Setup.Engine;
@@ -298,6 +319,23 @@
   }
   if (request.Head.Target.ends_with(site::CrashingTarget) && OnCrashing)
     return crashUnder(reply, it->Tag);
+  Running.insert(it);
+  reply->OnGone = [this, it, alive = Alive] {
+    if (*alive)
+      end(*it, "cut", false);
+  };
+  if (Now != Mood::SlowToBegin || Leaving)
+    return begin(it);
+  constexpr std::uint64_t MostMs = 3000;
+  Timers.after(milliseconds(DelayRandom() % MostMs),
+               [this, it, alive = Alive](Instant) {
+                 if (*alive && !it->Over && !it->Number)
+                   begin(it);
+               });
+}
+
+void SoakReplica::begin(const std::shared_ptr<Run> &it) {
+  const auto &request = it->Request;
   it->Number = ++Runs;
   auto behind = field(request, platform_name::ResumeBehind);
   if (!behind.empty())
@@ -318,13 +356,8 @@
   }
   if (Setup.Planted == Plant::RunsRefused) {
     end(*it, "finished", true);
-    return refuse(*reply, 503, it->Tag);
+    return refuse(*it->Reply, 503, it->Tag);
   }
-  Running.insert(it);
-  reply->OnGone = [this, it, alive = Alive] {
-    if (*alive)
-      end(*it, "cut", false);
-  };
   if (Now == Mood::Hangs)
     return;
   Timers.after(it->Stream ? milliseconds(20) : milliseconds(15),
@@ -338,6 +371,7 @@
   auto &event = note("ran");
   event.Tag = run.Tag;
   event.Run = run.Number;
+  event.AskedAt = run.ArrivedAt;
   event.Adapter = run.Adapter.empty()
                       ? ""
                       : run.Adapter + "@" + std::to_string(run.Version);
@@ -402,11 +436,13 @@
   if (std::exchange(run.Over, true))
     return;
   run.Reply->OnGone = nullptr;
-  auto &event = note(how);
-  event.Tag = run.Tag;
-  event.Run = run.Number;
-  event.Whole = whole;
-  event.Hash = site::hashOf(site::wholeText(run.Tag, run.Stream));
+  if (run.Number) {
+    auto &event = note(how);
+    event.Tag = run.Tag;
+    event.Run = run.Number;
+    event.Whole = whole;
+    event.Hash = site::hashOf(site::wholeText(run.Tag, run.Stream));
+  }
   std::erase_if(Running, [&run](const auto &it) { return it.get() == &run; });
   if (run.Adapter.empty())
     return;
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -45,6 +45,10 @@
     Fails,
     /// Half of the streams break off in the middle of an event.
     BreaksOff,
+    /// An engine holds requests back for up to 3 s before it begins them.
+    SlowToBegin,
+    /// Carries orders out 1 to 6 s later, without an answer.
+    LateOrders,
   };
   /// Breaches that the verdict has to find; each replica commits them.
   enum class Plant : std::uint8_t {
@@ -93,12 +97,16 @@
   std::string entry() const;
   void serve(const CallerRequest &request,
              const std::shared_ptr<CallerReply> &reply);
-  void order(const CallerRequest &request, CallerReply &reply);
+  void order(const CallerRequest &request,
+             const std::shared_ptr<CallerReply> &reply);
+  /// Gives the status to answer with.
+  std::uint16_t carryOut(const std::string &body);
   bool load(const std::string &adapter, std::uint64_t version);
   void unload(const std::string &adapter);
   std::string report() const;
   void run(const CallerRequest &request,
            const std::shared_ptr<CallerReply> &reply);
+  void begin(const std::shared_ptr<Run> &run);
   /// Ends some moments later, and starts again.
   void crashUnder(const std::shared_ptr<CallerReply> &reply,
                   const std::string &tag);
@@ -118,6 +126,8 @@
   SoakWorkspaces *Workspaces = nullptr;
   TimerService Timers;
   std::mt19937_64 Random;
+  /// Of its own, so that what else a seed draws stays as it is.
+  std::mt19937_64 DelayRandom;
   std::string Incarnation;
   std::unique_ptr<CallerServer> Server;
   SoakProxy Link;
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -38,8 +38,8 @@
 
 SoakWorld::SoakWorld(Settings settings)
     : Setup(std::move(settings)), Random(Setup.Seed), EntriesRandom(Setup.Seed),
-      DrillRandom(Setup.Seed), Timers(Context), Store(Context, Random()),
-      Callers(Context, Nodes, History, Random()) {
+      DrillRandom(Setup.Seed), NamesRandom(Setup.Seed), Timers(Context),
+      Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
   Ends.async_wait([this](asio::error_code ec, int) {
     if (ec)
       return;
@@ -117,6 +117,7 @@
     node.Address = network + std::to_string(FirstHost + it);
     node.FirstPort = FirstPort;
     node.Seeds = seeds;
+    node.VersionBound = Setup.VersionBound;
     Nodes.push_back(std::make_unique<SoakNode>(Context, std::move(node),
                                                Store.port(), History));
     Nodes.back()->start();
@@ -150,11 +151,16 @@
     nextEntriesFault();
   if (Setup.DrillEvery > Span(0))
     nextDrill();
+  if (Setup.NamesEvery > Span(0)) {
+    Naming = true;
+    nextName();
+  }
   runFor(faulty);
   Faulty = false;
   heal();
   outage();
   runFor(Setup.Recovery);
+  Naming = false;
   auto before = Callers.counts();
   runFor(QuietTime);
   auto after = Callers.counts();
@@ -218,7 +224,7 @@
   case 6:
     return changePlan();
   case 7:
-    return declareVersion();
+    return declareVersion(1 + Random() % 5);
   default:
     return replicaFault(oneOf(Replicas));
   }
@@ -242,6 +248,36 @@
       nodeFault(*it, kind);
 }
 
+void SoakWorld::nextName() {
+  Timers.after(Setup.NamesEvery, [this](Instant) {
+    if (!Naming)
+      return;
+    nameFault();
+    nextName();
+  });
+}
+
+void SoakWorld::nameFault() {
+  // Three adapters are named again soon, the others long after.
+  constexpr std::uint64_t Often = 3;
+  constexpr std::uint64_t Seldom = 5;
+  auto seldom = NamesRandom() % 4 == 0;
+  declareVersion(
+      1 + (seldom ? Often + NamesRandom() % Seldom : NamesRandom() % Often));
+  auto kind = NamesRandom() % 4;
+  auto at = NamesRandom() % static_cast<std::uint64_t>(Setup.Engines);
+  auto span = milliseconds(500 + NamesRandom() % 5000);
+  if (!Faulty || kind > 1)
+    return;
+  auto &engine = **std::next(Replicas.begin(), static_cast<std::ptrdiff_t>(at));
+  say("engine " + engine.incarnation() +
+      (kind ? " is slow to begin" : " carries orders out late"));
+  engine.setMood(kind ? SoakReplica::Mood::SlowToBegin
+                      : SoakReplica::Mood::LateOrders);
+  Timers.after(span,
+               [&engine](Instant) { engine.setMood(SoakReplica::Mood::Well); });
+}
+
 void SoakWorld::nodeFault(SoakNode &node, std::uint64_t kind) {
   auto later = milliseconds(200) + upTo(LongestHarm);
   switch (kind) {
@@ -352,9 +388,11 @@
         std::to_string(static_cast<int>(harm)));
     node.link().setHarm(harm);
     node.disturb(true);
-    Timers.after(span, [&node](Instant) {
+    History.note("soak", "harmed").To = node.name();
+    Timers.after(span, [this, &node](Instant) {
       node.link().setHarm(SoakProxy::Harm::None);
       node.disturb(false);
+      History.note("soak", "mended").To = node.name();
     });
     return;
   }
@@ -362,8 +400,10 @@
   say("link of " + replica.incarnation() + " harm " +
       std::to_string(static_cast<int>(harm)));
   replica.link().setHarm(harm);
-  Timers.after(span, [&replica](Instant) {
+  History.note("soak", "harmed");
+  Timers.after(span, [this, &replica](Instant) {
     replica.link().setHarm(SoakProxy::Harm::None);
+    History.note("soak", "mended");
   });
 }
 
@@ -437,8 +477,8 @@
   Callers.setPlan(Plan);
 }
 
-void SoakWorld::declareVersion() {
-  auto name = "a" + std::to_string(1 + Random() % 5);
+void SoakWorld::declareVersion(std::uint64_t number) {
+  auto name = "a" + std::to_string(number);
   auto full = std::string(site::Model) + "/" + name;
   if (Versions.empty())
     for (int it = 1; it <= site::Adapters; ++it)
@@ -452,6 +492,10 @@
                  {"adapter", name},
                  {"version", Versions[full]}}
                 .dump());
+  // A store that does not answer confirms it as it is well again, from when
+  // the verdict counts in any case.
+  History.note("operator", "named").Adapter =
+      full + "@" + std::to_string(Versions[full]);
 }
 
 void SoakWorld::heal() {
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -28,6 +28,11 @@
     Span CrashingEvery{0};
     /// Mean time between returns of the store as it was before; none if 0.
     Span DrillEvery{0};
+    /// Time between names of new versions of few adapters; none if 0. Then
+    /// engines also hold requests back and carry orders out late.
+    Span NamesEvery{0};
+    /// Time within which requests must begin on weights that were named newer.
+    Span VersionBound = std::chrono::seconds(5);
     /// Callers belong to workspaces, with keys that each plan changes; one of
     /// them sends far beyond its limit.
     bool Workspaces = false;
@@ -82,7 +87,9 @@
   /// it is confirmed, and counts, as soon as the store does.
   void changePlan();
   void declare();
-  void declareVersion();
+  void declareVersion(std::uint64_t number);
+  void nextName();
+  void nameFault();
   void heal();
   void outage();
   void say(const std::string &what);
@@ -101,6 +108,7 @@
   /// Of its own, so that what else a seed draws stays as it is.
   std::mt19937_64 EntriesRandom;
   std::mt19937_64 DrillRandom;
+  std::mt19937_64 NamesRandom;
   asio::io_context Context;
   TimerService Timers;
   /// Holds the soak's loopback network.
@@ -114,6 +122,7 @@
   std::list<std::unique_ptr<SoakReplica>> Replicas;
   SoakCallers Callers;
   bool Faulty = false;
+  bool Naming = false;
   bool StoreDisturbed = false;
   bool PlanWaits = false;
   std::uint64_t Plan = 0;
