--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -84,7 +84,7 @@
       Timers(context), View([this] {
         auto out = Settings.Decisions.Route;
         out.FailureDomain = Settings.FailureDomain;
-        // Nothing waits at an engine for as long as what lies between the two.
+        // What lies between the two is left for requests that wait at engines.
         constexpr double GraceShare = 0.66;
         out.OldVersionGrace = scaled(Settings.VersionBound, GraceShare);
         constexpr double EndShare = 0.84;
