Tests of replaced versions set up the node that a peer tells in one place

Cause: two tests built the same second node line by line. Change: a fixture of its own; the assertions are as they were. Measured: the five tests of the file pass; style of the file clean.

--- a/UnitTests/Node/Gateway/ReplacedVersionTest.cpp
+++ b/UnitTests/Node/Gateway/ReplacedVersionTest.cpp
@@ -49,6 +49,16 @@
   std::unique_ptr<RawPeer> Peer;
 };
 
+/// A second node, which the registry turns away and the first one tells all.
+struct PeerToldNode : SecondNode {
+  explicit PeerToldNode(ReplacedFixture &first) : SecondNode(first) {
+    first.holdOldVersion(Platform);
+    Platform.Known = first.Platform.Known;
+    Platform.Away = true;
+    start(first);
+  }
+};
+
 } // namespace
 
 TEST_CASE("a version is used on while a node knows that its successor is new",
@@ -63,11 +73,7 @@
     CHECK(it.reachesOldVersion());
   }
   SECTION("by a peer's word at its start") {
-    SecondNode second(it);
-    it.holdOldVersion(second.Platform);
-    second.Platform.Known = it.Platform.Known;
-    second.Platform.Away = true;
-    second.start(it);
+    PeerToldNode second(it);
     it.askOn(second.Settings.CallerAddress);
     CHECK(it.reachesOldVersion());
   }
@@ -93,11 +99,7 @@
   REQUIRE(it.untilReady());
   it.Platform.name(Adapter, 2);
   it.pass(Bound);
-  SecondNode second(it);
-  it.holdOldVersion(second.Platform);
-  second.Platform.Known = it.Platform.Known;
-  second.Platform.Away = true;
-  second.start(it);
+  PeerToldNode second(it);
   it.askOn(second.Settings.CallerAddress);
   CHECK_FALSE(it.reachesOldVersion());
 }
