Retries count against the budget from when they are sent

Cause, found by reading for the record's line: a retry was counted when it was allowed. A stream may be held for seconds after that, so the retries that were allowed in one window, and those allowed in the next, arrive together once engines are back. Over a window and a hold of 5 s this is one and a half times the part that a node keeps to (three quarters of the share), more than the whole. Retries that were never sent stayed counted, which is the other side of the same fault: budget wasted.

Ruled out: arrivals that take nothing from the budget (each way from an ended attempt to the next send takes one); parts of nodes that start again (on this service it would take more than four lives within a window).

Change: a retry is reserved when it is allowed, counts from when it is sent, is reserved again if its connection was never established, and is returned if the request ends before. Not proved: that this is what the users saw.

--- a/Hemlockglade/Coordination/Route/SharedRetryBudget.cpp
+++ b/Hemlockglade/Coordination/Route/SharedRetryBudget.cpp
@@ -7,10 +7,10 @@
          (Options.Window.count() / static_cast<std::int64_t>(SlotCount));
 }
 
-SharedRetryBudget::Slot &SharedRetryBudget::slot(Slots &slots,
+SharedRetryBudget::Slot &SharedRetryBudget::slot(ServiceState &service,
                                                  Instant now) const {
   auto number = slotNumber(now);
-  auto &out = slots[static_cast<std::size_t>(number) % SlotCount];
+  auto &out = service.Slots[static_cast<std::size_t>(number) % SlotCount];
   if (out.Number != number)
     out = {number, 0, 0};
   return out;
@@ -20,12 +20,12 @@
   ++slot(Services[service], now).Requests;
 }
 
-bool SharedRetryBudget::tryConsume(const std::string &service, Instant now) {
-  auto &slots = Services[service];
+bool SharedRetryBudget::tryReserve(const std::string &service, Instant now) {
+  auto &state = Services[service];
   auto oldest = slotNumber(now) - static_cast<std::int64_t>(SlotCount);
   double requests = 0;
-  double retries = 0;
-  for (const auto &it : slots) {
+  double retries = state.Reserved;
+  for (const auto &it : state.Slots) {
     if (it.Number <= oldest)
       continue;
     requests += it.Requests;
@@ -35,8 +35,28 @@
                    Options.UsedFixedShare * Options.FixedRetries * TrafficShare;
   if (retries + 1 > allowed)
     return false;
-  ++slot(slots, now).Retries;
+  ++state.Reserved;
   return true;
 }
 
+void SharedRetryBudget::onSent(const std::string &service, Instant now) {
+  auto &state = Services[service];
+  state.Reserved -= state.Reserved ? 1 : 0;
+  ++slot(state, now).Retries;
+}
+
+void SharedRetryBudget::onNotSent(const std::string &service, Instant sentAt) {
+  auto &state = Services[service];
+  auto number = slotNumber(sentAt);
+  auto &sent = state.Slots[static_cast<std::size_t>(number) % SlotCount];
+  if (sent.Number == number && sent.Retries)
+    --sent.Retries;
+  ++state.Reserved;
+}
+
+void SharedRetryBudget::release(const std::string &service) {
+  auto &state = Services[service];
+  state.Reserved -= state.Reserved ? 1 : 0;
+}
+
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Route/SharedRetryBudget.h
+++ b/Hemlockglade/Coordination/Route/SharedRetryBudget.h
@@ -11,6 +11,9 @@
 /// One node's share of the retry budget that all nodes share: the retries of a
 /// service within a sliding window are limited to a share of its requests plus
 /// a fixed number.
+///
+/// A retry may be held for seconds between its decision and its arrival at a
+/// replica, so it is reserved at the former and counts from the latter.
 class SharedRetryBudget {
 public:
   struct Settings {
@@ -31,8 +34,16 @@
 
   /// Called when a request for the service is received.
   void onRequest(const std::string &service, Instant now);
-  /// Returns whether one more retry may be sent; if so, counts it.
-  bool tryConsume(const std::string &service, Instant now);
+  /// Returns whether one more retry may be sent; if so, reserves it until
+  /// `onSent` or `release`.
+  bool tryReserve(const std::string &service, Instant now);
+  /// Called when a reserved retry is sent. It counts for a window from now.
+  void onSent(const std::string &service, Instant now);
+  /// Called when a retry that was sent at `sentAt` has not reached its replica:
+  /// it is reserved again.
+  void onNotSent(const std::string &service, Instant sentAt);
+  /// Called when a reserved retry will not be sent.
+  void release(const std::string &service);
   /// Replaces the settings; the counts stay.
   void setBounds(const Settings &settings) { Options = settings; }
   /// Sets this node's share of the fixed number, 0 to 1.
@@ -46,16 +57,20 @@
     std::uint32_t Requests = 0;
     std::uint32_t Retries = 0;
   };
-  using Slots = std::array<Slot, SlotCount>;
+  struct ServiceState {
+    std::array<Slot, SlotCount> Slots;
+    /// Retries that are allowed and not sent.
+    std::uint32_t Reserved = 0;
+  };
 
-  Slot &slot(Slots &slots, Instant now) const;
+  Slot &slot(ServiceState &service, Instant now) const;
   std::int64_t slotNumber(Instant now) const;
 
   Settings Options;
   /// 0 until other nodes are known: nodes that all start together would
   /// otherwise each use the whole number.
   double TrafficShare = 0;
-  std::map<std::string, Slots> Services;
+  std::map<std::string, ServiceState> Services;
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -292,6 +292,9 @@
   Current->PrefillIdle = choice.PrefillIdle;
   Current->Version = choice.Version;
   Current->MustBeginBy = choice.MustBeginBy;
+  Current->IsRetry = std::exchange(RetryReserved, false);
+  if (Current->IsRetry)
+    Shared.Budget.onSent(Query.Service, now);
   ReplacedFor.reset();
   if (choice.ReplacedAt)
     ReplacedFor = now - *choice.ReplacedAt;
@@ -441,7 +444,7 @@
     return onFailed(HttpFailure::NotConnected);
   if (Current->ReplicaRestarted)
     return onAttemptFailed("replica started anew");
-  if (!canRetry() || !consumeRetry("slow")) {
+  if (!canRetry() || !reserveRetry("slow")) {
     // The attempt goes on without a stall timeout; whether it begins too late
     // is still checked.
     Current->StalledAt = Instant::max();
@@ -477,9 +480,10 @@
          timeLeft() > Settings.MinAttemptTime;
 }
 
-bool GatewayExchange::consumeRetry(std::string_view why) {
+bool GatewayExchange::reserveRetry(std::string_view why) {
   auto now = TimerService::now();
-  bool allowed = Shared.Budget.tryConsume(Query.Service, now);
+  bool allowed = Shared.Budget.tryReserve(Query.Service, now);
+  RetryReserved = allowed;
   // A caller that has received events waits for the next one as long as it
   // did for the first, so the request may be held as long again.
   if (allowed)
@@ -545,6 +549,8 @@
   Result = result;
   leaveQueue(false);
   releaseQuota();
+  if (std::exchange(RetryReserved, false))
+    Shared.Budget.release(Query.Service);
   Shared.Log.write(
       LogClass::Request, "end",
       {{"request", Labels.Id},
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -186,6 +186,8 @@
     std::optional<Instant> MustBeginBy;
     /// A newer incarnation of the replica is known since the request was sent.
     bool ReplicaRestarted = false;
+    /// It counts against the retry budget.
+    bool IsRetry = false;
   };
 
   /// Reserves quota from the workspace's limit, then sends or holds the
@@ -241,8 +243,9 @@
   void endOverdueAttempt();
   void endAttempt(AttemptVerdict verdict);
   bool canRetry() const;
-  /// Takes a retry from the shared budget; returns whether there was one.
-  bool consumeRetry(std::string_view why);
+  /// Reserves a retry of the shared budget and logs the decision; returns
+  /// whether there was one.
+  bool reserveRetry(std::string_view why);
   /// Answers the caller with an error of this node, or cuts off an answer that
   /// has begun.
   void answerWithError(std::uint16_t status, std::string_view why,
@@ -289,6 +292,8 @@
   bool MayHaveRun = false;
   /// Units are reserved for an attempt that has not run.
   bool QuotaReserved = false;
+  /// A retry is reserved for the next attempt.
+  bool RetryReserved = false;
   bool DemandReported = false;
   /// Incarnations that the request was sent to, without those that didn't run
   /// it.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -127,7 +127,7 @@
   if (status >= ServerError && !AnswerBegun && canRetry() &&
       Shared.View.isSuspect(Current->Replica->Incarnation.text(),
                             TimerService::now()) &&
-      consumeRetry("replica's own failure")) {
+      reserveRetry("replica's own failure")) {
     auto failed = Current->Replica->Incarnation.text();
     endAttempt(AttemptVerdict::ReplicaError);
     Query.Excluded.insert(failed);
@@ -166,6 +166,9 @@
 void GatewayExchange::onFailed(HttpFailure how) {
   if (how == HttpFailure::NotConnected) {
     auto failed = Current->Replica->Incarnation.text();
+    RetryReserved = Current->IsRetry;
+    if (RetryReserved)
+      Shared.Budget.onNotSent(Query.Service, Current->SentAt);
     AttemptedReplicas.erase(failed);
     endAttempt(AttemptVerdict::NoValidAnswer);
     Query.Excluded.insert(failed);
@@ -231,8 +234,8 @@
     backoff *= 2;
   }
   AttemptedReplicas.erase(replica.Incarnation.text());
-  auto now = TimerService::now();
-  if (Shared.Budget.tryConsume(Query.Service, now))
+  RetryReserved = Shared.Budget.tryReserve(Query.Service, TimerService::now());
+  if (RetryReserved)
     return sendOrHold();
   if (AnswerBegun)
     return onAttemptFailed("no budget to go on");
@@ -250,7 +253,7 @@
 }
 
 void GatewayExchange::retryOrFail(std::string_view why) {
-  if (canRetry() && consumeRetry(why))
+  if (canRetry() && reserveRetry(why))
     return sendOrHold();
   if (AnswerBegun) {
     Reply->abort();
--- a/UnitTests/Coordination/Route/SharedRetryBudgetTest.cpp
+++ b/UnitTests/Coordination/Route/SharedRetryBudgetTest.cpp
@@ -15,9 +15,18 @@
   return out;
 }
 
+/// Sends one retry at once if the budget has one.
+bool tryConsume(SharedRetryBudget &budget, const std::string &service,
+                Instant now) {
+  bool allowed = budget.tryReserve(service, now);
+  if (allowed)
+    budget.onSent(service, now);
+  return allowed;
+}
+
 int consumeAll(SharedRetryBudget &budget, Instant now) {
   int n = 0;
-  while (budget.tryConsume("s", now))
+  while (tryConsume(budget, "s", now))
     ++n;
   return n;
 }
@@ -32,7 +41,7 @@
   for (int it = 0; it < 50; ++it)
     budget.onRequest("s", now);
   CHECK(consumeAll(budget, now) == 15);
-  CHECK_FALSE(budget.tryConsume("s", now + std::chrono::seconds(9)));
+  CHECK_FALSE(tryConsume(budget, "s", now + std::chrono::seconds(9)));
 }
 
 // Nodes that all start together don't know of each other.
@@ -41,7 +50,7 @@
   SharedRetryBudget::Settings settings;
   settings.FixedRetries = 320;
   SharedRetryBudget budget(settings);
-  CHECK_FALSE(budget.tryConsume("s", std::chrono::seconds(1000)));
+  CHECK_FALSE(tryConsume(budget, "s", std::chrono::seconds(1000)));
 }
 
 // Nodes that take over from failed ones use the budget of the same window.
@@ -74,7 +83,46 @@
   budget.setTrafficShare(1);
   Instant now = std::chrono::seconds(100);
   consumeAll(budget, now);
-  CHECK(budget.tryConsume("other", now));
+  CHECK(tryConsume(budget, "other", now));
+}
+
+TEST_CASE("retries that wait for a replica arrive within the budget of the "
+          "window in which they are sent",
+          "[budget]") {
+  SharedRetryBudget budget(settings());
+  budget.setTrafficShare(1);
+  Instant allowedAt = std::chrono::seconds(100);
+  int reserved = 0;
+  while (budget.tryReserve("s", allowedAt))
+    ++reserved;
+  REQUIRE(reserved == 20);
+  auto sentAt = allowedAt + std::chrono::seconds(11);
+  CHECK_FALSE(budget.tryReserve("s", sentAt));
+  for (int it = 0; it < reserved; ++it)
+    budget.onSent("s", sentAt);
+  CHECK(consumeAll(budget, sentAt + std::chrono::seconds(9)) == 0);
+  CHECK(consumeAll(budget, sentAt + std::chrono::seconds(11)) == 20);
+}
+
+TEST_CASE("a retry that is never sent is returned to the budget", "[budget]") {
+  SharedRetryBudget budget(settings());
+  budget.setTrafficShare(1);
+  Instant now = std::chrono::seconds(100);
+  REQUIRE(budget.tryReserve("s", now));
+  budget.release("s");
+  CHECK(consumeAll(budget, now) == 20);
+}
+
+TEST_CASE("a retry whose connection failed stays reserved for the next one",
+          "[budget]") {
+  SharedRetryBudget budget(settings());
+  budget.setTrafficShare(1);
+  Instant now = std::chrono::seconds(100);
+  REQUIRE(budget.tryReserve("s", now));
+  budget.onSent("s", now);
+  budget.onNotSent("s", now);
+  CHECK(consumeAll(budget, now) == 19);
+  CHECK(consumeAll(budget, now + std::chrono::seconds(11)) == 19);
 }
 
 } // namespace hemlockglade::test
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -308,6 +308,49 @@
   CHECK(it.Second.Requests.size() == 1);
 }
 
+/// One retry in each window of 400 ms.
+SharedRetryBudget::Settings oneRetry() {
+  SharedRetryBudget::Settings out;
+  out.RetriesPerRequest = 0;
+  out.FixedRetries = 1;
+  out.UsedFixedShare = 1;
+  out.Window = milliseconds(400);
+  return out;
+}
+
+TEST_CASE("a retry that was held counts against the budget from when it is "
+          "sent",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.TestRoute.Kind = RouteKind::Repeatable;
+  it.TestRoute.MaxAttempts = 2;
+  it.Budget.setBounds(oneRetry());
+  it.registerReplicas(false);
+  it.First.Script = {{"", Then::Reset}};
+  it.sendRequest();
+  REQUIRE(it.until([&] { return it.Exchange && it.Exchange->waiting(); }));
+  auto allowedAt = TimerService::now();
+  it.until([&] { return TimerService::now() - allowedAt > milliseconds(450); });
+  it.registerReplicas();
+  REQUIRE(it.until([&] { return it.Second.Requests.size() == 1; }));
+  CHECK_FALSE(it.Budget.tryReserve("s", TimerService::now()));
+}
+
+TEST_CASE("a held retry whose caller has left is returned to the budget",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.TestRoute.Kind = RouteKind::Repeatable;
+  it.TestRoute.MaxAttempts = 2;
+  it.Budget.setBounds(oneRetry());
+  it.registerReplicas(false);
+  it.First.Script = {{"", Then::Reset}};
+  it.sendRequest();
+  REQUIRE(it.until([&] { return it.Exchange && it.Exchange->waiting(); }));
+  it.Peer.close();
+  REQUIRE(it.untilEnded());
+  CHECK(it.Budget.tryReserve("s", TimerService::now()));
+}
+
 TEST_CASE("the number of attempts is limited by the route", "[gateway]") {
   ExchangeFixture it;
   it.TestRoute.Kind = RouteKind::Repeatable;
