A retry counts for a whole window, not for 19 of its 20 slots

Cause: the newest of the 20 slots is under way, so a retry was forgotten after 9.5 to 10 s of a window of 10 s, and up to a twentieth more than the node's part could arrive within a window.

Change: one slot more is kept for retries; requests still count for one window at most, which a second test guards.

Failed before: "a retry counts for a whole window, however it lies between two slots" (9 of 10 cases passed); now CoordinationTests [budget] 10 of 10.

--- a/Hemlockglade/Coordination/Route/SharedRetryBudget.cpp
+++ b/Hemlockglade/Coordination/Route/SharedRetryBudget.cpp
@@ -3,8 +3,7 @@
 namespace hemlockglade {
 
 std::int64_t SharedRetryBudget::slotNumber(Instant now) const {
-  return now.count() /
-         (Options.Window.count() / static_cast<std::int64_t>(SlotCount));
+  return now.count() / (Options.Window.count() / SlotsPerWindow);
 }
 
 SharedRetryBudget::Slot &SharedRetryBudget::slot(ServiceState &service,
@@ -22,14 +21,14 @@
 
 bool SharedRetryBudget::tryReserve(const std::string &service, Instant now) {
   auto &state = Services[service];
-  auto oldest = slotNumber(now) - static_cast<std::int64_t>(SlotCount);
+  auto age = [newest = slotNumber(now)](const Slot &it) {
+    return newest - it.Number;
+  };
   double requests = 0;
   double retries = state.Reserved;
   for (const auto &it : state.Slots) {
-    if (it.Number <= oldest)
-      continue;
-    requests += it.Requests;
-    retries += it.Retries;
+    requests += age(it) < SlotsPerWindow ? it.Requests : 0;
+    retries += age(it) <= SlotsPerWindow ? it.Retries : 0;
   }
   double allowed = Options.UsedShare * Options.RetriesPerRequest * requests +
                    Options.UsedFixedShare * Options.FixedRetries * TrafficShare;
--- a/Hemlockglade/Coordination/Route/SharedRetryBudget.h
+++ b/Hemlockglade/Coordination/Route/SharedRetryBudget.h
@@ -50,7 +50,10 @@
   void setTrafficShare(double share) { TrafficShare = share; }
 
 private:
-  static constexpr std::size_t SlotCount = 20;
+  static constexpr std::int64_t SlotsPerWindow = 20;
+  /// One more, so that a retry counts for a whole window although the newest
+  /// slot is incomplete.
+  static constexpr std::size_t SlotCount = SlotsPerWindow + 1;
 
   struct Slot {
     std::int64_t Number = -1;
--- a/UnitTests/Coordination/Route/SharedRetryBudgetTest.cpp
+++ b/UnitTests/Coordination/Route/SharedRetryBudgetTest.cpp
@@ -104,6 +104,28 @@
   CHECK(consumeAll(budget, sentAt + std::chrono::seconds(11)) == 20);
 }
 
+TEST_CASE(
+    "a retry counts for a whole window, however it lies between two slots",
+    "[budget]") {
+  SharedRetryBudget budget(settings());
+  budget.setTrafficShare(1);
+  Instant sentAt = std::chrono::milliseconds(100'499);
+  REQUIRE(consumeAll(budget, sentAt) == 20);
+  CHECK(consumeAll(budget, sentAt + std::chrono::milliseconds(9'999)) == 0);
+  CHECK(consumeAll(budget, sentAt + std::chrono::milliseconds(10'502)) == 20);
+}
+
+TEST_CASE("requests count towards the budget for one window at most",
+          "[budget]") {
+  auto options = settings();
+  options.FixedRetries = 0;
+  SharedRetryBudget budget(options);
+  Instant now = std::chrono::milliseconds(100'000);
+  for (int it = 0; it < 50; ++it)
+    budget.onRequest("s", now);
+  CHECK(consumeAll(budget, now + std::chrono::milliseconds(10'001)) == 0);
+}
+
 TEST_CASE("a retry that is never sent is returned to the budget", "[budget]") {
   SharedRetryBudget budget(settings());
   budget.setTrafficShare(1);
