A replica's stated limit is read, logged and counted

Change, without any decision on it: platform/ decodes the field once into requests a second; the view keeps the newest statement of each life of a replica; `replica-limit` says when that changes and from whom it is known; `send` has `limit_per_s`; hemlockglade_limited_replicas counts them. An answer without the field ends a limit only if its request was sent after the limit was stated.

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -218,6 +218,22 @@
   return n;
 }
 
+bool ReplicaView::onLimit(const std::string &replica,
+                          std::optional<double> perSecond, Instant statedAt) {
+  auto it = Replicas.find(replica);
+  if (it == Replicas.end() || statedAt < it->second.LimitStatedAt)
+    return false;
+  it->second.LimitStatedAt = statedAt;
+  return std::exchange(it->second.RequestLimit, perSecond) != perSecond;
+}
+
+std::size_t ReplicaView::limitedCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(Replicas.begin(), Replicas.end(), [](const auto &it) {
+        return isUsable(it.second) && it.second.RequestLimit;
+      }));
+}
+
 void ReplicaView::onOwnerLost(const std::string &failureDomain) {
   for (auto &[id, state] : Replicas)
     if (state.Record->FailureDomain == failureDomain)
@@ -388,6 +404,7 @@
   }
   out.Remote = anyNear && best->Record->FailureDomain != Options.FailureDomain;
   out.Running = best->OwnRunning + best->RunningElsewhere;
+  out.RequestLimit = best->RequestLimit;
   if (best->RunningElsewhereAt > Instant{})
     out.LoadAge = now - best->RunningElsewhereAt;
   return out;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -77,6 +77,8 @@
   /// replicas of the service: the weights should be loaded nearer.
   bool Remote = false;
   std::uint32_t Running = 0;
+  /// Requests a second that the replica accepts from all nodes together.
+  std::optional<double> RequestLimit;
   /// The engine has no prefill backlog, as far as is known.
   bool PrefillIdle = false;
   /// Age of the last report about the replica's load from other nodes; 0 if
@@ -174,6 +176,13 @@
   /// Called when another node has sent a request to a replica.
   void onSentElsewhere(const std::string &replica, std::uint32_t tokens,
                        Instant now);
+  /// Called when a replica states, at that time, how many requests a second it
+  /// accepts from all nodes together, or that it has no such limit. Returns
+  /// whether its limit is another one now.
+  bool onLimit(const std::string &replica, std::optional<double> perSecond,
+               Instant statedAt);
+  /// Returns the number of replicas that have a limit.
+  std::size_t limitedCount() const;
   /// Called when a cell has lost its owner: the residency that it reported is
   /// still used, but is updated from the replicas' own heartbeats again.
   void onOwnerLost(const std::string &failureDomain);
@@ -261,6 +270,10 @@
     std::map<WeightsRef, std::uint32_t> OwnByWeights;
     std::uint32_t RunningElsewhere = 0;
     Instant RunningElsewhereAt{};
+    /// Requests a second that it accepts from all nodes together.
+    std::optional<double> RequestLimit;
+    /// When it stated its limit, or that it has none.
+    Instant LimitStatedAt{};
     /// Estimated end of the prefill of all prompts that were sent to it.
     Instant PrefillUntil{};
     ReplicaHealth Health;
--- a/Hemlockglade/Protocol/Exchange/RequestLabels.h
+++ b/Hemlockglade/Protocol/Exchange/RequestLabels.h
@@ -71,6 +71,9 @@
   bool Encoded = false;
   /// The body is a stream of events.
   bool Events = false;
+  /// Requests a second that the replica accepts from all nodes together; none
+  /// if it states no limit.
+  std::optional<double> RequestLimit;
 };
 
 /// Header fields of a request or an answer, as names and values.
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -147,7 +147,8 @@
       [this](const GatewayExchange &exchange) { onEnd(exchange); },
       crashHooks(),
       limitHooks(),
-      &Queue};
+      &Queue,
+      replicaLimitHooks()};
 }
 
 void Gateway::start() {
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -131,6 +131,12 @@
   leasesExcept(const std::string &cell) const;
   CellMember::Hooks memberHooks(const std::string &cell);
   ExchangeContext exchangeContext();
+  ReplicaLimitHooks replicaLimitHooks();
+  /// Called when a replica's limit, or that it has none, is known from one of
+  /// its answers or from another node.
+  void onReplicaLimit(const std::string &replica,
+                      std::optional<double> perSecond, Instant statedAt,
+                      std::string_view from);
   CrashHooks crashHooks();
   CrashCoordinator::Hooks crashCoordinatorHooks();
   QuotaService::Hooks quotaHooks();
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -330,6 +330,7 @@
        {"replaced_ms_ago", ReplacedFor.value_or(Span(0))},
        {"replica", choice.Replica->Incarnation.text()},
        {"running", choice.Running},
+       {"limit_per_s", choice.RequestLimit.value_or(0)},
        {"load_age_ms", choice.LoadAge},
        {"far", choice.Remote},
        {"attempt", static_cast<std::uint64_t>(AttemptedReplicas.size())},
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -57,6 +57,15 @@
   std::function<void(const Workspace &workspace, double quotaUnits)> Release;
 };
 
+/// Callbacks with which exchanges keep to the limits that replicas state.
+struct ReplicaLimitHooks {
+  /// Called when an answer of a replica states its limit in requests a second,
+  /// or that it had none when the request was sent.
+  std::function<void(const ReplicaRecord &replica,
+                     std::optional<double> perSecond, Instant statedAt)>
+      OnStated;
+};
+
 /// The parts of the node that all exchanges share.
 struct ExchangeContext {
   asio::io_context &Context;
@@ -95,6 +104,7 @@
   /// Order of the requests that wait for plain replicas which are full; null
   /// if they are not queued.
   FairQueue *PlainQueue = nullptr;
+  ReplicaLimitHooks ReplicaLimits;
 };
 
 /// One request of a caller, from its arrival to its answer. Chooses a replica,
@@ -216,6 +226,8 @@
   void reportCongestion(Instant now);
   void logWait(const RouteChoice &choice, Instant now);
   bool onHead(const HttpAnswerHead &head);
+  /// Reports the limit that the replica's answer states, if it states any.
+  void reportLimit(Instant now);
   void onBody(std::string_view part);
   void onDone();
   void onFailed(HttpFailure how);
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -51,9 +51,23 @@
                          now);
   if (!labels.NotRun)
     MayHaveRun = true;
+  reportLimit(now);
   return true;
 }
 
+void GatewayExchange::reportLimit(Instant now) {
+  const auto &labels = Current->Labels;
+  if (!Shared.ReplicaLimits.OnStated)
+    return;
+  if (labels.RequestLimit)
+    Shared.ReplicaLimits.OnStated(*Current->Replica, labels.RequestLimit, now);
+  // Only a signed answer is surely the replica's own; it may be older than one
+  // that stated a limit meanwhile.
+  else if (labels.Sealed)
+    Shared.ReplicaLimits.OnStated(*Current->Replica, std::nullopt,
+                                  Current->SentAt);
+}
+
 void GatewayExchange::onBody(std::string_view part) {
   onActivity();
   AnswerBytes += part.size();
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -72,6 +72,9 @@
 constexpr MetricFamily EndsSeenFamily{
     "hemlockglade_replica_ends_seen",
     "Replicas that this node found gone behind a broken connection."};
+constexpr MetricFamily LimitedFamily{
+    "hemlockglade_limited_replicas",
+    "Replicas that state how many requests they accept from all nodes."};
 constexpr MetricFamily LogLeftOutFamily{"hemlockglade_log_lines_left_out",
                                         "Log lines left out by the bound."};
 
@@ -140,6 +143,7 @@
   Metrics.gauge(InServiceFamily).set(InService ? 1 : 0);
   Metrics.gauge(SuspectsFamily).set(static_cast<double>(Crashes.suspects()));
   Metrics.gauge(BarredFamily).set(static_cast<double>(Crashes.barred()));
+  Metrics.gauge(LimitedFamily).set(static_cast<double>(View.limitedCount()));
   Metrics.gauge(EndsSeenFamily).set(static_cast<double>(Crashes.ended()));
   refreshUsage();
 }
--- a/UnitTests/Node/Gateway/GatewayRig.h
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -180,9 +180,12 @@
         all.emplace_back("Space", labels.Workspace);
       return all;
     };
-    out.Labels.ReadAnswer = [](std::uint16_t, const LabelFields &) {
+    out.Labels.ReadAnswer = [](std::uint16_t, const LabelFields &fields) {
       AnswerLabels labels;
       labels.Sealed = true;
+      for (const auto &[name, value] : fields)
+        if (sameFieldName(name, "Limit"))
+          labels.RequestLimit = std::stod(std::string(value));
       return labels;
     };
     out.Labels.OwnAnswer = [](std::string_view) { return OwnedFields{}; };
--- a/UnitTests/Platform/HeadersTest.cpp
+++ b/UnitTests/Platform/HeadersTest.cpp
@@ -145,4 +145,19 @@
   CHECK(read(200, {{"Content-Encoding", "gzip"}}).Encoded);
 }
 
+TEST_CASE("the limit that a replica states is parsed", "[headers]") {
+  auto limitOf = [](std::string_view text) {
+    return platformLabels()
+        .ReadAnswer(200, {{"server-limit", text}})
+        .RequestLimit;
+  };
+  CHECK(limitOf("1.3") == 1.3);
+  CHECK(limitOf("120") == 120);
+  // A replica that accepts nothing is still asked at times.
+  CHECK(limitOf("0") == 0.01);
+  for (const auto *text : {"", "-1", "nan", "inf", "1.3 ", "1,3", "many"})
+    CHECK_FALSE(limitOf(text));
+  CHECK_FALSE(platformLabels().ReadAnswer(200, {}).RequestLimit);
+}
+
 } // namespace hemlockglade::test
