--- a/Hemlockglade/Coordination/Orders/CellPlacement.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.cpp
@@ -172,6 +172,17 @@
     it->second.Running = running;
 }
 
+void CellPlacement::setLimited(const std::set<std::string> &replicas) {
+  std::set<std::string_view> openServices;
+  for (const auto &[id, state] : Replicas)
+    if (!replicas.contains(id))
+      openServices.insert(state.Record->Service);
+  for (auto &[id, state] : Replicas)
+    state.Limited =
+        replicas.contains(id) && openServices.contains(state.Record->Service);
+  CopiesValid = false;
+}
+
 void CellPlacement::recordLate(const ResidentWeights &held, Instant now) {
   // Only a load that was due recently shows the weight store's speed; weights
   // that were due long ago have been dropped or lost.
@@ -260,7 +271,7 @@
   CopiesValid = true;
   Copies.clear();
   for (const auto &[id, state] : Replicas) {
-    if (state.Replaced)
+    if (state.Replaced || state.Limited)
       continue;
     for (const auto &[weights, held] : state.Held)
       if (!held.Evicting && isCurrent(weights, held.Version))
--- a/Hemlockglade/Coordination/Orders/CellPlacement.h
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.h
@@ -156,6 +156,10 @@
   void setLoadingElsewhere(std::size_t n) { LoadingElsewhere = n; }
   /// Sets how many base models other cells are loading at this moment.
   void setModelsElsewhere(std::size_t n) { ModelsElsewhere = n; }
+  /// Sets which replicas state a limit on their requests. What they hold does
+  /// not count as copies, and nothing is loaded there, as long as other
+  /// replicas of their service have none.
+  void setLimited(const std::set<std::string> &replicas);
   /// Called when a replica refused a request for weights that should be ready.
   void onRefusedEarly(const std::string &replica, const WeightsRef &weights,
                       Instant now);
@@ -203,6 +207,8 @@
     /// Adapters that were dropped recently, the latest first.
     std::list<WeightsRef> RecentlyDropped;
     std::uint32_t Running = 0;
+    /// States a limit on its requests, and others of its service don't.
+    bool Limited = false;
     /// Adapter that the replica loads next: a slot is being freed for it, or
     /// its order has been sent.
     std::optional<WeightsRef> PendingAdapter;
--- a/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
@@ -217,7 +217,7 @@
   double lowestCost = 0;
   for (auto &[id, state] : Replicas) {
     if (state.Record->Service != key.first || !canOrder(state, now) ||
-        state.PendingAdapter ||
+        state.Limited || state.PendingAdapter ||
         loadingCount(state, now) >= Options.MaxLoadsPerReplica)
       continue;
     auto model = state.Held.find({key.second.Model, {}});
--- a/Hemlockglade/Coordination/Quota/QuotaClient.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaClient.cpp
@@ -163,6 +163,14 @@
   return {it.Number, Verdict::Limited, state.RetriesUntil - now};
 }
 
+void QuotaClient::addSent(const Workspace &holder, std::span<const Span> ago,
+                          Instant now) {
+  auto &state = stateOf(holder, now);
+  for (auto it : ago)
+    state.Unreserved.push_back(now - it);
+  markDue(state);
+}
+
 void QuotaClient::charge(const Workspace &workspace, double units,
                          Instant now) {
   auto &state = stateOf(workspace, now);
@@ -185,7 +193,10 @@
 double QuotaClient::unitsAhead(const WorkspaceState &state,
                                const ServerState &server, Instant now) const {
   bool nearest = &server == &state.Servers.front();
-  if (!nearest || now < server.EmptyUntil || now < server.NoAheadUntil)
+  // A replica's limit is too small to be divided ahead.
+  bool isReplica = state.Limit.Unit == LimitUnit::ReplicaRequests;
+  if (!nearest || isReplica || now < server.EmptyUntil ||
+      now < server.NoAheadUntil)
     return 0;
   auto wanted = demandOf(state, now) * inSeconds(Options.AheadFor);
   // Less would not serve a whole request before the grant expires.
@@ -204,7 +215,7 @@
     dropExpiredGrants(server, now);
     auto ahead = unitsAhead(state, server, now);
     if (server.Queue.empty() && ahead <= 0 && server.Unused <= 0 &&
-        server.Charged <= 0)
+        server.Charged <= 0 && state.Unreserved.empty())
       continue;
     auto &message = messages[server.Cell];
     message.Cell = server.Cell;
@@ -214,7 +225,13 @@
                          {},
                          ahead,
                          std::exchange(server.Unused, 0),
-                         std::exchange(server.Charged, 0)};
+                         std::exchange(server.Charged, 0),
+                         0,
+                         {}};
+    if (state.Limit.Unit == LimitUnit::ReplicaRequests)
+      request.ReplicaLimit = state.Limit.PerSecond;
+    for (auto at : std::exchange(state.Unreserved, {}))
+      request.SentAgo.push_back(now - at);
     server.InFlight.clear();
     for (const auto &it : std::exchange(server.Queue, {})) {
       request.Requested.push_back(it.Units);
--- a/Hemlockglade/Coordination/Quota/QuotaClient.h
+++ b/Hemlockglade/Coordination/Quota/QuotaClient.h
@@ -12,8 +12,10 @@
 ///
 /// A request waits for a server only if no units granted ahead are left, and is
 /// refused at once while all servers are known to be empty. Units that were
-/// reserved and not used are returned. Deterministic: time is passed in, and it
-/// does no I/O; `takeRequests` returns the messages to be sent.
+/// reserved and not used are returned. Requests to a replica that states a
+/// limit are reserved in the same way, under `replicaQuotaHolder`.
+/// Deterministic: time is passed in, and it does no I/O; `takeRequests` returns
+/// the messages to be sent.
 class QuotaClient {
 public:
   struct Settings {
@@ -68,6 +70,9 @@
   /// the functions below returns it later.
   std::optional<Decision> reserve(Ticket number, const Workspace &workspace,
                                   double units, Instant now);
+  /// Reports requests to a replica that were sent, that long ago, without being
+  /// reserved.
+  void addSent(const Workspace &holder, std::span<const Span> ago, Instant now);
   /// Charges units for a request that ran before and runs once more.
   void charge(const Workspace &workspace, double units, Instant now);
   /// Releases units that were reserved for a request that did not run.
@@ -137,6 +142,8 @@
     /// It may have requests to send.
     bool Due = false;
     Instant UsedAt{};
+    /// Times of requests that were sent without being reserved, to be reported.
+    std::vector<Instant> Unreserved;
     /// The last retry time that was given to a refused caller.
     Instant RetriesUntil{};
   };
--- a/Hemlockglade/Coordination/Quota/QuotaServer.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaServer.cpp
@@ -10,6 +10,8 @@
 /// Share of its burst that a bucket reserves for requests that wait; only units
 /// above it are granted ahead.
 constexpr double ReservedShare = 0.5;
+/// Quotas of replicas that were not used for this long are removed.
+constexpr Span ReplicaIdleTimeout = std::chrono::seconds(30);
 
 } // namespace
 
@@ -33,7 +35,41 @@
   });
 }
 
+ReplicaQuota &QuotaServer::replicaQuota(const QuotaRequest &request,
+                                        Instant now) {
+  if (auto it = Replicas.find(request.Workspace); it != Replicas.end()) {
+    it->second.setLimit(request.ReplicaLimit, now);
+    return it->second;
+  }
+  std::erase_if(Replicas, [now](const auto &it) {
+    return now - it.second.usedAt() > ReplicaIdleTimeout;
+  });
+  ReplicaQuota quota(request.ReplicaLimit, ReplicaQuota::Settings{}, now);
+  return Replicas.emplace(request.Workspace, std::move(quota)).first->second;
+}
+
+QuotaGrant QuotaServer::onReplicaRequest(const QuotaRequest &request,
+                                         Instant now) {
+  QuotaGrant out;
+  out.Workspace = request.Workspace;
+  out.Managed = true;
+  auto &quota = replicaQuota(request, now);
+  for (auto ago : request.SentAgo)
+    quota.addSent(now - ago);
+  quota.release(request.Unused, now);
+  for (std::size_t it = 0; it < request.Requested.size(); ++it) {
+    if (!quota.tryTake(now)) {
+      out.EmptyFor = std::max(Span(1), quota.timeUntilNext(now));
+      return out;
+    }
+    ++out.GrantedCount;
+  }
+  return out;
+}
+
 QuotaGrant QuotaServer::onRequest(const QuotaRequest &request, Instant now) {
+  if (request.ReplicaLimit > 0)
+    return onReplicaRequest(request, now);
   QuotaGrant out;
   out.Workspace = request.Workspace;
   auto it = Buckets.find(request.Workspace);
--- a/Hemlockglade/Coordination/Quota/QuotaServer.h
+++ b/Hemlockglade/Coordination/Quota/QuotaServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hemlockglade/Coordination/Quota/QuotaShares.h"
+#include "Hemlockglade/Coordination/Quota/ReplicaQuota.h"
 
 #include <map>
 
@@ -18,6 +19,11 @@
   double Unused = 0;
   /// Units that were used without a grant, by requests that ran once more.
   double Charged = 0;
+  /// Requests a second that a replica accepts, as the entry knows; 0 if the
+  /// limit is a workspace's.
+  double ReplicaLimit = 0;
+  /// How long ago requests were sent to the replica without a grant.
+  std::vector<Span> SentAgo;
 };
 
 /// A quota server's answer to a `QuotaRequest`.
@@ -38,6 +44,9 @@
 /// The cell's lease ensures that one node at a time manages this part. The next
 /// owner starts with empty buckets, so that no burst passes twice.
 ///
+/// It also grants requests to replicas that state a limit, each of which one
+/// cell is responsible for; their limits are known from the entries.
+///
 /// Units go to the entries that have the requests, so that many entries can
 /// share a small limit. Deterministic: time is passed in, and it does no I/O.
 class QuotaServer {
@@ -46,7 +55,10 @@
       : Cell(std::move(cell)), Options(settings) {}
 
   /// Removes all buckets, since another node may have granted units before.
-  void reset() { Buckets.clear(); }
+  void reset() {
+    Buckets.clear();
+    Replicas.clear();
+  }
   /// Sets the limits that are in force, and all cells.
   void setLimits(const WorkspaceDirectory &workspaces,
                  std::span<const std::string> cells, Instant now);
@@ -56,9 +68,13 @@
   std::size_t size() const { return Buckets.size(); }
 
 private:
+  QuotaGrant onReplicaRequest(const QuotaRequest &request, Instant now);
+  ReplicaQuota &replicaQuota(const QuotaRequest &request, Instant now);
+
   const std::string Cell;
   const QuotaSettings Options;
   std::map<std::string, TokenBucket, std::less<>> Buckets;
+  std::map<std::string, ReplicaQuota, std::less<>> Replicas;
 };
 
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Quota/QuotaShares.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaShares.cpp
@@ -28,11 +28,13 @@
                                         const QuotaSettings &settings) {
   if (cells.empty())
     return {};
+  bool isReplica = limit.Unit == LimitUnit::ReplicaRequests;
   bool tokens = limit.Unit == LimitUnit::Tokens;
   auto minPart = tokens ? settings.MinPartTokens : settings.MinPartRequests;
   auto parts = std::floor(allowanceOf(limit, settings) / minPart);
-  auto n = static_cast<std::size_t>(
-      std::clamp(parts, 1.0, static_cast<double>(cells.size())));
+  auto n = isReplica ? 1
+                     : static_cast<std::size_t>(std::clamp(
+                           parts, 1.0, static_cast<double>(cells.size())));
   std::vector<std::string> out(cells.begin(), cells.end());
   std::sort(out.begin(), out.end(), [workspace](const auto &a, const auto &b) {
     return std::pair(rankOf(workspace, a), std::string_view(a)) >
--- a/Hemlockglade/Coordination/Quota/QuotaShares.h
+++ b/Hemlockglade/Coordination/Quota/QuotaShares.h
@@ -32,7 +32,7 @@
 /// Returns the cells whose owners manage a workspace's limit, each an equal
 /// part: the same on every node, and in the same order. These are all cells for
 /// a large limit, so that the failure of one owner costs only its part, and few
-/// or one for a small limit.
+/// or one for a small limit. A replica's own limit is managed by one.
 std::vector<std::string> quotaServersOf(std::string_view workspace,
                                         const WorkspaceLimit &limit,
                                         std::span<const std::string> cells,
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -223,8 +223,50 @@
   auto it = Replicas.find(replica);
   if (it == Replicas.end() || statedAt < it->second.LimitStatedAt)
     return false;
-  it->second.LimitStatedAt = statedAt;
-  return std::exchange(it->second.RequestLimit, perSecond) != perSecond;
+  auto &state = it->second;
+  state.LimitStatedAt = statedAt;
+  if (std::exchange(state.RequestLimit, perSecond) == perSecond)
+    return false;
+  state.LimitChangedAt = ++LimitRevision;
+  return true;
+}
+
+std::optional<double> ReplicaView::limitOf(const std::string &replica) const {
+  auto it = Replicas.find(replica);
+  return it == Replicas.end() ? std::nullopt : it->second.RequestLimit;
+}
+
+std::vector<StatedLimit>
+ReplicaView::limitsSince(const std::string &domain,
+                         std::uint64_t revision) const {
+  std::vector<StatedLimit> out;
+  if (revision == LimitRevision)
+    return out;
+  for (const auto &[id, state] : Replicas)
+    if (state.LimitChangedAt > revision &&
+        state.Record->FailureDomain == domain)
+      out.push_back({id, state.RequestLimit, state.LimitStatedAt});
+  return out;
+}
+
+std::vector<Span> ReplicaView::sentAgo(const std::string &replica,
+                                       Instant now) const {
+  std::vector<Span> out;
+  auto it = Replicas.find(replica);
+  if (it == Replicas.end())
+    return out;
+  for (auto at : it->second.SentTimes)
+    if (now - at < Options.SentHistory)
+      out.push_back(now - at);
+  return out;
+}
+
+std::set<std::string> ReplicaView::limitedIn(const std::string &domain) const {
+  std::set<std::string> out;
+  for (const auto &[id, state] : Replicas)
+    if (state.RequestLimit && state.Record->FailureDomain == domain)
+      out.insert(id);
+  return out;
 }
 
 std::size_t ReplicaView::limitedCount() const {
@@ -328,6 +370,8 @@
   out += Options.FailureCost * (state.Health.failureShare(now) + excessErrors);
   if (state.Health.isOverdue(now))
     out += Options.OverdueCost;
+  if (state.RequestLimit && now - state.LimitStatedAt < Options.LimitedCostTime)
+    out += Options.LimitedCost;
   auto backlog = std::max(Span(0), state.PrefillUntil - now);
   out += Options.BacklogCost * inSeconds(backlog);
   constexpr double Thousand = 1000;
@@ -342,7 +386,9 @@
   bool anyFull = false;
   bool anyUsable = false;
   bool anyNear = false;
+  bool allLimited = true;
   Instant earliestReady = Instant::max();
+  Instant earliestGrant = Instant::max();
   // Engines serve too few requests to compare their error shares.
   double typicalErrors =
       query.Weights ? 1 : typicalErrorShare(query.Service, now);
@@ -356,6 +402,12 @@
     anyNear = anyNear || state.Record->FailureDomain == Options.FailureDomain;
     if (query.isExcluded(state.Record->Incarnation.text(), now))
       continue;
+    auto limited = query.LimitedUntil.find(state.Record->Incarnation.text());
+    if (limited != query.LimitedUntil.end() && now < limited->second) {
+      earliestGrant = std::min(earliestGrant, limited->second);
+      continue;
+    }
+    allLimited = false;
     if (query.Weights) {
       auto held = state.Held.find(*query.Weights);
       if (held == state.Held.end() || held->second.Evicting ||
@@ -380,7 +432,10 @@
     out.ReadyAt = earliestReady;
     if (!anyUsable)
       out.Result = RouteChoice::Kind::NoReplica;
-    else if (earliestReady != Instant::max())
+    else if (allLimited && earliestGrant != Instant::max()) {
+      out.Result = RouteChoice::Kind::Limited;
+      out.ReadyAt = earliestGrant;
+    } else if (earliestReady != Instant::max())
       out.Result = RouteChoice::Kind::AwaitLoad;
     else if (anyFull)
       out.Result = RouteChoice::Kind::Full;
@@ -429,6 +484,9 @@
   ++state.OwnRunning;
   state.OwnTokens += query.Tokens;
   state.Health.onSent(attempt, now);
+  state.SentTimes.push_back(now);
+  while (now - state.SentTimes.front() >= Options.SentHistory)
+    state.SentTimes.pop_front();
   if (!query.Weights && !state.Window) {
     auto window = Options.Window;
     constexpr double InitialShares = 2;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -7,6 +7,7 @@
 #include "Hemlockglade/Coordination/Route/ReplicaHealth.h"
 #include "Hemlockglade/Coordination/Route/SendWindow.h"
 
+#include <deque>
 #include <set>
 #include <unordered_map>
 
@@ -38,6 +39,9 @@
   /// Incarnations that rejected this request without running it, with the end
   /// of the backoff for each.
   std::map<std::string, Instant> BackoffUntil;
+  /// Incarnations that get no more requests than they accept, with the time
+  /// until which none is granted for this one.
+  std::map<std::string, Instant> LimitedUntil;
 
   bool isExcluded(const std::string &incarnation, Instant now) const;
 };
@@ -56,6 +60,9 @@
     NotLoaded,
     /// All suitable replicas are full.
     Full,
+    /// All replicas get as many requests as they accept; the next may be
+    /// granted at `ReadyAt`.
+    Limited,
     /// No replica of the service is known.
     NoReplica,
   };
@@ -86,6 +93,15 @@
   Span LoadAge{0};
 };
 
+/// A replica's statement of its limit.
+struct StatedLimit {
+  std::string Replica;
+  /// Requests a second that it accepts from all nodes together; none if it has
+  /// no limit any more.
+  std::optional<double> PerSecond;
+  Instant StatedAt{};
+};
+
 /// One node's view of all replicas, built from the registry, the cells' owners
 /// and the node's own requests. Chooses the replica for each request.
 /// Deterministic: time is passed in, and it does no I/O.
@@ -108,6 +124,14 @@
     /// domain is preferred to one with a backlog of a few hundredths of a
     /// second.
     double BacklogCost = 6;
+    /// Cost of a replica that has stated a limit lately. After that time it is
+    /// tried like any other, since only its answers show that the limit has
+    /// ended.
+    double LimitedCost = 2;
+    Span LimitedCostTime = std::chrono::milliseconds(2000);
+    /// How long the times of this node's requests to a replica are kept, to be
+    /// counted against a limit that it states.
+    Span SentHistory = std::chrono::seconds(4);
     /// Prefill backlog that may remain when the next request is sent: the
     /// engine then never idles, and its running streams, whose tokens are
     /// generated between prefill chunks, have no long pause.
@@ -181,6 +205,16 @@
   /// whether its limit is another one now.
   bool onLimit(const std::string &replica, std::optional<double> perSecond,
                Instant statedAt);
+  std::optional<double> limitOf(const std::string &replica) const;
+  /// Returns the limits of a failure domain's replicas that have changed since
+  /// a revision of the limits.
+  std::vector<StatedLimit> limitsSince(const std::string &domain,
+                                       std::uint64_t revision) const;
+  std::uint64_t limitRevision() const { return LimitRevision; }
+  /// Returns how long ago this node sent its latest requests to a replica.
+  std::vector<Span> sentAgo(const std::string &replica, Instant now) const;
+  /// Returns the replicas of a failure domain that have a limit.
+  std::set<std::string> limitedIn(const std::string &domain) const;
   /// Returns the number of replicas that have a limit.
   std::size_t limitedCount() const;
   /// Called when a cell has lost its owner: the residency that it reported is
@@ -274,6 +308,10 @@
     std::optional<double> RequestLimit;
     /// When it stated its limit, or that it has none.
     Instant LimitStatedAt{};
+    /// `LimitRevision` when the limit changed; 0 if it never had one.
+    std::uint64_t LimitChangedAt = 0;
+    /// Times of this node's requests within `SentHistory`.
+    std::deque<Instant> SentTimes;
     /// Estimated end of the prefill of all prompts that were sent to it.
     Instant PrefillUntil{};
     ReplicaHealth Health;
@@ -329,6 +367,8 @@
   std::map<std::string, std::vector<ReplicaState *>> ByService;
   double TrafficShare = 1;
   std::uint64_t Revision = 1;
+  /// Rises whenever a replica's limit has changed.
+  std::uint64_t LimitRevision = 0;
   /// Residency that owners reported for replicas not yet received from the
   /// registry.
   std::map<std::string, Residency> PendingResidency;
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -94,6 +94,16 @@
   MSGPACK_DEFINE(Replica, Tokens)
 };
 
+/// A replica states a limit, or that it has none any more.
+struct LimitNotice {
+  std::string Replica;
+  /// Requests a second that it accepts from all nodes together; 0 if it has no
+  /// limit any more.
+  double PerSecond = 0;
+  std::int64_t AgeUs = 0;
+  MSGPACK_DEFINE(Replica, PerSecond, AgeUs)
+};
+
 /// Change in the number of a node's requests that use weights at a replica.
 struct UseNotice {
   std::string Replica;
@@ -183,9 +193,12 @@
   std::vector<CrashNotice> Crashes;
   /// When it was sent, by the node's own clock; 0 in a brief one.
   std::int64_t SentAtUs = 0;
+  /// Limits of the cell's replicas, as far as they changed since the last
+  /// heartbeat; all of them in the first heartbeat of a stream.
+  std::vector<LimitNotice> Limits;
   MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief,
                  KnownPositions, RequestsPerSecond, BytesPerSecond, Crashes,
-                 SentAtUs)
+                 SentAtUs, Limits)
 };
 
 struct HeldNotice {
@@ -237,9 +250,11 @@
   /// `SentAtUs` of the node's last heartbeat that the owner has received, which
   /// bounds how long this one may have been in transit; 0 if there is none.
   std::int64_t EchoedSentAtUs = 0;
+  /// Limits of the cell's replicas, as far as the node has not been sent them.
+  std::vector<LimitNotice> Limits;
   MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
                  Entries, EntriesChanged, Leases, Sent, Update, Crashes,
-                 EchoedSentAtUs)
+                 EchoedSentAtUs, Limits)
 };
 
 /// Reply to a node that starts while the registry is unreachable, or, without
--- a/Hemlockglade/Protocol/Message/QuotaMessages.cpp
+++ b/Hemlockglade/Protocol/Message/QuotaMessages.cpp
@@ -17,9 +17,14 @@
 
 QuotaRequestMessage messageOf(const QuotaClient::Message &message) {
   QuotaRequestMessage out{message.Number, {}};
-  for (const auto &it : message.Requests)
-    out.Requests.push_back(
-        {it.Workspace, it.Requested, it.Ahead, it.Unused, it.Charged});
+  for (const auto &it : message.Requests) {
+    QuotaRequestNotice notice{
+        it.Workspace, it.Requested,    it.Ahead, it.Unused,
+        it.Charged,   it.ReplicaLimit, {}};
+    for (auto ago : it.SentAgo)
+      notice.SentAgoUs.push_back(ago.count());
+    out.Requests.push_back(std::move(notice));
+  }
   return out;
 }
 
@@ -30,7 +35,11 @@
                          {},
                          sanitizeUnits(it.Ahead),
                          sanitizeUnits(it.Unused),
-                         sanitizeUnits(it.Charged)};
+                         sanitizeUnits(it.Charged),
+                         sanitizeUnits(it.ReplicaLimit),
+                         {}};
+    for (auto ago : it.SentAgoUs)
+      request.SentAgo.push_back(std::max(Span(0), Span(ago)));
     std::transform(it.Requested.begin(), it.Requested.end(),
                    std::back_inserter(request.Requested), sanitizeUnits);
     out.push_back(std::move(request));
--- a/Hemlockglade/Protocol/Message/QuotaMessages.h
+++ b/Hemlockglade/Protocol/Message/QuotaMessages.h
@@ -12,7 +12,10 @@
   double Ahead = 0;
   double Unused = 0;
   double Charged = 0;
-  MSGPACK_DEFINE(Workspace, Requested, Ahead, Unused, Charged)
+  double ReplicaLimit = 0;
+  std::vector<std::int64_t> SentAgoUs;
+  MSGPACK_DEFINE(Workspace, Requested, Ahead, Unused, Charged, ReplicaLimit,
+                 SentAgoUs)
 };
 
 /// Entry to owner, sent repeatedly on `/quota/NAME`.
--- a/Hemlockglade/State/Routing/Workspace.h
+++ b/Hemlockglade/State/Routing/Workspace.h
@@ -11,8 +11,13 @@
 
 namespace hemlockglade {
 
-/// Unit in which a workspace's requests are counted.
-enum class LimitUnit : std::uint8_t { Requests, Tokens };
+/// Unit in which requests are counted.
+enum class LimitUnit : std::uint8_t {
+  Requests,
+  Tokens,
+  /// Requests to one replica, which states the limit itself.
+  ReplicaRequests,
+};
 
 /// Quota of a workspace over all nodes together: within any time span, its rate
 /// times that span, plus a burst.
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -1,5 +1,7 @@
 #include "Programs/hemlockgladed/Gateway/CellMember.h"
 
+#include <cmath>
+
 namespace hemlockglade {
 
 namespace {
@@ -88,7 +90,7 @@
   planSoon();
 }
 
-void CellMember::onCrashUpdate() {
+void CellMember::sendUpdateSoon() {
   if (!Owning) {
     HeartbeatDue = true;
     return;
@@ -111,6 +113,27 @@
       std::exchange(sentRevision, Callbacks.Crashes->revision()));
 }
 
+void CellMember::mergeLimits(const std::vector<LimitNotice> &limits) {
+  auto now = TimerService::now();
+  for (const auto &it : limits) {
+    bool valid = std::isfinite(it.PerSecond) && it.PerSecond > 0;
+    Callbacks.OnLimit({it.Replica,
+                       valid ? std::optional(it.PerSecond) : std::nullopt,
+                       now - std::max(Span(0), Span(it.AgeUs))});
+  }
+}
+
+std::vector<LimitNotice>
+CellMember::takeUnsentLimits(std::uint64_t &sentRevision) const {
+  auto now = TimerService::now();
+  std::vector<LimitNotice> out;
+  for (const auto &it : View.limitsSince(
+           Options.Cell, std::exchange(sentRevision, View.limitRevision())))
+    out.push_back(
+        {it.Replica, it.PerSecond.value_or(0), (now - it.StatedAt).count()});
+  return out;
+}
+
 void CellMember::onDemand(const std::string &service, const WeightsRef &weights,
                           bool waiting) {
   auto &notice = Demand[{service, weights}];
@@ -215,6 +238,8 @@
   out.BytesPerSecond = load.Bytes;
   if (!Owning)
     out.Crashes = takeUnsentCrashes(CrashesSentToOwner);
+  if (!Owning)
+    out.Limits = takeUnsentLimits(LimitsSentToOwner);
   return out;
 }
 
@@ -262,6 +287,7 @@
       unfollow("closed");
   };
   CrashesSentToOwner = 0;
+  LimitsSentToOwner = 0;
   auto first = takeHeartbeat();
   first.Uses = allUses();
   Owner = Net.open(OwnerAddress, std::string(peer_path::Cell) + Options.Cell,
@@ -339,6 +365,7 @@
                          ? std::min(now, Span(heartbeat.EchoedSentAtUs))
                          : LongAgo);
   mergeCrashes(heartbeat.Crashes, CrashesSentToOwner);
+  mergeLimits(heartbeat.Limits);
   if (!heartbeat.Replicas.empty())
     Callbacks.OnChanged();
 }
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -98,6 +98,8 @@
     std::function<void(const RegistryUpdate &, Instant sentAfter)> OnUpdate;
     /// Requests that crash replicas, which nodes report to each other.
     CrashCoordinator *Crashes = nullptr;
+    /// Called when another node has reported a replica's limit.
+    std::function<void(const StatedLimit &limit)> OnLimit;
   };
 
   CellMember(Settings settings, Hooks hooks, ReplicaView &view, PeerNet &net,
@@ -111,7 +113,9 @@
   /// Called when this node has received changes from the registry.
   void onRegistryUpdate();
   /// Called when something new is known of requests that crash replicas.
-  void onCrashUpdate();
+  void onCrashUpdate() { sendUpdateSoon(); }
+  /// Called when the limit of a replica has changed.
+  void onLimitUpdate() { sendUpdateSoon(); }
 
   /// Called when a request for weights arrives at this node; `waiting` if no
   /// replica has them.
@@ -163,6 +167,7 @@
     std::uint64_t SentEntries = 0;
     std::uint64_t SentLeases = 0;
     std::uint64_t SentCrashes = 0;
+    std::uint64_t SentLimits = 0;
     /// Some of the requests in `PendingSent` are its own.
     bool HasPendingSent = false;
     /// When it sent its last heartbeat, by its own clock.
@@ -178,6 +183,12 @@
   /// The crash records that a peer has not been sent yet.
   std::vector<CrashNotice> takeUnsentCrashes(std::uint64_t &sentRevision) const;
 
+  /// Sends the owner, or all followers, a heartbeat soon.
+  void sendUpdateSoon();
+  void mergeLimits(const std::vector<LimitNotice> &limits);
+  /// The limits that a peer has not been sent yet.
+  std::vector<LimitNotice> takeUnsentLimits(std::uint64_t &sentRevision) const;
+
   // The node's side.
   void follow();
   void flushSoon();
@@ -241,6 +252,7 @@
   bool Owning = false;
   /// What the planner was last given.
   std::uint64_t PlannerViewRevision = 0;
+  std::uint64_t PlannerLimitRevision = 0;
   std::shared_ptr<const RoutePlan> PlannerRoutePlan;
 
   std::shared_ptr<PeerStream> Owner;
@@ -250,6 +262,7 @@
   bool OwnerOrders = false;
   /// Revision of the crash records that the owner has been sent.
   std::uint64_t CrashesSentToOwner = 0;
+  std::uint64_t LimitsSentToOwner = 0;
   Instant StartedAt = TimerService::now();
   Instant OwnsSince{};
   std::vector<DomainEntries> Entries;
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -41,7 +41,9 @@
     HeartbeatAt = Instant{};
   }
   auto plan = Callbacks.Plan();
-  if (PlannerViewRevision != View.revision() || PlannerRoutePlan != plan) {
+  bool replicasChanged =
+      PlannerViewRevision != View.revision() || PlannerRoutePlan != plan;
+  if (replicasChanged) {
     PlannerViewRevision = View.revision();
     PlannerRoutePlan = plan;
     Planner.setReplicas(View.replicasIn(Options.Cell), plan, now);
@@ -49,6 +51,10 @@
   }
   Planner.setLoadingElsewhere(View.loadingOutside(Options.Cell, false, now));
   Planner.setModelsElsewhere(View.loadingOutside(Options.Cell, true, now));
+  if (replicasChanged || PlannerLimitRevision != View.limitRevision()) {
+    PlannerLimitRevision = View.limitRevision();
+    Planner.setLimited(View.limitedIn(Options.Cell));
+  }
   for (const auto &it : Planner.plan(Lease->mayOrder(), now))
     execute(it);
 }
@@ -168,6 +174,7 @@
     return;
   follower.SentAtUs = heartbeat.SentAtUs;
   mergeCrashes(heartbeat.Crashes, follower.SentCrashes);
+  mergeLimits(heartbeat.Limits);
   follower.Load = {heartbeat.RequestsPerSecond, heartbeat.BytesPerSecond};
   if (heartbeat.KnownPositions.Operator && heartbeat.KnownPositions.Replica) {
     auto &positions = follower.Positions;
@@ -499,6 +506,7 @@
   addRegistryUpdate(follower, heartbeat);
   heartbeat.EchoedSentAtUs = follower.SentAtUs;
   heartbeat.Crashes = takeUnsentCrashes(follower.SentCrashes);
+  heartbeat.Limits = takeUnsentLimits(follower.SentLimits);
   if (std::exchange(follower.SentEntries, EntriesRevision) != EntriesRevision)
     addEntries(heartbeat);
   bool near = follower.Self.FailureDomain == Options.FailureDomain;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -245,6 +245,9 @@
   };
   hooks.OnServingEntries = [this] { updateServingEntries(); };
   hooks.Crashes = &Crashes;
+  hooks.OnLimit = [this](const StatedLimit &it) {
+    onReplicaLimit(it.Replica, it.PerSecond, it.StatedAt, "node");
+  };
   return hooks;
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -174,10 +174,20 @@
     return armTimer();
   if (endIfBarred())
     return;
+  if (GrantPending)
+    return armTimer();
   auto choice = Shared.View.choose(Query, now);
   if (choice.Result == RouteChoice::Kind::Send && mustQueue(now))
     choice.Result = RouteChoice::Kind::Full;
-  if (choice.Result == RouteChoice::Kind::Send) {
+  bool sends = choice.Result == RouteChoice::Kind::Send;
+  // A grant is for now: one that is kept would arrive among later ones.
+  bool granted = sends && Grant &&
+                 Grant->Replica->Incarnation == choice.Replica->Incarnation;
+  if (!granted)
+    releaseGrant(Grant);
+  if (sends && !granted && choice.RequestLimit && Shared.ReplicaLimits.Reserve)
+    return reserveGrant(choice);
+  if (sends) {
     if (usesEngine() && !std::exchange(DemandReported, true))
       Shared.OnDemand(Query.Service, *Query.Weights, false);
     return send(choice);
@@ -189,9 +199,13 @@
   auto now = TimerService::now();
   if (usesEngine() && !std::exchange(DemandReported, true))
     Shared.OnDemand(Query.Service, *Query.Weights, false);
-  if (now >= HoldUntil) {
+  bool limited = choice.Result == RouteChoice::Kind::Limited && !AnswerBegun;
+  if (now >= HoldUntil || limited) {
     if (MayHaveRun)
       return answerWithError(BadGateway, "no replica to try again");
+    if (limited)
+      return answerWithError(Unavailable, "all replicas are at their limits",
+                             choice.ReadyAt - now);
     return answerWithError(Unavailable, "held too long", retryAfter());
   }
   Waiting = true;
@@ -218,7 +232,8 @@
     if (!usesEngine() && Shared.PlainQueue) {
       joinQueue();
       // Others may be sent to replicas that this request must not use.
-      if (!Query.Excluded.empty() || !Query.BackoffUntil.empty())
+      if (!Query.Excluded.empty() || !Query.BackoffUntil.empty() ||
+          !Query.LimitedUntil.empty())
         Shared.PlainQueue->deferUntil(Query.Service, QueueTicket,
                                       now + Settings.WaitPollInterval / 2);
     }
@@ -226,6 +241,9 @@
     WaitReason = "replicas full";
     reportCongestion(now);
     break;
+  case RouteChoice::Kind::Limited:
+    WaitReason = "replicas at their limits";
+    break;
   default:
     WaitReason = "no replica known";
   }
@@ -292,6 +310,7 @@
   Current->PrefillIdle = choice.PrefillIdle;
   Current->Version = choice.Version;
   Current->MustBeginBy = choice.MustBeginBy;
+  Current->Grant = std::exchange(Grant, std::nullopt);
   Current->IsRetry = std::exchange(RetryReserved, false);
   if (Current->IsRetry)
     Shared.Budget.onSent(Query.Service, now);
@@ -550,6 +569,7 @@
   Result = result;
   leaveQueue(false);
   releaseQuota();
+  releaseGrant(Grant);
   if (std::exchange(RetryReserved, false))
     Shared.Budget.release(Query.Service);
   Shared.Log.write(
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -64,6 +64,13 @@
   std::function<void(const ReplicaRecord &replica,
                      std::optional<double> perSecond, Instant statedAt)>
       OnStated;
+  /// Reserves a request to a replica that accepts `perSecond` of them.
+  /// `decided` is called exactly once, either before this returns or later.
+  std::function<void(const ReplicaRecord &replica, double perSecond,
+                     QuotaService::OnDecided decided)>
+      Reserve;
+  /// Returns a reserved request that has not reached the replica.
+  std::function<void(const ReplicaRecord &replica, double perSecond)> Release;
 };
 
 /// The parts of the node that all exchanges share.
@@ -104,7 +111,7 @@
   /// Order of the requests that wait for plain replicas which are full; null
   /// if they are not queued.
   FairQueue *PlainQueue = nullptr;
-  ReplicaLimitHooks ReplicaLimits;
+  ReplicaLimitHooks ReplicaLimits{};
 };
 
 /// One request of a caller, from its arrival to its answer. Chooses a replica,
@@ -173,6 +180,12 @@
   bool endedBeforeStart() const { return EndedBeforeStart; }
 
 private:
+  /// A request reserved at a replica that states a limit.
+  struct ReplicaGrant {
+    ReplicaPtr Replica;
+    double PerSecond = 0;
+  };
+
   /// State of the attempt that is under way.
   struct Attempt {
     std::shared_ptr<HttpConnection> Connection;
@@ -198,6 +211,8 @@
     bool ReplicaRestarted = false;
     /// It counts against the retry budget.
     bool IsRetry = false;
+    /// Set if the replica states a limit.
+    std::optional<ReplicaGrant> Grant;
   };
 
   /// Reserves quota from the workspace's limit, then sends or holds the
@@ -211,6 +226,13 @@
   void releaseQuota();
   /// Chooses a replica and sends the request, or holds it.
   void sendOrHold();
+  /// Reserves the request at the chosen replica, which states a limit, and
+  /// chooses again once that is decided.
+  void reserveGrant(const RouteChoice &choice);
+  void onGrantDecided(ReplicaGrant grant, QuotaService::Verdict verdict,
+                      Span retryAfter);
+  /// Releases the reserved request if there is one.
+  void releaseGrant(std::optional<ReplicaGrant> &grant);
   /// Answers the request if it is barred; returns whether it was.
   bool endIfBarred();
   /// Holds the request until the choice may change, or refuses it if it was
@@ -306,6 +328,9 @@
   bool QuotaReserved = false;
   /// A retry is reserved for the next attempt.
   bool RetryReserved = false;
+  /// Reserved for the next attempt; one is requested while `GrantPending`.
+  std::optional<ReplicaGrant> Grant;
+  bool GrantPending = false;
   bool DemandReported = false;
   /// Incarnations that the request was sent to, without those that didn't run
   /// it.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
@@ -65,6 +65,47 @@
     Shared.Limits.Release(*CallerWorkspace, quotaUnits());
 }
 
+void GatewayExchange::reserveGrant(const RouteChoice &choice) {
+  Waiting = true;
+  WaitsForCapacity = true;
+  WaitReason = "replica's limit";
+  WakeAt = Instant::max();
+  GrantPending = true;
+  armTimer();
+  ReplicaGrant grant{choice.Replica, *choice.RequestLimit};
+  Shared.ReplicaLimits.Reserve(
+      *grant.Replica, grant.PerSecond,
+      [self = shared_from_this(), grant](auto verdict, Span retryAfter) {
+        self->onGrantDecided(grant, verdict, retryAfter);
+      });
+}
+
+void GatewayExchange::onGrantDecided(ReplicaGrant grant,
+                                     QuotaService::Verdict verdict,
+                                     Span retryAfter) {
+  GrantPending = false;
+  if (verdict == QuotaService::Verdict::Allowed) {
+    Grant = std::move(grant);
+    return Done ? releaseGrant(Grant) : sendOrHold();
+  }
+  if (Done)
+    return;
+  auto replica = grant.Replica->Incarnation.text();
+  Query.LimitedUntil[replica] = TimerService::now() + retryAfter;
+  Shared.Log.write(LogClass::Request, "not-granted",
+                   {{"request", Labels.Id},
+                    {"replica", replica},
+                    {"limit_per_s", grant.PerSecond},
+                    {"keeper_known", verdict == QuotaService::Verdict::Limited},
+                    {"retry_after_ms", retryAfter}});
+  sendOrHold();
+}
+
+void GatewayExchange::releaseGrant(std::optional<ReplicaGrant> &grant) {
+  if (auto it = std::exchange(grant, std::nullopt))
+    Shared.ReplicaLimits.Release(*it->Replica, it->PerSecond);
+}
+
 bool GatewayExchange::mustQueue(Instant now) {
   if (usesEngine() || !Shared.PlainQueue ||
       !Shared.PlainQueue->hasWaiting(Query.Service))
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -180,6 +180,7 @@
 void GatewayExchange::onFailed(HttpFailure how) {
   if (how == HttpFailure::NotConnected) {
     auto failed = Current->Replica->Incarnation.text();
+    releaseGrant(Current->Grant);
     RetryReserved = Current->IsRetry;
     if (RetryReserved)
       Shared.Budget.onNotSent(Query.Service, Current->SentAt);
--- a/Programs/hemlockgladed/Gateway/GatewayLimits.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayLimits.cpp
@@ -10,12 +10,22 @@
                           std::optional<double> perSecond, Instant statedAt) {
     onReplicaLimit(replica.Incarnation.text(), perSecond, statedAt, "answer");
   };
+  hooks.Reserve = [this](const ReplicaRecord &replica, double perSecond,
+                         auto decided) {
+    Quotas.reserve(replicaQuotaHolder(replica.Incarnation.text(), perSecond), 1,
+                   std::move(decided));
+  };
+  hooks.Release = [this](const ReplicaRecord &replica, double perSecond) {
+    Quotas.release(replicaQuotaHolder(replica.Incarnation.text(), perSecond),
+                   1);
+  };
   return hooks;
 }
 
 void Gateway::onReplicaLimit(const std::string &replica,
                              std::optional<double> perSecond, Instant statedAt,
                              std::string_view from) {
+  bool hadLimit = View.limitOf(replica).has_value();
   if (!View.onLimit(replica, perSecond, statedAt))
     return;
   Log.write(LogClass::State, "replica-limit",
@@ -23,6 +33,11 @@
              {"limit_per_s", perSecond.value_or(0)},
              {"from", from},
              {"stated_ms_ago", TimerService::now() - statedAt}});
+  if (perSecond && !hadLimit)
+    Quotas.addSent(replicaQuotaHolder(replica, *perSecond),
+                   View.sentAgo(replica, TimerService::now()));
+  for (auto &[name, cell] : Cells)
+    cell->onLimitUpdate();
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/QuotaService.cpp
+++ b/Programs/hemlockgladed/Gateway/QuotaService.cpp
@@ -38,6 +38,11 @@
   Undecided.emplace(number, std::move(decided));
 }
 
+void QuotaService::addSent(const Workspace &holder, std::span<const Span> ago) {
+  Client.addSent(holder, ago, TimerService::now());
+  flushSoon();
+}
+
 void QuotaService::charge(const Workspace &workspace, double units) {
   Client.charge(workspace, units, TimerService::now());
 }
--- a/Programs/hemlockgladed/Gateway/QuotaService.h
+++ b/Programs/hemlockgladed/Gateway/QuotaService.h
@@ -41,6 +41,8 @@
   void setEntries(std::size_t entries) { Client.setEntries(entries); }
 
   void reserve(const Workspace &workspace, double units, OnDecided decided);
+  /// Reports requests to a replica that were sent without being reserved.
+  void addSent(const Workspace &holder, std::span<const Span> ago);
   void charge(const Workspace &workspace, double units);
   void release(const Workspace &workspace, double units);
 
--- a/UnitTests/Coordination/Orders/CellPlacementTest.cpp
+++ b/UnitTests/Coordination/Orders/CellPlacementTest.cpp
@@ -143,6 +143,31 @@
   CHECK(world.copies(adapter(1)) == 1);
 }
 
+TEST_CASE("adapters that only a limited engine holds are loaded at another",
+          "[desk]") {
+  PlacementWorld world(3);
+  world.runRounds(2);
+  world.Placement.onWaiting(Service, adapter(1), world.Now);
+  world.runRounds(10);
+  REQUIRE(world.copies(adapter(1)) == 1);
+  std::set<std::string> limited;
+  for (const auto &[id, it] : world.Engines)
+    if (it.Held.contains(adapter(1)))
+      limited.insert(id);
+  world.Placement.setLimited(limited);
+  world.Placement.onWaiting(Service, adapter(1), world.Now);
+  world.runRounds(10);
+  CHECK(world.copies(adapter(1)) == 2);
+  SECTION("nothing else is loaded where all are limited") {
+    for (const auto &[id, it] : world.Engines)
+      limited.insert(id);
+    world.Placement.setLimited(limited);
+    world.Placement.onWaiting(Service, adapter(1), world.Now);
+    world.runRounds(10);
+    CHECK(world.copies(adapter(1)) == 2);
+  }
+}
+
 TEST_CASE("waiting requests get one copy even if a slot must be freed first",
           "[desk]") {
   PlacementWorld world(3, 1);
--- a/UnitTests/Coordination/Quota/QuotaWorld.h
+++ b/UnitTests/Coordination/Quota/QuotaWorld.h
@@ -49,6 +49,8 @@
       : Options(settings), Random(settings.Seed) {
     LimitedWorkspace.Name = "w";
     LimitedWorkspace.Limit = Options.Limit;
+    if (Options.Limit.Unit == LimitUnit::ReplicaRequests)
+      LimitedWorkspace = replicaQuotaHolder("i-1", Options.Limit.PerSecond);
     for (std::size_t it = 0; it < Options.Cells; ++it)
       CellNames.push_back("cell-" + std::to_string(it));
     for (const auto &it : CellNames)
@@ -69,12 +71,19 @@
       at += gap(Random);
       if (spanOf(at) > span)
         break;
-      auto n = size(Random);
+      bool isReplica = Options.Limit.Unit == LimitUnit::ReplicaRequests;
+      auto n = isReplica ? 1 : size(Random);
       auto entry = atOneEntry ? 0 : Random() % Entries.size();
       Time.after(spanOf(at), [this, entry, n] { reserve(entry, n); });
     }
   }
 
+  /// Reports requests that an entry sent to a replica without a grant.
+  void reportSent(std::size_t entry, std::span<const Span> ago) {
+    Entries[entry]->Client->addSent(LimitedWorkspace, ago, Time.now());
+    sendRequestsSoon(entry);
+  }
+
   /// Sends one request to an entry.
   void reserve(std::size_t entry, double units) {
     auto &at = *Entries[entry];
--- /dev/null
+++ b/UnitTests/Coordination/Quota/ReplicaQuotaTest.cpp
@@ -0,0 +1,143 @@
+#include "UnitTests/Coordination/Quota/QuotaWorld.h"
+
+#include <catch2/catch.hpp>
+
+namespace hemlockglade::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Span Window = seconds(4);
+
+/// What may arrive at a replica within `Window`.
+double allowedFor(double perSecond) {
+  return 1.5 * perSecond * inSeconds(Window) + 5;
+}
+
+QuotaWorld::Settings settingsFor(double perSecond, std::size_t entries,
+                                 std::uint32_t seed) {
+  QuotaWorld::Settings out;
+  out.Limit = {LimitUnit::ReplicaRequests, perSecond, 0, 0};
+  out.Entries = entries;
+  out.Seed = seed;
+  return out;
+}
+
+int takeAll(ReplicaQuota &quota, Instant now) {
+  int n = 0;
+  while (quota.tryTake(now))
+    ++n;
+  return n;
+}
+
+} // namespace
+
+TEST_CASE("a replica's limit holds over all entries when owners and entries "
+          "fail",
+          "[quota]") {
+  auto entries = GENERATE(1, 8, 70, 200);
+  auto perSecond = GENERATE(0.1, 0.5, 1.4, 20.0);
+  auto seed = GENERATE(1, 2);
+  CAPTURE(entries, perSecond, seed);
+  QuotaWorld it(settingsFor(perSecond, entries, seed));
+  it.load(20 + 5 * perSecond, 1, seconds(40));
+  it.advance(seconds(6));
+  for (int round = 0; round < 4; ++round) {
+    it.restartOwner(round % 3);
+    it.advance(milliseconds(900));
+  }
+  it.failOwner(0);
+  for (std::size_t at = 0; at < it.entries(); at += 3)
+    it.restartEntry(at);
+  for (std::size_t at = 1; at < it.entries(); at += 3)
+    it.freezeEntry(at, milliseconds(1500));
+  it.advance(seconds(12));
+  for (std::size_t at = 0; at < it.entries(); ++at)
+    it.restartEntry(at);
+  for (std::size_t cell = 0; cell < 3; ++cell)
+    it.restartOwner(cell);
+  it.advance(seconds(20));
+  CHECK(it.maxWithin(Window) <= allowedFor(perSecond));
+}
+
+TEST_CASE("a replica's limit is used up by the demand of all entries",
+          "[quota]") {
+  auto entries = GENERATE(1, 8, 70, 200);
+  auto perSecond = GENERATE(0.5, 1.4, 20.0);
+  CAPTURE(entries, perSecond);
+  QuotaWorld it(settingsFor(perSecond, entries, 1));
+  auto from = it.now();
+  it.load(20 + 5 * perSecond, 1, seconds(30));
+  it.advance(seconds(31));
+  CHECK(it.outcome(from).first >= 0.8 * perSecond * 30);
+}
+
+TEST_CASE("requests sent before a replica stated its limit count against it",
+          "[quota]") {
+  QuotaWorld it(settingsFor(1.4, 8, 1));
+  std::vector<Span> ago;
+  for (int n = 0; n < 5; ++n)
+    ago.push_back(milliseconds(200 * n));
+  for (std::size_t entry = 0; entry < 3; ++entry)
+    it.reportSent(entry, ago);
+  auto from = it.now();
+  it.load(20, 1, seconds(3));
+  it.advance(milliseconds(3100));
+  CHECK(it.outcome(from).first == 0);
+  it.load(20, 1, seconds(8));
+  it.advance(milliseconds(8100));
+  CHECK(it.outcome(from).first > 0);
+}
+
+TEST_CASE("several limited replicas have quotas of their own", "[quota]") {
+  QuotaServer server("cell-0", QuotaSettings{});
+  auto requestFor = [](std::string_view replica, double perSecond) {
+    QuotaRequest out;
+    out.Workspace = replicaQuotaHolder(replica, perSecond).Name;
+    out.Requested = {1, 1, 1};
+    out.ReplicaLimit = perSecond;
+    return out;
+  };
+  Instant now = seconds(100);
+  CHECK(server.onRequest(requestFor("i-1", 1), now).GrantedCount == 0);
+  CHECK(server.onRequest(requestFor("i-2", 8), now).GrantedCount == 0);
+  now += seconds(1);
+  CHECK(server.onRequest(requestFor("i-1", 1), now).GrantedCount == 1);
+  CHECK(server.onRequest(requestFor("i-2", 8), now).GrantedCount == 2);
+}
+
+TEST_CASE("a limit that falls applies from the next request on", "[quota]") {
+  Instant now = seconds(100);
+  ReplicaQuota quota(20, ReplicaQuota::Settings{}, now);
+  now += seconds(1);
+  CHECK(takeAll(quota, now) == 5);
+  quota.setLimit(1, now);
+  CHECK(takeAll(quota, now + milliseconds(900)) == 0);
+  CHECK(takeAll(quota, now + milliseconds(1100)) == 1);
+  CHECK(quota.timeUntilNext(now + milliseconds(1100)) <= seconds(1));
+}
+
+TEST_CASE("the time until the next request covers what was sent before",
+          "[quota]") {
+  Instant now = seconds(100);
+  ReplicaQuota quota(1, ReplicaQuota::Settings{}, now);
+  for (int n = 0; n < 12; ++n)
+    quota.addSent(now);
+  CHECK_FALSE(quota.tryTake(now + seconds(3)));
+  CHECK(quota.timeUntilNext(now + seconds(3)) == seconds(1));
+  CHECK(quota.tryTake(now + seconds(4)));
+}
+
+TEST_CASE("granted requests that were not sent are returned", "[quota]") {
+  Instant now = seconds(100);
+  ReplicaQuota quota(1, ReplicaQuota::Settings{}, now);
+  now += seconds(1);
+  REQUIRE(quota.tryTake(now));
+  REQUIRE_FALSE(quota.tryTake(now));
+  quota.release(1, now);
+  CHECK(quota.tryTake(now));
+}
+
+} // namespace hemlockglade::test
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -74,6 +74,68 @@
   }
 }
 
+TEST_CASE("a replica that states a limit serves only what others can't",
+          "[view]") {
+  ViewFixture it;
+  it.present({record("i-1"), record("i-2", "hall-b")});
+  REQUIRE(it.choose().Replica->Incarnation.text() == "i-1");
+  CHECK(it.View.onLimit("i-1", 1.5, it.Now));
+  CHECK(it.choose().Replica->Incarnation.text() == "i-2");
+  for (int n = 0; n < 4; ++n)
+    it.View.onSent("i-2", it.query(), it.Now);
+  auto choice = it.choose();
+  CHECK(choice.Replica->Incarnation.text() == "i-1");
+  CHECK(choice.RequestLimit == 1.5);
+}
+
+TEST_CASE("a replica that stated its limit long ago is tried again", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1"), record("i-2", "hall-b")});
+  it.View.onLimit("i-1", 1.5, it.Now);
+  it.Now += milliseconds(2001);
+  auto choice = it.choose();
+  CHECK(choice.Replica->Incarnation.text() == "i-1");
+  CHECK(choice.RequestLimit == 1.5);
+}
+
+TEST_CASE("an answer from before a limit was stated doesn't end it", "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onLimit("i-1", 1.5, it.Now);
+  CHECK_FALSE(it.View.onLimit("i-1", std::nullopt, it.Now - milliseconds(1)));
+  CHECK(it.View.limitOf("i-1") == 1.5);
+  CHECK(it.View.onLimit("i-1", std::nullopt, it.Now + milliseconds(1)));
+  CHECK_FALSE(it.View.limitOf("i-1"));
+}
+
+TEST_CASE("the next life of a replica has no limit until it states one",
+          "[view]") {
+  ViewFixture it;
+  auto born = [](std::uint64_t at) {
+    auto out = record("i-1");
+    out.Incarnation = ReplicaIncarnation("i-1", at);
+    return out;
+  };
+  it.present({born(1)});
+  it.View.onLimit(born(1).Incarnation.text(), 1.5, it.Now);
+  it.present({born(2)});
+  CHECK_FALSE(it.choose().RequestLimit);
+}
+
+TEST_CASE("a request waits for its grant only where all replicas are limited",
+          "[view]") {
+  ViewFixture it;
+  it.present({record("i-1"), record("i-2")});
+  auto query = it.query();
+  query.LimitedUntil["i-1"] = it.Now + milliseconds(700);
+  CHECK(it.View.choose(query, it.Now).Replica->Incarnation.text() == "i-2");
+  query.LimitedUntil["i-2"] = it.Now + milliseconds(300);
+  auto choice = it.View.choose(query, it.Now);
+  CHECK(choice.Result == Kind::Limited);
+  CHECK(choice.ReadyAt == it.Now + milliseconds(300));
+  CHECK(it.View.choose(query, it.Now + milliseconds(300)).Result == Kind::Send);
+}
+
 TEST_CASE("a replica whose entry is removed gets no new requests", "[view]") {
   ViewFixture it;
   it.present({record("i-1")});
--- a/UnitTests/Node/Gateway/ReplicaLimitTest.cpp
+++ b/UnitTests/Node/Gateway/ReplicaLimitTest.cpp
@@ -146,6 +146,20 @@
   CHECK(answers.size() > 60);
 }
 
+TEST_CASE("a limit that one node was told is known to all", "[replica-limit]") {
+  LimitFixture it;
+  it.addServer(2);
+  it.startNodes(3);
+  it.ask(it.Nodes[2]->settings().CallerAddress, "/x/y");
+  auto toldByNode = [&it] {
+    return std::count_if(it.Lines.begin(), it.Lines.end(), [](const auto &at) {
+      return at.find("\"replica-limit\"") != std::string::npos &&
+             at.find("\"from\":\"node\"") != std::string::npos;
+    });
+  };
+  CHECK(it.until([&] { return toldByNode() == 2; }));
+}
+
 TEST_CASE("a replica that no longer states a limit is used as before",
           "[replica-limit]") {
   LimitFixture it;
