Soak: replicas state limits, and the verdict counts arrivals against them

What it adds: `--limits_every` has replicas, plain and engines, state limits from 0.1 to 4 requests a second while gateways are killed, paused and restarted and links are cut. The verdict judges by the users' bound, with their excuses for gateways that were disturbed.

--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -3,6 +3,7 @@
 
 #include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
 #include "UnitTests/History/HistoryChecker.h"
+#include "UnitTests/Platform/Soak/SoakLimits.h"
 #include "UnitTests/Platform/Soak/SoakVersions.h"
 #include "UnitTests/Platform/Soak/SoakWorld.h"
 
@@ -42,6 +43,9 @@
 DEFINE_double(names_every, 0,
               "time between declarations of new versions of a few adapters, in "
               "seconds; 0 for none");
+DEFINE_double(limits_every, 0,
+              "time between statements of limits by replicas, in seconds; 0 "
+              "for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -119,11 +123,25 @@
   return findings.Late.empty();
 }
 
+bool checkStatedLimits(const std::vector<HistoryEvent> &events) {
+  constexpr auto ContactTime = std::chrono::seconds(3);
+  auto findings = checkLimits(events, ContactTime);
+  auto exceeded = findings.Exceeded.size();
+  printResult(exceeded == 0,
+              "replicas get no more than the limits that they state: " +
+                  std::to_string(exceeded) + " of " +
+                  std::to_string(findings.Checked) + " exceeded");
+  for (const auto &it : findings.Exceeded)
+    std::cout << "  " << it << '\n';
+  return exceeded == 0;
+}
+
 bool printVerdict(SoakWorld &world, Span versionBound) {
   HistoryBounds bounds;
   bounds.Configuration = GatewaySettings{}.PlanBound;
   auto events = world.history().take();
   bool isHeld = checkVersionBound(events, versionBound);
+  isHeld = checkStatedLimits(events) && isHeld;
   HistoryChecker checker(std::move(events), bounds);
   for (const auto &verdict : checker.check()) {
     constexpr std::size_t Shown = 5;
@@ -181,6 +199,7 @@
   // Short, so that short runs exceed it often.
   if (FLAGS_names_every > 0)
     settings.VersionBound = std::chrono::seconds(2);
+  settings.LimitInterval = spanOf(FLAGS_limits_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -77,6 +77,7 @@
   Incarnation = "i-" + std::to_string(Random());
   Draining = false;
   CurrentMode = Mode::Healthy;
+  RequestLimit.reset();
   Revision = 0;
   Loaded.clear();
   Loading.clear();
@@ -99,7 +100,17 @@
   sendHeartbeat();
 }
 
+void SoakReplica::setLimit(std::optional<double> perSecond) {
+  if (!isRunning() || RequestLimit == perSecond)
+    return;
+  if (std::exchange(RequestLimit, perSecond))
+    record("unlimited");
+  if (perSecond)
+    record("limited").Change = std::to_string(*perSecond);
+}
+
 void SoakReplica::crash() {
+  setLimit(std::nullopt);
   HeartbeatTimer.reset();
   auto running = std::exchange(Running, {});
   for (const auto &it : running) {
@@ -176,6 +187,7 @@
     return onOrder(request, reply);
   if (path == platform_name::ReportCall)
     return reply->respond({200, {}}, report());
+  record("arrived").Tag = tag;
   if (CurrentMode == Mode::Sheds)
     return refuse(*reply, 503, tag);
   accept(request, reply);
@@ -191,9 +203,18 @@
       {{std::string(platform_name::RequestId), tag},
        {std::string(platform_name::OwnIncarnation), Incarnation},
        {std::string(platform_name::NotRun), "1"}}};
+  addLimit(head, tag);
   reply.respond(std::move(head), "");
 }
 
+void SoakReplica::addLimit(HttpAnswerHead &head, const std::string &tag) {
+  if (!RequestLimit)
+    return;
+  head.Fields.push_back({std::string(platform_name::RequestLimit),
+                         std::to_string(*RequestLimit)});
+  record("told").Tag = tag;
+}
+
 std::string SoakReplica::report() const {
   Json node = Json::parse(registryEntry());
   Json pending = Json::array();
@@ -287,7 +308,7 @@
   Loaded.erase(it);
 }
 
-HttpAnswerHead SoakReplica::head(std::uint16_t status, const Run &run) const {
+HttpAnswerHead SoakReplica::head(std::uint16_t status, const Run &run) {
   HttpAnswerHead out{status,
                      {{std::string(platform_name::RequestId), run.Tag},
                       {std::string(platform_name::OwnIncarnation), Incarnation},
@@ -298,6 +319,7 @@
         {"Served-By", run.Adapter + "@" + std::to_string(run.Version)});
   if (run.Stream)
     out.Fields.push_back({"Content-Type", "text/event-stream"});
+  addLimit(out, run.Tag);
   return out;
 }
 
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -75,6 +75,8 @@
   ~SoakReplica();
 
   void setMode(Mode mode) { CurrentMode = mode; }
+  /// States a limit in requests a second, or ends it.
+  void setLimit(std::optional<double> perSecond);
   SoakProxy &link() { return Link; }
   const Settings &settings() const { return Options; }
   const std::string &incarnation() const { return Incarnation; }
@@ -116,7 +118,9 @@
   void end(Run &run, const char *how, bool isComplete);
   void recordRun(const Run &run);
   void refuse(CallerReply &reply, std::uint16_t status, const std::string &tag);
-  HttpAnswerHead head(std::uint16_t status, const Run &run) const;
+  HttpAnswerHead head(std::uint16_t status, const Run &run);
+  /// Adds the limit that the replica states, if any.
+  void addLimit(HttpAnswerHead &head, const std::string &tag);
   HistoryEvent &record(std::string event) {
     return History.record(Incarnation, std::move(event));
   }
@@ -135,6 +139,7 @@
   std::unique_ptr<CallerServer> Server;
   SoakProxy Link;
   Mode CurrentMode = Mode::Healthy;
+  std::optional<double> RequestLimit;
   bool Draining = false;
   std::uint64_t Heartbeats = 0;
   std::uint64_t RunCount = 0;
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -39,8 +39,8 @@
 SoakWorld::SoakWorld(Settings settings)
     : Options(std::move(settings)), Random(Options.Seed),
       EntriesRandom(Options.Seed), RevertRandom(Options.Seed),
-      VersionRandom(Options.Seed), Timers(Context), Store(Context, Random()),
-      Callers(Context, Nodes, History, Random()) {
+      VersionRandom(Options.Seed), LimitRandom(Options.Seed), Timers(Context),
+      Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
       return;
@@ -156,12 +156,19 @@
     DeclaresVersions = true;
     scheduleVersion();
   }
+  if (Options.LimitInterval > Span(0)) {
+    StatesLimits = true;
+    scheduleLimit();
+  }
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
   causeOutage();
   runFor(Options.Recovery);
   DeclaresVersions = false;
+  StatesLimits = false;
+  for (auto &it : Replicas)
+    it->setLimit(std::nullopt);
   auto before = Callers.counts();
   runFor(QuietTime);
   auto after = Callers.counts();
@@ -279,6 +286,30 @@
       span, [&engine](Instant) { engine.setMode(SoakReplica::Mode::Healthy); });
 }
 
+void SoakWorld::scheduleLimit() {
+  Timers.after(Options.LimitInterval, [this](Instant) {
+    if (!StatesLimits)
+      return;
+    injectLimit();
+    scheduleLimit();
+  });
+}
+
+void SoakWorld::injectLimit() {
+  constexpr std::uint64_t Steps = 40;
+  constexpr double StepPerSecond = 0.1;
+  auto at = LimitRandom() % Replicas.size();
+  auto perSecond =
+      StepPerSecond * static_cast<double>(1 + LimitRandom() % Steps);
+  auto span = milliseconds(4000 + LimitRandom() % 6000);
+  auto &replica =
+      **std::next(Replicas.begin(), static_cast<std::ptrdiff_t>(at));
+  log("replica " + replica.incarnation() + " states a limit of " +
+      std::to_string(perSecond));
+  replica.setLimit(perSecond);
+  Timers.after(span, [&replica](Instant) { replica.setLimit(std::nullopt); });
+}
+
 void SoakWorld::injectNodeFault(SoakNode &node, std::uint64_t kind) {
   auto delay = milliseconds(200) + randomUpTo(MaxFaultTime);
   switch (kind) {
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -31,6 +31,8 @@
     /// Time between declarations of new versions of a few adapters; none if 0.
     /// If set, engines also delay requests and execute orders late.
     Span VersionInterval{0};
+    /// Time between statements of limits by replicas; none if 0.
+    Span LimitInterval{0};
     /// How long requests may still begin on a version of weights that has been
     /// replaced.
     Span VersionBound = std::chrono::seconds(5);
@@ -96,6 +98,9 @@
   void declareVersion(std::uint64_t number);
   void scheduleVersion();
   void injectVersionFault();
+  void scheduleLimit();
+  /// Has a replica state a limit for a while.
+  void injectLimit();
   void restoreAll();
   void causeOutage();
   void log(const std::string &what);
@@ -116,6 +121,7 @@
   std::mt19937_64 EntriesRandom;
   std::mt19937_64 RevertRandom;
   std::mt19937_64 VersionRandom;
+  std::mt19937_64 LimitRandom;
   asio::io_context Context;
   TimerService Timers;
   /// A listener that keeps other soaks from using the same loopback network.
@@ -130,6 +136,7 @@
   SoakCallers Callers;
   bool InjectsFaults = false;
   bool DeclaresVersions = false;
+  bool StatesLimits = false;
   bool StoreDisturbed = false;
   bool PlanDeferred = false;
   std::uint64_t Plan = 0;
