Test of replicas' quotas: a list in place of a loop

The linter wants the container's capacity reserved before a loop of push_back; the five ages stand as a list now. Same ages, same checks; CoordinationTests [quota] pass. No product code is changed.

--- a/UnitTests/Coordination/Quota/ReplicaQuotaTest.cpp
+++ b/UnitTests/Coordination/Quota/ReplicaQuotaTest.cpp
@@ -77,9 +77,9 @@
 TEST_CASE("requests sent before a replica stated its limit count against it",
           "[quota]") {
   QuotaWorld it(settingsFor(1.4, 8, 1));
-  std::vector<Span> ago;
-  for (int n = 0; n < 5; ++n)
-    ago.push_back(milliseconds(200 * n));
+  const std::vector<Span> ago{milliseconds(0), milliseconds(200),
+                              milliseconds(400), milliseconds(600),
+                              milliseconds(800)};
   for (std::size_t entry = 0; entry < 3; ++entry)
     it.reportSent(entry, ago);
   auto from = it.now();
