--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -545,50 +545,6 @@
     attempt->Connection->abort();
 }
 
-void GatewayExchange::answerWithError(std::uint16_t status,
-                                      std::string_view why,
-                                      std::optional<Span> retryAfter) {
-  if (AnswerBegun) {
-    Reply->abort();
-    return finish(0, why);
-  }
-  HttpAnswerHead head{status, fieldsOf(Shared.Labels.OwnAnswer(Labels.Id))};
-  if (retryAfter)
-    head.Fields.push_back(retryAfterField(*retryAfter));
-  head.Fields.push_back({"Content-Type", "text/plain"});
-  Reply->respond(std::move(head), why);
-  finish(status, why);
-}
-
-void GatewayExchange::finish(std::uint16_t status, std::string_view result) {
-  if (std::exchange(Done, true))
-    return;
-  Timer.cancel();
-  AttemptTimer.cancel();
-  Status = status;
-  Result = result;
-  leaveQueue(false);
-  releaseQuota();
-  releaseGrant(Grant);
-  if (std::exchange(RetryReserved, false))
-    Shared.Budget.release(Query.Service);
-  Shared.Log.write(
-      LogClass::Request, "end",
-      {{"request", Labels.Id},
-       {"status", std::uint32_t{status}},
-       {"result", result},
-       {"workspace", workspace()},
-       {"weights", usesEngine() ? Query.Weights->text() : ""},
-       {"wait", WaitReason},
-       {"arrivals", static_cast<std::uint64_t>(AttemptedReplicas.size())},
-       {"events", EventsPassed},
-       {"first_ms", TimeToFirstByte.value_or(Span(0))},
-       {"took_ms", TimerService::now() - Request.ArrivedAt}});
-  Reply->OnDrained = nullptr;
-  Reply->OnGone = nullptr;
-  Shared.OnEnd(*this);
-}
-
 Span GatewayExchange::heldFor() const {
   return TimeToFirstSend.value_or(TimerService::now() - Request.ArrivedAt);
 }
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
@@ -92,12 +92,13 @@
     return;
   auto replica = grant.Replica->Incarnation.text();
   Query.LimitedUntil[replica] = TimerService::now() + retryAfter;
-  Shared.Log.write(LogClass::Request, "not-granted",
-                   {{"request", Labels.Id},
-                    {"replica", replica},
-                    {"limit_per_s", grant.PerSecond},
-                    {"keeper_known", verdict == QuotaService::Verdict::Limited},
-                    {"retry_after_ms", retryAfter}});
+  Shared.Log.write(
+      LogClass::Request, "not-granted",
+      {{"request", Labels.Id},
+       {"replica", replica},
+       {"limit_per_s", grant.PerSecond},
+       {"owner_answered", verdict == QuotaService::Verdict::Limited},
+       {"retry_after_ms", retryAfter}});
   sendOrHold();
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -1,4 +1,5 @@
-// GatewayExchange: handling of replicas' answers and of failed attempts.
+// GatewayExchange: handling of replicas' answers and of failed attempts, and
+// the end of the exchange.
 
 #include "Hemlockglade/Transport/Time/TimerService.h"
 #include "Programs/hemlockgladed/Gateway/GatewayExchange.h"
@@ -277,4 +278,48 @@
   answerWithError(BadGateway, why);
 }
 
+void GatewayExchange::answerWithError(std::uint16_t status,
+                                      std::string_view why,
+                                      std::optional<Span> retryAfter) {
+  if (AnswerBegun) {
+    Reply->abort();
+    return finish(0, why);
+  }
+  HttpAnswerHead head{status, fieldsOf(Shared.Labels.OwnAnswer(Labels.Id))};
+  if (retryAfter)
+    head.Fields.push_back(retryAfterField(*retryAfter));
+  head.Fields.push_back({"Content-Type", "text/plain"});
+  Reply->respond(std::move(head), why);
+  finish(status, why);
+}
+
+void GatewayExchange::finish(std::uint16_t status, std::string_view result) {
+  if (std::exchange(Done, true))
+    return;
+  Timer.cancel();
+  AttemptTimer.cancel();
+  Status = status;
+  Result = result;
+  leaveQueue(false);
+  releaseQuota();
+  releaseGrant(Grant);
+  if (std::exchange(RetryReserved, false))
+    Shared.Budget.release(Query.Service);
+  Shared.Log.write(
+      LogClass::Request, "end",
+      {{"request", Labels.Id},
+       {"status", std::uint32_t{status}},
+       {"result", result},
+       {"workspace", workspace()},
+       {"weights", usesEngine() ? Query.Weights->text() : ""},
+       {"wait", WaitReason},
+       {"arrivals", static_cast<std::uint64_t>(AttemptedReplicas.size())},
+       {"events", EventsPassed},
+       {"first_ms", TimeToFirstByte.value_or(Span(0))},
+       {"took_ms", TimerService::now() - Request.ArrivedAt}});
+  Reply->OnDrained = nullptr;
+  Reply->OnGone = nullptr;
+  Shared.OnEnd(*this);
+}
+
 } // namespace hemlockglade
