Granted requests to a limited replica are not counted twice

One of three causes: a replica that ended its limit and stated one again within 4 s had all sends of that time reported to the owner, those it had granted among them, so that nothing was granted for up to 4 s.

Change: a node keeps the times of those sends only that needed no grant. Test: "only requests that needed no grant are reported to be counted".

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -426,9 +426,12 @@
   ++state.OwnRunning;
   state.OwnTokens += query.Tokens;
   state.Health.onSent(attempt, now);
-  state.SentTimes.push_back(now);
-  while (now - state.SentTimes.front() >= Options.SentHistory)
-    state.SentTimes.pop_front();
+  // Where there is a limit the request was granted, and so is counted already.
+  if (!state.RequestLimit)
+    state.UngrantedTimes.push_back(now);
+  while (!state.UngrantedTimes.empty() &&
+         now - state.UngrantedTimes.front() >= Options.SentHistory)
+    state.UngrantedTimes.pop_front();
   if (!query.Weights && !state.Window) {
     auto window = Options.Window;
     constexpr double InitialShares = 2;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -211,7 +211,8 @@
   std::vector<StatedLimit> limitsSince(const std::string &domain,
                                        std::uint64_t revision) const;
   std::uint64_t limitRevision() const { return LimitRevision; }
-  /// Returns how long ago this node sent its latest requests to a replica.
+  /// Returns how long ago this node sent its latest requests to a replica that
+  /// needed no grant.
   std::vector<Span> sentAgo(const std::string &replica, Instant now) const;
   /// Returns the replicas of a failure domain that have a limit.
   std::set<std::string> limitedIn(const std::string &domain) const;
@@ -310,8 +311,8 @@
     Instant LimitStatedAt{};
     /// `LimitRevision` when the limit changed; 0 if it never had one.
     std::uint64_t LimitChangedAt = 0;
-    /// Times of this node's requests within `SentHistory`.
-    std::deque<Instant> SentTimes;
+    /// Times of this node's requests within `SentHistory` that needed no grant.
+    std::deque<Instant> UngrantedTimes;
     /// Estimated end of the prefill of all prompts that were sent to it.
     Instant PrefillUntil{};
     ReplicaHealth Health;
--- a/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
@@ -43,7 +43,7 @@
   auto it = Replicas.find(replica);
   if (it == Replicas.end())
     return out;
-  for (auto at : it->second.SentTimes)
+  for (auto at : it->second.UngrantedTimes)
     if (now - at < Options.SentHistory)
       out.push_back(now - at);
   return out;
--- a/UnitTests/Coordination/Quota/QuotaTest.cpp
+++ b/UnitTests/Coordination/Quota/QuotaTest.cpp
@@ -55,25 +55,7 @@
   QuotaWorld it(settingsFor(limit, entries, seed));
   fillBuckets(it);
   it.load(5 * limit.PerSecond, MeanTokens, seconds(40));
-  it.advance(seconds(6));
-  // The owners restart repeatedly.
-  for (int round = 0; round < 4; ++round) {
-    it.restartOwner(round % 3);
-    it.advance(milliseconds(900));
-  }
-  it.failOwner(0);
-  // A third of the entries restart and lose their grants.
-  for (std::size_t at = 0; at < it.entries(); at += 3)
-    it.restartEntry(at);
-  for (std::size_t at = 1; at < it.entries(); at += 3)
-    it.freezeEntry(at, milliseconds(1500));
-  it.advance(seconds(12));
-  // All entries and owners restart at once.
-  for (std::size_t at = 0; at < it.entries(); ++at)
-    it.restartEntry(at);
-  for (std::size_t cell = 0; cell < 3; ++cell)
-    it.restartOwner(cell);
-  it.advance(seconds(20));
+  it.failOwnersAndEntries();
   CHECK(it.maxWithin(it.Options.Quota.Window) <= maxAllowed(limit));
 }
 
--- a/UnitTests/Coordination/Quota/QuotaWorld.h
+++ b/UnitTests/Coordination/Quota/QuotaWorld.h
@@ -127,6 +127,30 @@
   void restartOwner(std::size_t cell) {
     startServer(Owners[CellNames[cell]], CellNames[cell]);
   }
+  /// Has owners and entries fail, freeze and restart, over some 42 s.
+  void failOwnersAndEntries() {
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+    advance(seconds(6));
+    // The owners restart repeatedly.
+    for (int round = 0; round < 4; ++round) {
+      restartOwner(round % 3);
+      advance(milliseconds(900));
+    }
+    failOwner(0);
+    // A third of the entries restart and lose their grants.
+    for (std::size_t at = 0; at < Entries.size(); at += 3)
+      restartEntry(at);
+    for (std::size_t at = 1; at < Entries.size(); at += 3)
+      freezeEntry(at, milliseconds(1500));
+    advance(seconds(12));
+    // All entries and owners restart at once.
+    for (std::size_t at = 0; at < Entries.size(); ++at)
+      restartEntry(at);
+    for (std::size_t cell = 0; cell < 3; ++cell)
+      restartOwner(cell);
+    advance(seconds(20));
+  }
   void setLimit(const WorkspaceLimit &limit) {
     LimitedWorkspace.Limit = limit;
     for (auto &[name, it] : Owners)
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -122,6 +122,18 @@
   CHECK_FALSE(it.choose().RequestLimit);
 }
 
+TEST_CASE("only requests that needed no grant are reported to be counted",
+          "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  it.View.onSent("i-1", it.query(), it.Now);
+  it.Now += milliseconds(300);
+  it.View.onLimit("i-1", 1.5, it.Now);
+  it.View.onSent("i-1", it.query(), it.Now);
+  CHECK(it.View.sentAgo("i-1", it.Now) == std::vector<Span>{milliseconds(300)});
+  CHECK(it.View.sentAgo("i-1", it.Now + milliseconds(3700)).empty());
+}
+
 TEST_CASE("a request waits for its grant only where all replicas are limited",
           "[view]") {
   ViewFixture it;
