Held requests ask a limited replica's owner again as soon as it may grant

Two more causes: a held request asked again only after the time that a refused caller is told, which is spread over the entries (3.6 s for a limit of 2 a second and six entries); and a replica that states 0.1 a second was asked once in 10 s, though only its answers show that the limit has ended.

Change: a decision says both for how long nothing can be granted and when the caller should retry; held requests go by the first, refused callers by the second. A replica is tried once in 4 s at least, which the bound (five requests in 4 s beside the limit) has room for.

New tests "a held request may ask again as soon as units may be there", "a replica that accepts next to nothing is still tried at times".

--- a/Hemlockglade/Coordination/Quota/QuotaClient.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaClient.cpp
@@ -127,7 +127,7 @@
   if (!useGranted(state, units, now))
     return queueAtServer(state, 0, {number, units}, now);
   markDue(state);
-  return Decision{number, Verdict::Allowed, Span(0)};
+  return Decision{number, Verdict::Allowed, Span(0), Span(0)};
 }
 
 std::optional<QuotaClient::Decision>
@@ -152,7 +152,8 @@
     if (now < server.EmptyUntil)
       emptyUntil = std::min(emptyUntil, server.EmptyUntil);
   if (emptyUntil == Instant::max())
-    return {it.Number, Verdict::NoServer, Options.ServerBackoff};
+    return {it.Number, Verdict::NoServer, Options.ServerBackoff,
+            Options.ServerBackoff};
   // Callers that are refused together get retry times one after the other, as
   // this entry's share of the limit admits them.
   auto perSecond = state.Limit.PerSecond / static_cast<double>(EntryCount);
@@ -160,7 +161,8 @@
                        spanOf(it.Units / perSecond);
   if (state.RetriesUntil > now + Options.MaxRetryAfter)
     state.RetriesUntil = now + Options.MaxRetryAfter / 2;
-  return {it.Number, Verdict::Limited, state.RetriesUntil - now};
+  return {it.Number, Verdict::Limited, state.RetriesUntil - now,
+          emptyUntil - now};
 }
 
 void QuotaClient::addSent(const Workspace &holder, std::span<const Span> ago,
@@ -288,7 +290,7 @@
       continue;
     }
     if (passed) {
-      out.push_back({request.Number, Verdict::Allowed, Span(0)});
+      out.push_back({request.Number, Verdict::Allowed, Span(0), Span(0)});
       continue;
     }
     if (auto decision = queueAtServer(state, index + 1, request, now))
--- a/Hemlockglade/Coordination/Quota/QuotaClient.h
+++ b/Hemlockglade/Coordination/Quota/QuotaClient.h
@@ -49,6 +49,8 @@
     Verdict Result = Verdict::Allowed;
     /// Delay until the caller should retry, unless the request is allowed.
     Span RetryAfter{0};
+    /// Time until a server may have units again, unless the request is allowed.
+    Span EmptyFor{0};
   };
   /// Requests that are sent to the owner of one cell in one message.
   struct Message {
--- a/Hemlockglade/Coordination/Quota/ReplicaQuota.cpp
+++ b/Hemlockglade/Coordination/Quota/ReplicaQuota.cpp
@@ -15,8 +15,8 @@
 
 ReplicaQuota::ReplicaQuota(double perSecond, const Settings &settings,
                            Instant now)
-    : Options(settings), PerSecond(perSecond),
-      Bucket(bucketSettings(perSecond), now), UsedAt(now) {}
+    : Options(settings), PerSecond(std::max(perSecond, settings.MinPerSecond)),
+      Bucket(bucketSettings(PerSecond), now), UsedAt(now) {}
 
 TokenBucket::Settings ReplicaQuota::bucketSettings(double perSecond) const {
   TokenBucket::Settings out;
@@ -34,6 +34,7 @@
 
 void ReplicaQuota::setLimit(double perSecond, Instant now) {
   UsedAt = now;
+  perSecond = std::max(perSecond, Options.MinPerSecond);
   if (perSecond == PerSecond)
     return;
   PerSecond = perSecond;
--- a/Hemlockglade/Coordination/Quota/ReplicaQuota.h
+++ b/Hemlockglade/Coordination/Quota/ReplicaQuota.h
@@ -29,6 +29,9 @@
     /// Share of the excess over the limit that is used. The rest allows for
     /// requests that nodes have sent and not reported yet.
     double UsedExcess = 0.5;
+    /// A replica that accepts fewer is still tried this often: only its answers
+    /// show that the limit has ended.
+    double MinPerSecond = 0.25;
     /// Time over which unused requests accumulate; at least one does.
     Span BurstTime = std::chrono::milliseconds(250);
   };
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -205,7 +205,7 @@
       return answerWithError(BadGateway, "no replica to try again");
     if (limited)
       return answerWithError(Unavailable, "all replicas are at their limits",
-                             choice.ReadyAt - now);
+                             std::max(LimitRetryAt, choice.ReadyAt) - now);
     return answerWithError(Unavailable, "held too long", retryAfter());
   }
   Waiting = true;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -218,7 +218,7 @@
   /// Reserves quota from the workspace's limit, then sends or holds the
   /// request.
   void reserveQuota();
-  void onQuotaDecided(QuotaService::Verdict verdict, Span retryAfter);
+  void onQuotaDecided(const QuotaService::Decision &decision);
   /// Returns the units that one attempt costs: 1, or a number of tokens.
   double quotaUnits() const;
   void logQuotaRefusal(Span retryAfter);
@@ -229,8 +229,8 @@
   /// Reserves the request at the chosen replica, which states a limit, and
   /// chooses again once that is decided.
   void reserveGrant(const RouteChoice &choice);
-  void onGrantDecided(ReplicaGrant grant, QuotaService::Verdict verdict,
-                      Span retryAfter);
+  void onGrantDecided(ReplicaGrant grant,
+                      const QuotaService::Decision &decision);
   /// Releases the reserved request if there is one.
   void releaseGrant(std::optional<ReplicaGrant> &grant);
   /// Answers the request if it is barred; returns whether it was.
@@ -331,6 +331,8 @@
   /// Reserved for the next attempt; one is requested while `GrantPending`.
   std::optional<ReplicaGrant> Grant;
   bool GrantPending = false;
+  /// When the caller should retry if no replica grants the request.
+  Instant LimitRetryAt = Instant::max();
   bool DemandReported = false;
   /// Incarnations that the request was sent to, without those that didn't run
   /// it.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
@@ -22,25 +22,26 @@
 void GatewayExchange::reserveQuota() {
   if (!CallerWorkspace || !CallerWorkspace->Limit)
     return sendOrHold();
-  Shared.Limits.Reserve(
-      *CallerWorkspace, quotaUnits(),
-      [self = shared_from_this()](auto verdict, Span retryAfter) {
-        self->onQuotaDecided(verdict, retryAfter);
-      });
+  Shared.Limits.Reserve(*CallerWorkspace, quotaUnits(),
+                        [self = shared_from_this()](const auto &decision) {
+                          self->onQuotaDecided(decision);
+                        });
 }
 
-void GatewayExchange::onQuotaDecided(QuotaService::Verdict verdict,
-                                     Span retryAfter) {
+void GatewayExchange::onQuotaDecided(const QuotaService::Decision &decision) {
+  auto verdict = decision.Result;
   QuotaReserved = verdict == QuotaService::Verdict::Allowed;
   if (Done)
     return releaseQuota();
   if (!QuotaReserved)
-    logQuotaRefusal(retryAfter);
+    logQuotaRefusal(decision.RetryAfter);
   if (verdict == QuotaService::Verdict::Limited)
-    return answerWithError(TooMany, "beyond its workspace's limit", retryAfter);
+    return answerWithError(TooMany, "beyond its workspace's limit",
+                           decision.RetryAfter);
   if (verdict == QuotaService::Verdict::NoServer)
-    return answerWithError(
-        Unavailable, "its workspace's limit can't be looked up", retryAfter);
+    return answerWithError(Unavailable,
+                           "its workspace's limit can't be looked up",
+                           decision.RetryAfter);
   sendOrHold();
 }
 
@@ -75,30 +76,32 @@
   ReplicaGrant grant{choice.Replica, *choice.RequestLimit};
   Shared.ReplicaLimits.Reserve(
       *grant.Replica, grant.PerSecond,
-      [self = shared_from_this(), grant](auto verdict, Span retryAfter) {
-        self->onGrantDecided(grant, verdict, retryAfter);
+      [self = shared_from_this(), grant](const auto &decision) {
+        self->onGrantDecided(grant, decision);
       });
 }
 
 void GatewayExchange::onGrantDecided(ReplicaGrant grant,
-                                     QuotaService::Verdict verdict,
-                                     Span retryAfter) {
+                                     const QuotaService::Decision &decision) {
   GrantPending = false;
-  if (verdict == QuotaService::Verdict::Allowed) {
+  if (decision.Result == QuotaService::Verdict::Allowed) {
     Grant = std::move(grant);
     return Done ? releaseGrant(Grant) : sendOrHold();
   }
   if (Done)
     return;
+  auto now = TimerService::now();
   auto replica = grant.Replica->Incarnation.text();
-  Query.LimitedUntil[replica] = TimerService::now() + retryAfter;
-  Shared.Log.write(
-      LogClass::Request, "not-granted",
-      {{"request", Labels.Id},
-       {"replica", replica},
-       {"limit_per_s", grant.PerSecond},
-       {"owner_answered", verdict == QuotaService::Verdict::Limited},
-       {"retry_after_ms", retryAfter}});
+  Query.LimitedUntil[replica] = now + decision.EmptyFor;
+  LimitRetryAt = std::min(LimitRetryAt, now + decision.RetryAfter);
+  bool answered = decision.Result == QuotaService::Verdict::Limited;
+  Shared.Log.write(LogClass::Request, "not-granted",
+                   {{"request", Labels.Id},
+                    {"replica", replica},
+                    {"limit_per_s", grant.PerSecond},
+                    {"owner_answered", answered},
+                    {"empty_for_ms", decision.EmptyFor},
+                    {"retry_after_ms", decision.RetryAfter}});
   sendOrHold();
 }
 
--- a/Programs/hemlockgladed/Gateway/QuotaService.cpp
+++ b/Programs/hemlockgladed/Gateway/QuotaService.cpp
@@ -34,7 +34,7 @@
   auto decision = Client.reserve(number, workspace, units, TimerService::now());
   flushSoon();
   if (decision)
-    return decided(decision->Result, decision->RetryAfter);
+    return decided(*decision);
   Undecided.emplace(number, std::move(decided));
 }
 
@@ -141,7 +141,7 @@
   for (const auto &it : decisions) {
     auto node = Undecided.extract(it.Number);
     if (!node.empty())
-      node.mapped()(it.Result, it.RetryAfter);
+      node.mapped()(it);
   }
 }
 
--- a/Programs/hemlockgladed/Gateway/QuotaService.h
+++ b/Programs/hemlockgladed/Gateway/QuotaService.h
@@ -24,8 +24,9 @@
     std::function<void(Span, std::function<void()>)> After;
   };
   using Verdict = QuotaClient::Verdict;
+  using Decision = QuotaClient::Decision;
   /// Called once, from within `reserve` or later.
-  using OnDecided = std::function<void(Verdict what, Span retryAfter)>;
+  using OnDecided = std::function<void(const Decision &decision)>;
 
   QuotaService(std::vector<std::string> cells, std::string own,
                QuotaSettings settings, Hooks hooks, PeerTraffic &traffic,
--- a/UnitTests/Coordination/Quota/ReplicaQuotaTest.cpp
+++ b/UnitTests/Coordination/Quota/ReplicaQuotaTest.cpp
@@ -43,22 +43,7 @@
   CAPTURE(entries, perSecond, seed);
   QuotaWorld it(settingsFor(perSecond, entries, seed));
   it.load(20 + 5 * perSecond, 1, seconds(40));
-  it.advance(seconds(6));
-  for (int round = 0; round < 4; ++round) {
-    it.restartOwner(round % 3);
-    it.advance(milliseconds(900));
-  }
-  it.failOwner(0);
-  for (std::size_t at = 0; at < it.entries(); at += 3)
-    it.restartEntry(at);
-  for (std::size_t at = 1; at < it.entries(); at += 3)
-    it.freezeEntry(at, milliseconds(1500));
-  it.advance(seconds(12));
-  for (std::size_t at = 0; at < it.entries(); ++at)
-    it.restartEntry(at);
-  for (std::size_t cell = 0; cell < 3; ++cell)
-    it.restartOwner(cell);
-  it.advance(seconds(20));
+  it.failOwnersAndEntries();
   CHECK(it.maxWithin(Window) <= allowedFor(perSecond));
 }
 
@@ -108,6 +93,32 @@
   CHECK(server.onRequest(requestFor("i-2", 8), now).GrantedCount == 2);
 }
 
+TEST_CASE("a replica that accepts next to nothing is still tried at times",
+          "[quota]") {
+  Instant now = seconds(100);
+  ReplicaQuota quota(0.01, ReplicaQuota::Settings{}, now);
+  CHECK(takeAll(quota, now + milliseconds(3900)) == 0);
+  CHECK(takeAll(quota, now + milliseconds(4100)) == 1);
+}
+
+TEST_CASE("a held request may ask again as soon as units may be there",
+          "[quota]") {
+  QuotaClient client(QuotaClient::Settings{}, QuotaSettings{});
+  client.setCells({"cell-0"}, "cell-0");
+  client.setEntries(6);
+  auto holder = replicaQuotaHolder("i-1", 2);
+  Instant now = seconds(100);
+  client.reserve(1, holder, 1, now);
+  auto message = client.takeRequests(now).at(0);
+  QuotaGrant empty{holder.Name, true, 0, 0, milliseconds(500)};
+  auto decision =
+      client.onGrants("cell-0", message.Number, std::span(&empty, 1), now)
+          .at(0);
+  CHECK(decision.EmptyFor == milliseconds(500));
+  // The caller comes back as the entry's sixth of the limit allows.
+  CHECK(decision.RetryAfter == milliseconds(3500));
+}
+
 TEST_CASE("a limit that falls applies from the next request on", "[quota]") {
   Instant now = seconds(100);
   ReplicaQuota quota(20, ReplicaQuota::Settings{}, now);
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -162,7 +162,7 @@
       ReservedUnits += units;
       PendingDecision = decided;
       if (ImmediateVerdict)
-        decided(*ImmediateVerdict, milliseconds(1500));
+        decided({0, *ImmediateVerdict, milliseconds(1500), Span(0)});
     };
     hooks.Charge = [this](const Workspace &, double units) {
       ReservedUnits += units;
@@ -200,6 +200,23 @@
               "Content-Length: 2\r\n\r\nhi");
   }
 
+  /// Sends a request whose retry waits for a replica. The budget has one retry
+  /// in each window of 400 ms.
+  void holdRetry() {
+    SharedRetryBudget::Settings oneRetry;
+    oneRetry.RetriesPerRequest = 0;
+    oneRetry.FixedRetries = 1;
+    oneRetry.UsedFixedShare = 1;
+    oneRetry.Window = milliseconds(400);
+    Budget.setBounds(oneRetry);
+    TestRoute.Kind = RouteKind::Repeatable;
+    TestRoute.MaxAttempts = 2;
+    registerReplicas(false);
+    First.Script = {{"", Then::Reset}};
+    sendRequest();
+    REQUIRE(until([this] { return Exchange && Exchange->waiting(); }));
+  }
+
   /// Gives only the first replica the adapter, in a version that was replaced
   /// so long ago that a request must begin on it within 1.75 s, or not at all.
   void replaceWeights() {
@@ -308,27 +325,11 @@
   CHECK(it.Second.Requests.size() == 1);
 }
 
-/// One retry in each window of 400 ms.
-SharedRetryBudget::Settings oneRetry() {
-  SharedRetryBudget::Settings out;
-  out.RetriesPerRequest = 0;
-  out.FixedRetries = 1;
-  out.UsedFixedShare = 1;
-  out.Window = milliseconds(400);
-  return out;
-}
-
 TEST_CASE("a retry that was held counts against the budget from when it is "
           "sent",
           "[gateway]") {
   ExchangeFixture it;
-  it.TestRoute.Kind = RouteKind::Repeatable;
-  it.TestRoute.MaxAttempts = 2;
-  it.Budget.setBounds(oneRetry());
-  it.registerReplicas(false);
-  it.First.Script = {{"", Then::Reset}};
-  it.sendRequest();
-  REQUIRE(it.until([&] { return it.Exchange && it.Exchange->waiting(); }));
+  it.holdRetry();
   auto allowedAt = TimerService::now();
   it.until([&] { return TimerService::now() - allowedAt > milliseconds(450); });
   it.registerReplicas();
@@ -339,13 +340,7 @@
 TEST_CASE("a held retry whose caller has left is returned to the budget",
           "[gateway]") {
   ExchangeFixture it;
-  it.TestRoute.Kind = RouteKind::Repeatable;
-  it.TestRoute.MaxAttempts = 2;
-  it.Budget.setBounds(oneRetry());
-  it.registerReplicas(false);
-  it.First.Script = {{"", Then::Reset}};
-  it.sendRequest();
-  REQUIRE(it.until([&] { return it.Exchange && it.Exchange->waiting(); }));
+  it.holdRetry();
   it.Peer.close();
   REQUIRE(it.untilEnded());
   CHECK(it.Budget.tryReserve("s", TimerService::now()));
@@ -822,7 +817,7 @@
   REQUIRE(it.until([&] { return it.PendingDecision != nullptr; }));
   it.settle();
   CHECK(it.First.Requests.empty());
-  it.PendingDecision(QuotaService::Verdict::Allowed, Span(0));
+  it.PendingDecision({0, QuotaService::Verdict::Allowed, Span(0), Span(0)});
   REQUIRE(it.untilReceived("hello"));
   CHECK(it.ReservedUnits == 200);
 }
@@ -837,7 +832,7 @@
   REQUIRE(it.until([&] { return it.PendingDecision != nullptr; }));
   it.Peer.close();
   REQUIRE(it.untilEnded());
-  it.PendingDecision(QuotaService::Verdict::Allowed, Span(0));
+  it.PendingDecision({0, QuotaService::Verdict::Allowed, Span(0), Span(0)});
   CHECK(it.ReservedUnits == 0);
   CHECK(it.First.Requests.empty());
 }
