--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -148,7 +148,15 @@
       crashHooks(),
       limitHooks(),
       &Queue,
-      replicaLimitHooks()};
+      replicaLimitHooks(),
+      replicaListHooks()};
+}
+
+ReplicaListHooks Gateway::replicaListHooks() {
+  ReplicaListHooks hooks;
+  hooks.Age = [this] { return Watcher->replicasAge(); };
+  hooks.Position = [this] { return Watcher->positions().Replica; };
+  return hooks;
 }
 
 void Gateway::start() {
@@ -156,8 +164,8 @@
   listen();
   RegistryWatcher::Hooks hooks;
   hooks.OnOperator = [this](const auto &changes) { onOperator(changes); };
-  hooks.OnReplicas = [this](const auto &changes, bool unreachable) {
-    onReplicas(changes, unreachable);
+  hooks.OnReplicas = [this](const auto &changes, const auto &source) {
+    onReplicas(changes, source);
   };
   hooks.InformsPeers = [this] { return ownsCells(); };
   hooks.IsStandby = [this] { return !Active; };
@@ -300,16 +308,26 @@
     it->onVersionDeclared(declaration.Weights);
 }
 
-void Gateway::onReplicas(const ReplicaChanges &changes, bool unreachable) {
+void Gateway::onReplicas(const ReplicaChanges &changes,
+                         const ReplicaSource &source) {
   for (const auto &it :
-       View.onRegistry(changes, unreachable, TimerService::now()))
+       View.onRegistry(changes, source.Unreachable, TimerService::now()))
     onRestarted(*it);
+  if (changes.Complete)
+    Log.write(LogClass::State, "replicas-read",
+              {{"replicas", static_cast<std::uint64_t>(changes.Present.size())},
+               {"position", changes.Position},
+               {"list_age_ms", source.AgeBefore}});
   for (const auto &it : changes.Removed) {
     Log.write(LogClass::State, "replica-gone",
-              {{"replica", it}, {"unreachable_lately", unreachable}});
+              {{"replica", it},
+               {"unreachable_lately", source.Unreachable},
+               {"from", source.From},
+               {"position", changes.Position},
+               {"list_age_ms", source.AgeBefore}});
     // Entries of live replicas also expire while the registry is unreachable;
     // those that do not return are found when the view removes them.
-    if (!unreachable)
+    if (!source.Unreachable)
       Crashes.onRemoved(it);
   }
   if (!changes.Unreadable.empty())
@@ -322,7 +340,10 @@
       Log.write(LogClass::State, "replica-leaves",
                 {{"replica", it.Incarnation.text()},
                  {"address", it.Address},
-                 {"leaves_in_ms", it.TerminatesIn}});
+                 {"leaves_in_ms", it.TerminatesIn},
+                 {"from", source.From},
+                 {"position", changes.Position},
+                 {"list_age_ms", source.AgeBefore}});
   HasReplicas = HasReplicas || View.size() > 0;
   wakeWaiting();
 }
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -56,7 +56,7 @@
   Span takeoverDelay(const std::string &cell) const;
   void onOperator(const OperatorChanges &changes);
   void onVersion(const WeightsVersion &declaration);
-  void onReplicas(const ReplicaChanges &changes, bool unreachable);
+  void onReplicas(const ReplicaChanges &changes, const ReplicaSource &source);
   /// Called when a newer incarnation of a replica is known; what ran on the one
   /// before is lost.
   void onRestarted(const ReplicaRecord &before);
@@ -132,6 +132,7 @@
   CellMember::Hooks memberHooks(const std::string &cell);
   ExchangeContext exchangeContext();
   ReplicaLimitHooks replicaLimitHooks();
+  ReplicaListHooks replicaListHooks();
   /// Called when a replica's limit, or that it has none, is known from one of
   /// its answers or from another node.
   void onReplicaLimit(const std::string &replica,
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -73,6 +73,14 @@
   std::function<void(const ReplicaRecord &replica, double perSecond)> Release;
 };
 
+/// What an exchange needs to know of the list of replicas that it chooses from.
+struct ReplicaListHooks {
+  /// How long ago the registry surely had the list as this node has it.
+  std::function<Span()> Age;
+  /// Position in the registry up to which the list is complete.
+  std::function<std::uint64_t()> Position;
+};
+
 /// The parts of the node that all exchanges share.
 struct ExchangeContext {
   asio::io_context &Context;
@@ -112,6 +120,7 @@
   /// if they are not queued.
   FairQueue *PlainQueue = nullptr;
   ReplicaLimitHooks ReplicaLimits{};
+  ReplicaListHooks ReplicaList{};
 };
 
 /// One request of a caller, from its arrival to its answer. Chooses a replica,
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -246,7 +246,10 @@
     Log.write(
         LogClass::State, "briefing",
         {{"plan", declared.Plan ? declared.Plan->version() : 0},
-         {"replicas", static_cast<std::uint64_t>(replicas.Present.size())}});
+         {"replicas", static_cast<std::uint64_t>(replicas.Present.size())},
+         {"position", reply.KnownPositions.Replica},
+         {"list_age_ms", Span(reply.ReplicaAgeUs)},
+         {"asked_ms_ago", TimerService::now() - requestedAt}});
   // A position must not be beyond entries that could not be parsed or are not
   // taken.
   auto positions = reply.KnownPositions;
@@ -260,7 +263,7 @@
   if (reply.OperatorAgeUs > 0 && isComplete)
     Watcher->onPeerDeclarations(Span(reply.OperatorAgeUs), requestedAt);
   if (!HasReplicas && !replicas.Present.empty())
-    onReplicas(replicas, true);
+    onReplicas(replicas, {"briefing", true, TimerService::now() - requestedAt});
   Watcher->onBriefing(positions, Span(reply.OperatorAgeUs),
                       Span(reply.ReplicaAgeUs), requestedAt);
   for (const auto &[name, text] : reply.Leases) {
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
@@ -225,8 +225,9 @@
     // An answer that is older than the updates received meanwhile would bring
     // back replicas that were removed.
     if (result->Position >= ReplicaPosition.value_or(0)) {
+      ReplicaSource source{"registry", wasUnreachableRecently(), replicasAge()};
       ReplicasCurrentAt = std::max(ReplicasCurrentAt, ReplicasPolledAt);
-      applyReplicas(*result, wasUnreachableRecently());
+      applyReplicas(*result, source);
     }
     return scheduleReplicaPoll(Options.Poll.ReplicaInterval);
   }
@@ -241,10 +242,10 @@
 }
 
 void RegistryWatcher::applyReplicas(const ReplicaChanges &changes,
-                                    bool unreachable) {
+                                    const ReplicaSource &source) {
   ReplicaPosition = changes.Position;
   bool changed = ChangeLog.onReplicas(changes);
-  Callbacks.OnReplicas(changes, unreachable);
+  Callbacks.OnReplicas(changes, source);
   if (changed)
     Callbacks.OnUpdate();
 }
@@ -364,8 +365,10 @@
     }
     all.push_back(std::move(changes));
   }
+  ReplicaSource source{"owner", wasUnreachableRecently() || update.Unreachable,
+                       replicasAge()};
   for (const auto &it : all)
-    applyReplicas(it, wasUnreachableRecently() || update.Unreachable);
+    applyReplicas(it, source);
   ReplicaUpdateAt = now;
   ReplicaPosition = update.ReplicaPosition;
   ChangeLog.onReplicas({false, {}, {}, update.ReplicaPosition});
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.h
@@ -8,6 +8,17 @@
 
 namespace hemlockglade {
 
+/// Where changes to the replicas come from.
+struct ReplicaSource {
+  /// `registry`, `owner` or `briefing`.
+  std::string_view From;
+  /// Entries may have lapsed only because the registry could not be reached.
+  bool Unreachable = false;
+  /// Age of this node's list just before these changes: none of them can have
+  /// been missed for longer.
+  Span AgeBefore{0};
+};
+
 /// Keeps one node's copy of the registry current: long-polls operators'
 /// declarations and polls the replicas periodically. A node that receives
 /// updates of both from an owner does not poll while these are recent enough.
@@ -42,9 +53,9 @@
   struct Hooks {
     /// Called with changed declarations.
     std::function<void(const OperatorChanges &)> OnOperator;
-    /// Called with changed replicas; `unreachable` if entries may have lapsed
-    /// only because the registry could not be reached.
-    std::function<void(const ReplicaChanges &, bool unreachable)> OnReplicas;
+    /// Called with changed replicas and where they come from.
+    std::function<void(const ReplicaChanges &, const ReplicaSource &)>
+        OnReplicas;
     /// Returns whether this node sends updates to others, so that it has to
     /// poll itself.
     std::function<bool()> InformsPeers;
@@ -115,7 +126,8 @@
   /// been declared.
   OperatorChanges withNotBefore(OperatorChanges changes) const;
   void applyOperator(const OperatorChanges &reported, std::string_view from);
-  void applyReplicas(const ReplicaChanges &changes, bool unreachable);
+  void applyReplicas(const ReplicaChanges &changes,
+                     const ReplicaSource &source);
   void applyDeclaredUpdate(const RegistryUpdate &update, Instant now,
                            Instant sentAfter);
   void applyReplicaUpdate(const RegistryUpdate &update, Instant now);
--- a/UnitTests/Node/Gateway/DeclaredInTimeTest.cpp
+++ b/UnitTests/Node/Gateway/DeclaredInTimeTest.cpp
@@ -123,7 +123,7 @@
     out.OnOperator = [this](const OperatorChanges &it) {
       Known = std::max(Known, it.Position);
     };
-    out.OnReplicas = [](const auto &, bool) {};
+    out.OnReplicas = [](const auto &, const auto &) {};
     out.InformsPeers = [informsPeers] { return informsPeers; };
     out.OnUpdate = [] {};
     Watcher = std::make_unique<RegistryWatcher>(
--- a/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
@@ -71,7 +71,7 @@
     hooks.OnOperator = [this](const auto &it) {
       VersionCount += it.Versions.size();
     };
-    hooks.OnReplicas = [this](const auto &it, bool) {
+    hooks.OnReplicas = [this](const auto &it, const auto &) {
       for (const auto &at : it.Present)
         Present.push_back(at.Incarnation.id());
     };
