A gateway may be reached by others at an advertised address

A node behind a forwarder could not be followed: its lease row always named its own address and port for peers. advertised_peer_address names another one.

--- a/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
@@ -28,6 +28,8 @@
   map.text("address", out.Address, Presence::Required, "a numeric IPv4 address",
            isIpv4Address);
   map.number("peer_port", out.PeerPort, {0, 65535});
+  map.text("advertised_peer_address", out.AdvertisedPeerAddress,
+           Presence::Optional, ExpectedAddress, isEndpointOrEmpty);
   map.text("caller_address", out.CallerAddress, Presence::Required,
            ExpectedAddress, isEndpointAddress);
   map.text("readiness_address", out.ReadinessAddress, Presence::Optional,
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.h
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -20,6 +20,10 @@
   /// Numeric address for peers.
   std::string Address;
   std::uint16_t PeerPort = 0;
+  /// `ip:port` at which other nodes reach this one, if it is another one than
+  /// `Address` and `PeerPort`: behind a forwarder, for instance. Seeds are
+  /// always reached at their own port for peers.
+  std::string AdvertisedPeerAddress;
   /// `ip:port` where callers are served.
   std::string CallerAddress;
   /// `ip:port` where readiness is served.
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -208,7 +208,9 @@
     options.Lease.Holder = Settings.Name;
     options.Lease.Incarnation = Incarnation;
     options.Lease.Address =
-        Settings.Address + ":" + std::to_string(Peers->port());
+        Settings.AdvertisedPeerAddress.empty()
+            ? Settings.Address + ":" + std::to_string(Peers->port())
+            : Settings.AdvertisedPeerAddress;
     options.Lease.Handover = Settings.Handover;
     options.Placement = Settings.Decisions.Placement;
     options.Placement.CellCount =
--- a/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
+++ b/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
@@ -21,7 +21,8 @@
           "stop_bound_s: 2.5\nrepeat_share: 0.25\nhandover_ms: 4000\n"
           "drain_bound_ms: 900\nversion_bound_ms: 800\n"
           "plan_bound_ms: 700\n"
-          "metrics_address: \"\"\nseeds: [\"10.0.0.3:7\"]\n",
+          "metrics_address: \"\"\nadvertised_peer_address: "
+          "\"10.0.0.9:8\"\nseeds: [\"10.0.0.3:7\"]\n",
       "f");
   REQUIRE(settings);
   CHECK(settings->Name == "entry-1");
@@ -33,6 +34,7 @@
   CHECK(settings->VersionBound == std::chrono::milliseconds(800));
   CHECK(settings->PlanBound == std::chrono::milliseconds(700));
   CHECK(settings->MetricsAddress.empty());
+  CHECK(settings->AdvertisedPeerAddress == "10.0.0.9:8");
 }
 
 // A platform divides the retry budget of a deployment, so that the share of one
