Failing test on real processes: requests reach leaving replicas as updates between gateways are late

The soak puts a proxy before each gateway's port for peers. The verdict also judges gateways that were paused: they can poll the store before they send.

The lines of the senders tell why: n0 sent at list_age_ms 741 and 791 to replicas that had left 2,210 and 2,260 ms before, and learned of it 86 ms later, from an owner; n1 and n2 the same with 480 to 981 ms. So the age counted from the receipt of updates that were late. Nodes that had polled by themselves sent nothing late.

The check of the history saw the same requests; it stays as it was.

--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -3,6 +3,7 @@
 
 #include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
 #include "UnitTests/History/HistoryChecker.h"
+#include "UnitTests/Platform/Soak/SoakDraining.h"
 #include "UnitTests/Platform/Soak/SoakLimits.h"
 #include "UnitTests/Platform/Soak/SoakVersions.h"
 #include "UnitTests/Platform/Soak/SoakWorld.h"
@@ -46,6 +47,9 @@
 DEFINE_double(limits_every, 0,
               "time between statements of limits by replicas, in seconds; 0 "
               "for none");
+DEFINE_double(stale_lists_every, 0,
+              "time between events that leave gateways with an old list of "
+              "replicas while a replica drains, in seconds; 0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -136,12 +140,25 @@
   return exceeded == 0;
 }
 
+bool checkDrainingReplicas(const std::vector<HistoryEvent> &events) {
+  auto findings = checkDraining(events, GatewaySettings{}.DrainBound);
+  printResult(findings.Late.empty(),
+              "draining replicas get no new requests, from paused gateways "
+              "either: " +
+                  std::to_string(findings.Late.size()) + " late, " +
+                  std::to_string(findings.Drained) + " drained");
+  for (const auto &it : findings.Late)
+    std::cout << "  " << it << '\n';
+  return findings.Late.empty();
+}
+
 bool printVerdict(SoakWorld &world, Span versionBound) {
   HistoryBounds bounds;
   bounds.Configuration = GatewaySettings{}.PlanBound;
   auto events = world.history().take();
   bool isHeld = checkVersionBound(events, versionBound);
   isHeld = checkStatedLimits(events) && isHeld;
+  isHeld = checkDrainingReplicas(events) && isHeld;
   HistoryChecker checker(std::move(events), bounds);
   for (const auto &verdict : checker.check()) {
     constexpr std::size_t Shown = 5;
@@ -200,6 +217,7 @@
   if (FLAGS_names_every > 0)
     settings.VersionBound = std::chrono::seconds(2);
   settings.LimitInterval = spanOf(FLAGS_limits_every);
+  settings.StaleListInterval = spanOf(FLAGS_stale_lists_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
--- a/UnitTests/Platform/Soak/SoakNode.cpp
+++ b/UnitTests/Platform/Soak/SoakNode.cpp
@@ -1,5 +1,7 @@
 #include "UnitTests/Platform/Soak/SoakNode.h"
 
+#include "Hemlockglade/Transport/Peer/PeerNet.h"
+
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
@@ -14,6 +16,10 @@
 SoakNode::SoakNode(asio::io_context &context, Settings settings,
                    std::uint16_t storePort, SoakHistory &history)
     : Options(std::move(settings)), History(history), Link(context, storePort) {
+  if (Options.ProxiesPeers)
+    PeerLink = std::make_unique<SoakProxy>(
+        context, parseEndpoint(addressAt(PeerProxyPort)),
+        parseEndpoint(addressAt(PeerPort)));
   writeSettings();
 }
 
@@ -35,9 +41,9 @@
   out << "name: " << Options.Name
       << "\nfailure_domain: " << Options.FailureDomain
       << "\naddress: " << Options.Address
-      << "\npeer_port: " << Options.FirstPort + 4 << "\ncaller_address: \""
-      << addressAt(0) << "\"\nreadiness_address: \"" << addressAt(1)
-      << "\"\ndirectory_address: \"" << addressAt(2)
+      << "\npeer_port: " << Options.FirstPort + PeerPort
+      << "\ncaller_address: \"" << addressAt(0) << "\"\nreadiness_address: \""
+      << addressAt(1) << "\"\ndirectory_address: \"" << addressAt(2)
       << "\"\nregistry_address: \"" << Link.address()
       << "\"\nfailure_domains: [hall-a, hall-b, hall-c]\nstop_bound_s: 4\n"
       << "repeat_extra: 200\nversion_bound_ms: "
@@ -45,6 +51,8 @@
   for (std::size_t it = 0; it < Options.Seeds.size(); ++it)
     out << (it ? ", " : "") << '"' << Options.Seeds[it] << '"';
   out << "]\n";
+  if (PeerLink)
+    out << "advertised_peer_address: \"" << addressAt(PeerProxyPort) << "\"\n";
 }
 
 void SoakNode::start() {
--- a/UnitTests/Platform/Soak/SoakNode.h
+++ b/UnitTests/Platform/Soak/SoakNode.h
@@ -23,6 +23,8 @@
     /// How long requests may still begin on a version of weights that has been
     /// replaced.
     Span VersionBound{0};
+    /// Whether other gateways reach this one through a proxy.
+    bool ProxiesPeers = false;
   };
   /// Maximum time that a node may take to stop.
   static constexpr Span StopBound = std::chrono::seconds(4);
@@ -56,8 +58,15 @@
   /// stop.
   int unexpectedEnds() const { return UnexpectedEnds; }
   SoakProxy &link() { return Link; }
+  /// The proxy that other gateways reach this one through; null if there is
+  /// none.
+  SoakProxy *peerLink() { return PeerLink.get(); }
 
 private:
+  /// Offsets of the ports for other gateways, and of the proxy before it.
+  static constexpr int PeerPort = 4;
+  static constexpr int PeerProxyPort = 5;
+
   std::string addressAt(int offset) const {
     return Options.Address + ":" + std::to_string(Options.FirstPort + offset);
   }
@@ -68,6 +77,7 @@
   Settings Options;
   SoakHistory &History;
   SoakProxy Link;
+  std::unique_ptr<SoakProxy> PeerLink;
   pid_t Pid = 0;
   bool Paused = false;
   bool Killed = false;
--- a/UnitTests/Platform/Soak/SoakProxy.cpp
+++ b/UnitTests/Platform/Soak/SoakProxy.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <asio/write.hpp>
+#include <deque>
 
 namespace hemlockglade::soak {
 
@@ -29,14 +30,22 @@
   tcp::socket Server;
   std::array<char, 16384> ToServer{};
   std::array<char, 16384> ToCaller{};
+  /// Answers that are late, each with the time at which it is due.
+  std::deque<std::pair<Instant, std::string>> Late;
 };
 
 SoakProxy::SoakProxy(asio::io_context &context, std::uint16_t target)
-    : Context(context), Timers(context), Acceptor(context, loopback(0)),
-      Target(target) {
+    : SoakProxy(context, loopback(0), loopback(target)) {}
+
+SoakProxy::SoakProxy(asio::io_context &context, tcp::endpoint listenAt,
+                     tcp::endpoint target)
+    : Context(context), Timers(context), Acceptor(context, listenAt),
+      Target(std::move(target)) {
   accept();
 }
 
+void SoakProxy::setTarget(std::uint16_t target) { Target = loopback(target); }
+
 SoakProxy::~SoakProxy() {
   *Alive = false;
   resetAll();
@@ -49,9 +58,46 @@
 }
 
 void SoakProxy::setFault(Fault fault) {
-  if (fault == Fault::Reset || fault == Fault::None)
+  bool wasLate = CurrentFault == Fault::Late;
+  if (fault == Fault::Reset || (fault == Fault::None && !wasLate))
     resetAll();
   CurrentFault = fault;
+  LateSince = TimerService::now();
+}
+
+void SoakProxy::forwardLate(const std::shared_ptr<Pipe> &pipe,
+                            std::string_view bytes) {
+  // Slow enough that the time between two messages stays short.
+  constexpr double LagPerSecond = 0.8;
+  constexpr Span MaxLag = std::chrono::milliseconds(2500);
+  auto now = TimerService::now();
+  auto due = now;
+  if (CurrentFault == Fault::Late)
+    due += std::min(MaxLag, scaled(now - LateSince, LagPerSecond));
+  if (!pipe->Late.empty())
+    due = std::max(due, pipe->Late.back().first);
+  bool isFirst = pipe->Late.empty();
+  pipe->Late.emplace_back(due, bytes);
+  if (isFirst)
+    writeLate(pipe);
+}
+
+void SoakProxy::writeLate(const std::shared_ptr<Pipe> &pipe) {
+  auto delay = pipe->Late.front().first - TimerService::now();
+  Timers.after(std::max(Span(0), delay), [this, pipe, alive = Alive](Instant) {
+    if (!*alive)
+      return;
+    asio::async_write(pipe->Caller, asio::buffer(pipe->Late.front().second),
+                      [this, pipe, alive](asio::error_code ec, std::size_t) {
+                        if (!*alive)
+                          return;
+                        if (ec)
+                          return pipe->reset();
+                        pipe->Late.pop_front();
+                        if (!pipe->Late.empty())
+                          writeLate(pipe);
+                      });
+  });
 }
 
 void SoakProxy::close(ClosedMode mode) {
@@ -84,7 +130,7 @@
           HeldPipes.push_back(pipe);
         else if (!ec)
           pipe->Server.async_connect(
-              loopback(Target), [this, pipe, alive](asio::error_code ec) {
+              Target, [this, pipe, alive](asio::error_code ec) {
                 if (ec || !*alive)
                   return pipe->reset();
                 std::erase_if(Pipes, [](auto &it) { return it.expired(); });
@@ -116,6 +162,10 @@
         }
         if (ec)
           return pipe->reset();
+        if (!toServer && (CurrentFault == Fault::Late || !pipe->Late.empty())) {
+          forwardLate(pipe, {buf.data(), n});
+          return pump(pipe, toServer);
+        }
         auto forward = [this, pipe, toServer, &to, &buf, alive, n](Instant) {
           asio::async_write(
               to, asio::buffer(buf.data(), n),
--- a/UnitTests/Platform/Soak/SoakProxy.h
+++ b/UnitTests/Platform/Soak/SoakProxy.h
@@ -21,6 +21,9 @@
     Silent,
     /// Data towards the address is dropped; answers are forwarded.
     OneWay,
+    /// Answers arrive later and later, by up to 2.5 s, as behind a queue that
+    /// fills up. Nothing is lost.
+    Late,
   };
 
   /// What accepts connections to an address whose process has ended: nothing, a
@@ -31,17 +34,21 @@
     SilentListener
   };
 
+  /// Listens at a free port of 127.0.0.1 and forwards to another one.
   SoakProxy(asio::io_context &context, std::uint16_t target);
+  SoakProxy(asio::io_context &context, asio::ip::tcp::endpoint listenAt,
+            asio::ip::tcp::endpoint target);
   ~SoakProxy();
 
   std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
   std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
   /// Sets the fault. With `None` and `Reset` it also resets all connections:
-  /// those whose data was dropped would stay silent forever.
+  /// those whose data was dropped would stay silent forever. Connections whose
+  /// data was only late go on.
   void setFault(Fault fault);
   Fault fault() const { return CurrentFault; }
   /// Sets the port that new connections are forwarded to.
-  void setTarget(std::uint16_t target) { Target = target; }
+  void setTarget(std::uint16_t target);
   /// Called when the process behind the address has ended.
   void close(ClosedMode mode = ClosedMode::NoListener);
   /// Called when a process runs again. The proxy listens at a new port if it
@@ -53,13 +60,17 @@
 
   void accept();
   void pump(const std::shared_ptr<Pipe> &pipe, bool toServer);
+  /// Forwards an answer after the present lag, and after all before it.
+  void forwardLate(const std::shared_ptr<Pipe> &pipe, std::string_view bytes);
+  void writeLate(const std::shared_ptr<Pipe> &pipe);
   void resetAll();
 
   asio::io_context &Context;
   TimerService Timers;
   asio::ip::tcp::acceptor Acceptor;
-  std::uint16_t Target;
+  asio::ip::tcp::endpoint Target;
   Fault CurrentFault = Fault::None;
+  Instant LateSince{};
   bool Forwards = true;
   /// Connections that were accepted but never forwarded (`SilentListener`).
   std::list<std::shared_ptr<Pipe>> HeldPipes;
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -13,8 +13,6 @@
 constexpr auto HeartbeatInterval = milliseconds(400);
 constexpr auto StepInterval = milliseconds(8);
 constexpr auto LoadTime = milliseconds(60);
-/// How long a draining replica still serves before it ends.
-constexpr auto DrainTime = milliseconds(2600);
 /// How soon a request crashes its replica, and how soon after that the replica
 /// starts again.
 constexpr auto CrashDelay = milliseconds(20);
@@ -145,7 +143,7 @@
   auto &event = record("listed");
   event.Endpoint = Incarnation;
   event.Leaving = true;
-  Timers.after(DrainTime,
+  Timers.after(Options.DrainTime,
                [this, expected = Incarnation, alive = Alive](Instant) {
                  if (*alive && isRunning() && Incarnation == expected)
                    crash();
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -66,6 +66,8 @@
   struct Settings {
     std::string Service;
     std::string FailureDomain;
+    /// How long a draining replica still serves before it ends.
+    Span DrainTime = std::chrono::milliseconds(2600);
     bool Engine = false;
     PlantedViolation Planted = PlantedViolation::None;
   };
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -39,8 +39,9 @@
 SoakWorld::SoakWorld(Settings settings)
     : Options(std::move(settings)), Random(Options.Seed),
       EntriesRandom(Options.Seed), RevertRandom(Options.Seed),
-      VersionRandom(Options.Seed), LimitRandom(Options.Seed), Timers(Context),
-      Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
+      VersionRandom(Options.Seed), LimitRandom(Options.Seed),
+      StaleListRandom(Options.Seed), Timers(Context), Store(Context, Random()),
+      Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
       return;
@@ -61,6 +62,8 @@
     SoakReplica::Settings replica;
     replica.Engine = it < Options.Engines;
     replica.Planted = Options.Planted;
+    if (Options.StaleListInterval > Span(0))
+      replica.DrainTime = seconds(5);
     replica.Service = replica.Engine ? site::EngineService : site::PlainService;
     replica.FailureDomain =
         Domains[static_cast<std::size_t>(it) % Domains.size()];
@@ -119,6 +122,7 @@
     node.FirstPort = FirstPort;
     node.Seeds = seeds;
     node.VersionBound = Options.VersionBound;
+    node.ProxiesPeers = Options.StaleListInterval > Span(0);
     Nodes.push_back(std::make_unique<SoakNode>(Context, std::move(node),
                                                Store.port(), History));
     Nodes.back()->start();
@@ -160,6 +164,8 @@
     StatesLimits = true;
     scheduleLimit();
   }
+  if (Options.StaleListInterval > Span(0))
+    scheduleStaleList();
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
@@ -310,6 +316,54 @@
   Timers.after(span, [&replica](Instant) { replica.setLimit(std::nullopt); });
 }
 
+void SoakWorld::scheduleStaleList() {
+  Timers.after(Options.StaleListInterval, [this](Instant) {
+    if (!InjectsFaults)
+      return;
+    injectStaleList();
+    scheduleStaleList();
+  });
+}
+
+void SoakWorld::injectStaleList() {
+  constexpr auto LateTime = milliseconds(6500);
+  auto at = StaleListRandom() % Nodes.size();
+  auto &node = **std::next(Nodes.begin(), static_cast<std::ptrdiff_t>(at));
+  if (StaleListRandom() % 2) {
+    log("pause " + node.name() + ", replicas drain");
+    node.pause();
+    drainSomeReplicas();
+    auto delay = milliseconds(2200 + StaleListRandom() % 2000);
+    Timers.after(delay, [&node](Instant) { node.resume(); });
+    return;
+  }
+  log("updates between gateways are late");
+  for (auto &it : Nodes)
+    it->peerLink()->setFault(SoakProxy::Fault::Late);
+  // While updates become late, but before gateways notice it.
+  auto drainAfter = milliseconds(1200 + StaleListRandom() % 1800);
+  Timers.after(drainAfter, [this](Instant) { drainSomeReplicas(); });
+  Timers.after(LateTime, [this](Instant) {
+    for (auto &it : Nodes)
+      it->peerLink()->setFault(SoakProxy::Fault::None);
+  });
+}
+
+void SoakWorld::drainSomeReplicas() {
+  constexpr std::uint64_t OneIn = 3;
+  constexpr auto RestartAfter = seconds(8);
+  for (auto &it : Replicas) {
+    if (StaleListRandom() % OneIn || !it->isRunning())
+      continue;
+    log("leave " + it->incarnation());
+    it->drain();
+    Timers.after(RestartAfter, [&replica = *it](Instant) {
+      if (!replica.isRunning())
+        replica.start();
+    });
+  }
+}
+
 void SoakWorld::injectNodeFault(SoakNode &node, std::uint64_t kind) {
   auto delay = milliseconds(200) + randomUpTo(MaxFaultTime);
   switch (kind) {
@@ -541,8 +595,11 @@
     if (!it->isRunning())
       it->start();
   }
-  for (auto &it : Nodes)
+  for (auto &it : Nodes) {
     it->resume();
+    if (it->peerLink())
+      it->peerLink()->setFault(SoakProxy::Fault::None);
+  }
 }
 
 } // namespace hemlockglade::soak
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -33,6 +33,9 @@
     Span VersionInterval{0};
     /// Time between statements of limits by replicas; none if 0.
     Span LimitInterval{0};
+    /// Time between events that leave gateways with an old list of replicas
+    /// while a replica drains; none if 0.
+    Span StaleListInterval{0};
     /// How long requests may still begin on a version of weights that has been
     /// replaced.
     Span VersionBound = std::chrono::seconds(5);
@@ -101,6 +104,11 @@
   void scheduleLimit();
   /// Has a replica state a limit for a while.
   void injectLimit();
+  void scheduleStaleList();
+  /// Makes updates between gateways late, or pauses a gateway, and has replicas
+  /// drain meanwhile.
+  void injectStaleList();
+  void drainSomeReplicas();
   void restoreAll();
   void causeOutage();
   void log(const std::string &what);
@@ -122,6 +130,7 @@
   std::mt19937_64 RevertRandom;
   std::mt19937_64 VersionRandom;
   std::mt19937_64 LimitRandom;
+  std::mt19937_64 StaleListRandom;
   asio::io_context Context;
   TimerService Timers;
   /// A listener that keeps other soaks from using the same loopback network.
