The age of the replicas' list counts from the registry, not from the receipt of a message

Requests reached replicas up to 2.8 s after these had reported that they leave; the bound is 2 s.

Cause: applyReplicaUpdate took an owner's update as fresh from its receipt, and onBriefing another node's whole state; so did the declarations' age by which polls are planned and denials are judged. Updates that were late by seconds put off a follower's own poll by as much.

Class: an age that counts from receipt, not from the source. Now one rule for replicas and declarations, from an owner or another node: a copy was current its age before the message can have been sent, or before it was asked for. confirmedAge and operatorAge are one. So that this costs no polls, an owner says how long it had held the heartbeat that it echoes (EchoHeldUs, at the message's end, up to 5 bytes): the bound is then late by one way of a message, not by up to a heartbeat interval. The slack of polls grows by 50 ms, the second way.

Ruled out: that followers wait for a silent owner too long (messages came each half second); that their own polls are late (the four that polled sent nothing late).

--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -252,9 +252,12 @@
   std::int64_t EchoedSentAtUs = 0;
   /// Limits of the cell's replicas, as far as the node has not been sent them.
   std::vector<LimitNotice> Limits;
+  /// How long before this message was sent the owner had received the heartbeat
+  /// that it echoes.
+  std::int64_t EchoHeldUs = 0;
   MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
                  Entries, EntriesChanged, Leases, Sent, Update, Crashes,
-                 EchoedSentAtUs, Limits)
+                 EchoedSentAtUs, Limits, EchoHeldUs)
 };
 
 /// Reply to a node that starts while the registry is unreachable, or, without
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -340,6 +340,13 @@
   Callbacks.OnServingEntries();
 }
 
+Instant CellMember::sentAfter(const OwnerHeartbeat &heartbeat, Instant now) {
+  if (!heartbeat.EchoedSentAtUs)
+    return LongAgo;
+  auto held = std::max(Span(0), Span(heartbeat.EchoHeldUs));
+  return std::min(now, Instant(heartbeat.EchoedSentAtUs) + held);
+}
+
 void CellMember::onOwnerHeartbeat(const OwnerHeartbeat &heartbeat) {
   auto now = TimerService::now();
   if (now - OwnerReceivedAt > OwnerTimeout)
@@ -360,10 +367,7 @@
     Callbacks.OnLease(cell, row);
   if (heartbeat.EntriesChanged)
     onEntries(heartbeat.Entries);
-  Callbacks.OnUpdate(heartbeat.Update,
-                     heartbeat.EchoedSentAtUs
-                         ? std::min(now, Span(heartbeat.EchoedSentAtUs))
-                         : LongAgo);
+  Callbacks.OnUpdate(heartbeat.Update, sentAfter(heartbeat, now));
   mergeCrashes(heartbeat.Crashes, CrashesSentToOwner);
   mergeLimits(heartbeat.Limits);
   if (!heartbeat.Replicas.empty())
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -170,8 +170,10 @@
     std::uint64_t SentLimits = 0;
     /// Some of the requests in `PendingSent` are its own.
     bool HasPendingSent = false;
-    /// When it sent its last heartbeat, by its own clock.
+    /// When it sent its last regular heartbeat, by its own clock, and when this
+    /// node received that.
     std::int64_t SentAtUs = 0;
+    Instant HeartbeatReceivedAt{};
     /// Registry positions that it has, by itself or from this node.
     RegistryPositions Positions;
   };
@@ -199,6 +201,9 @@
   std::vector<UseNotice> allUses() const;
   void onSentNotices(std::uint64_t from, const std::vector<SentNotice> &sent);
   NodeHeartbeat takeHeartbeat();
+  /// Returns a time of this node's clock before which the owner can't have sent
+  /// a heartbeat.
+  static Instant sentAfter(const OwnerHeartbeat &heartbeat, Instant now);
   void onOwnerHeartbeat(const OwnerHeartbeat &heartbeat);
   void onEntries(const std::vector<DomainNotice> &received);
   void onHoldings(const ReplicaNotice &notice, Instant now);
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -173,6 +173,7 @@
   if (heartbeat.Brief)
     return;
   follower.SentAtUs = heartbeat.SentAtUs;
+  follower.HeartbeatReceivedAt = now;
   mergeCrashes(heartbeat.Crashes, follower.SentCrashes);
   mergeLimits(heartbeat.Limits);
   follower.Load = {heartbeat.RequestsPerSecond, heartbeat.BytesPerSecond};
@@ -505,6 +506,9 @@
     return onOwnerHeartbeat(heartbeat);
   addRegistryUpdate(follower, heartbeat);
   heartbeat.EchoedSentAtUs = follower.SentAtUs;
+  if (follower.SentAtUs)
+    heartbeat.EchoHeldUs =
+        (TimerService::now() - follower.HeartbeatReceivedAt).count();
   heartbeat.Crashes = takeUnsentCrashes(follower.SentCrashes);
   heartbeat.Limits = takeUnsentLimits(follower.SentLimits);
   if (std::exchange(follower.SentEntries, EntriesRevision) != EntriesRevision)
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -381,7 +381,7 @@
   if (labels.Id.empty())
     return refuse(*reply, labels.Id, BadRequest, "the request has no id");
   if (access.CallerWorkspace && Settings.RevokeFailClosed &&
-      Watcher->confirmedDeclaredAge() > Settings.RevokeBound)
+      Watcher->declaredAge() > Settings.RevokeBound)
     return refuse(*reply, labels.Id, Unavailable, "keys can't be confirmed",
                   Span(UnreachableRetry));
   const auto *service =
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -157,8 +157,7 @@
     out.Versions.push_back(
         {it.Weights.text(), it.Version, (now - it.NotBefore).count()});
   // 0 means that the age is unknown.
-  out.OperatorAgeUs =
-      std::max<std::int64_t>(1, Watcher->confirmedDeclaredAge().count());
+  out.OperatorAgeUs = std::max<std::int64_t>(1, Watcher->declaredAge().count());
   return out;
 }
 
@@ -169,7 +168,7 @@
     out.Replicas.emplace_back(it->Incarnation.id(), it->Source);
   out.Leases = leasesExcept("");
   out.KnownPositions = Watcher->positions();
-  out.OperatorAgeUs = Watcher->confirmedAge().count();
+  out.OperatorAgeUs = Watcher->operatorAge().count();
   out.ReplicaAgeUs = Watcher->replicasAge().count();
   // A replica whose entry has expired is used for a while yet, and its removal
   // is sent only to nodes with a lower position.
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
@@ -107,7 +107,6 @@
     auto currentAt = OperatorPolledAt + (changed ? Span(0) : OperatorWait);
     currentAt = std::min(currentAt, TimerService::now());
     OperatorCurrentAt = std::max(OperatorCurrentAt, currentAt);
-    OperatorConfirmedAt = std::max(OperatorConfirmedAt, currentAt);
     return pollOperator();
   }
   if (result.error() == RegistryError::HistoryLost) {
@@ -129,7 +128,7 @@
   // later. `DeclaredCurrentAt` doesn't count here: a peer may send what it sent
   // on request once more.
   for (auto &it : changes.Versions)
-    it.NotBefore = std::max(it.NotBefore, OperatorConfirmedAt);
+    it.NotBefore = std::max(it.NotBefore, OperatorCurrentAt);
   return changes;
 }
 
@@ -158,7 +157,6 @@
     if (result) {
       applyOperator(*result, "look before a denial");
       OperatorCurrentAt = std::max(OperatorCurrentAt, askedAt);
-      OperatorConfirmedAt = std::max(OperatorConfirmedAt, askedAt);
     }
     finishConfirm(number, result.has_value());
   };
@@ -261,7 +259,7 @@
   if (auto all = ChangeLog.operators().since(known.Operator)) {
     out.OperatorFrom = known.Operator;
     out.OperatorPosition = ChangeLog.operators().position();
-    out.OperatorAgeUs = (now - OperatorConfirmedAt).count();
+    out.OperatorAgeUs = (now - OperatorCurrentAt).count();
     for (const auto &it : *all) {
       DeclaredNotice notice{it.Plan ? it.Plan->Source : "", {}};
       for (const auto &at : it.Versions)
@@ -293,14 +291,13 @@
     OperatorPosition = peerPositions.Operator;
     ChangeLog.resetOperators(peerPositions.Operator);
     OperatorUpdateAt = now;
-    OperatorCurrentAt = now - operatorAge;
-    OperatorConfirmedAt = std::max(OperatorConfirmedAt, askedAt - operatorAge);
+    OperatorCurrentAt = std::max(OperatorCurrentAt, askedAt - operatorAge);
   }
   if (!ReplicaPosition && peerPositions.Replica) {
     ReplicaPosition = peerPositions.Replica;
     ChangeLog.onReplicas({false, {}, {}, peerPositions.Replica});
     ReplicaUpdateAt = now;
-    ReplicasCurrentAt = now - replicasAge;
+    ReplicasCurrentAt = std::max(ReplicasCurrentAt, askedAt - replicasAge);
   }
 }
 
@@ -311,7 +308,7 @@
     return;
   LastUpdateAt = now;
   applyDeclaredUpdate(update, now, sentAfter);
-  applyReplicaUpdate(update, now);
+  applyReplicaUpdate(update, now, sentAfter);
 }
 
 void RegistryWatcher::applyDeclaredUpdate(const RegistryUpdate &update,
@@ -341,13 +338,12 @@
   OperatorUpdateAt = now;
   OperatorPosition = update.OperatorPosition;
   ChangeLog.onOperator({nullptr, {}, update.OperatorPosition});
-  auto age = Span(update.OperatorAgeUs);
-  OperatorCurrentAt = std::max(OperatorCurrentAt, now - age);
-  OperatorConfirmedAt = std::max(OperatorConfirmedAt, sentAfter - age);
+  OperatorCurrentAt =
+      std::max(OperatorCurrentAt, sentAfter - Span(update.OperatorAgeUs));
 }
 
 void RegistryWatcher::applyReplicaUpdate(const RegistryUpdate &update,
-                                         Instant now) {
+                                         Instant now, Instant sentAfter) {
   bool follows = ReplicaPosition && *ReplicaPosition >= update.ReplicaFrom &&
                  *ReplicaPosition <= update.ReplicaPosition;
   if (!update.ReplicaPosition || !follows)
@@ -373,7 +369,7 @@
   ReplicaPosition = update.ReplicaPosition;
   ChangeLog.onReplicas({false, {}, {}, update.ReplicaPosition});
   ReplicasCurrentAt =
-      std::max(ReplicasCurrentAt, now - Span(update.ReplicaAgeUs));
+      std::max(ReplicasCurrentAt, sentAfter - Span(update.ReplicaAgeUs));
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.h
@@ -28,8 +28,8 @@
     RegistryPollSettings Poll;
     /// How much older than the poll interval the state from an owner's updates
     /// may become before the node polls itself: an owner's heartbeat interval,
-    /// 300 ms, and the time that a message takes.
-    Span PeerUpdateSlack = std::chrono::milliseconds(350);
+    /// 300 ms, and the time that a message takes in both directions.
+    Span PeerUpdateSlack = std::chrono::milliseconds(400);
     /// An owner from which no update has come for this long, two heartbeat
     /// intervals, counts as lost.
     Span OwnerTimeout = std::chrono::milliseconds(700);
@@ -103,16 +103,6 @@
   Span declaredAge() const {
     return TimerService::now() - std::max(OperatorCurrentAt, DeclaredCurrentAt);
   }
-  /// Age of the declarations as it is sent to other nodes. Delays of messages
-  /// to this node never make it shorter.
-  Span confirmedAge() const {
-    return TimerService::now() - OperatorConfirmedAt;
-  }
-  /// The same, also by what other nodes sent on request.
-  Span confirmedDeclaredAge() const {
-    return TimerService::now() -
-           std::max(OperatorConfirmedAt, DeclaredCurrentAt);
-  }
   Span replicasAge() const { return TimerService::now() - ReplicasCurrentAt; }
 
 private:
@@ -130,7 +120,8 @@
                      const ReplicaSource &source);
   void applyDeclaredUpdate(const RegistryUpdate &update, Instant now,
                            Instant sentAfter);
-  void applyReplicaUpdate(const RegistryUpdate &update, Instant now);
+  void applyReplicaUpdate(const RegistryUpdate &update, Instant now,
+                          Instant sentAfter);
   /// Schedules a poll for the callers of `confirm` that have none yet.
   void scheduleConfirm();
   void pollToConfirm();
@@ -171,11 +162,10 @@
   std::optional<std::uint64_t> ReplicaPosition;
   RegistryChangeLog ChangeLog{RegistryChangeLog::Settings{}};
   /// Latest time at which the registry's state surely was as this node has it.
+  /// Counted from when a request was sent, or from before a message was, so
+  /// that no delay on the way makes it later.
   Instant OperatorCurrentAt{LongAgo};
   Instant ReplicasCurrentAt{LongAgo};
-  /// As `OperatorCurrentAt`, but counted from when this node sent its request,
-  /// so that the delay of an answer or a message never makes it later.
-  Instant OperatorConfirmedAt{LongAgo};
   /// When the polls under way were sent, and the maximum wait of the one of
   /// declarations.
   Instant OperatorPolledAt{};
--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -152,6 +152,27 @@
     CHECK(*it.SentAfter <= TimerService::now());
 }
 
+TEST_CASE(
+    "the time for which an owner held the echoed heartbeat bounds when it "
+    "sent its own",
+    "[gateway][late-news]") {
+  FollowerFixture it;
+  ScriptedOwner owner(it.Context);
+  it.follow(owner, 1);
+  auto sentAt = TimerService::now() - std::chrono::seconds(2);
+  auto held = GENERATE(as<Span>{}, std::chrono::seconds(1),
+                       -std::chrono::seconds(1), std::chrono::hours(1));
+  OwnerHeartbeat heartbeat;
+  heartbeat.EchoedSentAtUs = sentAt.count();
+  heartbeat.EchoHeldUs = held.count();
+  owner.Stream->send(pack(heartbeat));
+  REQUIRE(it.until([&] { return it.SentAfter.has_value(); }));
+  if (held == std::chrono::hours(1))
+    CHECK(*it.SentAfter <= TimerService::now());
+  else
+    CHECK(*it.SentAfter == sentAt + std::max(Span(0), held));
+}
+
 // The previous owner may have been silent for seconds, and be among the nodes
 // that it listed.
 TEST_CASE("a new owner drops the entries of the previous owner", "[gateway]") {
@@ -319,6 +340,7 @@
   auto received = it.Received["m"].size();
   REQUIRE(it.until([&] { return it.Received["m"].size() > received + 2; }));
   CHECK(it.Received["m"].back().EchoedSentAtUs == 7);
+  CHECK(it.Received["m"].back().EchoHeldUs > 0);
 }
 
 TEST_CASE(
--- a/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
@@ -319,7 +319,7 @@
   auto heldAt = it.holdPoll();
   // Something changed that is neither a plan nor a version.
   it.HeldPolls[0](OperatorChanges{nullptr, {}, 11, true});
-  CHECK(it.Watcher->confirmedAge() >=
+  CHECK(it.Watcher->operatorAge() >=
         TimerService::now() - heldAt - milliseconds(1));
 }
 
@@ -367,4 +367,26 @@
   CHECK(Span(sentUpdate.OperatorAgeUs) >= Transit);
 }
 
+TEST_CASE("no delay on the way makes the list of replicas younger",
+          "[late-news]") {
+  constexpr Span Age = milliseconds(200);
+  constexpr Span Transit = std::chrono::minutes(1);
+  WatcherFixture it(Forever, Forever, false);
+  auto now = TimerService::now();
+  SECTION("of another node's whole state") {
+    it.Watcher->onBriefing({10, 10}, Age, Age, now - Transit);
+  }
+  SECTION("of an owner's update") {
+    it.Watcher->onBriefing({10, 10}, Age, Age, now - 2 * Transit);
+    RegistryUpdate update;
+    update.ReplicaFrom = 10;
+    update.ReplicaPosition = 12;
+    update.ReplicaAgeUs = Age.count();
+    it.Watcher->onPeerUpdate(update, now - Transit);
+    CHECK(it.Watcher->replicasAge() < 2 * Transit);
+  }
+  CHECK(it.Watcher->replicasAge() >= Age + Transit);
+  CHECK(Span(it.Watcher->updateSince({10, 12}).ReplicaAgeUs) >= Age + Transit);
+}
+
 } // namespace hemlockglade::test
