A log of replicas that begins with another node's list claims nothing before it

A follower of such an owner could use a replica that had reported that it leaves until its entry was removed, however fresh its list seemed.

Cause: a node that gets its list from another node at its start recorded the position, but its change log still went back to 0. As an owner it told a follower with a lower position that nothing had changed between the two (from 10, position 20, no changes); the follower's position passed the leave for good, and its own polls went on behind it. It takes an owner whose first read of the registry failed or came late and a follower that is behind, as after a loss of many nodes. Declarations were protected by a case of their own; the rule now stands in ChangeList, for both.

Class: something that stands for knowledge and is confirmed by nothing.

Ruled out: that the follower's next poll mends it (it begins at the new position).

Failed before: 'a log that begins without a complete list returns nothing for earlier positions' and 'an owner that was briefed does not move followers past changes that it never received' (position 20 where 10 is right).

--- a/Hemlockglade/Coordination/Registry/RegistryChangeLog.h
+++ b/Hemlockglade/Coordination/Registry/RegistryChangeLog.h
@@ -8,7 +8,7 @@
 namespace hemlockglade {
 
 /// Changes in the order in which they were received, as far back as they are
-/// kept.
+/// kept. What came before the first position that is added is not known.
 template <typename T> class ChangeList {
 public:
   /// Drops all changes; those up to the position are no longer available from
@@ -19,6 +19,8 @@
   }
 
   void add(std::uint64_t position, T changes, std::size_t maxKept) {
+    if (NewestPosition == 0)
+      return reset(position);
     NewestPosition = std::max(NewestPosition, position);
     Kept.emplace_back(NewestPosition, std::move(changes));
     while (Kept.size() > maxKept) {
@@ -29,6 +31,8 @@
 
   /// Records that there are no further changes up to the position.
   void advance(std::uint64_t position) {
+    if (NewestPosition == 0)
+      return reset(position);
     NewestPosition = std::max(NewestPosition, position);
   }
 
--- a/UnitTests/Coordination/Route/RegistryChangeLogTest.cpp
+++ b/UnitTests/Coordination/Route/RegistryChangeLogTest.cpp
@@ -85,6 +85,20 @@
   CHECK(log.operators().since(9));
 }
 
+TEST_CASE(
+    "a log that begins without a complete list returns nothing for earlier "
+    "positions",
+    "[registry]") {
+  RegistryChangeLog log({});
+  SECTION("with a position") { log.onReplicas(changesAt(9, {})); }
+  SECTION("with changes") { log.onReplicas(changesAt(9, {replica("i-1")})); }
+  CHECK_FALSE(log.replicas().since(5));
+  CHECK(log.replicas().since(9)->empty());
+  CHECK(log.onReplicas(changesAt(12, {replica("i-2", true)})));
+  CHECK_FALSE(log.replicas().since(5));
+  CHECK(log.replicas().since(9)->size() == 1);
+}
+
 TEST_CASE("a new incarnation under the same id is recorded",
           "[registry-log][life]") {
   RegistryChangeLog log({});
--- a/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
@@ -230,6 +230,21 @@
   CHECK(it.Watcher->positions().Replica == 10);
 }
 
+// Otherwise the follower's position passes the leave of a replica, and the
+// replica is used until its entry is removed.
+TEST_CASE("an owner that was briefed does not move followers past changes that "
+          "it never received",
+          "[gateway]") {
+  WatcherFixture owner(Forever, Forever, false);
+  owner.Watcher->onBriefing({20, 20}, Span(0), Span(0), TimerService::now());
+  WatcherFixture follower;
+  REQUIRE(follower.Watcher->positions().Replica == 10);
+  auto update = owner.Watcher->updateSince(follower.Watcher->positions());
+  follower.Watcher->onPeerUpdate(update, TimerService::now());
+  CHECK(follower.Watcher->positions().Replica == 10);
+  CHECK(follower.Watcher->positions().Operator == 10);
+}
+
 // After all state was lost while the registry is unavailable, few nodes poll
 // it.
 TEST_CASE("standby nodes without state poll less often than others",
