No request is sent by a list of replicas that is older than the bound allows

A gateway that had stood still for some seconds sent all that had arrived meanwhile by the list that it had before: on real processes 9 requests in the same moment, 4.1 s after replicas had reported that they leave.

Cause: polls are planned so that the list is young enough, and nothing looked at its age when a request was sent. Whatever keeps a process from its polls (a stop, a busy processor, an answer that waits in a busy event loop, a refused poll near the end of its bound) put requests on a list of any age. The same between the choice of a replica and the moment at which its connection is open, up to 400 ms later: nobody looked again.

Now a request is chosen for, and written to a new connection, only by a list that is younger than 0.85 of the bound. If it is older the registry is polled at once and the request waits for that poll, some 10 ms; one refusal doesn't end the wait, two or a timeout do, since a registry that does not answer must not stop the service. A replica that began to drain while its connection was opened gets nothing (withdrawn): the request was not sent and costs no retry. The next poll counts from when the last one was sent, not from its answer.

Class: an age that is known and not looked at where it matters.

Ruled out: refusing old knowledge (callers would get 503 while the registry is well); reading the whole list (one poll from the known position is enough).

--- a/Hemlockglade/Coordination/Registry/RegistryPollSettings.cpp
+++ b/Hemlockglade/Coordination/Registry/RegistryPollSettings.cpp
@@ -11,6 +11,7 @@
 constexpr double TimeoutShare = 0.35;
 constexpr double MaxPauseShare = 0.4;
 constexpr double AgeShare = 0.75;
+constexpr double UsableAgeShare = 0.85;
 constexpr auto MaxWait = std::chrono::milliseconds(2500);
 /// Minimum interval between polls, however short a bound is.
 constexpr auto MinSpan = std::chrono::milliseconds(5);
@@ -32,6 +33,7 @@
   out.MaxRetryDelay = share(bound, MaxPauseShare, defaults.MaxRetryDelay);
   out.MaxOperatorAge = scaled(planBound, AgeShare);
   out.MaxReplicaAge = scaled(drainBound, AgeShare);
+  out.MaxUsableAge = scaled(drainBound, UsableAgeShare);
   out.RetryDelay = std::min(defaults.RetryDelay, out.MaxRetryDelay);
   return out;
 }
--- a/Hemlockglade/Coordination/Registry/RegistryPollSettings.h
+++ b/Hemlockglade/Coordination/Registry/RegistryPollSettings.h
@@ -25,6 +25,9 @@
   /// enough for its own poll within the bound.
   Span MaxOperatorAge = std::chrono::milliseconds(3000);
   Span MaxReplicaAge = std::chrono::milliseconds(3000);
+  /// Age of the list of replicas from which no request is sent before the
+  /// registry has been polled again, unless it does not answer.
+  Span MaxUsableAge = std::chrono::milliseconds(3400);
   /// Backoff after the second failed poll; once the node has data, it doubles
   /// after each further failure, up to the maximum. Calls are charged also
   /// while the registry does not answer, but a node without data can't serve
--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -84,6 +84,12 @@
         self->ConnectTimer.cancel();
         if (ec)
           return self->fail(HttpFailure::NotConnected);
+        // Kept alive: the hook may end the call.
+        auto hooks = self->Hooks;
+        if (hooks && hooks->OnConnected)
+          hooks->OnConnected();
+        if (self->IsClosed)
+          return;
         self->Connected = true;
         self->write();
         self->read();
--- a/Hemlockglade/Transport/Http1/HttpConnection.h
+++ b/Hemlockglade/Transport/Http1/HttpConnection.h
@@ -25,6 +25,9 @@
 
 /// Hooks of one call.
 struct HttpCallHooks {
+  /// Called when a new connection is open, before anything is written. The
+  /// caller may abort the connection; then nothing is sent.
+  std::function<void()> OnConnected;
   /// Called with the answer's head. Returning false discards this answer; the
   /// call then waits for the next one on the connection.
   std::function<bool(const HttpAnswerHead &head)> OnHead;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -156,6 +156,7 @@
   ReplicaListHooks hooks;
   hooks.Age = [this] { return Watcher->replicasAge(); };
   hooks.Position = [this] { return Watcher->positions().Replica; };
+  hooks.RefreshIfOld = [this] { return Watcher->refreshReplicasIfOld(); };
   return hooks;
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -176,6 +176,8 @@
     return;
   if (GrantPending)
     return armTimer();
+  if (awaitsNewerList())
+    return;
   auto choice = Shared.View.choose(Query, now);
   if (choice.Result == RouteChoice::Kind::Send && mustQueue(now))
     choice.Result = RouteChoice::Kind::Full;
@@ -195,6 +197,20 @@
   waitForReplica(choice);
 }
 
+bool GatewayExchange::awaitsNewerList() {
+  if (!Shared.ReplicaList.RefreshIfOld || !Shared.ReplicaList.RefreshIfOld())
+    return false;
+  auto now = TimerService::now();
+  releaseGrant(Grant);
+  Waiting = true;
+  WaitsForCapacity = false;
+  WaitReason = "replicas' list is old";
+  WakeAt = now + Settings.WaitPollInterval;
+  logWait({}, now);
+  armTimer();
+  return true;
+}
+
 void GatewayExchange::waitForReplica(const RouteChoice &choice) {
   auto now = TimerService::now();
   if (usesEngine() && !std::exchange(DemandReported, true))
@@ -371,6 +387,10 @@
         self && !self->Done && self->Current && self->Current->Number == number;
     return isCurrent ? self : nullptr;
   };
+  hooks.OnConnected = [ifCurrent] {
+    if (auto self = ifCurrent())
+      self->onConnected();
+  };
   hooks.OnHead = [ifCurrent](const HttpAnswerHead &it) {
     auto self = ifCurrent();
     return self ? self->onHead(it) : true;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -79,6 +79,9 @@
   std::function<Span()> Age;
   /// Position in the registry up to which the list is complete.
   std::function<std::uint64_t()> Position;
+  /// Returns whether the list is too old to choose from and is being renewed;
+  /// a request then waits until it is `wake`d or polls again.
+  std::function<bool()> RefreshIfOld;
 };
 
 /// The parts of the node that all exchanges share.
@@ -246,6 +249,8 @@
   bool endIfBarred();
   /// Holds the request until the choice may change, or refuses it if it was
   /// held too long.
+  /// Holds the request if the list of replicas is too old to choose from.
+  bool awaitsNewerList();
   void waitForReplica(const RouteChoice &choice);
   /// Whether others that wait for capacity of the service are served before
   /// this request; if so, it joins their queue.
@@ -261,6 +266,11 @@
   void reportLimit(Instant now);
   void onBody(std::string_view part);
   void onDone();
+  /// Called when the connection of an attempt is open and nothing was written
+  /// yet: the replica may have begun to drain since it was chosen.
+  void onConnected();
+  /// Ends an attempt of which nothing was sent.
+  void withdrawAttempt(AttemptVerdict verdict);
   void onFailed(HttpFailure how);
   void onNotRun();
   /// Called when an attempt ended without a valid answer, so that it isn't
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -178,15 +178,34 @@
   onAttemptFailed(why);
 }
 
+void GatewayExchange::withdrawAttempt(AttemptVerdict verdict) {
+  releaseGrant(Current->Grant);
+  RetryReserved = Current->IsRetry;
+  if (RetryReserved)
+    Shared.Budget.onNotSent(Query.Service, Current->SentAt);
+  AttemptedReplicas.erase(Current->Replica->Incarnation.text());
+  endAttempt(verdict);
+}
+
+void GatewayExchange::onConnected() {
+  auto replica = Current->Replica->Incarnation.text();
+  bool isOld =
+      Shared.ReplicaList.RefreshIfOld && Shared.ReplicaList.RefreshIfOld();
+  if (!isOld && !Shared.View.isDraining(replica))
+    return;
+  Shared.Log.write(LogClass::Request, "withdrawn",
+                   {{"request", Labels.Id},
+                    {"replica", replica},
+                    {"why", isOld ? "replicas' list is old" : "it drains"},
+                    {"chosen_ms_ago", TimerService::now() - Current->SentAt}});
+  withdrawAttempt(AttemptVerdict::Success);
+  sendOrHold();
+}
+
 void GatewayExchange::onFailed(HttpFailure how) {
   if (how == HttpFailure::NotConnected) {
     auto failed = Current->Replica->Incarnation.text();
-    releaseGrant(Current->Grant);
-    RetryReserved = Current->IsRetry;
-    if (RetryReserved)
-      Shared.Budget.onNotSent(Query.Service, Current->SentAt);
-    AttemptedReplicas.erase(failed);
-    endAttempt(AttemptVerdict::NoValidAnswer);
+    withdrawAttempt(AttemptVerdict::NoValidAnswer);
     Query.Excluded.insert(failed);
     Shared.Log.write(LogClass::Request, "not-connected",
                      {{"request", Labels.Id}, {"replica", failed}});
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
@@ -21,6 +21,7 @@
 
 void RegistryWatcher::recordResult(PollState &poll, bool succeeded) {
   auto now = TimerService::now();
+  poll.Failures = succeeded ? 0 : poll.Failures + 1;
   if (!succeeded)
     poll.FailedAt = now;
   if (succeeded == poll.Reachable)
@@ -71,7 +72,10 @@
 }
 
 void RegistryWatcher::scheduleReplicaPoll(Span delay) {
-  Timers.after(delay, [this](Instant) { pollReplicas(); });
+  Timers.after(delay, [this, number = ++ReplicaPollTimer](Instant) {
+    if (number == ReplicaPollTimer)
+      pollReplicas();
+  });
 }
 
 void RegistryWatcher::pollOperator() {
@@ -207,6 +211,25 @@
                               : Span(0);
   if (left > Span(0))
     return scheduleReplicaPoll(left);
+  sendReplicaPoll();
+}
+
+bool RegistryWatcher::refreshReplicasIfOld() {
+  // A registry that refuses one call may well answer the next one.
+  constexpr int MaxRefusals = 1;
+  if (replicasAge() <= Options.Poll.MaxUsableAge)
+    return false;
+  bool mayAnswer = !ReplicaPollTimedOut && ReplicaPoll.Failures <= MaxRefusals;
+  auto now = TimerService::now();
+  bool isPollDue = now - ReplicasPolledAt >= Options.Poll.RetryDelay;
+  if (!ReplicaPollOpen && (mayAnswer || isPollDue))
+    sendReplicaPoll();
+  return mayAnswer;
+}
+
+void RegistryWatcher::sendReplicaPoll() {
+  ++ReplicaPollTimer;
+  ReplicaPollOpen = true;
   ReplicasPolledAt = TimerService::now();
   auto done = [this](const auto &result) { onReplicasPolled(result); };
   if (ReplicaPosition)
@@ -217,6 +240,9 @@
 
 void RegistryWatcher::onReplicasPolled(
     const tl::expected<ReplicaChanges, RegistryError> &result) {
+  ReplicaPollOpen = false;
+  auto took = TimerService::now() - ReplicasPolledAt;
+  ReplicaPollTimedOut = !result && took >= Options.Poll.AnswerTimeout;
   if (result) {
     recordResult(ReplicaPoll, true);
     ReplicaRetryDelay = Options.Poll.RetryDelay;
@@ -227,7 +253,10 @@
       ReplicasCurrentAt = std::max(ReplicasCurrentAt, ReplicasPolledAt);
       applyReplicas(*result, source);
     }
-    return scheduleReplicaPoll(Options.Poll.ReplicaInterval);
+    // An answer that was long on its way does not postpone the next poll.
+    auto minDelay = Options.Poll.ReplicaInterval / 2;
+    return scheduleReplicaPoll(
+        std::max(minDelay, Options.Poll.ReplicaInterval - took));
   }
   if (result.error() == RegistryError::HistoryLost) {
     ReplicaPosition.reset();
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.h
@@ -72,6 +72,9 @@
   /// Starts polling after a delay. What another node has sent by then needs no
   /// poll.
   void start(Span initialDelay);
+  /// Returns whether the list of replicas is too old to send requests by it
+  /// although the registry may answer; the registry is then polled at once.
+  bool refreshReplicasIfOld();
   /// Called with an owner's update, which was sent after `sentAfter`.
   void onPeerUpdate(const RegistryUpdate &update, Instant sentAfter);
   /// Called when another node has sent its whole state, which is complete up
@@ -108,6 +111,7 @@
 private:
   void pollOperator();
   void pollReplicas();
+  void sendReplicaPoll();
   void
   onOperatorPolled(const tl::expected<OperatorChanges, RegistryError> &result);
   void
@@ -141,6 +145,8 @@
     Instant FailedAt{LongAgo};
     /// When `Reachable` changed last.
     Instant ChangedAt{LongAgo};
+    /// Failures since the last success.
+    int Failures = 0;
   };
 
   void recordResult(PollState &poll, bool succeeded);
@@ -171,6 +177,11 @@
   Instant OperatorPolledAt{};
   Span OperatorWait{0};
   Instant ReplicasPolledAt{};
+  bool ReplicaPollOpen = false;
+  /// The last poll of replicas failed only after a timeout.
+  bool ReplicaPollTimedOut = false;
+  /// Number of the timer that is due to poll replicas; earlier ones are void.
+  std::uint64_t ReplicaPollTimer = 0;
   /// When an owner's update was last received.
   Instant LastUpdateAt{LongAgo};
   /// When an update or another node's whole state was last applied, by kind.
--- a/UnitTests/Coordination/Route/RegistryPollSettingsTest.cpp
+++ b/UnitTests/Coordination/Route/RegistryPollSettingsTest.cpp
@@ -22,6 +22,8 @@
   CHECK(it.AnswerTimeout + it.MaxRetryDelay <= shorter * 3 / 4);
   CHECK(it.RetryDelay <= it.MaxRetryDelay);
   CHECK(it.MaxOperatorWait > Span(0));
+  CHECK(it.MaxUsableAge >= it.MaxReplicaAge);
+  CHECK(it.MaxUsableAge <= drain * 17 / 20);
 }
 
 TEST_CASE("the default bounds give the default settings", "[registry]") {
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -291,6 +291,39 @@
   CHECK(*findField(sent.Head.Fields, "Meant-For") == "i-1");
 }
 
+TEST_CASE("a request is not sent by an old list of replicas", "[gateway]") {
+  ExchangeFixture it;
+  bool isOld = true;
+  it.Shared.ReplicaList.RefreshIfOld = [&isOld] { return isOld; };
+  it.registerReplicas();
+  it.First.Script = {{answer(200, "hello")}};
+  it.sendRequest();
+  REQUIRE(it.until([&] { return it.Exchange && it.Exchange->waiting(); }));
+  it.settle();
+  CHECK(it.First.Requests.empty());
+  isOld = false;
+  REQUIRE(it.untilReceived("hello"));
+}
+
+TEST_CASE("a request is not written to a replica that began to drain while its "
+          "connection was opened",
+          "[gateway]") {
+  ExchangeFixture it;
+  it.TestRoute.Kind = RouteKind::RunOnce;
+  it.registerReplicas();
+  it.Second.Script = {{answer(200, "hello")}};
+  auto first = it.View.inUse().front();
+  it.Shared.Crashes.OnSent = [&](const RequestKey &) {
+    auto draining = *first;
+    draining.Draining = true;
+    it.View.onRegistry({false, {draining}, {}, 2}, false, TimerService::now());
+  };
+  it.sendRequest();
+  REQUIRE(it.untilReceived("hello"));
+  CHECK(it.First.Requests.empty());
+  CHECK(it.Second.Requests.size() == 1);
+}
+
 TEST_CASE("a run-once request that may have run is not retried", "[gateway]") {
   ExchangeFixture it;
   it.TestRoute.Kind = RouteKind::RunOnce;
--- a/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
@@ -2,6 +2,8 @@
 
 #include "UnitTests/Transport/Loopback.h"
 
+#include <thread>
+
 namespace hemlockglade::test {
 
 namespace {
@@ -45,6 +47,11 @@
     };
     registry.WatchReplicas = [this](std::uint64_t, auto done) {
       ++ReplicaPolls;
+      if (AnswersReplicaPolls == Answers::None)
+        return;
+      if (AnswersReplicaPolls == Answers::Refusals)
+        return post(
+            [done] { done(tl::unexpected(RegistryError::Unavailable)); });
       post([done, this] { done(ReplicaChanges{false, {}, {}, Position}); });
     };
     registry.ParsePlan = [](std::string_view) {
@@ -65,6 +72,7 @@
     settings.OwnerTimeout = ownerTimeout;
     settings.Poll.RetryDelay = milliseconds(10);
     settings.MinStandbyRetryDelay = milliseconds(200);
+    settings.Poll.MaxUsableAge = milliseconds(200);
     settings.Poll.MaxOperatorAge = settings.Poll.MaxReplicaAge =
         milliseconds(1500);
     RegistryWatcher::Hooks hooks;
@@ -117,9 +125,15 @@
     return until([this, times] { return UpdateCount >= times; });
   }
 
+  /// Stands still for longer than the list of replicas is usable.
+  static void standStill() { std::this_thread::sleep_for(milliseconds(250)); }
+
+  enum class Answers : std::uint8_t { Changes, Refusals, None };
+
   EventLog Log;
   TimerService Timers;
   std::uint64_t Position = 10;
+  Answers AnswersReplicaPolls = Answers::Changes;
   bool InformsPeers = false;
   bool IsStandby = false;
   /// Polls of declarations are kept open in `HeldPolls`.
@@ -230,6 +244,41 @@
   CHECK(it.Watcher->positions().Replica == 10);
 }
 
+TEST_CASE("an old list of replicas is renewed with one poll", "[gateway]") {
+  WatcherFixture it;
+  CHECK_FALSE(it.Watcher->refreshReplicasIfOld());
+  WatcherFixture::standStill();
+  auto polls = it.ReplicaPolls;
+  CHECK(it.Watcher->refreshReplicasIfOld());
+  CHECK(it.Watcher->refreshReplicasIfOld());
+  CHECK(it.ReplicaPolls == polls + 1);
+  REQUIRE(
+      it.until([&] { return it.Watcher->replicasAge() < milliseconds(99); }));
+  CHECK_FALSE(it.Watcher->refreshReplicasIfOld());
+}
+
+TEST_CASE("one refusal does not make an old list of replicas usable",
+          "[gateway]") {
+  WatcherFixture it;
+  WatcherFixture::standStill();
+  it.AnswersReplicaPolls = WatcherFixture::Answers::Refusals;
+  REQUIRE(it.Watcher->refreshReplicasIfOld());
+  it.Context.restart();
+  it.Context.poll_one();
+  it.AnswersReplicaPolls = WatcherFixture::Answers::Changes;
+  REQUIRE(it.until([&] { return !it.Watcher->refreshReplicasIfOld(); }));
+  CHECK(it.Watcher->replicasAge() < milliseconds(200));
+}
+
+TEST_CASE("an old list of replicas is usable while the registry refuses polls",
+          "[gateway]") {
+  WatcherFixture it;
+  it.AnswersReplicaPolls = WatcherFixture::Answers::Refusals;
+  WatcherFixture::standStill();
+  REQUIRE(it.until([&] { return !it.Watcher->refreshReplicasIfOld(); }));
+  CHECK(it.Watcher->replicasAge() > milliseconds(200));
+}
+
 // Otherwise the follower's position passes the leave of a replica, and the
 // replica is used until its entry is removed.
 TEST_CASE("an owner that was briefed does not move followers past changes that "
