The grace of expired entries counts from when they were last confirmed

Cause: where a poll failed within the last seconds and a third of the usable replicas is missing at once, entries count as expired for a while, and that time began with the notice. Where the list was young until then, the registry answered all the while, so the entries may have been removed right after it was confirmed: the time counts from there. Where the list was older than the grace the registry was away, and it counts from the notice as before; so after a return of the store from an older copy.

Class: a time that counts from receipt, not from the source.

Ruled out: no grace where the list is young (entries also expire in the two seconds after an outage).

Failed before: 'the grace for expired entries counts from when a young list was confirmed' (used 1,700 ms where 500 are right).

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -75,7 +75,8 @@
 }
 
 std::vector<ReplicaPtr> ReplicaView::onRegistry(const ReplicaChanges &changes,
-                                                bool unreachable, Instant now) {
+                                                bool unreachable, Instant now,
+                                                Span ageBefore) {
   std::vector<ReplicaPtr> ended;
   for (const auto &it : changes.Present)
     applyRecord(it, now, ended);
@@ -99,20 +100,33 @@
       changes.RolledBack ||
       (unreachable && static_cast<double>(missing.size()) >=
                           MinExpiredShare * static_cast<double>(usableCount));
+  std::optional<Instant> usedUntil;
+  if (changes.RolledBack)
+    usedUntil = now + Options.ExpiryGrace;
+  else if (expired)
+    usedUntil = endOfExpiryGrace(ageBefore, now);
   for (auto &[key, state] : Replicas)
     if (missing.contains(state.Record->Incarnation.id()))
-      scheduleRemoval(state, expired, now);
+      scheduleRemoval(state, usedUntil, now);
   return ended;
 }
 
-void ReplicaView::scheduleRemoval(ReplicaState &state, bool expired,
+Instant ReplicaView::endOfExpiryGrace(Span ageBefore, Instant now) const {
+  // Where the list was young, the registry answered all the while, and the
+  // entries may have been removed right after it was confirmed.
+  bool wasYoung = ageBefore <= Options.ExpiryGrace;
+  return now - (wasYoung ? ageBefore : Span(0)) + Options.ExpiryGrace;
+}
+
+void ReplicaView::scheduleRemoval(ReplicaState &state,
+                                  std::optional<Instant> usedUntil,
                                   Instant now) {
-  if (!expired) {
+  if (!usedUntil) {
     state.Draining = true;
     ++Revision;
   }
   if (!state.RemoveAt)
-    state.RemoveAt = now + (expired ? Options.ExpiryGrace : Span(0));
+    state.RemoveAt = usedUntil.value_or(now);
 }
 
 void ReplicaView::onResidency(const std::string &replica, Residency held,
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -157,6 +157,8 @@
     Span OldVersionBeginLimit = std::chrono::milliseconds(4200);
     /// Replicas whose entries disappear while the registry was unreachable are
     /// used for this long: the entries may have expired and be written again.
+    /// Counts from when the entries were last confirmed, unless that is longer
+    /// ago.
     Span ExpiryGrace = std::chrono::milliseconds(1700);
     /// Requests that may be queued at an engine beyond its slots, as a share of
     /// its slots.
@@ -181,10 +183,12 @@
   /// Sets this entry's share of the traffic of all entries in service, 0 to 1.
   void setTrafficShare(double share) { TrafficShare = share; }
   /// Applies changes from the registry. `unreachable`: the registry was
-  /// unreachable shortly before. Returns the previous records of replicas that
-  /// have restarted.
+  /// unreachable shortly before. `ageBefore`: how long ago the list was surely
+  /// as this view had it. Returns the previous records of replicas that have
+  /// restarted.
   std::vector<ReplicaPtr> onRegistry(const ReplicaChanges &changes,
-                                     bool unreachable, Instant now);
+                                     bool unreachable, Instant now,
+                                     Span ageBefore = Span(0));
   /// Adds a declared version; returns whether it is new.
   bool onVersion(const WeightsVersion &declared) {
     return Versions.add(declared);
@@ -351,7 +355,11 @@
                          std::vector<ReplicaPtr> &ended);
   void applyRecord(const ReplicaRecord &record, Instant now,
                    std::vector<ReplicaPtr> &ended);
-  void scheduleRemoval(ReplicaState &state, bool expired, Instant now);
+  /// `usedUntil` is the end of its use if its entry may have expired only.
+  void scheduleRemoval(ReplicaState &state, std::optional<Instant> usedUntil,
+                       Instant now);
+  /// Returns until when replicas are used whose entries have expired.
+  Instant endOfExpiryGrace(Span ageBefore, Instant now) const;
   void rebuildIndex();
   /// Returns the prefill backlog up to which the request is sent to an engine.
   /// Negative if the engine must have been without a backlog for some time.
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -313,8 +313,8 @@
 
 void Gateway::onReplicas(const ReplicaChanges &changes,
                          const ReplicaSource &source) {
-  for (const auto &it :
-       View.onRegistry(changes, source.Unreachable, TimerService::now()))
+  for (const auto &it : View.onRegistry(changes, source.Unreachable,
+                                        TimerService::now(), source.AgeBefore))
     onRestarted(*it);
   if (changes.Complete)
     Log.write(LogClass::State, "replicas-read",
--- a/UnitTests/Coordination/Route/ReplicaViewTest.cpp
+++ b/UnitTests/Coordination/Route/ReplicaViewTest.cpp
@@ -177,6 +177,22 @@
   CHECK(it.choose().Result == Kind::NoReplica);
 }
 
+TEST_CASE("the grace for expired entries counts from when a young list was "
+          "confirmed",
+          "[view]") {
+  ViewFixture it;
+  it.present({record("i-1")});
+  auto [age, usedFor] = GENERATE(table<milliseconds, milliseconds>(
+      {{milliseconds(1200), milliseconds(500)},
+       // The registry did not answer for longer than the grace.
+       {milliseconds(9000), milliseconds(1700)}}));
+  it.View.onRegistry({false, {}, {"i-1"}, 2}, true, it.Now, age);
+  it.Now += usedFor - milliseconds(1);
+  CHECK(it.choose().Result == Kind::Send);
+  it.Now += milliseconds(1);
+  CHECK(it.choose().Result == Kind::NoReplica);
+}
+
 TEST_CASE("one entry of many that disappears counts as removed, not expired",
           "[view]") {
   ViewFixture it;
