The window of a replica's limit is one constant

It stood twice, as the history of ungranted sends in ReplicaView and as the window of ReplicaQuota, which must agree: what is reported has to reach back as far as what is counted. ReplicaLimitWindow stands with the replica's record, which both include. No value changes.

--- a/Hemlockglade/Coordination/Quota/ReplicaQuota.h
+++ b/Hemlockglade/Coordination/Quota/ReplicaQuota.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hemlockglade/Coordination/Quota/TokenBucket.h"
+#include "Hemlockglade/State/Routing/ReplicaRecord.h"
 #include "Hemlockglade/State/Routing/Workspace.h"
 
 #include <string_view>
@@ -21,7 +22,7 @@
 class ReplicaQuota {
 public:
   struct Settings {
-    Span Window = std::chrono::seconds(4);
+    Span Window = ReplicaLimitWindow;
     /// What may arrive within a window: a multiple of what the limit allows,
     /// plus requests.
     double Overshoot = 1.5;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -131,7 +131,7 @@
     Span LimitedCostTime = std::chrono::milliseconds(2000);
     /// How long the times of this node's requests to a replica are kept, to be
     /// counted against a limit that it states.
-    Span SentHistory = std::chrono::seconds(4);
+    Span SentHistory = ReplicaLimitWindow;
     /// Prefill backlog that may remain when the next request is sent: the
     /// engine then never idles, and its running streams, whose tokens are
     /// generated between prefill chunks, have no long pause.
--- a/Hemlockglade/State/Routing/ReplicaRecord.h
+++ b/Hemlockglade/State/Routing/ReplicaRecord.h
@@ -60,6 +60,10 @@
   std::string Source;
 };
 
+/// Window in which the requests of all nodes to a replica are counted against a
+/// limit that it states.
+constexpr Span ReplicaLimitWindow = std::chrono::seconds(4);
+
 using ReplicaPtr = std::shared_ptr<const ReplicaRecord>;
 
 /// A version of an adapter's weights that operators have declared.
