A changed limit is sent on by the replica's own cell only, and membership has a file of its own

A changed limit made this node's members of all cells send a heartbeat, though CellMember sends only limits of its own cell's replicas: the others had no news. ReplicaView::failureDomainOf names the cell.

--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -210,6 +210,8 @@
   bool onLimit(const std::string &replica, std::optional<double> perSecond,
                Instant statedAt);
   std::optional<double> limitOf(const std::string &replica) const;
+  /// Returns the failure domain of a replica; empty if it is not known.
+  std::string failureDomainOf(const std::string &replica) const;
   /// Returns the limits of a failure domain's replicas that have changed since
   /// a revision of the limits.
   std::vector<StatedLimit> limitsSince(const std::string &domain,
--- /dev/null
+++ b/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
@@ -0,0 +1,204 @@
+// ReplicaView: which replicas exist, and which of them get new requests.
+
+#include "Hemlockglade/Coordination/Route/ReplicaView.h"
+
+#include <algorithm>
+
+namespace hemlockglade {
+
+namespace {
+
+Residency residencyOf(const ReplicaRecord &record, Instant now) {
+  Residency out;
+  for (const auto &[weights, version] : record.Held)
+    out[weights] = {version, now, false};
+  return out;
+}
+
+} // namespace
+
+bool ReplicaView::acceptIncarnation(const ReplicaIncarnation &incarnation,
+                                    Instant now,
+                                    std::vector<ReplicaPtr> &ended) {
+  auto [at, isFirst] =
+      LatestIncarnations.try_emplace(incarnation.id(), incarnation);
+  // A delayed heartbeat of an earlier incarnation, or an entry that does not
+  // report its start time where the previous one did.
+  if (incarnation.before(at->second))
+    return false;
+  if (!isFirst && at->second.before(incarnation))
+    if (auto it = Replicas.find(at->second.text()); it != Replicas.end()) {
+      it->second.Restarted = true;
+      it->second.RemoveAt = now;
+      ++Revision;
+      ended.push_back(it->second.Record);
+    }
+  at->second = incarnation;
+  return true;
+}
+
+void ReplicaView::applyRecord(const ReplicaRecord &record, Instant now,
+                              std::vector<ReplicaPtr> &ended) {
+  if (!acceptIncarnation(record.Incarnation, now, ended))
+    return;
+  auto [it, isNew] = Replicas.try_emplace(record.Incarnation.text());
+  auto &state = it->second;
+  // A delayed heartbeat from before the replica began to drain must not bring
+  // it back into use.
+  bool draining = record.Draining || (!isNew && state.Draining);
+  if (isNew || draining != state.Draining)
+    ++Revision;
+  state.Record = std::make_shared<const ReplicaRecord>(record);
+  state.Draining = draining;
+  state.RemoveAt.reset();
+  state.RemovalReturned = false;
+  if (isNew)
+    rebuildIndex();
+  if (auto pending = PendingResidency.find(record.Incarnation.text());
+      pending != PendingResidency.end()) {
+    state.Held = std::move(pending->second);
+    state.FromOwner = true;
+    PendingResidency.erase(pending);
+  }
+  if (!state.FromOwner) {
+    state.Held = residencyOf(record, now);
+    state.RejectedDueAt.clear();
+  }
+}
+
+std::vector<ReplicaPtr> ReplicaView::onRegistry(const ReplicaChanges &changes,
+                                                bool unreachable, Instant now,
+                                                Span ageBefore) {
+  std::vector<ReplicaPtr> ended;
+  for (const auto &it : changes.Present)
+    applyRecord(it, now, ended);
+  std::set<std::string> missing(changes.Removed.begin(), changes.Removed.end());
+  std::set<std::string> present(changes.Unreadable.begin(),
+                                changes.Unreadable.end());
+  for (const auto &it : changes.Present)
+    present.insert(it.Incarnation.id());
+  std::size_t usableCount = 0;
+  for (const auto &[key, state] : Replicas) {
+    const auto &id = state.Record->Incarnation.id();
+    usableCount += isUsable(state) ? 1 : 0;
+    if (changes.Complete && !present.contains(id))
+      missing.insert(id);
+  }
+  // Entries expire together when the registry itself was unavailable. A single
+  // entry that disappears while only this node was cut off is a replica that
+  // has been removed, for which the bound on new work already applies.
+  constexpr double MinExpiredShare = 1.0 / 3;
+  bool expired =
+      changes.RolledBack ||
+      (unreachable && static_cast<double>(missing.size()) >=
+                          MinExpiredShare * static_cast<double>(usableCount));
+  std::optional<Instant> usedUntil;
+  if (changes.RolledBack)
+    usedUntil = now + Options.ExpiryGrace;
+  else if (expired)
+    usedUntil = endOfExpiryGrace(ageBefore, now);
+  for (auto &[key, state] : Replicas)
+    if (missing.contains(state.Record->Incarnation.id()))
+      scheduleRemoval(state, usedUntil, now);
+  return ended;
+}
+
+Instant ReplicaView::endOfExpiryGrace(Span ageBefore, Instant now) const {
+  // Where the list was young, the registry answered all the while, and the
+  // entries may have been removed right after it was confirmed.
+  bool wasYoung = ageBefore <= Options.ExpiryGrace;
+  return now - (wasYoung ? ageBefore : Span(0)) + Options.ExpiryGrace;
+}
+
+void ReplicaView::scheduleRemoval(ReplicaState &state,
+                                  std::optional<Instant> usedUntil,
+                                  Instant now) {
+  if (!usedUntil) {
+    state.Draining = true;
+    ++Revision;
+  }
+  if (!state.RemoveAt)
+    state.RemoveAt = usedUntil.value_or(now);
+}
+
+void ReplicaView::onRestarted(const std::string &replica) {
+  if (auto it = Replicas.find(replica); it != Replicas.end()) {
+    it->second.Restarted = true;
+    ++Revision;
+  }
+}
+
+std::vector<ReplicaIncarnation> ReplicaView::removeExpired(Instant now) {
+  std::vector<ReplicaIncarnation> removed;
+  constexpr auto RetentionTime = std::chrono::seconds(10);
+  for (auto it = Replicas.begin(); it != Replicas.end();) {
+    auto &state = it->second;
+    if (state.RemoveAt && now >= *state.RemoveAt && !state.Draining) {
+      state.Draining = true;
+      ++Revision;
+    }
+    bool isRemoved = state.RemoveAt && now >= *state.RemoveAt;
+    if (isRemoved && !std::exchange(state.RemovalReturned, true))
+      removed.push_back(state.Record->Incarnation);
+    bool retentionOver =
+        state.RemoveAt && now >= *state.RemoveAt + RetentionTime;
+    if (state.CachedParts.size() > Options.MaxPromptParts)
+      state.CachedParts.clear();
+    if (!retentionOver || state.OwnRunning > 0) {
+      ++it;
+      continue;
+    }
+    const auto &incarnation = state.Record->Incarnation;
+    if (auto at = LatestIncarnations.find(incarnation.id());
+        at != LatestIncarnations.end() && at->second == incarnation)
+      LatestIncarnations.erase(at);
+    it = Replicas.erase(it);
+  }
+  rebuildIndex();
+  return removed;
+}
+
+void ReplicaView::rebuildIndex() {
+  ByService.clear();
+  for (auto &[id, state] : Replicas)
+    ByService[state.Record->Service].push_back(&state);
+}
+
+std::vector<ReplicaPtr>
+ReplicaView::replicasIn(const std::string &domain) const {
+  std::vector<ReplicaPtr> out;
+  for (const auto &[id, state] : Replicas)
+    if (isUsable(state) && state.Record->FailureDomain == domain)
+      out.push_back(state.Record);
+  return out;
+}
+
+std::vector<ReplicaPtr> ReplicaView::inUse() const {
+  std::vector<ReplicaPtr> out;
+  for (const auto &[id, state] : Replicas)
+    if (isUsable(state))
+      out.push_back(state.Record);
+  return out;
+}
+
+bool ReplicaView::hasPendingRemoval() const {
+  return std::any_of(Replicas.begin(), Replicas.end(), [](const auto &it) {
+    return isUsable(it.second) && it.second.RemoveAt;
+  });
+}
+
+std::string ReplicaView::failureDomainOf(const std::string &replica) const {
+  auto it = Replicas.find(replica);
+  return it == Replicas.end() ? "" : it->second.Record->FailureDomain;
+}
+
+bool ReplicaView::isDraining(const std::string &replica) const {
+  auto it = Replicas.find(replica);
+  return it != Replicas.end() && it->second.Draining;
+}
+
+bool ReplicaView::isUsable(const ReplicaState &state) {
+  return !state.Draining && !state.Restarted;
+}
+
+} // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/GatewayReplicaLimits.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReplicaLimits.cpp
@@ -36,8 +36,9 @@
   if (perSecond && !hadLimit)
     Quotas.addSent(replicaQuotaHolder(replica, *perSecond),
                    View.sentAgo(replica, TimerService::now()));
-  for (auto &[name, cell] : Cells)
-    cell->onLimitUpdate();
+  // Only the replica's own cell sends its limit on.
+  if (auto it = Cells.find(View.failureDomainOf(replica)); it != Cells.end())
+    it->second->onLimitUpdate();
 }
 
 } // namespace hemlockglade
