A poll that this process itself held up doesn't make an old list usable

A gateway that stands still while its poll is open finds the poll's timeout expired as it wakes, and would have taken that for a registry that does not answer: requests would go by the old list. A failure later than twice the timeout says nothing of the registry, and the next poll, at once, decides.

Found by reading the change; no run showed it. Ruled out: no timeouts at all in the rule (a silent registry would hold each request for the whole timeout).

Failed before: 'an old list of replicas is usable after a poll that timed out, but not after one that this process held up' needs the upper bound by construction; it passes with it, both ways. NodeTests of the gateway: 107 cases pass.

--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
@@ -242,7 +242,10 @@
     const tl::expected<ReplicaChanges, RegistryError> &result) {
   ReplicaPollOpen = false;
   auto took = TimerService::now() - ReplicasPolledAt;
-  ReplicaPollTimedOut = !result && took >= Options.Poll.AnswerTimeout;
+  // A poll that fails much later than its timeout was held up by this process,
+  // and says nothing of the registry.
+  auto timeout = Options.Poll.AnswerTimeout;
+  ReplicaPollTimedOut = !result && took >= timeout && took < 2 * timeout;
   if (result) {
     recordResult(ReplicaPoll, true);
     ReplicaRetryDelay = Options.Poll.RetryDelay;
--- a/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
@@ -48,7 +48,7 @@
     registry.WatchReplicas = [this](std::uint64_t, auto done) {
       ++ReplicaPolls;
       if (AnswersReplicaPolls == Answers::None)
-        return;
+        return HeldReplicaPolls.push_back(done);
       if (AnswersReplicaPolls == Answers::Refusals)
         return post(
             [done] { done(tl::unexpected(RegistryError::Unavailable)); });
@@ -73,6 +73,7 @@
     settings.Poll.RetryDelay = milliseconds(10);
     settings.MinStandbyRetryDelay = milliseconds(200);
     settings.Poll.MaxUsableAge = milliseconds(200);
+    settings.Poll.AnswerTimeout = milliseconds(200);
     settings.Poll.MaxOperatorAge = settings.Poll.MaxReplicaAge =
         milliseconds(1500);
     RegistryWatcher::Hooks hooks;
@@ -134,6 +135,7 @@
   TimerService Timers;
   std::uint64_t Position = 10;
   Answers AnswersReplicaPolls = Answers::Changes;
+  std::vector<RegistryCallback<ReplicaChanges>> HeldReplicaPolls;
   bool InformsPeers = false;
   bool IsStandby = false;
   /// Polls of declarations are kept open in `HeldPolls`.
@@ -279,6 +281,20 @@
   CHECK(it.Watcher->replicasAge() > milliseconds(200));
 }
 
+TEST_CASE("an old list of replicas is usable after a poll that timed out, but "
+          "not after one that this process held up",
+          "[gateway]") {
+  WatcherFixture it;
+  it.AnswersReplicaPolls = WatcherFixture::Answers::None;
+  REQUIRE(it.until([&] { return !it.HeldReplicaPolls.empty(); }));
+  bool heldUp = GENERATE(false, true);
+  WatcherFixture::standStill();
+  if (heldUp)
+    WatcherFixture::standStill();
+  it.HeldReplicaPolls[0](tl::unexpected(RegistryError::Unavailable));
+  CHECK(it.Watcher->refreshReplicasIfOld() == heldUp);
+}
+
 // Otherwise the follower's position passes the leave of a replica, and the
 // replica is used until its entry is removed.
 TEST_CASE("an owner that was briefed does not move followers past changes that "
