--- a/UnitTests/Platform/Soak/SoakProxy.cpp
+++ b/UnitTests/Platform/Soak/SoakProxy.cpp
@@ -37,7 +37,7 @@
 SoakProxy::SoakProxy(asio::io_context &context, std::uint16_t target)
     : SoakProxy(context, loopback(0), loopback(target)) {}
 
-SoakProxy::SoakProxy(asio::io_context &context, tcp::endpoint listenAt,
+SoakProxy::SoakProxy(asio::io_context &context, const tcp::endpoint &listenAt,
                      tcp::endpoint target)
     : Context(context), Timers(context), Acceptor(context, listenAt),
       Target(std::move(target)) {
--- a/UnitTests/Platform/Soak/SoakProxy.h
+++ b/UnitTests/Platform/Soak/SoakProxy.h
@@ -36,7 +36,7 @@
 
   /// Listens at a free port of 127.0.0.1 and forwards to another one.
   SoakProxy(asio::io_context &context, std::uint16_t target);
-  SoakProxy(asio::io_context &context, asio::ip::tcp::endpoint listenAt,
+  SoakProxy(asio::io_context &context, const asio::ip::tcp::endpoint &listenAt,
             asio::ip::tcp::endpoint target);
   ~SoakProxy();
 
