--- a/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
@@ -295,8 +295,7 @@
   CHECK(it.Watcher->refreshReplicasIfOld() == heldUp);
 }
 
-// Otherwise the follower's position passes the leave of a replica, and the
-// replica is used until its entry is removed.
+// It would use a replica that drains until the replica's entry is removed.
 TEST_CASE("an owner that was briefed does not move followers past changes that "
           "it never received",
           "[gateway]") {
