A line for an attempt without a connection says why, how long it took and how often

`not-connected` now has service, why, took_ms and the count of the request; `end` has the count, and a counter has it by service. No logic is changed.

--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -12,8 +12,34 @@
 /// Answers with a lower status are interim ones, which another one follows.
 constexpr std::uint16_t FirstFinalStatus = 200;
 
+ConnectFailure connectFailureOf(asio::error_code ec) {
+  if (ec == asio::error::connection_refused)
+    return ConnectFailure::Refused;
+  if (ec == asio::error::connection_reset)
+    return ConnectFailure::Reset;
+  if (ec == asio::error::timed_out)
+    return ConnectFailure::TimedOut;
+  return ConnectFailure::Other;
+}
+
 } // namespace
 
+std::string_view connectFailureName(ConnectFailure why) {
+  switch (why) {
+  case ConnectFailure::None:
+    return "none";
+  case ConnectFailure::TimedOut:
+    return "timed-out";
+  case ConnectFailure::Refused:
+    return "refused";
+  case ConnectFailure::Reset:
+    return "reset";
+  case ConnectFailure::Other:
+    return "other";
+  }
+  return "unknown";
+}
+
 HttpConnection::HttpConnection(asio::io_context &context,
                                asio::ip::tcp::endpoint address,
                                Settings settings)
@@ -52,7 +78,7 @@
   Reader.next(bodiless);
   if (IsClosed) {
     asio::post(Context, [self = shared_from_this()] {
-      self->fail(HttpFailure::NotConnected);
+      self->failToConnect(ConnectFailure::Other);
     });
     return;
   }
@@ -67,7 +93,7 @@
   Socket.open(Address.protocol(), ec);
   if (ec) {
     asio::post(Context, [self = shared_from_this()] {
-      self->fail(HttpFailure::NotConnected);
+      self->failToConnect(ConnectFailure::Other);
     });
     return;
   }
@@ -75,7 +101,7 @@
   ConnectTimer.expires_after(Options.ConnectTimeout);
   ConnectTimer.async_wait([self = shared_from_this()](asio::error_code ec) {
     if (!ec && self->IsConnecting)
-      self->fail(HttpFailure::NotConnected);
+      self->failToConnect(ConnectFailure::TimedOut);
   });
   Socket.async_connect(
       Address, [self = shared_from_this()](asio::error_code ec) {
@@ -83,7 +109,7 @@
           return;
         self->ConnectTimer.cancel();
         if (ec)
-          return self->fail(HttpFailure::NotConnected);
+          return self->failToConnect(connectFailureOf(ec));
         // Kept alive: the hook may end the call.
         auto hooks = self->Hooks;
         if (hooks && hooks->OnConnected)
@@ -203,6 +229,11 @@
     hooks->OnFailed(how);
 }
 
+void HttpConnection::failToConnect(ConnectFailure why) {
+  WhyNotConnected = why;
+  fail(HttpFailure::NotConnected);
+}
+
 void HttpConnection::abort() {
   Hooks.reset();
   closeSocket();
--- a/Hemlockglade/Transport/Http1/HttpConnection.h
+++ b/Hemlockglade/Transport/Http1/HttpConnection.h
@@ -23,6 +23,19 @@
   Ended,
 };
 
+/// Why no connection was established.
+enum class ConnectFailure : std::uint8_t {
+  None,
+  TimedOut,
+  Refused,
+  /// Reset while it was established.
+  Reset,
+  /// The connection was pooled and had ended, or no socket could be opened.
+  Other,
+};
+
+std::string_view connectFailureName(ConnectFailure why);
+
 /// Hooks of one call.
 struct HttpCallHooks {
   /// Called when a new connection is open, before anything is written. The
@@ -80,6 +93,8 @@
   /// announced it.
   std::optional<Span> keepAlive() const { return KeepAlive; }
   const asio::ip::tcp::endpoint &address() const { return Address; }
+  /// Returns why a call failed with `NotConnected`.
+  ConnectFailure connectFailure() const { return WhyNotConnected; }
 
 private:
   void connect();
@@ -90,6 +105,7 @@
   void onMessage();
   void onEnd(asio::error_code ec);
   void fail(HttpFailure how);
+  void failToConnect(ConnectFailure why);
   void closeSocket();
   void readKeepAlive(const HeaderFields &fields);
 
@@ -111,6 +127,7 @@
   bool Reusable = true;
   bool IsDiscarding = false;
   bool IsClosed = false;
+  ConnectFailure WhyNotConnected = ConnectFailure::None;
   Instant IdleSince{};
   std::optional<Span> KeepAlive;
 };
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -187,6 +187,8 @@
   /// For how long the weights' version of the last attempt had been replaced
   /// when it was sent; none if it was the newest known.
   std::optional<Span> replacedFor() const { return ReplacedFor; }
+  /// Number of attempts for which no connection was established.
+  std::uint32_t connectFailures() const { return ConnectFailures; }
   /// Whether an attempt was ended because it would have begun to run on weights
   /// that had been replaced too long ago.
   bool endedBeforeStart() const { return EndedBeforeStart; }
@@ -272,6 +274,7 @@
   /// Ends an attempt of which nothing was sent.
   void withdrawAttempt(AttemptVerdict verdict);
   void onFailed(HttpFailure how);
+  void onNotConnected();
   void onNotRun();
   /// Called when an attempt ended without a valid answer, so that it isn't
   /// known whether the request has run.
@@ -361,6 +364,7 @@
   /// Id of the last event that was forwarded.
   std::string LastEventId;
   std::uint64_t EventsPassed = 0;
+  std::uint32_t ConnectFailures = 0;
   /// Bytes of the bodies of the answers to all attempts.
   std::uint64_t AnswerBytes = 0;
   std::uint16_t Status = 0;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -204,12 +204,7 @@
 
 void GatewayExchange::onFailed(HttpFailure how) {
   if (how == HttpFailure::NotConnected) {
-    auto failed = Current->Replica->Incarnation.text();
-    withdrawAttempt(AttemptVerdict::NoValidAnswer);
-    Query.Excluded.insert(failed);
-    Shared.Log.write(LogClass::Request, "not-connected",
-                     {{"request", Labels.Id}, {"replica", failed}});
-    return sendOrHold();
+    return onNotConnected();
   }
   MayHaveRun = true;
   QuotaReserved = false;
@@ -219,6 +214,22 @@
   onAttemptFailed(why);
 }
 
+void GatewayExchange::onNotConnected() {
+  auto failed = Current->Replica->Incarnation.text();
+  auto why = connectFailureName(Current->Connection->connectFailure());
+  ++ConnectFailures;
+  Shared.Log.write(LogClass::Request, "not-connected",
+                   {{"request", Labels.Id},
+                    {"replica", failed},
+                    {"service", Query.Service},
+                    {"why", why},
+                    {"took_ms", TimerService::now() - Current->SentAt},
+                    {"failed", std::uint64_t{ConnectFailures}}});
+  withdrawAttempt(AttemptVerdict::NoValidAnswer);
+  Query.Excluded.insert(failed);
+  sendOrHold();
+}
+
 void GatewayExchange::reportBroken(std::string_view how) {
   auto now = TimerService::now();
   Shared.Log.write(
@@ -333,6 +344,7 @@
        {"weights", usesEngine() ? Query.Weights->text() : ""},
        {"wait", WaitReason},
        {"arrivals", static_cast<std::uint64_t>(AttemptedReplicas.size())},
+       {"not_connected", std::uint64_t{ConnectFailures}},
        {"events", EventsPassed},
        {"first_ms", TimeToFirstByte.value_or(Span(0))},
        {"took_ms", TimerService::now() - Request.ArrivedAt}});
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -75,6 +75,9 @@
 constexpr MetricFamily LimitedFamily{
     "hemlockglade_limited_replicas",
     "Replicas that state how many requests they accept from all nodes."};
+constexpr MetricFamily NotConnectedFamily{
+    "hemlockglade_not_connected_total",
+    "Attempts for which no connection to a replica was established."};
 constexpr MetricFamily LogLeftOutFamily{"hemlockglade_log_lines_left_out",
                                         "Log lines left out by the bound."};
 
@@ -109,6 +112,8 @@
         .record(inSeconds(*replaced));
   if (exchange.endedBeforeStart())
     Metrics.counter(NotBegunFamily, {{"service", service}}).add(1);
+  if (auto n = exchange.connectFailures())
+    Metrics.counter(NotConnectedFamily, {{"service", service}}).add(n);
   Meter.onBytes(exchange.bodyBytes(), TimerService::now());
   auto self =
       std::const_pointer_cast<GatewayExchange>(exchange.shared_from_this());
