A node that is cut off from all replicas of a service sends its requests through other nodes

What callers saw: nodes without a path to the replicas refused nearly all requests, most after holding them for 2.6 s, for the whole of a cut.

Cause: which replicas are usable was known from the registry, owners and other nodes only. Each request tried replica after replica (400 ms each) and knew of no other way. Ruled out as sufficient: naming other addresses alone, since callers keep theirs for up to 1.5 s and connections for longer.

Change: ReplicaReach holds what a node knows of its own paths, from its own connections: it is cut off from a service if several replicas can't be connected to, none could since, and those that still send data on older connections refuse new ones too. Failures, and silence of several replicas, start probes; while cut off, two are tried each 0.5 s. RelayService forwards a request to the replica that the other node has chosen, over one hop, with kept connections to replicas; its answers say whether anything was sent. Budgets, limits, retries and holding stay with the node that has the caller. RelaySelector takes relays from the nodes in service, near ones first, of two drawn the one with fewer requests.

--- a/Hemlockglade/Coordination/Entries/EntrySelector.h
+++ b/Hemlockglade/Coordination/Entries/EntrySelector.h
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/Coordination/Entries/EntryLoad.h"
 
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -13,9 +14,15 @@
   std::string Node;
   std::string CallerAddress;
   HostCapacity Host;
+  /// `ip:port` where it forwards requests for other nodes; empty if it does
+  /// not.
+  std::string RelayAddress;
+  /// Services whose replicas it can't reach.
+  std::set<std::string> CutOff;
 
   bool operator==(const EntryCandidate &other) const {
-    return Node == other.Node && CallerAddress == other.CallerAddress;
+    return Node == other.Node && CallerAddress == other.CallerAddress &&
+           RelayAddress == other.RelayAddress && CutOff == other.CutOff;
   }
 };
 
--- a/Hemlockglade/Coordination/Entries/ServingEntries.cpp
+++ b/Hemlockglade/Coordination/Entries/ServingEntries.cpp
@@ -34,14 +34,21 @@
   return {};
 }
 
-std::vector<EntryCandidate> ServingEntries::all() const {
+std::vector<DomainEntries> ServingEntries::byDomain() const {
   std::set<std::string> domains;
   for (const auto &[cell, reported] : ReportedByCell)
     for (const auto &it : reported)
       domains.insert(it.FailureDomain);
-  std::vector<EntryCandidate> out;
+  std::vector<DomainEntries> out;
   for (const auto &domain : domains)
-    for (auto &it : inDomain(domain))
+    out.push_back({domain, inDomain(domain)});
+  return out;
+}
+
+std::vector<EntryCandidate> ServingEntries::all() const {
+  std::vector<EntryCandidate> out;
+  for (auto &domain : byDomain())
+    for (auto &it : domain.Entries)
       out.push_back(std::move(it));
   return out;
 }
--- a/Hemlockglade/Coordination/Entries/ServingEntries.h
+++ b/Hemlockglade/Coordination/Entries/ServingEntries.h
@@ -32,6 +32,7 @@
   std::vector<EntryCandidate> inDomain(const std::string &domain) const;
   /// Returns the nodes in service of all failure domains.
   std::vector<EntryCandidate> all() const;
+  std::vector<DomainEntries> byDomain() const;
   bool serves(const std::string &node, const std::string &domain) const;
   /// Returns this node's part of what all nodes in service share: 0 if it is
   /// not one of them, or if none is known.
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -268,6 +268,11 @@
 
   /// Returns the records of the usable replicas in a failure domain.
   std::vector<ReplicaPtr> replicasIn(const std::string &domain) const;
+  /// Returns the records of the usable replicas of a service.
+  std::vector<ReplicaPtr> replicasOf(const std::string &service) const;
+  /// Returns the record of an incarnation that may get requests; null if there
+  /// is none.
+  ReplicaPtr findUsable(std::string_view incarnation) const;
   /// Returns the records of all usable replicas.
   std::vector<ReplicaPtr> inUse() const;
   /// Returns whether some replicas are still used although their entries have
--- a/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
@@ -173,6 +173,24 @@
   return out;
 }
 
+std::vector<ReplicaPtr>
+ReplicaView::replicasOf(const std::string &service) const {
+  std::vector<ReplicaPtr> out;
+  auto all = ByService.find(service);
+  if (all == ByService.end())
+    return out;
+  for (const auto *it : all->second)
+    if (isUsable(*it))
+      out.push_back(it->Record);
+  return out;
+}
+
+ReplicaPtr ReplicaView::findUsable(std::string_view incarnation) const {
+  auto it = Replicas.find(std::string(incarnation));
+  bool isFound = it != Replicas.end() && isUsable(it->second);
+  return isFound ? it->second.Record : nullptr;
+}
+
 std::vector<ReplicaPtr> ReplicaView::inUse() const {
   std::vector<ReplicaPtr> out;
   for (const auto &[id, state] : Replicas)
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -43,12 +43,29 @@
                  LinkMbps, Active)
 };
 
+/// A node's connectivity to replicas.
+struct ReachNotice {
+  /// `ip:port` where it forwards requests of other nodes.
+  std::string RelayAddress;
+  /// Services that it has received data from lately, and those none of whose
+  /// replicas it can connect to. Those in neither are not known.
+  std::vector<std::string> Reached;
+  std::vector<std::string> CutOff;
+  MSGPACK_DEFINE(RelayAddress, Reached, CutOff)
+
+  bool operator==(const ReachNotice &) const = default;
+};
+
 /// A node in service.
 struct EntryNotice {
   std::string Node;
   /// `ip:port` for callers.
   std::string CallerAddress;
-  MSGPACK_DEFINE(Node, CallerAddress)
+  /// `ip:port` where it forwards requests of other nodes.
+  std::string RelayAddress;
+  /// Services that it is cut off from.
+  std::vector<std::string> CutOff;
+  MSGPACK_DEFINE(Node, CallerAddress, RelayAddress, CutOff)
 };
 
 /// The nodes in service of one failure domain.
@@ -196,9 +213,12 @@
   /// Limits of the cell's replicas, as far as they changed since the last
   /// heartbeat; all of them in the first heartbeat of a stream.
   std::vector<LimitNotice> Limits;
+  /// The node's connectivity, if it changed since the last heartbeat and in the
+  /// first one of a stream; else empty.
+  std::vector<ReachNotice> Reach;
   MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief,
                  KnownPositions, RequestsPerSecond, BytesPerSecond, Crashes,
-                 SentAtUs, Limits)
+                 SentAtUs, Limits, Reach)
 };
 
 struct HeldNotice {
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
@@ -28,6 +28,7 @@
   map.text("address", out.Address, Presence::Required, "a numeric IPv4 address",
            isIpv4Address);
   map.number("peer_port", out.PeerPort, {0, 65535});
+  map.number("relay_port", out.RelayPort, {0, 65535});
   map.text("advertised_peer_address", out.AdvertisedPeerAddress,
            Presence::Optional, ExpectedAddress, isEndpointOrEmpty);
   map.text("caller_address", out.CallerAddress, Presence::Required,
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.h
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -24,6 +24,9 @@
   /// `Address` and `PeerPort`: behind a forwarder, for instance. Seeds are
   /// always reached at their own port for peers.
   std::string AdvertisedPeerAddress;
+  /// TCP port at `Address` where requests of nodes that can't reach a replica
+  /// are forwarded to it; 0 lets the kernel choose.
+  std::uint16_t RelayPort = 0;
   /// `ip:port` where callers are served.
   std::string CallerAddress;
   /// `ip:port` where readiness is served.
--- /dev/null
+++ b/Hemlockglade/Transport/Http1/RelayFields.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Hemlockglade/Transport/Http1/HttpMessage.h"
+
+namespace hemlockglade::relay_field {
+
+/// Header fields of requests and answers between a node that can't reach a
+/// replica and one that forwards to it. They are dropped from what callers and
+/// replicas send.
+
+/// Incarnation of the replica that a request is forwarded to.
+inline constexpr std::string_view Replica = "Relay-Replica";
+/// Maximum idle time, in milliseconds, of a kept connection to the replica that
+/// the request may be sent on; without it any may be used.
+inline constexpr std::string_view MaxIdle = "Relay-Max-Idle-Ms";
+/// In each answer: `Forwarded` if it is the replica's, else why there is none.
+/// An answer without it was given before the request was read.
+inline constexpr std::string_view Outcome = "Relay-Outcome";
+
+/// Removes these fields from a head's fields.
+inline void eraseAll(HeaderFields &fields) {
+  std::erase_if(fields, [](const auto &it) {
+    return sameFieldName(it.Name, Replica) || sameFieldName(it.Name, MaxIdle) ||
+           sameFieldName(it.Name, Outcome);
+  });
+}
+
+} // namespace hemlockglade::relay_field
+
+namespace hemlockglade::relay_outcome {
+
+inline constexpr std::string_view Forwarded = "forwarded";
+/// The request may have reached the replica, which sent no valid answer.
+inline constexpr std::string_view Broken = "broken";
+/// Nothing was sent to the replica: no connection to it was established.
+inline constexpr std::string_view NotConnected = "not-connected";
+/// Nothing was sent: the relaying node does not forward to this replica.
+inline constexpr std::string_view UnknownReplica = "unknown-replica";
+/// Nothing was sent: the relaying node is itself cut off from the service.
+inline constexpr std::string_view CutOff = "cut-off";
+/// Nothing was sent: the relaying node stops or has too many requests.
+inline constexpr std::string_view Busy = "busy";
+
+/// Returns the constant with this text; `Busy` if there is none.
+inline std::string_view known(std::string_view text) {
+  for (auto it : {Forwarded, Broken, NotConnected, UnknownReplica, CutOff})
+    if (it == text)
+      return it;
+  return Busy;
+}
+
+} // namespace hemlockglade::relay_outcome
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -240,6 +240,9 @@
     out.Crashes = takeUnsentCrashes(CrashesSentToOwner);
   if (!Owning)
     out.Limits = takeUnsentLimits(LimitsSentToOwner);
+  auto reachRevision = Callbacks.ReachRevision();
+  if (Owning || std::exchange(ReachSentToOwner, reachRevision) != reachRevision)
+    out.Reach.push_back(Callbacks.Reach());
   return out;
 }
 
@@ -288,6 +291,7 @@
   };
   CrashesSentToOwner = 0;
   LimitsSentToOwner = 0;
+  ReachSentToOwner = 0;
   auto first = takeHeartbeat();
   first.Uses = allUses();
   Owner = Net.open(OwnerAddress, std::string(peer_path::Cell) + Options.Cell,
@@ -333,7 +337,11 @@
   for (const auto &domain : received) {
     DomainEntries entries{domain.FailureDomain, {}};
     for (const auto &it : domain.Entries)
-      entries.Entries.push_back({it.Node, it.CallerAddress, {}});
+      entries.Entries.push_back({it.Node,
+                                 it.CallerAddress,
+                                 {},
+                                 it.RelayAddress,
+                                 {it.CutOff.begin(), it.CutOff.end()}});
     Entries.push_back(std::move(entries));
   }
   EntriesReceived = true;
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -98,6 +98,10 @@
     std::function<void(const RegistryUpdate &, Instant sentAfter)> OnUpdate;
     /// Requests that crash replicas, which nodes report to each other.
     CrashCoordinator *Crashes = nullptr;
+    /// This node's connectivity to replicas; its revision rises with each
+    /// change.
+    std::function<ReachNotice()> Reach;
+    std::function<std::uint64_t()> ReachRevision;
     /// Called when another node has reported a replica's limit.
     std::function<void(const StatedLimit &limit)> OnLimit;
   };
@@ -161,6 +165,7 @@
     std::map<std::string, std::uint32_t> Running;
     std::map<std::pair<std::string, std::string>, std::int32_t> Uses;
     EntryLoad Load;
+    ReachNotice Reach;
     /// Number of the last change of holdings that it was sent.
     std::uint64_t SentHoldings = 0;
     std::map<std::string, std::uint32_t> SentRunning;
@@ -268,6 +273,7 @@
   /// Revision of the crash records that the owner has been sent.
   std::uint64_t CrashesSentToOwner = 0;
   std::uint64_t LimitsSentToOwner = 0;
+  std::uint64_t ReachSentToOwner = 0;
   Instant StartedAt = TimerService::now();
   Instant OwnsSince{};
   std::vector<DomainEntries> Entries;
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -191,6 +191,10 @@
     follower.Self = heartbeat.Self;
     NodesChanged = true;
   }
+  if (!heartbeat.Reach.empty() && follower.Reach != heartbeat.Reach.front()) {
+    follower.Reach = heartbeat.Reach.front();
+    NodesChanged = true;
+  }
   follower.Running.clear();
   for (const auto &it : heartbeat.Running)
     follower.Running[it.Replica] = it.Running;
@@ -269,8 +273,11 @@
     if (!it.Self.Ready || !isResponsive(id, it, now))
       continue;
     auto &domain = domains[it.Self.FailureDomain];
-    domain.Ready.push_back(
-        {it.Self.Node, it.Self.CallerAddress, capacityOf(it.Self)});
+    domain.Ready.push_back({it.Self.Node,
+                            it.Self.CallerAddress,
+                            capacityOf(it.Self),
+                            it.Reach.RelayAddress,
+                            {it.Reach.CutOff.begin(), it.Reach.CutOff.end()}});
     domain.Load += it.Load;
   }
   std::vector<DomainEntries> chosen;
@@ -537,7 +544,10 @@
   for (const auto &domain : Entries) {
     DomainNotice notice{domain.FailureDomain, {}};
     for (const auto &it : domain.Entries)
-      notice.Entries.push_back({it.Node, it.CallerAddress});
+      notice.Entries.push_back({it.Node,
+                                it.CallerAddress,
+                                it.RelayAddress,
+                                {it.CutOff.begin(), it.CutOff.end()}});
     heartbeat.Entries.push_back(std::move(notice));
   }
 }
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -101,6 +101,10 @@
              quotaHooks(), Traffic, Log),
       SharedContext(exchangeContext()),
       ExchangeOptions(Settings.Decisions.Exchange),
+      Reach(ReplicaReach::Settings{},
+            [this](const std::string &service) {
+              return View.replicasOf(service);
+            }),
       NextSeed(std::hash<std::string>{}(Settings.Name)) {}
 
 Gateway::~Gateway() {
@@ -149,7 +153,8 @@
       limitHooks(),
       &Queue,
       replicaLimitHooks(),
-      replicaListHooks()};
+      replicaListHooks(),
+      pathHooks()};
 }
 
 ReplicaListHooks Gateway::replicaListHooks() {
@@ -161,6 +166,7 @@
 }
 
 void Gateway::start() {
+  startRelay();
   join();
   listen();
   RegistryWatcher::Hooks hooks;
@@ -255,6 +261,8 @@
       it->second->onPeerRow(*row);
   };
   hooks.OnServingEntries = [this] { updateServingEntries(); };
+  hooks.Reach = [this] { return reachNotice(); };
+  hooks.ReachRevision = [this] { return ReachRevision; };
   hooks.Crashes = &Crashes;
   hooks.OnLimit = [this](const StatedLimit &it) {
     onReplicaLimit(it.Replica, it.PerSecond, it.StatedAt, "node");
@@ -435,6 +443,7 @@
   for (auto &[name, cell] : Cells)
     cell->tick();
   Quotas.tick();
+  checkReach();
 }
 
 void Gateway::reload(const GatewaySettings &settings) {
@@ -470,7 +479,8 @@
   bool isQuiet = stopProgress() > QuietShare;
   if (isQuiet)
     Callers->closeIdle();
-  if (now < until && (!Exchanges.empty() || !isQuiet)) {
+  bool isIdle = Exchanges.empty() && Relay->active() == 0;
+  if (now < until && (!isIdle || !isQuiet)) {
     Timers.after(StopPollInterval,
                  [this, until](Instant) { waitUntilIdle(until); });
     return;
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Hemlockglade/Coordination/Entries/RelaySelector.h"
+#include "Hemlockglade/Coordination/Route/ReplicaReach.h"
 #include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
 #include "Hemlockglade/State/Metrics/MetricRegistry.h"
 #include "Hemlockglade/State/Routing/CallerAccess.h"
@@ -10,7 +12,9 @@
 #include "Programs/hemlockgladed/Gateway/PlatformPort.h"
 #include "Programs/hemlockgladed/Gateway/QuotaService.h"
 #include "Programs/hemlockgladed/Gateway/RegistryWatcher.h"
+#include "Programs/hemlockgladed/Gateway/RelayService.h"
 
+#include <random>
 #include <unordered_set>
 
 namespace hemlockglade {
@@ -133,6 +137,17 @@
   ExchangeContext exchangeContext();
   ReplicaLimitHooks replicaLimitHooks();
   ReplicaListHooks replicaListHooks();
+  PathHooks pathHooks();
+  ReplicaPath choosePath(const ReplicaRecord &replica,
+                         const std::set<std::string> &excludedRelays);
+  void startRelay();
+  /// Probes suspected paths to replicas, and acts on changed verdicts.
+  void checkReach();
+  void probePath(const ReplicaPtr &replica);
+  void onReachChange(const ReplicaReach::Change &change);
+  /// This node's connectivity as others are told.
+  ReachNotice reachNotice() const;
+  void updateReachNotice();
   /// Called when a replica's limit, or that it has none, is known from one of
   /// its answers or from another node.
   void onReplicaLimit(const std::string &replica,
@@ -163,6 +178,14 @@
   std::unique_ptr<PeerNet> Peers;
   std::map<std::string, std::unique_ptr<CellMember>> Cells;
   ServingEntries Entries;
+  /// Connectivity to the replicas, what others were told of it, and the nodes
+  /// that forward requests to replicas which can't be reached.
+  ReplicaReach Reach;
+  ReachNotice ToldReach;
+  std::uint64_t ReachRevision = 1;
+  RelaySelector Relays;
+  std::unique_ptr<RelayService> Relay;
+  std::mt19937_64 Random{std::random_device{}()};
   /// Meters of all requests, and of those for engines alone.
   EntryLoadMeter Meter;
   EntryLoadMeter EngineMeter;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Priorities at engines are 0 to 9, of which 9 is the least urgent.
-constexpr std::uint32_t LowestRank = 9;
-
 RequestKey keyOf(const CallerRequest &request, const RequestLabels &labels) {
   const auto *host = findField(request.Head.Fields, "Host");
   return RequestIdentity{labels.Caller, request.Head.Method,
@@ -178,6 +175,7 @@
     return armTimer();
   if (awaitsNewerList())
     return;
+  readmitUnconnected();
   auto choice = Shared.View.choose(Query, now);
   if (choice.Result == RouteChoice::Kind::Send && mustQueue(now))
     choice.Result = RouteChoice::Kind::Full;
@@ -302,22 +300,15 @@
     Query.Excluded.insert(choice.Replica->Incarnation.text());
     return waitForReplica(choice);
   }
-  ForwardLabels labels;
-  labels.TimeLeft = timeLeft();
-  labels.Incarnation = choice.Replica->Incarnation.id();
-  if (usesEngine())
-    labels.Priority = std::min(LowestRank, Query.Rank);
-  if (usesEngine() && choice.Version)
-    labels.Version = choice.Version;
-  labels.ResumeBehind = LastEventId;
-  labels.Workspace = workspace();
-  HttpRequestHead head{Request.Head.Method, Request.Head.Target, {}};
-  head.Fields = fieldsOf(Shared.Labels.Forward(Fields, labels));
-  if (!Request.Body.empty() || findField(Request.Head.Fields, "Content-Length"))
-    head.Fields.push_back(
-        {"Content-Length", std::to_string(Request.Body.size())});
-  else if (findField(Request.Head.Fields, "Transfer-Encoding"))
-    head.Fields.push_back({"Content-Length", "0"});
+  auto path = Shared.Paths.Choose
+                  ? Shared.Paths.Choose(*choice.Replica, ExcludedRelays)
+                  : ReplicaPath{};
+  if (path.Via == ReplicaPath::Kind::None)
+    return refuseUnreachable();
+  bool isRelayed = path.Via == ReplicaPath::Kind::Relayed;
+  if (isRelayed)
+    address = parseEndpoint(path.Relay);
+  auto head = headFor(choice, path);
   leaveQueue(true);
   Query.SentAt = now;
   Current = std::make_unique<Attempt>();
@@ -326,6 +317,7 @@
   Current->PrefillIdle = choice.PrefillIdle;
   Current->Version = choice.Version;
   Current->MustBeginBy = choice.MustBeginBy;
+  Current->Relay = path.Relay;
   Current->Grant = std::exchange(Grant, std::nullopt);
   Current->IsRetry = std::exchange(RetryReserved, false);
   if (Current->IsRetry)
@@ -347,6 +339,10 @@
   Current->Connection = Shared.Pool.take(
       address, runOnce ? Settings.MaxIdleForRunOnce : Span::max());
   bool reused = Current->Connection->open();
+  if (isRelayed)
+    Shared.Paths.OnRelaySent(path.Relay);
+  else if (Shared.Paths.OnSent)
+    Shared.Paths.OnSent(*choice.Replica);
   AttemptedReplicas.insert(choice.Replica->Incarnation.text());
   Shared.Crashes.OnSent(Key);
   EverSent = true;
@@ -374,10 +370,11 @@
        {"far", choice.Remote},
        {"attempt", static_cast<std::uint64_t>(AttemptedReplicas.size())},
        {"kept", reused},
+       {"relay", path.Relay},
        {"waited_ms", now - Request.ArrivedAt},
        {"wait", WaitReason},
        {"plan", Plan->version()},
-       {"left_ms", labels.TimeLeft}});
+       {"left_ms", timeLeft()}});
   HttpCallHooks hooks;
   auto weak = weak_from_this();
   auto number = Current->Number;
@@ -554,6 +551,8 @@
     QuotaReserved = false;
   Shared.View.onEnd(attempt->Replica->Incarnation.text(), attempt->Number,
                     Query, verdict, TimerService::now());
+  if (attempt->isRelayed())
+    Shared.Paths.OnRelayEnd(attempt->Relay);
   if (usesEngine())
     Shared.OnDone(*attempt->Replica, *Query.Weights);
   else if (Shared.PlainQueue)
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -84,6 +84,50 @@
   std::function<bool()> RefreshIfOld;
 };
 
+/// How a request gets to a replica.
+struct ReplicaPath {
+  enum class Kind : std::uint8_t {
+    Direct,
+    /// Through another node, which forwards it.
+    Relayed,
+    /// This node is cut off, and none of the relays that others could use is
+    /// left.
+    None,
+  };
+  Kind Via = Kind::Direct;
+  /// `ip:port` of the relay.
+  std::string Relay;
+};
+
+/// Why a relay did not forward a request.
+enum class RelayFault : std::uint8_t {
+  Unreachable,
+  /// It is cut off from the service itself.
+  CutOff,
+  /// It is busy or does not know the replica.
+  Refused,
+};
+
+/// Callbacks with which exchanges choose and report the paths to replicas.
+struct PathHooks {
+  /// Whether this node is cut off from all replicas of a service.
+  std::function<bool(const std::string &service)> IsCutOff;
+  std::function<ReplicaPath(const ReplicaRecord &replica,
+                            const std::set<std::string> &excludedRelays)>
+      Choose;
+  /// Called with what an attempt on the direct path has shown.
+  std::function<void(const ReplicaRecord &replica)> OnSent;
+  std::function<void(const ReplicaRecord &replica)> OnConnected;
+  std::function<void(const ReplicaRecord &replica)> OnHeard;
+  std::function<void(const ReplicaRecord &replica)> OnConnectFailed;
+  /// Called when a request is sent to a relay, and when that attempt has ended.
+  std::function<void(const std::string &relay)> OnRelaySent;
+  std::function<void(const std::string &relay)> OnRelayEnd;
+  std::function<void(const std::string &relay, const std::string &service,
+                     RelayFault why)>
+      OnRelayFault;
+};
+
 /// The parts of the node that all exchanges share.
 struct ExchangeContext {
   asio::io_context &Context;
@@ -124,6 +168,7 @@
   FairQueue *PlainQueue = nullptr;
   ReplicaLimitHooks ReplicaLimits{};
   ReplicaListHooks ReplicaList{};
+  PathHooks Paths{};
 };
 
 /// One request of a caller, from its arrival to its answer. Chooses a replica,
@@ -148,6 +193,9 @@
   /// Called when a version of weights has been declared, which may replace the
   /// one that an attempt waits to begin on.
   void onVersionDeclared(const WeightsRef &weights);
+  /// Called when this node has found to be cut off from a service's replicas:
+  /// an attempt that is still connecting to one is sent on another path.
+  void onCutOff(const std::string &service);
   /// Called when the request has been barred. Answers it, unless a replica has
   /// already sent events of its answer.
   void onBarred();
@@ -227,6 +275,14 @@
     bool IsRetry = false;
     /// Set if the replica states a limit.
     std::optional<ReplicaGrant> Grant;
+    /// `ip:port` of the node that forwards it; empty on the direct path.
+    std::string Relay;
+    /// What the relay's answer says, as in `relay_outcome`.
+    std::string_view RelayOutcome;
+    /// Parts of the answer received so far.
+    std::uint32_t Parts = 0;
+
+    bool isRelayed() const { return !Relay.empty(); }
   };
 
   /// Reserves quota from the workspace's limit, then sends or holds the
@@ -264,6 +320,8 @@
   void reportCongestion(Instant now);
   void logWait(const RouteChoice &choice, Instant now);
   bool onHead(const HttpAnswerHead &head);
+  /// Reports that the direct path to the replica carries data.
+  void reportHeard();
   /// Reports the limit that the replica's answer states, if it states any.
   void reportLimit(Instant now);
   void onBody(std::string_view part);
@@ -275,6 +333,17 @@
   void withdrawAttempt(AttemptVerdict verdict);
   void onFailed(HttpFailure how);
   void onNotConnected();
+  /// Called when a relay has answered in place of the replica.
+  void onRelayAnswer();
+  /// Ends an attempt that the relay has not forwarded, and tries another path.
+  void onNotRelayed(RelayFault why);
+  void onReplicaUnconnected();
+  /// Makes replicas usable again that were excluded because the direct path
+  /// failed.
+  void readmitUnconnected();
+  HttpRequestHead headFor(const RouteChoice &choice,
+                          const ReplicaPath &path) const;
+  void refuseUnreachable();
   void onNotRun();
   /// Called when an attempt ended without a valid answer, so that it isn't
   /// known whether the request has run.
@@ -359,6 +428,10 @@
   /// Incarnations that the request was sent to, without those that didn't run
   /// it.
   std::set<std::string> AttemptedReplicas;
+  /// Incarnations that are excluded because the direct path to them failed.
+  std::set<std::string> Unconnected;
+  /// Relays that did not forward this request.
+  std::set<std::string> ExcludedRelays;
   /// Backoff of each replica that sheds the request once more.
   std::map<std::string, Span> NextShedBackoff;
   /// Id of the last event that was forwarded.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -1,6 +1,7 @@
 // GatewayExchange: handling of replicas' answers and of failed attempts, and
 // the end of the exchange.
 
+#include "Hemlockglade/Transport/Http1/RelayFields.h"
 #include "Hemlockglade/Transport/Time/TimerService.h"
 #include "Programs/hemlockgladed/Gateway/GatewayExchange.h"
 #include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
@@ -36,6 +37,14 @@
 } // namespace
 
 bool GatewayExchange::onHead(const HttpAnswerHead &head) {
+  if (Current->isRelayed()) {
+    const auto *outcome = findField(head.Fields, relay_field::Outcome);
+    // Without the field the relay has refused the request unread.
+    Current->RelayOutcome =
+        outcome ? relay_outcome::known(*outcome) : relay_outcome::Busy;
+    if (Current->RelayOutcome != relay_outcome::Forwarded)
+      return true;
+  }
   auto labels = Shared.Labels.ReadAnswer(head.Status, viewsOf(head.Fields));
   if (!labels.Id.empty() && labels.Id != Labels.Id) {
     Shared.Log.write(LogClass::Request, "stray-answer",
@@ -47,7 +56,9 @@
   auto now = TimerService::now();
   onActivity();
   Current->Head = head;
+  relay_field::eraseAll(Current->Head->Fields);
   Current->Labels = labels;
+  reportHeard();
   Shared.View.onAnswered(Current->Replica->Incarnation.text(), Current->Number,
                          now);
   if (!labels.NotRun)
@@ -56,6 +67,11 @@
   return true;
 }
 
+void GatewayExchange::reportHeard() {
+  if (!Current->isRelayed() && Shared.Paths.OnHeard)
+    Shared.Paths.OnHeard(*Current->Replica);
+}
+
 void GatewayExchange::reportLimit(Instant now) {
   const auto &labels = Current->Labels;
   if (!Shared.ReplicaLimits.OnStated)
@@ -70,7 +86,12 @@
 }
 
 void GatewayExchange::onBody(std::string_view part) {
+  if (!Current->Head)
+    return;
   onActivity();
+  constexpr std::uint32_t PartsPerReport = 8;
+  if (++Current->Parts % PartsPerReport == 0)
+    reportHeard();
   AnswerBytes += part.size();
   bool events = Current->Labels.Events && isSuccess(Current->Head->Status) &&
                 Current->Labels.Sealed && !Current->Labels.Encoded;
@@ -116,6 +137,8 @@
 }
 
 void GatewayExchange::onDone() {
+  if (!Current->Head)
+    return onRelayAnswer();
   if (Current->Labels.NotRun)
     return onNotRun();
   bool success = isSuccess(Current->Head->Status);
@@ -189,6 +212,8 @@
 
 void GatewayExchange::onConnected() {
   auto replica = Current->Replica->Incarnation.text();
+  if (!Current->isRelayed() && Shared.Paths.OnConnected)
+    Shared.Paths.OnConnected(*Current->Replica);
   bool isOld =
       Shared.ReplicaList.RefreshIfOld && Shared.ReplicaList.RefreshIfOld();
   if (!isOld && !Shared.View.isDraining(replica))
@@ -214,22 +239,6 @@
   onAttemptFailed(why);
 }
 
-void GatewayExchange::onNotConnected() {
-  auto failed = Current->Replica->Incarnation.text();
-  auto why = connectFailureName(Current->Connection->connectFailure());
-  ++ConnectFailures;
-  Shared.Log.write(LogClass::Request, "not-connected",
-                   {{"request", Labels.Id},
-                    {"replica", failed},
-                    {"service", Query.Service},
-                    {"why", why},
-                    {"took_ms", TimerService::now() - Current->SentAt},
-                    {"failed", std::uint64_t{ConnectFailures}}});
-  withdrawAttempt(AttemptVerdict::NoValidAnswer);
-  Query.Excluded.insert(failed);
-  sendOrHold();
-}
-
 void GatewayExchange::reportBroken(std::string_view how) {
   auto now = TimerService::now();
   Shared.Log.write(
--- a/Programs/hemlockgladed/Gateway/GatewayListen.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayListen.cpp
@@ -49,12 +49,14 @@
           : Settings.MaxDescriptors / 2;
   auto maxCallers = static_cast<std::size_t>(
       CallerShare * static_cast<double>(usableDescriptors));
-  auto hooks = callerHooks();
-  hooks.OnRequest = [this](CallerRequest &&request, auto reply) {
+  auto callers = callerHooks();
+  callers.OnRequest = [this](CallerRequest &&request, auto reply) {
     onRequest(std::move(request), std::move(reply));
   };
   Callers = std::make_unique<CallerServer>(
-      Context, parseEndpoint(Settings.CallerAddress), maxCallers, hooks);
+      Context, parseEndpoint(Settings.CallerAddress), maxCallers,
+      std::move(callers));
+  auto hooks = callerHooks();
   auto serve = [this, &hooks](const std::string &address, auto handler) {
     hooks.OnRequest = [handler](const CallerRequest &request, auto reply) {
       handler(request, *reply);
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -78,6 +78,13 @@
 constexpr MetricFamily NotConnectedFamily{
     "hemlockglade_not_connected_total",
     "Attempts for which no connection to a replica was established."};
+constexpr MetricFamily CutOffFamily{
+    "hemlockglade_cut_off_services",
+    "Services none of whose replicas this node can connect to."};
+constexpr MetricFamily RelayedFamily{
+    "hemlockglade_relayed_requests",
+    "Requests of other nodes that this node has taken to forward to replicas, "
+    "since the start."};
 constexpr MetricFamily LogLeftOutFamily{"hemlockglade_log_lines_left_out",
                                         "Log lines left out by the bound."};
 
@@ -127,6 +134,7 @@
   for (const auto &it : View.removeExpired(TimerService::now()))
     Crashes.onEnded(it);
   Pool.tidy();
+  Relays.removeExpired(TimerService::now());
   Crashes.removeExpired();
   Port.Tidy();
   std::size_t waiting = 0;
@@ -149,6 +157,8 @@
   Metrics.gauge(SuspectsFamily).set(static_cast<double>(Crashes.suspects()));
   Metrics.gauge(BarredFamily).set(static_cast<double>(Crashes.barred()));
   Metrics.gauge(LimitedFamily).set(static_cast<double>(View.limitedCount()));
+  Metrics.gauge(CutOffFamily).set(static_cast<double>(Reach.cutOff().size()));
+  Metrics.gauge(RelayedFamily).set(static_cast<double>(Relay->total()));
   Metrics.gauge(EndsSeenFamily).set(static_cast<double>(Crashes.ended()));
   refreshUsage();
 }
--- /dev/null
+++ b/Programs/hemlockgladed/Gateway/GatewayReach.cpp
@@ -0,0 +1,156 @@
+// The part of Gateway that knows which replicas this node can connect to, and
+// finds other nodes that forward requests to those it can't.
+
+#include "Programs/hemlockgladed/Gateway/Gateway.h"
+
+#include "Hemlockglade/Transport/Http1/ListenProbe.h"
+
+#include <asio/post.hpp>
+
+namespace hemlockglade {
+
+namespace {
+
+/// As long as a request's own attempt to connect.
+constexpr auto PathProbeTimeout = std::chrono::milliseconds(400);
+
+} // namespace
+
+void Gateway::startRelay() {
+  RelayService::Settings options;
+  options.Address = Settings.Address + ":" + std::to_string(Settings.RelayPort);
+  RelayService::Hooks hooks;
+  hooks.Find = [this](std::string_view incarnation) {
+    return View.findUsable(incarnation);
+  };
+  hooks.IsCutOff = [this](const std::string &service) {
+    return Reach.isCutOff(service);
+  };
+  hooks.Stopping = [this] { return Stopping; };
+  hooks.Bounds = callerHooks().Bounds;
+  hooks.OnConnected = [this](const ReplicaRecord &replica) {
+    Reach.onConnected(replica, TimerService::now());
+  };
+  hooks.OnHeard = [this](const ReplicaRecord &replica) {
+    Reach.onHeard(replica, TimerService::now());
+  };
+  hooks.OnConnectFailed = [this](const ReplicaRecord &replica) {
+    Reach.onConnectFailed(replica, TimerService::now());
+  };
+  Relay = std::make_unique<RelayService>(
+      Context, std::move(options), std::move(hooks), Port.Labels, Pool, Log);
+}
+
+PathHooks Gateway::pathHooks() {
+  PathHooks hooks;
+  hooks.IsCutOff = [this](const std::string &service) {
+    return Reach.isCutOff(service);
+  };
+  hooks.Choose = [this](const ReplicaRecord &replica, const auto &excluded) {
+    return choosePath(replica, excluded);
+  };
+  hooks.OnSent = [this](const ReplicaRecord &replica) {
+    Reach.onSent(replica, TimerService::now());
+  };
+  hooks.OnConnected = [this](const ReplicaRecord &replica) {
+    Reach.onConnected(replica, TimerService::now());
+  };
+  hooks.OnHeard = [this](const ReplicaRecord &replica) {
+    Reach.onHeard(replica, TimerService::now());
+  };
+  hooks.OnConnectFailed = [this](const ReplicaRecord &replica) {
+    Reach.onConnectFailed(replica, TimerService::now());
+  };
+  hooks.OnRelaySent = [this](const std::string &relay) {
+    Relays.onSent(relay);
+  };
+  hooks.OnRelayEnd = [this](const std::string &relay) { Relays.onEnd(relay); };
+  hooks.OnRelayFault = [this](const std::string &relay,
+                              const std::string &service, RelayFault why) {
+    auto now = TimerService::now();
+    if (why == RelayFault::Unreachable)
+      Relays.onUnreachable(relay, now);
+    else if (why == RelayFault::CutOff)
+      Relays.onCutOff(relay, service, now);
+  };
+  return hooks;
+}
+
+ReplicaPath Gateway::choosePath(const ReplicaRecord &replica,
+                                const std::set<std::string> &excludedRelays) {
+  if (!Reach.isCutOff(replica.Service))
+    return {};
+  RelaySelector::Query query;
+  query.Service = replica.Service;
+  query.ReplicaDomain = replica.FailureDomain;
+  query.OwnNode = Settings.Name;
+  query.OwnDomain = Settings.FailureDomain;
+  query.Excluded = excludedRelays;
+  auto relay =
+      Relays.choose(Entries.byDomain(), query, Random(), TimerService::now());
+  if (relay)
+    return {ReplicaPath::Kind::Relayed, *relay};
+  // Where nobody else reaches the service either, its replicas have failed or
+  // may be back at any moment.
+  return {excludedRelays.empty() ? ReplicaPath::Kind::Direct
+                                 : ReplicaPath::Kind::None,
+          {}};
+}
+
+void Gateway::checkReach() {
+  for (const auto &it : Reach.takeProbes(TimerService::now()))
+    probePath(it);
+  for (const auto &it : Reach.takeChanges())
+    onReachChange(it);
+  updateReachNotice();
+}
+
+void Gateway::probePath(const ReplicaPtr &replica) {
+  probeListener(Context, parseEndpoint(replica->Address), PathProbeTimeout,
+                [this, replica](Listening result) {
+                  auto now = TimerService::now();
+                  if (result == Listening::Yes)
+                    Reach.onConnected(*replica, now);
+                  else
+                    Reach.onConnectFailed(*replica, now);
+                });
+}
+
+void Gateway::onReachChange(const ReplicaReach::Change &change) {
+  Log.write(
+      LogClass::State, change.IsCutOff ? "cut-off" : "reached-again",
+      {{"service", change.Service},
+       {"replicas",
+        static_cast<std::uint64_t>(View.replicasOf(change.Service).size())},
+       {"failed", static_cast<std::uint64_t>(change.Failed)},
+       {change.IsCutOff ? "first_failed_ms_ago" : "lasted_ms", change.Since}});
+  if (change.IsCutOff) {
+    // Connections that are open may be silent without having ended.
+    for (const auto &it : View.replicasOf(change.Service))
+      Pool.drop(parseEndpoint(it->Address));
+    auto open = Exchanges;
+    for (const auto &it : open)
+      it->onCutOff(change.Service);
+  }
+  wakeWaiting();
+}
+
+ReachNotice Gateway::reachNotice() const {
+  return {Settings.Address + ":" + std::to_string(Relay->port()),
+          Reach.reached(TimerService::now()), Reach.cutOff()};
+}
+
+void Gateway::updateReachNotice() {
+  auto notice = reachNotice();
+  if (notice == ToldReach)
+    return;
+  bool isUrgent = notice.CutOff != ToldReach.CutOff;
+  ToldReach = std::move(notice);
+  ++ReachRevision;
+  if (!isUrgent)
+    return;
+  for (auto &[name, cell] : Cells)
+    cell->sendHeartbeat();
+}
+
+} // namespace hemlockglade
--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -35,6 +35,8 @@
 /// Sets hooks that most tests don't use to do nothing.
 void setDefaultHooks(CellMember::Hooks &hooks, CrashCoordinator &crashes) {
   hooks.Crashes = &crashes;
+  hooks.Reach = [] { return ReachNotice{}; };
+  hooks.ReachRevision = [] { return std::uint64_t{1}; };
   hooks.OnChanged = [] {};
   hooks.Plan = [] { return nullptr; };
   hooks.After = [](Span, const std::function<void()> &) {};
