Callers are not sent to nodes that are cut off while others reach the replicas

What callers saw: the directory went on naming nodes that could not reach any replica. With relays these serve, at twice the work.

Change: owners leave out of the nodes in service those that are cut off from a service which another node has heard lately, unless the others could not bear the load; a failure domain without any is answered with the nodes of others. If nobody reaches the service, nobody is left out. A node left out asks callers to close their connections after an answer; it closes none itself and stays ready, since it serves.

--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Hemlockglade/Coordination/Entries/CutOffNodes.h"
 #include "Hemlockglade/Coordination/Entries/ServingEntries.h"
 #include "Hemlockglade/Coordination/Orders/CellLease.h"
 #include "Hemlockglade/Coordination/Orders/CellPlacement.h"
@@ -235,6 +236,8 @@
   /// Whether a node has sent a heartbeat lately.
   bool isResponsive(std::uint64_t id, const Follower &follower,
                     Instant now) const;
+  /// The nodes that are ready for callers, as far as they follow this one.
+  std::vector<NodeReach> readyNodes(Instant now) const;
   void chooseEntries(Instant now);
   void addEntries(OwnerHeartbeat &heartbeat) const;
   /// Number of followers that are sent notices at once of what is sent and
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -1,5 +1,6 @@
 // The part of CellMember that runs while the node owns the cell.
 
+#include "Hemlockglade/Coordination/Entries/CutOffNodes.h"
 #include "Programs/hemlockgladed/Gateway/CellMember.h"
 
 namespace hemlockglade {
@@ -260,6 +261,18 @@
          now - follower.ReceivedAt <= Options.MemberTimeout;
 }
 
+std::vector<NodeReach> CellMember::readyNodes(Instant now) const {
+  std::vector<NodeReach> out;
+  for (const auto &[id, it] : Followers)
+    if (it.Self.Ready && isResponsive(id, it, now))
+      out.push_back({it.Self.Node,
+                     capacityOf(it.Self),
+                     it.Load,
+                     {it.Reach.Reached.begin(), it.Reach.Reached.end()},
+                     {it.Reach.CutOff.begin(), it.Reach.CutOff.end()}});
+  return out;
+}
+
 void CellMember::chooseEntries(Instant now) {
   if (now - OwnsSince < Options.EntrySelectionDelay)
     return;
@@ -269,8 +282,10 @@
     EntryLoad Load;
   };
   std::map<std::string, Domain> domains;
+  auto leftOut = nodesToLeaveOut(readyNodes(now));
   for (const auto &[id, it] : Followers) {
-    if (!it.Self.Ready || !isResponsive(id, it, now))
+    if (!it.Self.Ready || !isResponsive(id, it, now) ||
+        leftOut.contains(it.Self.Node))
       continue;
     auto &domain = domains[it.Self.FailureDomain];
     domain.Ready.push_back({it.Self.Node,
@@ -295,6 +310,7 @@
               {{"cell", Options.Cell},
                {"failure_domain", it.FailureDomain},
                {"in_service", static_cast<std::uint64_t>(it.Entries.size())},
+               {"left_out", static_cast<std::uint64_t>(leftOut.size())},
                {"first", it.Entries.front().Node},
                {"ready", static_cast<std::uint64_t>(
                              domains[it.FailureDomain].Ready.size())},
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -190,6 +190,9 @@
   EntryLoadMeter Meter;
   EntryLoadMeter EngineMeter;
   bool InService = false;
+  /// Callers are sent to other nodes, since this one is cut off from replicas:
+  /// answers ask them to close their connections.
+  bool LeftOut = false;
   bool Active = false;
   /// When callers' requests for engines last had the rate that makes the node
   /// active.
--- a/Programs/hemlockgladed/Gateway/GatewayListen.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayListen.cpp
@@ -50,6 +50,7 @@
   auto maxCallers = static_cast<std::size_t>(
       CallerShare * static_cast<double>(usableDescriptors));
   auto callers = callerHooks();
+  callers.Closing = [this] { return Stopping || LeftOut; };
   callers.OnRequest = [this](CallerRequest &&request, auto reply) {
     onRequest(std::move(request), std::move(reply));
   };
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -89,6 +89,7 @@
     else
       Entries.forget(name);
   InService = Entries.serves(Settings.Name, Settings.FailureDomain);
+  LeftOut = !InService && !Reach.cutOff().empty() && !Entries.all().empty();
   auto share = Entries.shareOf(Settings.Name, Settings.FailureDomain);
   Budget.setTrafficShare(share);
   auto nodes = share > 0 ? std::lround(1 / share) : 1;
