An owner that can't reach its engines hands the cell to a node that does

Cause: the lease is renewed at the store, which such an owner reaches. Its orders can't go through another node: engines would see one epoch from two hosts.

Change: an owner cut off from the services of its cell's engines gives no orders, says so at once, so that other cells load, and hands the lease over once a node has reported for 0.3 s that it has heard the engines lately. A cut-off node leaves a free lease to others for 2.5 s more, and a cell of another failure domain isn't handed to one. Epochs are the lease's, as before.

--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -37,10 +37,12 @@
 void CellMember::tick() {
   bool follows = Callbacks.Follows();
   bool isStandby = !Callbacks.Self().Active;
+  CutOff = isCutOffFromEngines();
   // Only nodes in service compete for the cells of other failure domains.
   if (!isStandby || Options.Cell == Options.FailureDomain || Lease->held()) {
     Lease->tick(Options.TakeoverDelay +
-                    (isStandby ? Options.StandbyTakeoverDelay : Span(0)),
+                    (isStandby ? Options.StandbyTakeoverDelay : Span(0)) +
+                    (CutOff ? Options.CutOffTakeoverDelay : Span(0)),
                 isStandby ? Options.StandbyReadInterval + Options.StandbyJitter
                           : Span(0));
   }
@@ -76,7 +78,7 @@
 }
 
 bool CellMember::canOrder() const {
-  return Owning ? Lease->mayOrder() : OwnerOrders && isUpToDate();
+  return Owning ? Lease->mayOrder() && !CutOff : OwnerOrders && isUpToDate();
 }
 
 void CellMember::onVersion(const WeightsRef &weights, std::uint64_t version) {
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -51,6 +51,12 @@
     /// cell of its own failure domain over to a strong host there.
     std::string FailureDomain;
     Span BetterOwnerDelay = std::chrono::seconds(3);
+    /// An owner that can't reach the cell's engines hands the cell over once
+    /// another node has reported for this long that it does.
+    Span CutOffHandoverDelay = std::chrono::milliseconds(300);
+    /// How much longer a node that can't reach the engines leaves a free lease
+    /// to others.
+    Span CutOffTakeoverDelay = std::chrono::milliseconds(2500);
     /// A node that has sent no heartbeat for this long is not offered to
     /// callers.
     Span MemberTimeout = std::chrono::milliseconds(1200);
@@ -246,6 +252,18 @@
   void updateLeases();
   void countRunning();
   void removeExpiredFollowers(Instant now);
+  /// Whether this node is cut off from engines of the cell, so that its orders
+  /// would not arrive.
+  bool isCutOffFromEngines() const;
+  /// Returns the services with engines in the cell.
+  std::set<std::string> engineServices() const;
+  /// Whether a node can give orders to the cell's engines, as far as it
+  /// reports; `mustHaveReached` if it has to have received data from them
+  /// lately.
+  bool reachesEngines(const ReachNotice &reach, bool mustHaveReached) const;
+  /// Whether a node should own the cell in place of this one, which can't reach
+  /// its engines.
+  bool canTakeCutOffCell(const Follower &follower) const;
   /// Whether a node is in the cell's failure domain and this one is not, or is
   /// there as well on a much stronger host.
   bool isBetterOwner(const MemberNotice &member) const;
@@ -310,6 +328,8 @@
   std::vector<std::pair<std::uint64_t, SentNotice>> PendingSent;
   std::map<std::string, std::uint32_t> TotalRunning;
   Instant BroadcastAt{};
+  /// This node can't reach the cell's engines.
+  bool CutOff = false;
   /// Since when a better owner has been ready.
   std::optional<Instant> BetterOwnerSince;
   std::uint64_t Orders = 0;
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -56,7 +56,7 @@
     PlannerLimitRevision = View.limitRevision();
     Planner.setLimited(View.limitedIn(Options.Cell));
   }
-  for (const auto &it : Planner.plan(Lease->mayOrder(), now))
+  for (const auto &it : Planner.plan(canOrder(), now))
     execute(it);
 }
 
@@ -398,7 +398,7 @@
   out.LeaseVersion = Lease->version();
   out.RemainingUs = Lease->remaining().count();
   out.Fence = Lease->fence();
-  out.Ordering = Lease->mayOrder();
+  out.Ordering = canOrder();
   return out;
 }
 
@@ -464,6 +464,40 @@
       std::max(positions.Replica, heartbeat.Update.ReplicaPosition);
 }
 
+std::set<std::string> CellMember::engineServices() const {
+  std::set<std::string> out;
+  auto plan = Callbacks.Plan();
+  for (const auto &it : View.replicasIn(Options.Cell)) {
+    const auto *service = plan ? plan->service(it->Service) : nullptr;
+    if (service && service->Engine)
+      out.insert(it->Service);
+  }
+  return out;
+}
+
+bool CellMember::reachesEngines(const ReachNotice &reach,
+                                bool mustHaveReached) const {
+  if (reach.CutOff.empty() && !mustHaveReached)
+    return true;
+  auto contains = [](const auto &all, const std::string &it) {
+    return std::find(all.begin(), all.end(), it) != all.end();
+  };
+  for (const auto &it : engineServices())
+    if (contains(reach.CutOff, it) ||
+        (mustHaveReached && !contains(reach.Reached, it)))
+      return false;
+  return true;
+}
+
+bool CellMember::isCutOffFromEngines() const {
+  auto reach = Callbacks.Reach();
+  return !reach.CutOff.empty() && !reachesEngines(reach, false);
+}
+
+bool CellMember::canTakeCutOffCell(const Follower &follower) const {
+  return CutOff && follower.Self.Ready && reachesEngines(follower.Reach, true);
+}
+
 bool CellMember::isBetterOwner(const MemberNotice &member) const {
   bool near = Options.Cell == Options.FailureDomain;
   if (!member.Ready || member.FailureDomain != Options.Cell)
@@ -476,8 +510,11 @@
 void CellMember::handOverIfBetter(Instant now) {
   bool better = std::any_of(Followers.begin(), Followers.end(),
                             [this, now](const auto &it) {
-                              return isResponsive(it.first, it.second, now) &&
-                                     isBetterOwner(it.second.Self);
+                              const auto &node = it.second;
+                              bool better = isBetterOwner(node.Self) &&
+                                            reachesEngines(node.Reach, false);
+                              return isResponsive(it.first, node, now) &&
+                                     (better || canTakeCutOffCell(node));
                             });
   if (!better) {
     BetterOwnerSince.reset();
@@ -485,9 +522,12 @@
   }
   if (!BetterOwnerSince)
     BetterOwnerSince = now;
-  if (now - *BetterOwnerSince < Options.BetterOwnerDelay)
+  if (now - *BetterOwnerSince <
+      (CutOff ? Options.CutOffHandoverDelay : Options.BetterOwnerDelay))
     return;
   BetterOwnerSince.reset();
+  Log.write(LogClass::State, "hands-over",
+            {{"cell", Options.Cell}, {"cut_off", CutOff}});
   Lease->handOver();
 }
 
--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -232,6 +232,10 @@
     };
     hooks.Self = [this] { return node("n", OwnerIsStrong); };
     setDefaultHooks(hooks, Crashes);
+    hooks.Engines = {[](const auto &, const auto &, auto) {},
+                     [](const auto &, auto) {}};
+    hooks.Plan = [this] { return Plan; };
+    hooks.Reach = [this] { return OwnReach; };
     hooks.Leases = [] {
       return std::vector<std::pair<std::string, std::string>>{
           {"hall-b", "b p 10.0.0.9:7 3 0 1"}};
@@ -261,9 +265,11 @@
 
   /// Has another node follow; the heartbeats that it receives are kept.
   std::shared_ptr<PeerStream> follow(const MemberNotice &self,
-                                     double requestsPerSecond = 0) {
+                                     double requestsPerSecond = 0,
+                                     const ReachNotice &reach = {}) {
     NodeHeartbeat heartbeat;
     heartbeat.Self = self;
+    heartbeat.Reach = {reach};
     heartbeat.RequestsPerSecond = requestsPerSecond;
     PeerHooks hooks;
     hooks.OnMessage = [this, name = self.Node](std::string_view message) {
@@ -275,6 +281,20 @@
                          pack(heartbeat), std::move(hooks));
   }
 
+  /// Registers an engine of the cell.
+  void addEngine() {
+    ServiceSpec service{"llm", "/", 10, EngineSpec{}};
+    Plan = std::make_shared<const RoutePlan>(
+        1, std::vector<Route>{}, std::vector{service}, CallerLimits{});
+    ReplicaRecord record;
+    record.Incarnation = ReplicaIncarnation("i-1");
+    record.Service = "llm";
+    record.FailureDomain = "hall-a";
+    ReplicaChanges changes;
+    changes.Present = {record};
+    View.onRegistry(changes, false, TimerService::now());
+  }
+
   std::size_t entries() const {
     const auto *list = Member->servingEntries();
     return list && !list->empty() ? list->front().Entries.size() : 0;
@@ -290,6 +310,8 @@
   static constexpr Span SelectionDelay = std::chrono::milliseconds(100);
 
   bool OwnerIsStrong = false;
+  std::shared_ptr<const RoutePlan> Plan;
+  ReachNotice OwnReach;
   std::uint64_t Version = 0;
   std::optional<CellLeaseRow> Row;
   EventLog Log;
@@ -316,6 +338,28 @@
   REQUIRE(it.until([&] { return it.Row && it.Row->Released; }));
 }
 
+TEST_CASE("an owner that can't reach its engines hands the cell to a node that "
+          "does",
+          "[gateway]") {
+  OwnerFixture it;
+  it.OwnerIsStrong = true;
+  it.addEngine();
+  REQUIRE(it.until([&] { return it.Member->canOrder(); }));
+  it.OwnReach.CutOff = {"llm"};
+  SECTION("to a weaker node that has heard of the engines") {
+    auto node = it.follow(OwnerFixture::node("m", false), 0, {"", {"llm"}, {}});
+    CHECK(it.until([&] { return it.Row->Released; }));
+  }
+  SECTION("but to none that is cut off or has not heard of them") {
+    auto blind = it.follow(OwnerFixture::node("m", true), 0, {"", {}, {"llm"}});
+    auto idle = it.follow(OwnerFixture::node("k", false));
+    auto bound = TimerService::now() + std::chrono::milliseconds(900);
+    it.until([&] { return it.Row->Released || TimerService::now() > bound; });
+    CHECK(!it.Row->Released);
+    CHECK(!it.Member->canOrder());
+  }
+}
+
 TEST_CASE(
     "an owner's heartbeats echo the time of the node's last regular heartbeat",
     "[gateway]") {
