A path that is lost to all replicas accuses no request of crashing them

What callers would see: a request that runs as its node is cut off from all replicas with resets counts as having ended them; three such ends bar it at all nodes.

Cause: a refused probe of the address after a broken attempt was taken for the end of the replica, whatever became of the paths to the others.

Change: a refused probe proves an end at once only if another replica of the service was reached since; else it is probed again 0.3 s later, when it is known whether the node is cut off. Several connections of a service that break start probes at once. The registry's word and another incarnation's answer prove an end as before. The new test fails without the check (ended-under lines).

--- a/Hemlockglade/Coordination/Route/ReplicaReach.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaReach.cpp
@@ -4,9 +4,17 @@
 
 namespace hemlockglade {
 
+namespace {
+
+/// Replicas whose times are kept before old ones are removed.
+constexpr std::size_t MaxHeard = 256;
+
+} // namespace
+
 void ReplicaReach::onConnected(const ReplicaRecord &replica, Instant now) {
   auto &state = Services[replica.Service];
   state.ReachedAt = now;
+  state.HeardAt[replica.Incarnation.text()] = now;
   if (!state.CutOffSince) {
     state.Failed.clear();
     state.FirstFailureAt.reset();
@@ -31,6 +39,13 @@
   state.Awaited.insert(replica.Incarnation.text());
 }
 
+void ReplicaReach::onBroken(const ReplicaRecord &replica, Instant now) {
+  onSent(replica, now);
+  auto &state = Services[replica.Service];
+  state.AwaitedSince =
+      std::min(state.AwaitedSince, now - Options.SilenceTimeout);
+}
+
 void ReplicaReach::onHeard(const ReplicaRecord &replica, Instant now) {
   auto &state = Services[replica.Service];
   state.ReachedAt = now;
@@ -96,10 +111,15 @@
   return it != Services.end() && it->second.CutOffSince;
 }
 
-bool ReplicaReach::isSuspected(const std::string &service, Instant now) const {
-  auto it = Services.find(service);
-  return it != Services.end() && it->second.FirstFailureAt &&
-         now - *it->second.FirstFailureAt <= Options.FailureMemory;
+bool ReplicaReach::hasReachedOther(const ReplicaRecord &replica,
+                                   Instant since) const {
+  auto it = Services.find(replica.Service);
+  return it != Services.end() &&
+         std::any_of(it->second.HeardAt.begin(), it->second.HeardAt.end(),
+                     [&](const auto &heard) {
+                       return heard.second >= since &&
+                              heard.first != replica.Incarnation.text();
+                     });
 }
 
 std::vector<std::string> ReplicaReach::cutOff() const {
@@ -162,6 +182,10 @@
 std::vector<ReplicaPtr> ReplicaReach::takeProbes(Instant now) {
   std::vector<ReplicaPtr> out;
   for (auto &[service, state] : Services) {
+    if (state.HeardAt.size() > MaxHeard)
+      std::erase_if(state.HeardAt, [&](const auto &it) {
+        return now - it.second > Options.FailureMemory;
+      });
     if (!state.CutOffSince && !state.FirstFailureAt && state.Awaited.empty())
       continue;
     auto usable = Replicas(service);
--- a/Hemlockglade/Coordination/Route/ReplicaReach.h
+++ b/Hemlockglade/Coordination/Route/ReplicaReach.h
@@ -64,6 +64,8 @@
   void onConnected(const ReplicaRecord &replica, Instant now);
   /// Called when a request is sent to a replica, on any connection.
   void onSent(const ReplicaRecord &replica, Instant now);
+  /// Called when a connection to a replica broke while a request was there.
+  void onBroken(const ReplicaRecord &replica, Instant now);
   /// Called when data from a replica have arrived.
   void onHeard(const ReplicaRecord &replica, Instant now);
   /// Called when no connection to a replica could be established.
@@ -71,8 +73,9 @@
 
   /// Returns whether the node is cut off from all replicas of the service.
   bool isCutOff(const std::string &service) const;
-  /// Returns whether a failed connection is being verified.
-  bool isSuspected(const std::string &service, Instant now) const;
+  /// Returns whether another replica of the service has accepted a connection
+  /// or sent data since a time.
+  bool hasReachedOther(const ReplicaRecord &replica, Instant since) const;
   /// Returns the services that the node is cut off from.
   std::vector<std::string> cutOff() const;
   /// Returns the services that the node has reached lately.
@@ -89,7 +92,7 @@
     /// service was last established, and when.
     std::map<std::string, Instant> Failed;
     std::optional<Instant> FirstFailureAt;
-    /// When data of each replica were last received.
+    /// When each replica last sent data or accepted a connection.
     std::map<std::string, Instant> HeardAt;
     /// Replicas that requests were sent to since data of the service were last
     /// received, and since when.
--- a/Programs/hemlockgladed/Gateway/CrashCoordinator.cpp
+++ b/Programs/hemlockgladed/Gateway/CrashCoordinator.cpp
@@ -41,20 +41,35 @@
     probeLater(replica);
 }
 
+bool CrashCoordinator::provesEnd(const ReplicaRecord &replica, bool isRetry,
+                                 Instant probedAt) const {
+  // By the second probe it is known whether the node is cut off from all.
+  if (isRetry)
+    return !Callbacks.IsCutOff || !Callbacks.IsCutOff(replica);
+  return !Callbacks.HasReachedOther ||
+         Callbacks.HasReachedOther(replica, probedAt);
+}
+
 void CrashCoordinator::probe(const ReplicaRecord &replica, bool isRetry) {
-  Callbacks.Probe(replica.Address,
-                  [this, alive = Alive, replica, isRetry](Listening result) {
-                    if (!*alive || result == Listening::Unknown)
-                      return;
-                    if (result == Listening::Yes) {
-                      Detector.onListening(replica.Incarnation);
-                      if (!isRetry && Detector.needsProbe(replica.Incarnation))
-                        probeLater(replica);
-                      return;
-                    }
-                    ++Ended;
-                    onEnded(replica.Incarnation);
-                  });
+  auto probedAt = TimerService::now();
+  Callbacks.Probe(replica.Address, [this, alive = Alive, replica, isRetry,
+                                    probedAt](Listening result) {
+    if (!*alive || result == Listening::Unknown)
+      return;
+    if (result == Listening::No && !provesEnd(replica, isRetry, probedAt)) {
+      if (!isRetry)
+        probeLater(replica);
+      return;
+    }
+    if (result == Listening::Yes) {
+      Detector.onListening(replica.Incarnation);
+      if (!isRetry && Detector.needsProbe(replica.Incarnation))
+        probeLater(replica);
+      return;
+    }
+    ++Ended;
+    onEnded(replica.Incarnation);
+  });
 }
 
 void CrashCoordinator::probeLater(const ReplicaRecord &replica) {
--- a/Programs/hemlockgladed/Gateway/CrashCoordinator.h
+++ b/Programs/hemlockgladed/Gateway/CrashCoordinator.h
@@ -23,6 +23,13 @@
     std::function<void()> OnUpdate;
     /// Called when a request becomes barred.
     std::function<void(const RequestKey &key)> OnBarred;
+    /// Whether another replica of the service was reached since that time. If
+    /// not, the path of this node may have failed rather than the replica.
+    /// Unset means yes.
+    std::function<bool(const ReplicaRecord &replica, Instant since)>
+        HasReachedOther;
+    /// Whether this node is cut off from the replica's service; unset means no.
+    std::function<bool(const ReplicaRecord &replica)> IsCutOff;
   };
 
   CrashCoordinator(Hooks hooks, EventLog &log)
@@ -67,6 +74,9 @@
   /// Probes whether a process listens at the replica's address; `isRetry` if it
   /// is the second probe.
   void probe(const ReplicaRecord &replica, bool isRetry);
+  /// Whether a refused connection shows that the replica has ended.
+  bool provesEnd(const ReplicaRecord &replica, bool isRetry,
+                 Instant probedAt) const;
   void probeLater(const ReplicaRecord &replica);
   void recordEnds(std::string_view replica,
                   const std::vector<SuspectCrash> &ends);
--- a/Programs/hemlockgladed/Gateway/GatewayCrashes.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayCrashes.cpp
@@ -52,6 +52,12 @@
       cell->onCrashUpdate();
   };
   hooks.OnBarred = [this](const RequestKey &key) { onBarred(key); };
+  hooks.HasReachedOther = [this](const ReplicaRecord &replica, Instant since) {
+    return Reach.hasReachedOther(replica, since);
+  };
+  hooks.IsCutOff = [this](const ReplicaRecord &replica) {
+    return Reach.isCutOff(replica.Service);
+  };
   return hooks;
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -119,6 +119,7 @@
   std::function<void(const ReplicaRecord &replica)> OnSent;
   std::function<void(const ReplicaRecord &replica)> OnConnected;
   std::function<void(const ReplicaRecord &replica)> OnHeard;
+  std::function<void(const ReplicaRecord &replica)> OnBroken;
   std::function<void(const ReplicaRecord &replica)> OnConnectFailed;
   /// Called when a request is sent to a relay, and when that attempt has ended.
   std::function<void(const std::string &relay)> OnRelaySent;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -241,6 +241,8 @@
 
 void GatewayExchange::reportBroken(std::string_view how) {
   auto now = TimerService::now();
+  if (!Current->isRelayed() && Shared.Paths.OnBroken)
+    Shared.Paths.OnBroken(*Current->Replica);
   Shared.Log.write(
       LogClass::Request, "broke",
       {{"request", Labels.Id},
--- a/Programs/hemlockgladed/Gateway/GatewayReach.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReach.cpp
@@ -58,6 +58,9 @@
   hooks.OnHeard = [this](const ReplicaRecord &replica) {
     Reach.onHeard(replica, TimerService::now());
   };
+  hooks.OnBroken = [this](const ReplicaRecord &replica) {
+    Reach.onBroken(replica, TimerService::now());
+  };
   hooks.OnConnectFailed = [this](const ReplicaRecord &replica) {
     Reach.onConnectFailed(replica, TimerService::now());
   };
--- a/UnitTests/Node/Gateway/CutOffNodeTest.cpp
+++ b/UnitTests/Node/Gateway/CutOffNodeTest.cpp
@@ -73,4 +73,44 @@
   CHECK(it.lists(it.Second.Settings.CallerAddress));
 }
 
+TEST_CASE("a path that is lost to all replicas accuses no request of crashing "
+          "them",
+          "[cut-off]") {
+  GatewayFixture it;
+  it.Platform.declare(1, "/a/");
+  std::vector<std::unique_ptr<ScriptedReplica>> replicas;
+  for (int n = 0; n < ReplicaCount; ++n) {
+    replicas.push_back(std::make_unique<ScriptedReplica>(it.Context));
+    it.Platform.addReplica(replicas.back()->address());
+  }
+  it.start();
+  REQUIRE(it.untilReady());
+  std::vector<std::unique_ptr<RawPeer>> callers;
+  std::size_t running = 0;
+  for (int n = 0; n < 2 * ReplicaCount; ++n) {
+    callers.push_back(std::make_unique<RawPeer>(it.Context));
+    callers.back()->connect(parseEndpoint(it.Settings.CallerAddress).port());
+    callers.back()->send("GET /a/x HTTP/1.1\r\nHost: a.example\r\nId: r" +
+                         std::to_string(n) + "\r\n\r\n");
+  }
+  REQUIRE(it.until([&] {
+    running = 0;
+    for (const auto &replica : replicas)
+      running += replica->Requests.size();
+    return running == callers.size();
+  }));
+  for (const auto &replica : replicas)
+    replica->crash();
+  auto bound = TimerService::now() + milliseconds(1000);
+  it.until([bound] { return TimerService::now() > bound; });
+  auto isAbout = [](std::string_view event) {
+    return [event](const std::string &line) {
+      return line.find("\"event\":\"" + std::string(event) + "\"") !=
+             std::string::npos;
+    };
+  };
+  CHECK(std::any_of(it.Lines.begin(), it.Lines.end(), isAbout("cut-off")));
+  CHECK(std::none_of(it.Lines.begin(), it.Lines.end(), isAbout("ended-under")));
+}
+
 } // namespace hemlockglade::test
