A node left out stays active, and relays are known while owners change

Cause: a node that is left out of service went to standby after 3 s and was no longer told what engines hold; and as all three owners handed their cells over, nobody reported nodes in service for 2 s, so that no relay was known.

Change: a node left out for its paths stays active, and relays are taken from the last report while no owner's counts.

--- a/Hemlockglade/Coordination/Entries/ServingEntries.cpp
+++ b/Hemlockglade/Coordination/Entries/ServingEntries.cpp
@@ -20,7 +20,12 @@
 
 void ServingEntries::update(const std::string &cell,
                             std::vector<DomainEntries> reported) {
-  ReportedByCell[cell] = std::move(reported);
+  auto &current = ReportedByCell[cell];
+  if (current == reported)
+    return;
+  if (!reported.empty())
+    LastReported = reported;
+  current = std::move(reported);
 }
 
 std::vector<EntryCandidate>
@@ -45,6 +50,11 @@
   return out;
 }
 
+std::vector<DomainEntries> ServingEntries::lastKnown() const {
+  auto out = byDomain();
+  return out.empty() ? LastReported : out;
+}
+
 std::vector<EntryCandidate> ServingEntries::all() const {
   std::vector<EntryCandidate> out;
   for (auto &domain : byDomain())
--- a/Hemlockglade/Coordination/Entries/ServingEntries.h
+++ b/Hemlockglade/Coordination/Entries/ServingEntries.h
@@ -33,6 +33,9 @@
   /// Returns the nodes in service of all failure domains.
   std::vector<EntryCandidate> all() const;
   std::vector<DomainEntries> byDomain() const;
+  /// Returns the nodes in service of each failure domain, or those that were
+  /// reported last if no owner's report counts at present.
+  std::vector<DomainEntries> lastKnown() const;
   bool serves(const std::string &node, const std::string &domain) const;
   /// Returns this node's part of what all nodes in service share: 0 if it is
   /// not one of them, or if none is known.
@@ -40,6 +43,7 @@
 
 private:
   std::map<std::string, std::vector<DomainEntries>> ReportedByCell;
+  std::vector<DomainEntries> LastReported;
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -98,7 +98,8 @@
   Crashes.setTrialSlot(std::hash<std::string>{}(Settings.Name),
                        static_cast<std::size_t>(nodes));
   bool recentlyRequested = TimerService::now() - LastRequestAt < ActivePeriod;
-  setActive(InService || ownsCells() || recentlyRequested,
+  // Callers go on coming for a while to a node that is left out.
+  setActive(InService || LeftOut || ownsCells() || recentlyRequested,
             InService ? "in service" : "no callers");
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayReach.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReach.cpp
@@ -89,8 +89,10 @@
   query.OwnNode = Settings.Name;
   query.OwnDomain = Settings.FailureDomain;
   query.Excluded = excludedRelays;
+  // An owner that is cut off hands its cell over, and the next one lists the
+  // nodes in service only after a while.
   auto relay =
-      Relays.choose(Entries.byDomain(), query, Random(), TimerService::now());
+      Relays.choose(Entries.lastKnown(), query, Random(), TimerService::now());
   if (relay)
     return {ReplicaPath::Kind::Relayed, *relay};
   // Where nobody else reaches the service either, its replicas have failed or
