Soak: gateways are cut off from all replicas on real processes

The kernel drops packets of single gateways at the replicas' listeners by their source address (a socket filter, no rights needed), so that connections hang as behind a partition; open ones hang too or live on. A gateway may make its connections from a set address for that (outgoing_address, also for hosts with several).

--- a/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
@@ -21,6 +21,10 @@
   return text.empty() || isEndpointAddress(text);
 }
 
+bool isIpv4OrEmpty(std::string_view text) {
+  return text.empty() || isIpv4Address(text);
+}
+
 /// Binds every key of the schema to its member.
 void bindKeys(SchemaReader &map, GatewaySettings &out) {
   map.name("name", out.Name, Presence::Required);
@@ -28,6 +32,8 @@
   map.text("address", out.Address, Presence::Required, "a numeric IPv4 address",
            isIpv4Address);
   map.number("peer_port", out.PeerPort, {0, 65535});
+  map.text("outgoing_address", out.OutgoingAddress, Presence::Optional,
+           "a numeric IPv4 address", isIpv4OrEmpty);
   map.number("relay_port", out.RelayPort, {0, 65535});
   map.text("advertised_peer_address", out.AdvertisedPeerAddress,
            Presence::Optional, ExpectedAddress, isEndpointOrEmpty);
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.h
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -20,6 +20,9 @@
   /// Numeric address for peers.
   std::string Address;
   std::uint16_t PeerPort = 0;
+  /// Numeric local address that connections to replicas are made from, for
+  /// hosts with several; empty lets the kernel choose.
+  std::string OutgoingAddress;
   /// `ip:port` at which other nodes reach this one, if it is another one than
   /// `Address` and `PeerPort`: behind a forwarder, for instance. Seeds are
   /// always reached at their own port for peers.
--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -98,6 +98,12 @@
     return;
   }
   setUpSocket(Socket, Options.Silence);
+  if (Options.LocalAddress && !bindLocal(Socket, *Options.LocalAddress)) {
+    asio::post(Context, [self = shared_from_this()] {
+      self->failToConnect(ConnectFailure::Other);
+    });
+    return;
+  }
   ConnectTimer.expires_after(Options.ConnectTimeout);
   ConnectTimer.async_wait([self = shared_from_this()](asio::error_code ec) {
     if (!ec && self->IsConnecting)
--- a/Hemlockglade/Transport/Http1/HttpConnection.h
+++ b/Hemlockglade/Transport/Http1/HttpConnection.h
@@ -58,6 +58,8 @@
   struct Settings {
     /// Timeout for establishing the connection.
     Span ConnectTimeout = std::chrono::milliseconds(400);
+    /// Local address that it is made from; the kernel's choice if unset.
+    std::optional<asio::ip::address> LocalAddress;
     SilenceTimeouts Silence;
   };
 
--- a/Hemlockglade/Transport/Http1/ListenProbe.cpp
+++ b/Hemlockglade/Transport/Http1/ListenProbe.cpp
@@ -1,5 +1,7 @@
 #include "Hemlockglade/Transport/Http1/ListenProbe.h"
 
+#include "Hemlockglade/Transport/Http1/SocketOptions.h"
+
 #include <asio/steady_timer.hpp>
 #include <memory>
 
@@ -35,7 +37,8 @@
 
 void probeListener(asio::io_context &context,
                    const asio::ip::tcp::endpoint &address, Span timeout,
-                   std::function<void(Listening)> done) {
+                   std::function<void(Listening)> done,
+                   const std::optional<asio::ip::address> &local) {
   auto probe = std::make_shared<Probe>(context);
   probe->Done = std::move(done);
   probe->Timer.expires_after(timeout);
@@ -43,6 +46,10 @@
     if (!ec)
       probe->finish(Listening::Unknown);
   });
+  asio::error_code ec;
+  probe->Socket.open(address.protocol(), ec);
+  if (local && !ec)
+    bindLocal(probe->Socket, *local);
   probe->Socket.async_connect(address, [probe](asio::error_code ec) {
     probe->finish(toListening(ec));
   });
--- a/Hemlockglade/Transport/Http1/ListenProbe.h
+++ b/Hemlockglade/Transport/Http1/ListenProbe.h
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <functional>
+#include <optional>
 
 namespace hemlockglade {
 
@@ -19,9 +20,10 @@
 };
 
 /// Probes whether a process listens at an address. Connects only and sends no
-/// bytes.
+/// bytes. `local` is the address that it connects from, if set.
 void probeListener(asio::io_context &context,
                    const asio::ip::tcp::endpoint &address, Span timeout,
-                   std::function<void(Listening)> done);
+                   std::function<void(Listening)> done,
+                   const std::optional<asio::ip::address> &local = {});
 
 } // namespace hemlockglade
--- a/Hemlockglade/Transport/Http1/SocketOptions.cpp
+++ b/Hemlockglade/Transport/Http1/SocketOptions.cpp
@@ -31,6 +31,22 @@
          static_cast<int>(timeouts.Unacknowledged.count()));
 }
 
+bool bindLocal(asio::ip::tcp::socket &socket,
+               const asio::ip::address &address) {
+  int on = 1;
+  ::setsockopt(socket.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on,
+               sizeof on);
+  asio::error_code ec;
+  socket.bind({address, 0}, ec);
+  return !ec;
+}
+
+std::optional<asio::ip::address> parseLocalAddress(const std::string &text) {
+  if (text.empty())
+    return std::nullopt;
+  return asio::ip::make_address(text);
+}
+
 void resetSocket(asio::ip::tcp::socket &socket) {
   asio::error_code ec;
   socket.set_option(asio::socket_base::linger(true, 0), ec);
--- a/Hemlockglade/Transport/Http1/SocketOptions.h
+++ b/Hemlockglade/Transport/Http1/SocketOptions.h
@@ -2,6 +2,8 @@
 
 #include <asio/ip/tcp.hpp>
 #include <chrono>
+#include <optional>
+#include <string>
 
 namespace hemlockglade {
 
@@ -19,6 +21,14 @@
 void setUpSocket(asio::ip::tcp::socket &socket,
                  const SilenceTimeouts &timeouts);
 
+/// Binds an open socket to a local address, with a port that the kernel chooses
+/// as it connects. Returns whether the host has the address.
+bool bindLocal(asio::ip::tcp::socket &socket, const asio::ip::address &address);
+
+/// Parses the text of a local address; nothing if it is empty. Throws
+/// asio::system_error if it is no address.
+std::optional<asio::ip::address> parseLocalAddress(const std::string &text);
+
 /// Resets a connection. Unsent bytes are dropped, so that a request that timed
 /// out can't arrive later.
 void resetSocket(asio::ip::tcp::socket &socket);
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -58,6 +58,12 @@
   return out;
 }
 
+HttpPool::Settings replicaPoolSettings(const GatewaySettings &settings) {
+  HttpPool::Settings out;
+  out.Connection.LocalAddress = parseLocalAddress(settings.OutgoingAddress);
+  return out;
+}
+
 /// Spreads the times at which standby nodes read lease rows.
 Span standbyJitter(const std::string &node) {
   constexpr Span MaxJitter = std::chrono::milliseconds(1000);
@@ -95,7 +101,8 @@
             LapseShare * static_cast<double>(Settings.DrainBound.count())));
         return out;
       }()),
-      Budget(retryBudgetOf(Settings)), Pool(context, HttpPool::Settings{}),
+      Budget(retryBudgetOf(Settings)),
+      Pool(context, replicaPoolSettings(Settings)),
       Crashes(crashCoordinatorHooks(), Log),
       Quotas(Settings.FailureDomains, Settings.FailureDomain, Settings.Quota,
              quotaHooks(), Traffic, Log),
--- a/Programs/hemlockgladed/Gateway/GatewayCrashes.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayCrashes.cpp
@@ -42,7 +42,7 @@
   hooks.Probe = [this](const std::string &address,
                        std::function<void(Listening)> done) {
     probeListener(Context, parseEndpoint(address), ProbeTimeout,
-                  std::move(done));
+                  std::move(done), parseLocalAddress(Settings.OutgoingAddress));
   };
   hooks.After = [this](Span delay, std::function<void()> call) {
     Timers.after(delay, [call = std::move(call)](Instant) { call(); });
--- a/Programs/hemlockgladed/Gateway/GatewayReach.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReach.cpp
@@ -111,14 +111,16 @@
 }
 
 void Gateway::probePath(const ReplicaPtr &replica) {
-  probeListener(Context, parseEndpoint(replica->Address), PathProbeTimeout,
-                [this, replica](Listening result) {
-                  auto now = TimerService::now();
-                  if (result == Listening::Yes)
-                    Reach.onConnected(*replica, now);
-                  else
-                    Reach.onConnectFailed(*replica, now);
-                });
+  probeListener(
+      Context, parseEndpoint(replica->Address), PathProbeTimeout,
+      [this, replica](Listening result) {
+        auto now = TimerService::now();
+        if (result == Listening::Yes)
+          Reach.onConnected(*replica, now);
+        else
+          Reach.onConnectFailed(*replica, now);
+      },
+      parseLocalAddress(Settings.OutgoingAddress));
 }
 
 void Gateway::onReachChange(const ReplicaReach::Change &change) {
--- a/UnitTests/Platform/Soak/SoakCallers.cpp
+++ b/UnitTests/Platform/Soak/SoakCallers.cpp
@@ -174,7 +174,10 @@
 
 void SoakCallers::send() {
   auto it = drawCall();
-  auto address = Targets.All[Random() % Targets.All.size()];
+  constexpr std::uint64_t KeptOneIn = 3;
+  bool usesKept = !KeptAddresses.empty() && LastId % KeptOneIn == 0;
+  const auto &targets = usesKept ? KeptAddresses : Targets.All;
+  auto address = targets[Random() % targets.size()];
   it->To = nodeNameOf(address);
   it->Connection = Pool.take(parseEndpoint(address), std::chrono::seconds(5));
   it->Reused = it->Connection->open();
--- a/UnitTests/Platform/Soak/SoakCallers.h
+++ b/UnitTests/Platform/Soak/SoakCallers.h
@@ -39,6 +39,11 @@
   void setCrashingInterval(Span interval) { CrashingInterval = interval; }
   /// Makes callers send the keys of these workspaces; not owned.
   void setWorkspaces(SoakWorkspaces *all) { Workspaces = all; }
+  /// Sends one in three requests to one of these addresses, as callers that
+  /// keep an address do; none if empty.
+  void setKeptAddresses(std::vector<std::string> addresses) {
+    KeptAddresses = std::move(addresses);
+  }
   void start();
   void stop() { Running = false; }
   bool isIdle() const { return OpenCalls == 0; }
@@ -81,6 +86,7 @@
   HttpCaller DirectoryCaller;
   std::mt19937_64 Random;
   Addresses Targets;
+  std::vector<std::string> KeptAddresses;
   double Rate = 40;
   Span CrashingInterval{0};
   /// A separate generator, so that its use doesn't change what the same seed
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -3,6 +3,7 @@
 
 #include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
 #include "UnitTests/History/HistoryChecker.h"
+#include "UnitTests/Platform/Soak/SoakCutOffs.h"
 #include "UnitTests/Platform/Soak/SoakDraining.h"
 #include "UnitTests/Platform/Soak/SoakLimits.h"
 #include "UnitTests/Platform/Soak/SoakVersions.h"
@@ -50,6 +51,9 @@
 DEFINE_double(stale_lists_every, 0,
               "time between events that leave gateways with an old list of "
               "replicas while a replica drains, in seconds; 0 for none");
+DEFINE_double(cut_off_every, 0,
+              "time between cuts of gateways from all replicas, in seconds, at "
+              "least 7; 0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -152,6 +156,20 @@
   return findings.Late.empty();
 }
 
+bool checkCutOffGateways(const std::vector<HistoryEvent> &events) {
+  constexpr auto ContactTime = std::chrono::seconds(3);
+  auto findings = checkCutOffs(events, ContactTime);
+  printResult(findings.Poor.empty(),
+              "gateways that are cut off from all replicas serve: " +
+                  std::to_string(findings.Poor.size()) + " of " +
+                  std::to_string(findings.Checked) + " cuts do not; " +
+                  std::to_string(findings.Served) + " of " +
+                  std::to_string(findings.Sent) + " requests served there");
+  for (const auto &it : findings.Poor)
+    std::cout << "  " << it << '\n';
+  return findings.Poor.empty();
+}
+
 bool printVerdict(SoakWorld &world, Span versionBound) {
   HistoryBounds bounds;
   bounds.Configuration = GatewaySettings{}.PlanBound;
@@ -159,6 +177,7 @@
   bool isHeld = checkVersionBound(events, versionBound);
   isHeld = checkStatedLimits(events) && isHeld;
   isHeld = checkDrainingReplicas(events) && isHeld;
+  isHeld = checkCutOffGateways(events) && isHeld;
   HistoryChecker checker(std::move(events), bounds);
   for (const auto &verdict : checker.check()) {
     constexpr std::size_t Shown = 5;
@@ -218,6 +237,7 @@
     settings.VersionBound = std::chrono::seconds(2);
   settings.LimitInterval = spanOf(FLAGS_limits_every);
   settings.StaleListInterval = spanOf(FLAGS_stale_lists_every);
+  settings.CutOffInterval = spanOf(FLAGS_cut_off_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
--- a/UnitTests/Platform/Soak/SoakNode.cpp
+++ b/UnitTests/Platform/Soak/SoakNode.cpp
@@ -41,6 +41,8 @@
   out << "name: " << Options.Name
       << "\nfailure_domain: " << Options.FailureDomain
       << "\naddress: " << Options.Address
+      << "\noutgoing_address: " << Options.Address
+      << "\nrelay_port: " << Options.FirstPort + RelayPort
       << "\npeer_port: " << Options.FirstPort + PeerPort
       << "\ncaller_address: \"" << addressAt(0) << "\"\nreadiness_address: \""
       << addressAt(1) << "\"\ndirectory_address: \"" << addressAt(2)
--- a/UnitTests/Platform/Soak/SoakNode.h
+++ b/UnitTests/Platform/Soak/SoakNode.h
@@ -49,6 +49,7 @@
 
   const std::string &name() const { return Options.Name; }
   const std::string &domain() const { return Options.FailureDomain; }
+  const std::string &address() const { return Options.Address; }
   std::string callerAddress() const { return addressAt(0); }
   std::string directoryAddress() const { return addressAt(2); }
   bool isRunning() const { return Pid > 0; }
@@ -66,6 +67,7 @@
   /// Offsets of the ports for other gateways, and of the proxy before it.
   static constexpr int PeerPort = 4;
   static constexpr int PeerProxyPort = 5;
+  static constexpr int RelayPort = 6;
 
   std::string addressAt(int offset) const {
     return Options.Address + ":" + std::to_string(Options.FirstPort + offset);
--- a/UnitTests/Platform/Soak/SoakProxy.cpp
+++ b/UnitTests/Platform/Soak/SoakProxy.cpp
@@ -4,7 +4,12 @@
 
 #include <array>
 #include <asio/write.hpp>
+#include <cstddef>
 #include <deque>
+#include <linux/filter.h>
+#include <netinet/ip.h>
+#include <sys/socket.h>
+#include <system_error>
 
 namespace hemlockglade::soak {
 
@@ -16,6 +21,32 @@
   return {asio::ip::make_address("127.0.0.1"), port};
 }
 
+/// Has the kernel drop all packets to a socket from these addresses. Sockets
+/// that a listener accepts later inherit this.
+void dropPacketsFrom(int descriptor, const std::set<std::string> &addresses) {
+  if (addresses.empty()) {
+    int unused = 0;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_DETACH_FILTER, &unused,
+                 sizeof unused);
+    return;
+  }
+  constexpr std::uint32_t SourceAddress = static_cast<std::uint32_t>(
+      SKF_NET_OFF + static_cast<int>(offsetof(iphdr, saddr)));
+  std::vector<sock_filter> code;
+  code.push_back(BPF_STMT(BPF_LD | BPF_W | BPF_ABS, SourceAddress));
+  auto left = static_cast<std::uint8_t>(addresses.size());
+  for (const auto &it : addresses)
+    code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K,
+                            asio::ip::make_address_v4(it).to_uint(), left--,
+                            0));
+  code.push_back(BPF_STMT(BPF_RET | BPF_K, UINT32_MAX));
+  code.push_back(BPF_STMT(BPF_RET | BPF_K, 0));
+  sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
+  if (::setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                   sizeof program) != 0)
+    throw std::system_error(errno, std::generic_category(), "packet filter");
+}
+
 } // namespace
 
 struct SoakProxy::Pipe {
@@ -115,9 +146,21 @@
   if (Acceptor.is_open())
     return;
   Acceptor = tcp::acceptor(Context, loopback(0));
+  dropPacketsFrom(Acceptor.native_handle(), CutOffAddresses);
   accept();
 }
 
+void SoakProxy::cutOff(std::set<std::string> addresses, bool dropsOpen) {
+  CutOffAddresses = std::move(addresses);
+  if (Acceptor.is_open())
+    dropPacketsFrom(Acceptor.native_handle(), CutOffAddresses);
+  bool isHealed = CutOffAddresses.empty();
+  for (auto &it : Pipes)
+    if (auto pipe = it.lock(); pipe && (dropsOpen || isHealed))
+      if (pipe->Caller.is_open())
+        dropPacketsFrom(pipe->Caller.native_handle(), CutOffAddresses);
+}
+
 void SoakProxy::accept() {
   auto pipe = std::make_shared<Pipe>(Context);
   Acceptor.async_accept(
--- a/UnitTests/Platform/Soak/SoakProxy.h
+++ b/UnitTests/Platform/Soak/SoakProxy.h
@@ -4,6 +4,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <list>
+#include <set>
 
 namespace hemlockglade::soak {
 
@@ -47,6 +48,10 @@
   /// data was only late go on.
   void setFault(Fault fault);
   Fault fault() const { return CurrentFault; }
+  /// Drops packets from these IPv4 addresses, silently: new connections from
+  /// there are not established; open ones hang too if `dropsOpen`, else they go
+  /// on.
+  void cutOff(std::set<std::string> addresses, bool dropsOpen);
   /// Sets the port that new connections are forwarded to.
   void setTarget(std::uint16_t target);
   /// Called when the process behind the address has ended.
@@ -72,6 +77,8 @@
   Fault CurrentFault = Fault::None;
   Instant LateSince{};
   bool Forwards = true;
+  /// Addresses whose packets to the listener are dropped.
+  std::set<std::string> CutOffAddresses;
   /// Connections that were accepted but never forwarded (`SilentListener`).
   std::list<std::shared_ptr<Pipe>> HeldPipes;
   std::list<std::weak_ptr<Pipe>> Pipes;
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -40,7 +40,8 @@
     : Options(std::move(settings)), Random(Options.Seed),
       EntriesRandom(Options.Seed), RevertRandom(Options.Seed),
       VersionRandom(Options.Seed), LimitRandom(Options.Seed),
-      StaleListRandom(Options.Seed), Timers(Context), Store(Context, Random()),
+      StaleListRandom(Options.Seed), CutOffRandom(Options.Seed),
+      Timers(Context), Store(Context, Random()),
       Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
@@ -166,6 +167,8 @@
   }
   if (Options.StaleListInterval > Span(0))
     scheduleStaleList();
+  if (Options.CutOffInterval > Span(0))
+    scheduleCutOff();
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
@@ -349,6 +352,50 @@
   });
 }
 
+void SoakWorld::scheduleCutOff() {
+  Timers.after(Options.CutOffInterval, [this](Instant) {
+    if (!InjectsFaults)
+      return;
+    injectCutOff();
+    scheduleCutOff();
+  });
+}
+
+void SoakWorld::injectCutOff() {
+  endCutOff();
+  bool wholeDomain = CutOffRandom() % 3 == 0;
+  const auto &domain = Domains[CutOffRandom() % Domains.size()];
+  std::set<std::string> addresses;
+  std::vector<std::string> callerAddresses;
+  for (auto &it : Nodes) {
+    bool drawn = wholeDomain ? it->domain() == domain : CutOffRandom() % 3 == 0;
+    if (!drawn || addresses.size() + 1 >= Nodes.size())
+      continue;
+    CutOffNodes.push_back(it.get());
+    addresses.insert(it->address());
+    callerAddresses.push_back(it->callerAddress());
+  }
+  bool dropsOpen = CutOffRandom() % 3 != 0;
+  log("cut off " + std::to_string(addresses.size()) + " gateways" +
+      (dropsOpen ? "" : ", open connections go on"));
+  for (auto *it : CutOffNodes)
+    History.record("soak", "cut_off").To = it->name();
+  for (auto &it : Replicas)
+    it->link().cutOff(addresses, dropsOpen);
+  Callers.setKeptAddresses(std::move(callerAddresses));
+  auto span = milliseconds(6000 + CutOffRandom() % 3000);
+  Timers.after(std::min<Span>(span, Options.CutOffInterval - milliseconds(500)),
+               [this](Instant) { endCutOff(); });
+}
+
+void SoakWorld::endCutOff() {
+  for (auto &it : Replicas)
+    it->link().cutOff({}, true);
+  for (auto *it : std::exchange(CutOffNodes, {}))
+    History.record("soak", "reached_again").To = it->name();
+  Callers.setKeptAddresses({});
+}
+
 void SoakWorld::drainSomeReplicas() {
   constexpr std::uint64_t OneIn = 3;
   constexpr auto RestartAfter = seconds(8);
@@ -588,6 +635,8 @@
 }
 
 void SoakWorld::restoreAll() {
+  if (Options.CutOffInterval > Span(0))
+    endCutOff();
   log("all is well");
   setStoreMode(SoakStore::Mode::Healthy);
   for (auto &it : Replicas) {
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -36,6 +36,8 @@
     /// Time between events that leave gateways with an old list of replicas
     /// while a replica drains; none if 0.
     Span StaleListInterval{0};
+    /// Time between cuts of gateways from all replicas; none if 0.
+    Span CutOffInterval{0};
     /// How long requests may still begin on a version of weights that has been
     /// replaced.
     Span VersionBound = std::chrono::seconds(5);
@@ -109,6 +111,10 @@
   /// drain meanwhile.
   void injectStaleList();
   void drainSomeReplicas();
+  void scheduleCutOff();
+  /// Cuts some gateways, or all of a failure domain, off from all replicas.
+  void injectCutOff();
+  void endCutOff();
   void restoreAll();
   void causeOutage();
   void log(const std::string &what);
@@ -131,6 +137,7 @@
   std::mt19937_64 VersionRandom;
   std::mt19937_64 LimitRandom;
   std::mt19937_64 StaleListRandom;
+  std::mt19937_64 CutOffRandom;
   asio::io_context Context;
   TimerService Timers;
   /// A listener that keeps other soaks from using the same loopback network.
@@ -143,6 +150,8 @@
   std::list<std::unique_ptr<SoakNode>> Nodes;
   std::list<std::unique_ptr<SoakReplica>> Replicas;
   SoakCallers Callers;
+  /// Gateways that are cut off from all replicas.
+  std::vector<SoakNode *> CutOffNodes;
   bool InjectsFaults = false;
   bool DeclaresVersions = false;
   bool StatesLimits = false;
