A replica may be silent for 3.5 s before its connections are ended

A healthy replica may fall silent for a second or so and go on. Bytes that stayed unacknowledged for 1.5 s ended a connection, and with it a request that may not be sent twice; since that timeout also ends keep-alive, idle connections ended at their first unanswered probe. It is 3.5 s now, so that two probes, one second apart, have to fail. Connections to replicas that can't be reached at all are found by the attempts and probes of ReplicaReach, well before.

--- a/Hemlockglade/Transport/Http1/SocketOptions.cpp
+++ b/Hemlockglade/Transport/Http1/SocketOptions.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Unanswered probes after which a connection is ended. At an interval of one
-/// second an idle connection ends 2 s after the first probe.
+/// Unanswered probes after which a connection is ended, if the timeout of
+/// unacknowledged bytes doesn't end it before.
 constexpr int ProbeCount = 2;
 constexpr int ProbeIntervalSeconds = 1;
 
--- a/Hemlockglade/Transport/Http1/SocketOptions.h
+++ b/Hemlockglade/Transport/Http1/SocketOptions.h
@@ -9,8 +9,10 @@
 
 /// Timeouts after which a connection to an unresponsive host is ended.
 struct SilenceTimeouts {
-  /// Time for which sent bytes may remain unacknowledged.
-  std::chrono::milliseconds Unacknowledged{1500};
+  /// Time for which sent bytes may remain unacknowledged. It also ends an idle
+  /// connection whose probes are not answered, whatever their count. Longer
+  /// than a healthy replica may be silent.
+  std::chrono::milliseconds Unacknowledged{3500};
   /// Idle time before the kernel sends the first keep-alive probe, in whole
   /// seconds.
   std::chrono::seconds ProbeAfter{2};
