Replicas that fail from rejections get no more than a node's share of their slots

Server-Brittle = N in a replica's answers was not read. Such a replica may let fewer requests wait, and falls over once it has to reject more than N a second; entries found out its room by being rejected, and engines were tried again 30 ms after a rejection.

Change: while a service states such a limit (10 s after the last statement, or until an answer without it), a node has at most its share of a plain replica's slots in use there, engines are filled to 0.9 of their slots, and after a rejection a replica gets nothing from this node for as long as keeps half of N a second over all nodes, 0.1 to 2 s.

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -171,11 +171,21 @@
 bool ReplicaView::hasRoom(const ReplicaState &state, const RouteQuery &query,
                           Instant now) const {
   const auto *service = Plan ? Plan->service(state.Record->Service) : nullptr;
-  if (!service || !service->Engine)
+  bool limitsRejections = Rejections.applies(state.Record->Service, now);
+  if (limitsRejections &&
+      Rejections.isPaused(state.Record->Incarnation.text(), now))
+    return false;
+  if (!service || !service->Engine) {
+    auto ownSlots = TrafficShare * state.Record->Slots;
+    if (limitsRejections && state.OwnRunning + 1 > std::max(1.0, ownSlots))
+      return false;
     return !Options.UseWindows || !state.Window ||
            state.Window->hasRoom(state.OwnRunning, now);
+  }
   auto running = state.OwnRunning + state.RunningElsewhere;
-  double bound = service->Engine->Slots * (1 + Options.QueueShare);
+  double bound =
+      service->Engine->Slots *
+      (limitsRejections ? Options.RejectionLimitShare : 1 + Options.QueueShare);
   if (running + 1 > bound)
     return false;
   if (!service->Engine->MemoryTokens || state.OwnRunning == 0)
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -4,6 +4,7 @@
 #include "Hemlockglade/Coordination/Registry/DeclaredVersions.h"
 #include "Hemlockglade/Coordination/Registry/Registry.h"
 #include "Hemlockglade/Coordination/Route/PrefillSpeed.h"
+#include "Hemlockglade/Coordination/Route/RejectionLimits.h"
 #include "Hemlockglade/Coordination/Route/ReplicaHealth.h"
 #include "Hemlockglade/Coordination/Route/SendWindow.h"
 
@@ -163,6 +164,9 @@
     /// Requests that may be queued at an engine beyond its slots, as a share of
     /// its slots.
     double QueueShare = 0;
+    /// Share of an engine's slots that is used while its service states a limit
+    /// on rejections: what other nodes send is known a little late.
+    double RejectionLimitShare = 0.9;
     /// Share of an engine's memory for running requests that may be used.
     double MemoryShare = 0.92;
     /// Send window of a plain replica; its initial size is twice this node's
@@ -209,6 +213,12 @@
   /// whether its limit is another one now.
   bool onLimit(const std::string &replica, std::optional<double> perSecond,
                Instant statedAt);
+  /// Called when an answer of a replica that was requested at `statedAt` states
+  /// how many rejections a second it bears, or states no such limit.
+  void onRejectionLimit(const std::string &replica,
+                        std::optional<double> perSecond, Instant statedAt);
+  /// Called when a replica has rejected a request for want of room.
+  void onRejected(const std::string &replica, Instant now);
   std::optional<double> limitOf(const std::string &replica) const;
   /// Returns the failure domain of a replica; empty if it is not known.
   std::string failureDomainOf(const std::string &replica) const;
@@ -389,6 +399,7 @@
   /// registry.
   std::map<std::string, Residency> PendingResidency;
   DeclaredVersions Versions;
+  RejectionLimits Rejections;
   std::uint64_t NextAttempt = 1;
   /// Prefill speed of the engines of each service.
   std::map<std::string, PrefillSpeed> PrefillSpeeds;
--- a/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
@@ -19,6 +19,19 @@
   return true;
 }
 
+void ReplicaView::onRejectionLimit(const std::string &replica,
+                                   std::optional<double> perSecond,
+                                   Instant statedAt) {
+  if (auto it = Replicas.find(replica); it != Replicas.end())
+    Rejections.onStated(it->second.Record->Service, perSecond, statedAt);
+}
+
+void ReplicaView::onRejected(const std::string &replica, Instant now) {
+  if (auto it = Replicas.find(replica); it != Replicas.end())
+    Rejections.onRejected(it->second.Record->Service, replica, TrafficShare,
+                          now);
+}
+
 std::optional<double> ReplicaView::limitOf(const std::string &replica) const {
   auto it = Replicas.find(replica);
   return it == Replicas.end() ? std::nullopt : it->second.RequestLimit;
--- a/Hemlockglade/Protocol/Exchange/RequestLabels.h
+++ b/Hemlockglade/Protocol/Exchange/RequestLabels.h
@@ -74,6 +74,9 @@
   /// Requests a second that the replica accepts from all nodes together; none
   /// if it states no limit.
   std::optional<double> RequestLimit;
+  /// Requests a second that the replica can reject for want of room without
+  /// failing; none if it states no such limit.
+  std::optional<double> RejectionLimit;
 };
 
 /// Header fields of a request or an answer, as names and values.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -74,6 +74,10 @@
 
 void GatewayExchange::reportLimit(Instant now) {
   const auto &labels = Current->Labels;
+  // Only a replica's own answer shows that it states no limit any more.
+  if (labels.RejectionLimit || labels.Sealed)
+    Shared.View.onRejectionLimit(Current->Replica->Incarnation.text(),
+                                 labels.RejectionLimit, Current->SentAt);
   if (!Shared.ReplicaLimits.OnStated)
     return;
   if (labels.RequestLimit)
@@ -290,6 +294,8 @@
         TimerService::now() + backoff;
     backoff *= 2;
   }
+  if (status == Unavailable || status == TooMany)
+    Shared.View.onRejected(replica.Incarnation.text(), TimerService::now());
   AttemptedReplicas.erase(replica.Incarnation.text());
   RetryReserved = Shared.Budget.tryReserve(Query.Service, TimerService::now());
   if (RetryReserved)
--- a/UnitTests/Platform/HeadersTest.cpp
+++ b/UnitTests/Platform/HeadersTest.cpp
@@ -160,4 +160,15 @@
   CHECK_FALSE(platformLabels().ReadAnswer(200, {}).RequestLimit);
 }
 
+TEST_CASE("the rejections that a replica bears are parsed", "[headers]") {
+  auto read = [](std::string_view text) {
+    return platformLabels()
+        .ReadAnswer(503, {{"server-brittle", text}})
+        .RejectionLimit;
+  };
+  CHECK(read("4") == 4);
+  CHECK_FALSE(read("-4"));
+  CHECK_FALSE(platformLabels().ReadAnswer(503, {}).RejectionLimit);
+}
+
 } // namespace hemlockglade::test
