Tests of relays: unchanged, honest about what was sent, ended with their caller

NodeTests "[relay]": a request and its answer arrive unchanged and without the relay's fields; "nothing was sent" is said only where no connection was made or the relay refuses; an answer cut off at the replica never looks complete; the run at the replica ends as the other node leaves.

--- /dev/null
+++ b/UnitTests/Node/Gateway/RelayServiceTest.cpp
@@ -0,0 +1,154 @@
+#include "Programs/hemlockgladed/Gateway/RelayService.h"
+
+#include "UnitTests/Node/Gateway/ScriptedReplica.h"
+#include "UnitTests/Transport/Http1/RawPeer.h"
+
+namespace hemlockglade::test {
+
+namespace {
+
+using Then = ScriptedReplica::Then;
+
+const std::string Request = "POST /a/x?q=1 HTTP/1.1\r\nHost: a.example\r\n"
+                            "Id: r1\r\nRelay-Replica: i-1\r\n"
+                            "Content-Length: 3\r\n\r\nabc";
+
+std::string answerOf(const std::string &body) {
+  return "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nRelay-Outcome: planted\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct RelayFixture : Loopback {
+  RelayFixture()
+      : Replica(Context), Peer(Context), Pool(Context, HttpPool::Settings{}),
+        Log(
+            {"n"}, [](std::string_view) {},
+            [] { return std::chrono::microseconds(0); }) {
+    Labels.ReadRequest = [](const LabelFields &) {
+      RequestLabels out;
+      out.Id = "r1";
+      return out;
+    };
+    Labels.ReadAnswer = [](std::uint16_t, const LabelFields &fields) {
+      AnswerLabels out;
+      for (const auto &[name, value] : fields)
+        if (sameFieldName(name, "Id"))
+          out.Id = value;
+      return out;
+    };
+    auto record = std::make_shared<ReplicaRecord>();
+    record->Incarnation = ReplicaIncarnation("i-1");
+    record->Service = "s";
+    record->Address = Replica.address();
+    Known = record;
+    RelayService::Hooks hooks;
+    hooks.Find = [this](std::string_view incarnation) {
+      return incarnation == "i-1" ? Known : nullptr;
+    };
+    hooks.IsCutOff = [this](const std::string &) { return CutOff; };
+    hooks.Stopping = [this] { return Stopping; };
+    hooks.Bounds = [] { return CallerBounds{}; };
+    hooks.OnConnected = hooks.OnHeard = [](const ReplicaRecord &) {};
+    hooks.OnConnectFailed = [this](const ReplicaRecord &) {
+      ++ConnectFailures;
+    };
+    RelayService::Settings settings;
+    settings.Address = address(0);
+    Relay = std::make_unique<RelayService>(Context, settings, hooks, Labels,
+                                           Pool, Log);
+    Peer.connect(Relay->port());
+  }
+
+  /// Sends a request and returns the outcome that the relay's answer states.
+  std::string outcome() {
+    Peer.send(Request);
+    constexpr std::string_view Key = "Relay-Outcome: ";
+    until([this] {
+      return Peer.Ended || Peer.Got.find("\r\n\r\n") != std::string::npos;
+    });
+    auto at = Peer.Got.find(Key);
+    if (at == std::string::npos)
+      return "";
+    at += Key.size();
+    return Peer.Got.substr(at, Peer.Got.find('\r', at) - at);
+  }
+
+  ScriptedReplica Replica;
+  RawPeer Peer;
+  HttpPool Pool;
+  EventLog Log;
+  LabelHooks Labels;
+  ReplicaPtr Known;
+  bool CutOff = false;
+  bool Stopping = false;
+  int ConnectFailures = 0;
+  std::unique_ptr<RelayService> Relay;
+};
+
+} // namespace
+
+TEST_CASE("a relayed request and its answer arrive unchanged", "[relay]") {
+  RelayFixture it;
+  it.Replica.Script = {{answerOf("hello")}};
+  CHECK(it.outcome() == "forwarded");
+  it.until([&it] { return it.Relay->active() == 0; });
+  it.settle();
+  REQUIRE(it.Replica.Requests.size() == 1);
+  const auto &request = it.Replica.Requests[0];
+  CHECK(request.Head.Method == "POST");
+  CHECK(request.Head.Target == "/a/x?q=1");
+  CHECK(request.Body == "abc");
+  CHECK_FALSE(findField(request.Head.Fields, "Relay-Replica"));
+  CHECK(it.Peer.Got.find("Seal: s") != std::string::npos);
+  CHECK(it.Peer.Got.find("hello") != std::string::npos);
+  CHECK(it.Peer.Got.find("planted") == std::string::npos);
+}
+
+TEST_CASE("a relay says that nothing was sent only if nothing was", "[relay]") {
+  RelayFixture it;
+  SECTION("the replica refuses connections") {
+    it.Replica.stop();
+    CHECK(it.outcome() == "not-connected");
+    CHECK(it.ConnectFailures == 1);
+  }
+  SECTION("the replica breaks the connection as it has the request") {
+    it.Replica.Script = {{"", Then::Reset}};
+    CHECK(it.outcome() == "broken");
+    CHECK(it.ConnectFailures == 0);
+  }
+  SECTION("the relay is cut off itself") {
+    it.CutOff = true;
+    CHECK(it.outcome() == "cut-off");
+  }
+  SECTION("the relay stops") {
+    it.Stopping = true;
+    CHECK(it.outcome() == "busy");
+  }
+  SECTION("the replica is not known or leaves") {
+    it.Known = nullptr;
+    CHECK(it.outcome() == "unknown-replica");
+  }
+}
+
+TEST_CASE("an answer that breaks off at the replica doesn't look complete",
+          "[relay]") {
+  RelayFixture it;
+  it.Replica.Script = {
+      {"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9\r\n\r\nhalf",
+       Then::Close}};
+  it.outcome();
+  CHECK(it.until([&it] { return it.Peer.Ended; }));
+  CHECK(it.Peer.Got.find("\r\n0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("a node that leaves ends the relayed run at the replica", "[relay]") {
+  RelayFixture it;
+  it.Peer.send(Request);
+  REQUIRE(it.until([&it] { return it.Replica.Requests.size() == 1; }));
+  it.Peer.reset();
+  CHECK(it.until([&it] { return it.Replica.Ended == 1; }));
+  CHECK(it.Relay->active() == 0);
+}
+
+} // namespace hemlockglade::test
