--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -195,8 +195,12 @@
   waitForReplica(choice);
 }
 
+bool GatewayExchange::isListOld() const {
+  return Shared.ReplicaList.RefreshIfOld && Shared.ReplicaList.RefreshIfOld();
+}
+
 bool GatewayExchange::awaitsNewerList() {
-  if (!Shared.ReplicaList.RefreshIfOld || !Shared.ReplicaList.RefreshIfOld())
+  if (!isListOld())
     return false;
   auto now = TimerService::now();
   releaseGrant(Grant);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -306,10 +306,13 @@
   void releaseGrant(std::optional<ReplicaGrant> &grant);
   /// Answers the request if it is barred; returns whether it was.
   bool endIfBarred();
-  /// Holds the request until the choice may change, or refuses it if it was
-  /// held too long.
+  /// Whether the list of replicas is too old to choose from; it is then being
+  /// renewed.
+  bool isListOld() const;
   /// Holds the request if the list of replicas is too old to choose from.
   bool awaitsNewerList();
+  /// Holds the request until the choice may change, or refuses it if it was
+  /// held too long.
   void waitForReplica(const RouteChoice &choice);
   /// Whether others that wait for capacity of the service are served before
   /// this request; if so, it joins their queue.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -218,8 +218,7 @@
   auto replica = Current->Replica->Incarnation.text();
   if (!Current->isRelayed() && Shared.Paths.OnConnected)
     Shared.Paths.OnConnected(*Current->Replica);
-  bool isOld =
-      Shared.ReplicaList.RefreshIfOld && Shared.ReplicaList.RefreshIfOld();
+  bool isOld = isListOld();
   if (!isOld && !Shared.View.isDraining(replica))
     return;
   Shared.Log.write(LogClass::Request, "withdrawn",
