--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -153,22 +153,17 @@
   runFor(StartupTime);
   InjectsFaults = true;
   scheduleFault();
-  if (Options.EntriesInterval > Span(0))
-    scheduleEntriesFault();
-  if (Options.RevertInterval > Span(0))
-    scheduleRevert();
-  if (Options.VersionInterval > Span(0)) {
-    DeclaresVersions = true;
-    scheduleVersion();
-  }
-  if (Options.LimitInterval > Span(0)) {
-    StatesLimits = true;
-    scheduleLimit();
-  }
-  if (Options.StaleListInterval > Span(0))
-    scheduleStaleList();
-  if (Options.CutOffInterval > Span(0))
-    scheduleCutOff();
+  DeclaresVersions = Options.VersionInterval > Span(0);
+  StatesLimits = Options.LimitInterval > Span(0);
+  repeatWhile(InjectsFaults, Options.EntriesInterval,
+              &SoakWorld::injectEntriesFault);
+  repeatWhile(InjectsFaults, Options.RevertInterval, &SoakWorld::revertStore);
+  repeatWhile(DeclaresVersions, Options.VersionInterval,
+              &SoakWorld::injectVersionFault);
+  repeatWhile(StatesLimits, Options.LimitInterval, &SoakWorld::injectLimit);
+  repeatWhile(InjectsFaults, Options.StaleListInterval,
+              &SoakWorld::injectStaleList);
+  repeatWhile(InjectsFaults, Options.CutOffInterval, &SoakWorld::injectCutOff);
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
@@ -217,6 +212,18 @@
   std::cout << TimerService::now().count() / 1000 << " " << what << '\n';
 }
 
+void SoakWorld::repeatWhile(const bool &condition, Span interval,
+                            void (SoakWorld::*action)()) {
+  if (interval <= Span(0))
+    return;
+  Timers.after(interval, [this, &condition, interval, action](Instant) {
+    if (!condition)
+      return;
+    (this->*action)();
+    repeatWhile(condition, interval, action);
+  });
+}
+
 void SoakWorld::scheduleFault() {
   Timers.after(randomUpTo(2 * Options.FaultInterval), [this](Instant) {
     if (!InjectsFaults)
@@ -247,15 +254,6 @@
   }
 }
 
-void SoakWorld::scheduleEntriesFault() {
-  Timers.after(Options.EntriesInterval, [this](Instant) {
-    if (!InjectsFaults)
-      return;
-    injectEntriesFault();
-    scheduleEntriesFault();
-  });
-}
-
 void SoakWorld::injectEntriesFault() {
   constexpr std::uint64_t Kinds = 3;
   auto kind = EntriesRandom() % Kinds;
@@ -265,15 +263,6 @@
       injectNodeFault(*it, kind);
 }
 
-void SoakWorld::scheduleVersion() {
-  Timers.after(Options.VersionInterval, [this](Instant) {
-    if (!DeclaresVersions)
-      return;
-    injectVersionFault();
-    scheduleVersion();
-  });
-}
-
 void SoakWorld::injectVersionFault() {
   // New versions of three adapters are declared often, of the others rarely.
   constexpr std::uint64_t FrequentAdapters = 3;
@@ -295,15 +284,6 @@
       span, [&engine](Instant) { engine.setMode(SoakReplica::Mode::Healthy); });
 }
 
-void SoakWorld::scheduleLimit() {
-  Timers.after(Options.LimitInterval, [this](Instant) {
-    if (!StatesLimits)
-      return;
-    injectLimit();
-    scheduleLimit();
-  });
-}
-
 void SoakWorld::injectLimit() {
   constexpr std::uint64_t Steps = 40;
   constexpr double StepPerSecond = 0.1;
@@ -319,98 +299,6 @@
   Timers.after(span, [&replica](Instant) { replica.setLimit(std::nullopt); });
 }
 
-void SoakWorld::scheduleStaleList() {
-  Timers.after(Options.StaleListInterval, [this](Instant) {
-    if (!InjectsFaults)
-      return;
-    injectStaleList();
-    scheduleStaleList();
-  });
-}
-
-void SoakWorld::injectStaleList() {
-  constexpr auto LateTime = milliseconds(6500);
-  auto at = StaleListRandom() % Nodes.size();
-  auto &node = **std::next(Nodes.begin(), static_cast<std::ptrdiff_t>(at));
-  if (StaleListRandom() % 2) {
-    log("pause " + node.name() + ", replicas drain");
-    node.pause();
-    drainSomeReplicas();
-    auto delay = milliseconds(2200 + StaleListRandom() % 2000);
-    Timers.after(delay, [&node](Instant) { node.resume(); });
-    return;
-  }
-  log("updates between gateways are late");
-  for (auto &it : Nodes)
-    it->peerLink()->setFault(SoakProxy::Fault::Late);
-  // While updates become late, but before gateways notice it.
-  auto drainAfter = milliseconds(1200 + StaleListRandom() % 1800);
-  Timers.after(drainAfter, [this](Instant) { drainSomeReplicas(); });
-  Timers.after(LateTime, [this](Instant) {
-    for (auto &it : Nodes)
-      it->peerLink()->setFault(SoakProxy::Fault::None);
-  });
-}
-
-void SoakWorld::scheduleCutOff() {
-  Timers.after(Options.CutOffInterval, [this](Instant) {
-    if (!InjectsFaults)
-      return;
-    injectCutOff();
-    scheduleCutOff();
-  });
-}
-
-void SoakWorld::injectCutOff() {
-  endCutOff();
-  bool wholeDomain = CutOffRandom() % 3 == 0;
-  const auto &domain = Domains[CutOffRandom() % Domains.size()];
-  std::set<std::string> addresses;
-  std::vector<std::string> callerAddresses;
-  for (auto &it : Nodes) {
-    bool drawn = wholeDomain ? it->domain() == domain : CutOffRandom() % 3 == 0;
-    if (!drawn || addresses.size() + 1 >= Nodes.size())
-      continue;
-    CutOffNodes.push_back(it.get());
-    addresses.insert(it->address());
-    callerAddresses.push_back(it->callerAddress());
-  }
-  bool dropsOpen = CutOffRandom() % 3 != 0;
-  log("cut off " + std::to_string(addresses.size()) + " gateways" +
-      (dropsOpen ? "" : ", open connections go on"));
-  for (auto *it : CutOffNodes)
-    History.record("soak", "cut_off").To = it->name();
-  for (auto &it : Replicas)
-    it->link().cutOff(addresses, dropsOpen);
-  Callers.setKeptAddresses(std::move(callerAddresses));
-  auto span = milliseconds(6000 + CutOffRandom() % 3000);
-  Timers.after(std::min<Span>(span, Options.CutOffInterval - milliseconds(500)),
-               [this](Instant) { endCutOff(); });
-}
-
-void SoakWorld::endCutOff() {
-  for (auto &it : Replicas)
-    it->link().cutOff({}, true);
-  for (auto *it : std::exchange(CutOffNodes, {}))
-    History.record("soak", "reached_again").To = it->name();
-  Callers.setKeptAddresses({});
-}
-
-void SoakWorld::drainSomeReplicas() {
-  constexpr std::uint64_t OneIn = 3;
-  constexpr auto RestartAfter = seconds(8);
-  for (auto &it : Replicas) {
-    if (StaleListRandom() % OneIn || !it->isRunning())
-      continue;
-    log("leave " + it->incarnation());
-    it->drain();
-    Timers.after(RestartAfter, [&replica = *it](Instant) {
-      if (!replica.isRunning())
-        replica.start();
-    });
-  }
-}
-
 void SoakWorld::injectNodeFault(SoakNode &node, std::uint64_t kind) {
   auto delay = milliseconds(200) + randomUpTo(MaxFaultTime);
   switch (kind) {
@@ -469,15 +357,6 @@
                [this](Instant) { setStoreMode(SoakStore::Mode::Healthy); });
 }
 
-void SoakWorld::scheduleRevert() {
-  Timers.after(Options.RevertInterval, [this](Instant) {
-    if (!InjectsFaults)
-      return;
-    revertStore();
-    scheduleRevert();
-  });
-}
-
 void SoakWorld::revertStore() {
   if (StoreDisturbed)
     return;
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -83,15 +83,17 @@
   void buildNodes();
   void buildReplicas();
   void runFor(Span span);
+  /// Calls an action after each interval, until the condition is false then;
+  /// never if the interval is 0.
+  void repeatWhile(const bool &condition, Span interval,
+                   void (SoakWorld::*action)());
   void scheduleFault();
   void injectFault();
   void injectNodeFault(SoakNode &node) { injectNodeFault(node, Random() % 4); }
   void injectNodeFault(SoakNode &node, std::uint64_t kind);
-  void scheduleEntriesFault();
   /// Injects the same fault into all gateways that the directory last returned.
   void injectEntriesFault();
   void injectStoreFault();
-  void scheduleRevert();
   /// Makes the store silent for a short time, then reverts it by up to 8 s.
   void revertStore();
   void injectLinkFault();
@@ -101,17 +103,13 @@
   void declareOrDeferPlan();
   void declarePlan();
   void declareVersion(std::uint64_t number);
-  void scheduleVersion();
   void injectVersionFault();
-  void scheduleLimit();
   /// Has a replica state a limit for a while.
   void injectLimit();
-  void scheduleStaleList();
   /// Makes updates between gateways late, or pauses a gateway, and has replicas
   /// drain meanwhile.
   void injectStaleList();
   void drainSomeReplicas();
-  void scheduleCutOff();
   /// Cuts some gateways, or all of a failure domain, off from all replicas.
   void injectCutOff();
   void endCutOff();
