--- a/Hemlockglade/Coordination/Entries/ServingEntries.cpp
+++ b/Hemlockglade/Coordination/Entries/ServingEntries.cpp
@@ -45,6 +45,7 @@
     for (const auto &it : reported)
       domains.insert(it.FailureDomain);
   std::vector<DomainEntries> out;
+  out.reserve(domains.size());
   for (const auto &domain : domains)
     out.push_back({domain, inDomain(domain)});
   return out;
--- a/Hemlockglade/Transport/Http1/HttpCaller.h
+++ b/Hemlockglade/Transport/Http1/HttpCaller.h
@@ -32,7 +32,7 @@
   using Done = std::function<void(tl::expected<HttpAnswer, HttpFailure>)>;
 
   HttpCaller(asio::io_context &context, HttpPool::Settings settings)
-      : Context(context), Pool(context, settings) {}
+      : Context(context), Pool(context, std::move(settings)) {}
 
   /// Starts a call. `done` is called later, never from within this call.
   void call(const HttpCall &call, Done done);
--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -44,7 +44,7 @@
                                asio::ip::tcp::endpoint address,
                                Settings settings)
     : Context(context), Socket(context), ConnectTimer(context),
-      Address(std::move(address)), Options(settings) {
+      Address(std::move(address)), Options(std::move(settings)) {
   Reader.OnHead = [this] { onHead(); };
   Reader.OnBody = [this](std::string_view part) {
     // A hook may end the call; this copy keeps the hooks alive until it
--- a/Hemlockglade/Transport/Http1/HttpPool.h
+++ b/Hemlockglade/Transport/Http1/HttpPool.h
@@ -22,7 +22,7 @@
   };
 
   HttpPool(asio::io_context &context, Settings settings)
-      : Context(context), Options(settings) {}
+      : Context(context), Options(std::move(settings)) {}
 
   /// Returns a connection for one call: one that has been idle for less than
   /// `maxIdleTime`, or a new one.
--- a/Programs/hemlockgladed/Gateway/RelayService.cpp
+++ b/Programs/hemlockgladed/Gateway/RelayService.cpp
@@ -193,7 +193,7 @@
   CallerHooks server;
   server.Bounds = Callbacks.Bounds;
   server.Closing = Callbacks.Stopping;
-  server.OnRequest = [this](CallerRequest request, auto reply) {
+  server.OnRequest = [this](CallerRequest &&request, auto reply) {
     onRequest(std::move(request), std::move(reply));
   };
   Server = std::make_unique<CallerServer>(
@@ -202,9 +202,13 @@
 }
 
 RelayService::~RelayService() {
-  auto open = Active;
-  for (const auto &it : open)
-    it->abort();
+  try {
+    auto open = Active;
+    for (const auto &it : open)
+      it->abort();
+  } catch (const std::exception &) {
+    // Memory has run out. The connections close with their last references.
+  }
 }
 
 void RelayService::onRequest(CallerRequest request,
