A relay takes heads as large as a caller's and the fields that a node adds

Found by reading: a request whose head is near the declared limit is larger once the node has added its fields, so that a relay would refuse it unread and the request would be refused though others reach the replica.

--- a/Programs/hemlockgladed/Gateway/GatewayReach.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReach.cpp
@@ -14,6 +14,9 @@
 /// As long as a request's own attempt to connect.
 constexpr auto PathProbeTimeout = std::chrono::milliseconds(400);
 
+/// Bytes that a node's own fields may add to the head of a caller's request.
+constexpr std::size_t MaxAddedHeadBytes = 4096;
+
 } // namespace
 
 void Gateway::startRelay() {
@@ -27,7 +30,11 @@
     return Reach.isCutOff(service);
   };
   hooks.Stopping = [this] { return Stopping; };
-  hooks.Bounds = callerHooks().Bounds;
+  hooks.Bounds = [bounds = callerHooks().Bounds] {
+    auto out = bounds();
+    out.MaxHeadBytes += MaxAddedHeadBytes;
+    return out;
+  };
   hooks.OnConnected = [this](const ReplicaRecord &replica) {
     Reach.onConnected(replica, TimerService::now());
   };
