A crashing request is barred as fast as before the check for lost paths

The check that a refused probe needs another replica that was reached counted data within the probe's millisecond only, so that nearly every end waited for the second probe, 0.3 s later.

One that accepts proves the end; if none does, the second probe and the verdict on this node's paths decide as before. A service with one replica has no others, and is judged as before the check.

"a request that has crashed three replicas is sent to no other", "crashes that several nodes saw are shared by all of them" and "a path that is lost to all replicas accuses no request" pass.

--- a/Hemlockglade/Coordination/Route/ReplicaReach.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaReach.cpp
@@ -111,17 +111,6 @@
   return it != Services.end() && it->second.CutOffSince;
 }
 
-bool ReplicaReach::hasReachedOther(const ReplicaRecord &replica,
-                                   Instant since) const {
-  auto it = Services.find(replica.Service);
-  return it != Services.end() &&
-         std::any_of(it->second.HeardAt.begin(), it->second.HeardAt.end(),
-                     [&](const auto &heard) {
-                       return heard.second >= since &&
-                              heard.first != replica.Incarnation.text();
-                     });
-}
-
 std::vector<std::string> ReplicaReach::cutOff() const {
   std::vector<std::string> out;
   for (const auto &[service, state] : Services)
--- a/Hemlockglade/Coordination/Route/ReplicaReach.h
+++ b/Hemlockglade/Coordination/Route/ReplicaReach.h
@@ -73,9 +73,6 @@
 
   /// Returns whether the node is cut off from all replicas of the service.
   bool isCutOff(const std::string &service) const;
-  /// Returns whether another replica of the service has accepted a connection
-  /// or sent data since a time.
-  bool hasReachedOther(const ReplicaRecord &replica, Instant since) const;
   /// Returns the services that the node is cut off from.
   std::vector<std::string> cutOff() const;
   /// Returns the services that the node has reached lately.
--- a/Programs/hemlockgladed/Gateway/CrashCoordinator.cpp
+++ b/Programs/hemlockgladed/Gateway/CrashCoordinator.cpp
@@ -41,37 +41,43 @@
     probeLater(replica);
 }
 
-bool CrashCoordinator::provesEnd(const ReplicaRecord &replica, bool isRetry,
-                                 Instant probedAt) const {
-  // By the second probe it is known whether the node is cut off from all.
-  if (isRetry)
-    return !Callbacks.IsCutOff || !Callbacks.IsCutOff(replica);
-  return !Callbacks.HasReachedOther ||
-         Callbacks.HasReachedOther(replica, probedAt);
-}
-
 void CrashCoordinator::probe(const ReplicaRecord &replica, bool isRetry) {
-  auto probedAt = TimerService::now();
-  Callbacks.Probe(replica.Address, [this, alive = Alive, replica, isRetry,
-                                    probedAt](Listening result) {
-    if (!*alive || result == Listening::Unknown)
-      return;
-    if (result == Listening::No && !provesEnd(replica, isRetry, probedAt)) {
-      if (!isRetry)
-        probeLater(replica);
-      return;
-    }
-    if (result == Listening::Yes) {
-      Detector.onListening(replica.Incarnation);
-      if (!isRetry && Detector.needsProbe(replica.Incarnation))
-        probeLater(replica);
+  Callbacks.Probe(replica.Address,
+                  [this, alive = Alive, replica, isRetry](Listening result) {
+                    if (!*alive || result == Listening::Unknown)
+                      return;
+                    if (result == Listening::No)
+                      return onRefused(replica, isRetry);
+                    Detector.onListening(replica.Incarnation);
+                    if (!isRetry && Detector.needsProbe(replica.Incarnation))
+                      probeLater(replica);
+                  });
+}
+
+void CrashCoordinator::onRefused(const ReplicaRecord &replica, bool isRetry) {
+  // By the second probe it is known whether the node is cut off from all.
+  if (isRetry) {
+    if (!Callbacks.IsCutOff || !Callbacks.IsCutOff(replica))
+      onFoundEnded(replica);
+    return;
+  }
+  if (!Callbacks.ReachesOther)
+    return onFoundEnded(replica);
+  Callbacks.ReachesOther(replica, [this, alive = Alive, replica](bool reaches) {
+    if (!*alive)
       return;
-    }
-    ++Ended;
-    onEnded(replica.Incarnation);
+    if (reaches)
+      onFoundEnded(replica);
+    else
+      probeLater(replica);
   });
 }
 
+void CrashCoordinator::onFoundEnded(const ReplicaRecord &replica) {
+  ++Ended;
+  onEnded(replica.Incarnation);
+}
+
 void CrashCoordinator::probeLater(const ReplicaRecord &replica) {
   Callbacks.After(ReprobeDelay, [this, alive = Alive, replica] {
     if (*alive)
--- a/Programs/hemlockgladed/Gateway/CrashCoordinator.h
+++ b/Programs/hemlockgladed/Gateway/CrashCoordinator.h
@@ -23,11 +23,12 @@
     std::function<void()> OnUpdate;
     /// Called when a request becomes barred.
     std::function<void(const RequestKey &key)> OnBarred;
-    /// Whether another replica of the service was reached since that time. If
-    /// not, the path of this node may have failed rather than the replica.
-    /// Unset means yes.
-    std::function<bool(const ReplicaRecord &replica, Instant since)>
-        HasReachedOther;
+    /// Finds out whether this node can connect to another replica of the
+    /// service. If not, its path may have failed rather than the replica. Unset
+    /// means that it can.
+    std::function<void(const ReplicaRecord &replica,
+                       std::function<void(bool reaches)> done)>
+        ReachesOther;
     /// Whether this node is cut off from the replica's service; unset means no.
     std::function<bool(const ReplicaRecord &replica)> IsCutOff;
   };
@@ -74,9 +75,10 @@
   /// Probes whether a process listens at the replica's address; `isRetry` if it
   /// is the second probe.
   void probe(const ReplicaRecord &replica, bool isRetry);
-  /// Whether a refused connection shows that the replica has ended.
-  bool provesEnd(const ReplicaRecord &replica, bool isRetry,
-                 Instant probedAt) const;
+  /// Called when a probe was refused.
+  void onRefused(const ReplicaRecord &replica, bool isRetry);
+  /// Called when a refused probe shows that the replica has ended.
+  void onFoundEnded(const ReplicaRecord &replica);
   void probeLater(const ReplicaRecord &replica);
   void recordEnds(std::string_view replica,
                   const std::vector<SuspectCrash> &ends);
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -143,7 +143,12 @@
   void startRelay();
   /// Probes suspected paths to replicas, and acts on changed verdicts.
   void checkReach();
-  void probePath(const ReplicaPtr &replica);
+  void probePath(const ReplicaPtr &replica,
+                 const std::function<void(bool reached)> &done = {});
+  /// Probes other replicas of the service; calls `done` with whether one of
+  /// them, if there are any, accepts connections.
+  void probeOthers(const ReplicaRecord &replica,
+                   std::function<void(bool reaches)> done);
   void onReachChange(const ReplicaReach::Change &change);
   /// This node's connectivity as others are told.
   ReachNotice reachNotice() const;
--- a/Programs/hemlockgladed/Gateway/GatewayCrashes.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayCrashes.cpp
@@ -52,8 +52,8 @@
       cell->onCrashUpdate();
   };
   hooks.OnBarred = [this](const RequestKey &key) { onBarred(key); };
-  hooks.HasReachedOther = [this](const ReplicaRecord &replica, Instant since) {
-    return Reach.hasReachedOther(replica, since);
+  hooks.ReachesOther = [this](const ReplicaRecord &replica, auto done) {
+    probeOthers(replica, std::move(done));
   };
   hooks.IsCutOff = [this](const ReplicaRecord &replica) {
     return Reach.isCutOff(replica.Service);
--- a/Programs/hemlockgladed/Gateway/GatewayReach.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReach.cpp
@@ -4,8 +4,9 @@
 #include "Programs/hemlockgladed/Gateway/Gateway.h"
 
 #include "Hemlockglade/Transport/Http1/ListenProbe.h"
+#include "Hemlockglade/Transport/Http1/SocketOptions.h"
 
-#include <asio/post.hpp>
+#include <algorithm>
 
 namespace hemlockglade {
 
@@ -117,19 +118,51 @@
   updateReachNotice();
 }
 
-void Gateway::probePath(const ReplicaPtr &replica) {
+void Gateway::probePath(const ReplicaPtr &replica,
+                        const std::function<void(bool reached)> &done) {
   probeListener(
       Context, parseEndpoint(replica->Address), PathProbeTimeout,
-      [this, replica](Listening result) {
+      [this, replica, done](Listening result) {
+        bool reached = result == Listening::Yes;
         auto now = TimerService::now();
-        if (result == Listening::Yes)
+        if (reached)
           Reach.onConnected(*replica, now);
         else
           Reach.onConnectFailed(*replica, now);
+        if (done)
+          done(reached);
       },
       parseLocalAddress(Settings.OutgoingAddress));
 }
 
+void Gateway::probeOthers(const ReplicaRecord &replica,
+                          std::function<void(bool reaches)> done) {
+  // As many as must fail for the verdict that this node is cut off.
+  const auto count = ReplicaReach::Settings{}.MinFailed;
+  auto others = View.replicasOf(replica.Service);
+  std::erase_if(others, [&replica](const auto &it) {
+    return it->Incarnation == replica.Incarnation;
+  });
+  if (others.empty())
+    return done(true);
+  std::shuffle(others.begin(), others.end(), Random);
+  others.resize(std::min(others.size(), count));
+  struct Pending {
+    std::size_t Open = 0;
+    std::function<void(bool reaches)> Done;
+  };
+  auto pending = std::make_shared<Pending>();
+  pending->Open = others.size();
+  pending->Done = std::move(done);
+  for (const auto &it : others)
+    probePath(it, [pending](bool reached) {
+      bool isLast = --pending->Open == 0;
+      if (!pending->Done || (!reached && !isLast))
+        return;
+      std::exchange(pending->Done, nullptr)(reached);
+    });
+}
+
 void Gateway::onReachChange(const ReplicaReach::Change &change) {
   Log.write(
       LogClass::State, change.IsCutOff ? "cut-off" : "reached-again",
