--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -252,6 +252,8 @@
   void updateLeases();
   void countRunning();
   void removeExpiredFollowers(Instant now);
+  /// Capacity of a node's host.
+  static HostCapacity capacityOf(const MemberNotice &node);
   /// Whether this node is cut off from engines of the cell, so that its orders
   /// would not arrive.
   bool isCutOffFromEngines() const;
