ReplicaReach looks at a service's replicas only while its paths are suspected

The verdict and the times of probes are meant to be unchanged.

NodeTests were not built again with it by the time of this commit, and no processor time was measured.

--- a/Hemlockglade/Coordination/Route/ReplicaReach.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaReach.cpp
@@ -127,12 +127,16 @@
   return out;
 }
 
+bool ReplicaReach::isSilent(const ServiceState &state, Instant now) const {
+  return state.Awaited.size() > 1 &&
+         now - state.AwaitedSince >= Options.SilenceTimeout;
+}
+
 bool ReplicaReach::needsProbe(const ServiceState &state, Instant now) const {
   if (state.CutOffSince)
     return now - state.ProbedAt >= Options.CutOffProbeInterval;
   if (!state.FirstFailureAt)
-    return state.Awaited.size() > 1 &&
-           now - state.AwaitedSince >= Options.SilenceTimeout &&
+    return isSilent(state, now) &&
            now - state.ProbedAt >= Options.SilenceProbeInterval;
   if (now - state.ProbedAt < Options.SuspectedProbeInterval)
     return false;
@@ -175,13 +179,12 @@
       std::erase_if(state.HeardAt, [&](const auto &it) {
         return now - it.second > Options.FailureMemory;
       });
-    if (!state.CutOffSince && !state.FirstFailureAt && state.Awaited.empty())
+    bool isSuspected = state.FirstFailureAt || isSilent(state, now);
+    if (!state.CutOffSince && !isSuspected)
       continue;
-    auto usable = Replicas(service);
-    if (!state.CutOffSince) {
-      prune(state, usable, now);
+    if (!state.CutOffSince)
       evaluate(service, state, now);
-    }
+    auto usable = Replicas(service);
     if (usable.empty() || !needsProbe(state, now))
       continue;
     state.ProbedAt = now;
--- a/Hemlockglade/Coordination/Route/ReplicaReach.h
+++ b/Hemlockglade/Coordination/Route/ReplicaReach.h
@@ -106,6 +106,8 @@
   /// Removes what has expired and replicas that are not usable any more.
   void prune(ServiceState &state, const std::vector<ReplicaPtr> &usable,
              Instant now) const;
+  /// Whether several replicas were sent requests and none has sent data since.
+  bool isSilent(const ServiceState &state, Instant now) const;
   bool needsProbe(const ServiceState &state, Instant now) const;
   std::vector<ReplicaPtr> chooseProbes(const ServiceState &state,
                                        const std::vector<ReplicaPtr> &usable,
