--- a/Hemlockglade/Coordination/Route/SharedRetryBudget.cpp
+++ b/Hemlockglade/Coordination/Route/SharedRetryBudget.cpp
@@ -16,24 +16,31 @@
 }
 
 void SharedRetryBudget::onRequest(const std::string &service, Instant now) {
-  ++slot(Services[service], now).Requests;
+  auto &state = Services[service];
+  ++state.RequestCount;
+  ++slot(state, now).Requests;
 }
 
-bool SharedRetryBudget::tryReserve(const std::string &service, Instant now) {
-  auto &state = Services[service];
+double SharedRetryBudget::left(const ServiceState &service, Instant now) const {
   auto age = [newest = slotNumber(now)](const Slot &it) {
     return newest - it.Number;
   };
   double requests = 0;
-  double retries = state.Reserved;
-  for (const auto &it : state.Slots) {
+  double retries = service.Reserved;
+  for (const auto &it : service.Slots) {
     requests += age(it) < SlotsPerWindow ? it.Requests : 0;
     retries += age(it) <= SlotsPerWindow ? it.Retries : 0;
   }
-  double allowed = Options.UsedShare * Options.RetriesPerRequest * requests +
-                   Options.UsedFixedShare * Options.FixedRetries * TrafficShare;
-  if (retries + 1 > allowed)
+  return Options.UsedShare * Options.RetriesPerRequest * requests +
+         Options.UsedFixedShare * Options.FixedRetries * TrafficShare - retries;
+}
+
+bool SharedRetryBudget::tryReserve(const std::string &service, Instant now) {
+  auto &state = Services[service];
+  if (left(state, now) < 1) {
+    ++state.RefusedCount;
     return false;
+  }
   ++state.Reserved;
   return true;
 }
@@ -41,6 +48,7 @@
 void SharedRetryBudget::onSent(const std::string &service, Instant now) {
   auto &state = Services[service];
   state.Reserved -= state.Reserved ? 1 : 0;
+  ++state.SentCount;
   ++slot(state, now).Retries;
 }
 
@@ -50,6 +58,7 @@
   auto &sent = state.Slots[static_cast<std::size_t>(number) % SlotCount];
   if (sent.Number == number && sent.Retries)
     --sent.Retries;
+  --state.SentCount;
   ++state.Reserved;
 }
 
@@ -58,4 +67,13 @@
   state.Reserved -= state.Reserved ? 1 : 0;
 }
 
+std::map<std::string, SharedRetryBudget::Usage>
+SharedRetryBudget::usage(Instant now) const {
+  std::map<std::string, Usage> out;
+  for (const auto &[name, it] : Services)
+    out[name] = {it.RequestCount, it.SentCount, it.RefusedCount, it.Reserved,
+                 left(it, now)};
+  return out;
+}
+
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Route/SharedRetryBudget.h
+++ b/Hemlockglade/Coordination/Route/SharedRetryBudget.h
@@ -30,6 +30,17 @@
     double UsedFixedShare = 0.5;
   };
 
+  /// Counts of one service since the start, and its budget at one moment.
+  struct Usage {
+    std::uint64_t Requests = 0;
+    std::uint64_t Sent = 0;
+    std::uint64_t Refused = 0;
+    /// Retries that are allowed and not sent.
+    std::uint32_t Reserved = 0;
+    /// Further retries that would be allowed.
+    double Left = 0;
+  };
+
   explicit SharedRetryBudget(const Settings &settings) : Options(settings) {}
 
   /// Called when a request for the service is received.
@@ -44,6 +55,8 @@
   void onNotSent(const std::string &service, Instant sentAt);
   /// Called when a reserved retry will not be sent.
   void release(const std::string &service);
+  /// Returns the usage of each service that had requests.
+  std::map<std::string, Usage> usage(Instant now) const;
   /// Replaces the settings; the counts stay.
   void setBounds(const Settings &settings) { Options = settings; }
   /// Sets this node's share of the fixed number, 0 to 1.
@@ -64,8 +77,13 @@
     std::array<Slot, SlotCount> Slots;
     /// Retries that are allowed and not sent.
     std::uint32_t Reserved = 0;
+    std::uint64_t RequestCount = 0;
+    std::uint64_t SentCount = 0;
+    std::uint64_t RefusedCount = 0;
   };
 
+  /// Number of retries that may still be reserved.
+  double left(const ServiceState &service, Instant now) const;
   Slot &slot(ServiceState &service, Instant now) const;
   std::int64_t slotNumber(Instant now) const;
 
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -111,6 +111,9 @@
   void tick();
   void refresh();
   void refreshUsage();
+  /// Updates the metrics of the retry budgets, and logs those of services with
+  /// retries since the last call.
+  void refreshRetryBudgets();
   /// Logs how much this node has sent to others and how often it has called the
   /// registry.
   void logUsage();
@@ -173,6 +176,9 @@
   MetricRegistry Metrics;
   ReplicaView View;
   SharedRetryBudget Budget;
+  /// What `refreshRetryBudgets` has logged last, and when it was called last.
+  std::map<std::string, SharedRetryBudget::Usage> LoggedBudgets;
+  Instant BudgetsLoggedAt{};
   HttpPool Pool;
   CrashCoordinator Crashes;
   PeerTraffic Traffic;
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -85,6 +85,16 @@
     "hemlockglade_relayed_requests",
     "Requests of other nodes that this node has taken to forward to replicas, "
     "since the start."};
+constexpr MetricFamily RetriesFamily{
+    "hemlockglade_retries",
+    "Retries since the start, by service and by whether they were sent or "
+    "refused for want of a budget."};
+constexpr MetricFamily BudgetRequestsFamily{
+    "hemlockglade_retry_budget_requests",
+    "Requests since the start that count towards the retry budget."};
+constexpr MetricFamily BudgetLeftFamily{
+    "hemlockglade_retry_budget_left",
+    "Further retries that this node may send at present."};
 constexpr MetricFamily LogLeftOutFamily{"hemlockglade_log_lines_left_out",
                                         "Log lines left out by the bound."};
 
@@ -161,6 +171,34 @@
   Metrics.gauge(RelayedFamily).set(static_cast<double>(Relay->total()));
   Metrics.gauge(EndsSeenFamily).set(static_cast<double>(Crashes.ended()));
   refreshUsage();
+  refreshRetryBudgets();
+}
+
+void Gateway::refreshRetryBudgets() {
+  auto now = TimerService::now();
+  auto since = std::exchange(BudgetsLoggedAt, now);
+  for (const auto &[service, it] : Budget.usage(now)) {
+    Metrics.gauge(RetriesFamily, {{"service", service}, {"result", "sent"}})
+        .set(static_cast<double>(it.Sent));
+    Metrics.gauge(RetriesFamily, {{"service", service}, {"result", "refused"}})
+        .set(static_cast<double>(it.Refused));
+    Metrics.gauge(BudgetRequestsFamily, {{"service", service}})
+        .set(static_cast<double>(it.Requests));
+    Metrics.gauge(BudgetLeftFamily, {{"service", service}}).set(it.Left);
+    auto before = std::exchange(LoggedBudgets[service], it);
+    if (it.Sent == before.Sent && it.Refused == before.Refused)
+      continue;
+    Log.write(LogClass::State, "retry-budget",
+              {{"service", service},
+               {"over_ms", now - since},
+               {"requests", it.Requests - before.Requests},
+               {"sent", it.Sent - before.Sent},
+               {"refused", it.Refused - before.Refused},
+               {"reserved", it.Reserved},
+               {"left", it.Left},
+               {"nodes_share",
+                Entries.shareOf(Settings.Name, Settings.FailureDomain)}});
+  }
 }
 
 void Gateway::refreshUsage() {
