--- a/UnitTests/History/HistoryEvent.h
+++ b/UnitTests/History/HistoryEvent.h
@@ -30,6 +30,8 @@
   /// Address of the node that was called, or that the event happened to.
   std::string To;
   std::string Endpoint;
+  /// Service that a request was sent for or arrived at; only the soak sets it.
+  std::string Service;
   /// The lease holder that sent an order, and the order's fencing number.
   std::string Holder;
   std::uint64_t Fence = 0;
--- a/UnitTests/Platform/Soak/SoakCallers.cpp
+++ b/UnitTests/Platform/Soak/SoakCallers.cpp
@@ -187,6 +187,7 @@
   event.Sending = it->Name;
   event.Tag = it->Tag;
   event.Adapter = it->Adapter;
+  event.Service = it->Stream ? site::EngineService : site::PlainService;
   event.To = it->To;
   event.Key = it->AtMostOnce ? it->Tag : "";
   event.AskedAt = Targets.AskedAt;
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -6,6 +6,7 @@
 #include "UnitTests/Platform/Soak/SoakCutOffs.h"
 #include "UnitTests/Platform/Soak/SoakDraining.h"
 #include "UnitTests/Platform/Soak/SoakLimits.h"
+#include "UnitTests/Platform/Soak/SoakRetries.h"
 #include "UnitTests/Platform/Soak/SoakVersions.h"
 #include "UnitTests/Platform/Soak/SoakWorld.h"
 
@@ -54,6 +55,9 @@
 DEFINE_double(cut_off_every, 0,
               "time between cuts of gateways from all replicas, in seconds, at "
               "least 7; 0 for none");
+DEFINE_double(lives_every, 0,
+              "time between series in which engines lose their answers while "
+              "all gateways are killed several times, in seconds; 0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -170,14 +174,31 @@
   return findings.Poor.empty();
 }
 
-bool printVerdict(SoakWorld &world, Span versionBound) {
+bool checkRetryBudgets(const std::vector<HistoryEvent> &events,
+                       int fixedRetries) {
+  GatewaySettings defaults;
+  auto findings =
+      checkRetries(events, {defaults.RepeatShare, double(fixedRetries),
+                            defaults.RepeatWindow});
+  printResult(findings.Exceeded.empty(),
+              "services get no more retries than their budgets allow: " +
+                  std::to_string(findings.Retries) + " sent, at most " +
+                  std::to_string(findings.MaxUsed) +
+                  " of what is allowed in a window");
+  for (const auto &it : findings.Exceeded)
+    std::cout << "  " << it << '\n';
+  return findings.Exceeded.empty();
+}
+
+bool printVerdict(SoakWorld &world, const SoakWorld::Settings &settings) {
   HistoryBounds bounds;
   bounds.Configuration = GatewaySettings{}.PlanBound;
   auto events = world.history().take();
-  bool isHeld = checkVersionBound(events, versionBound);
+  bool isHeld = checkVersionBound(events, settings.VersionBound);
   isHeld = checkStatedLimits(events) && isHeld;
   isHeld = checkDrainingReplicas(events) && isHeld;
   isHeld = checkCutOffGateways(events) && isHeld;
+  isHeld = checkRetryBudgets(events, settings.RepeatExtra) && isHeld;
   HistoryChecker checker(std::move(events), bounds);
   for (const auto &verdict : checker.check()) {
     constexpr std::size_t Shown = 5;
@@ -238,6 +259,10 @@
   settings.LimitInterval = spanOf(FLAGS_limits_every);
   settings.StaleListInterval = spanOf(FLAGS_stale_lists_every);
   settings.CutOffInterval = spanOf(FLAGS_cut_off_every);
+  settings.LivesInterval = spanOf(FLAGS_lives_every);
+  // Little, so that it is not what retries are served from.
+  if (FLAGS_lives_every > 0)
+    settings.RepeatExtra = 20;
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
@@ -255,7 +280,7 @@
             << " refused, " << counts.Failed << " failed, " << counts.Unknown
             << " unknown, " << counts.Aborted << " left; logs in "
             << settings.Folder << '\n';
-  return printVerdict(world, settings.VersionBound) ? 0 : 1;
+  return printVerdict(world, settings) ? 0 : 1;
 }
 
 } // namespace
--- a/UnitTests/Platform/Soak/SoakNode.cpp
+++ b/UnitTests/Platform/Soak/SoakNode.cpp
@@ -48,7 +48,7 @@
       << addressAt(1) << "\"\ndirectory_address: \"" << addressAt(2)
       << "\"\nregistry_address: \"" << Link.address()
       << "\"\nfailure_domains: [hall-a, hall-b, hall-c]\nstop_bound_s: 4\n"
-      << "repeat_extra: 200\nversion_bound_ms: "
+      << "repeat_extra: " << Options.RepeatExtra << "\nversion_bound_ms: "
       << Options.VersionBound / std::chrono::milliseconds(1) << "\nseeds: [";
   for (std::size_t it = 0; it < Options.Seeds.size(); ++it)
     out << (it ? ", " : "") << '"' << Options.Seeds[it] << '"';
--- a/UnitTests/Platform/Soak/SoakNode.h
+++ b/UnitTests/Platform/Soak/SoakNode.h
@@ -23,6 +23,8 @@
     /// How long requests may still begin on a version of weights that has been
     /// replaced.
     Span VersionBound{0};
+    /// Retries of a service in each window that don't depend on its requests.
+    int RepeatExtra = 200;
     /// Whether other gateways reach this one through a proxy.
     bool ProxiesPeers = false;
   };
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -185,7 +185,9 @@
     return onOrder(request, reply);
   if (path == platform_name::ReportCall)
     return reply->respond({200, {}}, report());
-  record("arrived").Tag = tag;
+  auto &arrived = record("arrived");
+  arrived.Tag = tag;
+  arrived.Service = Options.Service;
   if (CurrentMode == Mode::Sheds)
     return refuse(*reply, 503, tag);
   accept(request, reply);
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -41,7 +41,7 @@
       EntriesRandom(Options.Seed), RevertRandom(Options.Seed),
       VersionRandom(Options.Seed), LimitRandom(Options.Seed),
       StaleListRandom(Options.Seed), CutOffRandom(Options.Seed),
-      Timers(Context), Store(Context, Random()),
+      LivesRandom(Options.Seed), Timers(Context), Store(Context, Random()),
       Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
@@ -123,6 +123,7 @@
     node.FirstPort = FirstPort;
     node.Seeds = seeds;
     node.VersionBound = Options.VersionBound;
+    node.RepeatExtra = Options.RepeatExtra;
     node.ProxiesPeers = Options.StaleListInterval > Span(0);
     Nodes.push_back(std::make_unique<SoakNode>(Context, std::move(node),
                                                Store.port(), History));
@@ -164,6 +165,7 @@
   repeatWhile(InjectsFaults, Options.StaleListInterval,
               &SoakWorld::injectStaleList);
   repeatWhile(InjectsFaults, Options.CutOffInterval, &SoakWorld::injectCutOff);
+  repeatWhile(InjectsFaults, Options.LivesInterval, &SoakWorld::injectLives);
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -38,6 +38,11 @@
     Span StaleListInterval{0};
     /// Time between cuts of gateways from all replicas; none if 0.
     Span CutOffInterval{0};
+    /// Time between series in which engines lose their answers while all
+    /// gateways are killed several times; none if 0.
+    Span LivesInterval{0};
+    /// Retries of a service in each window that don't depend on its requests.
+    int RepeatExtra = 200;
     /// How long requests may still begin on a version of weights that has been
     /// replaced.
     Span VersionBound = std::chrono::seconds(5);
@@ -113,6 +118,8 @@
   /// Cuts some gateways, or all of a failure domain, off from all replicas.
   void injectCutOff();
   void endCutOff();
+  /// Has engines lose their answers and kills all gateways several times.
+  void injectLives();
   void restoreAll();
   void causeOutage();
   void log(const std::string &what);
@@ -136,6 +143,7 @@
   std::mt19937_64 LimitRandom;
   std::mt19937_64 StaleListRandom;
   std::mt19937_64 CutOffRandom;
+  std::mt19937_64 LivesRandom;
   asio::io_context Context;
   TimerService Timers;
   /// A listener that keeps other soaks from using the same loopback network.
