--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -178,7 +178,7 @@
   SharedRetryBudget Budget;
   /// What `refreshRetryBudgets` has logged last, and when it was called last.
   std::map<std::string, SharedRetryBudget::Usage> LoggedBudgets;
-  Instant BudgetsLoggedAt{};
+  Instant BudgetsLoggedAt = TimerService::now();
   HttpPool Pool;
   CrashCoordinator Crashes;
   PeerTraffic Traffic;
