A retry is paid for once, whatever nodes come and go

Cause: each node measured its retries against its own last window. A new life or a set of nodes that came into service began with an unused fixed part, and with a budget for its own requests, whatever those before had sent in the same window; while failure domains could not hear of each other, each divided the fixed number among its own nodes.

Of the fixed number a node spends the smallest share that it had within the last window and the longest delay of an arrival; a new life has none. A node's share follows from its own failure domain's nodes and the number of domains. A retry that was held is paid for when it is sent, and waits if what it was reserved for has expired.

Ruled out: an arrival that takes nothing (each way back to a send was read: withdrawn attempts, relays' refusals and closed pooled connections have sent nothing), requests that move between services (the service is drawn once a request), late arrivals alone (a test of 3.5 s holds passed before).

NodeTests [gateway] pass (106 cases).

--- a/Hemlockglade/Coordination/Entries/ServingEntries.cpp
+++ b/Hemlockglade/Coordination/Entries/ServingEntries.cpp
@@ -78,4 +78,13 @@
   return 1 / static_cast<double>(all().size());
 }
 
+double ServingEntries::fixedShareOf(const std::string &node,
+                                    const std::string &domain,
+                                    std::size_t domainCount) const {
+  if (!serves(node, domain))
+    return 0;
+  auto parts = std::max<std::size_t>(1, domainCount) * inDomain(domain).size();
+  return 1 / static_cast<double>(parts);
+}
+
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Entries/ServingEntries.h
+++ b/Hemlockglade/Coordination/Entries/ServingEntries.h
@@ -40,6 +40,12 @@
   /// Returns this node's part of what all nodes in service share: 0 if it is
   /// not one of them, or if none is known.
   double shareOf(const std::string &node, const std::string &domain) const;
+  /// The same, but of what the failure domains, of which there are
+  /// `domainCount`, divide evenly first. Needs to know only the own domain's
+  /// nodes, so that the shares add up to one at most while failure domains
+  /// can't reach each other.
+  double fixedShareOf(const std::string &node, const std::string &domain,
+                      std::size_t domainCount) const;
 
 private:
   std::map<std::string, std::vector<DomainEntries>> ReportedByCell;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -202,14 +202,34 @@
 bool GatewayExchange::awaitsNewerList() {
   if (!isListOld())
     return false;
+  pollLater("replicas' list is old");
+  return true;
+}
+
+void GatewayExchange::pollLater(std::string_view reason) {
   auto now = TimerService::now();
   releaseGrant(Grant);
   Waiting = true;
   WaitsForCapacity = false;
-  WaitReason = "replicas' list is old";
+  WaitReason = reason;
   WakeAt = now + Settings.WaitPollInterval;
   logWait({}, now);
   armTimer();
+}
+
+void GatewayExchange::waitForBudget() {
+  leaveQueue(false);
+  if (!endIfHeldTooLong())
+    pollLater("no retry budget");
+}
+
+bool GatewayExchange::endIfHeldTooLong() {
+  if (TimerService::now() < HoldUntil)
+    return false;
+  if (MayHaveRun)
+    answerWithError(BadGateway, "no replica to try again");
+  else
+    answerWithError(Unavailable, "held too long", retryAfter());
   return true;
 }
 
@@ -218,14 +238,13 @@
   if (usesEngine() && !std::exchange(DemandReported, true))
     Shared.OnDemand(Query.Service, *Query.Weights, false);
   bool limited = choice.Result == RouteChoice::Kind::Limited && !AnswerBegun;
-  if (now >= HoldUntil || limited) {
-    if (MayHaveRun)
-      return answerWithError(BadGateway, "no replica to try again");
-    if (limited)
-      return answerWithError(Unavailable, "all replicas are at their limits",
-                             std::max(LimitRetryAt, choice.ReadyAt) - now);
-    return answerWithError(Unavailable, "held too long", retryAfter());
-  }
+  if (limited && !MayHaveRun)
+    return answerWithError(Unavailable, "all replicas are at their limits",
+                           std::max(LimitRetryAt, choice.ReadyAt) - now);
+  if (limited)
+    return answerWithError(BadGateway, "no replica to try again");
+  if (endIfHeldTooLong())
+    return;
   Waiting = true;
   WaitsForCapacity = choice.Result == RouteChoice::Kind::AwaitPrefill ||
                      choice.Result == RouteChoice::Kind::Full;
@@ -312,6 +331,13 @@
   bool isRelayed = path.Via == ReplicaPath::Kind::Relayed;
   if (isRelayed)
     address = parseEndpoint(path.Relay);
+  std::optional<SharedRetryBudget::Payment> payment;
+  if (RetryReserved) {
+    payment = Shared.Budget.trySend(Query.Service, now);
+    if (!payment)
+      return waitForBudget();
+    RetryReserved = false;
+  }
   auto head = headFor(choice, path);
   leaveQueue(true);
   Query.SentAt = now;
@@ -323,9 +349,7 @@
   Current->MustBeginBy = choice.MustBeginBy;
   Current->Relay = path.Relay;
   Current->Grant = std::exchange(Grant, std::nullopt);
-  Current->IsRetry = std::exchange(RetryReserved, false);
-  if (Current->IsRetry)
-    Shared.Budget.onSent(Query.Service, now);
+  Current->Payment = payment;
   ReplacedFor.reset();
   if (choice.ReplacedAt)
     ReplacedFor = now - *choice.ReplacedAt;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -272,8 +272,8 @@
     std::optional<Instant> MustBeginBy;
     /// A newer incarnation of the replica is known since the request was sent.
     bool ReplicaRestarted = false;
-    /// It counts against the retry budget.
-    bool IsRetry = false;
+    /// What it was paid for with, if it counts against the retry budget.
+    std::optional<SharedRetryBudget::Payment> Payment;
     /// Set if the replica states a limit.
     std::optional<ReplicaGrant> Grant;
     /// `ip:port` of the node that forwards it; empty on the direct path.
@@ -311,9 +311,15 @@
   bool isListOld() const;
   /// Holds the request if the list of replicas is too old to choose from.
   bool awaitsNewerList();
+  /// Holds the request for a short time, then chooses again.
+  void pollLater(std::string_view reason);
   /// Holds the request until the choice may change, or refuses it if it was
   /// held too long.
   void waitForReplica(const RouteChoice &choice);
+  /// Holds a retry until the retry budget has one to send.
+  void waitForBudget();
+  /// Refuses the request if it was held too long; returns whether it was.
+  bool endIfHeldTooLong();
   /// Whether others that wait for capacity of the service are served before
   /// this request; if so, it joins their queue.
   bool mustQueue(Instant now);
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -207,9 +207,9 @@
 
 void GatewayExchange::withdrawAttempt(AttemptVerdict verdict) {
   releaseGrant(Current->Grant);
-  RetryReserved = Current->IsRetry;
+  RetryReserved = Current->Payment.has_value();
   if (RetryReserved)
-    Shared.Budget.onNotSent(Query.Service, Current->SentAt);
+    Shared.Budget.onNotSent(Query.Service, *Current->Payment);
   AttemptedReplicas.erase(Current->Replica->Incarnation.text());
   endAttempt(verdict);
 }
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -196,8 +196,7 @@
                {"refused", it.Refused - before.Refused},
                {"reserved", it.Reserved},
                {"left", it.Left},
-               {"nodes_share",
-                Entries.shareOf(Settings.Name, Settings.FailureDomain)}});
+               {"fixed_share", Budget.fixedShare(now)}});
   }
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -91,7 +91,10 @@
   InService = Entries.serves(Settings.Name, Settings.FailureDomain);
   LeftOut = !InService && !Reach.cutOff().empty() && !Entries.all().empty();
   auto share = Entries.shareOf(Settings.Name, Settings.FailureDomain);
-  Budget.setTrafficShare(share);
+  Budget.setFixedShare(Entries.fixedShareOf(Settings.Name,
+                                            Settings.FailureDomain,
+                                            Settings.FailureDomains.size()),
+                       TimerService::now());
   auto nodes = share > 0 ? std::lround(1 / share) : 1;
   View.setTrafficShare(1.0 / static_cast<double>(nodes));
   Quotas.setEntries(static_cast<std::size_t>(nodes));
--- a/UnitTests/Coordination/Entries/EntrySelectorTest.cpp
+++ b/UnitTests/Coordination/Entries/EntrySelectorTest.cpp
@@ -144,4 +144,20 @@
   CHECK(entries.inDomain("a").front().Node == "old");
 }
 
+TEST_CASE("fixed shares add up to one while failure domains can't reach each "
+          "other",
+          "[entries]") {
+  // Each knows the nodes of its own failure domain only.
+  constexpr std::size_t Domains = 4;
+  double sum = 0;
+  for (std::string domain : {"a", "b", "c", "d"}) {
+    ServingEntries entries;
+    entries.update(domain, {{domain, {{"n", "1", {}}, {"m", "2", {}}}}});
+    sum += entries.fixedShareOf("n", domain, Domains);
+    sum += entries.fixedShareOf("m", domain, Domains);
+    CHECK(entries.fixedShareOf("k", domain, Domains) == 0);
+  }
+  CHECK(sum == Approx(1));
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Coordination/Route/RetryBudgetLivesTest.cpp
+++ b/UnitTests/Coordination/Route/RetryBudgetLivesTest.cpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <random>
 #include <rapidcheck.h>
+#include <set>
 
 namespace hemlockglade::test {
 
@@ -63,31 +64,53 @@
   std::vector<Instant> Retries;
 };
 
-/// A set of nodes that share one service's requests evenly.
-class NodeSet {
+/// Nodes of which some are in service and share one service's requests evenly.
+class Nodes {
 public:
-  NodeSet(std::size_t count, RetryCount &total, Instant now)
-      : Nodes(count, SharedRetryBudget(settings())), Total(total) {
-    for (auto &it : Nodes)
-      it.setTrafficShare(1.0 / static_cast<double>(count));
-    (void)now;
+  Nodes(std::size_t count, RetryCount &total) : Total(total) {
+    for (std::size_t it = 0; it < count; ++it)
+      All.emplace_back(settings());
   }
 
+  /// Puts these nodes, by index, in service; the others leave it.
+  void serve(const std::set<std::size_t> &nodes, Instant now) {
+    Serving.assign(nodes.begin(), nodes.end());
+    for (std::size_t it = 0; it < All.size(); ++it)
+      All[it].setFixedShare(
+          nodes.contains(it) ? 1.0 / static_cast<double>(nodes.size()) : 0,
+          now);
+  }
+  /// Puts all nodes in service.
+  void serveAll(Instant now) {
+    std::set<std::size_t> nodes;
+    for (std::size_t it = 0; it < All.size(); ++it)
+      nodes.insert(it);
+    serve(nodes, now);
+  }
+  /// A new process takes the place of the node's old one.
+  void restart(std::size_t node) { All[node] = SharedRetryBudget(settings()); }
   void request(Instant now) {
-    Nodes[Next++ % Nodes.size()].onRequest("s", now);
+    All[Serving[Next++ % Serving.size()]].onRequest("s", now);
     Total.onRequest(now);
   }
-  /// Sends as many retries as the nodes may; they arrive at `arriveAt`.
-  void retryAll(Instant now, Instant arriveAt) {
-    for (auto &it : Nodes)
+  /// Sends as many retries as all nodes may; they arrive at `arriveAt`.
+  int retryAll(Instant now, Instant arriveAt) {
+    int n = 0;
+    for (auto &it : All)
       while (it.tryReserve("s", now)) {
-        it.onSent("s", now);
+        if (!it.trySend("s", now)) {
+          it.release("s");
+          break;
+        }
         Total.onArrived(arriveAt);
+        ++n;
       }
+    return n;
   }
 
 private:
-  std::vector<SharedRetryBudget> Nodes;
+  std::deque<SharedRetryBudget> All;
+  std::vector<std::size_t> Serving;
   RetryCount &Total;
   std::size_t Next = 0;
 };
@@ -99,8 +122,13 @@
           "[budget-lives]") {
   RetryCount total;
   Instant now = seconds(1000);
-  for (int set = 0; set < 3; ++set, now += seconds(3)) {
-    NodeSet nodes(4, total, now);
+  Nodes nodes(12, total);
+  nodes.serve({0, 1, 2, 3}, now);
+  now += seconds(20);
+  CHECK(nodes.retryAll(now, now) == 28);
+  for (std::size_t set = 1; set < 3; ++set) {
+    now += seconds(3);
+    nodes.serve({4 * set, 4 * set + 1, 4 * set + 2, 4 * set + 3}, now);
     nodes.retryAll(now, now);
   }
   CHECK(total.maxExcess() <= 0);
@@ -112,7 +140,8 @@
   RetryCount total;
   Instant now = seconds(1000);
   for (int set = 0; set < 2; ++set) {
-    NodeSet nodes(4, total, now);
+    Nodes nodes(4, total);
+    nodes.serveAll(now);
     for (int it = 0; it < 1500; ++it, now += milliseconds(6))
       nodes.request(now);
     nodes.retryAll(now, now);
@@ -125,7 +154,8 @@
   RetryCount total;
   Instant now = seconds(1000);
   Instant healsAt = seconds(1020);
-  NodeSet nodes(4, total, now);
+  Nodes nodes(4, total);
+  nodes.serveAll(now);
   for (int it = 0; it < 120'000; ++it) {
     now += std::chrono::microseconds(250);
     nodes.request(now);
@@ -144,19 +174,27 @@
     RetryCount total;
     Instant now = seconds(1000);
     const auto requestsPerStep = 1 + random() % 60;
-    std::deque<NodeSet> sets;
+    constexpr std::size_t Count = 8;
+    Nodes nodes(Count, total);
+    nodes.serveAll(now);
     Instant healsAt{};
-    constexpr int Steps = 160;
+    constexpr int Steps = 240;
     for (int step = 0; step < Steps; ++step) {
       now += milliseconds(250);
-      if (sets.empty() || oneIn(10))
-        sets.emplace_back(1 + random() % 6, total, now);
+      if (oneIn(8))
+        nodes.restart(random() % Count);
+      if (oneIn(10)) {
+        std::set<std::size_t> serving{random() % Count};
+        while (!oneIn(4))
+          serving.insert(random() % Count);
+        nodes.serve(serving, now);
+      }
       for (std::uint32_t it = 0; it < requestsPerStep; ++it)
-        sets.back().request(now);
+        nodes.request(now);
       if (now >= healsAt && oneIn(10))
         healsAt = now + milliseconds(random() % MaxLate.count());
       if (oneIn(3))
-        sets.back().retryAll(now, std::max(now, healsAt));
+        nodes.retryAll(now, std::max(now, healsAt));
     }
     RC_ASSERT(total.maxExcess() <= 0);
   }));
--- a/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/GatewayExchangeTest.cpp
@@ -106,7 +106,7 @@
                                                     crashHooks(),
                                                     limitHooks()},
         First(Context), Second(Context), Peer(Context) {
-    Budget.setTrafficShare(1);
+    Budget.setFixedShare(1, Instant::min() / 2);
     TestRoute.Name = "r";
     TestRoute.Targets = {{"s", 1}};
     TestRoute.Timeout = milliseconds(2000);
@@ -208,6 +208,7 @@
     oneRetry.FixedRetries = 1;
     oneRetry.UsedFixedShare = 1;
     oneRetry.Window = milliseconds(400);
+    oneRetry.MaxArrivalDelay = Span(0);
     Budget.setBounds(oneRetry);
     TestRoute.Kind = RouteKind::Repeatable;
     TestRoute.MaxAttempts = 2;
