Lines and labels name software versions and the streams that callers take up

A node's log could not tell which streams were affected: no line named the software version of a replica, or that a request took up a stream. No decision is changed. A test each for both (PlatformTests).

--- a/Hemlockglade/Protocol/Exchange/RequestLabels.h
+++ b/Hemlockglade/Protocol/Exchange/RequestLabels.h
@@ -38,6 +38,11 @@
   /// Id of the event after which a stream must continue; empty if the caller
   /// does not resume one.
   std::string ResumeBehind;
+  /// Id of the request that brought the first event of the stream that this one
+  /// takes up; empty if the caller names none.
+  std::string Resumes;
+  /// The caller names a stream in a way that can't be read.
+  bool MalformedResumes = false;
 };
 
 /// Metadata that a node adds to a request that it sends to a replica.
--- a/Hemlockglade/State/Routing/ReplicaRecord.h
+++ b/Hemlockglade/State/Routing/ReplicaRecord.h
@@ -45,6 +45,9 @@
   /// `ip:port`
   std::string Address;
   std::string FailureDomain;
+  /// Version of the replica's own software, not of the weights; empty if the
+  /// entry states none.
+  std::string SoftwareVersion;
   std::uint32_t Slots = 1;
   /// The replica is draining: it gets no new work.
   bool Draining = false;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -362,6 +362,7 @@
        {"arrivals", static_cast<std::uint64_t>(AttemptedReplicas.size())},
        {"not_connected", std::uint64_t{ConnectFailures}},
        {"events", EventsPassed},
+       {"resumes", Labels.Resumes},
        {"first_ms", TimeToFirstByte.value_or(Span(0))},
        {"took_ms", TimerService::now() - Request.ArrivedAt}});
   Reply->OnDrained = nullptr;
--- a/UnitTests/Platform/DocumentsTest.cpp
+++ b/UnitTests/Platform/DocumentsTest.cpp
@@ -212,6 +212,24 @@
   CHECK_FALSE(readReplica("i-1", R"({"service":"s1"})"));
 }
 
+TEST_CASE(
+    "the software version of a replica is parsed where it can be compared",
+    "[documents]") {
+  auto versionOf = [](const std::string &field) {
+    auto replica = platform_document::readReplica(
+        "i-1",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"a","slots":1,)" +
+            field + R"("state":"ready"})");
+    REQUIRE(replica);
+    return replica->SoftwareVersion;
+  };
+  CHECK(versionOf(R"("version":"v1.1",)") == "v1.1");
+  CHECK(versionOf(R"("version":2,)") == "2");
+  CHECK(versionOf("").empty());
+  CHECK(versionOf(R"("version":["v1"],)").empty());
+  CHECK(versionOf(R"("version":"",)").empty());
+}
+
 TEST_CASE("a report and a version are parsed", "[documents]") {
   auto report = readReport(
       R"({"stage":"combined","models":[{"name":"m","version":1,)"
--- a/UnitTests/Platform/HeadersTest.cpp
+++ b/UnitTests/Platform/HeadersTest.cpp
@@ -127,6 +127,17 @@
         "9");
 }
 
+TEST_CASE("the stream that a caller takes up is parsed", "[headers]") {
+  auto read = platformLabels().ReadRequest;
+  CHECK(read({{"Resumes", "ef7495f382ac3fab"}}).Resumes == "ef7495f382ac3fab");
+  CHECK_FALSE(read({{"Resumes", "ef7495f382ac3fab"}}).MalformedResumes);
+  CHECK_FALSE(read({}).MalformedResumes);
+  CHECK(read({{"Resumes", ""}}).MalformedResumes);
+  CHECK(read({{"Resumes", "two words"}}).MalformedResumes);
+  CHECK(read({{"Resumes", std::string(200, 'a')}}).MalformedResumes);
+  CHECK(read({{"Resumes", "a"}, {"resumes", "b"}}).MalformedResumes);
+}
+
 TEST_CASE("the labels of an answer are parsed", "[headers]") {
   auto read = platformLabels().ReadAnswer;
   auto good = read(200, {{"X-Attempt-Id", "id-1"},
