Failing tests: streams go on at another software version

In one answer, over a caller's tries at another node (also after the node that began it has stopped), and an unknown stream that is not refused.

--- a/UnitTests/Node/Gateway/GatewayExchangeRig.h
+++ b/UnitTests/Node/Gateway/GatewayExchangeRig.h
@@ -27,6 +27,8 @@
     out.Id = valueOf(fields, "Id");
     out.TimeLeft = milliseconds(2000);
     out.ResumeBehind = valueOf(fields, "Behind");
+    out.Resumes = valueOf(fields, "Resumes");
+    out.MalformedResumes = out.Resumes == "malformed";
     if (auto weights = valueOf(fields, "Weights"); !weights.empty())
       out.Weights = WeightsRef::parse(weights);
     return out;
@@ -190,6 +192,7 @@
       record.Service = "s";
       record.Address = it->address();
       record.FailureDomain = it == &First ? "hall-a" : "hall-b";
+      record.SoftwareVersion = it == &First ? "v1" : SecondSoftware;
       record.Slots = 8;
       if (it == &First || both)
         records.push_back(record);
@@ -267,6 +270,8 @@
   std::shared_ptr<GatewayExchange> Exchange;
   /// Whether the service's replicas are engines.
   bool RunsEngine = false;
+  /// Software version of the second replica; the first one has `v1`.
+  std::string SecondSoftware = "v1";
   bool Ended = false;
   std::string Outcome;
   std::optional<Span> BarredFor;
--- a/UnitTests/Node/Gateway/GatewayRig.h
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -28,6 +28,7 @@
     route.Prefix = prefix;
     route.Targets = {{"s", 1}};
     route.Timeout = milliseconds(2000);
+    route.Resumable = kind == RouteKind::Stream;
     RoutePlan plan(version, {route}, {ServiceSpec{"s", "/", 10, Engine}}, {},
                    Workspaces);
     plan.Source = prefix + std::to_string(version);
@@ -75,6 +76,7 @@
     record.Slots = 4;
     record.Source = address;
     record.Held = Held;
+    record.SoftwareVersion = Software;
     Replicas.Present.push_back(record);
   }
 
@@ -138,6 +140,7 @@
       record.FailureDomain = "hall-a";
       record.Slots = 4;
       record.Held = Held;
+      record.SoftwareVersion = Software;
       return std::optional(record);
     };
     out.Table.Get = [this](const std::string &key, auto done) {
@@ -166,6 +169,10 @@
           labels.Id = value;
         else if (sameFieldName(name, "Key"))
           labels.Caller = value;
+        else if (sameFieldName(name, "Behind"))
+          labels.ResumeBehind = value;
+        else if (sameFieldName(name, "Resumes"))
+          labels.Resumes = value;
         else if (sameFieldName(name, "Weights"))
           labels.Weights = WeightsRef::parse(value);
       return labels;
@@ -184,7 +191,9 @@
       AnswerLabels labels;
       labels.Sealed = true;
       for (const auto &[name, value] : fields)
-        if (sameFieldName(name, "Limit"))
+        if (sameFieldName(name, "Content-Type"))
+          labels.Events = value == "text/event-stream";
+        else if (sameFieldName(name, "Limit"))
           labels.RequestLimit = std::stod(std::string(value));
       return labels;
     };
@@ -220,6 +229,8 @@
   std::optional<EngineSpec> Engine;
   /// Weights held by replicas that are registered afterwards.
   HeldWeights Held;
+  /// Software version of replicas that are registered afterwards.
+  std::string Software = "v1";
   bool Away = false;
   /// Polls that wait for declarations are not answered.
   bool Deaf = false;
--- /dev/null
+++ b/UnitTests/Node/Gateway/StreamVersionTest.cpp
@@ -0,0 +1,148 @@
+// Streams go on only at the software version that began them.
+
+#include "UnitTests/Node/Gateway/GatewayExchangeRig.h"
+#include "UnitTests/Node/Gateway/GatewayRig.h"
+
+namespace hemlockglade::test {
+
+namespace {
+
+/// Two nodes with the same replicas, one each of `v1` and `v1.1`. A replica
+/// sends the first event of each stream that it begins and then breaks it off,
+/// and completes those that it goes on with.
+struct TwoNodes : GatewayFixture {
+  TwoNodes() : Second(*this), Newer(Context) {
+    Platform.HasTable = true;
+    Platform.declare(1, "/a/", RouteKind::Stream);
+    Second.Platform.declare(1, "/a/", RouteKind::Stream);
+    Replica.Answer = Newer.Answer = [](const ScriptedReplica::Request &it) {
+      if (findField(it.Head.Fields, "Behind"))
+        return ScriptedReplica::Step{StreamHead + chunk(event(2)) +
+                                     "0\r\n\r\n"};
+      return ScriptedReplica::Step{StreamHead + chunk(event(1)), Then::Reset};
+    };
+  }
+
+  /// Registers the replica of `v1` at both nodes, and that of `v1.1` if `both`.
+  void registerReplicas(bool both) {
+    for (auto *it : {&Platform, &Second.Platform}) {
+      it->Replicas.Present.clear();
+      it->Software = "v1";
+      it->addReplica(Replica.address());
+      // Of equal replicas the first by name is chosen.
+      it->Replicas.Present.back().Incarnation = ReplicaIncarnation("last");
+      it->Software = "v1.1";
+      if (both)
+        it->addReplica(Newer.address());
+    }
+  }
+
+  void startBoth() {
+    auto port = Second.Platform.port();
+    port.Table = Platform.port().Table;
+    start();
+    Second.Node = std::make_unique<Gateway>(Context, Second.Settings,
+                                            std::move(port), Log);
+    Second.Node->start();
+    REQUIRE(untilReady());
+    REQUIRE(until([this] { return Second.Node->ready(); }));
+    REQUIRE(until([this] {
+      auto found = ask(Settings.DirectoryAddress, "/hall-a");
+      return found.find(Settings.CallerAddress) != std::string::npos &&
+             found.find(Second.Settings.CallerAddress) != std::string::npos;
+    }));
+  }
+
+  /// Returns all that comes back for a request until its connection ends or the
+  /// answer is complete.
+  std::string exchange(const std::string &to, const std::string &fields) {
+    RawPeer peer(Context);
+    peer.connect(parseEndpoint(to).port());
+    peer.send("GET /a/x HTTP/1.1\r\nHost: a.example\r\n" + fields + "\r\n");
+    until([&peer] {
+      return peer.Ended ||
+             peer.Got.find("\r\n0\r\n\r\n") != std::string::npos ||
+             peer.Got.find("HTTP/1.1 5") != std::string::npos;
+    });
+    settle();
+    return peer.Got;
+  }
+
+  /// Begins a stream at the first node, which is cut off after one event.
+  void begin(const std::string &id) {
+    auto got = exchange(Settings.CallerAddress, "Id: " + id + "\r\n");
+    REQUIRE(got.find(event(1)) != std::string::npos);
+  }
+
+  std::string resumeAtSecond(const std::string &id, const std::string &stream) {
+    return exchange(Second.Settings.CallerAddress,
+                    "Id: " + id + "\r\nBehind: 1\r\nResumes: " + stream +
+                        "\r\n");
+  }
+
+  SecondNode Second;
+  ScriptedReplica Newer;
+};
+
+} // namespace
+
+TEST_CASE("a stream that has begun goes on only at the software version that "
+          "began it",
+          "[stream-version]") {
+  ExchangeFixture it;
+  it.TestRoute.Kind = RouteKind::Stream;
+  it.TestRoute.Resumable = true;
+  it.TestRoute.MaxAttempts = 2;
+  it.SecondSoftware = GENERATE("v1.1", "");
+  it.registerReplicas();
+  it.First.Script = {{StreamHead + chunk(event(1)), Then::Reset}};
+  it.Second.Script = {{StreamHead + chunk(event(2)) + "0\r\n\r\n"}};
+  it.sendRequest();
+  REQUIRE(it.untilEnded());
+  CHECK(it.Second.Requests.empty());
+  CHECK(it.received(event(1)));
+  CHECK_FALSE(it.received("\r\n0\r\n\r\n"));
+}
+
+TEST_CASE("a stream that a caller takes up at another node goes on at the "
+          "software version that began it",
+          "[stream-version]") {
+  TwoNodes it;
+  it.registerReplicas(false);
+  it.startBoth();
+  constexpr int Streams = 6;
+  for (int n = 0; n < Streams; ++n)
+    it.begin("s" + std::to_string(n));
+  it.registerReplicas(true);
+  // The list of replicas is read each second.
+  auto readBy = TimerService::now() + milliseconds(1500);
+  it.until([readBy] { return TimerService::now() > readBy; });
+  bool stopsFirst = GENERATE(false, true);
+  if (stopsFirst) {
+    it.Node->stop();
+    REQUIRE(it.until([&it] { return it.Stopped; }));
+  }
+  for (int n = 0; n < Streams; ++n) {
+    auto stream = "s" + std::to_string(n);
+    auto got = it.resumeAtSecond("t" + std::to_string(n), stream);
+    CHECK(got.find(event(2)) != std::string::npos);
+  }
+  CHECK(it.Newer.Requests.empty());
+}
+
+TEST_CASE("a stream whose software version is not known is refused at once "
+          "while several versions serve",
+          "[stream-version]") {
+  TwoNodes it;
+  it.registerReplicas(true);
+  it.startBoth();
+  auto sentAt = TimerService::now();
+  auto got = it.resumeAtSecond("t1", "unknown");
+  CHECK(got.starts_with("HTTP/1.1 503"));
+  CHECK(got.find("Retry-After") != std::string::npos);
+  CHECK(TimerService::now() - sentAt < milliseconds(500));
+  CHECK(it.Replica.Requests.empty());
+  CHECK(it.Newer.Requests.empty());
+}
+
+} // namespace hemlockglade::test
