Soak: releases of software versions in series, and callers that take streams up

Replicas mark their events with their software version. The verdict finds streams with events of two versions, and streams that are taken up going on less than half as often as new ones begin.

--- a/UnitTests/Platform/Soak/SoakCallers.cpp
+++ b/UnitTests/Platform/Soak/SoakCallers.cpp
@@ -4,6 +4,8 @@
 #include "Hemlockglade/Transport/Peer/PeerNet.h"
 #include "platform/Names.h"
 
+#include <sstream>
+
 namespace hemlockglade::soak {
 
 namespace {
@@ -24,12 +26,53 @@
 
 } // namespace
 
+/// A stream over all requests of its caller.
+struct SoakCallers::StreamState {
+  /// Id of the request that brought the first event.
+  std::string FirstTag;
+  std::string Adapter;
+  /// Versions of the software that its events come from.
+  std::set<std::string> Software;
+  int LastEvent = 0;
+  int Tries = 0;
+
+  /// Reads the whole events of a request's answer. Returns the text as the
+  /// gateways check it: from the first event on, as if all had been sent to
+  /// this request, and without the marks of the software.
+  std::string read(const std::string &body, const std::string &tag) {
+    std::string out;
+    for (int it = 1; it <= LastEvent; ++it)
+      out += site::eventText(tag, it);
+    std::istringstream in(body);
+    std::string software;
+    int number = 0;
+    for (std::string line; std::getline(in, line);) {
+      constexpr std::string_view Mark = "software: ";
+      if (line.starts_with("id: "))
+        number = std::stoi(line.substr(4));
+      if (line.starts_with(Mark)) {
+        software = line.substr(Mark.size());
+        continue;
+      }
+      out += line + "\n";
+      if (!line.empty())
+        continue;
+      LastEvent = number;
+      Software.insert(software);
+    }
+    return out;
+  }
+};
+
 struct SoakCallers::Call {
   std::string Name;
   std::string Tag;
   std::string Path;
   std::string Adapter;
   bool Stream = false;
+  /// Set for streams that may be taken up.
+  std::shared_ptr<StreamState> Resumable;
+  bool TakesUp = false;
   bool AtMostOnce = false;
   bool Aborts = false;
   bool Reused = false;
@@ -118,7 +161,7 @@
   if (!Running)
     return;
   if (!Targets.All.empty())
-    send();
+    send(drawCall());
   Timers.after(spanOf(1 / Rate), [this](Instant) { sendNext(); });
 }
 
@@ -169,11 +212,50 @@
       std::min(Random() % site::AdapterCount, Random() % site::AdapterCount);
   if (it->Stream)
     it->Adapter = std::string(site::Model) + "/a" + std::to_string(rank + 1);
+  if (it->Stream && !it->AtMostOnce) {
+    it->Resumable = std::make_shared<StreamState>();
+    it->Resumable->FirstTag = it->Tag;
+    it->Resumable->Adapter = it->Adapter;
+    ++Totals.StreamsSent;
+  }
   return it;
 }
 
-void SoakCallers::send() {
-  auto it = drawCall();
+void SoakCallers::takeUp(const std::shared_ptr<StreamState> &stream) {
+  if (!Running || Targets.All.empty())
+    return;
+  auto it = std::make_shared<Call>();
+  it->Name = "s" + std::to_string(++LastId);
+  it->Tag = "t" + std::to_string(LastId);
+  it->Path = "/chat/";
+  it->Stream = it->TakesUp = true;
+  it->Adapter = stream->Adapter;
+  it->Resumable = stream;
+  ++stream->Tries;
+  ++Totals.StreamsTakenUp;
+  send(it);
+}
+
+void SoakCallers::onStreamEnd(const std::shared_ptr<Call> &call, bool wasLost) {
+  auto &stream = *call->Resumable;
+  auto before = stream.LastEvent;
+  call->Body = stream.read(call->Body, call->Tag);
+  bool hasEvents = stream.LastEvent > before;
+  (call->TakesUp ? Totals.StreamsGoneOn : Totals.StreamsBegun) +=
+      hasEvents ? 1 : 0;
+  constexpr int MaxTries = 3;
+  constexpr auto RetryDelay = milliseconds(250);
+  bool isOpen = stream.LastEvent > 0 && stream.LastEvent < site::StreamEvents;
+  if (isOpen && wasLost && stream.Tries < MaxTries)
+    return void(Timers.after(
+        RetryDelay, [this, call](Instant) { takeUp(call->Resumable); }));
+  auto &event = History.record("callers", "streamed");
+  event.Tag = stream.FirstTag;
+  for (const auto &it : stream.Software)
+    event.Change += (event.Change.empty() ? "" : " ") + it;
+}
+
+void SoakCallers::send(const std::shared_ptr<Call> &it) {
   constexpr std::uint64_t KeptOneIn = 3;
   bool usesKept = !KeptAddresses.empty() && LastId % KeptOneIn == 0;
   const auto &targets = usesKept ? KeptAddresses : Targets.All;
@@ -210,6 +292,10 @@
     add(platform_name::PromptParts,
         "a1:100,b" + std::to_string(LastId) + ":100");
   }
+  if (it->TakesUp) {
+    add(platform_name::Resumes, it->Resumable->FirstTag);
+    add(platform_name::ResumeBehind, std::to_string(it->Resumable->LastEvent));
+  }
   HttpCallHooks hooks;
   hooks.OnHead = [it](const HttpAnswerHead &head) {
     it->Head = head;
@@ -252,6 +338,10 @@
     call->Connection->abort();
   else
     Pool.give(call->Connection);
+  if (call->Resumable)
+    onStreamEnd(call, outcome != "complete" && outcome != "left");
+  else if (call->Stream)
+    call->Body = StreamState().read(call->Body, call->Tag);
   Totals.Complete += outcome == "complete";
   Totals.Refused += outcome == "not-run";
   constexpr std::uint16_t TooManyRequests = 429;
--- a/UnitTests/Platform/Soak/SoakCallers.h
+++ b/UnitTests/Platform/Soak/SoakCallers.h
@@ -24,6 +24,12 @@
     /// Requests sent with a revoked key, and those of them that were served.
     int RevokedSent = 0;
     int RevokedServed = 0;
+    /// Streams that may be taken up: requests that begin one, and those of them
+    /// that brought an event; requests that take one up, and those of them.
+    int StreamsSent = 0;
+    int StreamsBegun = 0;
+    int StreamsTakenUp = 0;
+    int StreamsGoneOn = 0;
   };
 
   SoakCallers(asio::io_context &context,
@@ -53,6 +59,7 @@
 
 private:
   struct Call;
+  struct StreamState;
   struct Addresses {
     std::vector<std::string> All;
     Instant AskedAt{};
@@ -61,7 +68,11 @@
 
   void sendNext();
   void queryDirectory();
-  void send();
+  void send(const std::shared_ptr<Call> &it);
+  /// Reads the events of a stream's request that has ended, and takes the
+  /// stream up at another gateway if it is incomplete.
+  void onStreamEnd(const std::shared_ptr<Call> &call, bool wasLost);
+  void takeUp(const std::shared_ptr<StreamState> &stream);
   /// Sends the request that crashes replicas, always the same one, to a random
   /// gateway.
   void sendCrashingRequest();
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -58,6 +58,9 @@
 DEFINE_double(lives_every, 0,
               "time between series in which engines lose their answers while "
               "all gateways are killed several times, in seconds; 0 for none");
+DEFINE_double(releases_every, 0,
+              "time between releases of new software versions to some engines, "
+              "in seconds; 0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -190,6 +193,38 @@
   return findings.Exceeded.empty();
 }
 
+/// Checks that each stream holds events of one software version, and that
+/// streams which are taken up go on at least half as often as new ones begin.
+bool checkStreams(const std::vector<HistoryEvent> &events,
+                  const SoakCallers::Counts &counts) {
+  int streams = 0;
+  std::vector<std::string> mixed;
+  for (const auto &it : events) {
+    if (it.Event != "streamed")
+      continue;
+    ++streams;
+    if (it.Change.find(' ') != std::string::npos)
+      mixed.push_back(it.Tag + ": " + it.Change);
+  }
+  printResult(mixed.empty(), "streams hold events of one software version: " +
+                                 std::to_string(mixed.size()) + " of " +
+                                 std::to_string(streams) + " are mixed");
+  for (const auto &it : mixed)
+    std::cout << "  " << it << '\n';
+  constexpr int MinTakenUp = 12;
+  constexpr double MinRatio = 0.5;
+  bool goesOn = counts.StreamsTakenUp < MinTakenUp ||
+                double(counts.StreamsGoneOn) / counts.StreamsTakenUp >=
+                    MinRatio * counts.StreamsBegun / counts.StreamsSent;
+  printResult(goesOn, "streams that are taken up go on: " +
+                          std::to_string(counts.StreamsGoneOn) + " of " +
+                          std::to_string(counts.StreamsTakenUp) + ", " +
+                          std::to_string(counts.StreamsBegun) + " of " +
+                          std::to_string(counts.StreamsSent) +
+                          " new ones begin");
+  return mixed.empty() && goesOn;
+}
+
 bool printVerdict(SoakWorld &world, const SoakWorld::Settings &settings) {
   HistoryBounds bounds;
   bounds.Configuration = GatewaySettings{}.PlanBound;
@@ -199,6 +234,7 @@
   isHeld = checkDrainingReplicas(events) && isHeld;
   isHeld = checkCutOffGateways(events) && isHeld;
   isHeld = checkRetryBudgets(events, settings.RepeatExtra) && isHeld;
+  isHeld = checkStreams(events, world.counts()) && isHeld;
   HistoryChecker checker(std::move(events), bounds);
   for (const auto &verdict : checker.check()) {
     constexpr std::size_t Shown = 5;
@@ -263,6 +299,7 @@
   // Little, so that it is not what retries are served from.
   if (FLAGS_lives_every > 0)
     settings.RepeatExtra = 20;
+  settings.ReleaseInterval = spanOf(FLAGS_releases_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -150,11 +150,23 @@
                });
 }
 
+void SoakReplica::replace(const std::string &software) {
+  drain();
+  constexpr auto Pause = milliseconds(300);
+  Timers.after(Options.DrainTime + Pause,
+               [this, software, alive = Alive](Instant) {
+                 if (!*alive || isRunning())
+                   return;
+                 Options.Software = software;
+                 start();
+               });
+}
+
 std::string SoakReplica::registryEntry() const {
   Json node{{"service", Options.Service},
             {"address", Link.address()},
             {"zone", Options.FailureDomain},
-            {"version", "v1"},
+            {"version", Options.Software},
             {"slots", 8},
             {"sequence", Heartbeats},
             {"cold_remaining_ms", 0},
@@ -443,6 +455,7 @@
   if (!std::exchange(run->HeadSent, true))
     run->Reply->begin(head(200, *run));
   auto text = site::eventText(run->Tag, run->NextEvent);
+  text.insert(text.find('\n') + 1, "software: " + Options.Software + "\n");
   if (run->IsTruncated && run->NextEvent > site::StreamEvents / 2) {
     end(*run, "cut", false);
     run->Reply->part(std::string_view(text).substr(0, text.size() / 2));
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -69,6 +69,8 @@
     /// How long a draining replica still serves before it ends.
     Span DrainTime = std::chrono::milliseconds(2600);
     bool Engine = false;
+    /// Version of its software, with which it marks its events.
+    std::string Software = "v1";
     PlantedViolation Planted = PlantedViolation::None;
   };
 
@@ -86,6 +88,8 @@
 
   /// Starts a new incarnation, which has only the base model loaded.
   void start();
+  /// Drains, and starts anew with another version of the software.
+  void replace(const std::string &software);
   /// Ends immediately and cuts the requests that run.
   void crash();
   /// Begins to drain: its registry entry says so, and it ends some time later.
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -41,8 +41,8 @@
       EntriesRandom(Options.Seed), RevertRandom(Options.Seed),
       VersionRandom(Options.Seed), LimitRandom(Options.Seed),
       StaleListRandom(Options.Seed), CutOffRandom(Options.Seed),
-      LivesRandom(Options.Seed), Timers(Context), Store(Context, Random()),
-      Callers(Context, Nodes, History, Random()) {
+      LivesRandom(Options.Seed), ReleaseRandom(Options.Seed), Timers(Context),
+      Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
       return;
@@ -166,6 +166,8 @@
               &SoakWorld::injectStaleList);
   repeatWhile(InjectsFaults, Options.CutOffInterval, &SoakWorld::injectCutOff);
   repeatWhile(InjectsFaults, Options.LivesInterval, &SoakWorld::injectLives);
+  repeatWhile(InjectsFaults, Options.ReleaseInterval,
+              &SoakWorld::injectRelease);
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -41,6 +41,9 @@
     /// Time between series in which engines lose their answers while all
     /// gateways are killed several times; none if 0.
     Span LivesInterval{0};
+    /// Time between releases of new software versions to some engines; none if
+    /// 0.
+    Span ReleaseInterval{0};
     /// Retries of a service in each window that don't depend on its requests.
     int RepeatExtra = 200;
     /// How long requests may still begin on a version of weights that has been
@@ -120,6 +123,9 @@
   void endCutOff();
   /// Has engines lose their answers and kills all gateways several times.
   void injectLives();
+  /// Replaces some engines by others of the next software version, while others
+  /// break off streams and some gateways are killed.
+  void injectRelease();
   void restoreAll();
   void causeOutage();
   void log(const std::string &what);
@@ -144,6 +150,8 @@
   std::mt19937_64 StaleListRandom;
   std::mt19937_64 CutOffRandom;
   std::mt19937_64 LivesRandom;
+  std::mt19937_64 ReleaseRandom;
+  std::size_t ReleaseCount = 0;
   asio::io_context Context;
   TimerService Timers;
   /// A listener that keeps other soaks from using the same loopback network.
--- a/UnitTests/Platform/Soak/SoakWorldLives.cpp
+++ b/UnitTests/Platform/Soak/SoakWorldLives.cpp
@@ -1,4 +1,4 @@
-// The part of SoakWorld that starts gateways anew in series.
+// The part of SoakWorld that starts gateways and engines anew in series.
 
 #include "UnitTests/Platform/Soak/SoakWorld.h"
 
@@ -38,4 +38,42 @@
   });
 }
 
+void SoakWorld::injectRelease() {
+  // With a rollback, and with three versions side by side.
+  static const std::vector<std::string> Versions{"v1.1", "v1", "v1.2", "v1.1"};
+  const auto &version = Versions[ReleaseCount++ % Versions.size()];
+  constexpr auto Step = milliseconds(400);
+  constexpr auto BreakingTime = seconds(3);
+  log("release of " + version);
+  Span delay{0};
+  for (auto &it : Replicas) {
+    if (!it->settings().Engine)
+      continue;
+    auto draw = ReleaseRandom() % 3;
+    if (draw == 0 && it->isRunning()) {
+      Timers.after(delay, [&replica = *it, version](Instant) {
+        replica.replace(version);
+      });
+      delay += Step;
+    }
+    if (draw != 1)
+      continue;
+    it->setMode(SoakReplica::Mode::TruncatesStreams);
+    Timers.after(BreakingTime, [&replica = *it](Instant) {
+      replica.setMode(SoakReplica::Mode::Healthy);
+    });
+  }
+  for (auto &it : Nodes) {
+    if (ReleaseRandom() % 3 != 0)
+      continue;
+    auto &node = *it;
+    Timers.after(milliseconds(500 + ReleaseRandom() % 2000),
+                 [this, &node](Instant) {
+                   log("kill " + node.name());
+                   node.kill();
+                   Timers.after(seconds(1), [&node](Instant) { node.start(); });
+                 });
+  }
+}
+
 } // namespace hemlockglade::soak
