Streams go on only at the software version that began them

Cause: a stream was bound to nothing. The replicas' list dropped the entries' version, nothing read which stream a caller takes up, and each attempt chose anew among all replicas; on a route with several services each try even drew the service anew.

Change: the replica whose first event is passed on binds all later attempts of the answer to its version. Each node tells two others, chosen by rendezvous hashing over the nodes in service and one of them in another failure domain, of each stream that it sends to a replica; some 12 bytes a stream, while the replica prefills. A node that is asked to go on with a stream looks here, then asks up to eight nodes, and binds the request to the service and version. Where nobody knows, the stream goes on only if one version alone has served for 30 s, which nodes remember, tell starting nodes and keep in the lease rows; else it is refused at once. Without a replica of the version left the stream ends at once, in its answer by breaking the connection. New streams go rather to a version that isn't leaving. A malformed Resumes gets 400.

The test of a request that stays barred over restarts waited for any note in the lease row; rows always have notes now, so it waits for the request's.

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -230,6 +230,22 @@
   return out;
 }
 
+bool ReplicaView::runsSoftware(const ReplicaState &state,
+                               const RouteQuery &query) {
+  const auto &needed = query.SoftwareVersion;
+  return !needed ||
+         (!needed->empty() && *needed == state.Record->SoftwareVersion);
+}
+
+std::set<std::string_view>
+ReplicaView::leavingVersions(std::span<const ReplicaState *const> all) const {
+  std::set<std::string_view> out;
+  for (const auto *it : all)
+    if (it->Draining)
+      out.insert(it->Record->SoftwareVersion);
+  return out;
+}
+
 RouteChoice ReplicaView::choose(const RouteQuery &query, Instant now) {
   RouteChoice out;
   const ReplicaState *best = nullptr;
@@ -244,11 +260,22 @@
   double typicalErrors =
       query.Weights ? 1 : typicalErrorShare(query.Service, now);
   static const std::vector<ReplicaState *> None;
-  auto all = ByService.find(query.Service);
-  for (const auto *it : all == ByService.end() ? None : all->second) {
+  auto found = ByService.find(query.Service);
+  const auto &all = found == ByService.end() ? None : found->second;
+  std::set<std::string_view> leaving;
+  if (!query.SoftwareVersion)
+    leaving = leavingVersions(all);
+  for (const auto *it : all) {
     const auto &state = *it;
     if (!isUsable(state) || (state.RemoveAt && now >= *state.RemoveAt))
       continue;
+    // For a stream that has begun, one that must not be used again is as good
+    // as gone.
+    bool isOut = !runsSoftware(state, query) ||
+                 (query.SoftwareVersion &&
+                  query.Excluded.contains(state.Record->Incarnation.text()));
+    if (isOut)
+      continue;
     anyUsable = true;
     anyNear = anyNear || state.Record->FailureDomain == Options.FailureDomain;
     if (query.isExcluded(state.Record->Incarnation.text(), now))
@@ -274,6 +301,8 @@
       continue;
     }
     double candidateCost = cost(state, query, typicalErrors, now);
+    if (leaving.contains(state.Record->SoftwareVersion))
+      candidateCost += Options.LeavingVersionCost;
     if (best && candidateCost >= lowestCost)
       continue;
     best = &state;
@@ -282,7 +311,8 @@
   if (!best) {
     out.ReadyAt = earliestReady;
     if (!anyUsable)
-      out.Result = RouteChoice::Kind::NoReplica;
+      out.Result = query.SoftwareVersion ? RouteChoice::Kind::NoSuchSoftware
+                                         : RouteChoice::Kind::NoReplica;
     else if (allLimited && earliestGrant != Instant::max()) {
       out.Result = RouteChoice::Kind::Limited;
       out.ReadyAt = earliestGrant;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <set>
+#include <span>
 #include <unordered_map>
 
 namespace hemlockglade {
@@ -19,6 +20,9 @@
   std::string Service;
   /// Weights that the replica must hold; unset for plain services.
   std::optional<WeightsRef> Weights;
+  /// Version of its software that the replica must run, for a stream that has
+  /// begun; unset for others. None matches an empty one.
+  std::optional<std::string> SoftwareVersion;
   /// Keys of the prompt's shared parts, which replicas may have in their prefix
   /// cache.
   std::vector<std::uint64_t> PromptParts;
@@ -66,6 +70,8 @@
     Limited,
     /// No replica of the service is known.
     NoReplica,
+    /// No replica runs the software version that the stream needs.
+    NoSuchSoftware,
   };
 
   Kind Result = Kind::NoReplica;
@@ -125,6 +131,10 @@
     /// domain is preferred to one with a backlog of a few hundredths of a
     /// second.
     double BacklogCost = 6;
+    /// Cost of a replica for a new stream while others of its software version
+    /// drain and another version serves: what is left of a version that leaves
+    /// is kept for the streams that it began.
+    double LeavingVersionCost = 0.6;
     /// Cost of a replica that has stated a limit lately. After that time it is
     /// tried like any other, since only its answers show that the limit has
     /// ended.
@@ -351,6 +361,10 @@
   };
 
   static bool isUsable(const ReplicaState &state);
+  static bool runsSoftware(const ReplicaState &state, const RouteQuery &query);
+  /// Returns the software versions of a service of which replicas drain.
+  std::set<std::string_view>
+  leavingVersions(std::span<const ReplicaState *const> all) const;
   double cost(const ReplicaState &state, const RouteQuery &query,
               double typicalErrorShare, Instant now) const;
   bool isVersionUsable(const WeightsRef &weights, std::uint64_t version,
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -300,8 +300,11 @@
   std::int64_t ReplicaAgeUs = 0;
   /// Requests under which replicas ended.
   std::vector<CrashNotice> Crashes;
+  /// Which software versions have served lately, as in the notes of a lease
+  /// row.
+  std::string SoftwareNotes;
   MSGPACK_DEFINE(PlanText, Replicas, Versions, Leases, KnownPositions,
-                 OperatorAgeUs, ReplicaAgeUs, Crashes)
+                 OperatorAgeUs, ReplicaAgeUs, Crashes, SoftwareNotes)
 };
 
 } // namespace hemlockglade
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
@@ -52,6 +52,7 @@
   map.number("max_descriptors", out.MaxDescriptors, {64, 1'000'000});
   map.real("cores", out.Cores, MinCores, MaxCores);
   map.real("link_mbps", out.LinkMbps, MinMbps, MaxMbps);
+  map.flag("first_start", out.FirstStart);
   map.seconds("stop_bound_s", out.StopBound, 0.1, MinuteSeconds);
   map.milliseconds("handover_ms", out.Handover, {0, MinuteMs});
   map.seconds("max_directory_ttl_s", out.MaxDirectoryTtl, 0.1, MinuteSeconds);
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.h
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -52,6 +52,8 @@
   /// nodes with more.
   double Cores = 1;
   double LinkMbps = 1000;
+  /// No node of the deployment has ever run before this start.
+  bool FirstStart = false;
   /// Maximum duration of a graceful stop.
   Span StopBound = std::chrono::seconds(8);
   /// Minimum time between the orders of two successive owners of a cell.
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -30,8 +30,15 @@
                    {"remaining_ms", lease.remaining()}});
       });
   Lease->setNotes(
-      [this] { return Callbacks.Crashes->notes(); },
-      [this](const std::string &notes) { Callbacks.Crashes->onNotes(notes); });
+      [this] {
+        auto notes = Callbacks.Crashes->notes();
+        return Callbacks.WriteNotes ? notes + Callbacks.WriteNotes() : notes;
+      },
+      [this](const std::string &notes) {
+        Callbacks.Crashes->onNotes(notes);
+        if (Callbacks.OnNotes)
+          Callbacks.OnNotes(notes);
+      });
 }
 
 void CellMember::tick() {
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -103,6 +103,10 @@
     /// Called with an update from the owner, which sent it after that time of
     /// this node's clock.
     std::function<void(const RegistryUpdate &, Instant sentAfter)> OnUpdate;
+    /// What else owners keep in the lease row, and what was read there: records
+    /// that end with `;`, without spaces. May be unset.
+    std::function<std::string()> WriteNotes;
+    std::function<void(const std::string &notes)> OnNotes;
     /// Requests that crash replicas, which nodes report to each other.
     CrashCoordinator *Crashes = nullptr;
     /// This node's connectivity to replicas; its revision rises with each
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -15,6 +15,8 @@
 /// Time after which a node that has received nothing from the registry asks a
 /// peer, and then the next: the registry answers in some 10 ms.
 constexpr auto BriefingPeriod = std::chrono::milliseconds(300);
+/// Time before the first start in which surely no stream has begun.
+constexpr auto BeforeFirstStart = std::chrono::hours(1);
 constexpr auto RefreshPeriod = std::chrono::seconds(1);
 /// How long a weak host that starts waits for what others know before it reads
 /// the registry itself: of many that start together few need to.
@@ -106,6 +108,10 @@
       Crashes(crashCoordinatorHooks(), Log),
       Quotas(Settings.FailureDomains, Settings.FailureDomain, Settings.Quota,
              quotaHooks(), Traffic, Log),
+      Software(SoftwareHistory::Settings{},
+               TimerService::now() -
+                   (Settings.FirstStart ? Span(BeforeFirstStart) : Span(0))),
+      Streams(streamSettings(), streamOriginHooks(), Traffic, Log),
       SharedContext(exchangeContext()),
       ExchangeOptions(Settings.Decisions.Exchange),
       Reach(ReplicaReach::Settings{},
@@ -161,7 +167,8 @@
       &Queue,
       replicaLimitHooks(),
       replicaListHooks(),
-      pathHooks()};
+      pathHooks(),
+      streamHooks()};
 }
 
 ReplicaListHooks Gateway::replicaListHooks() {
@@ -214,6 +221,7 @@
       std::make_unique<PeerNet>(Context, Settings.Address, Settings.PeerPort,
                                 [this](const auto &stream) { onPeer(stream); });
   Quotas.attach(*Peers);
+  Streams.attach(*Peers);
   std::uint32_t cellIndex = 0;
   for (const auto &cell : Settings.FailureDomains) {
     CellMember::Settings options;
@@ -264,8 +272,14 @@
   hooks.OnLease = [this](const std::string &of, const std::string &text) {
     auto it = Cells.find(of);
     auto row = CellLeaseRow::parse(text);
-    if (it != Cells.end() && row)
-      it->second->onPeerRow(*row);
+    if (it == Cells.end() || !row)
+      return;
+    it->second->onPeerRow(*row);
+    Software.onNotes(row->Notes, TimerService::now());
+  };
+  hooks.WriteNotes = [this] { return Software.notes(TimerService::now()); };
+  hooks.OnNotes = [this](const std::string &notes) {
+    Software.onNotes(notes, TimerService::now());
   };
   hooks.OnServingEntries = [this] { updateServingEntries(); };
   hooks.Reach = [this] { return reachNotice(); };
@@ -331,6 +345,8 @@
   for (const auto &it : View.onRegistry(changes, source.Unreachable,
                                         TimerService::now(), source.AgeBefore))
     onRestarted(*it);
+  // Before any stream can begin at a replica that is new.
+  updateSoftware();
   if (changes.Complete)
     Log.write(LogClass::State, "replicas-read",
               {{"replicas", static_cast<std::uint64_t>(changes.Present.size())},
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/Coordination/Entries/RelaySelector.h"
 #include "Hemlockglade/Coordination/Route/ReplicaReach.h"
+#include "Hemlockglade/Coordination/Streams/SoftwareHistory.h"
 #include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
 #include "Hemlockglade/State/Metrics/MetricRegistry.h"
 #include "Hemlockglade/State/Routing/CallerAccess.h"
@@ -13,6 +14,7 @@
 #include "Programs/hemlockgladed/Gateway/QuotaService.h"
 #include "Programs/hemlockgladed/Gateway/RegistryWatcher.h"
 #include "Programs/hemlockgladed/Gateway/RelayService.h"
+#include "Programs/hemlockgladed/Gateway/StreamOriginService.h"
 
 #include <random>
 #include <unordered_set>
@@ -141,6 +143,16 @@
   ReplicaLimitHooks replicaLimitHooks();
   ReplicaListHooks replicaListHooks();
   PathHooks pathHooks();
+  StreamHooks streamHooks();
+  StreamOriginService::Settings streamSettings() const;
+  StreamOriginService::Hooks streamOriginHooks();
+  /// Looks for what began a stream. One that no node knows can only have begun
+  /// at a service whose replicas have run one software version all the while.
+  void findStreamOrigin(
+      std::string_view streamId, const std::string &service,
+      std::function<void(const std::optional<StreamOrigin> &origin)> found);
+  /// Records which software versions serve now.
+  void updateSoftware();
   ReplicaPath choosePath(const ReplicaRecord &replica,
                          const std::set<std::string> &excludedRelays);
   void startRelay();
@@ -184,6 +196,8 @@
   PeerTraffic Traffic;
   QuotaService Quotas;
   FairQueue Queue;
+  SoftwareHistory Software;
+  StreamOriginService Streams;
   ExchangeContext SharedContext;
   const ExchangeSettings ExchangeOptions;
   std::unique_ptr<PeerNet> Peers;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -34,10 +34,7 @@
       Labels(std::move(labels)), Key(keyOf(Request, Labels)),
       Fields(viewsOf(Request.Head.Fields)), Reply(std::move(reply)),
       Timer(shared.Context), AttemptTimer(shared.Context) {
-  Query.Service = MatchedRoute.targetFor(std::hash<std::string>{}(Labels.Id));
-  const auto *service = Plan->service(Query.Service);
-  if (service && service->Engine)
-    Query.Weights = Labels.Weights;
+  setService(MatchedRoute.targetFor(std::hash<std::string>{}(Labels.Id)));
   Query.PromptTokens = Labels.PromptTokens;
   Query.TargetLatency = MatchedRoute.TargetLatency;
   Query.OnTimeUntil = Request.ArrivedAt +
@@ -75,11 +72,23 @@
   };
   if (endIfBarred())
     return;
-  Shared.Budget.onRequest(Query.Service, TimerService::now());
   armTimer();
+  if (takesUpStream())
+    return findOrigin();
+  begin();
+}
+
+void GatewayExchange::begin() {
+  Shared.Budget.onRequest(Query.Service, TimerService::now());
   reserveQuota();
 }
 
+void GatewayExchange::setService(const std::string &service) {
+  Query.Service = service;
+  const auto *spec = Plan->service(service);
+  Query.Weights = spec && spec->Engine ? Labels.Weights : std::nullopt;
+}
+
 bool GatewayExchange::endIfBarred() {
   auto barredFor = Shared.Crashes.BarredFor(Key);
   if (!barredFor)
@@ -237,6 +246,8 @@
   auto now = TimerService::now();
   if (usesEngine() && !std::exchange(DemandReported, true))
     Shared.OnDemand(Query.Service, *Query.Weights, false);
+  if (choice.Result == RouteChoice::Kind::NoSuchSoftware)
+    return refuseOtherSoftware();
   bool limited = choice.Result == RouteChoice::Kind::Limited && !AnswerBegun;
   if (limited && !MayHaveRun)
     return answerWithError(Unavailable, "all replicas are at their limits",
@@ -358,6 +369,8 @@
                   Shared.View.uncachedPromptTokens(
                       choice.Replica->Incarnation.text(), Query),
                   *Query.Weights);
+  ++Sendings;
+  reportOrigin();
   if (CallerWorkspace && CallerWorkspace->Limit &&
       !std::exchange(QuotaReserved, true))
     Shared.Limits.Charge(*CallerWorkspace, quotaUnits());
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -4,6 +4,7 @@
 #include "Hemlockglade/Coordination/Route/FairQueue.h"
 #include "Hemlockglade/Coordination/Route/ReplicaView.h"
 #include "Hemlockglade/Coordination/Route/SharedRetryBudget.h"
+#include "Hemlockglade/Coordination/Streams/StreamOrigins.h"
 #include "Hemlockglade/Protocol/Endpoint/EventSplitter.h"
 #include "Hemlockglade/Protocol/Exchange/RequestIdentity.h"
 #include "Hemlockglade/Protocol/Exchange/RequestLabels.h"
@@ -129,6 +130,22 @@
       OnRelayFault;
 };
 
+/// Callbacks with which exchanges report and look up what began a stream.
+struct StreamHooks {
+  /// Called when an attempt that would begin the stream is sent, with the
+  /// attempt's number at its request, or 0 if it goes on with the stream.
+  std::function<void(std::string_view streamId, const StreamOrigin &origin,
+                     std::uint32_t attempt)>
+      OnSent;
+  /// Looks for what began a stream; `service` is the only one that it can have
+  /// begun at, empty if there are several. `found` is called exactly once,
+  /// either before this returns or later, with nothing if it can't be known.
+  std::function<void(
+      std::string_view streamId, const std::string &service,
+      std::function<void(const std::optional<StreamOrigin> &origin)> found)>
+      Find;
+};
+
 /// The parts of the node that all exchanges share.
 struct ExchangeContext {
   asio::io_context &Context;
@@ -170,6 +187,7 @@
   ReplicaLimitHooks ReplicaLimits{};
   ReplicaListHooks ReplicaList{};
   PathHooks Paths{};
+  StreamHooks Streams{};
 };
 
 /// One request of a caller, from its arrival to its answer. Chooses a replica,
@@ -286,6 +304,24 @@
     bool isRelayed() const { return !Relay.empty(); }
   };
 
+  /// Counts the request, then reserves quota for it.
+  void begin();
+  /// Sets the service that the request goes to.
+  void setService(const std::string &service);
+  /// Whether the caller takes up a stream that an earlier request began.
+  bool takesUpStream() const;
+  /// Looks for what began the stream that the caller takes up, and binds the
+  /// request to it.
+  void findOrigin();
+  void onOriginFound(const std::optional<StreamOrigin> &origin);
+  /// Returns the id that callers take the stream up by.
+  const std::string &streamId() const {
+    return Labels.Resumes.empty() ? Labels.Id : Labels.Resumes;
+  }
+  /// Tells what would begin the stream if the attempt that is being sent brings
+  /// its first event.
+  void reportOrigin();
+  void refuseOtherSoftware();
   /// Reserves quota from the workspace's limit, then sends or holds the
   /// request.
   void reserveQuota();
@@ -423,6 +459,8 @@
   bool Done = false;
   bool AnswerBegun = false;
   bool EverSent = false;
+  /// Number of times that the request was sent.
+  std::uint32_t Sendings = 0;
   /// An attempt has reached a replica that may have run it.
   bool MayHaveRun = false;
   /// Units are reserved for an attempt that has not run.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -120,6 +120,7 @@
   if (!AnswerBegun) {
     AnswerBegun = true;
     TimeToFirstByte = TimerService::now() - Request.ArrivedAt;
+    Query.SoftwareVersion = Current->Replica->SoftwareVersion;
     Reply->begin(*Current->Head);
   }
   if (auto id = lastId(events); !id.empty())
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -170,6 +170,8 @@
   Metrics.gauge(CutOffFamily).set(static_cast<double>(Reach.cutOff().size()));
   Metrics.gauge(RelayedFamily).set(static_cast<double>(Relay->total()));
   Metrics.gauge(EndsSeenFamily).set(static_cast<double>(Crashes.ended()));
+  updateSoftware();
+  Streams.tick();
   refreshUsage();
   refreshRetryBudgets();
 }
@@ -245,7 +247,9 @@
              {"quota_asks_near", bytes(PeerMessage::QuotaRequest, true)},
              {"quota_asks_far", bytes(PeerMessage::QuotaRequest, false)},
              {"quota_grants_near", bytes(PeerMessage::QuotaGrant, true)},
-             {"quota_grants_far", bytes(PeerMessage::QuotaGrant, false)}});
+             {"quota_grants_far", bytes(PeerMessage::QuotaGrant, false)},
+             {"streams_near", bytes(PeerMessage::StreamNotice, true)},
+             {"streams_far", bytes(PeerMessage::StreamNotice, false)}});
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -141,6 +141,10 @@
     if (Cells.contains(cell))
       return Quotas.onEntry(cell, stream);
   }
+  if (path == peer_path::StreamsBegun)
+    return Streams.onTeller(stream);
+  if (path == peer_path::StreamOrigin)
+    return Streams.onAsker(stream);
   if (auto known = versionInPath(path, peer_path::Briefing))
     stream->send(pack(briefing(*known)));
   if (auto known = versionInPath(path, peer_path::Declared))
@@ -169,6 +173,7 @@
 BriefingReply Gateway::briefing(std::uint64_t planVersion) const {
   auto out = declaredSince(planVersion);
   out.Crashes = Crashes.since(0);
+  out.SoftwareNotes = Software.notes(TimerService::now());
   for (const auto &it : View.inUse())
     out.Replicas.emplace_back(it->Incarnation.id(), it->Source);
   out.Leases = leasesExcept("");
@@ -262,6 +267,7 @@
   if (HasReplicas || replicas.Present.size() < reply.Replicas.size())
     positions.Replica = 0;
   Crashes.onPeerRecords(reply.Crashes);
+  Software.onNotes(reply.SoftwareNotes, TimerService::now());
   onOperator(declared);
   bool isComplete = reply.PlanText.empty() || declared.Plan;
   if (reply.OperatorAgeUs > 0 && isComplete)
@@ -273,8 +279,10 @@
   for (const auto &[name, text] : reply.Leases) {
     auto cell = Cells.find(name);
     auto row = CellLeaseRow::parse(text);
-    if (cell != Cells.end() && row)
-      cell->second->onPeerRow(*row);
+    if (cell == Cells.end() || !row)
+      continue;
+    cell->second->onPeerRow(*row);
+    Software.onNotes(row->Notes, TimerService::now());
   }
 }
 
--- a/Programs/hemlockgladed/Gateway/PeerTraffic.cpp
+++ b/Programs/hemlockgladed/Gateway/PeerTraffic.cpp
@@ -16,6 +16,8 @@
     return "quota_ask";
   case PeerMessage::QuotaGrant:
     return "quota_grant";
+  case PeerMessage::StreamNotice:
+    return "stream_notice";
   }
   return "unknown";
 }
--- a/Programs/hemlockgladed/Gateway/PeerTraffic.h
+++ b/Programs/hemlockgladed/Gateway/PeerTraffic.h
@@ -20,6 +20,8 @@
   /// owner's answer.
   QuotaRequest,
   QuotaGrant,
+  /// Streams that a node begins, for the nodes that remember them.
+  StreamNotice,
 };
 
 std::string_view peerMessageName(PeerMessage kind);
@@ -32,7 +34,7 @@
     std::uint64_t Messages = 0;
     std::uint64_t Bytes = 0;
   };
-  static constexpr std::size_t Kinds = 6;
+  static constexpr std::size_t Kinds = 7;
 
   void add(PeerMessage kind, bool near, std::size_t bytes);
   const Sum &sum(PeerMessage kind, bool near) const {
--- a/UnitTests/Node/Gateway/CrashingRequestTest.cpp
+++ b/UnitTests/Node/Gateway/CrashingRequestTest.cpp
@@ -164,7 +164,8 @@
   // The next renewal of the lease writes it to the table.
   auto hasNotes = [](const auto &row) {
     auto parsed = CellLeaseRow::parse(row.second.Value);
-    return parsed && !parsed->Notes.empty();
+    // Of the kinds of notes only a request's record has a colon.
+    return parsed && parsed->Notes.find(':') != std::string::npos;
   };
   REQUIRE(it.until([&] {
     return std::any_of(it.Platform.Rows.begin(), it.Platform.Rows.end(),
--- a/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
+++ b/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
@@ -20,13 +20,14 @@
       RequiredKeys +
           "stop_bound_s: 2.5\nrepeat_share: 0.25\nhandover_ms: 4000\n"
           "drain_bound_ms: 900\nversion_bound_ms: 800\n"
-          "plan_bound_ms: 700\n"
+          "plan_bound_ms: 700\nfirst_start: true\n"
           "metrics_address: \"\"\nadvertised_peer_address: "
           "\"10.0.0.9:8\"\nseeds: [\"10.0.0.3:7\"]\n",
       "f");
   REQUIRE(settings);
   CHECK(settings->Name == "entry-1");
   CHECK(settings->FailureDomains.size() == 2);
+  CHECK(settings->FirstStart);
   CHECK(settings->StopBound == std::chrono::milliseconds(2500));
   CHECK(settings->RepeatShare == Approx(0.25));
   CHECK(settings->Handover == std::chrono::seconds(4));
