Soak: what goes on is counted at gateways in touch, while two engines serve

Traces: the only engine of the version lost its answers (no second one serves); engines that cut streams off always did so in event 7, so that a stream taken up behind event 6 could never go on there while each new one began; 29 of 41 went to gateways that were killed within 3 s before. The rule allows the first and the third. So: engines cut off behind some events of the run itself; requests count while two engines of the version serve and at gateways that were not disturbed within 3 s, for new streams as well. The bound is the rule's, as before. The check is a part of its own with tests.

--- a/UnitTests/History/HistoryEvent.h
+++ b/UnitTests/History/HistoryEvent.h
@@ -32,6 +32,11 @@
   std::string Endpoint;
   /// Service that a request was sent for or arrived at; only the soak sets it.
   std::string Service;
+  /// What a request for a stream that may be taken up does: `begins` it, or
+  /// `goes-on` with it while two replicas of its software version serve; and
+  /// whether it brought events. Only the soak sets them.
+  std::string StreamPart;
+  bool BroughtEvents = false;
   /// The lease holder that sent an order, and the order's fencing number.
   std::string Holder;
   std::uint64_t Fence = 0;
--- a/UnitTests/Platform/Soak/SoakCallers.cpp
+++ b/UnitTests/Platform/Soak/SoakCallers.cpp
@@ -73,6 +73,8 @@
   /// Set for streams that may be taken up.
   std::shared_ptr<StreamState> Resumable;
   bool TakesUp = false;
+  /// Two engines served the stream's software version as it was sent.
+  bool IsServed = false;
   bool AtMostOnce = false;
   bool Aborts = false;
   bool Reused = false;
@@ -216,7 +218,6 @@
     it->Resumable = std::make_shared<StreamState>();
     it->Resumable->FirstTag = it->Tag;
     it->Resumable->Adapter = it->Adapter;
-    ++Totals.StreamsSent;
   }
   return it;
 }
@@ -231,28 +232,35 @@
   it->Stream = it->TakesUp = true;
   it->Adapter = stream->Adapter;
   it->Resumable = stream;
+  it->IsServed = isServed(*stream);
   ++stream->Tries;
-  ++Totals.StreamsTakenUp;
   send(it);
 }
 
-void SoakCallers::onStreamEnd(const std::shared_ptr<Call> &call, bool wasLost) {
+bool SoakCallers::isServed(const StreamState &stream) const {
+  constexpr int MinServing = 2;
+  return ServingCount && !stream.Software.empty() &&
+         ServingCount(*stream.Software.begin()) >= MinServing;
+}
+
+bool SoakCallers::onStreamEnd(const std::shared_ptr<Call> &call, bool wasLost) {
   auto &stream = *call->Resumable;
   auto before = stream.LastEvent;
   call->Body = stream.read(call->Body, call->Tag);
   bool hasEvents = stream.LastEvent > before;
-  (call->TakesUp ? Totals.StreamsGoneOn : Totals.StreamsBegun) +=
-      hasEvents ? 1 : 0;
   constexpr int MaxTries = 3;
   constexpr auto RetryDelay = milliseconds(250);
   bool isOpen = stream.LastEvent > 0 && stream.LastEvent < site::StreamEvents;
-  if (isOpen && wasLost && stream.Tries < MaxTries)
-    return void(Timers.after(
-        RetryDelay, [this, call](Instant) { takeUp(call->Resumable); }));
+  if (isOpen && wasLost && stream.Tries < MaxTries) {
+    Timers.after(RetryDelay,
+                 [this, call](Instant) { takeUp(call->Resumable); });
+    return hasEvents;
+  }
   auto &event = History.record("callers", "streamed");
   event.Tag = stream.FirstTag;
   for (const auto &it : stream.Software)
     event.Change += (event.Change.empty() ? "" : " ") + it;
+  return hasEvents;
 }
 
 void SoakCallers::send(const std::shared_ptr<Call> &it) {
@@ -338,9 +346,9 @@
     call->Connection->abort();
   else
     Pool.give(call->Connection);
-  if (call->Resumable)
-    onStreamEnd(call, outcome != "complete" && outcome != "left");
-  else if (call->Stream)
+  bool hasEvents = call->Resumable && onStreamEnd(call, outcome != "complete" &&
+                                                            outcome != "left");
+  if (!call->Resumable && call->Stream)
     call->Body = StreamState().read(call->Body, call->Tag);
   Totals.Complete += outcome == "complete";
   Totals.Refused += outcome == "not-run";
@@ -355,6 +363,11 @@
   event.To = call->To;
   event.Key = call->AtMostOnce ? call->Tag : "";
   event.Outcome = std::move(outcome);
+  event.BroughtEvents = hasEvents;
+  if (call->TakesUp && call->IsServed && isServed(*call->Resumable))
+    event.StreamPart = "goes-on";
+  else if (call->Resumable && !call->TakesUp)
+    event.StreamPart = "begins";
   event.Fault = std::move(fault);
   event.Status = call->Head ? call->Head->Status : 0;
   event.Hash = site::hashOf(call->Body);
--- a/UnitTests/Platform/Soak/SoakCallers.h
+++ b/UnitTests/Platform/Soak/SoakCallers.h
@@ -24,12 +24,6 @@
     /// Requests sent with a revoked key, and those of them that were served.
     int RevokedSent = 0;
     int RevokedServed = 0;
-    /// Streams that may be taken up: requests that begin one, and those of them
-    /// that brought an event; requests that take one up, and those of them.
-    int StreamsSent = 0;
-    int StreamsBegun = 0;
-    int StreamsTakenUp = 0;
-    int StreamsGoneOn = 0;
   };
 
   SoakCallers(asio::io_context &context,
@@ -50,6 +44,10 @@
   void setKeptAddresses(std::vector<std::string> addresses) {
     KeptAddresses = std::move(addresses);
   }
+  /// Sets how the number of engines is found that serve a software version.
+  void setServingCount(std::function<int(const std::string &software)> hook) {
+    ServingCount = std::move(hook);
+  }
   void start();
   void stop() { Running = false; }
   bool isIdle() const { return OpenCalls == 0; }
@@ -70,9 +68,12 @@
   void queryDirectory();
   void send(const std::shared_ptr<Call> &it);
   /// Reads the events of a stream's request that has ended, and takes the
-  /// stream up at another gateway if it is incomplete.
-  void onStreamEnd(const std::shared_ptr<Call> &call, bool wasLost);
+  /// stream up at another gateway if it is incomplete. Returns whether there
+  /// were events.
+  bool onStreamEnd(const std::shared_ptr<Call> &call, bool wasLost);
   void takeUp(const std::shared_ptr<StreamState> &stream);
+  /// Whether two engines serve the software version of a stream.
+  bool isServed(const StreamState &stream) const;
   /// Sends the request that crashes replicas, always the same one, to a random
   /// gateway.
   void sendCrashingRequest();
@@ -98,6 +99,7 @@
   std::mt19937_64 Random;
   Addresses Targets;
   std::vector<std::string> KeptAddresses;
+  std::function<int(const std::string &software)> ServingCount;
   double Rate = 40;
   Span CrashingInterval{0};
   /// A separate generator, so that its use doesn't change what the same seed
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -7,6 +7,7 @@
 #include "UnitTests/Platform/Soak/SoakDraining.h"
 #include "UnitTests/Platform/Soak/SoakLimits.h"
 #include "UnitTests/Platform/Soak/SoakRetries.h"
+#include "UnitTests/Platform/Soak/SoakStreams.h"
 #include "UnitTests/Platform/Soak/SoakVersions.h"
 #include "UnitTests/Platform/Soak/SoakWorld.h"
 
@@ -193,36 +194,22 @@
   return findings.Exceeded.empty();
 }
 
-/// Checks that each stream holds events of one software version, and that
-/// streams which are taken up go on at least half as often as new ones begin.
-bool checkStreams(const std::vector<HistoryEvent> &events,
-                  const SoakCallers::Counts &counts) {
-  int streams = 0;
-  std::vector<std::string> mixed;
-  for (const auto &it : events) {
-    if (it.Event != "streamed")
-      continue;
-    ++streams;
-    if (it.Change.find(' ') != std::string::npos)
-      mixed.push_back(it.Tag + ": " + it.Change);
-  }
-  printResult(mixed.empty(), "streams hold events of one software version: " +
-                                 std::to_string(mixed.size()) + " of " +
-                                 std::to_string(streams) + " are mixed");
-  for (const auto &it : mixed)
+bool checkStreamEvents(const std::vector<HistoryEvent> &events) {
+  constexpr auto ContactTime = std::chrono::seconds(3);
+  auto findings = checkStreams(events, ContactTime);
+  printResult(findings.Mixed.empty(),
+              "streams hold events of one software version: " +
+                  std::to_string(findings.Mixed.size()) + " of " +
+                  std::to_string(findings.Streams) + " are mixed");
+  for (const auto &it : findings.Mixed)
     std::cout << "  " << it << '\n';
-  constexpr int MinTakenUp = 12;
-  constexpr double MinRatio = 0.5;
-  bool goesOn = counts.StreamsTakenUp < MinTakenUp ||
-                double(counts.StreamsGoneOn) / counts.StreamsTakenUp >=
-                    MinRatio * counts.StreamsBegun / counts.StreamsSent;
-  printResult(goesOn, "streams that are taken up go on: " +
-                          std::to_string(counts.StreamsGoneOn) + " of " +
-                          std::to_string(counts.StreamsTakenUp) + ", " +
-                          std::to_string(counts.StreamsBegun) + " of " +
-                          std::to_string(counts.StreamsSent) +
-                          " new ones begin");
-  return mixed.empty() && goesOn;
+  printResult(
+      findings.goOn(),
+      "streams that are taken up go on: " + std::to_string(findings.GoneOn) +
+          " of " + std::to_string(findings.TakenUp) + ", " +
+          std::to_string(findings.Begun) + " of " +
+          std::to_string(findings.Sent) + " new ones begin");
+  return findings.Mixed.empty() && findings.goOn();
 }
 
 bool printVerdict(SoakWorld &world, const SoakWorld::Settings &settings) {
@@ -234,7 +221,7 @@
   isHeld = checkDrainingReplicas(events) && isHeld;
   isHeld = checkCutOffGateways(events) && isHeld;
   isHeld = checkRetryBudgets(events, settings.RepeatExtra) && isHeld;
-  isHeld = checkStreams(events, world.counts()) && isHeld;
+  isHeld = checkStreamEvents(events) && isHeld;
   HistoryChecker checker(std::move(events), bounds);
   for (const auto &verdict : checker.check()) {
     constexpr std::size_t Shown = 5;
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -54,7 +54,8 @@
   /// Number of the run; 0 until the request begins to run.
   std::uint64_t Number = 0;
   bool Stream = false;
-  bool IsTruncated = false;
+  /// Number of the event in which the stream is cut off; 0 if it isn't.
+  int TruncatedAt = 0;
   int NextEvent = 1;
   bool HeadSent = false;
   bool Ended = false;
@@ -379,7 +380,11 @@
   auto resumeAfter = field(request, platform_name::ResumeBehind);
   if (!resumeAfter.empty())
     it->NextEvent = std::stoi(resumeAfter) + 1;
-  it->IsTruncated = CurrentMode == Mode::TruncatesStreams && Random() % 2;
+  // Behind some events of this run, also of one that goes on with a stream.
+  constexpr int MaxEventsBefore = site::StreamEvents / 2;
+  if (CurrentMode == Mode::TruncatesStreams && Random() % 2)
+    it->TruncatedAt =
+        it->NextEvent + 1 + static_cast<int>(DelayRandom() % MaxEventsBefore);
   recordRun(*it);
   if (Workspaces)
     Workspaces->onRun(
@@ -456,7 +461,7 @@
     run->Reply->begin(head(200, *run));
   auto text = site::eventText(run->Tag, run->NextEvent);
   text.insert(text.find('\n') + 1, "software: " + Options.Software + "\n");
-  if (run->IsTruncated && run->NextEvent > site::StreamEvents / 2) {
+  if (run->NextEvent == run->TruncatedAt) {
     end(*run, "cut", false);
     run->Reply->part(std::string_view(text).substr(0, text.size() / 2));
     return run->Reply->abort();
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -85,6 +85,7 @@
   const Settings &settings() const { return Options; }
   const std::string &incarnation() const { return Incarnation; }
   bool isRunning() const { return Server != nullptr; }
+  bool isServing() const { return isRunning() && !Draining; }
 
   /// Starts a new incarnation, which has only the base model loaded.
   void start();
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -51,6 +51,13 @@
   });
   Callers.setRate(Options.Rate);
   Callers.setCrashingInterval(Options.CrashingInterval);
+  Callers.setServingCount([this](const std::string &software) {
+    return static_cast<int>(
+        std::count_if(Replicas.begin(), Replicas.end(), [&](const auto &it) {
+          return it->settings().Engine && it->isServing() &&
+                 it->settings().Software == software;
+        }));
+  });
   buildReplicas();
   declarePlan();
   buildNodes();
