--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -194,7 +194,8 @@
               {{"service", service},
                {"over_ms", now - since},
                {"requests", it.Requests - before.Requests},
-               {"sent", it.Sent - before.Sent},
+               // Below 0 if more were withdrawn than sent.
+               {"sent", static_cast<std::int64_t>(it.Sent - before.Sent)},
                {"refused", it.Refused - before.Refused},
                {"reserved", it.Reserved},
                {"left", it.Left},
