--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -215,33 +215,6 @@
   return true;
 }
 
-void GatewayExchange::pollLater(std::string_view reason) {
-  auto now = TimerService::now();
-  releaseGrant(Grant);
-  Waiting = true;
-  WaitsForCapacity = false;
-  WaitReason = reason;
-  WakeAt = now + Settings.WaitPollInterval;
-  logWait({}, now);
-  armTimer();
-}
-
-void GatewayExchange::waitForBudget() {
-  leaveQueue(false);
-  if (!endIfHeldTooLong())
-    pollLater("no retry budget");
-}
-
-bool GatewayExchange::endIfHeldTooLong() {
-  if (TimerService::now() < HoldUntil)
-    return false;
-  if (MayHaveRun)
-    answerWithError(BadGateway, "no replica to try again");
-  else
-    answerWithError(Unavailable, "held too long", retryAfter());
-  return true;
-}
-
 void GatewayExchange::waitForReplica(const RouteChoice &choice) {
   auto now = TimerService::now();
   if (usesEngine() && !std::exchange(DemandReported, true))
@@ -299,31 +272,6 @@
   armTimer();
 }
 
-void GatewayExchange::logWait(const RouteChoice &choice, Instant now) {
-  if (WaitReason == LoggedReason)
-    return;
-  LoggedReason = WaitReason;
-  bool hasReadyTime = choice.ReadyAt != Instant::max() && choice.ReadyAt > now;
-  Shared.Log.write(
-      LogClass::Request, "hold",
-      {{"request", Labels.Id},
-       {"reason", WaitReason},
-       {"service", Query.Service},
-       {"weights", usesEngine() ? Query.Weights->text() : ""},
-       {"ready_in_ms", hasReadyTime ? choice.ReadyAt - now : Span(0)},
-       {"held_until_ms", HoldUntil - now},
-       {"can_load", !Shared.CanLoad || Shared.CanLoad()}});
-}
-
-void GatewayExchange::reportCongestion(Instant now) {
-  bool congested = now - Request.ArrivedAt >= Settings.CongestedAfter;
-  if (!usesEngine() || !congested ||
-      now - DemandReportedAt < Settings.DemandReminderInterval)
-    return;
-  DemandReportedAt = now;
-  Shared.OnCongested(Query.Service, *Query.Weights);
-}
-
 void GatewayExchange::send(const RouteChoice &choice) {
   auto now = TimerService::now();
   Waiting = false;
