Soak: an engine that answers nothing does not count as serving

Trace: all 15 came 0.3 to 3.4 s into the series in which every engine loses all answers (ends with "connection ended"), and the engines counted as serving as they ran and did not drain. The rule compares while two replicas serve; one that loses answers, hangs, sheds or fails does not. The bound stays.

--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -151,6 +151,22 @@
                });
 }
 
+bool SoakReplica::isServing() const {
+  switch (CurrentMode) {
+  case Mode::Hangs:
+  case Mode::Sheds:
+  case Mode::LosesAnswers:
+  case Mode::Fails:
+    return false;
+  case Mode::Healthy:
+  case Mode::TruncatesStreams:
+  case Mode::DelaysStart:
+  case Mode::DelaysOrders:
+    break;
+  }
+  return isRunning() && !Draining;
+}
+
 void SoakReplica::replace(const std::string &software) {
   drain();
   constexpr auto Pause = milliseconds(300);
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -85,7 +85,8 @@
   const Settings &settings() const { return Options; }
   const std::string &incarnation() const { return Incarnation; }
   bool isRunning() const { return Server != nullptr; }
-  bool isServing() const { return isRunning() && !Draining; }
+  /// Whether it takes new requests and answers them.
+  bool isServing() const;
 
   /// Starts a new incarnation, which has only the base model loaded.
   void start();
