Soak and NodeTests: replicas with limited room that fail from rejections

The soak's replicas keep to their slots and a queue (--brittle_every); in such a time all replicas of a service state how many rejections a second they bear, let none wait from 3 s later on, and fail beyond. BrittleReplicaTest has ten nodes in one process before two replicas of four slots. Not run yet: this commit is the rig only.

--- /dev/null
+++ b/UnitTests/Node/Gateway/BrittleReplicaTest.cpp
@@ -0,0 +1,194 @@
+// Guards against replicas that fail from what they have to reject: a service
+// states how few rejections a second its replicas bear, and they stop to queue
+// requests. It happened because each node kept a share of their slots, and at
+// least one, to itself: with more nodes than slots all of them together sent
+// more than the replicas had room for.
+
+#include "Hemlockglade/Transport/Http1/CallerServer.h"
+#include "Hemlockglade/Transport/Http1/HttpCaller.h"
+#include "UnitTests/Node/Gateway/GatewayRig.h"
+
+#include <algorithm>
+
+namespace hemlockglade::test {
+
+namespace {
+
+constexpr std::size_t Slots = 4;
+constexpr auto WorkTime = milliseconds(40);
+/// Requests that wait for a slot until `ShrinkDelay` after the statement.
+constexpr std::size_t NormalQueue = 16;
+constexpr auto ShrinkDelay = milliseconds(3000);
+constexpr std::size_t MaxRejections = 1;
+
+/// A plain replica with a few slots, which rejects what finds no room, and ends
+/// once it rejects more than `MaxRejections` within a second.
+class BrittleReplica {
+public:
+  explicit BrittleReplica(asio::io_context &context) : Timers(context) {
+    CallerHooks hooks;
+    hooks.Bounds = [] { return CallerBounds{}; };
+    hooks.Closing = [] { return false; };
+    hooks.OnRequest = [this](const CallerRequest &, const auto &reply) {
+      onRequest(reply);
+    };
+    Server = std::make_unique<CallerServer>(context, Loopback::localhost(0),
+                                            1000, std::move(hooks));
+  }
+
+  std::string address() const { return Loopback::address(Server->port()); }
+
+  std::optional<Instant> StatesSince;
+  bool Fell = false;
+  std::size_t Rejected = 0;
+  std::size_t Served = 0;
+
+private:
+  using Reply = std::shared_ptr<CallerReply>;
+
+  void onRequest(const Reply &reply) {
+    auto now = TimerService::now();
+    bool isShrunk = StatesSince && now - *StatesSince >= ShrinkDelay;
+    if (Running < Slots)
+      return run(reply);
+    if (Waiting.size() < (isShrunk ? 0 : NormalQueue))
+      return Waiting.push_back(reply);
+    ++Rejected;
+    RejectedAt.push_back(now);
+    std::erase_if(RejectedAt, [now](Instant at) {
+      return now - at >= std::chrono::seconds(1);
+    });
+    Fell = Fell || (StatesSince && RejectedAt.size() > MaxRejections);
+    reply->respond(head(503, "Not-Run"), "");
+  }
+
+  void run(const Reply &reply) {
+    ++Running;
+    Timers.after(WorkTime, [this, reply](Instant) {
+      --Running;
+      ++Served;
+      reply->respond(head(200, "Seal"), "hello");
+      if (Waiting.empty())
+        return;
+      auto next = Waiting.front();
+      Waiting.erase(Waiting.begin());
+      run(next);
+    });
+  }
+
+  HttpAnswerHead head(std::uint16_t status, const std::string &field) const {
+    HttpAnswerHead out{status, {{field, "1"}}};
+    if (StatesSince)
+      out.Fields.push_back({"Brittle", std::to_string(MaxRejections)});
+    return out;
+  }
+
+  TimerService Timers;
+  std::unique_ptr<CallerServer> Server;
+  std::size_t Running = 0;
+  std::vector<Reply> Waiting;
+  std::vector<Instant> RejectedAt;
+};
+
+/// Several nodes before two replicas that have fewer slots than there are
+/// nodes.
+struct BrittleFixture : GatewayFixture {
+  BrittleFixture() : Caller(Context, {}) {
+    Platform.HasTable = true;
+    Platform.declare(1, "/x/", RouteKind::Repeatable, 2);
+    for (int it = 0; it < 2; ++it)
+      Platform.addReplica(
+          Replicas.emplace_back(std::make_unique<BrittleReplica>(Context))
+              ->address());
+  }
+
+  void startNode() {
+    auto ports = freePorts(4);
+    auto settings = Settings;
+    settings.Name = "entry-" + std::to_string(Nodes.size());
+    settings.PeerPort = ports[0];
+    settings.CallerAddress = address(ports[1]);
+    settings.DirectoryAddress = address(ports[2]);
+    settings.ReadinessAddress = address(ports[3]);
+    Nodes.push_back(
+        std::make_unique<Gateway>(Context, settings, Platform.port(), Log));
+    Nodes.back()->start();
+  }
+
+  void startNodes(std::size_t n) {
+    while (Nodes.size() < n)
+      startNode();
+    REQUIRE(until([this] {
+      return std::all_of(Nodes.begin(), Nodes.end(),
+                         [](const auto &it) { return it->ready(); });
+    }));
+    runFor(milliseconds(2000));
+  }
+
+  void runFor(Span span) {
+    auto end = TimerService::now() + span;
+    until([end] { return TimerService::now() >= end; });
+  }
+
+  void state() {
+    for (auto &it : Replicas)
+      it->StatesSince = TimerService::now();
+  }
+
+  /// Sends requests at a rate to the nodes in turn, without waiting for their
+  /// answers.
+  void sendFor(Span span, double perSecond) {
+    auto end = TimerService::now() + span;
+    while (TimerService::now() < end) {
+      auto next = TimerService::now() + spanOf(1 / perSecond);
+      HttpCall call;
+      call.Address =
+          parseEndpoint(Nodes[++Sent % Nodes.size()]->settings().CallerAddress);
+      call.Target = "/x/y" + std::to_string(Sent);
+      call.Fields = {{"Host", "a.example"}, {"Id", "r" + std::to_string(Sent)}};
+      call.Timeout = std::chrono::seconds(3);
+      Caller.call(call, [this](const auto &answer) {
+        Complete += answer && answer->Head.Status == 200;
+      });
+      until([next] { return TimerService::now() >= next; });
+    }
+  }
+
+  std::size_t rejected() const {
+    return Replicas[0]->Rejected + Replicas[1]->Rejected;
+  }
+  std::size_t served() const {
+    return Replicas[0]->Served + Replicas[1]->Served;
+  }
+  bool anyFell() const { return Replicas[0]->Fell || Replicas[1]->Fell; }
+
+  std::vector<std::unique_ptr<BrittleReplica>> Replicas;
+  std::vector<std::unique_ptr<Gateway>> Nodes;
+  HttpCaller Caller;
+  std::size_t Sent = 0;
+  std::size_t Complete = 0;
+};
+
+/// What the slots of both replicas can serve in a second.
+constexpr double CapacityPerSecond = 2 * Slots / 0.04;
+
+} // namespace
+
+TEST_CASE("replicas that fail from rejections have to reject next to nothing "
+          "while more nodes than slots send to them",
+          "[brittle-replicas]") {
+  BrittleFixture it;
+  it.startNodes(10);
+  it.sendFor(milliseconds(1000), CapacityPerSecond / 2);
+  it.state();
+  it.sendFor(milliseconds(3500), CapacityPerSecond / 2);
+  auto before = it.served();
+  it.sendFor(milliseconds(3000), 1.5 * CapacityPerSecond);
+  CHECK_FALSE(it.anyFell());
+  // Most of what the slots can serve is served.
+  constexpr double MinUsed = 0.6;
+  CHECK(static_cast<double>(it.served() - before) >=
+        MinUsed * 3 * CapacityPerSecond);
+}
+
+} // namespace hemlockglade::test
--- a/UnitTests/Node/Gateway/GatewayRig.h
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -195,6 +195,10 @@
           labels.Events = value == "text/event-stream";
         else if (sameFieldName(name, "Limit"))
           labels.RequestLimit = std::stod(std::string(value));
+        else if (sameFieldName(name, "Brittle"))
+          labels.RejectionLimit = std::stod(std::string(value));
+        else if (sameFieldName(name, "Not-Run"))
+          labels.NotRun = true;
       return labels;
     };
     out.Labels.OwnAnswer = [](std::string_view) { return OwnedFields{}; };
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -3,6 +3,7 @@
 
 #include "Hemlockglade/Protocol/Settings/GatewaySettings.h"
 #include "UnitTests/History/HistoryChecker.h"
+#include "UnitTests/Platform/Soak/SoakBrittle.h"
 #include "UnitTests/Platform/Soak/SoakCutOffs.h"
 #include "UnitTests/Platform/Soak/SoakDraining.h"
 #include "UnitTests/Platform/Soak/SoakLimits.h"
@@ -62,6 +63,9 @@
 DEFINE_double(releases_every, 0,
               "time between releases of new software versions to some engines, "
               "in seconds; 0 for none");
+DEFINE_double(brittle_every, 0,
+              "time between times in which replicas fail from rejections, in "
+              "seconds; 0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -178,6 +182,20 @@
   return findings.Poor.empty();
 }
 
+bool checkBrittleReplicas(const std::vector<HistoryEvent> &events) {
+  constexpr auto ContactTime = std::chrono::seconds(3);
+  auto findings = checkBrittle(events, ContactTime);
+  printResult(findings.Exceeded.empty(),
+              "replicas that fail from rejections are spared: " +
+                  std::to_string(findings.Fallen) + " failed in " +
+                  std::to_string(findings.Checked) + " times, " +
+                  std::to_string(findings.Rejected) + " rejected of " +
+                  std::to_string(findings.Arrived));
+  for (const auto &it : findings.Exceeded)
+    std::cout << "  " << it << '\n';
+  return findings.Exceeded.empty();
+}
+
 bool checkRetryBudgets(const std::vector<HistoryEvent> &events,
                        int fixedRetries) {
   GatewaySettings defaults;
@@ -220,6 +238,7 @@
   isHeld = checkStatedLimits(events) && isHeld;
   isHeld = checkDrainingReplicas(events) && isHeld;
   isHeld = checkCutOffGateways(events) && isHeld;
+  isHeld = checkBrittleReplicas(events) && isHeld;
   isHeld = checkRetryBudgets(events, settings.RepeatExtra) && isHeld;
   isHeld = checkStreamEvents(events) && isHeld;
   HistoryChecker checker(std::move(events), bounds);
@@ -287,6 +306,7 @@
   if (FLAGS_lives_every > 0)
     settings.RepeatExtra = 20;
   settings.ReleaseInterval = spanOf(FLAGS_releases_every);
+  settings.BrittleInterval = spanOf(FLAGS_brittle_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.Recovery = spanOf(FLAGS_recovery);
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -17,6 +17,12 @@
 /// starts again.
 constexpr auto CrashDelay = milliseconds(20);
 constexpr auto RestartDelay = milliseconds(1500);
+/// How long a replica that has failed from rejections is away.
+constexpr auto FallenTime = milliseconds(2500);
+/// From this long after it states a limit on rejections a replica lets none
+/// wait.
+constexpr auto ShrinkDelay = milliseconds(3000);
+constexpr std::size_t WaitingPerSlot = 4;
 constexpr std::size_t MaxConnections = 400;
 
 std::string field(const CallerRequest &request, std::string_view name) {
@@ -82,6 +88,8 @@
   Loading.clear();
   Evicting.clear();
   UseCounts.clear();
+  Rejections.clear();
+  Waiting.clear();
   CallerHooks hooks;
   hooks.Bounds = [] { return CallerBounds{}; };
   hooks.Closing = [this] { return Draining; };
@@ -108,6 +116,12 @@
     record("limited").Change = std::to_string(*perSecond);
 }
 
+void SoakReplica::setMaxRejections(std::optional<double> perSecond) {
+  MaxRejections = perSecond;
+  MaxRejectionsSince = TimerService::now();
+  Rejections.clear();
+}
+
 void SoakReplica::crash() {
   setLimit(std::nullopt);
   HeartbeatTimer.reset();
@@ -184,7 +198,7 @@
             {"address", Link.address()},
             {"zone", Options.FailureDomain},
             {"version", Options.Software},
-            {"slots", 8},
+            {"slots", Options.Slots},
             {"sequence", Heartbeats},
             {"cold_remaining_ms", 0},
             {"state", Draining ? "draining" : "ready"}};
@@ -237,6 +251,9 @@
 }
 
 void SoakReplica::addLimit(HttpAnswerHead &head, const std::string &tag) {
+  if (MaxRejections)
+    head.Fields.push_back({std::string(platform_name::RejectionLimit),
+                           std::to_string(*MaxRejections)});
   if (!RequestLimit)
     return;
   head.Fields.push_back({std::string(platform_name::RequestLimit),
@@ -375,11 +392,24 @@
   }
   if (request.Head.Target.ends_with(site::CrashingTargetSuffix) && OnCrash)
     return crashAfterDelay(reply, it->Tag);
+  auto waiting = std::count_if(Waiting.begin(), Waiting.end(),
+                               [](const auto &at) { return !at->Ended; });
+  bool isFull = Running.size() >= Options.Slots;
+  if (Options.LimitsRoom && isFull &&
+      static_cast<std::size_t>(waiting) >= maxWaiting()) {
+    if (Options.Engine)
+      --UseCounts[it->Adapter.substr(it->Adapter.find('/') + 1)];
+    return rejectForRoom(*reply, it->Tag);
+  }
   Running.insert(it);
   reply->OnGone = [this, it, alive = Alive] {
     if (*alive)
       end(*it, "cut", false);
   };
+  if (Options.LimitsRoom && !Draining) {
+    Waiting.push_back(it);
+    return beginWaiting();
+  }
   if (CurrentMode != Mode::DelaysStart || Draining)
     return begin(it);
   constexpr std::uint64_t MaxDelayMs = 3000;
@@ -390,6 +420,50 @@
                });
 }
 
+std::size_t SoakReplica::maxWaiting() const {
+  bool isShrunk =
+      MaxRejections && TimerService::now() - MaxRejectionsSince >= ShrinkDelay;
+  return isShrunk ? 0 : WaitingPerSlot * Options.Slots;
+}
+
+void SoakReplica::rejectForRoom(CallerReply &reply, const std::string &tag) {
+  constexpr auto Second = std::chrono::seconds(1);
+  auto now = TimerService::now();
+  refuse(reply, 503, tag);
+  record("no_room").Tag = tag;
+  Rejections.push_back(now);
+  while (now - Rejections.front() >= Second)
+    Rejections.pop_front();
+  if (!MaxRejections ||
+      static_cast<double>(Rejections.size()) <= *MaxRejections)
+    return;
+  record("fell").Service = Options.Service;
+  // Posted, since this is called from within the server that ends.
+  asio::post(Context, [this, expected = Incarnation, alive = Alive] {
+    if (!*alive || !isRunning() || Incarnation != expected)
+      return;
+    crash();
+    Timers.after(FallenTime, [this, alive](Instant) {
+      if (*alive && !isRunning())
+        start();
+    });
+  });
+}
+
+void SoakReplica::beginWaiting() {
+  auto begun = [this] {
+    return static_cast<std::size_t>(
+        std::count_if(Running.begin(), Running.end(),
+                      [](const auto &it) { return it->Number > 0; }));
+  };
+  while (!Waiting.empty() && begun() < Options.Slots) {
+    auto next = Waiting.front();
+    Waiting.pop_front();
+    if (!next->Ended)
+      begin(next);
+  }
+}
+
 void SoakReplica::begin(const std::shared_ptr<Run> &it) {
   const auto &request = it->Request;
   it->Number = ++RunCount;
@@ -420,7 +494,7 @@
   }
   if (CurrentMode == Mode::Hangs)
     return;
-  Timers.after(it->Stream ? milliseconds(20) : milliseconds(15),
+  Timers.after(it->Stream ? Span(milliseconds(20)) : Options.WorkTime,
                [this, it, alive = Alive](Instant) {
                  if (*alive && !it->Ended)
                    step(it);
@@ -505,6 +579,11 @@
     event.Hash = site::hashOf(site::fullText(run.Tag, run.Stream));
   }
   std::erase_if(Running, [&run](const auto &it) { return it.get() == &run; });
+  if (Options.LimitsRoom && !Draining)
+    asio::post(Context, [this, alive = Alive] {
+      if (*alive && isRunning())
+        beginWaiting();
+    });
   if (run.Adapter.empty())
     return;
   auto name = run.Adapter.substr(run.Adapter.find('/') + 1);
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -5,6 +5,7 @@
 #include "UnitTests/Platform/Soak/SoakStore.h"
 #include "UnitTests/Platform/Soak/SoakWorkspaces.h"
 
+#include <deque>
 #include <memory>
 #include <random>
 #include <set>
@@ -69,6 +70,13 @@
     /// How long a draining replica still serves before it ends.
     Span DrainTime = std::chrono::milliseconds(2600);
     bool Engine = false;
+    /// Requests that it runs at a time, as it registers.
+    std::uint32_t Slots = 8;
+    /// How long a plain request runs.
+    Span WorkTime = std::chrono::milliseconds(15);
+    /// Lets requests beyond its slots wait, up to a multiple of the slots, and
+    /// rejects more; else it runs all.
+    bool LimitsRoom = false;
     /// Version of its software, with which it marks its events.
     std::string Software = "v1";
     PlantedViolation Planted = PlantedViolation::None;
@@ -81,6 +89,10 @@
   void setMode(Mode mode) { CurrentMode = mode; }
   /// States a limit in requests a second, or ends it.
   void setLimit(std::optional<double> perSecond);
+  /// States that it fails once it rejects more than this many requests a second
+  /// for want of room, or no longer states it. From `ShrinkDelay` on it lets
+  /// none wait.
+  void setMaxRejections(std::optional<double> perSecond);
   SoakProxy &link() { return Link; }
   const Settings &settings() const { return Options; }
   const std::string &incarnation() const { return Incarnation; }
@@ -117,6 +129,12 @@
   std::string report() const;
   void accept(const CallerRequest &request,
               const std::shared_ptr<CallerReply> &reply);
+  /// Number of requests that may wait now.
+  std::size_t maxWaiting() const;
+  /// Rejects a request for want of room, and fails if those were too many.
+  void rejectForRoom(CallerReply &reply, const std::string &tag);
+  /// Begins requests that wait while there are free slots.
+  void beginWaiting();
   void begin(const std::shared_ptr<Run> &run);
   /// Crashes after a delay and starts again later; answers 500 instead in mode
   /// `Fails`.
@@ -127,7 +145,7 @@
   void recordRun(const Run &run);
   void refuse(CallerReply &reply, std::uint16_t status, const std::string &tag);
   HttpAnswerHead head(std::uint16_t status, const Run &run);
-  /// Adds the limit that the replica states, if any.
+  /// Adds the limits that the replica states, if any.
   void addLimit(HttpAnswerHead &head, const std::string &tag);
   HistoryEvent &record(std::string event) {
     return History.record(Incarnation, std::move(event));
@@ -148,6 +166,13 @@
   SoakProxy Link;
   Mode CurrentMode = Mode::Healthy;
   std::optional<double> RequestLimit;
+  std::optional<double> MaxRejections;
+  Instant MaxRejectionsSince{};
+  /// Times of the rejections for want of room of the last second.
+  std::deque<Instant> Rejections;
+  /// Requests that wait for a slot, in order; those that have ended count no
+  /// more.
+  std::deque<std::shared_ptr<Run>> Waiting;
   bool Draining = false;
   std::uint64_t Heartbeats = 0;
   std::uint64_t RunCount = 0;
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -41,8 +41,9 @@
       EntriesRandom(Options.Seed), RevertRandom(Options.Seed),
       VersionRandom(Options.Seed), LimitRandom(Options.Seed),
       StaleListRandom(Options.Seed), CutOffRandom(Options.Seed),
-      LivesRandom(Options.Seed), ReleaseRandom(Options.Seed), Timers(Context),
-      Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
+      LivesRandom(Options.Seed), ReleaseRandom(Options.Seed),
+      BrittleRandom(Options.Seed), Timers(Context), Store(Context, Random()),
+      Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
       return;
@@ -70,6 +71,13 @@
     SoakReplica::Settings replica;
     replica.Engine = it < Options.Engines;
     replica.Planted = Options.Planted;
+    if (Options.BrittleInterval > Span(0)) {
+      replica.LimitsRoom = true;
+      // Fewer slots than gateways, and so few that bursts fill them.
+      constexpr std::uint32_t PlainSlots = 3;
+      replica.Slots = replica.Engine ? replica.Slots : PlainSlots;
+      replica.WorkTime = milliseconds(60);
+    }
     if (Options.StaleListInterval > Span(0))
       replica.DrainTime = seconds(5);
     replica.Service = replica.Engine ? site::EngineService : site::PlainService;
@@ -175,6 +183,8 @@
   repeatWhile(InjectsFaults, Options.LivesInterval, &SoakWorld::injectLives);
   repeatWhile(InjectsFaults, Options.ReleaseInterval,
               &SoakWorld::injectRelease);
+  repeatWhile(InjectsFaults, Options.BrittleInterval,
+              &SoakWorld::injectBrittle);
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
@@ -184,6 +194,8 @@
   StatesLimits = false;
   for (auto &it : Replicas)
     it->setLimit(std::nullopt);
+  setBrittle(site::PlainService, std::nullopt);
+  setBrittle(site::EngineService, std::nullopt);
   auto before = Callers.counts();
   runFor(QuietTime);
   auto after = Callers.counts();
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -44,6 +44,10 @@
     /// Time between releases of new software versions to some engines; none if
     /// 0.
     Span ReleaseInterval{0};
+    /// Time between times in which all replicas of a service fail if they have
+    /// to reject too many requests; none if 0. If set, replicas have a limited
+    /// room, and callers come in bursts.
+    Span BrittleInterval{0};
     /// Retries of a service in each window that don't depend on its requests.
     int RepeatExtra = 200;
     /// How long requests may still begin on a version of weights that has been
@@ -126,6 +130,10 @@
   /// Replaces some engines by others of the next software version, while others
   /// break off streams and some gateways are killed.
   void injectRelease();
+  /// Has the replicas of a service state that they fail if they have to reject
+  /// too many requests, while callers come in bursts.
+  void injectBrittle();
+  void setBrittle(std::string_view service, std::optional<double> perSecond);
   void restoreAll();
   void causeOutage();
   void log(const std::string &what);
@@ -151,6 +159,7 @@
   std::mt19937_64 CutOffRandom;
   std::mt19937_64 LivesRandom;
   std::mt19937_64 ReleaseRandom;
+  std::mt19937_64 BrittleRandom;
   std::size_t ReleaseCount = 0;
   asio::io_context Context;
   TimerService Timers;
--- /dev/null
+++ b/UnitTests/Platform/Soak/SoakWorldBrittle.cpp
@@ -0,0 +1,51 @@
+// The part of SoakWorld with replicas that fail from rejections.
+
+#include "UnitTests/Platform/Soak/SoakWorld.h"
+
+namespace hemlockglade::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+} // namespace
+
+void SoakWorld::setBrittle(std::string_view service,
+                           std::optional<double> perSecond) {
+  std::int64_t n = 0;
+  for (auto &it : Replicas)
+    if (it->settings().Service == service) {
+      it->setMaxRejections(perSecond);
+      ++n;
+    }
+  auto &event = History.record("soak", perSecond ? "brittle" : "sound");
+  event.Service = service;
+  event.Running = n;
+  event.Change = perSecond ? std::to_string(*perSecond) : "";
+}
+
+void SoakWorld::injectBrittle() {
+  // Plain replicas more often, since they have fewer slots than there are
+  // gateways.
+  auto service = BrittleRandom() % 3 ? site::PlainService : site::EngineService;
+  constexpr std::uint64_t MaxPerSecond = 3;
+  auto perSecond = static_cast<double>(1 + BrittleRandom() % MaxPerSecond);
+  log("replicas of " + std::string(service) + " bear " +
+      std::to_string(perSecond) + " rejections a second");
+  setBrittle(service, perSecond);
+  constexpr double BurstFactor = 4;
+  constexpr auto BurstTime = milliseconds(3000);
+  Timers.after(milliseconds(1000 + BrittleRandom() % 4000),
+               [this, BurstFactor, BurstTime](Instant) {
+                 log("burst");
+                 Callers.setRate(BurstFactor * Options.Rate);
+                 Timers.after(BurstTime, [this](Instant) {
+                   Callers.setRate(Options.Rate);
+                 });
+               });
+  auto lasts = Options.BrittleInterval - milliseconds(500);
+  Timers.after(lasts,
+               [this, service](Instant) { setBrittle(service, std::nullopt); });
+}
+
+} // namespace hemlockglade::soak
