A gateway that is destroyed ends its open exchanges from a copy

Seen by BrittleReplicaTest, whose nodes end with open requests: a crash in ~Gateway, as each exchange that ends removes itself from the set that is being walked. A process that stops has none open by then, so callers saw nothing. Built and run with that test.

--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -121,7 +121,9 @@
       NextSeed(std::hash<std::string>{}(Settings.Name)) {}
 
 Gateway::~Gateway() {
-  for (const auto &it : Exchanges)
+  // An exchange that ends leaves the set.
+  auto open = Exchanges;
+  for (const auto &it : open)
     it->abort();
 }
 
