--- a/UnitTests/Node/Gateway/BrittleReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/BrittleReplicaTest.cpp
@@ -5,7 +5,7 @@
 // more than the replicas had room for.
 
 #include "Hemlockglade/Transport/Http1/CallerServer.h"
-#include "Hemlockglade/Transport/Http1/HttpCaller.h"
+#include "Hemlockglade/Transport/Http1/HttpPool.h"
 #include "UnitTests/Node/Gateway/GatewayRig.h"
 
 #include <algorithm>
@@ -93,7 +93,7 @@
 /// Several nodes before two replicas that have fewer slots than there are
 /// nodes.
 struct BrittleFixture : GatewayFixture {
-  BrittleFixture() : Caller(Context, {}) {
+  BrittleFixture() : Pool(Context, {}) {
     Platform.HasTable = true;
     Platform.declare(1, "/x/", RouteKind::Repeatable, 2);
     for (int it = 0; it < 2; ++it)
@@ -135,28 +135,26 @@
       it->StatesSince = TimerService::now();
   }
 
+  void send(const std::string &to) {
+    HttpRequestHead head{"GET", "/x/y", {}};
+    head.Fields = {{"Host", "a.example"}, {"Id", "r" + std::to_string(Sent)}};
+    auto connection = Pool.take(parseEndpoint(to));
+    HttpCallHooks hooks;
+    hooks.OnDone = [this, connection] { Pool.give(connection); };
+    connection->call(writeHead(head), "", false, std::move(hooks));
+  }
+
   /// Sends requests at a rate to the nodes in turn, without waiting for their
   /// answers.
   void sendFor(Span span, double perSecond) {
     auto end = TimerService::now() + span;
     while (TimerService::now() < end) {
       auto next = TimerService::now() + spanOf(1 / perSecond);
-      HttpCall call;
-      call.Address =
-          parseEndpoint(Nodes[++Sent % Nodes.size()]->settings().CallerAddress);
-      call.Target = "/x/y" + std::to_string(Sent);
-      call.Fields = {{"Host", "a.example"}, {"Id", "r" + std::to_string(Sent)}};
-      call.Timeout = std::chrono::seconds(3);
-      Caller.call(call, [this](const auto &answer) {
-        Complete += answer && answer->Head.Status == 200;
-      });
+      send(Nodes[++Sent % Nodes.size()]->settings().CallerAddress);
       until([next] { return TimerService::now() >= next; });
     }
   }
 
-  std::size_t rejected() const {
-    return Replicas[0]->Rejected + Replicas[1]->Rejected;
-  }
   std::size_t served() const {
     return Replicas[0]->Served + Replicas[1]->Served;
   }
@@ -164,9 +162,8 @@
 
   std::vector<std::unique_ptr<BrittleReplica>> Replicas;
   std::vector<std::unique_ptr<Gateway>> Nodes;
-  HttpCaller Caller;
+  HttpPool Pool;
   std::size_t Sent = 0;
-  std::size_t Complete = 0;
 };
 
 /// What the slots of both replicas can serve in a second.
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -18,7 +18,7 @@
 constexpr auto CrashDelay = milliseconds(20);
 constexpr auto RestartDelay = milliseconds(1500);
 /// How long a replica that has failed from rejections is away.
-constexpr auto FallenTime = milliseconds(2500);
+constexpr auto FallenTime = milliseconds(1500);
 /// From this long after it states a limit on rejections a replica lets none
 /// wait.
 constexpr auto ShrinkDelay = milliseconds(3000);
--- a/UnitTests/Platform/Soak/SoakWorldBrittle.cpp
+++ b/UnitTests/Platform/Soak/SoakWorldBrittle.cpp
@@ -33,9 +33,10 @@
   log("replicas of " + std::string(service) + " bear " +
       std::to_string(perSecond) + " rejections a second");
   setBrittle(service, perSecond);
-  constexpr double BurstFactor = 4;
-  constexpr auto BurstTime = milliseconds(3000);
-  Timers.after(milliseconds(1000 + BrittleRandom() % 4000),
+  // Beyond what the plain replicas' slots can serve.
+  constexpr double BurstFactor = 8;
+  constexpr auto BurstTime = milliseconds(4000);
+  Timers.after(milliseconds(2500 + BrittleRandom() % 1500),
                [this, BurstFactor, BurstTime](Instant) {
                  log("burst");
                  Callers.setRate(BurstFactor * Options.Rate);
@@ -43,6 +44,18 @@
                    Callers.setRate(Options.Rate);
                  });
                });
+  // Some gateways die with what they know and have been granted.
+  for (auto &it : Nodes) {
+    if (BrittleRandom() % 4 != 0)
+      continue;
+    auto &node = *it;
+    Timers.after(
+        milliseconds(500 + BrittleRandom() % 6000), [this, &node](Instant) {
+          log("kill " + node.name());
+          node.kill();
+          Timers.after(milliseconds(700), [&node](Instant) { node.start(); });
+        });
+  }
   auto lasts = Options.BrittleInterval - milliseconds(500);
   Timers.after(lasts,
                [this, service](Instant) { setBrittle(service, std::nullopt); });
