--- a/Hemlockglade/Coordination/Crash/CrashRowFormat.cpp
+++ b/Hemlockglade/Coordination/Crash/CrashRowFormat.cpp
@@ -1,7 +1,8 @@
 #include "Hemlockglade/Coordination/Crash/CrashRowFormat.h"
 
+#include "Hemlockglade/Coordination/RowText.h"
+
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace hemlockglade {
@@ -14,31 +15,6 @@
 constexpr char RecordSeparator = ';';
 constexpr char CrashSeparator = ',';
 constexpr char FieldSeparator = '.';
-constexpr int Hex = 16;
-constexpr int Decimal = 10;
-
-std::string_view takeUntil(std::string_view &text, char separator) {
-  auto out = text.substr(0, text.find(separator));
-  text.remove_prefix(std::min(text.size(), out.size() + 1));
-  return out;
-}
-
-template <typename T>
-std::optional<T> parseNumber(std::string_view text, int base) {
-  T out{};
-  auto [end, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), out, base);
-  if (ec != std::errc() || end != text.data() + text.size())
-    return std::nullopt;
-  return out;
-}
-
-void appendNumber(std::string &out, std::uint64_t value, int base) {
-  constexpr std::size_t Digits = 20;
-  char buf[Digits];
-  auto end = std::to_chars(std::begin(buf), std::end(buf), value, base).ptr;
-  out.append(buf, end);
-}
 
 void appendAge(std::string &out, Instant at, Instant now) {
   auto age = std::max(Span(0), now - at);
--- a/Hemlockglade/Coordination/Crash/CrashTracker.cpp
+++ b/Hemlockglade/Coordination/Crash/CrashTracker.cpp
@@ -1,7 +1,6 @@
 #include "Hemlockglade/Coordination/Crash/CrashTracker.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace hemlockglade {
 
@@ -14,10 +13,6 @@
 
 } // namespace
 
-std::uint64_t crashTag(std::string_view text) {
-  return XXH3_64bits(text.data(), text.size());
-}
-
 std::size_t CrashTracker::countCrashes(const CrashRecord &record) const {
   std::vector<const ReplicaCrash *> counted;
   for (const auto &it : record.Crashes) {
--- a/Hemlockglade/Coordination/Crash/CrashTracker.h
+++ b/Hemlockglade/Coordination/Crash/CrashTracker.h
@@ -10,11 +10,11 @@
 
 /// The end of a replica that ran a request or was about to run it.
 struct ReplicaCrash {
-  /// Tag of the replica's incarnation.
+  /// Digest of the replica's incarnation.
   std::uint64_t Incarnation = 0;
   Instant SentAt{};
   Instant EndedAt{};
-  /// Tag of its failure domain; 0 if unknown.
+  /// Digest of its failure domain; 0 if unknown.
   std::uint64_t Domain = 0;
 
   bool operator==(const ReplicaCrash &) const = default;
@@ -30,10 +30,6 @@
   std::optional<Instant> ServedAt;
 };
 
-/// Hash that stands for a replica's incarnation or a failure domain in records
-/// and messages.
-std::uint64_t crashTag(std::string_view text);
-
 /// Finds the requests that crash the replicas that run them, from the crashes
 /// that all nodes report. A request under which `CrashLimit` replicas ended is
 /// barred: it is sent to no other replica. Nodes exchange records, in any order
--- a/Hemlockglade/Coordination/Crash/ReplicaEndDetector.cpp
+++ b/Hemlockglade/Coordination/Crash/ReplicaEndDetector.cpp
@@ -1,13 +1,15 @@
 #include "Hemlockglade/Coordination/Crash/ReplicaEndDetector.h"
 
+#include "Hemlockglade/Coordination/RowText.h"
+
 #include <utility>
 
 namespace hemlockglade {
 
 SuspectCrash ReplicaEndDetector::crashOf(const BrokenAttempt &attempt) {
   return {attempt.Key,
-          {crashTag(attempt.Incarnation.text()), attempt.SentAt,
-           attempt.BrokeAt, crashTag(attempt.FailureDomain)}};
+          {digestOf(attempt.Incarnation.text()), attempt.SentAt,
+           attempt.BrokeAt, digestOf(attempt.FailureDomain)}};
 }
 
 std::vector<SuspectCrash>
--- a/Hemlockglade/Coordination/Streams/SoftwareHistory.cpp
+++ b/Hemlockglade/Coordination/Streams/SoftwareHistory.cpp
@@ -1,9 +1,9 @@
 #include "Hemlockglade/Coordination/Streams/SoftwareHistory.h"
 
+#include "Hemlockglade/Coordination/RowText.h"
+
 #include <algorithm>
-#include <charconv>
 #include <vector>
-#include <xxhash.h>
 
 namespace hemlockglade {
 
@@ -15,19 +15,10 @@
 constexpr std::string_view Kind = "software";
 constexpr char FieldSeparator = '!';
 constexpr char RecordEnd = ';';
-constexpr int Hex = 16;
-constexpr int Decimal = 10;
-
-std::uint64_t digestOf(std::string_view text) {
-  return XXH3_64bits(text.data(), text.size());
-}
 
 void appendField(std::string &out, std::uint64_t value, int base) {
-  constexpr std::size_t Digits = 20;
-  char buf[Digits];
-  auto end = std::to_chars(std::begin(buf), std::end(buf), value, base).ptr;
   out += FieldSeparator;
-  out.append(buf, end);
+  appendNumber(out, value, base);
 }
 
 void appendAge(std::string &out, Instant at, Instant now) {
@@ -46,17 +37,9 @@
   }
 }
 
-std::optional<std::uint64_t> parse(std::string_view text, int base) {
-  std::uint64_t out = 0;
-  const auto *end = text.data() + text.size();
-  auto [at, ec] = std::from_chars(text.data(), end, out, base);
-  return !text.empty() && ec == std::errc() && at == end ? std::optional(out)
-                                                         : std::nullopt;
-}
-
 std::optional<Span> parseAge(std::string_view text) {
   constexpr Span MaxAge = std::chrono::hours(240);
-  auto ms = parse(text, Decimal);
+  auto ms = parseNumber<std::uint64_t>(text, Decimal);
   if (!ms ||
       *ms > static_cast<std::uint64_t>(MaxAge / std::chrono::milliseconds(1)))
     return std::nullopt;
@@ -114,9 +97,7 @@
 
 void SoftwareHistory::onNotes(std::string_view notes, Instant now) {
   while (!notes.empty()) {
-    auto record = notes.substr(0, notes.find(RecordEnd));
-    notes.remove_prefix(std::min(notes.size(), record.size() + 1));
-    auto fields = split(record);
+    auto fields = split(takeUntil(notes, RecordEnd));
     constexpr std::size_t SinceFields = 2;
     constexpr std::size_t VersionFields = 4;
     auto age = fields.front() == Kind ? parseAge(fields.back()) : std::nullopt;
@@ -126,8 +107,8 @@
       KnownSince = std::min(KnownSince, now - *age);
     if (fields.size() != VersionFields)
       continue;
-    auto service = parse(fields[1], Hex);
-    auto version = parse(fields[2], Hex);
+    auto service = parseNumber<std::uint64_t>(fields[1], Hex);
+    auto version = parseNumber<std::uint64_t>(fields[2], Hex);
     if (!service || !version)
       continue;
     auto &seenAt =
--- a/UnitTests/Coordination/Crash/CrashTrackerTest.cpp
+++ b/UnitTests/Coordination/Crash/CrashTrackerTest.cpp
@@ -1,4 +1,5 @@
 #include "Hemlockglade/Coordination/Crash/CrashTracker.h"
+#include "Hemlockglade/Coordination/RowText.h"
 
 #include "Hemlockglade/Coordination/Crash/CrashRowFormat.h"
 
@@ -87,7 +88,7 @@
   auto sent = Start - seconds(1);
   for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
     ReplicaCrash crash{incarnation, sent, Start + milliseconds(incarnation)};
-    crash.Domain = crashTag("hall-" + std::to_string(incarnation));
+    crash.Domain = digestOf("hall-" + std::to_string(incarnation));
     tracker.onEnd(Key, crash, Later);
   }
   CHECK(tracker.crashesOf(Key) == 3);
--- a/UnitTests/Coordination/Crash/ReplicaEndDetectorTest.cpp
+++ b/UnitTests/Coordination/Crash/ReplicaEndDetectorTest.cpp
@@ -1,4 +1,5 @@
 #include "Hemlockglade/Coordination/Crash/ReplicaEndDetector.h"
+#include "Hemlockglade/Coordination/RowText.h"
 
 #include <catch2/catch.hpp>
 
@@ -53,9 +54,9 @@
   REQUIRE(crashes.size() == 2);
   CHECK(crashes[0].Key == RequestKey({1}));
   CHECK(crashes[1].Key == RequestKey({2}));
-  CHECK(crashes[0].Crash == ReplicaCrash{crashTag(Incarnation.text()),
+  CHECK(crashes[0].Crash == ReplicaCrash{digestOf(Incarnation.text()),
                                          Now - seconds(3), Now,
-                                         crashTag("hall-a")});
+                                         digestOf("hall-a")});
   // A connection that is seen to break after the replica is known to have
   // ended.
   CHECK(detector.onBroken(brokenAttempt(4)).size() == 1);
