--- a/Hemlockglade/Coordination/Quota/QuotaClient.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaClient.cpp
@@ -121,11 +121,11 @@
 
 std::optional<QuotaClient::Decision>
 QuotaClient::reserve(Ticket number, const Workspace &workspace, double units,
-                     Instant now) {
+                     Instant now, bool waits) {
   auto &state = stateOf(workspace, now);
   updateDemand(state, units, now);
   if (!useGranted(state, units, now))
-    return queueAtServer(state, 0, {number, units}, now);
+    return queueAtServer(state, 0, {number, units, waits}, now);
   markDue(state);
   return Decision{number, Verdict::Allowed, Span(0), Span(0)};
 }
@@ -135,7 +135,8 @@
                            WaitingRequest it, Instant now) {
   for (auto at = first; at < state.Servers.size(); ++at) {
     auto &server = state.Servers[at];
-    if (now < server.EmptyUntil || now < server.BackoffUntil)
+    bool isEmpty = now < server.EmptyUntil && !it.Waits;
+    if (isEmpty || now < server.BackoffUntil)
       continue;
     server.Queue.push_back(it);
     markDue(state);
@@ -151,9 +152,15 @@
   for (const auto &server : state.Servers)
     if (now < server.EmptyUntil)
       emptyUntil = std::min(emptyUntil, server.EmptyUntil);
-  if (emptyUntil == Instant::max())
-    return {it.Number, Verdict::NoServer, Options.ServerBackoff,
-            Options.ServerBackoff};
+  if (state.countsPlaces() && emptyUntil != Instant::max())
+    return {it.Number, Verdict::Limited, emptyUntil - now, emptyUntil - now};
+  if (takeWithoutServer(state, it.Units, now))
+    return {it.Number, Verdict::Allowed, Span(0), Span(0)};
+  if (emptyUntil == Instant::max()) {
+    auto backoff = state.countsPlaces() ? Options.PlaceServerBackoff
+                                        : Options.ServerBackoff;
+    return {it.Number, Verdict::NoServer, backoff, backoff};
+  }
   // Callers that are refused together get retry times one after the other, as
   // this entry's share of the limit admits them.
   auto perSecond = state.Limit.PerSecond / static_cast<double>(EntryCount);
@@ -165,6 +172,58 @@
           emptyUntil - now};
 }
 
+bool QuotaClient::takeWithoutServer(WorkspaceState &state, double places,
+                                    Instant now) const {
+  if (!state.countsPlaces() || !PlacesWithoutServer || state.Servers.empty())
+    return false;
+  const auto &silentSince = state.Servers.front().SilentSince;
+  if (!silentSince || now - *silentSince < Options.PlaceFallbackDelay)
+    return false;
+  Workspace holder;
+  holder.Name = state.Name;
+  holder.Limit = state.Limit;
+  auto own = PlacesWithoutServer(holder);
+  bool runsAlone = state.UsedPlaces <= 0 && own >= 1;
+  if (!runsAlone && state.UsedPlaces + places > own)
+    return false;
+  state.UsedPlaces += places;
+  return true;
+}
+
+void QuotaClient::occupy(const Workspace &holder, double places, Instant now) {
+  auto &state = stateOf(holder, now);
+  state.UsedPlaces += places;
+  state.PlacesChanged = true;
+  markDue(state);
+}
+
+void QuotaClient::onRejected(const Workspace &holder, Instant now) {
+  auto &state = stateOf(holder, now);
+  ++state.Rejected;
+  markDue(state);
+}
+
+bool QuotaClient::mustReportPlaces(const WorkspaceState &state,
+                                   Instant now) const {
+  if (!state.countsPlaces())
+    return false;
+  return state.PlacesChanged || state.Rejected > 0 ||
+         (state.UsedPlaces > 0 &&
+          now - state.PlacesReportedAt >= Options.PlaceReportInterval);
+}
+
+void QuotaClient::reportPlaces(WorkspaceState &state, QuotaRequest &request,
+                               Instant now) {
+  request.Workspace = state.Name;
+  request.ReplicaLimit = state.Limit.PerSecond;
+  request.Places = state.Limit.Places;
+  request.PlaceReport = {state.UsedPlaces,
+                         state.Servers.front().AnsweredMessage,
+                         std::exchange(state.Rejected, 0)};
+  state.PlacesReportedAt = now;
+  state.PlacesChanged = false;
+}
+
 void QuotaClient::addSent(const Workspace &holder, std::span<const Span> ago,
                           Instant now) {
   auto &state = stateOf(holder, now);
@@ -183,6 +242,11 @@
 void QuotaClient::release(const Workspace &workspace, double units,
                           Instant now) {
   auto &state = stateOf(workspace, now);
+  if (state.countsPlaces()) {
+    state.UsedPlaces = std::max(0.0, state.UsedPlaces - units);
+    state.PlacesChanged = true;
+    return markDue(state);
+  }
   if (state.Servers.empty())
     return;
   auto &server = state.Servers.front();
@@ -196,7 +260,8 @@
                                const ServerState &server, Instant now) const {
   bool nearest = &server == &state.Servers.front();
   // A replica's limit is too small to be divided ahead.
-  bool isReplica = state.Limit.Unit == LimitUnit::ReplicaRequests;
+  bool isReplica =
+      state.Limit.Unit == LimitUnit::ReplicaRequests || state.countsPlaces();
   if (!nearest || isReplica || now < server.EmptyUntil ||
       now < server.NoAheadUntil)
     return 0;
@@ -212,31 +277,44 @@
                               std::map<std::string, Message> &messages,
                               Instant now) {
   for (auto &server : state.Servers) {
-    if (server.RequestPending || now < server.BackoffUntil)
+    if (now < server.BackoffUntil)
+      continue;
+    if (server.RequestPending) {
+      // A place that is free is reported also while a request waits for one.
+      if (mustReportPlaces(state, now)) {
+        auto &message = messages[server.Cell];
+        message.Cell = server.Cell;
+        if (!message.Number)
+          message.Number = ++LastMessage;
+        reportPlaces(state, message.Requests.emplace_back(), now);
+      }
       continue;
+    }
     dropExpiredGrants(server, now);
     auto ahead = unitsAhead(state, server, now);
     if (server.Queue.empty() && ahead <= 0 && server.Unused <= 0 &&
-        server.Charged <= 0 && state.Unreserved.empty())
+        server.Charged <= 0 && state.Unreserved.empty() &&
+        !mustReportPlaces(state, now))
       continue;
     auto &message = messages[server.Cell];
     message.Cell = server.Cell;
     if (!message.Number)
       message.Number = ++LastMessage;
-    QuotaRequest request{state.Name,
-                         {},
-                         ahead,
-                         std::exchange(server.Unused, 0),
-                         std::exchange(server.Charged, 0),
-                         0,
-                         {}};
+    QuotaRequest request;
+    request.Workspace = state.Name;
+    request.Ahead = ahead;
+    request.Unused = std::exchange(server.Unused, 0);
+    request.Charged = std::exchange(server.Charged, 0);
     if (state.Limit.Unit == LimitUnit::ReplicaRequests)
       request.ReplicaLimit = state.Limit.PerSecond;
+    if (state.countsPlaces())
+      reportPlaces(state, request, now);
     for (auto at : std::exchange(state.Unreserved, {}))
       request.SentAgo.push_back(now - at);
     server.InFlight.clear();
     for (const auto &it : std::exchange(server.Queue, {})) {
       request.Requested.push_back(it.Units);
+      request.Waits = request.Waits || it.Waits;
       server.InFlight.push_back(it);
     }
     server.RequestPending = true;
@@ -267,6 +345,9 @@
   server.RequestPending = false;
   // A server that answers, however late, is not in backoff.
   server.BackoffUntil = Instant{};
+  server.SilentSince.reset();
+  server.AnsweredMessage =
+      std::max(server.AnsweredMessage, server.MessageNumber);
   auto sent = std::exchange(server.InFlight, {});
   bool late = now > server.SentAt + Options.GrantLifetime;
   if (!grant.Managed)
@@ -290,6 +371,8 @@
       continue;
     }
     if (passed) {
+      if (state.countsPlaces())
+        state.UsedPlaces += request.Units;
       out.push_back({request.Number, Verdict::Allowed, Span(0), Span(0)});
       continue;
     }
@@ -321,12 +404,14 @@
                            Instant now, std::vector<Decision> &out) {
   markDue(state);
   auto &from = state.Servers[index];
-  from.BackoffUntil = now + Options.ServerBackoff;
+  from.BackoffUntil = now + (state.countsPlaces() ? Options.PlaceServerBackoff
+                                                  : Options.ServerBackoff);
+  from.SilentSince = from.SilentSince.value_or(now);
   from.RequestPending = false;
   auto waiting = std::exchange(from.Queue, {});
   for (auto &it : from.InFlight)
     if (!std::exchange(it.Decided, true))
-      waiting.push_back({it.Number, it.Units});
+      waiting.push_back({it.Number, it.Units, it.Waits});
   for (const auto &it : waiting)
     if (auto decision = queueAtServer(state, index + 1, it, now))
       out.push_back(*decision);
@@ -351,15 +436,20 @@
     for (std::size_t at = 0; at < state.Servers.size(); ++at) {
       auto &server = state.Servers[at];
       dropExpiredGrants(server, now);
-      if (server.RequestPending && now > server.SentAt + Options.AnswerTimeout)
+      auto timeout = state.countsPlaces() ? Options.PlaceAnswerTimeout
+                                          : Options.AnswerTimeout;
+      if (server.RequestPending && now > server.SentAt + timeout)
         failOver(state, at, now, out);
       if (!server.RequestPending && now > server.SentAt + Options.GrantLifetime)
         server.InFlight.clear();
-      if (!server.RequestPending && (server.Unused > 0 || server.Charged > 0))
+      bool mustSettle = server.Unused > 0 || server.Charged > 0;
+      if ((!server.RequestPending && mustSettle) ||
+          mustReportPlaces(state, now))
         markDue(state);
     }
   std::erase_if(Workspaces, [now](const auto &it) {
-    return !it.second.Due && now - it.second.UsedAt > IdleTimeout;
+    return !it.second.Due && it.second.UsedPlaces <= 0 &&
+           now - it.second.UsedAt > IdleTimeout;
   });
   return out;
 }
--- a/Hemlockglade/Coordination/Quota/QuotaClient.h
+++ b/Hemlockglade/Coordination/Quota/QuotaClient.h
@@ -3,6 +3,8 @@
 #include "Hemlockglade/Coordination/Quota/QuotaServer.h"
 
 #include <deque>
+#include <functional>
+#include <optional>
 
 namespace hemlockglade {
 
@@ -35,6 +37,18 @@
     Span DemandWindow = std::chrono::milliseconds(400);
     /// Longest retry delay that a refused caller gets.
     Span MaxRetryAfter = std::chrono::seconds(4);
+    /// Time between two reports of the places that the entry uses.
+    Span PlaceReportInterval = std::chrono::milliseconds(250);
+    /// How long a server may take to answer a request for a place, for which it
+    /// may have the entry wait.
+    Span PlaceAnswerTimeout = std::chrono::milliseconds(300);
+    /// The backoff then: the server is asked again before the entry uses places
+    /// without it.
+    Span PlaceServerBackoff = std::chrono::milliseconds(100);
+    /// Time after a request without an answer after which the entry uses the
+    /// places that it has while no server answers. What ran with places of the
+    /// server has mostly ended by then.
+    Span PlaceFallbackDelay = std::chrono::milliseconds(300);
   };
   using Ticket = std::uint64_t;
   enum class Verdict : std::uint8_t {
@@ -67,17 +81,30 @@
   /// Sets the number of entries that share the limits, this one included. Used
   /// for retry times.
   void setEntries(std::size_t entries) { EntryCount = entries; }
+  /// Sets how many of a replica's places are this entry's while no quota server
+  /// answers.
+  void
+  setPlacesWithoutServer(std::function<double(const Workspace &holder)> hook) {
+    PlacesWithoutServer = std::move(hook);
+  }
 
   /// Reserves `units` for a request. Returns the decision, or nothing if one of
-  /// the functions below returns it later.
+  /// the functions below returns it later. `waits` if a place is wanted that
+  /// there may not be at once.
   std::optional<Decision> reserve(Ticket number, const Workspace &workspace,
-                                  double units, Instant now);
+                                  double units, Instant now,
+                                  bool waits = false);
   /// Reports requests to a replica that were sent, that long ago, without being
   /// reserved.
   void addSent(const Workspace &holder, std::span<const Span> ago, Instant now);
   /// Charges units for a request that ran before and runs once more.
   void charge(const Workspace &workspace, double units, Instant now);
-  /// Releases units that were reserved for a request that did not run.
+  /// Takes places for a request that is at the replica without a grant.
+  void occupy(const Workspace &holder, double places, Instant now);
+  /// Reports a request that the replica has rejected for want of room.
+  void onRejected(const Workspace &holder, Instant now);
+  /// Releases units that were reserved for a request that did not run, or the
+  /// places of one that has ended.
   void release(const Workspace &workspace, double units, Instant now);
 
   /// Returns the messages that must be sent now.
@@ -101,6 +128,7 @@
   struct WaitingRequest {
     Ticket Number = 0;
     double Units = 0;
+    bool Waits = false;
     /// Decided before its answer arrived.
     bool Decided = false;
   };
@@ -121,11 +149,15 @@
     /// Requests that were sent and have no answer yet.
     std::vector<WaitingRequest> InFlight;
     std::uint64_t MessageNumber = 0;
+    /// The last message that it has answered.
+    std::uint64_t AnsweredMessage = 0;
     bool RequestPending = false;
     bool AheadRequested = false;
     Instant SentAt{};
     Instant EmptyUntil{};
     Instant BackoffUntil{};
+    /// Since when it has left requests unanswered.
+    std::optional<Instant> SilentSince;
     /// No units ahead are requested before this time, since the server has few
     /// left.
     Instant NoAheadUntil{};
@@ -148,6 +180,13 @@
     std::vector<Instant> Unreserved;
     /// The last retry time that was given to a refused caller.
     Instant RetriesUntil{};
+    /// Places that this entry's requests use, and when they were reported.
+    double UsedPlaces = 0;
+    Instant PlacesReportedAt{};
+    bool PlacesChanged = false;
+    std::uint32_t Rejected = 0;
+
+    bool countsPlaces() const { return Limit.Unit == LimitUnit::ReplicaPlaces; }
   };
 
   WorkspaceState &stateOf(const Workspace &workspace, Instant now);
@@ -167,6 +206,14 @@
                                         Instant now);
   Decision refuse(WorkspaceState &state, const WaitingRequest &it,
                   Instant now) const;
+  /// Takes places that are the entry's while no server answers; returns whether
+  /// there were enough.
+  bool takeWithoutServer(WorkspaceState &state, double places,
+                         Instant now) const;
+  bool mustReportPlaces(const WorkspaceState &state, Instant now) const;
+  /// Adds the report of the places in use to a request.
+  static void reportPlaces(WorkspaceState &state, QuotaRequest &request,
+                           Instant now);
   /// Moves all requests that wait at a server to the next one.
   void failOver(WorkspaceState &state, std::size_t index, Instant now,
                 std::vector<Decision> &out);
@@ -187,6 +234,7 @@
   std::uint64_t LastMessage = 0;
   std::map<std::string, WorkspaceState, std::less<>> Workspaces;
   std::vector<WorkspaceState *> DueWorkspaces;
+  std::function<double(const Workspace &holder)> PlacesWithoutServer;
 };
 
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Quota/QuotaShares.cpp
+++ b/Hemlockglade/Coordination/Quota/QuotaShares.cpp
@@ -28,7 +28,8 @@
                                         const QuotaSettings &settings) {
   if (cells.empty())
     return {};
-  bool isReplica = limit.Unit == LimitUnit::ReplicaRequests;
+  bool isReplica = limit.Unit == LimitUnit::ReplicaRequests ||
+                   limit.Unit == LimitUnit::ReplicaPlaces;
   bool tokens = limit.Unit == LimitUnit::Tokens;
   auto minPart = tokens ? settings.MinPartTokens : settings.MinPartRequests;
   auto parts = std::floor(allowanceOf(limit, settings) / minPart);
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -171,21 +171,14 @@
 bool ReplicaView::hasRoom(const ReplicaState &state, const RouteQuery &query,
                           Instant now) const {
   const auto *service = Plan ? Plan->service(state.Record->Service) : nullptr;
-  bool limitsRejections = Rejections.applies(state.Record->Service, now);
-  if (limitsRejections &&
-      Rejections.isPaused(state.Record->Incarnation.text(), now))
+  if (Rejections.isPaused(state.Record->Incarnation.text(), now))
     return false;
   if (!service || !service->Engine) {
-    auto ownSlots = TrafficShare * state.Record->Slots;
-    if (limitsRejections && state.OwnRunning + 1 > std::max(1.0, ownSlots))
-      return false;
     return !Options.UseWindows || !state.Window ||
            state.Window->hasRoom(state.OwnRunning, now);
   }
   auto running = state.OwnRunning + state.RunningElsewhere;
-  double bound =
-      service->Engine->Slots *
-      (limitsRejections ? Options.RejectionLimitShare : 1 + Options.QueueShare);
+  double bound = service->Engine->Slots * (1 + Options.QueueShare);
   if (running + 1 > bound)
     return false;
   if (!service->Engine->MemoryTokens || state.OwnRunning == 0)
@@ -341,6 +334,7 @@
   out.Remote = anyNear && best->Record->FailureDomain != Options.FailureDomain;
   out.Running = best->OwnRunning + best->RunningElsewhere;
   out.RequestLimit = best->RequestLimit;
+  out.Place = placeNeed(*best, query);
   if (best->RunningElsewhereAt > Instant{})
     out.LoadAge = now - best->RunningElsewhereAt;
   return out;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -51,6 +51,15 @@
   bool isExcluded(const std::string &incarnation, Instant now) const;
 };
 
+/// What a request takes of a replica that fails from rejections.
+struct PlaceNeed {
+  /// Places that the request takes, and that the replica has.
+  double Needed = 1;
+  double Places = 1;
+  /// Rejections a second that the replica bears.
+  double RejectionsPerSecond = 0;
+};
+
 /// Result of choosing a replica.
 struct RouteChoice {
   enum class Kind : std::uint8_t {
@@ -93,6 +102,8 @@
   std::uint32_t Running = 0;
   /// Requests a second that the replica accepts from all nodes together.
   std::optional<double> RequestLimit;
+  /// Set if the request needs a place at the replica.
+  std::optional<PlaceNeed> Place;
   /// The engine has no prefill backlog, as far as is known.
   bool PrefillIdle = false;
   /// Age of the last report about the replica's load from other nodes; 0 if
@@ -174,8 +185,8 @@
     /// Requests that may be queued at an engine beyond its slots, as a share of
     /// its slots.
     double QueueShare = 0;
-    /// Share of an engine's slots that is used while its service states a limit
-    /// on rejections: what other nodes send is known a little late.
+    /// Share of a replica's slots that are places while its service states a
+    /// limit on rejections: a new connection may take a slot for a moment.
     double RejectionLimitShare = 0.9;
     /// Share of an engine's memory for running requests that may be used.
     double MemoryShare = 0.92;
@@ -223,10 +234,17 @@
   /// whether its limit is another one now.
   bool onLimit(const std::string &replica, std::optional<double> perSecond,
                Instant statedAt);
-  /// Called when an answer of a replica that was requested at `statedAt` states
-  /// how many rejections a second it bears, or states no such limit.
-  void onRejectionLimit(const std::string &replica,
-                        std::optional<double> perSecond, Instant statedAt);
+  /// Called when a service's replicas state how many rejections a second they
+  /// bear, or state no such limit. Returns whether the limit is another one
+  /// now.
+  bool onRejectionLimit(const StatedRejectionLimit &stated) {
+    return Rejections.onStated(stated);
+  }
+  const RejectionLimits &rejectionLimits() const { return Rejections; }
+  /// Returns what a request takes of a replica; nothing if its service states
+  /// no limit on rejections.
+  std::optional<PlaceNeed> placeNeed(const std::string &replica,
+                                     const RouteQuery &query) const;
   /// Called when a replica has rejected a request for want of room.
   void onRejected(const std::string &replica, Instant now);
   std::optional<double> limitOf(const std::string &replica) const;
@@ -379,6 +397,8 @@
                              const RouteQuery &query) const;
   bool hasRoom(const ReplicaState &state, const RouteQuery &query,
                Instant now) const;
+  std::optional<PlaceNeed> placeNeed(const ReplicaState &state,
+                                     const RouteQuery &query) const;
   double typicalErrorShare(const std::string &service, Instant now) const;
   /// Records an incarnation and returns whether it is the latest one that is
   /// known. The record of an earlier one is added to `ended`.
--- a/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
@@ -3,6 +3,7 @@
 #include "Hemlockglade/Coordination/Route/ReplicaView.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hemlockglade {
 
@@ -19,11 +20,31 @@
   return true;
 }
 
-void ReplicaView::onRejectionLimit(const std::string &replica,
-                                   std::optional<double> perSecond,
-                                   Instant statedAt) {
-  if (auto it = Replicas.find(replica); it != Replicas.end())
-    Rejections.onStated(it->second.Record->Service, perSecond, statedAt);
+std::optional<PlaceNeed> ReplicaView::placeNeed(const std::string &replica,
+                                                const RouteQuery &query) const {
+  auto it = Replicas.find(replica);
+  return it == Replicas.end() ? std::nullopt : placeNeed(it->second, query);
+}
+
+std::optional<PlaceNeed> ReplicaView::placeNeed(const ReplicaState &state,
+                                                const RouteQuery &query) const {
+  auto limit = Rejections.limitOf(state.Record->Service);
+  if (!limit)
+    return std::nullopt;
+  const auto *service = Plan ? Plan->service(state.Record->Service) : nullptr;
+  bool isEngine = service && service->Engine;
+  auto slots = isEngine ? service->Engine->Slots : state.Record->Slots;
+  PlaceNeed out;
+  out.RejectionsPerSecond = *limit;
+  out.Places = std::max(1.0, std::floor(Options.RejectionLimitShare *
+                                        static_cast<double>(slots)));
+  // An engine has room for a request if its memory has as well.
+  if (isEngine && service->Engine->MemoryTokens) {
+    auto memory = Options.MemoryShare *
+                  static_cast<double>(service->Engine->MemoryTokens);
+    out.Needed = std::max(1.0, out.Places * query.Tokens / memory);
+  }
+  return out;
 }
 
 void ReplicaView::onRejected(const std::string &replica, Instant now) {
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -121,6 +121,16 @@
   MSGPACK_DEFINE(Replica, PerSecond, AgeUs)
 };
 
+/// The replicas of a service state how many rejections a second they bear.
+struct RejectionNotice {
+  /// Digest of the service's name.
+  std::uint64_t Service = 0;
+  /// 0 if they bear any number.
+  double PerSecond = 0;
+  std::int64_t AgeUs = 0;
+  MSGPACK_DEFINE(Service, PerSecond, AgeUs)
+};
+
 /// Change in the number of a node's requests that use weights at a replica.
 struct UseNotice {
   std::string Replica;
@@ -216,9 +226,11 @@
   /// The node's connectivity, if it changed since the last heartbeat and in the
   /// first one of a stream; else empty.
   std::vector<ReachNotice> Reach;
+  /// Limits on rejections of all services, as `Limits`.
+  std::vector<RejectionNotice> Rejections;
   MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief,
                  KnownPositions, RequestsPerSecond, BytesPerSecond, Crashes,
-                 SentAtUs, Limits, Reach)
+                 SentAtUs, Limits, Reach, Rejections)
 };
 
 struct HeldNotice {
@@ -275,9 +287,12 @@
   /// How long before this message was sent the owner had received the heartbeat
   /// that it echoes.
   std::int64_t EchoHeldUs = 0;
+  /// Limits on rejections of all services, as far as the node has not been sent
+  /// them.
+  std::vector<RejectionNotice> Rejections;
   MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
                  Entries, EntriesChanged, Leases, Sent, Update, Crashes,
-                 EchoedSentAtUs, Limits, EchoHeldUs)
+                 EchoedSentAtUs, Limits, EchoHeldUs, Rejections)
 };
 
 /// Reply to a node that starts while the registry is unreachable, or, without
@@ -300,11 +315,11 @@
   std::int64_t ReplicaAgeUs = 0;
   /// Requests under which replicas ended.
   std::vector<CrashNotice> Crashes;
-  /// Which software versions have served lately, as in the notes of a lease
-  /// row.
-  std::string SoftwareNotes;
+  /// Which software versions have served lately, and which limits on rejections
+  /// replicas state, as in the notes of a lease row.
+  std::string Notes;
   MSGPACK_DEFINE(PlanText, Replicas, Versions, Leases, KnownPositions,
-                 OperatorAgeUs, ReplicaAgeUs, Crashes, SoftwareNotes)
+                 OperatorAgeUs, ReplicaAgeUs, Crashes, Notes)
 };
 
 } // namespace hemlockglade
--- a/Hemlockglade/Protocol/Message/QuotaMessages.cpp
+++ b/Hemlockglade/Protocol/Message/QuotaMessages.cpp
@@ -15,12 +15,22 @@
 
 } // namespace
 
-QuotaRequestMessage messageOf(const QuotaClient::Message &message) {
-  QuotaRequestMessage out{message.Number, {}};
+QuotaRequestMessage messageOf(const QuotaClient::Message &message,
+                              std::uint64_t entry) {
+  QuotaRequestMessage out{message.Number, {}, entry};
   for (const auto &it : message.Requests) {
-    QuotaRequestNotice notice{
-        it.Workspace, it.Requested,    it.Ahead, it.Unused,
-        it.Charged,   it.ReplicaLimit, {}};
+    QuotaRequestNotice notice{it.Workspace,
+                              it.Requested,
+                              it.Ahead,
+                              it.Unused,
+                              it.Charged,
+                              it.ReplicaLimit,
+                              {},
+                              it.Places,
+                              it.PlaceReport.Used,
+                              it.PlaceReport.Acknowledged,
+                              it.PlaceReport.Rejected,
+                              it.Waits};
     for (auto ago : it.SentAgo)
       notice.SentAgoUs.push_back(ago.count());
     out.Requests.push_back(std::move(notice));
@@ -31,13 +41,17 @@
 std::vector<QuotaRequest> requestsOf(const QuotaRequestMessage &message) {
   std::vector<QuotaRequest> out;
   for (const auto &it : message.Requests) {
-    QuotaRequest request{it.Workspace,
-                         {},
-                         sanitizeUnits(it.Ahead),
-                         sanitizeUnits(it.Unused),
-                         sanitizeUnits(it.Charged),
-                         sanitizeUnits(it.ReplicaLimit),
-                         {}};
+    QuotaRequest request{
+        it.Workspace,
+        {},
+        sanitizeUnits(it.Ahead),
+        sanitizeUnits(it.Unused),
+        sanitizeUnits(it.Charged),
+        sanitizeUnits(it.ReplicaLimit),
+        {},
+        sanitizeUnits(it.Places),
+        {sanitizeUnits(it.UsedPlaces), it.Acknowledged, it.Rejected},
+        it.Waits};
     for (auto ago : it.SentAgoUs)
       request.SentAgo.push_back(std::max(Span(0), Span(ago)));
     std::transform(it.Requested.begin(), it.Requested.end(),
--- a/Hemlockglade/Protocol/Message/QuotaMessages.h
+++ b/Hemlockglade/Protocol/Message/QuotaMessages.h
@@ -14,8 +14,13 @@
   double Charged = 0;
   double ReplicaLimit = 0;
   std::vector<std::int64_t> SentAgoUs;
+  double Places = 0;
+  double UsedPlaces = 0;
+  std::uint64_t Acknowledged = 0;
+  std::uint32_t Rejected = 0;
+  bool Waits = false;
   MSGPACK_DEFINE(Workspace, Requested, Ahead, Unused, Charged, ReplicaLimit,
-                 SentAgoUs)
+                 SentAgoUs, Places, UsedPlaces, Acknowledged, Rejected, Waits)
 };
 
 /// Entry to owner, sent repeatedly on `/quota/NAME`.
@@ -23,7 +28,9 @@
   /// Increases with each message of the entry.
   std::uint64_t Number = 0;
   std::vector<QuotaRequestNotice> Requests;
-  MSGPACK_DEFINE(Number, Requests)
+  /// Identifies the entry's process.
+  std::uint64_t Entry = 0;
+  MSGPACK_DEFINE(Number, Requests, Entry)
 };
 
 /// A `QuotaGrant` as it is sent between nodes.
@@ -43,7 +50,8 @@
   MSGPACK_DEFINE(Number, Grants)
 };
 
-QuotaRequestMessage messageOf(const QuotaClient::Message &message);
+QuotaRequestMessage messageOf(const QuotaClient::Message &message,
+                              std::uint64_t entry);
 std::vector<QuotaRequest> requestsOf(const QuotaRequestMessage &message);
 QuotaGrantMessage messageOf(std::uint64_t number,
                             std::span<const QuotaGrant> grants);
--- a/Hemlockglade/State/Routing/Workspace.h
+++ b/Hemlockglade/State/Routing/Workspace.h
@@ -17,6 +17,8 @@
   Tokens,
   /// Requests to one replica, which states the limit itself.
   ReplicaRequests,
+  /// Requests that are at one replica at the same time.
+  ReplicaPlaces,
 };
 
 /// Quota of a workspace over all nodes together: within any time span, its rate
@@ -29,6 +31,9 @@
   double Burst = 0;
   /// Tokens that a request is charged if its number of tokens is not known.
   double PlainTokens = 0;
+  /// Places of a replica; `PerSecond` is then the number of rejections that it
+  /// bears.
+  double Places = 0;
 
   bool operator==(const WorkspaceLimit &) const = default;
 };
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -143,6 +143,28 @@
   return out;
 }
 
+void CellMember::mergeRejections(const std::vector<RejectionNotice> &limits) {
+  auto now = TimerService::now();
+  for (const auto &it : limits) {
+    bool valid = std::isfinite(it.PerSecond) && it.PerSecond > 0;
+    Callbacks.OnRejectionLimit(
+        {it.Service, valid ? std::optional(it.PerSecond) : std::nullopt,
+         now - std::max(Span(0), Span(it.AgeUs))});
+  }
+}
+
+std::vector<RejectionNotice>
+CellMember::takeUnsentRejections(std::uint64_t &sentRevision) const {
+  auto now = TimerService::now();
+  const auto &limits = View.rejectionLimits();
+  std::vector<RejectionNotice> out;
+  for (const auto &it :
+       limits.since(std::exchange(sentRevision, limits.revision())))
+    out.push_back(
+        {it.Service, it.PerSecond.value_or(0), (now - it.StatedAt).count()});
+  return out;
+}
+
 void CellMember::onDemand(const std::string &service, const WeightsRef &weights,
                           bool waiting) {
   auto &notice = Demand[{service, weights}];
@@ -249,6 +271,8 @@
     out.Crashes = takeUnsentCrashes(CrashesSentToOwner);
   if (!Owning)
     out.Limits = takeUnsentLimits(LimitsSentToOwner);
+  if (!Owning)
+    out.Rejections = takeUnsentRejections(RejectionsSentToOwner);
   auto reachRevision = Callbacks.ReachRevision();
   if (Owning || std::exchange(ReachSentToOwner, reachRevision) != reachRevision)
     out.Reach.push_back(Callbacks.Reach());
@@ -300,6 +324,7 @@
   };
   CrashesSentToOwner = 0;
   LimitsSentToOwner = 0;
+  RejectionsSentToOwner = 0;
   ReachSentToOwner = 0;
   auto first = takeHeartbeat();
   first.Uses = allUses();
@@ -387,6 +412,7 @@
   Callbacks.OnUpdate(heartbeat.Update, sentAfter(heartbeat, now));
   mergeCrashes(heartbeat.Crashes, CrashesSentToOwner);
   mergeLimits(heartbeat.Limits);
+  mergeRejections(heartbeat.Rejections);
   if (!heartbeat.Replicas.empty())
     Callbacks.OnChanged();
 }
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -115,6 +115,8 @@
     std::function<std::uint64_t()> ReachRevision;
     /// Called when another node has reported a replica's limit.
     std::function<void(const StatedLimit &limit)> OnLimit;
+    /// Called when another node has reported a service's limit on rejections.
+    std::function<void(const StatedRejectionLimit &limit)> OnRejectionLimit;
   };
 
   CellMember(Settings settings, Hooks hooks, ReplicaView &view, PeerNet &net,
@@ -129,7 +131,8 @@
   void onRegistryUpdate();
   /// Called when something new is known of requests that crash replicas.
   void onCrashUpdate() { sendUpdateSoon(); }
-  /// Called when the limit of a replica has changed.
+  /// Called when the limit of a replica, or the limit on rejections of a
+  /// service, has changed.
   void onLimitUpdate() { sendUpdateSoon(); }
 
   /// Called when a request for weights arrives at this node; `waiting` if no
@@ -184,6 +187,7 @@
     std::uint64_t SentLeases = 0;
     std::uint64_t SentCrashes = 0;
     std::uint64_t SentLimits = 0;
+    std::uint64_t SentRejections = 0;
     /// Some of the requests in `PendingSent` are its own.
     bool HasPendingSent = false;
     /// When it sent its last regular heartbeat, by its own clock, and when this
@@ -207,6 +211,10 @@
   /// The limits that a peer has not been sent yet.
   std::vector<LimitNotice> takeUnsentLimits(std::uint64_t &sentRevision) const;
 
+  void mergeRejections(const std::vector<RejectionNotice> &limits);
+  std::vector<RejectionNotice>
+  takeUnsentRejections(std::uint64_t &sentRevision) const;
+
   // The node's side.
   void follow();
   void flushSoon();
@@ -300,6 +308,7 @@
   /// Revision of the crash records that the owner has been sent.
   std::uint64_t CrashesSentToOwner = 0;
   std::uint64_t LimitsSentToOwner = 0;
+  std::uint64_t RejectionsSentToOwner = 0;
   std::uint64_t ReachSentToOwner = 0;
   Instant StartedAt = TimerService::now();
   Instant OwnsSince{};
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -170,6 +170,7 @@
   follower.HeartbeatReceivedAt = now;
   mergeCrashes(heartbeat.Crashes, follower.SentCrashes);
   mergeLimits(heartbeat.Limits);
+  mergeRejections(heartbeat.Rejections);
   follower.Load = {heartbeat.RequestsPerSecond, heartbeat.BytesPerSecond};
   if (heartbeat.KnownPositions.Operator && heartbeat.KnownPositions.Replica) {
     auto &positions = follower.Positions;
@@ -500,6 +501,7 @@
         (TimerService::now() - follower.HeartbeatReceivedAt).count();
   heartbeat.Crashes = takeUnsentCrashes(follower.SentCrashes);
   heartbeat.Limits = takeUnsentLimits(follower.SentLimits);
+  heartbeat.Rejections = takeUnsentRejections(follower.SentRejections);
   if (std::exchange(follower.SentEntries, EntriesRevision) != EntriesRevision)
     addEntries(heartbeat);
   bool near = follower.Self.FailureDomain == Options.FailureDomain;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Programs/hemlockgladed/Gateway/Gateway.h"
 
+#include "Hemlockglade/Coordination/RowText.h"
 #include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
 
 #include <asio/post.hpp>
@@ -107,7 +108,7 @@
       Pool(context, replicaPoolSettings(Settings)),
       Crashes(crashCoordinatorHooks(), Log),
       Quotas(Settings.FailureDomains, Settings.FailureDomain, Settings.Quota,
-             quotaHooks(), Traffic, Log),
+             quotaHooks(), digestOf(Incarnation), Traffic, Log),
       Software(SoftwareHistory::Settings{},
                TimerService::now() -
                    (Settings.FirstStart ? Span(BeforeFirstStart) : Span(0))),
@@ -272,17 +273,10 @@
   };
   hooks.Leases = [this, cell] { return leasesExcept(cell); };
   hooks.OnLease = [this](const std::string &of, const std::string &text) {
-    auto it = Cells.find(of);
-    auto row = CellLeaseRow::parse(text);
-    if (it == Cells.end() || !row)
-      return;
-    it->second->onPeerRow(*row);
-    Software.onNotes(row->Notes, TimerService::now());
-  };
-  hooks.WriteNotes = [this] { return Software.notes(TimerService::now()); };
-  hooks.OnNotes = [this](const std::string &notes) {
-    Software.onNotes(notes, TimerService::now());
+    onLeaseRow(of, text);
   };
+  hooks.WriteNotes = [this] { return notes(); };
+  hooks.OnNotes = [this](const std::string &notes) { onNotes(notes); };
   hooks.OnServingEntries = [this] { updateServingEntries(); };
   hooks.Reach = [this] { return reachNotice(); };
   hooks.ReachRevision = [this] { return ReachRevision; };
@@ -290,6 +284,9 @@
   hooks.OnLimit = [this](const StatedLimit &it) {
     onReplicaLimit(it.Replica, it.PerSecond, it.StatedAt, "node");
   };
+  hooks.OnRejectionLimit = [this](const StatedRejectionLimit &it) {
+    onRejectionLimit(it, "node");
+  };
   return hooks;
 }
 
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -173,6 +173,18 @@
   void onReplicaLimit(const std::string &replica,
                       std::optional<double> perSecond, Instant statedAt,
                       std::string_view from);
+  /// How many of a replica's places are this node's while no owner grants them.
+  double placesWithoutOwner(const Workspace &holder) const;
+  /// Called when it is known from an answer or from another node how many
+  /// rejections a second a service's replicas bear.
+  void onRejectionLimit(const StatedRejectionLimit &stated,
+                        std::string_view from);
+  /// What other processes have to know that start while no other is left.
+  std::string notes() const;
+  /// Takes in what the notes of a lease row, or another node, say.
+  void onNotes(const std::string &notes);
+  /// Takes in the lease row of a cell that another node has sent.
+  void onLeaseRow(const std::string &cell, const std::string &text);
   CrashHooks crashHooks();
   CrashCoordinator::Hooks crashCoordinatorHooks();
   QuotaService::Hooks quotaHooks();
--- a/Programs/hemlockgladed/Gateway/GatewayAccess.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayAccess.cpp
@@ -70,6 +70,9 @@
   hooks.After = [this](Span delay, std::function<void()> call) {
     Timers.after(delay, [call = std::move(call)](Instant) { call(); });
   };
+  hooks.PlacesWithoutOwner = [this](const Workspace &holder) {
+    return placesWithoutOwner(holder);
+  };
   return hooks;
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -190,11 +190,9 @@
     choice.Result = RouteChoice::Kind::Full;
   bool sends = choice.Result == RouteChoice::Kind::Send;
   // A grant is for now: one that is kept would arrive among later ones.
-  bool granted = sends && Grant &&
-                 Grant->Replica->Incarnation == choice.Replica->Incarnation;
-  if (!granted)
+  if (!sends || !holdsGrantOf(choice))
     releaseGrant(Grant);
-  if (sends && !granted && choice.RequestLimit && Shared.ReplicaLimits.Reserve)
+  if (sends && (needsPlace(choice) || needsRequestGrant(choice)))
     return reserveGrant(choice);
   if (sends) {
     if (usesEngine() && !std::exchange(DemandReported, true))
@@ -222,6 +220,8 @@
   if (choice.Result == RouteChoice::Kind::NoSuchSoftware)
     return refuseOtherSoftware();
   bool limited = choice.Result == RouteChoice::Kind::Limited && !AnswerBegun;
+  if (limited && (PlaceDenials > 0 || WaitsForPlace))
+    return waitForPlace(choice.ReadyAt);
   if (limited && !MayHaveRun)
     return answerWithError(Unavailable, "all replicas are at their limits",
                            std::max(LimitRetryAt, choice.ReadyAt) - now);
@@ -230,6 +230,7 @@
   if (endIfHeldTooLong())
     return;
   Waiting = true;
+  PlaceDenials = 0;
   WaitsForCapacity = choice.Result == RouteChoice::Kind::AwaitPrefill ||
                      choice.Result == RouteChoice::Kind::Full;
   WakeAt = choice.ReadyAt == Instant::max() ? now + Settings.WaitPollInterval
@@ -258,8 +259,8 @@
         Shared.PlainQueue->deferUntil(Query.Service, QueueTicket,
                                       now + Settings.WaitPollInterval / 2);
     }
-    WakeAt = now + Settings.WaitPollInterval;
-    WaitReason = "replicas full";
+    WakeAt = std::min(choice.ReadyAt, now + Settings.WaitPollInterval);
+    WaitReason = WaitsForPlace ? "replicas' places are taken" : "replicas full";
     reportCongestion(now);
     break;
   case RouteChoice::Kind::Limited:
@@ -275,6 +276,8 @@
 void GatewayExchange::send(const RouteChoice &choice) {
   auto now = TimerService::now();
   Waiting = false;
+  PlaceDenials = 0;
+  WaitsForPlace = false;
   asio::ip::tcp::endpoint address;
   try {
     address = parseEndpoint(choice.Replica->Address);
@@ -354,6 +357,7 @@
        {"behind", LastEventId},
        {"running", choice.Running},
        {"limit_per_s", choice.RequestLimit.value_or(0)},
+       {"place", Current->Grant && Current->Grant->Place},
        {"load_age_ms", choice.LoadAge},
        {"list_age_ms",
         Shared.ReplicaList.Age ? Shared.ReplicaList.Age() : Span(0)},
@@ -543,6 +547,8 @@
     QuotaReserved = false;
   Shared.View.onEnd(attempt->Replica->Incarnation.text(), attempt->Number,
                     Query, verdict, TimerService::now());
+  releasePlace(attempt->Grant, attempt->Connection->calling() ||
+                                   verdict == AttemptVerdict::NoValidAnswer);
   if (attempt->isRelayed())
     Shared.Paths.OnRelayEnd(attempt->Relay);
   if (usesEngine())
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -72,6 +72,36 @@
       Reserve;
   /// Returns a reserved request that has not reached the replica.
   std::function<void(const ReplicaRecord &replica, double perSecond)> Release;
+  /// Called when an answer of a replica states how many rejections a second it
+  /// bears, or that it stated none when the request was sent.
+  std::function<void(const ReplicaRecord &replica,
+                     std::optional<double> perSecond, Instant statedAt)>
+      OnRejectionLimit;
+  /// Reserves a place at a replica, for which the request may wait a moment if
+  /// `waits`. `decided` is called exactly once, either
+  /// before this returns or later.
+  std::function<void(const ReplicaRecord &replica, const PlaceNeed &need,
+                     bool waits, QuotaService::OnDecided decided)>
+      ReservePlace;
+  /// Takes a place for a request that is at the replica already.
+  std::function<void(const ReplicaRecord &replica, const PlaceNeed &need)>
+      OccupyPlace;
+  /// Returns a place after a delay.
+  std::function<void(const ReplicaRecord &replica, const PlaceNeed &need,
+                     Span delay)>
+      ReleasePlace;
+  /// Called when the replica has rejected a request for want of room.
+  std::function<void(const ReplicaRecord &replica, const PlaceNeed &need)>
+      OnRejected;
+};
+
+/// What a request has reserved at a replica before it is sent there.
+struct ReplicaGrant {
+  ReplicaPtr Replica;
+  /// Set if a request is reserved: the replica's limit, in requests a second.
+  std::optional<double> RequestLimit;
+  /// Set if a place is reserved.
+  std::optional<PlaceNeed> Place;
 };
 
 /// What an exchange needs to know of the list of replicas that it chooses from.
@@ -215,6 +245,9 @@
   /// Called when this node has found to be cut off from a service's replicas:
   /// an attempt that is still connecting to one is sent on another path.
   void onCutOff(const std::string &service);
+  /// Called when the replicas of a service begin to state a limit on
+  /// rejections: an attempt that is at one of them takes a place.
+  void onPlacesNeeded(const std::string &service);
   /// Called when the request has been barred. Answers it, unless a replica has
   /// already sent events of its answer.
   void onBarred();
@@ -261,12 +294,6 @@
   bool endedBeforeStart() const { return EndedBeforeStart; }
 
 private:
-  /// A request reserved at a replica that states a limit.
-  struct ReplicaGrant {
-    ReplicaPtr Replica;
-    double PerSecond = 0;
-  };
-
   /// State of the attempt that is under way.
   struct Attempt {
     std::shared_ptr<HttpConnection> Connection;
@@ -292,7 +319,7 @@
     bool ReplicaRestarted = false;
     /// What it was paid for with, if it counts against the retry budget.
     std::optional<SharedRetryBudget::Payment> Payment;
-    /// Set if the replica states a limit.
+    /// Set if the replica, or its service, states a limit.
     std::optional<ReplicaGrant> Grant;
     /// `ip:port` of the node that forwards it; empty on the direct path.
     std::string Relay;
@@ -333,13 +360,25 @@
   void releaseQuota();
   /// Chooses a replica and sends the request, or holds it.
   void sendOrHold();
-  /// Reserves the request at the chosen replica, which states a limit, and
-  /// chooses again once that is decided.
+  /// Whether something has to be reserved at the chosen replica.
+  bool needsPlace(const RouteChoice &choice) const;
+  bool needsRequestGrant(const RouteChoice &choice) const;
+  /// Whether the grant, if there is one, is for the chosen replica.
+  bool holdsGrantOf(const RouteChoice &choice) const;
+  /// Reserves a place or a request at the chosen replica, and chooses again
+  /// once that is decided.
   void reserveGrant(const RouteChoice &choice);
-  void onGrantDecided(ReplicaGrant grant,
+  /// `part` is what was requested.
+  void onGrantDecided(ReplicaGrant part,
                       const QuotaService::Decision &decision);
-  /// Releases the reserved request if there is one.
+  /// Releases what is reserved, if anything is.
   void releaseGrant(std::optional<ReplicaGrant> &grant);
+  /// Releases the place of an attempt that has ended; `mayRunOn` if the replica
+  /// may still run the request.
+  void releasePlace(std::optional<ReplicaGrant> &grant, bool mayRunOn);
+  /// Holds the request until a place may be free, or refuses it if none will be
+  /// in time.
+  void waitForPlace(Instant readyAt);
   /// Answers the request if it is barred; returns whether it was.
   bool endIfBarred();
   /// Whether the list of replicas is too old to choose from; it is then being
@@ -470,6 +509,10 @@
   /// Reserved for the next attempt; one is requested while `GrantPending`.
   std::optional<ReplicaGrant> Grant;
   bool GrantPending = false;
+  /// Places that were denied since the request was last held.
+  std::uint32_t PlaceDenials = 0;
+  /// No place was free at once, so the request waits for one.
+  bool WaitsForPlace = false;
   /// When the caller should retry if no replica grants the request.
   Instant LimitRetryAt = Instant::max();
   bool DemandReported = false;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
@@ -66,6 +66,20 @@
     Shared.Limits.Release(*CallerWorkspace, quotaUnits());
 }
 
+bool GatewayExchange::holdsGrantOf(const RouteChoice &choice) const {
+  return Grant && Grant->Replica->Incarnation == choice.Replica->Incarnation;
+}
+
+bool GatewayExchange::needsPlace(const RouteChoice &choice) const {
+  return choice.Place && Shared.ReplicaLimits.ReservePlace &&
+         !(Grant && Grant->Place);
+}
+
+bool GatewayExchange::needsRequestGrant(const RouteChoice &choice) const {
+  return choice.RequestLimit && Shared.ReplicaLimits.Reserve &&
+         !(Grant && Grant->RequestLimit);
+}
+
 void GatewayExchange::reserveGrant(const RouteChoice &choice) {
   Waiting = true;
   WaitsForCapacity = true;
@@ -73,41 +87,114 @@
   WakeAt = Instant::max();
   GrantPending = true;
   armTimer();
-  ReplicaGrant grant{choice.Replica, *choice.RequestLimit};
-  Shared.ReplicaLimits.Reserve(
-      *grant.Replica, grant.PerSecond,
-      [self = shared_from_this(), grant](const auto &decision) {
-        self->onGrantDecided(grant, decision);
-      });
+  ReplicaGrant part{choice.Replica, {}, {}};
+  bool wantsPlace = needsPlace(choice);
+  if (wantsPlace)
+    part.Place = choice.Place;
+  else
+    part.RequestLimit = choice.RequestLimit;
+  auto decided = [self = shared_from_this(), part](const auto &decision) {
+    self->onGrantDecided(part, decision);
+  };
+  if (wantsPlace)
+    Shared.ReplicaLimits.ReservePlace(*part.Replica, *part.Place, WaitsForPlace,
+                                      decided);
+  else
+    Shared.ReplicaLimits.Reserve(*part.Replica, *part.RequestLimit, decided);
 }
 
-void GatewayExchange::onGrantDecided(ReplicaGrant grant,
+void GatewayExchange::onGrantDecided(ReplicaGrant part,
                                      const QuotaService::Decision &decision) {
   GrantPending = false;
   if (decision.Result == QuotaService::Verdict::Allowed) {
-    Grant = std::move(grant);
+    if (Grant && part.Place)
+      Grant->Place = part.Place;
+    else if (Grant)
+      Grant->RequestLimit = part.RequestLimit;
+    else
+      Grant = std::move(part);
     return Done ? releaseGrant(Grant) : sendOrHold();
   }
   if (Done)
     return;
   auto now = TimerService::now();
-  auto replica = grant.Replica->Incarnation.text();
+  auto replica = part.Replica->Incarnation.text();
   Query.LimitedUntil[replica] = now + decision.EmptyFor;
-  LimitRetryAt = std::min(LimitRetryAt, now + decision.RetryAfter);
+  if (part.RequestLimit)
+    LimitRetryAt = std::min(LimitRetryAt, now + decision.RetryAfter);
   bool answered = decision.Result == QuotaService::Verdict::Limited;
   Shared.Log.write(LogClass::Request, "not-granted",
                    {{"request", Labels.Id},
                     {"replica", replica},
-                    {"limit_per_s", grant.PerSecond},
+                    {"what", part.Place ? "place" : "request"},
+                    {"limit_per_s", part.RequestLimit.value_or(0)},
                     {"owner_answered", answered},
                     {"empty_for_ms", decision.EmptyFor},
                     {"retry_after_ms", decision.RetryAfter}});
+  // Others are not asked without end where all places are taken.
+  constexpr std::uint32_t MaxPlaceDenials = 4;
+  PlaceDenials += part.Place ? 1 : 0;
+  if (PlaceDenials >= MaxPlaceDenials || (part.Place && WaitsForPlace)) {
+    releaseGrant(Grant);
+    return waitForPlace(now + decision.EmptyFor);
+  }
   sendOrHold();
 }
 
+void GatewayExchange::waitForPlace(Instant readyAt) {
+  auto now = TimerService::now();
+  PlaceDenials = 0;
+  if (readyAt >= HoldUntil && !AnswerBegun) {
+    if (MayHaveRun)
+      return answerWithError(BadGateway, "no replica to try again");
+    return answerWithError(Unavailable, "no place at a replica in time",
+                           std::max(retryAfter(), readyAt - now));
+  }
+  // From the second time on the request waits at one replica's owner.
+  bool wasWaiting = std::exchange(WaitsForPlace, true);
+  auto limits = Query.LimitedUntil.size();
+  std::erase_if(Query.LimitedUntil, [this, now](const auto &it) {
+    return it.second < now + Settings.WaitPollInterval;
+  });
+  if (!wasWaiting && Query.LimitedUntil.size() < limits)
+    return sendOrHold();
+  RouteChoice choice;
+  choice.Result = RouteChoice::Kind::Full;
+  choice.ReadyAt = readyAt;
+  waitForReplica(choice);
+}
+
 void GatewayExchange::releaseGrant(std::optional<ReplicaGrant> &grant) {
-  if (auto it = std::exchange(grant, std::nullopt))
-    Shared.ReplicaLimits.Release(*it->Replica, it->PerSecond);
+  if (grant && grant->RequestLimit)
+    Shared.ReplicaLimits.Release(*grant->Replica, *grant->RequestLimit);
+  releasePlace(grant, false);
+  grant.reset();
+}
+
+void GatewayExchange::releasePlace(std::optional<ReplicaGrant> &grant,
+                                   bool mayRunOn) {
+  // A replica notices within that time that the connection was reset.
+  constexpr Span ResetTime = std::chrono::milliseconds(300);
+  if (!grant || !grant->Place)
+    return;
+  auto delay =
+      mayRunOn ? std::min(ResetTime, std::max(Span(0), timeLeft())) : Span(0);
+  Shared.ReplicaLimits.ReleasePlace(*grant->Replica, *grant->Place, delay);
+  grant->Place.reset();
+}
+
+void GatewayExchange::onPlacesNeeded(const std::string &service) {
+  bool hasPlace = Current && Current->Grant && Current->Grant->Place;
+  if (Done || !Current || hasPlace || Query.Service != service)
+    return;
+  auto need =
+      Shared.View.placeNeed(Current->Replica->Incarnation.text(), Query);
+  if (!need)
+    return;
+  Shared.ReplicaLimits.OccupyPlace(*Current->Replica, *need);
+  if (!Current->Grant)
+    Current->Grant = ReplicaGrant{Current->Replica, {}, {}};
+  Current->Grant->Place = need;
 }
 
 bool GatewayExchange::mustQueue(Instant now) {
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -75,9 +75,11 @@
 void GatewayExchange::reportLimit(Instant now) {
   const auto &labels = Current->Labels;
   // Only a replica's own answer shows that it states no limit any more.
-  if (labels.RejectionLimit || labels.Sealed)
-    Shared.View.onRejectionLimit(Current->Replica->Incarnation.text(),
-                                 labels.RejectionLimit, Current->SentAt);
+  bool statesRejections = labels.RejectionLimit || labels.Sealed;
+  if (statesRejections && Shared.ReplicaLimits.OnRejectionLimit)
+    Shared.ReplicaLimits.OnRejectionLimit(
+        *Current->Replica, labels.RejectionLimit,
+        labels.RejectionLimit ? now : Current->SentAt);
   if (!Shared.ReplicaLimits.OnStated)
     return;
   if (labels.RequestLimit)
@@ -265,6 +267,7 @@
   auto record = Current->Replica;
   const auto &replica = *record;
   auto status = Current->Head->Status;
+  auto place = Current->Grant ? Current->Grant->Place : std::nullopt;
   bool otherOrMissing = status == OtherIncarnation;
   bool restarted = otherOrMissing && !Current->Labels.Incarnation.empty() &&
                    Current->Labels.Incarnation != replica.Incarnation.id();
@@ -294,8 +297,12 @@
         TimerService::now() + backoff;
     backoff *= 2;
   }
-  if (status == Unavailable || status == TooMany)
+  bool isFull = status == Unavailable || status == TooMany;
+  if (isFull)
     Shared.View.onRejected(replica.Incarnation.text(), TimerService::now());
+  // An engine refuses requests in the same way while it changes its weights.
+  if (isFull && place && !usesEngine())
+    Shared.ReplicaLimits.OnRejected(replica, *place);
   AttemptedReplicas.erase(replica.Incarnation.text());
   RetryReserved = Shared.Budget.tryReserve(Query.Service, TimerService::now());
   if (RetryReserved)
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -75,6 +75,9 @@
 constexpr MetricFamily LimitedFamily{
     "hemlockglade_limited_replicas",
     "Replicas that state how many requests they accept from all nodes."};
+constexpr MetricFamily RejectionLimitFamily{
+    "hemlockglade_rejection_limits",
+    "Services whose replicas fail if they have to reject too many requests."};
 constexpr MetricFamily NotConnectedFamily{
     "hemlockglade_not_connected_total",
     "Attempts for which no connection to a replica was established."};
@@ -167,6 +170,9 @@
   Metrics.gauge(SuspectsFamily).set(static_cast<double>(Crashes.suspects()));
   Metrics.gauge(BarredFamily).set(static_cast<double>(Crashes.barred()));
   Metrics.gauge(LimitedFamily).set(static_cast<double>(View.limitedCount()));
+  Metrics.gauge(RejectionLimitFamily)
+      .set(static_cast<double>(View.rejectionLimits().size()));
+  Quotas.logPlaces();
   Metrics.gauge(CutOffFamily).set(static_cast<double>(Reach.cutOff().size()));
   Metrics.gauge(RelayedFamily).set(static_cast<double>(Relay->total()));
   Metrics.gauge(EndsSeenFamily).set(static_cast<double>(Crashes.ended()));
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -173,7 +173,7 @@
 BriefingReply Gateway::briefing(std::uint64_t planVersion) const {
   auto out = declaredSince(planVersion);
   out.Crashes = Crashes.since(0);
-  out.SoftwareNotes = Software.notes(TimerService::now());
+  out.Notes = notes();
   for (const auto &it : View.inUse())
     out.Replicas.emplace_back(it->Incarnation.id(), it->Source);
   out.Leases = leasesExcept("");
@@ -267,7 +267,7 @@
   if (HasReplicas || replicas.Present.size() < reply.Replicas.size())
     positions.Replica = 0;
   Crashes.onPeerRecords(reply.Crashes);
-  Software.onNotes(reply.SoftwareNotes, TimerService::now());
+  onNotes(reply.Notes);
   onOperator(declared);
   bool isComplete = reply.PlanText.empty() || declared.Plan;
   if (reply.OperatorAgeUs > 0 && isComplete)
@@ -276,14 +276,29 @@
     onReplicas(replicas, {"briefing", true, TimerService::now() - requestedAt});
   Watcher->onBriefing(positions, Span(reply.OperatorAgeUs),
                       Span(reply.ReplicaAgeUs), requestedAt);
-  for (const auto &[name, text] : reply.Leases) {
-    auto cell = Cells.find(name);
-    auto row = CellLeaseRow::parse(text);
-    if (cell == Cells.end() || !row)
-      continue;
-    cell->second->onPeerRow(*row);
-    Software.onNotes(row->Notes, TimerService::now());
-  }
+  for (const auto &[name, text] : reply.Leases)
+    onLeaseRow(name, text);
+}
+
+void Gateway::onLeaseRow(const std::string &cell, const std::string &text) {
+  auto it = Cells.find(cell);
+  auto row = CellLeaseRow::parse(text);
+  if (it == Cells.end() || !row)
+    return;
+  it->second->onPeerRow(*row);
+  onNotes(row->Notes);
+}
+
+std::string Gateway::notes() const {
+  auto now = TimerService::now();
+  return Software.notes(now) + View.rejectionLimits().notes(now);
+}
+
+void Gateway::onNotes(const std::string &notes) {
+  auto now = TimerService::now();
+  Software.onNotes(notes, now);
+  for (const auto &it : RejectionLimits::parseNotes(notes, now))
+    onRejectionLimit(it, "notes");
 }
 
 CellMember *Gateway::homeCellOf(const WeightsRef &weights) {
--- a/Programs/hemlockgladed/Gateway/QuotaService.cpp
+++ b/Programs/hemlockgladed/Gateway/QuotaService.cpp
@@ -15,11 +15,16 @@
 
 QuotaService::QuotaService(std::vector<std::string> cells, std::string own,
                            QuotaSettings settings, Hooks hooks,
-                           PeerTraffic &traffic, EventLog &log)
+                           std::uint64_t entry, PeerTraffic &traffic,
+                           EventLog &log)
     : Cells(std::move(cells)), OwnCell(std::move(own)), Options(settings),
-      Callbacks(std::move(hooks)), Traffic(traffic), Log(log),
+      Entry(entry), Callbacks(std::move(hooks)), Traffic(traffic), Log(log),
       Client(QuotaClient::Settings{}, settings) {
   Client.setCells(Cells, OwnCell);
+  Client.setPlacesWithoutServer([this](const Workspace &holder) {
+    return Callbacks.PlacesWithoutOwner ? Callbacks.PlacesWithoutOwner(holder)
+                                        : 0;
+  });
 }
 
 QuotaService::~QuotaService() { *Alive = false; }
@@ -29,9 +34,10 @@
 }
 
 void QuotaService::reserve(const Workspace &workspace, double units,
-                           OnDecided decided) {
+                           OnDecided decided, bool waits) {
   auto number = ++LastTicket;
-  auto decision = Client.reserve(number, workspace, units, TimerService::now());
+  auto decision =
+      Client.reserve(number, workspace, units, TimerService::now(), waits);
   flushSoon();
   if (decision)
     return decided(*decision);
@@ -49,6 +55,19 @@
 
 void QuotaService::release(const Workspace &workspace, double units) {
   Client.release(workspace, units, TimerService::now());
+  // Others may wait for a place.
+  if (workspace.Limit->Unit == LimitUnit::ReplicaPlaces)
+    flushSoon();
+}
+
+void QuotaService::occupy(const Workspace &holder, double places) {
+  Client.occupy(holder, places, TimerService::now());
+  flushSoon();
+}
+
+void QuotaService::onRejected(const Workspace &holder) {
+  Client.onRejected(holder, TimerService::now());
+  flushSoon();
 }
 
 void QuotaService::flushSoon() {
@@ -70,13 +89,15 @@
 
 void QuotaService::sendRequests(const QuotaClient::Message &message) {
   auto now = TimerService::now();
-  if (auto grants = grant(message.Cell, message.Requests)) {
+  if (auto grants =
+          grant(message.Cell, message.Number, message.Requests, Entry)) {
     deliver(Client.onGrants(message.Cell, message.Number, *grants, now));
+    sendLateGrants(message.Cell);
     return flushSoon();
   }
   auto &owner = OwnerStreams[message.Cell];
   owner.UsedAt = now;
-  auto text = pack(messageOf(message));
+  auto text = pack(messageOf(message, Entry));
   Traffic.add(PeerMessage::QuotaRequest, message.Cell == OwnCell, text.size());
   bool isCurrent =
       owner.Stream && owner.Address == Callbacks.OwnerOf(message.Cell);
@@ -154,7 +175,7 @@
     served.Server = std::make_unique<QuotaServer>(cell, Options);
   if (served.ServedEpoch != epoch) {
     served.ServedEpoch = epoch;
-    served.Server->reset();
+    served.Server->reset(TimerService::now());
     served.Plan = nullptr;
   }
   if (served.Plan != Plan) {
@@ -171,42 +192,103 @@
 }
 
 std::optional<std::vector<QuotaGrant>>
-QuotaService::grant(const std::string &cell,
-                    std::span<const QuotaRequest> requests) {
+QuotaService::grant(const std::string &cell, std::uint64_t message,
+                    std::span<const QuotaRequest> requests,
+                    std::uint64_t entry) {
   auto *server = serverOf(cell);
   if (!server)
     return std::nullopt;
   std::vector<QuotaGrant> out;
   for (const auto &it : requests)
-    out.push_back(server->onRequest(it, TimerService::now()));
+    if (auto granted =
+            server->onRequest(it, TimerService::now(), entry, message))
+      out.push_back(std::move(*granted));
   return out;
 }
 
+void QuotaService::sendLateGrants(const std::string &cell) {
+  auto *server = serverOf(cell);
+  if (!server)
+    return;
+  for (const auto &it : server->takeLateGrants(TimerService::now())) {
+    if (it.Entry == Entry) {
+      deliver(Client.onGrants(cell, it.Message, std::span(&it.Grant, 1),
+                              TimerService::now()));
+      flushSoon();
+      continue;
+    }
+    auto stream = EntryStreams.find({cell, it.Entry});
+    auto entry = stream == EntryStreams.end() ? nullptr : stream->second.lock();
+    if (!entry)
+      continue;
+    auto text = pack(messageOf(it.Message, std::span(&it.Grant, 1)));
+    Traffic.add(PeerMessage::QuotaGrant, cell == OwnCell, text.size());
+    entry->send(std::move(text));
+  }
+}
+
 void QuotaService::onEntry(const std::string &cell,
                            const std::shared_ptr<PeerStream> &stream) {
-  stream->OnMessage = [this, alive = Alive, cell,
+  auto id = std::make_shared<std::uint64_t>(0);
+  stream->OnClosed = [this, alive = Alive, cell, id](bool) {
+    if (*alive)
+      onEntryGone(cell, *id);
+  };
+  stream->OnMessage = [this, alive = Alive, cell, id,
                        weak = std::weak_ptr(stream)](std::string_view message) {
     auto entry = weak.lock();
     if (!*alive || !entry)
       return;
     auto request = unpack<QuotaRequestMessage>(message);
-    auto grants = request ? grant(cell, requestsOf(*request)) : std::nullopt;
+    *id = request ? request->Entry : 0;
+    auto grants = request
+                      ? grant(cell, request->Number, requestsOf(*request), *id)
+                      : std::nullopt;
     // The entry then requests from another server, and determines the cell's
     // owner again.
     if (!grants)
       return entry->close();
+    EntryStreams[{cell, *id}] = entry;
     auto text = pack(messageOf(request->Number, *grants));
     Traffic.add(PeerMessage::QuotaGrant, cell == OwnCell, text.size());
     entry->send(std::move(text));
+    sendLateGrants(cell);
   };
 }
 
+void QuotaService::onEntryGone(const std::string &cell, std::uint64_t entry) {
+  auto stream = EntryStreams.find({cell, entry});
+  // The entry may have opened another stream meanwhile.
+  if (stream != EntryStreams.end() && stream->second.expired())
+    EntryStreams.erase(stream);
+  if (auto *server = serverOf(cell))
+    server->onEntryGone(entry, TimerService::now());
+}
+
+void QuotaService::logPlaces() const {
+  auto now = TimerService::now();
+  for (const auto &[cell, served] : ServedCells) {
+    if (!served.Server || !Callbacks.HeldEpoch(cell))
+      continue;
+    for (const auto &[holder, it] : served.Server->places())
+      Log.write(LogClass::State, "places",
+                {{"cell", cell},
+                 {"replica", holder.substr(holder.find('\n') + 1)},
+                 {"places", it.places()},
+                 {"used", it.used(now)},
+                 {"rejected", it.rejected()},
+                 {"used_ms_ago", now - it.usedAt()}});
+  }
+}
+
 void QuotaService::tick() {
   auto now = TimerService::now();
   // A bucket fills from when its cell is taken over, not from the first
   // request.
-  for (const auto &cell : Cells)
+  for (const auto &cell : Cells) {
     serverOf(cell);
+    sendLateGrants(cell);
+  }
   deliver(Client.tick(now));
   for (auto &[cell, owner] : OwnerStreams)
     if (owner.Stream && now - owner.UsedAt > StreamIdleTimeout)
--- a/Programs/hemlockgladed/Gateway/QuotaService.h
+++ b/Programs/hemlockgladed/Gateway/QuotaService.h
@@ -22,6 +22,9 @@
     /// it does not.
     std::function<Epoch(const std::string &cell)> HeldEpoch;
     std::function<void(Span, std::function<void()>)> After;
+    /// Returns how many of a replica's places are this node's while no owner
+    /// grants them.
+    std::function<double(const Workspace &holder)> PlacesWithoutOwner;
   };
   using Verdict = QuotaClient::Verdict;
   using Decision = QuotaClient::Decision;
@@ -29,8 +32,8 @@
   using OnDecided = std::function<void(const Decision &decision)>;
 
   QuotaService(std::vector<std::string> cells, std::string own,
-               QuotaSettings settings, Hooks hooks, PeerTraffic &traffic,
-               EventLog &log);
+               QuotaSettings settings, Hooks hooks, std::uint64_t entry,
+               PeerTraffic &traffic, EventLog &log);
   ~QuotaService();
   QuotaService(const QuotaService &) = delete;
   QuotaService &operator=(const QuotaService &) = delete;
@@ -41,12 +44,20 @@
   void setPlan(std::shared_ptr<const RoutePlan> plan);
   void setEntries(std::size_t entries) { Client.setEntries(entries); }
 
-  void reserve(const Workspace &workspace, double units, OnDecided decided);
+  /// `waits` if a place is wanted that there may not be at once.
+  void reserve(const Workspace &workspace, double units, OnDecided decided,
+               bool waits = false);
   /// Reports requests to a replica that were sent without being reserved.
   void addSent(const Workspace &holder, std::span<const Span> ago);
+  /// Takes places for a request that is at a replica without a grant.
+  void occupy(const Workspace &holder, double places);
+  /// Reports a request that a replica has rejected for want of room.
+  void onRejected(const Workspace &holder);
   void charge(const Workspace &workspace, double units);
   void release(const Workspace &workspace, double units);
 
+  /// Logs the places of the replicas that this node grants.
+  void logPlaces() const;
   /// Does what is due; to be called about every 50 ms.
   void tick();
   /// Called when an entry has opened a stream to request grants of a cell.
@@ -79,12 +90,20 @@
   void deliver(std::span<const QuotaClient::Decision> decisions);
   /// The quota server of a cell; null if this node does not hold its lease.
   QuotaServer *serverOf(const std::string &cell);
+  /// Returns what this node grants at once; nothing if it does not own the
+  /// cell.
   std::optional<std::vector<QuotaGrant>>
-  grant(const std::string &cell, std::span<const QuotaRequest> requests);
+  grant(const std::string &cell, std::uint64_t message,
+        std::span<const QuotaRequest> requests, std::uint64_t entry);
+  /// Sends what is granted to entries that have waited for it.
+  void sendLateGrants(const std::string &cell);
+  void onEntryGone(const std::string &cell, std::uint64_t entry);
 
   const std::vector<std::string> Cells;
   const std::string OwnCell;
   const QuotaSettings Options;
+  /// Identifies this process among the entries.
+  const std::uint64_t Entry;
   Hooks Callbacks;
   PeerNet *Net = nullptr;
   PeerTraffic &Traffic;
@@ -93,6 +112,9 @@
   std::shared_ptr<const RoutePlan> Plan;
   std::map<std::string, OwnerStream> OwnerStreams;
   std::map<std::string, ServedCell> ServedCells;
+  /// The streams of the entries that this node grants to, by cell and entry.
+  std::map<std::pair<std::string, std::uint64_t>, std::weak_ptr<PeerStream>>
+      EntryStreams;
   std::unordered_map<QuotaClient::Ticket, OnDecided> Undecided;
   QuotaClient::Ticket LastTicket = 0;
   bool FlushDue = false;
--- a/UnitTests/Coordination/Quota/QuotaWorld.h
+++ b/UnitTests/Coordination/Quota/QuotaWorld.h
@@ -41,6 +41,7 @@
     Instant SentAt{};
     Instant DecidedAt{};
     double Units = 0;
+    std::size_t Entry = 0;
     QuotaClient::Verdict Result = QuotaClient::Verdict::Allowed;
     Span RetryAfter{0};
   };
@@ -51,6 +52,11 @@
     LimitedWorkspace.Limit = Options.Limit;
     if (Options.Limit.Unit == LimitUnit::ReplicaRequests)
       LimitedWorkspace = replicaQuotaHolder("i-1", Options.Limit.PerSecond);
+    if (Options.Limit.Unit == LimitUnit::ReplicaPlaces)
+      LimitedWorkspace = replicaPlaceHolder("i-1", Options.Limit.Places,
+                                            Options.Limit.PerSecond);
+    for (std::size_t it = 0; it < Options.Entries; ++it)
+      EntryNames.push_back("n" + std::to_string(it));
     for (std::size_t it = 0; it < Options.Cells; ++it)
       CellNames.push_back("cell-" + std::to_string(it));
     for (const auto &it : CellNames)
@@ -85,29 +91,41 @@
   }
 
   /// Sends one request to an entry.
-  void reserve(std::size_t entry, double units) {
+  void reserve(std::size_t entry, double units, bool waits = false) {
     auto &at = *Entries[entry];
     if (at.FrozenUntil > Time.now())
       return;
     auto number = Requests.size();
-    Requests.push_back({Time.now(), {}, units});
+    Requests.push_back({Time.now(), {}, units, entry});
     if (Options.Sharing == QuotaSharing::EvenSplit) {
       bool passes = at.OwnBucket.tryTake(units, Time.now());
       return decide({number, passes ? QuotaClient::Verdict::Allowed
                                     : QuotaClient::Verdict::Limited});
     }
-    if (auto decision =
-            at.Client->reserve(number, LimitedWorkspace, units, Time.now()))
+    if (auto decision = at.Client->reserve(number, LimitedWorkspace, units,
+                                           Time.now(), waits))
       decide(*decision);
     sendRequestsSoon(entry);
   }
 
   void advance(Span span) { Time.advance(span); }
+  void after(Span span, std::function<void()> call) {
+    Time.after(span, std::move(call));
+  }
+  /// Called with each decision, and the entry that it is for.
+  std::function<void(std::size_t entry, const QuotaClient::Decision &decision)>
+      OnDecided;
+  std::uint64_t incarnationOf(std::size_t entry) const {
+    return Entries[entry]->Incarnation;
+  }
   Instant now() const { return Time.now(); }
 
   /// Restarts an entry, which loses its grants and its state.
   void restartEntry(std::size_t entry) {
     auto &it = *Entries[entry];
+    for (auto &[name, owner] : Owners)
+      if (owner.Server)
+        owner.Server->onEntryGone(entryId(entry), Time.now());
     ++it.Incarnation;
     startClient(it);
   }
@@ -159,6 +177,7 @@
   }
   void release(std::size_t entry, double units) {
     Entries[entry]->Client->release(LimitedWorkspace, units, Time.now());
+    sendRequestsSoon(entry);
   }
 
   const std::vector<Request> &requests() const { return Requests; }
@@ -217,6 +236,7 @@
   struct Entry {
     std::unique_ptr<QuotaClient> Client;
     TokenBucket OwnBucket{TokenBucket::Settings{}, Instant{}};
+    std::string Name;
     std::string Cell;
     Instant FrozenUntil{};
     std::uint64_t Incarnation = 0;
@@ -226,12 +246,19 @@
     std::unique_ptr<QuotaServer> Server;
   };
 
+  static constexpr std::uint64_t MaxIncarnations = 1000;
+  /// Identifies an entry's process.
+  std::uint64_t entryId(std::size_t entry) const {
+    return entry * MaxIncarnations + Entries[entry]->Incarnation;
+  }
+
   WorkspaceDirectory directory() const {
     return WorkspaceDirectory({{LimitedWorkspace, {}}});
   }
 
   void startServer(Owner &owner, const std::string &cell) {
     owner.Server = std::make_unique<QuotaServer>(cell, Options.Quota);
+    owner.Server->reset(Time.now());
     owner.Server->setLimits(directory(), CellNames, Time.now());
   }
 
@@ -242,6 +269,7 @@
     auto n = static_cast<double>(Options.Entries);
     it->OwnBucket =
         TokenBucket({limit.PerSecond / n, limit.Burst / n, 0}, Time.now());
+    it->Name = EntryNames[Entries.size()];
     startClient(*it);
     Entries.push_back(std::move(it));
   }
@@ -253,6 +281,11 @@
     it.Client = std::make_unique<QuotaClient>(settings, Options.Quota);
     it.Client->setCells(CellNames, it.Cell);
     it.Client->setEntries(Options.Entries);
+    it.Client->setPlacesWithoutServer(
+        [this, name = it.Name](const Workspace &holder) {
+          return placesWithoutOwner(name, EntryNames, holder.Name,
+                                    holder.Limit->Places);
+        });
   }
 
   void decide(const QuotaClient::Decision &it) {
@@ -260,6 +293,8 @@
     request.Result = it.Result;
     request.RetryAfter = it.RetryAfter;
     request.DecidedAt = Time.now();
+    if (OnDecided)
+      OnDecided(request.Entry, it);
   }
   void decide(const std::vector<QuotaClient::Decision> &all) {
     for (const auto &it : all)
@@ -304,14 +339,33 @@
     ++Messages;
     std::vector<QuotaGrant> grants;
     for (const auto &it : message.Requests)
-      grants.push_back(owner.Server->onRequest(it, Time.now()));
-    callAtEntry(entry, delay(), [this, entry, message, grants] {
-      decide(Entries[entry]->Client->onGrants(message.Cell, message.Number,
-                                              grants, Time.now()));
+      if (auto granted = owner.Server->onRequest(it, Time.now(), entryId(entry),
+                                                 message.Number))
+        grants.push_back(*granted);
+    sendGrants(entry, message.Cell, message.Number, std::move(grants));
+    sendLateGrants(message.Cell);
+  }
+
+  void sendGrants(std::size_t entry, const std::string &cell,
+                  std::uint64_t message, std::vector<QuotaGrant> grants) {
+    callAtEntry(entry, delay(), [this, entry, cell, message, grants] {
+      decide(
+          Entries[entry]->Client->onGrants(cell, message, grants, Time.now()));
       sendRequests(entry);
     });
   }
 
+  void sendLateGrants(const std::string &cell) {
+    auto &owner = Owners[cell];
+    if (!owner.Server)
+      return;
+    for (const auto &it : owner.Server->takeLateGrants(Time.now())) {
+      auto entry = static_cast<std::size_t>(it.Entry / MaxIncarnations);
+      if (entryId(entry) == it.Entry)
+        sendGrants(entry, cell, it.Message, {it.Grant});
+    }
+  }
+
   void tick() {
     for (std::size_t it = 0; it < Entries.size(); ++it) {
       if (Entries[it]->FrozenUntil > Time.now())
@@ -319,6 +373,8 @@
       decide(Entries[it]->Client->tick(Time.now()));
       sendRequests(it);
     }
+    for (const auto &it : CellNames)
+      sendLateGrants(it);
     constexpr Span Interval = std::chrono::milliseconds(50);
     Time.after(Interval, [this] { tick(); });
   }
@@ -332,6 +388,7 @@
   VirtualTime Time;
   Workspace LimitedWorkspace;
   std::vector<std::string> CellNames;
+  std::vector<std::string> EntryNames;
   std::map<std::string, Owner> Owners;
   std::vector<std::unique_ptr<Entry>> Entries;
   std::vector<Request> Requests;
--- a/UnitTests/Node/Gateway/BrittleReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/BrittleReplicaTest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::size_t Slots = 4;
-constexpr auto WorkTime = milliseconds(40);
+constexpr auto WorkTime = milliseconds(80);
 /// Requests that wait for a slot until `ShrinkDelay` after the statement.
 constexpr std::size_t NormalQueue = 16;
 constexpr auto ShrinkDelay = milliseconds(3000);
@@ -167,7 +167,7 @@
 };
 
 /// What the slots of both replicas can serve in a second.
-constexpr double CapacityPerSecond = 2 * Slots / 0.04;
+constexpr double CapacityPerSecond = 2 * Slots / 0.08;
 
 } // namespace
 
