--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -1,5 +1,6 @@
 #include "Programs/hemlockgladed/Gateway/GatewayExchange.h"
 
+#include "Hemlockglade/Coordination/RowText.h"
 #include "Hemlockglade/Transport/Peer/PeerNet.h"
 #include "Hemlockglade/Transport/Time/TimerService.h"
 #include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
@@ -114,6 +115,15 @@
   endIfBarred();
 }
 
+std::string GatewayExchange::partsText() const {
+  std::string out;
+  for (auto it : Query.PromptParts) {
+    out += out.empty() ? "" : " ";
+    appendNumber(out, it, Hex);
+  }
+  return out;
+}
+
 Span GatewayExchange::timeLeft() const { return EndsAt - TimerService::now(); }
 
 void GatewayExchange::armTimer() {
@@ -344,6 +354,7 @@
       LogClass::Request, "send",
       {{"request", Labels.Id},
        {"key", Key.text()},
+       {"parts", partsText()},
        {"route", MatchedRoute.Name},
        {"workspace", workspace()},
        {"service", Query.Service},
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -462,6 +462,8 @@
                        std::optional<Span> retryAfter = std::nullopt);
   void finish(std::uint16_t status, std::string_view result);
   void onCallerDisconnected();
+  /// Returns the shared parts of the prompt, for logs.
+  std::string partsText() const;
   Span timeLeft() const;
   Span retryAfter() const;
   bool usesEngine() const { return Query.Weights.has_value(); }
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -253,6 +253,7 @@
       LogClass::Request, "broke",
       {{"request", Labels.Id},
        {"key", Key.text()},
+       {"parts", partsText()},
        {"replica", Current->Replica->Incarnation.text()},
        {"how", how},
        {"sent_ms_ago", now - Current->SentAt},
