--- a/UnitTests/Node/Gateway/GatewayRig.h
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -175,6 +175,10 @@
           labels.Resumes = value;
         else if (sameFieldName(name, "Weights"))
           labels.Weights = WeightsRef::parse(value);
+        else if (sameFieldName(name, "Parts"))
+          for (auto digit : value)
+            labels.Prompt.push_back(
+                {static_cast<std::uint64_t>(digit - '0'), 10});
       return labels;
     };
     out.Labels.Forward = [](const LabelFields &fields,
@@ -295,13 +299,16 @@
     return until([this] { return Node->ready(); });
   }
 
-  /// Sends a request on a new connection and returns what comes back.
+  /// Sends a request on a new connection and returns what comes back. Each
+  /// digit of `parts` is a part of its prompt.
   std::string ask(const std::string &to, const std::string &path,
-                  const std::string &id = "r1", const std::string &key = "") {
+                  const std::string &id = "r1", const std::string &key = "",
+                  const std::string &parts = "") {
     RawPeer peer(Context);
     peer.connect(parseEndpoint(to).port());
     peer.send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nId: " + id +
-              (key.empty() ? "" : "\r\nKey: " + key) + "\r\n\r\n");
+              (key.empty() ? "" : "\r\nKey: " + key) +
+              (parts.empty() ? "" : "\r\nParts: " + parts) + "\r\n\r\n");
     until([&peer] {
       return peer.Ended || peer.Got.find("\r\n\r\n") != std::string::npos;
     });
--- a/UnitTests/Platform/Soak/SoakCallers.cpp
+++ b/UnitTests/Platform/Soak/SoakCallers.cpp
@@ -103,14 +103,28 @@
   if (CrashingInterval > Span(0))
     Subscriptions.push_back(Timers.every(
         CrashingInterval, [this](Instant) { sendCrashingRequest(); }));
+  if (CrashingPartInterval > Span(0))
+    Subscriptions.push_back(Timers.every(
+        CrashingPartInterval, [this](Instant) { sendCrashingPart(); }));
 }
 
 void SoakCallers::sendCrashingRequest() {
+  sendHarmful("/chat" + std::string(site::CrashingTargetSuffix),
+              "a1:100,c1:100");
+}
+
+void SoakCallers::sendCrashingPart() {
+  auto own = std::to_string(LastId + 1);
+  sendHarmful("/chat/x" + own,
+              "a1:100," + std::string(site::CrashingPart) + "d" + own + ":100");
+}
+
+void SoakCallers::sendHarmful(const std::string &target,
+                              const std::string &parts) {
   if (!Running || Targets.All.empty())
     return;
   const auto &address = Targets.All[CrashingRandom() % Targets.All.size()];
-  HttpRequestHead head{
-      "POST", "/chat" + std::string(site::CrashingTargetSuffix), {}};
+  HttpRequestHead head{"POST", target, {}};
   head.Fields = {
       {"Host", "a.example"},
       {std::string(platform_name::RequestId), "x" + std::to_string(++LastId)},
@@ -118,7 +132,7 @@
        std::to_string(milliseconds(RequestTimeout).count())},
       {std::string(platform_name::Weights), std::string(site::Model) + "/a1"},
       {std::string(platform_name::TokenCounts), "200,48"},
-      {std::string(platform_name::PromptParts), "a1:100,c1:100"},
+      {std::string(platform_name::PromptParts), parts},
       {"Content-Length", "0"}};
   if (Workspaces)
     addKey(head, "free");
--- a/UnitTests/Platform/Soak/SoakCallers.h
+++ b/UnitTests/Platform/Soak/SoakCallers.h
@@ -37,6 +37,11 @@
   /// Sets the interval between requests that crash replicas; none are sent if
   /// 0.
   void setCrashingInterval(Span interval) { CrashingInterval = interval; }
+  /// Sets the interval between requests with a part in their prompts that
+  /// crashes replicas; none are sent if 0.
+  void setCrashingPartInterval(Span interval) {
+    CrashingPartInterval = interval;
+  }
   /// Makes callers send the keys of these workspaces; not owned.
   void setWorkspaces(SoakWorkspaces *all) { Workspaces = all; }
   /// Sends one in three requests to one of these addresses, as callers that
@@ -77,6 +82,10 @@
   /// Sends the request that crashes replicas, always the same one, to a random
   /// gateway.
   void sendCrashingRequest();
+  /// Sends a request with the part that crashes replicas, which is like no
+  /// other request, to a random gateway.
+  void sendCrashingPart();
+  void sendHarmful(const std::string &target, const std::string &parts);
   void probePlan(SoakNode &node);
   void probeNodes();
   /// Sends a request with a key that the plan in force has revoked.
@@ -102,6 +111,7 @@
   std::function<int(const std::string &software)> ServingCount;
   double Rate = 40;
   Span CrashingInterval{0};
+  Span CrashingPartInterval{0};
   /// A separate generator, so that its use doesn't change what the same seed
   /// draws elsewhere.
   std::mt19937_64 CrashingRandom;
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -37,6 +37,9 @@
 DEFINE_double(crashing_every, 0,
               "time between requests that crash the replicas that run them, in "
               "seconds; 0 for none");
+DEFINE_double(crashing_parts_every, 0,
+              "time between requests with a part in their prompts that crashes "
+              "replicas, in seconds; 0 for none");
 DEFINE_double(
     drill_every, 0,
     "time between reverts of the store to a state some seconds older, "
@@ -96,6 +99,26 @@
   return isHeld;
 }
 
+/// Checks that few requests with a part reach replicas after it has crashed
+/// five of them and all nodes must have received this.
+bool checkPartCrashes(const SoakWorld &world) {
+  constexpr std::size_t BarredAfter = 5;
+  constexpr std::ptrdiff_t MaxLate = 3;
+  constexpr auto PropagationTime = std::chrono::seconds(3);
+  const auto &crashes = world.partCrashes();
+  const auto &arrivals = world.partArrivals();
+  std::ptrdiff_t late = 0;
+  if (crashes.size() >= BarredAfter)
+    late = std::count_if(arrivals.begin(), arrivals.end(),
+                         [from = crashes[BarredAfter - 1] + PropagationTime](
+                             const auto &at) { return at > from; });
+  bool isHeld = late <= MaxLate;
+  std::cout << (isHeld ? "held    " : "BROKEN  ")
+            << "a part that crashes replicas is sent to few: " << crashes.size()
+            << " crashed, " << late << " sent late\n";
+  return isHeld;
+}
+
 bool printResult(bool isHeld, const std::string &what) {
   std::cout << (isHeld ? "held    " : "BROKEN  ") << what << '\n';
   return isHeld;
@@ -257,7 +280,8 @@
   std::cout << (noUnexpectedEnds ? "held    " : "BROKEN  ")
             << "no gateway ends by itself: " << world.unexpectedEnds()
             << " ends\n";
-  return checkCrashes(world) && checkWorkspaces(world) && isHeld &&
+  bool partsHeld = checkPartCrashes(world);
+  return checkCrashes(world) && partsHeld && checkWorkspaces(world) && isHeld &&
          servesAgain && noUnexpectedEnds;
 }
 
@@ -309,6 +333,7 @@
   settings.BrittleInterval = spanOf(FLAGS_brittle_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
+  settings.CrashingPartInterval = spanOf(FLAGS_crashing_parts_every);
   settings.Recovery = spanOf(FLAGS_recovery);
   auto planted = parsePlant(FLAGS_plant);
   if (!planted) {
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -392,6 +392,10 @@
   }
   if (request.Head.Target.ends_with(site::CrashingTargetSuffix) && OnCrash)
     return crashAfterDelay(reply, it->Tag);
+  if (field(request, platform_name::PromptParts).find(site::CrashingPart) !=
+          std::string::npos &&
+      OnPartCrash)
+    return crashByPart(reply, *it);
   auto waiting = std::count_if(Waiting.begin(), Waiting.end(),
                                [](const auto &at) { return !at->Ended; });
   bool isFull = Running.size() >= Options.Slots;
@@ -532,6 +536,32 @@
                });
 }
 
+void SoakReplica::crashByPart(const std::shared_ptr<CallerReply> &reply,
+                              const Run &run) {
+  OnPartArrived();
+  auto begins = DelayRandom() % 2 == 0;
+  auto answer = head(200, run);
+  Timers.after(CrashDelay, [this, reply, begins, answer, tag = run.Tag,
+                            expected = Incarnation, alive = Alive](Instant) {
+    if (!*alive || !isRunning() || Incarnation != expected)
+      return;
+    OnPartCrash();
+    if (begins) {
+      reply->begin(answer);
+      reply->part(site::eventText(tag, 1));
+    }
+    asio::post(Context, [this, expected, alive] {
+      if (!*alive || !isRunning() || Incarnation != expected)
+        return;
+      crash();
+      Timers.after(RestartDelay, [this, alive](Instant) {
+        if (*alive && !isRunning())
+          start();
+      });
+    });
+  });
+}
+
 void SoakReplica::step(const std::shared_ptr<Run> &run) {
   if (CurrentMode == Mode::Fails) {
     end(*run, "finished", false);
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -21,6 +21,9 @@
 inline constexpr int AdapterCount = 40;
 /// A request whose target has this suffix crashes the replica that runs it.
 inline constexpr std::string_view CrashingTargetSuffix = "/crashing";
+/// A request with this part in its prompt, which is never the last one, crashes
+/// the replica that begins to answer it.
+inline constexpr std::string_view CrashingPart = "dead:100,";
 /// Number of events in a stream.
 inline constexpr int StreamEvents = 12;
 /// Returns the text of one event of a request's answer, which is the same on
@@ -110,6 +113,10 @@
   void drain();
   /// Called when the replica begins to run a request that crashes it.
   std::function<void()> OnCrash;
+  /// Called when a request with the part that crashes it has arrived, and when
+  /// the replica begins to answer one.
+  std::function<void()> OnPartArrived;
+  std::function<void()> OnPartCrash;
   /// Sets the workspaces that receive each run; null if there are none.
   void setWorkspaces(SoakWorkspaces *all) { Workspaces = all; }
 
@@ -140,6 +147,9 @@
   /// `Fails`.
   void crashAfterDelay(const std::shared_ptr<CallerReply> &reply,
                        const std::string &tag);
+  /// Crashes and starts again later. Some answers begin before, and end with
+  /// their connection.
+  void crashByPart(const std::shared_ptr<CallerReply> &reply, const Run &run);
   void step(const std::shared_ptr<Run> &run);
   void end(Run &run, const char *how, bool isComplete);
   void recordRun(const Run &run);
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -52,6 +52,7 @@
   });
   Callers.setRate(Options.Rate);
   Callers.setCrashingInterval(Options.CrashingInterval);
+  Callers.setCrashingPartInterval(Options.CrashingPartInterval);
   Callers.setServingCount([this](const std::string &software) {
     return static_cast<int>(
         std::count_if(Replicas.begin(), Replicas.end(), [&](const auto &it) {
@@ -89,6 +90,13 @@
       log("a request crashes a replica");
       Crashes.push_back(TimerService::now());
     };
+    Replicas.back()->OnPartArrived = [this] {
+      PartArrivals.push_back(TimerService::now());
+    };
+    Replicas.back()->OnPartCrash = [this] {
+      log("a part crashes a replica");
+      PartCrashes.push_back(TimerService::now());
+    };
   }
 }
 
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -26,6 +26,9 @@
     Span EntriesInterval{0};
     /// Time between requests that crash replicas; none if 0.
     Span CrashingInterval{0};
+    /// Time between requests with a part in their prompts that crashes
+    /// replicas; none if 0.
+    Span CrashingPartInterval{0};
     /// Time between reverts of the store to an older state; none if 0.
     Span RevertInterval{0};
     /// Time between declarations of new versions of a few adapters; none if 0.
@@ -87,6 +90,10 @@
   /// Returns the times at which replicas began to run the request that crashes
   /// them.
   const std::vector<Instant> &crashes() const { return Crashes; }
+  /// Returns the times at which requests with the part that crashes replicas
+  /// have arrived there, and at which replicas crashed.
+  const std::vector<Instant> &partArrivals() const { return PartArrivals; }
+  const std::vector<Instant> &partCrashes() const { return PartCrashes; }
 
 private:
   std::string acquireNetwork();
@@ -185,6 +192,8 @@
   std::pair<int, int> QuietCounts{0, 0};
   std::pair<int, int> QuietRevoked{0, 0};
   std::vector<Instant> Crashes;
+  std::vector<Instant> PartArrivals;
+  std::vector<Instant> PartCrashes;
   TimerService::Subscription ProcessTimer;
 };
 
