A stream whose end may be its replica's counts once that is known

A stream without a length that ends between events, soon after it began, is whole unless its replica is found gone. A listener at the replica's address hides that, so the attempt is kept as one that was given up: what the registry tells later counts against the parts of its prompt. Streams of entries to quota servers are dropped from the table as they close, also where the entry has opened another one (by reading).

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -460,6 +460,7 @@
   void onPlainAnswer();
   /// Called when the connection has ended a stream that states no length.
   void onConnectionEndedStream();
+  void onEndProbed(bool hasEnded);
   void forwardEvents(std::string_view events);
   void onStreamEnd(bool whole, std::string_view why);
   void onTimer();
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -170,24 +170,29 @@
 }
 
 void GatewayExchange::onConnectionEndedStream() {
-  constexpr std::string_view Broken = "its replica ended";
-  if (!Current->FirstEventAt) {
-    reportBroken(Broken);
-    return onStreamEnd(false, Broken);
-  }
+  if (!Current->FirstEventAt)
+    return onEndProbed(true);
   if (!Shared.Crashes.ProbeEnded || Current->isRelayed())
-    return onStreamEnd(true, {});
-  Shared.Crashes.ProbeEnded(*Current->Replica,
-                            [weak = weak_from_this(), number = Current->Number,
-                             Broken](bool hasEnded) {
-                              auto self = weak.lock();
-                              if (!self || self->Done || !self->Current ||
-                                  self->Current->Number != number)
-                                return;
-                              if (hasEnded)
-                                self->reportBroken(Broken);
-                              self->onStreamEnd(!hasEnded, Broken);
-                            });
+    return onEndProbed(false);
+  Shared.Crashes.ProbeEnded(
+      *Current->Replica,
+      [weak = weak_from_this(), number = Current->Number](bool hasEnded) {
+        auto self = weak.lock();
+        bool isCurrent = self && !self->Done && self->Current &&
+                         self->Current->Number == number;
+        if (isCurrent)
+          self->onEndProbed(hasEnded);
+      });
+}
+
+void GatewayExchange::onEndProbed(bool hasEnded) {
+  constexpr std::string_view Why = "its replica ended";
+  if (hasEnded)
+    reportBroken(Why);
+  // Whether the replica has ended may show later.
+  else if (!Current->WentOn)
+    Shared.Crashes.OnAbandoned(*Current->Replica, Subject, Current->progress());
+  onStreamEnd(!hasEnded, Why);
 }
 
 void GatewayExchange::onPlainAnswer() {
--- a/Programs/hemlockgladed/Gateway/QuotaService.cpp
+++ b/Programs/hemlockgladed/Gateway/QuotaService.cpp
@@ -230,9 +230,10 @@
 void QuotaService::onEntry(const std::string &cell,
                            const std::shared_ptr<PeerStream> &stream) {
   auto id = std::make_shared<std::uint64_t>(0);
-  stream->OnClosed = [this, alive = Alive, cell, id](bool) {
+  stream->OnClosed = [this, alive = Alive, cell, id,
+                      weak = std::weak_ptr(stream)](bool) {
     if (*alive)
-      onEntryGone(cell, *id);
+      onEntryGone(cell, *id, weak.lock().get());
   };
   stream->OnMessage = [this, alive = Alive, cell, id,
                        weak = std::weak_ptr(stream)](std::string_view message) {
@@ -256,10 +257,14 @@
   };
 }
 
-void QuotaService::onEntryGone(const std::string &cell, std::uint64_t entry) {
+void QuotaService::onEntryGone(const std::string &cell, std::uint64_t entry,
+                               const PeerStream *closed) {
   auto stream = EntryStreams.find({cell, entry});
+  auto current = stream == EntryStreams.end() ? nullptr : stream->second.lock();
   // The entry may have opened another stream meanwhile.
-  if (stream != EntryStreams.end() && stream->second.expired())
+  if (current && current.get() != closed)
+    return;
+  if (stream != EntryStreams.end())
     EntryStreams.erase(stream);
   if (auto *server = serverOf(cell))
     server->onEntryGone(entry, TimerService::now());
--- a/Programs/hemlockgladed/Gateway/QuotaService.h
+++ b/Programs/hemlockgladed/Gateway/QuotaService.h
@@ -97,7 +97,8 @@
         std::span<const QuotaRequest> requests, std::uint64_t entry);
   /// Sends what is granted to entries that have waited for it.
   void sendLateGrants(const std::string &cell);
-  void onEntryGone(const std::string &cell, std::uint64_t entry);
+  void onEntryGone(const std::string &cell, std::uint64_t entry,
+                   const PeerStream *closed);
 
   const std::vector<std::string> Cells;
   const std::string OwnCell;
--- a/UnitTests/Node/Gateway/AnswerEndTest.cpp
+++ b/UnitTests/Node/Gateway/AnswerEndTest.cpp
@@ -41,8 +41,10 @@
   REQUIRE(it.untilEnded());
   CHECK(it.Outcome == "complete");
   REQUIRE(it.until([&] { return it.looksComplete(); }));
-  // Its end proves nothing of what crashes replicas.
+  // Its end proves nothing of what crashes replicas; what the registry tells of
+  // the replica later still counts.
   CHECK(it.ServedCount == 0);
+  CHECK(it.GivenUpReplicas.size() == 1);
 }
 
 TEST_CASE("a stream without a length is broken off if its replica has ended",
