Lines and metrics for pauses that replicas ask this node for

Nothing told whether an answer of a replica asked for a rest, nor how many requests went to it meanwhile. AnswerLabels decode Retry-After of 503 and 429 and Server-Leaving; what an answer says of its replica is taken in by one function for all of them, at its head. Nothing is decided by it yet: replica-pause lines, pause_asked_ms_ago of send, pause_ms of not-run, gauges of paused replicas and of requests sent into pauses.

--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -352,6 +352,7 @@
 std::uint64_t ReplicaView::onSent(const std::string &replica,
                                   const RouteQuery &query, Instant now) {
   auto attempt = NextAttempt++;
+  SentIntoPauses += Pauses.isPaused(replica, now) ? 1 : 0;
   auto it = Replicas.find(replica);
   if (it == Replicas.end())
     return attempt;
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -6,6 +6,7 @@
 #include "Hemlockglade/Coordination/Route/PrefillSpeed.h"
 #include "Hemlockglade/Coordination/Route/RejectionLimits.h"
 #include "Hemlockglade/Coordination/Route/ReplicaHealth.h"
+#include "Hemlockglade/Coordination/Route/ReplicaPauses.h"
 #include "Hemlockglade/Coordination/Route/SendWindow.h"
 
 #include <deque>
@@ -247,6 +248,28 @@
                                      const RouteQuery &query) const;
   /// Called when a replica has rejected a request for want of room.
   void onRejected(const std::string &replica, Instant now);
+  /// Called when a replica has asked this node to send it nothing for a time.
+  /// Returns whether it ends later now than was known.
+  bool onPauseAsked(const std::string &replica, Span span, Instant now) {
+    return Pauses.onAsked(replica, span, now);
+  }
+  /// Whether a replica must get nothing from this node, as it has asked.
+  bool isPaused(const std::string &replica, Instant now) const {
+    return Pauses.isPaused(replica, now);
+  }
+  /// Returns how long ago a replica that is paused asked for it.
+  std::optional<Span> pauseAskedAgo(const std::string &replica,
+                                    Instant now) const {
+    return Pauses.askedAgo(replica, now);
+  }
+  std::size_t pausedCount(Instant now) const { return Pauses.count(now); }
+  /// Number of this node's requests that were sent to paused replicas.
+  std::uint64_t sentIntoPauses() const { return SentIntoPauses; }
+  /// Returns the latest incarnation of the replica with that id, as far as one
+  /// is known.
+  ReplicaIncarnation latestIncarnation(const std::string &id) const;
+  /// Returns the number of this node's running requests at a replica.
+  std::uint32_t ownRunningAt(const std::string &replica) const;
   std::optional<double> limitOf(const std::string &replica) const;
   /// Returns the failure domain of a replica; empty if it is not known.
   std::string failureDomainOf(const std::string &replica) const;
@@ -434,6 +457,8 @@
   std::map<std::string, Residency> PendingResidency;
   DeclaredVersions Versions;
   RejectionLimits Rejections;
+  ReplicaPauses Pauses;
+  std::uint64_t SentIntoPauses = 0;
   std::uint64_t NextAttempt = 1;
   /// Prefill speed of the engines of each service.
   std::map<std::string, PrefillSpeed> PrefillSpeeds;
--- a/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
@@ -53,6 +53,11 @@
                           now);
 }
 
+std::uint32_t ReplicaView::ownRunningAt(const std::string &replica) const {
+  auto it = Replicas.find(replica);
+  return it == Replicas.end() ? 0 : it->second.OwnRunning;
+}
+
 std::optional<double> ReplicaView::limitOf(const std::string &replica) const {
   auto it = Replicas.find(replica);
   return it == Replicas.end() ? std::nullopt : it->second.RequestLimit;
--- a/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
@@ -128,7 +128,13 @@
   }
 }
 
+ReplicaIncarnation ReplicaView::latestIncarnation(const std::string &id) const {
+  auto it = LatestIncarnations.find(id);
+  return it == LatestIncarnations.end() ? ReplicaIncarnation(id) : it->second;
+}
+
 std::vector<ReplicaIncarnation> ReplicaView::removeExpired(Instant now) {
+  Pauses.removeExpired(now);
   std::vector<ReplicaIncarnation> removed;
   constexpr auto RetentionTime = std::chrono::seconds(10);
   for (auto it = Replicas.begin(); it != Replicas.end();) {
--- a/Hemlockglade/Protocol/Exchange/RequestLabels.h
+++ b/Hemlockglade/Protocol/Exchange/RequestLabels.h
@@ -82,6 +82,12 @@
   /// Requests a second that the replica can reject for want of room without
   /// failing; none if it states no such limit.
   std::optional<double> RejectionLimit;
+  /// The replica rejects the request, and wants none for this long.
+  std::optional<Span> PauseFor;
+  /// The replica asks for a pause whose length can't be read.
+  bool MalformedPause = false;
+  /// The replica is about to leave: it wants no new requests.
+  bool Leaving = false;
 };
 
 /// Header fields of a request or an answer, as names and values.
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -171,7 +171,11 @@
       replicaLimitHooks(),
       replicaListHooks(),
       pathHooks(),
-      streamHooks()};
+      streamHooks(),
+      [this](const ReplicaRecord &replica, std::uint16_t status,
+             const AnswerLabels &labels, Instant sentAt) {
+        onReplicaAnswer(replica, status, labels, sentAt);
+      }};
 }
 
 ReplicaListHooks Gateway::replicaListHooks() {
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -168,6 +168,12 @@
   /// This node's connectivity as others are told.
   ReachNotice reachNotice() const;
   void updateReachNotice();
+  /// Takes in what an answer of a replica, to whomever, says of the replica.
+  void onReplicaAnswer(const ReplicaRecord &replica, std::uint16_t status,
+                       const AnswerLabels &labels, Instant sentAt);
+  /// Called when a replica rejects a request and wants none for a time.
+  void onPauseAsked(const std::string &replica, Span span,
+                    std::string_view from);
   /// Called when a replica's limit, or that it has none, is known from one of
   /// its answers or from another node.
   void onReplicaLimit(const std::string &replica,
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -378,6 +378,9 @@
        {"running", choice.Running},
        {"limit_per_s", choice.RequestLimit.value_or(0)},
        {"place", Current->Grant && Current->Grant->Place},
+       {"pause_asked_ms_ago",
+        Shared.View.pauseAskedAgo(choice.Replica->Incarnation.text(), now)
+            .value_or(Span(0))},
        {"load_age_ms", choice.LoadAge},
        {"list_age_ms",
         Shared.ReplicaList.Age ? Shared.ReplicaList.Age() : Span(0)},
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -70,11 +70,6 @@
 
 /// Callbacks with which exchanges keep to the limits that replicas state.
 struct ReplicaLimitHooks {
-  /// Called when an answer of a replica states its limit in requests a second,
-  /// or that it had none when the request was sent.
-  std::function<void(const ReplicaRecord &replica,
-                     std::optional<double> perSecond, Instant statedAt)>
-      OnStated;
   /// Reserves a request to a replica that accepts `perSecond` of them.
   /// `decided` is called exactly once, either before this returns or later.
   std::function<void(const ReplicaRecord &replica, double perSecond,
@@ -82,11 +77,6 @@
       Reserve;
   /// Returns a reserved request that has not reached the replica.
   std::function<void(const ReplicaRecord &replica, double perSecond)> Release;
-  /// Called when an answer of a replica states how many rejections a second it
-  /// bears, or that it stated none when the request was sent.
-  std::function<void(const ReplicaRecord &replica,
-                     std::optional<double> perSecond, Instant statedAt)>
-      OnRejectionLimit;
   /// Reserves a place at a replica, for which the request may wait a moment if
   /// `waits`. `decided` is called exactly once, either
   /// before this returns or later.
@@ -186,6 +176,12 @@
       Find;
 };
 
+/// Called with the head of each answer of a replica, for what the answer says
+/// of the replica itself. `sentAt` is when the request was sent.
+using OnReplicaAnswer =
+    std::function<void(const ReplicaRecord &replica, std::uint16_t status,
+                       const AnswerLabels &labels, Instant sentAt)>;
+
 /// The parts of the node that all exchanges share.
 struct ExchangeContext {
   asio::io_context &Context;
@@ -228,6 +224,7 @@
   ReplicaListHooks ReplicaList{};
   PathHooks Paths{};
   StreamHooks Streams{};
+  OnReplicaAnswer OnAnswer{};
 };
 
 /// One request of a caller, from its arrival to its answer. Chooses a replica,
@@ -427,8 +424,6 @@
   bool onHead(const HttpAnswerHead &head);
   /// Reports that the direct path to the replica carries data.
   void reportHeard();
-  /// Reports the limit that the replica's answer states, if it states any.
-  void reportLimit(Instant now);
   void onBody(std::string_view part);
   void onDone();
   /// Called when the connection of an attempt is open and nothing was written
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -46,6 +46,8 @@
       return true;
   }
   auto labels = Shared.Labels.ReadAnswer(head.Status, viewsOf(head.Fields));
+  if (Shared.OnAnswer)
+    Shared.OnAnswer(*Current->Replica, head.Status, labels, Current->SentAt);
   if (!labels.Id.empty() && labels.Id != Labels.Id) {
     Shared.Log.write(LogClass::Request, "stray-answer",
                      {{"request", Labels.Id},
@@ -65,7 +67,6 @@
                          now);
   if (!labels.NotRun)
     MayHaveRun = true;
-  reportLimit(now);
   return true;
 }
 
@@ -74,25 +75,6 @@
     Shared.Paths.OnHeard(*Current->Replica);
 }
 
-void GatewayExchange::reportLimit(Instant now) {
-  const auto &labels = Current->Labels;
-  // Only a replica's own answer shows that it states no limit any more.
-  bool statesRejections = labels.RejectionLimit || labels.Sealed;
-  if (statesRejections && Shared.ReplicaLimits.OnRejectionLimit)
-    Shared.ReplicaLimits.OnRejectionLimit(
-        *Current->Replica, labels.RejectionLimit,
-        labels.RejectionLimit ? now : Current->SentAt);
-  if (!Shared.ReplicaLimits.OnStated)
-    return;
-  if (labels.RequestLimit)
-    Shared.ReplicaLimits.OnStated(*Current->Replica, labels.RequestLimit, now);
-  // Only a signed answer is surely the replica's own; it may be older than one
-  // that stated a limit meanwhile.
-  else if (labels.Sealed)
-    Shared.ReplicaLimits.OnStated(*Current->Replica, std::nullopt,
-                                  Current->SentAt);
-}
-
 void GatewayExchange::onBody(std::string_view part) {
   if (!Current->Head)
     return;
@@ -312,7 +294,8 @@
                    {{"request", Labels.Id},
                     {"replica", replica.Incarnation.text()},
                     {"answered_by", Current->Labels.Incarnation},
-                    {"status", std::uint32_t{status}}});
+                    {"status", std::uint32_t{status}},
+                    {"pause_ms", Current->Labels.PauseFor.value_or(Span(0))}});
   // An engine that lacks the weights answers with the same status as a newer
   // incarnation of the replica; they differ in the incarnation that answers.
   if (restarted) {
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -84,6 +84,13 @@
 constexpr MetricFamily RejectionLimitFamily{
     "hemlockglade_rejection_limits",
     "Services whose replicas fail if they have to reject too many requests."};
+constexpr MetricFamily PausedFamily{
+    "hemlockglade_paused_replicas",
+    "Replicas that have asked this node to send them nothing for a time."};
+constexpr MetricFamily SentIntoPausesFamily{
+    "hemlockglade_sent_into_pauses",
+    "Requests since the start that were sent to a replica which had asked this "
+    "node for a pause."};
 constexpr MetricFamily NotConnectedFamily{
     "hemlockglade_not_connected_total",
     "Attempts for which no connection to a replica was established."};
@@ -182,6 +189,10 @@
   Metrics.gauge(LimitedFamily).set(static_cast<double>(View.limitedCount()));
   Metrics.gauge(RejectionLimitFamily)
       .set(static_cast<double>(View.rejectionLimits().size()));
+  Metrics.gauge(PausedFamily)
+      .set(static_cast<double>(View.pausedCount(TimerService::now())));
+  Metrics.gauge(SentIntoPausesFamily)
+      .set(static_cast<double>(View.sentIntoPauses()));
   Quotas.logPlaces();
   Metrics.gauge(CutOffFamily).set(static_cast<double>(Reach.cutOff().size()));
   Metrics.gauge(RelayedFamily).set(static_cast<double>(Relay->total()));
--- a/Programs/hemlockgladed/Gateway/GatewayReplicaLimits.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReplicaLimits.cpp
@@ -22,10 +22,6 @@
 
 ReplicaLimitHooks Gateway::replicaLimitHooks() {
   ReplicaLimitHooks hooks;
-  hooks.OnStated = [this](const ReplicaRecord &replica,
-                          std::optional<double> perSecond, Instant statedAt) {
-    onReplicaLimit(replica.Incarnation.text(), perSecond, statedAt, "answer");
-  };
   hooks.Reserve = [this](const ReplicaRecord &replica, double perSecond,
                          auto decided) {
     Quotas.reserve(replicaQuotaHolder(replica.Incarnation.text(), perSecond), 1,
@@ -35,12 +31,6 @@
     Quotas.release(replicaQuotaHolder(replica.Incarnation.text(), perSecond),
                    1);
   };
-  hooks.OnRejectionLimit = [this](const ReplicaRecord &replica,
-                                  std::optional<double> perSecond,
-                                  Instant statedAt) {
-    onRejectionLimit({digestOf(replica.Service), perSecond, statedAt},
-                     "answer");
-  };
   hooks.ReservePlace = [this](const ReplicaRecord &replica,
                               const PlaceNeed &need, bool waits, auto decided) {
     Quotas.reserve(placeHolder(replica, need), need.Needed, std::move(decided),
--- a/UnitTests/Platform/HeadersTest.cpp
+++ b/UnitTests/Platform/HeadersTest.cpp
@@ -182,4 +182,37 @@
   CHECK_FALSE(platformLabels().ReadAnswer(503, {}).RejectionLimit);
 }
 
+TEST_CASE("the pause that a rejecting replica asks for is parsed",
+          "[headers]") {
+  using std::chrono::milliseconds;
+  auto read = platformLabels().ReadAnswer;
+  auto pauseOf = [&read](std::string_view text) {
+    return read(503, {{"retry-after", text}}).PauseFor;
+  };
+  CHECK(pauseOf("3") == milliseconds(3000));
+  CHECK(pauseOf("0.25") == milliseconds(250));
+  CHECK(pauseOf("0") == Span(0));
+  CHECK(pauseOf("1e300") > std::chrono::hours(1));
+  for (const auto *text : {"", "-1", "nan", "inf", "3 ", "3s", "1e999",
+                           "Fri, 04 Dec 2026 09:00:00 GMT"}) {
+    CHECK_FALSE(pauseOf(text));
+    CHECK(read(503, {{"Retry-After", text}}).MalformedPause);
+  }
+  auto several = read(
+      503, {{"Retry-After", "x"}, {"Retry-After", "2"}, {"Retry-After", "1"}});
+  CHECK(several.PauseFor == milliseconds(2000));
+  CHECK(several.MalformedPause);
+  CHECK(read(429, {{"Retry-After", "1"}}).PauseFor == milliseconds(1000));
+  CHECK_FALSE(read(200, {{"Retry-After", "1"}}).PauseFor);
+}
+
+TEST_CASE("a replica's word that it leaves is parsed in any answer",
+          "[headers]") {
+  auto read = platformLabels().ReadAnswer;
+  for (std::uint16_t status : {200, 202, 421, 429, 500, 503})
+    CHECK(read(status, {{"server-leaving", "1"}}).Leaving);
+  CHECK_FALSE(read(200, {{"Server-Leaving", "0"}}).Leaving);
+  CHECK_FALSE(read(200, {}).Leaving);
+}
+
 } // namespace hemlockglade::test
