--- a/UnitTests/Node/Gateway/GatewayRig.h
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -203,6 +203,12 @@
           labels.RejectionLimit = std::stod(std::string(value));
         else if (sameFieldName(name, "Not-Run"))
           labels.NotRun = true;
+        else if (sameFieldName(name, "Pause-Ms"))
+          labels.PauseFor = milliseconds(std::stoi(std::string(value)));
+        else if (sameFieldName(name, "Leaving"))
+          labels.Leaving = true;
+        else if (sameFieldName(name, "Answered-By"))
+          labels.Incarnation = value;
       return labels;
     };
     out.Labels.OwnAnswer = [](std::string_view) { return OwnedFields{}; };
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -7,6 +7,7 @@
 #include "UnitTests/Platform/Soak/SoakCutOffs.h"
 #include "UnitTests/Platform/Soak/SoakDraining.h"
 #include "UnitTests/Platform/Soak/SoakLimits.h"
+#include "UnitTests/Platform/Soak/SoakPauses.h"
 #include "UnitTests/Platform/Soak/SoakRetries.h"
 #include "UnitTests/Platform/Soak/SoakStreams.h"
 #include "UnitTests/Platform/Soak/SoakVersions.h"
@@ -31,8 +32,8 @@
     "time after the faults until the deployment must serve again, in seconds");
 DEFINE_string(
     plant, "",
-    "a violation that the verdict has to find: workspace, swap, twice "
-    "or refused");
+    "a violation that the verdict has to find: workspace, swap, twice, refused "
+    "or pause");
 DEFINE_double(fault_every, 0.7, "mean time between faults, in seconds");
 DEFINE_double(crashing_every, 0,
               "time between requests that crash the replicas that run them, in "
@@ -69,6 +70,10 @@
 DEFINE_double(brittle_every, 0,
               "time between times in which replicas fail from rejections, in "
               "seconds; 0 for none");
+DEFINE_double(
+    pauses_every, 0,
+    "time between times in which replicas reject requests and ask for "
+    "pauses, in seconds; 0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -219,6 +224,19 @@
   return findings.Exceeded.empty();
 }
 
+bool checkAskedPauses(const std::vector<HistoryEvent> &events) {
+  auto findings = checkPauses(events);
+  printResult(findings.Broken.empty(),
+              "replicas that ask for pauses get them: " +
+                  std::to_string(findings.Broken.size()) + " of " +
+                  std::to_string(findings.Asked) + " broken, " +
+                  std::to_string(findings.Arrived) +
+                  " requests arrived in pauses");
+  for (const auto &it : findings.Broken)
+    std::cout << "  " << it << '\n';
+  return findings.Broken.empty();
+}
+
 bool checkRetryBudgets(const std::vector<HistoryEvent> &events,
                        int fixedRetries) {
   GatewaySettings defaults;
@@ -262,6 +280,7 @@
   isHeld = checkDrainingReplicas(events) && isHeld;
   isHeld = checkCutOffGateways(events) && isHeld;
   isHeld = checkBrittleReplicas(events) && isHeld;
+  isHeld = checkAskedPauses(events) && isHeld;
   isHeld = checkRetryBudgets(events, settings.RepeatExtra) && isHeld;
   isHeld = checkStreamEvents(events) && isHeld;
   HistoryChecker checker(std::move(events), bounds);
@@ -295,6 +314,8 @@
     return PlantedViolation::RunsTwice;
   if (name == "refused")
     return PlantedViolation::RunsRefused;
+  if (name == "pause")
+    return PlantedViolation::SilentPauses;
   if (name == "workspace")
     return PlantedViolation::WrongWorkspace;
   return std::nullopt;
@@ -331,6 +352,7 @@
     settings.RepeatExtra = 20;
   settings.ReleaseInterval = spanOf(FLAGS_releases_every);
   settings.BrittleInterval = spanOf(FLAGS_brittle_every);
+  settings.PauseInterval = spanOf(FLAGS_pauses_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.CrashingPartInterval = spanOf(FLAGS_crashing_parts_every);
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Platform/Soak/SoakReplica.h"
+#include "UnitTests/Platform/Soak/SoakReplicaRun.h"
 
 #include "Hemlockglade/Protocol/JsonText.h"
 #include "platform/Names.h"
@@ -17,12 +17,6 @@
 /// starts again.
 constexpr auto CrashDelay = milliseconds(20);
 constexpr auto RestartDelay = milliseconds(1500);
-/// How long a replica that has failed from rejections is away.
-constexpr auto FallenTime = milliseconds(1500);
-/// From this long after it states a limit on rejections a replica lets none
-/// wait.
-constexpr auto ShrinkDelay = milliseconds(3000);
-constexpr std::size_t WaitingPerSlot = 4;
 constexpr std::size_t MaxConnections = 400;
 
 std::string field(const CallerRequest &request, std::string_view name) {
@@ -50,23 +44,6 @@
   return std::to_string(std::hash<std::string>{}(text));
 }
 
-struct SoakReplica::Run {
-  CallerRequest Request;
-  std::shared_ptr<CallerReply> Reply;
-  Instant ArrivedAt = TimerService::now();
-  std::string Tag;
-  std::string Adapter;
-  std::uint64_t Version = 0;
-  /// Number of the run; 0 until the request begins to run.
-  std::uint64_t Number = 0;
-  bool Stream = false;
-  /// Number of the event in which the stream is cut off; 0 if it isn't.
-  int TruncatedAt = 0;
-  int NextEvent = 1;
-  bool HeadSent = false;
-  bool Ended = false;
-};
-
 SoakReplica::SoakReplica(asio::io_context &context, Settings settings,
                          SoakStore &store, SoakHistory &history,
                          std::uint64_t seed)
@@ -83,6 +60,7 @@
   Draining = false;
   CurrentMode = Mode::Healthy;
   RequestLimit.reset();
+  Pause.reset();
   Revision = 0;
   Loaded.clear();
   Loading.clear();
@@ -231,36 +209,13 @@
   auto &arrived = record("arrived");
   arrived.Tag = tag;
   arrived.Service = Options.Service;
+  if (Pause)
+    return refuseWithPause(*reply, tag);
   if (CurrentMode == Mode::Sheds)
     return refuse(*reply, 503, tag);
   accept(request, reply);
 }
 
-void SoakReplica::refuse(CallerReply &reply, std::uint16_t status,
-                         const std::string &tag) {
-  auto &event = record("refused");
-  event.Tag = tag;
-  event.Status = status;
-  HttpAnswerHead head{
-      status,
-      {{std::string(platform_name::RequestId), tag},
-       {std::string(platform_name::OwnIncarnation), Incarnation},
-       {std::string(platform_name::NotRun), "1"}}};
-  addLimit(head, tag);
-  reply.respond(std::move(head), "");
-}
-
-void SoakReplica::addLimit(HttpAnswerHead &head, const std::string &tag) {
-  if (MaxRejections)
-    head.Fields.push_back({std::string(platform_name::RejectionLimit),
-                           std::to_string(*MaxRejections)});
-  if (!RequestLimit)
-    return;
-  head.Fields.push_back({std::string(platform_name::RequestLimit),
-                         std::to_string(*RequestLimit)});
-  record("told").Tag = tag;
-}
-
 std::string SoakReplica::report() const {
   Json node = Json::parse(registryEntry());
   Json pending = Json::array();
@@ -354,21 +309,6 @@
   Loaded.erase(it);
 }
 
-HttpAnswerHead SoakReplica::head(std::uint16_t status, const Run &run) {
-  HttpAnswerHead out{status,
-                     {{std::string(platform_name::RequestId), run.Tag},
-                      {std::string(platform_name::OwnIncarnation), Incarnation},
-                      {std::string(platform_name::Seal),
-                       Incarnation + "." + std::to_string(run.Number)}}};
-  if (!run.Adapter.empty())
-    out.Fields.push_back(
-        {"Served-By", run.Adapter + "@" + std::to_string(run.Version)});
-  if (run.Stream)
-    out.Fields.push_back({"Content-Type", "text/event-stream"});
-  addLimit(out, run.Tag);
-  return out;
-}
-
 void SoakReplica::accept(const CallerRequest &request,
                          const std::shared_ptr<CallerReply> &reply) {
   auto it = std::make_shared<Run>();
@@ -424,36 +364,6 @@
                });
 }
 
-std::size_t SoakReplica::maxWaiting() const {
-  bool isShrunk =
-      MaxRejections && TimerService::now() - MaxRejectionsSince >= ShrinkDelay;
-  return isShrunk ? 0 : WaitingPerSlot * Options.Slots;
-}
-
-void SoakReplica::rejectForRoom(CallerReply &reply, const std::string &tag) {
-  constexpr auto Second = std::chrono::seconds(1);
-  auto now = TimerService::now();
-  refuse(reply, 503, tag);
-  record("no_room").Tag = tag;
-  Rejections.push_back(now);
-  while (now - Rejections.front() >= Second)
-    Rejections.pop_front();
-  if (!MaxRejections ||
-      static_cast<double>(Rejections.size()) <= *MaxRejections)
-    return;
-  record("fell").Service = Options.Service;
-  // Posted, since this is called from within the server that ends.
-  asio::post(Context, [this, expected = Incarnation, alive = Alive] {
-    if (!*alive || !isRunning() || Incarnation != expected)
-      return;
-    crash();
-    Timers.after(FallenTime, [this, alive](Instant) {
-      if (*alive && !isRunning())
-        start();
-    });
-  });
-}
-
 void SoakReplica::beginWaiting() {
   auto begun = [this] {
     return static_cast<std::size_t>(
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -66,6 +66,8 @@
     RunsRefused,
     /// Records requests as another workspace's.
     WrongWorkspace,
+    /// Records that it asks for pauses, and doesn't.
+    SilentPauses,
   };
   struct Settings {
     std::string Service;
@@ -96,6 +98,8 @@
   /// for want of room, or no longer states it. From `ShrinkDelay` on it lets
   /// none wait.
   void setMaxRejections(std::optional<double> perSecond);
+  /// Rejects all requests and asks who sent them for a pause, or no longer.
+  void setPause(std::optional<Span> pause) { Pause = pause; }
   SoakProxy &link() { return Link; }
   const Settings &settings() const { return Options; }
   const std::string &incarnation() const { return Incarnation; }
@@ -153,7 +157,10 @@
   void step(const std::shared_ptr<Run> &run);
   void end(Run &run, const char *how, bool isComplete);
   void recordRun(const Run &run);
-  void refuse(CallerReply &reply, std::uint16_t status, const std::string &tag);
+  void refuse(CallerReply &reply, std::uint16_t status, const std::string &tag,
+              HeaderFields fields = {});
+  /// Rejects a request and asks for a pause.
+  void refuseWithPause(CallerReply &reply, const std::string &tag);
   HttpAnswerHead head(std::uint16_t status, const Run &run);
   /// Adds the limits that the replica states, if any.
   void addLimit(HttpAnswerHead &head, const std::string &tag);
@@ -175,6 +182,7 @@
   std::unique_ptr<CallerServer> Server;
   SoakProxy Link;
   Mode CurrentMode = Mode::Healthy;
+  std::optional<Span> Pause;
   std::optional<double> RequestLimit;
   std::optional<double> MaxRejections;
   Instant MaxRejectionsSince{};
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -42,8 +42,8 @@
       VersionRandom(Options.Seed), LimitRandom(Options.Seed),
       StaleListRandom(Options.Seed), CutOffRandom(Options.Seed),
       LivesRandom(Options.Seed), ReleaseRandom(Options.Seed),
-      BrittleRandom(Options.Seed), Timers(Context), Store(Context, Random()),
-      Callers(Context, Nodes, History, Random()) {
+      BrittleRandom(Options.Seed), PauseRandom(Options.Seed), Timers(Context),
+      Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
       return;
@@ -193,6 +193,7 @@
               &SoakWorld::injectRelease);
   repeatWhile(InjectsFaults, Options.BrittleInterval,
               &SoakWorld::injectBrittle);
+  repeatWhile(InjectsFaults, Options.PauseInterval, &SoakWorld::injectPauses);
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
@@ -551,6 +552,7 @@
   setStoreMode(SoakStore::Mode::Healthy);
   for (auto &it : Replicas) {
     it->setMode(SoakReplica::Mode::Healthy);
+    it->setPause(std::nullopt);
     if (!it->isRunning())
       it->start();
   }
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -51,6 +51,9 @@
     /// to reject too many requests; none if 0. If set, replicas have a limited
     /// room, and callers come in bursts.
     Span BrittleInterval{0};
+    /// Time between times in which some or all replicas of a service reject
+    /// requests and ask for pauses; none if 0.
+    Span PauseInterval{0};
     /// Retries of a service in each window that don't depend on its requests.
     int RepeatExtra = 200;
     /// How long requests may still begin on a version of weights that has been
@@ -140,6 +143,9 @@
   /// Has the replicas of a service state that they fail if they have to reject
   /// too many requests, while callers come in bursts.
   void injectBrittle();
+  /// Has some or all replicas of a service reject requests for a while and ask
+  /// for pauses.
+  void injectPauses();
   void setBrittle(std::string_view service, std::optional<double> perSecond);
   void restoreAll();
   void causeOutage();
@@ -167,6 +173,7 @@
   std::mt19937_64 LivesRandom;
   std::mt19937_64 ReleaseRandom;
   std::mt19937_64 BrittleRandom;
+  std::mt19937_64 PauseRandom;
   std::size_t ReleaseCount = 0;
   asio::io_context Context;
   TimerService Timers;
--- a/UnitTests/Platform/Soak/SoakWorldBrittle.cpp
+++ b/UnitTests/Platform/Soak/SoakWorldBrittle.cpp
@@ -1,4 +1,5 @@
-// The part of SoakWorld with replicas that fail from rejections.
+// The part of SoakWorld with replicas that fail from rejections, or ask for
+// pauses.
 
 #include "UnitTests/Platform/Soak/SoakWorld.h"
 
@@ -61,4 +62,24 @@
                [this, service](Instant) { setBrittle(service, std::nullopt); });
 }
 
+void SoakWorld::injectPauses() {
+  static const std::array<Span, 3> Pauses{milliseconds(700), milliseconds(1500),
+                                          milliseconds(3000)};
+  auto service = PauseRandom() % 2 ? site::PlainService : site::EngineService;
+  bool takesAll = PauseRandom() % 4 == 0;
+  auto pause = Pauses[PauseRandom() % Pauses.size()];
+  log((takesAll ? "all" : "some") + std::string(" replicas of ") +
+      std::string(service) + " ask for pauses of " +
+      std::to_string(pause / milliseconds(1)) + " ms");
+  for (auto &it : Replicas) {
+    bool isTaken = takesAll || PauseRandom() % 2 == 0;
+    auto lasts = milliseconds(1500 + PauseRandom() % 3000);
+    if (it->settings().Service != service || !isTaken)
+      continue;
+    it->setPause(pause);
+    Timers.after(lasts,
+                 [&replica = *it](Instant) { replica.setPause(std::nullopt); });
+  }
+}
+
 } // namespace hemlockglade::soak
