Replicas that ask a node for a pause get nothing from it until its end

Callers saw refused streams: engines that answered 503 with Retry-After got the next requests of the same node at once, were kept busy rejecting, and used up retries.

Cause: what a replica says of itself in an answer was read for the request that asked, or not at all. Ruled out by the record's lines: relays, cut-off nodes, late readings (the 503 came 1 to 14 ms after the sending, the next sending a median of 0.17 to 0.44 s later).

ReplicaPauses keeps pauses by incarnation, whatever happens to the list of replicas. They count from the head of any 503, of relayed, late and control answers too; choice, held requests, retries, resumed streams, opened connections, relays, path probes, orders and reports ask them. A rest isn't a failure of the replica. Who waits is held if a pause ends in time, goes elsewhere or is refused at once with the time of its end; owners hear of pauses and load adapters elsewhere. Nodes return spread, with one request first.

--- a/Hemlockglade/Coordination/Orders/CellPlacement.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.cpp
@@ -183,6 +183,11 @@
   CopiesValid = false;
 }
 
+void CellPlacement::setPaused(const std::set<std::string> &replicas) {
+  for (auto &[id, state] : Replicas)
+    state.Paused = replicas.contains(id);
+}
+
 void CellPlacement::recordLate(const ResidentWeights &held, Instant now) {
   // Only a load that was due recently shows the weight store's speed; weights
   // that were due long ago have been dropped or lost.
@@ -262,9 +267,9 @@
 }
 
 bool CellPlacement::canOrder(const ReplicaState &state, Instant now) const {
-  return !state.Replaced && !state.OrderPending && !state.ReportPending &&
-         !state.ReportDue && state.ModelLoadUntil <= now &&
-         state.BackoffUntil <= now;
+  return !state.Replaced && !state.Paused && !state.OrderPending &&
+         !state.ReportPending && !state.ReportDue &&
+         state.ModelLoadUntil <= now && state.BackoffUntil <= now;
 }
 
 void CellPlacement::countCopies() {
--- a/Hemlockglade/Coordination/Orders/CellPlacement.h
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.h
@@ -160,6 +160,9 @@
   /// not count as copies, and nothing is loaded there, as long as other
   /// replicas of their service have none.
   void setLimited(const std::set<std::string> &replicas);
+  /// Sets the replicas that must be sent nothing at present, neither orders nor
+  /// requests for reports.
+  void setPaused(const std::set<std::string> &replicas);
   /// Called when a replica refused a request for weights that should be ready.
   void onRefusedEarly(const std::string &replica, const WeightsRef &weights,
                       Instant now);
@@ -207,8 +210,11 @@
     /// Adapters that were dropped recently, the latest first.
     std::list<WeightsRef> RecentlyDropped;
     std::uint32_t Running = 0;
-    /// States a limit on its requests, and others of its service don't.
+    /// States a limit on its requests or pauses, and others of its service
+    /// don't.
     bool Limited = false;
+    /// Must be sent nothing at present.
+    bool Paused = false;
     /// Adapter that the replica loads next: a slot is being freed for it, or
     /// its order has been sent.
     std::optional<WeightsRef> PendingAdapter;
--- a/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
@@ -36,7 +36,7 @@
   for (auto &[id, state] : Replicas) {
     bool isDue = (state.ReportDue && *state.ReportDue <= now) ||
                  (state.EvictionCheckDue && *state.EvictionCheckDue <= now);
-    if (state.ReportPending || state.OrderPending || !isDue)
+    if (state.ReportPending || state.OrderPending || state.Paused || !isDue)
       continue;
     state.ReportPending = true;
     actions.push_back(
--- a/Hemlockglade/Coordination/Route/ReplicaHealth.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaHealth.cpp
@@ -29,6 +29,8 @@
 void ReplicaHealth::onEnd(std::uint64_t attempt, AttemptVerdict verdict,
                           Instant now) {
   Unanswered.erase(attempt);
+  if (verdict == AttemptVerdict::Paused)
+    return;
   bool isFailed = verdict == AttemptVerdict::NoValidAnswer ||
                   verdict == AttemptVerdict::Shed;
   bool isError = verdict == AttemptVerdict::ReplicaError;
--- a/Hemlockglade/Coordination/Route/ReplicaHealth.h
+++ b/Hemlockglade/Coordination/Route/ReplicaHealth.h
@@ -13,6 +13,9 @@
   ReplicaError,
   /// The replica shed the request.
   Shed,
+  /// The replica rejected the request and asked for a pause, which is no
+  /// failure.
+  Paused,
   /// No connection, a broken one, no answer within the timeout, or invalid
   /// bytes.
   NoValidAnswer,
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -171,7 +171,8 @@
 bool ReplicaView::hasRoom(const ReplicaState &state, const RouteQuery &query,
                           Instant now) const {
   const auto *service = Plan ? Plan->service(state.Record->Service) : nullptr;
-  if (Rejections.isPaused(state.Record->Incarnation.text(), now))
+  const auto &id = state.Record->Incarnation.text();
+  if (Rejections.isPaused(id, now) || !Pauses.hasRoom(id, now))
     return false;
   if (!service || !service->Engine) {
     return !Options.UseWindows || !state.Window ||
@@ -191,6 +192,15 @@
                        static_cast<double>(service->Engine->MemoryTokens);
 }
 
+const ResidentWeights *ReplicaView::usableWeights(const ReplicaState &state,
+                                                  const WeightsRef &weights,
+                                                  Instant now) const {
+  auto held = state.Held.find(weights);
+  bool isUsable = held != state.Held.end() && !held->second.Evicting &&
+                  isVersionUsable(weights, held->second.Version, now);
+  return isUsable ? &held->second : nullptr;
+}
+
 double ReplicaView::typicalErrorShare(const std::string &service,
                                       Instant now) const {
   double lowest = 1;
@@ -247,8 +257,11 @@
   bool anyUsable = false;
   bool anyNear = false;
   bool allLimited = true;
+  bool allPaused = true;
   Instant earliestReady = Instant::max();
   Instant earliestGrant = Instant::max();
+  Instant earliestReturn = Instant::max();
+  Instant earliestHolder = Instant::max();
   // Engines serve too few requests to compare their error shares.
   double typicalErrors =
       query.Weights ? 1 : typicalErrorShare(query.Service, now);
@@ -271,23 +284,31 @@
       continue;
     anyUsable = true;
     anyNear = anyNear || state.Record->FailureDomain == Options.FailureDomain;
-    if (query.isExcluded(state.Record->Incarnation.text(), now))
+    const auto &id = state.Record->Incarnation.text();
+    if (query.Excluded.contains(id))
       continue;
-    auto limited = query.LimitedUntil.find(state.Record->Incarnation.text());
+    const auto *held =
+        query.Weights ? usableWeights(state, *query.Weights, now) : nullptr;
+    if (auto returnsAt = Pauses.returnsAt(id, now)) {
+      earliestReturn = std::min(earliestReturn, *returnsAt);
+      if (held)
+        earliestHolder = std::min(earliestHolder, *returnsAt);
+      continue;
+    }
+    allPaused = false;
+    if (query.isExcluded(id, now))
+      continue;
+    auto limited = query.LimitedUntil.find(id);
     if (limited != query.LimitedUntil.end() && now < limited->second) {
       earliestGrant = std::min(earliestGrant, limited->second);
       continue;
     }
     allLimited = false;
-    if (query.Weights) {
-      auto held = state.Held.find(*query.Weights);
-      if (held == state.Held.end() || held->second.Evicting ||
-          !isVersionUsable(*query.Weights, held->second.Version, now))
-        continue;
-      if (held->second.ReadyAt > now) {
-        earliestReady = std::min(earliestReady, held->second.ReadyAt);
-        continue;
-      }
+    if (query.Weights && !held)
+      continue;
+    if (held && held->ReadyAt > now) {
+      earliestReady = std::min(earliestReady, held->ReadyAt);
+      continue;
     }
     if (!hasRoom(state, query, now)) {
       anyFull = true;
@@ -306,9 +327,12 @@
     if (!anyUsable)
       out.Result = query.SoftwareVersion ? RouteChoice::Kind::NoSuchSoftware
                                          : RouteChoice::Kind::NoReplica;
-    else if (allLimited && earliestGrant != Instant::max()) {
+    else if (allPaused && earliestReturn != Instant::max()) {
+      out.Result = RouteChoice::Kind::Paused;
+      out.ReadyAt = earliestReturn;
+    } else if (allLimited && earliestGrant != Instant::max()) {
       out.Result = RouteChoice::Kind::Limited;
-      out.ReadyAt = earliestGrant;
+      out.ReadyAt = std::min(earliestGrant, earliestReturn);
     } else if (earliestReady != Instant::max())
       out.Result = RouteChoice::Kind::AwaitLoad;
     else if (anyFull)
@@ -316,6 +340,9 @@
     else
       out.Result = query.Weights ? RouteChoice::Kind::NotLoaded
                                  : RouteChoice::Kind::Full;
+    if (out.Result == RouteChoice::Kind::NotLoaded &&
+        earliestHolder != Instant::max())
+      out.HoldersReturnAt = earliestHolder;
     return out;
   }
   auto bound = maxPrefillBacklog(query, now);
@@ -353,6 +380,7 @@
                                   const RouteQuery &query, Instant now) {
   auto attempt = NextAttempt++;
   SentIntoPauses += Pauses.isPaused(replica, now) ? 1 : 0;
+  Pauses.onSent(replica, attempt, now);
   auto it = Replicas.find(replica);
   if (it == Replicas.end())
     return attempt;
@@ -387,7 +415,8 @@
 }
 
 void ReplicaView::onAnswered(const std::string &replica, std::uint64_t attempt,
-                             Instant now) {
+                             bool accepted, Instant now) {
+  Pauses.onAnswered(replica, attempt, accepted, now);
   if (auto it = Replicas.find(replica); it != Replicas.end())
     it->second.Health.onAnswered(attempt, now);
 }
@@ -395,11 +424,14 @@
 void ReplicaView::onEnd(const std::string &replica, std::uint64_t attempt,
                         const RouteQuery &query, AttemptVerdict verdict,
                         Instant now) {
+  Pauses.onEnd(replica, attempt);
   auto it = Replicas.find(replica);
   if (it == Replicas.end())
     return;
   auto &state = it->second;
-  if (state.Window && verdict == AttemptVerdict::Shed)
+  bool isRejected =
+      verdict == AttemptVerdict::Shed || verdict == AttemptVerdict::Paused;
+  if (state.Window && isRejected)
     state.Window->onShed(now);
   else if (state.Window && verdict != AttemptVerdict::NoValidAnswer)
     state.Window->onAnswered(now - query.SentAt, query.TargetLatency,
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -78,6 +78,9 @@
     /// All replicas get as many requests as they accept; the next may be
     /// granted at `ReadyAt`.
     Limited,
+    /// All replicas have asked this node for a pause; the first may be used
+    /// again at `ReadyAt`.
+    Paused,
     /// No replica of the service is known.
     NoReplica,
     /// No replica runs the software version that the stream needs.
@@ -105,6 +108,9 @@
   std::optional<double> RequestLimit;
   /// Set if the request needs a place at the replica.
   std::optional<PlaceNeed> Place;
+  /// Set for `NotLoaded` if replicas have the weights, but all of them have
+  /// asked this node for a pause: when the first may be used again.
+  std::optional<Instant> HoldersReturnAt;
   /// The engine has no prefill backlog, as far as is known.
   bool PrefillIdle = false;
   /// Age of the last report about the replica's load from other nodes; 0 if
@@ -194,6 +200,7 @@
     /// Send window of a plain replica; its initial size is twice this node's
     /// share of the replica's slots.
     SendWindow::Settings Window;
+    ReplicaPauses::Settings Pauses;
     /// Whether plain replicas have a send window.
     bool UseWindows = true;
     /// Maximum number of shared prompt parts that are recorded for a replica.
@@ -201,7 +208,8 @@
   };
 
   explicit ReplicaView(Settings settings)
-      : Options(std::move(settings)), Versions(Options.OldVersionBeginLimit) {}
+      : Options(std::move(settings)), Versions(Options.OldVersionBeginLimit),
+        Pauses(Options.Pauses) {}
 
   void setPlan(std::shared_ptr<const RoutePlan> plan) {
     Plan = std::move(plan);
@@ -257,12 +265,24 @@
   bool isPaused(const std::string &replica, Instant now) const {
     return Pauses.isPaused(replica, now);
   }
+  /// Returns for how long a replica still must get nothing from this node;
+  /// nothing if it may.
+  std::optional<Span> pausedFor(const std::string &replica, Instant now) const {
+    auto returnsAt = Pauses.returnsAt(replica, now);
+    return returnsAt ? std::optional(*returnsAt - now) : std::nullopt;
+  }
   /// Returns how long ago a replica that is paused asked for it.
   std::optional<Span> pauseAskedAgo(const std::string &replica,
                                     Instant now) const {
     return Pauses.askedAgo(replica, now);
   }
-  std::size_t pausedCount(Instant now) const { return Pauses.count(now); }
+  /// Returns the replicas that are paused, with when each may be used again.
+  std::map<std::string, Instant> paused(Instant now) const {
+    return Pauses.paused(now);
+  }
+  /// Returns those of a failure domain.
+  std::map<std::string, Instant> pausedIn(const std::string &domain,
+                                          Instant now) const;
   /// Number of this node's requests that were sent to paused replicas.
   std::uint64_t sentIntoPauses() const { return SentIntoPauses; }
   /// Returns the latest incarnation of the replica with that id, as far as one
@@ -295,8 +315,10 @@
   /// attempt.
   std::uint64_t onSent(const std::string &replica, const RouteQuery &query,
                        Instant now);
+  /// Called when a replica has answered; `accepted` unless it has rejected the
+  /// request.
   void onAnswered(const std::string &replica, std::uint64_t attempt,
-                  Instant now);
+                  bool accepted, Instant now);
   /// Called when the first event of an engine's answer is received, `took`
   /// after the request was sent; `wasIdle`: the engine had no prefill backlog
   /// at that time.
@@ -418,6 +440,11 @@
                                const RouteQuery &query) const;
   std::uint32_t cachedTokens(const ReplicaState &state,
                              const RouteQuery &query) const;
+  /// Returns the weights' state at a replica that has them in a version which
+  /// may be used; null if it doesn't.
+  const ResidentWeights *usableWeights(const ReplicaState &state,
+                                       const WeightsRef &weights,
+                                       Instant now) const;
   bool hasRoom(const ReplicaState &state, const RouteQuery &query,
                Instant now) const;
   std::optional<PlaceNeed> placeNeed(const ReplicaState &state,
--- a/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewLimits.cpp
@@ -53,6 +53,14 @@
                           now);
 }
 
+std::map<std::string, Instant> ReplicaView::pausedIn(const std::string &domain,
+                                                     Instant now) const {
+  auto out = Pauses.paused(now);
+  std::erase_if(
+      out, [&](const auto &it) { return failureDomainOf(it.first) != domain; });
+  return out;
+}
+
 std::uint32_t ReplicaView::ownRunningAt(const std::string &replica) const {
   auto it = Replicas.find(replica);
   return it == Replicas.end() ? 0 : it->second.OwnRunning;
--- a/Hemlockglade/Protocol/Exchange/RequestLabels.h
+++ b/Hemlockglade/Protocol/Exchange/RequestLabels.h
@@ -90,6 +90,12 @@
   bool Leaving = false;
 };
 
+/// Called with the status and labels of each answer of a replica, for what the
+/// answer says of the replica itself. `sentAt` is when the request was sent.
+using OnReplicaAnswer =
+    std::function<void(const ReplicaRecord &replica, std::uint16_t status,
+                       const AnswerLabels &labels, Instant sentAt)>;
+
 /// Header fields of a request or an answer, as names and values.
 using LabelFields = std::vector<std::pair<std::string_view, std::string_view>>;
 using OwnedFields = std::vector<std::pair<std::string, std::string>>;
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -131,6 +131,13 @@
   MSGPACK_DEFINE(Service, PerSecond, AgeUs)
 };
 
+/// A replica has asked a node to send it nothing for a time.
+struct PauseNotice {
+  std::string Replica;
+  std::int64_t RemainingUs = 0;
+  MSGPACK_DEFINE(Replica, RemainingUs)
+};
+
 /// Change in the number of a node's requests that use weights at a replica.
 struct UseNotice {
   std::string Replica;
@@ -228,9 +235,11 @@
   std::vector<ReachNotice> Reach;
   /// Limits on rejections of all services, as `Limits`.
   std::vector<RejectionNotice> Rejections;
+  /// Replicas of the cell that have asked the node for a pause, all of them.
+  std::vector<PauseNotice> Pauses;
   MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief,
                  KnownPositions, RequestsPerSecond, BytesPerSecond, Crashes,
-                 SentAtUs, Limits, Reach, Rejections)
+                 SentAtUs, Limits, Reach, Rejections, Pauses)
 };
 
 struct HeldNotice {
--- a/Hemlockglade/Transport/Http1/RelayFields.h
+++ b/Hemlockglade/Transport/Http1/RelayFields.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "Hemlockglade/State/Ids.h"
 #include "Hemlockglade/Transport/Http1/HttpMessage.h"
 
+#include <charconv>
+
 namespace hemlockglade::relay_field {
 
 /// Header fields of requests and answers between a node that can't reach a
@@ -17,6 +20,8 @@
 /// An answer without it was given before the request was read.
 inline constexpr std::string_view Outcome = "Relay-Outcome";
 
+/// With the outcome `Paused`: the rest of the pause in milliseconds.
+inline constexpr std::string_view PauseMs = "Relay-Pause-Ms";
 /// In a forwarded answer whose head stated no length at the replica, so that
 /// its body has ended with the connection there.
 inline constexpr std::string_view OpenEnd = "Relay-Open-End";
@@ -29,11 +34,23 @@
           !findField(fields, "Transfer-Encoding"));
 }
 
+/// Returns the pause that an answer states; 0 if it states none or malformed.
+inline Span pauseOf(const HeaderFields &fields) {
+  const auto *text = findField(fields, PauseMs);
+  std::uint32_t n = 0;
+  bool parsed =
+      text &&
+      std::from_chars(text->data(), text->data() + text->size(), n).ec ==
+          std::errc();
+  return parsed ? Span(std::chrono::milliseconds(n)) : Span(0);
+}
+
 /// Removes these fields from a head's fields.
 inline void eraseAll(HeaderFields &fields) {
   std::erase_if(fields, [](const auto &it) {
     return sameFieldName(it.Name, Replica) || sameFieldName(it.Name, MaxIdle) ||
-           sameFieldName(it.Name, Outcome) || sameFieldName(it.Name, OpenEnd);
+           sameFieldName(it.Name, Outcome) || sameFieldName(it.Name, OpenEnd) ||
+           sameFieldName(it.Name, PauseMs);
   });
 }
 
@@ -50,12 +67,15 @@
 inline constexpr std::string_view UnknownReplica = "unknown-replica";
 /// Nothing was sent: the relaying node is itself cut off from the service.
 inline constexpr std::string_view CutOff = "cut-off";
+/// Nothing was sent: the replica has asked the relaying node for a pause.
+inline constexpr std::string_view Paused = "paused";
 /// Nothing was sent: the relaying node stops or has too many requests.
 inline constexpr std::string_view Busy = "busy";
 
 /// Returns the constant with this text; `Busy` if there is none.
 inline std::string_view known(std::string_view text) {
-  for (auto it : {Forwarded, Broken, NotConnected, UnknownReplica, CutOff})
+  for (auto it :
+       {Forwarded, Broken, NotConnected, UnknownReplica, CutOff, Paused})
     if (it == text)
       return it;
   return Busy;
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -273,6 +273,9 @@
     out.Limits = takeUnsentLimits(LimitsSentToOwner);
   if (!Owning)
     out.Rejections = takeUnsentRejections(RejectionsSentToOwner);
+  auto now = TimerService::now();
+  for (const auto &[replica, until] : View.pausedIn(Options.Cell, now))
+    out.Pauses.push_back({replica, (until - now).count()});
   auto reachRevision = Callbacks.ReachRevision();
   if (Owning || std::exchange(ReachSentToOwner, reachRevision) != reachRevision)
     out.Reach.push_back(Callbacks.Reach());
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -236,6 +236,8 @@
 
   // The owner's side.
   void runAsOwner();
+  /// Tells the planner which replicas are limited or paused.
+  void updateLimited(bool replicasChanged, Instant now);
   void execute(const PlacementAction &action);
   void onNodeHeartbeat(std::uint64_t id, const NodeHeartbeat &heartbeat);
   void takeDemand(const NodeHeartbeat &heartbeat, Instant now);
@@ -298,6 +300,10 @@
   /// What the planner was last given.
   std::uint64_t PlannerViewRevision = 0;
   std::uint64_t PlannerLimitRevision = 0;
+  /// Replicas that have asked followers for a pause, as they report.
+  std::map<std::string, Instant> PausedUntil;
+  /// Replicas that the planner was last told to count as paused.
+  std::set<std::string> PlannerPaused;
   std::shared_ptr<const RoutePlan> PlannerRoutePlan;
 
   std::shared_ptr<PeerStream> Owner;
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -14,6 +14,9 @@
          a.Active != b.Active;
 }
 
+/// Limits what another node reports.
+constexpr Span MaxPause = std::chrono::hours(1);
+
 std::string_view orderName(OrderKind kind) {
   return kind == OrderKind::Load ? "load" : "unload";
 }
@@ -45,14 +48,32 @@
   }
   Planner.setLoadingElsewhere(View.loadingOutside(Options.Cell, false, now));
   Planner.setModelsElsewhere(View.loadingOutside(Options.Cell, true, now));
-  if (replicasChanged || PlannerLimitRevision != View.limitRevision()) {
-    PlannerLimitRevision = View.limitRevision();
-    Planner.setLimited(View.limitedIn(Options.Cell));
-  }
+  updateLimited(replicasChanged, now);
   for (const auto &it : Planner.plan(canOrder(), now))
     execute(it);
 }
 
+void CellMember::updateLimited(bool replicasChanged, Instant now) {
+  std::erase_if(PausedUntil,
+                [now](const auto &it) { return now >= it.second; });
+  std::set<std::string> ownPaused;
+  for (const auto &[replica, until] : View.pausedIn(Options.Cell, now))
+    ownPaused.insert(replica);
+  auto paused = ownPaused;
+  for (const auto &[replica, until] : PausedUntil)
+    paused.insert(replica);
+  bool pausesChanged = paused != PlannerPaused;
+  if (replicasChanged || !ownPaused.empty() || pausesChanged)
+    Planner.setPaused(ownPaused);
+  if (!replicasChanged && !pausesChanged &&
+      PlannerLimitRevision == View.limitRevision())
+    return;
+  PlannerLimitRevision = View.limitRevision();
+  PlannerPaused = paused;
+  paused.merge(View.limitedIn(Options.Cell));
+  Planner.setLimited(paused);
+}
+
 void CellMember::removeUnknownReplicas() {
   auto all = Planner.replicas();
   std::set<std::string> known(all.begin(), all.end());
@@ -171,6 +192,10 @@
   mergeCrashes(heartbeat.Crashes, follower.SentCrashes);
   mergeLimits(heartbeat.Limits);
   mergeRejections(heartbeat.Rejections);
+  for (const auto &it : heartbeat.Pauses) {
+    auto &until = PausedUntil[it.Replica];
+    until = std::max(until, now + std::min(Span(it.RemainingUs), MaxPause));
+  }
   follower.Load = {heartbeat.RequestsPerSecond, heartbeat.BytesPerSecond};
   if (heartbeat.KnownPositions.Operator && heartbeat.KnownPositions.Replica) {
     auto &positions = follower.Positions;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -102,6 +102,7 @@
         constexpr double LapseShare = 0.85;
         out.ExpiryGrace = Span(static_cast<std::int64_t>(
             LapseShare * static_cast<double>(Settings.DrainBound.count())));
+        out.Pauses.Seed = digestOf(Incarnation);
         return out;
       }()),
       Budget(retryBudgetOf(Settings)),
@@ -187,6 +188,8 @@
 }
 
 void Gateway::start() {
+  if (Port.ObserveEngines)
+    Port.ObserveEngines(SharedContext.OnAnswer);
   startRelay();
   join();
   listen();
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -246,6 +246,8 @@
                            std::max(LimitRetryAt, choice.ReadyAt) - now);
   if (limited)
     return answerWithError(BadGateway, "no replica to try again");
+  if (choice.Result == RouteChoice::Kind::Paused && choice.ReadyAt >= HoldUntil)
+    return refusePaused(choice.ReadyAt);
   if (endIfHeldTooLong())
     return;
   Waiting = true;
@@ -256,7 +258,10 @@
                                             : choice.ReadyAt;
   switch (choice.Result) {
   case RouteChoice::Kind::NotLoaded:
-    WaitReason = "weights missing";
+    WaitReason = choice.HoldersReturnAt ? "replicas with the weights pause"
+                                        : "weights missing";
+    if (choice.HoldersReturnAt)
+      WakeAt = std::min(WakeAt, *choice.HoldersReturnAt);
     if (now - DemandReportedAt >= Settings.DemandReminderInterval) {
       DemandReportedAt = now;
       Shared.OnDemand(Query.Service, *Query.Weights, true);
@@ -285,6 +290,9 @@
   case RouteChoice::Kind::Limited:
     WaitReason = "replicas at their limits";
     break;
+  case RouteChoice::Kind::Paused:
+    WaitReason = "replicas pause";
+    break;
   default:
     WaitReason = "no replica known";
   }
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -176,12 +176,6 @@
       Find;
 };
 
-/// Called with the head of each answer of a replica, for what the answer says
-/// of the replica itself. `sentAt` is when the request was sent.
-using OnReplicaAnswer =
-    std::function<void(const ReplicaRecord &replica, std::uint16_t status,
-                       const AnswerLabels &labels, Instant sentAt)>;
-
 /// The parts of the node that all exchanges share.
 struct ExchangeContext {
   asio::io_context &Context;
@@ -339,6 +333,8 @@
     std::string Relay;
     /// What the relay's answer says, as in `relay_outcome`.
     std::string_view RelayOutcome;
+    /// With the outcome that the replica is paused there: for how long.
+    Span RelayPause{0};
     /// Parts of the answer received so far.
     std::uint32_t Parts = 0;
 
@@ -366,6 +362,8 @@
   /// its first event.
   void reportOrigin();
   void refuseOtherSoftware();
+  /// Refuses a request that no replica may be sent before `returnsAt`.
+  void refusePaused(Instant returnsAt);
   /// Reserves quota from the workspace's limit, then sends or holds the
   /// request.
   void reserveQuota();
@@ -433,6 +431,8 @@
   void withdrawAttempt(AttemptVerdict verdict);
   void onFailed(HttpFailure how);
   void onNotConnected();
+  /// Called when the replica has asked the relay's node for a pause.
+  void onPausedAtRelay();
   /// Called when a relay has answered in place of the replica.
   void onRelayAnswer();
   /// Ends an attempt that the relay has not forwarded, and tries another path.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -42,6 +42,8 @@
     // Without the field the relay has refused the request unread.
     Current->RelayOutcome =
         outcome ? relay_outcome::known(*outcome) : relay_outcome::Busy;
+    if (Current->RelayOutcome == relay_outcome::Paused)
+      Current->RelayPause = relay_field::pauseOf(head.Fields);
     if (Current->RelayOutcome != relay_outcome::Forwarded)
       return true;
   }
@@ -64,7 +66,7 @@
   Current->Labels = labels;
   reportHeard();
   Shared.View.onAnswered(Current->Replica->Incarnation.text(), Current->Number,
-                         now);
+                         !labels.NotRun, now);
   if (!labels.NotRun)
     MayHaveRun = true;
   return true;
@@ -240,14 +242,20 @@
   auto replica = Current->Replica->Incarnation.text();
   if (!Current->isRelayed() && Shared.Paths.OnConnected)
     Shared.Paths.OnConnected(*Current->Replica);
+  auto now = TimerService::now();
   bool isOld = isListOld();
-  if (!isOld && !Shared.View.isDraining(replica))
+  bool isPaused = Shared.View.isPaused(replica, now);
+  if (!isOld && !isPaused && !Shared.View.isDraining(replica))
     return;
+  constexpr std::string_view Draining = "it drains";
+  constexpr std::string_view Paused = "it asked for a pause";
   Shared.Log.write(LogClass::Request, "withdrawn",
                    {{"request", Labels.Id},
                     {"replica", replica},
-                    {"why", isOld ? "replicas' list is old" : "it drains"},
-                    {"chosen_ms_ago", TimerService::now() - Current->SentAt}});
+                    {"why", isOld      ? "replicas' list is old"
+                            : isPaused ? Paused
+                                       : Draining},
+                    {"chosen_ms_ago", now - Current->SentAt}});
   withdrawAttempt(AttemptVerdict::Success);
   sendOrHold();
 }
@@ -287,6 +295,8 @@
   const auto &replica = *record;
   auto status = Current->Head->Status;
   auto place = Current->Grant ? Current->Grant->Place : std::nullopt;
+  bool asksPause = status == Unavailable &&
+                   Current->Labels.PauseFor.value_or(Span(0)) > Span(0);
   bool otherOrMissing = status == OtherIncarnation;
   bool restarted = otherOrMissing && !Current->Labels.Incarnation.empty() &&
                    Current->Labels.Incarnation != replica.Incarnation.id();
@@ -302,6 +312,8 @@
     endAttempt(AttemptVerdict::NoValidAnswer);
     Shared.View.onRestarted(replica.Incarnation.text());
     Shared.Crashes.OnRestarted(replica.Incarnation);
+  } else if (asksPause) {
+    endAttempt(AttemptVerdict::Paused);
   } else if (usesEngine()) {
     endAttempt(AttemptVerdict::Success);
     Shared.View.onWeightsRefused(replica.Incarnation.text(), *Query.Weights,
@@ -331,6 +343,9 @@
     return onAttemptFailed("no budget to go on");
   if (MayHaveRun)
     return answerWithError(BadGateway, "no budget to try again");
+  auto next = Shared.View.choose(Query, TimerService::now());
+  if (next.Result == RouteChoice::Kind::Paused)
+    return refusePaused(next.ReadyAt);
   answerWithError(Unavailable, "no budget to try again", retryAfter());
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchangePaths.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangePaths.cpp
@@ -59,6 +59,18 @@
   answerWithError(Unavailable, Why, RetryAfterOtherNode);
 }
 
+void GatewayExchange::refusePaused(Instant returnsAt) {
+  constexpr std::string_view Why = "all replicas pause";
+  if (MayHaveRun || AnswerBegun)
+    return answerWithError(BadGateway, Why);
+  // Callers that are refused together don't come back together.
+  constexpr auto MaxSpreadMs = 500;
+  auto spread = std::chrono::milliseconds(std::hash<std::string>{}(Labels.Id) %
+                                          MaxSpreadMs);
+  answerWithError(Unavailable, Why,
+                  returnsAt - TimerService::now() + Span(spread));
+}
+
 void GatewayExchange::readmitUnconnected() {
   if (Unconnected.empty() || !Shared.Paths.IsCutOff ||
       !Shared.Paths.IsCutOff(Query.Service))
@@ -117,6 +129,17 @@
   sendOrHold();
 }
 
+void GatewayExchange::onPausedAtRelay() {
+  // Another relay would be a way around the pause of an overloaded replica.
+  AnswerLabels stated;
+  stated.PauseFor = Current->RelayPause;
+  if (Shared.OnAnswer)
+    Shared.OnAnswer(*Current->Replica, Unavailable, stated, Current->SentAt);
+  ExcludedRelays.insert(Current->Relay);
+  withdrawAttempt(AttemptVerdict::Success);
+  sendOrHold();
+}
+
 void GatewayExchange::onRelayAnswer() {
   auto outcome = Current->RelayOutcome;
   Shared.Log.write(LogClass::Request, "not-relayed",
@@ -133,6 +156,8 @@
     ++ConnectFailures;
     return onReplicaUnconnected();
   }
+  if (outcome == relay_outcome::Paused)
+    return onPausedAtRelay();
   onNotRelayed(outcome == relay_outcome::CutOff ? RelayFault::CutOff
                                                 : RelayFault::Refused);
 }
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -190,7 +190,7 @@
   Metrics.gauge(RejectionLimitFamily)
       .set(static_cast<double>(View.rejectionLimits().size()));
   Metrics.gauge(PausedFamily)
-      .set(static_cast<double>(View.pausedCount(TimerService::now())));
+      .set(static_cast<double>(View.paused(TimerService::now()).size()));
   Metrics.gauge(SentIntoPausesFamily)
       .set(static_cast<double>(View.sentIntoPauses()));
   Quotas.logPlaces();
--- a/Programs/hemlockgladed/Gateway/GatewayReach.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReach.cpp
@@ -30,6 +30,10 @@
   hooks.IsCutOff = [this](const std::string &service) {
     return Reach.isCutOff(service);
   };
+  hooks.PausedFor = [this](const ReplicaRecord &replica) {
+    return View.pausedFor(replica.Incarnation.text(), TimerService::now());
+  };
+  hooks.OnAnswer = SharedContext.OnAnswer;
   hooks.Stopping = [this] { return Stopping; };
   hooks.Bounds = [bounds = callerHooks().Bounds] {
     auto out = bounds();
@@ -111,8 +115,10 @@
 }
 
 void Gateway::checkReach() {
-  for (const auto &it : Reach.takeProbes(TimerService::now()))
-    probePath(it);
+  auto now = TimerService::now();
+  for (const auto &it : Reach.takeProbes(now))
+    if (!View.isPaused(it->Incarnation.text(), now))
+      probePath(it);
   for (const auto &it : Reach.takeChanges())
     onReachChange(it);
   updateReachNotice();
@@ -145,6 +151,11 @@
   });
   if (others.empty())
     return done(true);
+  std::erase_if(others, [this](const auto &it) {
+    return View.isPaused(it->Incarnation.text(), TimerService::now());
+  });
+  if (others.empty())
+    return done(false);
   std::shuffle(others.begin(), others.end(), Random);
   others.resize(std::min(others.size(), count));
   struct Pending {
--- a/Programs/hemlockgladed/Gateway/GatewayReplicaAnswers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReplicaAnswers.cpp
@@ -42,7 +42,9 @@
              {"for_ms", span},
              {"from", from},
              {"running", View.ownRunningAt(replica)},
-             {"paused", static_cast<std::uint64_t>(View.pausedCount(now))}});
+             {"paused", static_cast<std::uint64_t>(View.paused(now).size())}});
+  if (auto it = Cells.find(View.failureDomainOf(replica)); it != Cells.end())
+    it->second->onLimitUpdate();
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/PlatformPort.h
+++ b/Programs/hemlockgladed/Gateway/PlatformPort.h
@@ -33,6 +33,9 @@
   EngineHooks Engines;
   LabelHooks Labels;
   DirectoryHooks Directory;
+  /// Sets what is called with each answer of an engine to an order or a report.
+  /// May be unset.
+  std::function<void(OnReplicaAnswer hook)> ObserveEngines;
   /// Closes connections that were idle for too long.
   std::function<void()> Tidy;
   /// Returns the number of calls made to the registry and the table so far.
--- a/Programs/hemlockgladed/Gateway/RelayService.cpp
+++ b/Programs/hemlockgladed/Gateway/RelayService.cpp
@@ -58,6 +58,7 @@
   std::string Id;
   std::shared_ptr<HttpConnection> Connection;
   std::optional<HttpAnswerHead> Head;
+  Instant SentAt = TimerService::now();
   bool Begun = false;
 };
 
@@ -105,10 +106,15 @@
 
 void RelayService::Forwarding::onConnected() {
   Service.Callbacks.OnConnected(*Replica);
-  // The replica may have begun to drain while the connection was established.
-  if (Service.Callbacks.Find(Replica->Incarnation.text()))
+  // The replica may have begun to drain, or asked for a pause, while the
+  // connection was established.
+  bool isUsable =
+      Service.Callbacks.Find(Replica->Incarnation.text()) != nullptr;
+  if (isUsable && !Service.Callbacks.PausedFor(*Replica))
     return;
   Connection->abort();
+  if (isUsable && Service.refuseIfPaused(*Replica, *Reply))
+    return finish(relay_outcome::Paused);
   refuse(*Reply, relay_outcome::UnknownReplica);
   finish(relay_outcome::UnknownReplica);
 }
@@ -116,6 +122,7 @@
 bool RelayService::Forwarding::onHead(const HttpAnswerHead &head) {
   Service.Callbacks.OnHeard(*Replica);
   auto labels = Service.Labels.ReadAnswer(head.Status, viewsOf(head.Fields));
+  Service.Callbacks.OnAnswer(*Replica, head.Status, labels, SentAt);
   // A late answer to an earlier request on the connection.
   if (!labels.Id.empty() && labels.Id != Id)
     return false;
@@ -222,6 +229,8 @@
     return refuse(*reply, relay_outcome::UnknownReplica);
   if (Callbacks.IsCutOff(replica->Service))
     return refuse(*reply, relay_outcome::CutOff);
+  if (refuseIfPaused(*replica, *reply))
+    return;
   if (Callbacks.Stopping() || Active.size() >= Options.MaxRequests)
     return refuse(*reply, relay_outcome::Busy);
   ++Total;
@@ -231,10 +240,22 @@
   it->start();
 }
 
-void RelayService::refuse(CallerReply &reply, std::string_view outcome) {
-  reply.respond({Unavailable,
-                 {{std::string(relay_field::Outcome), std::string(outcome)}}},
-                "");
+void RelayService::refuse(CallerReply &reply, std::string_view outcome,
+                          HeaderFields fields) {
+  fields.push_back({std::string(relay_field::Outcome), std::string(outcome)});
+  reply.respond({Unavailable, std::move(fields)}, "");
+}
+
+bool RelayService::refuseIfPaused(const ReplicaRecord &replica,
+                                  CallerReply &reply) const {
+  auto pause = Callbacks.PausedFor(replica);
+  if (!pause)
+    return false;
+  constexpr Span Millisecond = std::chrono::milliseconds(1);
+  refuse(reply, relay_outcome::Paused,
+         {{std::string(relay_field::PauseMs),
+           std::to_string(*pause / Millisecond + 1)}});
+  return true;
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/RelayService.h
+++ b/Programs/hemlockgladed/Gateway/RelayService.h
@@ -31,6 +31,11 @@
     /// get no new requests.
     std::function<ReplicaPtr(std::string_view incarnation)> Find;
     std::function<bool(const std::string &service)> IsCutOff;
+    /// Returns for how long the replica must get nothing from this node, as it
+    /// has asked; nothing if it may.
+    std::function<std::optional<Span>(const ReplicaRecord &replica)> PausedFor;
+    /// Called with the head of each answer of a replica.
+    OnReplicaAnswer OnAnswer;
     /// Whether the node stops, so that it takes no further requests.
     std::function<bool()> Stopping;
     std::function<CallerBounds()> Bounds;
@@ -57,7 +62,10 @@
   class Forwarding;
 
   void onRequest(CallerRequest request, std::shared_ptr<CallerReply> reply);
-  static void refuse(CallerReply &reply, std::string_view outcome);
+  static void refuse(CallerReply &reply, std::string_view outcome,
+                     HeaderFields fields = {});
+  /// Refuses a request to a replica that is paused; returns whether it is.
+  bool refuseIfPaused(const ReplicaRecord &replica, CallerReply &reply) const;
 
   Settings Options;
   Hooks Callbacks;
--- a/UnitTests/Coordination/Orders/CellPlacementTest.cpp
+++ b/UnitTests/Coordination/Orders/CellPlacementTest.cpp
@@ -168,6 +168,34 @@
   }
 }
 
+TEST_CASE("an engine that asked for a pause gets no orders, and its adapters "
+          "are loaded elsewhere",
+          "[desk]") {
+  PlacementWorld world(3);
+  world.runRounds(2);
+  world.Placement.onWaiting(Service, adapter(1), world.Now);
+  world.runRounds(10);
+  REQUIRE(world.copies(adapter(1)) == 1);
+  std::set<std::string> paused;
+  for (const auto &[id, it] : world.Engines)
+    if (it.Held.contains(adapter(1)))
+      paused.insert(id);
+  auto &engine = world.Engines[*paused.begin()];
+  auto ordersBefore = engine.Count;
+  world.Placement.setPaused(paused);
+  world.Placement.setLimited(paused);
+  for (int n = 1; n <= 3; ++n)
+    world.Placement.onWaiting(Service, adapter(n), world.Now);
+  world.runRounds(10);
+  CHECK(world.copies(adapter(1)) == 2);
+  CHECK(engine.Count == ordersBefore);
+  SECTION("no report is requested from it") {
+    world.Placement.onMissing(*paused.begin(), adapter(1), world.Now);
+    for (const auto &it : world.Placement.plan(true, world.Now))
+      CHECK_FALSE(paused.contains(it.Replica));
+  }
+}
+
 TEST_CASE("waiting requests get one copy even if a slot must be freed first",
           "[desk]") {
   PlacementWorld world(3, 1);
--- a/UnitTests/Coordination/Route/PlainWorld.h
+++ b/UnitTests/Coordination/Route/PlainWorld.h
@@ -207,7 +207,7 @@
                  --Running[at];
                  it->Took = Time.now() - it->At;
                  Views[it->Entry]->onAnswered("i-" + std::to_string(at),
-                                              attempt, Time.now());
+                                              attempt, true, Time.now());
                  end(it, at, attempt, AttemptVerdict::Success);
                  if (Waiting[at].empty())
                    return;
--- a/UnitTests/Node/Gateway/PausedReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/PausedReplicaTest.cpp
@@ -30,6 +30,7 @@
       return ScriptedReplica::Step{rejects ? rejection(Pause) : Success};
     };
     Other.Answer = [this](const auto &) {
+      OtherArrivedAt.push_back(TimerService::now());
       return ScriptedReplica::Step{OtherAnswer};
     };
   }
@@ -73,13 +74,11 @@
     until([end] { return TimerService::now() >= end; });
   }
 
-  /// Returns how many requests reached the first replica within its first
-  /// pause.
-  std::size_t arrivedInPause() const {
-    auto n =
-        std::count_if(ArrivedAt.begin(), ArrivedAt.end(), [this](Instant it) {
-          return it < ArrivedAt.front() + Pause;
-        });
+  /// Returns how many requests reached a replica within its first pause.
+  std::size_t arrivedInPause(const std::vector<Instant> &all) const {
+    auto n = std::count_if(all.begin(), all.end(), [&](Instant it) {
+      return it < all.front() + Pause;
+    });
     return static_cast<std::size_t>(n) - 1;
   }
 
@@ -88,6 +87,7 @@
   Span RejectsFor = milliseconds(600);
   std::optional<Instant> RejectsSince;
   std::vector<Instant> ArrivedAt;
+  std::vector<Instant> OtherArrivedAt;
   std::string OtherAnswer = Success;
   std::string LastAnswer;
   int Asked = 0;
@@ -109,8 +109,9 @@
   auto end = it.ArrivedAt.front() + it.Pause;
   while (TimerService::now() < end)
     it.askNode();
-  CHECK(it.arrivedInPause() == 0);
-  CHECK(it.Other.Requests.size() <= 1);
+  CHECK(it.arrivedInPause(it.ArrivedAt) == 0);
+  REQUIRE_FALSE(it.OtherArrivedAt.empty());
+  CHECK(it.arrivedInPause(it.OtherArrivedAt) == 0);
   // Later it is used again.
   while (TimerService::now() < end + milliseconds(1000))
     it.askNode();
@@ -124,7 +125,7 @@
   it.askUntilRejected();
   for (int n = 0; n < 20; ++n)
     CHECK(it.askNode() == "200");
-  CHECK(it.arrivedInPause() == 0);
+  CHECK(it.arrivedInPause(it.ArrivedAt) == 0);
 }
 
 TEST_CASE("a request is held until the pause of the only replica ends",
@@ -133,8 +134,9 @@
   it.Pause = milliseconds(400);
   it.RejectsFor = milliseconds(100);
   it.startNode(false);
+  it.askUntilRejected();
   CHECK(it.askNode() == "200");
-  CHECK(it.arrivedInPause() == 0);
+  CHECK(it.arrivedInPause(it.ArrivedAt) == 0);
   CHECK(it.ArrivedAt.size() == 2);
 }
 
@@ -173,7 +175,7 @@
   SECTION("reload") { it.Node->reload(it.Settings); }
   for (int n = 0; n < 10; ++n)
     CHECK(it.askNode() == "200");
-  CHECK(it.arrivedInPause() == 0);
+  CHECK(it.arrivedInPause(it.ArrivedAt) == 0);
 }
 
 } // namespace hemlockglade::test
--- a/UnitTests/Node/Gateway/RelayServiceTest.cpp
+++ b/UnitTests/Node/Gateway/RelayServiceTest.cpp
@@ -47,6 +47,10 @@
       return incarnation == "i-1" ? Known : nullptr;
     };
     hooks.IsCutOff = [this](const std::string &) { return CutOff; };
+    hooks.PausedFor = [this](const ReplicaRecord &) { return PausedFor; };
+    hooks.OnAnswer = [this](const auto &, auto status, const auto &, Instant) {
+      AnsweredStatuses.push_back(status);
+    };
     hooks.Stopping = [this] { return Stopping; };
     hooks.Bounds = [] { return CallerBounds{}; };
     hooks.OnConnected = hooks.OnHeard = [](const ReplicaRecord &) {};
@@ -82,6 +86,8 @@
   ReplicaPtr Known;
   bool CutOff = false;
   bool Stopping = false;
+  std::optional<Span> PausedFor;
+  std::vector<std::uint16_t> AnsweredStatuses;
   int ConnectFailures = 0;
   std::unique_ptr<RelayService> Relay;
 };
@@ -102,6 +108,7 @@
   CHECK_FALSE(findField(request.Head.Fields, "Relay-Replica"));
   CHECK(it.Peer.Got.find("Seal: s") != std::string::npos);
   CHECK(it.Peer.Got.find("hello") != std::string::npos);
+  CHECK(it.AnsweredStatuses == std::vector<std::uint16_t>{200});
   CHECK(it.Peer.Got.find("planted") == std::string::npos);
 }
 
@@ -125,6 +132,12 @@
     it.Stopping = true;
     CHECK(it.outcome() == "busy");
   }
+  SECTION("the replica has asked the relay's node for a pause") {
+    it.PausedFor = std::chrono::milliseconds(1500);
+    CHECK(it.outcome() == "paused");
+    CHECK(it.Peer.Got.find("Relay-Pause-Ms: 1501") != std::string::npos);
+    CHECK(it.Replica.Requests.empty());
+  }
   SECTION("the replica is not known or leaves") {
     it.Known = nullptr;
     CHECK(it.outcome() == "unknown-replica");
