--- a/UnitTests/Platform/Soak/SoakDisturbances.cpp
+++ b/UnitTests/Platform/Soak/SoakDisturbances.cpp
@@ -56,8 +56,13 @@
 
 bool DisturbanceLog::wasConnected(const std::string &tag, Instant from,
                                   Instant to) const {
+  return !ReplicaLinks.overlaps(from, to) && wasRunning(tag, from, to);
+}
+
+bool DisturbanceLog::wasRunning(const std::string &tag, Instant from,
+                                Instant to) const {
   auto gateway = Gateways.find(tag);
-  if (gateway == Gateways.end() || ReplicaLinks.overlaps(from, to))
+  if (gateway == Gateways.end())
     return false;
   auto node = Nodes.find(gateway->second);
   return node == Nodes.end() || !node->second.overlaps(from, to);
--- a/UnitTests/Platform/Soak/SoakDisturbances.h
+++ b/UnitTests/Platform/Soak/SoakDisturbances.h
@@ -41,6 +41,9 @@
   /// Whether the gateway that sent the request, and the links to replicas, were
   /// undisturbed from `from` to `to`.
   bool wasConnected(const std::string &tag, Instant from, Instant to) const;
+  /// Whether the gateway that the request was sent to ran without a break from
+  /// `from` to `to`.
+  bool wasRunning(const std::string &tag, Instant from, Instant to) const;
   /// Returns since when the store and all links have been undisturbed; nullopt
   /// if they are disturbed.
   std::optional<Instant> undisturbedSince(Instant at) const {
--- a/UnitTests/Platform/Soak/SoakDraining.h
+++ b/UnitTests/Platform/Soak/SoakDraining.h
@@ -22,4 +22,19 @@
 DrainingFindings checkDraining(const std::vector<HistoryEvent> &events,
                                Span bound);
 
+/// What a run shows of replicas that say in their answers that they leave.
+struct LeavingFindings {
+  /// Number of gateways that a replica has told so, over all replicas.
+  std::size_t Told = 0;
+  /// Requests that arrived too late, as texts for a reader.
+  std::vector<std::string> Late;
+};
+
+/// Finds requests that callers sent to a gateway later than the bound after a
+/// replica had told it so (event `told_leaving`, with the answered request),
+/// and that this gateway sent there. Disturbances of the store and of links
+/// excuse nothing; a restart or a pause of the gateway since then does.
+LeavingFindings checkLeaving(const std::vector<HistoryEvent> &events,
+                             Span bound);
+
 } // namespace hemlockglade::soak
--- a/UnitTests/Platform/Soak/SoakDrainingTest.cpp
+++ b/UnitTests/Platform/Soak/SoakDrainingTest.cpp
@@ -41,6 +41,38 @@
   CHECK(lateArrivals(12'001) == 1);
 }
 
+TEST_CASE("a request that a gateway sends to a replica which told it that it "
+          "leaves is late, whatever happens to the store") {
+  auto sent = [](int ms, std::string tag, std::string gateway) {
+    auto out = at(ms, "sent");
+    out.Tag = std::move(tag);
+    out.To = std::move(gateway);
+    return out;
+  };
+  auto byReplica = [](int ms, std::string event, std::string tag) {
+    auto out = at(ms, std::move(event));
+    out.Who = "i-1";
+    out.Tag = std::move(tag);
+    return out;
+  };
+  auto lateCount = [&](int sentMs, const std::string &gateway,
+                       std::vector<HistoryEvent> between = {}) {
+    std::vector<HistoryEvent> all{sent(9'900, "t1", "n1"),
+                                  byReplica(10'000, "told_leaving", "t1")};
+    all.insert(all.end(), between.begin(), between.end());
+    all.push_back(sent(sentMs, "t2", gateway));
+    all.push_back(byReplica(sentMs + 5, "arrived", "t2"));
+    return checkLeaving(all, Bound).Late.size();
+  };
+  CHECK(lateCount(12'000, "n1") == 0);
+  CHECK(lateCount(12'001, "n1") == 1);
+  CHECK(lateCount(13'000, "n2") == 0);
+  CHECK(lateCount(13'000, "n1", {at(10'500, "silent")}) == 1);
+  auto killed = at(10'500, "killed");
+  killed.To = "n1";
+  CHECK(lateCount(13'000, "n1", {killed}) == 0);
+}
+
 TEST_CASE("a request of a gateway that was paused is late as well") {
   auto paused = at(9'500, "paused");
   auto woken = at(12'400, "woken");
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -32,8 +32,8 @@
     "time after the faults until the deployment must serve again, in seconds");
 DEFINE_string(
     plant, "",
-    "a violation that the verdict has to find: workspace, swap, twice, refused "
-    "or pause");
+    "a violation that the verdict has to find: workspace, swap, twice, "
+    "refused, pause or leaving");
 DEFINE_double(fault_every, 0.7, "mean time between faults, in seconds");
 DEFINE_double(crashing_every, 0,
               "time between requests that crash the replicas that run them, in "
@@ -74,6 +74,10 @@
     pauses_every, 0,
     "time between times in which replicas reject requests and ask for "
     "pauses, in seconds; 0 for none");
+DEFINE_double(
+    leaves_every, 0,
+    "time between replicas that leave and say so in their answers, in "
+    "seconds; 0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -196,6 +200,17 @@
   return findings.Late.empty();
 }
 
+bool checkLeavingReplicas(const std::vector<HistoryEvent> &events) {
+  auto findings = checkLeaving(events, GatewaySettings{}.DrainBound);
+  printResult(findings.Late.empty(),
+              "replicas that say that they leave get no new requests: " +
+                  std::to_string(findings.Late.size()) + " late, " +
+                  std::to_string(findings.Told) + " gateways told");
+  for (const auto &it : findings.Late)
+    std::cout << "  " << it << '\n';
+  return findings.Late.empty();
+}
+
 bool checkCutOffGateways(const std::vector<HistoryEvent> &events) {
   constexpr auto ContactTime = std::chrono::seconds(3);
   auto findings = checkCutOffs(events, ContactTime);
@@ -278,6 +293,7 @@
   bool isHeld = checkVersionBound(events, settings.VersionBound);
   isHeld = checkStatedLimits(events) && isHeld;
   isHeld = checkDrainingReplicas(events) && isHeld;
+  isHeld = checkLeavingReplicas(events) && isHeld;
   isHeld = checkCutOffGateways(events) && isHeld;
   isHeld = checkBrittleReplicas(events) && isHeld;
   isHeld = checkAskedPauses(events) && isHeld;
@@ -316,6 +332,8 @@
     return PlantedViolation::RunsRefused;
   if (name == "pause")
     return PlantedViolation::SilentPauses;
+  if (name == "leaving")
+    return PlantedViolation::SilentLeaves;
   if (name == "workspace")
     return PlantedViolation::WrongWorkspace;
   return std::nullopt;
@@ -353,6 +371,7 @@
   settings.ReleaseInterval = spanOf(FLAGS_releases_every);
   settings.BrittleInterval = spanOf(FLAGS_brittle_every);
   settings.PauseInterval = spanOf(FLAGS_pauses_every);
+  settings.LeaveInterval = spanOf(FLAGS_leaves_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.CrashingPartInterval = spanOf(FLAGS_crashing_parts_every);
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -57,7 +57,7 @@
 
 void SoakReplica::start() {
   Incarnation = "i-" + std::to_string(Random());
-  Draining = false;
+  Draining = Leaving = false;
   CurrentMode = Mode::Healthy;
   RequestLimit.reset();
   Pause.reset();
@@ -126,7 +126,7 @@
 void SoakReplica::drain() {
   if (Draining || !isRunning())
     return;
-  Draining = true;
+  Draining = Leaving = true;
   // Accepted requests begin now, before the bound after which a draining
   // endpoint must not get new work.
   for (const auto &it : std::set(Running))
@@ -136,6 +136,17 @@
   auto &event = record("listed");
   event.Endpoint = Incarnation;
   event.Leaving = true;
+  endAfterDraining();
+}
+
+void SoakReplica::leaveUnlisted() {
+  if (Draining || Leaving || !isRunning())
+    return;
+  Leaving = true;
+  endAfterDraining();
+}
+
+void SoakReplica::endAfterDraining() {
   Timers.after(Options.DrainTime,
                [this, expected = Incarnation, alive = Alive](Instant) {
                  if (*alive && isRunning() && Incarnation == expected)
@@ -156,7 +167,7 @@
   case Mode::DelaysOrders:
     break;
   }
-  return isRunning() && !Draining;
+  return isRunning() && !Draining && !Leaving;
 }
 
 void SoakReplica::replace(const std::string &software) {
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -68,6 +68,8 @@
     WrongWorkspace,
     /// Records that it asks for pauses, and doesn't.
     SilentPauses,
+    /// Records that its answers say that it leaves, and they don't.
+    SilentLeaves,
   };
   struct Settings {
     std::string Service;
@@ -113,8 +115,11 @@
   void replace(const std::string &software);
   /// Ends immediately and cuts the requests that run.
   void crash();
-  /// Begins to drain: its registry entry says so, and it ends some time later.
+  /// Begins to drain: its answers and its registry entry say so, and it ends
+  /// some time later.
   void drain();
+  /// The same without a change of its entry.
+  void leaveUnlisted();
   /// Called when the replica begins to run a request that crashes it.
   std::function<void()> OnCrash;
   /// Called when a request with the part that crashes it has arrived, and when
@@ -162,8 +167,9 @@
   /// Rejects a request and asks for a pause.
   void refuseWithPause(CallerReply &reply, const std::string &tag);
   HttpAnswerHead head(std::uint16_t status, const Run &run);
-  /// Adds the limits that the replica states, if any.
-  void addLimit(HttpAnswerHead &head, const std::string &tag);
+  /// Adds what the replica states of itself, if anything.
+  void addStatements(HttpAnswerHead &head, const std::string &tag);
+  void endAfterDraining();
   HistoryEvent &record(std::string event) {
     return History.record(Incarnation, std::move(event));
   }
@@ -192,6 +198,8 @@
   /// more.
   std::deque<std::shared_ptr<Run>> Waiting;
   bool Draining = false;
+  /// Says in its answers that it leaves.
+  bool Leaving = false;
   std::uint64_t Heartbeats = 0;
   std::uint64_t RunCount = 0;
   std::uint64_t Revision = 0;
--- a/UnitTests/Platform/Soak/SoakReplicaAnswers.cpp
+++ b/UnitTests/Platform/Soak/SoakReplicaAnswers.cpp
@@ -33,7 +33,7 @@
        {std::string(platform_name::OwnIncarnation), Incarnation},
        {std::string(platform_name::NotRun), "1"}}};
   head.Fields.insert(head.Fields.end(), fields.begin(), fields.end());
-  addLimit(head, tag);
+  addStatements(head, tag);
   reply.respond(std::move(head), "");
 }
 
@@ -48,7 +48,12 @@
   refuse(reply, 503, tag, std::move(fields));
 }
 
-void SoakReplica::addLimit(HttpAnswerHead &head, const std::string &tag) {
+void SoakReplica::addStatements(HttpAnswerHead &head, const std::string &tag) {
+  if (Leaving) {
+    record("told_leaving").Tag = tag;
+    if (Options.Planted != PlantedViolation::SilentLeaves)
+      head.Fields.push_back({std::string(platform_name::Leaving), "1"});
+  }
   if (MaxRejections)
     head.Fields.push_back({std::string(platform_name::RejectionLimit),
                            std::to_string(*MaxRejections)});
@@ -70,7 +75,7 @@
         {"Served-By", run.Adapter + "@" + std::to_string(run.Version)});
   if (run.Stream)
     out.Fields.push_back({"Content-Type", "text/event-stream"});
-  addLimit(out, run.Tag);
+  addStatements(out, run.Tag);
   return out;
 }
 
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -42,8 +42,9 @@
       VersionRandom(Options.Seed), LimitRandom(Options.Seed),
       StaleListRandom(Options.Seed), CutOffRandom(Options.Seed),
       LivesRandom(Options.Seed), ReleaseRandom(Options.Seed),
-      BrittleRandom(Options.Seed), PauseRandom(Options.Seed), Timers(Context),
-      Store(Context, Random()), Callers(Context, Nodes, History, Random()) {
+      BrittleRandom(Options.Seed), PauseRandom(Options.Seed),
+      LeaveRandom(Options.Seed), Timers(Context), Store(Context, Random()),
+      Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
       return;
@@ -79,7 +80,7 @@
       replica.Slots = replica.Engine ? replica.Slots : PlainSlots;
       replica.WorkTime = milliseconds(60);
     }
-    if (Options.StaleListInterval > Span(0))
+    if (Options.StaleListInterval > Span(0) || Options.LeaveInterval > Span(0))
       replica.DrainTime = seconds(5);
     replica.Service = replica.Engine ? site::EngineService : site::PlainService;
     replica.FailureDomain =
@@ -194,6 +195,7 @@
   repeatWhile(InjectsFaults, Options.BrittleInterval,
               &SoakWorld::injectBrittle);
   repeatWhile(InjectsFaults, Options.PauseInterval, &SoakWorld::injectPauses);
+  repeatWhile(InjectsFaults, Options.LeaveInterval, &SoakWorld::injectLeave);
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -54,6 +54,10 @@
     /// Time between times in which some or all replicas of a service reject
     /// requests and ask for pauses; none if 0.
     Span PauseInterval{0};
+    /// Time between replicas that leave and say so in their answers, in half of
+    /// the cases not in the registry, and in half while the store is silent;
+    /// none if 0.
+    Span LeaveInterval{0};
     /// Retries of a service in each window that don't depend on its requests.
     int RepeatExtra = 200;
     /// How long requests may still begin on a version of weights that has been
@@ -146,6 +150,8 @@
   /// Has some or all replicas of a service reject requests for a while and ask
   /// for pauses.
   void injectPauses();
+  /// Has a replica leave that says so in its answers.
+  void injectLeave();
   void setBrittle(std::string_view service, std::optional<double> perSecond);
   void restoreAll();
   void causeOutage();
@@ -174,6 +180,7 @@
   std::mt19937_64 ReleaseRandom;
   std::mt19937_64 BrittleRandom;
   std::mt19937_64 PauseRandom;
+  std::mt19937_64 LeaveRandom;
   std::size_t ReleaseCount = 0;
   asio::io_context Context;
   TimerService Timers;
--- a/UnitTests/Platform/Soak/SoakWorldLives.cpp
+++ b/UnitTests/Platform/Soak/SoakWorldLives.cpp
@@ -76,4 +76,31 @@
   }
 }
 
+void SoakWorld::injectLeave() {
+  auto at = LeaveRandom() % Replicas.size();
+  auto &replica =
+      **std::next(Replicas.begin(), static_cast<std::ptrdiff_t>(at));
+  bool isListed = LeaveRandom() % 2 == 0;
+  bool isSilent = LeaveRandom() % 2 == 0;
+  if (!replica.isServing())
+    return;
+  if (isSilent && !StoreDisturbed) {
+    log("the store is silent");
+    setStoreMode(SoakStore::Mode::Silent);
+    Timers.after(milliseconds(2500 + LeaveRandom() % 1500),
+                 [this](Instant) { setStoreMode(SoakStore::Mode::Healthy); });
+  }
+  log("replica " + replica.incarnation() + " leaves, " +
+      (isListed ? "listed" : "by its answers only"));
+  if (isListed)
+    replica.drain();
+  else
+    replica.leaveUnlisted();
+  constexpr auto Pause = milliseconds(700);
+  Timers.after(replica.settings().DrainTime + Pause, [&replica](Instant) {
+    if (!replica.isRunning())
+      replica.start();
+  });
+}
+
 } // namespace hemlockglade::soak
