A replica that says in an answer that it leaves gets no new requests

Callers of a node that the registry doesn't answer were sent to replicas that had said in their answers that they leave. Cause: the field was read by nobody; draining was known from the registry alone.

Any answer counts, also a stream's head, a rejection, a relayed one, one to an order or a report, by the incarnation that answers. From then on the replica drains whatever its entry says, also if the entry goes and comes back; nodes tell each other over the cells' owners.

A first form of the test of two nodes asked before they followed the same owner, and failed; it waits for that now.

--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -332,6 +332,14 @@
   /// has to begin, if that version has been replaced.
   std::optional<Instant> mustBeginBy(const WeightsRef &weights,
                                      std::uint64_t version) const;
+  /// Called when a replica has said that it leaves: it counts as draining from
+  /// now on, whatever its entry says. Returns whether that is new.
+  bool onLeaving(const std::string &replica, Instant now);
+  /// Returns the replicas of a failure domain that have said so since a
+  /// revision of these.
+  std::vector<std::string> leavingSince(const std::string &domain,
+                                        std::uint64_t revision) const;
+  std::uint64_t leavingRevision() const { return LeavingRevision; }
   /// Returns whether the replica is draining or its entry has been removed.
   bool isDraining(const std::string &replica) const;
   /// Returns whether the replica answers more of its requests with errors than
@@ -423,6 +431,13 @@
     bool Restarted = false;
   };
 
+  /// A replica that has said that it leaves.
+  struct Leave {
+    Instant SaidAt{};
+    /// `LeavingRevision` when this was new.
+    std::uint64_t Revision = 0;
+  };
+
   static bool isUsable(const ReplicaState &state);
   static bool runsSoftware(const ReplicaState &state, const RouteQuery &query);
   /// Returns the software versions of a service of which replicas drain.
@@ -485,6 +500,9 @@
   DeclaredVersions Versions;
   RejectionLimits Rejections;
   ReplicaPauses Pauses;
+  /// By incarnation. Kept while a replica's entry may come and go.
+  std::map<std::string, Leave> Leaving;
+  std::uint64_t LeavingRevision = 0;
   std::uint64_t SentIntoPauses = 0;
   std::uint64_t NextAttempt = 1;
   /// Prefill speed of the engines of each service.
--- a/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
@@ -45,7 +45,8 @@
   auto &state = it->second;
   // A delayed heartbeat from before the replica began to drain must not bring
   // it back into use.
-  bool draining = record.Draining || (!isNew && state.Draining);
+  bool draining = record.Draining || (!isNew && state.Draining) ||
+                  Leaving.contains(record.Incarnation.text());
   if (isNew || draining != state.Draining)
     ++Revision;
   state.Record = std::make_shared<const ReplicaRecord>(record);
@@ -135,6 +136,12 @@
 
 std::vector<ReplicaIncarnation> ReplicaView::removeExpired(Instant now) {
   Pauses.removeExpired(now);
+  // Far longer than a replica that leaves goes on.
+  constexpr auto LeavingRetention = std::chrono::minutes(10);
+  std::erase_if(Leaving, [&](const auto &it) {
+    return !Replicas.contains(it.first) &&
+           now - it.second.SaidAt > LeavingRetention;
+  });
   std::vector<ReplicaIncarnation> removed;
   constexpr auto RetentionTime = std::chrono::seconds(10);
   for (auto it = Replicas.begin(); it != Replicas.end();) {
@@ -218,7 +225,33 @@
 
 bool ReplicaView::isDraining(const std::string &replica) const {
   auto it = Replicas.find(replica);
-  return it != Replicas.end() && it->second.Draining;
+  return (it != Replicas.end() && it->second.Draining) ||
+         Leaving.contains(replica);
+}
+
+bool ReplicaView::onLeaving(const std::string &replica, Instant now) {
+  auto [it, isNew] = Leaving.try_emplace(replica);
+  it->second.SaidAt = now;
+  if (!isNew)
+    return false;
+  it->second.Revision = ++LeavingRevision;
+  if (auto state = Replicas.find(replica); state != Replicas.end()) {
+    state->second.Draining = true;
+    ++Revision;
+  }
+  return true;
+}
+
+std::vector<std::string>
+ReplicaView::leavingSince(const std::string &domain,
+                          std::uint64_t revision) const {
+  std::vector<std::string> out;
+  if (revision == LeavingRevision)
+    return out;
+  for (const auto &[replica, it] : Leaving)
+    if (it.Revision > revision && failureDomainOf(replica) == domain)
+      out.push_back(replica);
+  return out;
 }
 
 bool ReplicaView::isUsable(const ReplicaState &state) {
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -237,9 +237,12 @@
   std::vector<RejectionNotice> Rejections;
   /// Replicas of the cell that have asked the node for a pause, all of them.
   std::vector<PauseNotice> Pauses;
+  /// Replicas of the cell that have said in an answer that they leave, as
+  /// `Limits`.
+  std::vector<std::string> Leaving;
   MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief,
                  KnownPositions, RequestsPerSecond, BytesPerSecond, Crashes,
-                 SentAtUs, Limits, Reach, Rejections, Pauses)
+                 SentAtUs, Limits, Reach, Rejections, Pauses, Leaving)
 };
 
 struct HeldNotice {
@@ -299,9 +302,12 @@
   /// Limits on rejections of all services, as far as the node has not been sent
   /// them.
   std::vector<RejectionNotice> Rejections;
+  /// Replicas of the cell that have said in an answer that they leave, as far
+  /// as the node has not been sent them.
+  std::vector<std::string> Leaving;
   MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
                  Entries, EntriesChanged, Leases, Sent, Update, Crashes,
-                 EchoedSentAtUs, Limits, EchoHeldUs, Rejections)
+                 EchoedSentAtUs, Limits, EchoHeldUs, Rejections, Leaving)
 };
 
 /// Reply to a node that starts while the registry is unreachable, or, without
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -165,6 +165,18 @@
   return out;
 }
 
+void CellMember::mergeLeaving(const std::vector<std::string> &replicas) {
+  for (const auto &it : replicas)
+    if (Callbacks.OnLeaving)
+      Callbacks.OnLeaving(it);
+}
+
+std::vector<std::string>
+CellMember::takeUnsentLeaving(std::uint64_t &sentRevision) const {
+  return View.leavingSince(Options.Cell,
+                           std::exchange(sentRevision, View.leavingRevision()));
+}
+
 void CellMember::onDemand(const std::string &service, const WeightsRef &weights,
                           bool waiting) {
   auto &notice = Demand[{service, weights}];
@@ -273,6 +285,8 @@
     out.Limits = takeUnsentLimits(LimitsSentToOwner);
   if (!Owning)
     out.Rejections = takeUnsentRejections(RejectionsSentToOwner);
+  if (!Owning)
+    out.Leaving = takeUnsentLeaving(LeavingSentToOwner);
   auto now = TimerService::now();
   for (const auto &[replica, until] : View.pausedIn(Options.Cell, now))
     out.Pauses.push_back({replica, (until - now).count()});
@@ -328,6 +342,7 @@
   CrashesSentToOwner = 0;
   LimitsSentToOwner = 0;
   RejectionsSentToOwner = 0;
+  LeavingSentToOwner = 0;
   ReachSentToOwner = 0;
   auto first = takeHeartbeat();
   first.Uses = allUses();
@@ -416,6 +431,7 @@
   mergeCrashes(heartbeat.Crashes, CrashesSentToOwner);
   mergeLimits(heartbeat.Limits);
   mergeRejections(heartbeat.Rejections);
+  mergeLeaving(heartbeat.Leaving);
   if (!heartbeat.Replicas.empty())
     Callbacks.OnChanged();
 }
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -117,6 +117,8 @@
     std::function<void(const StatedLimit &limit)> OnLimit;
     /// Called when another node has reported a service's limit on rejections.
     std::function<void(const StatedRejectionLimit &limit)> OnRejectionLimit;
+    /// Called when a node reports that a replica has said that it leaves.
+    std::function<void(const std::string &replica)> OnLeaving;
   };
 
   CellMember(Settings settings, Hooks hooks, ReplicaView &view, PeerNet &net,
@@ -188,6 +190,7 @@
     std::uint64_t SentCrashes = 0;
     std::uint64_t SentLimits = 0;
     std::uint64_t SentRejections = 0;
+    std::uint64_t SentLeaving = 0;
     /// Some of the requests in `PendingSent` are its own.
     bool HasPendingSent = false;
     /// When it sent its last regular heartbeat, by its own clock, and when this
@@ -214,6 +217,8 @@
   void mergeRejections(const std::vector<RejectionNotice> &limits);
   std::vector<RejectionNotice>
   takeUnsentRejections(std::uint64_t &sentRevision) const;
+  void mergeLeaving(const std::vector<std::string> &replicas);
+  std::vector<std::string> takeUnsentLeaving(std::uint64_t &sentRevision) const;
 
   // The node's side.
   void follow();
@@ -315,6 +320,7 @@
   std::uint64_t CrashesSentToOwner = 0;
   std::uint64_t LimitsSentToOwner = 0;
   std::uint64_t RejectionsSentToOwner = 0;
+  std::uint64_t LeavingSentToOwner = 0;
   std::uint64_t ReachSentToOwner = 0;
   Instant StartedAt = TimerService::now();
   Instant OwnsSince{};
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -192,6 +192,7 @@
   mergeCrashes(heartbeat.Crashes, follower.SentCrashes);
   mergeLimits(heartbeat.Limits);
   mergeRejections(heartbeat.Rejections);
+  mergeLeaving(heartbeat.Leaving);
   for (const auto &it : heartbeat.Pauses) {
     auto &until = PausedUntil[it.Replica];
     until = std::max(until, now + std::min(Span(it.RemainingUs), MaxPause));
@@ -527,6 +528,7 @@
   heartbeat.Crashes = takeUnsentCrashes(follower.SentCrashes);
   heartbeat.Limits = takeUnsentLimits(follower.SentLimits);
   heartbeat.Rejections = takeUnsentRejections(follower.SentRejections);
+  heartbeat.Leaving = takeUnsentLeaving(follower.SentLeaving);
   if (std::exchange(follower.SentEntries, EntriesRevision) != EntriesRevision)
     addEntries(heartbeat);
   bool near = follower.Self.FailureDomain == Options.FailureDomain;
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -294,6 +294,9 @@
   hooks.OnRejectionLimit = [this](const StatedRejectionLimit &it) {
     onRejectionLimit(it, "node");
   };
+  hooks.OnLeaving = [this](const std::string &replica) {
+    onLeaving(replica, "node");
+  };
   return hooks;
 }
 
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -171,6 +171,8 @@
   /// Takes in what an answer of a replica, to whomever, says of the replica.
   void onReplicaAnswer(const ReplicaRecord &replica, std::uint16_t status,
                        const AnswerLabels &labels, Instant sentAt);
+  /// Called when a replica has said, here or to another node, that it leaves.
+  void onLeaving(const std::string &replica, std::string_view from);
   /// Called when a replica rejects a request and wants none for a time.
   void onPauseAsked(const std::string &replica, Span span,
                     std::string_view from);
--- a/Programs/hemlockgladed/Gateway/GatewayReplicaAnswers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReplicaAnswers.cpp
@@ -15,6 +15,8 @@
                  labels.Incarnation != replica.Incarnation.id();
   auto speaker = isOther ? View.latestIncarnation(labels.Incarnation).text()
                          : replica.Incarnation.text();
+  if (labels.Leaving)
+    onLeaving(speaker, "answer");
   if (labels.PauseFor && status == gateway::Unavailable)
     onPauseAsked(speaker, *labels.PauseFor, "answer");
   if (labels.MalformedPause)
@@ -32,6 +34,19 @@
                    labels.RequestLimit ? now : sentAt, "answer");
 }
 
+void Gateway::onLeaving(const std::string &replica, std::string_view from) {
+  if (!View.onLeaving(replica, TimerService::now()))
+    return;
+  Log.write(LogClass::State, "replica-leaves",
+            {{"replica", replica},
+             {"from", from},
+             {"running", View.ownRunningAt(replica)}});
+  updateSoftware();
+  if (auto it = Cells.find(View.failureDomainOf(replica)); it != Cells.end())
+    it->second->onLimitUpdate();
+  wakeWaiting();
+}
+
 void Gateway::onPauseAsked(const std::string &replica, Span span,
                            std::string_view from) {
   auto now = TimerService::now();
--- a/UnitTests/Node/Gateway/LeavingReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/LeavingReplicaTest.cpp
@@ -47,6 +47,13 @@
     return Replica.Requests.size();
   }
 
+  /// Whether a node's directory names a caller address.
+  bool lists(const GatewaySettings &node, const std::string &callerAddress) {
+    auto found = ask(node.DirectoryAddress, "/hall-a");
+    runFor(milliseconds(20));
+    return found.find("<" + callerAddress + ">") != std::string::npos;
+  }
+
   void runFor(Span span) {
     auto end = TimerService::now() + span;
     until([end] { return TimerService::now() >= end; });
@@ -129,8 +136,11 @@
   second.Node = std::make_unique<Gateway>(it.Context, second.Settings,
                                           std::move(port), it.Log);
   second.Node->start();
-  REQUIRE(it.until([&] { return second.Node->ready(); }));
-  it.runFor(milliseconds(1500));
+  REQUIRE(it.until([&] {
+    return second.Node->ready() &&
+           it.lists(second.Settings, it.Settings.CallerAddress) &&
+           it.lists(it.Settings, second.Settings.CallerAddress);
+  }));
   auto before = it.askUntilTold();
   it.runFor(milliseconds(1000));
   for (int n = 0; n < Requests; ++n)
