A queued request that waits for a pause doesn't hold up the requests behind it

By reading: a request in the queue of a plain service whose remaining replicas all pause kept its place at the head, while requests that may use others waited behind it. It is deferred as one whose remaining replicas are full.

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -292,6 +292,9 @@
     break;
   case RouteChoice::Kind::Paused:
     WaitReason = "replicas pause";
+    // Others may be sent to replicas that this request must not use.
+    if (QueueTicket)
+      Shared.PlainQueue->deferUntil(Query.Service, QueueTicket, WakeAt);
     break;
   default:
     WaitReason = "no replica known";
