Statements of replicas: bounded, and none is taken in by a node that is gone

Read in the diff: an answer to an order that arrives after the gateway's end called it; pauses and leaves of replicas that are named by answers alone were kept without bound. The demo builds what it runs and shows its progress.

--- a/Hemlockglade/Coordination/Route/ReplicaPauses.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaPauses.cpp
@@ -9,7 +9,9 @@
   span = std::clamp(span, Span(0), Options.MaxPause);
   auto until = now + span;
   auto known = Pauses.find(replica);
-  if (until <= now || (known != Pauses.end() && until <= known->second.Until))
+  bool isKnown = known != Pauses.end();
+  if (until <= now || (isKnown && until <= known->second.Until) ||
+      (!isKnown && Pauses.size() >= Options.MaxReplicas))
     return false;
   auto &pause = Pauses[replica];
   if (now >= pause.ReturnsAt)
--- a/Hemlockglade/Coordination/Route/ReplicaPauses.h
+++ b/Hemlockglade/Coordination/Route/ReplicaPauses.h
@@ -31,6 +31,8 @@
     /// with each that the replica accepts. From this number on there is no
     /// bound.
     std::uint32_t FullWindow = 16;
+    /// Replicas whose pauses are kept; more are not.
+    std::size_t MaxReplicas = 16384;
     /// Differs between nodes.
     std::uint64_t Seed = 0;
   };
--- a/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
@@ -230,6 +230,9 @@
 }
 
 bool ReplicaView::onLeaving(const std::string &replica, Instant now) {
+  constexpr std::size_t MaxLeaving = 16384;
+  if (Leaving.size() >= MaxLeaving && !Leaving.contains(replica))
+    return false;
   auto [it, isNew] = Leaving.try_emplace(replica);
   it->second.SaidAt = now;
   if (!isNew)
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -123,6 +123,8 @@
       NextSeed(std::hash<std::string>{}(Settings.Name)) {}
 
 Gateway::~Gateway() {
+  if (Port.ObserveEngines)
+    Port.ObserveEngines(nullptr);
   // An exchange that ends leaves the set.
   auto open = Exchanges;
   for (const auto &it : open)
--- a/UnitTests/Coordination/Orders/CellPlacementTest.cpp
+++ b/UnitTests/Coordination/Orders/CellPlacementTest.cpp
@@ -78,6 +78,15 @@
     updateReplicas();
   }
 
+  /// Returns the engines that hold an adapter.
+  std::set<std::string> holdersOf(const WeightsRef &weights) const {
+    std::set<std::string> out;
+    for (const auto &[id, it] : Engines)
+      if (it.Held.contains(weights))
+        out.insert(id);
+    return out;
+  }
+
   void updateReplicas() {
     std::vector<ReplicaPtr> records;
     for (const auto &[id, it] : Engines)
@@ -150,10 +159,7 @@
   world.Placement.onWaiting(Service, adapter(1), world.Now);
   world.runRounds(10);
   REQUIRE(world.copies(adapter(1)) == 1);
-  std::set<std::string> limited;
-  for (const auto &[id, it] : world.Engines)
-    if (it.Held.contains(adapter(1)))
-      limited.insert(id);
+  auto limited = world.holdersOf(adapter(1));
   world.Placement.setLimited(limited);
   world.Placement.onWaiting(Service, adapter(1), world.Now);
   world.runRounds(10);
@@ -176,10 +182,7 @@
   world.Placement.onWaiting(Service, adapter(1), world.Now);
   world.runRounds(10);
   REQUIRE(world.copies(adapter(1)) == 1);
-  std::set<std::string> paused;
-  for (const auto &[id, it] : world.Engines)
-    if (it.Held.contains(adapter(1)))
-      paused.insert(id);
+  auto paused = world.holdersOf(adapter(1));
   auto &engine = world.Engines[*paused.begin()];
   auto ordersBefore = engine.Count;
   world.Placement.setPaused(paused);
--- a/UnitTests/Platform/Soak/SoakLimitsTest.cpp
+++ b/UnitTests/Platform/Soak/SoakLimitsTest.cpp
@@ -1,5 +1,7 @@
 #include "UnitTests/Platform/Soak/SoakLimits.h"
 
+#include "UnitTests/Platform/Soak/SentHistory.h"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 
@@ -14,7 +16,7 @@
 
 /// A replica that states a limit of 1 a second from second 10 to second 30, and
 /// gateways that send to it.
-struct LimitHistory {
+struct LimitHistory : SentHistory {
   LimitHistory() {
     add("i-1", "limited", seconds(10)).Change = "1";
     // The requests of which two gateways are told the limit.
@@ -24,22 +26,6 @@
       add("i-1", "told", milliseconds(10'300)).Tag = tag;
   }
 
-  HistoryEvent &add(std::string who, std::string event, Instant at) {
-    HistoryEvent out;
-    out.Who = std::move(who);
-    out.Event = std::move(event);
-    out.At = at;
-    return Events.emplace_back(std::move(out));
-  }
-
-  void send(const std::string &gateway, Instant at) {
-    auto tag = "t" + std::to_string(++Sent);
-    auto &sent = add("caller", "sent", at);
-    sent.Tag = tag;
-    sent.To = gateway;
-    add("i-1", "arrived", at).Tag = tag;
-  }
-
   /// Sends `n` requests within one second.
   void sendMany(const std::string &gateway, int n, Instant from) {
     for (int it = 0; it < n; ++it)
@@ -52,9 +38,6 @@
                      [](const auto &a, const auto &b) { return a.At < b.At; });
     return checkLimits(events, Contact);
   }
-
-  std::vector<HistoryEvent> Events;
-  int Sent = 0;
 };
 
 } // namespace
--- a/UnitTests/Platform/Soak/SoakPausesTest.cpp
+++ b/UnitTests/Platform/Soak/SoakPausesTest.cpp
@@ -1,5 +1,7 @@
 #include "UnitTests/Platform/Soak/SoakPauses.h"
 
+#include "UnitTests/Platform/Soak/SentHistory.h"
+
 #include <catch2/catch.hpp>
 
 namespace hemlockglade::soak {
@@ -10,7 +12,7 @@
 using std::chrono::seconds;
 
 /// A replica that asks gateway g1 for a pause of 3 s at second 10.
-struct PauseHistory {
+struct PauseHistory : SentHistory {
   PauseHistory() {
     send("g1", seconds(10));
     auto &asked = add("i-1", "asked_pause", seconds(10));
@@ -18,29 +20,10 @@
     asked.Running = 3000;
   }
 
-  HistoryEvent &add(std::string who, std::string event, Instant at) {
-    HistoryEvent out;
-    out.Who = std::move(who);
-    out.Event = std::move(event);
-    out.At = at;
-    return Events.emplace_back(std::move(out));
-  }
-
-  void send(const std::string &gateway, Instant at) {
-    auto tag = "t" + std::to_string(++Sent);
-    auto &sent = add("caller", "sent", at);
-    sent.Tag = tag;
-    sent.To = gateway;
-    add("i-1", "arrived", at).Tag = tag;
-  }
-
   void sendThree(const std::string &gateway, Instant from) {
     for (int it = 0; it < 3; ++it)
       send(gateway, from + it * milliseconds(100));
   }
-
-  std::vector<HistoryEvent> Events;
-  int Sent = 0;
 };
 
 } // namespace
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,7 +4,9 @@
 # request was served as it should be.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-scripts/build.sh >/dev/null
+echo "installing packages and building what the demo runs" >&2
+scripts/build.sh hemlockgladed hemlockctl StandInPlatform StandInEngine \
+  StandInService >&2
 RUN=$(mktemp -d)
 source scripts/cluster.sh
 trap 'stop_all; rm -rf "$RUN"' EXIT
