--- a/UnitTests/Node/Gateway/RelayServiceTest.cpp
+++ b/UnitTests/Node/Gateway/RelayServiceTest.cpp
@@ -3,6 +3,8 @@
 #include "UnitTests/Node/Gateway/ScriptedReplica.h"
 #include "UnitTests/Transport/Http1/RawPeer.h"
 
+#include <asio/steady_timer.hpp>
+
 namespace hemlockglade::test {
 
 namespace {
@@ -180,6 +182,52 @@
   CHECK(it.Peer.Got.find("\r\n0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("a relay reads no more from a replica than a slow node takes",
+          "[relay]") {
+  constexpr std::size_t BodyBytes = 64U << 20U;
+  RelayFixture it;
+  std::shared_ptr<CallerReply> answering;
+  CallerHooks hooks;
+  hooks.Bounds = [] { return CallerBounds{}; };
+  hooks.Closing = [] { return false; };
+  hooks.OnRequest = [&](const CallerRequest &, const auto &reply) {
+    answering = reply;
+    reply->begin({200, {{"Id", "r1"}, {"Seal", "s"}}});
+    reply->part(std::string(BodyBytes, 'x'));
+  };
+  CallerServer replica(it.Context, Loopback::localhost(0), 10,
+                       std::move(hooks));
+  auto record = std::make_shared<ReplicaRecord>(*it.Known);
+  record->Address = Loopback::address(replica.port());
+  it.Known = record;
+  asio::ip::tcp::socket node(it.Context);
+  node.connect(Loopback::localhost(it.Relay->port()));
+  asio::write(node, asio::buffer(Request));
+  REQUIRE(it.until([&] { return answering != nullptr; }));
+  bool isOver = false;
+  asio::steady_timer pause(it.Context, std::chrono::milliseconds(700));
+  pause.async_wait([&](asio::error_code) { isOver = true; });
+  it.until([&] { return isOver; });
+  // What sockets buffer is a few megabytes.
+  CHECK(answering->queued() > BodyBytes / 2);
+  std::size_t received = 0;
+  std::array<char, 65536> buf{};
+  std::function<void()> read = [&] {
+    node.async_read_some(asio::buffer(buf), [&](asio::error_code ec, auto n) {
+      received += n;
+      if (!ec)
+        read();
+    });
+  };
+  read();
+  CHECK(it.until([&] { return answering->queued() == 0; }));
+  answering->finish();
+  it.until([&] { return received > BodyBytes; });
+  CHECK(received > BodyBytes);
+  node.close();
+  it.settle();
+}
+
 TEST_CASE("a node that leaves ends the relayed run at the replica", "[relay]") {
   RelayFixture it;
   it.Peer.send(Request);
