A late answer to an earlier request says nothing of its replica's limits

Found by reading the diff: since answers are taken in by one function, a signed answer to an earlier request that came late would have ended a limit which the replica stated meanwhile. It counts for pauses and leaves only, at nodes and relays.

--- a/Hemlockglade/Protocol/Exchange/RequestLabels.h
+++ b/Hemlockglade/Protocol/Exchange/RequestLabels.h
@@ -88,6 +88,16 @@
   bool MalformedPause = false;
   /// The replica is about to leave: it wants no new requests.
   bool Leaving = false;
+
+  /// Returns what a late answer to an earlier request still says of its
+  /// replica: limits may have changed since.
+  AnswerLabels withoutLimits() const {
+    auto out = *this;
+    out.Sealed = false;
+    out.RequestLimit.reset();
+    out.RejectionLimit.reset();
+    return out;
+  }
 };
 
 /// Called with the status and labels of each answer of a replica, for what the
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -48,9 +48,11 @@
       return true;
   }
   auto labels = Shared.Labels.ReadAnswer(head.Status, viewsOf(head.Fields));
+  bool isStray = !labels.Id.empty() && labels.Id != Labels.Id;
   if (Shared.OnAnswer)
-    Shared.OnAnswer(*Current->Replica, head.Status, labels, Current->SentAt);
-  if (!labels.Id.empty() && labels.Id != Labels.Id) {
+    Shared.OnAnswer(*Current->Replica, head.Status,
+                    isStray ? labels.withoutLimits() : labels, Current->SentAt);
+  if (isStray) {
     Shared.Log.write(LogClass::Request, "stray-answer",
                      {{"request", Labels.Id},
                       {"answers", labels.Id},
--- a/Programs/hemlockgladed/Gateway/RelayService.cpp
+++ b/Programs/hemlockgladed/Gateway/RelayService.cpp
@@ -122,9 +122,11 @@
 bool RelayService::Forwarding::onHead(const HttpAnswerHead &head) {
   Service.Callbacks.OnHeard(*Replica);
   auto labels = Service.Labels.ReadAnswer(head.Status, viewsOf(head.Fields));
-  Service.Callbacks.OnAnswer(*Replica, head.Status, labels, SentAt);
   // A late answer to an earlier request on the connection.
-  if (!labels.Id.empty() && labels.Id != Id)
+  bool isStray = !labels.Id.empty() && labels.Id != Id;
+  Service.Callbacks.OnAnswer(*Replica, head.Status,
+                             isStray ? labels.withoutLimits() : labels, SentAt);
+  if (isStray)
     return false;
   Head = head;
   relay_field::eraseAll(Head->Fields);
--- a/UnitTests/Node/Gateway/PausedExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/PausedExchangeTest.cpp
@@ -23,6 +23,7 @@
     };
     Shared.OnAnswer = [this](const ReplicaRecord &replica, std::uint16_t,
                              const AnswerLabels &labels, Instant) {
+      Stated.push_back(labels);
       if (labels.PauseFor)
         View.onPauseAsked(replica.Incarnation.text(), *labels.PauseFor,
                           TimerService::now());
@@ -31,6 +32,8 @@
     Second.Script = {{answer(200, "hello")}, {answer(200, "hello")}};
   }
 
+  std::vector<AnswerLabels> Stated;
+
   bool isPaused(const std::string &replica) const {
     return View.isPaused(replica, TimerService::now());
   }
@@ -50,15 +53,19 @@
   CHECK_FALSE(it.Ended);
 }
 
-TEST_CASE("a pause that a late answer to an earlier request asks for counts",
+TEST_CASE("a late answer to an earlier request may ask for a pause, and says "
+          "nothing of limits",
           "[paused-replica]") {
   PausedExchangeFixture it;
-  it.First.Script = {
-      {"HTTP/1.1 503 X\r\nId: r0\r\nPause: 1\r\nContent-Length: 0\r\n\r\n" +
-       answer(200, "own")}};
+  it.First.Script = {{"HTTP/1.1 503 X\r\nId: r0\r\nSeal: s\r\nPause: 1\r\n"
+                      "Content-Length: 0\r\n\r\n" +
+                      answer(200, "own")}};
   it.sendRequest();
   REQUIRE(it.untilReceived("own"));
   CHECK(it.isPaused("i-1"));
+  REQUIRE(it.Stated.size() == 2);
+  CHECK_FALSE(it.Stated[0].Sealed);
+  CHECK(it.Stated[1].Sealed);
 }
 
 TEST_CASE("a request is not written to a replica that asked for a pause while "
