--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -3,6 +3,8 @@
 #include "Hemlockglade/Protocol/JsonText.h"
 #include "platform/Names.h"
 
+#include <unistd.h>
+
 namespace hemlockglade::soak {
 
 namespace {
@@ -56,7 +58,10 @@
 SoakReplica::~SoakReplica() { *Alive = false; }
 
 void SoakReplica::start() {
-  Incarnation = "i-" + std::to_string(Random());
+  Life = Random();
+  // Another soak with the same seed, which may run beside this one, has other
+  // incarnations.
+  Incarnation = "i-" + std::to_string(Life) + "-" + std::to_string(::getpid());
   Draining = Leaving = false;
   CurrentMode = Mode::Healthy;
   RequestLimit.reset();
@@ -114,7 +119,7 @@
   // the seed stay the same.
   constexpr std::size_t Kinds = 3;
   Link.close(static_cast<SoakProxy::ClosedMode>(
-      std::hash<std::string>{}(Incarnation) % Kinds));
+      std::hash<std::string>{}("i-" + std::to_string(Life)) % Kinds));
   // Its registry entry expires after three heartbeat intervals.
   Timers.after(3 * HeartbeatInterval,
                [this, expected = Incarnation, alive = Alive](Instant) {
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -184,6 +184,8 @@
   /// A separate generator, so that its use doesn't change what the same seed
   /// draws elsewhere.
   std::mt19937_64 DelayRandom;
+  /// Drawn for each incarnation.
+  std::uint64_t Life = 0;
   std::string Incarnation;
   std::unique_ptr<CallerServer> Server;
   SoakProxy Link;
