--- a/Programs/hemlockgladed/Gateway/RelayService.h
+++ b/Programs/hemlockgladed/Gateway/RelayService.h
@@ -32,7 +32,7 @@
     std::function<ReplicaPtr(std::string_view incarnation)> Find;
     std::function<bool(const std::string &service)> IsCutOff;
     /// Returns for how long the replica must get nothing from this node, as it
-    /// has asked; nothing if it may.
+    /// has asked by `Retry-After`; nothing if it may.
     std::function<std::optional<Span>(const ReplicaRecord &replica)> PausedFor;
     /// Called with the head of each answer of a replica.
     OnReplicaAnswer OnAnswer;
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -164,7 +164,7 @@
   void recordRun(const Run &run);
   void refuse(CallerReply &reply, std::uint16_t status, const std::string &tag,
               HeaderFields fields = {});
-  /// Rejects a request and asks for a pause.
+  /// Rejects a request and asks for a pause, by `Retry-After`.
   void refuseWithPause(CallerReply &reply, const std::string &tag);
   HttpAnswerHead head(std::uint16_t status, const Run &run);
   /// Adds what the replica states of itself, if anything.
