An owner's orders go on when its own pause ends, whatever followers report

Found by reading the diff: the planner was told of the end of this node's pause only when the pauses of all nodes changed, so that an engine which still paused for a follower got no orders from the owner that long. No test shows it.

--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -63,7 +63,7 @@
   for (const auto &[replica, until] : PausedUntil)
     paused.insert(replica);
   bool pausesChanged = paused != PlannerPaused;
-  if (replicasChanged || !ownPaused.empty() || pausesChanged)
+  if (replicasChanged || !paused.empty() || pausesChanged)
     Planner.setPaused(ownPaused);
   if (!replicasChanged && !pausesChanged &&
       PlannerLimitRevision == View.limitRevision())
