Loads are ranked by the requests that they let begin; waits name unusable copies

Cause: first copies of adapters that one request asked for came before all further copies of hot ones, and an adapter counted as served while the only copy was one that its waiting request must not use. Change: LoadRanking puts first and further copies in one order where rank_loads is set, with a share for the oldest waits; nodes report how many requests wait, and how many holders these must not use.

--- a/Hemlockglade/Coordination/Orders/CellPlacement.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Half-life of the count of waiting requests, each of which its node reports
+/// every 200 ms: the count then stays near their number.
+constexpr Span WaitingHalfLife = std::chrono::milliseconds(140);
+
 /// Returns what is left of a weight that halves in each half-life.
 double decayed(double weight, Span age, Span halfLife) {
   return weight * std::exp2(-inSeconds(age) / inSeconds(halfLife));
@@ -142,9 +146,27 @@
   demand.LastRequestAt = now;
 }
 
+double CellPlacement::waitingCount(const Demand &demand, Instant now) {
+  return decayed(demand.WaitingWeight, now - demand.WaitingUpdatedAt,
+                 WaitingHalfLife);
+}
+
+void CellPlacement::addWaiting(Demand &demand, std::uint32_t requests,
+                               Instant now) {
+  demand.WaitingWeight = waitingCount(demand, now) + requests;
+  demand.WaitingUpdatedAt = now;
+}
+
 void CellPlacement::onWaiting(const std::string &service,
-                              const WeightsRef &weights, Instant now) {
+                              const WeightsRef &weights, Instant now,
+                              std::uint32_t requests, std::uint32_t unusable) {
   auto &demand = Demands[{service, weights}];
+  addWaiting(demand, requests, now);
+  bool isStale = now - demand.UnusableAt > Options.WaitReportTimeout;
+  if (unusable && (isStale || unusable >= demand.Unusable)) {
+    demand.Unusable = unusable;
+    demand.UnusableAt = now;
+  }
   if (!demand.WaitingSince)
     demand.WaitingSince = now;
   demand.LastWaitReportAt = now;
@@ -153,8 +175,13 @@
 }
 
 void CellPlacement::onCongested(const std::string &service,
-                                const WeightsRef &weights, Instant now) {
-  Demands[{service, weights}].CongestedAt = now;
+                                const WeightsRef &weights, Instant now,
+                                std::uint32_t requests) {
+  auto &demand = Demands[{service, weights}];
+  demand.CongestedAt = now;
+  addWaiting(demand, requests, now);
+  if (Options.RankLoads && !weights.Adapter.empty())
+    InDemand.insert({service, weights});
 }
 
 void CellPlacement::onUse(const std::string &replica, const WeightsRef &weights,
@@ -309,6 +336,18 @@
   return Span(static_cast<std::int64_t>(us + SlackUs));
 }
 
+std::size_t CellPlacement::usableCopyCount(const DemandKey &key,
+                                           const Demand &demand, Instant now) {
+  auto n = copyCount(key);
+  bool isKnown = now - demand.UnusableAt <= Options.WaitReportTimeout;
+  return n - std::min<std::size_t>(n, isKnown ? demand.Unusable : 0);
+}
+
+bool CellPlacement::isServed(const DemandKey &key, const Demand &demand,
+                             Instant now) {
+  return key.second.Adapter.empty() || usableCopyCount(key, demand, now) > 0;
+}
+
 void CellPlacement::rememberDropped(ReplicaState &state,
                                     const WeightsRef &weights) {
   state.RecentlyDropped.remove(weights);
--- a/Hemlockglade/Coordination/Orders/CellPlacement.h
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.h
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/Coordination/Orders/EngineOrder.h"
 #include "Hemlockglade/Coordination/Orders/LoadConcurrency.h"
+#include "Hemlockglade/Coordination/Orders/LoadRanking.h"
 #include "Hemlockglade/State/Routing/RoutePlan.h"
 
 #include <list>
@@ -123,10 +124,16 @@
     /// second that the weight store allows. Concurrent loads share the store's
     /// speed: one after the other, replicas are ready sooner on average.
     double ModelLoadsPerRate = 0.25;
+    /// Whether first and further copies of adapters stand in one order, by the
+    /// requests that they let begin. Otherwise all first copies come before all
+    /// further ones.
+    bool RankLoads = false;
+    LoadRanking::Settings Ranking;
   };
 
   explicit CellPlacement(Settings settings)
-      : Options(settings), AdapterLoads(Options.Concurrency) {}
+      : Options(settings), AdapterLoads(Options.Concurrency),
+        Ranking(Options.Ranking) {}
 
   /// Sets the replicas of the cell that run engines, and the plan, which has
   /// the engine specifications of their services.
@@ -138,13 +145,14 @@
   void onDemand(const std::string &service, const WeightsRef &weights,
                 double requests, Instant now);
   /// Called when requests wait at a node for weights that no replica of the
-  /// cell has.
+  /// cell has, or only `unusable` ones that the requests must not use.
   void onWaiting(const std::string &service, const WeightsRef &weights,
-                 Instant now);
+                 Instant now, std::uint32_t requests = 1,
+                 std::uint32_t unusable = 0);
   /// Called when requests wait at a node because the replicas that have the
   /// weights are at their limit.
   void onCongested(const std::string &service, const WeightsRef &weights,
-                   Instant now);
+                   Instant now, std::uint32_t requests = 1);
   /// Sets how many requests run at a replica, over all nodes.
   void setRunning(const std::string &replica, std::uint32_t running);
   /// Called when requests that use weights at a replica have begun or ended, at
@@ -196,6 +204,12 @@
     std::optional<Instant> WaitingSince;
     /// When a node last reported waiting requests.
     Instant LastWaitReportAt{};
+    /// Requests that wait, as a count that decays between reports.
+    double WaitingWeight = 0;
+    Instant WaitingUpdatedAt{};
+    /// Greatest number of copies that waiting requests must not use.
+    std::uint32_t Unusable = 0;
+    Instant UnusableAt{};
   };
   using DemandKey = std::pair<std::string, WeightsRef>;
 
@@ -250,6 +264,13 @@
   double valueOf(const ReplicaState &state, const WeightsRef &weights,
                  const ResidentWeights &held, Instant now);
   std::size_t copyCount(const DemandKey &key);
+  /// Returns the number of copies that waiting requests may use.
+  std::size_t usableCopyCount(const DemandKey &key, const Demand &demand,
+                              Instant now);
+  /// Whether requests that wait for weights have a copy that they may use.
+  bool isServed(const DemandKey &key, const Demand &demand, Instant now);
+  static double waitingCount(const Demand &demand, Instant now);
+  static void addWaiting(Demand &demand, std::uint32_t requests, Instant now);
   void countCopies();
   bool isCurrent(const WeightsRef &weights, std::uint64_t version) const;
   std::size_t adapterCount(const ReplicaState &state) const;
@@ -278,6 +299,12 @@
                                Instant now);
   void planWaiting(std::vector<PlacementAction> &actions, Instant now);
   void planCopies(std::vector<PlacementAction> &actions, Instant now);
+  /// Removes weights from `Waiting` that are served or not reported any more.
+  void updateWaiting(Instant now);
+  /// Finds the weights in high demand.
+  void findInDemand(Instant now);
+  void planRanked(std::vector<PlacementAction> &actions, Instant now);
+  LoadCandidate candidateOf(const DemandKey &key, Instant now);
   void addOrder(ReplicaState &state, OrderKind kind, const WeightsRef &weights,
                 std::string_view reason, std::vector<PlacementAction> &actions);
   Span loadTime(const ReplicaState &state, const WeightsRef &weights,
@@ -296,6 +323,8 @@
   std::map<DemandKey, Demand> Demands;
   /// Weights that requests wait for.
   std::set<DemandKey> Waiting;
+  /// Weights that may be worth a further copy, where loads are ranked.
+  std::set<DemandKey> InDemand;
   Instant NextDemandScan{};
   /// Number of copies of current versions in the cell; counted anew when the
   /// replicas' state has changed.
@@ -309,6 +338,7 @@
   std::size_t LoadingElsewhere = 0;
   /// Limit of adapter loads in progress over all cells.
   LoadConcurrency AdapterLoads;
+  LoadRanking Ranking;
   std::size_t ModelsElsewhere = 0;
   std::uint64_t Revision = 1;
 };
--- a/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace hemlockglade {
 
@@ -141,14 +142,87 @@
     else
       state.PendingAdapter.reset();
   }
+  updateWaiting(now);
+  bool scanDue = now >= NextDemandScan;
+  if (scanDue) {
+    NextDemandScan = now + Options.DemandScanInterval;
+    std::erase_if(Demands, [&](const auto &it) {
+      return !it.second.WaitingSince && rate(it.second, now) < MinDemand;
+    });
+  }
+  if (Options.RankLoads) {
+    if (scanDue)
+      findInDemand(now);
+    return planRanked(actions, now);
+  }
   planWaiting(actions, now);
-  if (now < NextDemandScan)
+  if (scanDue)
+    planCopies(actions, now);
+}
+
+void CellPlacement::updateWaiting(Instant now) {
+  for (auto it = Waiting.begin(); it != Waiting.end();) {
+    auto &demand = Demands[*it];
+    bool timedOut = now - demand.LastWaitReportAt > Options.WaitReportTimeout;
+    if (!timedOut && !isServed(*it, demand, now)) {
+      ++it;
+      continue;
+    }
+    demand.WaitingSince.reset();
+    it = Waiting.erase(it);
+  }
+}
+
+void CellPlacement::findInDemand(Instant now) {
+  InDemand.clear();
+  for (const auto &[key, demand] : Demands)
+    if (!key.second.Adapter.empty() &&
+        rate(demand, now) >= Options.MinRateForCopy)
+      InDemand.insert(key);
+}
+
+LoadCandidate CellPlacement::candidateOf(const DemandKey &key, Instant now) {
+  LoadCandidate out;
+  auto it = Demands.find(key);
+  if (it == Demands.end())
+    return out;
+  const auto &demand = it->second;
+  out.Rate = rate(demand, now);
+  out.Copies = usableCopyCount(key, demand, now);
+  bool isReported =
+      demand.WaitingSince || now - demand.CongestedAt < Options.CongestedFor;
+  out.Waiting = isReported ? waitingCount(demand, now) : 0;
+  if (demand.WaitingSince)
+    out.WaitedFor = now - *demand.WaitingSince;
+  return out;
+}
+
+void CellPlacement::planRanked(std::vector<PlacementAction> &actions,
+                               Instant now) {
+  if ((Waiting.empty() && InDemand.empty()) || !canLoad(now))
     return;
-  NextDemandScan = now + Options.DemandScanInterval;
-  std::erase_if(Demands, [&](const auto &it) {
-    return !it.second.WaitingSince && rate(it.second, now) < MinDemand;
-  });
-  planCopies(actions, now);
+  std::vector<DemandKey> keys;
+  std::set_union(Waiting.begin(), Waiting.end(), InDemand.begin(),
+                 InDemand.end(), std::back_inserter(keys));
+  std::vector<LoadCandidate> candidates;
+  for (const auto &key : keys)
+    candidates.push_back(candidateOf(key, now));
+  constexpr double UnlimitedValue = 1e9;
+  for (const auto &it : Ranking.order(candidates)) {
+    if (!canLoad(now))
+      return;
+    const auto &candidate = candidates[it.Index];
+    bool isFirst = candidate.Copies == 0 && candidate.WaitedFor > Span(0);
+    auto reason = it.IsOldest ? "oldest wait"
+                  : isFirst   ? "requests wait"
+                              : "demand";
+    // A further copy must be worth more than what it displaces; what requests
+    // wait for may displace anything that is not in use.
+    double share = candidate.Rate / static_cast<double>(candidate.Copies + 1);
+    double limit = isFirst ? UnlimitedValue : share / Options.MinGainOverVictim;
+    if (placeAdapter(keys[it.Index], limit, reason, actions, now))
+      Ranking.onLoad(it);
+  }
 }
 
 void CellPlacement::planWaiting(std::vector<PlacementAction> &actions,
@@ -156,18 +230,10 @@
   // Only a few loads a second are possible: those in highest demand come first,
   // and others as their wait grows.
   std::vector<std::pair<double, DemandKey>> waitingKeys;
-  for (auto it = Waiting.begin(); it != Waiting.end();) {
-    auto &demand = Demands[*it];
-    bool isServed = it->second.Adapter.empty() || copyCount(*it) > 0;
-    bool timedOut = now - demand.LastWaitReportAt > Options.WaitReportTimeout;
-    if (isServed || timedOut) {
-      demand.WaitingSince.reset();
-      it = Waiting.erase(it);
-      continue;
-    }
+  for (const auto &key : Waiting) {
+    const auto &demand = Demands[key];
     double age = inSeconds(now - demand.WaitingSince.value_or(now));
-    waitingKeys.emplace_back(rate(demand, now) + Options.WaitWeight * age, *it);
-    ++it;
+    waitingKeys.emplace_back(rate(demand, now) + Options.WaitWeight * age, key);
   }
   std::sort(waitingKeys.rbegin(), waitingKeys.rend());
   constexpr double UnlimitedValue = 1e9;
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -102,6 +102,12 @@
          std::min(query.PromptTokens, cachedTokens(state, query));
 }
 
+bool ReplicaView::holds(const std::string &replica,
+                        const WeightsRef &weights) const {
+  auto it = Replicas.find(replica);
+  return it != Replicas.end() && it->second.Held.contains(weights);
+}
+
 bool ReplicaView::isSuspect(const std::string &replica, Instant now) const {
   auto it = Replicas.find(replica);
   return it != Replicas.end() &&
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -291,6 +291,8 @@
   /// Returns the number of this node's running requests at a replica.
   std::uint32_t ownRunningAt(const std::string &replica) const;
   std::optional<double> limitOf(const std::string &replica) const;
+  /// Returns whether a replica holds weights or is loading them.
+  bool holds(const std::string &replica, const WeightsRef &weights) const;
   /// Returns the failure domain of a replica; empty if it is not known.
   std::string failureDomainOf(const std::string &replica) const;
   /// Returns the limits of a failure domain's replicas that have changed since
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -84,7 +84,13 @@
   bool Waiting = false;
   /// Some wait because the engines that have the weights are full.
   bool Congested = false;
-  MSGPACK_DEFINE(Service, Weights, Requests, Waiting, Congested)
+  /// Greatest number of replicas holding the weights that waiting requests must
+  /// not use.
+  std::uint32_t Unusable = 0;
+  /// Number of requests that were reported as waiting.
+  std::uint32_t WaitingRequests = 0;
+  MSGPACK_DEFINE(Service, Weights, Requests, Waiting, Congested, Unusable,
+                 WaitingRequests)
 };
 
 /// A replica refused a request for weights that it should have had.
--- a/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
@@ -40,6 +40,10 @@
   map.milliseconds("pressed_for_ms", out.CongestedFor, MillisecondRange);
   map.milliseconds("want_lasts_ms", out.WaitReportTimeout, MillisecondRange);
   map.real("wait_weight", out.WaitWeight, 0, MaxRate);
+  map.flag("rank_loads", out.RankLoads);
+  map.milliseconds("rank_horizon_ms", out.Ranking.Horizon, {100, 60'000});
+  map.real("starts_per_copy", out.Ranking.StartsPerCopy, 0.001, MaxRate);
+  map.real("oldest_load_share", out.Ranking.OldestShare, 0, 1);
 }
 
 void bindExchange(SchemaReader &map, ExchangeSettings &out) {
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -178,7 +178,7 @@
 }
 
 void CellMember::onDemand(const std::string &service, const WeightsRef &weights,
-                          bool waiting) {
+                          bool waiting, std::uint32_t unusable) {
   auto &notice = Demand[{service, weights}];
   notice.Service = service;
   notice.Weights = weights.text();
@@ -186,6 +186,8 @@
   if (waiting && !notice.Waiting)
     HeartbeatDue = true;
   notice.Waiting = notice.Waiting || waiting;
+  notice.Unusable = std::max(notice.Unusable, unusable);
+  notice.WaitingRequests += waiting ? 1 : 0;
   if (HeartbeatDue)
     sendHeartbeat();
 }
@@ -196,6 +198,7 @@
   notice.Service = service;
   notice.Weights = weights.text();
   notice.Congested = true;
+  ++notice.WaitingRequests;
 }
 
 void CellMember::onSent(const std::string &replica, std::uint32_t tokens,
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -138,9 +138,10 @@
   void onLimitUpdate() { sendUpdateSoon(); }
 
   /// Called when a request for weights arrives at this node; `waiting` if no
-  /// replica has them.
+  /// replica has them, or only `unusable` ones of the cell that the request
+  /// must not use.
   void onDemand(const std::string &service, const WeightsRef &weights,
-                bool waiting);
+                bool waiting, std::uint32_t unusable = 0);
   void onCongested(const std::string &service, const WeightsRef &weights);
   /// Called when this node sends a request to one of the cell's replicas.
   void onSent(const std::string &replica, std::uint32_t tokens,
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -16,6 +16,7 @@
 
 /// Limits what another node reports.
 constexpr Span MaxPause = std::chrono::hours(1);
+constexpr std::uint32_t MaxWaitingRequests = 10'000;
 
 std::string_view orderName(OrderKind kind) {
   return kind == OrderKind::Load ? "load" : "unload";
@@ -227,14 +228,18 @@
 
 void CellMember::takeDemand(const NodeHeartbeat &heartbeat, Instant now) {
   bool hasWaiting = false;
+  auto maxUnusable = static_cast<std::uint32_t>(Planner.replicas().size());
   for (const auto &it : heartbeat.Demand) {
     auto weights = WeightsRef::parse(it.Weights);
     if (it.Requests)
       Planner.onDemand(it.Service, weights, it.Requests, now);
+    // A node of an earlier release does not count its waiting requests.
+    auto requests = std::clamp(it.WaitingRequests, 1U, MaxWaitingRequests);
+    auto unusable = std::min(it.Unusable, maxUnusable);
     if (it.Waiting)
-      Planner.onWaiting(it.Service, weights, now);
+      Planner.onWaiting(it.Service, weights, now, requests, unusable);
     if (it.Congested)
-      Planner.onCongested(it.Service, weights, now);
+      Planner.onCongested(it.Service, weights, now, it.Waiting ? 0 : requests);
     hasWaiting = hasWaiting || it.Waiting;
   }
   for (const auto &it : heartbeat.Refusals) {
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -139,8 +139,9 @@
       Pool,
       Log,
       Port.Labels,
-      [this](const auto &service, const auto &weights, bool waiting) {
-        onDemand(service, weights, waiting);
+      [this](const auto &service, const auto &weights, bool waiting,
+             const auto &unusable) {
+        onDemand(service, weights, waiting, unusable);
       },
       [this](const std::string &service, const WeightsRef &weights) {
         if (auto *home = homeCellOf(weights))
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -104,7 +104,7 @@
   /// Called with a peer's answer to a request that was sent at `requestedAt`.
   void onBriefing(const BriefingReply &reply, Instant requestedAt);
   void onDemand(const std::string &service, const WeightsRef &weights,
-                bool waiting);
+                bool waiting, const std::set<std::string> &unusable);
   CellMember *homeCellOf(const WeightsRef &weights);
   void onEnd(const GatewayExchange &exchange);
   void wakeWaiting();
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -215,7 +215,7 @@
     return reserveGrant(choice);
   if (sends) {
     if (usesEngine() && !std::exchange(DemandReported, true))
-      Shared.OnDemand(Query.Service, *Query.Weights, false);
+      Shared.OnDemand(Query.Service, *Query.Weights, false, {});
     return send(choice);
   }
   waitForReplica(choice);
@@ -235,7 +235,7 @@
 void GatewayExchange::waitForReplica(const RouteChoice &choice) {
   auto now = TimerService::now();
   if (usesEngine() && !std::exchange(DemandReported, true))
-    Shared.OnDemand(Query.Service, *Query.Weights, false);
+    Shared.OnDemand(Query.Service, *Query.Weights, false, {});
   if (choice.Result == RouteChoice::Kind::NoSuchSoftware)
     return refuseOtherSoftware();
   bool limited = choice.Result == RouteChoice::Kind::Limited && !AnswerBegun;
@@ -264,7 +264,7 @@
       WakeAt = std::min(WakeAt, *choice.HoldersReturnAt);
     if (now - DemandReportedAt >= Settings.DemandReminderInterval) {
       DemandReportedAt = now;
-      Shared.OnDemand(Query.Service, *Query.Weights, true);
+      Shared.OnDemand(Query.Service, *Query.Weights, true, Query.Excluded);
     }
     break;
   case RouteChoice::Kind::AwaitLoad:
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -184,9 +184,10 @@
   HttpPool &Pool;
   EventLog &Log;
   LabelHooks Labels;
-  /// Called when a request needs weights; `waiting` if no replica has them.
+  /// Called when a request needs weights; `waiting` if no replica has them but
+  /// those in `unusable`, which the request must not use.
   std::function<void(const std::string &service, const WeightsRef &weights,
-                     bool waiting)>
+                     bool waiting, const std::set<std::string> &unusable)>
       OnDemand;
   /// Called when a request has waited for a while because the engines that
   /// have the weights are at their limit.
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -2,6 +2,7 @@
 
 #include "Programs/hemlockgladed/Gateway/Gateway.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -320,11 +321,17 @@
 }
 
 void Gateway::onDemand(const std::string &service, const WeightsRef &weights,
-                       bool waiting) {
+                       bool waiting, const std::set<std::string> &unusable) {
   auto own = Cells.find(Settings.FailureDomain);
   auto *home = homeCellOf(weights);
-  if (waiting && home)
-    return home->onDemand(service, weights, true);
+  if (waiting && home) {
+    auto n = std::count_if(unusable.begin(), unusable.end(), [&](auto &it) {
+      return View.failureDomainOf(it) == home->cell() &&
+             View.holds(it, weights);
+    });
+    return home->onDemand(service, weights, true,
+                          static_cast<std::uint32_t>(n));
+  }
   if (own != Cells.end())
     own->second->onDemand(service, weights, false);
   if (home && (own == Cells.end() || home != own->second.get()))
