--- a/Hemlockglade/Coordination/Orders/CellPlacement.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.cpp
@@ -305,25 +305,30 @@
   for (const auto &[id, state] : Replicas) {
     if (state.Replaced || state.Limited)
       continue;
-    auto add = [&](const WeightsRef &weights, Instant readyAt) {
-      Copies[{state.Record->Service, weights}].ReadyAt.push_back(readyAt);
-    };
     for (const auto &[weights, held] : state.Held)
       if (!held.Evicting && isCurrent(weights, held.Version))
-        add(weights, held.ReadyAt);
+        countCopy(state, weights, held.ReadyAt);
     if (state.PendingAdapter && !state.Held.contains(*state.PendingAdapter))
-      add(*state.PendingAdapter, Instant::max());
+      countCopy(state, *state.PendingAdapter, Instant::max());
   }
 }
 
-std::size_t CellPlacement::CopyTimes::loading(Instant now) const {
+void CellPlacement::countCopy(const ReplicaState &state,
+                              const WeightsRef &weights, Instant readyAt) {
+  auto &copies = Copies[{state.Record->Service, weights}];
+  ++copies.All;
+  if (readyAt > PlannedAt)
+    copies.LoadingUntil.push_back(readyAt);
+}
+
+std::size_t CellPlacement::CopyCount::loading(Instant now) const {
   return static_cast<std::size_t>(
-      std::count_if(ReadyAt.begin(), ReadyAt.end(),
+      std::count_if(LoadingUntil.begin(), LoadingUntil.end(),
                     [now](const auto &it) { return it > now; }));
 }
 
-const CellPlacement::CopyTimes &CellPlacement::copiesOf(const DemandKey &key) {
-  static const CopyTimes None;
+const CellPlacement::CopyCount &CellPlacement::copiesOf(const DemandKey &key) {
+  static const CopyCount None;
   if (!CopiesValid)
     countCopies();
   auto it = Copies.find(key);
@@ -349,7 +354,7 @@
 std::size_t CellPlacement::usableCopyCount(const DemandKey &key,
                                            const Demand &demand, Instant now) {
   const auto &copies = copiesOf(key);
-  auto n = copies.ReadyAt.size();
+  auto n = copies.All;
   bool isKnown = now - demand.UnusableAt <= Options.WaitReportTimeout;
   auto usable = n - std::min<std::size_t>(n, isKnown ? demand.Unusable : 0);
   return std::max(usable, copies.loading(now));
--- a/Hemlockglade/Coordination/Orders/CellPlacement.h
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.h
@@ -264,17 +264,16 @@
   double valueOf(const ReplicaState &state, const WeightsRef &weights,
                  const ResidentWeights &held, Instant now);
   /// Copies of current versions in the cell.
-  struct CopyTimes {
-    /// When each is ready.
-    std::vector<Instant> ReadyAt;
+  struct CopyCount {
+    std::size_t All = 0;
+    /// When those are ready that are being loaded.
+    std::vector<Instant> LoadingUntil;
 
     std::size_t loading(Instant now) const;
   };
 
-  const CopyTimes &copiesOf(const DemandKey &key);
-  std::size_t copyCount(const DemandKey &key) {
-    return copiesOf(key).ReadyAt.size();
-  }
+  const CopyCount &copiesOf(const DemandKey &key);
+  std::size_t copyCount(const DemandKey &key) { return copiesOf(key).All; }
   /// Returns the number of copies that waiting requests may use; none of them
   /// can have tried one that is being loaded.
   std::size_t usableCopyCount(const DemandKey &key, const Demand &demand,
@@ -284,6 +283,8 @@
   static double waitingCount(const Demand &demand, Instant now);
   static void addWaiting(Demand &demand, std::uint32_t requests, Instant now);
   void countCopies();
+  void countCopy(const ReplicaState &state, const WeightsRef &weights,
+                 Instant readyAt);
   bool isCurrent(const WeightsRef &weights, std::uint64_t version) const;
   std::size_t adapterCount(const ReplicaState &state) const;
   std::size_t loadingCount(const ReplicaState &state, Instant now) const;
@@ -339,8 +340,10 @@
   std::set<DemandKey> InDemand;
   Instant NextDemandScan{};
   /// Counted anew when the replicas' state has changed.
-  std::map<DemandKey, CopyTimes> Copies;
+  std::map<DemandKey, CopyCount> Copies;
   bool CopiesValid = false;
+  /// Time of the last call of `plan`.
+  Instant PlannedAt{};
   Instant NextModelLoad{};
   /// Since when a base model could have been loaded from the weight store.
   std::optional<Instant> StoreFreeSince;
--- a/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
@@ -28,6 +28,7 @@
 
 std::vector<PlacementAction> CellPlacement::plan(bool mayOrder, Instant now) {
   std::vector<PlacementAction> actions;
+  PlannedAt = now;
   // The previous owner may have ordered just before its right ended.
   if (mayOrder && !MayOrder)
     NextModelLoad = std::max(NextModelLoad, now + Options.NewOwnerModelDelay);
@@ -208,6 +209,7 @@
   std::set_union(Waiting.begin(), Waiting.end(), InDemand.begin(),
                  InDemand.end(), std::back_inserter(keys));
   std::vector<LoadCandidate> candidates;
+  candidates.reserve(keys.size());
   for (const auto &key : keys)
     candidates.push_back(candidateOf(key, now));
   constexpr double UnlimitedValue = 1e9;
--- a/UnitTests/Coordination/Orders/LoadRankingTest.cpp
+++ b/UnitTests/Coordination/Orders/LoadRankingTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <iterator>
 
 namespace hemlockglade::test {
 
@@ -25,8 +26,8 @@
 
 std::vector<std::size_t> indicesOf(const std::vector<LoadRanking::Entry> &all) {
   std::vector<std::size_t> out;
-  for (const auto &it : all)
-    out.push_back(it.Index);
+  std::transform(all.begin(), all.end(), std::back_inserter(out),
+                 [](const auto &it) { return it.Index; });
   return out;
 }
 
--- a/UnitTests/Platform/Soak/SoakCallers.cpp
+++ b/UnitTests/Platform/Soak/SoakCallers.cpp
@@ -90,7 +90,7 @@
                          SoakHistory &history, std::uint64_t seed)
     : Context(context), Nodes(nodes), History(history), Timers(context),
       Pool(context, {}), DirectoryCaller(context, {}), Random(seed),
-      CrashingRandom(seed) {}
+      CrashingRandom(seed), HotRandom(seed) {}
 
 void SoakCallers::start() {
   Running = true;
@@ -226,8 +226,11 @@
   // A few adapters get most of the requests.
   auto rank =
       std::min(Random() % site::AdapterCount, Random() % site::AdapterCount);
+  auto number = static_cast<int>(rank) + 1;
+  if (HotAdapter && HotRandom() % 2)
+    number = HotAdapter;
   if (it->Stream)
-    it->Adapter = std::string(site::Model) + "/a" + std::to_string(rank + 1);
+    it->Adapter = std::string(site::Model) + "/a" + std::to_string(number);
   if (it->Stream && !it->AtMostOnce) {
     it->Resumable = std::make_shared<StreamState>();
     it->Resumable->FirstTag = it->Tag;
@@ -360,6 +363,11 @@
     call->Connection->abort();
   else
     Pool.give(call->Connection);
+  if (call->Body.find(SoakProxy::EndlessText) != std::string::npos) {
+    auto &got = History.record("callers", "got_endless");
+    got.Tag = call->Tag;
+    got.To = call->To;
+  }
   bool hasEvents = call->Resumable && onStreamEnd(call, outcome != "complete" &&
                                                             outcome != "left");
   if (!call->Resumable && call->Stream)
--- a/UnitTests/Platform/Soak/SoakCallers.h
+++ b/UnitTests/Platform/Soak/SoakCallers.h
@@ -49,6 +49,9 @@
   void setKeptAddresses(std::vector<std::string> addresses) {
     KeptAddresses = std::move(addresses);
   }
+  /// Has half of the requests for engines ask for this adapter, by its number;
+  /// none if 0.
+  void setHotAdapter(int number) { HotAdapter = number; }
   /// Sets how the number of engines is found that serve a software version.
   void setServingCount(std::function<int(const std::string &software)> hook) {
     ServingCount = std::move(hook);
@@ -115,6 +118,8 @@
   /// A separate generator, so that its use doesn't change what the same seed
   /// draws elsewhere.
   std::mt19937_64 CrashingRandom;
+  std::mt19937_64 HotRandom;
+  int HotAdapter = 0;
   std::uint64_t Plan = 0;
   bool Running = false;
   int OpenCalls = 0;
--- a/UnitTests/Platform/Soak/SoakDisturbances.cpp
+++ b/UnitTests/Platform/Soak/SoakDisturbances.cpp
@@ -62,9 +62,12 @@
 bool DisturbanceLog::wasRunning(const std::string &tag, Instant from,
                                 Instant to) const {
   auto gateway = Gateways.find(tag);
-  if (gateway == Gateways.end())
-    return false;
-  auto node = Nodes.find(gateway->second);
+  return gateway != Gateways.end() && wasNodeRunning(gateway->second, from, to);
+}
+
+bool DisturbanceLog::wasNodeRunning(const std::string &name, Instant from,
+                                    Instant to) const {
+  auto node = Nodes.find(name);
   return node == Nodes.end() || !node->second.overlaps(from, to);
 }
 
--- a/UnitTests/Platform/Soak/SoakDisturbances.h
+++ b/UnitTests/Platform/Soak/SoakDisturbances.h
@@ -44,6 +44,8 @@
   /// Whether the gateway that the request was sent to ran without a break from
   /// `from` to `to`.
   bool wasRunning(const std::string &tag, Instant from, Instant to) const;
+  /// Whether a gateway ran without a break from `from` to `to`.
+  bool wasNodeRunning(const std::string &name, Instant from, Instant to) const;
   /// Returns since when the store and all links have been undisturbed; nullopt
   /// if they are disturbed.
   std::optional<Instant> undisturbedSince(Instant at) const {
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -6,6 +6,7 @@
 #include "UnitTests/Platform/Soak/SoakBrittle.h"
 #include "UnitTests/Platform/Soak/SoakCutOffs.h"
 #include "UnitTests/Platform/Soak/SoakDraining.h"
+#include "UnitTests/Platform/Soak/SoakEndless.h"
 #include "UnitTests/Platform/Soak/SoakLimits.h"
 #include "UnitTests/Platform/Soak/SoakPauses.h"
 #include "UnitTests/Platform/Soak/SoakRetries.h"
@@ -33,7 +34,7 @@
 DEFINE_string(
     plant, "",
     "a violation that the verdict has to find: workspace, swap, twice, "
-    "refused, pause or leaving");
+    "refused, pause, leaving or endless");
 DEFINE_double(fault_every, 0.7, "mean time between faults, in seconds");
 DEFINE_double(crashing_every, 0,
               "time between requests that crash the replicas that run them, in "
@@ -78,6 +79,13 @@
     leaves_every, 0,
     "time between replicas that leave and say so in their answers, in "
     "seconds; 0 for none");
+DEFINE_bool(uneven, false, "engines take 0.6, 1 or 1.6 times the usual time");
+DEFINE_double(hot_every, 0,
+              "time between changes of the adapter that half of the requests "
+              "for engines ask for, in seconds; 0 for none");
+DEFINE_double(endless_every, 0,
+              "time between times in which a replica answers by bytes without "
+              "end, in seconds; 0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -252,6 +260,26 @@
   return findings.Broken.empty();
 }
 
+bool checkEndlessAnswers(const std::vector<HistoryEvent> &events) {
+  auto findings = checkEndless(events);
+  printResult(
+      findings.Open.empty(),
+      "gateways close connections with answers without end: " +
+          std::to_string(findings.Open.size()) + " of " +
+          std::to_string(findings.Checked) + " open too long, " +
+          std::to_string(findings.MaxOpen / std::chrono::milliseconds(1)) +
+          " ms and " + std::to_string(findings.MaxBytes / 1024) +
+          " KiB at most");
+  for (const auto &it : findings.Open)
+    std::cout << "  " << it << '\n';
+  printResult(findings.Delivered.empty(),
+              "callers get no answers without end: " +
+                  std::to_string(findings.Delivered.size()) + " got one");
+  for (const auto &it : findings.Delivered)
+    std::cout << "  " << it << '\n';
+  return findings.Open.empty() && findings.Delivered.empty();
+}
+
 bool checkRetryBudgets(const std::vector<HistoryEvent> &events,
                        int fixedRetries) {
   GatewaySettings defaults;
@@ -297,6 +325,7 @@
   isHeld = checkCutOffGateways(events) && isHeld;
   isHeld = checkBrittleReplicas(events) && isHeld;
   isHeld = checkAskedPauses(events) && isHeld;
+  isHeld = checkEndlessAnswers(events) && isHeld;
   isHeld = checkRetryBudgets(events, settings.RepeatExtra) && isHeld;
   isHeld = checkStreamEvents(events) && isHeld;
   HistoryChecker checker(std::move(events), bounds);
@@ -334,6 +363,8 @@
     return PlantedViolation::SilentPauses;
   if (name == "leaving")
     return PlantedViolation::SilentLeaves;
+  if (name == "endless")
+    return PlantedViolation::UnclosedAnswers;
   if (name == "workspace")
     return PlantedViolation::WrongWorkspace;
   return std::nullopt;
@@ -372,6 +403,9 @@
   settings.BrittleInterval = spanOf(FLAGS_brittle_every);
   settings.PauseInterval = spanOf(FLAGS_pauses_every);
   settings.LeaveInterval = spanOf(FLAGS_leaves_every);
+  settings.Uneven = FLAGS_uneven;
+  settings.HotInterval = spanOf(FLAGS_hot_every);
+  settings.EndlessInterval = spanOf(FLAGS_endless_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.CrashingPartInterval = spanOf(FLAGS_crashing_parts_every);
--- a/UnitTests/Platform/Soak/SoakNode.cpp
+++ b/UnitTests/Platform/Soak/SoakNode.cpp
@@ -53,6 +53,8 @@
   for (std::size_t it = 0; it < Options.Seeds.size(); ++it)
     out << (it ? ", " : "") << '"' << Options.Seeds[it] << '"';
   out << "]\n";
+  if (Options.RanksLoads)
+    out << "decisions:\n  rank_loads: true\n";
   if (PeerLink)
     out << "advertised_peer_address: \"" << addressAt(PeerProxyPort) << "\"\n";
 }
--- a/UnitTests/Platform/Soak/SoakNode.h
+++ b/UnitTests/Platform/Soak/SoakNode.h
@@ -25,6 +25,8 @@
     Span VersionBound{0};
     /// Retries of a service in each window that don't depend on its requests.
     int RepeatExtra = 200;
+    /// Whether owners rank adapter loads by the requests that they let begin.
+    bool RanksLoads = false;
     /// Whether other gateways reach this one through a proxy.
     bool ProxiesPeers = false;
   };
--- a/UnitTests/Platform/Soak/SoakProxy.cpp
+++ b/UnitTests/Platform/Soak/SoakProxy.cpp
@@ -2,6 +2,8 @@
 
 #include "Hemlockglade/Transport/Http1/SocketOptions.h"
 
+#include "platform/Names.h"
+
 #include <array>
 #include <asio/write.hpp>
 #include <cstddef>
@@ -63,6 +65,13 @@
   std::array<char, 16384> ToCaller{};
   /// Answers that are late, each with the time at which it is due.
   std::deque<std::pair<Instant, std::string>> Late;
+  /// The answer without end that the caller gets; its number is 0 if there is
+  /// none.
+  EndlessAnswer Endless;
+  /// What is written again and again, the first time with the start of the
+  /// answer.
+  std::string EndlessPart;
+  std::size_t EndlessStart = 0;
 };
 
 SoakProxy::SoakProxy(asio::io_context &context, std::uint16_t target)
@@ -84,13 +93,15 @@
 
 void SoakProxy::resetAll() {
   for (auto &it : std::exchange(Pipes, {}))
-    if (auto pipe = it.lock())
+    if (auto pipe = it.lock()) {
+      endEndless(*pipe, false);
       pipe->reset();
+    }
 }
 
 void SoakProxy::setFault(Fault fault) {
-  bool wasLate = CurrentFault == Fault::Late;
-  if (fault == Fault::Reset || (fault == Fault::None && !wasLate))
+  bool goOn = CurrentFault == Fault::Late || answersEndlessly();
+  if (fault == Fault::Reset || (fault == Fault::None && !goOn))
     resetAll();
   CurrentFault = fault;
   LateSince = TimerService::now();
@@ -131,6 +142,65 @@
   });
 }
 
+void SoakProxy::beginEndless(const std::shared_ptr<Pipe> &pipe,
+                             std::string_view request) {
+  bool isHead = CurrentFault == Fault::EndlessHead;
+  bool isStream =
+      request.find(platform_name::Weights) != std::string_view::npos;
+  auto &answer = pipe->Endless;
+  answer.Number = ++EndlessCount;
+  asio::error_code ec;
+  answer.Caller = pipe->Caller.remote_endpoint(ec).address().to_string();
+  answer.Request = request;
+  if (OnEndless)
+    OnEndless(answer);
+  answer.Request = {};
+  std::string start = "HTTP/1.1 200 OK\r\n";
+  if (!isHead && isStream)
+    start += "Content-Type: text/event-stream\r\n";
+  if (!isHead)
+    start += "Connection: close\r\n\r\n";
+  std::string filler(isHead ? "X-Endless: " : "");
+  filler += EndlessText;
+  filler += isHead ? "\r\n" : " ";
+  constexpr std::size_t Repetitions = 1500;
+  for (std::size_t it = 0; it < Repetitions; ++it)
+    pipe->EndlessPart += filler;
+  pipe->EndlessStart = start.size();
+  pipe->EndlessPart.insert(0, start);
+  writeEndless(pipe);
+}
+
+void SoakProxy::writeEndless(const std::shared_ptr<Pipe> &pipe) {
+  asio::async_write(
+      pipe->Caller, asio::buffer(pipe->EndlessPart),
+      [this, pipe, alive = Alive](asio::error_code ec, std::size_t n) {
+        if (!*alive)
+          return;
+        pipe->Endless.Bytes += n;
+        if (ec)
+          return endEndless(*pipe, true);
+        // Only the first part has the start of the answer.
+        pipe->EndlessPart.erase(0, std::exchange(pipe->EndlessStart, 0));
+        constexpr auto PartInterval = std::chrono::milliseconds(5);
+        Timers.after(PartInterval, [this, pipe, alive](Instant) {
+          if (*alive && pipe->Endless.Number)
+            writeEndless(pipe);
+        });
+      });
+}
+
+void SoakProxy::endEndless(Pipe &pipe, bool byCaller) {
+  if (pipe.Endless.Number == 0)
+    return;
+  pipe.Endless.HasEnded = true;
+  pipe.Endless.ByCaller = byCaller;
+  if (OnEndless)
+    OnEndless(pipe.Endless);
+  pipe.Endless = {};
+  pipe.reset();
+}
+
 void SoakProxy::close(ClosedMode mode) {
   asio::error_code ec;
   if (mode == ClosedMode::NoListener)
@@ -194,6 +264,16 @@
                           alive = Alive](asio::error_code ec, std::size_t n) {
         if (!*alive)
           return;
+        if (pipe->Endless.Number) {
+          // The address has not got the request, and may close its end.
+          if (ec && toServer)
+            endEndless(*pipe, true);
+          return ec ? void() : pump(pipe, toServer);
+        }
+        if (!ec && toServer && answersEndlessly()) {
+          beginEndless(pipe, {buf.data(), n});
+          return pump(pipe, toServer);
+        }
         bool isDropped = CurrentFault == Fault::Silent ||
                          (CurrentFault == Fault::OneWay && toServer);
         if (isDropped)
--- a/UnitTests/Platform/Soak/SoakProxy.h
+++ b/UnitTests/Platform/Soak/SoakProxy.h
@@ -3,6 +3,7 @@
 #include "Hemlockglade/Transport/Time/TimerService.h"
 
 #include <asio/ip/tcp.hpp>
+#include <functional>
 #include <list>
 #include <set>
 
@@ -12,6 +13,9 @@
 /// connections.
 class SoakProxy {
 public:
+  /// Text in answers without end, which no other answer contains.
+  static constexpr std::string_view EndlessText = "bytes-without-end";
+
   enum class Fault : std::uint8_t {
     None,
     /// Data arrives 60 ms late.
@@ -25,6 +29,25 @@
     /// Answers arrive later and later, by up to 2.5 s, as behind a queue that
     /// fills up. Nothing is lost.
     Late,
+    /// Requests are answered, instead of forwarded, by a head or by a body that
+    /// never ends. Such answers outlast the fault: only the caller's end of the
+    /// connection ends them, or the end of the process behind the address.
+    EndlessHead,
+    EndlessBody,
+  };
+
+  /// An answer without end, as it begins and as it ends.
+  struct EndlessAnswer {
+    /// Number of the answer, from 1 on for each proxy.
+    std::uint64_t Number = 0;
+    /// Start of the request.
+    std::string_view Request;
+    /// IP address of the caller.
+    std::string Caller;
+    bool HasEnded = false;
+    /// The caller closed the connection.
+    bool ByCaller = false;
+    std::size_t Bytes = 0;
   };
 
   /// What accepts connections to an address whose process has ended: nothing, a
@@ -45,7 +68,7 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
   /// Sets the fault. With `None` and `Reset` it also resets all connections:
   /// those whose data was dropped would stay silent forever. Connections whose
-  /// data was only late go on.
+  /// data was only late go on, and so do answers without end.
   void setFault(Fault fault);
   Fault fault() const { return CurrentFault; }
   /// Drops packets from these IPv4 addresses, silently: new connections from
@@ -59,6 +82,8 @@
   /// Called when a process runs again. The proxy listens at a new port if it
   /// was closed with `NoListener`.
   void open();
+  /// Called when an answer without end begins and when it ends.
+  std::function<void(const EndlessAnswer &)> OnEndless;
 
 private:
   struct Pipe;
@@ -68,6 +93,14 @@
   /// Forwards an answer after the present lag, and after all before it.
   void forwardLate(const std::shared_ptr<Pipe> &pipe, std::string_view bytes);
   void writeLate(const std::shared_ptr<Pipe> &pipe);
+  bool answersEndlessly() const {
+    return CurrentFault == Fault::EndlessHead ||
+           CurrentFault == Fault::EndlessBody;
+  }
+  void beginEndless(const std::shared_ptr<Pipe> &pipe,
+                    std::string_view request);
+  void writeEndless(const std::shared_ptr<Pipe> &pipe);
+  void endEndless(Pipe &pipe, bool byCaller);
   void resetAll();
 
   asio::io_context &Context;
@@ -76,6 +109,7 @@
   asio::ip::tcp::endpoint Target;
   Fault CurrentFault = Fault::None;
   Instant LateSince{};
+  std::uint64_t EndlessCount = 0;
   bool Forwards = true;
   /// Addresses whose packets to the listener are dropped.
   std::set<std::string> CutOffAddresses;
--- a/UnitTests/Platform/Soak/SoakReplica.cpp
+++ b/UnitTests/Platform/Soak/SoakReplica.cpp
@@ -302,15 +302,16 @@
     record("overloaded").Adapter = adapter;
     return false;
   }
-  Timers.after(LoadTime, [this, adapter, version, expected = Incarnation,
-                          alive = Alive](Instant) {
-    if (!*alive || !isRunning() || expected != Incarnation ||
-        Loading.erase(adapter) == 0)
-      return;
-    Loaded[adapter] = version;
-    record("loaded").Adapter = std::string(site::Model) + "/" + adapter + "@" +
-                               std::to_string(version);
-  });
+  Timers.after(
+      scaled(LoadTime, Options.TimeFactor),
+      [this, adapter, version, expected = Incarnation, alive = Alive](Instant) {
+        if (!*alive || !isRunning() || expected != Incarnation ||
+            Loading.erase(adapter) == 0)
+          return;
+        Loaded[adapter] = version;
+        record("loaded").Adapter = std::string(site::Model) + "/" + adapter +
+                                   "@" + std::to_string(version);
+      });
   return true;
 }
 
@@ -424,7 +425,8 @@
   }
   if (CurrentMode == Mode::Hangs)
     return;
-  Timers.after(it->Stream ? Span(milliseconds(20)) : Options.WorkTime,
+  Timers.after(it->Stream ? scaled(milliseconds(20), Options.TimeFactor)
+                          : Options.WorkTime,
                [this, it, alive = Alive](Instant) {
                  if (*alive && !it->Ended)
                    step(it);
@@ -517,10 +519,11 @@
     end(*run, "finished", true);
     return run->Reply->finish();
   }
-  Timers.after(StepInterval, [this, run, alive = Alive](Instant) {
-    if (*alive && !run->Ended)
-      step(run);
-  });
+  Timers.after(scaled(StepInterval, Options.TimeFactor),
+               [this, run, alive = Alive](Instant) {
+                 if (*alive && !run->Ended)
+                   step(run);
+               });
 }
 
 void SoakReplica::end(Run &run, const char *how, bool isComplete) {
--- a/UnitTests/Platform/Soak/SoakReplica.h
+++ b/UnitTests/Platform/Soak/SoakReplica.h
@@ -70,6 +70,8 @@
     SilentPauses,
     /// Records that its answers say that it leaves, and they don't.
     SilentLeaves,
+    /// Records an answer without end that no gateway closes.
+    UnclosedAnswers,
   };
   struct Settings {
     std::string Service;
@@ -81,6 +83,8 @@
     std::uint32_t Slots = 8;
     /// How long a plain request runs.
     Span WorkTime = std::chrono::milliseconds(15);
+    /// Factor of the times that an engine takes for requests and loads.
+    double TimeFactor = 1;
     /// Lets requests beyond its slots wait, up to a multiple of the slots, and
     /// rejects more; else it runs all.
     bool LimitsRoom = false;
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -43,7 +43,8 @@
       StaleListRandom(Options.Seed), CutOffRandom(Options.Seed),
       LivesRandom(Options.Seed), ReleaseRandom(Options.Seed),
       BrittleRandom(Options.Seed), PauseRandom(Options.Seed),
-      LeaveRandom(Options.Seed), Timers(Context), Store(Context, Random()),
+      LeaveRandom(Options.Seed), HotRandom(Options.Seed),
+      EndlessRandom(Options.Seed), Timers(Context), Store(Context, Random()),
       Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
@@ -83,6 +84,11 @@
     if (Options.StaleListInterval > Span(0) || Options.LeaveInterval > Span(0))
       replica.DrainTime = seconds(5);
     replica.Service = replica.Engine ? site::EngineService : site::PlainService;
+    // So that each failure domain has engines of different speeds.
+    static constexpr std::array<double, 3> TimeFactors{0.6, 1, 1.6};
+    if (Options.Uneven && replica.Engine)
+      replica.TimeFactor = TimeFactors[static_cast<std::size_t>(it + it / 3) %
+                                       TimeFactors.size()];
     replica.FailureDomain =
         Domains[static_cast<std::size_t>(it) % Domains.size()];
     Replicas.push_back(std::make_unique<SoakReplica>(
@@ -91,6 +97,10 @@
       log("a request crashes a replica");
       Crashes.push_back(TimerService::now());
     };
+    Replicas.back()->link().OnEndless =
+        [this, &replica = *Replicas.back()](const auto &answer) {
+          recordEndless(replica, answer);
+        };
     Replicas.back()->OnPartArrived = [this] {
       PartArrivals.push_back(TimerService::now());
     };
@@ -148,6 +158,7 @@
     node.Seeds = seeds;
     node.VersionBound = Options.VersionBound;
     node.RepeatExtra = Options.RepeatExtra;
+    node.RanksLoads = Options.HotInterval > Span(0);
     node.ProxiesPeers = Options.StaleListInterval > Span(0);
     Nodes.push_back(std::make_unique<SoakNode>(Context, std::move(node),
                                                Store.port(), History));
@@ -196,6 +207,9 @@
               &SoakWorld::injectBrittle);
   repeatWhile(InjectsFaults, Options.PauseInterval, &SoakWorld::injectPauses);
   repeatWhile(InjectsFaults, Options.LeaveInterval, &SoakWorld::injectLeave);
+  repeatWhile(InjectsFaults, Options.HotInterval, &SoakWorld::changeHotAdapter);
+  repeatWhile(InjectsFaults, Options.EndlessInterval,
+              &SoakWorld::injectEndless);
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -58,6 +58,14 @@
     /// the cases not in the registry, and in half while the store is silent;
     /// none if 0.
     Span LeaveInterval{0};
+    /// Whether engines take 0.6, 1 or 1.6 times the usual time.
+    bool Uneven = false;
+    /// Time between changes of the one adapter that half of the requests for
+    /// engines ask for; none if 0. If set, owners rank adapter loads.
+    Span HotInterval{0};
+    /// Time between times in which a replica answers by bytes without end; none
+    /// if 0.
+    Span EndlessInterval{0};
     /// Retries of a service in each window that don't depend on its requests.
     int RepeatExtra = 200;
     /// How long requests may still begin on a version of weights that has been
@@ -152,6 +160,12 @@
   void injectPauses();
   /// Has a replica leave that says so in its answers.
   void injectLeave();
+  /// Has callers ask for another hot adapter.
+  void changeHotAdapter();
+  /// Has a replica answer by heads or bodies without end for a while.
+  void injectEndless();
+  void recordEndless(const SoakReplica &replica,
+                     const SoakProxy::EndlessAnswer &answer);
   void setBrittle(std::string_view service, std::optional<double> perSecond);
   void restoreAll();
   void causeOutage();
@@ -181,6 +195,8 @@
   std::mt19937_64 BrittleRandom;
   std::mt19937_64 PauseRandom;
   std::mt19937_64 LeaveRandom;
+  std::mt19937_64 HotRandom;
+  std::mt19937_64 EndlessRandom;
   std::size_t ReleaseCount = 0;
   asio::io_context Context;
   TimerService Timers;
