--- a/Hemlockglade/Coordination/Orders/CellPlacement.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.cpp
@@ -290,6 +290,7 @@
   if (loadingCount(now) + LoadingElsewhere < AdapterLoads.limit())
     return true;
   AdapterLoads.onLoadDelayed(now);
+  LoadDelayedAt = now;
   return false;
 }
 
--- a/Hemlockglade/Coordination/Orders/CellPlacement.h
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.h
@@ -125,9 +125,12 @@
     /// speed: one after the other, replicas are ready sooner on average.
     double ModelLoadsPerRate = 0.25;
     /// Whether first and further copies of adapters stand in one order, by the
-    /// requests that they let begin. Otherwise all first copies come before all
-    /// further ones.
+    /// requests that they let begin, while loads are scarce. Otherwise all
+    /// first copies come before all further ones.
     bool RankLoads = false;
+    /// Loads count as scarce for this long after the limit of concurrent loads
+    /// delayed one.
+    Span ScarceFor = std::chrono::milliseconds(1000);
     LoadRanking::Settings Ranking;
   };
 
@@ -292,6 +295,9 @@
   /// Whether another adapter may be loaded; if not, it counts as a delayed
   /// load.
   bool canLoad(Instant now);
+  bool areLoadsScarce(Instant now) const {
+    return now - LoadDelayedAt < Options.ScarceFor;
+  }
   bool canOrder(const ReplicaState &state, Instant now) const;
   void applyHoldings(ReplicaState &state, const HeldWeights &held,
                      const HeldWeights &pending, std::uint64_t count,
@@ -353,6 +359,8 @@
   /// Limit of adapter loads in progress over all cells.
   LoadConcurrency AdapterLoads;
   LoadRanking Ranking;
+  /// When the limit of concurrent loads last delayed one.
+  Instant LoadDelayedAt{-3'600'000'000};
   std::size_t ModelsElsewhere = 0;
   std::uint64_t Revision = 1;
 };
--- a/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacementPlan.cpp
@@ -151,7 +151,7 @@
       return !it.second.WaitingSince && rate(it.second, now) < MinDemand;
     });
   }
-  if (Options.RankLoads) {
+  if (Options.RankLoads && areLoadsScarce(now)) {
     if (scanDue)
       findInDemand(now);
     return planRanked(actions, now);
