Placement: a copy for requests that must not use the only one has a test

Cause: nothing guarded that a copy which the waiting request must not use does not count as serving it, or that repeated reports bring only one more copy. Change: a test of both, with and without ranked loads.

--- a/UnitTests/Coordination/Orders/CellPlacementTest.cpp
+++ b/UnitTests/Coordination/Orders/CellPlacementTest.cpp
@@ -199,6 +199,27 @@
   }
 }
 
+TEST_CASE("an adapter is loaded once more for a request that must not use its "
+          "only copy",
+          "[desk][slow]") {
+  PlacementWorld world(4);
+  CellPlacement::Settings settings;
+  settings.RankLoads = GENERATE(false, true);
+  world.Placement = CellPlacement(settings);
+  world.updateReplicas();
+  world.runRounds(2);
+  world.Placement.onWaiting(Service, adapter(1), world.Now);
+  world.runRounds(10);
+  REQUIRE(world.copies(adapter(1)) == 1);
+  // The request goes on reporting while it waits for the load, which must not
+  // bring it more than one copy.
+  for (int it = 0; it < 10; ++it) {
+    world.Placement.onWaiting(Service, adapter(1), world.Now, 1, 1);
+    world.runRounds(4);
+  }
+  CHECK(world.copies(adapter(1)) == 2);
+}
+
 TEST_CASE("waiting requests get one copy even if a slot must be freed first",
           "[desk]") {
   PlacementWorld world(3, 1);
