A slow attempt goes on until another replica can take its request

Cause: an attempt that was silent for its stall timeout was ended before a replica was chosen. Where none had the weights the request was held, and its caller's stream was closed in the middle although the engine went on. The owner saw a copy and loaded no other. Change: the exchange chooses with the slow replica excluded. Only if the request can be sent there at once, with what that replica has to grant and in its turn, is the attempt ended. Otherwise it goes on, a further copy is asked for, and the exchange looks again every DemandReminderInterval (event slow-kept).

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -176,8 +176,12 @@
 }
 
 void GatewayExchange::wake() {
-  if (Waiting && !Done)
+  if (Done)
+    return;
+  if (Waiting)
     sendOrHold();
+  else if (Current && QueueTicket)
+    onSlow();
 }
 
 Span GatewayExchange::retryAfter() const {
@@ -262,10 +266,7 @@
                                         : "weights missing";
     if (choice.HoldersReturnAt)
       WakeAt = std::min(WakeAt, *choice.HoldersReturnAt);
-    if (now - DemandReportedAt >= Settings.DemandReminderInterval) {
-      DemandReportedAt = now;
-      Shared.OnDemand(Query.Service, *Query.Weights, true, Query.Excluded);
-    }
+    reportMissing(now, Query.Excluded);
     break;
   case RouteChoice::Kind::AwaitLoad:
     WaitReason = "weights loading";
@@ -452,6 +453,8 @@
 
 void GatewayExchange::setStallTimeout(Span span) {
   Current->StalledAt = TimerService::now() + span;
+  Current->StallTime = span;
+  endSlowness();
 }
 
 void GatewayExchange::armAttemptTimer() {
@@ -508,23 +511,14 @@
   bool late = isBeginOverdue();
   if (!late && TimerService::now() < Current->StalledAt)
     return armAttemptTimer();
+  if (!late && !Current->ReplicaRestarted)
+    return onSlow();
   MayHaveRun = MayHaveRun || Current->Connection->open();
   if (late)
     return endOverdueAttempt();
-  if (Current->ReplicaRestarted && !Current->Connection->open())
+  if (!Current->Connection->open())
     return onFailed(HttpFailure::NotConnected);
-  if (Current->ReplicaRestarted)
-    return onAttemptFailed("replica started anew");
-  if (!canRetry() || !reserveRetry("slow")) {
-    // The attempt goes on without a stall timeout; whether it begins too late
-    // is still checked.
-    Current->StalledAt = Instant::max();
-    return armAttemptTimer();
-  }
-  auto slow = Current->Replica->Incarnation.text();
-  endAttempt(AttemptVerdict::NoValidAnswer);
-  Query.Excluded.insert(slow);
-  sendOrHold();
+  onAttemptFailed("replica started anew");
 }
 
 void GatewayExchange::endOverdueAttempt() {
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -319,6 +319,13 @@
     /// When the attempt counts as stalled, unless data arrive before; never if
     /// the request may not be retried and its replica has not restarted.
     Instant StalledAt = Instant::max();
+    /// The stall timeout that was set last.
+    Span StallTime{0};
+    /// It has passed, and the attempt goes on until another replica can take
+    /// the request over.
+    bool IsSlow = false;
+    /// Why the attempt went on, as it was logged last.
+    std::string_view KeptBecause;
     /// Version of the weights that the request was sent for; 0 if not known.
     std::uint64_t Version = 0;
     /// Set if the weights were replaced: an attempt that has not begun by then
@@ -384,6 +391,8 @@
   /// Reserves a place or a request at the chosen replica, and chooses again
   /// once that is decided.
   void reserveGrant(const RouteChoice &choice);
+  void requestGrant(const RouteChoice &choice);
+  void onGranted();
   /// `part` is what was requested.
   void onGrantDecided(ReplicaGrant part,
                       const QuotaService::Decision &decision);
@@ -419,6 +428,9 @@
   void leaveQueue(bool served);
   void send(const RouteChoice &choice);
   void reportCongestion(Instant now);
+  /// Asks for a copy of the weights beside those at the replicas that the
+  /// request must not use; again only after `DemandReminderInterval`.
+  void reportMissing(Instant now, const std::set<std::string> &unusable);
   void logWait(const RouteChoice &choice, Instant now);
   bool onHead(const HttpAnswerHead &head);
   /// Reports that the direct path to the replica carries data.
@@ -462,8 +474,25 @@
   void onTimer();
   void onAttemptTimer();
   void armTimer();
-  /// Sets when the attempt counts as stalled.
+  /// Sets when the attempt counts as stalled; until then it is not slow.
   void setStallTimeout(Span span);
+  /// Called when the attempt has been silent for its stall timeout, and again
+  /// while it stays silent: sends the request to another replica if one can
+  /// take it at this moment. Only then is the attempt ended.
+  void onSlow();
+  /// Continues an attempt that is slow.
+  void keepSlow(std::string_view why, Span checkAgainIn);
+  /// Called when the attempt is not slow any more.
+  void endSlowness();
+  /// Lets requests that wait for replicas go before one that runs already:
+  /// `choice` becomes `Full` if it is not its turn.
+  void queueWhileSlow(RouteChoice &choice);
+  void reportWhileSlow(const RouteChoice &choice);
+  /// Chooses a replica other than that of the present attempt, which may go on:
+  /// nothing is held or refused.
+  RouteChoice chooseInstead();
+  /// Whether there is a path to the replica.
+  bool isReachable(const ReplicaRecord &replica) const;
   void armAttemptTimer();
   /// Called when data have arrived from the replica.
   void onActivity();
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
@@ -85,8 +85,12 @@
   WaitsForCapacity = true;
   WaitReason = "replica's limit";
   WakeAt = Instant::max();
-  GrantPending = true;
   armTimer();
+  requestGrant(choice);
+}
+
+void GatewayExchange::requestGrant(const RouteChoice &choice) {
+  GrantPending = true;
   ReplicaGrant part{choice.Replica, {}, {}};
   bool wantsPlace = needsPlace(choice);
   if (wantsPlace)
@@ -113,7 +117,7 @@
       Grant->RequestLimit = part.RequestLimit;
     else
       Grant = std::move(part);
-    return Done ? releaseGrant(Grant) : sendOrHold();
+    return onGranted();
   }
   if (Done)
     return;
@@ -131,6 +135,9 @@
                     {"owner_answered", answered},
                     {"empty_for_ms", decision.EmptyFor},
                     {"retry_after_ms", decision.RetryAfter}});
+  // The slow attempt goes on, and looks for a replica again later.
+  if (Current)
+    return releaseGrant(Grant);
   // Others are not asked without end where all places are taken.
   constexpr std::uint32_t MaxPlaceDenials = 4;
   PlaceDenials += part.Place ? 1 : 0;
@@ -141,6 +148,17 @@
   sendOrHold();
 }
 
+void GatewayExchange::onGranted() {
+  if (Done)
+    return releaseGrant(Grant);
+  if (!Current)
+    return sendOrHold();
+  // An event may have arrived while the grant was decided.
+  if (Current->IsSlow)
+    return onSlow();
+  releaseGrant(Grant);
+}
+
 void GatewayExchange::waitForPlace(Instant readyAt) {
   auto now = TimerService::now();
   PlaceDenials = 0;
@@ -288,4 +306,12 @@
   Shared.OnCongested(Query.Service, *Query.Weights);
 }
 
+void GatewayExchange::reportMissing(Instant now,
+                                    const std::set<std::string> &unusable) {
+  if (now - DemandReportedAt < Settings.DemandReminderInterval)
+    return;
+  DemandReportedAt = now;
+  Shared.OnDemand(Query.Service, *Query.Weights, true, unusable);
+}
+
 } // namespace hemlockglade
--- a/UnitTests/Node/Gateway/ScriptedReplica.h
+++ b/UnitTests/Node/Gateway/ScriptedReplica.h
@@ -57,6 +57,20 @@
       }
   }
 
+  /// Sends more bytes over all open connections; returns whether all of them
+  /// took the bytes at once.
+  bool sendMore(std::string_view bytes) {
+    bool isSent = true;
+    for (const auto &weak : Open)
+      if (auto it = weak.lock(); it && it->Socket.is_open()) {
+        asio::error_code ec;
+        it->Socket.non_blocking(true, ec);
+        asio::write(it->Socket, asio::buffer(bytes), ec);
+        isSent = isSent && !ec;
+      }
+    return isSent;
+  }
+
   /// Returns what to do with a request; used in place of the script if set.
   std::function<Step(const Request &)> Answer;
   bool Crashed = false;
--- /dev/null
+++ b/UnitTests/Node/Gateway/SlowReplicaTest.cpp
@@ -0,0 +1,207 @@
+// One request at a replica that is slow, silent or fails, while it is not known
+// whether another replica can take the request over.
+
+#include "UnitTests/Node/Gateway/GatewayExchangeRig.h"
+
+#include <algorithm>
+
+namespace hemlockglade::test {
+
+namespace {
+
+/// A resumable stream for weights that only the first of two engines has.
+struct SlowFixture : ExchangeFixture {
+  struct Demand {
+    bool Waiting = false;
+    std::set<std::string> Unusable;
+  };
+
+  explicit SlowFixture(bool engine = true, bool both = true) {
+    RunsEngine = engine;
+    TestRoute.Kind = RouteKind::Stream;
+    TestRoute.Resumable = true;
+    TestRoute.MaxAttempts = 2;
+    TestRoute.TargetLatency = milliseconds(60);
+    TestRoute.TargetGap = milliseconds(5);
+    Settings.MinStallTime = milliseconds(60);
+    Settings.MinSlowTime = milliseconds(60);
+    Settings.SlowFactor = 0.1;
+    Settings.DemandReminderInterval = milliseconds(20);
+    Shared.OnDemand = [this](const auto &, const auto &, bool waiting,
+                             const auto &unusable) {
+      Demands.push_back({waiting, unusable});
+    };
+    Shared.OnCongested = [](auto &&...) {};
+    Shared.OnDone = [](auto &&...) {};
+    Shared.OnSent = [](auto &&...) {};
+    registerReplicas(both);
+    if (engine)
+      setResidency("i-1");
+  }
+
+  void setResidency(const std::string &replica) {
+    auto now = TimerService::now();
+    View.onResidency(replica, {{Adapter, {1, now}}}, now);
+  }
+
+  /// Whether a copy was asked for, beside one at the first replica.
+  bool asksForCopy() const {
+    return !Demands.empty() && Demands.back().Waiting &&
+           Demands.back().Unusable == std::set<std::string>{"i-1"};
+  }
+
+  void wait(Span span) {
+    auto startedAt = TimerService::now();
+    asio::steady_timer timer(Context, span);
+    timer.async_wait([](asio::error_code) {});
+    until([&] { return TimerService::now() - startedAt >= span; });
+  }
+
+  /// Whether a log line has the event and the text.
+  bool logged(std::string_view event, std::string_view text) const {
+    return std::any_of(Lines.begin(), Lines.end(), [&](const auto &it) {
+      return it.find(event) != std::string::npos &&
+             it.find(text) != std::string::npos;
+    });
+  }
+
+  std::vector<Demand> Demands;
+};
+
+const std::string StreamEnd = "0\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a stream at a slow engine that alone has the weights is not cut off",
+          "[slow]") {
+  SlowFixture it;
+  bool hasEvents = GENERATE(false, true);
+  it.First.Script = {{hasEvents ? StreamHead + chunk(event(1)) : ""}};
+  it.sendRequest("Weights: m/a1\r\n");
+  REQUIRE(it.until([&] { return it.asksForCopy(); }));
+  it.wait(milliseconds(60));
+  CHECK(it.First.Ended == 0);
+  CHECK(it.logged("slow-kept", "i-1"));
+  it.First.sendMore((hasEvents ? "" : StreamHead) + chunk(event(2)) +
+                    StreamEnd);
+  REQUIRE(it.untilEnded());
+  CHECK(it.Outcome == "complete");
+  CHECK(it.untilReceived("data: 2"));
+  CHECK(it.Second.Requests.empty());
+}
+
+TEST_CASE("a stream at a silent engine goes on elsewhere once a copy is there",
+          "[slow]") {
+  SlowFixture it;
+  it.First.Script = {{StreamHead + chunk(event(1))}};
+  it.Second.Script = {{StreamHead + chunk(event(2)) + StreamEnd}};
+  it.sendRequest("Weights: m/a1\r\n");
+  REQUIRE(it.until([&] { return it.asksForCopy(); }));
+  it.setResidency("i-2");
+  REQUIRE(it.untilEnded());
+  CHECK(it.Outcome == "complete");
+  REQUIRE(it.Second.Requests.size() == 1);
+  CHECK(*findField(it.Second.Requests[0].Head.Fields, "Behind") == "1");
+  CHECK(it.First.Ended == 1);
+}
+
+TEST_CASE("an engine that was slow for a while is left again only after the "
+          "usual silence",
+          "[slow]") {
+  SlowFixture it;
+  it.First.Script = {{StreamHead + chunk(event(1))}};
+  it.sendRequest("Weights: m/a1\r\n");
+  REQUIRE(it.until([&] { return it.asksForCopy(); }));
+  it.Settings.MinStallTime = std::chrono::seconds(5);
+  it.First.sendMore(chunk(event(2)));
+  REQUIRE(it.untilReceived("data: 2"));
+  it.setResidency("i-2");
+  it.wait(milliseconds(100));
+  CHECK(it.Second.Requests.empty());
+  it.First.sendMore(StreamEnd);
+  REQUIRE(it.untilEnded());
+  CHECK(it.Outcome == "complete");
+}
+
+TEST_CASE(
+    "a request at a slow plain replica is not cut off without another one",
+    "[slow]") {
+  SlowFixture it(false);
+  it.TestRoute.Kind = RouteKind::Repeatable;
+  it.View.onPauseAsked("i-2", std::chrono::seconds(9), TimerService::now());
+  it.sendRequest();
+  REQUIRE(it.until([&] { return it.First.Requests.size() == 1; }));
+  it.wait(milliseconds(150));
+  it.First.sendMore(answer(200, "late"));
+  REQUIRE(it.untilReceived("late"));
+  CHECK(it.Outcome == "complete");
+  CHECK(it.Demands.empty());
+}
+
+TEST_CASE("a slow attempt is ended only after the other replica has granted "
+          "the request",
+          "[slow]") {
+  SlowFixture it(false);
+  it.TestRoute.Kind = RouteKind::Repeatable;
+  it.View.onLimit("i-2", 5, TimerService::now());
+  auto verdict =
+      GENERATE(QuotaService::Verdict::Allowed, QuotaService::Verdict::Limited);
+  bool isAllowed = verdict == QuotaService::Verdict::Allowed;
+  QuotaService::OnDecided decided;
+  int released = 0;
+  it.Shared.ReplicaLimits.Reserve = [&](const auto &, double, auto hook) {
+    decided = std::move(hook);
+  };
+  it.Shared.ReplicaLimits.Release = [&](const auto &, double) { ++released; };
+  it.Second.Script = {{answer(200, "other")}};
+  it.sendRequest();
+  REQUIRE(it.until([&] { return decided != nullptr; }));
+  it.wait(milliseconds(60));
+  CHECK(it.First.Ended == 0);
+  std::exchange(decided,
+                nullptr)({0, verdict, milliseconds(500), milliseconds(500)});
+  if (isAllowed) {
+    REQUIRE(it.untilReceived("other"));
+    CHECK(it.First.Ended == 1);
+  } else {
+    it.wait(milliseconds(60));
+    it.First.sendMore(answer(200, "late"));
+    REQUIRE(it.untilReceived("late"));
+    CHECK(it.Second.Requests.empty());
+  }
+  CHECK(released == 0);
+}
+
+TEST_CASE("a slow request at a plain replica waits its turn behind held ones",
+          "[slow]") {
+  SlowFixture it(false);
+  it.TestRoute.Kind = RouteKind::Repeatable;
+  FairQueue queue;
+  it.Shared.PlainQueue = &queue;
+  int woken = 0;
+  FairQueue::Request held;
+  held.OnTimeUntil = Instant::max();
+  held.Wake = [&woken] { ++woken; };
+  auto ticket = queue.join("s", held);
+  queue.deferUntil("s", ticket, TimerService::now() + milliseconds(50));
+  it.Second.Script = {{answer(200, "other")}};
+  it.sendRequest();
+  REQUIRE(it.until([&] { return it.First.Requests.size() == 1; }));
+  it.wait(milliseconds(150));
+  CHECK(woken > 0);
+  CHECK(it.First.Ended == 0);
+  bool isTaken = GENERATE(true, false);
+  if (isTaken) {
+    queue.onServed("s", ticket);
+    queue.wakeNext("s", TimerService::now());
+    REQUIRE(it.untilReceived("other"));
+    CHECK(it.First.Ended == 1);
+  } else {
+    it.First.sendMore(answer(200, "late"));
+    REQUIRE(it.untilReceived("late"));
+    queue.leave("s", ticket);
+  }
+  CHECK_FALSE(queue.hasWaiting("s"));
+}
+
+} // namespace hemlockglade::test
