Missing weights are reported at once after an attempt has failed

Cause: a request that had reported demand lately waited for the rest of the reminder interval after its replica broke off or lacked the weights, though the owner could not know that it needs another copy. Change: a report is sent at once if the request was sent since the last one, or must not use another number of replicas than that one named.

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -309,6 +309,7 @@
   Waiting = false;
   PlaceDenials = 0;
   WaitsForPlace = false;
+  ReportedUnusable.reset();
   asio::ip::tcp::endpoint address;
   try {
     address = parseEndpoint(choice.Replica->Address);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -429,7 +429,8 @@
   void send(const RouteChoice &choice);
   void reportCongestion(Instant now);
   /// Asks for a copy of the weights beside those at the replicas that the
-  /// request must not use; again only after `DemandReminderInterval`.
+  /// request must not use; again only after `DemandReminderInterval`, unless
+  /// there is news.
   void reportMissing(Instant now, const std::set<std::string> &unusable);
   void logWait(const RouteChoice &choice, Instant now);
   bool onHead(const HttpAnswerHead &head);
@@ -589,6 +590,9 @@
   /// When to choose again while waiting.
   Instant WakeAt{};
   Instant DemandReportedAt{};
+  /// Number of replicas that the last report of missing weights named as not
+  /// usable; none if the request has been sent since.
+  std::optional<std::size_t> ReportedUnusable;
   std::optional<Span> TimeToFirstByte;
   /// Time from the arrival to the first attempt.
   std::optional<Span> TimeToFirstSend;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
@@ -303,14 +303,19 @@
       now - DemandReportedAt < Settings.DemandReminderInterval)
     return;
   DemandReportedAt = now;
+  ReportedUnusable.reset();
   Shared.OnCongested(Query.Service, *Query.Weights);
 }
 
 void GatewayExchange::reportMissing(Instant now,
                                     const std::set<std::string> &unusable) {
-  if (now - DemandReportedAt < Settings.DemandReminderInterval)
+  // What an attempt has shown is news to the owner, whenever the last report
+  // was: it may still count a copy that the request must not use.
+  bool isNews = ReportedUnusable != unusable.size();
+  if (!isNews && now - DemandReportedAt < Settings.DemandReminderInterval)
     return;
   DemandReportedAt = now;
+  ReportedUnusable = unusable.size();
   Shared.OnDemand(Query.Service, *Query.Weights, true, unusable);
 }
 
--- a/UnitTests/Node/Gateway/SlowReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/SlowReplicaTest.cpp
@@ -204,4 +204,23 @@
   CHECK_FALSE(queue.hasWaiting("s"));
 }
 
+TEST_CASE("a copy is asked for at once when the only engine with the weights "
+          "breaks off",
+          "[slow]") {
+  SlowFixture it;
+  it.View.onResidency("i-1", {}, TimerService::now());
+  // No further reminder is due during the test.
+  it.Settings.DemandReminderInterval = std::chrono::seconds(60);
+  it.First.Script = {{StreamHead + chunk(event(1)), Then::Reset}};
+  it.Second.Script = {{StreamHead + chunk(event(2)) + StreamEnd}};
+  it.sendRequest("Weights: m/a1\r\n");
+  REQUIRE(it.until([&] { return it.Demands.size() == 2; }));
+  REQUIRE(it.Demands[1].Waiting);
+  it.setResidency("i-1");
+  REQUIRE(it.until([&] { return it.asksForCopy(); }));
+  it.setResidency("i-2");
+  REQUIRE(it.untilEnded());
+  CHECK(it.Outcome == "complete");
+}
+
 } // namespace hemlockglade::test
