Events of a stream without a target gap end its stall timeout, too

Cause: on a route without a target gap events did not renew the stall timeout of the first one, so that a resumable stream whose events arrived was moved when that timeout had passed since it was sent. Change: each event renews it, by the least stall time where there is no gap.

--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -122,7 +122,7 @@
     LastEventId = id;
   ++EventsPassed;
   Reply->part(events);
-  if (MatchedRoute.idempotent() && MatchedRoute.TargetGap > Span(0))
+  if (MatchedRoute.idempotent())
     setStallTimeout(
         std::max(Settings.MinStallTime,
                  scaled(MatchedRoute.TargetGap, Settings.StallFactor)));
--- a/UnitTests/Node/Gateway/SlowReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/SlowReplicaTest.cpp
@@ -223,4 +223,23 @@
   CHECK(it.Outcome == "complete");
 }
 
+TEST_CASE("a stream on a route without a target gap is not ended while events "
+          "arrive",
+          "[slow]") {
+  SlowFixture it;
+  it.TestRoute.TargetGap = Span(0);
+  it.Settings.MinStallTime = milliseconds(300);
+  it.setResidency("i-2");
+  it.First.Script = {{StreamHead + chunk(event(1))}};
+  it.sendRequest("Weights: m/a1\r\n");
+  REQUIRE(it.untilReceived("data: 1"));
+  int n = 1;
+  TimerService timers(it.Context);
+  auto subscription = timers.every(
+      milliseconds(10), [&](Instant) { it.First.sendMore(chunk(event(++n))); });
+  REQUIRE(it.until([&] { return n == 60; }));
+  CHECK(it.First.Ended == 0);
+  CHECK(it.Second.Requests.empty());
+}
+
 } // namespace hemlockglade::test
