A replica is not taken for slow while this node does not read its answer

Cause: reading pauses while a slow caller has much queued; the replica then seemed silent, and its stream was moved, or ended after a restart. Change: no stall timeout runs out while reading is paused; it begins again when the caller has taken what is queued.

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -512,6 +512,12 @@
   bool late = isBeginOverdue();
   if (!late && TimerService::now() < Current->StalledAt)
     return armAttemptTimer();
+  if (!late && Current->IsReadingPaused) {
+    // A replica whose answer this node does not read, because the caller is
+    // slow, can't be told from a silent one.
+    Current->StalledAt = Instant::max();
+    return armAttemptTimer();
+  }
   if (!late && !Current->ReplicaRestarted)
     return onSlow();
   MayHaveRun = MayHaveRun || Current->Connection->open();
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -343,6 +343,8 @@
     std::string_view RelayOutcome;
     /// With the outcome that the replica is paused there: for how long.
     Span RelayPause{0};
+    /// Its answer is not read until the caller has taken what is queued.
+    bool IsReadingPaused = false;
     /// Parts of the answer received so far.
     std::uint32_t Parts = 0;
 
@@ -471,6 +473,8 @@
   void onConnectionEndedStream();
   void onEndProbed(bool hasEnded);
   void forwardEvents(std::string_view events);
+  /// Called when the caller has taken all that was queued for it.
+  void onReplyDrained();
   void onStreamEnd(bool whole, std::string_view why);
   void onTimer();
   void onAttemptTimer();
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -129,13 +129,26 @@
   if (Done || !Current || Reply->queued() < Settings.MaxQueuedBytes)
     return;
   Current->Connection->pauseReading(true);
+  Current->IsReadingPaused = true;
   Reply->OnDrained = [weak = weak_from_this()] {
-    auto self = weak.lock();
-    if (self && self->Current)
-      self->Current->Connection->pauseReading(false);
+    if (auto self = weak.lock())
+      self->onReplyDrained();
   };
 }
 
+void GatewayExchange::onReplyDrained() {
+  if (!Current)
+    return;
+  Current->Connection->pauseReading(false);
+  if (!std::exchange(Current->IsReadingPaused, false))
+    return;
+  if (Current->ReplicaRestarted)
+    Current->StalledAt = TimerService::now() + Settings.RestartGrace;
+  else if (MatchedRoute.idempotent())
+    setStallTimeout(Current->StallTime);
+  armAttemptTimer();
+}
+
 void GatewayExchange::onDone() {
   if (!Current->Head)
     return onRelayAnswer();
--- a/UnitTests/Node/Gateway/SlowReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/SlowReplicaTest.cpp
@@ -242,4 +242,49 @@
   CHECK(it.Second.Requests.empty());
 }
 
+TEST_CASE(
+    "a replica is not taken for slow while its answer is not read because "
+    "the caller is slow",
+    "[slow]") {
+  SlowFixture it;
+  it.setResidency("i-2");
+  it.Settings.MaxQueuedBytes = 1;
+  it.Settings.MinStallTime = milliseconds(300);
+  it.First.Script = {{StreamHead}};
+  asio::ip::tcp::socket caller(it.Context);
+  caller.connect(it.localhost(it.Server->port()));
+  asio::write(caller, asio::buffer(std::string(
+                          "POST /x HTTP/1.1\r\nHost: a\r\nId: r1\r\n"
+                          "Weights: m/a1\r\nContent-Length: 2\r\n\r\nhi")));
+  REQUIRE(it.until([&] { return it.First.Requests.size() == 1; }));
+  // One chunk is larger than all that is sent, so that a part of an event that
+  // the socket does not take leaves the answer valid.
+  it.First.sendMore("8000000\r\n");
+  constexpr std::size_t EventSize = 60'000;
+  auto large = "data: " + std::string(EventSize, 'x') + "\n\n";
+  // The kernel takes more for the caller now and then, so that there always has
+  // to be more to send.
+  {
+    TimerService timers(it.Context);
+    auto subscription = timers.every(
+        milliseconds(5), [&](Instant) { it.First.sendMore(large); });
+    it.wait(milliseconds(1500));
+  }
+  CHECK(it.First.Ended == 0);
+  CHECK(it.Second.Requests.empty());
+  // Its silence counts again once the caller has taken the answer.
+  std::string taken(std::size_t{1} << 20, ' ');
+  std::function<void()> read = [&] {
+    caller.async_read_some(asio::buffer(taken),
+                           [&](asio::error_code ec, std::size_t) {
+                             if (!ec)
+                               read();
+                           });
+  };
+  read();
+  CHECK(it.until([&] { return it.Second.Requests.size() == 1; }));
+  caller.close();
+  REQUIRE(it.untilEnded());
+}
+
 } // namespace hemlockglade::test
