A suspect replica's failure is not given up for a retry that is never sent

Cause: the complete failure of a suspect replica was dropped for a retry before a replica was known. Where none could be used the caller waited, and got 502 without the replica's answer. Change: the request is retried only if another replica can be chosen, and the failure is kept until the retry is sent: an error of the entry yields to it.

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -310,6 +310,7 @@
   PlaceDenials = 0;
   WaitsForPlace = false;
   ReportedUnusable.reset();
+  LastFailure.reset();
   asio::ip::tcp::endpoint address;
   try {
     address = parseEndpoint(choice.Replica->Address);
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -354,6 +354,12 @@
     }
   };
 
+  /// A replica's complete answer that states a failure.
+  struct ReplicaFailure {
+    HttpAnswerHead Head;
+    std::string Body;
+  };
+
   /// Counts the request, then reserves quota for it.
   void begin();
   /// Sets the service that the request goes to.
@@ -509,8 +515,9 @@
   /// Reserves a retry of the shared budget and logs the decision; returns
   /// whether there was one.
   bool reserveRetry(std::string_view why);
-  /// Answers the caller with an error of this node, or cuts off an answer that
-  /// has begun.
+  /// Answers the caller with an error of this node, or with the failure of a
+  /// replica if the retry for it was not sent. Cuts off an answer that has
+  /// begun.
   void answerWithError(std::uint16_t status, std::string_view why,
                        std::optional<Span> retryAfter = std::nullopt);
   void finish(std::uint16_t status, std::string_view result);
@@ -571,6 +578,8 @@
   /// When the caller should retry if no replica grants the request.
   Instant LimitRetryAt = Instant::max();
   bool DemandReported = false;
+  /// Failure of a suspect replica, until the retry for it is sent.
+  std::optional<ReplicaFailure> LastFailure;
   /// Incarnations that the request was sent to, without those that didn't run
   /// it.
   std::set<std::string> AttemptedReplicas;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -206,8 +206,10 @@
   if (status >= ServerError && !AnswerBegun && canRetry() &&
       Shared.View.isSuspect(Current->Replica->Incarnation.text(),
                             TimerService::now()) &&
+      chooseInstead().Result == RouteChoice::Kind::Send &&
       reserveRetry("replica's own failure")) {
     auto failed = Current->Replica->Incarnation.text();
+    LastFailure = ReplicaFailure{*Current->Head, std::move(Current->Body)};
     endAttempt(AttemptVerdict::ReplicaError);
     Query.Excluded.insert(failed);
     return sendOrHold();
@@ -389,6 +391,12 @@
     Reply->abort();
     return finish(0, why);
   }
+  if (LastFailure) {
+    TimeToFirstByte = TimerService::now() - Request.ArrivedAt;
+    status = LastFailure->Head.Status;
+    Reply->respond(std::move(LastFailure->Head), LastFailure->Body);
+    return finish(status, "replica's failure");
+  }
   HttpAnswerHead head{status, fieldsOf(Shared.Labels.OwnAnswer(Labels.Id))};
   if (retryAfter)
     head.Fields.push_back(retryAfterField(*retryAfter));
--- a/UnitTests/Node/Gateway/SlowReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/SlowReplicaTest.cpp
@@ -287,4 +287,35 @@
   REQUIRE(it.untilEnded());
 }
 
+TEST_CASE("a failing replica's own answer is passed on if no other replica "
+          "takes the request over",
+          "[slow]") {
+  SlowFixture it(false, false);
+  it.TestRoute.Kind = RouteKind::Repeatable;
+  RouteQuery query;
+  query.Service = "s";
+  for (int n = 0; n < 10; ++n) {
+    auto now = TimerService::now();
+    auto attempt = it.View.onSent("i-1", query, now);
+    it.View.onEnd("i-1", attempt, query, AttemptVerdict::ReplicaError, now);
+  }
+  bool isPaused = GENERATE(true, false);
+  it.Shared.ReplicaLimits.Reserve = [](const auto &, double, auto decided) {
+    constexpr Span Later = std::chrono::seconds(9);
+    decided({0, QuotaService::Verdict::Limited, Later, Later});
+  };
+  it.First.Answer = [&](const auto &) {
+    it.registerReplicas();
+    if (isPaused)
+      it.View.onPauseAsked("i-2", std::chrono::seconds(9), TimerService::now());
+    else
+      it.View.onLimit("i-2", 5, TimerService::now());
+    return ScriptedReplica::Step{answer(500, "sorry")};
+  };
+  it.sendRequest();
+  REQUIRE(it.untilReceived("HTTP/1.1 500"));
+  CHECK(it.untilReceived("sorry"));
+  CHECK(it.Second.Requests.empty());
+}
+
 } // namespace hemlockglade::test
