A plain answer of a stated length that is arriving is not slow

Cause: the slow timeout of a repeatable request counted from its sending, so that an answer most of which had arrived was dropped for a second run. Change: each part of an answer that states its length renews the timeout. One that states none may never end, and is timed as before.

--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -92,7 +92,12 @@
   if (!events) {
     Current->Body.append(part);
     if (Current->Body.size() > Settings.MaxAnswerBytes)
-      onAttemptFailed("answer too large");
+      return onAttemptFailed("answer too large");
+    // An answer of a stated length that goes on arriving is not slow; one
+    // without may never end.
+    if (MatchedRoute.idempotent() &&
+        findField(Current->Head->Fields, "Content-Length"))
+      setStallTimeout(Current->StallTime);
     return;
   }
   auto whole = Current->Events.take(part);
--- a/UnitTests/Node/Gateway/SlowReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/SlowReplicaTest.cpp
@@ -318,4 +318,23 @@
   CHECK(it.Second.Requests.empty());
 }
 
+TEST_CASE("a plain answer of a stated length that is arriving is not slow",
+          "[slow]") {
+  SlowFixture it(false);
+  it.TestRoute.Kind = RouteKind::Repeatable;
+  it.Settings.MinSlowTime = milliseconds(300);
+  it.First.Script = {{"HTTP/1.1 200 X\r\nId: r1\r\nSeal: s\r\n"
+                      "Content-Length: 26\r\n\r\n"}};
+  it.sendRequest();
+  REQUIRE(it.until([&] { return it.First.Requests.size() == 1; }));
+  char next = 'a';
+  TimerService timers(it.Context);
+  auto subscription = timers.every(milliseconds(25), [&](Instant) {
+    if (next <= 'z')
+      it.First.sendMore(std::string(1, next++));
+  });
+  REQUIRE(it.untilReceived("abcdefghijklmnopqrstuvwxyz"));
+  CHECK(it.Second.Requests.empty());
+}
+
 } // namespace hemlockglade::test
