A plain answer that is arriving is passed on when its request is barred

Cause: a barred request was ended unless events had arrived, also while its plain answer was arriving; the replica had run it already. Change: an attempt whose plain answer has begun goes on.

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -112,8 +112,11 @@
 }
 
 void GatewayExchange::onBarred() {
-  // A request whose events arrive runs at a replica that has not crashed.
-  if (Done || (Current && Current->FirstEventAt))
+  // A request whose events arrive runs at a replica that has not crashed, and
+  // one whose plain answer arrives has run.
+  bool isAnswered = Current && (Current->FirstEventAt ||
+                                (Current->Head && !Current->Labels.Events));
+  if (Done || isAnswered)
     return;
   if (Current) {
     // The replica may have queued the request, and would crash when it begins
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -251,7 +251,7 @@
   /// rejections: an attempt that is at one of them takes a place.
   void onPlacesNeeded(const std::string &service);
   /// Called when the request has been barred. Answers it, unless a replica has
-  /// already sent events of its answer.
+  /// already sent events of its answer, or is sending a plain one.
   void onBarred();
   /// Limits the remaining time for which the request may be held before it is
   /// sent. Retries don't extend it.
--- a/UnitTests/Node/Gateway/SlowReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/SlowReplicaTest.cpp
@@ -337,4 +337,22 @@
   CHECK(it.Second.Requests.empty());
 }
 
+TEST_CASE("a plain answer that is arriving is passed on when its request is "
+          "barred",
+          "[slow]") {
+  SlowFixture it(false, false);
+  it.TestRoute.Kind = RouteKind::RunOnce;
+  bool isAnswered = false;
+  it.Shared.OnAnswer = [&](auto &&...) { isAnswered = true; };
+  it.First.Script = {{"HTTP/1.1 200 X\r\nId: r1\r\nSeal: s\r\n"
+                      "Content-Length: 5\r\n\r\nhe"}};
+  it.sendRequest();
+  REQUIRE(it.until([&] { return isAnswered; }));
+  it.BarredFor = std::chrono::seconds(90);
+  it.Exchange->onBarred();
+  it.First.sendMore("llo");
+  REQUIRE(it.untilReceived("hello"));
+  CHECK(it.Outcome == "complete");
+}
+
 } // namespace hemlockglade::test
