--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -251,7 +251,7 @@
   /// rejections: an attempt that is at one of them takes a place.
   void onPlacesNeeded(const std::string &service);
   /// Called when the request has been barred. Answers it, unless a replica has
-  /// already sent events of its answer.
+  /// already sent events of its answer, or is sending a plain one.
   void onBarred();
   /// Limits the remaining time for which the request may be held before it is
   /// sent. Retries don't extend it.
@@ -319,6 +319,13 @@
     /// When the attempt counts as stalled, unless data arrive before; never if
     /// the request may not be retried and its replica has not restarted.
     Instant StalledAt = Instant::max();
+    /// The stall timeout that was set last.
+    Span StallTime{0};
+    /// It has passed, and the attempt goes on until another replica can take
+    /// the request over.
+    bool IsSlow = false;
+    /// Why the attempt went on, as it was logged last.
+    std::string_view KeptBecause;
     /// Version of the weights that the request was sent for; 0 if not known.
     std::uint64_t Version = 0;
     /// Set if the weights were replaced: an attempt that has not begun by then
@@ -336,6 +343,8 @@
     std::string_view RelayOutcome;
     /// With the outcome that the replica is paused there: for how long.
     Span RelayPause{0};
+    /// Its answer is not read until the caller has taken what is queued.
+    bool IsReadingPaused = false;
     /// Parts of the answer received so far.
     std::uint32_t Parts = 0;
 
@@ -345,6 +354,12 @@
     }
   };
 
+  /// A replica's complete answer that states a failure.
+  struct ReplicaFailure {
+    HttpAnswerHead Head;
+    std::string Body;
+  };
+
   /// Counts the request, then reserves quota for it.
   void begin();
   /// Sets the service that the request goes to.
@@ -384,6 +399,8 @@
   /// Reserves a place or a request at the chosen replica, and chooses again
   /// once that is decided.
   void reserveGrant(const RouteChoice &choice);
+  void requestGrant(const RouteChoice &choice);
+  void onGranted();
   /// `part` is what was requested.
   void onGrantDecided(ReplicaGrant part,
                       const QuotaService::Decision &decision);
@@ -419,6 +436,10 @@
   void leaveQueue(bool served);
   void send(const RouteChoice &choice);
   void reportCongestion(Instant now);
+  /// Asks for a copy of the weights beside those at the replicas that the
+  /// request must not use; again only after `DemandReminderInterval`, unless
+  /// there is news.
+  void reportMissing(Instant now, const std::set<std::string> &unusable);
   void logWait(const RouteChoice &choice, Instant now);
   bool onHead(const HttpAnswerHead &head);
   /// Reports that the direct path to the replica carries data.
@@ -458,12 +479,31 @@
   void onConnectionEndedStream();
   void onEndProbed(bool hasEnded);
   void forwardEvents(std::string_view events);
+  /// Called when the caller has taken all that was queued for it.
+  void onReplyDrained();
   void onStreamEnd(bool whole, std::string_view why);
   void onTimer();
   void onAttemptTimer();
   void armTimer();
-  /// Sets when the attempt counts as stalled.
+  /// Sets when the attempt counts as stalled; until then it is not slow.
   void setStallTimeout(Span span);
+  /// Called when the attempt has been silent for its stall timeout, and again
+  /// while it stays silent: sends the request to another replica if one can
+  /// take it at this moment. Only then is the attempt ended.
+  void onSlow();
+  /// Continues an attempt that is slow.
+  void keepSlow(std::string_view why, Span checkAgainIn);
+  /// Called when the attempt is not slow any more.
+  void endSlowness();
+  /// Lets requests that wait for replicas go before one that runs already:
+  /// `choice` becomes `Full` if it is not its turn.
+  void queueWhileSlow(RouteChoice &choice);
+  void reportWhileSlow(const RouteChoice &choice);
+  /// Chooses a replica other than that of the present attempt, which may go on:
+  /// nothing is held or refused.
+  RouteChoice chooseInstead();
+  /// Whether there is a path to the replica.
+  bool isReachable(const ReplicaRecord &replica) const;
   void armAttemptTimer();
   /// Called when data have arrived from the replica.
   void onActivity();
@@ -475,8 +515,9 @@
   /// Reserves a retry of the shared budget and logs the decision; returns
   /// whether there was one.
   bool reserveRetry(std::string_view why);
-  /// Answers the caller with an error of this node, or cuts off an answer that
-  /// has begun.
+  /// Answers the caller with an error of this node, or with the failure of a
+  /// replica if the retry for it was not sent. Cuts off an answer that has
+  /// begun.
   void answerWithError(std::uint16_t status, std::string_view why,
                        std::optional<Span> retryAfter = std::nullopt);
   void finish(std::uint16_t status, std::string_view result);
@@ -537,6 +578,8 @@
   /// When the caller should retry if no replica grants the request.
   Instant LimitRetryAt = Instant::max();
   bool DemandReported = false;
+  /// Failure of a suspect replica, until the retry for it is sent.
+  std::optional<ReplicaFailure> LastFailure;
   /// Incarnations that the request was sent to, without those that didn't run
   /// it.
   std::set<std::string> AttemptedReplicas;
@@ -560,6 +603,9 @@
   /// When to choose again while waiting.
   Instant WakeAt{};
   Instant DemandReportedAt{};
+  /// Number of replicas that the last report of missing weights named as not
+  /// usable; none if the request has been sent since.
+  std::optional<std::size_t> ReportedUnusable;
   std::optional<Span> TimeToFirstByte;
   /// Time from the arrival to the first attempt.
   std::optional<Span> TimeToFirstSend;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -92,7 +92,12 @@
   if (!events) {
     Current->Body.append(part);
     if (Current->Body.size() > Settings.MaxAnswerBytes)
-      onAttemptFailed("answer too large");
+      return onAttemptFailed("answer too large");
+    // An answer of a stated length that goes on arriving is not slow; one
+    // without may never end.
+    if (MatchedRoute.idempotent() &&
+        findField(Current->Head->Fields, "Content-Length"))
+      setStallTimeout(Current->StallTime);
     return;
   }
   auto whole = Current->Events.take(part);
@@ -122,20 +127,33 @@
     LastEventId = id;
   ++EventsPassed;
   Reply->part(events);
-  if (MatchedRoute.idempotent() && MatchedRoute.TargetGap > Span(0))
+  if (MatchedRoute.idempotent())
     setStallTimeout(
         std::max(Settings.MinStallTime,
                  scaled(MatchedRoute.TargetGap, Settings.StallFactor)));
   if (Done || !Current || Reply->queued() < Settings.MaxQueuedBytes)
     return;
   Current->Connection->pauseReading(true);
+  Current->IsReadingPaused = true;
   Reply->OnDrained = [weak = weak_from_this()] {
-    auto self = weak.lock();
-    if (self && self->Current)
-      self->Current->Connection->pauseReading(false);
+    if (auto self = weak.lock())
+      self->onReplyDrained();
   };
 }
 
+void GatewayExchange::onReplyDrained() {
+  if (!Current)
+    return;
+  Current->Connection->pauseReading(false);
+  if (!std::exchange(Current->IsReadingPaused, false))
+    return;
+  if (Current->ReplicaRestarted)
+    Current->StalledAt = TimerService::now() + Settings.RestartGrace;
+  else if (MatchedRoute.idempotent())
+    setStallTimeout(Current->StallTime);
+  armAttemptTimer();
+}
+
 void GatewayExchange::onDone() {
   if (!Current->Head)
     return onRelayAnswer();
@@ -193,8 +211,10 @@
   if (status >= ServerError && !AnswerBegun && canRetry() &&
       Shared.View.isSuspect(Current->Replica->Incarnation.text(),
                             TimerService::now()) &&
+      chooseInstead().Result == RouteChoice::Kind::Send &&
       reserveRetry("replica's own failure")) {
     auto failed = Current->Replica->Incarnation.text();
+    LastFailure = ReplicaFailure{*Current->Head, std::move(Current->Body)};
     endAttempt(AttemptVerdict::ReplicaError);
     Query.Excluded.insert(failed);
     return sendOrHold();
@@ -376,6 +396,12 @@
     Reply->abort();
     return finish(0, why);
   }
+  if (LastFailure) {
+    TimeToFirstByte = TimerService::now() - Request.ArrivedAt;
+    status = LastFailure->Head.Status;
+    Reply->respond(std::move(LastFailure->Head), LastFailure->Body);
+    return finish(status, "replica's failure");
+  }
   HttpAnswerHead head{status, fieldsOf(Shared.Labels.OwnAnswer(Labels.Id))};
   if (retryAfter)
     head.Fields.push_back(retryAfterField(*retryAfter));
