Answers without end are bounded over all connections of a process

A server may send bytes that never end.

AnswerMemory accounts for what all connections hold of incomplete answers and ends the one that holds the most. HttpConnection limits what it discards, drops trailers, and reports HttpFailure::Endless; HttpCaller does so for bodies beyond their limit. The event splitter searches only new bytes.

Two faults that the tests found, each shown by a test that failed before: reading resumed by a receiver within a part overwrote the buffer that was still parsed, which corrupts a stream to a slow caller; and bytes behind an answer were taken for the answer to the next request on the connection.

--- a/Hemlockglade/Protocol/Endpoint/EventSplitter.cpp
+++ b/Hemlockglade/Protocol/Endpoint/EventSplitter.cpp
@@ -9,6 +9,8 @@
 constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view CrLfEventEnd = "\r\n\r\n";
 constexpr std::string_view DoneLine = "data: [DONE]";
+/// Capacity of buffers that is kept from one event to the next.
+constexpr std::size_t MaxKeptBytes = std::size_t{64} * 1024;
 
 /// Returns the length of the complete events at the start of a text.
 std::size_t completeLength(std::string_view text) {
@@ -33,10 +35,20 @@
 std::string_view EventSplitter::take(std::string_view part) {
   if (Partial.empty() && completeLength(part) == part.size())
     return trackEnd(part);
+  // What is held ends no event but with bytes of `part`; a search of all of it
+  // with each part would take quadratic time over an event of many parts.
+  auto from =
+      Partial.size() - std::min(Partial.size(), CrLfEventEnd.size() - 1);
   Partial.append(part);
-  auto n = completeLength(Partial);
+  auto n = completeLength(std::string_view(Partial).substr(from));
+  n += n == 0 ? 0 : from;
+  // What one large event took is not kept for the rest of the stream.
+  if (CompleteEvents.capacity() > MaxKeptBytes)
+    CompleteEvents = {};
   CompleteEvents.assign(Partial, 0, n);
   Partial.erase(0, n);
+  if (Partial.capacity() > MaxKeptBytes && Partial.size() < MaxKeptBytes / 2)
+    Partial.shrink_to_fit();
   Overflowed = Overflowed || Partial.size() > MaxEventBytes;
   return trackEnd(CompleteEvents);
 }
--- a/Hemlockglade/Protocol/Endpoint/EventSplitter.h
+++ b/Hemlockglade/Protocol/Endpoint/EventSplitter.h
@@ -23,6 +23,8 @@
   bool finished() const { return Done && Partial.empty(); }
   /// Returns whether an event has begun and is not complete yet.
   bool torn() const { return !Partial.empty(); }
+  /// Returns the bytes that are held for an incomplete event.
+  std::size_t heldBytes() const { return Partial.size(); }
   /// Returns whether an incomplete event has exceeded `MaxEventBytes`.
   bool overflowed() const { return Overflowed; }
 
--- a/Hemlockglade/Transport/Http1/HttpCaller.cpp
+++ b/Hemlockglade/Transport/Http1/HttpCaller.cpp
@@ -55,10 +55,12 @@
   hooks.OnBody = [pending,
                   maxBytes = call.MaxAnswerBytes](std::string_view part) {
     pending->Answer.Body.append(part);
+    pending->Connection->holdBody(pending->Answer.Body.size());
     if (pending->Answer.Body.size() <= maxBytes)
       return;
+    pending->Connection->countEndless(EndlessKind::Body);
     pending->Connection->abort();
-    pending->finish(tl::unexpected(HttpFailure::Broken));
+    pending->finish(tl::unexpected(HttpFailure::Endless));
   };
   hooks.OnDone = [this, pending] {
     if (!pending->Done)
--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -11,6 +11,11 @@
 
 /// Answers with a lower status are interim ones, which another one follows.
 constexpr std::uint16_t FirstFinalStatus = 200;
+/// Limits of what is discarded during one call. Servers send at most a few
+/// interim answers a second, and an answer to an earlier request has at most
+/// the size of a plain one.
+constexpr std::size_t MaxDiscardedAnswers = 100;
+constexpr std::size_t MaxDiscardedBytes = std::size_t{8} * 1024 * 1024;
 
 ConnectFailure connectFailureOf(asio::error_code ec) {
   if (ec == asio::error::connection_refused)
@@ -46,6 +51,14 @@
     : Context(context), Socket(context), ConnectTimer(context),
       Address(std::move(address)), Options(std::move(settings)) {
   Reader.OnHead = [this] { onHead(); };
+  Held.OnEnd = [this] {
+    IsEnding = true;
+    asio::post(Context, [weak = weak_from_this()] {
+      auto self = weak.lock();
+      if (self && self->IsEnding && self->Hooks)
+        self->fail(HttpFailure::Endless);
+    });
+  };
   Reader.OnBody = [this](std::string_view part) {
     // A hook may end the call; this copy keeps the hooks alive until it
     // returns.
@@ -59,11 +72,14 @@
   auto hooks = Hooks;
   const auto &head = Reader.answer();
   IsDiscarding = head.Status < FirstFinalStatus;
+  DiscardedAnswers += IsDiscarding ? 1 : 0;
   if (IsDiscarding || !hooks)
     return;
   readKeepAlive(head.Fields);
-  if (hooks->OnHead && !hooks->OnHead(head))
+  if (hooks->OnHead && !hooks->OnHead(head)) {
     IsDiscarding = true;
+    ++DiscardedAnswers;
+  }
 }
 
 void HttpConnection::call(const std::string &head, const std::string &body,
@@ -74,6 +90,9 @@
   Outgoing.append(body);
   IsBodiless = bodiless;
   IsDiscarding = false;
+  IsEnding = false;
+  DiscardedAnswers = DiscardedBytes = 0;
+  BodyBytes = 0;
   Reusable = true;
   Reader.next(bodiless);
   if (IsClosed) {
@@ -154,25 +173,27 @@
 }
 
 void HttpConnection::read() {
-  if (IsReading || IsPaused || IsClosed)
+  if (IsReading || IsPaused || IsClosed || IsEnding)
     return;
   IsReading = true;
   Socket.async_read_some(
       asio::buffer(Buffer),
       [self = shared_from_this()](asio::error_code ec, std::size_t n) {
+        if (!ec && !self->IsClosed && !self->IsEnding)
+          self->onBytes({self->Buffer.data(), n});
+        // A hook may resume reading while the buffer is still parsed; the next
+        // read would overwrite it.
         self->IsReading = false;
-        if (self->IsClosed)
+        if (self->IsClosed || self->IsEnding)
           return;
         if (ec)
           return self->onEnd(ec);
-        self->onBytes({self->Buffer.data(), n});
-        if (!self->IsClosed)
-          self->read();
+        self->read();
       });
 }
 
 void HttpConnection::onBytes(std::string_view bytes) {
-  while (!bytes.empty() && !IsClosed) {
+  while (!bytes.empty() && !IsClosed && !IsEnding) {
     if (!Hooks) {
       // Without a call these bytes belong to no answer.
       closeSocket();
@@ -182,21 +203,61 @@
     }
     auto n = Reader.feed(bytes);
     bytes.remove_prefix(n);
+    DiscardedBytes += IsDiscarding ? n : 0;
+    if (Hooks && Reader.headTooLarge())
+      return failEndless(EndlessKind::Head);
     if (Reader.state() == HttpReader::State::Broken)
       return fail(HttpFailure::Broken);
-    if (Reader.state() == HttpReader::State::Complete)
+    if (Hooks && discardsTooMuch())
+      return failEndless(EndlessKind::Interim);
+    if (Reader.state() == HttpReader::State::Complete) {
+      // What follows the answer would be taken for the next one.
+      if (!IsDiscarding && !bytes.empty())
+        Reusable = false;
       onMessage();
-    else if (n == 0)
+    } else if (n == 0) {
       return fail(HttpFailure::Broken);
+    } else {
+      updateHeld();
+    }
   }
 }
 
+bool HttpConnection::discardsTooMuch() const {
+  return DiscardedAnswers > MaxDiscardedAnswers ||
+         DiscardedBytes > MaxDiscardedBytes;
+}
+
+void HttpConnection::holdBody(std::size_t bytes) {
+  BodyBytes = bytes;
+  if (Hooks)
+    updateHeld();
+}
+
+void HttpConnection::updateHeld() {
+  if (Options.Memory && !IsClosed)
+    Held.hold(*Options.Memory, Reader.heldBytes() + BodyBytes);
+}
+
+void HttpConnection::countEndless(EndlessKind kind) {
+  if (Options.Memory)
+    Options.Memory->count(kind);
+}
+
+void HttpConnection::failEndless(EndlessKind kind) {
+  countEndless(kind);
+  fail(HttpFailure::Endless);
+}
+
 void HttpConnection::onMessage() {
   if (std::exchange(IsDiscarding, false)) {
     Reader.next(IsBodiless);
     return;
   }
   auto hooks = std::exchange(Hooks, nullptr);
+  Held.release();
+  // The answer was complete before it could be ended.
+  IsEnding = false;
   if (!hooks)
     return;
   // If the answer arrived before the whole request was sent, the rest of the
@@ -248,6 +309,7 @@
 void HttpConnection::closeSocket() {
   if (std::exchange(IsClosed, true))
     return;
+  Held.release();
   Connected = false;
   IsConnecting = false;
   Reusable = false;
--- a/Hemlockglade/Transport/Http1/HttpConnection.h
+++ b/Hemlockglade/Transport/Http1/HttpConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Hemlockglade/State/Ids.h"
+#include "Hemlockglade/Transport/Http1/AnswerMemory.h"
 #include "Hemlockglade/Transport/Http1/HttpReader.h"
 #include "Hemlockglade/Transport/Http1/OutgoingBytes.h"
 #include "Hemlockglade/Transport/Http1/SocketOptions.h"
@@ -21,6 +22,8 @@
   Broken,
   /// The other side closed the connection before the answer was complete.
   Ended,
+  /// The answer went beyond a limit, so that it was ended by this side.
+  Endless,
 };
 
 /// Why no connection was established.
@@ -61,6 +64,8 @@
     /// Local address that it is made from; the kernel's choice if unset.
     std::optional<asio::ip::address> LocalAddress;
     SilenceTimeouts Silence;
+    /// Accounts for the bytes that incomplete answers hold; may be null.
+    std::shared_ptr<AnswerMemory> Memory;
   };
 
   HttpConnection(asio::io_context &context, asio::ip::tcp::endpoint address,
@@ -76,6 +81,11 @@
             HttpCallHooks hooks);
   /// Closes the connection at once; no hook is called any more.
   void abort();
+  /// Sets how many bytes of the answer's body its receiver holds. The answer,
+  /// or another one, may be ended later because of it.
+  void holdBody(std::size_t bytes);
+  /// Counts an answer that its receiver ends because it has no end.
+  void countEndless(EndlessKind kind);
   /// Pauses or resumes reading of the answer, for a slow receiver.
   void pauseReading(bool paused);
 
@@ -105,6 +115,10 @@
   void onBytes(std::string_view bytes);
   void onHead();
   void onMessage();
+  /// Whether the limits of answers that are discarded are exceeded.
+  bool discardsTooMuch() const;
+  void updateHeld();
+  void failEndless(EndlessKind kind);
   void onEnd(asio::error_code ec);
   void fail(HttpFailure how);
   void failToConnect(ConnectFailure why);
@@ -128,6 +142,13 @@
   bool IsBodiless = false;
   bool Reusable = true;
   bool IsDiscarding = false;
+  /// The answer is ended because of the memory that all answers hold.
+  bool IsEnding = false;
+  /// Answers discarded during this call, and the bytes received for them.
+  std::size_t DiscardedAnswers = 0;
+  std::size_t DiscardedBytes = 0;
+  std::size_t BodyBytes = 0;
+  AnswerMemory::Share Held;
   bool IsClosed = false;
   ConnectFailure WhyNotConnected = ConnectFailure::None;
   Instant IdleSince{};
--- a/Hemlockglade/Transport/Http1/HttpReader.cpp
+++ b/Hemlockglade/Transport/Http1/HttpReader.cpp
@@ -42,6 +42,10 @@
   }
 
   static int onName(http_parser *parser, const char *data, std::size_t n) {
+    // Trailers of an answer come after its head was handed on; nobody reads
+    // them.
+    if (self(parser).skipsTrailers())
+      return 0;
     auto &fields = self(parser).fields();
     if (fields.empty() || std::exchange(self(parser).IsInValue, false))
       fields.emplace_back();
@@ -50,6 +54,8 @@
   }
 
   static int onValue(http_parser *parser, const char *data, std::size_t n) {
+    if (self(parser).skipsTrailers())
+      return 0;
     self(parser).IsInValue = true;
     self(parser).fields().back().Value.append(data, n);
     return 0;
@@ -107,6 +113,12 @@
   return Direction == Side::Requests ? Request.Fields : Answer.Fields;
 }
 
+std::size_t HttpReader::heldBytes() const {
+  const auto &fields =
+      Direction == Side::Requests ? Request.Fields : Answer.Fields;
+  return HeadBytes + fields.capacity() * sizeof(HeaderField);
+}
+
 void HttpReader::next(bool bodiless) {
   http_parser_init(&Parser,
                    Direction == Side::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
--- a/Hemlockglade/Transport/Http1/HttpReader.h
+++ b/Hemlockglade/Transport/Http1/HttpReader.h
@@ -47,6 +47,8 @@
   bool headComplete() const {
     return Current == State::InBody || Current == State::Complete;
   }
+  /// Returns the approximate memory taken by the head so far.
+  std::size_t heldBytes() const;
   /// Returns the approximate number of bytes of the head so far.
   std::size_t headBytes() const { return HeadBytes; }
   void setMaxHeadBytes(std::size_t bytes) { MaxHeadBytes = bytes; }
@@ -66,6 +68,9 @@
   struct Callbacks;
 
   HeaderFields &fields();
+  bool skipsTrailers() const {
+    return Direction == Side::Answers && Current == State::InBody;
+  }
 
   Side Direction;
   State Current = State::Idle;
--- a/UnitTests/Transport/Http1/HttpConnectionTest.cpp
+++ b/UnitTests/Transport/Http1/HttpConnectionTest.cpp
@@ -181,4 +181,34 @@
   CHECK(it.until([&] { return it.Peer.Ended; }));
 }
 
+// A slow receiver may drain, and so resume reading, while a part of the answer
+// is handed on. The next read must not overwrite what is not parsed yet.
+TEST_CASE("an answer stays whole if reading resumes within its parts",
+          "[connection]") {
+  CallFixture it;
+  it.take();
+  std::string sent;
+  std::string body;
+  for (int n = 0; n < 20'000; ++n) {
+    auto part = std::to_string(100'000 + n);
+    body += part;
+    sent += "6\r\n" + part + "\r\n";
+  }
+  HttpCallHooks hooks;
+  hooks.OnBody = [&it](std::string_view part) {
+    it.Body.append(part);
+    it.Connection->pauseReading(true);
+    it.Connection->pauseReading(false);
+  };
+  hooks.OnDone = [&it] { it.Done = true; };
+  hooks.OnFailed = [&it](HttpFailure how) { it.Failure = how; };
+  it.Connection->call(Request, "", false, std::move(hooks));
+  REQUIRE(it.untilRequest());
+  it.Peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + sent +
+               "0\r\n\r\n");
+  REQUIRE(it.untilEnd());
+  CHECK(it.Done);
+  CHECK(it.Body == body);
+}
+
 } // namespace hemlockglade::test
