Requests, calls to engines and reads of the registry end answers without end

An answer that a connection ended for its size is a failed attempt: the replica's health counts it, the crash tracker does not.

The setting answer_memory_mb, metrics hemlockglade_answer_bytes_held and hemlockglade_endless_answers_total, event endless-answers. Protocol, Platform, State and Transport tests pass, and the [endless] tests of the node.

--- a/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
@@ -16,6 +16,9 @@
 constexpr double MaxMbps = 1e6;
 constexpr double MaxFixedRetries = 1e6;
 constexpr double MaxQuotaUnits = 1e12;
+/// A plain answer of the maximum size, 8 MB, has to fit beside others.
+constexpr std::uint32_t MinAnswerMemoryMb = 9;
+constexpr std::uint32_t MaxAnswerMemoryMb = 65'536;
 
 bool isEndpointOrEmpty(std::string_view text) {
   return text.empty() || isEndpointAddress(text);
@@ -52,6 +55,10 @@
   map.number("max_descriptors", out.MaxDescriptors, {64, 1'000'000});
   map.real("cores", out.Cores, MinCores, MaxCores);
   map.real("link_mbps", out.LinkMbps, MinMbps, MaxMbps);
+  map.number("answer_memory_mb", out.AnswerMemoryMb, {0, MaxAnswerMemoryMb});
+  if (out.AnswerMemoryMb != 0 && out.AnswerMemoryMb < MinAnswerMemoryMb)
+    map.fault("answer_memory_mb",
+              "0, or 9 to 65536: a plain answer of 8 MB has to fit");
   map.flag("first_start", out.FirstStart);
   map.seconds("stop_bound_s", out.StopBound, 0.1, MinuteSeconds);
   map.milliseconds("handover_ms", out.Handover, {0, MinuteMs});
@@ -74,6 +81,17 @@
 
 } // namespace
 
+std::optional<std::string> contradictsMemory(const GatewaySettings &settings,
+                                             std::uint64_t memoryLimit) {
+  constexpr std::uint64_t MiB = std::uint64_t{1} << 20U;
+  auto most = memoryLimit / 2 / MiB;
+  if (memoryLimit == 0 || settings.AnswerMemoryMb <= most)
+    return std::nullopt;
+  return "answer_memory_mb: " + std::to_string(settings.AnswerMemoryMb) +
+         " is more than half of the memory limit of the process, " +
+         std::to_string(memoryLimit / MiB) + " MB\n";
+}
+
 tl::expected<GatewaySettings, SettingsFaults>
 readGatewaySettings(const std::string &text, const std::string &file) {
   auto root = parseYaml(text, file);
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.h
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -6,6 +6,7 @@
 #include "Hemlockglade/Protocol/Settings/SettingsFault.h"
 #include "Hemlockglade/State/Ids.h"
 
+#include <optional>
 #include <tl/expected.hpp>
 
 namespace hemlockglade {
@@ -52,6 +53,10 @@
   /// nodes with more.
   double Cores = 1;
   double LinkMbps = 1000;
+  /// Maximum bytes, in MB of 2^20, that are held for answers that are not
+  /// complete, over all connections; 0 derives it from the memory limit of the
+  /// process.
+  std::uint32_t AnswerMemoryMb = 0;
   /// No node of the deployment has ever run before this start.
   bool FirstStart = false;
   /// Maximum duration of a graceful stop.
@@ -88,6 +93,12 @@
   }
 };
 
+/// Returns why the settings contradict the memory limit of the process, given
+/// in bytes, with the name of the field; nothing if they don't. A limit of 0 is
+/// unknown.
+std::optional<std::string> contradictsMemory(const GatewaySettings &settings,
+                                             std::uint64_t memoryLimit);
+
 /// Parses the text of a settings file; `file` is the file name given in faults.
 /// If anything is invalid, all faults are returned.
 tl::expected<GatewaySettings, SettingsFaults>
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -61,8 +61,11 @@
   return out;
 }
 
-HttpPool::Settings replicaPoolSettings(const GatewaySettings &settings) {
+HttpPool::Settings
+replicaPoolSettings(const GatewaySettings &settings,
+                    const std::shared_ptr<AnswerMemory> &answers) {
   HttpPool::Settings out;
+  out.Connection.Memory = answers;
   out.Connection.LocalAddress = parseLocalAddress(settings.OutgoingAddress);
   return out;
 }
@@ -106,7 +109,8 @@
         return out;
       }()),
       Budget(retryBudgetOf(Settings)),
-      Pool(context, replicaPoolSettings(Settings)),
+      Answers(Port.Answers ? Port.Answers : std::make_shared<AnswerMemory>()),
+      Pool(context, replicaPoolSettings(Settings, Answers)),
       Crashes(crashCoordinatorHooks(), Log),
       Quotas(Settings.FailureDomains, Settings.FailureDomain, Settings.Quota,
              quotaHooks(), digestOf(Incarnation), Traffic, Log),
@@ -226,6 +230,7 @@
             {{"incarnation", Incarnation},
              {"version", HEMLOCKGLADE_VERSION},
              {"callers", Settings.CallerAddress},
+             {"answer_memory", std::uint64_t{Answers->maxBytes()}},
              {"failure_domain", Settings.FailureDomain}});
 }
 
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -113,6 +113,9 @@
   void tick();
   void refresh();
   void refreshUsage();
+  /// Updates the metrics of incomplete answers, and logs those that were ended
+  /// since the last call.
+  void refreshAnswers();
   /// Updates the metrics of the retry budgets, and logs those of services with
   /// retries since the last call.
   void refreshRetryBudgets();
@@ -211,6 +214,10 @@
   /// What `refreshRetryBudgets` has logged last, and when it was called last.
   std::map<std::string, SharedRetryBudget::Usage> LoggedBudgets;
   Instant BudgetsLoggedAt = TimerService::now();
+  /// Accounts for the bytes of incomplete answers; `EndlessAnswers` is what
+  /// metrics and the log have of the answers that it has ended.
+  const std::shared_ptr<AnswerMemory> Answers;
+  std::array<std::uint64_t, AnswerMemory::Kinds> EndlessAnswers{};
   HttpPool Pool;
   CrashCoordinator Crashes;
   PeerTraffic Traffic;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -424,6 +424,8 @@
   /// Reports that the direct path to the replica carries data.
   void reportHeard();
   void onBody(std::string_view part);
+  /// Ends an attempt whose answer went beyond a limit.
+  void onEndless(EndlessKind kind, std::string_view why);
   void onDone();
   /// Called when the connection of an attempt is open and nothing was written
   /// yet: the replica may have begun to drain since it was chosen.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -91,15 +91,25 @@
                 Current->Labels.Sealed && !Current->Labels.Encoded;
   if (!events) {
     Current->Body.append(part);
+    Current->Connection->holdBody(Current->Body.size());
     if (Current->Body.size() > Settings.MaxAnswerBytes)
-      onAttemptFailed("answer too large");
+      onEndless(EndlessKind::Body, "answer too large");
     return;
   }
   auto whole = Current->Events.take(part);
+  Current->Connection->holdBody(Current->Events.heldBytes());
+  if (Current->Events.overflowed())
+    return onEndless(EndlessKind::Event, "event too large");
   if (!whole.empty())
     forwardEvents(whole);
 }
 
+void GatewayExchange::onEndless(EndlessKind kind, std::string_view why) {
+  Current->Connection->countEndless(kind);
+  MayHaveRun = true;
+  onAttemptFailed(why);
+}
+
 void GatewayExchange::forwardEvents(std::string_view events) {
   if (!Current->FirstEventAt) {
     Current->FirstEventAt = TimerService::now();
@@ -268,6 +278,12 @@
   }
   MayHaveRun = true;
   QuotaReserved = false;
+  if (how == HttpFailure::Endless) {
+    // This side has ended the connection, so it does not show that the replica
+    // has ended.
+    Shared.Crashes.OnAbandoned(*Current->Replica, Subject, Current->progress());
+    return onAttemptFailed("answer without end");
+  }
   auto why =
       how == HttpFailure::Ended ? "connection ended" : "connection broke";
   reportBroken(why);
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -111,6 +111,12 @@
 constexpr MetricFamily BudgetLeftFamily{
     "hemlockglade_retry_budget_left",
     "Further retries that this node may send at present."};
+constexpr MetricFamily AnswerBytesFamily{
+    "hemlockglade_answer_bytes_held",
+    "Bytes held for answers that are not complete, over all connections."};
+constexpr MetricFamily EndlessFamily{
+    "hemlockglade_endless_answers_total",
+    "Answers that were ended because they went beyond a limit, by kind."};
 constexpr MetricFamily LogLeftOutFamily{"hemlockglade_log_lines_left_out",
                                         "Log lines left out by the bound."};
 
@@ -201,6 +207,24 @@
   Streams.tick();
   refreshUsage();
   refreshRetryBudgets();
+  refreshAnswers();
+}
+
+void Gateway::refreshAnswers() {
+  Metrics.gauge(AnswerBytesFamily).set(static_cast<double>(Answers->bytes()));
+  for (std::size_t it = 0; it < AnswerMemory::Kinds; ++it) {
+    auto kind = static_cast<EndlessKind>(it);
+    auto n = Answers->ended(kind);
+    auto since = n - std::exchange(EndlessAnswers[it], n);
+    Metrics.counter(EndlessFamily, {{"kind", endlessKindName(kind)}})
+        .add(since);
+    if (since > 0)
+      Log.write(LogClass::State, "endless-answers",
+                {{"kind", endlessKindName(kind)},
+                 {"ended", since},
+                 {"bytes_held", std::uint64_t{Answers->bytes()}},
+                 {"most_bytes_held", std::uint64_t{Answers->peakBytes()}}});
+  }
 }
 
 void Gateway::refreshRetryBudgets() {
--- a/Programs/hemlockgladed/Gateway/PlatformPort.h
+++ b/Programs/hemlockgladed/Gateway/PlatformPort.h
@@ -4,6 +4,9 @@
 #include "Hemlockglade/Coordination/Registry/Registry.h"
 #include "Hemlockglade/Coordination/Table.h"
 #include "Hemlockglade/Protocol/Exchange/RequestLabels.h"
+#include "Hemlockglade/Transport/Http1/AnswerMemory.h"
+
+#include <memory>
 
 namespace hemlockglade {
 
@@ -38,6 +41,9 @@
   std::function<void(OnReplicaAnswer hook)> ObserveEngines;
   /// Closes connections that were idle for too long.
   std::function<void()> Tidy;
+  /// Accounts for what the port's calls hold of incomplete answers, together
+  /// with the gateway's own. May be null.
+  std::shared_ptr<AnswerMemory> Answers;
   /// Returns the number of calls made to the registry and the table so far.
   std::function<RegistryCalls()> Calls;
 };
--- a/Programs/hemlockgladed/GatewayMain.cpp
+++ b/Programs/hemlockgladed/GatewayMain.cpp
@@ -1,5 +1,6 @@
 #include "Programs/hemlockgladed/GatewayMain.h"
 
+#include "Hemlockglade/State/MemoryLimit.h"
 #include "Programs/hemlockgladed/Gateway/GatewaySignals.h"
 #include "platform/Port.h"
 
@@ -42,6 +43,10 @@
     std::cerr << "hemlockgladed: " << settings.error();
     return UsageError;
   }
+  if (auto why = contradictsMemory(*settings, MemoryLimit::ofProcess().Bytes)) {
+    std::cerr << "hemlockgladed: " << *why;
+    return UsageError;
+  }
   if (onlyCheck)
     return 0;
   try {
--- a/UnitTests/Node/Gateway/RelayServiceTest.cpp
+++ b/UnitTests/Node/Gateway/RelayServiceTest.cpp
@@ -1,6 +1,7 @@
 #include "Programs/hemlockgladed/Gateway/RelayService.h"
 
 #include "UnitTests/Node/Gateway/ScriptedReplica.h"
+#include "UnitTests/Transport/Http1/EndlessServer.h"
 #include "UnitTests/Transport/Http1/RawPeer.h"
 
 #include <asio/steady_timer.hpp>
@@ -237,4 +238,46 @@
   CHECK(it.Relay->active() == 0);
 }
 
+TEST_CASE("a relayed answer without end never counts as not sent",
+          "[relay][endless]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\n";
+  auto bytes =
+      GENERATE_COPY(EndlessServer::Answer{head, "a: b\r\n"},
+                    EndlessServer::Answer{head + "a: ", "x"},
+                    EndlessServer::Answer{"", "HTTP/1.1 102 P\r\n\r\n"});
+  RelayFixture it;
+  EndlessServer endless(it.Context, bytes);
+  auto record = std::make_shared<ReplicaRecord>(*it.Known);
+  record->Address = endless.address();
+  it.Known = record;
+  CHECK(it.outcome() == "broken");
+  CHECK(it.until([&] { return endless.Ended == 1; }));
+  CHECK(it.Relay->active() == 0);
+  CHECK(endless.MostBytes < (std::size_t{8} << 20U));
+}
+
+TEST_CASE(
+    "a relayed body without end is held back by a slow node and ends with "
+    "it",
+    "[relay][endless]") {
+  RelayFixture it;
+  EndlessServer endless(it.Context, {"HTTP/1.1 200 OK\r\nId: r1\r\n\r\n", "x"});
+  auto record = std::make_shared<ReplicaRecord>(*it.Known);
+  record->Address = endless.address();
+  it.Known = record;
+  asio::ip::tcp::socket node(it.Context);
+  node.connect(Loopback::localhost(it.Relay->port()));
+  asio::write(node, asio::buffer(Request));
+  bool isOver = false;
+  asio::steady_timer pause(it.Context, std::chrono::milliseconds(500));
+  pause.async_wait([&](asio::error_code) { isOver = true; });
+  it.until([&] { return isOver; });
+  CHECK(it.Relay->active() == 1);
+  // What sockets buffer is a few megabytes.
+  CHECK(endless.MostBytes < (std::size_t{24} << 20U));
+  node.close();
+  CHECK(it.until([&] { return endless.Ended == 1; }));
+  CHECK(it.Relay->active() == 0);
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Platform/StoreTest.cpp
+++ b/UnitTests/Platform/StoreTest.cpp
@@ -3,7 +3,7 @@
 #include "Hemlockglade/Protocol/JsonText.h"
 #include "Hemlockglade/Protocol/QueryText.h"
 #include "Hemlockglade/Transport/Http1/CallerServer.h"
-#include "UnitTests/Transport/Loopback.h"
+#include "UnitTests/Transport/Http1/EndlessServer.h"
 #include "platform/Base64.h"
 
 namespace hemlockglade::test {
@@ -38,6 +38,7 @@
                                             std::move(hooks));
     PlatformStore::Settings settings;
     settings.Address = localhost(Server->port());
+    settings.Answers = Memory;
     // Long timeouts, so that only calls of the tests without an answer, which
     // use the other client, reach theirs.
     settings.CallTimeout = std::chrono::seconds(20);
@@ -102,6 +103,7 @@
 
   std::vector<std::string> Lines;
   EventLog Log;
+  std::shared_ptr<AnswerMemory> Memory = std::make_shared<AnswerMemory>();
   std::vector<CallerRequest> Calls;
   std::pair<std::uint16_t, std::string> Answer{200, "{}"};
   std::vector<std::pair<std::uint16_t, std::string>> Answers;
@@ -346,4 +348,102 @@
   CHECK(changes->Removed == std::vector<std::string>{"i-2"});
 }
 
+// The same page again and again would fill the memory, and an empty one that
+// is not the last would be asked for forever.
+TEST_CASE("pages of a table without end are refused", "[store][endless]") {
+  StoreFixture it;
+  auto page = [](const std::string &rows) {
+    return std::pair<std::uint16_t, std::string>(
+        200, R"({"rows":[)" + rows + R"(],"has_more":true,"ver":7})");
+  };
+  SECTION("the same page") {
+    it.Answer = page(row("a", "1") + "," + row("b", "2"));
+  }
+  SECTION("pages that go back") {
+    it.Answers = {page(row("b", "1"))};
+    it.Answer = page(row("a", "1"));
+  }
+  SECTION("pages without rows") {
+    it.Answers = {page(row("a", "1"))};
+    it.Answer = page("");
+  }
+  SECTION("only pages without rows") { it.Answer = page(""); }
+  std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+  it.Store->registry().ReadReplicas([&](auto got) { result = got; });
+  auto got = it.wait(result);
+  REQUIRE_FALSE(got);
+  CHECK(got.error() == RegistryError::Unavailable);
+  CHECK(it.Calls.size() <= 2);
+  CHECK(it.Answers.empty());
+  CHECK(it.Memory->ended(EndlessKind::Pages) == 1);
+}
+
+TEST_CASE("rows without end are refused at the limits of memory and time",
+          "[store][endless]") {
+  StoreFixture it;
+  PlatformStore::Settings settings;
+  settings.Address = Loopback::localhost(it.Server->port());
+  settings.Answers = std::make_shared<AnswerMemory>(10'000);
+  settings.MaxTableBytes = 100'000;
+  settings.MaxTableTime = std::chrono::seconds(20);
+  SECTION("memory") {}
+  SECTION("time") { settings.MaxTableTime = std::chrono::milliseconds(50); }
+  PlatformStore store(it.Context, settings, it.Log);
+  for (int page = 0; page < 20'000; ++page)
+    it.Answers.emplace_back(200, R"({"rows":[)" +
+                                     row(std::to_string(100'000 + page), "1") +
+                                     R"(],"has_more":true,"ver":7})");
+  auto start = std::chrono::steady_clock::now();
+  std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+  store.registry().ReadReplicas([&](auto got) { result = got; });
+  CHECK_FALSE(it.wait(result));
+  CHECK(it.Calls.size() < 2000);
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(10));
+  // What the read held is free again.
+  it.Answers.clear();
+  it.Answer = {200, R"({"rows":[)" + row("a", "1") + R"(],"ver":7})"};
+  result.reset();
+  store.registry().ReadReplicas([&](auto got) { result = got; });
+  CHECK(it.wait(result));
+}
+
+TEST_CASE("reports, orders and pages without end fail as calls without an "
+          "answer",
+          "[store][endless]") {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  auto bytes = GENERATE_COPY(
+      EndlessServer::Answer{head + "\r\n", "x"},
+      EndlessServer::Answer{head, "a: b\r\n"},
+      EndlessServer::Answer{"", "HTTP/1.1 102 P\r\n\r\n"},
+      EndlessServer::Answer{head + "a: ", "x", std::chrono::milliseconds(5)});
+  StoreFixture it;
+  EndlessServer endless(it.Context, bytes);
+  PlatformStore::Settings settings;
+  settings.Address = Loopback::localhost(endless.port());
+  settings.CallTimeout = std::chrono::milliseconds(1500);
+  settings.EngineTimeout = std::chrono::milliseconds(1500);
+  PlatformStore store(it.Context, settings, it.Log);
+  auto replica = it.replica();
+  replica.Address = endless.address();
+  int ends = 0;
+  std::optional<OrderAnswer> order;
+  std::optional<std::optional<HoldingsReport>> report;
+  std::optional<tl::expected<ReplicaChanges, RegistryError>> pages;
+  std::optional<tl::expected<std::uint64_t, TableError>> commit;
+  store.engines().Order(replica, {}, [&](auto got) { order = got, ++ends; });
+  store.engines().Report(replica, [&](auto got) { report = got, ++ends; });
+  store.registry().ReadReplicas([&](auto got) { pages = got, ++ends; });
+  store.table().Commit({"a", {{"k", 1, "v"}}},
+                       [&](auto got) { commit = got, ++ends; });
+  REQUIRE(it.until([&] { return ends == 4 && endless.Ended == 4; }));
+  CHECK(*order == OrderAnswer::Unknown);
+  CHECK_FALSE(report->has_value());
+  CHECK_FALSE(*pages);
+  // The commit may have been executed.
+  CHECK(commit->error() == TableError::Ambiguous);
+  CHECK(endless.MostBytes < (std::size_t{24} << 20U));
+  CHECK(endless.LongestTime < std::chrono::seconds(4));
+  CHECK(settings.Answers->bytes() == 0);
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
+++ b/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
@@ -109,4 +109,28 @@
   CHECK(decisions.Exchange.MinStallTime == defaults.Exchange.MinStallTime);
 }
 
+TEST_CASE("the memory for endless answers is checked", "[gateway-settings]") {
+  auto read = [](const std::string &value) {
+    return readGatewaySettings(
+        RequiredKeys + "answer_memory_mb: " + value + "\n", "f");
+  };
+  CHECK(readGatewaySettings(RequiredKeys, "f")->AnswerMemoryMb == 0);
+  CHECK(read("0")->AnswerMemoryMb == 0);
+  CHECK(read("9")->AnswerMemoryMb == 9);
+  for (const auto *wrong : {"8", "1", "-1", "1.5", "nan", "much", "65537",
+                            "99999999999999999999"}) {
+    CAPTURE(wrong);
+    auto settings = read(wrong);
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().front().Key == "answer_memory_mb");
+  }
+  auto large = read("64");
+  constexpr std::uint64_t MiB = 1U << 20U;
+  CHECK_FALSE(contradictsMemory(*large, 0));
+  CHECK_FALSE(contradictsMemory(*large, 128 * MiB));
+  auto why = contradictsMemory(*large, 127 * MiB);
+  REQUIRE(why);
+  CHECK(why->find("answer_memory_mb") != std::string::npos);
+}
+
 } // namespace hemlockglade::test
