answer_memory_mb is checked against the host's memory too; large answers are tested

A value beyond half of what the process may use was refused only where a limit is set for the process; the host's memory counts now. A test serves an answer of 7 MiB under the least limit.

--- a/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.cpp
@@ -88,7 +88,7 @@
   if (memoryLimit == 0 || settings.AnswerMemoryMb <= most)
     return std::nullopt;
   return "answer_memory_mb: " + std::to_string(settings.AnswerMemoryMb) +
-         " is more than half of the memory limit of the process, " +
+         " is more than half of what the process may use, " +
          std::to_string(memoryLimit / MiB) + " MB\n";
 }
 
--- a/Hemlockglade/Protocol/Settings/GatewaySettings.h
+++ b/Hemlockglade/Protocol/Settings/GatewaySettings.h
@@ -93,9 +93,9 @@
   }
 };
 
-/// Returns why the settings contradict the memory limit of the process, given
-/// in bytes, with the name of the field; nothing if they don't. A limit of 0 is
-/// unknown.
+/// Returns why the settings contradict the memory that the process may use,
+/// given in bytes, with the name of the field; nothing if they don't. A limit
+/// of 0 is unknown.
 std::optional<std::string> contradictsMemory(const GatewaySettings &settings,
                                              std::uint64_t memoryLimit);
 
--- a/Hemlockglade/State/MemoryLimit.h
+++ b/Hemlockglade/State/MemoryLimit.h
@@ -13,6 +13,11 @@
   /// Physical memory of the host; 0 if unknown.
   std::uint64_t Physical = 0;
 
+  /// Returns the lesser of both that is known; 0 if neither is.
+  std::uint64_t usable() const {
+    return Bytes && (!Physical || Bytes < Physical) ? Bytes : Physical;
+  }
+
   /// Reads the resource limits and the limits of the control groups.
   static MemoryLimit ofProcess();
 };
--- a/Programs/hemlockgladed/GatewayMain.cpp
+++ b/Programs/hemlockgladed/GatewayMain.cpp
@@ -43,7 +43,8 @@
     std::cerr << "hemlockgladed: " << settings.error();
     return UsageError;
   }
-  if (auto why = contradictsMemory(*settings, MemoryLimit::ofProcess().Bytes)) {
+  if (auto why =
+          contradictsMemory(*settings, MemoryLimit::ofProcess().usable())) {
     std::cerr << "hemlockgladed: " << *why;
     return UsageError;
   }
--- a/UnitTests/Node/Gateway/EndlessAnswerTest.cpp
+++ b/UnitTests/Node/Gateway/EndlessAnswerTest.cpp
@@ -204,4 +204,29 @@
   }));
 }
 
+// Limits for answers without end must not touch large answers that have one.
+TEST_CASE("a large answer is served whole within the limits of endless ones",
+          "[endless]") {
+  constexpr std::size_t BodyBytes = 7 * MiB;
+  GatewayFixture it;
+  EndlessServer large(it.Context,
+                      {"HTTP/1.1 200 OK\r\nContent-Length: " +
+                           std::to_string(BodyBytes) + "\r\n\r\n",
+                       std::string(64 * 1024, 'x'), milliseconds(1)});
+  it.Platform.declare(1, "/a/");
+  it.Platform.registerReplica(large.address());
+  auto port = it.Platform.port();
+  port.Answers = std::make_shared<AnswerMemory>(AnswerMemory::MinDefaultBytes);
+  it.Node = std::make_unique<Gateway>(it.Context, it.Settings, port, it.Log);
+  it.Node->start();
+  REQUIRE(it.untilReady());
+  RawPeer peer(it.Context);
+  peer.connect(parseEndpoint(it.Settings.CallerAddress).port());
+  peer.send("GET /a/x HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n\r\n");
+  CHECK(it.until([&] { return peer.Got.size() > BodyBytes; }));
+  CHECK(peer.Got.starts_with("HTTP/1.1 200"));
+  CHECK(port.Answers->peakBytes() > BodyBytes / 2);
+  CHECK(port.Answers->ended(EndlessKind::Memory) == 0);
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/State/MemoryLimitTest.cpp
+++ b/UnitTests/State/MemoryLimitTest.cpp
@@ -21,6 +21,12 @@
 
 TEST_CASE("the physical memory of the host is known", "[memory-limit]") {
   CHECK(MemoryLimit::ofProcess().Physical > 0);
+  CHECK(MemoryLimit::ofProcess().usable() > 0);
+  CHECK(MemoryLimit{5, 9}.usable() == 5);
+  CHECK(MemoryLimit{9, 5}.usable() == 5);
+  CHECK(MemoryLimit{0, 5}.usable() == 5);
+  CHECK(MemoryLimit{5, 0}.usable() == 5);
+  CHECK(MemoryLimit{}.usable() == 0);
 }
 
 } // namespace hemlockglade::test
