Requests held for engines wait in one queue per service and weights

Cause: each held request polled by its own timer, so that the first whose timer fired when an engine's backlog fell was sent: patience and chance decided who was served, and a request that could not be served was held to the end all the same. With reject_hopeless a request that by the rate of recent sends can't begin before its hold time ends is answered with 503 and a spread Retry-After. Both are off by default; then nothing changes but two metrics.

--- a/Hemlockglade/Coordination/Route/ExchangeSettings.h
+++ b/Hemlockglade/Coordination/Route/ExchangeSettings.h
@@ -53,6 +53,15 @@
   /// many times the route's longest pause, and at least the minimum.
   double StallFactor = 4;
   Span MinStallTime = std::chrono::milliseconds(1200);
+  /// Whether requests that are held for engines wait in one queue for each
+  /// service and weights; else each polls on its own.
+  bool QueueHeld = false;
+  /// Whether requests that can't be sent before their hold time ends, by the
+  /// estimate of that queue, are refused at once.
+  bool RejectHopeless = false;
+  /// Interval at which a request in that queue checks whether it has been held
+  /// too long while others are sent first.
+  Span HeldPollInterval = std::chrono::milliseconds(100);
   /// Bytes of a plain answer that are buffered until it is complete.
   std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
   /// Bytes that may be queued for a slow caller before reading from its replica
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -293,6 +293,11 @@
   std::optional<double> limitOf(const std::string &replica) const;
   /// Returns whether a replica holds weights or is loading them.
   bool holds(const std::string &replica, const WeightsRef &weights) const;
+  /// Returns when each usable copy of the weights at a service's replicas can
+  /// be used, with those that are being loaded.
+  std::vector<Instant> copiesReadyAt(const std::string &service,
+                                     const WeightsRef &weights,
+                                     Instant now) const;
   /// Returns the failure domain of a replica; empty if it is not known.
   std::string failureDomainOf(const std::string &replica) const;
   /// Returns the limits of a failure domain's replicas that have changed since
--- a/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
@@ -261,4 +261,23 @@
   return !state.Draining && !state.Restarted;
 }
 
+std::vector<Instant> ReplicaView::copiesReadyAt(const std::string &service,
+                                                const WeightsRef &weights,
+                                                Instant now) const {
+  std::vector<Instant> out;
+  auto all = ByService.find(service);
+  if (all == ByService.end())
+    return out;
+  for (const auto *it : all->second) {
+    if (!isUsable(*it) || (it->RemoveAt && now >= *it->RemoveAt))
+      continue;
+    const auto *held = usableWeights(*it, weights, now);
+    if (!held)
+      continue;
+    auto returnsAt = Pauses.returnsAt(it->Record->Incarnation.text(), now);
+    out.push_back(std::max(held->ReadyAt, returnsAt.value_or(Instant{})));
+  }
+  return out;
+}
+
 } // namespace hemlockglade
--- a/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
@@ -55,6 +55,10 @@
   map.real("slow_factor", out.SlowFactor, 1, MaxCost);
   map.real("stall_factor", out.StallFactor, 1, MaxCost);
   map.milliseconds("least_stall_ms", out.MinStallTime, MillisecondRange);
+  map.flag("queue_held", out.QueueHeld);
+  map.flag("reject_hopeless", out.RejectHopeless);
+  if (out.RejectHopeless && !out.QueueHeld)
+    map.fault("reject_hopeless", "false unless queue_held is true");
 }
 
 } // namespace
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -114,7 +114,7 @@
                TimerService::now() -
                    (Settings.FirstStart ? Span(BeforeFirstStart) : Span(0))),
       Streams(streamSettings(), streamOriginHooks(), Traffic, Log),
-      SharedContext(exchangeContext()),
+      Held(heldSettings()), SharedContext(exchangeContext()),
       ExchangeOptions(Settings.Decisions.Exchange),
       Reach(ReplicaReach::Settings{},
             [this](const std::string &service) {
@@ -179,7 +179,18 @@
       [this](const ReplicaRecord &replica, std::uint16_t status,
              const AnswerLabels &labels, Instant sentAt) {
         onReplicaAnswer(replica, status, labels, sentAt);
-      }};
+      },
+      Settings.Decisions.Exchange.QueueHeld ? &Held : nullptr};
+}
+
+HeldRequests::Settings Gateway::heldSettings() {
+  HeldRequests::Settings out;
+  out.Seed = digestOf(Incarnation);
+  if (Settings.Decisions.Exchange.RejectHopeless)
+    out.Copies = [this](const auto &service, const auto &weights, Instant now) {
+      return View.copiesReadyAt(service, weights, now);
+    };
+  return out;
 }
 
 ReplicaListHooks Gateway::replicaListHooks() {
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -140,6 +140,7 @@
   leasesExcept(const std::string &cell) const;
   CellMember::Hooks memberHooks(const std::string &cell);
   ExchangeContext exchangeContext();
+  HeldRequests::Settings heldSettings();
   ReplicaLimitHooks replicaLimitHooks();
   ReplicaListHooks replicaListHooks();
   PathHooks pathHooks();
@@ -218,6 +219,7 @@
   FairQueue Queue;
   SoftwareHistory Software;
   StreamOriginService Streams;
+  HeldRequests Held;
   ExchangeContext SharedContext;
   const ExchangeSettings ExchangeOptions;
   std::unique_ptr<PeerNet> Peers;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -141,9 +141,10 @@
   // A wait whose end is known is not polled before, and no wait is polled after
   // less than this.
   constexpr Span MinWait = std::chrono::milliseconds(2);
+  auto maxWait =
+      YieldsToHeld ? Settings.HeldPollInterval : Settings.WaitPollInterval;
   if (Waiting)
-    due = std::min(
-        due, std::clamp(WakeAt - now, MinWait, Settings.WaitPollInterval));
+    due = std::min(due, std::clamp(WakeAt - now, MinWait, maxWait));
   Timer.expires_after(std::max(Span(0), due));
   Timer.async_wait([weak = weak_from_this()](asio::error_code ec) {
     auto self = weak.lock();
@@ -204,7 +205,9 @@
   if (awaitsNewerList())
     return;
   readmitUnconnected();
-  auto choice = Shared.View.choose(Query, now);
+  if (yieldsToHeld(now))
+    return;
+  auto choice = chooseReplica(now);
   if (choice.Result == RouteChoice::Kind::Send && mustQueue(now))
     choice.Result = RouteChoice::Kind::Full;
   bool sends = choice.Result == RouteChoice::Kind::Send;
@@ -299,6 +302,8 @@
   default:
     WaitReason = "no replica known";
   }
+  if (!holdInOrder(choice, now))
+    return;
   logWait(choice, now);
   armTimer();
 }
@@ -591,6 +596,8 @@
     Shared.OnDone(*attempt->Replica, *Query.Weights);
   else if (Shared.PlainQueue)
     Shared.PlainQueue->wakeNext(Query.Service, TimerService::now());
+  if (usesEngine() && Shared.Held)
+    Shared.Held->onRoom(Query.Service, *Query.Weights, TimerService::now());
   if (attempt->Connection->calling())
     Shared.Crashes.OnAbandoned(*attempt->Replica, Subject, attempt->progress());
   // A connection in the middle of an answer is reset, which also makes the
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -3,6 +3,7 @@
 #include "Hemlockglade/Coordination/Crash/CrashSubject.h"
 #include "Hemlockglade/Coordination/Route/ExchangeSettings.h"
 #include "Hemlockglade/Coordination/Route/FairQueue.h"
+#include "Hemlockglade/Coordination/Route/HeldRequests.h"
 #include "Hemlockglade/Coordination/Route/ReplicaView.h"
 #include "Hemlockglade/Coordination/Route/SharedRetryBudget.h"
 #include "Hemlockglade/Coordination/Streams/StreamOrigins.h"
@@ -220,6 +221,9 @@
   PathHooks Paths{};
   StreamHooks Streams{};
   OnReplicaAnswer OnAnswer{};
+  /// Order of the requests that are held for engines; null if each polls on its
+  /// own.
+  HeldRequests *Held = nullptr;
 };
 
 /// One request of a caller, from its arrival to its answer. Chooses a replica,
@@ -295,6 +299,9 @@
   /// Whether an attempt was ended because it would have begun to run on weights
   /// that had been replaced too long ago.
   bool endedBeforeStart() const { return EndedBeforeStart; }
+  /// Whether the request was refused because it could not have been sent before
+  /// its hold time ended.
+  bool hopeless() const { return Hopeless; }
 
 private:
   /// State of the attempt that is under way.
@@ -417,6 +424,23 @@
   void joinQueue();
   /// Leaves the queue; `served` if the request is sent to a replica.
   void leaveQueue(bool served);
+  /// Whether the request waits in `Held` while no engine can take it.
+  bool joinsHeld() const;
+  void joinHeld(Instant now);
+  void leaveHeld();
+  /// Holds the request if others that wait for its weights are sent before;
+  /// returns whether it does.
+  bool yieldsToHeld(Instant now);
+  /// Chooses a replica. The oldest of the held requests is chosen for like an
+  /// urgent one.
+  RouteChoice chooseReplica(Instant now);
+  /// Puts a request for which no engine was found into its place among the held
+  /// ones, or takes it out if it waits for something else. Returns whether it
+  /// is still held.
+  bool holdInOrder(const RouteChoice &choice, Instant now);
+  /// Refuses the request if it can't be sent before its hold time ends; returns
+  /// whether it was.
+  bool rejectIfHopeless(Instant now);
   void send(const RouteChoice &choice);
   void reportCongestion(Instant now);
   void logWait(const RouteChoice &choice, Instant now);
@@ -513,6 +537,13 @@
   std::unique_ptr<Attempt> Current;
   /// Ticket in `PlainQueue`; 0 if the request isn't queued.
   FairQueue::Ticket QueueTicket = 0;
+  /// Ticket in `Held`; 0 if the request isn't queued there.
+  HeldRequests::Ticket HeldTicket = 0;
+  /// Others in `Held` are sent before it, and wake it when it is next.
+  bool YieldsToHeld = false;
+  /// When its wait was estimated last.
+  std::optional<Instant> EstimatedAt;
+  bool Hopeless = false;
   bool Waiting = false;
   /// While waiting: replicas could serve the request but are full or busy.
   bool WaitsForCapacity = false;
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
@@ -1,10 +1,11 @@
 // GatewayExchange: reservation of quota, and queueing for plain replicas that
-// are full.
+// are full and for engines.
 
 #include "Hemlockglade/Transport/Time/TimerService.h"
 #include "Programs/hemlockgladed/Gateway/GatewayExchange.h"
 #include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 
 namespace hemlockglade {
@@ -87,6 +88,8 @@
   WakeAt = Instant::max();
   GrantPending = true;
   armTimer();
+  // Others need not wait for the decision.
+  leaveHeld();
   ReplicaGrant part{choice.Replica, {}, {}};
   bool wantsPlace = needsPlace(choice);
   if (wantsPlace)
@@ -226,6 +229,10 @@
 }
 
 void GatewayExchange::leaveQueue(bool served) {
+  auto now = TimerService::now();
+  if (HeldTicket && served)
+    Shared.Held->onSent(std::exchange(HeldTicket, 0), now);
+  leaveHeld();
   auto ticket = std::exchange(QueueTicket, 0);
   if (!ticket)
     return;
@@ -233,7 +240,123 @@
     Shared.PlainQueue->onServed(Query.Service, ticket);
   else
     Shared.PlainQueue->leave(Query.Service, ticket);
-  Shared.PlainQueue->wakeNext(Query.Service, TimerService::now());
+  Shared.PlainQueue->wakeNext(Query.Service, now);
+}
+
+bool GatewayExchange::joinsHeld() const {
+  // A stream that has begun has to go on at once, or is lost.
+  return Shared.Held && usesEngine() && !AnswerBegun;
+}
+
+void GatewayExchange::joinHeld(Instant now) {
+  if (HeldTicket)
+    return;
+  HeldRequests::Request request;
+  request.Service = Query.Service;
+  request.Weights = *Query.Weights;
+  request.Workspace = workspace();
+  request.Rank = Query.Rank;
+  request.Tokens = Query.PromptTokens;
+  request.TargetLatency = Query.TargetLatency;
+  request.ArrivedAt = Request.ArrivedAt;
+  request.OnTimeUntil = Query.OnTimeUntil;
+  request.HoldUntil = HoldUntil;
+  request.Wake = [weak = weak_from_this(), &context = Shared.Context] {
+    // Posted, since another request may be in the middle of its own choice.
+    asio::post(context, [weak] {
+      if (auto self = weak.lock())
+        self->wake();
+    });
+  };
+  HeldTicket = Shared.Held->join(std::move(request), now);
+}
+
+void GatewayExchange::leaveHeld() {
+  if (auto ticket = std::exchange(HeldTicket, 0))
+    Shared.Held->leave(ticket, TimerService::now());
+}
+
+bool GatewayExchange::yieldsToHeld(Instant now) {
+  YieldsToHeld = false;
+  // One that holds a grant had its turn when it asked for it.
+  if (!joinsHeld() || Grant ||
+      !Shared.Held->hasWaiting(Query.Service, *Query.Weights))
+    return false;
+  joinHeld(now);
+  if (Shared.Held->isNext(HeldTicket, now))
+    return false;
+  Shared.Held->wakeNext(Query.Service, *Query.Weights, now);
+  if (!std::exchange(DemandReported, true))
+    Shared.OnDemand(Query.Service, *Query.Weights, false, {});
+  if (endIfHeldTooLong() || rejectIfHopeless(now))
+    return true;
+  Waiting = true;
+  WaitsForCapacity = true;
+  YieldsToHeld = true;
+  WakeAt = std::min(HoldUntil, now + Settings.HeldPollInterval);
+  WaitReason = "others go first";
+  reportCongestion(now);
+  logWait({}, now);
+  armTimer();
+  return true;
+}
+
+RouteChoice GatewayExchange::chooseReplica(Instant now) {
+  if (!HeldTicket || !Shared.Held->isOldestTurn(HeldTicket, now))
+    return Shared.View.choose(Query, now);
+  // A late request waits for an idle engine, and one of a lower rank for less
+  // of a backlog; while others keep the engines busy it would never be sent.
+  auto onTimeUntil = std::exchange(Query.OnTimeUntil, Instant::max());
+  auto rank = std::exchange(Query.Rank, 0);
+  auto out = Shared.View.choose(Query, now);
+  Query.OnTimeUntil = onTimeUntil;
+  Query.Rank = rank;
+  return out;
+}
+
+bool GatewayExchange::holdInOrder(const RouteChoice &choice, Instant now) {
+  bool waitsForEngine = choice.Result == RouteChoice::Kind::AwaitLoad ||
+                        choice.Result == RouteChoice::Kind::AwaitPrefill ||
+                        choice.Result == RouteChoice::Kind::Full;
+  if (!joinsHeld() || !waitsForEngine) {
+    leaveHeld();
+    return true;
+  }
+  joinHeld(now);
+  if (rejectIfHopeless(now))
+    return false;
+  bool isLimited =
+      std::any_of(Query.LimitedUntil.begin(), Query.LimitedUntil.end(),
+                  [now](const auto &it) { return now < it.second; });
+  bool isFull = choice.Result == RouteChoice::Kind::Full;
+  Shared.Held->onObstacle(
+      HeldTicket, {!Query.Excluded.empty() || isLimited, isFull, WakeAt}, now);
+  return true;
+}
+
+bool GatewayExchange::rejectIfHopeless(Instant now) {
+  if (!Settings.RejectHopeless || MayHaveRun)
+    return false;
+  bool isDue =
+      !EstimatedAt || (now - *EstimatedAt >= Settings.DemandReminderInterval &&
+                       now >= Query.OnTimeUntil);
+  if (!isDue)
+    return false;
+  EstimatedAt = now;
+  auto why = Shared.Held->hopeless(HeldTicket, now);
+  if (!why)
+    return false;
+  Hopeless = true;
+  Shared.Log.write(LogClass::Request, "hopeless",
+                   {{"request", Labels.Id},
+                    {"weights", Query.Weights->text()},
+                    {"ahead_tokens", why->AheadTokens},
+                    {"tokens_per_s", why->TokensPerSecond},
+                    {"expected_ms", why->Expected},
+                    {"held_until_ms", HoldUntil - now}});
+  answerWithError(Unavailable, "no engine before its hold time ends",
+                  why->RetryAfter);
+  return true;
 }
 
 void GatewayExchange::pollLater(std::string_view reason) {
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -34,6 +34,13 @@
     "hemlockglade_not_begun_total",
     "Requests with an attempt that was ended because it would have begun on "
     "weights replaced too long ago."};
+constexpr MetricFamily HeldRequestsFamily{
+    "hemlockglade_held_requests",
+    "Requests in the queue of those that are held for engines."};
+constexpr MetricFamily HopelessFamily{
+    "hemlockglade_hopeless_total",
+    "Requests refused at once because no engine could have taken them before "
+    "their hold time ended."};
 constexpr MetricFamily OrdersFamily{
     "hemlockglade_orders", "Orders to replicas since the start, by cell."};
 constexpr MetricFamily CellFamily{
@@ -145,6 +152,8 @@
         .record(inSeconds(*replaced));
   if (exchange.endedBeforeStart())
     Metrics.counter(NotBegunFamily, {{"service", service}}).add(1);
+  if (exchange.hopeless())
+    Metrics.counter(HopelessFamily, {{"service", service}}).add(1);
   if (auto n = exchange.connectFailures())
     Metrics.counter(NotConnectedFamily, {{"service", service}}).add(n);
   Meter.onBytes(exchange.bodyBytes(), TimerService::now());
@@ -172,6 +181,8 @@
     Metrics.gauge(CellFamily, {{"cell", name}})
         .set(cell->lease().mayOrder() ? 1 : 0);
   }
+  Held.removeExpired(TimerService::now());
+  Metrics.gauge(HeldRequestsFamily).set(static_cast<double>(Held.size()));
   Metrics.gauge(WaitingFamily).set(static_cast<double>(waiting));
   Metrics.gauge(ServingFamily).set(static_cast<double>(Exchanges.size()));
   Metrics.gauge(PlanFamily)
--- a/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
+++ b/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
@@ -89,6 +89,21 @@
   CHECK_FALSE(readGatewaySettings(RequiredKeys + "decisions: [1]\n", "f"));
 }
 
+TEST_CASE("requests can't be rejected by their place in a queue that is off",
+          "[gateway-settings]") {
+  auto wrong = readGatewaySettings(
+      RequiredKeys + "decisions:\n  reject_hopeless: true\n", "f");
+  REQUIRE_FALSE(wrong);
+  CHECK(wrong.error().front().Key == "decisions.reject_hopeless");
+  auto settings = readGatewaySettings(
+      RequiredKeys +
+          "decisions:\n  reject_hopeless: true\n  queue_held: true\n",
+      "f");
+  REQUIRE(settings);
+  CHECK(settings->Decisions.Exchange.QueueHeld);
+  CHECK(settings->Decisions.Exchange.RejectHopeless);
+}
+
 TEST_CASE("the decision settings of the example are the defaults",
           "[gateway-settings]") {
   auto text = exampleFile("gateway.yaml");
@@ -107,6 +122,8 @@
         defaults.Placement.WaitReportTimeout);
   CHECK(decisions.Exchange.CongestedAfter == defaults.Exchange.CongestedAfter);
   CHECK(decisions.Exchange.MinStallTime == defaults.Exchange.MinStallTime);
+  CHECK(decisions.Exchange.QueueHeld == defaults.Exchange.QueueHeld);
+  CHECK(decisions.Exchange.RejectHopeless == defaults.Exchange.RejectHopeless);
 }
 
 } // namespace hemlockglade::test
