The test of held requests that aren't overtaken decides before any timer

Cause: without the check in yieldsToHeld the test still passed, since the timer of the held request ran before the newcomer was read. Change: the newcomer waits for its quota, which the test grants before the loop runs; the rig keeps a copy of the workspace for each request.

--- a/UnitTests/Node/Gateway/GatewayExchangeRig.h
+++ b/UnitTests/Node/Gateway/GatewayExchangeRig.h
@@ -6,6 +6,8 @@
 #include "UnitTests/Node/Gateway/ScriptedReplica.h"
 #include "UnitTests/Transport/Http1/RawPeer.h"
 
+#include <deque>
+
 namespace hemlockglade::test {
 
 using std::chrono::milliseconds;
@@ -132,7 +134,8 @@
       View.setPlan(Plan);
       CallerAccess access;
       access.MatchedRoute = &Plan->routes()[0];
-      access.CallerWorkspace = TestWorkspace ? &*TestWorkspace : nullptr;
+      if (TestWorkspace)
+        access.CallerWorkspace = &Workspaces.emplace_back(*TestWorkspace);
       Exchange = std::make_shared<GatewayExchange>(
           Shared, Settings, Plan, access, std::move(request), std::move(labels),
           std::move(reply));
@@ -248,6 +251,8 @@
   }
 
   std::optional<Workspace> TestWorkspace;
+  /// The workspace of each request that has one.
+  std::deque<Workspace> Workspaces;
   /// Verdict of the limit given at once; none if the test gives it later with
   /// `PendingDecision`.
   std::optional<QuotaService::Verdict> ImmediateVerdict =
--- a/UnitTests/Node/Gateway/HeldExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/HeldExchangeTest.cpp
@@ -57,11 +57,13 @@
 
   /// Sends a request of a workspace, and waits until it is held or has ended.
   RawPeer &request(const std::string &id, const std::string &workspace,
-                   std::uint32_t rank, std::uint32_t tokens = 100) {
+                   std::uint32_t rank, std::uint32_t tokens = 100,
+                   bool hasLimit = false) {
     TestWorkspace = Workspace{};
     TestWorkspace->Name = workspace;
     TestWorkspace->Priority = rank;
-    Spaces.push_back(std::make_unique<Workspace>(*TestWorkspace));
+    if (hasLimit)
+      TestWorkspace->Limit = WorkspaceLimit{LimitUnit::Tokens, 1, 1, 200};
     auto &peer = *Peers.emplace_back(std::make_unique<RawPeer>(Context));
     peer.connect(Server->port());
     Exchange = nullptr;
@@ -96,7 +98,6 @@
   }
 
   HeldRequests Held;
-  std::vector<std::unique_ptr<Workspace>> Spaces;
   std::vector<std::unique_ptr<RawPeer>> Peers;
   std::vector<std::shared_ptr<GatewayExchange>> Kept;
   std::vector<std::string> Outcomes;
@@ -121,22 +122,21 @@
   CHECK(it.Held.size() == 0);
 }
 
-TEST_CASE("a request that arrives as the engine is free does not overtake held "
+TEST_CASE("a request that comes as the engine is free does not overtake held "
           "ones",
           "[held]") {
   HeldFixture it;
-  it.keepReading(2000);
+  it.keepReading(4000);
   it.request("first", "a", 1);
   REQUIRE(it.Held.size() == 1);
-  // The engine is free before any timer can run.
-  std::this_thread::sleep_for(milliseconds(150));
-  auto now = TimerService::now();
-  RouteQuery query;
-  query.Service = "s";
-  query.Weights = Adapter;
-  query.OnTimeUntil = Instant::max();
-  REQUIRE(it.View.choose(query, now).Result == RouteChoice::Kind::Send);
-  it.request("second", "a", 1);
+  // Waits until its quota is decided.
+  it.ImmediateVerdict.reset();
+  it.request("second", "b", 1, 100, true);
+  REQUIRE(it.PendingDecision);
+  REQUIRE(it.Held.size() == 1);
+  // The engine is free before the timer of the first can run.
+  std::this_thread::sleep_for(milliseconds(300));
+  it.PendingDecision({0, QuotaService::Verdict::Allowed, Span(0), Span(0)});
   REQUIRE(it.untilSent(2));
   CHECK(it.sentIds() == "first second ");
 }
