--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -143,6 +143,7 @@
   leasesExcept(const std::string &cell) const;
   CellMember::Hooks memberHooks(const std::string &cell);
   ExchangeContext exchangeContext();
+  HeldRequests::Settings heldSettings();
   ReplicaLimitHooks replicaLimitHooks();
   ReplicaListHooks replicaListHooks();
   PathHooks pathHooks();
@@ -225,6 +226,7 @@
   FairQueue Queue;
   SoftwareHistory Software;
   StreamOriginService Streams;
+  HeldRequests Held;
   ExchangeContext SharedContext;
   const ExchangeSettings ExchangeOptions;
   std::unique_ptr<PeerNet> Peers;
