Replicas are chosen by their own speed where a service's differ

Prefill speed was tracked for each service only: the backlog of slow engines was estimated too short, that of fast ones too long, and uneven engines got nearly equal shares of requests.

ReplicaSpeed estimates the factor of one replica from this node's samples, those of others, or the owner's merged factor. ReplicaView uses it for the prefill backlog, the request's own prefill and slot utilisation, and divides the regression's samples by it. What other entries have sent but is not known yet is estimated from this node's own requests and the measured delay of news. Off by default; without the setting the choice is as before.

--- a/Hemlockglade/Coordination/Route/PrefillSpeed.cpp
+++ b/Hemlockglade/Coordination/Route/PrefillSpeed.cpp
@@ -27,4 +27,12 @@
                     Options.InitialUsPerToken * Options.MaxDeviationFactor);
 }
 
+std::optional<Span> PrefillSpeed::expected(std::uint32_t tokens) const {
+  if (SumWeights < Options.MinSamples)
+    return std::nullopt;
+  double meanTokens = SumTokens / SumWeights;
+  double us = SumTimes / SumWeights + usPerToken() * (tokens - meanTokens);
+  return Span(static_cast<std::int64_t>(std::max(1.0, us)));
+}
+
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Route/PrefillSpeed.h
+++ b/Hemlockglade/Coordination/Route/PrefillSpeed.h
@@ -2,6 +2,8 @@
 
 #include "Hemlockglade/State/Ids.h"
 
+#include <optional>
+
 namespace hemlockglade {
 
 /// Estimates the prefill speed of engines from the times to the first event: a
@@ -24,6 +26,9 @@
 
   void add(std::uint32_t tokens, Span took);
   double usPerToken() const;
+  /// Returns the typical time for a number of tokens, with what does not depend
+  /// on their number; nothing until there are enough samples.
+  std::optional<Span> expected(std::uint32_t tokens) const;
 
 private:
   Settings Options;
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -66,8 +66,8 @@
   if (it == Replicas.end())
     return;
   auto &state = it->second;
-  state.PrefillUntil = std::max(now, state.PrefillUntil) +
-                       prefillTime(state.Record->Service, tokens);
+  state.PrefillUntil =
+      std::max(now, state.PrefillUntil) + prefillTime(state, tokens);
 }
 
 Span ReplicaView::prefillTime(const std::string &service,
@@ -83,9 +83,14 @@
                                const RouteQuery &query, Span took,
                                bool wasIdle) {
   auto it = Replicas.find(replica);
-  if (it != Replicas.end() && wasIdle)
-    PrefillSpeeds[it->second.Record->Service].add(
-        uncachedTokens(it->second, query), took);
+  if (it == Replicas.end())
+    return;
+  auto &state = it->second;
+  if (Options.UseSpeeds)
+    onPromptStarted(replica, state, query.SentAt, took, wasIdle);
+  else if (wasIdle)
+    PrefillSpeeds[state.Record->Service].add(uncachedTokens(state, query),
+                                             took);
 }
 
 std::uint32_t ReplicaView::uncachedPromptTokens(const std::string &replica,
@@ -129,8 +134,10 @@
 
 void ReplicaView::onOwnerLost(const std::string &failureDomain) {
   for (auto &[id, state] : Replicas)
-    if (state.Record->FailureDomain == failureDomain)
+    if (state.Record->FailureDomain == failureDomain) {
       state.FromOwner = false;
+      state.Speed.release(SpeedsAt);
+    }
 }
 
 bool ReplicaView::isVersionUsable(const WeightsRef &weights,
@@ -222,7 +229,7 @@
 double ReplicaView::cost(const ReplicaState &state, const RouteQuery &query,
                          double typicalErrorShare, Instant now) const {
   double out = static_cast<double>(state.OwnRunning + state.RunningElsewhere) /
-               std::max(1U, state.Record->Slots);
+               std::max(1U, state.Record->Slots) * state.SpeedFactor;
   if (state.Record->FailureDomain != Options.FailureDomain)
     out += Options.RemoteCost;
   double excessErrors =
@@ -234,6 +241,8 @@
     out += Options.LimitedCost;
   auto backlog = std::max(Span(0), state.PrefillUntil - now);
   out += Options.BacklogCost * inSeconds(backlog);
+  if (state.UsesSpeed)
+    return out + speedCost(state, query, now);
   constexpr double Thousand = 1000;
   out -= Options.PrefixGain * cachedTokens(state, query) / Thousand;
   return out;
@@ -358,6 +367,7 @@
   out.ReadyAt = best->PrefillUntil - bound;
   out.PrefillIdle = best->PrefillUntil <= now;
   out.Replica = best->Record;
+  out.Speed = best->SpeedFactor;
   if (query.Weights) {
     out.Version = best->Held.at(*query.Weights).Version;
     out.NewestVersion = Versions.newest(*query.Weights);
@@ -411,9 +421,14 @@
     state.Window->onSent(now);
   if (query.Weights) {
     ++state.OwnByWeights[*query.Weights];
-    state.PrefillUntil =
-        std::max(now, state.PrefillUntil) +
-        prefillTime(state.Record->Service, uncachedTokens(state, query));
+    if (Options.UseSpeeds)
+      onPromptSent(state, query, now);
+    auto prefill = prefillTime(state, uncachedTokens(state, query));
+    state.PrefillUntil = std::max(now, state.PrefillUntil) + prefill;
+    if (state.UsesSpeed)
+      addUnseen(state, prefill, now);
+  } else if (Options.UseSpeeds && state.OwnRunning <= plainShare(state)) {
+    state.Unqueued.insert(query.SentAt);
   }
   for (auto promptPart : query.PromptParts)
     state.CachedParts[partKey(query, promptPart)] = now;
@@ -446,6 +461,8 @@
   state.OwnRunning -= state.OwnRunning ? 1 : 0;
   state.OwnTokens -= std::min<std::uint64_t>(state.OwnTokens, query.Tokens);
   state.Health.onEnd(attempt, verdict, now);
+  state.Unstarted.erase(query.SentAt);
+  state.Unqueued.erase(query.SentAt);
   if (!query.Weights)
     return;
   auto running = state.OwnByWeights.find(*query.Weights);
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -7,6 +7,7 @@
 #include "Hemlockglade/Coordination/Route/RejectionLimits.h"
 #include "Hemlockglade/Coordination/Route/ReplicaHealth.h"
 #include "Hemlockglade/Coordination/Route/ReplicaPauses.h"
+#include "Hemlockglade/Coordination/Route/ReplicaSpeed.h"
 #include "Hemlockglade/Coordination/Route/SendWindow.h"
 
 #include <deque>
@@ -116,6 +117,32 @@
   /// Age of the last report about the replica's load from other nodes; 0 if
   /// there was none.
   Span LoadAge{0};
+  /// Speed factor of the replica; 1 if speed factors are not in effect.
+  double Speed = 1;
+};
+
+/// One node's samples of a replica's speed.
+struct SpeedSamples {
+  std::string Replica;
+  ReplicaSpeed::Samples Samples;
+};
+
+/// Speed factor of a replica, merged from all nodes' samples.
+struct MergedSpeed {
+  std::string Replica;
+  double Factor = 1;
+  /// How long ago the last sample was added.
+  Span Age{0};
+};
+
+/// Speed factors of a service.
+struct SpeedRange {
+  double Min = 1;
+  double Max = 1;
+  /// Geometric mean over all replicas, however much each is used.
+  double Mean = 1;
+  /// Replicas are chosen by their factors.
+  bool InEffect = false;
 };
 
 /// A replica's statement of its limit.
@@ -203,6 +230,17 @@
     ReplicaPauses::Settings Pauses;
     /// Whether plain replicas have a send window.
     bool UseWindows = true;
+    /// Whether replicas are chosen by their speed factors.
+    bool UseSpeeds = false;
+    ReplicaSpeed::Settings Speed;
+    /// Speed factors take effect where a service's slowest replica takes more
+    /// than this many times as long as its fastest: their estimates differ by
+    /// less where the replicas are equal.
+    double MinSpeedRatio = 1.25;
+    /// Time between two updates of what is derived from the speed factors.
+    Span SpeedInterval = std::chrono::milliseconds(200);
+    /// Upper limit for the delay of news about other nodes' requests.
+    Span MaxNewsDelay = std::chrono::milliseconds(500);
     /// Maximum number of shared prompt parts that are recorded for a replica.
     std::size_t MaxPromptParts = 4096;
   };
@@ -307,6 +345,32 @@
   std::set<std::string> limitedIn(const std::string &domain) const;
   /// Returns the number of replicas that have a limit.
   std::size_t limitedCount() const;
+  /// Called when another node reports its samples of a replica's speed.
+  void onSpeedSamples(const SpeedSamples &samples, Instant now);
+  /// Called when a cell's owner reports a replica's speed factor.
+  void onMergedSpeed(const MergedSpeed &merged, Instant now);
+  /// Returns this node's samples of a failure domain's replicas that it has not
+  /// returned yet, up to a bound.
+  std::vector<SpeedSamples> takeSpeedSamples(const std::string &domain);
+  /// Returns the speed factors of a failure domain's replicas that have changed
+  /// by more than a tenth since a revision of them, up to a bound, and sets the
+  /// revision to the one up to which they are complete.
+  std::vector<MergedSpeed> takeSpeedsSince(const std::string &domain,
+                                           std::uint64_t &revision,
+                                           Instant now) const;
+  /// Called with the time that news from a failure domain's owner have needed.
+  void onNewsDelay(const std::string &domain, Span delay);
+  /// Updates what is derived from the speed factors if that is due.
+  void refreshSpeeds(Instant now);
+  /// Returns the speed factors of each service whose replicas have any.
+  const std::map<std::string, SpeedRange> &speedRanges() const {
+    return SpeedRanges;
+  }
+  /// Returns the factor with which a replica is chosen.
+  double speedOf(const std::string &replica) const;
+  /// Number of reports about speeds that were wrong or not about a replica in
+  /// use.
+  std::uint64_t rejectedSpeeds() const { return RejectedSpeeds; }
   /// Called when a cell has lost its owner: the residency that it reported is
   /// still used, but is updated from the replicas' own heartbeats again.
   void onOwnerLost(const std::string &failureDomain);
@@ -326,6 +390,10 @@
   /// at that time.
   void onFirstEvent(const std::string &replica, const RouteQuery &query,
                     Span took, bool wasIdle);
+  /// Called when a replica's answer to a request that was sent at that time
+  /// begins, and says that it succeeded. A replica's speed is measured by these
+  /// where it is no engine.
+  void onSuccess(const std::string &replica, Instant sentAt, Instant now);
   /// Returns the number of the query's prompt tokens that are not in the
   /// replica's prefix cache.
   std::uint32_t uncachedPromptTokens(const std::string &replica,
@@ -394,6 +462,14 @@
   Instant onTimeUntil(const RouteQuery &query, Instant arrivedAt) const;
 
 private:
+  /// A prompt that was sent to an engine.
+  struct SentPrompt {
+    /// Tokens that were not in the prefix cache.
+    std::uint32_t Tokens = 0;
+    /// Backlog of the engine, as far as was known.
+    Span Backlog{0};
+  };
+
   struct ReplicaState {
     ReplicaPtr Record;
     /// Gets no new work.
@@ -420,6 +496,25 @@
     /// Estimated end of the prefill of all prompts that were sent to it.
     Instant PrefillUntil{};
     ReplicaHealth Health;
+    ReplicaSpeed Speed;
+    /// Speed factors are in effect for its service.
+    bool UsesSpeed = false;
+    /// Its factor if `UsesSpeed`, else 1.
+    double SpeedFactor = 1;
+    /// The factor that was last published, and its revision; 0 if it never was.
+    double PublishedSpeed = 1;
+    std::uint64_t SpeedRevision = 0;
+    /// Seconds of prefill that other nodes are likely to have sent to it
+    /// without this node knowing yet, at `UnseenAt`.
+    double Unseen = 0;
+    Instant UnseenAt{};
+    Span UnseenDelay{0};
+    /// Prompts without a first event by when they were sent, if speed factors
+    /// are used.
+    std::map<Instant, SentPrompt> Unstarted;
+    /// When requests of a plain service were sent that have no answer and are
+    /// unlikely to queue, if speed factors are used.
+    std::set<Instant> Unqueued;
     /// Set for plain replicas once a request was sent.
     std::optional<SendWindow> Window;
     /// Shared prompt parts that were sent to it with the weights that they were
@@ -483,6 +578,29 @@
   /// Negative if the engine must have been without a backlog for some time.
   Span maxPrefillBacklog(const RouteQuery &query, Instant now) const;
   Span prefillTime(const std::string &service, std::uint32_t tokens) const;
+  Span prefillTime(const ReplicaState &state, std::uint32_t tokens) const;
+  /// This node's part of a plain replica's slots.
+  double plainShare(const ReplicaState &state) const;
+  /// Cost of the request's own time at a replica, and of what other nodes are
+  /// likely to have sent to it.
+  double speedCost(const ReplicaState &state, const RouteQuery &query,
+                   Instant now) const;
+  /// Adds a sample of a replica's speed: how long it took for something that
+  /// typically takes `typical`.
+  void addSpeedSample(const std::string &replica, ReplicaState &state,
+                      Span took, Span typical, Instant now);
+  void onPromptSent(ReplicaState &state, const RouteQuery &query, Instant now);
+  void onPromptStarted(const std::string &replica, ReplicaState &state,
+                       Instant sentAt, Span took, bool wasIdle);
+  /// Returns how long something would have taken at a replica of mean speed.
+  Span atMeanSpeed(const ReplicaState &state, Span took) const;
+  void applySpeed(ReplicaState &state, Instant now) const;
+  /// Publishes factors that have changed, for the other nodes.
+  void publishSpeeds(std::span<ReplicaState *const> changed, Instant now);
+  /// Returns the state of a replica about which others may report; null, and
+  /// counts the report, if there is none in use.
+  ReplicaState *findForSpeed(const std::string &replica);
+  void addUnseen(ReplicaState &state, Span prefill, Instant now) const;
   static std::uint64_t partKey(const RouteQuery &query, std::uint64_t part);
 
   Settings Options;
@@ -509,6 +627,19 @@
   std::uint64_t NextAttempt = 1;
   /// Prefill speed of the engines of each service.
   std::map<std::string, PrefillSpeed> PrefillSpeeds;
+  /// Typical times of the responses of each plain service.
+  std::map<std::string, PrefillSpeed> PlainTimes;
+  std::map<std::string, SpeedRange> SpeedRanges;
+  Instant SpeedsAt{};
+  std::uint64_t SpeedRevision = 0;
+  /// Replicas by the revision of their published speed factors.
+  std::map<std::uint64_t, std::string> SpeedChanges;
+  std::size_t PublishTurn = 0;
+  /// Replicas with samples that have not been taken, by failure domain.
+  std::map<std::string, std::deque<std::string>> Sampled;
+  std::uint64_t RejectedSpeeds = 0;
+  /// By failure domain.
+  std::map<std::string, Span> NewsDelays;
 };
 
 } // namespace hemlockglade
--- a/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
@@ -53,8 +53,10 @@
   state.Draining = draining;
   state.RemoveAt.reset();
   state.RemovalReturned = false;
-  if (isNew)
+  if (isNew) {
+    state.Speed = ReplicaSpeed(Options.Speed);
     rebuildIndex();
+  }
   if (auto pending = PendingResidency.find(record.Incarnation.text());
       pending != PendingResidency.end()) {
     state.Held = std::move(pending->second);
@@ -165,6 +167,7 @@
     if (auto at = LatestIncarnations.find(incarnation.id());
         at != LatestIncarnations.end() && at->second == incarnation)
       LatestIncarnations.erase(at);
+    SpeedChanges.erase(state.SpeedRevision);
     it = Replicas.erase(it);
   }
   rebuildIndex();
