Nodes exchange replica speeds with the owners of cells

Each entry alone sees too few samples of an engine. Messages without the fields decode. Wrong reports change nothing and are counted. Settings replica_speeds and speed_half_life_s; gauges hemlockglade_replica_speed_min, _max and hemlockglade_rejected_speed_reports; field speed of the log event send.

ProtocolTests and NodeTests cover decoding, merging and wrong reports.

--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -144,6 +144,24 @@
   MSGPACK_DEFINE(Replica, RemainingUs)
 };
 
+/// A node's samples of a replica's speed since its last heartbeat.
+struct SpeedNotice {
+  std::string Replica;
+  std::uint32_t Samples = 0;
+  /// Time that the replica takes relative to its service.
+  double Factor = 1;
+  MSGPACK_DEFINE(Replica, Samples, Factor)
+};
+
+/// A replica's speed factor, merged from all nodes' samples.
+struct MergedSpeedNotice {
+  std::string Replica;
+  double Factor = 1;
+  /// How long ago the owner received the last sample.
+  std::int64_t AgeUs = 0;
+  MSGPACK_DEFINE(Replica, Factor, AgeUs)
+};
+
 /// Change in the number of a node's requests that use weights at a replica.
 struct UseNotice {
   std::string Replica;
@@ -246,9 +264,11 @@
   /// Replicas of the cell that have said in an answer that they leave, as
   /// `Limits`.
   std::vector<std::string> Leaving;
+  /// Samples of the speed of the cell's replicas.
+  std::vector<SpeedNotice> Speeds;
   MSGPACK_DEFINE(Self, Running, Demand, Refusals, Sent, Uses, Brief,
                  KnownPositions, RequestsPerSecond, BytesPerSecond, Crashes,
-                 SentAtUs, Limits, Reach, Rejections, Pauses, Leaving)
+                 SentAtUs, Limits, Reach, Rejections, Pauses, Leaving, Speeds)
 };
 
 struct HeldNotice {
@@ -311,9 +331,13 @@
   /// Replicas of the cell that have said in an answer that they leave, as far
   /// as the node has not been sent them.
   std::vector<std::string> Leaving;
+  /// Speed factors of the cell's replicas that have changed by more than a
+  /// tenth since the node was last sent them.
+  std::vector<MergedSpeedNotice> Speeds;
   MSGPACK_DEFINE(LeaseVersion, RemainingUs, Fence, Ordering, Replicas, Running,
                  Entries, EntriesChanged, Leases, Sent, Update, Crashes,
-                 EchoedSentAtUs, Limits, EchoHeldUs, Rejections, Leaving)
+                 EchoedSentAtUs, Limits, EchoHeldUs, Rejections, Leaving,
+                 Speeds)
 };
 
 /// Reply to a node that starts while the registry is unreachable, or, without
--- a/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
+++ b/Hemlockglade/Protocol/Settings/DecisionSettings.cpp
@@ -19,6 +19,8 @@
   map.milliseconds("pace_backlog_ms", out.MaxPrefillBacklog, MillisecondRange);
   map.milliseconds("rank_step_ms", out.RankStep, MillisecondRange);
   map.milliseconds("late_idle_ms", out.LateIdle, MillisecondRange);
+  map.flag("replica_speeds", out.UseSpeeds);
+  map.seconds("speed_half_life_s", out.Speed.HalfLife, 0.1, 3600);
 }
 
 void bindPlacement(SchemaReader &map, CellPlacement::Settings &out) {
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -177,6 +177,31 @@
                            std::exchange(sentRevision, View.leavingRevision()));
 }
 
+std::vector<SpeedNotice> CellMember::takeSpeedNotices() {
+  auto now = TimerService::now();
+  std::vector<SpeedNotice> out;
+  // Heartbeats about something urgent do not carry more of them.
+  if (now - SpeedsTakenAt < Options.HeartbeatInterval)
+    return out;
+  SpeedsTakenAt = now;
+  View.refreshSpeeds(now);
+  for (const auto &it : View.takeSpeedSamples(Options.Cell))
+    out.push_back({it.Replica, it.Samples.Count, it.Samples.Factor});
+  // The owner's own samples are in its factors already.
+  if (Owning)
+    out.clear();
+  return out;
+}
+
+std::vector<MergedSpeedNotice>
+CellMember::takeUnsentSpeeds(std::uint64_t &sentRevision) const {
+  std::vector<MergedSpeedNotice> out;
+  for (const auto &it :
+       View.takeSpeedsSince(Options.Cell, sentRevision, TimerService::now()))
+    out.push_back({it.Replica, it.Factor, it.Age.count()});
+  return out;
+}
+
 void CellMember::onDemand(const std::string &service, const WeightsRef &weights,
                           bool waiting, std::uint32_t unusable) {
   auto &notice = Demand[{service, weights}];
@@ -290,6 +315,7 @@
     out.Rejections = takeUnsentRejections(RejectionsSentToOwner);
   if (!Owning)
     out.Leaving = takeUnsentLeaving(LeavingSentToOwner);
+  out.Speeds = takeSpeedNotices();
   auto now = TimerService::now();
   for (const auto &[replica, until] : View.pausedIn(Options.Cell, now))
     out.Pauses.push_back({replica, (until - now).count()});
@@ -435,6 +461,11 @@
   mergeLimits(heartbeat.Limits);
   mergeRejections(heartbeat.Rejections);
   mergeLeaving(heartbeat.Leaving);
+  for (const auto &it : heartbeat.Speeds)
+    View.onMergedSpeed({it.Replica, it.Factor, Span(it.AgeUs)}, now);
+  // What other nodes send is reported on the same way.
+  if (heartbeat.EchoedSentAtUs)
+    View.onNewsDelay(Options.Cell, now - sentAfter(heartbeat, now));
   if (!heartbeat.Replicas.empty())
     Callbacks.OnChanged();
 }
--- a/Programs/hemlockgladed/Gateway/CellMember.h
+++ b/Programs/hemlockgladed/Gateway/CellMember.h
@@ -192,6 +192,8 @@
     std::uint64_t SentLimits = 0;
     std::uint64_t SentRejections = 0;
     std::uint64_t SentLeaving = 0;
+    std::uint64_t SentSpeeds = 0;
+    Instant SpeedsSentAt{};
     /// Some of the requests in `PendingSent` are its own.
     bool HasPendingSent = false;
     /// When it sent its last regular heartbeat, by its own clock, and when this
@@ -220,6 +222,11 @@
   takeUnsentRejections(std::uint64_t &sentRevision) const;
   void mergeLeaving(const std::vector<std::string> &replicas);
   std::vector<std::string> takeUnsentLeaving(std::uint64_t &sentRevision) const;
+  /// Returns this node's samples of replicas' speeds, for the owner.
+  std::vector<SpeedNotice> takeSpeedNotices();
+  /// Returns the owner's speed factors that a follower has not been sent yet.
+  std::vector<MergedSpeedNotice>
+  takeUnsentSpeeds(std::uint64_t &sentRevision) const;
 
   // The node's side.
   void follow();
@@ -323,6 +330,7 @@
   std::uint64_t RejectionsSentToOwner = 0;
   std::uint64_t LeavingSentToOwner = 0;
   std::uint64_t ReachSentToOwner = 0;
+  Instant SpeedsTakenAt{};
   Instant StartedAt = TimerService::now();
   Instant OwnsSince{};
   std::vector<DomainEntries> Entries;
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -194,6 +194,8 @@
   mergeLimits(heartbeat.Limits);
   mergeRejections(heartbeat.Rejections);
   mergeLeaving(heartbeat.Leaving);
+  for (const auto &it : heartbeat.Speeds)
+    View.onSpeedSamples({it.Replica, {it.Samples, it.Factor}}, now);
   for (const auto &it : heartbeat.Pauses) {
     auto &until = PausedUntil[it.Replica];
     until = std::max(until, now + std::min(Span(it.RemainingUs), MaxPause));
@@ -534,6 +536,12 @@
   heartbeat.Limits = takeUnsentLimits(follower.SentLimits);
   heartbeat.Rejections = takeUnsentRejections(follower.SentRejections);
   heartbeat.Leaving = takeUnsentLeaving(follower.SentLeaving);
+  auto now = TimerService::now();
+  if (follower.Self.Active &&
+      now - follower.SpeedsSentAt >= Options.HeartbeatInterval) {
+    follower.SpeedsSentAt = now;
+    heartbeat.Speeds = takeUnsentSpeeds(follower.SentSpeeds);
+  }
   if (std::exchange(follower.SentEntries, EntriesRevision) != EntriesRevision)
     addEntries(heartbeat);
   bool near = follower.Self.FailureDomain == Options.FailureDomain;
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -387,6 +387,7 @@
        {"resumes", Labels.Resumes},
        {"behind", LastEventId},
        {"running", choice.Running},
+       {"speed", choice.Speed},
        {"limit_per_s", choice.RequestLimit.value_or(0)},
        {"place", Current->Grant && Current->Grant->Place},
        {"pause_asked_ms_ago",
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -91,6 +91,17 @@
     "hemlockglade_sent_into_pauses",
     "Requests since the start that were sent to a replica which had asked this "
     "node for a pause."};
+constexpr MetricFamily MinSpeedFamily{
+    "hemlockglade_replica_speed_min",
+    "Lowest speed factor of a service's replicas: the time that the fastest "
+    "takes, relative to the service."};
+constexpr MetricFamily MaxSpeedFamily{
+    "hemlockglade_replica_speed_max",
+    "Highest speed factor of a service's replicas, that of the slowest."};
+constexpr MetricFamily RejectedSpeedsFamily{
+    "hemlockglade_rejected_speed_reports",
+    "Reports about replicas' speeds since the start that were wrong, or not "
+    "about a replica in use."};
 constexpr MetricFamily NotConnectedFamily{
     "hemlockglade_not_connected_total",
     "Attempts for which no connection to a replica was established."};
@@ -193,6 +204,12 @@
       .set(static_cast<double>(View.paused(TimerService::now()).size()));
   Metrics.gauge(SentIntoPausesFamily)
       .set(static_cast<double>(View.sentIntoPauses()));
+  for (const auto &[service, it] : View.speedRanges()) {
+    Metrics.gauge(MinSpeedFamily, {{"service", service}}).set(it.Min);
+    Metrics.gauge(MaxSpeedFamily, {{"service", service}}).set(it.Max);
+  }
+  Metrics.gauge(RejectedSpeedsFamily)
+      .set(static_cast<double>(View.rejectedSpeeds()));
   Quotas.logPlaces();
   Metrics.gauge(CutOffFamily).set(static_cast<double>(Reach.cutOff().size()));
   Metrics.gauge(RelayedFamily).set(static_cast<double>(Relay->total()));
--- a/Programs/hemlockgladed/Gateway/GatewayReplicaAnswers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayReplicaAnswers.cpp
@@ -23,6 +23,8 @@
     Log.write(LogClass::State, "pause-unread", {{"replica", speaker}});
   if (isOther)
     return;
+  if (gateway::isSuccess(status) && labels.Sealed && !labels.NotRun)
+    View.onSuccess(speaker, sentAt, now);
   // Only a signed answer is surely the replica's own, and shows that it states
   // no limit; it may be older than one that stated a limit meanwhile.
   if (labels.RejectionLimit || labels.Sealed)
--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -2,6 +2,8 @@
 
 #include "UnitTests/Transport/Loopback.h"
 
+#include <cmath>
+
 namespace hemlockglade::test {
 
 namespace {
@@ -54,12 +56,30 @@
   hooks.OnServingEntries = [] {};
 }
 
+ReplicaView::Settings viewSettings() {
+  ReplicaView::Settings out;
+  out.UseSpeeds = true;
+  return out;
+}
+
+/// An engine of the cell.
+ReplicaChanges engineChanges() {
+  ReplicaRecord record;
+  record.Incarnation = ReplicaIncarnation("i-1");
+  record.Service = "llm";
+  record.FailureDomain = "hall-a";
+  ReplicaChanges out;
+  out.Present = {record};
+  return out;
+}
+
 struct FollowerFixture : Loopback {
   FollowerFixture()
       : Log(
             {"n"}, [](std::string_view) {},
             [] { return std::chrono::microseconds(0); }),
-        View({}), Net(Context, "127.0.0.1", 0, [](const auto &) {}) {
+        View(viewSettings()),
+        Net(Context, "127.0.0.1", 0, [](const auto &) {}) {
     CellMember::Settings settings;
     settings.Cell = settings.FailureDomain = "hall-a";
     settings.Lease.Holder = "n";
@@ -199,8 +219,9 @@
       : Log(
             {"n"}, [](std::string_view) {},
             [] { return std::chrono::microseconds(0); }),
-        View({}), Net(Context, "127.0.0.1", 0,
-                      [this](const auto &it) { Member->onFollower(it); }),
+        View(viewSettings()),
+        Net(Context, "127.0.0.1", 0,
+            [this](const auto &it) { Member->onFollower(it); }),
         OtherNet(Context, "127.0.0.1", 0, [](const auto &) {}) {
     CellMember::Settings settings;
     settings.Cell = settings.FailureDomain = "hall-a";
@@ -286,13 +307,7 @@
     ServiceSpec service{"llm", "/", 10, EngineSpec{}};
     Plan = std::make_shared<const RoutePlan>(
         1, std::vector<Route>{}, std::vector{service}, CallerLimits{});
-    ReplicaRecord record;
-    record.Incarnation = ReplicaIncarnation("i-1");
-    record.Service = "llm";
-    record.FailureDomain = "hall-a";
-    ReplicaChanges changes;
-    changes.Present = {record};
-    View.onRegistry(changes, false, TimerService::now());
+    View.onRegistry(engineChanges(), false, TimerService::now());
   }
 
   std::size_t entries() const {
@@ -494,4 +509,61 @@
     CHECK(at.LeaseVersion < OwnerFixture::OtherVersion);
 }
 
+TEST_CASE("an owner merges the nodes' samples of replicas' speeds and reports "
+          "them",
+          "[gateway][speed]") {
+  OwnerFixture it;
+  it.OwnerIsStrong = true;
+  it.addEngine();
+  REQUIRE(it.until([&] { return it.Member->isOwner(); }));
+  auto node = it.follow(OwnerFixture::node("m", false));
+  auto other = it.follow(OwnerFixture::node("o", false));
+  NodeHeartbeat heartbeat;
+  heartbeat.Self = OwnerFixture::node("m", false);
+  heartbeat.Speeds = {{"i-1", 1, std::nan("")},
+                      {"i-1", 1, -1},
+                      {"i-1", 1, 1e9},
+                      {"i-1", 0xFFFFFFFF, 2},
+                      {"gone", 1, 2}};
+  node->send(pack(heartbeat));
+  REQUIRE(it.until([&] { return it.View.rejectedSpeeds() == 5; }));
+  heartbeat.Speeds = {{"i-1", 100, 2}};
+  node->send(pack(heartbeat));
+  const MergedSpeedNotice *found = nullptr;
+  REQUIRE(it.until([&] {
+    for (const auto &received : it.Received["o"])
+      if (!received.Speeds.empty())
+        found = &received.Speeds.front();
+    return found != nullptr;
+  }));
+  CHECK(found->Replica == "i-1");
+  CHECK(found->Factor > 1.5);
+  CHECK(found->Factor <= 2);
+  CHECK(found->AgeUs >= 0);
+}
+
+TEST_CASE("a node takes its owner's speed factors, but no wrong ones",
+          "[gateway][speed]") {
+  FollowerFixture it;
+  it.View.onRegistry(engineChanges(), false, TimerService::now());
+  ScriptedOwner owner(it.Context);
+  it.follow(owner, 1);
+  OwnerHeartbeat heartbeat;
+  heartbeat.Speeds = {{"i-1", std::nan(""), 0},
+                      {"i-1", 1e9, 0},
+                      {"i-1", -2, 0},
+                      {"i-1", 2, -1'000'000},
+                      {"gone", 2, 0}};
+  owner.Stream->send(pack(heartbeat));
+  REQUIRE(it.until([&] { return it.View.rejectedSpeeds() == 5; }));
+  auto highest = [&it] {
+    it.View.refreshSpeeds(TimerService::now() + std::chrono::seconds(1));
+    return it.View.speedRanges().at("llm").Max;
+  };
+  CHECK(highest() == 1);
+  heartbeat.Speeds = {{"i-1", 2, 1000}};
+  owner.Stream->send(pack(heartbeat));
+  REQUIRE(it.until([&] { return highest() == Approx(2); }));
+}
+
 } // namespace hemlockglade::test
--- a/UnitTests/Protocol/Message/PeerMessagesTest.cpp
+++ b/UnitTests/Protocol/Message/PeerMessagesTest.cpp
@@ -1,3 +1,4 @@
+#include "Hemlockglade/Protocol/Message/CellMessages.h"
 #include "Hemlockglade/Protocol/Protocol.h"
 
 #include <catch2/catch.hpp>
@@ -84,3 +85,31 @@
   auto trailing = pack(FinishNotice{1}) + "x";
   REQUIRE_FALSE(unpack<FinishNotice>(trailing).has_value());
 }
+
+// Nodes of two releases run at the same time during an update.
+TEST_CASE("heartbeats of an earlier release, without speeds, decode",
+          "[message]") {
+  auto withoutLast = [](const auto &message) {
+    auto text = pack(message);
+    auto handle = msgpack::unpack(text.data(), text.size());
+    auto object = handle.get();
+    --object.via.array.size;
+    return pack(object);
+  };
+  NodeHeartbeat node;
+  node.Leaving = {"i-1"};
+  node.Speeds = {{"i-1", 3, 1.5}};
+  CHECK(unpack<NodeHeartbeat>(pack(node))->Speeds.front().Samples == 3);
+  auto earlierNode = unpack<NodeHeartbeat>(withoutLast(node));
+  REQUIRE(earlierNode);
+  CHECK(earlierNode->Leaving == node.Leaving);
+  CHECK(earlierNode->Speeds.empty());
+  OwnerHeartbeat owner;
+  owner.Fence = 7;
+  owner.Speeds = {{"i-1", 1.5, 20}};
+  CHECK(unpack<OwnerHeartbeat>(pack(owner))->Speeds.front().AgeUs == 20);
+  auto earlierOwner = unpack<OwnerHeartbeat>(withoutLast(owner));
+  REQUIRE(earlierOwner);
+  CHECK(earlierOwner->Fence == 7);
+  CHECK(earlierOwner->Speeds.empty());
+}
--- a/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
+++ b/UnitTests/Protocol/Settings/GatewaySettingsTest.cpp
@@ -89,6 +89,27 @@
   CHECK_FALSE(readGatewaySettings(RequiredKeys + "decisions: [1]\n", "f"));
 }
 
+TEST_CASE("a half-life of replica speeds that forgets or keeps all is refused",
+          "[gateway-settings]") {
+  auto read = [](std::string_view halfLife) {
+    return readGatewaySettings(RequiredKeys +
+                                   "decisions:\n  replica_speeds: true\n"
+                                   "  speed_half_life_s: " +
+                                   std::string(halfLife) + "\n",
+                               "f");
+  };
+  auto settings = read("2.5");
+  REQUIRE(settings);
+  CHECK(settings->Decisions.Route.UseSpeeds);
+  CHECK(settings->Decisions.Route.Speed.HalfLife ==
+        std::chrono::milliseconds(2500));
+  for (auto wrong : {"0", "-1", "3601", ".nan", ".inf"}) {
+    auto refused = read(wrong);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().front().Key == "decisions.speed_half_life_s");
+  }
+}
+
 TEST_CASE("the decision settings of the example are the defaults",
           "[gateway-settings]") {
   auto text = exampleFile("gateway.yaml");
@@ -98,6 +119,8 @@
   const DecisionSettings defaults;
   CHECK(decisions.Route.BacklogCost == Approx(defaults.Route.BacklogCost));
   CHECK(decisions.Route.MaxPrefillBacklog == defaults.Route.MaxPrefillBacklog);
+  CHECK(decisions.Route.UseSpeeds == defaults.Route.UseSpeeds);
+  CHECK(decisions.Route.Speed.HalfLife == defaults.Route.Speed.HalfLife);
   CHECK(decisions.Placement.Concurrency.InitialPerRate ==
         Approx(defaults.Placement.Concurrency.InitialPerRate));
   CHECK(decisions.Placement.FastHalfLife == defaults.Placement.FastHalfLife);
