Review case 4: a node resets channels of clients that are reading an answer

Cause: the timer of idle channels starts when the answer is in the node's buffer, not when it has been sent. Change: a script with eight clients that read 4 MB within 25 s.

--- /dev/null
+++ b/review/4/case.cpp
@@ -0,0 +1,66 @@
+// A node resets channels of clients that are still reading an answer, as its
+// timer of idle channels runs while the answer is being sent.
+#include "../common/SlowReaders.h"
+
+using namespace review;
+
+int main(int argc, char **argv) {
+  if (argc != 2)
+    return 2;
+  std::signal(SIGPIPE, SIG_IGN);
+  endStartedOnSignal();
+  startTime();
+  Record log(std::string(argv[1]) + "/record.txt");
+  auto folder = std::make_unique<WorkFolder>();
+  Store store;
+  std::vector<std::string> zones{"buc-a", "buc-b"};
+  constexpr int BudgetMs = 30000;
+  putFilePlan(store, BudgetMs);
+  constexpr std::size_t AnswerBytes = 4'000'000;
+  constexpr double BytesPerS = 160'000; // whole after some 25 s
+  FileReplica one(store, log, "i-1", "buc-a", AnswerBytes);
+  FileReplica two(store, log, "i-2", "buc-b", AnswerBytes);
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (int n = 0; n < 2; ++n)
+    nodes.push_back(std::make_unique<Node>(
+        "edge-" + zones[static_cast<std::size_t>(n)] + "-1",
+        zones[static_cast<std::size_t>(n)],
+        "127.0.14." + std::to_string(n + 1), store.door(n).Port->port(), zones,
+        folder->Path));
+  for (const auto &it : nodes)
+    it->start(true);
+  for (const auto &it : nodes)
+    if (!it->waitReady(10)) {
+      nodes.clear();
+      finish(2);
+    }
+  sleepS(3);
+  constexpr int Clients = 8;
+  std::vector<Outcome> outcomes(Clients);
+  std::vector<std::thread> clients;
+  for (int n = 0; n < Clients; ++n)
+    clients.emplace_back([&, n] {
+      outcomes[static_cast<std::size_t>(n)] =
+          readSlowly(log, *nodes[static_cast<std::size_t>(n) % 2],
+                     "c" + std::to_string(n), BudgetMs,
+                     trouble() ? BytesPerS : 0);
+    });
+  for (auto &it : clients)
+    it.join();
+  int lost = 0;
+  for (const auto &it : outcomes) {
+    if (!it.Small || it.Status != 200) {
+      log.line("the case couldn't run: a request had no answer at all");
+      nodes.clear();
+      finish(2);
+    }
+    lost += !it.complete() && it.EndedAt - it.SentAt < BudgetMs / 1000.0;
+  }
+  auto text = "answers that ended early " + std::to_string(lost) + " of " +
+              std::to_string(Clients);
+  log.line((lost > 3 ? "BROKEN LOST: " : "") + text);
+  std::puts(text.c_str());
+  nodes.clear();
+  folder.reset();
+  finish(lost > 3 ? 1 : 0);
+}
