--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -15,8 +15,8 @@
   Store store;
   std::vector<std::string> zones{"buc-a", "buc-b"};
   putFilePlan(store, 15000);
-  constexpr std::size_t AnswerBytes = 4'000'000;
-  constexpr double BytesPerS = 800'000; // whole after some 5 s
+  constexpr std::size_t AnswerBytes = 2'000'000;
+  constexpr double BytesPerS = 280'000; // whole after some 7 s
   FileReplica one(store, log, "i-1", "buc-a", AnswerBytes);
   FileReplica two(store, log, "i-2", "buc-b", AnswerBytes);
   std::vector<std::unique_ptr<Node>> nodes;
