--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,17 +1,16 @@
-// The holder of a cell hands its lease over, the store's answer doesn't come,
-// and the old holder orders again while the new one does.
+// A late extra answer that repeats "not executed" is taken for the answer to
+// the next sending of the same request, which runs all the same.
 #include "../common/Engine.h"
 
 using namespace review;
 
 namespace {
 
-constexpr double SilenceS = 9;
-/// Between the SIGTERMs of the machines of hall-b.
-constexpr double GapS = 3.9;
-
-std::unique_ptr<Record> Log;
-std::atomic<bool> Over{false};
+constexpr int Engines = 6;
+constexpr int Faulty = 3; // share 0.5
+constexpr double GarbleS = 5;
+constexpr double PauseS = 4;
+constexpr int Times = 5;
 
 } // namespace
 
@@ -21,137 +20,95 @@
   std::signal(SIGPIPE, SIG_IGN);
   endStartedOnSignal();
   startTime();
-  Log = std::make_unique<Record>(std::string(argv[1]) + "/record.txt");
+  auto log = std::make_unique<Record>(std::string(argv[1]) + "/record.txt");
   auto folder = std::make_unique<WorkFolder>();
   Store store;
-  std::atomic<double> renewedAt{0};
-  store.OnWrite = [&renewedAt](int door, const std::string &table,
-                               const std::string &key,
-                               const std::string &value) {
-    Log->line("store: machine " + std::string(door == 0 ? "A" : door == 1 ? "B1" : "B2") +
-              " writes " + table + " " + key + " = " +
-              value.substr(0, 70));
-    if (door == 0 && key == "lease/hall-b")
-      renewedAt = nowS();
-  };
-  std::vector<std::string> zones{"hall-a", "hall-b"};
-  EngineSite site(*Log);
+  std::vector<std::string> zones{"hall-a", "hall-b", "hall-c"};
+  EngineSite site(*log);
+  site.Events = 12;
+  site.EventS = 0.03;
   putEnginePlan(store, site);
   std::vector<std::unique_ptr<Engine>> engines;
-  for (int n = 0; n < 4; ++n)
+  for (int n = 0; n < Engines; ++n)
     engines.push_back(std::make_unique<Engine>(
         store, site, "i-" + std::to_string(n),
-        zones[static_cast<std::size_t>(n) / 2]));
-  auto a = std::make_unique<Node>("edge-hall-a-1", "hall-a", "127.0.12.1",
-                                  store.door(0).Port->port(), zones,
-                                  folder->Path);
-  auto b1 = std::make_unique<Node>("edge-hall-b-1", "hall-b", "127.0.12.2",
-                                   store.door(1).Port->port(), zones,
-                                   folder->Path);
-  auto b2 = std::make_unique<Node>("edge-hall-b-2", "hall-b", "127.0.12.3",
-                                   store.door(2).Port->port(), zones,
-                                   folder->Path);
-  a->start(true);
-  b1->start(true);
-  b2->start(true);
-  auto giveUp = [&](const char *why) {
-    std::fprintf(stderr, "%s\n", why);
-    for (auto *it : {a.get(), b1.get(), b2.get()})
-      it->kill(SIGKILL);
-    finish(2);
-  };
-  if (!a->waitReady(10) || !b1->waitReady(10) || !b2->waitReady(10))
-    giveUp("a machine isn't ready");
-  sleepS(2);
+        zones[static_cast<std::size_t>(n) % 3], n < Faulty));
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (int n = 0; n < 6; ++n)
+    nodes.push_back(std::make_unique<Node>(
+        "edge-" + std::to_string(n), zones[static_cast<std::size_t>(n) % 3],
+        "127.0.11." + std::to_string(n + 1), store.door(n).Port->port(), zones,
+        folder->Path));
+  for (const auto &it : nodes)
+    it->start(true);
+  for (const auto &it : nodes)
+    if (!it->waitReady(10)) {
+      std::fprintf(stderr, "%s isn't ready\n", it->Name.c_str());
+      nodes.clear();
+      finish(2);
+    }
+  sleepS(3);
+  std::atomic<bool> over{false};
+  std::mutex mutex;
+  std::map<std::string, int> answered;
   std::vector<std::thread> clients;
-  for (int n = 0; n < 45; ++n)
+  for (int n = 0; n < 150; ++n)
     clients.emplace_back([&, n] {
-      const Node &to = n % 3 == 0 ? *a : n % 3 == 1 ? *b1 : *b2;
-      StreamClient{*Log, to, n, 0.2, 400, Over, {}}.run();
+      StreamClient{*log,
+                   *nodes[static_cast<std::size_t>(n) % nodes.size()],
+                   n,
+                   0.3,
+                   3000,
+                   over,
+                   [&](const std::string &id, int status) {
+                     std::lock_guard lock(mutex);
+                     answered[id] = status;
+                   }}
+          .run();
     });
-  sleepS(6);
-  // Machines of hall-b are stopped and started in turn.
-  std::atomic<double> readyAt{0};
-  std::atomic<bool> failed{false};
-  auto restart = [&](Node &node) {
-    Log->line("SIGTERM to machine " + node.Name);
-    node.kill(SIGTERM);
-    if (node.wait(9) == -1)
-      return void(failed = true);
-    Log->line("machine " + node.Name + " has stopped");
-    sleepS(1);
-    Log->line("machine " + node.Name + " starts again");
-    node.start(false);
-    if (!node.waitReady(10))
-      return void(failed = true);
-    Log->line("machine " + node.Name + " is ready again");
-    if (readyAt == 0)
-      readyAt = nowS();
-  };
-  std::thread first(restart, std::ref(*b1));
-  sleepS(GapS);
-  std::thread second(restart, std::ref(*b2));
-  first.join();
-  if (failed)
-    giveUp("a machine doesn't come back");
-  // The store turns machine A away, silently, from shortly after one of its
-  // renewals on: within the second in which it hands the cell over.
-  while (renewedAt < readyAt + 1.95 && nowS() < readyAt + 6)
-    sleepS(0.01);
-  sleepS(0.1);
-  if (trouble()) {
-    Log->line("the store gives machine A no answers from here on");
-    store.door(0).Silent = true;
-  }
-  sleepS(SilenceS);
-  if (trouble()) {
-    Log->line("the store answers machine A again");
-    store.door(0).Silent = false;
+  sleepS(10);
+  // Replicas hand out wrong bytes: several times, each for as long as the site
+  // names.
+  for (int n = 0; n < Times; ++n) {
+    if (trouble()) {
+      log->line("from here on some engines send extra answers");
+      site.Extras = true;
+    }
+    sleepS(GarbleS);
+    site.Extras = false;
+    log->line("no further extra answers");
+    sleepS(PauseS);
   }
-  sleepS(4);
-  second.join();
-  if (failed)
-    giveUp("a machine doesn't come back");
-  Over = true;
+  over = true;
   for (auto &it : clients)
-    it.detach();
-  int lower = 0, same = 0, turns = 0, orders = 0;
-  for (const auto &engine : engines) {
-    auto all = engine->orders();
-    orders += static_cast<int>(all.size());
-    std::map<std::uint64_t, std::string> holders;
-    std::uint64_t highest = 0;
-    for (std::size_t k = 0; k < all.size(); ++k) {
-      const auto &it = all[k];
-      char at[32];
-      std::snprintf(at, sizeof at, "%.3f", it.At);
-      if (it.Fence < highest) {
-        ++lower;
-        Log->line("BROKEN ONE: " + engine->id() + " at " + at + " epoch " +
-                  std::to_string(it.Fence) + " of " + it.Holder + " after " +
-                  std::to_string(highest));
+    it.join();
+  sleepS(0.5);
+  int twice = 0, refusedYetRun = 0;
+  {
+    std::scoped_lock lock(mutex, site.Mutex);
+    for (const auto &[id, n] : site.Runs) {
+      auto status = answered[id];
+      if (n > 1) {
+        ++twice;
+        log->line("BROKEN TWICE: " + id + " ran " + std::to_string(n) +
+                  " times, its client was answered " + std::to_string(status));
+      }
+      if (status == 503 || status == 429) {
+        ++refusedYetRun;
+        log->line("BROKEN REFUSED: " + id + " was answered " +
+                  std::to_string(status) + " and has run");
       }
-      highest = std::max(highest, it.Fence);
-      auto [known, isNew] = holders.try_emplace(it.Fence, it.Holder);
-      same += known->second != it.Holder;
-      // Turns: another holder within lease_ms before this order.
-      for (std::size_t j = k; j-- > 0 && it.At - all[j].At < 3.0;)
-        if (all[j].Holder != it.Holder) {
-          ++turns;
-          break;
-        }
     }
   }
-  char text[160];
+  char text[220];
   std::snprintf(text, sizeof text,
-                "orders %d, of a lower epoch after a higher one %d, of two "
-                "holders in one epoch %d, in turns within lease_ms %d",
-                orders, lower, same, turns);
-  Log->line(text);
+                "requests %zu, answers of engines %d, of these refusals %d, "
+                "extra answers %d, ran twice %d, refused yet run %d",
+                answered.size(), site.AnswerCount.load(), site.Refusals.load(),
+                site.ExtraCount.load(), twice, refusedYetRun);
+  log->line(text);
   std::puts(text);
-  // The objects stay: threads of clients still hold them.
-  for (auto *it : {a.get(), b1.get(), b2.get()})
-    it->kill(SIGKILL);
+  nodes.clear();
   folder.reset();
-  finish(lower || same || turns ? 1 : 0);
+  finish(twice || refusedYetRun ? 1 : 0);
 }
