Lines and counters that tell the hypotheses of REFUSED and TWICE apart

The lines could not say which sending an answer was taken for, over which connection it came, or whether an answer named its request at all. `owner-lost` said that an owner was heard an hour before the process began if it was never heard; it says now whether it was heard, and counts from the opening of the connection. No logic changes.

--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -82,9 +82,16 @@
   }
 }
 
+std::uint16_t HttpConnection::localPort() const {
+  asio::error_code ec;
+  auto local = Socket.local_endpoint(ec);
+  return ec ? std::uint16_t{0} : local.port();
+}
+
 void HttpConnection::call(const std::string &head, const std::string &body,
                           bool bodiless, HttpCallHooks hooks) {
   Hooks = std::make_shared<HttpCallHooks>(std::move(hooks));
+  ++CallCount;
   Outgoing = {};
   Outgoing.append(head);
   Outgoing.append(body);
--- a/Hemlockglade/Transport/Http1/HttpConnection.h
+++ b/Hemlockglade/Transport/Http1/HttpConnection.h
@@ -99,6 +99,10 @@
   /// Returns whether another call may follow: the last answer was complete, its
   /// whole request was sent, and neither side closes the connection.
   bool reusable() const { return Connected && Reusable && !Hooks; }
+  /// Returns the number of calls so far, that under way included.
+  std::uint64_t calls() const { return CallCount; }
+  /// Returns the local port; 0 if the connection isn't open.
+  std::uint16_t localPort() const;
   /// Returns when the connection became idle.
   Instant idleSince() const { return IdleSince; }
   /// Returns how long the other side keeps an idle connection open, if it has
@@ -149,6 +153,7 @@
   std::size_t DiscardedBytes = 0;
   std::size_t BodyBytes = 0;
   AnswerMemory::Share Held;
+  std::uint64_t CallCount = 0;
   bool IsClosed = false;
   ConnectFailure WhyNotConnected = ConnectFailure::None;
   Instant IdleSince{};
--- a/Programs/hemlockgladed/Gateway/CellMember.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMember.cpp
@@ -396,7 +396,9 @@
             {{"cell", Options.Cell},
              {"address", OwnerAddress},
              {"why", why},
-             {"heard_ms_ago", TimerService::now() - OwnerReceivedAt}});
+             {"heard", OwnerReceivedAt >= OpenedAt},
+             {"heard_ms_ago",
+              TimerService::now() - std::max(OwnerReceivedAt, OpenedAt)}});
 }
 
 void CellMember::onHoldings(const ReplicaNotice &notice, Instant now) {
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -107,6 +107,8 @@
                 bool waiting, const std::set<std::string> &unusable);
   CellMember *homeCellOf(const WeightsRef &weights);
   void onEnd(const GatewayExchange &exchange);
+  /// Counts what an exchange knows of its sendings and their answers.
+  void countSendings(const GatewayExchange &exchange);
   void wakeWaiting();
   void refuse(CallerReply &reply, std::string_view id, std::uint16_t status,
               std::string_view why, std::optional<Span> retryAfter = {});
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -302,6 +302,10 @@
   /// Whether the request was refused because it could not have been sent before
   /// its hold time ended.
   bool hopeless() const { return Hopeless; }
+  /// Number of answers that were discarded since they belong to other requests,
+  /// and of those that name no request.
+  std::uint32_t strayAnswers() const { return StrayAnswers; }
+  std::uint32_t unattributedAnswers() const { return UnattributedAnswers; }
 
 private:
   /// State of the attempt that is under way.
@@ -595,6 +599,8 @@
   bool EverSent = false;
   /// Number of times that the request was sent.
   std::uint32_t Sendings = 0;
+  std::uint32_t StrayAnswers = 0;
+  std::uint32_t UnattributedAnswers = 0;
   /// An attempt has reached a replica that may have run it.
   bool MayHaveRun = false;
   /// Units are reserved for an attempt that has not run.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -52,13 +52,22 @@
   if (Shared.OnAnswer)
     Shared.OnAnswer(*Current->Replica, head.Status,
                     isStray ? labels.withoutLimits() : labels, Current->SentAt);
-  if (isStray) {
-    Shared.Log.write(LogClass::Request, "stray-answer",
-                     {{"request", Labels.Id},
-                      {"answers", labels.Id},
-                      {"replica", Current->Replica->Incarnation.text()}});
-    return false;
+  bool isOwn = labels.Id == Labels.Id;
+  if (!isOwn) {
+    ++(isStray ? StrayAnswers : UnattributedAnswers);
+    Shared.Log.write(
+        LogClass::Request, isStray ? "stray-answer" : "unattributed-answer",
+        {{"request", Labels.Id},
+         {"sending", Sendings},
+         {"answers", labels.Id},
+         {"status", std::uint32_t{head.Status}},
+         {"says_not_run", labels.NotRun},
+         {"replica", Current->Replica->Incarnation.text()},
+         {"calls", Current->Connection->calls()},
+         {"port", std::uint32_t{Current->Connection->localPort()}}});
   }
+  if (isStray)
+    return false;
   auto now = TimerService::now();
   onActivity();
   Current->Head = head;
@@ -340,7 +349,11 @@
                    Current->Labels.Incarnation != replica.Incarnation.id();
   Shared.Log.write(LogClass::Request, "not-run",
                    {{"request", Labels.Id},
+                    {"sending", Sendings},
+                    {"proof", "answer"},
                     {"replica", replica.Incarnation.text()},
+                    {"calls", Current->Connection->calls()},
+                    {"port", std::uint32_t{Current->Connection->localPort()}},
                     {"answered_by", Current->Labels.Incarnation},
                     {"status", std::uint32_t{status}},
                     {"pause_ms", Current->Labels.PauseFor.value_or(Span(0))}});
@@ -447,6 +460,8 @@
        {"weights", usesEngine() ? Query.Weights->text() : ""},
        {"wait", WaitReason},
        {"arrivals", static_cast<std::uint64_t>(AttemptedReplicas.size())},
+       {"sendings", Sendings},
+       {"may_have_run", MayHaveRun},
        {"not_connected", std::uint64_t{ConnectFailures}},
        {"events", EventsPassed},
        {"resumes", Labels.Resumes},
--- a/Programs/hemlockgladed/Gateway/GatewayExchangePaths.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangePaths.cpp
@@ -146,6 +146,7 @@
                    {{"request", Labels.Id},
                     {"replica", Current->Replica->Incarnation.text()},
                     {"relay", Current->Relay},
+                    {"sending", Sendings},
                     {"outcome", outcome},
                     {"took_ms", TimerService::now() - Current->SentAt}});
   if (outcome == relay_outcome::Broken)
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -112,6 +112,10 @@
 constexpr MetricFamily NotConnectedFamily{
     "hemlockglade_not_connected_total",
     "Attempts for which no connection to a replica was established."};
+constexpr MetricFamily ForeignAnswersFamily{
+    "hemlockglade_foreign_answers_total",
+    "Answers of replicas that were not taken for the request under way, by "
+    "kind: stray ones name another request, unattributed ones name none."};
 constexpr MetricFamily CutOffFamily{
     "hemlockglade_cut_off_services",
     "Services none of whose replicas this node can connect to."};
@@ -173,6 +177,7 @@
     Metrics.counter(HopelessFamily, {{"service", service}}).add(1);
   if (auto n = exchange.connectFailures())
     Metrics.counter(NotConnectedFamily, {{"service", service}}).add(n);
+  countSendings(exchange);
   Meter.onBytes(exchange.bodyBytes(), TimerService::now());
   auto self =
       std::const_pointer_cast<GatewayExchange>(exchange.shared_from_this());
@@ -182,6 +187,17 @@
   Exchanges.erase(self);
 }
 
+void Gateway::countSendings(const GatewayExchange &exchange) {
+  std::string_view service = exchange.service();
+  auto count = [this, service](const MetricFamily &family,
+                               std::string_view kind, std::uint32_t n) {
+    if (n > 0)
+      Metrics.counter(family, {{"service", service}, {"kind", kind}}).add(n);
+  };
+  count(ForeignAnswersFamily, "stray", exchange.strayAnswers());
+  count(ForeignAnswersFamily, "unattributed", exchange.unattributedAnswers());
+}
+
 void Gateway::refresh() {
   for (const auto &it : View.removeExpired(TimerService::now()))
     Crashes.onEnded(it);
