Failing tests of REFUSED and TWICE: late answers, on sockets and on real processes

The soak learns `--repeats_every`: proxies before replicas repeat half of the refusals and a thirtieth of the other answers late (as they are, with another id, with none, torn), plain replicas have one slot, callers come in bursts and gateways are stopped for 50 to 500 ms in series.

Scripted replicas echo the request's id now, as replicas do, and the rig of whole nodes reads it; a stand-in of StreamVersionTest named one fixed request in all its answers and names the one that it answers. No check is narrowed.

--- a/UnitTests/Node/Gateway/GatewayRig.h
+++ b/UnitTests/Node/Gateway/GatewayRig.h
@@ -195,7 +195,9 @@
       AnswerLabels labels;
       labels.Sealed = true;
       for (const auto &[name, value] : fields)
-        if (sameFieldName(name, "Content-Type"))
+        if (sameFieldName(name, "Id"))
+          labels.Id = value;
+        else if (sameFieldName(name, "Content-Type"))
           labels.Events = value == "text/event-stream";
         else if (sameFieldName(name, "Limit"))
           labels.RequestLimit = std::stod(std::string(value));
--- a/UnitTests/Node/Gateway/RelayServiceTest.cpp
+++ b/UnitTests/Node/Gateway/RelayServiceTest.cpp
@@ -147,6 +147,52 @@
   }
 }
 
+TEST_CASE("a relay names the sending that its answer belongs to",
+          "[relay][late-answer]") {
+  RelayFixture it;
+  auto send = [&it] {
+    auto request = Request;
+    request.insert(request.find("Relay-Replica"), "Relay-Sending: 17\r\n");
+    it.Peer.send(request);
+    it.until([&it] {
+      return it.Peer.Got.find("\r\n\r\n") != std::string::npos;
+    });
+    return it.Peer.Got.find("Relay-Sending: 17") != std::string::npos;
+  };
+  SECTION("the replica's answer") {
+    it.Replica.Script = {{answerOf("hello")}};
+    CHECK(send());
+    CHECK_FALSE(findField(it.Replica.Requests[0].Head.Fields, "Relay-Sending"));
+  }
+  SECTION("that there was no connection") {
+    it.Replica.stop();
+    CHECK(send());
+  }
+  SECTION("that it was not forwarded") {
+    it.Known = nullptr;
+    CHECK(send());
+  }
+}
+
+TEST_CASE("a relay does not take a repeated refusal for the answer to the next "
+          "sending of the request",
+          "[relay][late-answer]") {
+  RelayFixture it;
+  const std::string refusal =
+      "HTTP/1.1 503 X\r\nId: r1\r\nContent-Length: 0\r\n\r\n";
+  it.Replica.Answer = [&](const ScriptedReplica::Request &request) {
+    if (it.Replica.Requests.size() == 1)
+      return ScriptedReplica::Step{refusal};
+    bool isSame =
+        request.Connection == it.Replica.Requests.front().Connection;
+    return ScriptedReplica::Step{(isSame ? refusal : "") + answerOf("hello")};
+  };
+  CHECK(it.outcome() == "forwarded");
+  it.Peer.Got.clear();
+  CHECK(it.outcome() == "forwarded");
+  CHECK(it.Peer.Got.find("hello") != std::string::npos);
+}
+
 TEST_CASE("a relay says that an answer has ended with the replica's connection",
           "[relay]") {
   const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n";
--- a/UnitTests/Node/Gateway/ScriptedReplica.h
+++ b/UnitTests/Node/Gateway/ScriptedReplica.h
@@ -26,6 +26,8 @@
   struct Request {
     HttpRequestHead Head;
     std::string Body;
+    /// Number of the connection that it came on.
+    std::size_t Connection = 0;
   };
 
   explicit ScriptedReplica(asio::io_context &context)
@@ -74,6 +76,9 @@
   /// Returns what to do with a request; used in place of the script if set.
   std::function<Step(const Request &)> Answer;
   bool Crashed = false;
+  /// Whether answers that name no request get the id of theirs, in the field
+  /// `Id`.
+  bool EchoesId = true;
 
   /// One step for each request, in order; a request beyond the last step is
   /// not answered.
@@ -85,6 +90,7 @@
 private:
   struct Connection {
     explicit Connection(asio::io_context &context) : Socket(context) {}
+    std::size_t Number = 0;
     asio::ip::tcp::socket Socket;
     HttpReader Reader{HttpReader::Side::Requests};
     std::string Body;
@@ -100,6 +106,7 @@
         raw->Body.append(part);
       };
       Open.push_back(it);
+      it->Number = Open.size();
       read(it);
       accept();
     });
@@ -120,7 +127,8 @@
   }
 
   void answer(Connection &it) {
-    Requests.push_back({it.Reader.takeRequest(), std::exchange(it.Body, {})});
+    Requests.push_back(
+        {it.Reader.takeRequest(), std::exchange(it.Body, {}), it.Number});
     it.Reader.next();
     if (!Answer && Script.size() < Requests.size())
       return;
@@ -130,6 +138,8 @@
     if (step.After == Then::CrashBehindListener)
       return cutAll();
     asio::error_code ec;
+    if (EchoesId)
+      step.Bytes = withId(std::move(step.Bytes), Requests.back());
     asio::write(it.Socket, asio::buffer(step.Bytes), ec);
     if (step.After == Then::Reset)
       it.Socket.set_option(asio::socket_base::linger(true, 0), ec);
@@ -137,6 +147,17 @@
       it.Socket.close(ec);
   }
 
+  /// Adds the id of the request to an answer's head that has none.
+  static std::string withId(std::string bytes, const Request &request) {
+    const auto *id = findField(request.Head.Fields, "Id");
+    auto lineEnd = bytes.find("\r\n");
+    auto head = bytes.substr(0, bytes.find("\r\n\r\n"));
+    bool isAnswer = bytes.starts_with("HTTP/1.1 ") && id;
+    if (!isAnswer || head.find("\r\nId: ") != std::string::npos)
+      return bytes;
+    return bytes.insert(lineEnd, "\r\nId: " + *id);
+  }
+
   asio::io_context &Context;
   asio::ip::tcp::acceptor Acceptor;
   std::vector<std::weak_ptr<Connection>> Open;
--- a/UnitTests/Node/Gateway/StreamVersionTest.cpp
+++ b/UnitTests/Node/Gateway/StreamVersionTest.cpp
@@ -16,10 +16,11 @@
     Platform.declare(1, "/a/", RouteKind::Stream);
     Second.Platform.declare(1, "/a/", RouteKind::Stream);
     Replica.Answer = Newer.Answer = [](const ScriptedReplica::Request &it) {
+      auto head = StreamHead;
+      head.replace(head.find("r1"), 2, *findField(it.Head.Fields, "Id"));
       if (findField(it.Head.Fields, "Behind"))
-        return ScriptedReplica::Step{StreamHead + chunk(event(2)) +
-                                     "0\r\n\r\n"};
-      return ScriptedReplica::Step{StreamHead + chunk(event(1)), Then::Reset};
+        return ScriptedReplica::Step{head + chunk(event(2)) + "0\r\n\r\n"};
+      return ScriptedReplica::Step{head + chunk(event(1)), Then::Reset};
     };
   }
 
--- a/UnitTests/Platform/Soak/SoakMain.cpp
+++ b/UnitTests/Platform/Soak/SoakMain.cpp
@@ -86,6 +86,9 @@
 DEFINE_double(endless_every, 0,
               "time between times in which a replica answers by bytes without "
               "end, in seconds; 0 for none");
+DEFINE_double(repeats_every, 0,
+              "time between times in which replicas repeat answers late, in "
+              "seconds; 0 for none");
 DEFINE_bool(workspaces, false,
             "callers belong to workspaces with keys, of which one exceeds its "
             "limit");
@@ -406,6 +409,7 @@
   settings.Uneven = FLAGS_uneven;
   settings.HotInterval = spanOf(FLAGS_hot_every);
   settings.EndlessInterval = spanOf(FLAGS_endless_every);
+  settings.RepeatInterval = spanOf(FLAGS_repeats_every);
   settings.Workspaces = FLAGS_workspaces;
   settings.CrashingInterval = spanOf(FLAGS_crashing_every);
   settings.CrashingPartInterval = spanOf(FLAGS_crashing_parts_every);
@@ -424,6 +428,10 @@
             << " refused, " << counts.Failed << " failed, " << counts.Unknown
             << " unknown, " << counts.Aborted << " left; logs in "
             << settings.Folder << '\n';
+  if (settings.RepeatInterval > Span(0))
+    std::cout << "        answers repeated late: "
+              << world.repeatCounts().first << ", refusals among them: "
+              << world.repeatCounts().second << '\n';
   return printVerdict(world, settings) ? 0 : 1;
 }
 
--- a/UnitTests/Platform/Soak/SoakProxy.cpp
+++ b/UnitTests/Platform/Soak/SoakProxy.cpp
@@ -63,6 +63,8 @@
   tcp::socket Server;
   std::array<char, 16384> ToServer{};
   std::array<char, 16384> ToCaller{};
+  /// What follows the last answer late; empty for nothing.
+  std::string Repeat;
   /// Answers that are late, each with the time at which it is due.
   std::deque<std::pair<Instant, std::string>> Late;
   /// The answer without end that the caller gets; its number is 0 if there is
@@ -142,6 +144,22 @@
   });
 }
 
+void SoakProxy::sendRepeat(const std::shared_ptr<Pipe> &pipe,
+                           std::function<void()> next) {
+  if (pipe->Repeat.empty())
+    return next();
+  auto buf = std::make_shared<std::string>(std::exchange(pipe->Repeat, {}));
+  asio::async_write(pipe->Caller, asio::buffer(*buf),
+                    [this, pipe, buf, next = std::move(next),
+                     alive = Alive](asio::error_code ec, std::size_t) {
+                      if (!*alive)
+                        return;
+                      if (ec)
+                        return pipe->reset();
+                      next();
+                    });
+}
+
 void SoakProxy::beginEndless(const std::shared_ptr<Pipe> &pipe,
                              std::string_view request) {
   bool isHead = CurrentFault == Fault::EndlessHead;
@@ -289,6 +307,8 @@
           forwardLate(pipe, {buf.data(), n});
           return pump(pipe, toServer);
         }
+        if (!toServer && RepeatLate)
+          pipe->Repeat = RepeatLate({buf.data(), n});
         auto forward = [this, pipe, toServer, &to, &buf, alive, n](Instant) {
           asio::async_write(
               to, asio::buffer(buf.data(), n),
@@ -303,6 +323,8 @@
         constexpr auto DelayTime = std::chrono::milliseconds(60);
         if (CurrentFault == Fault::Delayed)
           Timers.after(DelayTime, forward);
+        else if (toServer)
+          sendRepeat(pipe, [forward] { forward(Instant{}); });
         else
           forward(Instant{});
       });
--- a/UnitTests/Platform/Soak/SoakProxy.h
+++ b/UnitTests/Platform/Soak/SoakProxy.h
@@ -82,6 +82,9 @@
   /// Called when a process runs again. The proxy listens at a new port if it
   /// was closed with `NoListener`.
   void open();
+  /// Called with each answer that arrives in one piece; returns the bytes that
+  /// follow it late, where the next answer on the connection is expected.
+  std::function<std::string(std::string_view answer)> RepeatLate;
   /// Called when an answer without end begins and when it ends.
   std::function<void(const EndlessAnswer &)> OnEndless;
 
@@ -90,6 +93,10 @@
 
   void accept();
   void pump(const std::shared_ptr<Pipe> &pipe, bool toServer);
+  /// Sends what follows an earlier answer late, if anything does, then calls
+  /// `next`.
+  void sendRepeat(const std::shared_ptr<Pipe> &pipe,
+                  std::function<void()> next);
   /// Forwards an answer after the present lag, and after all before it.
   void forwardLate(const std::shared_ptr<Pipe> &pipe, std::string_view bytes);
   void writeLate(const std::shared_ptr<Pipe> &pipe);
--- a/UnitTests/Platform/Soak/SoakWorld.cpp
+++ b/UnitTests/Platform/Soak/SoakWorld.cpp
@@ -44,7 +44,7 @@
       LivesRandom(Options.Seed), ReleaseRandom(Options.Seed),
       BrittleRandom(Options.Seed), PauseRandom(Options.Seed),
       LeaveRandom(Options.Seed), HotRandom(Options.Seed),
-      EndlessRandom(Options.Seed), Timers(Context), Store(Context, Random()),
+      EndlessRandom(Options.Seed), RepeatRandom(Options.Seed), Timers(Context), Store(Context, Random()),
       Callers(Context, Nodes, History, Random()) {
   TerminationSignals.async_wait([this](asio::error_code ec, int) {
     if (ec)
@@ -81,6 +81,12 @@
       replica.Slots = replica.Engine ? replica.Slots : PlainSlots;
       replica.WorkTime = milliseconds(60);
     }
+    if (Options.RepeatInterval > Span(0) && !replica.Engine) {
+      replica.LimitsRoom = true;
+      // One that rejects most of what comes, from all gateways alike.
+      replica.Slots = 1;
+      replica.WorkTime = milliseconds(60);
+    }
     if (Options.StaleListInterval > Span(0) || Options.LeaveInterval > Span(0))
       replica.DrainTime = seconds(5);
     replica.Service = replica.Engine ? site::EngineService : site::PlainService;
@@ -210,6 +216,8 @@
   repeatWhile(InjectsFaults, Options.HotInterval, &SoakWorld::changeHotAdapter);
   repeatWhile(InjectsFaults, Options.EndlessInterval,
               &SoakWorld::injectEndless);
+  repeatWhile(InjectsFaults, Options.RepeatInterval,
+              &SoakWorld::injectRepeats);
   runFor(faultTime);
   InjectsFaults = false;
   restoreAll();
--- a/UnitTests/Platform/Soak/SoakWorld.h
+++ b/UnitTests/Platform/Soak/SoakWorld.h
@@ -66,6 +66,10 @@
     /// Time between times in which a replica answers by bytes without end; none
     /// if 0.
     Span EndlessInterval{0};
+    /// Time between times in which replicas repeat answers late, while callers
+    /// come in bursts and gateways stand still for moments; none if 0. If set,
+    /// plain replicas have one slot.
+    Span RepeatInterval{0};
     /// Retries of a service in each window that don't depend on its requests.
     int RepeatExtra = 200;
     /// How long requests may still begin on a version of weights that has been
@@ -92,6 +96,9 @@
   /// of those that were complete. Aborted requests and those over a limit don't
   /// count.
   std::pair<int, int> quietCounts() const { return QuietCounts; }
+  /// Returns the number of answers that were repeated late, and of refusals
+  /// among them.
+  std::pair<int, int> repeatCounts() const { return RepeatCounts; }
   /// Returns how often a gateway ended without being killed or ordered to stop.
   int unexpectedEnds() const;
   /// Returns the workspaces with the runs that replicas recorded; null if there
@@ -166,6 +173,12 @@
   void injectEndless();
   void recordEndless(const SoakReplica &replica,
                      const SoakProxy::EndlessAnswer &answer);
+  /// Has replicas repeat answers late for a while.
+  void injectRepeats();
+  /// Returns what follows an answer late; empty for nothing.
+  std::string repeatOf(std::string_view answer);
+  /// Stops a gateway for a moment, again and again.
+  void stutter(SoakNode &node, int times);
   void setBrittle(std::string_view service, std::optional<double> perSecond);
   void restoreAll();
   void causeOutage();
@@ -197,6 +210,7 @@
   std::mt19937_64 LeaveRandom;
   std::mt19937_64 HotRandom;
   std::mt19937_64 EndlessRandom;
+  std::mt19937_64 RepeatRandom;
   std::size_t ReleaseCount = 0;
   asio::io_context Context;
   TimerService Timers;
@@ -220,6 +234,7 @@
   std::uint64_t Plan = 0;
   std::map<std::string, std::uint32_t> Versions;
   std::pair<int, int> QuietCounts{0, 0};
+  std::pair<int, int> RepeatCounts{0, 0};
   std::pair<int, int> QuietRevoked{0, 0};
   std::vector<Instant> Crashes;
   std::vector<Instant> PartArrivals;
