Fix: a connection never carries a request again that was refused on it

What callers saw: REFUSED and TWICE. A replica refuses a request and repeats that answer late, where the next one on the connection is expected. The node sends the same request there again some 50 ms later, on the same connection, since the pool hands out the one used last, and takes the repeat for the answer to this sending: it refuses a request that runs (no retry budget left), or sends it a third time.

Cause: all sendings of a request share its id, and an answer was matched by the id alone. The class: an answer's owner was inferred from what the answer says.

Change: after any answer but a success the request's id is excluded from that connection, at nodes and at relays; an answer with the id on a connection that carries the request once is the answer to this sending. A connection holds up to 64 such ids, then it is closed. One on which a stray answer came carries no further call, and a kept one is not taken while bytes or its end wait to be read: a process that got no processor time finds there what came before its own request.

--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -2,8 +2,11 @@
 
 #include "Hemlockglade/Transport/Time/TimerService.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
+#include <cerrno>
 #include <charconv>
+#include <sys/socket.h>
 
 namespace hemlockglade {
 
@@ -79,9 +82,32 @@
   if (hooks->OnHead && !hooks->OnHead(head)) {
     IsDiscarding = true;
     ++DiscardedAnswers;
+    // The other side may send more answers that nobody asked for.
+    Reusable = false;
   }
 }
 
+void HttpConnection::excludeKey(std::uint64_t key) {
+  // A new connection costs less than to remember more.
+  constexpr std::size_t MaxKeys = 64;
+  if (ExcludedKeys.size() < MaxKeys)
+    ExcludedKeys.push_back(key);
+  else
+    Reusable = false;
+}
+
+bool HttpConnection::isExcluded(std::uint64_t key) const {
+  return std::find(ExcludedKeys.begin(), ExcludedKeys.end(), key) !=
+         ExcludedKeys.end();
+}
+
+bool HttpConnection::quiet() {
+  char first = 0;
+  auto n = ::recv(Socket.native_handle(), &first, sizeof first,
+                  MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 std::uint16_t HttpConnection::localPort() const {
   asio::error_code ec;
   auto local = Socket.local_endpoint(ec);
--- a/Hemlockglade/Transport/Http1/HttpConnection.h
+++ b/Hemlockglade/Transport/Http1/HttpConnection.h
@@ -11,6 +11,7 @@
 #include <asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace hemlockglade {
 
@@ -45,7 +46,8 @@
   /// caller may abort the connection; then nothing is sent.
   std::function<void()> OnConnected;
   /// Called with the answer's head. Returning false discards this answer; the
-  /// call then waits for the next one on the connection.
+  /// call then waits for the next one on the connection, which carries no
+  /// further call.
   std::function<bool(const HttpAnswerHead &head)> OnHead;
   std::function<void(std::string_view part)> OnBody;
   /// Called when the answer is complete.
@@ -89,6 +91,13 @@
   /// Pauses or resumes reading of the answer, for a slow receiver.
   void pauseReading(bool paused);
 
+  /// Excludes calls with this key, such as a hash of their request's id, from
+  /// this connection: an answer to one of them could not be told from a late
+  /// repeat of an answer that has come. With too many keys the connection is
+  /// not reusable.
+  void excludeKey(std::uint64_t key);
+  bool isExcluded(std::uint64_t key) const;
+
   /// Called when an idle connection is closed by the other side or receives
   /// bytes that no request asked for.
   std::function<void()> OnIdleEnd;
@@ -99,6 +108,8 @@
   /// Returns whether another call may follow: the last answer was complete, its
   /// whole request was sent, and neither side closes the connection.
   bool reusable() const { return Connected && Reusable && !Hooks; }
+  /// Returns whether neither bytes nor the connection's end wait to be read.
+  bool quiet();
   /// Returns the number of calls so far, that under way included.
   std::uint64_t calls() const { return CallCount; }
   /// Returns the local port; 0 if the connection isn't open.
@@ -154,6 +165,7 @@
   std::size_t BodyBytes = 0;
   AnswerMemory::Share Held;
   std::uint64_t CallCount = 0;
+  std::vector<std::uint64_t> ExcludedKeys;
   bool IsClosed = false;
   ConnectFailure WhyNotConnected = ConnectFailure::None;
   Instant IdleSince{};
--- a/Hemlockglade/Transport/Http1/HttpPool.cpp
+++ b/Hemlockglade/Transport/Http1/HttpPool.cpp
@@ -15,16 +15,22 @@
 }
 
 std::shared_ptr<HttpConnection>
-HttpPool::take(const asio::ip::tcp::endpoint &address, Span maxIdleTime) {
+HttpPool::take(const asio::ip::tcp::endpoint &address, Span maxIdleTime,
+               std::optional<std::uint64_t> key) {
   auto &idle = Idle[address];
   auto now = TimerService::now();
   // The most recently used one first: it is the least likely to be closed.
-  while (!idle.empty()) {
-    auto connection = std::move(idle.back());
-    idle.pop_back();
+  for (auto at = idle.size(); at-- > 0;) {
+    if (key && idle[at]->isExcluded(*key))
+      continue;
+    auto connection = std::move(idle[at]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
     connection->OnIdleEnd = nullptr;
     auto timeout = std::min(maxIdleTime, idleTimeoutOf(*connection));
-    if (connection->reusable() && now - connection->idleSince() < timeout)
+    // Bytes that came before the call are no answer to it, and may not have
+    // been read yet if this process was starved.
+    if (connection->reusable() && now - connection->idleSince() < timeout &&
+        connection->quiet())
       return connection;
     connection->abort();
   }
--- a/Hemlockglade/Transport/Http1/HttpPool.h
+++ b/Hemlockglade/Transport/Http1/HttpPool.h
@@ -25,9 +25,10 @@
       : Context(context), Options(std::move(settings)) {}
 
   /// Returns a connection for one call: one that has been idle for less than
-  /// `maxIdleTime`, or a new one.
-  std::shared_ptr<HttpConnection> take(const asio::ip::tcp::endpoint &address,
-                                       Span maxIdleTime = Span::max());
+  /// `maxIdleTime`, or a new one. With a key, one from which it isn't excluded.
+  std::shared_ptr<HttpConnection>
+  take(const asio::ip::tcp::endpoint &address, Span maxIdleTime = Span::max(),
+       std::optional<std::uint64_t> key = std::nullopt);
   /// Returns a connection to the pool after its call.
   void give(const std::shared_ptr<HttpConnection> &connection);
   /// Closes the idle connections to an address.
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -363,7 +363,8 @@
       Shared.View.onSent(choice.Replica->Incarnation.text(), Query, now);
   bool runOnce = !MatchedRoute.idempotent();
   Current->Connection = Shared.Pool.take(
-      address, runOnce ? Settings.MaxIdleForRunOnce : Span::max());
+      address, runOnce ? Settings.MaxIdleForRunOnce : Span::max(),
+      connectionKey());
   bool reused = Current->Connection->open();
   if (isRelayed)
     Shared.Paths.OnRelaySent(path.Relay);
@@ -603,6 +604,10 @@
     Shared.Held->onRoom(Query.Service, *Query.Weights, TimerService::now());
   if (isUnderWay)
     Shared.Crashes.OnAbandoned(*attempt->Replica, Subject, attempt->progress());
+  // After any answer but a success the request may be sent to the replica
+  // again, where a late repeat of that answer could be taken for the next one.
+  if (attempt->Head && !isSuccess(attempt->Head->Status))
+    attempt->Connection->excludeKey(connectionKey());
   // A connection in the middle of an answer is reset, which also makes the
   // replica stop the run.
   if (attempt->Connection->reusable())
--- a/Programs/hemlockgladed/Gateway/RelayService.cpp
+++ b/Programs/hemlockgladed/Gateway/RelayService.cpp
@@ -99,7 +99,8 @@
   hooks.OnDone = with([](auto &self) { self.onDone(); });
   hooks.OnFailed = with([](auto &self, auto how) { self.onFailed(how); });
   Connection = Service.Pool.take(parseEndpoint(Replica->Address),
-                                 maxIdleOf(Request.Head.Fields));
+                                 maxIdleOf(Request.Head.Fields),
+                                 std::hash<std::string>{}(Id));
   Connection->call(writeHead(forwardedHead()), Request.Body,
                    Request.Head.Method == "HEAD", std::move(hooks));
 }
@@ -212,6 +213,9 @@
       Options.MaxRequests + SpareConnections, std::move(server));
 }
 
+  // The other node may send the request again.
+  if (Head && !isSuccess(Head->Status))
+    Connection->excludeKey(std::hash<std::string>{}(Id));
 RelayService::~RelayService() {
   try {
     auto open = Active;
--- a/UnitTests/Transport/Http1/HttpConnectionTest.cpp
+++ b/UnitTests/Transport/Http1/HttpConnectionTest.cpp
@@ -96,6 +96,54 @@
   CHECK(it.Connection != first);
 }
 
+TEST_CASE("a connection carries no call whose key is excluded",
+          "[connection][late-answer]") {
+  constexpr std::uint64_t Key = 7;
+  CallFixture it;
+  it.take();
+  it.start();
+  REQUIRE(it.untilRequest());
+  it.Peer.send(answer("one"));
+  REQUIRE(it.untilEnd());
+  auto first = it.Connection;
+  first->excludeKey(Key);
+  it.Pool.give(first);
+  auto take = [&it](std::uint64_t key) {
+    return it.Pool.take(it.Acceptor.local_endpoint(), Span::max(), key);
+  };
+  CHECK(take(Key) != first);
+  CHECK(take(Key + 1) == first);
+}
+
+TEST_CASE("a connection is not taken while bytes wait to be read on it",
+          "[connection][late-answer]") {
+  CallFixture it;
+  it.take();
+  it.start();
+  REQUIRE(it.untilRequest());
+  it.Peer.send(answer("one"));
+  REQUIRE(it.untilEnd());
+  auto first = it.Connection;
+  it.Pool.give(first);
+  SECTION("an answer that nobody asked for") { it.Peer.send(answer("extra")); }
+  SECTION("the connection's end") { it.Peer.close(); }
+  it.take();
+  CHECK(it.Connection != first);
+}
+
+TEST_CASE("a connection that brought a stray answer carries no further call",
+          "[connection][late-answer]") {
+  CallFixture it;
+  it.take();
+  it.start([](const HttpAnswerHead &head) {
+    return findField(head.Fields, "X-Mine") != nullptr;
+  });
+  REQUIRE(it.untilRequest());
+  it.Peer.send(answer("stray") + answer("mine", "X-Mine: 1\r\n"));
+  REQUIRE(it.untilEnd());
+  CHECK_FALSE(it.Connection->reusable());
+}
+
 TEST_CASE("a connection with bytes after its answer is not reusable",
           "[connection]") {
   CallFixture it;
