Fix: a relay names the sending of which it says that nothing was sent

What callers could see: a run-once request sent to two replicas. An answer without a relay's fields counted as "refused unread", and an outcome was believed whatever sending it belonged to.

Evidence: LateAnswerTest, "a relay's word that nothing was sent counts for its own sending only", and RelayServiceTest, "a relay names the sending that its answer belongs to", failed.

Change: requests to a relay bear the number of the sending (Relay-Sending), and each of its answers repeats it. That nothing was sent is believed with that number only; anything else counts as broken. Relays of a version before don't repeat it: their "not sent" counts as "may have run" until they are replaced.

--- a/Hemlockglade/Transport/Http1/RelayFields.h
+++ b/Hemlockglade/Transport/Http1/RelayFields.h
@@ -16,8 +16,10 @@
 /// Maximum idle time, in milliseconds, of a kept connection to the replica that
 /// the request may be sent on; without it any may be used.
 inline constexpr std::string_view MaxIdle = "Relay-Max-Idle-Ms";
+/// Number of the sending at the node that asks; each answer bears it.
+inline constexpr std::string_view Sending = "Relay-Sending";
 /// In each answer: `Forwarded` if it is the replica's, else why there is none.
-/// An answer without it was given before the request was read.
+/// An answer without it says nothing of whether the request was sent.
 inline constexpr std::string_view Outcome = "Relay-Outcome";
 
 /// With the outcome `Paused`: the rest of the pause in milliseconds.
@@ -50,7 +52,7 @@
   std::erase_if(fields, [](const auto &it) {
     return sameFieldName(it.Name, Replica) || sameFieldName(it.Name, MaxIdle) ||
            sameFieldName(it.Name, Outcome) || sameFieldName(it.Name, OpenEnd) ||
-           sameFieldName(it.Name, PauseMs);
+           sameFieldName(it.Name, PauseMs) || sameFieldName(it.Name, Sending);
   });
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -334,7 +334,6 @@
       return waitForBudget();
     RetryReserved = false;
   }
-  auto head = headFor(choice, path);
   leaveQueue(true);
   Query.SentAt = now;
   Current = std::make_unique<Attempt>();
@@ -361,6 +360,7 @@
     Shared.Limits.Charge(*CallerWorkspace, quotaUnits());
   Current->Number =
       Shared.View.onSent(choice.Replica->Incarnation.text(), Query, now);
+  auto head = headFor(choice, path, Current->Number);
   bool runOnce = !MatchedRoute.idempotent();
   Current->Connection = Shared.Pool.take(
       address, runOnce ? Settings.MaxIdleForRunOnce : Span::max(),
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -508,8 +508,9 @@
   /// Makes replicas usable again that were excluded because the direct path
   /// failed.
   void readmitUnconnected();
-  HttpRequestHead headFor(const RouteChoice &choice,
-                          const ReplicaPath &path) const;
+  /// `sendingNumber` identifies the sending to a relay.
+  HttpRequestHead headFor(const RouteChoice &choice, const ReplicaPath &path,
+                          std::uint64_t sendingNumber) const;
   void refuseUnreachable();
   void onNotRun();
   /// Called when an attempt ended without a valid answer, so that it isn't
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -39,9 +39,13 @@
 bool GatewayExchange::onHead(const HttpAnswerHead &head) {
   if (Current->isRelayed()) {
     const auto *outcome = findField(head.Fields, relay_field::Outcome);
-    // Without the field the relay has refused the request unread.
-    Current->RelayOutcome =
-        outcome ? relay_outcome::known(*outcome) : relay_outcome::Busy;
+    const auto *sending = findField(head.Fields, relay_field::Sending);
+    bool isForwarded = outcome && *outcome == relay_outcome::Forwarded;
+    bool isOwn = sending && *sending == std::to_string(Current->Number);
+    // That nothing was sent is believed of this very sending only.
+    Current->RelayOutcome = outcome && (isForwarded || isOwn)
+                                ? relay_outcome::known(*outcome)
+                                : relay_outcome::Broken;
     if (Current->RelayOutcome == relay_outcome::Paused)
       Current->RelayPause = relay_field::pauseOf(head.Fields);
     if (Current->RelayOutcome != relay_outcome::Forwarded)
--- a/Programs/hemlockgladed/Gateway/GatewayExchangePaths.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangePaths.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 HttpRequestHead GatewayExchange::headFor(const RouteChoice &choice,
-                                         const ReplicaPath &path) const {
+                                         const ReplicaPath &path,
+                                         std::uint64_t sendingNumber) const {
   ForwardLabels labels;
   labels.TimeLeft = timeLeft();
   labels.Incarnation = choice.Replica->Incarnation.id();
@@ -42,6 +43,8 @@
     return head;
   head.Fields.push_back(
       {std::string(relay_field::Replica), choice.Replica->Incarnation.text()});
+  head.Fields.push_back(
+      {std::string(relay_field::Sending), std::to_string(sendingNumber)});
   if (!MatchedRoute.idempotent())
     head.Fields.push_back(
         {std::string(relay_field::MaxIdle),
--- a/Programs/hemlockgladed/Gateway/RelayService.cpp
+++ b/Programs/hemlockgladed/Gateway/RelayService.cpp
@@ -27,6 +27,19 @@
   return std::chrono::milliseconds(n);
 }
 
+/// Returns the number of the sending that a request belongs to, or empty.
+std::string sendingOf(const HeaderFields &fields) {
+  const auto *text = findField(fields, relay_field::Sending);
+  return text ? *text : std::string();
+}
+
+void addOutcome(HeaderFields &fields, std::string_view sending,
+                std::string_view outcome) {
+  fields.push_back({std::string(relay_field::Outcome), std::string(outcome)});
+  if (!sending.empty())
+    fields.push_back({std::string(relay_field::Sending), std::string(sending)});
+}
+
 } // namespace
 
 /// One request that is being forwarded.
@@ -37,6 +50,7 @@
              std::shared_ptr<CallerReply> reply)
       : Service(service), Replica(std::move(replica)),
         Request(std::move(request)), Reply(std::move(reply)),
+        Sending(sendingOf(Request.Head.Fields)),
         Id(Service.Labels.ReadRequest(viewsOf(Request.Head.Fields)).Id) {}
 
   void start();
@@ -55,11 +69,14 @@
   ReplicaPtr Replica;
   CallerRequest Request;
   std::shared_ptr<CallerReply> Reply;
+  /// Number of the sending at the other node; empty if it states none.
+  std::string Sending;
   std::string Id;
   std::shared_ptr<HttpConnection> Connection;
   std::optional<HttpAnswerHead> Head;
   Instant SentAt = TimerService::now();
   bool Begun = false;
+  std::uint32_t StrayAnswers = 0;
 };
 
 HttpRequestHead RelayService::Forwarding::forwardedHead() const {
@@ -114,9 +131,9 @@
   if (isUsable && !Service.Callbacks.PausedFor(*Replica))
     return;
   Connection->abort();
-  if (isUsable && Service.refuseIfPaused(*Replica, *Reply))
+  if (isUsable && Service.refuseIfPaused(*Replica, *Reply, Sending))
     return finish(relay_outcome::Paused);
-  refuse(*Reply, relay_outcome::UnknownReplica);
+  refuse(*Reply, Sending, relay_outcome::UnknownReplica);
   finish(relay_outcome::UnknownReplica);
 }
 
@@ -127,14 +144,15 @@
   bool isStray = !labels.Id.empty() && labels.Id != Id;
   Service.Callbacks.OnAnswer(*Replica, head.Status,
                              isStray ? labels.withoutLimits() : labels, SentAt);
-  if (isStray)
+  if (isStray) {
+    ++StrayAnswers;
     return false;
+  }
   Head = head;
   relay_field::eraseAll(Head->Fields);
   if (relay_field::endsWithConnection(Head->Fields))
     Head->Fields.push_back({std::string(relay_field::OpenEnd), "1"});
-  Head->Fields.push_back({std::string(relay_field::Outcome),
-                          std::string(relay_outcome::Forwarded)});
+  addOutcome(Head->Fields, Sending, relay_outcome::Forwarded);
   return true;
 }
 
@@ -168,7 +186,7 @@
   if (Begun)
     Reply->abort();
   else
-    refuse(*Reply, outcome);
+    refuse(*Reply, Sending, outcome);
   finish(outcome);
 }
 
@@ -190,6 +208,10 @@
                      {"replica", Replica->Incarnation.text()},
                      {"outcome", outcome},
                      {"status", std::uint32_t{Head ? Head->Status : 0U}},
+                     {"sending", Sending},
+                     {"stray_answers", StrayAnswers},
+                     {"calls", Connection->calls()},
+                     {"port", std::uint32_t{Connection->localPort()}},
                      {"took_ms", TimerService::now() - Request.ArrivedAt}});
   if (Connection->reusable())
     Service.Pool.give(Connection);
@@ -231,14 +253,15 @@
   const auto *incarnation =
       findField(request.Head.Fields, relay_field::Replica);
   auto replica = incarnation ? Callbacks.Find(*incarnation) : nullptr;
+  auto sending = sendingOf(request.Head.Fields);
   if (!replica)
-    return refuse(*reply, relay_outcome::UnknownReplica);
+    return refuse(*reply, sending, relay_outcome::UnknownReplica);
   if (Callbacks.IsCutOff(replica->Service))
-    return refuse(*reply, relay_outcome::CutOff);
-  if (refuseIfPaused(*replica, *reply))
+    return refuse(*reply, sending, relay_outcome::CutOff);
+  if (refuseIfPaused(*replica, *reply, sending))
     return;
   if (Callbacks.Stopping() || Active.size() >= Options.MaxRequests)
-    return refuse(*reply, relay_outcome::Busy);
+    return refuse(*reply, sending, relay_outcome::Busy);
   ++Total;
   auto it = std::make_shared<Forwarding>(*this, std::move(replica),
                                          std::move(request), std::move(reply));
@@ -246,19 +269,20 @@
   it->start();
 }
 
-void RelayService::refuse(CallerReply &reply, std::string_view outcome,
-                          HeaderFields fields) {
-  fields.push_back({std::string(relay_field::Outcome), std::string(outcome)});
+void RelayService::refuse(CallerReply &reply, std::string_view sending,
+                          std::string_view outcome, HeaderFields fields) {
+  addOutcome(fields, sending, outcome);
   reply.respond({Unavailable, std::move(fields)}, "");
 }
 
 bool RelayService::refuseIfPaused(const ReplicaRecord &replica,
-                                  CallerReply &reply) const {
+                                  CallerReply &reply,
+                                  std::string_view sending) const {
   auto pause = Callbacks.PausedFor(replica);
   if (!pause)
     return false;
   constexpr Span Millisecond = std::chrono::milliseconds(1);
-  refuse(reply, relay_outcome::Paused,
+  refuse(reply, sending, relay_outcome::Paused,
          {{std::string(relay_field::PauseMs),
            std::to_string(*pause / Millisecond + 1)}});
   return true;
--- a/Programs/hemlockgladed/Gateway/RelayService.h
+++ b/Programs/hemlockgladed/Gateway/RelayService.h
@@ -62,10 +62,12 @@
   class Forwarding;
 
   void onRequest(CallerRequest request, std::shared_ptr<CallerReply> reply);
-  static void refuse(CallerReply &reply, std::string_view outcome,
-                     HeaderFields fields = {});
+  /// Says that the sending with this number was not forwarded, and why.
+  static void refuse(CallerReply &reply, std::string_view sending,
+                     std::string_view outcome, HeaderFields fields = {});
   /// Refuses a request to a replica that is paused; returns whether it is.
-  bool refuseIfPaused(const ReplicaRecord &replica, CallerReply &reply) const;
+  bool refuseIfPaused(const ReplicaRecord &replica, CallerReply &reply,
+                      std::string_view sending) const;
 
   Settings Options;
   Hooks Callbacks;
--- a/UnitTests/Node/Gateway/RelayServiceTest.cpp
+++ b/UnitTests/Node/Gateway/RelayServiceTest.cpp
@@ -154,9 +154,8 @@
     auto request = Request;
     request.insert(request.find("Relay-Replica"), "Relay-Sending: 17\r\n");
     it.Peer.send(request);
-    it.until([&it] {
-      return it.Peer.Got.find("\r\n\r\n") != std::string::npos;
-    });
+    it.until(
+        [&it] { return it.Peer.Got.find("\r\n\r\n") != std::string::npos; });
     return it.Peer.Got.find("Relay-Sending: 17") != std::string::npos;
   };
   SECTION("the replica's answer") {
@@ -183,8 +182,7 @@
   it.Replica.Answer = [&](const ScriptedReplica::Request &request) {
     if (it.Replica.Requests.size() == 1)
       return ScriptedReplica::Step{refusal};
-    bool isSame =
-        request.Connection == it.Replica.Requests.front().Connection;
+    bool isSame = request.Connection == it.Replica.Requests.front().Connection;
     return ScriptedReplica::Step{(isSame ? refusal : "") + answerOf("hello")};
   };
   CHECK(it.outcome() == "forwarded");
