One reason for refusals that fail alike; a sending that can't begin is reported

Refusal takes the reason for a failure only where it differs, and its statuses by name. No behaviour changes but a line and a count where a sending begins while another one is under way, which no path does.

--- a/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.cpp
@@ -98,7 +98,7 @@
   if (!barredFor)
     return false;
   constexpr std::string_view Why = "replicas ended under requests like this";
-  refuse({Why, Why, barredFor});
+  refuse({Why, barredFor});
   return true;
 }
 
@@ -165,7 +165,7 @@
     Reply->abort();
     return finish(0, "out of time in its answer");
   }
-  refuse({"out of time, never run", "out of time", retryAfter(), Unavailable,
+  refuse({"out of time, never run", retryAfter(), "out of time", Unavailable,
           GatewayTimeout});
 }
 
@@ -243,8 +243,8 @@
     return waitForPlace(choice.ReadyAt);
   if (limited)
     return refuse({"all replicas are at their limits",
-                   "no replica to try again",
-                   std::max(LimitRetryAt, choice.ReadyAt) - now});
+                   std::max(LimitRetryAt, choice.ReadyAt) - now,
+                   "no replica to try again"});
   if (choice.Result == RouteChoice::Kind::Paused && choice.ReadyAt >= HoldUntil)
     return refusePaused(choice.ReadyAt);
   if (endIfHeldTooLong())
@@ -353,7 +353,8 @@
                   Shared.View.uncachedPromptTokens(
                       choice.Replica->Incarnation.text(), Query),
                   *Query.Weights);
-  Sendings.begin();
+  if (!Sendings.begin())
+    reportContradiction("begin a sending");
   reportOrigin();
   if (CallerWorkspace && CallerWorkspace->Limit &&
       !std::exchange(QuotaReserved, true))
@@ -637,7 +638,7 @@
   if (Current)
     endAttempt(AttemptVerdict::Success);
   constexpr std::string_view Why = "this node stops";
-  refuse({Why, Why, retryAfter()});
+  refuse({Why, retryAfter()});
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/GatewayExchange.h
+++ b/Programs/hemlockgladed/Gateway/GatewayExchange.h
@@ -15,6 +15,7 @@
 #include "Hemlockglade/State/Routing/CallerAccess.h"
 #include "Hemlockglade/Transport/Http1/CallerConnection.h"
 #include "Hemlockglade/Transport/Http1/HttpPool.h"
+#include "Programs/hemlockgladed/Gateway/GatewayStatus.h"
 #include "Programs/hemlockgladed/Gateway/QuotaService.h"
 
 #include <asio/steady_timer.hpp>
@@ -373,10 +374,11 @@
   /// Why a request is refused without having run, or failed if it may have run.
   struct Refusal {
     std::string_view Why;
-    std::string_view WhyFailed;
     std::optional<Span> RetryAfter;
-    std::uint16_t Status = 503;
-    std::uint16_t FailedStatus = 502;
+    /// `Why` if it is empty.
+    std::string_view WhyFailed = {};
+    std::uint16_t Status = gateway::Unavailable;
+    std::uint16_t FailedStatus = gateway::BadGateway;
   };
 
   /// A replica's complete answer that states a failure.
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAdmission.cpp
@@ -37,13 +37,11 @@
   if (!QuotaReserved)
     logQuotaRefusal(decision.RetryAfter);
   if (verdict == QuotaService::Verdict::Limited)
-    return refuse({"beyond its workspace's limit",
-                   "beyond its workspace's limit", decision.RetryAfter,
-                   TooMany});
+    return refuse(
+        {"beyond its workspace's limit", decision.RetryAfter, {}, TooMany});
   if (verdict == QuotaService::Verdict::NoServer)
-    return refuse({"its workspace's limit can't be looked up",
-                   "its workspace's limit can't be looked up",
-                   decision.RetryAfter});
+    return refuse(
+        {"its workspace's limit can't be looked up", decision.RetryAfter});
   sendOrHold();
 }
 
@@ -167,8 +165,9 @@
   auto now = TimerService::now();
   PlaceDenials = 0;
   if (readyAt >= HoldUntil && !AnswerBegun)
-    return refuse({"no place at a replica in time", "no replica to try again",
-                   std::max(retryAfter(), readyAt - now)});
+    return refuse({"no place at a replica in time",
+                   std::max(retryAfter(), readyAt - now),
+                   "no replica to try again"});
   // From the second time on the request waits at one replica's owner.
   bool wasWaiting = std::exchange(WaitsForPlace, true);
   auto limits = Query.LimitedUntil.size();
@@ -371,7 +370,7 @@
                     {"expected_ms", why->Expected},
                     {"held_until_ms", HoldUntil - now}});
   constexpr std::string_view Why = "no engine before its hold time ends";
-  refuse({Why, Why, why->RetryAfter});
+  refuse({Why, why->RetryAfter});
   return true;
 }
 
@@ -395,7 +394,7 @@
 bool GatewayExchange::endIfHeldTooLong() {
   if (TimerService::now() < HoldUntil)
     return false;
-  refuse({"held too long", "no replica to try again", retryAfter()});
+  refuse({"held too long", retryAfter(), "no replica to try again"});
   return true;
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeAnswer.cpp
@@ -413,7 +413,7 @@
   if (next.Result == RouteChoice::Kind::Paused)
     return refusePaused(next.ReadyAt);
   constexpr std::string_view Why = "no budget to try again";
-  refuse({Why, Why, retryAfter()});
+  refuse({Why, retryAfter()});
 }
 
 void GatewayExchange::onAttemptFailed(std::string_view why) {
@@ -436,7 +436,9 @@
 
 void GatewayExchange::refuse(const Refusal &refusal) {
   if (Sendings.mayHaveRun())
-    return answerWithError(refusal.FailedStatus, refusal.WhyFailed);
+    return answerWithError(refusal.FailedStatus, refusal.WhyFailed.empty()
+                                                     ? refusal.Why
+                                                     : refusal.WhyFailed);
   answerWithError(refusal.Status, refusal.Why, refusal.RetryAfter);
 }
 
--- a/Programs/hemlockgladed/Gateway/GatewayExchangePaths.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangePaths.cpp
@@ -57,7 +57,7 @@
   // at once.
   constexpr auto RetryAfterOtherNode = std::chrono::milliseconds(20);
   constexpr std::string_view Why = "no path to the replica";
-  refuse({Why, Why, RetryAfterOtherNode});
+  refuse({Why, RetryAfterOtherNode});
 }
 
 void GatewayExchange::refusePaused(Instant returnsAt) {
@@ -66,7 +66,7 @@
   constexpr auto MaxSpreadMs = 500;
   auto spread = std::chrono::milliseconds(std::hash<std::string>{}(Labels.Id) %
                                           MaxSpreadMs);
-  refuse({Why, Why, returnsAt - TimerService::now() + Span(spread)});
+  refuse({Why, returnsAt - TimerService::now() + Span(spread)});
 }
 
 void GatewayExchange::readmitUnconnected() {
--- a/Programs/hemlockgladed/Gateway/GatewayExchangeStreams.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayExchangeStreams.cpp
@@ -38,17 +38,15 @@
   // A node that was told of the stream may be reached by the next try.
   constexpr auto RetryAfterUnknown = std::chrono::milliseconds(200);
   if (!origin)
-    return refuse({"what began the stream is not known",
-                   "what began the stream is not known",
-                   Span(RetryAfterUnknown)});
+    return refuse(
+        {"what began the stream is not known", Span(RetryAfterUnknown)});
   const auto &targets = MatchedRoute.Targets;
   bool isTarget =
       std::any_of(targets.begin(), targets.end(), [&origin](const auto &it) {
         return it.Service == origin->Service;
       });
   if (!isTarget)
-    return refuse({"the route has left the stream's service",
-                   "the route has left the stream's service", retryAfter()});
+    return refuse({"the route has left the stream's service", retryAfter()});
   setService(origin->Service);
   Query.SoftwareVersion = origin->SoftwareVersion;
   begin();
@@ -65,7 +63,7 @@
 
 void GatewayExchange::refuseOtherSoftware() {
   constexpr std::string_view Why = "no replica of the stream's software";
-  refuse({Why, Why, retryAfter()});
+  refuse({Why, retryAfter()});
 }
 
 } // namespace hemlockglade
