Fix: a request whose end arrives as its timeout passes is not answered twice

What callers saw: behind the answer to their request a 408 on the same connection, or the connection closed while the next request was being read.

Cause: the handler of a timer that has fired is called also if the timer is cancelled meanwhile; whether a timer is armed says nothing of which one. A process that gets no processor time for the request's timeout (a pause is enough) finds the rest of the request and the fired timer at once.

Change: each timer has a number, and a handler acts only for the one armed last.

Measured: that test and the others of [callers] pass.

--- a/Hemlockglade/Transport/Http1/CallerConnection.cpp
+++ b/Hemlockglade/Transport/Http1/CallerConnection.cpp
@@ -128,17 +128,21 @@
 }
 
 void CallerConnection::armTimer(Span span, bool betweenRequests) {
-  IsTimerArmed = true;
   Timer.expires_after(span);
-  Timer.async_wait(
-      [self = shared_from_this(), betweenRequests](asio::error_code ec) {
-        if (ec || self->IsClosed || !self->IsTimerArmed)
-          return;
-        if (betweenRequests)
-          self->abort();
-        else
-          self->refuse(RequestTimeout, "the request took too long to come");
-      });
+  Timer.async_wait([self = shared_from_this(), betweenRequests,
+                    number = ++TimerNumber](asio::error_code ec) {
+    if (ec || self->IsClosed || number != self->TimerNumber)
+      return;
+    if (betweenRequests)
+      self->abort();
+    else
+      self->refuse(RequestTimeout, "the request took too long to come");
+  });
+}
+
+void CallerConnection::cancelTimer() {
+  ++TimerNumber;
+  Timer.cancel();
 }
 
 void CallerConnection::read() {
@@ -193,8 +197,7 @@
 }
 
 void CallerConnection::startRequest() {
-  IsTimerArmed = false;
-  Timer.cancel();
+  cancelTimer();
   KeepsAlive = Reader.keepsAlive();
   CallerRequest request{Reader.takeRequest(), std::exchange(Body, {}),
                         TimerService::now()};
@@ -210,8 +213,7 @@
 }
 
 void CallerConnection::refuse(std::uint16_t status, std::string_view why) {
-  IsTimerArmed = false;
-  Timer.cancel();
+  cancelTimer();
   if (Hooks->OnRefused)
     Hooks->OnRefused(status, why);
   HttpAnswerHead head{status, {}};
--- a/Hemlockglade/Transport/Http1/CallerConnection.h
+++ b/Hemlockglade/Transport/Http1/CallerConnection.h
@@ -101,6 +101,7 @@
   void onAnswerComplete();
   void onDisconnect();
   void armTimer(Span span, bool betweenRequests);
+  void cancelTimer();
 
   asio::io_context &Context;
   asio::ip::tcp::socket Socket;
@@ -115,13 +116,15 @@
   OutgoingBytes Outgoing;
   std::array<char, 8192> Buffer{};
   CallerReply *ActiveReply = nullptr;
+  /// Identifies the timer that is armed; a handler of an earlier one may still
+  /// be called after it was cancelled.
+  std::uint64_t TimerNumber = 0;
   bool IsHeadRequest = false;
   bool IsReading = false;
   bool IsWriting = false;
   bool KeepsAlive = true;
   bool ClosesAfterWrite = false;
   bool HasSentContinue = false;
-  bool IsTimerArmed = false;
   bool IsClosed = false;
 };
 
--- a/UnitTests/Transport/Http1/CallerServerTest.cpp
+++ b/UnitTests/Transport/Http1/CallerServerTest.cpp
@@ -2,6 +2,8 @@
 
 #include "UnitTests/Transport/Http1/RawPeer.h"
 
+#include <thread>
+
 namespace hemlockglade::test {
 
 namespace {
@@ -17,6 +19,8 @@
     hooks.OnRequest = [this](CallerRequest request, auto reply) {
       Requests.push_back(std::move(request));
       Replies.push_back(std::move(reply));
+      if (AnswersAtOnce)
+        Replies.back()->respond({503, {}}, "");
     };
     Server = std::make_unique<CallerServer>(Context, localhost(0), 10,
                                             std::move(hooks));
@@ -33,6 +37,7 @@
 
   CallerBounds Bounds;
   bool Closing = false;
+  bool AnswersAtOnce = false;
   std::uint16_t Refused = 0;
   std::vector<CallerRequest> Requests;
   std::vector<std::shared_ptr<CallerReply>> Replies;
@@ -44,6 +49,22 @@
 
 } // namespace
 
+TEST_CASE("a request whose end arrives as its timeout passes gets one answer",
+          "[callers][late-answer]") {
+  ServerFixture it;
+  it.Bounds.RequestTimeout = std::chrono::milliseconds(60);
+  it.AnswersAtOnce = true;
+  it.Peer.send(Get.substr(0, Get.size() / 2));
+  it.settle();
+  // As when the process gets no processor time: both are there when it goes on.
+  std::this_thread::sleep_for(std::chrono::milliseconds(90));
+  it.Peer.send(Get.substr(Get.size() / 2));
+  it.until([&it] { return it.Refused != 0 || it.Requests.size() == 1; });
+  it.settle();
+  it.settle();
+  CHECK((it.Refused == 0 || it.Requests.empty()));
+}
+
 TEST_CASE("requests on one connection are answered in order", "[callers]") {
   ServerFixture it;
   it.Peer.send(Get + "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: "
