Fix: an order's answer can't be a repeat of another order's

An unload was answered 200 within 0.16 ms, a repeat of the answer to an order before; the engine still used the adapter, and the owner ordered one more.

Answers to orders name nothing, so that on a kept connection nobody can tell whose they are.

Change: each order has a connection that carries no other call. Reports keep theirs: a stale one is an interval old, and an order states the revision that it expects.

--- a/Hemlockglade/Transport/Http1/HttpCaller.cpp
+++ b/Hemlockglade/Transport/Http1/HttpCaller.cpp
@@ -35,7 +35,8 @@
 void HttpCaller::call(const HttpCall &call, Done done) {
   auto pending = std::make_shared<PendingCall>(Context);
   pending->Done = std::move(done);
-  pending->Connection = Pool.take(call.Address);
+  pending->Connection =
+      call.OwnConnection ? Pool.open(call.Address) : Pool.take(call.Address);
   pending->Timer.expires_after(call.Timeout);
   pending->Timer.async_wait([this, pending](asio::error_code ec) {
     if (ec || !pending->Done)
@@ -62,10 +63,13 @@
     pending->Connection->abort();
     pending->finish(tl::unexpected(HttpFailure::Endless));
   };
-  hooks.OnDone = [this, pending] {
+  hooks.OnDone = [this, pending, isOwn = call.OwnConnection] {
     if (!pending->Done)
       return;
-    Pool.give(pending->Connection);
+    if (isOwn)
+      pending->Connection->abort();
+    else
+      Pool.give(pending->Connection);
     pending->finish(std::move(pending->Answer));
   };
   hooks.OnFailed = [pending](HttpFailure how) {
--- a/Hemlockglade/Transport/Http1/HttpCaller.h
+++ b/Hemlockglade/Transport/Http1/HttpCaller.h
@@ -22,6 +22,9 @@
   /// Timeout of the call. Its connection is reset then, so that the request
   /// can't arrive later.
   Span Timeout = std::chrono::seconds(1);
+  /// Whether it gets a connection that carries no other call, so that a late
+  /// answer to another one can't be taken for its own.
+  bool OwnConnection = false;
   /// Maximum bytes of the answer's body.
   std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
 };
--- a/Hemlockglade/Transport/Http1/HttpPool.cpp
+++ b/Hemlockglade/Transport/Http1/HttpPool.cpp
@@ -34,6 +34,11 @@
       return connection;
     connection->abort();
   }
+  return open(address);
+}
+
+std::shared_ptr<HttpConnection>
+HttpPool::open(const asio::ip::tcp::endpoint &address) {
   return std::make_shared<HttpConnection>(Context, address, Options.Connection);
 }
 
--- a/Hemlockglade/Transport/Http1/HttpPool.h
+++ b/Hemlockglade/Transport/Http1/HttpPool.h
@@ -29,6 +29,8 @@
   std::shared_ptr<HttpConnection>
   take(const asio::ip::tcp::endpoint &address, Span maxIdleTime = Span::max(),
        std::optional<std::uint64_t> key = std::nullopt);
+  /// Returns a new connection.
+  std::shared_ptr<HttpConnection> open(const asio::ip::tcp::endpoint &address);
   /// Returns a connection to the pool after its call.
   void give(const std::shared_ptr<HttpConnection> &connection);
   /// Closes the idle connections to an address.
--- a/UnitTests/Platform/StoreTest.cpp
+++ b/UnitTests/Platform/StoreTest.cpp
@@ -3,6 +3,7 @@
 #include "Hemlockglade/Protocol/JsonText.h"
 #include "Hemlockglade/Protocol/QueryText.h"
 #include "Hemlockglade/Transport/Http1/CallerServer.h"
+#include "UnitTests/Node/Gateway/ScriptedReplica.h"
 #include "UnitTests/Transport/Http1/EndlessServer.h"
 #include "platform/Base64.h"
 
@@ -301,6 +302,29 @@
   CHECK(*findField(it.Calls[0].Head.Fields, "X-Expect-Instance") == "i-1");
 }
 
+TEST_CASE("a repeated answer to one order is not taken for that to the next",
+          "[store][late-answer]") {
+  StoreFixture it;
+  ScriptedReplica engine(it.Context);
+  const std::string holds = "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n";
+  const std::string conflict = "HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n";
+  engine.Answer = [&](const ScriptedReplica::Request &request) {
+    if (engine.Requests.size() == 1)
+      return ScriptedReplica::Step{holds};
+    bool isSame = request.Connection == engine.Requests.front().Connection;
+    return ScriptedReplica::Step{(isSame ? holds : "") + conflict};
+  };
+  auto replica = it.replica();
+  replica.Address = engine.address();
+  auto order = [&] {
+    std::optional<OrderAnswer> result;
+    it.Store->engines().Order(replica, {}, [&](auto got) { result = got; });
+    return it.wait(result);
+  };
+  CHECK(order() == OrderAnswer::Holds);
+  CHECK(order() == OrderAnswer::Conflict);
+}
+
 TEST_CASE("an order without an answer has an unknown result", "[store]") {
   StoreFixture it;
   it.IsSilent = true;
