--- a/UnitTests/Node/Gateway/BrittleReplicaTest.cpp
+++ b/UnitTests/Node/Gateway/BrittleReplicaTest.cpp
@@ -29,8 +29,8 @@
     CallerHooks hooks;
     hooks.Bounds = [] { return CallerBounds{}; };
     hooks.Closing = [] { return false; };
-    hooks.OnRequest = [this](const CallerRequest &, const auto &reply) {
-      onRequest(reply);
+    hooks.OnRequest = [this](const CallerRequest &request, const auto &reply) {
+      onRequest({reply, *findField(request.Head.Fields, "Id")});
     };
     Server = std::make_unique<CallerServer>(context, Loopback::localhost(0),
                                             1000, std::move(hooks));
@@ -44,30 +44,33 @@
   std::size_t Served = 0;
 
 private:
-  using Reply = std::shared_ptr<CallerReply>;
+  struct Arrived {
+    std::shared_ptr<CallerReply> Reply;
+    std::string Id;
+  };
 
-  void onRequest(const Reply &reply) {
+  void onRequest(const Arrived &request) {
     auto now = TimerService::now();
     bool isShrunk = StatesSince && now - *StatesSince >= ShrinkDelay;
     if (Running < Slots)
-      return run(reply);
+      return run(request);
     if (Waiting.size() < (isShrunk ? 0 : NormalQueue))
-      return Waiting.push_back(reply);
+      return Waiting.push_back(request);
     ++Rejected;
     RejectedAt.push_back(now);
     std::erase_if(RejectedAt, [now](Instant at) {
       return now - at >= std::chrono::seconds(1);
     });
     Fell = Fell || (StatesSince && RejectedAt.size() > MaxRejections);
-    reply->respond(head(503, "Not-Run"), "");
+    request.Reply->respond(head(503, "Not-Run", request.Id), "");
   }
 
-  void run(const Reply &reply) {
+  void run(const Arrived &request) {
     ++Running;
-    Timers.after(WorkTime, [this, reply](Instant) {
+    Timers.after(WorkTime, [this, request](Instant) {
       --Running;
       ++Served;
-      reply->respond(head(200, "Seal"), "hello");
+      request.Reply->respond(head(200, "Seal", request.Id), "hello");
       if (Waiting.empty())
         return;
       auto next = Waiting.front();
@@ -76,8 +79,9 @@
     });
   }
 
-  HttpAnswerHead head(std::uint16_t status, const std::string &field) const {
-    HttpAnswerHead out{status, {{field, "1"}}};
+  HttpAnswerHead head(std::uint16_t status, const std::string &field,
+                      const std::string &id) const {
+    HttpAnswerHead out{status, {{field, "1"}, {"Id", id}}};
     if (StatesSince)
       out.Fields.push_back({"Brittle", std::to_string(MaxRejections)});
     return out;
@@ -86,7 +90,7 @@
   TimerService Timers;
   std::unique_ptr<CallerServer> Server;
   std::size_t Running = 0;
-  std::vector<Reply> Waiting;
+  std::vector<Arrived> Waiting;
   std::vector<Instant> RejectedAt;
 };
 
--- a/UnitTests/Node/Gateway/EndlessAnswerTest.cpp
+++ b/UnitTests/Node/Gateway/EndlessAnswerTest.cpp
@@ -209,10 +209,10 @@
           "[endless]") {
   constexpr std::size_t BodyBytes = 7 * MiB;
   GatewayFixture it;
-  EndlessServer large(it.Context, {"HTTP/1.1 200 OK\r\nContent-Length: " +
-                                       std::to_string(BodyBytes) + "\r\n\r\n",
-                                   std::string(std::size_t{64} * 1024, 'x'),
-                                   milliseconds(1)});
+  EndlessServer large(
+      it.Context, {"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: " +
+                       std::to_string(BodyBytes) + "\r\n\r\n",
+                   std::string(std::size_t{64} * 1024, 'x'), milliseconds(1)});
   it.Platform.declare(1, "/a/");
   it.Platform.registerReplica(large.address());
   auto port = it.Platform.port();
--- a/UnitTests/Node/Gateway/PausedExchangeTest.cpp
+++ b/UnitTests/Node/Gateway/PausedExchangeTest.cpp
@@ -85,10 +85,12 @@
           "[paused-replica]") {
   PausedExchangeFixture it;
   ScriptedReplica relay(it.Context);
-  relay.Answer = [](const auto &) {
+  relay.Answer = [](const ScriptedReplica::Request &request) {
     return ScriptedReplica::Step{
         "HTTP/1.1 503 X\r\nRelay-Outcome: paused\r\nRelay-Pause-Ms: 2500\r\n"
-        "Content-Length: 0\r\n\r\n"};
+        "Relay-Sending: " +
+        *findField(request.Head.Fields, "Relay-Sending") +
+        "\r\nContent-Length: 0\r\n\r\n"};
   };
   it.Shared.Paths.Choose = [&](const ReplicaRecord &replica, const auto &) {
     bool isFirst = replica.Incarnation.text() == "i-1";
