Fix: a released lease counts as free from when its row was read, not asked for

What callers saw: nothing was reported; it would be engines that take orders of two nodes within lease_ms (ONE) while the store answers slowly.

Cause: a node that reads a released row counted the handover from before the read was sent. The holder may order until it sends the release, which can be later: a read that waits 1.5 s in the store shortens the 3.25 s by as much.

Evidence: found while looking for related paths of the hand-over.

Change: counted from the answer. With a store that answers in milliseconds it is the same.

--- a/Hemlockglade/Coordination/Orders/CellLease.cpp
+++ b/Hemlockglade/Coordination/Orders/CellLease.cpp
@@ -160,9 +160,8 @@
 
 void CellLease::readRow() {
   RequestPending = true;
-  auto sentAt = Now();
-  LastReadAt = sentAt;
-  Table.Get(key(), [self = shared_from_this(), sentAt](auto result) {
+  LastReadAt = Now();
+  Table.Get(key(), [self = shared_from_this()](auto result) {
     self->RequestPending = false;
     self->updateEra();
     self->TableAnswered = self->TableAnswered || result.has_value();
@@ -172,11 +171,11 @@
             ? options.ReadInterval
             : std::min(options.MaxReadInterval, self->CurrentReadInterval * 2);
     if (result)
-      self->onRowRead(*result, sentAt);
+      self->onRowRead(*result);
   });
 }
 
-void CellLease::onRowRead(const std::optional<TableRow> &row, Instant sentAt) {
+void CellLease::onRowRead(const std::optional<TableRow> &row) {
   auto now = Now();
   if (!row)
     return onRowMissing();
@@ -209,7 +208,8 @@
     // successor.
     FreeAt = now + Options.Validity;
   } else if (parsed->Released) {
-    FreeAt = sentAt;
+    // The table may have released it at any time until it answered.
+    FreeAt = now;
   } else if (sameHost) {
     // The previous process on this host has ended. Its right to order passes to
     // this one, unless it was still waiting for another host's right to end.
--- a/Hemlockglade/Coordination/Orders/CellLease.h
+++ b/Hemlockglade/Coordination/Orders/CellLease.h
@@ -56,9 +56,10 @@
 };
 
 /// One node's view of a cell's lease. Renews the lease while this node holds
-/// it, and takes it over after its holder has ended. All times are counted from
-/// before a call was sent, on this host's clock, which keeps running while the
-/// host is suspended.
+/// it, and takes it over after its holder has ended. What this node may do is
+/// counted from before a call was sent, what others may have done until its
+/// answer, on this host's clock, which keeps running while the host is
+/// suspended.
 class CellLease : public std::enable_shared_from_this<CellLease> {
 public:
   struct Settings {
@@ -143,7 +144,7 @@
   void renew();
   void writeRelease();
   void readRow();
-  void onRowRead(const std::optional<TableRow> &row, Instant sentAt);
+  void onRowRead(const std::optional<TableRow> &row);
   void takeOver(Instant freeAt, Instant ordersFrom);
   void commit(CellLeaseRow row, Instant freeAt, Instant ordersFrom);
   void onCommitted(const CellLeaseRow &row, Instant sentAt, Instant ordersFrom,
--- a/UnitTests/Coordination/Orders/CellLeaseTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseTest.cpp
@@ -221,6 +221,27 @@
   CHECK_FALSE(world.isBroken());
 }
 
+// The holder may still have ordered after the read was sent.
+TEST_CASE("a lease that is released while a read is on its way is used after "
+          "the whole handover",
+          "[lease]") {
+  for (auto phase = LeaseStep; phase <= milliseconds(2000);
+       phase += LeaseStep) {
+    LeaseWorld world(9, 2, CellLease::Settings{});
+    world.run(milliseconds(2000));
+    auto *first = world.holder();
+    REQUIRE(first);
+    world.Table.Faults.RequestDelay = milliseconds(1500);
+    world.run(phase);
+    world.Table.Faults = {};
+    first->Lease->handOver();
+    world.run(milliseconds(9000));
+    CAPTURE(phase.count());
+    CHECK_FALSE(world.OrderedTooSoon);
+    CHECK_FALSE(world.FenceNotIncreased);
+  }
+}
+
 TEST_CASE("a peer's report of a lease is no reason to take it", "[lease]") {
   LeaseWorld world(10, 1);
   auto &host = *world.Hosts[0];
