Fix: a call ends if a stray answer without a length ends its connection

Cause: the end of the connection completes the discarded answer, whereupon the reader waits for the next one on a connection that nobody reads any more, and no hook is called.

Evidence: "a call fails if a stray answer without a length ends its connection" ran into its time limit before the change and passes now.

Change: the end of a connection on which an answer is being discarded ends the call as any end before an answer does (HttpFailure::Ended).

An answer cut in its head, reported beside it: "an answer whose head is cut off is never complete" cuts one (with an interim answer, a folded field and a field named like a status line) at each of its bytes. It passed before the change as well: every cut ends as a failure.

--- a/Hemlockglade/Transport/Http1/HttpConnection.cpp
+++ b/Hemlockglade/Transport/Http1/HttpConnection.cpp
@@ -315,7 +315,8 @@
     return fail(HttpFailure::Broken);
   Reusable = false;
   Reader.finish();
-  if (Reader.state() == HttpReader::State::Complete)
+  // The end of a discarded answer is not that of the call's own.
+  if (Reader.state() == HttpReader::State::Complete && !IsDiscarding)
     return onMessage();
   fail(HttpFailure::Ended);
 }
--- a/UnitTests/Transport/Http1/HttpConnectionTest.cpp
+++ b/UnitTests/Transport/Http1/HttpConnectionTest.cpp
@@ -81,6 +81,37 @@
   CHECK(it.Body == "mine");
 }
 
+// A discarded answer may itself end with its connection.
+TEST_CASE("a call fails if a stray answer without a length ends its connection",
+          "[connection][late-answer]") {
+  CallFixture it;
+  it.take();
+  it.start([](const HttpAnswerHead &) { return false; });
+  REQUIRE(it.untilRequest());
+  it.Peer.send("HTTP/1.1 200 OK\r\n\r\nstray");
+  it.Peer.close();
+  REQUIRE(it.untilEnd());
+  CHECK_FALSE(it.Done);
+  CHECK(it.Failure == HttpFailure::Ended);
+}
+
+TEST_CASE("an answer whose head is cut off is never complete", "[connection]") {
+  const std::string whole = "HTTP/1.1 100 Continue\r\n\r\n"
+                            "HTTP/1.1 200 OK\r\nX-A: b\r\n folded\r\n"
+                            "HTTP/1.1: odd\r\nX-B: c\r\n\r\n";
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    CallFixture it;
+    it.take();
+    it.start();
+    REQUIRE(it.untilRequest());
+    it.Peer.send(whole.substr(0, cut));
+    it.Peer.close();
+    REQUIRE(it.untilEnd());
+    CAPTURE(cut);
+    CHECK_FALSE(it.Done);
+  }
+}
+
 TEST_CASE("unexpected bytes close an idle connection", "[connection]") {
   CallFixture it;
   it.take();
