Fix: an outcome of a relay that a node doesn't know promises nothing

What callers saw: nothing was reported. A relay of a later version that states an outcome of its own would be taken to have sent nothing: the request goes out again, or is answered 503, though it may run (TWICE, REFUSED) while versions are mixed.

Cause: relay_outcome::known returned `busy` for every text that it didn't know.

Change: an unknown text counts as `broken`, which says that the request may have reached the replica.

--- a/Hemlockglade/Transport/Http1/RelayFields.h
+++ b/Hemlockglade/Transport/Http1/RelayFields.h
@@ -74,13 +74,14 @@
 /// Nothing was sent: the relaying node stops or has too many requests.
 inline constexpr std::string_view Busy = "busy";
 
-/// Returns the constant with this text; `Busy` if there is none.
+/// Returns the constant with this text. If there is none, `Broken`: only a
+/// known text promises that nothing was sent.
 inline std::string_view known(std::string_view text) {
   for (auto it :
-       {Forwarded, Broken, NotConnected, UnknownReplica, CutOff, Paused})
+       {Forwarded, NotConnected, UnknownReplica, CutOff, Paused, Busy})
     if (it == text)
       return it;
-  return Busy;
+  return Broken;
 }
 
 } // namespace hemlockglade::relay_outcome
