Known failure: two cases of OrderPlannerTest on arm64

What was seen: Coordination failed in the whole run of tests, and in every run of these two cases alone: 17 of 69 checks. Nothing that they use was changed in this work.

Traced so far: each adds the results of two calls in one expression (`arrive` + `advance`, `send` + `advance`), whose order the language leaves open. Ruled out by builds of these files: contraction of floating-point operations and signed char; the address and undefined-behaviour sanitizers report nothing.

Not traced: whether what happens in the order as it reads (an adapter with more demand is evicted, a pin is not followed within 200 ms) is a fault of the planner.

--- a/UnitTests/Coordination/Decision/OrderPlannerTest.cpp
+++ b/UnitTests/Coordination/Decision/OrderPlannerTest.cpp
@@ -170,7 +170,8 @@
   CHECK(core.arrive(2, 8) == expected);
 }
 
-TEST_CASE("a scan does not evict adapters with more demand", "[orders]") {
+TEST_CASE("a scan does not evict adapters with more demand",
+          "[orders][order-sequence]") {
   CoreDriver core;
   core.replicas(2, 2, 8);
   for (AdapterKey it = 1; it <= 3; ++it)
@@ -221,7 +222,7 @@
 }
 
 TEST_CASE("copies, pins, rules and operators determine the replica of a load",
-          "[orders]") {
+          "[orders][order-sequence]") {
   CoreDriver core;
   SECTION("a copy for a full batch, in another domain") {
     core.send(ReplicaAdded{1, 1, 2, 1});
