Tests of leases and connections: one check for an unreachable table, captures first

What stood in the way: three functions built a TableFaults with one field each; a host that is partitioned or gets no answers was asked for in two terms at three places; two tests captured the case only after the first requirement that could fail, so that a failure would not have named it.

Change: designated initializers, one `isCutOff`, captures at the head of the loops. No check, bound or event is another.

--- a/UnitTests/Coordination/Orders/CellLeaseExplorerTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseExplorerTest.cpp
@@ -77,24 +77,6 @@
   world.Table.Faults = normal;
 }
 
-TableFaults lostAnswers() {
-  TableFaults out;
-  out.LoseAnswer = 1;
-  return out;
-}
-
-TableFaults lateAnswers() {
-  TableFaults out;
-  out.AnswerDelay = LateDelay;
-  return out;
-}
-
-TableFaults lateRequests() {
-  TableFaults out;
-  out.Late = 1;
-  return out;
-}
-
 void apply(RollbackWorld &world, LeaseEvent event) {
   auto &first = *world.Hosts[0];
   auto &other = *world.Hosts[1];
@@ -127,7 +109,7 @@
   case LeaseEvent::HandOver:
     return releaseWith(world, {}, true);
   case LeaseEvent::HandOverUnanswered:
-    return releaseWith(world, lostAnswers(), true);
+    return releaseWith(world, {.LoseAnswer = 1}, true);
   case LeaseEvent::HandOverCutOff: {
     auto &holder = holderOf(world);
     releaseWith(world, {}, true);
@@ -135,15 +117,15 @@
     return;
   }
   case LeaseEvent::HandOverLate:
-    return releaseWith(world, lateRequests(), true);
+    return releaseWith(world, {.Late = 1}, true);
   case LeaseEvent::HandOverAnsweredLate:
-    return releaseWith(world, lateAnswers(), true);
+    return releaseWith(world, {.AnswerDelay = LateDelay}, true);
   case LeaseEvent::Release:
     return releaseWith(world, {}, false);
   case LeaseEvent::ReleaseUnanswered:
-    return releaseWith(world, lostAnswers(), false);
+    return releaseWith(world, {.LoseAnswer = 1}, false);
   case LeaseEvent::ReleaseAnsweredLate:
-    return releaseWith(world, lateAnswers(), false);
+    return releaseWith(world, {.AnswerDelay = LateDelay}, false);
   }
 }
 
--- a/UnitTests/Coordination/Orders/CellLeaseTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseTest.cpp
@@ -227,6 +227,7 @@
           "[lease]") {
   for (auto phase = LeaseStep; phase <= milliseconds(2000);
        phase += LeaseStep) {
+    CAPTURE(phase.count());
     LeaseWorld world(9, 2, CellLease::Settings{});
     world.run(milliseconds(2000));
     auto *first = world.holder();
@@ -236,7 +237,6 @@
     world.Table.Faults = {};
     first->Lease->handOver();
     world.run(milliseconds(9000));
-    CAPTURE(phase.count());
     CHECK_FALSE(world.OrderedTooSoon);
     CHECK_FALSE(world.FenceNotIncreased);
   }
--- a/UnitTests/Coordination/Orders/CellLeaseWorld.h
+++ b/UnitTests/Coordination/Orders/CellLeaseWorld.h
@@ -66,7 +66,7 @@
     TableHooks out;
     out.Era = [this] { return Era.era(); };
     out.Get = [this, inner](const std::string &key, auto done) {
-      if (Partitioned || isCutOff())
+      if (isCutOff())
         return fail(done, lostError());
       inner.Get(key, guard<std::optional<TableRow>>([this, done](auto result) {
                   if (result && *result)
@@ -75,7 +75,7 @@
                 }));
     };
     out.Commit = [this, inner](const TableTransaction &transaction, auto done) {
-      if (Partitioned || isCutOff())
+      if (isCutOff())
         return fail(done, lostError());
       auto own = Era.own(transaction.Writes.front().ExpectedVersion);
       if (!own)
@@ -94,7 +94,7 @@
     return out;
   }
 
-  bool isCutOff() const { return Time.now() < CutOffUntil; }
+  bool isCutOff() const { return Partitioned || Time.now() < CutOffUntil; }
 
   TableError lostError() const {
     return Partitioned ? TableError::NotSent : TableError::Ambiguous;
@@ -112,8 +112,7 @@
       if (!*alive)
         return;
       bool answered = result || result.error() == TableError::Conflict;
-      if (Partitioned || isCutOff() ||
-          (answered && !Era.onAnswer(Table.AnsweredEra)))
+      if (isCutOff() || (answered && !Era.onAnswer(Table.AnsweredEra)))
         return done(tl::unexpected(TableError::Ambiguous));
       done(std::move(result));
     };
--- a/UnitTests/Transport/Http1/HttpConnectionTest.cpp
+++ b/UnitTests/Transport/Http1/HttpConnectionTest.cpp
@@ -100,6 +100,7 @@
                             "HTTP/1.1 200 OK\r\nX-A: b\r\n folded\r\n"
                             "HTTP/1.1: odd\r\nX-B: c\r\n\r\n";
   for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    CAPTURE(cut);
     CallFixture it;
     it.take();
     it.start();
@@ -107,7 +108,6 @@
     it.Peer.send(whole.substr(0, cut));
     it.Peer.close();
     REQUIRE(it.untilEnd());
-    CAPTURE(cut);
     CHECK_FALSE(it.Done);
   }
 }
