Fix: a replica whose entry was removed is used once it is registered again

Cause: one flag stood for the replica's own word that it leaves and for this node's conclusion from a removed entry, and an entry that returned kept it. What a view concluded outlived the evidence that refutes it.

Change: ReplicaLife, a state machine of one incarnation (listed, missing, removed, replaced, leaving), changed by events alone. The replica's own word is final; a conclusion from silence ends with an entry that is newer than the removal, by the position of the registry. Updates between nodes carry the position of each change, so that an entry which is read late brings nobody back. The same on related paths: a replica that was taken to have ended is found out again by a probe; entries that return together are indexed once. The phases are logged (replica-phase) and counted (hemlockglade_replicas).

--- a/Hemlockglade/Coordination/Crash/ReplicaEndDetector.cpp
+++ b/Hemlockglade/Coordination/Crash/ReplicaEndDetector.cpp
@@ -72,6 +72,10 @@
   return out;
 }
 
+void ReplicaEndDetector::onReturned(const ReplicaIncarnation &incarnation) {
+  Ended.erase(incarnation.text());
+}
+
 void ReplicaEndDetector::onListening(const ReplicaIncarnation &incarnation) {
   if (auto it = Suspicions.find(incarnation.text()); it != Suspicions.end())
     it->second.ProbePending = false;
--- a/Hemlockglade/Coordination/Crash/ReplicaEndDetector.h
+++ b/Hemlockglade/Coordination/Crash/ReplicaEndDetector.h
@@ -61,6 +61,9 @@
   /// Called when the replica was removed from the registry; that ends all of
   /// its incarnations.
   std::vector<SuspectCrash> onRemoved(const std::string &id, Instant now);
+  /// Called when an incarnation that was taken to have ended is registered
+  /// again: its connections that break from now on are no proof of an end.
+  void onReturned(const ReplicaIncarnation &incarnation);
   /// Called when the probe found a listener at the replica's address. That may
   /// be another process, or the replica may still end, so the attempts are
   /// kept.
--- a/Hemlockglade/Coordination/Route/ReplicaView.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaView.cpp
@@ -259,7 +259,7 @@
 ReplicaView::leavingVersions(std::span<const ReplicaState *const> all) const {
   std::set<std::string_view> out;
   for (const auto *it : all)
-    if (it->Draining)
+    if (it->Life.isDraining())
       out.insert(it->Record->SoftwareVersion);
   return out;
 }
@@ -288,7 +288,7 @@
     leaving = leavingVersions(all);
   for (const auto *it : all) {
     const auto &state = *it;
-    if (!isUsable(state) || (state.RemoveAt && now >= *state.RemoveAt))
+    if (!state.Life.isUsable(now))
       continue;
     // For a stream that has begun, one that must not be used again is as good
     // as gone.
--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -6,6 +6,7 @@
 #include "Hemlockglade/Coordination/Route/PrefillSpeed.h"
 #include "Hemlockglade/Coordination/Route/RejectionLimits.h"
 #include "Hemlockglade/Coordination/Route/ReplicaHealth.h"
+#include "Hemlockglade/Coordination/Route/ReplicaLife.h"
 #include "Hemlockglade/Coordination/Route/ReplicaPauses.h"
 #include "Hemlockglade/Coordination/Route/ReplicaSpeed.h"
 #include "Hemlockglade/Coordination/Route/SendWindow.h"
@@ -428,6 +429,14 @@
                         bool missing, Instant now);
   /// Called when another incarnation has been found at the replica's address.
   void onRestarted(const std::string &replica);
+  /// Sets what is called when a replica's phase has changed.
+  void setOnPhase(std::function<void(const ReplicaRecord &replica,
+                                     ReplicaPhase before, ReplicaPhase now)>
+                      onPhase) {
+    OnPhase = std::move(onPhase);
+  }
+  /// Returns the number of replicas in each phase.
+  std::map<ReplicaPhase, std::size_t> phaseCounts() const;
   /// Removes replicas whose entries are removed or expired, and returns those
   /// that count as removed since the last call.
   std::vector<ReplicaIncarnation> removeExpired(Instant now);
@@ -477,8 +486,7 @@
 
   struct ReplicaState {
     ReplicaPtr Record;
-    /// Gets no new work.
-    bool Draining = false;
+    ReplicaLife Life;
     /// Weights that it holds; reported by its cell's owner if `FromOwner`.
     Residency Held;
     bool FromOwner = false;
@@ -525,12 +533,8 @@
     /// Shared prompt parts that were sent to it with the weights that they were
     /// processed for, and when.
     std::unordered_map<std::uint64_t, Instant> CachedParts;
-    /// Set when its entry disappeared or a newer incarnation was registered;
-    /// not used from then on.
-    std::optional<Instant> RemoveAt;
     /// `removeExpired` has returned it.
     bool RemovalReturned = false;
-    bool Restarted = false;
   };
 
   /// A replica that has said that it leaves.
@@ -540,7 +544,9 @@
     std::uint64_t Revision = 0;
   };
 
-  static bool isUsable(const ReplicaState &state);
+  static bool isUsable(const ReplicaState &state) {
+    return state.Life.isUsable();
+  }
   static bool runsSoftware(const ReplicaState &state, const RouteQuery &query);
   /// Returns the software versions of a service of which replicas drain.
   std::set<std::string_view>
@@ -571,11 +577,11 @@
   /// known. The record of an earlier one is added to `ended`.
   bool acceptIncarnation(const ReplicaIncarnation &incarnation, Instant now,
                          std::vector<ReplicaPtr> &ended);
-  void applyRecord(const ReplicaRecord &record, Instant now,
-                   std::vector<ReplicaPtr> &ended);
-  /// `usedUntil` is the end of its use if its entry may have expired only.
-  void scheduleRemoval(ReplicaState &state, std::optional<Instant> usedUntil,
-                       Instant now);
+  void applyRecord(const ReplicaRecord &record, std::uint64_t position,
+                   Instant now, std::vector<ReplicaPtr> &ended);
+  /// Applies an event to a replica's life, and reports it if its phase changes.
+  void changeLife(ReplicaState &state,
+                  const std::function<void(ReplicaLife &life)> &event);
   /// Returns until when replicas are used whose entries have expired.
   Instant endOfExpiryGrace(Span ageBefore, Instant now) const;
   void rebuildIndex();
@@ -609,6 +615,8 @@
   static std::uint64_t partKey(const RouteQuery &query, std::uint64_t part);
 
   Settings Options;
+  std::function<void(const ReplicaRecord &, ReplicaPhase, ReplicaPhase)>
+      OnPhase;
   std::shared_ptr<const RoutePlan> Plan;
   std::map<std::string, ReplicaState> Replicas;
   /// The latest incarnation of each replica, by its id.
--- a/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
@@ -28,34 +28,55 @@
     return false;
   if (!isFirst && at->second.before(incarnation))
     if (auto it = Replicas.find(at->second.text()); it != Replicas.end()) {
-      it->second.Restarted = true;
-      it->second.RemoveAt = now;
-      ++Revision;
+      changeLife(it->second, [now](auto &life) { life.onSucceeded(now); });
       ended.push_back(it->second.Record);
     }
   at->second = incarnation;
   return true;
 }
 
-void ReplicaView::applyRecord(const ReplicaRecord &record, Instant now,
+void ReplicaView::changeLife(
+    ReplicaState &state, const std::function<void(ReplicaLife &life)> &event) {
+  auto before = state.Life;
+  event(state.Life);
+  if (before.phase() == state.Life.phase())
+    return;
+  if (before.isUsable() != state.Life.isUsable())
+    ++Revision;
+  if (OnPhase && state.Record)
+    OnPhase(*state.Record, before.phase(), state.Life.phase());
+}
+
+std::map<ReplicaPhase, std::size_t> ReplicaView::phaseCounts() const {
+  std::map<ReplicaPhase, std::size_t> out;
+  for (auto phase : AllReplicaPhases)
+    out[phase] = 0;
+  for (const auto &[key, state] : Replicas)
+    ++out[state.Life.phase()];
+  return out;
+}
+
+void ReplicaView::applyRecord(const ReplicaRecord &record,
+                              std::uint64_t position, Instant now,
                               std::vector<ReplicaPtr> &ended) {
   if (!acceptIncarnation(record.Incarnation, now, ended))
     return;
   auto [it, isNew] = Replicas.try_emplace(record.Incarnation.text());
   auto &state = it->second;
-  // A delayed heartbeat from before the replica began to drain must not bring
-  // it back into use.
-  bool draining = record.Draining || (!isNew && state.Draining) ||
-                  Leaving.contains(record.Incarnation.text());
-  if (isNew || draining != state.Draining)
-    ++Revision;
+  // A replica that leaves stays so, also if an entry from before is read late.
+  bool isLeaving =
+      record.Draining || Leaving.contains(record.Incarnation.text());
+  bool isCurrent = true;
+  changeLife(state, [&](auto &life) {
+    isCurrent = life.onEntry(position, isLeaving);
+  });
+  if (!isCurrent)
+    return;
   state.Record = std::make_shared<const ReplicaRecord>(record);
-  state.Draining = draining;
-  state.RemoveAt.reset();
   state.RemovalReturned = false;
   if (isNew) {
+    ++Revision;
     state.Speed = ReplicaSpeed(Options.Speed);
-    rebuildIndex();
   }
   if (auto pending = PendingResidency.find(record.Incarnation.text());
       pending != PendingResidency.end()) {
@@ -73,8 +94,11 @@
                                                 bool unreachable, Instant now,
                                                 Span ageBefore) {
   std::vector<ReplicaPtr> ended;
+  auto sizeBefore = Replicas.size();
   for (const auto &it : changes.Present)
-    applyRecord(it, now, ended);
+    applyRecord(it, changes.Position, now, ended);
+  if (Replicas.size() != sizeBefore)
+    rebuildIndex();
   std::set<std::string> missing(changes.Removed.begin(), changes.Removed.end());
   std::set<std::string> present(changes.Unreadable.begin(),
                                 changes.Unreadable.end());
@@ -102,7 +126,9 @@
     usedUntil = endOfExpiryGrace(ageBefore, now);
   for (auto &[key, state] : Replicas)
     if (missing.contains(state.Record->Incarnation.id()))
-      scheduleRemoval(state, usedUntil, now);
+      changeLife(state, [&](auto &life) {
+        life.onEntryGone(changes.Position, usedUntil, now);
+      });
   return ended;
 }
 
@@ -113,22 +139,9 @@
   return now - (wasYoung ? ageBefore : Span(0)) + Options.ExpiryGrace;
 }
 
-void ReplicaView::scheduleRemoval(ReplicaState &state,
-                                  std::optional<Instant> usedUntil,
-                                  Instant now) {
-  if (!usedUntil) {
-    state.Draining = true;
-    ++Revision;
-  }
-  if (!state.RemoveAt)
-    state.RemoveAt = usedUntil.value_or(now);
-}
-
 void ReplicaView::onRestarted(const std::string &replica) {
-  if (auto it = Replicas.find(replica); it != Replicas.end()) {
-    it->second.Restarted = true;
-    ++Revision;
-  }
+  if (auto it = Replicas.find(replica); it != Replicas.end())
+    changeLife(it->second, [](auto &life) { life.onReplaced(); });
 }
 
 ReplicaIncarnation ReplicaView::latestIncarnation(const std::string &id) const {
@@ -148,15 +161,10 @@
   constexpr auto RetentionTime = std::chrono::seconds(10);
   for (auto it = Replicas.begin(); it != Replicas.end();) {
     auto &state = it->second;
-    if (state.RemoveAt && now >= *state.RemoveAt && !state.Draining) {
-      state.Draining = true;
-      ++Revision;
-    }
-    bool isRemoved = state.RemoveAt && now >= *state.RemoveAt;
-    if (isRemoved && !std::exchange(state.RemovalReturned, true))
+    changeLife(state, [now](auto &life) { life.onTime(now); });
+    if (state.Life.isGone(now) && !std::exchange(state.RemovalReturned, true))
       removed.push_back(state.Record->Incarnation);
-    bool retentionOver =
-        state.RemoveAt && now >= *state.RemoveAt + RetentionTime;
+    bool retentionOver = state.Life.isGone(now, RetentionTime);
     if (state.CachedParts.size() > Options.MaxPromptParts)
       state.CachedParts.clear();
     if (!retentionOver || state.OwnRunning > 0) {
@@ -216,9 +224,8 @@
 }
 
 bool ReplicaView::hasPendingRemoval() const {
-  return std::any_of(Replicas.begin(), Replicas.end(), [](const auto &it) {
-    return isUsable(it.second) && it.second.RemoveAt;
-  });
+  return std::any_of(Replicas.begin(), Replicas.end(),
+                     [](const auto &it) { return it.second.Life.isInGrace(); });
 }
 
 std::string ReplicaView::failureDomainOf(const std::string &replica) const {
@@ -228,7 +235,7 @@
 
 bool ReplicaView::isDraining(const std::string &replica) const {
   auto it = Replicas.find(replica);
-  return (it != Replicas.end() && it->second.Draining) ||
+  return (it != Replicas.end() && it->second.Life.isDraining()) ||
          Leaving.contains(replica);
 }
 
@@ -241,10 +248,8 @@
   if (!isNew)
     return false;
   it->second.Revision = ++LeavingRevision;
-  if (auto state = Replicas.find(replica); state != Replicas.end()) {
-    state->second.Draining = true;
-    ++Revision;
-  }
+  if (auto state = Replicas.find(replica); state != Replicas.end())
+    changeLife(state->second, [](auto &life) { life.onLeaving(); });
   return true;
 }
 
@@ -260,10 +265,6 @@
   return out;
 }
 
-bool ReplicaView::isUsable(const ReplicaState &state) {
-  return !state.Draining && !state.Restarted;
-}
-
 std::vector<Instant> ReplicaView::copiesReadyAt(const std::string &service,
                                                 const WeightsRef &weights,
                                                 Instant now) const {
@@ -272,7 +273,7 @@
   if (all == ByService.end())
     return out;
   for (const auto *it : all->second) {
-    if (!isUsable(*it) || (it->RemoveAt && now >= *it->RemoveAt))
+    if (!it->Life.isUsable(now))
       continue;
     const auto *held = usableWeights(*it, weights, now);
     if (!held)
--- a/Hemlockglade/Protocol/Message/CellMessages.h
+++ b/Hemlockglade/Protocol/Message/CellMessages.h
@@ -193,7 +193,10 @@
   /// Incarnation and text of the entry as it is registered.
   std::vector<std::pair<std::string, std::string>> Present;
   std::vector<std::string> Removed;
-  MSGPACK_DEFINE(Present, Removed)
+  /// Position of the registry at which this is how the replicas were; 0 from a
+  /// node of an earlier release.
+  std::uint64_t Position = 0;
+  MSGPACK_DEFINE(Present, Removed, Position)
 };
 
 /// Registry changes that an owner has received, for a node that need not poll
--- a/Programs/hemlockgladed/Gateway/CrashCoordinator.h
+++ b/Programs/hemlockgladed/Gateway/CrashCoordinator.h
@@ -47,6 +47,11 @@
   void onEnded(const ReplicaIncarnation &incarnation);
   /// Called when the registry entry of a replica was removed.
   void onRemoved(const std::string &id);
+  /// Called when an incarnation that was taken to have ended is registered
+  /// again.
+  void onReturned(const ReplicaIncarnation &incarnation) {
+    Detector.onReturned(incarnation);
+  }
   /// Called when a request was served completely.
   void onServed(const CrashSubject &subject);
   /// Called when an answer has gone on for `WentOnAfter`, so that no part of
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -124,7 +124,11 @@
             [this](const std::string &service) {
               return View.replicasOf(service);
             }),
-      NextSeed(std::hash<std::string>{}(Settings.Name)) {}
+      NextSeed(std::hash<std::string>{}(Settings.Name)) {
+  View.setOnPhase([this](const auto &replica, auto before, auto now) {
+    onPhase(replica, before, now);
+  });
+}
 
 Gateway::~Gateway() {
   if (Port.ObserveEngines)
@@ -410,6 +414,18 @@
   wakeWaiting();
 }
 
+void Gateway::onPhase(const ReplicaRecord &replica, ReplicaPhase before,
+                      ReplicaPhase now) {
+  Log.write(LogClass::State, "replica-phase",
+            {{"replica", replica.Incarnation.text()},
+             {"service", replica.Service},
+             {"before", replicaPhaseName(before)},
+             {"now", replicaPhaseName(now)},
+             {"running", View.ownRunningAt(replica.Incarnation.text())}});
+  if (now == ReplicaPhase::Listed)
+    Crashes.onReturned(replica.Incarnation);
+}
+
 void Gateway::onRestarted(const ReplicaRecord &before) {
   Log.write(
       LogClass::State, "replica-restarted",
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -63,6 +63,9 @@
   void onOperator(const OperatorChanges &changes);
   void onVersion(const WeightsVersion &declaration);
   void onReplicas(const ReplicaChanges &changes, const ReplicaSource &source);
+  /// Called when the phase of a replica's life has changed.
+  void onPhase(const ReplicaRecord &replica, ReplicaPhase before,
+               ReplicaPhase now);
   /// Called when a newer incarnation of a replica is known; what ran on the one
   /// before is lost.
   void onRestarted(const ReplicaRecord &before);
--- a/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayMetrics.cpp
@@ -85,6 +85,8 @@
 constexpr MetricFamily EndsSeenFamily{
     "hemlockglade_replica_ends_seen",
     "Replicas that this node found gone behind a broken connection."};
+constexpr MetricFamily PhaseFamily{
+    "hemlockglade_replicas", "Known replicas by the phase of their life."};
 constexpr MetricFamily LimitedFamily{
     "hemlockglade_limited_replicas",
     "Replicas that state how many requests they accept from all nodes."};
@@ -243,6 +245,9 @@
       .set(static_cast<double>(Crashes.suspectParts()));
   Metrics.gauge(BarredPartsFamily)
       .set(static_cast<double>(Crashes.barredParts()));
+  for (const auto &[phase, n] : View.phaseCounts())
+    Metrics.gauge(PhaseFamily, {{"phase", replicaPhaseName(phase)}})
+        .set(static_cast<double>(n));
   Metrics.gauge(LimitedFamily).set(static_cast<double>(View.limitedCount()));
   Metrics.gauge(RejectionLimitFamily)
       .set(static_cast<double>(View.rejectionLimits().size()));
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -249,6 +249,7 @@
     declared.Versions.push_back({WeightsRef::parse(it.Weights), it.Version,
                                  requestedAt - Span(it.AgeUs)});
   ReplicaChanges replicas;
+  replicas.Position = reply.KnownPositions.Replica;
   for (const auto &[id, source] : reply.Replicas)
     if (auto it = Port.Registry.ParseReplica(id, source))
       replicas.Present.push_back(std::move(*it));
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
@@ -305,7 +305,7 @@
     out.ReplicaPosition = ChangeLog.replicas().position();
     out.ReplicaAgeUs = (now - ReplicasCurrentAt).count();
     for (const auto &it : *all) {
-      RegisteredNotice notice{{}, it.Removed};
+      RegisteredNotice notice{{}, it.Removed, it.Position};
       for (const auto &at : it.Present)
         notice.Present.emplace_back(at.Incarnation.id(), at.Source);
       out.Registered.push_back(std::move(notice));
@@ -383,7 +383,7 @@
   std::vector<ReplicaChanges> all;
   for (const auto &it : update.Registered) {
     ReplicaChanges changes;
-    changes.Position = update.ReplicaPosition;
+    changes.Position = it.Position ? it.Position : update.ReplicaPosition;
     changes.Removed = it.Removed;
     for (const auto &[id, source] : it.Present) {
       auto record = Registry.ParseReplica(id, source);
--- a/UnitTests/Coordination/Crash/ReplicaEndDetectorTest.cpp
+++ b/UnitTests/Coordination/Crash/ReplicaEndDetectorTest.cpp
@@ -68,6 +68,18 @@
   CHECK_FALSE(detector.needsProbe(Incarnation));
 }
 
+// Its entry expired while it was cut off from the registry; requests that break
+// at it later must not count as crashes unseen.
+TEST_CASE("a connection that breaks at a replica which was registered again "
+          "yields no suspects",
+          "[crash]") {
+  ReplicaEndDetector detector;
+  detector.onEnded(Incarnation, Now);
+  detector.onReturned(Incarnation);
+  CHECK(detector.onBroken(brokenAttempt(1)).empty());
+  CHECK(detector.needsProbe(Incarnation));
+}
+
 TEST_CASE("a restarted replica is another incarnation", "[crash]") {
   ReplicaEndDetector detector;
   detector.onBroken(brokenAttempt(1));
--- a/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
+++ b/UnitTests/Node/Gateway/RegistryWatcherTest.cpp
@@ -81,6 +81,8 @@
       VersionCount += it.Versions.size();
     };
     hooks.OnReplicas = [this](const auto &it, const auto &) {
+      if (!it.Present.empty() || !it.Removed.empty())
+        ReplicaPositions.push_back(it.Position);
       for (const auto &at : it.Present)
         Present.push_back(at.Incarnation.id());
     };
@@ -148,6 +150,8 @@
   int OperatorPolls = 0;
   int ChangeReports = 0;
   std::size_t VersionCount = 0;
+  /// Positions of the changes of replicas that were received.
+  std::vector<std::uint64_t> ReplicaPositions;
   std::vector<std::string> Present;
   int UpdateCount = 0;
   std::unique_ptr<RegistryWatcher> Watcher;
@@ -355,6 +359,33 @@
   }
 }
 
+// Otherwise an entry that returns in the update that removes it looks as old as
+// its removal, and the replica stays unused.
+TEST_CASE("each change of an update keeps its own position", "[gateway]") {
+  WatcherFixture it;
+  RegistryUpdate update;
+  update.ReplicaFrom = 10;
+  update.ReplicaPosition = 15;
+  update.Registered = {{{}, {"i-1"}, 12}, {{{"i-1", "text"}}, {}, 14}};
+  SECTION("as the owner has read them") {
+    it.Watcher->onPeerUpdate(update, TimerService::now());
+    CHECK(it.ReplicaPositions == std::vector<std::uint64_t>{12, 14});
+  }
+  SECTION("also when it is forwarded") {
+    it.Watcher->onPeerUpdate(update, TimerService::now());
+    auto sent = it.Watcher->updateSince({10, 10});
+    REQUIRE(sent.Registered.size() == 2);
+    CHECK(sent.Registered[0].Position == 12);
+    CHECK(sent.Registered[1].Position == 14);
+  }
+  SECTION("in their order if the owner's release tells no positions") {
+    update.Registered[0].Position = update.Registered[1].Position = 0;
+    it.Watcher->onPeerUpdate(update, TimerService::now());
+    CHECK(it.ReplicaPositions == std::vector<std::uint64_t>{15, 15});
+  }
+  CHECK(it.Watcher->positions().Replica == 15);
+}
+
 // A node whose position has passed an entry that it can't parse never requests
 // it again, and the previous plan stays in force until the next one.
 TEST_CASE("a position does not pass an entry that can't be parsed",
