Fix: an order is not written once its holder's right has ended

An order was decided by a look at the lease, then a connection was opened for it, and nothing looked again before the bytes were written.

Change: an order carries the question whether it may be written; it is asked when the connection is open, on the clock that counts suspension. No call is written on a connection that is open only after the call's timeout: a process that stood still finds both due at once, in either order. What was not written is `withheld` in the log, and is planned again.

Evidence: "nothing is written on a connection that is open only after the call's timeout"; the explorer of leases suspends a host between the look and the order now: without the second look sequences of three failures break the handover and the order of fencing numbers, with it none of four does. A cell that is handed back to a holder whose table carries out its calls without an answer, for 5 to 9 s, has one holder that orders in all 357 cases. TransportTests [connection], PlatformTests [store], CoordinationTests [lease] and the new case of NodeTests pass.

--- a/Hemlockglade/Coordination/Orders/CellPlacement.cpp
+++ b/Hemlockglade/Coordination/Orders/CellPlacement.cpp
@@ -434,6 +434,7 @@
   case OrderAnswer::Conflict:
   case OrderAnswer::Rejected:
   case OrderAnswer::Fenced:
+  case OrderAnswer::Withheld:
   case OrderAnswer::Unknown:
     if (!load && state.Held.contains(order.Weights))
       state.Held[order.Weights].Evicting = false;
--- a/Hemlockglade/Coordination/Orders/EngineOrder.cpp
+++ b/Hemlockglade/Coordination/Orders/EngineOrder.cpp
@@ -16,6 +16,8 @@
     return "other-incarnation";
   case OrderAnswer::Rejected:
     return "rejected";
+  case OrderAnswer::Withheld:
+    return "withheld";
   case OrderAnswer::Unknown:
     return "unknown";
   }
--- a/Hemlockglade/Coordination/Orders/EngineOrder.h
+++ b/Hemlockglade/Coordination/Orders/EngineOrder.h
@@ -26,6 +26,9 @@
   /// Holder of the cell's lease, and its fencing number.
   std::string Holder;
   Epoch Fence = 0;
+  /// Whether the holder may order at this moment; asked right before the order
+  /// is written. Unset means yes.
+  std::function<bool()> MayWrite = nullptr;
 };
 
 /// An engine's answer to an order.
@@ -42,6 +45,9 @@
   OtherIncarnation,
   /// The engine does not know what is ordered.
   Rejected,
+  /// Nothing was sent: the holder's right had ended before the order could be
+  /// written.
+  Withheld,
   /// No answer: the order may be carried out, even later.
   Unknown,
 };
--- a/Hemlockglade/Transport/Http1/HttpCaller.cpp
+++ b/Hemlockglade/Transport/Http1/HttpCaller.cpp
@@ -1,5 +1,7 @@
 #include "Hemlockglade/Transport/Http1/HttpCaller.h"
 
+#include "Hemlockglade/Transport/Time/TimerService.h"
+
 namespace hemlockglade {
 
 namespace {
@@ -49,6 +51,13 @@
     pending->finish(tl::unexpected(HttpFailure::Broken));
   });
   HttpCallHooks hooks;
+  hooks.OnConnected = [pending, mayWrite = call.MayWrite,
+                       writeBy = TimerService::now() + call.Timeout] {
+    if (TimerService::now() < writeBy && (!mayWrite || mayWrite()))
+      return;
+    pending->Connection->abort();
+    pending->finish(tl::unexpected(HttpFailure::NotConnected));
+  };
   hooks.OnHead = [pending](const HttpAnswerHead &head) {
     pending->Answer.Head = head;
     return true;
--- a/Hemlockglade/Transport/Http1/HttpCaller.h
+++ b/Hemlockglade/Transport/Http1/HttpCaller.h
@@ -20,11 +20,16 @@
   HeaderFields Fields;
   std::string Body;
   /// Timeout of the call. Its connection is reset then, so that the request
-  /// can't arrive later.
+  /// can't arrive later. Nothing is written on a connection that is open only
+  /// after it, as for a process that stood still meanwhile.
   Span Timeout = std::chrono::seconds(1);
   /// Whether it gets a connection that carries no other call, so that a late
   /// answer to another one can't be taken for its own.
   bool OwnConnection = false;
+  /// Asked right before a new connection carries the request; if it returns
+  /// false, nothing is written and the call fails with `NotConnected`. Unset
+  /// means that it may always be written.
+  std::function<bool()> MayWrite;
   /// Maximum bytes of the answer's body.
   std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
 };
--- a/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
+++ b/Programs/hemlockgladed/Gateway/CellMemberOwner.cpp
@@ -118,10 +118,13 @@
   order.Holder = Lease->row()->Holder;
   order.Fence = Lease->fence();
   if (!Lease->mayOrder()) {
-    Planner.onOrderAnswer(action.Replica, order, OrderAnswer::Rejected,
+    Planner.onOrderAnswer(action.Replica, order, OrderAnswer::Withheld,
                           TimerService::now());
     return;
   }
+  order.MayWrite = [lease = Lease, fence = order.Fence] {
+    return lease->mayOrder() && lease->fence() == fence;
+  };
   ++Orders;
   auto sentAt = TimerService::now();
   Callbacks.Engines.Order(**it, order,
--- a/UnitTests/Coordination/Orders/CellLeaseExplorerTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseExplorerTest.cpp
@@ -85,8 +85,7 @@
   case LeaseEvent::Nothing:
     return;
   case LeaseEvent::ToggleSuspended:
-    first.Suspended = !first.Suspended;
-    return;
+    return LeaseWorld::toggleSuspended(first);
   case LeaseEvent::TogglePartitioned:
     first.Partitioned = !first.Partitioned;
     return;
@@ -166,12 +165,13 @@
 /// Runs all sequences of `depth` events out of `choices`.
 ExploreResult explore(std::size_t depth, std::span<const LeaseEvent> choices,
                       int hosts, const CellLease::Settings &settings,
-                      Span runAfterEvent) {
+                      Span runAfterEvent, bool asksBeforeWriting = true) {
   constexpr Span RunAfterSequence = milliseconds(7000);
   ExploreResult out;
   std::vector<std::size_t> picks(depth, 0);
   for (bool more = true; more;) {
     RollbackWorld world(1, hosts, settings);
+    world.AsksBeforeWriting = asksBeforeWriting;
     world.runWithCopies(milliseconds(1000));
     std::vector<LeaseEvent> events;
     for (auto it : picks) {
@@ -196,8 +196,10 @@
   return out;
 }
 
-ExploreResult exploreFailures(std::size_t depth) {
-  return explore(depth, FailureEvents, 2, shortLeases(), milliseconds(2000));
+ExploreResult exploreFailures(std::size_t depth,
+                              bool asksBeforeWriting = true) {
+  return explore(depth, FailureEvents, 2, shortLeases(), milliseconds(2000),
+                 asksBeforeWriting);
 }
 
 /// With the leases of the product, which outlast the time for which a host that
@@ -219,6 +221,39 @@
   exploreFailures(6).check();
 }
 
+// A host may be suspended between the look at its lease and the order itself.
+TEST_CASE("sequences find orders that are written without another look at the "
+          "lease",
+          "[lease][drill]") {
+  auto found = exploreFailures(3, false);
+  CHECK(found.OrderedTooSoon > 0);
+  CHECK(found.FenceNotIncreased > 0);
+}
+
+// The table carries out what a holder sends but does not answer it; another
+// host takes the cell over and hands it back.
+TEST_CASE("a cell that is handed back to a holder without answers has one that "
+          "orders",
+          "[lease][drill]") {
+  for (Span silence = milliseconds(5000); silence <= milliseconds(9000);
+       silence += milliseconds(250))
+    for (Span ownedFor = milliseconds(0); ownedFor <= milliseconds(5000);
+         ownedFor += milliseconds(250)) {
+      LeaseWorld world(1, 2, {});
+      world.run(milliseconds(1500));
+      auto &first = holderOf(world);
+      auto &other = *world.Hosts[&first == world.Hosts[0].get() ? 1 : 0];
+      first.UnansweredUntil = world.Time.now() + silence;
+      for (int n = 0; n < 400 && !other.Lease->held(); ++n)
+        world.run(LeaseStep);
+      world.run(ownedFor);
+      other.Lease->handOver();
+      world.run(milliseconds(15000));
+      CAPTURE(silence.count(), ownedFor.count());
+      CHECK_FALSE(world.isBroken());
+    }
+}
+
 // A release whose answer is lost or late may be in force already.
 TEST_CASE("no sequence of three releases and failures makes two hosts order or "
           "grant at once",
--- a/UnitTests/Coordination/Orders/CellLeaseRollbackTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseRollbackTest.cpp
@@ -51,7 +51,7 @@
       auto &host = *world.Hosts[random() % world.Hosts.size()];
       switch (random() % 4) {
       case 0:
-        host.Suspended = !host.Suspended;
+        LeaseWorld::toggleSuspended(host);
         break;
       case 1:
         host.Partitioned = !host.Partitioned;
--- a/UnitTests/Coordination/Orders/CellLeaseWorld.h
+++ b/UnitTests/Coordination/Orders/CellLeaseWorld.h
@@ -57,6 +57,11 @@
   bool Partitioned = false;
   /// No answer of the table arrives before.
   Instant CutOffUntil{};
+  /// The table carries out this host's calls until then, without an answer.
+  Instant UnansweredUntil{};
+  /// Fencing number of an order that has been decided but not written, because
+  /// the host was suspended right after.
+  std::optional<Epoch> UnwrittenOrder;
 
 private:
   /// The table as this host reaches it: no call passes while the host is
@@ -111,6 +116,8 @@
     return [this, alive = Alive, done](tl::expected<T, TableError> result) {
       if (!*alive)
         return;
+      if (Time.now() < UnansweredUntil)
+        return done(tl::unexpected(TableError::Ambiguous));
       bool answered = result || result.error() == TableError::Conflict;
       if (isCutOff() || (answered && !Era.onAnswer(Table.AnsweredEra)))
         return done(tl::unexpected(TableError::Ambiguous));
@@ -139,12 +146,36 @@
   void run(Span span) {
     for (Span elapsed{0}; elapsed < span; elapsed += LeaseStep) {
       Time.advance(LeaseStep);
+      for (auto &it : Hosts)
+        writeOrder(*it);
       for (auto &it : Hosts)
         it->tick();
       check();
     }
   }
 
+  /// A host that is resumed finds the connection of its order open.
+  void writeOrder(LeaseHost &host) {
+    if (host.Suspended || !host.UnwrittenOrder)
+      return;
+    auto fence = *std::exchange(host.UnwrittenOrder, std::nullopt);
+    bool mayWrite = host.Lease->mayOrder() && host.Lease->fence() == fence;
+    if (mayWrite || !AsksBeforeWriting)
+      onOrder(host, fence);
+  }
+
+  /// Records an order that reaches an engine.
+  void onOrder(const LeaseHost &host, Epoch fence) {
+    if (!LastHost.empty() && LastHost != host.Name) {
+      OrderedTooSoon = OrderedTooSoon || Time.now() - LastAt < Handover;
+      FenceNotIncreased = FenceNotIncreased || fence <= LastFence;
+    }
+    FenceNotIncreased = FenceNotIncreased || fence < LastFence;
+    LastHost = host.Name;
+    LastFence = fence;
+    LastAt = Time.now();
+  }
+
   /// Assumes that every host that may order at this moment does so.
   void check() {
     auto grants = [](const auto &it) {
@@ -152,19 +183,17 @@
     };
     GrantedByTwo =
         GrantedByTwo || std::count_if(Hosts.begin(), Hosts.end(), grants) > 1;
-    for (auto &it : Hosts) {
-      if (it->Suspended || !it->Lease->mayOrder())
-        continue;
-      if (!LastHost.empty() && LastHost != it->Name) {
-        OrderedTooSoon = OrderedTooSoon || Time.now() - LastAt < Handover;
-        FenceNotIncreased =
-            FenceNotIncreased || it->Lease->fence() <= LastFence;
-      }
-      FenceNotIncreased = FenceNotIncreased || it->Lease->fence() < LastFence;
-      LastHost = it->Name;
-      LastFence = it->Lease->fence();
-      LastAt = Time.now();
-    }
+    for (auto &it : Hosts)
+      if (!it->Suspended && it->Lease->mayOrder())
+        onOrder(*it, it->Lease->fence());
+  }
+
+  /// Suspends a host, right after it has decided an order if it may, or resumes
+  /// it.
+  static void toggleSuspended(LeaseHost &host) {
+    if (!host.Suspended && host.Lease->mayOrder())
+      host.UnwrittenOrder = host.Lease->fence();
+    host.Suspended = !host.Suspended;
   }
 
   bool isBroken() const {
@@ -181,6 +210,8 @@
   VirtualTime Time;
   FakeTable Table;
   std::vector<std::unique_ptr<LeaseHost>> Hosts;
+  /// Hosts look at their right again right before an order is written.
+  bool AsksBeforeWriting = true;
   std::string LastHost;
   Epoch LastFence = 0;
   Instant LastAt{};
--- a/UnitTests/Node/Gateway/CellMemberTest.cpp
+++ b/UnitTests/Node/Gateway/CellMemberTest.cpp
@@ -253,8 +253,12 @@
     };
     hooks.Self = [this] { return node("n", OwnerIsStrong); };
     setDefaultHooks(hooks, Crashes);
-    hooks.Engines = {[](const auto &, const auto &, auto) {},
-                     [](const auto &, auto) {}};
+    hooks.Engines = {
+        [this](const auto &, const auto &order, auto) { Ordered = order; },
+        [this](const auto &, auto done) {
+          if (Report)
+            asio::post(Context, [this, done] { done(Report); });
+        }};
     hooks.Plan = [this] { return Plan; };
     hooks.Reach = [this] { return OwnReach; };
     hooks.Leases = [] {
@@ -302,12 +306,18 @@
                          pack(heartbeat), std::move(hooks));
   }
 
-  /// Registers an engine of the cell.
+  /// Registers an engine of the cell, which holds the model `base`.
   void addEngine() {
-    ServiceSpec service{"llm", "/", 10, EngineSpec{}};
+    EngineSpec engine;
+    engine.WeightsMb = 100;
+    engine.AdapterSlots = 4;
+    engine.Models.emplace_back().Name = "base";
+    ServiceSpec service{"llm", "/", 10, engine};
     Plan = std::make_shared<const RoutePlan>(
         1, std::vector<Route>{}, std::vector{service}, CallerLimits{});
-    View.onRegistry(engineChanges(), false, TimerService::now());
+    auto changes = engineChanges();
+    changes.Present.front().Held[{"base", ""}] = 1;
+    View.onRegistry(changes, false, TimerService::now());
   }
 
   std::size_t entries() const {
@@ -325,6 +335,10 @@
   static constexpr Span SelectionDelay = std::chrono::milliseconds(100);
 
   bool OwnerIsStrong = false;
+  /// What the engine reports; unset while it does not answer.
+  std::optional<HoldingsReport> Report;
+  /// The last order, which is not answered.
+  std::optional<EngineOrder> Ordered;
   std::shared_ptr<const RoutePlan> Plan;
   ReachNotice OwnReach;
   std::uint64_t Version = 0;
@@ -353,6 +367,25 @@
   REQUIRE(it.until([&] { return it.Row && it.Row->Released; }));
 }
 
+// A connection to an engine is opened after the look at the lease, and the
+// process may stand still meanwhile.
+TEST_CASE("an order may not be written once its lease has been released",
+          "[gateway]") {
+  OwnerFixture it;
+  it.OwnerIsStrong = true;
+  it.Report.emplace().Held[{"base", ""}] = 1;
+  it.addEngine();
+  REQUIRE(it.until([&] { return it.Member->canOrder(); }));
+  REQUIRE(it.until([&] {
+    it.Member->onDemand("llm", {"base", "a1"}, true, 0);
+    return it.Ordered.has_value();
+  }));
+  REQUIRE(it.Ordered->MayWrite);
+  CHECK(it.Ordered->MayWrite());
+  it.Member->releaseLease();
+  CHECK_FALSE(it.Ordered->MayWrite());
+}
+
 TEST_CASE("an owner that can't reach its engines hands the cell to a node that "
           "does",
           "[gateway]") {
--- a/UnitTests/Platform/StoreTest.cpp
+++ b/UnitTests/Platform/StoreTest.cpp
@@ -325,6 +325,21 @@
   CHECK(order() == OrderAnswer::Conflict);
 }
 
+// The right to order may end while the connection is opened, and an engine that
+// ignores fencing numbers would carry the order out beside the next holder's.
+TEST_CASE("an order is withheld if its holder may not order any more",
+          "[store]") {
+  StoreFixture it;
+  EngineOrder order;
+  order.MayWrite = [] { return false; };
+  std::optional<OrderAnswer> result;
+  it.Store->engines().Order(it.replica(), order,
+                            [&](auto got) { result = got; });
+  CHECK(it.wait(result) == OrderAnswer::Withheld);
+  it.settle();
+  CHECK(it.Calls.empty());
+}
+
 TEST_CASE("an order without an answer has an unknown result", "[store]") {
   StoreFixture it;
   it.IsSilent = true;
--- a/UnitTests/Transport/Http1/HttpCallerTest.cpp
+++ b/UnitTests/Transport/Http1/HttpCallerTest.cpp
@@ -2,6 +2,8 @@
 
 #include "UnitTests/Transport/Loopback.h"
 
+#include <thread>
+
 namespace hemlockglade::test {
 
 namespace {
@@ -64,4 +66,61 @@
   CHECK(failed == 1);
 }
 
+namespace {
+
+/// A server that keeps what it receives, and one call to it.
+struct SilentServer : Loopback {
+  SilentServer() : Server(Context, [](RawPeer &) {}), Caller(Context, {}) {
+    Call.Address = localhost(Server.port());
+    Call.Method = "POST";
+    Call.Target = "/order";
+    Call.Timeout = std::chrono::milliseconds(100);
+    Call.OwnConnection = true;
+  }
+
+  void start() {
+    Caller.call(Call, [this](const auto &result) { Result = result.error(); });
+  }
+  /// Returns what has reached the server when the call has ended.
+  std::string received() {
+    REQUIRE(until([this] { return Result.has_value(); }));
+    settle();
+    std::string out;
+    for (const auto &it : Server.Peers)
+      out += it->Text;
+    return out;
+  }
+
+  RawServer Server;
+  HttpCaller Caller;
+  HttpCall Call;
+  std::optional<HttpFailure> Result;
+};
+
+} // namespace
+
+// A process that stood still finds its connection open and its timeout passed
+// at once. The next holder of a lease may order by then.
+TEST_CASE("nothing is written on a connection that is open only after the "
+          "call's timeout",
+          "[connection]") {
+  SilentServer it;
+  it.start();
+  std::this_thread::sleep_for(2 * it.Call.Timeout);
+  CHECK(it.received().empty());
+  CHECK(it.Result == HttpFailure::NotConnected);
+}
+
+TEST_CASE("nothing is written if that is not allowed any more when the "
+          "connection is open",
+          "[connection]") {
+  SilentServer it;
+  bool isAllowed = GENERATE(false, true);
+  it.Call.MayWrite = [isAllowed] { return isAllowed; };
+  it.start();
+  CHECK(it.received().empty() != isAllowed);
+  CHECK(it.Result ==
+        (isAllowed ? HttpFailure::Broken : HttpFailure::NotConnected));
+}
+
 } // namespace hemlockglade::test
