Fix: an odd row hides no other row, and no number is cast beyond its range

Another writer may leave an odd entry among those of the replicas. One whose key was no text or whose version was no number refused the whole answer, so that the node did not follow the list of replicas any more, and went on with the one that it had until that was too old to send by.

Cause: a row that could not be read threw through the reading of all rows. Numbers were cast from any double to 64 or 32 bits, which is undefined beyond the type's range and differs between x86-64 and arm64.

Change: each row is read alone; one without a key is skipped and logged once, one without a version counts as unreadable, so that the last known state stays. A lease row that can't be decoded is not taken for a missing one. Documents read numbers within a stated range, and refuse addresses that nothing can be sent to (port 0, unspecified, multicast, broadcast).

--- a/UnitTests/Platform/DocumentsTest.cpp
+++ b/UnitTests/Platform/DocumentsTest.cpp
@@ -366,6 +366,30 @@
   CHECK_FALSE(replica.error().empty());
 }
 
+// Casts of numbers beyond a type's range have no defined result.
+TEST_CASE("numbers beyond their range are taken as the nearest one within",
+          "[documents][foreign]") {
+  auto entry = [](const std::string &remaining) {
+    return platform_document::readReplica(
+        "i-1", R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":4,)"
+               R"("state":"draining","remaining_ms":)" +
+                   remaining + "}");
+  };
+  CHECK(entry("1500.5")->TerminatesIn == std::chrono::microseconds(1'500'500));
+  CHECK(entry("-7")->TerminatesIn == Span(0));
+  for (const auto *it : {"1e300", "18446744073709551616", "9e18"})
+    CHECK(entry(it)->TerminatesIn == std::chrono::hours(24 * 365));
+  CHECK_FALSE(entry(R"("soon")"));
+  auto plan = [](const std::string &attempts) {
+    return platform_document::readPlan(
+        R"({"version":1,"services":[{"name":"s"}],"routes":[{"host":"h",)"
+        R"("prefix":"/","service":"s","max_attempts":)" +
+        attempts + "}]}");
+  };
+  CHECK(plan("1e300")->routes().front().MaxAttempts == 4'294'967'295U);
+  CHECK(plan("-3")->routes().front().MaxAttempts == 1);
+}
+
 TEST_CASE("an entry under a malformed key is refused", "[documents][foreign]") {
   auto key = GENERATE(as<std::string>{}, "", "a b", "a\r\nX: 1", "\xc3\xa4",
                       std::string(201, 'x'));
--- a/UnitTests/Platform/StoreTest.cpp
+++ b/UnitTests/Platform/StoreTest.cpp
@@ -370,6 +370,132 @@
   CHECK(it.Lines.size() == 4);
 }
 
+namespace {
+
+const std::string ValidEntry =
+    R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":4,)"
+    R"("state":"ready"})";
+
+/// Rows that another writer may leave, of which none describes a replica.
+std::vector<std::string> oddRows() {
+  std::vector<std::string> out{
+      R"({})",
+      R"(null)",
+      R"("text")",
+      R"([1,2])",
+      R"({"key":7,"ver":5,"value":"e30="})",
+      R"({"key":null,"ver":5,"value":"e30="})",
+      R"({"key":"i-odd","ver":"new","value":"e30="})",
+      R"({"key":"i-odd","ver":-1,"value":"e30="})",
+      R"({"key":"i-odd","ver":1e300,"value":"e30="})",
+      R"({"key":"i-odd","ver":18446744073709551616,"value":"e30="})",
+      R"({"key":"i-odd","value":"e30="})",
+      R"({"key":"i-odd","ver":5,"deleted":"yes","value":"e30="})",
+      R"({"key":"i-odd","ver":5,"value":{"a":[]}})",
+      row("i-odd", std::string(200'000, '[')),
+      row("i-odd", R"({"service":"s","slots":1e999})"),
+      row("i-odd", std::string("\xff\xfe\0", 3)),
+      row("i-odd", ""),
+  };
+  for (const std::string address :
+       {"1.2.3.4:65536", "1.2.3.4:-1", "1.2.3.4:0",
+        "1.2.3.4:1180591620717411303424", "0.0.0.0:80", "255.255.255.255:80",
+        "224.0.0.1:80", "[::]:80", "host:80"})
+    out.push_back(row("i-odd", R"({"service":"s","address":")" + address +
+                                   R"(","zone":"z","slots":4,)"
+                                   R"("state":"ready"})"));
+  return out;
+}
+
+} // namespace
+
+// One odd row made nodes refuse the whole answer, so that they did not follow
+// the list of replicas any more.
+TEST_CASE("an odd row hides no other row", "[store][foreign]") {
+  auto odd = GENERATE(from_range(oddRows()));
+  CAPTURE(odd.substr(0, 100));
+  StoreFixture it;
+  auto page = [&odd](const std::string &before, const std::string &behind,
+                     bool isLast) {
+    return std::pair<std::uint16_t, std::string>(
+        200, R"({"rows":[)" + row(before, ValidEntry) + "," + odd + "," +
+                 row(behind, ValidEntry) + R"(],"ver":6,"has_more":)" +
+                 (isLast ? "false" : "true") + "}");
+  };
+  std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+  SECTION("in pages of the list") {
+    it.Answers = {page("i-1", "i-2", false), page("i-3", "i-4", true)};
+    it.Store->registry().ReadReplicas([&](auto got) { result = got; });
+    auto changes = it.wait(result);
+    REQUIRE(changes);
+    CHECK(changes->Present.size() == 4);
+  }
+  SECTION("among the changes") {
+    it.Answers = {page("i-1", "i-2", true)};
+    it.Store->registry().WatchReplicas(4, [&](auto got) { result = got; });
+    auto changes = it.wait(result);
+    REQUIRE(changes);
+    CHECK(changes->Present.size() == 2);
+    CHECK(changes->Position == 6);
+  }
+  SECTION("among operators' declarations") {
+    std::optional<tl::expected<OperatorChanges, RegistryError>> declared;
+    const std::string version = R"({"model":"m","adapter":"a","version":3})";
+    it.Answer = {200, R"({"rows":[)" + odd + "," + row("version/m.a", version) +
+                          R"(],"ver":6})"};
+    it.Store->registry().ReadOperator([&](auto got) { declared = got; });
+    auto changes = it.wait(declared);
+    REQUIRE(changes);
+    CHECK(changes->Versions.size() == 1);
+  }
+  SECTION("beside a row of the table") {
+    std::optional<tl::expected<std::optional<TableRow>, TableError>> found;
+    it.Answer = {200,
+                 R"({"rows":[)" + odd + "," + row("k", "v") + R"(],"ver":6})"};
+    it.Store->table().Get("k", [&](auto got) { found = got; });
+    auto got = it.wait(found);
+    REQUIRE(got);
+    REQUIRE(*got);
+    CHECK((*got)->Value == "v");
+  }
+}
+
+// It would be written anew, as if nobody had ever held the lease.
+TEST_CASE("a row of the table that can't be decoded is not a missing one",
+          "[store][foreign]") {
+  StoreFixture it;
+  auto odd = GENERATE(R"({"key":"k","ver":"new","value":"e30="})",
+                      R"({"key":"k","ver":5,"value":7})");
+  it.Answer = {200, R"({"rows":[)" + std::string(odd) + R"(],"ver":6})"};
+  std::optional<tl::expected<std::optional<TableRow>, TableError>> found;
+  it.Store->table().Get("k", [&](auto got) { found = got; });
+  CHECK(it.wait(found).error() == TableError::NotSent);
+}
+
+TEST_CASE("thousands of odd entries cost neither the list nor the log",
+          "[store][foreign]") {
+  StoreFixture it;
+  constexpr int Pages = 10;
+  constexpr int PageRows = 500;
+  for (int page = 0; page < Pages; ++page) {
+    std::string rows;
+    for (int n = 0; n < PageRows; ++n) {
+      auto key = "i-" + std::to_string(100'000 + page * PageRows + n);
+      rows += row(key, n % 50 == 0 ? ValidEntry : R"({"slots":-1})") + ",";
+    }
+    rows.pop_back();
+    it.Answers.emplace_back(200, R"({"rows":[)" + rows +
+                                     R"(],"ver":6,"has_more":)" +
+                                     (page + 1 < Pages ? "true}" : "false}"));
+  }
+  std::optional<tl::expected<ReplicaChanges, RegistryError>> result;
+  it.Store->registry().ReadReplicas([&](auto got) { result = got; });
+  auto changes = it.wait(result);
+  REQUIRE(changes);
+  CHECK(changes->Present.size() == Pages * PageRows / 50);
+  CHECK(it.Lines.size() <= 256);
+}
+
 TEST_CASE("of several changes of an entry the last one counts", "[store]") {
   StoreFixture it;
   const std::string valid =
