Fix: a version is the only one no longer than the list of replicas covers

During a release a node that was cut off, or stood still, for some seconds went on with streams at the version that it knew, though they had begun at replicas of another one that joined meanwhile (ORDER).

Cause: where nobody that was asked knows a stream, the version that alone can have begun it was claimed without the age of the list of replicas, over times in which replicas may have come and gone unseen, and by notes of processes of which nothing says until when they knew.

Change: the list is confirmed as of the request first, and the nodes that may have been told of the stream are asked once more; after 0.5 s the request is refused. The known time begins anew where replicas can have been missed: a list that was read whole after 1.5 s or more, or the removal of an entry that was never read. Notes carry the position of the registry up to which all is known, and are joined only if no replica was removed beyond it unseen. Replicas that drain count as serving. `taken-up` says whether the list was confirmed; `software-unknown` and `software-claim` say when the known time changes.

--- a/Hemlockglade/Coordination/Route/ReplicaView.h
+++ b/Hemlockglade/Coordination/Route/ReplicaView.h
@@ -450,6 +450,13 @@
   ReplicaPtr findUsable(std::string_view incarnation) const;
   /// Returns the records of all usable replicas.
   std::vector<ReplicaPtr> inUse() const;
+  /// Returns the records of all replicas that have not been forgotten, whether
+  /// or not they are usable.
+  std::vector<ReplicaPtr> all() const;
+  /// Returns whether a replica with that id has not been forgotten.
+  bool knows(const std::string &id) const {
+    return LatestIncarnations.contains(id);
+  }
   /// Returns whether some replicas are still used although their entries have
   /// disappeared.
   bool hasPendingRemoval() const;
--- a/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
+++ b/Hemlockglade/Coordination/Route/ReplicaViewMembership.cpp
@@ -223,6 +223,14 @@
   return out;
 }
 
+std::vector<ReplicaPtr> ReplicaView::all() const {
+  std::vector<ReplicaPtr> out;
+  out.reserve(Replicas.size());
+  for (const auto &[id, state] : Replicas)
+    out.push_back(state.Record);
+  return out;
+}
+
 bool ReplicaView::hasPendingRemoval() const {
   return std::any_of(Replicas.begin(), Replicas.end(),
                      [](const auto &it) { return it.second.Life.isInGrace(); });
--- a/Hemlockglade/Coordination/Streams/SoftwareHistory.cpp
+++ b/Hemlockglade/Coordination/Streams/SoftwareHistory.cpp
@@ -3,16 +3,19 @@
 #include "Hemlockglade/Coordination/RowText.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace hemlockglade {
 
 namespace {
 
-// software!SINCE; for the begin of the history, then
+// software!known!SINCE!POSITION!; for the known time, then
 // software!SERVICE!VERSION!AGE; with digests in hexadecimal and ages in
-// milliseconds.
+// milliseconds. Nodes of earlier releases skip the first one, whose number of
+// fields they don't know.
 constexpr std::string_view Kind = "software";
+constexpr std::string_view KnownKind = "known";
 constexpr char FieldSeparator = '!';
 constexpr char RecordEnd = ';';
 
@@ -55,6 +58,39 @@
   Names.try_emplace(version, softwareVersion);
 }
 
+void SoftwareHistory::onList(std::uint64_t position) {
+  if (!StartPosition)
+    StartPosition = position;
+  Position = std::max(Position, position);
+}
+
+void SoftwareHistory::onGap(Instant now) {
+  KnownSince = std::max(KnownSince, now);
+  StartPosition.reset();
+  Claims.clear();
+}
+
+std::optional<SoftwareHistory::Claim> SoftwareHistory::takeClaim() {
+  if (!StartPosition)
+    return std::nullopt;
+  std::optional<Claim> out;
+  for (const auto &it : std::exchange(Claims, {})) {
+    if (it.Position >= *StartPosition)
+      KnownSince = std::min(KnownSince, it.Since);
+    else if (it.Position > DiscardedPosition &&
+             (!out || it.Position > out->Position))
+      out = it;
+  }
+  return out && out->Since < KnownSince ? out : std::nullopt;
+}
+
+void SoftwareHistory::settleClaim(const Claim &claim, bool joins) {
+  if (joins)
+    KnownSince = std::min(KnownSince, claim.Since);
+  else
+    DiscardedPosition = std::max(DiscardedPosition, claim.Position);
+}
+
 std::optional<std::string>
 SoftwareHistory::onlyVersion(const std::string &service, Instant since) const {
   auto it = SeenAt.find(digestOf(service));
@@ -82,7 +118,11 @@
 
 std::string SoftwareHistory::notes(Instant now) const {
   std::string out(Kind);
+  out += FieldSeparator;
+  out += KnownKind;
   appendAge(out, KnownSince, now);
+  appendField(out, Position, Decimal);
+  out += FieldSeparator;
   out += RecordEnd;
   for (const auto &[service, versions] : SeenAt)
     for (const auto &[version, seenAt] : versions) {
@@ -95,17 +135,30 @@
   return out;
 }
 
+void SoftwareHistory::addClaim(std::optional<Span> age,
+                               std::optional<std::uint64_t> position,
+                               Instant now) {
+  if (!age || !position || now - *age >= KnownSince ||
+      Claims.size() >= Options.MaxClaims)
+    return;
+  Claims.push_back({now - *age, *position});
+}
+
 void SoftwareHistory::onNotes(std::string_view notes, Instant now) {
   while (!notes.empty()) {
     auto fields = split(takeUntil(notes, RecordEnd));
-    constexpr std::size_t SinceFields = 2;
+    constexpr std::size_t KnownFields = 5;
     constexpr std::size_t VersionFields = 4;
-    auto age = fields.front() == Kind ? parseAge(fields.back()) : std::nullopt;
-    if (!age)
+    if (fields.front() != Kind)
+      continue;
+    if (fields.size() == KnownFields && fields[1] == KnownKind) {
+      addClaim(parseAge(fields[2]),
+               parseNumber<std::uint64_t>(fields[3], Decimal), now);
       continue;
-    if (fields.size() == SinceFields)
-      KnownSince = std::min(KnownSince, now - *age);
-    if (fields.size() != VersionFields)
+    }
+    auto age =
+        fields.size() == VersionFields ? parseAge(fields.back()) : std::nullopt;
+    if (!age)
       continue;
     auto service = parseNumber<std::uint64_t>(fields[1], Hex);
     auto version = parseNumber<std::uint64_t>(fields[2], Hex);
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -374,11 +374,20 @@
 
 void Gateway::onReplicas(const ReplicaChanges &changes,
                          const ReplicaSource &source) {
+  if (missedReplicas(changes, source)) {
+    Software.onGap(TimerService::now());
+    Log.write(LogClass::State, "software-unknown",
+              {{"before", "this list"},
+               {"position", changes.Position},
+               {"list_age_ms", source.AgeBefore}});
+  }
   for (const auto &it : View.onRegistry(changes, source.Unreachable,
                                         TimerService::now(), source.AgeBefore))
     onRestarted(*it);
   // Before any stream can begin at a replica that is new.
+  Software.onList(changes.Position);
   updateSoftware();
+  joinSoftwareClaims();
   if (changes.Complete)
     Log.write(LogClass::State, "replicas-read",
               {{"replicas", static_cast<std::uint64_t>(changes.Present.size())},
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -156,12 +156,24 @@
   StreamOriginService::Settings streamSettings() const;
   StreamOriginService::Hooks streamOriginHooks();
   /// Looks for what began a stream. One that no node knows can only have begun
-  /// at a service whose replicas have run one software version all the while.
+  /// at a service whose replicas have run one software version all the while,
+  /// which this node says only of a time that its list of replicas covers.
   void findStreamOrigin(
       std::string_view streamId, const std::string &service,
       std::function<void(const std::optional<StreamOrigin> &origin)> found);
+  struct StreamSearch;
+  void searchStream(const std::shared_ptr<StreamSearch> &search);
+  void onStreamSearched(const std::shared_ptr<StreamSearch> &search);
+  void endStreamSearch(const StreamSearch &search);
   /// Records which software versions serve now.
   void updateSoftware();
+  /// Whether replicas may have come and gone since this node's last list, or
+  /// before its first one, without being in these changes.
+  bool missedReplicas(const ReplicaChanges &changes,
+                      const ReplicaSource &source) const;
+  /// Extends the time over which all software versions are known by what other
+  /// processes have noted.
+  void joinSoftwareClaims();
   ReplicaPath choosePath(const ReplicaRecord &replica,
                          const std::set<std::string> &excludedRelays);
   void startRelay();
@@ -230,6 +242,8 @@
   QuotaService Quotas;
   FairQueue Queue;
   SoftwareHistory Software;
+  /// What a claim about software versions leaves open is being read.
+  bool ClaimPending = false;
   StreamOriginService Streams;
   HeldRequests Held;
   ExchangeContext SharedContext;
--- a/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayPeers.cpp
@@ -299,6 +299,7 @@
 void Gateway::onNotes(const std::string &notes) {
   auto now = TimerService::now();
   Software.onNotes(notes, now);
+  joinSoftwareClaims();
   for (const auto &it : RejectionLimits::parseNotes(notes, now))
     onRejectionLimit(it, "notes");
 }
--- a/Programs/hemlockgladed/Gateway/GatewayStreams.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayStreams.cpp
@@ -2,6 +2,8 @@
 
 #include "Programs/hemlockgladed/Gateway/Gateway.h"
 
+#include <algorithm>
+
 namespace hemlockglade {
 
 namespace {
@@ -51,44 +53,119 @@
   return hooks;
 }
 
+struct Gateway::StreamSearch {
+  std::string Id;
+  std::string Service;
+  Instant AskedAt{};
+  std::function<void(const std::optional<StreamOrigin> &origin)> Found;
+  StreamOriginService::Finding Finding = {};
+  /// The list of replicas covers the time until the search began.
+  bool ListConfirmed = false;
+  bool IsRepeated = false;
+};
+
 void Gateway::findStreamOrigin(
     std::string_view streamId, const std::string &service,
     std::function<void(const std::optional<StreamOrigin> &origin)> found) {
-  auto askedAt = TimerService::now();
-  auto decide = [this, id = std::string(streamId), service, askedAt,
-                 found = std::move(found)](
-                    const StreamOriginService::Finding &finding) {
-    auto origin = finding.Origin;
-    std::string_view from = finding.FromPeer ? "another node" : "this node";
-    if (!origin && !service.empty()) {
-      auto only = Software.onlyVersion(service, askedAt - MaxStreamAge);
-      if (only && !only->empty())
-        origin = StreamOrigin{service, *only};
-      from = "the only version";
-    }
-    Log.write(LogClass::Request, "taken-up",
-              {{"stream", id},
-               {"known", origin.has_value()},
-               {"from", origin ? from : "nobody"},
-               {"service", origin ? origin->Service : ""},
-               {"software", origin ? origin->SoftwareVersion : ""},
-               {"asked", static_cast<std::uint64_t>(finding.Asked)},
-               {"answered", static_cast<std::uint64_t>(finding.Answered)},
-               {"took_ms", TimerService::now() - askedAt}});
-    Metrics.counter(TakenUpFamily, {{"known_from", origin ? from : "nobody"}})
-        .add(1);
-    found(origin);
-  };
+  auto search = std::make_shared<StreamSearch>(StreamSearch{
+      std::string(streamId), service, TimerService::now(), std::move(found)});
   if (streamId.empty())
-    return decide({});
-  Streams.find(streamKeyOf(streamId), std::move(decide));
+    return onStreamSearched(search);
+  searchStream(search);
+}
+
+void Gateway::searchStream(const std::shared_ptr<StreamSearch> &search) {
+  Streams.find(streamKeyOf(search->Id), [this, search](const auto &finding) {
+    search->Finding = finding;
+    onStreamSearched(search);
+  });
+}
+
+void Gateway::onStreamSearched(const std::shared_ptr<StreamSearch> &search) {
+  const auto &finding = search->Finding;
+  if (finding.Origin || search->IsRepeated)
+    return endStreamSearch(*search);
+  search->IsRepeated = true;
+  // A node that is out of step knows neither the replicas that have joined nor
+  // the nodes that were told of the stream.
+  Watcher->confirmReplicas(search->AskedAt, [this, search](bool known) {
+    search->ListConfirmed = known;
+    bool allAnswered = search->Finding.Asked > 0 &&
+                       search->Finding.Answered == search->Finding.Asked;
+    if (search->Id.empty() || allAnswered)
+      return endStreamSearch(*search);
+    searchStream(search);
+  });
+}
+
+void Gateway::endStreamSearch(const StreamSearch &search) {
+  const auto &finding = search.Finding;
+  auto origin = finding.Origin;
+  std::string_view from = finding.FromPeer ? "another node" : "this node";
+  if (!origin && !search.Service.empty() && search.ListConfirmed) {
+    auto only =
+        Software.onlyVersion(search.Service, search.AskedAt - MaxStreamAge);
+    if (only && !only->empty())
+      origin = StreamOrigin{search.Service, *only};
+    from = "the only version";
+  }
+  Log.write(LogClass::Request, "taken-up",
+            {{"stream", search.Id},
+             {"known", origin.has_value()},
+             {"from", origin ? from : "nobody"},
+             {"service", origin ? origin->Service : ""},
+             {"software", origin ? origin->SoftwareVersion : ""},
+             {"asked", static_cast<std::uint64_t>(finding.Asked)},
+             {"answered", static_cast<std::uint64_t>(finding.Answered)},
+             {"list_age_ms", Watcher->replicasAge()},
+             {"list_confirmed", search.ListConfirmed},
+             {"took_ms", TimerService::now() - search.AskedAt}});
+  Metrics.counter(TakenUpFamily, {{"known_from", origin ? from : "nobody"}})
+      .add(1);
+  search.Found(origin);
 }
 
 void Gateway::updateSoftware() {
   auto now = TimerService::now();
-  for (const auto &it : View.inUse())
+  for (const auto &it : View.all())
     Software.onSeen(it->Service, it->SoftwareVersion, now);
   Software.removeExpired(now);
 }
 
+bool Gateway::missedReplicas(const ReplicaChanges &changes,
+                             const ReplicaSource &source) const {
+  if (!HasReplicas)
+    return !Settings.FirstStart;
+  // An entry that is removed has been there for longer: replicas drain, or
+  // their heartbeats stay away.
+  constexpr Span MinEntryTime = std::chrono::milliseconds(1500);
+  if (changes.Complete)
+    return source.AgeBefore > MinEntryTime;
+  return changes.Position > Software.position() &&
+         std::any_of(changes.Removed.begin(), changes.Removed.end(),
+                     [this](const auto &it) { return !View.knows(it); });
+}
+
+void Gateway::joinSoftwareClaims() {
+  if (ClaimPending)
+    return;
+  auto claim = Software.takeClaim();
+  if (!claim)
+    return;
+  ClaimPending = true;
+  Port.Registry.WatchReplicas(claim->Position, [this,
+                                                claim](const auto &result) {
+    ClaimPending = false;
+    bool joins = result &&
+                 std::all_of(result->Removed.begin(), result->Removed.end(),
+                             [this](const auto &it) { return View.knows(it); });
+    Software.settleClaim(*claim, joins);
+    Log.write(LogClass::State, "software-claim",
+              {{"since_ms_ago", TimerService::now() - claim->Since},
+               {"position", claim->Position},
+               {"joined", joins}});
+    joinSoftwareClaims();
+  });
+}
+
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
@@ -1,5 +1,8 @@
 #include "Programs/hemlockgladed/Gateway/RegistryWatcher.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace hemlockglade {
 
 RegistryWatcher::RegistryWatcher(TimerService &timers, RegistryHooks registry,
@@ -227,6 +230,47 @@
   return mayAnswer;
 }
 
+void RegistryWatcher::confirmReplicas(Instant since,
+                                      std::function<void(bool known)> done) {
+  if (ReplicasCurrentAt >= since)
+    return done(true);
+  auto number = ++LastReplicaConfirm;
+  ReplicaConfirms.push_back({number, since, std::move(done)});
+  Timers.after(Options.ReplicaConfirmTimeout, [this, number](Instant) {
+    auto it = std::find_if(
+        ReplicaConfirms.begin(), ReplicaConfirms.end(),
+        [number](const auto &confirm) { return confirm.Number == number; });
+    if (it == ReplicaConfirms.end())
+      return;
+    auto expired = std::move(*it);
+    ReplicaConfirms.erase(it);
+    expired.Done(false);
+  });
+  pollToConfirmReplicas();
+}
+
+void RegistryWatcher::pollToConfirmReplicas() {
+  if (ReplicaConfirms.empty() || ReplicaPollOpen)
+    return;
+  auto due = ReplicasPolledAt + Options.ConfirmInterval - TimerService::now();
+  if (due <= Span(0))
+    return sendReplicaPoll();
+  Timers.after(due, [this](Instant) { pollToConfirmReplicas(); });
+}
+
+void RegistryWatcher::settleReplicaConfirms() {
+  auto isOpen = [this](const auto &it) { return it.Since > ReplicasCurrentAt; };
+  auto settled = std::stable_partition(ReplicaConfirms.begin(),
+                                       ReplicaConfirms.end(), isOpen);
+  std::vector<ReplicaConfirm> done(
+      std::make_move_iterator(settled),
+      std::make_move_iterator(ReplicaConfirms.end()));
+  ReplicaConfirms.erase(settled, ReplicaConfirms.end());
+  for (const auto &it : done)
+    it.Done(true);
+  pollToConfirmReplicas();
+}
+
 void RegistryWatcher::sendReplicaPoll() {
   ++ReplicaPollTimer;
   ReplicaPollOpen = true;
@@ -256,6 +300,9 @@
       ReplicasCurrentAt = std::max(ReplicasCurrentAt, ReplicasPolledAt);
       applyReplicas(*result, source);
     }
+    settleReplicaConfirms();
+    if (ReplicaPollOpen)
+      return;
     // An answer that was long on its way does not postpone the next poll.
     auto minDelay = Options.Poll.ReplicaInterval / 2;
     return scheduleReplicaPoll(
@@ -402,6 +449,7 @@
   ChangeLog.onReplicas({false, {}, {}, update.ReplicaPosition});
   ReplicasCurrentAt =
       std::max(ReplicasCurrentAt, sentAfter - Span(update.ReplicaAgeUs));
+  settleReplicaConfirms();
 }
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.h
@@ -45,6 +45,8 @@
     Span LapseWindow = std::chrono::milliseconds(4000);
     /// Timeout of `confirm`. An answer of the registry takes some 10 ms.
     Span ConfirmTimeout = std::chrono::milliseconds(250);
+    /// Timeout of `confirmReplicas`, which includes a poll that is lost.
+    Span ReplicaConfirmTimeout = std::chrono::milliseconds(500);
     /// Minimum interval between two polls of `confirm`, and the age up to which
     /// declarations need none. It bounds the calls that callers with wrong keys
     /// cause.
@@ -86,6 +88,10 @@
   /// that was declared before this call is known, or with false if the poll
   /// failed or timed out.
   void confirm(std::function<void(bool known)> done);
+  /// Calls `done` with true once the list of replicas is confirmed as of
+  /// `since` or later, at once if it is already, or with false after a timeout.
+  /// The registry is polled for it.
+  void confirmReplicas(Instant since, std::function<void(bool known)> done);
   /// Returns the update for a node that has the registry's state up to these
   /// positions. A kind is left out if its changes since then are not kept.
   RegistryUpdate updateSince(const RegistryPositions &known) const;
@@ -122,6 +128,11 @@
   void applyOperator(const OperatorChanges &reported, std::string_view from);
   void applyReplicas(const ReplicaChanges &changes,
                      const ReplicaSource &source);
+  /// Polls the replicas for the callers of `confirmReplicas`, unless a poll is
+  /// under way or was sent just before.
+  void pollToConfirmReplicas();
+  /// Calls back everyone for whom the list is confirmed by now.
+  void settleReplicaConfirms();
   void applyDeclaredUpdate(const RegistryUpdate &update, Instant now,
                            Instant sentAfter);
   void applyReplicaUpdate(const RegistryUpdate &update, Instant now,
@@ -197,6 +208,14 @@
   /// Callbacks that wait for a poll not yet sent, and for the one under way.
   std::vector<std::function<void(bool)>> PendingConfirms;
   std::vector<std::function<void(bool)>> ActiveConfirms;
+  /// Who waits for the list of replicas to be confirmed.
+  struct ReplicaConfirm {
+    std::uint64_t Number = 0;
+    Instant Since{};
+    std::function<void(bool)> Done;
+  };
+  std::vector<ReplicaConfirm> ReplicaConfirms;
+  std::uint64_t LastReplicaConfirm = 0;
   /// Number of the poll under way; 0 if there is none.
   std::uint64_t ConfirmNumber = 0;
   std::uint64_t LastConfirmNumber = 0;
--- a/UnitTests/Coordination/Streams/StreamOriginsTest.cpp
+++ b/UnitTests/Coordination/Streams/StreamOriginsTest.cpp
@@ -111,6 +111,65 @@
   CHECK(history.onlyVersion("s", Start + seconds(41)) == "v1.1");
 }
 
+namespace {
+
+/// The notes of a process that knows of `v1` all the while, as of a position.
+std::string notesAt(std::uint64_t position) {
+  SoftwareHistory history({}, Start);
+  history.onSeen("s", "v1", Start + seconds(100));
+  history.onList(position);
+  return history.notes(Start + seconds(100));
+}
+
+} // namespace
+
+// A node that was out of step has seen one version only, and said so with
+// certainty; streams of another one went on there.
+TEST_CASE("nothing is known of the time in which replicas may have come and "
+          "gone unseen",
+          "[streams]") {
+  SoftwareHistory history({}, Start);
+  history.onList(7);
+  history.onSeen("s", "v1", Start + seconds(100));
+  REQUIRE(history.onlyVersion("s", Start + seconds(70)) == "v1");
+  history.onGap(Start + seconds(100));
+  history.onList(9);
+  CHECK_FALSE(history.onlyVersion("s", Start + seconds(99)));
+  CHECK(history.onlyVersion("s", Start + seconds(100)) == "v1");
+  SECTION("also by notes from before") {
+    history.onNotes(notesAt(8), Start + seconds(100));
+    auto claim = history.takeClaim();
+    REQUIRE(claim);
+    CHECK(claim->Position == 8);
+    CHECK_FALSE(history.onlyVersion("s", Start + seconds(70)));
+    history.settleClaim(*claim, false);
+    CHECK_FALSE(history.onlyVersion("s", Start + seconds(70)));
+    history.onNotes(notesAt(8), Start + seconds(100));
+    CHECK_FALSE(history.takeClaim());
+  }
+  SECTION("unless another process has known of it") {
+    history.onNotes(notesAt(9), Start + seconds(100));
+    CHECK_FALSE(history.takeClaim());
+    CHECK(history.onlyVersion("s", Start + seconds(70)) == "v1");
+  }
+  SECTION("or none was removed since what notes know") {
+    history.onNotes(notesAt(8), Start + seconds(100));
+    history.settleClaim(history.takeClaim().value(), true);
+    CHECK(history.onlyVersion("s", Start + seconds(70)) == "v1");
+  }
+}
+
+TEST_CASE("notes count once this process has a list of its own", "[streams]") {
+  SoftwareHistory history({}, Start + seconds(100));
+  history.onNotes(notesAt(8), Start + seconds(100));
+  history.onSeen("s", "v1", Start + seconds(100));
+  CHECK_FALSE(history.takeClaim());
+  CHECK_FALSE(history.onlyVersion("s", Start + seconds(70)));
+  history.onList(8);
+  CHECK_FALSE(history.takeClaim());
+  CHECK(history.onlyVersion("s", Start + seconds(70)) == "v1");
+}
+
 TEST_CASE("a process that starts alone knows of software versions from the "
           "notes of an earlier one",
           "[streams]") {
@@ -118,13 +177,16 @@
   before.onSeen("s", "v1", Start + seconds(70));
   before.onSeen("s", "v1.1", Start + seconds(100));
   before.onSeen("t", "v1", Start + seconds(100));
+  before.onList(7);
   auto notes = "0123:crash;" + before.notes(Start + seconds(100)) + "junk";
   Instant now = seconds(5);
   SoftwareHistory after({}, now);
   after.onSeen("s", "v1.1", now);
   after.onSeen("t", "v1", now);
+  after.onList(7);
   CHECK_FALSE(after.onlyVersion("t", now - seconds(20)));
   after.onNotes(notes, now);
+  CHECK_FALSE(after.takeClaim());
   CHECK(after.onlyVersion("t", now - seconds(20)) == "v1");
   CHECK_FALSE(after.onlyVersion("s", now - seconds(31)));
   CHECK(after.onlyVersion("s", now - seconds(20)) == "v1.1");
--- a/UnitTests/Node/Gateway/StreamVersionTest.cpp
+++ b/UnitTests/Node/Gateway/StreamVersionTest.cpp
@@ -3,6 +3,8 @@
 #include "UnitTests/Node/Gateway/GatewayExchangeRig.h"
 #include "UnitTests/Node/Gateway/GatewayRig.h"
 
+#include <thread>
+
 namespace hemlockglade::test {
 
 namespace {
@@ -148,4 +150,99 @@
   CHECK(it.Newer.Requests.empty());
 }
 
+namespace {
+
+/// A node that has known a replica of `v1` since its start; one of `v1.1` may
+/// join while the node is out of step.
+struct NodeOutOfStep : GatewayFixture {
+  NodeOutOfStep() : Newer(Context) {
+    Settings.FirstStart = true;
+    Platform.HasTable = true;
+    Platform.declare(1, "/a/", RouteKind::Stream);
+    Replica.Answer = Newer.Answer = [](const ScriptedReplica::Request &it) {
+      auto head = StreamHead;
+      head.replace(head.find("r1"), 2, *findField(it.Head.Fields, "Id"));
+      return ScriptedReplica::Step{head + chunk(event(2)) + "0\r\n\r\n"};
+    };
+    Platform.addReplica(Replica.address());
+    start();
+    REQUIRE(untilReady());
+  }
+
+  void joinNewer() {
+    Platform.Software = "v1.1";
+    Platform.addReplica(Newer.address());
+    ++Platform.Replicas.Position;
+  }
+
+  /// Takes up a stream that began elsewhere; returns whether it went on.
+  bool takeUp() {
+    auto n = std::to_string(++TakenUp);
+    RawPeer peer(Context);
+    peer.connect(parseEndpoint(Settings.CallerAddress).port());
+    peer.send("GET /a/x HTTP/1.1\r\nHost: a.example\r\nId: t" + n +
+              "\r\nBehind: 1\r\nResumes: u" + n + "\r\n\r\n");
+    until([&peer] {
+      return peer.Ended ||
+             peer.Got.find("\r\n0\r\n\r\n") != std::string::npos ||
+             peer.Got.find("HTTP/1.1 5") != std::string::npos;
+    });
+    return peer.Got.find(event(2)) != std::string::npos;
+  }
+
+  void pass(Span span) {
+    auto end = TimerService::now() + span;
+    until([end] { return TimerService::now() >= end; });
+  }
+
+  ScriptedReplica Newer;
+  int TakenUp = 0;
+};
+
+} // namespace
+
+// During a release a node that was cut off, or stood still, took the version
+// that it knew for the only one, and streams of the other went on there.
+TEST_CASE("a stream of unknown origin is refused while the list of replicas "
+          "is not confirmed",
+          "[stream-version]") {
+  NodeOutOfStep it;
+  REQUIRE(it.takeUp());
+  SECTION("by a node that the registry does not answer") {
+    it.Platform.goAway();
+    CHECK_FALSE(it.takeUp());
+    it.pass(milliseconds(1200));
+    CHECK_FALSE(it.takeUp());
+  }
+  SECTION("by a node that stood still while a newer version joined") {
+    std::this_thread::sleep_for(milliseconds(1200));
+    it.joinNewer();
+    CHECK_FALSE(it.takeUp());
+  }
+  SECTION("by a node that has not heard yet of a newer version") {
+    it.joinNewer();
+    CHECK_FALSE(it.takeUp());
+  }
+  CHECK(it.Newer.Requests.empty());
+}
+
+TEST_CASE("a node that is back in step goes on with a stream if one version "
+          "has served",
+          "[stream-version]") {
+  NodeOutOfStep it;
+  it.Platform.goAway();
+  it.pass(milliseconds(1800));
+  it.Platform.Away = false;
+  ++it.Platform.Replicas.Position;
+  SECTION("when it has missed nothing") { CHECK(it.takeUp()); }
+  SECTION("not when a replica has come and gone") {
+    it.Platform.Replicas.Removed = {"i-9"};
+    CHECK_FALSE(it.takeUp());
+  }
+  SECTION("not when all replicas had to be read again") {
+    it.Platform.loseHistory();
+    CHECK_FALSE(it.takeUp());
+  }
+}
+
 } // namespace hemlockglade::test
