Streams of unknown origin go on in an outage if no other node knows more

A list of replicas that the registry can't confirm refused each stream of unknown origin, also while the registry was away for all nodes and one version served. Callers that name no stream, as most do, would lose their streams then.

While the registry does not answer, the other nodes are asked up to which position of it they know the replicas. If all that are asked answer and none knows more, the list counts as confirmed; if one knows more, or doesn't answer, the request is refused as before.

--- a/Programs/hemlockgladed/Gateway/GatewayStreams.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayStreams.cpp
@@ -37,6 +37,7 @@
   hooks.After = [this](Span delay, std::function<void()> call) {
     Timers.after(delay, [call = std::move(call)](Instant) { call(); });
   };
+  hooks.ListPosition = [this] { return Software.position(); };
   return hooks;
 }
 
@@ -92,9 +93,18 @@
     search->ListConfirmed = known;
     bool allAnswered = search->Finding.Asked > 0 &&
                        search->Finding.Answered == search->Finding.Asked;
-    if (search->Id.empty() || allAnswered)
+    if (known && (search->Id.empty() || allAnswered))
       return endStreamSearch(*search);
-    searchStream(search);
+    if (known)
+      return searchStream(search);
+    // While the registry does not answer, replicas that joined are known to
+    // nodes that it has answered since.
+    Streams.askOthers(
+        streamKeyOf(search->Id), [this, search](const auto &finding) {
+          search->Finding = finding;
+          search->ListConfirmed = finding.noneKnowsBeyond(Software.position());
+          endStreamSearch(*search);
+        });
   });
 }
 
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.h
@@ -45,8 +45,9 @@
     Span LapseWindow = std::chrono::milliseconds(4000);
     /// Timeout of `confirm`. An answer of the registry takes some 10 ms.
     Span ConfirmTimeout = std::chrono::milliseconds(250);
-    /// Timeout of `confirmReplicas`, which includes a poll that is lost.
-    Span ReplicaConfirmTimeout = std::chrono::milliseconds(500);
+    /// Timeout of `confirmReplicas`. An answer of the registry takes some 10
+    /// ms.
+    Span ReplicaConfirmTimeout = std::chrono::milliseconds(250);
     /// Minimum interval between two polls of `confirm`, and the age up to which
     /// declarations need none. It bounds the calls that callers with wrong keys
     /// cause.
--- a/Programs/hemlockgladed/Gateway/StreamOriginService.cpp
+++ b/Programs/hemlockgladed/Gateway/StreamOriginService.cpp
@@ -94,7 +94,11 @@
 
 void StreamOriginService::find(StreamKey key, OnFound found) {
   if (const auto *origin = Origins.find(key, TimerService::now()))
-    return found({*origin, false, 0, 0});
+    return found({*origin});
+  askOthers(key, std::move(found));
+}
+
+void StreamOriginService::askOthers(StreamKey key, OnFound found) {
   auto nodes = Callbacks.Nodes();
   auto ranked = rankHolders(key, nodes);
   std::erase_if(
@@ -122,12 +126,19 @@
     auto question = weak.lock();
     if (!*alive || !question)
       return;
-    ++question->Result.Answered;
+    auto &result = question->Result;
+    ++result.Answered;
     auto reply = unpack<StreamOriginReply>(message);
-    if (!reply)
+    if (!reply) {
       Log.write(LogClass::State, "message-refused",
                 {{"what", "origin of a stream"}});
-    else if (!reply->Origin.empty())
+      return;
+    }
+    for (auto position : reply->ListPosition) {
+      ++result.Positions;
+      result.NewestPosition = std::max(result.NewestPosition, position);
+    }
+    if (!reply->Origin.empty())
       decide(*question, StreamOrigin{reply->Origin.front().Service,
                                      reply->Origin.front().SoftwareVersion});
   };
@@ -182,6 +193,7 @@
     if (!*alive || !asker)
       return;
     StreamOriginReply reply;
+    reply.ListPosition = {Callbacks.ListPosition()};
     auto request = unpack<StreamOriginRequest>(text);
     if (!request)
       Log.write(LogClass::State, "message-refused",
--- a/UnitTests/Node/Gateway/StreamVersionTest.cpp
+++ b/UnitTests/Node/Gateway/StreamVersionTest.cpp
@@ -245,4 +245,45 @@
   }
 }
 
+// Streams that break in an outage of the registry go on while one version
+// serves.
+TEST_CASE("a stream of unknown origin goes on in an outage if no other node "
+          "knows of further replicas",
+          "[stream-version]") {
+  TwoNodes it;
+  it.Settings.FirstStart = it.Second.Settings.FirstStart = true;
+  it.registerReplicas(false);
+  it.startBoth();
+  it.Second.Platform.goAway();
+  auto takeUp = [&it](const std::string &n) {
+    return it.resumeAtSecond("t" + n, "u" + n).find(event(2)) !=
+           std::string::npos;
+  };
+  SECTION("of which both nodes know as much") {
+    it.Platform.goAway();
+    CHECK(takeUp("1"));
+  }
+  SECTION("not if another node knows more") {
+    it.registerReplicas(true);
+    ++it.Platform.Replicas.Position;
+    auto readBy = TimerService::now() + milliseconds(1500);
+    it.until([readBy] { return TimerService::now() > readBy; });
+    CHECK_FALSE(takeUp("1"));
+    CHECK(it.Newer.Requests.empty());
+  }
+}
+
+TEST_CASE("replicas are known by all only if all other nodes say so",
+          "[stream-version]") {
+  StreamOriginService::Finding finding;
+  CHECK_FALSE(finding.noneKnowsBeyond(7));
+  finding.Asked = finding.Answered = finding.Positions = 2;
+  finding.NewestPosition = 7;
+  CHECK(finding.noneKnowsBeyond(7));
+  CHECK_FALSE(finding.noneKnowsBeyond(6));
+  // Of an earlier release, or without an answer.
+  finding.Positions = 1;
+  CHECK_FALSE(finding.noneKnowsBeyond(7));
+}
+
 } // namespace hemlockglade::test
