A list counts as confirmed in an outage if no replica joined after it

The positions up to which two nodes know the replicas differ by each write of the table, so that in an outage nearly every node knew less than another one, though no replica had joined. Nodes tell the position at which the last replica joined that they know.

Polls to confirm the list are spaced by 300 ms: all 580 nodes together make 1,930 reads a second at most, of 2,000. A claim about software versions is checked again while the registry does not answer, rather than discarded.

NodeTests [stream-version], CoordinationTests [streams] and [view] pass.

--- a/Hemlockglade/Coordination/Streams/SoftwareHistory.h
+++ b/Hemlockglade/Coordination/Streams/SoftwareHistory.h
@@ -2,6 +2,7 @@
 
 #include "Hemlockglade/State/Ids.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -43,6 +44,10 @@
               Instant now);
   /// Called when the list of replicas is known up to a position.
   void onList(std::uint64_t position);
+  /// Called when a replica that was not known is in a list at a position.
+  void onJoined(std::uint64_t position) {
+    JoinedPosition = std::max(JoinedPosition, position);
+  }
   /// Called when replicas may have served unseen before the list of replicas
   /// that is known now.
   void onGap(Instant now);
@@ -51,8 +56,10 @@
   std::optional<std::string> onlyVersion(const std::string &service,
                                          Instant since) const;
   void removeExpired(Instant now);
-  /// Position up to which the list of replicas is known.
+  /// Position up to which the list of replicas is known, and the one of the
+  /// list with which the last of them joined.
   std::uint64_t position() const { return Position; }
+  std::uint64_t joinedPosition() const { return JoinedPosition; }
 
   /// Encodes the history as one word of records that end with `;`, for a row
   /// of the table. Times are encoded as ages at `now`.
@@ -83,6 +90,7 @@
   /// the one up to which it goes.
   std::optional<std::uint64_t> StartPosition;
   std::uint64_t Position = 0;
+  std::uint64_t JoinedPosition = 0;
   /// What notes claim beyond that, and the position of the newest claim that
   /// was discarded.
   std::vector<Claim> Claims;
--- a/Hemlockglade/Protocol/Message/StreamMessages.h
+++ b/Hemlockglade/Protocol/Message/StreamMessages.h
@@ -46,10 +46,10 @@
 /// The answer: the stream's origin, or none if the node does not know it.
 struct StreamOriginReply {
   std::vector<StreamOriginNotice> Origin;
-  /// Position of the registry up to which the node knows the replicas; none
-  /// from a node of an earlier release.
-  std::vector<std::uint64_t> ListPosition;
-  MSGPACK_DEFINE(Origin, ListPosition)
+  /// Position of the registry at which the last replica joined that the node
+  /// knows; none from a node of an earlier release.
+  std::vector<std::uint64_t> JoinedPosition;
+  MSGPACK_DEFINE(Origin, JoinedPosition)
 };
 
 } // namespace hemlockglade
--- a/Programs/hemlockgladed/Gateway/Gateway.cpp
+++ b/Programs/hemlockgladed/Gateway/Gateway.cpp
@@ -381,6 +381,11 @@
                {"position", changes.Position},
                {"list_age_ms", source.AgeBefore}});
   }
+  bool anyJoined = std::any_of(
+      changes.Present.begin(), changes.Present.end(),
+      [this](const auto &it) { return !View.knows(it.Incarnation.id()); });
+  if (anyJoined)
+    Software.onJoined(changes.Position);
   for (const auto &it : View.onRegistry(changes, source.Unreachable,
                                         TimerService::now(), source.AgeBefore))
     onRestarted(*it);
--- a/Programs/hemlockgladed/Gateway/Gateway.h
+++ b/Programs/hemlockgladed/Gateway/Gateway.h
@@ -174,6 +174,8 @@
   /// Extends the time over which all software versions are known by what other
   /// processes have noted.
   void joinSoftwareClaims();
+  /// Reads what was removed from the registry since a claim ends.
+  void checkSoftwareClaim(const SoftwareHistory::Claim &claim);
   ReplicaPath choosePath(const ReplicaRecord &replica,
                          const std::set<std::string> &excludedRelays);
   void startRelay();
--- a/Programs/hemlockgladed/Gateway/GatewayStreams.cpp
+++ b/Programs/hemlockgladed/Gateway/GatewayStreams.cpp
@@ -37,7 +37,7 @@
   hooks.After = [this](Span delay, std::function<void()> call) {
     Timers.after(delay, [call = std::move(call)](Instant) { call(); });
   };
-  hooks.ListPosition = [this] { return Software.position(); };
+  hooks.JoinedPosition = [this] { return Software.joinedPosition(); };
   return hooks;
 }
 
@@ -102,7 +102,8 @@
     Streams.askOthers(
         streamKeyOf(search->Id), [this, search](const auto &finding) {
           search->Finding = finding;
-          search->ListConfirmed = finding.noneKnowsBeyond(Software.position());
+          search->ListConfirmed =
+              finding.noneKnowsBeyond(Watcher->positions().Replica);
           endStreamSearch(*search);
         });
   });
@@ -159,20 +160,29 @@
 void Gateway::joinSoftwareClaims() {
   if (ClaimPending)
     return;
-  auto claim = Software.takeClaim();
-  if (!claim)
-    return;
-  ClaimPending = true;
-  Port.Registry.WatchReplicas(claim->Position, [this,
-                                                claim](const auto &result) {
-    ClaimPending = false;
+  if (auto claim = Software.takeClaim()) {
+    ClaimPending = true;
+    checkSoftwareClaim(*claim);
+  }
+}
+
+void Gateway::checkSoftwareClaim(const SoftwareHistory::Claim &claim) {
+  Port.Registry.WatchReplicas(claim.Position, [this,
+                                               claim](const auto &result) {
+    if (!result && result.error() == RegistryError::Unavailable) {
+      constexpr auto RetryDelay = std::chrono::seconds(1);
+      Timers.after(RetryDelay,
+                   [this, claim](Instant) { checkSoftwareClaim(claim); });
+      return;
+    }
     bool joins = result &&
                  std::all_of(result->Removed.begin(), result->Removed.end(),
                              [this](const auto &it) { return View.knows(it); });
-    Software.settleClaim(*claim, joins);
+    ClaimPending = false;
+    Software.settleClaim(claim, joins);
     Log.write(LogClass::State, "software-claim",
-              {{"since_ms_ago", TimerService::now() - claim->Since},
-               {"position", claim->Position},
+              {{"since_ms_ago", TimerService::now() - claim.Since},
+               {"position", claim.Position},
                {"joined", joins}});
     joinSoftwareClaims();
   });
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.cpp
@@ -252,9 +252,12 @@
 void RegistryWatcher::pollToConfirmReplicas() {
   if (ReplicaConfirms.empty() || ReplicaPollOpen)
     return;
-  auto due = ReplicasPolledAt + Options.ConfirmInterval - TimerService::now();
-  if (due <= Span(0))
+  auto due = ReplicaConfirmPolledAt + Options.ReplicaConfirmInterval -
+             TimerService::now();
+  if (due <= Span(0)) {
+    ReplicaConfirmPolledAt = TimerService::now();
     return sendReplicaPoll();
+  }
   Timers.after(due, [this](Instant) { pollToConfirmReplicas(); });
 }
 
--- a/Programs/hemlockgladed/Gateway/RegistryWatcher.h
+++ b/Programs/hemlockgladed/Gateway/RegistryWatcher.h
@@ -47,7 +47,10 @@
     Span ConfirmTimeout = std::chrono::milliseconds(250);
     /// Timeout of `confirmReplicas`. An answer of the registry takes some 10
     /// ms.
-    Span ReplicaConfirmTimeout = std::chrono::milliseconds(250);
+    Span ReplicaConfirmTimeout = std::chrono::milliseconds(400);
+    /// Minimum interval between two polls of `confirmReplicas`: all nodes of a
+    /// large deployment may have to confirm at once.
+    Span ReplicaConfirmInterval = std::chrono::milliseconds(300);
     /// Minimum interval between two polls of `confirm`, and the age up to which
     /// declarations need none. It bounds the calls that callers with wrong keys
     /// cause.
@@ -217,6 +220,7 @@
   };
   std::vector<ReplicaConfirm> ReplicaConfirms;
   std::uint64_t LastReplicaConfirm = 0;
+  Instant ReplicaConfirmPolledAt{LongAgo};
   /// Number of the poll under way; 0 if there is none.
   std::uint64_t ConfirmNumber = 0;
   std::uint64_t LastConfirmNumber = 0;
--- a/Programs/hemlockgladed/Gateway/StreamOriginService.cpp
+++ b/Programs/hemlockgladed/Gateway/StreamOriginService.cpp
@@ -134,7 +134,7 @@
                 {{"what", "origin of a stream"}});
       return;
     }
-    for (auto position : reply->ListPosition) {
+    for (auto position : reply->JoinedPosition) {
       ++result.Positions;
       result.NewestPosition = std::max(result.NewestPosition, position);
     }
@@ -193,7 +193,7 @@
     if (!*alive || !asker)
       return;
     StreamOriginReply reply;
-    reply.ListPosition = {Callbacks.ListPosition()};
+    reply.JoinedPosition = {Callbacks.JoinedPosition()};
     auto request = unpack<StreamOriginRequest>(text);
     if (!request)
       Log.write(LogClass::State, "message-refused",
--- a/Programs/hemlockgladed/Gateway/StreamOriginService.h
+++ b/Programs/hemlockgladed/Gateway/StreamOriginService.h
@@ -39,8 +39,9 @@
     /// Returns a node's `ip:port` for other nodes.
     std::function<std::string(const EntryCandidate &node)> PeerAddress;
     std::function<void(Span, std::function<void()>)> After;
-    /// Position of the registry up to which this node knows the replicas.
-    std::function<std::uint64_t()> ListPosition;
+    /// Position of the registry at which the last replica joined that this
+    /// node knows.
+    std::function<std::uint64_t()> JoinedPosition;
   };
   /// What is known of a stream, and whether it was another node that knew.
   struct Finding {
@@ -49,13 +50,13 @@
     /// Number of nodes asked, and of those that answered.
     std::size_t Asked = 0;
     std::size_t Answered = 0;
-    /// Number of nodes that said up to which position of the registry they know
-    /// the replicas, and the highest one.
+    /// Number of nodes that said at which position of the registry the last
+    /// replica joined that they know, and the highest one.
     std::size_t Positions = 0;
     std::uint64_t NewestPosition = 0;
 
-    /// Whether all other nodes were asked, answered, and know no replicas
-    /// beyond a position.
+    /// Whether all nodes that were asked have answered, and none knows a
+    /// replica that joined after a position.
     bool noneKnowsBeyond(std::uint64_t position) const {
       return Asked > 0 && Positions == Asked && NewestPosition <= position;
     }
@@ -78,8 +79,8 @@
   /// Looks for the origin of a stream here and at other nodes. `found` is
   /// called exactly once, either before this returns or later.
   void find(StreamKey key, OnFound found);
-  /// Asks other nodes for the origin of a stream, and up to which position of
-  /// the registry they know the replicas. `found` is called as by `find`.
+  /// Asks other nodes for the origin of a stream, and when the last replica
+  /// joined that they know. `found` is called as by `find`.
   void askOthers(StreamKey key, OnFound found);
 
   /// Called when another node has opened a stream to tell of streams, or to ask
--- a/UnitTests/Coordination/Streams/StreamOriginsTest.cpp
+++ b/UnitTests/Coordination/Streams/StreamOriginsTest.cpp
@@ -159,6 +159,16 @@
   }
 }
 
+TEST_CASE("the position at which the last replica joined never falls",
+          "[streams]") {
+  SoftwareHistory history({}, Start);
+  history.onJoined(7);
+  history.onList(9);
+  history.onJoined(5);
+  CHECK(history.joinedPosition() == 7);
+  CHECK(history.position() == 9);
+}
+
 TEST_CASE("notes count once this process has a list of its own", "[streams]") {
   SoftwareHistory history({}, Start + seconds(100));
   history.onNotes(notesAt(8), Start + seconds(100));
