Test: the case of a handed-back cell counts its takeovers

Read once more: the loop waits for the other host to take the cell over, but went on without a word where it did not. No assertion is changed.

--- a/UnitTests/Coordination/Orders/CellLeaseExplorerTest.cpp
+++ b/UnitTests/Coordination/Orders/CellLeaseExplorerTest.cpp
@@ -235,6 +235,7 @@
 TEST_CASE("a cell that is handed back to a holder without answers has one that "
           "orders",
           "[lease][drill]") {
+  int takeovers = 0;
   for (Span silence = milliseconds(5000); silence <= milliseconds(9000);
        silence += milliseconds(250))
     for (Span ownedFor = milliseconds(0); ownedFor <= milliseconds(5000);
@@ -246,12 +247,15 @@
       first.UnansweredUntil = world.Time.now() + silence;
       for (int n = 0; n < 400 && !other.Lease->held(); ++n)
         world.run(LeaseStep);
+      takeovers += other.Lease->held() ? 1 : 0;
       world.run(ownedFor);
       other.Lease->handOver();
       world.run(milliseconds(15000));
       CAPTURE(silence.count(), ownedFor.count());
       CHECK_FALSE(world.isBroken());
     }
+  // A short silence ends before anybody takes over.
+  CHECK(takeovers >= 100);
 }
 
 // A release whose answer is lost or late may be in force already.
