--- a/review/common-2/stand_in.hpp
+++ b/review/common-2/stand_in.hpp
@@ -917,7 +917,10 @@
   writePort(portFile, port);
   serveForever(listener, [name, listener](int fd, Message &request) {
     if (auto from = queryOf(request.target(), "test-cut"); !from.empty()) {
-      ignoreConnectionsFrom(listener, from);
+      if (from == "none")
+        ::setsockopt(listener, SOL_SOCKET, SO_DETACH_FILTER, nullptr, 0);
+      else
+        ignoreConnectionsFrom(listener, from);
       return sendAll(fd, answerText(200, ""));
     }
     if (answerCommon(fd, request, name, true))
